Lay the package skeleton and the shared types

Cause: an empty repository; every part needs the same types, errors and messages. Conclusion: the parts can be built side by side on these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test format bench prove slopes proto
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -qq --disable-pip-version-check -e '.[dev,bench]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/guavamast demo
+
+test: $(STAMP)
+	$(BIN)/black --check --quiet src tests bench tools
+	$(BIN)/ruff check --quiet src tests bench tools
+	$(BIN)/python -m tools.run_tests
+
+format: $(STAMP)
+	$(BIN)/black --quiet src tests bench tools
+	$(BIN)/ruff check --quiet --fix src tests bench tools
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+prove: $(STAMP)
+	GUAVAMAST_EXAMPLES=5000 $(BIN)/python -m tools.run_tests --property-only
+
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
+# Needs grpcio-tools, which the product itself does not.
+proto:
+	$(BIN)/python -m grpc_tools.protoc -Isrc --python_out=src --grpclib_python_out=src \
+		--plugin=protoc-gen-grpclib_python=$(BIN)/protoc-gen-grpclib_python \
+		src/guavamast/peer.proto
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions and daemons; run with ``make bench``."""
--- /dev/null
+++ b/src/guavamast/errors.py
@@ -0,0 +1,130 @@
+"""Error codes, outcomes and the exceptions that carry them."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What is known of the work of a request that ended without its answer."""
+
+    NOT_RUN = "not_run"
+    """No endpoint received any byte of it."""
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    """It was sent, or may have been, and its result was not learnt."""
+    FAILED = "failed"
+    """It ran, or began to, and ended in an error."""
+
+
+class ErrorCode(StrEnum):
+    """The codes callers and operators see; ``docs/errors.md`` says what to do for each."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_CLASS = "unknown_class"
+    IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    IN_PROGRESS = "in_progress"
+    RATE_LIMITED = "rate_limited"
+    CONCURRENCY_LIMITED = "concurrency_limited"
+    SHED = "shed"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_ENDPOINT = "no_endpoint"
+    NO_CONFIGURATION = "no_configuration"
+    LEAVING = "leaving"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ANSWER_INVALID = "answer_invalid"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    PLAN_INVALID = "plan_invalid"
+    PLAN_CONFLICT = "plan_conflict"
+    CONFIGURATION_INVALID = "configuration_invalid"
+    INTERNAL = "internal"
+
+
+class GuavamastError(Exception):
+    """Base of all errors that guavamast raises on purpose.
+
+    Args:
+        code: What went wrong.
+        message: One sentence for a person.
+    """
+
+    def __init__(self, code: ErrorCode, message: str) -> None:
+        super().__init__(f"{code} {message}")
+        self.code = code
+        self.message = message
+
+
+class Refusal(GuavamastError):
+    """The final answer to a request that gets no result.
+
+    A refusal with ``Outcome.NOT_RUN`` is made by `SendLatch.refuse` alone, so that the outcome
+    can't be claimed for a request of which a byte may have left this process.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str,
+        *,
+        status: int,
+        outcome: Outcome,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(code, message)
+        self.status = status
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+
+
+class SendLatch:
+    """Records whether any byte of one request may have reached an endpoint.
+
+    Failure: a refusal says ``not_run`` although the call was sent, and the caller repeats it.
+    The latch can only be closed, never opened again, and it is closed before the first byte goes
+    out, so a crash or an error between the two errs towards ``outcome_unknown``.
+    """
+
+    __slots__ = ("_sent",)
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    @property
+    def sent(self) -> bool:
+        """Whether a send has begun."""
+        return self._sent
+
+    def mark_sent(self) -> None:
+        """Close the latch; call right before the first byte is handed to the connection."""
+        self._sent = True
+
+    def refuse(
+        self,
+        code: ErrorCode,
+        message: str,
+        *,
+        status: int,
+        retry_after_s: float | None = None,
+    ) -> Refusal:
+        """Make the refusal whose outcome this latch proves.
+
+        Args:
+            code: What went wrong.
+            message: One sentence for a person.
+            status: HTTP status.
+            retry_after_s: Seconds after which asking again may help.
+
+        Returns:
+            A refusal as ``not_run`` when nothing was sent, else as ``outcome_unknown``.
+        """
+        outcome = Outcome.OUTCOME_UNKNOWN if self._sent else Outcome.NOT_RUN
+        return Refusal(code, message, status=status, outcome=outcome, retry_after_s=retry_after_s)
--- /dev/null
+++ b/src/guavamast/keeping.py
@@ -0,0 +1,47 @@
+"""Which dispatcher keeps an endpoint.
+
+The keeper decides on the endpoint's queue and slots. It is found without an agreement: every
+process ranks the serving members by rendezvous hash, those of the endpoint's region first.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.rendezvous import rank
+
+if TYPE_CHECKING:
+    from guavamast.members import Member, MembershipView
+    from guavamast.world import Endpoint
+
+
+def find_keeper(endpoint: Endpoint, view: MembershipView) -> Member | None:
+    """Return the member that keeps an endpoint in this view.
+
+    Members of the endpoint's failure domain's region come first, so that losing the link between
+    regions leaves each region's endpoints with a keeper that can reach them.
+
+    Args:
+        endpoint: The endpoint.
+        view: The members as this process sees them.
+
+    Returns:
+        The keeper, or None when no member serves.
+    """
+    serving = {member.instance.name: member for member in view.list_serving()}
+    region = find_region(endpoint, view)
+    near = [name for name, member in serving.items() if _region_of(member) == region]
+    ranked = rank(endpoint.name, near or serving)
+    return serving[ranked[0]] if ranked else None
+
+
+def find_region(endpoint: Endpoint, view: MembershipView) -> str:
+    """Return the region of an endpoint's failure domain; empty when no member is in it."""
+    for member in view.members:
+        if member.instance.failure_domain.name == endpoint.failure_domain:
+            return _region_of(member)
+    return ""
+
+
+def _region_of(member: Member) -> str:
+    return member.instance.failure_domain.region
--- /dev/null
+++ b/src/guavamast/rendezvous.py
@@ -0,0 +1,20 @@
+"""Rendezvous (highest random weight) hashing."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def compute_weight(key: str, candidate: str) -> int:
+    """Return the 64-bit weight of a candidate for a key; the same in every process."""
+    digest = blake2b(f"{key}\x00{candidate}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
+
+
+def rank(key: str, candidates: Iterable[str]) -> list[str]:
+    """Return the candidates, the one of highest weight for the key first."""
+    return sorted(candidates, key=lambda name: (compute_weight(key, name), name), reverse=True)
--- /dev/null
+++ b/src/guavamast/world.py
@@ -0,0 +1,144 @@
+"""The objects of the world that a configuration describes, and the configuration itself.
+
+All are immutable; durations are in seconds unless a name says otherwise.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FailureDomain:
+    """A set of machines that fail together."""
+
+    name: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Instance:
+    """One machine that runs an entry and a dispatcher."""
+
+    name: str
+    failure_domain: FailureDomain
+    caller_address: str
+    """``ip:port`` of the entry's HTTP listener."""
+    peer_address: str
+    """``ip:port`` of the dispatcher's gRPC listener."""
+
+
+class EndpointKind(StrEnum):
+    """What an endpoint runs."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class EndpointState(StrEnum):
+    """What the operators want of an endpoint."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+class Fencing(StrEnum):
+    """Whether an endpoint refuses an order that carries an old fencing number."""
+
+    CHECKED = "checked"
+    IGNORED = "ignored"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Endpoint:
+    """An engine or a plain service that requests are sent to."""
+
+    name: str
+    kind: EndpointKind
+    url: str
+    failure_domain: str
+    slots: int
+    """Requests that it runs at the same time."""
+    service: str = ""
+    """Name of the service; empty for an engine."""
+    models: frozenset[str] = frozenset()
+    fencing: Fencing = Fencing.CHECKED
+    state: EndpointState = EndpointState.ACTIVE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceClass:
+    """A tier with its targets. Tier 1 is the highest."""
+
+    name: str
+    tier: int
+    first_token_ms: float
+    token_interval_ms: float
+    completion_s: float
+    guaranteed_share: float
+    """Share of starts, 0 to 1, that the class gets while it has waiting work."""
+    queue_limit: int
+    """Requests that may wait at one endpoint's keeper."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Contract:
+    """What one organisation may use: its limits and the class of each kind of request."""
+
+    requests_per_second: float
+    concurrent: int
+    classes: Mapping[str, str]
+    """Kind of request to name of class."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Organisation:
+    """A customer whose callers share one key and one contract."""
+
+    name: str
+    key_sha256: str
+    contract: Contract
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallRule:
+    """How one call of a plain service may be treated."""
+
+    service: str
+    call: str
+    idempotent: bool
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Model:
+    """A language model and the version that engines are to run."""
+
+    name: str
+    version: str
+
+
+def _empty() -> MappingProxyType:
+    return MappingProxyType({})
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """One accepted version of the fleet's configuration."""
+
+    version: int
+    """0 stands for no configuration yet; each accepted plan adds one."""
+    text: str = ""
+    """The INI text this was read from."""
+    classes: Mapping[str, ServiceClass] = field(default_factory=_empty)
+    organisations: Mapping[str, Organisation] = field(default_factory=_empty)
+    endpoints: Mapping[str, Endpoint] = field(default_factory=_empty)
+    calls: Mapping[tuple[str, str], CallRule] = field(default_factory=_empty)
+    """Keyed by service and call."""
+    models: Mapping[str, Model] = field(default_factory=_empty)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools that are not part of the installed package."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,85 @@
+"""Test runner: all unittest tests, with the failures listed in KNOWN-RED.txt passed over.
+
+A line of KNOWN-RED.txt is ``test id | cause | issue``. The run fails when a test that is not listed
+fails, when a listed test passes again, does not exist, or when more than three are listed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import unittest
+from pathlib import Path
+from typing import Final
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+KNOWN_RED: Final = ROOT / "KNOWN-RED.txt"
+KNOWN_RED_LIMIT: Final = 3
+
+
+def read_known_red() -> dict[str, str]:
+    """Return the listed test ids with their whole line."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line.strip() for line in KNOWN_RED.read_text().splitlines()]
+    entries = [line for line in lines if line and not line.startswith("#")]
+    return {line.split("|")[0].strip(): line for line in entries}
+
+
+def collect_ids(suite: unittest.TestSuite) -> list[str]:
+    """Return the ids of all tests of a suite, in order."""
+    ids: list[str] = []
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            ids.extend(collect_ids(item))
+        else:
+            ids.append(item.id())
+    return ids
+
+
+def find_failed_ids(result: unittest.TestResult) -> set[str]:
+    """Return the ids of the tests that failed, a failing subtest counting for its test."""
+    failed = set()
+    for test, _ in [*result.failures, *result.errors]:
+        failed.add(getattr(test, "test_case", test).id())
+    failed.update(test.id() for test in result.unexpectedSuccesses)
+    return failed
+
+
+def judge(ids: list[str], failed: set[str], known: dict[str, str]) -> list[str]:
+    """Return the reasons why this run fails; none when it passes."""
+    reasons = [f"failed: {test_id}" for test_id in sorted(failed - set(known))]
+    if len(known) > KNOWN_RED_LIMIT:
+        reasons.append(f"KNOWN-RED.txt lists {len(known)} tests, {KNOWN_RED_LIMIT} at most")
+    for test_id in known:
+        if test_id not in ids:
+            reasons.append(f"KNOWN-RED.txt names a test that does not exist: {test_id}")
+        elif test_id not in failed:
+            reasons.append(f"KNOWN-RED.txt names a test that passes: {test_id}")
+    return reasons
+
+
+def main() -> int:
+    """Run the tests and print the verdict; the closing line is ``N passed, N failed``."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--property-only", action="store_true", help="only *_properties modules")
+    parser.add_argument("--pattern", default="test_*.py")
+    args = parser.parse_args()
+    pattern = "test_*_properties.py" if args.property_only else args.pattern
+    suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), pattern, str(ROOT))
+    ids = collect_ids(suite)
+    result = unittest.TextTestRunner(verbosity=1, stream=sys.stderr).run(suite)
+    failed = find_failed_ids(result)
+    known = {} if pattern != "test_*.py" else read_known_red()
+    for line in known.values():
+        print(f"known red: {line}")
+    reasons = judge(ids, failed, known)
+    for reason in reasons:
+        print(reason)
+    unknown_failures = len(failed - set(known))
+    print(f"{len(ids) - len(failed)} passed, {max(unknown_failures, len(reasons))} failed")
+    return 1 if reasons or not ids else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
