Pay retries from a budget of successes per class

Cause: when a third of the endpoints die, retries multiply the load on the rest. Ruled out: a fixed number of retries a request (amplification 1 + that number at the worst moment); one budget for all classes (a failing class would spend the retries of the others). Change: RetryBudget with a balance per class (a tenth of the successes, five saved at most, a floor of 0.1/s), full jitter, no retry past the deadline or of a call that may not be repeated.

--- /dev/null
+++ b/src/guavamast/retries.py
@@ -0,0 +1,114 @@
+"""Whether and when a failed attempt may be made again."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from random import Random
+
+RETRY_SHARE: Final = 0.1
+"""Retries that each success pays for."""
+BALANCE_LIMIT: Final = 5.0
+"""Most retries that can be saved up; bounds the burst when many endpoints die at once."""
+FLOOR_PER_S: Final = 0.1
+"""Retries a second for a class with hardly any traffic."""
+FLOOR_LIMIT: Final = 1.0
+"""The floor fills the balance up to here only."""
+ATTEMPT_LIMIT: Final = 3
+"""Attempts of one request, the first counted."""
+BACKOFF_FIRST_S: Final = 0.05
+BACKOFF_LONGEST_S: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Retry:
+    """The permission to make an attempt again after a delay."""
+
+    delay_s: float
+
+
+@dataclass(slots=True)
+class _Balance:
+    tokens: float
+    updated: float | None = None
+
+
+def compute_backoff(attempt: int, *, random: Random) -> float:
+    """Return the seconds to wait after a failed attempt, drawn evenly up to a doubling bound.
+
+    Args:
+        attempt: Number of attempts made, 1 or more.
+        random: Source of the jitter.
+    """
+    bound = min(BACKOFF_LONGEST_S, BACKOFF_FIRST_S * 2.0 ** min(attempt - 1, 30))
+    return random.uniform(0.0, bound)
+
+
+class RetryBudget:
+    """Retries that an entry may make, for each class a share of its successes.
+
+    Failure: a third of the endpoints die, each of their requests is sent again, and the load on the
+    rest grows by the retries until they fail too. As successes pay for retries, the attempts stay
+    below ``1 + RETRY_SHARE`` times the requests, whatever fails, but for the saved balance.
+    """
+
+    __slots__ = ("_balances",)
+
+    def __init__(self) -> None:
+        self._balances: dict[str, _Balance] = {}
+
+    def record_success(self, class_name: str) -> None:
+        """Pay a share of a retry into the class's balance."""
+        balance = self._find(class_name)
+        balance.tokens = min(BALANCE_LIMIT, balance.tokens + RETRY_SHARE)
+
+    def try_spend(self, class_name: str, *, now: float) -> bool:
+        """Take one retry from the class's balance; False when there is none."""
+        balance = self._find(class_name)
+        if balance.updated is not None and balance.tokens < FLOOR_LIMIT:
+            elapsed = max(0.0, now - balance.updated)
+            balance.tokens = min(FLOOR_LIMIT, balance.tokens + elapsed * FLOOR_PER_S)
+        balance.updated = now if balance.updated is None else max(now, balance.updated)
+        if balance.tokens < 1.0:
+            return False
+        balance.tokens -= 1.0
+        return True
+
+    def plan(
+        self,
+        class_name: str,
+        *,
+        attempt: int,
+        idempotent: bool,
+        deadline: float,
+        now: float,
+        random: Random,
+    ) -> Retry | None:
+        """Decide on a retry after an attempt that was sent and failed.
+
+        Args:
+            class_name: The request's class.
+            attempt: Number of attempts sent, 1 or more.
+            idempotent: Whether running it twice does no harm.
+            deadline: Time at which the caller stops waiting; carried along, never extended.
+            now: The present time.
+            random: Source of the jitter.
+
+        Returns:
+            The retry, or None when the failure is final.
+        """
+        if not idempotent or attempt >= ATTEMPT_LIMIT:
+            return None
+        delay = compute_backoff(attempt, random=random)
+        if now + delay >= deadline:
+            return None
+        return Retry(delay_s=delay) if self.try_spend(class_name, now=now) else None
+
+    def _find(self, class_name: str) -> _Balance:
+        balance = self._balances.get(class_name)
+        if balance is None:
+            balance = _Balance(FLOOR_LIMIT)
+            self._balances[class_name] = balance
+        return balance
