Name the finding codes and the instances that operators drain

Shared types, additive only. Ruled out: a second row in the platform beside the configuration, which could disagree with the plan that the operators confirmed.

--- a/src/guavamast/findings.py
+++ b/src/guavamast/findings.py
@@ -3,10 +3,34 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from guavamast.errors import ErrorCode, GuavamastError
 
 
+class FindingCode(StrEnum):
+    """What is wrong at a place of a file; ``docs/errors.md`` says what to do for each."""
+
+    UNREADABLE = "unreadable"
+    SYNTAX = "syntax"
+    DUPLICATE_SECTION = "duplicate_section"
+    DUPLICATE_KEY = "duplicate_key"
+    DUPLICATE_VALUE = "duplicate_value"
+    DUPLICATE_TIER = "duplicate_tier"
+    UNKNOWN_SECTION = "unknown_section"
+    UNKNOWN_KEY = "unknown_key"
+    MISSING_SECTION = "missing_section"
+    MISSING_KEY = "missing_key"
+    MISPLACED_KEY = "misplaced_key"
+    BAD_NAME = "bad_name"
+    BAD_VALUE = "bad_value"
+    WRONG_UNIT = "wrong_unit"
+    OUT_OF_RANGE = "out_of_range"
+    UNDEFINED_REFERENCE = "undefined_reference"
+    SHARE_SUM = "share_sum"
+    NO_CAPACITY = "no_capacity"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Finding:
     """One thing that is wrong at one place of a file."""
--- a/src/guavamast/world.py
+++ b/src/guavamast/world.py
@@ -142,3 +142,5 @@
     calls: Mapping[tuple[str, str], CallRule] = field(default_factory=_empty)
     """Keyed by service and call."""
     models: Mapping[str, Model] = field(default_factory=_empty)
+    leaving_instances: frozenset[str] = frozenset()
+    """Instances that the operators drain; each shuts down gracefully when it reads its own name."""
