Read and check settings and fleet configuration as a whole

Cause: configparser keeps no lines and its strict mode stops at the first duplicate, while operators are to see every finding at once with its place. Change: its public dict_type and line iterator note the line of each section and key; a schema of sections and keys gives types, units, ranges, defaults and the nearest known name; fleet_checks looks across sections. Ruled out: a parser of our own, and parsing again after each strict error (quadratic). Two classes of one tier are an error only where they share an endpoint: there nothing would say which of the two starts first. Injected and seen caught by the properties: int() without its handler, key lines off by one, lines of syntax findings off by one. Not caught, and harmless: keeping the entry of an empty key (reported twice).

--- /dev/null
+++ b/tests/test_fleet_properties.py
@@ -0,0 +1,65 @@
+"""Property tests of the checkers: whatever the text, findings and nothing else."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.findings import FindingsError
+from guavamast.fleet import check_configuration, parse_configuration
+from guavamast.inifile import read_ini
+from guavamast.settings import parse_settings
+from tests.test_fleet import GOOD as FLEET
+from tests.test_settings import GOOD as SETTINGS
+
+LINES = st.sampled_from([*FLEET.splitlines(), *SETTINGS.splitlines(), "", "  tail", "=", "[", "[]"])
+NOISE = st.text(alphabet=st.characters(codec="utf-8"), max_size=40)
+TEXTS = st.lists(LINES | NOISE, max_size=60).map("\n".join)
+
+
+@st.composite
+def edit_fleets(draw: st.DrawFn) -> str:
+    """Return the good configuration with a few values, keys or lines replaced."""
+    lines = FLEET.splitlines()
+    for _ in range(draw(st.integers(0, 4))):
+        place = draw(st.integers(0, len(lines) - 1))
+        key = lines[place].partition("=")[0]
+        value = draw(NOISE | st.sampled_from(["0", "-1", "1e999", "9" * 5000, "nan", "²", "a:b"]))
+        lines[place] = draw(st.sampled_from([f"{key}= {value}", value, "", lines[place - 1]]))
+    return "\n".join(lines)
+
+
+class CheckerProperties(unittest.TestCase):
+    """The parsers and checkers end in an object or in findings with a line of the text."""
+
+    @given(TEXTS | edit_fleets())
+    def test_fleet_ends_in_findings_or_a_configuration(self, text: str) -> None:
+        findings = check_configuration(text, file="f")
+        for finding in findings:
+            self.assertLessEqual(0, finding.line)
+            self.assertLessEqual(finding.line, text.count("\n") + 1)
+        try:
+            configuration = parse_configuration(text, file="f", version=3)
+        except FindingsError as error:
+            self.assertEqual(error.findings, findings)
+        else:
+            self.assertEqual(findings, [])
+            self.assertEqual(configuration.version, 3)
+
+    @given(TEXTS)
+    def test_settings_end_in_findings_or_settings(self, text: str) -> None:
+        try:
+            parse_settings(text, file="f")
+        except FindingsError as error:
+            self.assertTrue(error.findings)
+
+    @given(TEXTS | edit_fleets())
+    def test_places_point_at_the_text(self, text: str) -> None:
+        lines = text.split("\n")
+        for section in read_ini(text, file="f").sections:
+            self.assertIn(f"[{section.name}]", lines[section.line - 1])
+            for key, entry in section.entries.items():
+                self.assertIn(key, lines[entry.line - 1])
+                self.assertIn(entry.value.split("\n")[0], lines[entry.line - 1])
