Compute plans and confirm them by compare-and-set over the platform

Cause: operators race, and the platform's answer can be lost after its write. A lost answer is settled by sending the same transaction again and reading the plan's id.

--- /dev/null
+++ b/src/guavamast/plans.py
@@ -0,0 +1,220 @@
+"""Plans: what a proposed configuration changes, and what that does to the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from guavamast.capacity import compute_capacities
+from guavamast.changes import compute_changes, list_drains
+from guavamast.world import EndpointKind, EndpointState, Fencing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from guavamast.capacity import ClassCapacity
+    from guavamast.changes import Change
+    from guavamast.world import Configuration, Endpoint
+
+
+class WarningCode(StrEnum):
+    """What an operator should weigh before confirming."""
+
+    NOTHING_CHANGES = "nothing_changes"
+    CLASS_WITHOUT_ENDPOINTS = "class_without_endpoints"
+    CLASS_WITHOUT_SHARE = "class_without_share"
+    CLASS_UNUSED = "class_unused"
+    CAPACITY_LOWER = "capacity_lower"
+    MODEL_WITHOUT_ENDPOINTS = "model_without_endpoints"
+    DRAIN = "drain"
+    REMOVED_WITHOUT_DRAIN = "removed_without_drain"
+    ORGANISATION_REMOVED = "organisation_removed"
+    CALL_MADE_IDEMPOTENT = "call_made_idempotent"
+    FENCING_IGNORED = "fencing_ignored"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlanWarning:
+    """One warning, about one section."""
+
+    code: WarningCode
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.code} {self.message}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CapacityChange:
+    """The slots and active endpoints of one class under the base and the proposal."""
+
+    class_name: str
+    slots_before: int
+    slots_after: int
+    endpoints_before: int
+    endpoints_after: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """A proposed configuration against the version that it was computed from."""
+
+    id: str
+    base_version: int
+    text: str
+    """The proposed configuration as INI."""
+    proposed_by: str
+    proposed_at: float
+    """Seconds since the epoch."""
+    changes: tuple[Change, ...]
+    warnings: tuple[PlanWarning, ...]
+    capacities: tuple[CapacityChange, ...]
+    """Of each class that is used before or after, in order of name."""
+    drains: tuple[str, ...]
+    """Sections of the endpoints and instances that begin to leave."""
+    fencing_ignored: tuple[str, ...]
+    """Engines of the proposal that don't refuse an order with an old fencing number."""
+
+
+def compute_plan(
+    *,
+    plan_id: str,
+    base: Configuration,
+    proposed: Configuration,
+    proposed_by: str,
+    now: float,
+) -> Plan:
+    """Return what a proposal does to the configuration in force.
+
+    Args:
+        plan_id: Name of the plan; settles a confirmation whose answer was lost.
+        base: The configuration in force.
+        proposed: The proposal, checked.
+        proposed_by: The operator's name.
+        now: Seconds since the epoch.
+
+    Returns:
+        The plan; nothing is changed by it.
+    """
+    changes = compute_changes(base, proposed)
+    before, after = compute_capacities(base), compute_capacities(proposed)
+    warnings = [] if changes else [_warn(WarningCode.NOTHING_CHANGES, "the plan changes nothing")]
+    warnings.extend(_warn_of_classes(proposed, before, after))
+    warnings.extend(_warn_of_models(base, proposed))
+    warnings.extend(_warn_of_endpoints(base, proposed))
+    warnings.extend(_warn_of_callers(base, proposed))
+    return Plan(
+        id=plan_id,
+        base_version=base.version,
+        text=proposed.text,
+        proposed_by=proposed_by,
+        proposed_at=now,
+        changes=tuple(changes),
+        warnings=tuple(warnings),
+        capacities=tuple(_compare_capacities(before, after)),
+        drains=tuple(list_drains(base, proposed)),
+        fencing_ignored=tuple(
+            endpoint.name
+            for endpoint in proposed.endpoints.values()
+            if endpoint.kind is EndpointKind.ENGINE and endpoint.fencing is Fencing.IGNORED
+        ),
+    )
+
+
+def _warn(code: WarningCode, message: str) -> PlanWarning:
+    return PlanWarning(code=code, message=message)
+
+
+def _compare_capacities(
+    before: dict[str, ClassCapacity], after: dict[str, ClassCapacity]
+) -> Iterator[CapacityChange]:
+    for name in sorted(before.keys() | after.keys()):
+        old, new = before.get(name), after.get(name)
+        yield CapacityChange(
+            class_name=name,
+            slots_before=old.slots if old else 0,
+            slots_after=new.slots if new else 0,
+            endpoints_before=len(old.active) if old else 0,
+            endpoints_after=len(new.active) if new else 0,
+        )
+
+
+def _warn_of_classes(
+    proposed: Configuration, before: dict[str, ClassCapacity], after: dict[str, ClassCapacity]
+) -> Iterator[PlanWarning]:
+    for name, service_class in proposed.classes.items():
+        if name not in after:
+            yield _warn(WarningCode.CLASS_UNUSED, f"no organisation uses [class {name}]")
+            continue
+        new, old = after[name], before.get(name)
+        if not new.active:
+            message = f"[class {name}] is left without an active endpoint; its requests are refused"
+            yield _warn(WarningCode.CLASS_WITHOUT_ENDPOINTS, message)
+        elif old and new.slots < old.slots:
+            message = f"[class {name}] goes from {old.slots} to {new.slots} slots"
+            yield _warn(WarningCode.CAPACITY_LOWER, message)
+        above = [
+            other
+            for other, capacity in sorted(after.items())
+            if proposed.classes[other].tier < service_class.tier
+            and capacity.endpoints & new.endpoints
+        ]
+        if above and not service_class.guaranteed_share:
+            message = f"[class {name}] has no guaranteed_share; [class {above[0]}] can hold it back"
+            yield _warn(WarningCode.CLASS_WITHOUT_SHARE, message)
+
+
+def _list_active_models(configuration: Configuration) -> set[str]:
+    return {
+        model
+        for endpoint in configuration.endpoints.values()
+        if endpoint.state is EndpointState.ACTIVE
+        for model in endpoint.models
+    }
+
+
+def _warn_of_models(base: Configuration, proposed: Configuration) -> Iterator[PlanWarning]:
+    served = _list_active_models(proposed)
+    for name in sorted(_list_active_models(base) - served):
+        message = f"no active endpoint serves model {name} any more; requests for it are refused"
+        yield _warn(WarningCode.MODEL_WITHOUT_ENDPOINTS, message)
+
+
+def _warn_of_endpoints(base: Configuration, proposed: Configuration) -> Iterator[PlanWarning]:
+    for section in list_drains(base, proposed):
+        message = f"[{section}] takes no new work; its running work finishes"
+        yield _warn(WarningCode.DRAIN, message)
+    for name, endpoint in base.endpoints.items():
+        if name not in proposed.endpoints and endpoint.state is EndpointState.ACTIVE:
+            message = f"[endpoint {name}] goes while active; drain it first and remove it later"
+            yield _warn(WarningCode.REMOVED_WITHOUT_DRAIN, message)
+    for endpoint in proposed.endpoints.values():
+        if endpoint.fencing is Fencing.IGNORED and gets_orders(endpoint, base, proposed):
+            message = (
+                f"[endpoint {endpoint.name}] gets orders and ignores fencing numbers; "
+                "they go out one at a time and are checked afterwards"
+            )
+            yield _warn(WarningCode.FENCING_IGNORED, message)
+
+
+def gets_orders(endpoint: Endpoint, base: Configuration, proposed: Configuration) -> bool:
+    """Return whether an endpoint of the proposal has models to load or to drop."""
+    if endpoint.kind is not EndpointKind.ENGINE or endpoint.state is not EndpointState.ACTIVE:
+        return False
+    old = base.endpoints.get(endpoint.name)
+    if old is None or old.models != endpoint.models:
+        return True
+    return any(base.models.get(name) != proposed.models.get(name) for name in endpoint.models)
+
+
+def _warn_of_callers(base: Configuration, proposed: Configuration) -> Iterator[PlanWarning]:
+    for name in base.organisations:
+        if name not in proposed.organisations:
+            message = f"[organisation {name}] goes; its callers get 401"
+            yield _warn(WarningCode.ORGANISATION_REMOVED, message)
+    for (service, call), rule in proposed.calls.items():
+        old = base.calls.get((service, call))
+        if rule.idempotent and base.version and not (old and old.idempotent):
+            message = f"[call {service}.{call}] may be repeated from now on"
+            yield _warn(WarningCode.CALL_MADE_IDEMPOTENT, message)
--- /dev/null
+++ b/tests/test_plan_store.py
@@ -0,0 +1,128 @@
+"""Tests of proposing and confirming plans over a platform that fails."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from guavamast.errors import ErrorCode, GuavamastError
+from guavamast.findings import FindingsError
+from guavamast.plan_rows import AUDIT_TABLE, compute_digest
+from guavamast.plan_store import ConfirmationUnknown, PlanConflict, PlanStore
+from guavamast.platform_client import PlatformUnavailable
+from tests.fake_platform import FakePlatform
+from tests.test_fleet import GOOD
+
+DRAINED = GOOD.replace("slots = 8", "slots = 8\nstate = leaving")
+FASTER = GOOD.replace("first_token_ms = 400", "first_token_ms = 300")
+
+
+def make_store(platform: FakePlatform) -> PlanStore:
+    """Return a store that names its plans p1, p2 and so on."""
+    numbers = itertools.count(1)
+    return PlanStore(platform=platform, make_id=lambda: f"p{next(numbers)}", settle_pause_s=0.0)
+
+
+class PlanStoreTest(unittest.IsolatedAsyncioTestCase):
+    """A plan is applied once or not at all, and its caller learns which."""
+
+    def setUp(self) -> None:
+        self.platform = FakePlatform()
+        self.store = make_store(self.platform)
+
+    async def accept(self, text: str, *, who: str = "anna") -> int:
+        """Propose and confirm."""
+        plan = await self.store.propose(text, who=who, now=10.0)
+        return await self.store.confirm(plan.id, who=who, now=11.0)
+
+    async def test_first_plan_becomes_version_1_with_its_audit_record(self) -> None:
+        self.assertEqual((await self.store.load_configuration()).version, 0)
+        self.assertEqual(await self.accept(GOOD), 1)
+        self.assertEqual(await self.accept(FASTER, who="bert"), 2)
+        self.assertEqual((await self.store.load_configuration()).text, FASTER)
+        self.assertEqual((await self.store.load_version(1)).text, GOOD)
+        self.assertIsNone(await self.store.load_version(3))
+        latest, first = await self.store.list_audit(limit=10)
+        self.assertEqual(
+            (latest.who, latest.plan, latest.version, latest.at), ("bert", "p2", 2, 11)
+        )
+        self.assertEqual(latest.before_digest, compute_digest(GOOD))
+        self.assertEqual(latest.after_digest, compute_digest(FASTER))
+        self.assertEqual(latest.changes, ("[class drafting] first_token_ms: 400 -> 300",))
+        self.assertEqual((first.before_version, first.before_digest), (0, ""))
+
+    async def test_proposing_changes_nothing(self) -> None:
+        await self.accept(GOOD)
+        plan = await self.store.propose(DRAINED, who="anna", now=12.0)
+        self.assertEqual((await self.store.read_head()).version, 1)
+        self.assertEqual(await self.store.read_plan(plan.id), plan)
+        self.assertIsNone(await self.store.read_accepted_version(plan.id))
+        with self.assertRaises(FindingsError):
+            await self.store.propose("[class x]\n", who="anna", now=12.0)
+
+    async def test_racing_plans_one_accepted_the_other_shown_the_difference(self) -> None:
+        # Two operators compute plans from version 1 and confirm them one after the other. The
+        # second would undo the first without having seen it. It gets a conflict that shows what
+        # was accepted and by whom, and the first stays in force.
+        await self.accept(GOOD)
+        mine = await self.store.propose(DRAINED, who="anna", now=12.0)
+        other = await self.store.propose(FASTER, who="bert", now=12.0)
+        self.assertEqual(await self.store.confirm(other.id, who="bert", now=13.0), 2)
+        with self.assertRaises(PlanConflict) as caught:
+            await self.store.confirm(mine.id, who="anna", now=13.0)
+        self.assertEqual(caught.exception.head_version, 2)
+        self.assertEqual([change.after for change in caught.exception.difference], ["300"])
+        self.assertEqual([record.who for record in caught.exception.accepted], ["bert"])
+        self.assertEqual((await self.store.load_configuration()).text, FASTER)
+
+    async def test_lost_answer_is_settled_by_the_plans_id(self) -> None:
+        # The platform writes the version and the answer is lost, so the instance sees an error
+        # for a plan that is in force. It writes the same transaction again, gets a conflict,
+        # and finds its own plan's id: accepted, once.
+        await self.accept(GOOD)
+        for fault in ("lost", "cut", "late"):
+            plan = await self.store.propose(FASTER, who="anna", now=12.0)
+            self.platform.faults.extend([fault])
+            version = await self.store.confirm(plan.id, who="anna", now=13.0)
+            self.assertEqual(version, plan.base_version + 1, fault)
+            self.assertEqual((await self.store.read_head()).version, version, fault)
+        self.assertEqual(len(await self.platform.scan(AUDIT_TABLE, "")), 4)
+
+    async def test_cut_right_after_the_write_is_unknown_until_asked_again(self) -> None:
+        # The write takes effect, its answer is lost, and the platform goes down before the
+        # instance can read what happened. The operator hears "unknown", never "not accepted",
+        # and confirming again after the outage gives the version without a second write.
+        plan = await self.store.propose(GOOD, who="anna", now=10.0)
+        self.platform.faults.append("lost_then_down")
+        with self.assertRaises(ConfirmationUnknown):
+            await self.store.confirm(plan.id, who="anna", now=11.0)
+        writes = len(self.platform.applied)
+        self.assertEqual(await self.store.confirm(plan.id, who="anna", now=12.0), 1)
+        self.assertEqual(len(self.platform.applied), writes)
+        self.assertEqual((await self.store.list_audit(limit=9))[0].at, 11.0)
+
+    async def test_outage_before_the_write_says_so(self) -> None:
+        plan = await self.store.propose(GOOD, who="anna", now=10.0)
+        self.platform.faults.append("down")
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.confirm(plan.id, who="anna", now=11.0)
+        self.assertEqual((await self.store.read_head()).version, 0)
+
+    async def test_unknown_plan(self) -> None:
+        with self.assertRaises(GuavamastError) as caught:
+            await self.store.confirm("p9", who="anna", now=1.0)
+        self.assertEqual(caught.exception.code, ErrorCode.NOT_FOUND)
+
+    async def test_damaged_text_is_not_taken(self) -> None:
+        await self.accept(GOOD)
+        name = next(iter(self.platform.objects))
+        self.platform.objects[name] = b"[class x]"
+        with self.assertRaises(PlatformUnavailable):
+            await self.store.load_configuration()
+
+    async def test_audit_reads_back_over_pages(self) -> None:
+        for number in range(1, 231):
+            text = GOOD.replace("slots = 8", f"slots = {number}")
+            self.assertEqual(await self.accept(text), number)
+        versions = [record.version for record in await self.store.list_audit(limit=150)]
+        self.assertEqual(versions, list(range(230, 80, -1)))
--- /dev/null
+++ b/tests/test_plans.py
@@ -0,0 +1,96 @@
+"""Tests of what a plan shows."""
+
+from __future__ import annotations
+
+import unittest
+
+from guavamast.fleet import parse_configuration
+from guavamast.plans import Plan, WarningCode, compute_plan
+from guavamast.world import Configuration
+from tests.test_fleet import GOOD
+
+BASE = parse_configuration(GOOD, file="f", version=4)
+ACTIVE = GOOD.replace("state = leaving\n\n[call", "\n[call").replace(
+    "[instance entry-04]\nstate = leaving", "[instance entry-04]\nstate = active"
+)
+
+
+def plan(before: str, after: str) -> Plan:
+    """Return the plan from one text to another."""
+    base = parse_configuration(before, file="f", version=4)
+    proposed = parse_configuration(after, file="f", version=0)
+    return compute_plan(plan_id="p", base=base, proposed=proposed, proposed_by="anna", now=5.0)
+
+
+class PlansTest(unittest.TestCase):
+    """A plan names each change, and what an operator has to weigh."""
+
+    def list_warnings(self, shown: Plan) -> dict[WarningCode, str]:
+        """Return the messages by code."""
+        return {warning.code: warning.message for warning in shown.warnings}
+
+    def test_first_plan_adds_everything(self) -> None:
+        base = Configuration(version=0)
+        shown = compute_plan(plan_id="p", base=base, proposed=BASE, proposed_by="a", now=0.0)
+        self.assertEqual(shown.base_version, 0)
+        self.assertEqual({str(change.kind) for change in shown.changes}, {"added"})
+        self.assertEqual(len(shown.changes), 10)
+
+    def test_nothing_changes(self) -> None:
+        shown = plan(GOOD, GOOD + "# a remark\n")
+        self.assertEqual(shown.changes, ())
+        self.assertIn(WarningCode.NOTHING_CHANGES, self.list_warnings(shown))
+
+    def test_changes_of_nested_values(self) -> None:
+        after = GOOD.replace("concurrent = 64", "concurrent = 65").replace(
+            "idempotent = no", "idempotent = yes"
+        )
+        shown = plan(
+            GOOD,
+            after.replace("small, large", "small").replace(
+                "[model large]\nversion = 2026-10\n", ""
+            ),
+        )
+        self.assertEqual(
+            [str(change) for change in shown.changes],
+            [
+                "[call portal.pay] idempotent: no -> yes",
+                "[endpoint engine-1] models: large, small -> small",
+                "[model large] removed",
+                "[organisation agence] concurrent: 64 -> 65",
+            ],
+        )
+        warnings = self.list_warnings(shown)
+        self.assertIn(WarningCode.CALL_MADE_IDEMPOTENT, warnings)
+        self.assertIn("large", warnings[WarningCode.MODEL_WITHOUT_ENDPOINTS])
+
+    def test_drains_and_what_is_left(self) -> None:
+        shown = plan(ACTIVE, GOOD)
+        self.assertEqual(shown.drains, ("endpoint portal-1", "instance entry-04"))
+        warnings = self.list_warnings(shown)
+        self.assertIn("payment", warnings[WarningCode.CLASS_WITHOUT_ENDPOINTS])
+        payment = next(item for item in shown.capacities if item.class_name == "payment")
+        self.assertEqual((payment.slots_before, payment.slots_after), (4, 0))
+        self.assertEqual((payment.endpoints_before, payment.endpoints_after), (1, 0))
+
+    def test_lower_capacity_and_removal_without_drain(self) -> None:
+        engine = GOOD[GOOD.index("[endpoint engine-1]") : GOOD.index("[endpoint portal-1]")]
+        second = engine.replace("engine-1", "engine-2").replace("9001", "9002")
+        warnings = self.list_warnings(plan(GOOD + second, GOOD))
+        self.assertIn("from 16 to 8 slots", warnings[WarningCode.CAPACITY_LOWER])
+        self.assertIn("engine-2", warnings[WarningCode.REMOVED_WITHOUT_DRAIN])
+
+    def test_endpoints_that_ignore_fencing_numbers(self) -> None:
+        ignored = GOOD.replace("fencing = checked", "fencing = ignored")
+        newer = ignored.replace("version = 3", "version = 4")
+        shown = plan(ignored, newer)
+        self.assertEqual(shown.fencing_ignored, ("engine-1",))
+        self.assertIn("engine-1", self.list_warnings(shown)[WarningCode.FENCING_IGNORED])
+        quiet = plan(ignored, ignored.replace("slots = 8", "slots = 9"))
+        self.assertNotIn(WarningCode.FENCING_IGNORED, self.list_warnings(quiet))
+
+    def test_class_that_a_higher_tier_can_hold_back(self) -> None:
+        after = GOOD.replace("guaranteed_share = 0.1\n", "")
+        self.assertIn(
+            "nightly", self.list_warnings(plan(GOOD, after))[WarningCode.CLASS_WITHOUT_SHARE]
+        )
