--- /dev/null
+++ b/src/guavamast/single_fetch.py
@@ -0,0 +1,136 @@
+"""One HTTP request on one new connection, with proof of whether a byte of it was sent.
+
+Tornado's ``SimpleAsyncHTTPClient`` opens a connection a request and never repeats one; redirects
+are turned off here. A client object is made for each request, so that its TCP client can run
+``before_write`` between the end of the connect and the first byte.
+"""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any, Final
+
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.iostream import StreamClosedError
+from tornado.netutil import DefaultLoopResolver, is_valid_ip
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.tcpclient import TCPClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tornado.iostream import IOStream
+
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+"""Longest answer that is taken in; a plain service's answers are a few kilobytes."""
+
+
+class NotSent(Exception):
+    """The connection was not made: no byte of the request left this process."""
+
+
+class AnswerLost(Exception):
+    """Bytes may have left this process and no whole answer came back."""
+
+
+class NumericResolver(DefaultLoopResolver):
+    """Resolves IP numbers without the executor's threads that ``getaddrinfo`` needs."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        """Return the address itself when it is a number, else what the OS resolves."""
+        if not is_valid_ip(host):
+            return await super().resolve(host, port, family)
+        if ":" in host:
+            return [(socket.AF_INET6, (host, port, 0, 0))]
+        return [(socket.AF_INET, (host, port))]
+
+
+class _SingleUseTcpClient(TCPClient):
+    """Connects once and runs a hook right before the first byte can be written.
+
+    Failure: the waiting caller is cancelled while the connect goes on, is told ``not_run``, and
+    tornado, which doesn't stop a cancelled fetch, writes the request afterwards: it runs though
+    it was refused. ``abandon`` makes the connect fail instead; there is no switch of coroutines
+    between the check here and tornado's first write.
+    """
+
+    def __init__(self, *, resolver: NumericResolver, before_write: Callable[[], None]) -> None:
+        super().__init__(resolver=resolver)
+        self._before_write = before_write
+        self._abandoned = False
+        self.writable = False
+
+    def abandon(self) -> None:
+        """Let no byte be written by a connect that is still under way."""
+        self._abandoned = True
+
+    async def connect(self, *args: Any, **kwargs: Any) -> IOStream:
+        """Connect, then run the hook; its exception ends the request unsent."""
+        stream = await super().connect(*args, **kwargs)
+        try:
+            if self._abandoned:
+                raise StreamClosedError
+            self._before_write()
+        except BaseException:
+            stream.close()
+            raise
+        self.writable = True
+        return stream
+
+
+def do_nothing() -> None:
+    """Serve as the hook of a request that needs no last check."""
+
+
+async def fetch_once(
+    request: HTTPRequest, *, before_write: Callable[[], None] = do_nothing
+) -> HTTPResponse:
+    """Send a request at most once.
+
+    Args:
+        request: What to send; its redirects are turned off.
+        before_write: Run after the connect and right before the first byte; may raise to stop it.
+
+    Returns:
+        The whole answer, whatever its status.
+
+    Raises:
+        NotSent: No byte was sent.
+        AnswerLost: Bytes may have been sent, and no whole answer came back in time.
+    """
+    request.follow_redirects = False
+    request.decompress_response = False
+    client = SimpleAsyncHTTPClient(
+        force_instance=True, resolver=NumericResolver(), max_body_size=MAX_ANSWER_BYTES
+    )
+    connector = _SingleUseTcpClient(resolver=client.resolver, before_write=before_write)
+    client.tcp_client = connector
+    try:
+        response = await client.fetch(request, raise_error=False)
+    except Exception as error:
+        raise _classify(error, connector) from None
+    finally:
+        connector.abandon()
+        client.close()
+    if not _is_framed(response):
+        raise AnswerLost("the answer has no length, so that a cut one can't be told from a whole")
+    return response
+
+
+def _classify(error: Exception, connector: _SingleUseTcpClient) -> Exception:
+    """Return what a failure proves; the hook's own exception stays itself."""
+    message = str(error) or type(error).__name__
+    if connector.writable:
+        return AnswerLost(message)
+    if isinstance(error, OSError | HTTPClientError | ValueError):
+        return NotSent(message)
+    return error
+
+
+def _is_framed(response: HTTPResponse) -> bool:
+    if response.code in (204, 304) or response.request.method == "HEAD":
+        return True
+    headers = response.headers
+    return "Content-Length" in headers or headers.get("Transfer-Encoding", "") != ""
--- /dev/null
+++ b/tests/test_single_fetch.py
@@ -0,0 +1,115 @@
+"""Tests that one request is sent at most once, and that what is told of it is proved."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tornado.httpclient import HTTPRequest
+
+from guavamast.single_fetch import AnswerLost, NotSent, fetch_once
+
+
+class RawServer:
+    """Accepts connections, records what arrives and answers fixed bytes."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.answer = answer
+        self.received: list[bytes] = []
+        self.url = ""
+        self.accepted = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen on a port of the OS's choice."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.url = f"http://127.0.0.1:{self.port}/calls/pay"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted.set()
+        received = await reader.read(65536)
+        if received:
+            self.received.append(received)
+            writer.write(self.answer)
+        writer.close()
+
+
+class SingleFetchTest(unittest.IsolatedAsyncioTestCase):
+    """The HTTP client neither repeats, follows nor guesses."""
+
+    async def start(self, answer: bytes) -> RawServer:
+        server = RawServer(answer)
+        await server.start()
+        self.addCleanup(server.server.close)
+        return server
+
+    async def fetch(self, url: str, **options: object) -> object:
+        request = HTTPRequest(
+            url, method="POST", body=b"{}", connect_timeout=5.0, request_timeout=5.0
+        )
+        return await fetch_once(request, **options)
+
+    async def test_each_request_has_its_own_connection_and_whole_answer(self) -> None:
+        server = await self.start(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        for _ in range(2):
+            self.assertEqual((await self.fetch(server.url)).body, b"ok")
+        self.assertEqual(len(server.received), 2)
+
+    async def test_redirect_is_returned_and_not_followed(self) -> None:
+        # A service answers 307 with its own address: a client that follows sends the call twice.
+        server = await self.start(b"")
+        server.answer = (
+            f"HTTP/1.1 307 See\r\nLocation: {server.url}\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        self.assertEqual((await self.fetch(server.url)).code, 307)
+        self.assertEqual(len(server.received), 1)
+
+    async def test_cut_connection_is_not_tried_again(self) -> None:
+        # The service reads the call and closes. Many clients repeat on a connection that was closed
+        # without an answer; the run would double.
+        server = await self.start(b"")
+        with self.assertRaises(AnswerLost):
+            await self.fetch(server.url)
+        self.assertEqual(len(server.received), 1)
+
+    async def test_cut_answer_is_not_taken_for_a_whole_one(self) -> None:
+        for answer in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\n{}",
+            b"HTTP/1.1 200",
+            b"nonsense\r\n\r\n",
+        ):
+            server = await self.start(answer)
+            with self.subTest(answer=answer), self.assertRaises(AnswerLost):
+                await self.fetch(server.url)
+
+    async def test_refused_connection_proves_not_sent(self) -> None:
+        server = await self.start(b"")
+        server.server.close()
+        await server.server.wait_closed()
+        with self.assertRaises(NotSent):
+            await self.fetch(server.url)
+
+    async def test_hook_runs_after_the_connect_and_can_stop_the_send(self) -> None:
+        server = await self.start(b"")
+
+        def stop() -> None:
+            raise KeyError("stopped")
+
+        with self.assertRaises(KeyError):
+            await self.fetch(server.url, before_write=stop)
+        await asyncio.wait_for(server.accepted.wait(), 5.0)
+        self.assertEqual(server.received, [])
+
+    async def test_cancelled_request_is_never_written_later(self) -> None:
+        # The caller's wait is cancelled during the connect and it is told "not run". Tornado goes
+        # on with the connect of a cancelled fetch and would write the request a moment later.
+        server = await self.start(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        task = asyncio.ensure_future(self.fetch(server.url))
+        await asyncio.sleep(0)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(0.1)
+        self.assertEqual(server.received, [])
