--- /dev/null
+++ b/src/guavamast/overlay.py
@@ -0,0 +1,68 @@
+"""Which members exchange heartbeats: rings in the order of their rendezvous weights.
+
+Each member is linked to the one before and the one after it on every ring. The rings of the whole
+fleet connect it whatever fails within a region; the ring of each region keeps that region connected
+at the moment at which it loses the others. A join or a leave changes two links a ring.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from guavamast.rendezvous import compute_weight
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+FLEET_RINGS: Final = 2
+"""Rings through all members. Two random rings have a diameter that grows as the logarithm."""
+REGION_RINGS: Final = 1
+"""Rings through the members of one region."""
+
+
+class Overlay:
+    """Computes neighbours and remembers ring weights between calls."""
+
+    __slots__ = ("_weights",)
+
+    def __init__(self) -> None:
+        self._weights: dict[tuple[str, str], int] = {}
+
+    def find_neighbours(self, name: str, regions: Mapping[str, str]) -> frozenset[str]:
+        """Return the members that one member is linked to; the relation is symmetric.
+
+        Args:
+            name: The member; it need not be in ``regions``.
+            regions: Every other member's name and region, and the member's own.
+
+        Returns:
+            At most two names a ring.
+        """
+        region = regions[name]
+        near = [other for other, place in regions.items() if place == region]
+        found: set[str] = set()
+        for number in range(FLEET_RINGS):
+            found |= self._find_adjacent(f"fleet-{number}", name, regions)
+        for number in range(REGION_RINGS):
+            found |= self._find_adjacent(f"region-{region}-{number}", name, near)
+        return frozenset(found - {name})
+
+    def forget(self, name: str) -> None:
+        """Drop the weights of a member that has left for good."""
+        self._weights = {key: w for key, w in self._weights.items() if key[1] != name}
+
+    def _find_adjacent(self, ring: str, name: str, candidates: Iterable[str]) -> set[str]:
+        own = self._place(ring, name)
+        places = [self._place(ring, other) for other in candidates if other != name]
+        if not places:
+            return set()
+        after = min((p for p in places if p > own), default=min(places))
+        before = max((p for p in places if p < own), default=max(places))
+        return {after[1], before[1]}
+
+    def _place(self, ring: str, name: str) -> tuple[int, str]:
+        weight = self._weights.get((ring, name))
+        if weight is None:
+            weight = compute_weight(ring, name)
+            self._weights[ring, name] = weight
+        return weight, name
