Run non-idempotent calls at most once

Ruled out: a slot before the look-up (a recorded answer would wait for a slot, and a refusal for want of one would say not_run of a key that ran); taking over old started rows; an age index row a call (one more write; rows carry a spread prefix instead and a 65,536th is scanned at a time).

--- /dev/null
+++ b/src/guavamast/operation_store.py
@@ -0,0 +1,261 @@
+"""The rows of non-idempotent calls on the platform, settled when its answers are lost."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from guavamast.errors import ErrorCode, GuavamastError
+from guavamast.operations import (
+    OPERATIONS_TABLE,
+    Answer,
+    Held,
+    Insert,
+    Operation,
+    OperationKey,
+    RecordedAnswer,
+    compute_body_digest,
+    decide_claim,
+    decode_operation,
+    encode_operation,
+    finish,
+    format_prefix,
+    give_up,
+    is_expired,
+    is_started_by,
+    needs_giving_up,
+)
+from guavamast.platform_client import (
+    Check,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    Row,
+    TransactionConflict,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from guavamast.clocks import Clock
+    from guavamast.errors import SendLatch
+    from guavamast.operations import ClaimDecision, KeyReused, LeftBehind, Recorded, Running
+    from guavamast.platform_client import PlatformClient
+
+INLINE_LIMIT_BYTES: Final = 4096
+"""Answers up to this size stand in the row; larger ones are objects."""
+
+CLAIM_ATTEMPTS: Final = 4
+"""Writes of one claim before it is refused; each follows a lost answer or a changed row."""
+
+DELETE_BATCH_ROWS: Final = 50
+"""Rows deleted in one transaction."""
+
+
+class ClaimUnsettled(PlatformUnavailable):
+    """The row may carry this attempt's nonce, now or later; mark it as not run."""
+
+
+class AnswerMissing(GuavamastError):
+    """A recorded answer's object is absent or is not the one that was recorded."""
+
+    def __init__(self) -> None:
+        super().__init__(ErrorCode.ANSWER_INVALID, "the recorded answer can't be read")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """The proof that this attempt holds the key: its row and the version it had."""
+
+    operation: Operation
+    version: int
+
+
+class OperationStore:
+    """Reads and writes the rows of non-idempotent calls.
+
+    Args:
+        client: The platform; a `GroupCommit` saves writes.
+        clock: Source of the wall time that rows carry.
+        inline_limit: Size of the largest answer that is kept in the row.
+    """
+
+    __slots__ = ("_client", "_clock", "_inline_limit")
+
+    def __init__(
+        self, *, client: PlatformClient, clock: Clock, inline_limit: int = INLINE_LIMIT_BYTES
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._inline_limit = inline_limit
+
+    async def find(self, key: OperationKey) -> Operation | None:
+        """Return a key's row, or None when it is absent.
+
+        Raises:
+            PlatformUnavailable: It can't be read.
+        """
+        return _decode(await self._client.read(OPERATIONS_TABLE, key.row_key))
+
+    async def claim(self, wanted: Operation) -> Claim | Recorded | Running | LeftBehind | KeyReused:
+        """Insert an attempt's row if the key is free.
+
+        Failure: the platform writes the row and its answer is lost. Taken for a failure, the key
+        would be blocked though the call can go on; taken for a success, two attempts could both
+        send. So a lost answer is settled by reading: only a row with our nonce is ours. A row that
+        is absent after a lost answer may still be written late, so it is written again with the
+        same nonce, and whichever of the two takes effect is ours.
+
+        Args:
+            wanted: The attempt's row, as ``started``, with a nonce that was never used.
+
+        Returns:
+            The claim, or what stands in its way.
+
+        Raises:
+            PlatformUnavailable: Nothing was and nothing will be written.
+            ClaimUnsettled: The row may carry the nonce; `mark_not_run` it.
+        """
+        maybe_written = False
+        version = 0
+        try:
+            for _ in range(CLAIM_ATTEMPTS):
+                try:
+                    version = await self._write(wanted, version)
+                    return Claim(operation=wanted, version=version)
+                except TransactionConflict:
+                    pass
+                except PlatformAnswerLost:
+                    maybe_written = True
+                decision = await self._decide(wanted)
+                if isinstance(decision, Held):
+                    return Claim(operation=wanted, version=decision.version)
+                if not isinstance(decision, Insert):
+                    return decision
+                version = decision.version
+        except PlatformUnavailable as error:
+            if maybe_written:
+                raise ClaimUnsettled(error.message) from error
+            raise
+        raise ClaimUnsettled("the row could not be settled")
+
+    async def mark_not_run(self, wanted: Operation, latch: SendLatch) -> None:
+        """Leave the key of an attempt that is over, and of which no byte was sent, free again.
+
+        A row with the attempt's nonce becomes ``not_run``. Where a lost write of the claim may
+        still come (the row is absent, or is the ``not_run`` that the claim would have replaced),
+        ``not_run`` is written over it, so that the late write finds another version.
+
+        Args:
+            wanted: The attempt's row, claimed or not.
+            latch: The attempt's latch, which proves that no byte was sent.
+
+        Raises:
+            ValueError: A byte may have been sent.
+            PlatformUnavailable: Try again later.
+            PlatformAnswerLost: Try again; a second time does no harm.
+        """
+        if latch.sent:
+            raise ValueError("a call that may have been sent can't be marked as not run")
+        row = await self._client.read(OPERATIONS_TABLE, wanted.key.row_key)
+        if not needs_giving_up(_decode(row), wanted.nonce):
+            return
+        try:
+            await self._write(give_up(wanted, now=self._clock.read_wall()), row.version)
+        except TransactionConflict as error:
+            raise PlatformUnavailable("the row has just changed") from error
+
+    async def record(self, claim: Claim, answer: Answer) -> None:
+        """Record the answer of a call that ran; a second time does no harm.
+
+        Args:
+            claim: The claim of the attempt that sent the call.
+            answer: The endpoint's whole answer.
+
+        Raises:
+            PlatformUnavailable: Try again later.
+            PlatformAnswerLost: Try again.
+        """
+        recorded = await self._store_body(claim, answer)
+        done = finish(claim.operation, recorded, now=self._clock.read_wall())
+        try:
+            await self._write(done, claim.version)
+        except TransactionConflict:
+            row = await self._client.read(OPERATIONS_TABLE, claim.operation.key.row_key)
+            found = _decode(row)
+            if found is not None and is_started_by(found, claim.operation.nonce):
+                raise PlatformUnavailable("the row has another version") from None
+
+    async def load_answer(self, recorded: RecordedAnswer) -> Answer:
+        """Return a recorded answer with its body.
+
+        Raises:
+            PlatformUnavailable: The object can't be read now.
+            AnswerMissing: The object is absent, cut or another.
+        """
+        body = recorded.body
+        if body is None:
+            body = await self._client.get_object(recorded.object_name)
+        if body is None or compute_body_digest(body) != recorded.digest:
+            raise AnswerMissing
+        return Answer(status=recorded.status, content_type=recorded.content_type, body=body)
+
+    async def delete_expired(self, prefix: int, *, retention_s: float) -> int:
+        """Delete the old rows of one prefix.
+
+        Args:
+            prefix: Its number, from `operations.find_due_prefix`.
+            retention_s: Age at which a finished row may go.
+
+        Returns:
+            The number of rows that were old.
+        """
+        now = self._clock.read_wall()
+        rows = await self._client.scan(OPERATIONS_TABLE, format_prefix(prefix))
+        expired = [row for row in rows if _is_row_expired(row, retention_s=retention_s, now=now)]
+        for start in range(0, len(expired), DELETE_BATCH_ROWS):
+            await self._delete(expired[start : start + DELETE_BATCH_ROWS])
+        return len(expired)
+
+    async def _delete(self, rows: list[Row]) -> None:
+        """Delete rows; when one of them has just changed, all stay until the next time."""
+        try:
+            await self._client.transact(
+                [Check(table=row.table, key=row.key, version=row.version) for row in rows],
+                [Write(table=row.table, key=row.key, value=None) for row in rows],
+            )
+        except (TransactionConflict, PlatformAnswerLost):
+            return
+
+    async def _decide(self, wanted: Operation) -> ClaimDecision:
+        row = await self._client.read(OPERATIONS_TABLE, wanted.key.row_key)
+        return decide_claim(wanted, _decode(row), version=row.version, now=self._clock.read_wall())
+
+    async def _write(self, operation: Operation, version: int) -> int:
+        row_key = operation.key.row_key
+        versions = await self._client.transact(
+            [Check(table=OPERATIONS_TABLE, key=row_key, version=version)],
+            [Write(table=OPERATIONS_TABLE, key=row_key, value=encode_operation(operation))],
+        )
+        return versions[0]
+
+    async def _store_body(self, claim: Claim, answer: Answer) -> RecordedAnswer:
+        """Store a large body as an object before the row names it."""
+        inline = len(answer.body) <= self._inline_limit
+        name = "" if inline else f"operations-{claim.operation.nonce}"
+        if not inline:
+            await self._client.put_object(name, answer.body)
+        return RecordedAnswer(
+            status=answer.status,
+            content_type=answer.content_type,
+            digest=compute_body_digest(answer.body),
+            body=answer.body if inline else None,
+            object_name=name,
+        )
+
+
+def _decode(row: Row) -> Operation | None:
+    return None if row.value is None else decode_operation(row.value)
+
+
+def _is_row_expired(row: Row, *, retention_s: float, now: float) -> bool:
+    operation = _decode(row)
+    return operation is not None and is_expired(operation, retention_s=retention_s, now=now)
--- /dev/null
+++ b/src/guavamast/operations.py
@@ -0,0 +1,292 @@
+"""Non-idempotent calls as rows of the platform's table, and the decisions on them.
+
+One row stands for one key of one organisation. It is inserted as ``started`` before the call is
+sent, and only the holder of its nonce may change it after that, so a key runs at most once.
+"""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import re
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import Any, Final
+from urllib.parse import quote
+
+from guavamast.errors import ErrorCode, GuavamastError
+
+OPERATIONS_TABLE: Final = "operations"
+
+KEY_PATTERN: Final = re.compile(r"[\x21-\x7e]{1,200}")
+"""Keys are printable ASCII without spaces, as they travel in a header and a path."""
+
+PREFIX_DIGITS: Final = 4
+"""Hex digits before each row's key, so that a scan for old rows takes a 65,536th of the table."""
+
+PREFIX_COUNT: Final = 16**PREFIX_DIGITS
+
+DUE_MARGIN_S: Final = 5.0
+"""Added to a call's deadline before its row counts as left behind; covers clock differences."""
+
+
+class OperationState(StrEnum):
+    """How far a non-idempotent call is known to have come."""
+
+    STARTED = "started"
+    """It may run, may have run, or its holder died; nobody but the holder may go on."""
+    DONE = "done"
+    """It ran once and its answer is recorded."""
+    NOT_RUN = "not_run"
+    """Its holder proved that no byte was sent; the key may be used again."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperationKey:
+    """An organisation's key for one non-idempotent call."""
+
+    organisation: str
+    key: str
+
+    @property
+    def row_key(self) -> str:
+        """Key of the row: a spread prefix, the organisation and the key."""
+        name = f"{quote(self.organisation, safe='')}/{self.key}"
+        prefix = hashlib.sha256(name.encode()).hexdigest()[:PREFIX_DIGITS]
+        return f"{prefix}/{name}"
+
+
+def check_key(key: str) -> None:
+    """Raise an error with ``bad_request`` for a key that can't be used."""
+    if not KEY_PATTERN.fullmatch(key):
+        raise GuavamastError(
+            ErrorCode.BAD_REQUEST, "Idempotency-Key must be 1 to 200 printable ASCII characters"
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """A whole answer of an endpoint."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordedAnswer:
+    """An answer as a row holds it: its body in the row, or the name of an object."""
+
+    status: int
+    content_type: str
+    digest: str
+    """SHA-256 of the body, so that a wrong or cut object is never served."""
+    body: bytes | None
+    object_name: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Operation:
+    """One row."""
+
+    key: OperationKey
+    nonce: str
+    """Chosen by the attempt that inserted the row; names its only holder."""
+    request_digest: str
+    state: OperationState
+    started_at: float
+    """Wall time of the insert."""
+    due_at: float
+    """Wall time after which a holder that works has finished."""
+    ended_at: float = 0.0
+    """Wall time of ``done`` or ``not_run``."""
+    answer: RecordedAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Insert:
+    """The row may be written if it still has this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """The row is this attempt's own."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Recorded:
+    """The key ran before; its answer is served again."""
+
+    answer: RecordedAnswer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Running:
+    """Another attempt holds the key and may still finish."""
+
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeftBehind:
+    """Another attempt holds the key and should have finished; it may have run."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyReused:
+    """The key stands for another request."""
+
+
+ClaimDecision = Insert | Held | Recorded | Running | LeftBehind | KeyReused
+
+
+def decide_claim(
+    wanted: Operation, found: Operation | None, *, version: int, now: float
+) -> ClaimDecision:
+    """Decide what an attempt may do with the row it has read.
+
+    Args:
+        wanted: The attempt's own row, as ``started``.
+        found: The row as it is, or None when it is absent.
+        version: The version of the row that was read; 0 when it is absent.
+        now: Wall time.
+
+    Returns:
+        What the attempt may do. A ``started`` row of another nonce is never taken over, however
+        old: its holder may only be paused, and would run the call a second time.
+    """
+    if found is None:
+        return Insert(version=0)
+    if found.request_digest != wanted.request_digest:
+        return KeyReused()
+    if found.state is OperationState.DONE and found.answer is not None:
+        return Recorded(answer=found.answer)
+    if found.state is OperationState.NOT_RUN:
+        return Insert(version=version)
+    if found.nonce == wanted.nonce:
+        return Held(version=version)
+    if now < found.due_at:
+        return Running(retry_after_s=min(1.0, found.due_at - now))
+    return LeftBehind()
+
+
+def finish(operation: Operation, answer: RecordedAnswer, *, now: float) -> Operation:
+    """Return the row of a call that ran, with its answer."""
+    return replace(operation, state=OperationState.DONE, ended_at=now, answer=answer)
+
+
+def give_up(operation: Operation, *, now: float) -> Operation:
+    """Return the row of a call of which no byte was or will be sent."""
+    return replace(operation, state=OperationState.NOT_RUN, ended_at=now)
+
+
+def is_started_by(operation: Operation, nonce: str) -> bool:
+    """Return whether a row is still the open one of that nonce."""
+    return operation.state is OperationState.STARTED and operation.nonce == nonce
+
+
+def needs_giving_up(found: Operation | None, nonce: str) -> bool:
+    """Return whether a refused attempt could still block the key.
+
+    Args:
+        found: The row as it is, or None when it is absent.
+        nonce: The attempt's nonce.
+    """
+    if found is None or is_started_by(found, nonce):
+        return True
+    return found.state is OperationState.NOT_RUN and found.nonce != nonce
+
+
+def is_expired(operation: Operation, *, retention_s: float, now: float) -> bool:
+    """Return whether a row may be deleted.
+
+    A ``started`` row never expires by itself: deleting it would allow a second run of a call whose
+    first run is unknown. Such rows are as rare as crashes, and operators settle them.
+    """
+    if operation.state is OperationState.STARTED:
+        return False
+    return now >= operation.ended_at + retention_s
+
+
+def compute_request_digest(service: str, call: str, body: bytes) -> str:
+    """Return the digest that tells one request from another of the same key."""
+    digest = hashlib.sha256()
+    for part in (service.encode(), call.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def compute_body_digest(body: bytes) -> str:
+    """Return the digest of an answer's body."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def find_due_prefix(*, retention_s: float, now: float) -> int:
+    """Return the number of the prefix whose old rows are to be deleted now.
+
+    All instances agree on it by their wall clocks; each prefix comes up once a retention period.
+    """
+    return int(now / (retention_s / PREFIX_COUNT)) % PREFIX_COUNT
+
+
+def format_prefix(number: int) -> str:
+    """Return the row keys' prefix of that number."""
+    return f"{number:0{PREFIX_DIGITS}x}/"
+
+
+def encode_operation(operation: Operation) -> dict[str, Any]:
+    """Return the row's value as the table stores it."""
+    answer = operation.answer
+    return {
+        "organisation": operation.key.organisation,
+        "key": operation.key.key,
+        "nonce": operation.nonce,
+        "request": operation.request_digest,
+        "state": operation.state.value,
+        "started_at": operation.started_at,
+        "due_at": operation.due_at,
+        "ended_at": operation.ended_at,
+        "answer": None if answer is None else _encode_answer(answer),
+    }
+
+
+def decode_operation(value: dict[str, Any]) -> Operation:
+    """Return the row that a value of the table stands for."""
+    answer = value["answer"]
+    return Operation(
+        key=OperationKey(organisation=value["organisation"], key=value["key"]),
+        nonce=value["nonce"],
+        request_digest=value["request"],
+        state=OperationState(value["state"]),
+        started_at=value["started_at"],
+        due_at=value["due_at"],
+        ended_at=value["ended_at"],
+        answer=None if answer is None else _decode_answer(answer),
+    )
+
+
+def _encode_answer(answer: RecordedAnswer) -> dict[str, Any]:
+    body = None if answer.body is None else base64.b64encode(answer.body).decode()
+    return {
+        "status": answer.status,
+        "content_type": answer.content_type,
+        "digest": answer.digest,
+        "body": body,
+        "object": answer.object_name,
+    }
+
+
+def _decode_answer(value: dict[str, Any]) -> RecordedAnswer:
+    body = value["body"]
+    return RecordedAnswer(
+        status=value["status"],
+        content_type=value["content_type"],
+        digest=value["digest"],
+        body=None if body is None else base64.b64decode(body),
+        object_name=value["object"],
+    )
--- a/src/guavamast/platform_http.py
+++ b/src/guavamast/platform_http.py
@@ -56,7 +56,10 @@
         if response.code == 409:
             raise TransactionConflict
         _check_status(response)
-        return [int(version) for version in _parse(response)["versions"]]
+        versions = _parse(response).get("versions", [])
+        if len(versions) != len(writes):
+            raise PlatformAnswerLost("the answer has not one version for each write")
+        return [int(version) for version in versions]
 
     async def read(self, table: str, key: str) -> Row:
         """Return a row, with version 0 and no value when it is absent."""
--- /dev/null
+++ b/src/guavamast/service_call.py
@@ -0,0 +1,90 @@
+"""A caller's request to a plain service, and what running it needs from its surroundings."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavamast.errors import ErrorCode, GuavamastError
+
+if TYPE_CHECKING:
+    from guavamast.world import CallRule, Endpoint
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceCall:
+    """A caller's request to run one call of a plain service."""
+
+    request_id: str
+    organisation: str
+    rule: CallRule
+    body: bytes
+    content_type: str
+    idempotency_key: str
+    """Empty for an idempotent call without one."""
+    class_name: str
+    tier: int
+    deadline: float
+    """When the caller stops waiting, on the monotonic clock; covers the call's own timeout."""
+
+
+class SlotUnavailable(GuavamastError):
+    """No slot was granted, and none is held.
+
+    Args:
+        code: Why.
+        message: One sentence for a person.
+        status: HTTP status.
+        retry_after_s: When asking again may help.
+    """
+
+    def __init__(
+        self, code: ErrorCode, message: str, *, status: int, retry_after_s: float | None = None
+    ) -> None:
+        super().__init__(code, message)
+        self.status = status
+        self.retry_after_s = retry_after_s
+
+
+class SlotGrant(ABC):
+    """One slot of one endpoint, held until it is released."""
+
+    @property
+    @abstractmethod
+    def endpoint(self) -> Endpoint:
+        """Where the call is to be sent."""
+
+    @abstractmethod
+    def release(self, *, used: bool, failed: bool, duration_s: float) -> None:
+        """Give the slot back; called once for each grant."""
+
+
+class SlotSource(ABC):
+    """Where slots come from."""
+
+    @abstractmethod
+    async def acquire(self, call: ServiceCall, *, excluded: frozenset[str]) -> SlotGrant:
+        """Wait for a slot at an endpoint of the call's service.
+
+        A cancelled wait must leave no slot held.
+
+        Args:
+            call: The call; its deadline bounds the wait.
+            excluded: Names of endpoints that failed this call before.
+
+        Raises:
+            SlotUnavailable: None was granted.
+        """
+
+
+class RetryPolicy(ABC):
+    """Says whether an idempotent call's attempt may be repeated."""
+
+    @abstractmethod
+    def record_success(self, call: ServiceCall) -> None:
+        """Note that a call got its answer."""
+
+    @abstractmethod
+    def plan(self, call: ServiceCall, *, attempt: int, now: float) -> float | None:
+        """Return the seconds to wait before the next attempt, or None when there is none."""
--- /dev/null
+++ b/src/guavamast/single_runs.py
@@ -0,0 +1,327 @@
+"""Non-idempotent calls: each key runs at most once, whoever asks again wherever."""
+
+from __future__ import annotations
+
+import secrets
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Final, NoReturn
+
+from guavamast.attempts import Obstructed, Stop
+from guavamast.errors import ErrorCode, GuavamastError, Outcome, Refusal, SendLatch
+from guavamast.operation_store import AnswerMissing, Claim, ClaimUnsettled
+from guavamast.operations import (
+    DUE_MARGIN_S,
+    Insert,
+    KeyReused,
+    Operation,
+    OperationKey,
+    OperationState,
+    Recorded,
+    Running,
+    check_key,
+    compute_request_digest,
+    decide_claim,
+)
+from guavamast.platform_client import PlatformAnswerLost, PlatformUnavailable
+from guavamast.service_call import SlotUnavailable
+from guavamast.single_fetch import NotSent
+
+if TYPE_CHECKING:
+    from guavamast.attempts import AttemptRunner
+    from guavamast.clocks import Clock
+    from guavamast.operation_store import OperationStore
+    from guavamast.operations import Answer, ClaimDecision
+    from guavamast.repairs import Repairs
+    from guavamast.service_call import ServiceCall, SlotGrant, SlotSource
+
+PLATFORM_RETRY_AFTER_S: Final = 5.0
+"""When callers are told to come back while the platform is down."""
+
+SEND_RETRY_AFTER_S: Final = 1.0
+"""When callers are told to come back after a send that was stopped unsent."""
+
+SEND_ATTEMPTS: Final = 3
+"""Endpoints that one call is tried at while no byte of it was sent."""
+
+RECORD_ATTEMPTS: Final = 2
+"""Tries to record an answer before the caller gets it and recording goes on behind."""
+
+REMEMBERED_KEYS: Final = 10_000
+"""Keys of the latest sends that a process remembers for the time of an outage."""
+
+
+class SingleRun:
+    """One caller's request to run a call under a key: what it holds and whether it was sent.
+
+    Args:
+        call: The request.
+        now: Wall time.
+        remaining_s: Time until the caller's deadline.
+    """
+
+    __slots__ = ("call", "latch", "stop", "wanted")
+
+    def __init__(self, *, call: ServiceCall, now: float, remaining_s: float) -> None:
+        self.call = call
+        self.latch = SendLatch()
+        self.stop = Stop()
+        rule = call.rule
+        self.wanted = Operation(
+            key=OperationKey(organisation=call.organisation, key=call.idempotency_key),
+            nonce=secrets.token_hex(16),
+            request_digest=compute_request_digest(rule.service, rule.call, call.body),
+            state=OperationState.STARTED,
+            started_at=now,
+            due_at=now + max(0.0, remaining_s) + rule.timeout_s + DUE_MARGIN_S,
+        )
+
+
+class SingleRunner:
+    """Runs non-idempotent calls.
+
+    The order is: look the key up, acquire a slot, insert the row, connect, check again, send,
+    record, answer. The look-up comes first so that an outage refuses at once, a recorded answer
+    needs no slot, and a refusal for want of one is never ``not_run`` for a key that ran before.
+
+    Args:
+        store: The rows.
+        slots: Where slots come from.
+        attempts: Sends after the last check.
+        repairs: Writes rows later when the platform is down.
+        clock: Source of times.
+    """
+
+    __slots__ = ("_attempts", "_clock", "_repairs", "_sent_keys", "_slots", "_store")
+
+    def __init__(
+        self,
+        *,
+        store: OperationStore,
+        slots: SlotSource,
+        attempts: AttemptRunner,
+        repairs: Repairs,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._slots = slots
+        self._attempts = attempts
+        self._repairs = repairs
+        self._clock = clock
+        self._sent_keys: OrderedDict[OperationKey, None] = OrderedDict()
+
+    def prepare(self, call: ServiceCall) -> SingleRun:
+        """Return the state of a new request.
+
+        Raises:
+            Refusal: The key can't be used.
+        """
+        try:
+            check_key(call.idempotency_key)
+        except GuavamastError as error:
+            raise SendLatch().refuse(error.code, error.message, status=400) from None
+        remaining_s = call.deadline - self._clock.read_monotonic()
+        return SingleRun(call=call, now=self._clock.read_wall(), remaining_s=remaining_s)
+
+    async def run(self, run: SingleRun) -> Answer:
+        """Run the call unless its key ran before.
+
+        Returns:
+            The answer of the key's only run.
+
+        Raises:
+            Refusal: There is no answer; the outcome says what is known.
+        """
+        if self._repairs.is_full:
+            raise self._refuse_for_platform(run, "too many rows wait for the platform")
+        earlier = await self._look_up(run)
+        if earlier is not None:
+            return earlier
+        try:
+            grant = await self._slots.acquire(run.call, excluded=frozenset())
+        except SlotUnavailable as error:
+            earlier = await self._look_up(run)
+            if earlier is not None:
+                return earlier
+            raise run.latch.refuse(
+                error.code, error.message, status=error.status, retry_after_s=error.retry_after_s
+            ) from None
+        return await self._run_with_slot(run, grant)
+
+    async def _look_up(self, run: SingleRun) -> Answer | None:
+        """Return the key's recorded answer, or None when the key is free."""
+        try:
+            found = await self._store.find(run.wanted.key)
+        except PlatformUnavailable as error:
+            raise self._refuse_for_platform(run, error.message) from None
+        now = self._clock.read_wall()
+        decision = decide_claim(run.wanted, found, version=0, now=now)
+        return None if isinstance(decision, Insert) else await self._answer_earlier(run, decision)
+
+    async def _run_with_slot(self, run: SingleRun, grant: SlotGrant) -> Answer:
+        try:
+            self._attempts.check(run.call, grant.endpoint)
+            claim = await self._claim(run)
+        except Obstructed as error:
+            grant.release(used=False, failed=False, duration_s=0.0)
+            raise _refuse_unsent(run, error) from None
+        except BaseException:
+            grant.release(used=False, failed=False, duration_s=0.0)
+            raise
+        if not isinstance(claim, Claim):
+            grant.release(used=False, failed=False, duration_s=0.0)
+            return await self._answer_earlier(run, claim)
+        answer = await self._send(run, grant)
+        await self._record(claim, answer)
+        return answer
+
+    async def _claim(self, run: SingleRun) -> Claim | ClaimDecision:
+        try:
+            return await self._store.claim(run.wanted)
+        except ClaimUnsettled as error:
+            self._repairs.add(lambda: self._store.mark_not_run(run.wanted, run.latch))
+            raise self._refuse_for_platform(run, error.message) from None
+        except PlatformUnavailable as error:
+            raise self._refuse_for_platform(run, error.message) from None
+
+    async def _send(self, run: SingleRun, grant: SlotGrant) -> Answer:
+        """Send the call, to another endpoint while it is proved that no byte was sent."""
+        failed: frozenset[str] = frozenset()
+        try:
+            while True:
+                failed |= {grant.endpoint.name}
+                try:
+                    return await self._send_to(run, grant)
+                except (NotSent, Obstructed) as error:
+                    grant = await self._acquire_other(run, failed, error)
+        except Exception as error:
+            await self._settle_failure(run, error)
+        finally:
+            if run.latch.sent:
+                self._remember(run.wanted.key)
+
+    async def _send_to(self, run: SingleRun, grant: SlotGrant) -> Answer:
+        timeout_s = run.call.rule.timeout_s
+        return await self._attempts.send(run.call, grant, run.latch, run.stop, timeout_s=timeout_s)
+
+    async def _acquire_other(
+        self, run: SingleRun, failed: frozenset[str], error: NotSent | Obstructed
+    ) -> SlotGrant:
+        """Return a slot elsewhere, or raise the error that the last endpoint ended with."""
+        late = isinstance(error, Obstructed) and error.code is ErrorCode.DEADLINE_EXCEEDED
+        if run.latch.sent or late or len(failed) >= SEND_ATTEMPTS:
+            raise error
+        try:
+            return await self._slots.acquire(run.call, excluded=failed)
+        except SlotUnavailable:
+            raise error from None
+
+    async def _settle_failure(self, run: SingleRun, error: Exception) -> NoReturn:
+        """Refuse after a send that gave no answer.
+
+        A row of a call that may have been sent stays ``started`` for good; there is nobody who
+        could know whether it ran.
+        """
+        if run.latch.sent:
+            message = "the endpoint's answer was lost; the call may have run"
+            raise run.latch.refuse(ErrorCode.ENDPOINT_FAILED, message, status=503) from error
+        try:
+            await self._store.mark_not_run(run.wanted, run.latch)
+        except (PlatformUnavailable, PlatformAnswerLost):
+            self._repairs.add(lambda: self._store.mark_not_run(run.wanted, run.latch))
+        raise _refuse_unsent(run, error) from error
+
+    async def _record(self, claim: Claim, answer: Answer) -> None:
+        """Record an answer, later if need be.
+
+        The caller gets the answer either way: it is the only one this key can have. Until it is
+        recorded, those who ask again are told that the call runs or that its outcome is unknown.
+        """
+        for _ in range(RECORD_ATTEMPTS):
+            try:
+                await self._store.record(claim, answer)
+                return
+            except (PlatformUnavailable, PlatformAnswerLost):
+                continue
+        self._repairs.add(lambda: self._store.record(claim, answer))
+
+    async def _answer_earlier(self, run: SingleRun, decision: ClaimDecision) -> Answer:
+        """Answer from what stands in the way of the run.
+
+        None of these refusals comes from the latch: this request did not run, but its key may
+        have, and a caller that reads ``not_run`` would give the call a new key and double it.
+        """
+        if isinstance(decision, Recorded):
+            return await self._serve_recorded(decision)
+        if isinstance(decision, KeyReused):
+            message = "the key stands for another call or body; this one did not run"
+            raise run.latch.refuse(ErrorCode.IDEMPOTENCY_KEY_REUSED, message, status=422)
+        if isinstance(decision, Running):
+            raise Refusal(
+                ErrorCode.IN_PROGRESS,
+                "the call runs; ask again",
+                status=409,
+                outcome=Outcome.OUTCOME_UNKNOWN,
+                retry_after_s=max(SEND_RETRY_AFTER_S, decision.retry_after_s),
+            )
+        message = "the call was started and its outcome is unknown; it is not run again"
+        raise Refusal(
+            ErrorCode.OUTCOME_UNKNOWN, message, status=503, outcome=Outcome.OUTCOME_UNKNOWN
+        )
+
+    async def _serve_recorded(self, decision: Recorded) -> Answer:
+        try:
+            return await self._store.load_answer(decision.answer)
+        except (PlatformUnavailable, AnswerMissing) as error:
+            raise Refusal(
+                error.code,
+                "the call ran; its recorded answer can't be read now",
+                status=503,
+                outcome=Outcome.OUTCOME_UNKNOWN,
+                retry_after_s=PLATFORM_RETRY_AFTER_S,
+            ) from None
+
+    def refuse_unread(
+        self,
+        run: SingleRun,
+        code: ErrorCode,
+        message: str,
+        *,
+        status: int,
+        retry_after_s: float | None = None,
+    ) -> Refusal:
+        """Make the refusal of a call whose row could not be read or written in time.
+
+        It speaks of this request. A key that this process has sent before may have run, so it
+        gets ``outcome_unknown``; of a key that another process has sent, nothing is known here.
+        """
+        if run.latch.sent or run.wanted.key in self._sent_keys:
+            unknown = Outcome.OUTCOME_UNKNOWN
+            return Refusal(
+                code, message, status=status, outcome=unknown, retry_after_s=retry_after_s
+            )
+        return run.latch.refuse(code, message, status=status, retry_after_s=retry_after_s)
+
+    def _refuse_for_platform(self, run: SingleRun, message: str) -> Refusal:
+        return self.refuse_unread(
+            run,
+            ErrorCode.PLATFORM_UNAVAILABLE,
+            message,
+            status=503,
+            retry_after_s=PLATFORM_RETRY_AFTER_S,
+        )
+
+    def _remember(self, key: OperationKey) -> None:
+        self._sent_keys[key] = None
+        self._sent_keys.move_to_end(key)
+        while len(self._sent_keys) > REMEMBERED_KEYS:
+            self._sent_keys.popitem(last=False)
+
+
+def _refuse_unsent(run: SingleRun, error: Exception) -> Refusal:
+    """Make the refusal after a send that did not begin; the latch proves it."""
+    if isinstance(error, Obstructed) and error.code is ErrorCode.DEADLINE_EXCEEDED:
+        return run.latch.refuse(error.code, "the deadline has passed", status=504)
+    unsent = isinstance(error, Obstructed | NotSent)
+    code = ErrorCode.NO_ENDPOINT if unsent else ErrorCode.INTERNAL
+    message = "the call could not be sent to an endpoint; nothing was sent"
+    return run.latch.refuse(code, message, status=503, retry_after_s=SEND_RETRY_AFTER_S)
