Serve the operators' interface over HTTP

Cause: plans need an interface that works before the first configuration and tells every outcome apart. Change: routes for plans, confirmation, configuration, status and audit; operators by token file, read at each request and compared in constant time over all lines; callers' keys get 403; a body is taken only after the token was found right, up to 8 MiB. Ruled out: turning a failure to spread an accepted version into an error answer; the version is in force, and the poll of the head brings it. Found by the test and mended: status did not count the answering instance's own version, so nobody showed as behind.

--- a/src/guavamast/plan_store.py
+++ b/src/guavamast/plan_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
 from guavamast.changes import compute_changes
@@ -51,6 +52,15 @@
 _MAX_CONFLICT_RECORDS: Final = 100
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Acceptance:
+    """A plan that is in force, or was before later plans."""
+
+    version: int
+    configuration: Configuration | None
+    """The accepted configuration; None when an earlier call had it accepted."""
+
+
 class PlanConflict(GuavamastError):
     """Another plan was accepted since this one was computed; nothing was written.
 
@@ -161,14 +171,16 @@
     async def read_plan(self, plan_id: str) -> Plan | None:
         """Return a plan, or None when there is none of this id."""
         record = read_plan_row(await self._platform.read(PLAN_TABLE, plan_id))
-        return None if record is None else await self._load_plan(record)
+        if record is None:
+            return None
+        return await self._compute(record, await self._load(0, record.digest))
 
     async def read_accepted_version(self, plan_id: str) -> int | None:
         """Return the version that a plan became, or None while it isn't accepted."""
         row = await self._platform.read(CONFIRMATION_TABLE, plan_id)
         return None if row.value is None else row.value["version"]
 
-    async def confirm(self, plan_id: str, *, who: str, now: float) -> int:
+    async def confirm(self, plan_id: str, *, who: str, now: float) -> Acceptance:
         """Put a plan in force, unless another was accepted since it was computed.
 
         Confirming a plan again is harmless: the answer is the version that it became.
@@ -179,7 +191,7 @@
             now: Seconds since the epoch.
 
         Returns:
-            The accepted version.
+            The version that the plan became.
 
         Raises:
             PlanConflict: Another plan was accepted; this one never will be.
@@ -189,17 +201,18 @@
         """
         accepted = await self.read_accepted_version(plan_id)
         if accepted is not None:
-            return accepted
+            return Acceptance(version=accepted, configuration=None)
         record = read_plan_row(await self._platform.read(PLAN_TABLE, plan_id))
         if record is None:
             raise GuavamastError(ErrorCode.NOT_FOUND, f"there is no plan {plan_id}")
-        plan = await self._load_plan(record)
+        proposed = await self._load(record.base_version + 1, record.digest)
+        plan = await self._compute(record, proposed)
         head = await self.read_head()
         if head.version != record.base_version:
             return await self._settle_conflict(record)
         audit = make_audit_record(record, plan, who=who, now=now)
-        await self._write_confirmation(record, *make_confirmation(audit, head))
-        return audit.version
+        checks, writes = make_confirmation(audit, head)
+        return await self._write_confirmation(record, proposed, checks, writes)
 
     async def list_audit(self, *, limit: int) -> list[AuditRecord]:
         """Return the latest audit records, newest first, ``limit`` at most."""
@@ -207,8 +220,12 @@
         return await self._list_audit_since(0, head.version, limit=limit)
 
     async def _write_confirmation(
-        self, record: PlanRecord, checks: list[Check], writes: list[Write]
-    ) -> None:
+        self,
+        record: PlanRecord,
+        proposed: Configuration,
+        checks: list[Check],
+        writes: list[Write],
+    ) -> Acceptance:
         """Write the transaction until it is known to be applied or refused.
 
         Failure: the platform applies the write and its answer is lost, or it was cut off right
@@ -222,18 +239,19 @@
                 await asyncio.sleep(self._settle_pause_s)
             try:
                 await self._platform.transact(checks, writes)
-                return
             except TransactionConflict:
-                await self._settle_conflict(record)
-                return
+                settled = await self._settle_conflict(record)
+                return replace(settled, configuration=proposed)
             except PlatformAnswerLost:
                 lost = True
             except PlatformError:
                 if not lost:
                     raise
+            else:
+                return Acceptance(version=proposed.version, configuration=proposed)
         raise ConfirmationUnknown(plan_id=record.id)
 
-    async def _settle_conflict(self, record: PlanRecord) -> int:
+    async def _settle_conflict(self, record: PlanRecord) -> Acceptance:
         """Return the version of a plan whose base is no longer in force, if it became one.
 
         The head only rises, so a plan that isn't accepted by now never will be.
@@ -241,7 +259,7 @@
         try:
             accepted = await self.read_accepted_version(record.id)
             if accepted is not None:
-                return accepted
+                return Acceptance(version=accepted, configuration=None)
             raise await self._make_conflict(record)
         except PlatformError:
             raise ConfirmationUnknown(plan_id=record.id) from None
@@ -282,9 +300,6 @@
             message = "the plan may not have been kept; propose it again"
             raise PlatformUnavailable(message) from error
 
-    async def _load_plan(self, record: PlanRecord) -> Plan:
-        return await self._compute(record, await self._load(0, record.digest))
-
     async def _compute(self, record: PlanRecord, proposed: Configuration) -> Plan:
         return compute_plan(
             plan_id=record.id,
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,190 @@
+"""Tests of the operators' HTTP interface over real sockets."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+from unittest import TestCase
+
+from tornado.testing import AsyncHTTPTestCase
+from tornado.web import Application
+
+from guavamast.clocks import SystemClock
+from guavamast.fleet import parse_configuration
+from guavamast.fleet_status import FleetStatus, InstanceStatus, StatusSource
+from guavamast.operator_tokens import CallerKeys, TokenFileAuthenticator, find_operator
+from guavamast.operators import make_operator_routes
+from guavamast.world import Configuration
+from tests.fake_platform import FakePlatform
+from tests.test_fleet import GOOD
+from tests.test_plan_store import FASTER, make_store
+
+if TYPE_CHECKING:
+    from tornado.httpclient import HTTPResponse
+
+
+class FakeDaemon(StatusSource, CallerKeys):
+    """Stands in for the entry daemon."""
+
+    def __init__(self) -> None:
+        self.configuration = Configuration(version=0)
+        self.fails = False
+
+    def read_status(self) -> FleetStatus:
+        behind = InstanceStatus(
+            name="entry-02",
+            failure_domain="liege-a",
+            region="be-wallonie",
+            state="live",
+            configuration_version=0,
+            caller_address="127.0.0.1:2",
+            load=1.0,
+        )
+        return FleetStatus(
+            answered_by="entry-01",
+            configuration_version=self.configuration.version,
+            instances=(behind,),
+        )
+
+    def read_configuration(self) -> Configuration:
+        return self.configuration
+
+    def accept(self, configuration: Configuration) -> None:
+        if self.fails:
+            raise RuntimeError("not now")
+        self.configuration = configuration
+
+    def knows_key(self, key_sha256: str) -> bool:
+        return key_sha256 == hashlib.sha256(b"callers-key").hexdigest()
+
+
+class OperatorsTest(AsyncHTTPTestCase):
+    """Operators plan, confirm and read; everybody else is kept out."""
+
+    def get_app(self) -> Application:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.tokens = Path(directory.name) / "tokens"
+        self.tokens.write_text("# operators\nanna secret-a\nbert secret-b\n")
+        self.platform = FakePlatform()
+        self.daemon = FakeDaemon()
+        routes = make_operator_routes(
+            store=make_store(self.platform),
+            authenticator=TokenFileAuthenticator(path=self.tokens, callers=self.daemon),
+            status=self.daemon,
+            clock=SystemClock(),
+            on_accepted=self.daemon.accept,
+        )
+        return Application(routes, log_function=lambda _: None)
+
+    def call(
+        self, path: str, body: str | bytes | None = None, *, token: str = "secret-a"
+    ) -> HTTPResponse:
+        """Send a request."""
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        method = "GET" if body is None else "POST"
+        return self.fetch(path, method=method, body=body, headers=headers)
+
+    def read(self, response: HTTPResponse, status: int) -> Any:
+        """Return the answer's JSON."""
+        self.assertEqual(response.code, status, response.body)
+        return json.loads(response.body)
+
+    def test_first_plan_of_a_fleet_without_configuration(self) -> None:
+        self.assertEqual(self.read(self.call("/v1/configuration"), 200)["version"], 0)
+        plan = self.read(self.call("/v1/plans", GOOD), 201)
+        self.assertEqual(plan["base_version"], 0)
+        self.assertEqual(plan["proposed_by"], "anna")
+        self.assertEqual(self.read(self.call("/v1/configuration"), 200)["text"], "")
+        path = f"/v1/plans/{plan['id']}"
+        self.assertIsNone(self.read(self.call(path), 200)["accepted_version"])
+        self.assertEqual(self.read(self.call(f"{path}/confirm", ""), 200), {"version": 1})
+        self.assertEqual(self.daemon.configuration.text, GOOD)
+        self.assertEqual(self.read(self.call(path), 200)["accepted_version"], 1)
+        self.assertEqual(self.read(self.call("/v1/configuration"), 200)["text"], GOOD)
+        self.assertEqual(self.read(self.call("/v1/configuration?version=1"), 200)["version"], 1)
+        record = self.read(self.call("/v1/audit"), 200)["records"][0]
+        self.assertEqual((record["who"], record["version"]), ("anna", 1))
+
+    def test_findings_are_all_told(self) -> None:
+        error = self.read(self.call("/v1/plans", "[class a]\ntier = x\n[b]\n"), 400)["error"]
+        self.assertEqual(error["code"], "configuration_invalid")
+        self.assertEqual(len(error["findings"]), 5)
+        self.assertEqual(error["findings"][-1]["line"], 3)
+
+    def test_conflict_shows_the_difference(self) -> None:
+        first = self.read(self.call("/v1/plans", GOOD), 201)["id"]
+        second = self.read(self.call("/v1/plans", FASTER, token="secret-b"), 201)["id"]
+        self.read(self.call(f"/v1/plans/{second}/confirm", "", token="secret-b"), 200)
+        error = self.read(self.call(f"/v1/plans/{first}/confirm", ""), 409)["error"]
+        self.assertEqual((error["code"], error["outcome"]), ("plan_conflict", "not_run"))
+        self.assertEqual((error["base_version"], error["head_version"]), (0, 1))
+        self.assertEqual(error["accepted"][0]["who"], "bert")
+        self.assertEqual(len(error["difference"]), 10)
+
+    def test_unknown_outcome_and_outage(self) -> None:
+        plan = self.read(self.call("/v1/plans", GOOD), 201)["id"]
+        self.platform.faults.append("lost_then_down")
+        answer = self.call(f"/v1/plans/{plan}/confirm", "")
+        self.assertEqual(self.read(answer, 503)["error"]["outcome"], "outcome_unknown")
+        self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(self.read(self.call(f"/v1/plans/{plan}/confirm", ""), 200)["version"], 1)
+        self.daemon.configuration = parse_configuration(GOOD, file="f", version=1)
+        self.platform.down_calls = 2
+        shown = self.read(self.call("/v1/configuration"), 200)
+        self.assertEqual((shown["version"], shown["source"]), (1, "instance"))
+        self.assertEqual(self.read(self.call("/v1/audit"), 503)["error"]["outcome"], "not_run")
+
+    def test_accepted_stays_accepted_when_spreading_fails(self) -> None:
+        # The version is in force on the platform; an error here would make the operator think
+        # that it isn't. The answer names the version, and polling brings it to the instances.
+        plan = self.read(self.call("/v1/plans", GOOD), 201)["id"]
+        self.daemon.fails = True
+        with self.assertLogs("absl", "ERROR"):
+            answer = self.call(f"/v1/plans/{plan}/confirm", "")
+        self.assertEqual(self.read(answer, 200), {"version": 1})
+
+    def test_keeps_others_out(self) -> None:
+        paths = ["/v1/plans", "/v1/plans/p1/confirm", "/v1/plans/p1", "/v1/configuration"]
+        for path in [*paths, "/v1/status", "/v1/audit"]:
+            body = "" if path.endswith(("plans", "confirm")) else None
+            for token, status in {"": 401, "wrong": 401, "callers-key": 403}.items():
+                error = self.read(self.call(path, body, token=token), status)["error"]
+                self.assertEqual(error["outcome"], "not_run")
+        self.assertEqual(self.platform.applied, [])
+        self.assertEqual(self.call("/v1/status").code, 200)
+        self.tokens.write_text("anna secret-c\n")
+        self.assertEqual(self.call("/v1/status").code, 401)
+        self.tokens.unlink()
+        with self.assertLogs("absl", "ERROR"):
+            self.assertEqual(self.call("/v1/status").code, 401)
+
+    def test_status_names_who_is_behind(self) -> None:
+        plan = self.read(self.call("/v1/plans", GOOD), 201)["id"]
+        self.call(f"/v1/plans/{plan}/confirm", "")
+        status = self.read(self.call("/v1/status"), 200)
+        self.assertEqual((status["configuration_version"], status["behind"]), (1, ["entry-02"]))
+
+    def test_bad_requests(self) -> None:
+        self.assertEqual(self.call("/v1/plans", b"\xff\xfe").code, 400)
+        self.assertEqual(self.call("/v1/plans/nothing").code, 404)
+        self.assertEqual(self.call("/v1/plans/nothing/confirm", "").code, 404)
+        self.assertEqual(self.call("/v1/configuration?version=7").code, 404)
+        for limit in ("0", "-1", "x", "1" * 30, "1e3"):
+            self.assertEqual(self.call(f"/v1/audit?limit={limit}").code, 400)
+        large = self.call("/v1/plans", b"#" * 9_000_000)
+        self.assertNotEqual(large.code, 201)
+        self.assertEqual(self.call("/v1/plans", GOOD + "#" * 2_000_000).code, 201)
+
+
+class TokensTest(TestCase):
+    """A token file's odd lines let nobody in."""
+
+    def test_lines_that_are_not_name_and_token(self) -> None:
+        lines = ["", "anna", "# x", "#anna secret", "a b c", "bert right"]
+        self.assertEqual(find_operator("right", lines), "bert")
+        for token in ("", "anna", "secret", "b", "c", "x", "ри"):
+            self.assertEqual(find_operator(token, lines), "")
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -33,7 +33,11 @@
     async def accept(self, text: str, *, who: str = "anna") -> int:
         """Propose and confirm."""
         plan = await self.store.propose(text, who=who, now=10.0)
-        return await self.store.confirm(plan.id, who=who, now=11.0)
+        return await self.confirm(plan.id, who=who, now=11.0)
+
+    async def confirm(self, plan_id: str, *, who: str, now: float) -> int:
+        """Confirm and return the version."""
+        return (await self.store.confirm(plan_id, who=who, now=now)).version
 
     async def test_first_plan_becomes_version_1_with_its_audit_record(self) -> None:
         self.assertEqual((await self.store.load_configuration()).version, 0)
@@ -67,9 +71,9 @@
         await self.accept(GOOD)
         mine = await self.store.propose(DRAINED, who="anna", now=12.0)
         other = await self.store.propose(FASTER, who="bert", now=12.0)
-        self.assertEqual(await self.store.confirm(other.id, who="bert", now=13.0), 2)
+        self.assertEqual(await self.confirm(other.id, who="bert", now=13.0), 2)
         with self.assertRaises(PlanConflict) as caught:
-            await self.store.confirm(mine.id, who="anna", now=13.0)
+            await self.confirm(mine.id, who="anna", now=13.0)
         self.assertEqual(caught.exception.head_version, 2)
         self.assertEqual([change.after for change in caught.exception.difference], ["300"])
         self.assertEqual([record.who for record in caught.exception.accepted], ["bert"])
@@ -83,7 +87,7 @@
         for fault in ("lost", "cut", "late"):
             plan = await self.store.propose(FASTER, who="anna", now=12.0)
             self.platform.faults.extend([fault])
-            version = await self.store.confirm(plan.id, who="anna", now=13.0)
+            version = await self.confirm(plan.id, who="anna", now=13.0)
             self.assertEqual(version, plan.base_version + 1, fault)
             self.assertEqual((await self.store.read_head()).version, version, fault)
         self.assertEqual(len(await self.platform.scan(AUDIT_TABLE, "")), 4)
@@ -95,9 +99,9 @@
         plan = await self.store.propose(GOOD, who="anna", now=10.0)
         self.platform.faults.append("lost_then_down")
         with self.assertRaises(ConfirmationUnknown):
-            await self.store.confirm(plan.id, who="anna", now=11.0)
+            await self.confirm(plan.id, who="anna", now=11.0)
         writes = len(self.platform.applied)
-        self.assertEqual(await self.store.confirm(plan.id, who="anna", now=12.0), 1)
+        self.assertEqual(await self.confirm(plan.id, who="anna", now=12.0), 1)
         self.assertEqual(len(self.platform.applied), writes)
         self.assertEqual((await self.store.list_audit(limit=9))[0].at, 11.0)
 
@@ -105,12 +109,12 @@
         plan = await self.store.propose(GOOD, who="anna", now=10.0)
         self.platform.faults.append("down")
         with self.assertRaises(PlatformUnavailable):
-            await self.store.confirm(plan.id, who="anna", now=11.0)
+            await self.confirm(plan.id, who="anna", now=11.0)
         self.assertEqual((await self.store.read_head()).version, 0)
 
     async def test_unknown_plan(self) -> None:
         with self.assertRaises(GuavamastError) as caught:
-            await self.store.confirm("p9", who="anna", now=1.0)
+            await self.confirm("p9", who="anna", now=1.0)
         self.assertEqual(caught.exception.code, ErrorCode.NOT_FOUND)
 
     async def test_damaged_text_is_not_taken(self) -> None:
--- a/tests/test_plan_store_properties.py
+++ b/tests/test_plan_store_properties.py
@@ -65,7 +65,7 @@
     async def confirm(self, plan: str) -> None:
         """Confirm a plan and keep the answer."""
         try:
-            version = await self.store.confirm(plan, who="anna", now=0.0)
+            version = (await self.store.confirm(plan, who="anna", now=0.0)).version
         except PlanConflict as conflict:
             self.conflicts.add(plan)
             assert conflict.head_version > conflict.base_version
