Add the error codes of the command line

A wrong command line and an instance that can't be reached need codes of their own, as standard error carries CODE message for each failure. Ruled out: reusing bad_request and platform_unavailable, which callers and operators already see with another meaning. Additive; nothing uses them yet.

--- a/src/guavamast/errors.py
+++ b/src/guavamast/errors.py
@@ -46,6 +46,8 @@
     PLAN_INVALID = "plan_invalid"
     PLAN_CONFLICT = "plan_conflict"
     CONFIGURATION_INVALID = "configuration_invalid"
+    USAGE = "usage"
+    UNREACHABLE = "unreachable"
     INTERNAL = "internal"
 
 
