Add the command line

Cause: operators and scripts need commands with exit codes that tell conflict and unknown apart. Found: fire calls a command's function before it reports a word too many, so confirm PLAN WORD would confirm and then report a usage error; commands return a task that begins after the whole line is parsed. Ruled out: argparse beside fire. The test was seen failing with tasks that begin at once, and the one of a lost answer with the code unreachable for writes.

--- /dev/null
+++ b/src/guavamast/commands.py
@@ -0,0 +1,340 @@
+"""What each command of the command line does.
+
+Each function returns a `Task` and does nothing by itself. Imports stand inside the tasks: a
+daemon would otherwise hold the modules of every other command in memory.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json as json_codec
+import signal
+from typing import TYPE_CHECKING, Any, Final
+
+from fire.decorators import SetParseFn
+
+from guavamast.errors import ErrorCode, GuavamastError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from guavamast.operator_client import OperatorClient
+    from guavamast.standins.listener import Standin
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+"""The command line is wrong, or a file has findings."""
+
+
+class Task:
+    """A parsed command that has not begun.
+
+    Failure: fire calls a command's function before it finds that a later word is one too many;
+    ``confirm PLAN WORD`` would confirm, and then report a usage error. As the functions only
+    return a task, it begins after the whole command line was understood.
+
+    Args:
+        act: Runs the command and returns its exit code.
+    """
+
+    __slots__ = ("_act",)
+
+    def __init__(self, act: Callable[[], int]) -> None:
+        self._act = act
+
+
+def run_task(task: Task) -> int:
+    """Run a task and return its exit code."""
+    return task._act()
+
+
+def read_switch(text: str) -> bool:
+    """Return a switch's value; fire gives ``True`` for one without a value."""
+    if text not in ("True", "False"):
+        raise GuavamastError(ErrorCode.USAGE, f"a switch takes no value, not {text!r}")
+    return text == "True"
+
+
+@SetParseFn(str)
+def run_entry(*, settings: str) -> Task:
+    """Run the entry of one instance: entry --settings FILE."""
+
+    def act() -> int:
+        from guavamast.settings import load_settings
+
+        loaded = load_settings(settings)
+        from guavamast import entry
+
+        entry.run(loaded)
+        return EXIT_OK
+
+    return Task(act)
+
+
+@SetParseFn(str)
+def run_dispatcher(*, settings: str) -> Task:
+    """Run the dispatcher of one instance: dispatcher --settings FILE."""
+
+    def act() -> int:
+        from guavamast.settings import load_settings
+
+        loaded = load_settings(settings)
+        from guavamast import dispatcher
+
+        dispatcher.run(loaded)
+        return EXIT_OK
+
+    return Task(act)
+
+
+@SetParseFn(str)
+@SetParseFn(read_switch, "json")
+def check(*files: str, json: bool = False) -> Task:
+    """Check settings and fleet configurations: check FILE... [--json]."""
+
+    def act() -> int:
+        from dataclasses import asdict
+
+        from guavamast.checks import check_file
+
+        if not files:
+            raise GuavamastError(ErrorCode.USAGE, "check needs a file")
+        findings = [finding for file in files for finding in check_file(file)]
+        if json:
+            print(json_codec.dumps([asdict(finding) for finding in findings]))
+        else:
+            print("\n".join(map(str, findings)) or "no findings")
+        return EXIT_USAGE if findings else EXIT_OK
+
+    return Task(act)
+
+
+@SetParseFn(str)
+@SetParseFn(read_switch, "json")
+def plan(file: str, *, via: str, token_file: str, json: bool = False) -> Task:
+    """Propose a fleet configuration: plan FILE --via URL --token-file F [--json]."""
+
+    async def call(client: OperatorClient) -> dict[str, Any]:
+        from guavamast.settings import read_text
+
+        return await client.propose(read_text(file))
+
+    return make_client_task(call, _show_new_plan, via=via, token_file=token_file, json=json)
+
+
+@SetParseFn(str)
+@SetParseFn(read_switch, "json")
+def confirm(plan: str, *, via: str, token_file: str, json: bool = False) -> Task:
+    """Put a plan in force: confirm PLAN --via URL --token-file F [--json]."""
+
+    async def call(client: OperatorClient) -> dict[str, Any]:
+        try:
+            return await client.confirm(plan)
+        except GuavamastError as error:
+            if error.code is not ErrorCode.OUTCOME_UNKNOWN:
+                raise
+            message = (
+                f"{error.message}; to learn whether plan {plan} is in force, run "
+                f"`guavamast confirm {plan} --via {via} --token-file {token_file}` again: "
+                "it is never applied twice"
+            )
+            raise GuavamastError(ErrorCode.OUTCOME_UNKNOWN, message) from None
+
+    def show(answer: dict[str, Any]) -> str:
+        return f"version {answer['version']}"
+
+    return make_client_task(call, show, via=via, token_file=token_file, json=json)
+
+
+@SetParseFn(str)
+@SetParseFn(read_switch, "json", "undo")
+def drain(
+    what: str, name: str, *, via: str, token_file: str, undo: bool = False, json: bool = False
+) -> Task:
+    """Plan a drain: drain endpoint|instance NAME --via URL --token-file F [--undo] [--json]."""
+
+    async def call(client: OperatorClient) -> dict[str, Any]:
+        from guavamast.states import set_state
+        from guavamast.world import EndpointState
+
+        if what not in ("endpoint", "instance"):
+            raise GuavamastError(ErrorCode.USAGE, f"drain endpoint or instance, not {what!r}")
+        if what == "instance":
+            await _check_instance(client, name)
+        state = EndpointState.ACTIVE if undo else EndpointState.LEAVING
+        text = (await client.read_configuration())["text"]
+        return await client.propose(set_state(text, kind=what, name=name, state=state))
+
+    return make_client_task(call, _show_new_plan, via=via, token_file=token_file, json=json)
+
+
+async def _check_instance(client: OperatorClient, name: str) -> None:
+    """Refuse a name that no instance has: a plan for a misspelt one would drain nothing."""
+    status = await client.read_status()
+    names = [instance["name"] for instance in status["instances"]]
+    if name not in names:
+        message = f"there is no instance {name}; there are {', '.join(names) or 'none'}"
+        raise GuavamastError(ErrorCode.NOT_FOUND, message)
+
+
+@SetParseFn(str)
+@SetParseFn(read_switch, "json")
+def status(*, via: str, token_file: str, json: bool = False) -> Task:
+    """Show instances with version and state: status --via URL --token-file F [--json]."""
+
+    def show(answer: dict[str, Any]) -> str:
+        from guavamast.text_output import show_status
+
+        return show_status(answer)
+
+    return make_client_task(
+        lambda client: client.read_status(), show, via=via, token_file=token_file, json=json
+    )
+
+
+@SetParseFn(str)
+@SetParseFn(read_switch, "json")
+def audit(*, via: str, token_file: str, limit: str = "50", json: bool = False) -> Task:
+    """Show the audit trail: audit --via URL --token-file F [--limit N] [--json]."""
+
+    def show(answer: dict[str, Any]) -> str:
+        from guavamast.text_output import show_audit
+
+        return show_audit(answer)
+
+    return make_client_task(
+        lambda client: client.read_audit(limit), show, via=via, token_file=token_file, json=json
+    )
+
+
+@SetParseFn(str)
+@SetParseFn(read_switch, "json")
+def show(*, via: str, token_file: str, version: str = "", json: bool = False) -> Task:
+    """Show the configuration: show --via URL --token-file F [--version N] [--json]."""
+
+    def write(answer: dict[str, Any]) -> str:
+        return f"# version {answer['version']}\n{answer['text']}"
+
+    return make_client_task(
+        lambda client: client.read_configuration(version),
+        write,
+        via=via,
+        token_file=token_file,
+        json=json,
+    )
+
+
+@SetParseFn(str)
+def standin(kind: str, *, port: str = "0") -> Task:
+    """Run a stand-in and print its port: standin platform|engine|service --port N."""
+
+    def act() -> int:
+        if not (port.isascii() and port.isdigit() and int(port[:9]) <= 65535):
+            raise GuavamastError(ErrorCode.USAGE, f"--port: {port!r} is not from 0 to 65535")
+        asyncio.run(_serve_standin(_make_standin(kind), int(port)))
+        return EXIT_OK
+
+    return Task(act)
+
+
+def _make_standin(kind: str) -> Standin:
+    if kind == "platform":
+        from guavamast.standins.platform import PlatformStandin
+
+        return PlatformStandin()
+    if kind == "engine":
+        from guavamast.standins.engine import EngineStandin
+
+        return EngineStandin()
+    if kind == "service":
+        from guavamast.standins.service import ServiceStandin
+
+        return ServiceStandin()
+    raise GuavamastError(ErrorCode.USAGE, f"platform, engine or service, not {kind!r}")
+
+
+async def _serve_standin(standin: Standin, port: int) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    standin.start(port)
+    print(standin.url.rpartition(":")[2], flush=True)
+    await stopped.wait()
+    standin.stop()
+
+
+@SetParseFn(read_switch, "serve")
+def demo(*, serve: bool = False) -> Task:
+    """Run the whole path in one process: demo [--serve]."""
+
+    def act() -> int:
+        from guavamast import demo as demo_module
+
+        return demo_module.run(serve=serve) or EXIT_OK
+
+    return Task(act)
+
+
+def make_client_task(
+    call: Callable[[OperatorClient], Awaitable[dict[str, Any]]],
+    show: Callable[[dict[str, Any]], str],
+    *,
+    via: str,
+    token_file: str,
+    json: bool,
+) -> Task:
+    """Return a task that calls an instance and prints its answer.
+
+    Args:
+        call: Calls the instance.
+        show: Makes the answer readable.
+        via: Base URL of the instance.
+        token_file: File with the operator's token.
+        json: Whether to print the answer's JSON instead.
+    """
+
+    def act() -> int:
+        from guavamast.operator_client import OperatorClient, read_token, read_url
+
+        client = OperatorClient(url=read_url(via), token=read_token(token_file))
+        answer = asyncio.run(_await(call(client)))
+        print(json_codec.dumps(answer) if json else _show_checked(show, answer))
+        return EXIT_OK
+
+    return Task(act)
+
+
+def _show_checked(show: Callable[[dict[str, Any]], str], answer: dict[str, Any]) -> str:
+    """Return an answer made readable; another server than an instance may have given it."""
+    try:
+        return show(answer)
+    except (AttributeError, KeyError, TypeError, ValueError):
+        message = f"the answer is not that of an instance: {json_codec.dumps(answer)[:200]}"
+        raise GuavamastError(ErrorCode.INTERNAL, message) from None
+
+
+async def _await(call: Awaitable[dict[str, Any]]) -> dict[str, Any]:
+    return await call
+
+
+def _show_new_plan(answer: dict[str, Any]) -> str:
+    from guavamast.text_output import show_plan
+
+    return f"{show_plan(answer)}\n\nnothing has changed yet; to accept: confirm {answer['id']}"
+
+
+COMMANDS: Final = {
+    "entry": run_entry,
+    "dispatcher": run_dispatcher,
+    "check": check,
+    "plan": plan,
+    "confirm": confirm,
+    "drain": drain,
+    "status": status,
+    "audit": audit,
+    "show": show,
+    "standin": standin,
+    "demo": demo,
+}
--- a/src/guavamast/fleet.py
+++ b/src/guavamast/fleet.py
@@ -206,13 +206,6 @@
     return FindingsError(reader.findings).findings
 
 
-def is_fleet_text(text: str) -> bool:
-    """Return whether most sections of a text are those of a fleet configuration."""
-    kinds = {kind.kind for kind in FLEET_SECTIONS if kind is not INSTANCE}
-    words = [section.name.partition(" ")[0] for section in read_ini(text, file="").sections]
-    return sum(word in kinds for word in words) * 2 > len(words)
-
-
 def _read(text: str, *, file: str, version: int) -> tuple[SchemaReader, Configuration]:
     reader = SchemaReader(ini=read_ini(text, file=file), kinds=FLEET_SECTIONS)
     reader.read()
--- a/src/guavamast/schema.py
+++ b/src/guavamast/schema.py
@@ -36,6 +36,8 @@
     "d": 86400.0,
 }
 """Units that people write after a number, in seconds."""
+_NEAR: Final = 0.5
+"""Least likeness of a name that is suggested, of 1 for the same name."""
 _MAX_PORT: Final = 65535
 REQUIRED: Final = object()
 """Marks a key without a default."""
@@ -432,7 +434,13 @@
 def suggest(word: str, known: Iterable[str]) -> str:
     """Return a hint with the nearest known name, or the known names when none is near."""
     names = sorted(known)
-    near = get_close_matches(word.lower(), names, n=1, cutoff=0.5)
-    if near:
-        return f" is not known; did you mean {near[0]}?"
+    nearest = find_nearest(word, names)
+    if nearest:
+        return f" is not known; did you mean {nearest}?"
     return f" is not known; known are {', '.join(names)}" if names else " is not known"
+
+
+def find_nearest(word: str, known: Iterable[str]) -> str:
+    """Return the known name that is spelt most alike; empty when none is near."""
+    near = get_close_matches(word.lower(), sorted(known), n=1, cutoff=_NEAR)
+    return near[0] if near else ""
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,238 @@
+"""Tests of the command line against the operators' interface over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from dataclasses import dataclass
+from pathlib import Path
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from guavamast.cli import run
+from guavamast.clocks import SystemClock
+from guavamast.operator_tokens import TokenFileAuthenticator
+from guavamast.operators import make_operator_routes
+from guavamast.states import set_state
+from guavamast.world import EndpointState
+from tests.fake_platform import FakePlatform
+from tests.test_fleet import GOOD
+from tests.test_operators import FakeDaemon
+from tests.test_plan_store import FASTER, make_store
+from tests.test_settings import GOOD as SETTINGS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ended:
+    """What a command left behind."""
+
+    code: int
+    out: str
+    err: str
+
+
+def run_command(*words: str) -> Ended:
+    """Run one command in this process."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        code = run(words)
+    return Ended(code=code, out=out.getvalue(), err=err.getvalue())
+
+
+class OperatorCommandsTest(unittest.IsolatedAsyncioTestCase):
+    """Plan, confirm, drain and read, with the exit codes that scripts rely on."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        self.tokens = self.write("tokens", "anna secret-a\n")
+        self.platform = FakePlatform()
+        self.daemon = FakeDaemon()
+
+    async def asyncSetUp(self) -> None:
+        routes = make_operator_routes(
+            store=make_store(self.platform),
+            authenticator=TokenFileAuthenticator(path=Path(self.tokens), callers=self.daemon),
+            status=self.daemon,
+            clock=SystemClock(),
+            on_accepted=self.daemon.accept,
+        )
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(Application(routes, log_function=lambda _: None))
+        server.add_sockets(sockets)
+        self.addCleanup(server.stop)
+        self.url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
+
+    def write(self, name: str, text: str) -> str:
+        """Write a file and return its path."""
+        path = self.directory / name
+        path.write_text(text)
+        return str(path)
+
+    async def operate(self, *words: str) -> Ended:
+        """Run an operator's command in another thread, as the server needs this one's loop."""
+        options = ["--via", self.url, "--token-file", self.tokens]
+        return await asyncio.to_thread(run_command, *words, *options)
+
+    async def plan(self, text: str) -> str:
+        """Plan and return the id."""
+        ended = await self.operate("plan", "--json", self.write("fleet.ini", text))
+        self.assertEqual(ended.code, 0, ended.err)
+        return json.loads(ended.out)["id"]
+
+    async def test_plan_confirm_and_read(self) -> None:
+        path = self.write("fleet.ini", GOOD)
+        shown = await self.operate("plan", path)
+        self.assertEqual((shown.code, shown.err), (0, ""))
+        self.assertIn("plan p1 against version 0", shown.out)
+        self.assertIn("[class drafting] added", shown.out)
+        confirmed = await self.operate("confirm", "p1")
+        self.assertEqual((confirmed.code, confirmed.out), (0, "version 1\n"))
+        show = await self.operate("show")
+        self.assertEqual(show.out, f"# version 1\n{GOOD}\n")
+        audit = await self.operate("audit")
+        self.assertRegex(audit.out, r"1 +\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ +anna +p1 +10 ")
+        status = await self.operate("status")
+        self.assertRegex(status.out, r"entry-02 +liege-a +live +0 ")
+        self.assertIn("not yet at the latest version: entry-02", status.out)
+        for command in ("status", "audit", "show"):
+            self.assertIsInstance(json.loads((await self.operate(command, "--json")).out), dict)
+
+    async def test_findings_carry_the_operators_file(self) -> None:
+        path = self.write("fleet.ini", "[class a]\ntier = 0\n")
+        ended = await self.operate("plan", path)
+        self.assertEqual((ended.code, ended.out), (2, ""))
+        self.assertIn(f"{path}:2: out_of_range tier: 0 is not", ended.err)
+        self.assertEqual(len(ended.err.splitlines()), 4)
+
+    async def test_conflict_and_unknown_have_their_exit_codes(self) -> None:
+        first, second = await self.plan(GOOD), await self.plan(FASTER)
+        self.assertEqual((await self.operate("confirm", second)).code, 0)
+        conflict = await self.operate("confirm", first)
+        self.assertEqual(conflict.code, 3)
+        self.assertTrue(conflict.err.startswith("plan_conflict plan p1 "))
+        self.assertIn("anna", conflict.err)
+        third = await self.plan(GOOD)
+        self.platform.faults.append("lost_then_down")
+        unknown = await self.operate("confirm", third)
+        self.assertEqual(unknown.code, 4)
+        self.assertIn(f"`guavamast confirm {third} --via {self.url}", unknown.err)
+        again = await self.operate("confirm", third)
+        self.assertEqual((again.code, again.out), (0, "version 2\n"))
+
+    async def test_confirm_whose_instance_dies_is_unknown(self) -> None:
+        # The instance takes the confirmation and its connection closes without an answer. The
+        # plan may be in force, so the command must not say that it failed.
+        server = await asyncio.start_server(lambda _, writer: writer.close(), "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.assertEqual((await self.operate("confirm", "p1")).code, 4)
+        self.assertEqual((await self.operate("status")).code, 1)
+        server.close()
+        refused = await self.operate("confirm", "p1")
+        self.assertEqual(refused.code, 1)
+        self.assertTrue(refused.err.startswith("unreachable "))
+
+    async def test_drain_is_a_plan(self) -> None:
+        await self.operate("confirm", await self.plan(GOOD))
+        drained = json.loads((await self.operate("drain", "endpoint", "engine-1", "--json")).out)
+        self.assertEqual(drained["drains"], ["endpoint engine-1"])
+        self.assertEqual([change["key"] for change in drained["changes"]], ["state"])
+        back = json.loads(
+            (await self.operate("drain", "endpoint", "portal-1", "--undo", "--json")).out
+        )
+        self.assertEqual([change["after"] for change in back["changes"]], ["active"])
+        ended = await self.operate("drain", "instance", "entry-02")
+        self.assertIn("[instance entry-02] added", ended.out)
+        for what, name in (("endpoint", "engine-9"), ("instance", "entry-9")):
+            ended = await self.operate("drain", what, name)
+            self.assertEqual(ended.code, 1)
+            self.assertTrue(ended.err.startswith("not_found "), ended.err)
+        self.assertEqual((await self.operate("drain", "cluster", "x")).code, 2)
+
+    async def test_token_of_nobody(self) -> None:
+        self.tokens = self.write("other", "wrong\n")
+        ended = await self.operate("status")
+        self.assertEqual(ended.code, 1)
+        self.assertTrue(ended.err.startswith("unauthenticated "))
+
+
+class LocalCommandsTest(unittest.TestCase):
+    """Wrong command lines and files end in one coded line, never in a traceback."""
+
+    def test_a_word_too_many_runs_nothing(self) -> None:
+        # fire finds the word that is one too many only after it has called the function. A
+        # confirmation would then be in force although the operator is told of a usage error.
+        # Nothing listens on port 1, so "unreachable" would show that the command had begun.
+        options = ["--via", "http://127.0.0.1:1", "--token-file", __file__]
+        ended = run_command("confirm", "p1", "p2", *options)
+        self.assertEqual(ended.code, 2)
+        self.assertTrue(ended.err.startswith("usage Could not consume arg: p2"), ended.err)
+
+    def test_usage_errors(self) -> None:
+        wrong = [
+            ["bogus"],
+            ["check"],
+            ["plan", "f"],
+            ["entry"],
+            ["entry", "--settings", "/nowhere/f"],
+            ["standin", "disk"],
+            ["standin", "engine", "--port", "x"],
+            ["status", "--via", "nowhere", "--token-file", "/nowhere/f"],
+            ["status", "--via", "http://127.0.0.1:1", "--token-file", "/nowhere/f"],
+            ["status", "--via", "http://127.0.0.1:1", "--token-file", __file__],
+            ["confirm", "p1", "--", "--interactive"],
+            ["audit", "--unknown", "x"],
+        ]
+        for words in wrong:
+            ended = run_command(*words)
+            self.assertEqual((ended.code, ended.out), (2, ""), words)
+            self.assertEqual(len(ended.err.splitlines()), 1, ended.err)
+        self.assertEqual(run_command().code, 2)
+        self.assertEqual(run_command("--help").code, 0)
+        self.assertIn("confirm PLAN", run_command("confirm", "--help").out)
+
+    def test_check_tells_settings_from_a_fleet(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            files = {"fleet.ini": GOOD, "instance.ini": SETTINGS, "empty.ini": "# nothing\n"}
+            files["bad.ini"] = GOOD.replace("tier = 3", "teir = 3")
+            files["drain.ini"] = "[instance entry-01]\nstate = gone\n"
+            for name, text in files.items():
+                (Path(directory) / name).write_text(text)
+            good = run_command("check", f"{directory}/fleet.ini", f"{directory}/instance.ini")
+            self.assertEqual((good.code, good.out), (0, "no findings\n"))
+            bad = run_command("check", *(f"{directory}/{name}" for name in sorted(files)))
+            self.assertEqual(bad.code, 2)
+            lines = [
+                line.removeprefix(f"{directory}/").split(" ")[:2] for line in bad.out.splitlines()
+            ]
+            self.assertEqual(
+                lines,
+                [
+                    ["bad.ini:7:", "missing_key"],
+                    ["bad.ini:8:", "unknown_key"],
+                    ["drain.ini:2:", "bad_value"],
+                    ["empty.ini:0:", "syntax"],
+                ],
+            )
+            listed = run_command("check", "--json", f"{directory}/bad.ini")
+            self.assertEqual([finding["line"] for finding in json.loads(listed.out)], [7, 8])
+
+
+class StatesTest(unittest.TestCase):
+    """A state is set in place; every other line stays as it was."""
+
+    def test_sets_and_adds(self) -> None:
+        changed = set_state(GOOD, kind="endpoint", name="engine-1", state=EndpointState.LEAVING)
+        self.assertEqual(changed.replace("\nstate = leaving", "", 1), GOOD)
+        back = set_state(changed, kind="endpoint", name="engine-1", state=EndpointState.ACTIVE)
+        self.assertEqual(back, changed.replace("state = leaving", "state = active", 1))
+        added = set_state(GOOD, kind="instance", name="entry-09", state=EndpointState.LEAVING)
+        self.assertEqual(added, GOOD + "\n[instance entry-09]\nstate = leaving\n")
