--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,30 @@
+"""Tests that the operators' pages name every code and key."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+from tools.settings_page import PAGE, render_page
+
+from guavamast.errors import ErrorCode, Outcome
+from guavamast.findings import FindingCode
+from guavamast.plans import WarningCode
+
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+
+
+class PagesTest(unittest.TestCase):
+    """Nothing that an operator can meet is missing from the pages."""
+
+    def test_settings_page_is_that_of_the_schemas(self) -> None:
+        message = "run python -m tools.settings_page"
+        self.assertEqual(PAGE.read_text(encoding="utf-8"), render_page(), message)
+
+    def test_every_code_has_one_row(self) -> None:
+        text = (DOCS / "errors.md").read_text(encoding="utf-8")
+        rows = re.findall(r"^\| `([a-z_]+)` \|", text, flags=re.MULTILINE)
+        codes = [*Outcome, *ErrorCode, *FindingCode, *WarningCode]
+        # outcome_unknown is an outcome and a code of its own.
+        self.assertEqual(sorted(rows), sorted(map(str, codes)))
