Spread members and the configuration by heartbeat streams

Cause: neighbours need heartbeats, changes of membership and versions over one stream a pair within 9 KB/s, and a new configuration must reach each instance without reading the platform 350 times.

--- /dev/null
+++ b/src/guavamast/configuration_spread.py
@@ -0,0 +1,343 @@
+"""When an instance takes a version of the configuration, and from whom it gets the text.
+
+Versions ride on every heartbeat; small deltas are pushed along with a new version, larger texts are
+asked of one peer. A jittered poll of the platform's head row finds what the heartbeats missed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+from typing import Final
+
+from guavamast.configuration_delta import (
+    ConfigurationDelta,
+    DeltaChain,
+    apply_delta,
+    make_delta,
+)
+
+PUSHED_CHARACTERS: Final = 2048
+"""Largest delta that is sent unasked. Each instance may get it from every neighbour."""
+
+
+class Source(StrEnum):
+    """Where a text came from."""
+
+    PLATFORM = "platform"
+    PEER = "peer"
+
+
+class Standing(StrEnum):
+    """What an instance may do with the configuration that it has."""
+
+    WAITING = "waiting"
+    """It has none and serves operators only."""
+    CURRENT = "current"
+    """It hears someone who would tell it of a change."""
+    ISOLATED = "isolated"
+    """It hears nobody: it finishes what it has and refuses new work as not run."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SpreadTiming:
+    """Times of the spread; ``docs/design/configuration-spread.md`` gives the reasons."""
+
+    poll_s: float = 5.0
+    """Mean time between two reads of the head row; the jitter is half of it either way."""
+    longest_poll_s: float = 30.0
+    """Mean time between two reads in an outage of the platform."""
+    ask_timeout_s: float = 1.0
+    """Time after which another peer is asked for a text."""
+    peers_first_s: float = 2.0
+    """Time that peers are given before the text is read from the platform."""
+    outage_s: float = 3.0
+    """Time without the platform after which a new instance takes a configuration from peers."""
+    peer_fresh_s: float = 10.0
+    """Age at which a peer's word on its version is dropped."""
+    isolated_s: float = 8.0
+    """Silence of everybody after which an instance is isolated."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationOffer:
+    """What is sent to a peer that is behind: deltas, or the whole text when there are none."""
+
+    version: int
+    deltas: tuple[ConfigurationDelta, ...] = ()
+    text: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class _PeerVersion:
+    version: int
+    heard_at: float
+
+
+class ConfigurationSpread:
+    """The configuration's text on one instance and the decisions on how it is renewed.
+
+    The dispatcher reads the head row at `next_poll_at` and reports to `hear_platform` or
+    `miss_platform`, reads the snapshot that `choose_snapshot` names and passes it to `accept`;
+    it passes what an entry announces to `accept` as well. `HeartbeatLinks` does the rest.
+
+    Args:
+        now: The present time of a monotonic clock.
+        seed: Seed of the jitter; differs between instances.
+        timing: Times of the spread.
+        peers_wanted: Peers to hear before one of them is believed when the platform is down.
+    """
+
+    __slots__ = (
+        "_asked_at",
+        "_asked_peer",
+        "_behind_since",
+        "_chain",
+        "_head",
+        "_head_heard_at",
+        "_heard_at",
+        "_misses",
+        "_peers",
+        "_peers_wanted",
+        "_random",
+        "_started_at",
+        "_text",
+        "_timing",
+        "_version",
+        "next_poll_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        now: float,
+        seed: int,
+        timing: SpreadTiming | None = None,
+        peers_wanted: int = 3,
+    ) -> None:
+        self._timing = timing or SpreadTiming()
+        self._random = Random(seed)
+        self._peers_wanted = peers_wanted
+        self._version = 0
+        self._text = ""
+        self._chain = DeltaChain()
+        self._peers: dict[str, _PeerVersion] = {}
+        self._head: int | None = None
+        self._head_heard_at = now
+        self._heard_at = now
+        self._started_at = now
+        self._misses = 0
+        self._behind_since: float | None = None
+        self._asked_peer = ""
+        self._asked_at = now
+        self.next_poll_at = now
+        """When the head row is to be read next."""
+
+    @property
+    def version(self) -> int:
+        """The version in force here; 0 for none."""
+        return self._version
+
+    @property
+    def text(self) -> str:
+        """The text of the version in force here."""
+        return self._text
+
+    @property
+    def head(self) -> int:
+        """The highest version of the head row that the platform has told; 0 for none."""
+        return self._head or 0
+
+    def accept(self, version: int, text: str, *, source: Source, now: float) -> bool:
+        """Take a version into force if it is higher and its source may be believed.
+
+        Args:
+            version: Its number.
+            text: Its text.
+            source: Where it came from. What an entry announces was confirmed by the platform.
+            now: The present time.
+
+        Returns:
+            Whether the version in force changed. It never goes back.
+        """
+        if version <= self._version:
+            return False
+        if source is Source.PEER and not self._may_believe_peers(version, now):
+            return False
+        if self._version:
+            self._chain.append(
+                make_delta(base=self._version, old=self._text, version=version, new=text)
+            )
+        self._version, self._text = version, text
+        self._asked_peer = ""
+        self._note_behind(now)
+        return True
+
+    def take_offer(self, offer: ConfigurationOffer, *, now: float) -> bool:
+        """Take a peer's offer into force.
+
+        Returns:
+            Whether the version in force changed.
+        """
+        if offer.version <= self._version:
+            return False
+        if not offer.deltas:
+            return self.accept(offer.version, offer.text, source=Source.PEER, now=now)
+        version, text = self._version, self._text
+        for delta in offer.deltas:
+            if delta.version <= version:
+                continue
+            made = apply_delta(delta, version=version, text=text)
+            if made is None:
+                return False
+            version, text = delta.version, made
+        return self.accept(version, text, source=Source.PEER, now=now)
+
+    def hear_platform(self, head: int, *, now: float) -> None:
+        """Note what the head row says; 0 when no configuration has been accepted yet."""
+        self._head = max(head, self._head or 0)
+        self._head_heard_at = self._heard_at = now
+        self._misses = 0
+        self._note_behind(now)
+        self._set_next_poll(self._timing.poll_s, now)
+
+    def miss_platform(self, *, now: float) -> None:
+        """Note that the head row could not be read."""
+        self._misses += 1
+        mean = min(self._timing.poll_s * 2.0 ** (self._misses - 1), self._timing.longest_poll_s)
+        self._set_next_poll(mean, now)
+
+    def hear_peer(self, name: str, version: int, *, now: float) -> None:
+        """Note the version that a peer has in force."""
+        self._peers[name] = _PeerVersion(version=version, heard_at=now)
+        self._heard_at = now
+        self._note_behind(now)
+
+    def note_pushed(self, name: str) -> None:
+        """Note that a peer has been sent the version in force here."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.version = max(peer.version, self._version)
+
+    def forget_peer(self, name: str) -> None:
+        """Drop a peer whose stream has ended, so that it is not asked."""
+        self._peers.pop(name, None)
+
+    def find_peer_version(self, name: str) -> int:
+        """Return the version that a peer told last; 0 when it told none."""
+        peer = self._peers.get(name)
+        return peer.version if peer else 0
+
+    def choose_push(self, name: str) -> ConfigurationOffer | None:
+        """Return a small offer to send to a peer unasked, if it is known to be behind."""
+        offer = self.make_offer(self.find_peer_version(name))
+        if offer is None or not offer.deltas:
+            return None
+        size = sum(len(delta.middle) for delta in offer.deltas)
+        return offer if size <= PUSHED_CHARACTERS else None
+
+    def make_offer(self, above: int) -> ConfigurationOffer | None:
+        """Return what a peer at a version needs, or None when it has as much as this instance."""
+        if above >= self._version:
+            return None
+        deltas = self._chain.list_since(above)
+        if deltas:
+            return ConfigurationOffer(version=self._version, deltas=deltas)
+        return ConfigurationOffer(version=self._version, text=self._text)
+
+    def wants_from(self, name: str, *, now: float) -> bool:
+        """Return whether this peer is the one to ask for a text now.
+
+        One peer at a time is asked, of those with the highest version.
+        """
+        peer = self._peers.get(name)
+        if peer is None or peer.version <= self._version:
+            return False
+        if self._asked_peer and now - self._asked_at < self._timing.ask_timeout_s:
+            return False
+        if peer.version < max(other.version for other in self._peers.values()):
+            return False
+        alone = all(p.version < peer.version for n, p in self._peers.items() if n != name)
+        if name == self._asked_peer and not alone:
+            return False
+        return self._may_believe_peers(peer.version, now)
+
+    def ask(self, name: str, *, now: float) -> int:
+        """Note that a peer is asked for a text.
+
+        Failure: a delta does not fit (another base) and the same answer would come for ever. A
+        later request within one lag asks above 0, which is answered with the whole text.
+
+        Returns:
+            The version above which to ask.
+        """
+        again = bool(self._asked_peer)
+        self._asked_peer, self._asked_at = name, now
+        return 0 if again else self._version
+
+    def choose_snapshot(self, *, now: float) -> int | None:
+        """Return the version whose text is to be read from the platform now, if any.
+
+        Failure: at each change all instances read a megabyte from the platform at once. Those
+        that have peers give them `SpreadTiming.peers_first_s` first.
+        """
+        if self._head is None or self._head <= self._version:
+            return None
+        self._drop_old_peers(now)
+        offered = any(peer.version >= self._head for peer in self._peers.values())
+        waited = self._behind_since is not None and (
+            now - self._behind_since >= self._timing.peers_first_s
+        )
+        return None if offered and not waited else self._head
+
+    def judge(self, *, now: float, others_known: bool) -> Standing:
+        """Return what this instance may do.
+
+        Args:
+            now: The present time.
+            others_known: Whether membership knows of any other instance that has not left. An
+                instance alone serves on through an outage of the platform: nobody else is there
+                who could have confirmed a change.
+
+        Returns:
+            The standing.
+        """
+        if not self._version:
+            return Standing.WAITING
+        silent = now - self._heard_at > self._timing.isolated_s
+        return Standing.ISOLATED if silent and others_known else Standing.CURRENT
+
+    def _may_believe_peers(self, version: int, now: float) -> bool:
+        """Whether a peer's version may be taken.
+
+        Failure: a new instance asks the one peer that was cut off for an hour, takes an old
+        version and sends work to an endpoint that has left. With the platform's head known, no
+        less than that is taken; in an outage, the highest of several peers.
+        """
+        if self._version:
+            return True
+        if self._head is not None:
+            return version >= self._head
+        fresh = [p for p in self._peers.values() if now - p.heard_at <= self._timing.peer_fresh_s]
+        outage = self._misses > 0 and now - self._started_at >= self._timing.outage_s
+        highest = max((peer.version for peer in fresh), default=0)
+        return outage and len(fresh) >= self._peers_wanted and version >= highest
+
+    def set_peers_wanted(self, number: int) -> None:
+        """Lower the number of peers to hear, where the fleet has fewer."""
+        self._peers_wanted = max(1, number)
+
+    def _note_behind(self, now: float) -> None:
+        highest = max((p.version for p in self._peers.values()), default=0)
+        if max(highest, self._head or 0) <= self._version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+
+    def _drop_old_peers(self, now: float) -> None:
+        limit = now - self._timing.peer_fresh_s
+        self._peers = {n: p for n, p in self._peers.items() if p.heard_at >= limit}
+
+    def _set_next_poll(self, mean_s: float, now: float) -> None:
+        self.next_poll_at = now + mean_s * self._random.uniform(0.5, 1.5)
--- /dev/null
+++ b/src/guavamast/heartbeats.py
@@ -0,0 +1,309 @@
+"""Streams of heartbeats to other dispatchers.
+
+There is one stream for each pair of neighbours. It is dialled by the end with the lower name, or by
+the other one when that fails to come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+from typing import TYPE_CHECKING, Final
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from guavamast.heartbeat_exchange import HeartbeatExchange
+from guavamast.heartbeat_link import HeartbeatLink
+from guavamast.log import get_logger
+from guavamast.members import MemberState
+from guavamast.peer_grpc import PeerStub
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from grpclib.server import Stream
+
+    from guavamast.configuration_spread import ConfigurationSpread
+    from guavamast.membership import Membership
+    from guavamast.metrics import Metrics
+    from guavamast.peer_pb2 import HeartbeatMessage
+
+COALESCE_S: Final = 0.02
+"""Time for which news is collected before it is passed on."""
+CONNECT_TIMEOUT_S: Final = 2.0
+"""Longest time for opening a stream."""
+FIRST_RETRY_S: Final = 0.5
+"""Pause after a failed dial; doubles up to `LONGEST_RETRY_S`."""
+LONGEST_RETRY_S: Final = 5.0
+"""Longest pause between two dials of one address."""
+CONTACT_S: Final = 5.0
+"""Time between two dials of a seed or a gone instance, while there are neighbours."""
+LINGER_S: Final = 5.0
+"""Time for which a stream to an instance that is no neighbour is kept."""
+SILENT_SHARE: Final = 0.75
+"""Share of the time until suspicion after which a silent stream is replaced by a new one."""
+FAREWELL_S: Final = 0.5
+"""Longest time for telling neighbours that this process ends."""
+GAUGE_ROUNDS: Final = 10
+"""Rounds between two sets of gauges."""
+
+_STREAM_ERRORS: Final = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
+
+
+class HeartbeatLinks:
+    """Keeps the streams to this instance's neighbours and runs its failure detector.
+
+    The dispatcher awaits `run` in a task, passes each ``Gossip`` stream to `serve`, calls
+    `tell_soon` after it changed the membership or the configuration itself, and awaits `close` at
+    the end.
+
+    Args:
+        membership: The membership to keep.
+        spread: The configuration to spread.
+        metrics: Where counts go.
+        on_change: Called after a message changed members or configuration.
+        clock: The monotonic clock.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_contact_at",
+        "_dialling",
+        "_exchange",
+        "_failures",
+        "_flush",
+        "_links",
+        "_membership",
+        "_metrics",
+        "_missing_since",
+        "_on_change",
+        "_random",
+        "_retry_at",
+        "_rounds",
+        "_spread",
+        "_tasks",
+        "_ticked_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        spread: ConfigurationSpread,
+        metrics: Metrics,
+        on_change: Callable[[], None] = lambda: None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._membership = membership
+        self._spread = spread
+        self._metrics = metrics
+        self._on_change = on_change
+        self._clock = clock
+        self._exchange = HeartbeatExchange(membership=membership, spread=spread)
+        self._random = Random(membership.me.instance.name)
+        self._links: set[HeartbeatLink] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._dialling: set[str] = set()
+        self._failures: dict[str, int] = {}
+        self._retry_at: dict[str, float] = {}
+        self._missing_since: dict[str, float] = {}
+        self._flush: asyncio.TimerHandle | None = None
+        self._contact_at = 0.0
+        self._ticked_at = clock()
+        self._rounds = 0
+
+    async def run(self) -> None:
+        """Send heartbeats once a period until cancelled."""
+        period = self._membership.timing.period_s
+        due = self._clock()
+        while True:
+            self._run_round(self._clock())
+            due = max(due + period, self._clock())
+            await asyncio.sleep(due - self._clock())
+
+    async def serve(self, stream: Stream) -> None:
+        """Serve a ``Gossip`` stream that a peer dialled, until either end ends it."""
+        await self._serve_link(HeartbeatLink(stream=stream, address="", now=self._clock()))
+
+    async def close(self) -> None:
+        """Tell the neighbours that this process ends, and end all streams."""
+        self._membership.end()
+        for link in self._links:
+            link.wake()
+        if self._links:
+            await asyncio.wait(
+                [asyncio.ensure_future(link.wait_sent()) for link in self._links],
+                timeout=FAREWELL_S,
+            )
+        if self._flush is not None:
+            self._flush.cancel()
+        for link in list(self._links):
+            link.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def tell_soon(self) -> None:
+        """Send what is new without waiting for the next period."""
+        if self._flush is None:
+            self._flush = asyncio.get_running_loop().call_later(COALESCE_S, self._send_news)
+
+    def _run_round(self, now: float) -> None:
+        paused = now - self._ticked_at > 2.0 * self._membership.timing.period_s
+        self._ticked_at = now
+        before = self._membership.news_sequence
+        self._membership.tick(now=now)
+        if self._membership.news_sequence != before:
+            self._on_change()
+        if paused:
+            for link in self._links:
+                link.excuse(now)
+        self._update_links(now)
+        for link in self._links:
+            link.wake()
+        self._rounds += 1
+        if self._rounds % GAUGE_ROUNDS == 1:
+            self._set_gauges(now)
+
+    def _send_news(self) -> None:
+        self._flush = None
+        now = self._clock()
+        for link in self._links:
+            if self._exchange.has_news(link.state, now=now):
+                link.wake()
+
+    def _update_links(self, now: float) -> None:
+        neighbours = {m.instance.name: m for m in self._membership.list_neighbours()}
+        self._close_useless(neighbours, now)
+        linked = {link.state.peer for link in self._links}
+        for name, member in neighbours.items():
+            if name in linked:
+                self._missing_since.pop(name, None)
+            elif self._should_dial(name, now):
+                self._dial(member.instance.peer_address, name, now)
+        for name in set(self._missing_since) - set(neighbours):
+            del self._missing_since[name]
+        self._try_contact(bool(neighbours), now)
+
+    def _close_useless(self, neighbours: Iterable[str], now: float) -> None:
+        timing = self._membership.timing
+        own = self._membership.me.instance.name
+        accepted = {link.state.peer for link in self._links if not link.address}
+        for link in list(self._links):
+            peer = link.state.peer
+            if peer in neighbours:
+                link.used_at = now
+            silent = now - link.heard_at
+            if link.address:
+                # Failure: the peer restarted or a route changed, this end's packets vanish and
+                # the stream looks open. A new stream comes before the peer would be suspected.
+                useless = silent > SILENT_SHARE * timing.suspect_after_s
+                useless = useless or now - link.used_at > LINGER_S
+                useless = useless or (peer < own and peer in accepted)
+            else:
+                useless = silent > timing.suspect_after_s + timing.gone_after_s
+            if useless:
+                link.close()
+
+    def _should_dial(self, name: str, now: float) -> bool:
+        since = self._missing_since.setdefault(name, now)
+        waited = now - since >= 2.0 * self._membership.timing.period_s
+        return waited or self._membership.me.instance.name < name
+
+    def _try_contact(self, connected: bool, now: float) -> None:
+        if connected and now < self._contact_at:
+            return
+        self._contact_at = now + CONTACT_S * self._random.uniform(0.5, 1.5)
+        linked = {link.address for link in self._links}
+        contacts = [c for c in self._membership.list_contacts() if c not in linked]
+        ready = [c for c in contacts if self._retry_at.get(c, now) <= now]
+        self._retry_at = {a: at for a, at in self._retry_at.items() if at > now - 60.0}
+        if ready:
+            self._dial(self._random.choice(ready), "", now)
+
+    def _dial(self, address: str, name: str, now: float) -> None:
+        if address in self._dialling or self._retry_at.get(address, now) > now:
+            return
+        self._dialling.add(address)
+        task = asyncio.ensure_future(self._run_dialled(address, name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run_dialled(self, address: str, name: str) -> None:
+        host, port = address.rsplit(":", 1)
+        channel = Channel(host, int(port))
+        try:
+            async with PeerStub(channel).Gossip.open() as stream:
+                await asyncio.wait_for(stream.send_request(), CONNECT_TIMEOUT_S)
+                self._dialling.discard(address)
+                link = HeartbeatLink(stream=stream, address=address, now=self._clock())
+                await self._serve_link(link)
+        except _STREAM_ERRORS as error:
+            if address in self._dialling:
+                self._note_failed_dial(address, name, error)
+        finally:
+            self._dialling.discard(address)
+            channel.close()
+
+    def _note_failed_dial(self, address: str, name: str, error: Exception) -> None:
+        now = self._clock()
+        failures = self._failures.get(address, 0)
+        self._failures[address] = failures + 1
+        pause = min(FIRST_RETRY_S * 2.0**failures, LONGEST_RETRY_S)
+        self._retry_at[address] = now + pause * self._random.uniform(0.5, 1.5)
+        self._metrics.count("heartbeat.dial_failed")
+        if name and isinstance(error, ConnectionRefusedError):
+            self._membership.report_lost(name, now=now)
+            self._on_change()
+            self.tell_soon()
+
+    async def _serve_link(self, link: HeartbeatLink) -> None:
+        self._links.add(link)
+        broken = False
+        try:
+            broken = await link.run(
+                make=lambda: self._exchange.make_message(link.state, now=self._clock()),
+                take=lambda message: self._take(link, message),
+            )
+        finally:
+            self._links.discard(link)
+            self._note_ended(link, broken)
+
+    def _note_ended(self, link: HeartbeatLink, broken: bool) -> None:
+        peer = link.state.peer
+        if not peer or any(other.state.peer == peer for other in self._links):
+            return
+        self._spread.forget_peer(peer)
+        if broken:
+            # A process that ended takes its streams along. Dialling it at once tells, by a refused
+            # connection, that it is lost; waiting for silence takes seconds longer.
+            self._missing_since[peer] = float("-inf")
+            asyncio.get_running_loop().call_soon(lambda: self._update_links(self._clock()))
+
+    def _take(self, link: HeartbeatLink, message: HeartbeatMessage) -> None:
+        first = not link.state.peer
+        link.heard_at = self._clock()
+        changes = self._exchange.take_message(message, link.state, now=link.heard_at)
+        if first:
+            self._failures.pop(link.address, None)
+            self._close_older(link)
+        if changes.members or changes.configuration:
+            self._on_change()
+            self.tell_soon()
+        elif self._exchange.has_news(link.state, now=link.heard_at):
+            self.tell_soon()
+
+    def _close_older(self, link: HeartbeatLink) -> None:
+        for other in list(self._links):
+            same = other.state.peer == link.state.peer and not other.address
+            if same and other is not link and not link.address:
+                other.close()
+
+    def _set_gauges(self, now: float) -> None:
+        states = [member.state for member in self._membership.make_view(now=now).members]
+        self._metrics.gauge("heartbeat.links", len(self._links))
+        for state in (MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING):
+            self._metrics.gauge(f"membership.{state.name.lower()}", states.count(state))
+        get_logger().debug("heartbeat links=%d members=%d", len(self._links), len(states))
--- /dev/null
+++ b/src/guavamast/member_codec.py
@@ -0,0 +1,83 @@
+"""Members as messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.members import Member, MemberState
+from guavamast.peer_pb2 import MemberMessage
+from guavamast.world import FailureDomain, Instance
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from guavamast.members import MembershipView
+
+
+def encode_member(member: Member) -> MemberMessage:
+    """Return the whole record as a message."""
+    message = encode_changing_fields(member)
+    message.failure_domain = member.instance.failure_domain.name
+    message.region = member.instance.failure_domain.region
+    message.caller_address = member.instance.caller_address
+    message.peer_address = member.instance.peer_address
+    return message
+
+
+def encode_changing_fields(member: Member) -> MemberMessage:
+    """Return a record without its instance, for a receiver that knows this incarnation."""
+    return MemberMessage(
+        name=member.instance.name,
+        incarnation=member.incarnation,
+        state=int(member.state),
+        heartbeat=member.heartbeat,
+        configuration_version=member.configuration_version,
+        load=member.load,
+    )
+
+
+def decode_member(message: MemberMessage, *, known: Member | None = None) -> Member | None:
+    """Return the record of a message.
+
+    Args:
+        message: A whole record, or one without its instance.
+        known: What the receiver knows of the same name.
+
+    Returns:
+        The record, or None when its instance is neither told nor known.
+    """
+    instance = _decode_instance(message)
+    if instance is None:
+        if known is None or known.incarnation != message.incarnation:
+            return None
+        instance = known.instance
+    return Member(
+        instance=instance,
+        incarnation=message.incarnation,
+        state=MemberState(message.state),
+        heartbeat=message.heartbeat,
+        configuration_version=message.configuration_version,
+        load=message.load,
+    )
+
+
+def encode_view(view: MembershipView) -> list[MemberMessage]:
+    """Return all members of a view as messages."""
+    return [encode_member(member) for member in view.members]
+
+
+def decode_members(messages: Iterable[MemberMessage]) -> tuple[Member, ...]:
+    """Return the records of messages that are whole; others are left out."""
+    decoded = (decode_member(message) for message in messages)
+    return tuple(member for member in decoded if member is not None)
+
+
+def _decode_instance(message: MemberMessage) -> Instance | None:
+    if not message.peer_address:
+        return None
+    return Instance(
+        name=message.name,
+        failure_domain=FailureDomain(name=message.failure_domain, region=message.region),
+        caller_address=message.caller_address,
+        peer_address=message.peer_address,
+    )
--- a/src/guavamast/membership.py
+++ b/src/guavamast/membership.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
+from guavamast.member_records import ChangeLog, MemberRecord, join
 from guavamast.members import Member, MembershipView, MemberState
 from guavamast.overlay import Overlay
 from guavamast.rendezvous import compute_weight
@@ -21,6 +22,10 @@
 
 LARGEST_PATIENCE: Final = 16.0
 """Factor at which the growth of a neighbour's allowed silence stops."""
+PATIENCE_DECAY: Final = 0.98
+"""Factor by which it shrinks with each heartbeat in time; halves it in about 35."""
+LOAD_STEP: Final = 0.2
+"""Smallest relative change of the load that is published; less does not change a choice."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,61 +38,25 @@
     """Silence after which a neighbour is suspected."""
     gone_after_s: float = 3.0
     """Time that a suspected instance has to refute."""
-    tell_gone_s: float = 3600.0
-    """Time for which a gone instance is told to others."""
     forget_after_s: float = 7200.0
-    """Time after which a gone instance is forgotten."""
-    load_period_s: float = 20.0
-    """Shortest time between two published loads."""
-
-
-def join(first: Member, second: Member) -> Member:
-    """Return what two records of one instance say together.
-
-    The higher incarnation wins whole. Within one incarnation the later state wins, the load goes
-    with the higher heartbeat, and configuration versions only grow. This is commutative,
-    associative and idempotent.
-
-    Args:
-        first: A record.
-        second: Another record of the same name.
-
-    Returns:
-        Their least upper bound.
+    """Time after which a gone instance is forgotten; longer than regions lose each other for."""
+    load_period_s: float = 5.0
+    """Shortest time between two loads that an instance publishes, in a small fleet."""
+    loads_per_second: float = 6.0
+    """Loads that all instances together publish at most.
+
+    Each goes over every link, so this bounds the cost whatever the size of the fleet. It stays
+    below `heartbeat_exchange.DETAILS_PER_MESSAGE` a period, or a backlog would grow.
     """
-    if first.incarnation != second.incarnation:
-        return max(first, second, key=lambda member: member.incarnation)
-    heartbeat, load = max((first.heartbeat, first.load), (second.heartbeat, second.load))
-    return Member(
-        instance=max(first.instance, second.instance, key=_order_instance),
-        incarnation=first.incarnation,
-        state=max(first.state, second.state),
-        heartbeat=heartbeat,
-        configuration_version=max(first.configuration_version, second.configuration_version),
-        load=load,
-    )
-
-
-@dataclass(slots=True, kw_only=True)
-class _Record:
-    member: Member
-    heard_at: float
-    """When its heartbeat was last seen to rise, or when it became a neighbour."""
-    changed_at: float
-    """When its incarnation or state changed."""
-    patience: float = 1.0
-    """Factor on the allowed silence."""
-    news: int = 0
-    """Sequence number of the last change of incarnation or state."""
-    detail: int = 0
-    """Sequence number of the last change of load or configuration version."""
 
 
 class Membership:
     """The members of the fleet and the failure detector of one instance.
 
-    Call `tick` once a period, `merge` for what arrives, and send `list_news` and `list_details`
-    with the own record to each of `list_neighbours`. `HeartbeatLinks` does all of it.
+    `HeartbeatLinks` calls `tick` once a period, `merge` for what arrives and `report_lost`, and
+    sends changes to `list_neighbours`. The dispatcher calls `add_seeds` at the start,
+    `replace_listed` after each read of the platform's list, `set_load`, `leave`, `end` and
+    `make_view`.
 
     Args:
         me: This instance.
@@ -98,10 +67,13 @@
     """
 
     __slots__ = (
+        "_details",
         "_load",
         "_load_published_at",
+        "_listed",
         "_me",
         "_neighbours",
+        "_news",
         "_overlay",
         "_overlay_stale",
         "_records",
@@ -109,6 +81,9 @@
         "_sequence",
         "_ticked_at",
         "_timing",
+        "_watched",
+        "left_at",
+        "news_sequence",
     )
 
     def __init__(
@@ -127,15 +102,24 @@
             configuration_version=0,
         )
         self._timing = timing or MembershipTiming()
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, MemberRecord] = {}
+        self._news = ChangeLog()
+        self._details = ChangeLog()
         self._seeds: tuple[str, ...] = ()
+        self._listed: tuple[str, ...] = ()
         self._overlay = Overlay()
         self._overlay_stale = True
         self._neighbours: frozenset[str] = frozenset()
+        self._watched: set[str] = set()
+        """Suspected and gone instances."""
         self._sequence = 1
         self._ticked_at = now
         self._load = 0.0
         self._load_published_at = now
+        self.left_at: float | None = None
+        """When this instance began to leave."""
+        self.news_sequence = 0
+        """The value of `sequence` at the last change of any incarnation or state."""
 
     @property
     def me(self) -> Member:
@@ -171,16 +155,18 @@
         self._ticked_at = now
         self._publish(now)
         self._update_overlay(now)
-        for name, record in list(self._records.items()):
-            self._judge(name, record, now)
+        for name in self._neighbours | self._watched:
+            self._judge(name, self._records[name], now)
 
     def leave(self, *, now: float) -> None:
         """Tell others that this instance takes no new work; it stays in the overlay."""
-        self._set_own_state(MemberState.LEAVING, now)
+        if self._me.state == MemberState.LIVE:
+            self.left_at = now
+            self._set_own_state(MemberState.LEAVING)
 
-    def end(self, *, now: float) -> None:
+    def end(self) -> None:
         """Tell others that this instance is gone, right before its process exits."""
-        self._set_own_state(MemberState.GONE, now)
+        self._set_own_state(MemberState.GONE)
 
     def report_lost(self, name: str, *, now: float) -> None:
         """Suspect a neighbour at once whose address refuses connections.
@@ -205,10 +191,12 @@
         self._load = load
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Add peer addresses to contact, from the settings or the platform's lagging list."""
-        own = self._me.instance.peer_address
-        merged = dict.fromkeys([*self._seeds, *addresses])
-        self._seeds = tuple(address for address in merged if address != own)
+        """Add the settings' peer addresses, to be contacted for as long as this process runs."""
+        self._seeds = tuple(dict.fromkeys([*self._seeds, *addresses]))
+
+    def replace_listed(self, addresses: Iterable[str]) -> None:
+        """Set the peer addresses of the platform's list, which lags and drops what has left."""
+        self._listed = tuple(addresses)
 
     def make_view(self, *, now: float) -> MembershipView:
         """Return the members that are not gone, ordered by name.
@@ -245,8 +233,9 @@
         ever. One connection between them is enough, since both then exchange all records.
         """
         known = {r.member.instance.peer_address: r.member.state for r in self._records.values()}
+        known[self._me.instance.peer_address] = self._me.state
         gone = [address for address, state in known.items() if state == MemberState.GONE]
-        unknown = [address for address in self._seeds if address not in known]
+        unknown = [address for address in (*self._seeds, *self._listed) if address not in known]
         return tuple(dict.fromkeys([*unknown, *gone]))
 
     def list_news(self, *, after: int) -> list[Member]:
@@ -255,8 +244,7 @@
         Args:
             after: The value of `sequence` up to which the receiver has been told.
         """
-        changed = [record for record in self._records.values() if record.news > after]
-        return [record.member for record in sorted(changed, key=lambda record: record.news)]
+        return [self._records[name].member for _, name in self._news.list_after(after)]
 
     def list_details(self, *, after: int) -> list[tuple[int, Member]]:
         """Return the records whose load or configuration version changed, oldest change first.
@@ -267,22 +255,16 @@
         Returns:
             Each record with the sequence number of its change.
         """
-        changed = [record for record in self._records.values() if record.detail > after]
-        changed.sort(key=lambda record: record.detail)
-        return [(record.detail, record.member) for record in changed]
+        changed = self._details.list_after(after)
+        return [(number, self._records[name].member) for number, name in changed]
 
-    def list_all(self, *, now: float) -> list[Member]:
+    def list_all(self) -> list[Member]:
         """Return all records that may be told to a new neighbour, the own one included.
 
         Failure: an instance that has forgotten a gone one hears of it again from one that has not
-        yet, and the record never dies. It is told for half of the time for which it is kept.
+        yet, passes it on, and the record never dies. Only those that saw it leave pass it on.
         """
-        limit = now - self._timing.tell_gone_s
-        told = [
-            record.member
-            for record in self._records.values()
-            if record.member.state != MemberState.GONE or record.changed_at > limit
-        ]
+        told = [record.member for record in self._records.values() if not record.inherited]
         return [self._me, *told]
 
     def compute_digest(self) -> int:
@@ -300,33 +282,48 @@
         if outdated or agrees:
             return
         self._me = replace(self._me, incarnation=heard.incarnation + 1)
-        self._sequence += 1
+        self._count_news()
 
     def _merge_one(self, heard: Member, now: float) -> None:
         name = heard.instance.name
         record = self._records.get(name)
         if record is None:
-            self._sequence += 1
-            self._records[name] = _Record(
-                member=heard,
-                heard_at=now,
-                changed_at=now,
-                news=self._sequence,
-                detail=self._sequence,
-            )
-            self._overlay_stale = True
+            self._add_record(heard, now)
             return
         known = record.member
         record.member = joined = join(known, heard)
         if (joined.incarnation, joined.heartbeat) > (known.incarnation, known.heartbeat):
             record.heard_at = now
         if (joined.incarnation, joined.state) != (known.incarnation, known.state):
+            if record.inherited and joined.state == MemberState.GONE:
+                return
             self._note_news(record, known, now)
         if (joined.load, joined.configuration_version) != (known.load, known.configuration_version):
             self._sequence += 1
-            record.detail = self._sequence
+            self._details.note(name, self._sequence)
+
+    def _add_record(self, heard: Member, now: float) -> None:
+        gone = heard.state == MemberState.GONE
+        record = MemberRecord(member=heard, heard_at=now, changed_at=now, inherited=gone)
+        self._records[heard.instance.name] = record
+        self._watch(record)
+        if not gone:
+            self._news.note(heard.instance.name, self._count_news())
+            self._overlay_stale = True
+
+    def _watch(self, record: MemberRecord) -> None:
+        name = record.member.instance.name
+        if record.member.state in (MemberState.SUSPECT, MemberState.GONE):
+            self._watched.add(name)
+        else:
+            self._watched.discard(name)
+
+    def _count_news(self) -> int:
+        self._sequence += 1
+        self.news_sequence = self._sequence
+        return self._sequence
 
-    def _note_news(self, record: _Record, known: Member, now: float) -> None:
+    def _note_news(self, record: MemberRecord, known: Member, now: float) -> None:
         refuted = known.state == MemberState.SUSPECT and record.member.state == MemberState.LIVE
         if refuted and record.member.incarnation == known.incarnation + 1:
             # Failure: the one link between two live instances is cut. One suspects the other, is
@@ -334,20 +331,20 @@
             # silence bounds the noise; a restart (another incarnation) starts afresh.
             record.patience = min(record.patience * 2.0, LARGEST_PATIENCE)
         record.changed_at = now
-        self._sequence += 1
-        record.news = self._sequence
+        record.inherited = False
+        self._watch(record)
+        self._news.note(known.instance.name, self._count_news())
         self._overlay_stale = True
 
-    def _set_state(self, record: _Record, state: MemberState, now: float) -> None:
+    def _set_state(self, record: MemberRecord, state: MemberState, now: float) -> None:
         known = record.member
         record.member = replace(known, state=state)
         self._note_news(record, known, now)
 
-    def _set_own_state(self, state: MemberState, now: float) -> None:
-        del now
+    def _set_own_state(self, state: MemberState) -> None:
         if state > self._me.state:
             self._me = replace(self._me, state=state)
-            self._sequence += 1
+            self._count_news()
 
     def _allow_for_pause(self, now: float) -> None:
         """Add the time in which this process did not run to what others are allowed.
@@ -366,8 +363,10 @@
 
     def _publish(self, now: float) -> None:
         load = self._me.load
-        due = now - self._load_published_at >= self._timing.load_period_s
-        if due and self._load != load:
+        timing = self._timing
+        period = max(timing.load_period_s, len(self._records) / timing.loads_per_second)
+        due = now - self._load_published_at >= period
+        if due and abs(self._load - load) > LOAD_STEP * max(load, self._load):
             load = self._load
             self._load_published_at = now
         self._me = replace(self._me, heartbeat=self._me.heartbeat + 1, load=load)
@@ -390,15 +389,20 @@
             record.patience = 1.0
         self._neighbours = neighbours
 
-    def _judge(self, name: str, record: _Record, now: float) -> None:
+    def _judge(self, name: str, record: MemberRecord, now: float) -> None:
         timing = self._timing
         state = record.member.state
         if state == MemberState.GONE:
             if now - record.changed_at > timing.forget_after_s:
                 del self._records[name]
+                self._news.drop(name)
+                self._details.drop(name)
+                self._watched.discard(name)
                 self._overlay.forget(name)
             return
         silence = now - record.heard_at
+        if silence <= timing.period_s:
+            record.patience = max(1.0, record.patience * PATIENCE_DECAY)
         allowed = timing.suspect_after_s * record.patience
         if state == MemberState.SUSPECT:
             if min(silence, now - record.changed_at) > timing.gone_after_s:
@@ -408,8 +412,3 @@
                 self._set_state(record, MemberState.SUSPECT, now)
             elif silence > allowed + timing.gone_after_s:
                 self._set_state(record, MemberState.GONE, now)
-
-
-def _order_instance(instance: Instance) -> tuple[str, str, str, str]:
-    domain = instance.failure_domain
-    return (domain.name, domain.region, instance.caller_address, instance.peer_address)
--- /dev/null
+++ b/tests/test_heartbeat_exchange_properties.py
@@ -0,0 +1,182 @@
+"""Properties of heartbeats between decision objects, over generated histories of faults."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass
+from typing import Final
+
+from bench.exchange_loop import ExchangeLoop, make_instance
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.configuration_spread import Source
+from guavamast.members import MemberState
+
+NAMES: Final = tuple(f"i{number}" for number in range(7))
+REGIONS: Final = ("sierra", "wallonie")
+SETTLING_ROUNDS: Final = 150
+"""Bound on the rounds until all agree: detection with the largest patience, and contacts."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """One event of a history and the rounds after it."""
+
+    kind: str
+    name: str
+    rounds: int
+
+
+FAULTS: Final = st.builds(
+    Fault,
+    kind=st.sampled_from(
+        ["kill", "restart", "old-clock", "pause", "resume", "split", "heal", "leave", "confirm"]
+    ),
+    name=st.sampled_from(NAMES),
+    rounds=st.sampled_from([0, 1, 3, 8, 20]),
+)
+
+
+class History:
+    """Applies faults to a loop and checks what must hold at each moment."""
+
+    def __init__(self, case: unittest.TestCase) -> None:
+        self.case = case
+        instances = [
+            make_instance(name, region=REGIONS[number % 2]) for number, name in enumerate(NAMES)
+        ]
+        self.loop = ExchangeLoop(instances=instances)
+        self.accepted = 0
+        self.versions: dict[str, tuple[int, int]] = {}
+        for node in self.loop.nodes.values():
+            node.spread.hear_platform(0, now=0.0)
+
+    def apply(self, fault: Fault) -> None:
+        """Let a fault happen and some rounds pass."""
+        getattr(self, "_" + fault.kind.replace("-", "_"))(fault.name)
+        for _ in range(fault.rounds):
+            self.run_round()
+
+    def run_round(self) -> None:
+        """Let one round pass; no instance's version may go back while its process lives."""
+        self.loop.run_round()
+        for name, node in self.loop.nodes.items():
+            process, version = self.versions.get(name, (id(node), 0))
+            if process == id(node):
+                self.case.assertGreaterEqual(node.spread.version, version)
+            self.versions[name] = (id(node), node.spread.version)
+
+    def mend(self) -> None:
+        """Undo what is undone by operators: links, stopped processes, the platform's answers."""
+        self._heal("")
+        for name in NAMES:
+            self._resume(name)
+        if not self.loop.nodes:
+            self._restart(NAMES[0])
+
+    def settle(self) -> None:
+        """Let rounds pass until all agree, within the bound."""
+        for _ in range(SETTLING_ROUNDS):
+            self.run_round()
+            nodes = self.loop.nodes.values()
+            if self.loop.agrees() and len({n.exchange.compute_digest() for n in nodes}) == 1:
+                return
+
+    def _kill(self, name: str) -> None:
+        self.loop.kill(name)
+
+    def _restart(self, name: str) -> None:
+        node = self.loop.start(name)
+        node.spread.hear_platform(self.accepted, now=self.loop.now)
+
+    def _old_clock(self, name: str) -> None:
+        node = self.loop.start(name, incarnation=1)
+        node.spread.hear_platform(self.accepted, now=self.loop.now)
+
+    def _pause(self, name: str) -> None:
+        if name in self.loop.nodes:
+            self.loop.nodes[name].running = False
+
+    def _resume(self, name: str) -> None:
+        if name in self.loop.nodes:
+            self.loop.nodes[name].running = True
+
+    def _split(self, name: str) -> None:
+        del name
+        self.loop.is_cut = lambda first, second: int(first[1:]) % 2 != int(second[1:]) % 2
+
+    def _heal(self, name: str) -> None:
+        del name
+        self.loop.is_cut = lambda _first, _second: False
+
+    def _leave(self, name: str) -> None:
+        if name in self.loop.nodes:
+            self.loop.nodes[name].membership.leave(now=self.loop.now)
+
+    def _confirm(self, name: str) -> None:
+        node = self.loop.nodes.get(name)
+        if node is not None and node.running:
+            self.accepted += 1
+            text = f"version {self.accepted} " + "same " * 20
+            node.spread.accept(self.accepted, text, source=Source.PLATFORM, now=self.loop.now)
+
+
+class ConvergenceTest(unittest.TestCase):
+    """Whatever happened, the instances agree soon after the faults have ended."""
+
+    @given(st.lists(FAULTS, max_size=6))
+    def test_views_and_versions_converge_after_any_history(self, faults: list[Fault]) -> None:
+        """Instances crash, restart, pause and lose each other, in any order.
+
+        Callers see work sent to the dead, or an instance that nobody uses, for as long as views
+        differ. After the last fault all views must hold just those that run, all of them with the
+        highest version that any of them ever had.
+        """
+        history = History(self)
+        for fault in faults:
+            history.apply(fault)
+        history.mend()
+        held = max(node.spread.version for node in history.loop.nodes.values())
+        history.settle()
+        self.assertTrue(history.loop.agrees())
+        nodes = history.loop.nodes.values()
+        self.assertEqual(len({node.exchange.compute_digest() for node in nodes}), 1)
+        for node in nodes:
+            if node.spread.head <= held:
+                self.assertEqual(node.spread.version, held)
+
+    @given(st.sampled_from(NAMES), st.integers(10, 120))
+    def test_a_paused_instance_judges_nobody_by_its_own_pause(self, name: str, rounds: int) -> None:
+        """One process stands still for long enough to be declared gone, then goes on.
+
+        It finds every neighbour silent for as long as it stood still. If it believed that, it
+        would tell the fleet that all others were gone, and keepers would move twice.
+        """
+        history = History(self)
+        for _ in range(5):
+            history.run_round()
+        before = {n: node.membership.me.incarnation for n, node in history.loop.nodes.items()}
+        history.apply(Fault(kind="pause", name=name, rounds=rounds))
+        view = history.loop.nodes["i1" if name == "i0" else "i0"].membership.make_view(now=0.0)
+        self.assertNotIn(name, [member.instance.name for member in view.members])
+        history.mend()
+        history.settle()
+        after = {n: node.membership.me.incarnation for n, node in history.loop.nodes.items()}
+        self.assertEqual([n for n in NAMES if after[n] != before[n]], [name])
+
+    @given(st.sampled_from(NAMES))
+    def test_a_leaving_instance_serves_nobody_in_any_view(self, name: str) -> None:
+        history = History(self)
+        for _ in range(3):
+            history.run_round()
+        history.apply(Fault(kind="leave", name=name, rounds=1))
+        for node in history.loop.nodes.values():
+            view = node.membership.make_view(now=history.loop.now)
+            states = {member.instance.name: member.state for member in view.members}
+            self.assertEqual(states[name], MemberState.LEAVING)
+            self.assertNotIn(name, [m.instance.name for m in view.list_serving()])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_membership_properties.py
+++ b/tests/test_membership_properties.py
@@ -7,8 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from guavamast.member_records import join
 from guavamast.members import Member, MembershipView, MemberState
-from guavamast.membership import Membership, join
+from guavamast.membership import Membership
 from guavamast.world import FailureDomain, Instance
 
 
