Bench the policy on fake engines against five others

Cause: constants of the choice and the number of keepers asked are guesses until measured. Ruled out: a model of network or cluster (the users ask for none); messages are only delayed. Change: an engine fake that batches, straggles and crashes; both sites' shapes; random, round robin, least reported load, first come first served and an oracle that knows lengths, loads and faults; the policy under test drives EndpointChooser, EndpointKeeper and RetryBudget.

--- /dev/null
+++ b/bench/runs.py
@@ -0,0 +1,163 @@
+"""One run of a scenario under a policy, and what it measures."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from bench.baselines import (
+    REPORT_INTERVAL_S,
+    CentralPolicy,
+    LeastLoadPolicy,
+    OraclePolicy,
+    Policy,
+    RandomPolicy,
+    RoundRobinPolicy,
+)
+from bench.policies import RouterPolicy
+from bench.workload import (
+    BURST_END_S,
+    BURST_START_S,
+    DURATION_S,
+    Request,
+    Scenario,
+    Site,
+    compute_capacity,
+    make_fleet,
+    make_requests,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bench.engine import FakeEngine
+
+WINDOW_S: Final = 60.0
+DRAIN_S: Final = 130.0
+"""Time after the last arrival until all deadlines have passed."""
+
+POLICIES: Final[dict[str, Callable[..., Policy]]] = {
+    "guavamast": RouterPolicy,
+    "guavamast, two keepers": lambda **arguments: RouterPolicy(asked=2, **arguments),
+    "random": RandomPolicy,
+    "round robin": RoundRobinPolicy,
+    "least load": LeastLoadPolicy,
+    "first come": CentralPolicy,
+    "oracle": OraclePolicy,
+}
+
+
+@dataclass(slots=True, kw_only=True)
+class Outcome:
+    """What one run gave."""
+
+    attained: dict[str, float] = field(default_factory=dict)
+    """Share of the class's requests that met all its targets."""
+    least_finished: dict[str, int] = field(default_factory=dict)
+    """Fewest completions of a class in any window of 60 s."""
+    goodput: float = 0.0
+    """Work of requests completed in time, as a share of the engines' capacity."""
+    wasted: float = 0.0
+    """Share of computed work that was discarded."""
+    amplification: float = 0.0
+    """Attempts sent for each request that was sent at all."""
+    inverted: float = 0.0
+    """Share of the top tier's requests refused while a lower tier was in the pool."""
+    asks: float = 0.0
+    """Asks for each request; 0 without keepers."""
+    unused_grants: float = 0.0
+    """Unused grants for each request."""
+    pauses: float = 0.0
+    requests: int = 0
+
+
+def run_once(site: Site, scenario: Scenario, policy_name: str, seed: int) -> Outcome:
+    """Return the outcome of one run."""
+    policy = POLICIES[policy_name](
+        site=site, fleet=make_fleet(site), scenario=scenario, seed=seed + 1
+    )
+    requests = make_requests(site, scenario, seed)
+    for request in requests:
+        policy.events.call_at(request.arrives_at, lambda request=request: policy.take(request))
+    _plan_faults(policy, scenario)
+    for engine in policy.engines.values():
+        _plan_report(policy, engine, scenario.report_lag_s)
+    policy.events.run(DURATION_S + DRAIN_S)
+    return _measure(site, policy, requests)
+
+
+def _plan_faults(policy: Policy, scenario: Scenario) -> None:
+    events = policy.events
+    engines = policy.pools[""]
+    for engine in engines[: scenario.stragglers]:
+        events.call_at(
+            BURST_START_S, lambda engine=engine: engine.straggle(scenario.straggle_factor)
+        )
+        events.call_at(BURST_END_S, lambda engine=engine: engine.straggle(1.0))
+    crashed = engines[: round(len(engines) * scenario.crash_share)]
+    for engine in crashed:
+        events.call_at(BURST_START_S, engine.crash)
+        events.call_at(BURST_END_S - 20.0, engine.recover)
+
+
+def _plan_report(policy: Policy, engine: FakeEngine, lag_s: float) -> None:
+    def report() -> None:
+        running, as_of = engine.load, policy.events.now
+        if not engine.crashed:
+            policy.events.call_later(
+                lag_s, lambda: policy.take_report(engine, min(running, engine.slots), as_of)
+            )
+        policy.events.call_later(REPORT_INTERVAL_S, report)
+
+    policy.events.call_later(policy.random.uniform(0, REPORT_INTERVAL_S), report)
+
+
+def is_attained(request: Request) -> bool:
+    """Return whether a request met all targets of its class."""
+    target = request.service_class
+    if not request.completed or request.first_at is None:
+        return False
+    first_s = request.first_at - request.arrives_at
+    total_s = request.ended_at - request.arrives_at
+    if request.kind.service:
+        return total_s <= target.completion_s
+    interval_s = (request.ended_at - request.first_at) / max(1, request.tokens - 1)
+    return (
+        first_s * 1000 <= target.first_token_ms
+        and total_s <= target.completion_s
+        and (request.tokens < 2 or interval_s * 1000 <= target.token_interval_ms)
+    )
+
+
+def _measure(site: Site, policy: Policy, requests: list[Request]) -> Outcome:
+    outcome = Outcome(requests=len(requests))
+    engine_requests = [request for request in requests if not request.kind.service]
+    for target in site.classes:
+        own = [each for each in engine_requests if each.service_class is target]
+        outcome.attained[target.name] = sum(map(is_attained, own)) / max(1, len(own))
+        outcome.least_finished[target.name] = _find_least(own)
+    in_time = [
+        each
+        for each in engine_requests
+        if each.completed
+        and each.ended_at <= DURATION_S
+        and each.ended_at - each.arrives_at <= each.service_class.completion_s
+    ]
+    capacity = compute_capacity(site, services=False) * DURATION_S
+    outcome.goodput = sum(each.tokens for each in in_time) / capacity
+    outcome.wasted = policy.wasted / max(1.0, sum(e.computed for e in policy.engines.values()))
+    sent = sum(1 for each in requests if each.attempts)
+    outcome.amplification = policy.attempts / max(1, sent)
+    top = [each for each in engine_requests if each.service_class.tier == 1]
+    outcome.inverted = sum(each.inverted for each in top) / max(1, len(top))
+    if isinstance(policy, RouterPolicy):
+        outcome.asks = policy.asks / len(requests)
+        outcome.unused_grants = policy.unused_grants / len(requests)
+        outcome.pauses = policy.pauses / len(requests)
+    return outcome
+
+
+def _find_least(requests: list[Request]) -> int:
+    ends = sorted(each.ended_at for each in requests if each.completed)
+    starts = [time / 2 for time in range(int(2 * 20.0), int(2 * (DURATION_S - WINDOW_S)) + 1)]
+    return min(sum(1 for end in ends if start <= end < start + WINDOW_S) for start in starts)
