--- /dev/null
+++ b/src/guavamast/_round_robin.py
@@ -0,0 +1,147 @@
+"""Deficit round robin among the organisations of one class."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from guavamast.slots import Ask
+
+QUANTUM: Final = 256.0
+"""Tokens that an organisation may start each round; about one short answer."""
+COST_CEILING: Final = 65_536.0
+"""Tokens above which a request costs no more; bounds an organisation's debt."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Waiting:
+    """A queued ask with what was worked out when it came."""
+
+    ask: Ask
+    sequence: int
+    """Order of arrival."""
+    arrived_at: float
+    cost: float
+    """Estimated work in tokens."""
+    latest_start: float
+    """Time after which it can't meet its deadline."""
+    target_start: float
+    """Time after which it misses its class's first-token target."""
+
+
+class _Account:
+    """One organisation's waiting asks and its balance."""
+
+    __slots__ = ("deficit", "last_round", "waiting")
+
+    def __init__(self, *, last_round: int) -> None:
+        self.waiting: OrderedDict[str, Waiting] = OrderedDict()
+        self.deficit = QUANTUM
+        self.last_round = last_round
+
+
+class RoundRobin:
+    """Waiting asks, served round by round and organisation by organisation.
+
+    Each round adds `QUANTUM` to an organisation's deficit counter and each start takes its cost
+    off. An organisation in debt waits until the round that makes its counter positive again; a
+    heap by that round makes a start logarithmic in the number of organisations, however dear
+    the asks are. The debt outlives an empty queue while others wait, so that sending one dear ask
+    at a time gains nothing.
+    """
+
+    __slots__ = ("_accounts", "_heap", "_length", "_round", "_sequence")
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+        self._heap: list[tuple[int, int, str]] = []
+        self._round = 0
+        self._sequence = 0
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def add(self, waiting: Waiting) -> None:
+        """Append an ask to its organisation's queue."""
+        organisation = waiting.ask.organisation
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = self._accounts[organisation] = _Account(last_round=self._round)
+            self._schedule(organisation, self._round)
+        account.waiting[waiting.ask.ask_id] = waiting
+        self._length += 1
+
+    def remove(self, ask: Ask) -> Waiting:
+        """Take an ask out without starting it."""
+        waiting = self._accounts[ask.organisation].waiting.pop(ask.ask_id)
+        self._note_removal()
+        return waiting
+
+    def take(self) -> Waiting:
+        """Take the next ask to start and charge its organisation."""
+        while True:
+            round_number, _, organisation = heappop(self._heap)
+            self._round = max(self._round, round_number)
+            account = self._accounts[organisation]
+            self._top_up(account)
+            if account.deficit <= 0.0:
+                self._schedule(organisation, self._find_round(account))
+            elif not account.waiting:
+                del self._accounts[organisation]
+            else:
+                return self._start(organisation, account)
+
+    def charge(self, organisation: str, cost: float) -> None:
+        """Take the difference between a start's true and estimated cost off its organisation."""
+        account = self._accounts.get(organisation)
+        if account is not None:
+            self._top_up(account)
+            account.deficit = min(QUANTUM, max(-COST_CEILING, account.deficit - cost))
+
+    def count(self, organisation: str) -> int:
+        """Return how many asks of an organisation wait."""
+        account = self._accounts.get(organisation)
+        return len(account.waiting) if account is not None else 0
+
+    def count_organisations(self) -> int:
+        """Return how many organisations wait or are in debt."""
+        return len(self._accounts)
+
+    def find_newest(self, organisation: str) -> Waiting:
+        """Return the last of an organisation's asks."""
+        return next(reversed(self._accounts[organisation].waiting.values()))
+
+    def list_deficits(self) -> list[float]:
+        """Return all organisations' deficit counters."""
+        return [account.deficit for account in self._accounts.values()]
+
+    def _start(self, organisation: str, account: _Account) -> Waiting:
+        _, waiting = account.waiting.popitem(last=False)
+        account.deficit = max(-COST_CEILING, account.deficit - waiting.cost)
+        self._schedule(organisation, self._find_round(account))
+        self._note_removal()
+        return waiting
+
+    def _note_removal(self) -> None:
+        self._length -= 1
+        if self._length == 0:
+            self._accounts.clear()
+            self._heap.clear()
+
+    def _top_up(self, account: _Account) -> None:
+        earned = QUANTUM * (self._round - account.last_round)
+        account.deficit = min(QUANTUM, account.deficit + earned)
+        account.last_round = self._round
+
+    def _find_round(self, account: _Account) -> int:
+        if account.deficit > 0.0:
+            return self._round
+        return self._round + int(-account.deficit // QUANTUM) + 1
+
+    def _schedule(self, organisation: str, round_number: int) -> None:
+        self._sequence += 1
+        heappush(self._heap, (round_number, self._sequence, organisation))
--- /dev/null
+++ b/src/guavamast/grants.py
@@ -0,0 +1,115 @@
+"""The slots of one endpoint that are held, and which of them a higher tier may take."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from guavamast.estimates import DEFAULT_INTERVAL_S
+
+if TYPE_CHECKING:
+    from guavamast.queues import Start
+    from guavamast.slots import Ask
+
+
+NO_EXPIRY: Final = float("inf")
+
+
+@dataclass(slots=True, kw_only=True)
+class Grant:
+    """A slot that is held."""
+
+    ask: Ask
+    tier: int
+    granted_at: float
+    expires_at: float
+    """Time at which it is given up without a release."""
+    expected_end: float
+    expected_tokens: float = 0.0
+    """Output tokens in all."""
+    tokens: int = 0
+    progress_at: float = 0.0
+    """Time at which ``tokens`` was true."""
+    start: Start | None = None
+    """None when an entry presented the slot."""
+    paused: bool = False
+
+    def can_pause(self, tier: int) -> bool:
+        """Return whether an ask of a tier may take this slot.
+
+        A start by share is left alone: the higher tier that waited then would take it back at
+        once, and the class would get starts but never finish.
+        """
+        by_share = self.start is not None and self.start.by_share
+        return self.tier > tier and self.ask.idempotent and not self.paused and not by_share
+
+    def estimate_tokens(self, now: float) -> float:
+        """Return the tokens delivered by now, those not reported yet at the usual pace."""
+        return self.tokens + max(0.0, now - self.progress_at) / DEFAULT_INTERVAL_S
+
+
+class GrantTable:
+    """The held slots by ask; its scans take time in the endpoint's slots alone."""
+
+    __slots__ = ("_grants",)
+
+    def __init__(self) -> None:
+        self._grants: dict[str, Grant] = {}
+
+    def __len__(self) -> int:
+        return len(self._grants)
+
+    def __contains__(self, ask_id: str) -> bool:
+        return ask_id in self._grants
+
+    def add(self, grant: Grant) -> None:
+        """Record a grant."""
+        self._grants[grant.ask.ask_id] = grant
+
+    def get(self, ask_id: str) -> Grant | None:
+        """Return a grant; None when there is none."""
+        return self._grants.get(ask_id)
+
+    def remove(self, ask_id: str) -> Grant | None:
+        """Take a grant out; None when there is none."""
+        return self._grants.pop(ask_id, None)
+
+    def list_grants(self) -> list[Grant]:
+        """Return all grants."""
+        return list(self._grants.values())
+
+    def remove_expired(self, now: float) -> list[Grant]:
+        """Take out the grants whose term is over."""
+        expired = [grant for grant in self._grants.values() if grant.expires_at <= now]
+        for grant in expired:
+            del self._grants[grant.ask.ask_id]
+        return expired
+
+    def orphan(self, entry: str, *, expires_at: float) -> None:
+        """Put a term to the grants of an entry that can't be heard."""
+        for grant in self._grants.values():
+            if grant.ask.entry == entry:
+                grant.expires_at = min(grant.expires_at, expires_at)
+
+    def find_expiry(self) -> float:
+        """Return the time at which the first grant expires."""
+        return min((grant.expires_at for grant in self._grants.values()), default=NO_EXPIRY)
+
+    def find_lowest_tier(self) -> int:
+        """Return the greatest tier number that runs; 0 when none does."""
+        return max((grant.tier for grant in self._grants.values()), default=0)
+
+    def count_paused(self) -> int:
+        """Return how many grants were paused and not released yet."""
+        return sum(1 for grant in self._grants.values() if grant.paused)
+
+    def count_pausable(self, tier: int) -> int:
+        """Return how many slots an ask of a tier may take."""
+        return sum(1 for grant in self._grants.values() if grant.can_pause(tier))
+
+    def find_victim(self, tier: int, *, now: float) -> Grant | None:
+        """Return the grant an ask of a tier takes first: lowest tier, then least work lost."""
+        pausable = [grant for grant in self._grants.values() if grant.can_pause(tier)]
+        return min(
+            pausable, key=lambda grant: (-grant.tier, grant.estimate_tokens(now)), default=None
+        )
--- a/src/guavamast/keepers.py
+++ b/src/guavamast/keepers.py
@@ -2,14 +2,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from bisect import bisect_right, insort
 from typing import TYPE_CHECKING, Final
 
+from guavamast._round_robin import QUANTUM
 from guavamast.errors import ErrorCode
-from guavamast.slots import Granted, Probe, Queued, Refused
-from guavamast.world import EndpointState
+from guavamast.estimates import (
+    LOW_QUANTILE,
+    LengthEstimates,
+    ReleaseRate,
+    ServiceTimes,
+    StartRates,
+    StragglerWeight,
+)
+from guavamast.grants import Grant, GrantTable
+from guavamast.kv_room import KvRoom
+from guavamast.queues import WaitingQueue
+from guavamast.slots import Granted, Paused, Probe, Queued, Refused
+from guavamast.world import EndpointKind, EndpointState
 
 if TYPE_CHECKING:
+    from guavamast.queues import Start
     from guavamast.slots import Ask, KeeperEvent, LoadReport, Release
     from guavamast.world import Configuration, Endpoint
 
@@ -17,22 +30,17 @@
 """Seconds for which a grant outlives the stream of its entry."""
 OVERRUN_S: Final = 30.0
 """Seconds after its deadline at which a grant without a release is given up."""
-REPORT_BOUND_S: Final = 5.0
-"""Age in seconds from which a load report counts as none."""
-DEFAULT_QUEUE_LIMIT: Final = 100
-"""Waiting asks of a class that the configuration does not name."""
-SERVICE_TIME_S: Final = 1.0
-"""Expected seconds of a run before any release was seen."""
-
-
-@dataclass(slots=True, kw_only=True)
-class Grant:
-    """A slot that is held."""
-
-    ask: Ask
-    granted_at: float
-    expires_at: float
-    tokens: int = 0
+PAUSE_S: Final = 0.05
+"""Seconds that an engine takes to give a paused request's slot up."""
+PROMPT_COST: Final = 0.1
+"""Work of a prompt token, in output tokens; prompts are read in parallel."""
+CALL_COST: Final = QUANTUM
+"""Work of a call of a plain service, whose length is not known in tokens."""
+LEAST_RATE_SHARE: Final = 0.02
+"""Share of the releases that a tier is expected to get under any load of higher ones."""
+LEAST_RETRY_S: Final = 0.1
+GREATEST_RETRY_S: Final = 60.0
+PAUSE_REASON: Final = "a higher tier would miss its first-token target"
 
 
 class EndpointKeeper:
@@ -42,7 +50,8 @@
         endpoint: The endpoint as configured.
         configuration: The configuration in force.
         now: Present time in seconds.
-        cautious_until: Time until which other holders may not have presented their slots yet.
+        cautious_until: Time until which other entries may not have presented their slots yet.
+        lengths: Output lengths, shared by the keepers of a process; own ones when left out.
     """
 
     __slots__ = (
@@ -50,9 +59,16 @@
         "_configuration",
         "_endpoint",
         "_grants",
-        "_report",
-        "_service_s",
-        "_waiting",
+        "_kv_check_at",
+        "_kv_room",
+        "_lengths",
+        "_pause_check_at",
+        "_queue",
+        "_rate",
+        "_service_times",
+        "_start_rates",
+        "_strict_starts",
+        "_weight",
     )
 
     def __init__(
@@ -60,81 +76,108 @@
         *,
         endpoint: Endpoint,
         configuration: Configuration,
-        now: float,  # noqa: ARG002
+        now: float,
         cautious_until: float = 0.0,
+        lengths: LengthEstimates | None = None,
     ) -> None:
         self._endpoint = endpoint
         self._configuration = configuration
         self._cautious_until = cautious_until
-        self._grants: dict[str, Grant] = {}
-        self._waiting: dict[str, Ask] = {}
-        self._report: LoadReport | None = None
-        self._service_s = SERVICE_TIME_S
+        self._lengths = lengths if lengths is not None else LengthEstimates()
+        self._service_times = ServiceTimes(lengths=self._lengths, kind=endpoint.kind)
+        self._rate = ReleaseRate()
+        self._start_rates = StartRates()
+        self._weight = StragglerWeight(now=now)
+        self._grants = GrantTable()
+        self._queue = WaitingQueue(configuration=configuration)
+        self._kv_room = KvRoom()
+        self._kv_check_at: float | None = None
+        self._strict_starts = 0
+        """Slots that were taken by pausing and go by tier alone when they come free."""
+        self._pause_check_at: float | None = None
 
     def ask(self, ask: Ask, *, now: float) -> list[KeeperEvent]:
-        """Grant, queue or refuse one ask; a repeated ask gets its present state again."""
-        if ask.ask_id in self._grants:
-            return [Granted(ask=self._grants[ask.ask_id].ask)]
-        if ask.ask_id in self._waiting:
-            return [Queued(ask=ask, estimated_wait_s=self._estimate_wait(ask))]
-        if self._endpoint.state is EndpointState.LEAVING:
-            return [self._refuse(ask, ErrorCode.LEAVING)]
-        if ask.deadline <= now:
-            return [self._refuse(ask, ErrorCode.DEADLINE_EXCEEDED)]
-        events = self._make_room(ask)
-        if any(event.ask is ask for event in events):
+        """Grant, queue or refuse one ask; a repeated ask gets its present state again.
+
+        Args:
+            ask: The ask.
+            now: Present time in seconds.
+
+        Returns:
+            What became of it, after the refusals of those it pushed out and before the pauses
+            that make room for it.
+        """
+        if ask.ask_id in self._queue or ask.ask_id in self._grants:
+            return [self._repeat(ask, now)]
+        wait_s = self._estimate_wait(ask, now)
+        refusal = self._find_refusal(ask, wait_s, now)
+        if refusal is not None:
+            return [refusal]
+        events = self._make_room(ask, now)
+        if events and events[-1].ask is ask:
             return events
-        self._waiting[ask.ask_id] = ask
+        self._enqueue(ask, now)
         events += self._start_waiting(now)
-        if ask.ask_id in self._waiting:
-            events.append(Queued(ask=ask, estimated_wait_s=self._estimate_wait(ask)))
-        return events
+        if ask.ask_id in self._queue:
+            events.append(Queued(ask=ask, estimated_wait_s=wait_s))
+        return events + self._pause_for_waiting(now)
 
     def release(self, release: Release, *, now: float) -> list[KeeperEvent]:
-        """End a grant; an unknown one changes nothing."""
-        if self._grants.pop(release.ask_id, None) is None:
+        """End a grant and learn from its run; an unknown one changes nothing."""
+        grant = self._grants.remove(release.ask_id)
+        if grant is None:
             return self.withdraw(release.ask_id, now=now)
-        if release.used and release.duration_s > 0:
-            self._service_s += 0.1 * (release.duration_s - self._service_s)
-        return self._start_waiting(now)
+        if release.used:
+            self._learn(grant, release, now)
+        return self._free(grant, unused=not release.used, now=now)
 
     def withdraw(self, ask_id: str, *, now: float) -> list[KeeperEvent]:
-        """Forget an ask whose entry will not use a grant of it, also when one is on its way."""
-        self._waiting.pop(ask_id, None)
-        self._grants.pop(ask_id, None)
-        return self._start_waiting(now)
+        """Forget an ask, also one whose grant is on its way to the entry.
+
+        An entry that withdraws does not use a grant that crosses its word, so the slot is free at
+        once; a grant that has delivered tokens is in use and waits for its release.
+        """
+        if self._queue.remove(ask_id) is not None:
+            return self._continue(now)
+        grant = self._grants.get(ask_id)
+        if grant is None or grant.tokens > 0:
+            return []
+        self._grants.remove(ask_id)
+        return self._free(grant, unused=True, now=now)
 
     def present(self, ask: Ask, *, held_s: float, tokens: int, now: float) -> list[KeeperEvent]:
         """Record a slot that an entry already holds, even above the endpoint's slots."""
-        self._waiting.pop(ask.ask_id, None)
-        self._grants[ask.ask_id] = Grant(
-            ask=ask,
-            granted_at=now - held_s,
-            expires_at=max(ask.deadline, now) + OVERRUN_S,
-            tokens=tokens,
-        )
+        self._queue.remove(ask.ask_id)
+        known = self._grants.get(ask.ask_id)
+        if known is not None:
+            known.expires_at = max(ask.deadline, now) + OVERRUN_S
+        else:
+            self._grants.add(self._make_grant(ask, now=now, granted_at=now - held_s))
+        self.record_progress(ask.ask_id, tokens, now=now)
+        self._rate.observe(full=self._is_full(), released=False, now=now)
         return []
 
-    def record_progress(self, ask_id: str, tokens: int, *, now: float) -> None:  # noqa: ARG002
-        """Record how many tokens a running request has delivered."""
+    def record_progress(self, ask_id: str, tokens: int, *, now: float) -> None:
+        """Record how many tokens a running request has delivered; late words are dropped."""
         grant = self._grants.get(ask_id)
-        if grant is not None:
-            grant.tokens = max(grant.tokens, tokens)
+        if grant is None or tokens < grant.tokens:
+            return
+        grant.tokens = tokens
+        grant.progress_at = now
+        self._refresh(grant, now)
 
     def record_load(self, report: LoadReport, *, now: float) -> list[KeeperEvent]:
-        """Record the endpoint's word on its load; an older one than the last is dropped."""
-        if self._report is None or report.as_of >= self._report.as_of:
-            self._report = report
-        return self._start_waiting(now)
+        """Record the endpoint's word on its load."""
+        self._kv_room.record(report, grants=self._grants)
+        return self._continue(now)
 
     def drop_entry(self, entry: str, *, now: float) -> list[KeeperEvent]:
         """Forget the asks of an entry whose stream ended and put a term to its grants."""
-        for ask in [ask for ask in self._waiting.values() if ask.entry == entry]:
-            del self._waiting[ask.ask_id]
-        for grant in self._grants.values():
-            if grant.ask.entry == entry:
-                grant.expires_at = min(grant.expires_at, now + ORPHAN_GRACE_S)
-        return []
+        for ask in self._queue.list_asks():
+            if ask.entry == entry:
+                self._queue.remove(ask.ask_id)
+        self._grants.orphan(entry, expires_at=now + ORPHAN_GRACE_S)
+        return self._continue(now)
 
     def configure(
         self, *, endpoint: Endpoint, configuration: Configuration, now: float
@@ -142,81 +185,249 @@
         """Take on a new configuration; a leaving endpoint refuses all that wait."""
         self._endpoint = endpoint
         self._configuration = configuration
+        self._queue.configure(configuration)
         if endpoint.state is not EndpointState.LEAVING:
-            return self._start_waiting(now)
-        asks = list(self._waiting.values())
-        self._waiting.clear()
-        return [self._refuse(ask, ErrorCode.LEAVING) for ask in asks]
+            return self._continue(now)
+        asks = self._queue.list_asks()
+        for ask in asks:
+            self._queue.remove(ask.ask_id)
+        return [Refused(ask=ask, code=ErrorCode.LEAVING, retry_after_s=0.0) for ask in asks]
 
     def tick(self, *, now: float) -> list[KeeperEvent]:
-        """Act on what has become due: deadlines, expiries and the end of the cautious start."""
-        for grant in [grant for grant in self._grants.values() if grant.expires_at <= now]:
-            del self._grants[grant.ask.ask_id]
-        late = [ask for ask in self._waiting.values() if ask.deadline <= now]
-        for ask in late:
-            del self._waiting[ask.ask_id]
-        events: list[KeeperEvent] = [self._refuse(ask, ErrorCode.DEADLINE_EXCEEDED) for ask in late]
-        return events + self._start_waiting(now)
+        """Act on what has become due: deadlines, expiries, pauses, the end of caution."""
+        for grant in self._grants.remove_expired(now):
+            self._strict_starts += grant.paused
+        return self._continue(now)
 
     def next_wakeup(self) -> float | None:
         """Return the time at which `tick` has something to do; None when nothing is due."""
-        times = [grant.expires_at for grant in self._grants.values()]
-        times += [ask.deadline for ask in self._waiting.values()]
-        if self._waiting and self._cautious_until:
-            times.append(self._cautious_until)
-        return min(times, default=None)
+        times = [self._grants.find_expiry()]
+        if len(self._queue):
+            times += [self._queue.find_latest_start(), self._pause_check_at]
+            times += [self._cautious_until or None, self._kv_check_at]
+        due = min(time for time in times if time is not None)
+        return due if due != float("inf") else None
 
-    def make_probe(self, *, now: float) -> Probe:  # noqa: ARG002
+    def make_probe(self, *, now: float) -> Probe:
         """Return what the choice among candidates needs to know of this endpoint."""
-        asks = [grant.ask for grant in self._grants.values()] + list(self._waiting.values())
+        free = self._count_free(now)
+        wait_s = max(0, len(self._queue) + 1 - free) / self._estimate_rate(now)
         return Probe(
             endpoint=self._endpoint.name,
             in_flight=len(self._grants),
-            queued=len(self._waiting),
-            estimated_wait_s=self._wait_for(len(self._waiting)),
-            lowest_tier=max((ask.tier for ask in asks), default=0),
+            queued=len(self._queue),
+            estimated_wait_s=wait_s,
+            lowest_tier=max(self._grants.find_lowest_tier(), self._queue.find_lowest_tier()),
+            weight=self._weight.get(now=now),
             slots=self._endpoint.slots,
         )
 
-    def _make_room(self, ask: Ask) -> list[KeeperEvent]:
+    def _repeat(self, ask: Ask, now: float) -> KeeperEvent:
+        grant = self._grants.get(ask.ask_id)
+        if grant is None:
+            waiting = self._queue.get(ask.ask_id)
+            return Queued(ask=waiting.ask, estimated_wait_s=self._estimate_wait(ask, now))
+        if grant.paused:
+            return Paused(ask=grant.ask, reason=PAUSE_REASON)
+        return Granted(ask=grant.ask)
+
+    def _find_refusal(self, ask: Ask, wait_s: float, now: float) -> Refused | None:
+        if self._endpoint.state is EndpointState.LEAVING:
+            return Refused(ask=ask, code=ErrorCode.LEAVING, retry_after_s=0.0)
+        if ask.deadline <= now:
+            return self._refuse(ask, ErrorCode.DEADLINE_EXCEEDED, wait_s)
+        missing_s = now + wait_s + self._estimate_least(ask) - ask.deadline
+        if missing_s <= 0.0 or self._is_idle():
+            return None
+        return self._refuse(ask, ErrorCode.DEADLINE_UNREACHABLE, missing_s)
+
+    def _is_idle(self) -> bool:
+        # An idle endpoint takes any ask: estimates that are too long would else refuse every one
+        # and never be corrected by a release.
+        return not len(self._grants) and not len(self._queue)
+
+    def _make_room(self, ask: Ask, now: float) -> list[KeeperEvent]:
+        if not len(self._queue) and self._count_free(now) > 0:
+            return []
+        overflow = self._queue.find_overflow(ask)
+        if overflow is None:
+            return []
+        self._queue.remove(overflow.ask.ask_id)
+        half_s = 0.5 * len(self._queue) / self._estimate_rate(now)
+        return [self._refuse(overflow.ask, overflow.code, half_s)]
+
+    def _enqueue(self, ask: Ask, now: float) -> None:
+        latest_start = ask.deadline - self._estimate_least(ask)
         service_class = self._configuration.classes.get(ask.class_name)
-        limit = service_class.queue_limit if service_class else DEFAULT_QUEUE_LIMIT
-        same = [other for other in self._waiting.values() if other.class_name == ask.class_name]
-        if len(same) >= limit and self._count_free(0.0) <= 0:
-            return [self._refuse(ask, ErrorCode.QUEUE_FULL)]
-        return []
+        target_start = ask.deadline
+        if service_class is not None:
+            first_token_s = self._service_times.estimate_first_token(ask)
+            target_start = now + service_class.first_token_ms / 1000.0 - first_token_s
+        self._queue.add(
+            ask,
+            cost=self._estimate_cost(ask),
+            latest_start=ask.deadline if self._is_idle() else latest_start,
+            target_start=target_start,
+            now=now,
+        )
 
-    def _count_free(self, now: float) -> int:
-        held = len(self._grants)
-        if now < self._cautious_until:
-            if self._report is None or now - self._report.as_of > REPORT_BOUND_S:
-                return 0
-            since = self._report.as_of
-            recent = sum(1 for grant in self._grants.values() if grant.granted_at > since)
-            held = max(held, self._report.running + recent)
-        return self._endpoint.slots - held
+    def _free(self, grant: Grant, *, unused: bool, now: float) -> list[KeeperEvent]:
+        self._strict_starts += grant.paused
+        if unused and grant.start is not None:
+            self._queue.give_back(grant.start)
+        self._rate.observe(full=False, released=not (unused or grant.paused), now=now)
+        return self._continue(now)
+
+    def _continue(self, now: float) -> list[KeeperEvent]:
+        return self._start_waiting(now) + self._pause_for_waiting(now)
 
     def _start_waiting(self, now: float) -> list[KeeperEvent]:
         if now >= self._cautious_until:
             self._cautious_until = 0.0
-        events: list[KeeperEvent] = []
-        while self._waiting and self._count_free(now) > 0:
-            ask = min(self._waiting.values(), key=lambda waiting: waiting.tier)
-            del self._waiting[ask.ask_id]
-            expires_at = ask.deadline + OVERRUN_S
-            self._grants[ask.ask_id] = Grant(ask=ask, granted_at=now, expires_at=expires_at)
-            events.append(Granted(ask=ask))
+        events: list[KeeperEvent] = [
+            self._refuse(waiting.ask, ErrorCode.DEADLINE_UNREACHABLE, 0.0)
+            for waiting in self._queue.remove_late(now)
+        ]
+        while len(self._queue) and self._count_free(now) > 0:
+            strict = self._strict_starts > 0
+            start = self._queue.take(rate=self._estimate_rate(now), now=now, strict=strict)
+            self._strict_starts -= strict
+            events.append(self._grant(start, now))
+        if not len(self._queue):
+            self._strict_starts = 0
+        self._kv_check_at = None if self._is_full() else self._kv_room.find_expiry(now=now)
+        self._rate.observe(full=self._is_full(), released=False, now=now)
         return events
 
-    def _estimate_wait(self, ask: Ask) -> float:
-        return self._wait_for(
-            sum(1 for other in self._waiting.values() if other.tier <= ask.tier) - 1
+    def _grant(self, start: Start, now: float) -> Granted:
+        ask = start.waiting.ask
+        grant = self._make_grant(ask, now=now, granted_at=now, start=start)
+        self._grants.add(grant)
+        self._kv_room.note_grant(grant, slots=self._endpoint.slots)
+        self._start_rates.observe(start.tier, now=now)
+        return Granted(ask=ask)
+
+    def _make_grant(
+        self, ask: Ask, *, now: float, granted_at: float, start: Start | None = None
+    ) -> Grant:
+        grant = Grant(
+            ask=ask,
+            tier=start.tier if start is not None else self._queue.find_tier(ask),
+            granted_at=granted_at,
+            expires_at=max(ask.deadline, now) + OVERRUN_S,
+            expected_end=now,
+            progress_at=now,
+            start=start,
         )
+        self._refresh(grant, now)
+        return grant
+
+    def _refresh(self, grant: Grant, now: float) -> None:
+        produced = int(grant.estimate_tokens(now)) if grant.ask.model else 0
+        grant.expected_tokens = self._lengths.estimate(grant.ask, quantile=0.5, produced=produced)
+        left_s = self._service_times.estimate(grant.ask, quantile=0.5, produced=produced)
+        grant.expected_end = now + left_s
+
+    def _pause_for_waiting(self, now: float) -> list[KeeperEvent]:
+        self._pause_check_at = None
+        if self._endpoint.kind is not EndpointKind.ENGINE or self._cautious_until:
+            return []
+        events: list[KeeperEvent] = []
+        needed = max(0, len(self._grants) - self._endpoint.slots) if self._is_full() else 0
+        ends: list[float] | None = None
+        for tier, target in self._queue.iterate_targets(self._endpoint.slots):
+            if not self._grants.count_pausable(tier):
+                break
+            needed += 1
+            if ends is None:
+                ends = self._list_ends(now)
+            if bisect_right(ends, target) >= needed:
+                self._note_pause_check(target, now)
+                continue
+            victim = self._grants.find_victim(tier, now=now)
+            victim.paused = True
+            ends = self._list_ends(now)
+            events.append(Paused(ask=victim.ask, reason=PAUSE_REASON))
+        return events
+
+    def _list_ends(self, now: float) -> list[float]:
+        """Return the times at which slots come free; a paused one counts as free."""
+        ends: list[float] = []
+        for grant in self._grants.list_grants():
+            if not grant.paused and grant.expected_end <= now:
+                self._refresh(grant, now)
+            insort(ends, float("-inf") if grant.paused else grant.expected_end)
+        return ends
+
+    def _note_pause_check(self, target: float, now: float) -> None:
+        check_at = target - PAUSE_S if target - PAUSE_S > now else target
+        if check_at > now:
+            self._pause_check_at = min(check_at, self._pause_check_at or check_at)
 
-    def _wait_for(self, ahead: int) -> float:
-        if len(self._grants) < self._endpoint.slots:
+    def _learn(self, grant: Grant, release: Release, now: float) -> None:
+        self._weight.observe(grant.ask, release, now=now)
+        if release.failed or grant.paused:
+            return
+        self._service_times.observe(grant.ask, release)
+        if grant.ask.model:
+            self._lengths.observe(grant.ask, release.tokens)
+            if grant.start is not None:
+                true_cost = PROMPT_COST * grant.ask.prompt_tokens + release.tokens
+                self._queue.correct(grant.start, true_cost)
+
+    def _is_full(self) -> bool:
+        return len(self._grants) >= self._endpoint.slots
+
+    def _count_free(self, now: float) -> int:
+        slots = self._endpoint.slots
+        free = slots - len(self._grants)
+        if now < self._cautious_until:
+            return min(free, self._count_reported_free(now))
+        if free > 0 and not self._kv_room.has_room(grants=self._grants, slots=slots, now=now):
+            return 0
+        return free
+
+    def _count_reported_free(self, now: float) -> int:
+        """Return what the endpoint's report leaves free, less the grants made since."""
+        report = self._kv_room.get_report(now)
+        if report is None:
+            return 0
+        recent = sum(1 for g in self._grants.list_grants() if g.granted_at > report.as_of)
+        return self._endpoint.slots - report.running - recent
+
+    def _estimate_cost(self, ask: Ask) -> float:
+        if not ask.model:
+            return CALL_COST
+        tokens = self._lengths.estimate(ask, quantile=0.5)
+        return PROMPT_COST * ask.prompt_tokens + max(1.0, tokens)
+
+    def _estimate_least(self, ask: Ask) -> float:
+        return self._service_times.estimate(ask, quantile=LOW_QUANTILE)
+
+    def _estimate_rate(self, now: float) -> float:
+        slots = self._endpoint.slots
+        return self._rate.estimate(slots=slots, service_s=self._service_times.mean_s, now=now)
+
+    def _estimate_wait(self, ask: Ask, now: float) -> float:
+        """Return the seconds until a new ask would start.
+
+        Lower classes' shares and the starts of higher tiers come off the rate; a class's own
+        share, and the slots that it may take by pausing, bound the wait from above.
+        """
+        ahead = self._queue.count_ahead(ask) + 1 - max(0, self._count_free(now))
+        if ahead <= 0:
             return 0.0
-        return (ahead + 1) * self._service_s / max(1, self._endpoint.slots)
+        tier = self._queue.find_tier(ask)
+        rate = self._estimate_rate(now)
+        left = rate * (1.0 - min(0.9, self._queue.sum_lower_shares(tier)))
+        left -= self._start_rates.estimate_above(tier, now=now)
+        share = max(LEAST_RATE_SHARE, self._queue.find_share(ask.class_name))
+        wait_s = ahead / max(left, share * rate)
+        service_class = self._configuration.classes.get(ask.class_name)
+        if service_class is not None and ahead <= self._grants.count_pausable(tier):
+            wait_s = min(wait_s, service_class.first_token_ms / 1000.0 + PAUSE_S)
+        return wait_s
 
-    def _refuse(self, ask: Ask, code: ErrorCode) -> Refused:
-        return Refused(ask=ask, code=code, retry_after_s=self._wait_for(len(self._waiting)))
+    def _refuse(self, ask: Ask, code: ErrorCode, retry_after_s: float) -> Refused:
+        bounded = min(GREATEST_RETRY_S, max(LEAST_RETRY_S, retry_after_s))
+        return Refused(ask=ask, code=code, retry_after_s=bounded)
--- /dev/null
+++ b/src/guavamast/queues.py
@@ -0,0 +1,423 @@
+"""The asks that wait at one keeper: which starts next and which gives way when it is full.
+
+Starts go in strict order of tiers; each waiting class is owed a configured share of the starts.
+``docs/design/tiers-and-shares.md`` says how the two meet.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections import OrderedDict
+from dataclasses import dataclass
+from math import ceil
+from typing import TYPE_CHECKING, Final
+
+from guavamast._round_robin import RoundRobin, Waiting
+from guavamast.errors import ErrorCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from guavamast.slots import Ask
+    from guavamast.world import Configuration, ServiceClass
+
+DEFAULT_QUEUE_LIMIT: Final = 100
+"""Waiting asks of a class that the configuration does not name."""
+DEBT_DUE: Final = 1.0
+"""Starts owed to a class from which it is paid if no higher tier misses a target by it."""
+DEBT_PRESSING: Final = 1.5
+"""Starts owed from which only higher tiers' deadlines, not their targets, put payment off."""
+DEBT_CEILING: Final = 2.0
+"""Starts owed at which it is paid in any case; a class is never owed more."""
+TARGETS_CHECKED: Final = 8
+"""Asks of a class whose first-token targets are weighed before a share is paid."""
+
+
+class SortedTimes:
+    """Points in time, sorted; a change moves at most a few 10 kB at 10,000 entries."""
+
+    __slots__ = ("_times",)
+
+    def __init__(self) -> None:
+        self._times: list[tuple[float, int]] = []
+
+    def __len__(self) -> int:
+        return len(self._times)
+
+    def add(self, time: float, sequence: int) -> None:
+        """Insert a time; the sequence number tells equal times apart."""
+        insort(self._times, (time, sequence))
+
+    def remove(self, time: float, sequence: int) -> None:
+        """Remove a time that is present."""
+        del self._times[bisect_left(self._times, (time, sequence))]
+
+    def count_before(self, time: float) -> int:
+        """Return how many times lie before one."""
+        return bisect_left(self._times, (time, -1))
+
+    def get(self, index: int) -> float:
+        """Return a time by its rank."""
+        return self._times[index][0]
+
+    def find_first(self) -> int:
+        """Return the sequence number of the earliest time."""
+        return self._times[0][1]
+
+
+class ClassQueue:
+    """The waiting asks of one class."""
+
+    __slots__ = (
+        "by_arrival",
+        "debt",
+        "last_start",
+        "latest_starts",
+        "limit",
+        "name",
+        "reserved",
+        "robin",
+        "share",
+        "target_starts",
+        "tier",
+    )
+
+    def __init__(self, *, name: str, tier: int, last_start: int) -> None:
+        self.name = name
+        self.tier = tier
+        self.share = 0.0
+        self.limit = DEFAULT_QUEUE_LIMIT
+        self.reserved = 0
+        """Places that other classes can't fill; they come on top of the whole queue's limit."""
+        self.debt = 0.0
+        """Starts that the class is owed, 0 to `DEBT_CEILING`."""
+        self.last_start = last_start
+        self.robin = RoundRobin()
+        self.by_arrival: OrderedDict[int, Waiting] = OrderedDict()
+        self.latest_starts = SortedTimes()
+        self.target_starts = SortedTimes()
+
+    def __len__(self) -> int:
+        return len(self.by_arrival)
+
+    def configure(self, service_class: ServiceClass) -> None:
+        """Take on the class as configured."""
+        self.tier = service_class.tier
+        self.share = min(1.0, max(0.0, service_class.guaranteed_share))
+        self.limit = service_class.queue_limit
+        self.reserved = min(self.limit, ceil(self.share * self.limit))
+
+    def count_unreserved(self) -> int:
+        """Return how many asks count against the whole queue's limit."""
+        return max(0, len(self.by_arrival) - self.reserved)
+
+    def add(self, waiting: Waiting) -> None:
+        """Append an ask."""
+        self.robin.add(waiting)
+        self.by_arrival[waiting.sequence] = waiting
+        self.latest_starts.add(waiting.latest_start, waiting.sequence)
+        self.target_starts.add(waiting.target_start, waiting.sequence)
+
+    def remove(self, ask: Ask) -> Waiting:
+        """Take an ask out without starting it."""
+        waiting = self.robin.remove(ask)
+        self._forget(waiting)
+        return waiting
+
+    def take(self) -> Waiting:
+        """Take the ask whose organisation is next."""
+        waiting = self.robin.take()
+        self._forget(waiting)
+        return waiting
+
+    def find_newest(self) -> Waiting:
+        """Return the last to arrive."""
+        return next(reversed(self.by_arrival.values()))
+
+    def count_ahead(self, ask: Ask) -> int:
+        """Return how many of the class start before a new ask of that organisation."""
+        turns = (self.robin.count(ask.organisation) + 1) * self.robin.count_organisations()
+        return min(len(self.by_arrival), turns)
+
+    def _forget(self, waiting: Waiting) -> None:
+        del self.by_arrival[waiting.sequence]
+        self.latest_starts.remove(waiting.latest_start, waiting.sequence)
+        self.target_starts.remove(waiting.target_start, waiting.sequence)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Start:
+    """An ask that leaves the queue for a slot."""
+
+    waiting: Waiting
+    tier: int
+    by_share: bool
+    """A higher tier waits meanwhile; the start was owed to the class."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overflow:
+    """The ask that a full queue gives up; it may be the one that came."""
+
+    ask: Ask
+    code: ErrorCode
+
+
+class WaitingQueue:
+    """All asks that wait at one keeper.
+
+    Args:
+        configuration: The configuration in force.
+    """
+
+    __slots__ = ("_class_of", "_classes", "_sequence", "_total_limit")
+
+    def __init__(self, *, configuration: Configuration) -> None:
+        self._classes: dict[str, ClassQueue] = {}
+        self._class_of: dict[str, tuple[ClassQueue, Waiting]] = {}
+        self._sequence = 0
+        self._total_limit = DEFAULT_QUEUE_LIMIT
+        self.configure(configuration)
+
+    def __len__(self) -> int:
+        return len(self._class_of)
+
+    def __contains__(self, ask_id: str) -> bool:
+        return ask_id in self._class_of
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take on tiers, shares and limits; asks that wait move along with their class."""
+        for name in [name for name in self._classes if name not in configuration.classes]:
+            self._classes[name].share = 0.0
+            self._drop_if_unknown_and_empty(name, configuration)
+        for name, service_class in configuration.classes.items():
+            if name not in self._classes:
+                self._classes[name] = self._make_class(name, service_class.tier)
+            self._classes[name].configure(service_class)
+        limits = [service_class.queue_limit for service_class in configuration.classes.values()]
+        self._total_limit = max(limits, default=DEFAULT_QUEUE_LIMIT)
+
+    def find_tier(self, ask: Ask) -> int:
+        """Return the tier of an ask's class here; its own word when the class is unknown."""
+        queue = self._classes.get(self._find_name(ask))
+        return queue.tier if queue is not None else ask.tier
+
+    def find_overflow(self, ask: Ask) -> Overflow | None:
+        """Return what has to be given up for an ask to wait; None when there is room.
+
+        A full class refuses its own newcomer. When the whole queue is full, the newest ask of the
+        lowest tier goes; that is the newcomer unless a lower tier than its own waits. A class's
+        reserved places are left alone and not counted: a burst of a higher tier could else keep a
+        class out of the queue, where no share of starts reaches it, and the higher tier loses
+        nothing by places that are not part of its limit.
+        """
+        queue = self._classes.get(self._find_name(ask))
+        held = len(queue) if queue is not None else 0
+        if held >= (queue.limit if queue is not None else DEFAULT_QUEUE_LIMIT):
+            return Overflow(ask=ask, code=ErrorCode.QUEUE_FULL)
+        if queue is not None and held < queue.reserved:
+            return None
+        filled = [other for other in self._list_waiting() if other.count_unreserved()]
+        if sum(other.count_unreserved() for other in filled) < self._total_limit:
+            return None
+        lowest = max(other.tier for other in filled)
+        if lowest <= self.find_tier(ask):
+            return Overflow(ask=ask, code=ErrorCode.QUEUE_FULL)
+        newest = [other.find_newest() for other in filled if other.tier == lowest]
+        victim = max(newest, key=lambda waiting: waiting.sequence)
+        return Overflow(ask=victim.ask, code=ErrorCode.SHED)
+
+    def add(
+        self, ask: Ask, *, cost: float, latest_start: float, target_start: float, now: float
+    ) -> Waiting:
+        """Append an ask that is not in the queue yet."""
+        name = self._find_name(ask)
+        queue = self._classes.get(name)
+        if queue is None:
+            queue = self._classes[name] = self._make_class(name, ask.tier)
+        self._sequence += 1
+        waiting = Waiting(
+            ask=ask,
+            sequence=self._sequence,
+            arrived_at=now,
+            cost=cost,
+            latest_start=latest_start,
+            target_start=target_start,
+        )
+        queue.add(waiting)
+        self._class_of[ask.ask_id] = (queue, waiting)
+        return waiting
+
+    def remove(self, ask_id: str) -> Waiting | None:
+        """Take an ask out without starting it; None when it does not wait."""
+        queue, waiting = self._class_of.pop(ask_id, (None, None))
+        if queue is not None:
+            queue.remove(waiting.ask)
+        return waiting
+
+    def remove_late(self, now: float) -> list[Waiting]:
+        """Take out the asks that can't meet their deadline any more."""
+        late = []
+        for queue in self._list_waiting():
+            while len(queue) and queue.latest_starts.get(0) <= now:
+                waiting = queue.by_arrival[queue.latest_starts.find_first()]
+                self.remove(waiting.ask.ask_id)
+                late.append(waiting)
+        return late
+
+    def list_asks(self) -> list[Ask]:
+        """Return all asks that wait."""
+        return [waiting.ask for _, waiting in self._class_of.values()]
+
+    def get(self, ask_id: str) -> Waiting:
+        """Return what is known of a waiting ask."""
+        return self._class_of[ask_id][1]
+
+    def find_latest_start(self) -> float | None:
+        """Return the time after which the first of the asks is late."""
+        times = [queue.latest_starts.get(0) for queue in self._list_waiting()]
+        return min(times, default=None)
+
+    def find_lowest_tier(self) -> int:
+        """Return the greatest tier number that waits; 0 when none does."""
+        return max((queue.tier for queue in self._list_waiting()), default=0)
+
+    def iterate_targets(self, limit: int) -> Iterator[tuple[int, float]]:
+        """Yield tier and target start of the asks most in need of a slot, highest tier first."""
+        for queue in sorted(self._list_waiting(), key=lambda queue: queue.tier):
+            for index in range(min(limit, len(queue))):
+                yield queue.tier, queue.target_starts.get(index)
+
+    def count_ahead(self, ask: Ask) -> int:
+        """Return how many asks start before a new one, shares left aside."""
+        tier = self.find_tier(ask)
+        name = self._find_name(ask)
+        ahead = 0
+        for queue in self._list_waiting():
+            if queue.name == name:
+                ahead += queue.count_ahead(ask)
+            elif queue.tier <= tier:
+                ahead += len(queue)
+        return ahead
+
+    def find_share(self, class_name: str) -> float:
+        """Return the guaranteed share of a class."""
+        queue = self._classes.get(class_name)
+        return queue.share if queue is not None else 0.0
+
+    def sum_lower_shares(self, tier: int) -> float:
+        """Return the share of starts that waiting classes below a tier are guaranteed."""
+        return sum(queue.share for queue in self._list_waiting() if queue.tier > tier)
+
+    def take(self, *, rate: float, now: float, strict: bool = False) -> Start | None:
+        """Take the ask that starts next.
+
+        Args:
+            rate: Releases a second that can be expected.
+            now: Present time in seconds.
+            strict: Leave shares aside: the slot was taken from a running request for the sake of
+                the highest tier that waits.
+        """
+        head = self._find_head()
+        if head is None:
+            return None
+        owed = None if strict else self._find_owed(head, rate, now)
+        queue = owed or head
+        waiting = queue.take()
+        del self._class_of[waiting.ask.ask_id]
+        self._count_start(queue)
+        return Start(waiting=waiting, tier=queue.tier, by_share=owed is not None)
+
+    def give_back(self, start: Start) -> None:
+        """Undo the charge of a start whose slot was returned unused."""
+        queue = self._classes.get(self._find_name(start.waiting.ask))
+        if queue is None:
+            return
+        queue.robin.charge(start.waiting.ask.organisation, -start.waiting.cost)
+        if start.by_share:
+            queue.debt = min(DEBT_CEILING, queue.debt + 1.0)
+
+    def correct(self, start: Start, cost: float) -> None:
+        """Charge the true cost of a start in place of the estimated one."""
+        queue = self._classes.get(self._find_name(start.waiting.ask))
+        if queue is not None:
+            queue.robin.charge(start.waiting.ask.organisation, cost - start.waiting.cost)
+
+    def list_classes(self) -> list[ClassQueue]:
+        """Return all classes, also those with no waiting work."""
+        return list(self._classes.values())
+
+    def _list_waiting(self) -> list[ClassQueue]:
+        return [queue for queue in self._classes.values() if queue.by_arrival]
+
+    def _find_head(self) -> ClassQueue | None:
+        order = self._list_waiting()
+        return min(order, key=lambda queue: (queue.tier, queue.last_start), default=None)
+
+    def _find_owed(self, head: ClassQueue, rate: float, now: float) -> ClassQueue | None:
+        owed = [
+            queue
+            for queue in self._list_waiting()
+            if queue.debt >= DEBT_DUE and queue.tier > head.tier
+        ]
+        for queue in sorted(owed, key=lambda queue: (-queue.debt, queue.tier)):
+            if self._can_pay(queue, rate, now):
+                return queue
+        return None
+
+    def _can_pay(self, queue: ClassQueue, rate: float, now: float) -> bool:
+        if queue.debt >= DEBT_CEILING:
+            return True
+        higher = [other for other in self._list_waiting() if other.tier < queue.tier]
+        if queue.debt < DEBT_PRESSING and any(_costs_target(c, rate, now) for c in higher):
+            return False
+        return all(self._keeps_deadlines(other, rate, now) for other in higher)
+
+    def _keeps_deadlines(self, queue: ClassQueue, rate: float, now: float) -> bool:
+        """Return whether each ask of a class still starts in time after one more start.
+
+        Ranks 1, 2, 4, 8, ... of the deadlines are checked, each against the number of starts up
+        to the next of them, which covers the ranks between.
+        """
+        waiting = self._list_waiting()
+        ahead = 1 + sum(len(c) for c in waiting if c is not queue and c.tier <= queue.tier)
+        rank = 0
+        while rank < len(queue):
+            following = min(2 * rank + 1, len(queue))
+            if queue.latest_starts.get(rank) < now + (ahead + following - 1) / rate:
+                return False
+            rank = following
+        return True
+
+    def _count_start(self, started: ClassQueue) -> None:
+        self._sequence += 1
+        started.last_start = self._sequence
+        started.debt = max(0.0, started.debt - 1.0)
+        for queue in self._list_waiting():
+            if queue is not started:
+                queue.debt = min(DEBT_CEILING, queue.debt + queue.share)
+
+    def _find_name(self, ask: Ask) -> str:
+        # An entry may know a newer configuration than this process; its tier is then taken at its
+        # word, one queue for each.
+        known = ask.class_name in self._classes
+        return ask.class_name if known else f"{ask.class_name}@{ask.tier}"
+
+    def _make_class(self, name: str, tier: int) -> ClassQueue:
+        # A new class counts as just started: one that empties and returns gains no turn by it.
+        return ClassQueue(name=name, tier=tier, last_start=self._sequence)
+
+    def _drop_if_unknown_and_empty(self, name: str, configuration: Configuration) -> None:
+        if name not in configuration.classes and not len(self._classes[name]):
+            del self._classes[name]
+
+
+def _costs_target(queue: ClassQueue, rate: float, now: float) -> bool:
+    """Return whether one more start makes an ask of a class miss its first-token target."""
+    first = queue.target_starts.count_before(now)
+    last = min(first + TARGETS_CHECKED, len(queue))
+    for place, index in enumerate(range(first, last)):
+        target = queue.target_starts.get(index)
+        if now + place / rate <= target < now + (place + 1) / rate:
+            return True
+    return False
--- /dev/null
+++ b/tests/test_keepers_properties.py
@@ -0,0 +1,434 @@
+"""Properties of a keeper over generated histories of asks, releases, losses and changes."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import Final
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from guavamast._round_robin import QUANTUM
+from guavamast.errors import ErrorCode
+from guavamast.keepers import EndpointKeeper
+from guavamast.queues import DEBT_CEILING
+from guavamast.slots import Ask, Granted, KeeperEvent, LoadReport, Paused, Queued, Refused, Release
+from guavamast.world import Configuration, Endpoint, EndpointKind, EndpointState, ServiceClass
+
+SHARES: Final = {"drafting": 0.0, "tagging": 0.2, "summaries": 0.3}
+LIMITS: Final = {"drafting": 4, "tagging": 4, "summaries": 4}
+TIERS: Final = {"drafting": 1, "tagging": 2, "summaries": 3}
+TARGETS_MS: Final = {"drafting": 430.0, "tagging": 2_000.0, "summaries": 20_000.0}
+ENTRIES: Final = ("a", "b")
+ORGANISATIONS: Final = ("florist", "plumber", "baker")
+LEAST_STARTS: Final = {"tagging": 2 / 0.2 + 2, "summaries": 2 / 0.3 + 2}
+"""Natural starts within which a waiting class gets one: its debt's ceiling, and one for each of
+the owed classes."""
+
+DEBT_LIMIT: Final = 6 * 4_100.0
+"""Tokens: the dearest start, and as much again when each of five running asks is corrected."""
+
+CONFIGURATION: Final = Configuration(
+    version=1,
+    classes={
+        name: ServiceClass(
+            name=name,
+            tier=TIERS[name],
+            first_token_ms=TARGETS_MS[name],
+            token_interval_ms=26.0,
+            completion_s=60.0,
+            guaranteed_share=SHARES[name],
+            queue_limit=LIMITS[name],
+        )
+        for name in TIERS
+    },
+)
+
+
+class State(Enum):
+    """What the keeper has told of an ask."""
+
+    NEW = "new"
+    QUEUED = "queued"
+    GRANTED = "granted"
+    PAUSED = "paused"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, kw_only=True)
+class Known:
+    """An ask as its entry sees it."""
+
+    ask: Ask
+    state: State = State.NEW
+    presented: bool = False
+    by_share: bool = False
+    tokens: int = 0
+    heard_at: float = 0.0
+    expires_at: float = float("inf")
+
+
+class KeeperMachine(RuleBasedStateMachine):
+    """Plays entries and endpoint against one keeper and checks each of its events."""
+
+    @initialize(slots=st.integers(1, 4), cautious_s=st.sampled_from([0.0, 0.0, 0.0, 3.0]))
+    def start(self, slots: int, cautious_s: float) -> None:
+        self.now = 100.0
+        self.cautious_until = self.now + cautious_s
+        self.endpoint = Endpoint(
+            name="e", kind=EndpointKind.ENGINE, url="", failure_domain="d", slots=slots
+        )
+        self.keeper = EndpointKeeper(
+            endpoint=self.endpoint,
+            configuration=CONFIGURATION,
+            now=self.now,
+            cautious_until=self.cautious_until,
+        )
+        self.known: dict[str, Known] = {}
+        self.report: LoadReport | None = None
+        self.passed_over = dict.fromkeys(SHARES, 0)
+        """Natural starts of others while the class waited, since its own last one."""
+        self.earned = dict.fromkeys(SHARES, 0.0)
+        self.paid = dict.fromkeys(SHARES, 0)
+        self.taken_slots = 0
+        """Slots freed by pausing that no start has used yet."""
+
+    def find(self, *states: State) -> list[Known]:
+        """Return the asks in these states."""
+        return [known for known in self.known.values() if known.state in states]
+
+    def list_waiting(self, name: str) -> list[Known]:
+        """Return the waiting asks of a class."""
+        return [known for known in self.find(State.QUEUED) if known.ask.class_name == name]
+
+    def pick(self, index: int, *states: State) -> Known:
+        """Return one of the asks in these states."""
+        found = self.find(*states)
+        return found[index % len(found)]
+
+    def count_reported_free(self) -> int:
+        """Return what the last report leaves free during a cautious start."""
+        if self.report is None or self.now >= self.report.as_of + 5.0:
+            return 0
+        return self.endpoint.slots - self.report.running
+
+    # Checks of events
+
+    def handle(self, events: list[KeeperEvent], new: Known | None = None) -> None:
+        """Check the events in their order and follow them."""
+        for event in events:
+            known = self.known[event.ask.ask_id]
+            if isinstance(event, Granted):
+                self.check_start(known)
+            elif isinstance(event, Queued):
+                assert known.state in (State.NEW, State.QUEUED)
+                known.state = State.QUEUED
+            elif isinstance(event, Refused):
+                self.check_refusal(known, event, new)
+            elif isinstance(event, Paused):
+                self.check_pause(known)
+            if isinstance(event, Refused) and event.code is ErrorCode.QUEUE_FULL:
+                assert known is new
+        if not self.find(State.QUEUED):
+            self.taken_slots = 0
+
+    def check_start(self, known: Known) -> None:
+        assert known.state in (State.NEW, State.QUEUED)
+        assert self.endpoint.state is EndpointState.ACTIVE
+        if self.now < self.cautious_until:
+            assert self.count_reported_free() > 0
+        known.state = State.GRANTED
+        known.expires_at = known.ask.deadline + 30.0
+        known.heard_at = self.now
+        held = self.find(State.GRANTED, State.PAUSED)
+        assert len(held) <= self.endpoint.slots, "granted above the slots"
+        name = known.ask.class_name
+        higher = [other for other in self.find(State.QUEUED) if other.ask.tier < known.ask.tier]
+        known.by_share = bool(higher)
+        self.paid[name] += known.by_share
+        assert self.paid[name] <= self.earned[name] + 1e-6, "paid more than the share"
+        self.passed_over[name] = 0
+        strict = self.taken_slots > 0
+        self.taken_slots -= strict
+        assert not (strict and known.by_share), "a pause served a lower tier"
+        for other, share in SHARES.items():
+            waits = self.list_waiting(other)
+            if other != name and waits:
+                self.earned[other] += share
+                self.passed_over[other] += not strict
+                least = LEAST_STARTS.get(other, float("inf"))
+                assert self.passed_over[other] <= least, f"{other} starves"
+
+    def check_refusal(self, known: Known, event: Refused, new: Known | None) -> None:
+        assert known.state in (State.NEW, State.QUEUED), "ended twice or while running"
+        assert event.retry_after_s >= 0.0
+        known.state = State.ENDED
+        if event.code is ErrorCode.SHED:
+            assert new is not None and new.ask.tier < known.ask.tier, "shed for an equal or lower"
+            assert self.count_exposed(known.ask.tier) == 0, "a lower tier could have been shed"
+        if event.code is ErrorCode.QUEUE_FULL:
+            at_limit = len(self.list_waiting(known.ask.class_name)) >= LIMITS[known.ask.class_name]
+            assert at_limit or self.count_exposed(known.ask.tier) == 0, "lower tier kept"
+
+    def count_exposed(self, tier: int) -> int:
+        """Return how many asks of lower tiers hold places that are not reserved."""
+        exposed = 0
+        for name, other_tier in TIERS.items():
+            if other_tier > tier:
+                reserved = -int(-SHARES[name] * LIMITS[name] // 1)
+                exposed += max(0, len(self.list_waiting(name)) - reserved)
+        return exposed
+
+    def check_pause(self, known: Known) -> None:
+        assert known.state is State.GRANTED
+        assert not known.by_share, "a start by share was taken back"
+        waiting = self.find(State.QUEUED, State.NEW)
+        assert any(w.ask.tier < known.ask.tier for w in waiting), "paused for none higher"
+        for other in self.find(State.GRANTED):
+            if not other.by_share:
+                assert other.ask.tier <= known.ask.tier, "a lower tier runs on"
+                same = other.ask.tier == known.ask.tier
+                assert not same or self.measure_work(other) >= self.measure_work(known) - 1e-6
+        known.state = State.PAUSED
+
+    def measure_work(self, known: Known) -> float:
+        """Return the tokens that a pause may lose, those since the last word at 50 a second."""
+        return known.tokens + 50.0 * (self.now - known.heard_at)
+
+    # Rules
+
+    def make_ask(self, name: str, entry: str, allowed_s: float, max_tokens: int = 100) -> Ask:
+        """Return a new ask; its organisation follows from its number."""
+        number = len(self.known)
+        return Ask(
+            ask_id=f"r{number}",
+            entry=entry,
+            endpoint="e",
+            organisation=ORGANISATIONS[number * number % 7 % 3],
+            class_name=name,
+            tier=TIERS[name],
+            kind="chat",
+            model="m",
+            prompt_tokens=50,
+            max_tokens=max_tokens,
+            deadline=self.now + allowed_s,
+        )
+
+    def send(self, ask: Ask) -> None:
+        """Ask, and check that there is an answer."""
+        known = self.known[ask.ask_id] = Known(ask=ask)
+        self.handle(self.keeper.ask(ask, now=self.now), known)
+        assert known.state is not State.NEW, "no answer to an ask"
+
+    @rule(
+        name=st.sampled_from(sorted(TIERS)),
+        entry=st.sampled_from(ENTRIES),
+        allowed_s=st.sampled_from([0.3, 30.0, 3000.0, 3000.0]),
+        max_tokens=st.sampled_from([1, 100, 4000]),
+        times=st.integers(1, 6),
+    )
+    def send_asks(
+        self, name: str, entry: str, allowed_s: float, max_tokens: int, times: int
+    ) -> None:
+        for _ in range(times):
+            self.send(self.make_ask(name, entry, allowed_s, max_tokens))
+
+    @rule(
+        names=st.lists(st.sampled_from([*TIERS, "drafting", "drafting"]), min_size=1, max_size=6),
+        allowed_s=st.sampled_from([5.0, 3000.0]),
+        interval_s=st.sampled_from([0.0, 0.05, 2.0]),
+        times=st.integers(1, 40),
+    )
+    def overload(self, names: list[str], allowed_s: float, interval_s: float, times: int) -> None:
+        """Serve one request for each that comes, so that a backlog lasts."""
+        for number in range(times):
+            self.send(self.make_ask(names[number % len(names)], "a", allowed_s))
+            self.pass_time(interval_s)
+            if self.find(State.PAUSED, State.GRANTED):
+                self.finish(self.pick(0, State.PAUSED, State.GRANTED), tokens=50)
+
+    @precondition(lambda self: self.find(State.QUEUED, State.GRANTED, State.PAUSED))
+    @rule(index=st.integers(0, 50))
+    def repeat_ask(self, index: int) -> None:
+        known = self.pick(index, State.QUEUED, State.GRANTED, State.PAUSED)
+        (event,) = self.keeper.ask(known.ask, now=self.now)
+        expected = {State.QUEUED: Queued, State.GRANTED: Granted, State.PAUSED: Paused}
+        assert isinstance(event, expected[known.state])
+
+    @precondition(lambda self: self.find(State.GRANTED, State.PAUSED))
+    @rule(
+        index=st.integers(0, 50),
+        used=st.booleans(),
+        failed=st.booleans(),
+        tokens=st.integers(0, 3000),
+        times=st.integers(1, 12),
+    )
+    def release(self, index: int, used: bool, failed: bool, tokens: int, times: int) -> None:
+        for _ in range(times):
+            if self.find(State.GRANTED, State.PAUSED):
+                known = self.pick(index, State.GRANTED, State.PAUSED)
+                self.finish(known, used=used, failed=failed, tokens=tokens)
+
+    def finish(
+        self, known: Known, *, used: bool = True, failed: bool = False, tokens: int = 0
+    ) -> None:
+        """Release a slot twice; the second release must change nothing."""
+        self.end(known)
+        if not used and known.by_share:
+            self.earned[known.ask.class_name] += 1.0
+        release = Release(
+            ask_id=known.ask.ask_id,
+            endpoint="e",
+            used=used,
+            failed=failed,
+            tokens=tokens,
+            first_token_s=0.2,
+            duration_s=0.2 + 0.02 * tokens,
+        )
+        self.handle(self.keeper.release(release, now=self.now))
+        assert self.keeper.release(release, now=self.now) == []
+
+    def end(self, known: Known) -> None:
+        """Note that a slot comes free."""
+        self.taken_slots += known.state is State.PAUSED
+        known.state = State.ENDED
+
+    @precondition(lambda self: self.find(State.QUEUED))
+    @rule(index=st.integers(0, 50))
+    def withdraw_waiting(self, index: int) -> None:
+        known = self.pick(index, State.QUEUED)
+        known.state = State.ENDED
+        self.handle(self.keeper.withdraw(known.ask.ask_id, now=self.now))
+        assert self.keeper.withdraw(known.ask.ask_id, now=self.now) == []
+
+    @rule(seconds=st.sampled_from([0.05, 0.5, 3.0, 20.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for known in self.find(State.GRANTED, State.PAUSED):
+            if known.expires_at <= self.now:
+                self.end(known)
+        self.handle(self.keeper.tick(now=self.now))
+        for known in self.find(State.QUEUED):
+            assert known.ask.deadline > self.now, "held past its deadline"
+
+    @precondition(lambda self: self.find(State.GRANTED))
+    @rule(index=st.integers(0, 50), tokens=st.integers(1, 200))
+    def progress(self, index: int, tokens: int) -> None:
+        known = self.pick(index, State.GRANTED)
+        known.tokens += tokens
+        known.heard_at = self.now
+        self.keeper.record_progress(known.ask.ask_id, known.tokens, now=self.now)
+
+    @rule(
+        running=st.integers(0, 5),
+        lag_s=st.sampled_from([0.0, 1.0, 10.0]),
+        kv_free=st.sampled_from([0.0, 0.3, 1.0]),
+    )
+    def report_load(self, running: int, lag_s: float, kv_free: float) -> None:
+        report = LoadReport(endpoint="e", as_of=self.now - lag_s, running=running, kv_free=kv_free)
+        if self.report is None or report.as_of >= self.report.as_of:
+            self.report = report
+        self.handle(self.keeper.record_load(report, now=self.now))
+
+    @rule(entry=st.sampled_from(ENTRIES), comes_back=st.booleans())
+    def lose_entry(self, entry: str, comes_back: bool) -> None:
+        for known in self.find(State.QUEUED):
+            if known.ask.entry == entry:
+                known.state = State.ENDED
+        self.handle(self.keeper.drop_entry(entry, now=self.now))
+        for known in self.find(State.GRANTED, State.PAUSED):
+            if known.ask.entry == entry:
+                known.expires_at = min(known.expires_at, self.now + 10.0)
+                if comes_back:
+                    self.represent(known)
+
+    def represent(self, known: Known) -> None:
+        """Present a slot again."""
+        events = self.keeper.present(known.ask, held_s=1.0, tokens=known.tokens, now=self.now)
+        known.expires_at = max(known.ask.deadline, self.now) + 30.0
+        known.heard_at = self.now
+        self.handle(events)
+
+    @rule(name=st.sampled_from(sorted(TIERS)), held_s=st.sampled_from([0.0, 5.0]))
+    def present_unknown(self, name: str, held_s: float) -> None:
+        ask = self.make_ask(name, "a", 30.0)
+        known = self.known[ask.ask_id] = Known(ask=ask, state=State.GRANTED, presented=True)
+        known.expires_at = ask.deadline + 30.0
+        known.heard_at = self.now
+        self.handle(self.keeper.present(ask, held_s=held_s, tokens=0, now=self.now))
+
+    @rule(slots=st.integers(1, 4))
+    def change_slots(self, slots: int) -> None:
+        self.configure(replace(self.endpoint, slots=slots))
+
+    @rule(seconds=st.sampled_from([0.0, 20.0]), name=st.sampled_from(sorted(TIERS)))
+    def leave_and_return(self, seconds: float, name: str) -> None:
+        active = self.endpoint
+        self.configure(replace(active, state=EndpointState.LEAVING))
+        assert not self.find(State.QUEUED)
+        self.send(self.make_ask(name, "a", 30.0))
+        assert not self.find(State.QUEUED)
+        self.pass_time(seconds)
+        self.configure(active)
+
+    def configure(self, endpoint: Endpoint) -> None:
+        """Change the endpoint."""
+        self.endpoint = endpoint
+        events = self.keeper.configure(endpoint=endpoint, configuration=CONFIGURATION, now=self.now)
+        self.handle(events)
+
+    # Invariants
+
+    @invariant()
+    def slots_do_not_leak(self) -> None:
+        probe = self.keeper.make_probe(now=self.now)
+        assert probe.in_flight == len(self.find(State.GRANTED, State.PAUSED))
+        assert probe.queued == len(self.find(State.QUEUED))
+
+    @invariant()
+    def slots_are_not_idle(self) -> None:
+        closed = self.now < self.cautious_until or self.report is not None
+        held = len(self.find(State.GRANTED, State.PAUSED))
+        assert closed or held >= self.endpoint.slots or not self.find(State.QUEUED)
+
+    @invariant()
+    def deficits_are_bounded(self) -> None:
+        for queue in self.keeper._queue.list_classes():  # noqa: SLF001
+            assert 0.0 <= queue.debt <= DEBT_CEILING
+            for deficit in queue.robin.list_deficits():
+                assert -DEBT_LIMIT <= deficit <= QUANTUM
+
+    @invariant()
+    def wakes_for_deadlines(self) -> None:
+        for known in self.find(State.QUEUED):
+            assert self.keeper.next_wakeup() <= known.ask.deadline
+
+    @invariant()
+    def queues_are_bounded(self) -> None:
+        for name, limit in LIMITS.items():
+            assert len(self.list_waiting(name)) <= limit
+
+    def teardown(self) -> None:
+        """Let all deadlines and terms pass: every ask and every slot must have ended."""
+        if not hasattr(self, "keeper"):
+            return
+        for _ in range(5000):
+            due = self.keeper.next_wakeup()
+            if due is None:
+                break
+            assert due >= self.now, "a wake-up that tick left undone"
+            self.now = due
+            for known in self.find(State.GRANTED, State.PAUSED):
+                if known.expires_at <= self.now:
+                    self.end(known)
+            self.handle(self.keeper.tick(now=self.now))
+        assert not self.find(State.NEW, State.QUEUED, State.GRANTED, State.PAUSED)
+        assert self.keeper.make_probe(now=self.now).in_flight == 0
+
+
+KeeperTest = KeeperMachine.TestCase
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_queues_properties.py
@@ -0,0 +1,112 @@
+"""Properties of the queue's parts that a keeper's histories reach too rarely."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast._round_robin import QUANTUM, RoundRobin, Waiting
+from guavamast.queues import DEBT_CEILING, WaitingQueue
+from guavamast.slots import Ask
+from guavamast.world import Configuration, ServiceClass
+
+COST_LIMIT = 5_000.0
+
+
+def make_ask(number: int, *, organisation: str = "o", class_name: str = "c", tier: int = 1) -> Ask:
+    """Return an ask."""
+    return Ask(
+        ask_id=f"{class_name}{organisation}{number}",
+        entry="a",
+        endpoint="e",
+        organisation=organisation,
+        class_name=class_name,
+        tier=tier,
+        kind="chat",
+        model="m",
+        prompt_tokens=1,
+        max_tokens=1,
+        deadline=1e9,
+    )
+
+
+def make_waiting(number: int, *, organisation: str, cost: float) -> Waiting:
+    """Return a waiting ask of that cost."""
+    return Waiting(
+        ask=make_ask(number, organisation=organisation),
+        sequence=number,
+        arrived_at=0.0,
+        cost=cost,
+        latest_start=0.0,
+        target_start=0.0,
+    )
+
+
+class RoundRobinPropertiesTest(unittest.TestCase):
+    """Organisations that always wait get the same work, whatever their asks cost."""
+
+    @given(
+        st.lists(
+            st.lists(st.floats(1.0, COST_LIMIT), min_size=1, max_size=5), min_size=2, max_size=5
+        ),
+        st.integers(1, 200),
+    )
+    def test_backlogged_organisations_share_work(
+        self, costs: list[list[float]], starts: int
+    ) -> None:
+        robin = RoundRobin()
+        served = dict.fromkeys(map(str, range(len(costs))), 0.0)
+        number = 0
+        for organisation, own in enumerate(costs):
+            for _ in range(2):
+                number += 1
+                robin.add(make_waiting(number, organisation=str(organisation), cost=own[0]))
+        for _ in range(starts):
+            waiting = robin.take()
+            organisation = waiting.ask.organisation
+            served[organisation] += waiting.cost
+            number += 1
+            own = costs[int(organisation)]
+            robin.add(make_waiting(number, organisation=organisation, cost=own[number % len(own)]))
+            for deficit in robin.list_deficits():
+                self.assertTrue(-COST_LIMIT < deficit <= QUANTUM)
+        spread = max(served.values()) - min(served.values())
+        self.assertLessEqual(spread, COST_LIMIT + 2 * QUANTUM)
+
+
+class WaitingQueuePropertiesTest(unittest.TestCase):
+    """What a class is owed stays bounded."""
+
+    @given(
+        st.lists(st.tuples(st.sampled_from(["high", "low"]), st.booleans()), max_size=60),
+        st.sampled_from([0.1, 0.5, 1.0]),
+    )
+    def test_debt_is_bounded(self, starts: list[tuple[str, bool]], share: float) -> None:
+        classes = {
+            name: ServiceClass(
+                name=name,
+                tier=tier,
+                first_token_ms=1.0,
+                token_interval_ms=1.0,
+                completion_s=1.0,
+                guaranteed_share=share,
+                queue_limit=1000,
+            )
+            for tier, name in enumerate(["high", "low"], start=1)
+        }
+        queue = WaitingQueue(configuration=Configuration(version=1, classes=classes))
+        for number, (name, strict) in enumerate([("low", True), *starts]):
+            ask = make_ask(number, class_name=name)
+            queue.add(ask, cost=1.0, latest_start=1e9, target_start=1e9, now=0.0)
+            high = make_ask(number, organisation="other", class_name="high")
+            queue.add(high, cost=1.0, latest_start=1e9, target_start=1e9, now=0.0)
+            start = queue.take(rate=1.0, now=0.0, strict=strict)
+            self.assertFalse(strict and start.by_share)
+            for service_class in queue.list_classes():
+                self.assertTrue(0.0 <= service_class.debt <= DEBT_CEILING)
+
+
+if __name__ == "__main__":
+    unittest.main()
