--- /dev/null
+++ b/src/guavamast/caller_input.py
@@ -0,0 +1,126 @@
+"""Reads what callers send, before anything is done with it.
+
+Every function raises a `Refusal` with status 400 for input it can't take, and nothing else.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+from typing import Any, Final
+
+from guavamast.errors import ErrorCode, Refusal, SendLatch
+
+MAX_REQUEST_ID_LENGTH: Final = 128
+MAX_IDEMPOTENCY_KEY_LENGTH: Final = 256
+MAX_TIMEOUT_S: Final = 86_400.0
+DEFAULT_MAX_TOKENS: Final = 4_096
+MAX_MAX_TOKENS: Final = 1_000_000
+BYTES_PER_TOKEN: Final = 4
+"""Rough length of a token of prompt; only load estimates rest on it."""
+PREFIX_BYTES: Final = 1_024
+"""Length of the prompt's start by which requests share an engine's prefix cache."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChatBody:
+    """The body of a chat request."""
+
+    model: str
+    messages: list[dict[str, Any]]
+    stream: bool
+    max_tokens: int
+
+    def count_prompt_tokens(self) -> int:
+        """Return an estimate of the prompt's tokens."""
+        return sum(len(message["content"]) for message in self.messages) // BYTES_PER_TOKEN
+
+    def hash_prefix(self) -> str:
+        """Return a key that prompts with the same start share."""
+        text = "\x00".join(message["content"] for message in self.messages)
+        return hashlib.sha256(f"{self.model}\x00{text[:PREFIX_BYTES]}".encode()).hexdigest()[:16]
+
+
+def refuse_input(message: str, code: ErrorCode = ErrorCode.BAD_REQUEST) -> Refusal:
+    """Return the refusal of a request that can't be taken as it is."""
+    return SendLatch().refuse(code, message, status=400)
+
+
+def parse_bearer(header: str) -> str:
+    """Return the key of an ``Authorization`` header; empty when there is none."""
+    scheme, _, key = header.strip().partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def parse_timeout(header: str) -> float | None:
+    """Return the seconds of an ``X-Request-Timeout-Ms`` header, None when it is empty."""
+    if not header:
+        return None
+    if not (header.isascii() and header.isdigit()) or len(header) > 12:
+        raise refuse_input("X-Request-Timeout-Ms must be a whole number of milliseconds")
+    seconds = int(header) / 1000.0
+    if not 0 < seconds <= MAX_TIMEOUT_S:
+        raise refuse_input(f"X-Request-Timeout-Ms must be from 1 to {MAX_TIMEOUT_S * 1000:.0f}")
+    return seconds
+
+
+def parse_label(header: str, *, name: str, longest: int) -> str:
+    """Return a header's value that must be printable ASCII without spaces."""
+    if len(header) > longest or not all("!" <= char <= "~" for char in header):
+        raise refuse_input(f"{name} must be at most {longest} printable ASCII characters")
+    return header
+
+
+def parse_json_object(body: bytes) -> dict[str, Any]:
+    """Return the object of a JSON body."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise refuse_input(f"the body is not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise refuse_input("the body must be a JSON object")
+    return value
+
+
+def parse_chat_body(body: bytes) -> ChatBody:
+    """Return the chat request of a body."""
+    value = parse_json_object(body)
+    model = value.get("model")
+    if not isinstance(model, str) or not model:
+        raise refuse_input("model must be a string")
+    stream = value.get("stream", False)
+    if not isinstance(stream, bool):
+        raise refuse_input("stream must be true or false")
+    max_tokens = value.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if type(max_tokens) is not int or not 0 < max_tokens <= MAX_MAX_TOKENS:
+        raise refuse_input(f"max_tokens must be a whole number from 1 to {MAX_MAX_TOKENS}")
+    return ChatBody(
+        model=model,
+        messages=_parse_messages(value.get("messages")),
+        stream=stream,
+        max_tokens=max_tokens,
+    )
+
+
+def _parse_messages(messages: object) -> list[dict[str, Any]]:
+    if not isinstance(messages, list) or not messages:
+        raise refuse_input("messages must be a list that is not empty")
+    for place, message in enumerate(messages):
+        if not isinstance(message, dict):
+            raise refuse_input(f"messages[{place}] must be an object")
+        if not isinstance(message.get("role"), str):
+            raise refuse_input(f"messages[{place}].role must be a string")
+        if not _is_text(message.get("content")):
+            raise refuse_input(f"messages[{place}].content must be a string")
+    return messages
+
+
+def _is_text(value: object) -> bool:
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False  # a lone surrogate, which JSON can name and UTF-8 can't carry
+    return True
--- /dev/null
+++ b/src/guavamast/dispatcher.py
@@ -0,0 +1,254 @@
+"""The dispatcher daemon: keepers of endpoints, membership and configuration of one instance."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+import zlib
+from typing import TYPE_CHECKING, Final
+
+from grpclib.server import Server
+
+from guavamast._daemon import bind_socket, get_bound_address, run_daemon
+from guavamast.configuration_spread import ConfigurationSpread, Source
+from guavamast.errors import GuavamastError
+from guavamast.findings import FindingsError
+from guavamast.fleet import parse_configuration
+from guavamast.heartbeats import HeartbeatLinks
+from guavamast.keeper_host import PROBE_INTERVAL_S, KeeperHost
+from guavamast.load_poller import LoadPoller
+from guavamast.log import get_logger
+from guavamast.membership import Membership
+from guavamast.metrics import make_metrics
+from guavamast.peer_service import PeerService
+from guavamast.plan_store import PlanStore
+from guavamast.platform_client import PlatformError
+from guavamast.platform_http import HttpPlatformClient
+from guavamast.view_feed import ViewFeed
+from guavamast.world import Configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from guavamast import peer_pb2
+    from guavamast.members import MembershipView
+    from guavamast.settings import InstanceSettings
+
+POLL_CHECK_S: Final = 0.25
+"""Granularity of the polls of the platform."""
+VIEW_INTERVAL_S: Final = 0.25
+"""Shortest time between two views told to entries."""
+LOAD_VIEW_INTERVAL_S: Final = 5.0
+"""Time after which a view that differs only in load is told."""
+SEED_INTERVAL_S: Final = 15.0
+"""Time between two reads of the platform's list of instances."""
+HAND_OVER_S: Final = 3.0
+"""Time a leaving dispatcher gives entries to move their asks and slots to other keepers."""
+
+
+class Dispatcher:
+    """One dispatcher and its parts.
+
+    Args:
+        settings: The instance's settings.
+    """
+
+    def __init__(self, *, settings: InstanceSettings) -> None:
+        self._settings = settings
+        self.clock = time.monotonic
+        self.metrics = make_metrics(settings.statsd)
+        self.configuration = Configuration(version=0)
+        self.host = KeeperHost(clock=self.clock, metrics=self.metrics)
+        self.feed = ViewFeed(instance=settings.instance.name)
+        self.address = ""
+        """Peer address as bound."""
+        self._platform = HttpPlatformClient(
+            tables_url=settings.tables_url, objects_url=settings.objects_url
+        )
+        self._plans = PlanStore(platform=self._platform, make_id=lambda: uuid.uuid4().hex)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._published: tuple[object, ...] = ()
+        self._published_at = 0.0
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen and start all loops."""
+        sock = bind_socket(self._settings.instance.peer_address)
+        self.address = get_bound_address(sock)
+        instance = self._settings.instance.with_peer_address(self.address)
+        now = self.clock()
+        self.membership = Membership(me=instance, incarnation=time.time_ns() // 10**6, now=now)
+        self.membership.add_seeds(self._settings.seeds)
+        seed = zlib.crc32(instance.name.encode())
+        self.spread = ConfigurationSpread(now=now, seed=seed)
+        self.heartbeats = HeartbeatLinks(
+            membership=self.membership,
+            spread=self.spread,
+            metrics=self.metrics,
+            on_change=self._apply_spread,
+        )
+        self._server = Server([self._make_service()])
+        await self._server.start(sock=sock)
+        poller = LoadPoller(
+            host=self.host, get_configuration=lambda: self.configuration, clock=self.clock
+        )
+        self.host.on_new_keeper = poller.poll_soon
+        self._start(self.heartbeats.run())
+        self._start(poller.run())
+        self._start(self._poll_platform())
+        self._start(self._read_seeds())
+        self._start(self._publish_views())
+        self._start(self._send_probes())
+
+    async def leave(self) -> None:
+        """Hand the kept endpoints over to other dispatchers."""
+        self.membership.leave(now=self.clock())
+        self.heartbeats.tell_soon()
+        self._publish(self.clock())
+        others = self.membership.make_view(now=self.clock()).list_serving()
+        if others:
+            await asyncio.sleep(HAND_OVER_S)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.heartbeats.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def take_announcement(self, request: peer_pb2.AnnounceRequest) -> int:
+        """Handle an entry's announcement; return the version in force here."""
+        now = self.clock()
+        if request.configuration_text:
+            self.spread.accept(
+                request.configuration_version,
+                request.configuration_text,
+                source=Source.PLATFORM,
+                now=now,
+            )
+            self._apply_spread()
+        if request.leaving:
+            self.membership.leave(now=now)
+        self.membership.set_load(request.load)
+        if request.leaving or request.configuration_text:
+            self.heartbeats.tell_soon()
+        return self.configuration.version
+
+    def _make_service(self) -> PeerService:
+        return PeerService(
+            host=self.host,
+            feed=self.feed,
+            take_announcement=self.take_announcement,
+            serve_gossip=self.heartbeats.serve,
+        )
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
+
+    async def _poll_platform(self) -> None:
+        while True:
+            if self.clock() >= self.spread.next_poll_at:
+                await self._read_head()
+            version = self.spread.choose_snapshot(now=self.clock())
+            if version is not None:
+                await self._read_snapshot(version)
+            await asyncio.sleep(POLL_CHECK_S)
+
+    async def _read_head(self) -> None:
+        try:
+            head = await self._plans.read_head()
+        except PlatformError as error:
+            get_logger().info("the head row can't be read: %s", error)
+            self.spread.miss_platform(now=self.clock())
+            return
+        self.spread.hear_platform(head.version, now=self.clock())
+
+    async def _read_snapshot(self, version: int) -> None:
+        try:
+            snapshot = await self._plans.load_version(version)
+        except GuavamastError as error:
+            get_logger().info("snapshot %d can't be read: %s", version, error)
+            return
+        if snapshot is None:
+            get_logger().info("snapshot %d is not there", version)
+            return
+        self.spread.accept(version, snapshot.text, source=Source.PLATFORM, now=self.clock())
+        self._apply_spread()
+
+    def _apply_spread(self) -> None:
+        version = self.spread.version
+        if version <= self.configuration.version:
+            return
+        try:
+            configuration = parse_configuration(
+                self.spread.text, file="configuration", version=version
+            )
+        except FindingsError as error:
+            get_logger().error("configuration %d can't be read: %s", version, error)
+            return
+        self.configuration = configuration
+        self.membership.set_configuration_version(version)
+        self.host.configure(configuration)
+        self.feed.set_configuration(configuration)
+        get_logger().info("configuration %d in force", version)
+
+    async def _read_seeds(self) -> None:
+        while True:
+            try:
+                listed = await self._platform.list_instances()
+            except PlatformError as error:
+                get_logger().info("the list of instances can't be read: %s", error)
+            else:
+                self.membership.add_seeds([item.peer_address for item in listed])
+            await asyncio.sleep(SEED_INTERVAL_S)
+
+    async def _publish_views(self) -> None:
+        while True:
+            self._apply_spread()
+            now = self.clock()
+            view = self.membership.make_view(now=now)
+            old = now - self._published_at > LOAD_VIEW_INTERVAL_S
+            if old or _summarize(view) != self._published:
+                self._publish(now)
+            await asyncio.sleep(VIEW_INTERVAL_S)
+
+    def _publish(self, now: float) -> None:
+        view = self.membership.make_view(now=now)
+        self._published = _summarize(view)
+        self._published_at = now
+        self.feed.set_view(view)
+
+    async def _send_probes(self) -> None:
+        while True:
+            self.host.send_probes()
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+
+def _summarize(view: MembershipView) -> tuple[object, ...]:
+    return tuple(
+        (item.instance, item.incarnation, item.state, item.configuration_version)
+        for item in view.members
+    )
+
+
+async def serve(settings: InstanceSettings, stop: asyncio.Event) -> None:
+    """Run a dispatcher until ``stop`` is set, then leave gracefully."""
+    dispatcher = Dispatcher(settings=settings)
+    await dispatcher.start()
+    get_logger().info(
+        "ready peers=%s", dispatcher.address, extra={"instance": settings.instance.name}
+    )
+    try:
+        await stop.wait()
+        await dispatcher.leave()
+    finally:
+        await dispatcher.close()
+
+
+def run(settings: InstanceSettings) -> None:
+    """Run the daemon; returns after a graceful leave."""
+    run_daemon(settings, serve)
--- /dev/null
+++ b/src/guavamast/engine_client.py
@@ -0,0 +1,143 @@
+"""Streams chats from engines, one connection a request."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+
+from tornado.httpclient import HTTPRequest
+
+from guavamast.event_stream import Event, EventDecoder, EventTooLong
+from guavamast.log import get_logger
+from guavamast.single_fetch import AnswerLost, NotSent, SingleFetch, fetch_once
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from tornado.httpclient import HTTPResponse
+
+CONNECT_TIMEOUT_S: Final = 2.0
+CANCEL_TIMEOUT_S: Final = 5.0
+
+
+class EndpointBroken(Exception):
+    """The endpoint could not be reached, refused the request, or its stream broke off."""
+
+
+class SendForbidden(Exception):
+    """The check right before the send said no; no byte of the request's body was written."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineCall:
+    """One chat as it is sent to one engine."""
+
+    url: str
+    request_id: str
+    """Unique for each send, so that no two answers can be mistaken for each other."""
+    model: str
+    messages: list[dict[str, Any]]
+    max_tokens: int
+    priority: int
+    resume_from: int = 0
+    resume_text: str = ""
+    timeout_s: float = 600.0
+
+
+class EngineClient:
+    """Sends chats and cancels them."""
+
+    def __init__(self) -> None:
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    async def stream(
+        self, call: EngineCall, *, before_send: Callable[[], None]
+    ) -> AsyncIterator[list[Event]]:
+        """Send a chat and yield its events, those of one read together.
+
+        Args:
+            call: What to send.
+            before_send: Called when the connection stands and nothing is written yet; it raises
+                `SendForbidden` to stop the send.
+
+        Raises:
+            EndpointBroken: The engine failed.
+            SendForbidden: ``before_send`` said no.
+        """
+        pieces: asyncio.Queue[bytes | None] = asyncio.Queue()
+        request = _make_request(call, pieces.put_nowait)
+        fetch = SingleFetch(request=request, before_write=before_send)
+        task = asyncio.ensure_future(fetch.run())
+        task.add_done_callback(lambda _: pieces.put_nowait(None))
+        decoder = EventDecoder()
+        try:
+            while (piece := await pieces.get()) is not None:
+                if events := _decode(decoder, piece):
+                    yield events
+            await _raise_failure(task)
+        finally:
+            if not task.done():
+                # The reader wants no more: close the connection and tell the engine as well,
+                # since an engine may notice a closed connection only at its next write.
+                task.add_done_callback(lambda done: done.cancelled() or done.exception())
+                fetch.abort()
+                self._cancel_soon(call)
+
+    def _cancel_soon(self, call: EngineCall) -> None:
+        task = asyncio.ensure_future(_cancel(call))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+
+async def _cancel(call: EngineCall) -> None:
+    url = f"{call.url}/v1/requests/{call.request_id}"
+    request = HTTPRequest(url, method="DELETE", request_timeout=CANCEL_TIMEOUT_S)
+    try:
+        await fetch_once(request)
+    except (NotSent, AnswerLost) as error:
+        get_logger().debug("cancel failed: %s", error, extra={"request_id": call.request_id})
+
+
+def _make_request(call: EngineCall, take: Callable[[bytes], None]) -> HTTPRequest:
+    return HTTPRequest(
+        f"{call.url}/v1/chat/completions",
+        method="POST",
+        headers={"Content-Type": "application/json", "X-Request-Id": call.request_id},
+        body=_encode_call(call),
+        streaming_callback=take,
+        connect_timeout=CONNECT_TIMEOUT_S,
+        request_timeout=call.timeout_s,
+    )
+
+
+def _encode_call(call: EngineCall) -> bytes:
+    body: dict[str, Any] = {
+        "model": call.model,
+        "messages": call.messages,
+        "max_tokens": call.max_tokens,
+        "priority": call.priority,
+        "stream": True,
+    }
+    if call.resume_from:
+        body["resume_from"] = call.resume_from
+        body["resume_text"] = call.resume_text
+    return json.dumps(body).encode()
+
+
+def _decode(decoder: EventDecoder, piece: bytes) -> list[Event]:
+    try:
+        return decoder.feed(piece)
+    except (EventTooLong, UnicodeDecodeError) as error:
+        raise EndpointBroken(str(error)) from error
+
+
+async def _raise_failure(task: asyncio.Task[HTTPResponse]) -> None:
+    try:
+        response = await task
+    except (NotSent, AnswerLost) as error:
+        raise EndpointBroken(str(error)) from error
+    if response.code != HTTPStatus.OK:
+        raise EndpointBroken(f"the engine answered with status {response.code}")
--- /dev/null
+++ b/src/guavamast/entry.py
@@ -0,0 +1,241 @@
+"""The entry daemon: callers and operators of one instance, from request to whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+import zlib
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any, Final
+
+from tornado.httpserver import HTTPServer
+
+from guavamast import peer_pb2
+from guavamast._daemon import bind_socket, get_bound_address, run_daemon
+from guavamast.callers import CallerServices, make_application, make_caller_routes
+from guavamast.chats import ChatRouter
+from guavamast.clocks import SystemClock
+from guavamast.endpoint_sender import HttpEndpointSender
+from guavamast.engine_client import EngineClient
+from guavamast.entry_state import EntryState
+from guavamast.entry_status import EntryStatus
+from guavamast.group_commit import GroupCommit
+from guavamast.log import get_logger
+from guavamast.metrics import make_metrics
+from guavamast.operation_store import OperationStore
+from guavamast.operator_tokens import TokenFileAuthenticator
+from guavamast.operators import make_operator_routes
+from guavamast.placement import EndpointChooser
+from guavamast.plan_store import PlanStore
+from guavamast.platform_http import HttpPlatformClient
+from guavamast.retries import RetryBudget
+from guavamast.send_gates import BEAT_INTERVAL_S, PauseWatch
+from guavamast.service_calls import ServiceCalls
+from guavamast.service_handlers import make_service_routes
+from guavamast.service_slots import BudgetRetryPolicy, EntryGate, EntrySlotSource
+from guavamast.slot_finder import SlotFinder
+from guavamast.slot_links import SlotLinks
+from guavamast.view_link import ViewLink
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from guavamast.members import MembershipView
+    from guavamast.settings import InstanceSettings
+    from guavamast.world import Configuration
+
+LOAD_INTERVAL_S: Final = 5.0
+"""Time between two reports of load to the own dispatcher."""
+DISCARD_LIMIT_BYTES: Final = 1 << 40
+"""Bodies over the limit are read and dropped, so that the caller gets its 413."""
+BODY_TIMEOUT_S: Final = 30.0
+
+
+class Entry:
+    """One entry and its parts.
+
+    Args:
+        settings: The instance's settings.
+    """
+
+    def __init__(self, *, settings: InstanceSettings) -> None:
+        self._settings = settings
+        self.clock = time.monotonic
+        self.address = ""
+        """Caller address as bound."""
+        metrics = make_metrics(settings.statsd)
+        seed = zlib.crc32(settings.instance.name.encode())
+        chooser = EndpointChooser(instance=settings.instance, seed=seed)
+        self.state = EntryState(instance=settings.instance, chooser=chooser)
+        self.links = SlotLinks(
+            entry=f"{settings.instance.name}/{uuid.uuid4().hex[:8]}",
+            find_keeper=self.state.find_keeper_address,
+            on_probe=lambda probe: chooser.record_probe(probe, now=self.clock()),
+            clock=self.clock,
+        )
+        finder = SlotFinder(state=self.state, links=self.links, clock=self.clock)
+        self.view_link = ViewLink(
+            entry=settings.instance.name,
+            address=settings.instance.peer_address,
+            list_others=self._list_other_dispatchers,
+            on_configuration=self.accept_configuration,
+            on_view=self.accept_view,
+        )
+        self.pauses = PauseWatch(now=self.clock())
+        budget = RetryBudget()
+        chats = ChatRouter(
+            state=self.state,
+            finder=finder,
+            links=self.links,
+            engines=EngineClient(),
+            budget=budget,
+            pauses=self.pauses,
+            random=random.Random(seed),
+            clock=self.clock,
+            metrics=metrics,
+        )
+        self.services = CallerServices(
+            state=self.state,
+            chats=chats,
+            metrics=metrics,
+            clock=self.clock,
+            max_body_bytes=settings.max_body_bytes,
+            address_validity_s=settings.address_validity_s,
+        )
+        clock = SystemClock()
+        self._platform = HttpPlatformClient(
+            tables_url=settings.tables_url, objects_url=settings.objects_url
+        )
+        self.calls = ServiceCalls(
+            store=OperationStore(
+                client=GroupCommit(client=self._platform, clock=clock), clock=clock
+            ),
+            slots=EntrySlotSource(state=self.state, finder=finder, links=self.links),
+            sender=HttpEndpointSender(),
+            gate=EntryGate(state=self.state),
+            pauses=self.pauses,
+            retries=BudgetRetryPolicy(budget=budget, random=random.Random(seed)),
+            clock=clock,
+        )
+        self._server: HTTPServer | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and follow the dispatcher."""
+        sock = bind_socket(self._settings.instance.caller_address)
+        self.address = get_bound_address(sock)
+        routes = [
+            *make_caller_routes(self.services),
+            *make_service_routes(self.services, self.calls),
+            *self._make_operator_routes(),
+        ]
+        application = make_application(routes, self.services)
+        self._server = HTTPServer(
+            application,
+            max_body_size=DISCARD_LIMIT_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+        )
+        self._server.add_sockets([sock])
+        self.view_link.start()
+        self._start(self._report_load())
+        self._start(self._watch_pauses())
+        self._start(self.calls.delete_expired(retention_s=self._settings.operation_retention_s))
+
+    def _make_operator_routes(self) -> list[tuple[str, type, dict[str, Any]]]:
+        status = EntryStatus(state=self.state, links=self.links)
+        authenticator = TokenFileAuthenticator(
+            path=self._settings.operator_token_file, callers=status
+        )
+        return make_operator_routes(
+            store=PlanStore(platform=self._platform, make_id=lambda: uuid.uuid4().hex),
+            authenticator=authenticator,
+            status=status,
+            clock=SystemClock(),
+            on_accepted=self._spread_configuration,
+        )
+
+    def _spread_configuration(self, configuration: Configuration) -> None:
+        self.accept_configuration(configuration)
+        announcement = peer_pb2.AnnounceRequest(
+            configuration_version=configuration.version,
+            configuration_text=configuration.text,
+            load=float(self.services.in_flight),
+        )
+        self._start(self._announce(announcement))
+
+    async def _announce(self, request: peer_pb2.AnnounceRequest) -> None:
+        await self.view_link.announce(request)
+
+    async def leave(self) -> None:
+        """Send callers away and wait for what is in flight.
+
+        Callers keep an address for its validity, so for that long new requests are still served;
+        then they are refused as not run with other addresses.
+        """
+        await self.view_link.announce(peer_pb2.AnnounceRequest(leaving=True))
+        deadline = self.clock() + self._settings.drain_wait_s
+        if self.state.list_others():
+            await asyncio.sleep(self._settings.address_validity_s)
+        self.state.leaving = True
+        while self.services.in_flight and self.clock() < deadline:
+            await asyncio.sleep(0.05)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, deadline - self.clock())):
+                await self.calls.drain()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.stop()
+        await self.view_link.close()
+        await self.links.close()
+
+    def accept_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force if it is newer."""
+        if self.state.accept_configuration(configuration):
+            get_logger().info("configuration %d in force", configuration.version)
+            self.links.reroute()
+
+    def accept_view(self, view: MembershipView) -> None:
+        """Take a newer view and move asks whose keeper has changed."""
+        self.state.accept_view(view)
+        self.links.reroute()
+
+    def _list_other_dispatchers(self) -> list[str]:
+        return [item.instance.peer_address for item in self.state.list_others()]
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
+
+    async def _watch_pauses(self) -> None:
+        while True:
+            self.pauses.beat(now=self.clock())
+            await asyncio.sleep(BEAT_INTERVAL_S)
+
+    async def _report_load(self) -> None:
+        while True:
+            await asyncio.sleep(LOAD_INTERVAL_S)
+            load = float(self.services.in_flight)
+            await self.view_link.announce(peer_pb2.AnnounceRequest(load=load))
+
+
+async def serve(settings: InstanceSettings, stop: asyncio.Event) -> None:
+    """Run an entry until ``stop`` is set, then leave gracefully."""
+    entry = Entry(settings=settings)
+    await entry.start()
+    get_logger().info("ready callers=%s", entry.address, extra={"instance": settings.instance.name})
+    try:
+        await stop.wait()
+        await entry.leave()
+    finally:
+        await entry.close()
+
+
+def run(settings: InstanceSettings) -> None:
+    """Run the daemon; returns after a graceful leave."""
+    run_daemon(settings, serve)
--- /dev/null
+++ b/src/guavamast/keeper_host.py
@@ -0,0 +1,224 @@
+"""The dispatcher's side of slots: the keepers of its endpoints and the streams to entries."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final
+
+from guavamast._slot_wire import decode_ask, decode_release, encode_event, encode_probe
+from guavamast.errors import ErrorCode
+from guavamast.keepers import EndpointKeeper
+from guavamast.slots import Granted, Refused, Release
+from guavamast.world import EndpointKind, EndpointState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast import peer_pb2
+    from guavamast.metrics import Metrics
+    from guavamast.slots import Ask, KeeperEvent, LoadReport
+    from guavamast.world import Configuration, Endpoint
+
+CAUTION_S: Final = 1.0
+"""Time a new keeper gives entries to present the slots that they hold."""
+PROBE_INTERVAL_S: Final = 0.5
+"""Entries with asks in flight hear of the endpoint this often; see ``ANSWER_TIMEOUT_S``."""
+UNKNOWN_ENDPOINT_RETRY_S: Final = 1.0
+IDLE_LIFETIME_S: Final = 60.0
+
+
+class EntryStream:
+    """What is waiting to be sent to one entry."""
+
+    __slots__ = ("entry", "outbox")
+
+    def __init__(self, *, entry: str) -> None:
+        self.entry = entry
+        self.outbox: asyncio.Queue[peer_pb2.KeeperMessage] = asyncio.Queue()
+
+
+class KeeperHost:
+    """Holds the keepers and carries their decisions to the entries.
+
+    A keeper is made at the first ask for its endpoint, whoever this process thinks should keep it:
+    refusing would leave the entry without a keeper while views differ, and two keepers for a moment
+    cost over-admission only.
+
+    Args:
+        clock: Monotonic time.
+        metrics: Where counts go.
+    """
+
+    def __init__(self, *, clock: Callable[[], float], metrics: Metrics) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._configuration: Configuration | None = None
+        self._keepers: dict[str, EndpointKeeper] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+        """Each kept endpoint as last configured."""
+        self._used_at: dict[str, float] = {}
+        self._streams: dict[str, EntryStream] = {}
+        self._waiting: dict[str, set[str]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self.on_new_keeper: Callable[[str], None] = lambda _: None
+        """Called with the endpoint's name; its load is wanted at once, which ends the caution."""
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take a newer configuration; endpoints that it lacks stop granting."""
+        self._configuration = configuration
+        now = self._clock()
+        for name, keeper in list(self._keepers.items()):
+            last = replace(self._endpoints[name], state=EndpointState.LEAVING)
+            endpoint = configuration.endpoints.get(name, last)
+            self._endpoints[name] = endpoint
+            events = keeper.configure(endpoint=endpoint, configuration=configuration, now=now)
+            self._deliver(events, now)
+        self._schedule()
+
+    def connect(self, entry: str) -> EntryStream:
+        """Open an entry's stream; one before it of the same entry is forgotten."""
+        stream = EntryStream(entry=entry)
+        self._streams[entry] = stream
+        return stream
+
+    def disconnect(self, stream: EntryStream) -> None:
+        """Drop an entry's queued asks when its stream ends."""
+        if self._streams.get(stream.entry) is not stream:
+            return
+        del self._streams[stream.entry]
+        now = self._clock()
+        for keeper in list(self._keepers.values()):
+            self._deliver(keeper.drop_entry(stream.entry, now=now), now)
+        self._schedule()
+
+    def take(self, message: peer_pb2.EntryMessage, *, entry: str) -> None:
+        """Handle one message of an entry."""
+        now = self._clock()
+        kind = message.WhichOneof("body")
+        if kind == "ask":
+            self._take_ask(decode_ask(message.ask, entry=entry, now=now), now)
+        elif kind == "present":
+            self._take_present(message.present, entry, now)
+        elif kind == "release":
+            self._take_release(decode_release(message.release), now)
+        elif kind == "withdraw":
+            keeper = self._keepers.get(message.withdraw.endpoint)
+            if keeper is not None:
+                self._deliver(keeper.withdraw(message.withdraw.ask_id, now=now), now)
+        elif kind == "progress":
+            keeper = self._keepers.get(message.progress.endpoint)
+            if keeper is not None:
+                keeper.record_progress(message.progress.ask_id, message.progress.tokens, now=now)
+        self._schedule()
+
+    def record_load(self, report: LoadReport) -> None:
+        """Take an endpoint's load report."""
+        keeper = self._keepers.get(report.endpoint)
+        if keeper is not None:
+            now = self._clock()
+            self._deliver(keeper.record_load(report, now=now), now)
+            self._schedule()
+
+    def list_kept(self) -> list[str]:
+        """Return the endpoints that were asked for lately."""
+        now = self._clock()
+        for name, used_at in list(self._used_at.items()):
+            idle = self._keepers[name].make_probe(now=now).in_flight == 0
+            if idle and now - used_at > IDLE_LIFETIME_S:
+                self._forget(name)
+        return list(self._keepers)
+
+    def send_probes(self) -> None:
+        """Tell each entry with asks in flight how its endpoints stand."""
+        now = self._clock()
+        for name, entries in self._waiting.items():
+            message = encode_probe(self._keepers[name].make_probe(now=now))
+            for entry in entries:
+                self._send(entry, message)
+
+    def _take_ask(self, ask: Ask, now: float) -> None:
+        self._metrics.count("keeper.asks")
+        keeper = self._find(ask.endpoint, now)
+        if keeper is None:
+            refused = Refused(
+                ask=ask, code=ErrorCode.NO_ENDPOINT, retry_after_s=UNKNOWN_ENDPOINT_RETRY_S
+            )
+            self._deliver([refused], now)
+            return
+        self._waiting.setdefault(ask.endpoint, set()).add(ask.entry)
+        self._deliver(keeper.ask(ask, now=now), now)
+        self._send(ask.entry, encode_probe(keeper.make_probe(now=now)))
+
+    def _take_present(self, message: peer_pb2.PresentMessage, entry: str, now: float) -> None:
+        ask = decode_ask(message.ask, entry=entry, now=now)
+        keeper = self._find(ask.endpoint, now)
+        if keeper is not None:
+            events = keeper.present(ask, held_s=message.held_s, tokens=message.tokens, now=now)
+            self._deliver(events, now)
+
+    def _take_release(self, release: Release, now: float) -> None:
+        keeper = self._keepers.get(release.endpoint)
+        if keeper is not None:
+            self._deliver(keeper.release(release, now=now), now)
+
+    def _find(self, name: str, now: float) -> EndpointKeeper | None:
+        self._used_at[name] = now
+        if name in self._keepers:
+            return self._keepers[name]
+        endpoint = self._configuration.endpoints.get(name) if self._configuration else None
+        if endpoint is None:
+            del self._used_at[name]
+            return None
+        # A service tells no load, so caution would only hold its first calls back.
+        caution_s = CAUTION_S if endpoint.kind is EndpointKind.ENGINE else 0.0
+        keeper = EndpointKeeper(
+            endpoint=endpoint,
+            configuration=self._configuration,
+            now=now,
+            cautious_until=now + caution_s,
+        )
+        self.on_new_keeper(name)
+        self._keepers[name] = keeper
+        self._endpoints[name] = endpoint
+        return keeper
+
+    def _forget(self, name: str) -> None:
+        self._keepers.pop(name, None)
+        self._endpoints.pop(name, None)
+        self._used_at.pop(name, None)
+        self._waiting.pop(name, None)
+
+    def _deliver(self, events: list[KeeperEvent], now: float) -> None:
+        for event in events:
+            self._metrics.count(f"keeper.{type(event).__name__.lower()}")
+            sent = self._send(event.ask.entry, encode_event(event))
+            if isinstance(event, Granted) and not sent:
+                # The entry has gone: nothing will be sent under this grant.
+                self._take_release(
+                    Release(ask_id=event.ask.ask_id, endpoint=event.ask.endpoint, used=False), now
+                )
+
+    def _send(self, entry: str, message: peer_pb2.KeeperMessage) -> bool:
+        stream = self._streams.get(entry)
+        if stream is None:
+            return False
+        stream.outbox.put_nowait(message)
+        return True
+
+    def _schedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        wakeups = [keeper.next_wakeup() for keeper in self._keepers.values()]
+        times = [at for at in wakeups if at is not None]
+        if times:
+            delay = max(0.0, min(times) - self._clock())
+            self._timer = asyncio.get_running_loop().call_later(delay, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        now = self._clock()
+        for keeper in list(self._keepers.values()):
+            self._deliver(keeper.tick(now=now), now)
+        self._schedule()
--- /dev/null
+++ b/src/guavamast/load_poller.py
@@ -0,0 +1,85 @@
+"""Reads the load reports of the engines that a dispatcher keeps."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import TYPE_CHECKING, Final
+
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from guavamast.log import get_logger
+from guavamast.slots import LoadReport
+from guavamast.world import EndpointKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.keeper_host import KeeperHost
+    from guavamast.world import Configuration, Endpoint
+
+POLL_INTERVAL_S: Final = 1.0
+TIMEOUT_S: Final = 2.0
+
+
+class LoadPoller:
+    """Polls ``GET /load`` of each kept engine once an interval.
+
+    Args:
+        host: Holds the keepers.
+        get_configuration: Gives the configuration in force.
+        clock: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: KeeperHost,
+        get_configuration: Callable[[], Configuration],
+        clock: Callable[[], float],
+    ) -> None:
+        self._host = host
+        self._get_configuration = get_configuration
+        self._clock = clock
+        self._extra: set[asyncio.Task[None]] = set()
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=1000)
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            endpoints = self._get_configuration().endpoints
+            kept = [endpoints.get(name) for name in self._host.list_kept()]
+            engines = [item for item in kept if item and item.kind is EndpointKind.ENGINE]
+            await asyncio.gather(*(self._poll(engine) for engine in engines))
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def poll_soon(self, name: str) -> None:
+        """Ask one engine now, out of turn; a failure to is left to the next turn."""
+        endpoint = self._get_configuration().endpoints.get(name)
+        if endpoint is not None and endpoint.kind is EndpointKind.ENGINE:
+            task = asyncio.ensure_future(self._poll(endpoint))
+            self._extra.add(task)
+            task.add_done_callback(self._extra.discard)
+
+    async def _poll(self, endpoint: Endpoint) -> None:
+        try:
+            response = await self._client.fetch(
+                f"{endpoint.url}/load", request_timeout=TIMEOUT_S, follow_redirects=False
+            )
+            report = self._read(endpoint.name, response.body)
+        except Exception as error:
+            # Whatever an endpoint answers or fails with, it means no report this time.
+            get_logger().debug("no load report of %s: %r", endpoint.name, error)
+            return
+        self._host.record_load(report)
+
+    def _read(self, endpoint: str, body: bytes) -> LoadReport:
+        value = json.loads(body)
+        age = max(0.0, time.time() - float(value["as_of"]))
+        return LoadReport(
+            endpoint=endpoint,
+            as_of=self._clock() - age,
+            running=int(value["running"]),
+            kv_free=min(1.0, max(0.0, float(value.get("kv_free", 1.0)))),
+        )
--- /dev/null
+++ b/src/guavamast/peer_service.py
@@ -0,0 +1,104 @@
+"""The gRPC service by which entries and other dispatchers reach a dispatcher."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from grpclib.exceptions import StreamTerminatedError
+
+from guavamast import peer_pb2
+from guavamast.peer_grpc import PeerBase
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from grpclib.server import Stream
+
+    from guavamast.keeper_host import EntryStream, KeeperHost
+    from guavamast.view_feed import ViewFeed
+
+
+class PeerService(PeerBase):
+    """The gRPC methods of a dispatcher.
+
+    Args:
+        host: The keepers.
+        feed: What entries follow.
+        take_announcement: Handles an announcement and gives the version in force.
+        serve_gossip: Serves one stream of heartbeats.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: KeeperHost,
+        feed: ViewFeed,
+        take_announcement: Callable[[peer_pb2.AnnounceRequest], int],
+        serve_gossip: Callable[[Stream], Awaitable[None]],
+    ) -> None:
+        self._host = host
+        self._feed = feed
+        self._take_announcement = take_announcement
+        self._serve_gossip = serve_gossip
+
+    async def Slots(  # noqa: N802
+        self, stream: Stream[peer_pb2.EntryBatch, peer_pb2.KeeperBatch]
+    ) -> None:
+        """Serve one entry's asks and releases until its stream ends."""
+        host = self._host
+        entry_stream: EntryStream | None = None
+        sender: asyncio.Task[None] | None = None
+        try:
+            while (batch := await stream.recv_message()) is not None:
+                for message in batch.messages:
+                    if message.WhichOneof("body") == "hello":
+                        entry_stream = host.connect(message.hello)
+                        await stream.send_message(peer_pb2.KeeperBatch())
+                        sender = asyncio.ensure_future(_send_outbox(stream, entry_stream))
+                    elif entry_stream is not None:
+                        host.take(message, entry=entry_stream.entry)
+        finally:
+            if entry_stream is not None:
+                host.disconnect(entry_stream)
+            if sender is not None:
+                sender.cancel()
+
+    async def Follow(  # noqa: N802
+        self, stream: Stream[peer_pb2.FollowRequest, peer_pb2.ViewMessage]
+    ) -> None:
+        """Tell one entry each change of configuration and members."""
+        await stream.recv_message()
+        feed = self._feed
+        follower = feed.add_follower()
+        try:
+            while True:
+                await stream.send_message(await feed.wait_message(follower))
+        except StreamTerminatedError:
+            return
+        finally:
+            feed.remove_follower(follower)
+
+    async def Announce(  # noqa: N802
+        self, stream: Stream[peer_pb2.AnnounceRequest, peer_pb2.AnnounceReply]
+    ) -> None:
+        """Take an entry's word on an accepted configuration, its load, or its leaving."""
+        request = await stream.recv_message()
+        if request is not None:
+            version = self._take_announcement(request)
+            await stream.send_message(peer_pb2.AnnounceReply(configuration_version=version))
+
+    async def Gossip(  # noqa: N802
+        self, stream: Stream[peer_pb2.HeartbeatMessage, peer_pb2.HeartbeatMessage]
+    ) -> None:
+        """Exchange heartbeats with another dispatcher."""
+        await self._serve_gossip(stream)
+
+
+async def _send_outbox(stream: Stream, entry_stream: EntryStream) -> None:
+    outbox = entry_stream.outbox
+    while True:
+        messages = [await outbox.get()]
+        while not outbox.empty():
+            messages.append(outbox.get_nowait())
+        await stream.send_message(peer_pb2.KeeperBatch(messages=messages))
--- /dev/null
+++ b/src/guavamast/service_handlers.py
@@ -0,0 +1,144 @@
+"""HTTP handlers of calls of plain services and of their operations."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Any
+
+from guavamast.caller_input import (
+    MAX_IDEMPOTENCY_KEY_LENGTH,
+    parse_label,
+    refuse_input,
+)
+from guavamast.callers import CallerHandler
+from guavamast.errors import ErrorCode, SendLatch
+from guavamast.service_call import ServiceCall
+from guavamast.world import CallRule, EndpointKind
+
+if TYPE_CHECKING:
+    from guavamast.callers import CallerServices
+    from guavamast.operations import Answer
+    from guavamast.service_calls import OperationView, ServiceCalls
+    from guavamast.world import Configuration
+
+DEFAULT_CALL_TIMEOUT_S = 30.0
+"""Timeout of a call that no ``[call]`` section names."""
+
+
+def find_rule(configuration: Configuration, service: str, call: str) -> CallRule:
+    """Return the rule of a call; one that isn't named counts as non-idempotent."""
+    rule = configuration.calls.get((service, call))
+    return rule or CallRule(
+        service=service, call=call, idempotent=False, timeout_s=DEFAULT_CALL_TIMEOUT_S
+    )
+
+
+class ServiceCallHandler(CallerHandler):
+    """``POST /v1/services/{service}/{call}``."""
+
+    def initialize(self, services: CallerServices, calls: ServiceCalls) -> None:  # type: ignore[override]
+        """Take the entry's services."""
+        super().initialize(services)
+        self.calls = calls
+
+    async def post(self, service: str, call: str) -> None:
+        """Run a call and answer what it answered."""
+        self.read_request_id()
+        organisation = self.find_caller()
+        rule = find_rule(self.services.state.configuration, service, call)
+        self._require_service(service)
+        kind = self.request.headers.get("X-Request-Kind", call)
+        service_class = self.find_class(organisation, kind)
+        request = ServiceCall(
+            request_id=self.request_id,
+            organisation=organisation.name,
+            rule=rule,
+            body=self.read_body(),
+            content_type=self.request.headers.get("Content-Type", "application/json"),
+            idempotency_key=self._read_key(rule),
+            class_name=service_class.name,
+            tier=service_class.tier,
+            deadline=self.compute_deadline(service_class),
+        )
+        await self.run(self._serve(request))
+
+    async def _serve(self, request: ServiceCall) -> None:
+        answer = await self.calls.run(request)
+        self.set_header("X-Request-Id", self.request_id)
+        write_answer(self, answer)
+
+    def _require_service(self, service: str) -> None:
+        endpoints = self.services.state.configuration.endpoints.values()
+        known = {item.service for item in endpoints if item.kind is EndpointKind.SERVICE}
+        if service not in known:
+            raise SendLatch().refuse(
+                ErrorCode.UNKNOWN_SERVICE, f"no service {service!r}", status=404
+            )
+
+    def _read_key(self, rule: CallRule) -> str:
+        header = self.request.headers.get("Idempotency-Key", "")
+        key = parse_label(header, name="Idempotency-Key", longest=MAX_IDEMPOTENCY_KEY_LENGTH)
+        if not key and not rule.idempotent:
+            raise refuse_input(
+                "a non-idempotent call needs an Idempotency-Key",
+                ErrorCode.IDEMPOTENCY_KEY_MISSING,
+            )
+        return key
+
+
+class OperationHandler(CallerHandler):
+    """``GET /v1/operations/{key}``."""
+
+    def initialize(self, services: CallerServices, calls: ServiceCalls) -> None:  # type: ignore[override]
+        """Take the entry's services."""
+        super().initialize(services)
+        self.calls = calls
+
+    async def get(self, key: str) -> None:
+        """Answer how a non-idempotent call of this organisation stands."""
+        self.read_request_id()
+        organisation = self.find_caller()
+        parse_label(key, name="the key", longest=MAX_IDEMPOTENCY_KEY_LENGTH)
+        view = await self.calls.show(organisation.name, key)
+        self.finish(encode_view(key, view))
+
+
+def write_answer(handler: CallerHandler, answer: Answer) -> None:
+    """Pass an endpoint's answer on."""
+    handler.set_status(answer.status)
+    handler.set_header("Content-Type", answer.content_type)
+    handler.finish(answer.body)
+
+
+def encode_view(key: str, view: OperationView) -> dict[str, Any]:
+    """Return the body that tells an operation's state."""
+    body: dict[str, Any] = {
+        "key": key,
+        "state": view.state,
+        "started_at": view.started_at,
+        "ended_at": view.ended_at,
+    }
+    if view.answer is not None:
+        body["answer"] = _encode_answer(view.answer)
+    return body
+
+
+def _encode_answer(answer: Answer) -> dict[str, Any]:
+    fields: dict[str, Any] = {"status": answer.status, "content_type": answer.content_type}
+    try:
+        fields["body"] = json.loads(answer.body)
+    except ValueError:
+        fields["body_base64"] = base64.b64encode(answer.body).decode()
+    return fields
+
+
+def make_service_routes(
+    services: CallerServices, calls: ServiceCalls
+) -> list[tuple[str, type, dict[str, Any]]]:
+    """Return the routes of this module."""
+    arguments = {"services": services, "calls": calls}
+    return [
+        ("/v1/services/([^/]+)/([^/]+)", ServiceCallHandler, arguments),
+        ("/v1/operations/([^/]+)", OperationHandler, arguments),
+    ]
--- a/src/guavamast/single_fetch.py
+++ b/src/guavamast/single_fetch.py
@@ -60,11 +60,14 @@
         super().__init__(resolver=resolver)
         self._before_write = before_write
         self._abandoned = False
+        self._stream: IOStream | None = None
         self.writable = False
 
     def abandon(self) -> None:
-        """Let no byte be written by a connect that is still under way."""
+        """Close the connection, or let no byte be written by a connect still under way."""
         self._abandoned = True
+        if self._stream is not None:
+            self._stream.close()
 
     async def connect(self, *args: Any, **kwargs: Any) -> IOStream:
         """Connect, then run the hook; its exception ends the request unsent."""
@@ -77,6 +80,7 @@
             stream.close()
             raise
         self.writable = True
+        self._stream = stream
         return stream
 
 
@@ -84,36 +88,60 @@
     """Serve as the hook of a request that needs no last check."""
 
 
-async def fetch_once(
-    request: HTTPRequest, *, before_write: Callable[[], None] = do_nothing
-) -> HTTPResponse:
-    """Send a request at most once.
+class SingleFetch:
+    """One request that is sent at most once and can be aborted at any time.
 
     Args:
         request: What to send; its redirects are turned off.
         before_write: Run after the connect and right before the first byte; may raise to stop it.
+    """
+
+    __slots__ = ("_client", "_connector", "_request")
+
+    def __init__(
+        self, *, request: HTTPRequest, before_write: Callable[[], None] = do_nothing
+    ) -> None:
+        request.follow_redirects = False
+        request.decompress_response = False
+        self._request = request
+        self._client = SimpleAsyncHTTPClient(
+            force_instance=True, resolver=NumericResolver(), max_body_size=MAX_ANSWER_BYTES
+        )
+        self._connector = _SingleUseTcpClient(
+            resolver=self._client.resolver, before_write=before_write
+        )
+        self._client.tcp_client = self._connector
+
+    async def run(self) -> HTTPResponse:
+        """Send the request and return the answer, whatever its status.
+
+        Raises:
+            NotSent: No byte was sent.
+            AnswerLost: Bytes may have been sent, and no whole answer came back in time.
+        """
+        try:
+            return await self._client.fetch(self._request, raise_error=False)
+        except Exception as error:
+            raise _classify(error, self._connector) from None
+        finally:
+            self.abort()
 
-    Returns:
-        The whole answer, whatever its status.
+    def abort(self) -> None:
+        """Close the connection, whatever it is at."""
+        self._connector.abandon()
+        self._client.close()
+
+
+async def fetch_once(
+    request: HTTPRequest, *, before_write: Callable[[], None] = do_nothing
+) -> HTTPResponse:
+    """Send a request at most once and return its whole answer; see `SingleFetch`.
 
     Raises:
         NotSent: No byte was sent.
         AnswerLost: Bytes may have been sent, and no whole answer came back in time.
     """
-    request.follow_redirects = False
-    request.decompress_response = False
-    client = SimpleAsyncHTTPClient(
-        force_instance=True, resolver=NumericResolver(), max_body_size=MAX_ANSWER_BYTES
-    )
-    connector = _SingleUseTcpClient(resolver=client.resolver, before_write=before_write)
-    client.tcp_client = connector
-    try:
-        response = await client.fetch(request, raise_error=False)
-    except Exception as error:
-        raise _classify(error, connector) from None
-    finally:
-        connector.abandon()
-        client.close()
+    response = await SingleFetch(request=request, before_write=before_write).run()
     if not _is_framed(response):
         raise AnswerLost("the answer has no length, so that a cut one can't be told from a whole")
     return response
--- /dev/null
+++ b/src/guavamast/slot_links.py
@@ -0,0 +1,382 @@
+"""The entry's side of slots: one open stream to each keeper that it asks.
+
+An ask lives until its release. When the keeper of its endpoint changes, or its stream breaks, a
+waiting ask is asked again at the new keeper and a held slot is presented to it, so that a keeper's
+crash loses no queued request and cuts no running one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from guavamast import peer_pb2
+from guavamast._slot_wire import (
+    decode_event,
+    decode_probe,
+    encode_ask,
+    encode_release,
+)
+from guavamast.log import get_logger
+from guavamast.peer_grpc import PeerStub
+from guavamast.slots import Granted, Paused, Refused, Release
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.errors import ErrorCode
+    from guavamast.slots import Ask, Probe
+
+ANSWER_TIMEOUT_S: Final = 1.0
+"""Silence of a keeper that owes an answer after which it counts as unreachable. A keeper answers
+each ask at once and sends a probe twice a second to an entry with queued asks."""
+RECONNECT_S: Final = 0.2
+RECONNECT_MAX_S: Final = 2.0
+NO_KEEPER_RETRY_S: Final = 0.1
+
+LinkErrors = (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError)
+
+
+class AskRefused(Exception):
+    """The keeper ended an ask without a slot."""
+
+    def __init__(self, *, code: ErrorCode, retry_after_s: float) -> None:
+        super().__init__(code)
+        self.code = code
+        self.retry_after_s = retry_after_s
+
+
+class HoldState(Enum):
+    """How an ask stands."""
+
+    WAITING = 1
+    HELD = 2
+    ENDED = 3
+
+
+class SlotHold:
+    """One ask, from its asking to its release."""
+
+    __slots__ = (
+        "addresses",
+        "ask",
+        "granted",
+        "held_since",
+        "on_paused",
+        "state",
+        "tokens",
+    )
+
+    def __init__(self, *, ask: Ask) -> None:
+        self.ask = ask
+        self.state = HoldState.WAITING
+        self.addresses: list[str] = []
+        """Keepers that were told of it, the present one last."""
+        self.granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.held_since = 0.0
+        self.tokens = 0
+        """Tokens received so far, told to a new keeper."""
+        self.on_paused: Callable[[str], None] | None = None
+        """Called when the keeper wants the slot back."""
+
+    @property
+    def address(self) -> str:
+        """The keeper that decides on it now; empty while there is none."""
+        return self.addresses[-1] if self.addresses else ""
+
+
+class SlotLinks:
+    """Asks keepers for slots and follows changes of keeper.
+
+    Args:
+        entry: Name of this instance.
+        find_keeper: Gives the peer address of an endpoint's keeper, leaving out addresses that
+            can't be reached from here; None when there is none.
+        on_probe: Takes each probe that a keeper sends along.
+        clock: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: str,
+        find_keeper: Callable[[str, frozenset[str]], str | None],
+        on_probe: Callable[[Probe], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.entry = entry
+        self.clock = clock
+        self.on_probe = on_probe
+        self._find_keeper = find_keeper
+        self._links: dict[str, SlotLink] = {}
+        self._holds: dict[str, SlotHold] = {}
+
+    async def acquire(self, ask: Ask) -> SlotHold:
+        """Ask for a slot and wait for it.
+
+        Args:
+            ask: The wish; its deadline bounds the wait.
+
+        Returns:
+            The held slot, to be given to `release` exactly once.
+
+        Raises:
+            AskRefused: The keeper refused or shed it.
+            TimeoutError: The deadline passed first.
+        """
+        hold = SlotHold(ask=ask)
+        self._holds[ask.ask_id] = hold
+        try:
+            self._route(hold)
+            async with asyncio.timeout(max(0.0, ask.deadline - self.clock())):
+                await hold.granted
+        except BaseException:
+            self._abandon(hold)
+            raise
+        return hold
+
+    def release(self, hold: SlotHold, release: Release) -> None:
+        """End a held slot; keepers that were told of it before learn it too."""
+        if hold.state is HoldState.ENDED:
+            return
+        hold.state = HoldState.ENDED
+        self._holds.pop(hold.ask.ask_id, None)
+        for address in hold.addresses:
+            self._send(address, encode_release(release))
+
+    def reroute(self) -> None:
+        """Move each ask whose keeper has changed; call after a change of view or link."""
+        for hold in list(self._holds.values()):
+            self._route(hold)
+        needed = {hold.address for hold in self._holds.values()}
+        for address in [name for name in self._links if name not in needed]:
+            link = self._links[address]
+            if not link.reachable:
+                self._links.pop(address).close()
+
+    def list_unreachable(self) -> frozenset[str]:
+        """Return the addresses whose link is known to be lost."""
+        return frozenset(name for name, link in self._links.items() if not link.reachable)
+
+    def count_holds(self) -> int:
+        """Return the asks that wait or hold a slot."""
+        return len(self._holds)
+
+    def count_held(self, endpoint: str) -> int:
+        """Return the slots that are held at one endpoint."""
+        return sum(
+            hold.state is HoldState.HELD and hold.ask.endpoint == endpoint
+            for hold in self._holds.values()
+        )
+
+    async def close(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def count_waiting(self, address: str) -> int:
+        """Return the waiting asks that a keeper owes an answer."""
+        return sum(
+            hold.state is HoldState.WAITING and hold.address == address
+            for hold in self._holds.values()
+        )
+
+    def take(self, message: peer_pb2.KeeperMessage, *, address: str) -> None:
+        """Handle one message of a keeper."""
+        kind = message.WhichOneof("body")
+        if kind == "probe":
+            self.on_probe(decode_probe(message.probe))
+            return
+        if kind is None:
+            return
+        body = getattr(message, kind)
+        hold = self._holds.get(body.ask_id)
+        if hold is None or hold.address != address:
+            self._give_back_stray(kind, body, address)
+            return
+        self._apply(hold, decode_event(message, hold.ask))
+
+    def _apply(self, hold: SlotHold, event: object) -> None:
+        if isinstance(event, Granted) and hold.state is HoldState.WAITING:
+            hold.state = HoldState.HELD
+            hold.held_since = self.clock()
+            if not hold.granted.done():
+                hold.granted.set_result(None)
+        elif isinstance(event, Refused) and hold.state is HoldState.WAITING:
+            hold.state = HoldState.ENDED
+            self._holds.pop(hold.ask.ask_id, None)
+            if not hold.granted.done():
+                refused = AskRefused(code=event.code, retry_after_s=event.retry_after_s)
+                hold.granted.set_exception(refused)
+        elif isinstance(event, Paused) and hold.on_paused is not None:
+            hold.on_paused(event.reason)
+
+    def _give_back_stray(self, kind: str, body: peer_pb2.GrantMessage, address: str) -> None:
+        # Failure: a keeper that was frozen grants an ask that has moved on, and the slot leaks
+        # there until it expires. Giving it back unused is enough: nothing was sent under it.
+        if kind == "grant":
+            release = Release(ask_id=body.ask_id, endpoint=body.endpoint, used=False)
+            self._send(address, encode_release(release))
+
+    def _route(self, hold: SlotHold) -> None:
+        address = self._find_keeper(hold.ask.endpoint, self.list_unreachable())
+        if address is None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(NO_KEEPER_RETRY_S, self._route_again, hold)
+            return
+        if address == hold.address:
+            return
+        if hold.address and hold.state is HoldState.WAITING:
+            self._send_withdraw(hold, hold.address)
+        hold.addresses = [name for name in hold.addresses if name != address] + [address]
+        self._tell(hold)
+
+    def _route_again(self, hold: SlotHold) -> None:
+        if hold.state is not HoldState.ENDED:
+            self._route(hold)
+
+    def _tell(self, hold: SlotHold) -> None:
+        now = self.clock()
+        ask = encode_ask(hold.ask, now=now)
+        if hold.state is HoldState.WAITING:
+            self._send(hold.address, peer_pb2.EntryMessage(ask=ask))
+        elif hold.state is HoldState.HELD:
+            present = peer_pb2.PresentMessage(
+                ask=ask, held_s=now - hold.held_since, tokens=hold.tokens
+            )
+            self._send(hold.address, peer_pb2.EntryMessage(present=present))
+
+    def tell_all(self, address: str) -> None:
+        """Tell a keeper again of all asks that are its own; call when its link stands anew."""
+        for hold in self._holds.values():
+            if hold.address == address:
+                self._tell(hold)
+
+    def _abandon(self, hold: SlotHold) -> None:
+        if hold.state is HoldState.ENDED:
+            return
+        if hold.state is HoldState.HELD:
+            release = Release(ask_id=hold.ask.ask_id, endpoint=hold.ask.endpoint, used=False)
+            self.release(hold, release)
+            return
+        hold.state = HoldState.ENDED
+        self._holds.pop(hold.ask.ask_id, None)
+        if hold.address:
+            self._send_withdraw(hold, hold.address)
+
+    def _send_withdraw(self, hold: SlotHold, address: str) -> None:
+        withdraw = peer_pb2.WithdrawMessage(ask_id=hold.ask.ask_id, endpoint=hold.ask.endpoint)
+        self._send(address, peer_pb2.EntryMessage(withdraw=withdraw))
+
+    def _send(self, address: str, message: peer_pb2.EntryMessage) -> None:
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = SlotLink(address=address, links=self)
+        link.send(message)
+
+
+class SlotLink:
+    """The open stream to one keeper, opened again while it is wanted."""
+
+    __slots__ = ("_address", "_heard_at", "_links", "_outbox", "_task", "reachable")
+
+    def __init__(self, *, address: str, links: SlotLinks) -> None:
+        self._address = address
+        self._links = links
+        self._outbox: asyncio.Queue[peer_pb2.EntryMessage] = asyncio.Queue()
+        self._heard_at = 0.0
+        self.reachable = True
+        """False from the loss of the stream until the keeper has answered on a new one."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def send(self, message: peer_pb2.EntryMessage) -> None:
+        """Queue a message; dropped when the stream is lost, since asks are told again."""
+        if self.reachable:
+            self._outbox.put_nowait(message)
+
+    def close(self) -> None:
+        """Close the stream for good."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        pause = RECONNECT_S
+        while True:
+            try:
+                await self._serve()
+            except LinkErrors as error:
+                get_logger().info("slot stream to %s lost: %r", self._address, error)
+            if self.reachable:
+                pause = RECONNECT_S
+                self.reachable = False
+                self._outbox = asyncio.Queue()
+                self._links.reroute()
+            await asyncio.sleep(pause)
+            pause = min(RECONNECT_MAX_S, pause * 2)
+
+    async def _serve(self) -> None:
+        host, port = self._address.rsplit(":", 1)
+        channel = Channel(host, int(port))
+        try:
+            async with PeerStub(channel).Slots.open() as stream:
+                hello = peer_pb2.EntryMessage(hello=self._links.entry)
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    await stream.send_message(peer_pb2.EntryBatch(messages=[hello]))
+                    await stream.recv_message()
+                self._note_heard()
+                if not self.reachable:
+                    self.reachable = True
+                    self._links.reroute()
+                await self._exchange(stream)
+        finally:
+            channel.close()
+
+    async def _exchange(self, stream: object) -> None:
+        tasks = [
+            asyncio.ensure_future(self._send_batches(stream)),
+            asyncio.ensure_future(self._receive_batches(stream)),
+            asyncio.ensure_future(self._watch_silence()),
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _send_batches(self, stream: object) -> None:
+        while True:
+            messages = [await self._outbox.get()]
+            while not self._outbox.empty():
+                messages.append(self._outbox.get_nowait())
+            await stream.send_message(peer_pb2.EntryBatch(messages=messages))
+
+    async def _receive_batches(self, stream: object) -> None:
+        while (batch := await stream.recv_message()) is not None:
+            self._note_heard()
+            for message in batch.messages:
+                self._links.take(message, address=self._address)
+
+    async def _watch_silence(self) -> None:
+        # Failure: a frozen keeper keeps its connection, and the asks it owes an answer wait until
+        # their deadlines. Silence is judged only while asks wait there, and a healthy keeper
+        # speaks twice a second then.
+        silent_since = None
+        while True:
+            await asyncio.sleep(ANSWER_TIMEOUT_S / 4)
+            now = self._links.clock()
+            if not self._links.count_waiting(self._address):
+                silent_since = None
+                continue
+            silent_since = max(silent_since or now, self._heard_at)
+            if now - silent_since > ANSWER_TIMEOUT_S:
+                raise TimeoutError("the keeper owes an answer")
+
+    def _note_heard(self) -> None:
+        self._heard_at = self._links.clock()
--- /dev/null
+++ b/src/guavamast/standins/engine.py
@@ -0,0 +1,284 @@
+"""Stand-in of a model engine: batches, streams, resumes, cancels and fails on request.
+
+Its answer depends on the prompt and the model alone, so that a test can tell a whole, right answer
+from any other, whichever engine gave it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+import zlib
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any, Final
+
+from tornado.iostream import StreamClosedError
+from tornado.web import Application
+
+from guavamast.event_stream import DONE, encode_event, encode_json_event
+from guavamast.standins.listener import FaultHandler, Standin, StandinHandler
+
+MIN_TOKENS: Final = 8
+MAX_TOKENS: Final = 40
+WORDS: Final = ("grant", "van", "dossier", "note", "term", "ledger", "photo", "label")
+
+
+def make_answer(*, model: str, prompt: str, max_tokens: int) -> list[str]:
+    """Return the tokens of the one right answer to a prompt."""
+    seed = hashlib.sha256(f"{model}\x00{prompt}".encode()).digest()
+    length = MIN_TOKENS + seed[0] % (MAX_TOKENS - MIN_TOKENS)
+    mark = seed.hex()[:12]
+    words = [WORDS[seed[i % len(seed)] % len(WORDS)] for i in range(min(length, max_tokens))]
+    return [f"{word}-{mark}-{i} " for i, word in enumerate(words)]
+
+
+class RunState(StrEnum):
+    """How a run stands."""
+
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+    CUT = "cut"
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One request that the engine has taken."""
+
+    request_id: str
+    state: RunState = RunState.RUNNING
+    tokens: int = 0
+    """Tokens that this engine generated for it."""
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineState:
+    """All that the stand-in knows."""
+
+    token_interval_s: float
+    first_token_s: float
+    checks_fencing: bool
+    runs: list[Run] = field(default_factory=list)
+    by_id: dict[str, Run] = field(default_factory=dict)
+    fencing: int = 0
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    models: dict[str, str] = field(default_factory=dict)
+    stale_report: dict[str, Any] | None = None
+
+    def count_running(self) -> int:
+        """Return the requests that run now."""
+        return sum(run.state is RunState.RUNNING for run in self.by_id.values())
+
+    def make_report(self) -> dict[str, Any]:
+        """Return the load report of this moment."""
+        running = self.count_running()
+        return {"as_of": time.time(), "running": running, "kv_free": max(0.0, 1 - running / 64)}
+
+
+class EngineHandler(StandinHandler):
+    """Base of the handlers: knows the state and the crash fault."""
+
+    standin: EngineStandin
+
+    @property
+    def state(self) -> EngineState:
+        """The engine's state."""
+        return self.standin.state
+
+    def prepare(self) -> None:
+        """Cut the connection while the engine is crashed."""
+        if self.standin.is_faulty("crash"):
+            self.cut()
+
+
+class ChatHandler(EngineHandler):
+    """Streams an answer."""
+
+    async def post(self) -> None:
+        """Generate tokens until the end, a cancel, or a fault."""
+        body = self.read_json()
+        run = Run(request_id=self.request.headers.get("X-Request-Id", ""))
+        self.state.runs.append(run)
+        self.state.by_id[run.request_id] = run
+        try:
+            await self.generate(body, run)
+        except StreamClosedError:
+            run.state = RunState.CANCELLED
+        finally:
+            if run.state is RunState.RUNNING:
+                run.state = RunState.CUT
+            self.state.by_id.pop(run.request_id, None)
+
+    def on_connection_close(self) -> None:
+        """Cancel the run of a client that has gone."""
+        run = self.state.by_id.get(self.request.headers.get("X-Request-Id", ""))
+        if run is not None and run.state is RunState.RUNNING:
+            run.state = RunState.CANCELLED
+
+    async def generate(self, body: dict[str, Any], run: Run) -> None:
+        """Write the chunks of one run."""
+        prompt = "".join(message["content"] for message in body["messages"])
+        limit = body.get("max_tokens") or MAX_TOKENS
+        tokens = make_answer(model=body["model"], prompt=prompt, max_tokens=limit)
+        start = int(body.get("resume_from", 0))
+        crc = zlib.crc32("".join(tokens[:start]).encode())
+        self.set_header("Content-Type", "text/event-stream")
+        await asyncio.sleep(self.state.first_token_s * self.slowness())
+        for index in range(start, len(tokens)):
+            if await self.interrupt(run):
+                return
+            crc = zlib.crc32(tokens[index].encode(), crc)
+            last = index == len(tokens) - 1
+            self.write(encode_json_event(self.make_chunk(run, index, tokens[index], crc, last)))
+            run.tokens += 1
+            if self.state.token_interval_s or last:
+                await self.flush()
+                await asyncio.sleep(self.state.token_interval_s * self.slowness())
+        self.write(encode_event(DONE))
+        run.state = RunState.DONE
+        await self.finish()
+
+    async def interrupt(self, run: Run) -> bool:
+        """Return whether the run has ended early, by a cancel or a fault."""
+        if run.state is not RunState.RUNNING:
+            self.cut()
+            return True
+        spoilt = run.tokens >= self.standin.fault.after_tokens
+        if (spoilt and self.standin.is_faulty("cut")) or self.standin.is_faulty("crash"):
+            await self.flush()
+            run.state = RunState.CUT
+            self.cut()
+            return True
+        return False
+
+    def slowness(self) -> float:
+        """Return the factor of the straggle fault."""
+        return self.standin.fault.factor if self.standin.is_faulty("straggle") else 1.0
+
+    def make_chunk(self, run: Run, index: int, text: str, crc: int, last: bool) -> dict[str, Any]:
+        """Return one chunk, made wrong when a fault says so."""
+        wrong = run.tokens >= self.standin.fault.after_tokens
+        request_id = run.request_id
+        if wrong and self.standin.is_faulty("cross"):
+            request_id = next((i for i in self.state.by_id if i != request_id), "another-request")
+        if wrong and self.standin.is_faulty("garble"):
+            text = text[::-1]
+        if wrong and self.standin.is_faulty("repeat"):
+            index = max(0, index - 1)
+        return {
+            "id": request_id,
+            "object": "chat.completion.chunk",
+            "index": index,
+            "crc32": crc,
+            "choices": [
+                {
+                    "index": 0,
+                    "delta": {"content": text},
+                    "finish_reason": "stop" if last else None,
+                }
+            ],
+        }
+
+
+class CancelHandler(EngineHandler):
+    """Cancels a run."""
+
+    def delete(self, request_id: str) -> None:
+        """Stop a run; unknown ids are taken as already ended."""
+        run = self.state.by_id.get(request_id)
+        if run is not None:
+            run.state = RunState.CANCELLED
+        self.write({"cancelled": run is not None})
+
+
+class LoadHandler(EngineHandler):
+    """Reports the load."""
+
+    def get(self) -> None:
+        """Answer with a report, an old one under ``stale_load``."""
+        state = self.state
+        if self.standin.is_faulty("stale_load"):
+            state.stale_report = state.stale_report or state.make_report()
+            self.write(state.stale_report)
+            return
+        state.stale_report = None
+        self.write(state.make_report())
+
+
+class OrderHandler(EngineHandler):
+    """Takes orders to load models."""
+
+    def get(self) -> None:
+        """Answer with the models in force and the orders taken."""
+        self.write({"models": self.state.models, "orders": self.state.orders})
+
+    def post(self) -> None:
+        """Take an order, unless it carries an old fencing number and the engine checks it."""
+        order = self.read_json()
+        fencing = int(order.get("fencing", 0))
+        if self.state.checks_fencing and fencing < self.state.fencing:
+            self.set_status(409)
+            self.write({"error": {"code": "old_fencing", "message": str(self.state.fencing)}})
+            return
+        self.state.fencing = max(self.state.fencing, fencing)
+        self.state.orders.append(order)
+        if "model" in order:
+            self.state.models[order["model"]] = str(order.get("version", ""))
+        self.write({"taken": True})
+
+
+class RunsHandler(EngineHandler):
+    """Lists the runs."""
+
+    def get(self) -> None:
+        """Answer with all runs since the start."""
+        runs = [
+            {"request_id": run.request_id, "state": run.state, "tokens": run.tokens}
+            for run in self.state.runs
+        ]
+        self.write({"runs": runs})
+
+
+class EngineStandin(Standin):
+    """An engine on loopback.
+
+    Faults: ``crash`` cuts all connections; ``straggle`` slows it by ``factor``; ``cut``, ``cross``,
+    ``garble`` and ``repeat`` spoil streams after ``after_tokens``; ``stale_load`` freezes the load
+    report.
+
+    Args:
+        token_interval_s: Time between tokens; 0 writes a whole answer at once.
+        first_token_s: Time before the first token.
+        checks_fencing: Whether orders with an old fencing number are refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        token_interval_s: float = 0.002,
+        first_token_s: float = 0.005,
+        checks_fencing: bool = True,
+    ) -> None:
+        super().__init__()
+        self.state = EngineState(
+            token_interval_s=token_interval_s,
+            first_token_s=first_token_s,
+            checks_fencing=checks_fencing,
+        )
+
+    def make_application(self) -> Application:
+        """Return the handlers."""
+        arguments = {"standin": self}
+        return Application(
+            [
+                ("/v1/chat/completions", ChatHandler, arguments),
+                ("/v1/requests/(.+)", CancelHandler, arguments),
+                ("/load", LoadHandler, arguments),
+                ("/orders", OrderHandler, arguments),
+                ("/runs", RunsHandler, arguments),
+                ("/fault", FaultHandler, arguments),
+            ],
+            log_function=lambda _: None,
+        )
--- a/src/guavamast/standins/faults.py
+++ b/src/guavamast/standins/faults.py
@@ -21,6 +21,10 @@
     """``crash`` cuts the connection after the run in place of before."""
     per_s: float = 0.0
     """Requests a second that ``rate_limit`` still lets through."""
+    factor: float = 1.0
+    """How much slower ``straggle`` makes an engine."""
+    after_tokens: int = 0
+    """Tokens of a run that an engine still gets right."""
 
     def is_active(self, kind: str, *, now: float) -> bool:
         """Return whether this is a fault of that kind that has not ended."""
@@ -42,4 +46,6 @@
         cut=bool(body.get("cut", False)),
         ran=bool(body.get("ran", False)),
         per_s=float(body.get("per_s", 0.0)),
+        factor=float(body.get("factor", 1.0)),
+        after_tokens=int(body.get("after_tokens", 0)),
     )
--- a/src/guavamast/world.py
+++ b/src/guavamast/world.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from types import MappingProxyType
 from typing import TYPE_CHECKING
@@ -33,6 +33,14 @@
     peer_address: str
     """``ip:port`` of the dispatcher's gRPC listener."""
 
+    def with_peer_address(self, address: str) -> Instance:
+        """Return the instance with its dispatcher's address as bound."""
+        return replace(self, peer_address=address)
+
+    def with_caller_address(self, address: str) -> Instance:
+        """Return the instance with its entry's address as bound."""
+        return replace(self, caller_address=address)
+
 
 class EndpointKind(StrEnum):
     """What an endpoint runs."""
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,125 @@
+"""Tests of the checks on engines' streams."""
+
+from __future__ import annotations
+
+import json
+import unittest
+import zlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.answers import AnswerChecker, AnswerInvalid
+from guavamast.event_stream import DONE, Event, EventDecoder, encode_event
+
+
+def make_chunks(request_id: str, texts: list[str], start: int = 0) -> list[Event]:
+    """Return the events of a right answer from an index on."""
+    events = []
+    for index in range(start, len(texts)):
+        chunk = {
+            "id": request_id,
+            "index": index,
+            "crc32": zlib.crc32("".join(texts[: index + 1]).encode()),
+            "choices": [
+                {
+                    "delta": {"content": texts[index]},
+                    "finish_reason": "stop" if index == len(texts) - 1 else None,
+                }
+            ],
+        }
+        events.append(Event(data=json.dumps(chunk)))
+    return [*events, Event(data=DONE)]
+
+
+def read_text(checker: AnswerChecker, events: list[Event]) -> str:
+    """Return the text that a checker lets through."""
+    pieces = [checker.check(event) for event in events]
+    return "".join(piece.text for piece in pieces if piece is not None)
+
+
+TEXTS = st.lists(st.text(min_size=1, max_size=8), min_size=1, max_size=12)
+
+
+class AnswerCheckerTest(unittest.TestCase):
+    """Whatever an engine does to its stream, only a right start of the answer gets through."""
+
+    @given(texts=TEXTS, cut=st.integers(0, 12))
+    def test_right_answer_resumed_anywhere(self, texts: list[str], cut: int) -> None:
+        cut = min(cut, len(texts) - 1)
+        first = AnswerChecker(request_id="a")
+        text = read_text(first, make_chunks("a", texts)[:cut])
+        second = AnswerChecker(request_id="b", next_index=cut, text_crc=first.text_crc)
+        text += read_text(second, make_chunks("b", texts, start=cut))
+        self.assertEqual(text, "".join(texts))
+        self.assertTrue(second.whole)
+        self.assertFalse(first.whole)
+
+    @given(
+        texts=TEXTS,
+        other=TEXTS,
+        edits=st.lists(
+            st.tuples(st.sampled_from(["drop", "repeat", "swap", "cross"]), st.integers(0, 12))
+        ),
+    )
+    def test_spoilt_stream_never_gives_wrong_text(
+        self, texts: list[str], other: list[str], edits: list[tuple[str, int]]
+    ) -> None:
+        events = make_chunks("a", texts)
+        strangers = make_chunks("b", other)
+        for kind, place in edits:
+            spoil(events, strangers, kind, place % max(1, len(events)))
+        checker = AnswerChecker(request_id="a")
+        passed = ""
+        try:
+            for event in events:
+                piece = checker.check(event)
+                passed += piece.text if piece else ""
+        except AnswerInvalid:
+            pass
+        self.assertTrue("".join(texts).startswith(passed))
+        if checker.whole:
+            self.assertEqual(passed, "".join(texts))
+
+    @given(data=st.text())
+    def test_garbage_raises_only_answer_invalid(self, data: str) -> None:
+        checker = AnswerChecker(request_id="a")
+        if data != DONE:
+            with self.assertRaises(AnswerInvalid):
+                checker.check(Event(data=data))
+
+    def test_garbled_text_fails_its_checksum(self) -> None:
+        events = make_chunks("a", ["one ", "two "])
+        body = json.loads(events[1].data)
+        body["choices"][0]["delta"]["content"] = "own "
+        checker = AnswerChecker(request_id="a")
+        checker.check(events[0])
+        with self.assertRaises(AnswerInvalid):
+            checker.check(Event(data=json.dumps(body)))
+
+
+def spoil(events: list[Event], strangers: list[Event], kind: str, place: int) -> None:
+    """Change one event of a stream."""
+    if not events:
+        return
+    if kind == "drop":
+        del events[place]
+    elif kind == "repeat":
+        events.insert(place, events[place])
+    elif kind == "swap":
+        events[place], events[-1] = events[-1], events[place]
+    else:
+        events[place] = strangers[place % len(strangers)]
+
+
+class EventDecoderTest(unittest.TestCase):
+    """Events come out whole, however the bytes are cut."""
+
+    @given(datas=st.lists(st.text(alphabet='abé{}"', min_size=1)), size=st.integers(1, 20))
+    def test_any_cut_gives_the_same_events(self, datas: list[str], size: int) -> None:
+        stream = b"".join(encode_event(data) for data in datas)
+        decoder = EventDecoder()
+        events = []
+        for place in range(0, len(stream), size):
+            events += decoder.feed(stream[place : place + size])
+        self.assertEqual([event.data for event in events], datas)
--- /dev/null
+++ b/tests/test_chats.py
@@ -0,0 +1,191 @@
+"""Tests of chats over a whole fleet in one process, with real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from guavamast.demo import confirm_text
+from guavamast.local_fleet import OPERATOR_TOKEN, LocalFleet
+from guavamast.standins.engine import EngineStandin, RunState
+from guavamast.standins.faults import Fault
+from tests._callers import Caller, expect_answer, read_error
+from tests._waits import wait_until
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Base: a fleet with a confirmed configuration."""
+
+    instances = 1
+    engines = 2
+    slots = 16
+    token_interval_s = 0.001
+
+    async def asyncSetUp(self) -> None:
+        # The test case switches the loop's debug mode on, which makes it several times slower.
+        asyncio.get_running_loop().set_debug(False)
+        self.fleet = LocalFleet(
+            instances=self.instances,
+            engines=self.engines,
+            slots=self.slots,
+            token_interval_s=self.token_interval_s,
+        )
+        await self.fleet.start()
+        self.addAsyncCleanup(self.fleet.close)
+        version = await confirm_text(self.fleet.url, self.fleet.make_text())
+        await self.fleet.wait_for_version(version)
+        self.caller = Caller(url=self.fleet.url)
+
+    def list_runs(self) -> list:
+        return [run for engine in self.fleet.engines for run in engine.state.runs]
+
+    def count_in_flight(self) -> int:
+        return sum(entry.links.count_holds() for entry in self.fleet.entries)
+
+
+class ChatTest(FleetTest):
+    """Chats on healthy engines."""
+
+    async def test_plain_and_streamed(self) -> None:
+        streamed = await self.caller.stream("a prompt")
+        self.assertEqual(streamed.text, expect_answer("a prompt"))
+        self.assertTrue(streamed.ended)
+        plain = await self.caller.chat("another", **{"X-Request-Id": "mine"})
+        self.assertEqual(plain.headers["X-Request-Id"], "mine")
+        message = json.loads(plain.body)["choices"][0]["message"]
+        self.assertEqual(message["content"], expect_answer("another"))
+
+    async def test_many_concurrent_streams_get_their_own_answers(self) -> None:
+        prompts = [f"prompt number {number}" for number in range(200)]
+        answers = await asyncio.gather(*(self.caller.stream(prompt) for prompt in prompts))
+        for prompt, answer in zip(prompts, answers, strict=True):
+            self.assertEqual(answer.text, expect_answer(prompt))
+            self.assertTrue(answer.ended)
+        self.assertEqual(self.count_in_flight(), 0)
+
+    async def test_bad_input_is_refused_with_a_code(self) -> None:
+        path = "/v1/chat/completions"
+        bodies = {
+            b"{": "bad_request",
+            b"[]": "bad_request",
+            b'{"model": "none", "messages": [{"role": "u", "content": ""}]}': "unknown_model",
+        }
+        for body, code in bodies.items():
+            response = await self.caller.fetch(path, body=body)
+            self.assertEqual(read_error(response)["code"], code)
+            self.assertEqual(read_error(response)["outcome"], "not_run")
+        response = await self.caller.fetch(path, body=b"x" * 1_048_577)
+        self.assertEqual((response.code, read_error(response)["code"]), (413, "body_too_large"))
+        response = await Caller(url=self.fleet.url, key="wrong").chat("x")
+        self.assertEqual((response.code, read_error(response)["code"]), (401, "unauthenticated"))
+        response = await self.caller.chat("x", **{"X-Request-Kind": "unheard"})
+        self.assertEqual(read_error(response)["code"], "unknown_class")
+        response = await self.caller.fetch("/nowhere")
+        self.assertEqual((response.code, read_error(response)["code"]), (404, "not_found"))
+        self.assertEqual(self.list_runs(), [])
+        self.assertEqual((await self.caller.chat("x")).code, 200)
+
+    async def test_unknown_paths_and_methods(self) -> None:
+        response = await self.caller.fetch("/v1/chat/completions", method="GET")
+        self.assertEqual(response.code, 405)
+        for path in ("/healthz", "/readyz", "/v1/models", "/v1/addresses"):
+            response = await self.caller.fetch(path, method="GET")
+            self.assertEqual(response.code, 200, path)
+
+    async def test_endpoint_that_leaves_gets_no_new_work(self) -> None:
+        # The caller sees whole answers all along. An engine is set to leave while chats run on it;
+        # these finish, and the entry's check before the send keeps all later ones away from it.
+        running = [asyncio.ensure_future(self.caller.stream(f"r{i}")) for i in range(20)]
+        await wait_until(lambda: len(self.fleet.engines[0].state.runs) > 0)
+        text = self.fleet.make_text(leaving=frozenset({"engine-0"}))
+        version = await confirm_text(self.fleet.url, text)
+        await self.fleet.wait_for_version(version)
+        before = len(self.fleet.engines[0].state.runs)
+        for number, answer in enumerate(await asyncio.gather(*running)):
+            self.assertEqual(answer.text, expect_answer(f"r{number}"))
+        later = await asyncio.gather(*(self.caller.stream(f"l{i}") for i in range(20)))
+        self.assertTrue(all(answer.ended for answer in later))
+        self.assertEqual(len(self.fleet.engines[0].state.runs), before)
+
+    async def test_callers_key_is_no_operators(self) -> None:
+        response = await self.caller.fetch("/v1/plans", body=self.fleet.make_text().encode())
+        self.assertEqual(response.code, 403)
+        response = await Caller(url=self.fleet.url, key="").fetch("/v1/plans", body=b"")
+        self.assertEqual(response.code, 401)
+        response = await Caller(url=self.fleet.url, key=OPERATOR_TOKEN).fetch(
+            "/v1/status", method="GET"
+        )
+        self.assertEqual(response.code, 200)
+
+
+class EngineFailureTest(FleetTest):
+    """One of two engines fails in each way there is."""
+
+    token_interval_s = 0.003
+
+    async def check_spoilt(self, kind: str) -> None:
+        """Check that every caller gets the whole, right answer or an explicit error."""
+        for engine in self.fleet.engines[:1]:
+            engine.fault = Fault(kind=kind, after_tokens=3)
+        prompts = [f"{kind} {number}" for number in range(12)]
+        answers = await asyncio.gather(*(self.caller.stream(prompt) for prompt in prompts))
+        for prompt, answer in zip(prompts, answers, strict=True):
+            expected = expect_answer(prompt)
+            self.assertTrue(expected.startswith(answer.text), prompt)
+            self.assertEqual(answer.ended, answer.text == expected and answer.error is None)
+            if not answer.ended:
+                self.assertIsNotNone(answer.error)
+        self.assertGreater(sum(answer.ended for answer in answers), 0)
+        self.assertEqual(self.count_in_flight(), 0)
+
+    async def test_cut_stream_is_resumed_or_ended_with_an_error(self) -> None:
+        # The engine closes its stream after three tokens. The entry resumes from these on the other
+        # engine within its retry budget; else the caller sees an error event and no end mark.
+        await self.check_spoilt("cut")
+
+    async def test_crossed_answer_is_never_passed_on(self) -> None:
+        # After three tokens the engine sends chunks of another request. The id on the chunk is not
+        # this send's, so nothing of it reaches the caller.
+        await self.check_spoilt("cross")
+
+    async def test_garbled_answer_is_never_passed_on(self) -> None:
+        # After three tokens the text is wrong. The chunk's checksum over all text up to it fails.
+        await self.check_spoilt("garble")
+
+    async def test_repeated_chunk_is_never_passed_on(self) -> None:
+        # After three tokens a chunk comes twice. Its index is not the next one.
+        await self.check_spoilt("repeat")
+
+    async def test_crashed_engine_is_left_for_the_other(self) -> None:
+        # The engine refuses everything. The caller sees a whole answer from the other one.
+        self.fleet.engines[0].fault = Fault(kind="crash")
+        for number in range(6):
+            answer = await self.caller.stream(f"c{number}")
+            self.assertEqual(answer.text, expect_answer(f"c{number}"))
+
+
+class CallerGoneTest(FleetTest):
+    """Callers that go away."""
+
+    engines = 1
+    slots = 1
+    token_interval_s = 0.05
+
+    async def test_work_is_cancelled_and_its_slot_released(self) -> None:
+        # A caller closes its connection in mid-answer. The engine's run is cancelled and the only
+        # slot is free again, so that the next caller is served at once.
+        engine: EngineStandin = self.fleet.engines[0]
+        host, port = self.fleet.entries[0].address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = json.dumps(
+            {"model": "small", "stream": True, "messages": [{"role": "user", "content": "x"}]}
+        )
+        head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+        key = f"Authorization: Bearer {self.caller.key}\r\n\r\n"
+        writer.write((head + key + body).encode())
+        await reader.readuntil(b"data:")
+        writer.close()
+        await wait_until(lambda: engine.state.runs[0].state is RunState.CANCELLED)
+        await wait_until(lambda: self.count_in_flight() == 0)
+        self.assertEqual((await self.caller.stream("next")).text, expect_answer("next"))
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,90 @@
+"""The whole path over separate processes with real sockets, and under kills and freezes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+
+from guavamast.demo import confirm_text
+from tests._callers import Caller, expect_answer
+from tests._processes import ProcessFleet
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Two instances, the platform, two engines and a service, each in a process of its own."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        self.fleet = ProcessFleet()
+        self.addCleanup(self.fleet.close)
+        await self.fleet.start()
+        self.callers = [Caller(url=url) for url in self.fleet.urls]
+
+    async def test_served_end_to_end(self) -> None:
+        for number, caller in enumerate(self.callers):
+            streamed = await caller.stream(f"stream {number}")
+            self.assertEqual(streamed.text, expect_answer(f"stream {number}"))
+            self.assertTrue(streamed.ended)
+            plain = json.loads((await caller.chat(f"plain {number}")).body)
+            text = plain["choices"][0]["message"]["content"]
+            self.assertEqual(text, expect_answer(f"plain {number}"))
+            lookup = await caller.call("lookup", body=b'{"lot": 3}')
+            self.assertEqual(json.loads(lookup.body)["echo"], {"lot": 3})
+        first = await self.callers[0].call("approve", key="claim-1")
+        again = await self.callers[1].call("approve", key="claim-1")
+        self.assertEqual((first.code, first.body), (again.code, again.body))
+        self.assertEqual((await self.fleet.read_runs())["claim-1"], 1)
+        response = await self.callers[1].fetch("/v1/addresses", method="GET")
+        names = {item["instance"] for item in json.loads(response.body)["addresses"]}
+        self.assertEqual(names, {"instance-0", "instance-1"})
+
+    async def test_killed_dispatchers_cut_no_answer(self) -> None:
+        # Callers see whole answers all along. One dispatcher dies, then the other is restarted: the
+        # entries move their asks and slots to whichever dispatcher lives.
+        running = [asyncio.ensure_future(self.callers[i % 2].stream(f"k{i}")) for i in range(60)]
+        await asyncio.sleep(0.05)
+        self.fleet.dispatchers[0].kill()
+        later = [asyncio.ensure_future(self.callers[i % 2].stream(f"k{i}")) for i in range(60, 90)]
+        for number, answer in enumerate(await asyncio.gather(*running, *later)):
+            self.assertEqual(answer.text, expect_answer(f"k{number}"), answer.error)
+            self.assertTrue(answer.ended)
+        self.fleet.dispatchers[0].close()
+        self.fleet.dispatchers[0] = self.fleet.start_daemon("dispatcher", 0)
+        self.fleet.dispatchers[1].kill()
+        for number in range(6):
+            answer = await self.callers[number % 2].stream(f"after {number}")
+            self.assertEqual(answer.text, expect_answer(f"after {number}"), answer.error)
+
+    async def test_graceful_leave_cuts_no_request(self) -> None:
+        # An instance is told to leave with chats in flight. All of them end whole; the process
+        # exits by itself; callers that ask for addresses hear of the other instance only.
+        running = [asyncio.ensure_future(self.callers[0].stream(f"g{i}")) for i in range(40)]
+        await asyncio.sleep(0.05)
+        self.fleet.entries[0].terminate()
+        self.fleet.dispatchers[0].terminate()
+        for number, answer in enumerate(await asyncio.gather(*running)):
+            self.assertEqual(answer.text, expect_answer(f"g{number}"), answer.error)
+        for process in (self.fleet.entries[0], self.fleet.dispatchers[0]):
+            code = await asyncio.to_thread(process.popen.wait, 20)
+            self.assertEqual(code, 0)
+        response = await self.callers[1].fetch("/v1/addresses", method="GET")
+        names = {item["instance"] for item in json.loads(response.body)["addresses"]}
+        self.assertEqual(names, {"instance-1"})
+
+    async def test_configuration_spreads_and_survives_the_platform(self) -> None:
+        # An operator confirms at one instance; all have it in force. With the platform down, chats
+        # and idempotent calls go on; a non-idempotent call is refused at once as not run.
+        version = await confirm_text(
+            self.fleet.urls[0], self.fleet.make_text(leaving=frozenset({"engine-0"}))
+        )
+        await self.fleet.wait_for_version(version, range(2))
+        await self.fleet.fault(self.fleet.platform_url, kind="down")
+        for caller in self.callers:
+            self.assertTrue((await caller.stream("outage")).ended)
+            self.assertEqual((await caller.call("lookup")).code, 200)
+            refused = await caller.call("approve", key="outage-1")
+            error = json.loads(refused.body)["error"]
+            self.assertEqual((refused.code, error["outcome"]), (503, "not_run"))
+            self.assertIn("Retry-After", refused.headers)
+        self.assertNotIn("outage-1", await self.fleet.read_runs())
