--- /dev/null
+++ b/src/guavamast/membership.py
@@ -0,0 +1,414 @@
+"""Who belongs to the fleet, as one instance sees it.
+
+Each instance judges only its neighbours on the overlay by the age of their heartbeats and spreads
+what it finds, so that the cost per instance does not grow with the fleet. Records of one instance
+are combined by `join`, so the order and number of messages do not matter.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Final
+
+from guavamast.member_records import ChangeLog, MemberRecord, join
+from guavamast.members import Member, MembershipView, MemberState
+from guavamast.overlay import Overlay
+from guavamast.rendezvous import compute_weight
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from guavamast.world import Instance
+
+LARGEST_PATIENCE: Final = 16.0
+"""Factor at which the growth of a neighbour's allowed silence stops."""
+PATIENCE_DECAY: Final = 0.98
+"""Factor by which it shrinks with each heartbeat in time; halves it in about 35."""
+LOAD_STEP: Final = 0.2
+"""Smallest relative change of the load that is published; less does not change a choice."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MembershipTiming:
+    """Times of the failure detector; ``docs/design/membership.md`` has their measurement."""
+
+    period_s: float = 1.0
+    """Time between two heartbeats."""
+    suspect_after_s: float = 3.0
+    """Silence after which a neighbour is suspected."""
+    gone_after_s: float = 3.0
+    """Time that a suspected instance has to refute."""
+    forget_after_s: float = 7200.0
+    """Time after which a gone instance is forgotten; longer than regions lose each other for."""
+    load_period_s: float = 5.0
+    """Shortest time between two loads that an instance publishes, in a small fleet."""
+    loads_per_second: float = 6.0
+    """Loads that all instances together publish at most.
+
+    Each goes over every link, so this bounds the cost whatever the size of the fleet. It stays
+    below `heartbeat_exchange.DETAILS_PER_MESSAGE` a period, or a backlog would grow.
+    """
+
+
+class Membership:
+    """The members of the fleet and the failure detector of one instance.
+
+    `HeartbeatLinks` calls `tick` once a period, `merge` for what arrives and `report_lost`, and
+    sends changes to `list_neighbours`. The dispatcher calls `add_seeds` at the start,
+    `replace_listed` after each read of the platform's list, `set_load`, `leave`, `end` and
+    `make_view`.
+
+    Args:
+        me: This instance.
+        incarnation: Milliseconds since the epoch at the process's start, so that a restart
+            overrides its predecessor.
+        now: The present time of a monotonic clock.
+        timing: Times of the failure detector.
+    """
+
+    __slots__ = (
+        "_details",
+        "_load",
+        "_load_published_at",
+        "_listed",
+        "_me",
+        "_neighbours",
+        "_news",
+        "_overlay",
+        "_overlay_stale",
+        "_records",
+        "_seeds",
+        "_sequence",
+        "_ticked_at",
+        "_timing",
+        "_watched",
+        "left_at",
+        "news_sequence",
+    )
+
+    def __init__(
+        self,
+        *,
+        me: Instance,
+        incarnation: int,
+        now: float,
+        timing: MembershipTiming | None = None,
+    ) -> None:
+        self._me = Member(
+            instance=me,
+            incarnation=incarnation,
+            state=MemberState.LIVE,
+            heartbeat=0,
+            configuration_version=0,
+        )
+        self._timing = timing or MembershipTiming()
+        self._records: dict[str, MemberRecord] = {}
+        self._news = ChangeLog()
+        self._details = ChangeLog()
+        self._seeds: tuple[str, ...] = ()
+        self._listed: tuple[str, ...] = ()
+        self._overlay = Overlay()
+        self._overlay_stale = True
+        self._neighbours: frozenset[str] = frozenset()
+        self._watched: set[str] = set()
+        """Suspected and gone instances."""
+        self._sequence = 1
+        self._ticked_at = now
+        self._load = 0.0
+        self._load_published_at = now
+        self.left_at: float | None = None
+        """When this instance began to leave."""
+        self.news_sequence = 0
+        """The value of `sequence` at the last change of any incarnation or state."""
+
+    @property
+    def me(self) -> Member:
+        """The own record of this instance."""
+        return self._me
+
+    @property
+    def timing(self) -> MembershipTiming:
+        """The times of the failure detector."""
+        return self._timing
+
+    @property
+    def sequence(self) -> int:
+        """A number that grows with each change of any record."""
+        return self._sequence
+
+    def merge(self, members: Iterable[Member], *, now: float) -> None:
+        """Take in records from another instance.
+
+        Args:
+            members: The records; those of this instance itself are refuted where they are wrong.
+            now: The present time.
+        """
+        for member in members:
+            if member.instance.name == self._me.instance.name:
+                self._refute(member)
+            else:
+                self._merge_one(member, now)
+
+    def tick(self, *, now: float) -> None:
+        """Raise the own heartbeat and judge the neighbours by the age of theirs."""
+        self._allow_for_pause(now)
+        self._ticked_at = now
+        self._publish(now)
+        self._update_overlay(now)
+        for name in self._neighbours | self._watched:
+            self._judge(name, self._records[name], now)
+
+    def leave(self, *, now: float) -> None:
+        """Tell others that this instance takes no new work; it stays in the overlay."""
+        if self._me.state == MemberState.LIVE:
+            self.left_at = now
+            self._set_own_state(MemberState.LEAVING)
+
+    def end(self) -> None:
+        """Tell others that this instance is gone, right before its process exits."""
+        self._set_own_state(MemberState.GONE)
+
+    def report_lost(self, name: str, *, now: float) -> None:
+        """Suspect a neighbour at once whose address refuses connections.
+
+        Args:
+            name: Its name.
+            now: The present time.
+        """
+        record = self._records.get(name)
+        if record is None or record.member.state == MemberState.GONE:
+            return
+        if record.member.state == MemberState.LIVE:
+            self._set_state(record, MemberState.SUSPECT, now)
+        record.heard_at = min(record.heard_at, now - self._timing.suspect_after_s)
+
+    def set_configuration_version(self, version: int) -> None:
+        """Set the version of the configuration that is in force here."""
+        self._me = replace(self._me, configuration_version=version)
+
+    def set_load(self, load: float) -> None:
+        """Set the requests in flight at this instance's entry; a later `tick` publishes it."""
+        self._load = load
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Add the settings' peer addresses, to be contacted for as long as this process runs."""
+        self._seeds = tuple(dict.fromkeys([*self._seeds, *addresses]))
+
+    def replace_listed(self, addresses: Iterable[str]) -> None:
+        """Set the peer addresses of the platform's list, which lags and drops what has left."""
+        self._listed = tuple(addresses)
+
+    def make_view(self, *, now: float) -> MembershipView:
+        """Return the members that are not gone, ordered by name.
+
+        Args:
+            now: The present time.
+
+        Returns:
+            A snapshot with this instance in it.
+        """
+        del now
+        members = [record.member for record in self._records.values()]
+        kept = [member for member in members if member.state != MemberState.GONE]
+        return MembershipView(
+            members=tuple(sorted([*kept, self._me], key=lambda member: member.instance.name))
+        )
+
+    def find(self, name: str) -> Member | None:
+        """Return the record of an instance, also of one that is gone."""
+        if name == self._me.instance.name:
+            return self._me
+        record = self._records.get(name)
+        return record.member if record else None
+
+    def list_neighbours(self) -> tuple[Member, ...]:
+        """Return the members to exchange heartbeats with, as of the last `tick` or `merge`."""
+        self._update_overlay(self._ticked_at)
+        return tuple(self._records[name].member for name in sorted(self._neighbours))
+
+    def list_contacts(self) -> tuple[str, ...]:
+        """Return the peer addresses of seeds and gone instances, to be tried now and then.
+
+        Failure: two halves that lost each other hold each other as gone and would stay apart for
+        ever. One connection between them is enough, since both then exchange all records.
+        """
+        known = {r.member.instance.peer_address: r.member.state for r in self._records.values()}
+        known[self._me.instance.peer_address] = self._me.state
+        gone = [address for address, state in known.items() if state == MemberState.GONE]
+        unknown = [address for address in (*self._seeds, *self._listed) if address not in known]
+        return tuple(dict.fromkeys([*unknown, *gone]))
+
+    def list_news(self, *, after: int) -> list[Member]:
+        """Return the records whose incarnation or state changed, oldest change first.
+
+        Args:
+            after: The value of `sequence` up to which the receiver has been told.
+        """
+        return [self._records[name].member for _, name in self._news.list_after(after)]
+
+    def list_details(self, *, after: int) -> list[tuple[int, Member]]:
+        """Return the records whose load or configuration version changed, oldest change first.
+
+        Args:
+            after: The sequence number up to which the receiver has been told.
+
+        Returns:
+            Each record with the sequence number of its change.
+        """
+        changed = self._details.list_after(after)
+        return [(number, self._records[name].member) for number, name in changed]
+
+    def list_all(self) -> list[Member]:
+        """Return all records that may be told to a new neighbour, the own one included.
+
+        Failure: an instance that has forgotten a gone one hears of it again from one that has not
+        yet, passes it on, and the record never dies. Only those that saw it leave pass it on.
+        """
+        told = [record.member for record in self._records.values() if not record.inherited]
+        return [self._me, *told]
+
+    def compute_digest(self) -> int:
+        """Return a 64-bit sum over the members, equal where two instances agree on them."""
+        total = 0
+        for member in (self._me, *(record.member for record in self._records.values())):
+            if member.state != MemberState.GONE:
+                key = f"{member.incarnation} {member.state}"
+                total ^= compute_weight(key, member.instance.name)
+        return total
+
+    def _refute(self, heard: Member) -> None:
+        outdated = heard.incarnation < self._me.incarnation
+        agrees = heard.incarnation == self._me.incarnation and heard.state <= self._me.state
+        if outdated or agrees:
+            return
+        self._me = replace(self._me, incarnation=heard.incarnation + 1)
+        self._count_news()
+
+    def _merge_one(self, heard: Member, now: float) -> None:
+        name = heard.instance.name
+        record = self._records.get(name)
+        if record is None:
+            self._add_record(heard, now)
+            return
+        known = record.member
+        record.member = joined = join(known, heard)
+        if (joined.incarnation, joined.heartbeat) > (known.incarnation, known.heartbeat):
+            record.heard_at = now
+        if (joined.incarnation, joined.state) != (known.incarnation, known.state):
+            if record.inherited and joined.state == MemberState.GONE:
+                return
+            self._note_news(record, known, now)
+        if (joined.load, joined.configuration_version) != (known.load, known.configuration_version):
+            self._sequence += 1
+            self._details.note(name, self._sequence)
+
+    def _add_record(self, heard: Member, now: float) -> None:
+        gone = heard.state == MemberState.GONE
+        record = MemberRecord(member=heard, heard_at=now, changed_at=now, inherited=gone)
+        self._records[heard.instance.name] = record
+        self._watch(record)
+        if not gone:
+            self._news.note(heard.instance.name, self._count_news())
+            self._overlay_stale = True
+
+    def _watch(self, record: MemberRecord) -> None:
+        name = record.member.instance.name
+        if record.member.state in (MemberState.SUSPECT, MemberState.GONE):
+            self._watched.add(name)
+        else:
+            self._watched.discard(name)
+
+    def _count_news(self) -> int:
+        self._sequence += 1
+        self.news_sequence = self._sequence
+        return self._sequence
+
+    def _note_news(self, record: MemberRecord, known: Member, now: float) -> None:
+        refuted = known.state == MemberState.SUSPECT and record.member.state == MemberState.LIVE
+        if refuted and record.member.incarnation == known.incarnation + 1:
+            # Failure: the one link between two live instances is cut. One suspects the other, is
+            # refuted by way of the rest, and suspects again with each round. Doubling the allowed
+            # silence bounds the noise; a restart (another incarnation) starts afresh.
+            record.patience = min(record.patience * 2.0, LARGEST_PATIENCE)
+        record.changed_at = now
+        record.inherited = False
+        self._watch(record)
+        self._news.note(known.instance.name, self._count_news())
+        self._overlay_stale = True
+
+    def _set_state(self, record: MemberRecord, state: MemberState, now: float) -> None:
+        known = record.member
+        record.member = replace(known, state=state)
+        self._note_news(record, known, now)
+
+    def _set_own_state(self, state: MemberState) -> None:
+        if state > self._me.state:
+            self._me = replace(self._me, state=state)
+            self._count_news()
+
+    def _allow_for_pause(self, now: float) -> None:
+        """Add the time in which this process did not run to what others are allowed.
+
+        Failure: a process that was stopped for a minute wakes, finds all neighbours silent for a
+        minute and declares them gone before it has read what they sent. Moving the times by the
+        gap leaves them their full allowance from now on.
+        """
+        gap = now - self._ticked_at - self._timing.period_s
+        if gap <= self._timing.period_s:
+            return
+        for record in self._records.values():
+            record.heard_at += gap
+            if record.member.state == MemberState.SUSPECT:
+                record.changed_at += gap
+
+    def _publish(self, now: float) -> None:
+        load = self._me.load
+        timing = self._timing
+        period = max(timing.load_period_s, len(self._records) / timing.loads_per_second)
+        due = now - self._load_published_at >= period
+        if due and abs(self._load - load) > LOAD_STEP * max(load, self._load):
+            load = self._load
+            self._load_published_at = now
+        self._me = replace(self._me, heartbeat=self._me.heartbeat + 1, load=load)
+
+    def _update_overlay(self, now: float) -> None:
+        if not self._overlay_stale:
+            return
+        self._overlay_stale = False
+        regions = {
+            name: record.member.instance.failure_domain.region
+            for name, record in self._records.items()
+            if record.member.state != MemberState.GONE
+        }
+        own = self._me.instance
+        regions[own.name] = own.failure_domain.region
+        neighbours = self._overlay.find_neighbours(own.name, regions)
+        for name in neighbours - self._neighbours:
+            record = self._records[name]
+            record.heard_at = max(record.heard_at, now)
+            record.patience = 1.0
+        self._neighbours = neighbours
+
+    def _judge(self, name: str, record: MemberRecord, now: float) -> None:
+        timing = self._timing
+        state = record.member.state
+        if state == MemberState.GONE:
+            if now - record.changed_at > timing.forget_after_s:
+                del self._records[name]
+                self._news.drop(name)
+                self._details.drop(name)
+                self._watched.discard(name)
+                self._overlay.forget(name)
+            return
+        silence = now - record.heard_at
+        if silence <= timing.period_s:
+            record.patience = max(1.0, record.patience * PATIENCE_DECAY)
+        allowed = timing.suspect_after_s * record.patience
+        if state == MemberState.SUSPECT:
+            if min(silence, now - record.changed_at) > timing.gone_after_s:
+                self._set_state(record, MemberState.GONE, now)
+        elif name in self._neighbours and silence > allowed:
+            if state == MemberState.LIVE:
+                self._set_state(record, MemberState.SUSPECT, now)
+            elif silence > allowed + timing.gone_after_s:
+                self._set_state(record, MemberState.GONE, now)
