Give orders to endpoints under leases with fencing numbers

Cause: an order may be given twice, late, or by an instance that was paused past its lease, and some engines ignore fencing numbers. Ruled out: expiry times in the row, one coordinator of a rollout. Left: nothing calls the order giver yet; the limits are constants.

--- /dev/null
+++ b/src/guavamast/order_http.py
@@ -0,0 +1,62 @@
+"""Orders to engines over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Final
+
+from tornado.httpclient import HTTPRequest
+
+from guavamast.orders import EndpointReport, OrderOutcome, OrderSender
+from guavamast.single_fetch import AnswerLost, NotSent, fetch_once
+
+if TYPE_CHECKING:
+    from guavamast.orders import Order
+    from guavamast.world import Endpoint
+
+ORDER_TIMEOUT_S: Final = 5.0
+"""Longest wait for an answer; below the margin in which a lease's holder stops."""
+_REFUSED: Final = (400, 404, 405, 422, 429, 503)
+"""Statuses by which an engine says that it did not begin."""
+
+
+class HttpOrderSender(OrderSender):
+    """Sends orders to ``/orders`` of an engine and reads there what it runs."""
+
+    async def send(self, endpoint: Endpoint, order: Order) -> OrderOutcome:
+        """Send an order at most once."""
+        body = {"fencing": order.fencing, "model": order.model, "version": order.version}
+        request = make_request(endpoint, method="POST", body=json.dumps(body).encode())
+        try:
+            response = await fetch_once(request)
+        except NotSent:
+            return OrderOutcome.NOT_SENT
+        except AnswerLost:
+            return OrderOutcome.UNKNOWN
+        if response.code == 409:
+            return OrderOutcome.OLD_FENCING
+        if response.code in _REFUSED:
+            return OrderOutcome.LIMITED
+        return OrderOutcome.TAKEN if response.code < 300 else OrderOutcome.UNKNOWN
+
+    async def read_report(self, endpoint: Endpoint) -> EndpointReport | None:
+        """Return what the engine runs, or None when it gives no whole answer."""
+        try:
+            response = await fetch_once(make_request(endpoint, method="GET", body=None))
+            models = json.loads(response.body)["models"] if response.code == 200 else None
+        except (NotSent, AnswerLost, ValueError, KeyError, TypeError):
+            return None
+        if not isinstance(models, dict):
+            return None
+        return EndpointReport(models={str(name): str(value) for name, value in models.items()})
+
+
+def make_request(endpoint: Endpoint, *, method: str, body: bytes | None) -> HTTPRequest:
+    """Return a request to an engine's orders."""
+    return HTTPRequest(
+        f"{endpoint.url}/orders",
+        method=method,
+        body=body,
+        connect_timeout=ORDER_TIMEOUT_S,
+        request_timeout=ORDER_TIMEOUT_S,
+    )
--- /dev/null
+++ b/tests/test_order_http.py
@@ -0,0 +1,38 @@
+"""Tests of orders to an engine over real sockets."""
+
+from __future__ import annotations
+
+import unittest
+
+from guavamast.order_http import HttpOrderSender
+from guavamast.orders import EndpointReport, Order, OrderOutcome
+from guavamast.standins.engine import EngineStandin
+from guavamast.world import Endpoint, EndpointKind
+
+
+def make_order(fencing: int, version: str) -> Order:
+    """Return an order."""
+    return Order(endpoint="e", fencing=fencing, model="m", version=version)
+
+
+class OrderHttpTest(unittest.IsolatedAsyncioTestCase):
+    """Each answer of an engine, and none, has its outcome."""
+
+    async def test_outcomes(self) -> None:
+        sender = HttpOrderSender()
+        for checks, outcome, version in (
+            (True, OrderOutcome.OLD_FENCING, "2"),
+            (False, OrderOutcome.TAKEN, "1"),
+        ):
+            engine = EngineStandin(checks_fencing=checks)
+            engine.start()
+            endpoint = Endpoint(
+                name="e", kind=EndpointKind.ENGINE, url=engine.url, failure_domain="d", slots=1
+            )
+            self.assertEqual(await sender.send(endpoint, make_order(5, "2")), OrderOutcome.TAKEN)
+            self.assertEqual(await sender.send(endpoint, make_order(4, "1")), outcome)
+            report = await sender.read_report(endpoint)
+            self.assertEqual(report, EndpointReport(models={"m": version}))
+            engine.stop()
+            self.assertEqual(await sender.send(endpoint, make_order(6, "3")), OrderOutcome.NOT_SENT)
+            self.assertIsNone(await sender.read_report(endpoint))
