Wire the organisations' limits into entry and dispatcher

Cause: limits existed as decisions only; callers were admitted without them. Change: allotment messages on the slot streams, a gate before each request, pending requests that wait for the home's answer; a burst far below the limit waits for the next answer in place of a refusal; the keeper refuses no ask on default estimates alone; frozen, killed and replaced processes under load. Seen failing: 200 concurrent chats under a limit of 1000/s were refused as rate_limited.

--- a/src/guavamast/callers.py
+++ b/src/guavamast/callers.py
@@ -7,6 +7,7 @@
 import time
 import uuid
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
 from tornado.iostream import StreamClosedError
@@ -32,6 +33,7 @@
     from guavamast.answers import AnswerPiece
     from guavamast.chats import ChatRouter
     from guavamast.entry_state import EntryState
+    from guavamast.limit_gate import LimitGate
     from guavamast.metrics import Metrics
     from guavamast.world import Organisation, ServiceClass
 
@@ -46,6 +48,7 @@
 
     state: EntryState
     chats: ChatRouter
+    limits: LimitGate
     metrics: Metrics
     clock: Callable[[], float]
     max_body_bytes: int
@@ -105,10 +108,13 @@
         """Return the whole body."""
         return b"".join(self._pieces)
 
-    async def run(self, work: Awaitable[None]) -> None:
-        """Await a request's work, which ends when its caller goes away."""
+    async def run(self, work: Callable[[], Awaitable[None]], organisation: Organisation) -> None:
+        """Await a request's work within its organisation's limits.
+
+        The work ends when its caller goes away.
+        """
         self.services.in_flight += 1
-        self._work = asyncio.ensure_future(work)
+        self._work = asyncio.ensure_future(self._run_admitted(work, organisation))
         try:
             await self._work
         except asyncio.CancelledError:
@@ -120,6 +126,15 @@
         finally:
             self.services.in_flight -= 1
 
+    async def _run_admitted(
+        self, work: Callable[[], Awaitable[None]], organisation: Organisation
+    ) -> None:
+        await self.services.limits.admit(organisation)
+        try:
+            await work()
+        finally:
+            self.services.limits.release(organisation)
+
     def on_connection_close(self) -> None:
         """Cancel the work of a caller that has gone, so that its slot is released."""
         if self._work is not None:
@@ -234,7 +249,7 @@
         )
         self.services.metrics.count(f"chats.{service_class.name}")
         serve = self._serve_stream if body.stream else self._serve_whole
-        await self.run(serve(chat))
+        await self.run(partial(serve, chat), organisation)
 
     async def _serve_whole(self, chat: Chat) -> None:
         sink = _CollectingSink()
--- a/src/guavamast/dispatcher.py
+++ b/src/guavamast/dispatcher.py
@@ -10,7 +10,9 @@
 
 from grpclib.server import Server
 
+from guavamast._allotment_wire import decode_allotment_ask, encode_allotment
 from guavamast._daemon import bind_socket, get_bound_address, run_daemon
+from guavamast.allotments import AllotmentDispatcher
 from guavamast.configuration_spread import ConfigurationSpread, Source
 from guavamast.errors import GuavamastError
 from guavamast.findings import FindingsError
@@ -60,6 +62,7 @@
         self.metrics = make_metrics(settings.statsd)
         self.configuration = Configuration(version=0)
         self.host = KeeperHost(clock=self.clock, metrics=self.metrics)
+        self.allotments = AllotmentDispatcher()
         self.feed = ViewFeed(instance=settings.instance.name)
         self.address = ""
         """Peer address as bound."""
@@ -70,6 +73,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._published: tuple[object, ...] = ()
         self._published_at = 0.0
+        self._serving: frozenset[str] = frozenset()
         self._server: Server | None = None
 
     async def start(self) -> None:
@@ -138,10 +142,22 @@
             self.heartbeats.tell_soon()
         return self.configuration.version
 
+    def answer_allotment(
+        self, message: peer_pb2.AllotmentAskMessage, entry: str
+    ) -> peer_pb2.KeeperMessage | None:
+        """Split an organisation's limits for one entry; None when there is nothing to say."""
+        organisation = self.configuration.organisations.get(message.organisation)
+        if organisation is None:
+            return None
+        ask = decode_allotment_ask(message, entry=entry.partition("/")[0])
+        allotment = self.allotments.ask(ask, organisation, now=self.clock())
+        return None if allotment is None else encode_allotment(allotment)
+
     def _make_service(self) -> PeerService:
         return PeerService(
             host=self.host,
             feed=self.feed,
+            answer_allotment=self.answer_allotment,
             take_announcement=self.take_announcement,
             serve_gossip=self.heartbeats.serve,
         )
@@ -218,6 +234,11 @@
 
     def _publish(self, now: float) -> None:
         view = self.membership.make_view(now=now)
+        serving = frozenset(member.instance.name for member in view.list_serving())
+        if serving != self._serving:
+            self._serving = serving
+            self.allotments.record_view_change(now=now)
+        self.allotments.forget_idle(now=now)
         self._published = _summarize(view)
         self._published_at = now
         self.feed.set_view(view)
--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -22,6 +22,8 @@
 from guavamast.entry_state import EntryState
 from guavamast.entry_status import EntryStatus
 from guavamast.group_commit import GroupCommit
+from guavamast.limit_gate import LimitGate
+from guavamast.limits import EntryLimiter
 from guavamast.log import get_logger
 from guavamast.metrics import make_metrics
 from guavamast.operation_store import OperationStore
@@ -73,8 +75,15 @@
             entry=f"{settings.instance.name}/{uuid.uuid4().hex[:8]}",
             find_keeper=self.state.find_keeper_address,
             on_probe=lambda probe: chooser.record_probe(probe, now=self.clock()),
+            on_allotment=lambda message: self.limits.take_allotment(message),
             clock=self.clock,
         )
+        self._limiter = EntryLimiter(
+            entry=settings.instance.name, first_sequence=time.time_ns() // 10**6
+        )
+        self.limits = LimitGate(
+            limiter=self._limiter, state=self.state, links=self.links, clock=self.clock
+        )
         finder = SlotFinder(state=self.state, links=self.links, clock=self.clock)
         self.view_link = ViewLink(
             entry=settings.instance.name,
@@ -99,6 +108,7 @@
         self.services = CallerServices(
             state=self.state,
             chats=chats,
+            limits=self.limits,
             metrics=metrics,
             clock=self.clock,
             max_body_bytes=settings.max_body_bytes,
@@ -141,6 +151,7 @@
         self.view_link.start()
         self._start(self._report_load())
         self._start(self._watch_pauses())
+        self._start(self.limits.run())
         self._start(self.calls.delete_expired(retention_s=self._settings.operation_retention_s))
 
     def _make_operator_routes(self) -> list[tuple[str, type, dict[str, Any]]]:
@@ -204,6 +215,7 @@
     def accept_view(self, view: MembershipView) -> None:
         """Take a newer view and move asks whose keeper has changed."""
         self.state.accept_view(view)
+        self._limiter.configure(view)
         self.links.reroute()
 
     def _list_other_dispatchers(self) -> list[str]:
--- a/src/guavamast/estimates.py
+++ b/src/guavamast/estimates.py
@@ -184,6 +184,11 @@
         self.mean_s = DEFAULT_CALL_S if kind is EndpointKind.SERVICE else DEFAULT_ENGINE_S
         """Mean seconds of all runs here."""
 
+    @property
+    def has_samples(self) -> bool:
+        """Whether any run has ended here; the estimates are defaults before."""
+        return self._samples > 0
+
     def observe(self, ask: Ask, release: Release) -> None:
         """Learn from a run that ended with its whole answer."""
         self._samples += 1
--- a/src/guavamast/keepers.py
+++ b/src/guavamast/keepers.py
@@ -241,7 +241,8 @@
         if ask.deadline <= now:
             return self._refuse(ask, ErrorCode.DEADLINE_EXCEEDED, wait_s)
         missing_s = now + wait_s + least_s - ask.deadline
-        if missing_s <= 0.0 or self._is_idle():
+        if missing_s <= 0.0 or self._is_idle() or not self._service_times.has_samples:
+            # Without a release the estimate is a default, which is no ground for a refusal.
             return None
         return self._refuse(ask, ErrorCode.DEADLINE_UNREACHABLE, missing_s)
 
--- /dev/null
+++ b/src/guavamast/limit_gate.py
@@ -0,0 +1,110 @@
+"""The entry's gate of organisations' limits: admits, waits for a first allotment, or refuses."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from guavamast._allotment_wire import decode_allotment, encode_allotment_ask
+from guavamast.allotments import find_home
+from guavamast.errors import Refusal, SendLatch
+from guavamast.limits import AdmissionState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast import peer_pb2
+    from guavamast.allotments import AllotmentAsk
+    from guavamast.entry_state import EntryState
+    from guavamast.limits import EntryLimiter
+    from guavamast.slot_links import SlotLinks
+    from guavamast.world import Organisation
+
+RENEW_INTERVAL_S: Final = 0.5
+"""Time between two looks for allotments that are due, while requests run."""
+TOO_MANY_REQUESTS: Final = 429
+
+
+class LimitGate:
+    """Admits requests against allotments that the organisations' homes hand out.
+
+    Args:
+        limiter: Decides.
+        state: The entry's view.
+        links: The streams to dispatchers.
+        clock: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        limiter: EntryLimiter,
+        state: EntryState,
+        links: SlotLinks,
+        clock: Callable[[], float],
+    ) -> None:
+        self._limiter = limiter
+        self._state = state
+        self._links = links
+        self._clock = clock
+        self._answered: dict[str, asyncio.Event] = {}
+
+    async def admit(self, organisation: Organisation) -> None:
+        """Return when a request may go on; then `release` must be called at its end.
+
+        Raises:
+            Refusal: A limit is reached.
+        """
+        admission = self._limiter.admit(organisation, now=self._clock())
+        while admission.state is AdmissionState.PENDING:
+            await self._wait_answer(organisation.name, admission.retry_after_s)
+            admission = self._limiter.admit(organisation, now=self._clock(), is_repeat=True)
+        self._send_asks()
+        if admission.state is AdmissionState.REFUSED:
+            raise self._refuse(organisation, admission.code, admission.retry_after_s)
+
+    def release(self, organisation: Organisation) -> None:
+        """End an admitted request."""
+        self._limiter.release(organisation.name, now=self._clock())
+
+    def take_allotment(self, message: peer_pb2.AllotmentMessage) -> None:
+        """Take a home's answer and wake the requests that wait for it."""
+        allotment = decode_allotment(message)
+        self._limiter.record_allotment(allotment, now=self._clock())
+        answered = self._answered.pop(allotment.organisation, None)
+        if answered is not None:
+            answered.set()
+
+    async def run(self) -> None:
+        """Renew allotments until cancelled."""
+        while True:
+            await asyncio.sleep(RENEW_INTERVAL_S)
+            self._send_asks()
+
+    async def _wait_answer(self, organisation: str, at_most_s: float) -> None:
+        answered = self._answered.setdefault(organisation, asyncio.Event())
+        self._send_asks()
+        try:
+            async with asyncio.timeout(at_most_s):
+                await answered.wait()
+        except TimeoutError:
+            # The home does not answer; the next admission falls back to the even part.
+            return
+
+    def _send_asks(self) -> None:
+        for ask in self._limiter.collect_asks(now=self._clock()):
+            address = self._find_home_address(ask)
+            if address:
+                self._links.send(address, encode_allotment_ask(ask))
+
+    def _find_home_address(self, ask: AllotmentAsk) -> str:
+        home = find_home(ask.organisation, self._state.view)
+        return home.instance.peer_address if home else ""
+
+    def _refuse(self, organisation: Organisation, code: str, retry_after_s: float) -> Refusal:
+        return SendLatch().refuse(
+            code,
+            f"{organisation.name} has reached a limit of its contract",
+            status=TOO_MANY_REQUESTS,
+            retry_after_s=retry_after_s,
+        )
--- a/src/guavamast/limits.py
+++ b/src/guavamast/limits.py
@@ -80,6 +80,10 @@
     """Requests that wait for the first answer; part of the next wish."""
     in_use: int = 0
     most_in_use: int = 0
+    tokens_wanted: float = 0.0
+    concurrent_wanted: int = 0
+    satisfied: bool = False
+    """Whether the last answer gave what was asked: the limit itself is not near."""
     last_seen: float = 0.0
     is_static: bool = False
     """Whether the present rate and concurrency are the even part, not an allotment."""
@@ -113,26 +117,30 @@
         names = {member.instance.name for member in view.list_serving()} | {self._entry}
         self._names = tuple(sorted(names))
 
-    def admit(self, organisation: Organisation, *, now: float) -> Admission:
+    def admit(
+        self, organisation: Organisation, *, now: float, is_repeat: bool = False
+    ) -> Admission:
         """Decide on one request; one that is granted must be released.
 
         Args:
             organisation: The caller's organisation as configured.
             now: The present time.
+            is_repeat: Whether this request was pending before.
         """
         usage = self._find(organisation, now)
         usage.last_seen = now
-        usage.arrivals += 1
+        usage.arrivals += 0 if is_repeat else 1
         if now >= usage.valid_until and not self._fall_back(usage, now):
-            usage.pending += 1
-            self._want_ask(usage)
-            return Admission(state=AdmissionState.PENDING, retry_after_s=ASK_TIMEOUT_S)
+            return self._hold(usage)
         if now >= usage.renew_at:
             self._want_ask(usage)
         self._refill(usage, now)
         code = self._find_limit(usage)
         if code is not None:
-            return self._refuse(usage, code, now)
+            # Failure: a burst far below the limit is refused, since its entry holds a small part.
+            # While the home gives what is asked, the request waits for the next answer instead.
+            may_get_more = usage.satisfied and not usage.is_static
+            return self._hold(usage) if may_get_more else self._refuse(usage, code, now)
         usage.tokens -= 1.0
         usage.in_use += 1
         usage.most_in_use = max(usage.most_in_use, usage.in_use)
@@ -180,6 +188,10 @@
         usage.early_at = asked_at + allotment.renew_after_s * EARLY_SHARE
         usage.asked_at = None
         usage.pending = 0
+        usage.satisfied = (
+            allotment.tokens >= usage.tokens_wanted
+            and allotment.concurrent >= usage.concurrent_wanted
+        )
         # Tokens of an allotment that ran out are not carried over: its home counts them as lapsed.
         usage.tokens = (usage.tokens if was_valid else 0.0) + allotment.tokens
 
@@ -191,6 +203,11 @@
         usage.organisation = organisation
         return usage
 
+    def _hold(self, usage: _Usage) -> Admission:
+        usage.pending += 1
+        self._want_ask(usage)
+        return Admission(state=AdmissionState.PENDING, retry_after_s=ASK_TIMEOUT_S)
+
     def _fall_back(self, usage: _Usage, now: float) -> bool:
         """Use the even part of the limit when the home has not answered in time."""
         if usage.asked_at is None or now - usage.asked_at < ASK_TIMEOUT_S:
@@ -201,8 +218,12 @@
         rest = contract.concurrent % parts
         if rest and self._entry in rank(usage.organisation.name, self._names)[:rest]:
             owned += 1
-        usage.is_static = True
         usage.rate = contract.requests_per_second / parts
+        if not usage.is_static:
+            # One burst of the even part: over all entries no more than the limit's own burst.
+            usage.tokens = max(usage.tokens, usage.burst)
+        usage.is_static = True
+        usage.satisfied = False
         usage.concurrent = owned
         usage.valid_until = now + REPEAT_S
         usage.renew_at = now
@@ -243,15 +264,15 @@
         usage.sequence = self._sequence
         usage.asked_at = now
         wanted = max(usage.most_in_use, usage.in_use + usage.pending)
+        usage.concurrent_wanted = min(contract.concurrent, wanted)
+        usage.tokens_wanted = max(0.0, usage.pending + 1.0 - (usage.tokens if live else 0.0))
         ask = AllotmentAsk(
             organisation=usage.organisation.name,
             entry=self._entry,
             sequence=usage.sequence,
             rate_wanted=min(contract.requests_per_second, usage.arrivals / elapsed),
-            concurrent_wanted=min(contract.concurrent, wanted),
-            tokens_wanted=max(
-                0.0, usage.pending + 1.0 - usage.tokens if live else usage.pending + 1.0
-            ),
+            concurrent_wanted=usage.concurrent_wanted,
+            tokens_wanted=usage.tokens_wanted,
             held_rate=usage.rate if live else 0.0,
             held_concurrent=max(usage.in_use, usage.concurrent if live else 0),
         )
--- a/src/guavamast/peer_service.py
+++ b/src/guavamast/peer_service.py
@@ -25,6 +25,7 @@
     Args:
         host: The keepers.
         feed: What entries follow.
+        answer_allotment: Splits an organisation's limits; None for an ask that is outdated.
         take_announcement: Handles an announcement and gives the version in force.
         serve_gossip: Serves one stream of heartbeats.
     """
@@ -34,11 +35,15 @@
         *,
         host: KeeperHost,
         feed: ViewFeed,
+        answer_allotment: Callable[
+            [peer_pb2.AllotmentAskMessage, str], peer_pb2.KeeperMessage | None
+        ],
         take_announcement: Callable[[peer_pb2.AnnounceRequest], int],
         serve_gossip: Callable[[Stream], Awaitable[None]],
     ) -> None:
         self._host = host
         self._feed = feed
+        self._answer_allotment = answer_allotment
         self._take_announcement = take_announcement
         self._serve_gossip = serve_gossip
 
@@ -57,13 +62,21 @@
                         await stream.send_message(peer_pb2.KeeperBatch())
                         sender = asyncio.ensure_future(_send_outbox(stream, entry_stream))
                     elif entry_stream is not None:
-                        host.take(message, entry=entry_stream.entry)
+                        self._take(message, entry_stream)
         finally:
             if entry_stream is not None:
                 host.disconnect(entry_stream)
             if sender is not None:
                 sender.cancel()
 
+    def _take(self, message: peer_pb2.EntryMessage, stream: EntryStream) -> None:
+        if message.WhichOneof("body") != "allotment_ask":
+            self._host.take(message, entry=stream.entry)
+            return
+        answer = self._answer_allotment(message.allotment_ask, stream.entry)
+        if answer is not None:
+            stream.outbox.put_nowait(answer)
+
     async def Follow(  # noqa: N802
         self, stream: Stream[peer_pb2.FollowRequest, peer_pb2.ViewMessage]
     ) -> None:
--- a/src/guavamast/retries.py
+++ b/src/guavamast/retries.py
@@ -10,11 +10,12 @@
 
 RETRY_SHARE: Final = 0.1
 """Retries that each success pays for."""
-BALANCE_LIMIT: Final = 5.0
-"""Most retries that can be saved up; bounds the burst when many endpoints die at once."""
+BALANCE_LIMIT: Final = 20.0
+"""Most retries that can be saved up; about the requests that one entry has at one endpoint, all of
+which need a retry when it dies. Bounds the burst when many endpoints die at once."""
 FLOOR_PER_S: Final = 0.5
 """Retries a second for a class with hardly any traffic."""
-FLOOR_LIMIT: Final = 3.0
+FLOOR_LIMIT: Final = 10.0
 """The floor fills the balance up to here only."""
 ATTEMPT_LIMIT: Final = 3
 """Attempts of one request, the first counted."""
--- a/src/guavamast/service_handlers.py
+++ b/src/guavamast/service_handlers.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from guavamast.caller_input import (
@@ -61,7 +62,7 @@
             tier=service_class.tier,
             deadline=self.compute_deadline(service_class),
         )
-        await self.run(self._serve(request))
+        await self.run(partial(self._serve, request), organisation)
 
     async def _serve(self, request: ServiceCall) -> None:
         answer = await self.calls.run(request)
--- a/src/guavamast/slot_links.py
+++ b/src/guavamast/slot_links.py
@@ -97,6 +97,7 @@
         find_keeper: Gives the peer address of an endpoint's keeper, leaving out addresses that
             can't be reached from here; None when there is none.
         on_probe: Takes each probe that a keeper sends along.
+        on_allotment: Takes each share of an organisation's limits.
         clock: Monotonic time.
     """
 
@@ -106,11 +107,13 @@
         entry: str,
         find_keeper: Callable[[str, frozenset[str]], str | None],
         on_probe: Callable[[Probe], None],
+        on_allotment: Callable[[peer_pb2.AllotmentMessage], None] = lambda _: None,
         clock: Callable[[], float],
     ) -> None:
         self.entry = entry
         self.clock = clock
         self.on_probe = on_probe
+        self.on_allotment = on_allotment
         self._find_keeper = find_keeper
         self._links: dict[str, SlotLink] = {}
         self._holds: dict[str, SlotHold] = {}
@@ -146,7 +149,7 @@
         hold.state = HoldState.ENDED
         self._holds.pop(hold.ask.ask_id, None)
         for address in hold.addresses:
-            self._send(address, encode_release(release))
+            self.send(address, encode_release(release))
 
     def reroute(self) -> None:
         """Move each ask whose keeper has changed; call after a change of view or link."""
@@ -192,6 +195,9 @@
         if kind == "probe":
             self.on_probe(decode_probe(message.probe))
             return
+        if kind == "allotment":
+            self.on_allotment(message.allotment)
+            return
         if kind is None:
             return
         body = getattr(message, kind)
@@ -221,7 +227,7 @@
         # there until it expires. Giving it back unused is enough: nothing was sent under it.
         if kind == "grant":
             release = Release(ask_id=body.ask_id, endpoint=body.endpoint, used=False)
-            self._send(address, encode_release(release))
+            self.send(address, encode_release(release))
 
     def _route(self, hold: SlotHold) -> None:
         address = self._find_keeper(hold.ask.endpoint, self.list_unreachable())
@@ -244,12 +250,12 @@
         now = self.clock()
         ask = encode_ask(hold.ask, now=now)
         if hold.state is HoldState.WAITING:
-            self._send(hold.address, peer_pb2.EntryMessage(ask=ask))
+            self.send(hold.address, peer_pb2.EntryMessage(ask=ask))
         elif hold.state is HoldState.HELD:
             present = peer_pb2.PresentMessage(
                 ask=ask, held_s=now - hold.held_since, tokens=hold.tokens
             )
-            self._send(hold.address, peer_pb2.EntryMessage(present=present))
+            self.send(hold.address, peer_pb2.EntryMessage(present=present))
 
     def tell_all(self, address: str) -> None:
         """Tell a keeper again of all asks that are its own; call when its link stands anew."""
@@ -271,9 +277,10 @@
 
     def _send_withdraw(self, hold: SlotHold, address: str) -> None:
         withdraw = peer_pb2.WithdrawMessage(ask_id=hold.ask.ask_id, endpoint=hold.ask.endpoint)
-        self._send(address, peer_pb2.EntryMessage(withdraw=withdraw))
+        self.send(address, peer_pb2.EntryMessage(withdraw=withdraw))
 
-    def _send(self, address: str, message: peer_pb2.EntryMessage) -> None:
+    def send(self, address: str, message: peer_pb2.EntryMessage) -> None:
+        """Send a message to a dispatcher; lost when its stream is."""
         link = self._links.get(address)
         if link is None:
             link = self._links[address] = SlotLink(address=address, links=self)
--- a/src/guavamast/standins/engine.py
+++ b/src/guavamast/standins/engine.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import hashlib
+import re
 import time
 import zlib
 from dataclasses import dataclass, field
@@ -22,13 +23,16 @@
 
 MIN_TOKENS: Final = 8
 MAX_TOKENS: Final = 40
+LENGTH_PATTERN: Final = re.compile(r"tokens=(\d{1,5});")
+"""Start of a prompt that sets the length of its answer."""
 WORDS: Final = ("grant", "van", "dossier", "note", "term", "ledger", "photo", "label")
 
 
 def make_answer(*, model: str, prompt: str, max_tokens: int) -> list[str]:
     """Return the tokens of the one right answer to a prompt."""
     seed = hashlib.sha256(f"{model}\x00{prompt}".encode()).digest()
-    length = MIN_TOKENS + seed[0] % (MAX_TOKENS - MIN_TOKENS)
+    wanted = LENGTH_PATTERN.match(prompt)
+    length = int(wanted[1]) if wanted else MIN_TOKENS + seed[0] % (MAX_TOKENS - MIN_TOKENS)
     mark = seed.hex()[:12]
     words = [WORDS[seed[i % len(seed)] % len(WORDS)] for i in range(min(length, max_tokens))]
     return [f"{word}-{mark}-{i} " for i, word in enumerate(words)]
--- a/tests/test_chats.py
+++ b/tests/test_chats.py
@@ -60,7 +60,7 @@
         prompts = [f"prompt number {number}" for number in range(200)]
         answers = await asyncio.gather(*(self.caller.stream(prompt) for prompt in prompts))
         for prompt, answer in zip(prompts, answers, strict=True):
-            self.assertEqual(answer.text, expect_answer(prompt))
+            self.assertEqual(answer.text, expect_answer(prompt), answer.error)
             self.assertTrue(answer.ended)
         self.assertEqual(self.count_in_flight(), 0)
 
@@ -162,7 +162,7 @@
         self.fleet.engines[0].fault = Fault(kind="crash")
         for number in range(6):
             answer = await self.caller.stream(f"c{number}")
-            self.assertEqual(answer.text, expect_answer(f"c{number}"))
+            self.assertEqual(answer.text, expect_answer(f"c{number}"), answer.error)
 
 
 class CallerGoneTest(FleetTest):
--- /dev/null
+++ b/tests/test_fleet_changes.py
@@ -0,0 +1,149 @@
+"""Instances are replaced, frozen and killed under load, each a real process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from dataclasses import dataclass, field
+
+from tests._callers import Caller, StreamedAnswer, expect_answer
+from tests._processes import ProcessFleet
+
+REFUSED_ERRORS = (ConnectionError, OSError)
+
+
+@dataclass(slots=True, kw_only=True)
+class Load:
+    """Callers that ask again only when their request was refused as not run.
+
+    They know all addresses, as callers do that asked ``/v1/addresses`` a while ago.
+    """
+
+    urls: list[str]
+    answers: dict[str, StreamedAnswer] = field(default_factory=dict)
+    stop: bool = False
+
+    async def run(self, callers: int) -> None:
+        """Make requests until told to stop."""
+        await asyncio.gather(*(self._work(number) for number in range(callers)))
+
+    async def _work(self, worker: int) -> None:
+        number = 0
+        while not self.stop:
+            prompt = f"worker {worker} request {number}"
+            self.answers[prompt] = await self._ask(prompt, worker + number)
+            number += 1
+
+    async def _ask(self, prompt: str, start: int) -> StreamedAnswer:
+        for attempt in range(200):
+            url = self.urls[(start + attempt) % len(self.urls)]
+            try:
+                answer = await Caller(url=url).stream(prompt)
+            except REFUSED_ERRORS as error:
+                if "refused" not in str(error):
+                    return StreamedAnswer(
+                        status=599, text="", ended=False, error={"code": repr(error)}
+                    )
+                await asyncio.sleep(0.02)
+                continue
+            if answer.error is None or answer.error.get("outcome") != "not_run":
+                return answer
+            await asyncio.sleep(0.02)
+        return answer
+
+
+class FleetChangeTest(unittest.IsolatedAsyncioTestCase):
+    """Three instances under a steady load."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        self.fleet = ProcessFleet(instances=3, engines=2, services=1)
+        self.addCleanup(self.fleet.close)
+        await self.fleet.start()
+        self.load = Load(urls=self.fleet.urls)
+        self.task = asyncio.ensure_future(self.load.run(6))
+
+    async def finish_load(self) -> None:
+        """End the load and check that each caller got its own whole answer."""
+        self.load.stop = True
+        await self.task
+        self.assertGreater(len(self.load.answers), 50)
+        for prompt, answer in self.load.answers.items():
+            self.assertEqual(answer.text, expect_answer(prompt), (prompt, answer.error))
+            self.assertTrue(answer.ended)
+
+    async def test_all_instances_replaced_one_by_one(self) -> None:
+        # Callers that repeat only refusals as not run see whole answers only. Each instance in turn
+        # gets SIGTERM, ends by itself, and a new one starts under its name with a higher
+        # incarnation; it serves once it has the configuration.
+        for number in range(3):
+            old = (self.fleet.entries[number], self.fleet.dispatchers[number])
+            for process in old:
+                process.terminate()
+            for process in old:
+                self.assertEqual(await asyncio.to_thread(process.popen.wait, 30), 0)
+                process.close()
+            self.fleet.dispatchers[number] = self.fleet.start_daemon("dispatcher", number)
+            self.fleet.entries[number] = self.fleet.start_daemon("entry", number)
+            await self.fleet.wait_for_version(1, [number])
+        await self.finish_load()
+
+    async def test_frozen_dispatcher_and_its_return(self) -> None:
+        # Callers see whole answers, some late. A dispatcher is frozen longer than any timeout of
+        # the slot streams; entries move its asks to the next keeper; when it wakes, what it grants
+        # late is given back unused.
+        self.fleet.dispatchers[1].pause()
+        await asyncio.sleep(4)
+        self.fleet.dispatchers[1].resume()
+        await asyncio.sleep(2)
+        await self.finish_load()
+
+    async def test_killed_dispatcher_and_frozen_other(self) -> None:
+        # Two failures at once: one dispatcher is killed while another is frozen. The third keeps
+        # all endpoints; callers see whole answers.
+        self.fleet.dispatchers[0].kill()
+        self.fleet.dispatchers[1].pause()
+        await asyncio.sleep(4)
+        self.fleet.dispatchers[1].resume()
+        self.fleet.dispatchers[0].close()
+        self.fleet.dispatchers[0] = self.fleet.start_daemon("dispatcher", 0)
+        await asyncio.sleep(2)
+        await self.finish_load()
+
+    async def test_frozen_engine_is_left(self) -> None:
+        # One engine's process freezes in mid-answer: its connections stand and nothing comes. The
+        # entry takes the silence as a failure, resumes at the other engine, and callers see whole
+        # answers, the first ones late by the stall timeout.
+        process = self.fleet.engines[0][0]
+        process.pause()
+        await asyncio.sleep(13)
+        process.resume()
+        await self.finish_load()
+
+
+class KilledEntryTest(unittest.IsolatedAsyncioTestCase):
+    """An entry dies with answers in flight."""
+
+    async def test_cut_stream_shows_and_its_slots_come_back(self) -> None:
+        # The caller sees its connection end without the end mark, so it knows the answer is not
+        # whole. The engine's run is cancelled and the keepers free the slots: as many requests as
+        # there are slots are served through the other entry.
+        asyncio.get_running_loop().set_debug(False)
+        fleet = ProcessFleet(instances=2, engines=1, services=1)
+        self.addCleanup(fleet.close)
+        await fleet.start()
+        prompts = [f"tokens=400;{number}" for number in range(16)]
+        doomed = [asyncio.ensure_future(Caller(url=fleet.urls[0]).stream(p)) for p in prompts]
+        await asyncio.sleep(0.4)
+        fleet.entries[0].kill()
+        for result in await asyncio.gather(*doomed, return_exceptions=True):
+            ended = isinstance(result, StreamedAnswer) and result.ended
+            self.assertFalse(ended)
+        caller = Caller(url=fleet.urls[1])
+        answers = await asyncio.gather(*(caller.stream(f"next {n}") for n in range(16)))
+        for number, answer in enumerate(answers):
+            self.assertEqual(answer.text, expect_answer(f"next {number}"), answer.error)
+        engine = Caller(url=fleet.engines[0][1])
+        runs = json.loads((await engine.fetch("/runs", method="GET")).body)["runs"]
+        self.assertNotIn("running", {run["state"] for run in runs})
--- a/tests/test_limits_properties.py
+++ b/tests/test_limits_properties.py
@@ -180,8 +180,9 @@
         self.assertTrue(all(state.granted for state in states))
         now = 1.0
         while now < 20.0:
-            last = self.entry.admit(ORGANISATION, now=now)
+            self.entry.admit(ORGANISATION, now=now)
             self.exchange(now=now)
+            last = self.entry.admit(ORGANISATION, now=now, is_repeat=True)
             now += 0.5
         self.assertEqual(last.code, ErrorCode.CONCURRENCY_LIMITED)
 
--- a/tests/test_slot_links.py
+++ b/tests/test_slot_links.py
@@ -47,6 +47,7 @@
         service = PeerService(
             host=self.host,
             feed=ViewFeed(instance="k"),
+            answer_allotment=lambda *_: None,
             take_announcement=lambda _: 1,
             serve_gossip=lambda _: None,
         )
