Race a second keeper when the first lets a request wait

Change: SlotRace and RaceRules, pure: a queued ask with an estimated wait of 0.05 s or more is raced at one other keeper; the first grant is used, any later one given back.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -9,8 +9,9 @@
 from bench.baselines import Policy
 from guavamast.keepers import EndpointKeeper
 from guavamast.placement import EndpointChooser, Wanted
+from guavamast.races import RaceRules, SlotRace
 from guavamast.retries import RetryBudget
-from guavamast.slots import Ask, Granted, LoadReport, Paused, Queued, Refused, Release
+from guavamast.slots import Ask, Granted, LoadReport, Paused, Refused, Release
 
 if TYPE_CHECKING:
     from bench.engine import FakeEngine, Run
@@ -20,8 +21,7 @@
 TICK_S: Final = 0.1
 PROGRESS_S: Final = 0.5
 MAX_TOKENS: Final = 4096
-MOST_ASKS: Final = 12
-"""Asks of one request until it is refused."""
+DEFAULT_RULES: Final = RaceRules()
 
 
 @dataclass(slots=True, eq=False)
@@ -29,10 +29,10 @@
     """A request at its entry."""
 
     request: Request
-    open_asks: dict[str, str] = field(default_factory=dict)
-    """Ask to endpoint."""
-    excluded: set[str] = field(default_factory=set)
+    race: SlotRace
+    failed: set[str] = field(default_factory=set)
     asks: int = 0
+    failures: int = 0
     skip: int = 0
     holds: str = ""
     """The ask whose slot it uses."""
@@ -45,11 +45,15 @@
 
     Args:
         asked: Keepers asked at once for one request.
+        rules: When a further keeper is asked.
     """
 
-    def __init__(self, *, asked: int = 1, **arguments: object) -> None:
+    def __init__(
+        self, *, asked: int = 1, rules: RaceRules = DEFAULT_RULES, **arguments: object
+    ) -> None:
         super().__init__(**arguments)
         self._asked = asked
+        self._rules = rules
         self._tickets: dict[str, Ticket] = {}
         self.asks = 0
         self.inversions = 0
@@ -72,9 +76,9 @@
 
     def take(self, request: Request) -> None:
         """Ask for a slot."""
-        ticket = Ticket(request)
+        ticket = Ticket(request, SlotRace(rules=self._rules))
         self.events.call_at(request.deadline, lambda: self._expire(ticket))
-        self._ask(ticket)
+        self._ask(ticket, self._asked)
 
     def take_report(self, engine: FakeEngine, running: int, as_of: float) -> None:
         """Hand a report to the keeper."""
@@ -99,7 +103,7 @@
                     )
         self.events.call_later(PROGRESS_S, self._report_progress)
 
-    def _ask(self, ticket: Ticket) -> None:
+    def _ask(self, ticket: Ticket, count: int = 1) -> None:
         request = ticket.request
         wanted = Wanted(
             tier=request.service_class.tier,
@@ -107,19 +111,20 @@
             service=request.kind.service,
             prefix_key=request.prefix_key,
             prompt_tokens=request.prompt_tokens,
-            excluded=frozenset(ticket.excluded),
-            count=self._asked,
+            excluded=ticket.race.asked | ticket.failed,
+            count=count,
         )
         names = self._choosers[request.entry].choose(wanted, now=self.events.now)
-        if not names or ticket.asks >= MOST_ASKS:
-            self._end_refused(ticket)
+        if not names:
+            if not ticket.race.is_waiting:
+                self._end_refused(ticket)
             return
         self._tickets[str(request.number)] = ticket
         for name in names:
             ticket.asks += 1
             self.asks += 1
             ask_id = f"{request.number}/{ticket.asks}"
-            ticket.open_asks[ask_id] = name
+            ticket.race.record_ask(ask_id, name)
             ask = Ask(
                 ask_id=ask_id,
                 entry=f"instance-{request.entry}",
@@ -157,15 +162,14 @@
             self._go_on(ticket, event.ask)
         elif isinstance(event, Paused):
             self._pause(ticket, event.ask)
-        else:
-            assert isinstance(event, Queued)
+        elif not ticket.over and ticket.race.record_queued(event):
+            self._ask(ticket)
 
     def _use(self, ticket: Ticket, ask: Ask) -> None:
-        if ticket.over or ticket.holds or ask.ask_id not in ticket.open_asks:
+        if ticket.over or not ticket.race.record_granted(ask.ask_id):
             self.unused_grants += 1
             self._release(Release(ask_id=ask.ask_id, endpoint=ask.endpoint, used=False))
             return
-        del ticket.open_asks[ask.ask_id]
         self._withdraw_all(ticket)
         ticket.holds = ask.ask_id
         started = self.events.now
@@ -214,9 +218,10 @@
 
     def _retry(self, ticket: Ticket, ask: Ask, delivered: int) -> None:
         request = ticket.request
+        ticket.failures += 1
         retry = self._budgets[request.entry].plan(
             request.service_class.name,
-            attempt=request.attempts,
+            attempt=ticket.failures,
             idempotent=True,
             deadline=request.deadline,
             now=self.events.now,
@@ -227,7 +232,8 @@
             self._end_refused(ticket)
             return
         ticket.skip = delivered
-        ticket.excluded.add(ask.endpoint)
+        ticket.failed.add(ask.endpoint)
+        ticket.race.restart()
         self.events.call_later(retry.delay_s, lambda: ticket.over or self._ask(ticket))
 
     def _pause(self, ticket: Ticket, ask: Ask) -> None:
@@ -245,13 +251,14 @@
         self._release(
             Release(ask_id=ask.ask_id, endpoint=ask.endpoint, used=True, tokens=ticket.skip)
         )
+        ticket.race.restart()
         self._ask(ticket)
 
     def _go_on(self, ticket: Ticket, ask: Ask) -> None:
-        ticket.open_asks.pop(ask.ask_id, None)
-        ticket.excluded.add(ask.endpoint)
-        if not (ticket.over or ticket.holds or ticket.open_asks):
+        if ticket.race.record_refused(ask.ask_id) and not ticket.over:
             self._ask(ticket)
+        elif not (ticket.over or ticket.race.winner or ticket.race.is_waiting):
+            self._end_refused(ticket)
 
     def _expire(self, ticket: Ticket) -> None:
         if ticket.over or ticket.holds:
@@ -275,14 +282,13 @@
                 request.inverted = True
 
     def _withdraw_all(self, ticket: Ticket) -> None:
-        for ask_id, name in ticket.open_asks.items():
+        for ask_id, name in ticket.race.close().items():
             self.events.call_later(
                 self.measure_link(),
                 lambda ask_id=ask_id, name=name: self._spread(
                     name, self._keepers[name].withdraw(ask_id, now=self.events.now)
                 ),
             )
-        ticket.open_asks.clear()
 
     def _release(self, release: Release) -> None:
         self.events.call_later(
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -26,6 +26,7 @@
     make_fleet,
     make_requests,
 )
+from guavamast.races import RaceRules
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +39,8 @@
 
 POLICIES: Final[dict[str, Callable[..., Policy]]] = {
     "guavamast": RouterPolicy,
-    "guavamast, two keepers": lambda **arguments: RouterPolicy(asked=2, **arguments),
+    "one keeper": lambda **arguments: RouterPolicy(rules=RaceRules(racers=1), **arguments),
+    "two at once": lambda **arguments: RouterPolicy(asked=2, **arguments),
     "random": RandomPolicy,
     "round robin": RoundRobinPolicy,
     "least load": LeastLoadPolicy,
