Remember a straggler's weight longer than its queue

Most misses were token intervals on the stragglers: an entry forgot their weight with the probe, 2 s old, and tried them anew. Change: a weight costs 2 s at one half and is forgotten linearly over 40 s. The bench counts waste by cause and imports the KV cache of a paused run.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections import deque
+from collections import Counter, deque
 from random import Random
 from typing import TYPE_CHECKING, Final
 
@@ -36,9 +36,9 @@
         self.scenario = scenario
         self.random = Random(seed)
         self.events = EventQueue()
-        self.wasted = 0.0
+        self.wasted: Counter[str] = Counter()
+        """Tokens computed in vain, by cause."""
         self.attempts = 0
-        self.late_work = 0.0
         self.engines = {
             name: FakeEngine(
                 events=self.events,
@@ -66,7 +66,13 @@
         return self.site.latency_s * self.random.uniform(0.8, 1.5)
 
     def run_at(
-        self, request: Request, engine: FakeEngine, skip: int, on_end: Callable[[bool, int], None]
+        self,
+        request: Request,
+        engine: FakeEngine,
+        skip: int,
+        on_end: Callable[[bool, int], None],
+        *,
+        imports: bool = False,
     ) -> Run:
         """Send a request to an engine; ends it at its deadline.
 
@@ -74,7 +80,9 @@
             request: The request.
             engine: Where to.
             skip: Tokens that earlier attempts have delivered.
-            on_end: Called with whether the answer is whole and the tokens delivered in all.
+            on_end: Called with whether the answer is whole and the tokens delivered in all, -1
+                when the deadline has passed.
+            imports: Whether the KV cache of a paused attempt is imported.
         """
         self.attempts += 1
         request.attempts += 1
@@ -93,7 +101,7 @@
             if not whole:
                 done = engine.compute_done(run) if run.started_at else 0.0
                 delivered = skip + max(0, int(done - run.prefill))
-                self.wasted += min(done, run.prefill)
+                self.wasted["failed"] += min(done, run.prefill)
             self.events.call_later(self.measure_link(), lambda: on_end(whole, delivered))
 
         def give_up() -> None:
@@ -101,10 +109,12 @@
             if ended:
                 return
             ended = True
-            self.wasted += engine.cancel(run) + skip
+            self.wasted["expired"] += engine.cancel(run) + skip
             on_end(False, -1)
 
-        run = Run(request=request, on_first=note_first, on_end=end, skip_tokens=skip)
+        run = Run(
+            request=request, on_first=note_first, on_end=end, skip_tokens=skip, imports=imports
+        )
         self.events.call_later(self.measure_link(), lambda: engine.start(run))
         self.events.call_at(request.deadline, give_up)
         return run
@@ -140,7 +150,7 @@
             if whole:
                 self.complete(request)
             elif delivered < 0 or len(failed) + 1 >= NAIVE_ATTEMPTS:
-                self.wasted += max(0, delivered)
+                self.wasted["given up"] += max(0, delivered)
                 self.refuse(request)
             else:
                 self._attempt(request, failed | {engine.name}, delivered)
@@ -236,7 +246,7 @@
             if whole:
                 self.complete(request)
             elif delivered < 0 or request.attempts >= NAIVE_ATTEMPTS:
-                self.wasted += max(0, delivered)
+                self.wasted["given up"] += max(0, delivered)
                 self.refuse(request)
             else:
                 self._queues[request.kind.service].appendleft((request, delivered))
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -54,6 +54,8 @@
     """Called with whether the answer came whole."""
     skip_tokens: int = 0
     """Tokens that an earlier attempt has delivered already."""
+    imports: bool = False
+    """Whether the KV cache of a paused attempt is imported instead of a prefill."""
     started_at: float = 0.0
     start_mark: float = 0.0
     first_at: float | None = None
@@ -156,22 +158,22 @@
 
     def estimate_s(self, request: Request) -> float:
         """Return the time that a request would take here, were the batch full."""
-        prefill, tokens = self._measure(request)
+        prefill, tokens = self._measure(request, imports=False)
         return (prefill + tokens) * self.token_s * self.factor
 
     def has_cached(self, prefix_key: str) -> bool:
         """Return whether a prefix is in the cache."""
         return prefix_key in self._cache
 
-    def _measure(self, request: Request) -> tuple[float, int]:
+    def _measure(self, request: Request, *, imports: bool) -> tuple[float, int]:
         if not self.batches:
             return 0.0, request.tokens
-        share = CACHED_SHARE if request.prefix_key in self._cache else 1.0
+        share = CACHED_SHARE if imports or request.prefix_key in self._cache else 1.0
         return request.prompt_tokens * PREFILL_S_PER_TOKEN * share / self.token_s, request.tokens
 
     def _begin(self, run: Run) -> None:
         self._advance()
-        run.prefill, tokens = self._measure(run.request)
+        run.prefill, tokens = self._measure(run.request, imports=run.imports)
         run.started_at = self._events.now
         run.start_mark = self._mark
         if run.request.prefix_key:
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bench.baselines import Policy
+from bench.engine import CACHED_SHARE
 from guavamast.keepers import EndpointKeeper
 from guavamast.placement import EndpointChooser, Wanted
 from guavamast.races import RaceRules, SlotRace
@@ -34,6 +35,7 @@
     asks: int = 0
     failures: int = 0
     skip: int = 0
+    paused: bool = False
     holds: str = ""
     """The ask whose slot it uses."""
     run: Run | None = None
@@ -178,7 +180,9 @@
             self.engines[ask.endpoint],
             ticket.skip,
             lambda whole, delivered: self._finish(ticket, ask, started, whole, delivered),
+            imports=ticket.paused,
         )
+        ticket.paused = False
 
     def _finish(
         self, ticket: Ticket, ask: Ask, started: float, whole: bool, delivered: int
@@ -228,7 +232,7 @@
             random=self._jitter,
         )
         if retry is None:
-            self.wasted += delivered
+            self.wasted["given up"] += delivered
             self._end_refused(ticket)
             return
         ticket.skip = delivered
@@ -245,7 +249,8 @@
         run = ticket.run
         done = engine.cancel(run)
         ticket.skip += max(0, int(done - run.prefill))
-        self.wasted += min(done, run.prefill)
+        ticket.paused = True
+        self.wasted["paused"] += min(done, CACHED_SHARE * run.prefill)
         ticket.holds = ""
         ticket.run = None
         self._release(
@@ -269,7 +274,7 @@
         if ticket.over:
             return
         ticket.over = True
-        self.wasted += ticket.skip
+        self.wasted["refused later"] += ticket.skip
         self._withdraw_all(ticket)
         self._note_inversion(ticket.request)
         self.refuse(ticket.request)
--- a/src/guavamast/placement.py
+++ b/src/guavamast/placement.py
@@ -40,9 +40,14 @@
 FAR_COST_S: Final = 0.15
 """Cost of an endpoint in another region."""
 BASE_S: Final = 0.2
-"""Time to the first token on a healthy idle endpoint; a weight below 1 stretches it."""
+"""Time to the first token on a healthy idle endpoint."""
 LOAD_COST_S: Final = 0.3
 """Extra time to the first token when all slots of an endpoint are taken."""
+STRAGGLE_COST_S: Final = 2.0
+"""Time that a weight of one half costs, as it slows the whole answer and not its start alone."""
+WEIGHT_LIFETIME_S: Final = 40.0
+"""Age at which a weight is forgotten; stragglers change more slowly than queues."""
+WEIGHT_FLOOR: Final = 0.05
 GIVE_WAY_SHARE: Final = 0.2
 """Share of an estimated wait that counts where a lower tier can give way."""
 RETRY_FIRST_S: Final = 0.5
@@ -274,10 +279,19 @@
         if name not in homes[:1]:
             seconds += wanted.prompt_tokens * PREFILL_S_PER_TOKEN
         probe = track.probe
-        if probe is None or now - track.probed_at > PROBE_LIFETIME_S:
+        if probe is None:
+            return seconds + BASE_S + LOAD_COST_S / 2
+        seconds += self._cost_weight(track, probe.weight, now)
+        if now - track.probed_at > PROBE_LIFETIME_S:
             return seconds + BASE_S + LOAD_COST_S / 2
         load = (probe.in_flight + track.asked) / max(1, probe.slots)
         wait = probe.estimated_wait_s * (1.0 + track.asked / (1.0 + probe.queued))
         if probe.lowest_tier > wanted.tier:
             wait *= GIVE_WAY_SHARE
-        return seconds + (BASE_S + load * LOAD_COST_S + wait) / max(0.05, probe.weight)
+        return seconds + BASE_S + load * LOAD_COST_S + wait
+
+    def _cost_weight(self, track: _Track, weight: float, now: float) -> float:
+        """Return the seconds to charge for a straggler, less as the word on it grows old."""
+        age = min(1.0, max(0.0, now - track.probed_at) / WEIGHT_LIFETIME_S)
+        weight = max(WEIGHT_FLOOR, weight + (1.0 - weight) * age)
+        return STRAGGLE_COST_S * (1.0 / weight - 1.0)
