--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -39,6 +39,7 @@
         self.wasted: Counter[str] = Counter()
         """Tokens computed in vain, by cause."""
         self.attempts = 0
+        """Attempts sent, but for those that go on after a pause."""
         self.engines = {
             name: FakeEngine(
                 events=self.events,
@@ -84,7 +85,7 @@
                 when the deadline has passed.
             imports: Whether the KV cache of a paused attempt is imported.
         """
-        self.attempts += 1
+        self.attempts += not imports
         request.attempts += 1
         ended = False
 
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -48,14 +48,21 @@
     Args:
         asked: Keepers asked at once for one request.
         rules: When a further keeper is asked.
+        probe_delay_s: Time by which probes come later than the answers they belong to.
     """
 
     def __init__(
-        self, *, asked: int = 1, rules: RaceRules = DEFAULT_RULES, **arguments: object
+        self,
+        *,
+        asked: int = 1,
+        rules: RaceRules = DEFAULT_RULES,
+        probe_delay_s: float = 0.0,
+        **arguments: object,
     ) -> None:
         super().__init__(**arguments)
         self._asked = asked
         self._rules = rules
+        self._probe_delay_s = probe_delay_s
         self._tickets: dict[str, Ticket] = {}
         self.asks = 0
         self.inversions = 0
@@ -157,7 +164,12 @@
     def _hear(self, event: KeeperEvent, probe: Probe) -> None:
         ticket = self._tickets[event.ask.ask_id.partition("/")[0]]
         chooser = self._choosers[ticket.request.entry]
-        chooser.record_probe(probe, now=self.events.now)
+        if self._probe_delay_s:
+            self.events.call_later(
+                self._probe_delay_s, lambda: chooser.record_probe(probe, now=self.events.now)
+            )
+        else:
+            chooser.record_probe(probe, now=self.events.now)
         if isinstance(event, Granted):
             self._use(ticket, event.ask)
         elif isinstance(event, Refused):
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -41,6 +41,8 @@
     "guavamast": RouterPolicy,
     "one keeper": lambda **arguments: RouterPolicy(rules=RaceRules(racers=1), **arguments),
     "two at once": lambda **arguments: RouterPolicy(asked=2, **arguments),
+    "probes 1 s old": lambda **arguments: RouterPolicy(probe_delay_s=1.0, **arguments),
+    "probes 5 s old": lambda **arguments: RouterPolicy(probe_delay_s=5.0, **arguments),
     "random": RandomPolicy,
     "round robin": RoundRobinPolicy,
     "least load": LeastLoadPolicy,
