Test non-idempotent calls under kills and freezes of processes

Change: tests/test_operations_processes.py on the fleet of processes: entry killed in the middle of sixty approvals, entry frozen while callers ask at the other, service frozen past the deadline, platform losing answers and then down, both losing answers and the entry killed. Callers ask again at the other instance until settled; the services' run counts are compared with what was told. Ruled out: killing at a named step of a process, which needs a hook in the daemon; sixty calls two milliseconds apart are spread over the steps.

--- /dev/null
+++ b/tests/test_operations_processes.py
@@ -0,0 +1,193 @@
+"""Non-idempotent calls under kills, freezes and outages of real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import TYPE_CHECKING
+
+from tests._callers import Caller
+from tests._processes import ProcessFleet
+
+if TYPE_CHECKING:
+    from tornado.httpclient import HTTPResponse
+
+ASK_TIMEOUT_S = 20.0
+"""A caller's own wait for one answer."""
+
+
+class KeyLog:
+    """What callers were told of one key, in order."""
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+        self.answers: list[bytes] = []
+        self.outcomes: list[str] = []
+        self.requests = 0
+
+    def record(self, response: HTTPResponse | None) -> None:
+        """Take in a reply, or None for a connection that broke."""
+        self.requests += 1
+        if response is None or response.code == 599:
+            self.outcomes.append("broken")
+        elif response.code == 200:
+            self.answers.append(response.body)
+            self.outcomes.append("answered")
+        else:
+            self.outcomes.append(json.loads(response.body)["error"]["outcome"])
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the caller has an answer or can't get one by asking at once again."""
+        return bool(self.outcomes) and self.outcomes[-1] in ("answered", "outcome_unknown")
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether every request was told that it did not run."""
+        return set(self.outcomes) == {"not_run"}
+
+
+class OperationProcessesTest(unittest.IsolatedAsyncioTestCase):
+    """Callers ask at one instance, something breaks, and they ask again at the other."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        self.fleet = ProcessFleet(engines=1, services=2)
+        self.addCleanup(self.fleet.close)
+        await self.fleet.start()
+        self.callers = [Caller(url=url) for url in self.fleet.urls]
+        self.logs: list[KeyLog] = []
+
+    async def ask(self, log: KeyLog, number: int) -> None:
+        """Ask once for a key at one instance."""
+        try:
+            caller = self.callers[number]
+            log.record(await caller.call("approve", key=log.key, timeout_s=ASK_TIMEOUT_S))
+        except Exception:
+            log.record(None)
+
+    async def ask_many(self, prefix: str, *, count: int, number: int) -> None:
+        """Ask for new keys at one instance, two milliseconds apart."""
+        logs = [KeyLog(f"{prefix}-{index}") for index in range(count)]
+        self.logs.extend(logs)
+        async with asyncio.TaskGroup() as tasks:
+            for log in logs:
+                tasks.create_task(self.ask(log, number))
+                await asyncio.sleep(0.002)
+
+    async def ask_again(self, number: int, *, rounds: int = 40) -> None:
+        """Ask at an instance for all keys until each is settled."""
+        for _ in range(rounds):
+            open_logs = [log for log in self.logs if not log.is_settled]
+            if not open_logs:
+                return
+            await asyncio.gather(*(self.ask(log, number) for log in open_logs))
+            await asyncio.sleep(0.1)
+        self.fail(f"not settled: {[(log.key, log.outcomes[-3:]) for log in open_logs]}")
+
+    async def expect_promises(self) -> None:
+        """Check runs against what callers were told."""
+        runs = await self.fleet.read_runs()
+        for log in self.logs:
+            count = runs.get(log.key, 0)
+            told = (log.key, log.outcomes)
+            self.assertLessEqual(count, 1, told)
+            self.assertLessEqual(len(set(log.answers)), 1, told)
+            if log.answers:
+                self.assertEqual(count, 1, told)
+            if log.never_ran:
+                self.assertEqual(count, 0, told)
+
+    async def fault_services(self, **fault: object) -> None:
+        """Switch the fault of all endpoints."""
+        for _, url in self.fleet.services:
+            await self.fleet.fault(url, **fault)
+
+    async def wait_for_runs(self, count: int) -> None:
+        """Wait until so many keys have run."""
+        async with asyncio.timeout(20):
+            while len(await self.fleet.read_runs()) < count:
+                await asyncio.sleep(0.01)
+
+    async def test_entry_killed_at_every_step(self) -> None:
+        # Callers send sixty approvals, spread over the steps of a call; the entry is killed. Their
+        # connections break, and they ask again at the other instance. Keys whose row was inserted
+        # stay unknown, the others run there; none runs twice.
+        await self.fault_services(kind="slow", delay_s=0.03)
+        asking = asyncio.ensure_future(self.ask_many("kill", count=60, number=0))
+        await self.wait_for_runs(15)
+        self.fleet.entries[0].kill()
+        await asking
+        await self.ask_again(1)
+        await self.expect_promises()
+        outcomes = {log.outcomes[-1] for log in self.logs}
+        self.assertIn("answered", outcomes)
+
+    async def test_entry_frozen_longer_than_the_callers_wait(self) -> None:
+        # The entry freezes in the middle of sixty approvals. Callers ask at the other instance,
+        # then it goes on with what it holds. Whatever it sends late must not be a second run.
+        await self.fault_services(kind="slow", delay_s=0.03)
+        asking = asyncio.ensure_future(self.ask_many("freeze", count=60, number=0))
+        await self.wait_for_runs(15)
+        self.fleet.entries[0].pause()
+        again = [KeyLog(f"freeze-{index}") for index in range(60)]
+        await asyncio.gather(*(self.ask(log, 1) for log in again))
+        self.fleet.entries[0].resume()
+        await asking
+        self.logs.extend(again)
+        await self.ask_again(1)
+        await self.expect_promises()
+        for first, second in zip(self.logs[:60], again, strict=True):
+            self.assertLessEqual(len({*first.answers, *second.answers}), 1, first.key)
+
+    async def test_service_frozen_past_the_deadline(self) -> None:
+        # The service freezes with an approval in it. The caller's deadline passes: outcome unknown.
+        # The service goes on, the entry records its answer, and the other instance serves it.
+        for process, _ in self.fleet.services:
+            process.pause()
+        caller = self.callers[0]
+        headers = {"Idempotency-Key": "frozen", "X-Request-Timeout-Ms": "1000"}
+        response = await caller.fetch(
+            "/v1/services/ledger/approve", body=b"{}", headers=headers, timeout_s=ASK_TIMEOUT_S
+        )
+        self.assertEqual(response.code, 504)
+        self.assertEqual(json.loads(response.body)["error"]["outcome"], "outcome_unknown")
+        for process, _ in self.fleet.services:
+            process.resume()
+        async with asyncio.timeout(20):
+            while True:
+                state = await self.callers[1].fetch("/v1/operations/frozen", method="GET")
+                if json.loads(state.body)["state"] == "done":
+                    break
+                await asyncio.sleep(0.05)
+        again = await self.callers[1].call("approve", key="frozen")
+        self.assertEqual(again.code, 200)
+        self.assertEqual(await self.fleet.read_runs(), {"frozen": 1})
+
+    async def test_platform_loses_answers_and_goes_down(self) -> None:
+        # Approvals run while the platform first closes connections after its writes, then answers
+        # 503. Nothing runs twice; refusals as not run are true; after the outage all is settled.
+        asking = asyncio.ensure_future(self.ask_many("outage", count=60, number=0))
+        await self.wait_for_runs(5)
+        await self.fleet.fault(self.fleet.platform_url, kind="lose_answers")
+        await asyncio.sleep(0.05)
+        await self.fleet.fault(self.fleet.platform_url, kind="down")
+        await asking
+        await self.fleet.fault(self.fleet.platform_url, kind="none")
+        await self.ask_again(1)
+        await self.expect_promises()
+
+    async def test_answers_lost_by_both_and_entry_killed(self) -> None:
+        # Platform and service both close connections after their work, and the entry is killed.
+        asking = asyncio.ensure_future(self.ask_many("pair", count=40, number=0))
+        await self.wait_for_runs(5)
+        await self.fleet.fault(self.fleet.platform_url, kind="lose_answers")
+        await self.fault_services(kind="lose_answers")
+        await asyncio.sleep(0.02)
+        self.fleet.entries[0].kill()
+        await asking
+        await self.fleet.fault(self.fleet.platform_url, kind="none")
+        await self.fault_services(kind="none")
+        await self.ask_again(1)
+        await self.expect_promises()
