Let one instance take each part of the operations' table

Cause: every entry scanned every part for old rows. Change: the entry passes is_mine, the rendezvous rank of (part, serving members), to delete_expired. Conclusion: the scan's cost is that of one instance, whatever their number.

--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -30,6 +30,7 @@
 from guavamast.placement import EndpointChooser
 from guavamast.plan_store import PlanStore
 from guavamast.platform_http import HttpPlatformClient
+from guavamast.rendezvous import rank
 from guavamast.retries import RetryBudget
 from guavamast.send_gates import BEAT_INTERVAL_S, PauseWatch
 from guavamast.service_calls import ServiceCalls
@@ -141,7 +142,8 @@
         self.view_link.start()
         self._start(self._report_load())
         self._start(self._watch_pauses())
-        self._start(self.calls.delete_expired(retention_s=self._settings.operation_retention_s))
+        retention_s = self._settings.operation_retention_s
+        self._start(self.calls.delete_expired(retention_s=retention_s, is_mine=self._is_mine))
 
     def _make_operator_routes(self) -> list[tuple[str, type, dict[str, Any]]]:
         status = EntryStatus(state=self.state, links=self.links)
@@ -209,6 +211,12 @@
     def _list_other_dispatchers(self) -> list[str]:
         return [item.instance.peer_address for item in self.state.list_others()]
 
+    def _is_mine(self, prefix: str) -> bool:
+        """Return whether this instance takes a part of the operations' table."""
+        members = self.state.view.list_serving()
+        ranked = rank(f"operations/{prefix}", [member.instance.name for member in members])
+        return not ranked or ranked[0] == self._settings.instance.name
+
     def _start(self, work: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.ensure_future(work))
 
