--- a/tests/test_single_runs.py
+++ b/tests/test_single_runs.py
@@ -26,6 +26,25 @@
         await world.finish(late_last=False)
         self.assertEqual(second.refusal.outcome, Outcome.OUTCOME_UNKNOWN)
 
+    async def test_late_insert_of_a_refused_request(self) -> None:
+        # The insert's answer is lost and the row can't be read, so the caller is told "not run".
+        # The platform carries the insert out long after: the key would be blocked as started for
+        # good, though nothing was sent, by a row that nobody is left to give up.
+        for given_up in (False, True):
+            world = make_world("a")
+            if given_up:
+                world.add_given_up_row("k", b"100")
+            asked = world.ask("a", "k", b"100")
+            await world.run_to("a", "write")
+            if given_up:
+                await world.resume(world.find_step("a", "write"), Fault.NONE)
+                await world.run_to("a", "write")
+            await world.resume(world.find_step("a", "write"), Fault.LATE)
+            await world.resume(world.find_step("a", "read"), Fault.BEFORE)
+            self.assertEqual(asked.refusal.outcome, Outcome.NOT_RUN)
+            await world.finish(late_last=True)
+            self.assertEqual(world.find_violations(), [])
+
     async def test_caller_that_is_gone_does_not_stop_the_run(self) -> None:
         # The caller's connection breaks in mid-send and its handler is cancelled. The run must go
         # on to its record, else the key stays started and nobody ever gets the answer.
