--- a/tests/operation_world.py
+++ b/tests/operation_world.py
@@ -100,6 +100,7 @@
     instance: str
     key: str
     body: bytes
+    deadline: float
     earlier_unanswered: bool
     """Whether another request of the key had no reply when this one was made."""
     task: asyncio.Task[None] | None = None
@@ -240,6 +241,7 @@
             instance=instance,
             key=key,
             body=body,
+            deadline=self.now + timeout_s,
             earlier_unanswered=any(not other.replied for other in siblings),
         )
         self.asked.append(asked)
@@ -252,7 +254,7 @@
             idempotency_key=key,
             class_name="counter",
             tier=1,
-            deadline=self.now + timeout_s,
+            deadline=asked.deadline,
         )
         asked.task = asyncio.ensure_future(self._await_reply(asked, call))
         return asked
@@ -467,6 +469,8 @@
             operation = decode_operation(row.value)
             if operation.key.key == call.idempotency_key:
                 world.sent_nonces.add(operation.nonce)
+        if world.now >= world.asked[int(call.request_id)].deadline:
+            world.wrong_sends.append(f"request {call.request_id} was sent after its deadline")
         if call.url in world.drained:
             world.wrong_sends.append(f"request {call.request_id} was sent to a drained endpoint")
         if not world.nodes[self.instance].pauses.is_settled(now=world.now):
--- a/tests/test_single_runs.py
+++ b/tests/test_single_runs.py
@@ -44,6 +44,23 @@
             self.assertEqual(asked.refusal.outcome, Outcome.NOT_RUN)
             await world.finish(late_last=True)
             self.assertEqual(world.find_violations(), [])
+            again = world.ask("a", "k", b"100")
+            await world.finish(late_last=True)
+            self.assertIsNotNone(again.answer)
+
+    async def test_timer_that_fires_early(self) -> None:
+        # The deadline's timer fires a moment before the deadline by the clock (loops allow for the
+        # clock's resolution). The caller is told "not run"; the last check, a moment later, still
+        # finds time left and would send.
+        world = make_world("a")
+        asked = world.ask("a", "k", b"100")
+        await world.run_to("a", "connect")
+        timer = world.find_step("a", "timer")
+        timer.due = 0.0
+        await world.resume(timer, Fault.NONE)
+        self.assertEqual(asked.refusal.outcome, Outcome.NOT_RUN)
+        await world.finish(late_last=False)
+        self.assertEqual(world.runs, [])
 
     async def test_caller_that_is_gone_does_not_stop_the_run(self) -> None:
         # The caller's connection breaks in mid-send and its handler is cancelled. The run must go
