--- a/src/guavamast/_allotment_wire.py
+++ b/src/guavamast/_allotment_wire.py
@@ -15,7 +15,6 @@
             rate_wanted=ask.rate_wanted,
             concurrent_wanted=ask.concurrent_wanted,
             tokens_wanted=ask.tokens_wanted,
-            held_rate=ask.held_rate,
             held_concurrent=ask.held_concurrent,
         )
     )
@@ -30,7 +29,6 @@
         rate_wanted=message.rate_wanted,
         concurrent_wanted=message.concurrent_wanted,
         tokens_wanted=message.tokens_wanted,
-        held_rate=message.held_rate,
         held_concurrent=message.held_concurrent,
     )
 
@@ -41,10 +39,10 @@
         allotment=peer_pb2.AllotmentMessage(
             organisation=allotment.organisation,
             sequence=allotment.sequence,
-            rate=allotment.rate,
             tokens=allotment.tokens,
             concurrent=allotment.concurrent,
-            renew_after_s=allotment.renew_after_s,
+            tight=allotment.tight,
+            hold_s=allotment.hold_s,
             valid_for_s=allotment.valid_for_s,
         )
     )
@@ -55,9 +53,9 @@
     return Allotment(
         organisation=message.organisation,
         sequence=message.sequence,
-        rate=message.rate,
         tokens=message.tokens,
         concurrent=message.concurrent,
-        renew_after_s=message.renew_after_s,
+        tight=message.tight,
+        hold_s=message.hold_s,
         valid_for_s=message.valid_for_s,
     )
--- a/src/guavamast/limit_gate.py
+++ b/src/guavamast/limit_gate.py
@@ -58,7 +58,7 @@
         admission = self._limiter.admit(organisation, now=self._clock())
         while admission.state is AdmissionState.PENDING:
             await self._wait_answer(organisation.name, admission.retry_after_s)
-            admission = self._limiter.admit(organisation, now=self._clock(), is_repeat=True)
+            admission = self._limiter.admit(organisation, now=self._clock())
         self._send_asks()
         if admission.state is AdmissionState.REFUSED:
             raise self._refuse(organisation, admission.code, admission.retry_after_s)
--- a/src/guavamast/limits.py
+++ b/src/guavamast/limits.py
@@ -220,6 +220,10 @@
         rest = contract.concurrent % parts
         if rest and self._entry in rank(usage.organisation.name, self._names)[:rest]:
             owned += 1
+        if not usage.static_rate:
+            # One burst of the even part: over all entries no more than the limit's own burst.
+            burst = max(1.0, contract.requests_per_second / parts * BURST_S)
+            usage.tokens = max(usage.tokens, burst)
         usage.static_rate = contract.requests_per_second / parts
         usage.concurrent = owned
         usage.valid_until = now + REPEAT_S
--- a/tests/operation_world.py
+++ b/tests/operation_world.py
@@ -21,13 +21,18 @@
 from guavamast.operations import (
     OPERATIONS_TABLE,
     Answer,
+    Operation,
+    OperationKey,
     OperationState,
+    compute_request_digest,
     decode_operation,
+    encode_operation,
 )
 from guavamast.platform_client import (
     PlatformAnswerLost,
     PlatformClient,
     PlatformUnavailable,
+    Write,
 )
 from guavamast.send_gates import PauseWatch, SendGate
 from guavamast.service_call import (
@@ -46,7 +51,7 @@
     from collections.abc import Callable
 
     from guavamast.endpoint_sender import EndpointCall
-    from guavamast.platform_client import Check, ListedInstance, Row, Write
+    from guavamast.platform_client import Check, ListedInstance, Row
 
 SHORT_S = 0.01
 """Timers up to this long count as ready, as the window of a group commit."""
@@ -95,6 +100,7 @@
     instance: str
     key: str
     body: bytes
+    deadline: float
     earlier_unanswered: bool
     """Whether another request of the key had no reply when this one was made."""
     task: asyncio.Task[None] | None = None
@@ -169,6 +175,21 @@
         """Return the timers that take longer."""
         return [step for step in self.list_running() if step.due > self.now + SHORT_S]
 
+    def add_given_up_row(self, key: str, body: bytes) -> None:
+        """Write the row of an earlier request that was told ``not_run``."""
+        operation = Operation(
+            key=OperationKey(organisation="acme", key=key),
+            nonce="earlier",
+            request_digest=compute_request_digest("ledger", "settle", body),
+            state=OperationState.NOT_RUN,
+            started_at=self.now,
+            due_at=self.now,
+        )
+        row = Write(
+            table=OPERATIONS_TABLE, key=operation.key.row_key, value=encode_operation(operation)
+        )
+        self.tables.transact([], [row])
+
     def find_step(self, instance: str, label: str) -> Step | None:
         """Return an instance's first step of that label that is parked."""
         for step in self.steps:
@@ -220,6 +241,7 @@
             instance=instance,
             key=key,
             body=body,
+            deadline=self.now + timeout_s,
             earlier_unanswered=any(not other.replied for other in siblings),
         )
         self.asked.append(asked)
@@ -232,7 +254,7 @@
             idempotency_key=key,
             class_name="counter",
             tier=1,
-            deadline=self.now + timeout_s,
+            deadline=asked.deadline,
         )
         asked.task = asyncio.ensure_future(self._await_reply(asked, call))
         return asked
@@ -279,6 +301,7 @@
             *self._find_two_answers(),
             *self._find_unreplied(),
             *self._find_blocked_keys(),
+            *self._find_unrecorded(),
         ]
 
     def _find_double_runs(self) -> list[str]:
@@ -332,6 +355,14 @@
                 found.append(f"key {operation.key.key} is blocked though it was not sent")
         return found
 
+    def _find_unrecorded(self) -> list[str]:
+        """Find keys whose answer reached a caller and was not recorded, though nobody died."""
+        rows = self.tables.scan(OPERATIONS_TABLE, "")
+        operations = [decode_operation(row.value) for row in rows]
+        done = {item.key.key for item in operations if item.state is OperationState.DONE}
+        answered = {asked.key for asked in self.asked if asked.answer is not None}
+        return [f"key {key} is not recorded" for key in answered - done if not self.dead]
+
 
 class WorldClock(Clock):
     """The world's time; sleeping parks."""
@@ -438,6 +469,8 @@
             operation = decode_operation(row.value)
             if operation.key.key == call.idempotency_key:
                 world.sent_nonces.add(operation.nonce)
+        if world.now >= world.asked[int(call.request_id)].deadline:
+            world.wrong_sends.append(f"request {call.request_id} was sent after its deadline")
         if call.url in world.drained:
             world.wrong_sends.append(f"request {call.request_id} was sent to a drained endpoint")
         if not world.nodes[self.instance].pauses.is_settled(now=world.now):
