--- /dev/null
+++ b/bench/membership_cost.py
@@ -0,0 +1,243 @@
+"""Cost of idle dispatchers, and the time from accept to in force, with real processes on loopback.
+
+Run with ``python -m bench.membership_cost [COUNT ...]``. Bytes are those of the dispatchers' TCP
+connections with 52 bytes of IP and TCP header for each segment, both ways, as ``ss`` gives them;
+processor time is the kernel's own count for all threads of a process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+from statistics import fmean, linear_regression
+from typing import Final
+
+import psutil
+from grpclib.client import Channel
+
+from guavamast.peer_grpc import PeerStub
+from guavamast.peer_pb2 import AnnounceRequest
+
+WINDOW_S: Final = 30.0
+SETTLE_S: Final = 20.0
+"""Time before measuring, in which streams that joining needed have been closed."""
+HEADER_BYTES: Final = 52
+DESIGN_SIZE: Final = 350
+SETTINGS: Final = """\
+[instance]
+name = n{number:02}
+failure_domain = {region}-{domain}
+region = {region}
+[listen]
+callers = 127.0.0.1:0
+peers = 127.0.0.1:{port}
+[platform]
+tables = {platform}
+objects = {platform}
+[peers]
+seeds = {seeds}
+[operators]
+token_file = {token_file}
+"""
+CLASS_TEXT: Final = """\
+[class drafting]
+tier = 1
+first_token_ms = 430
+token_interval_ms = 26
+completion_s = 30
+guaranteed_share = 0.5
+queue_limit = {limit}
+"""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sample:
+    """Counters of all dispatchers of a fleet at one moment."""
+
+    at: float
+    cpu_s: float
+    sent: int
+    received: int
+    segments: int
+
+
+class DispatcherFleet:
+    """Real dispatcher processes and one stand-in platform.
+
+    Args:
+        folder: Where settings and logs go.
+        count: Number of dispatchers.
+    """
+
+    def __init__(self, *, folder: Path, count: int) -> None:
+        self.folder = folder
+        self.platform = self._start("platform", "standin", "platform", "--port", "0")
+        port = self.platform.stdout.readline().decode().split()[-1].rsplit(":", 1)[-1]
+        self.platform_url = f"http://127.0.0.1:{port}"
+        (folder / "tokens").write_text("operator secret-secret-secret-secret\n")
+        self.ports = _find_ports(count)
+        self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        for number in range(count):
+            self._write_settings(number)
+            self.start(number)
+
+    def start(self, number: int) -> None:
+        """Start one dispatcher, again if it ran before."""
+        settings = str(self.folder / f"n{number:02}.ini")
+        self.processes[number] = self._start(f"n{number:02}", "dispatcher", "--settings", settings)
+
+    def read_log(self, number: int) -> list[str]:
+        """Return the lines that a dispatcher has logged."""
+        return (self.folder / f"n{number:02}.log").read_text().splitlines()
+
+    async def announce(self, number: int, version: int) -> float:
+        """Have one dispatcher accept a configuration; return the wall clock at that moment."""
+        channel = Channel("127.0.0.1", self.ports[number])
+        text = CLASS_TEXT.format(limit=100 + version)
+        started = time.time()
+        await PeerStub(channel).Announce(
+            AnnounceRequest(configuration_version=version, configuration_text=text)
+        )
+        channel.close()
+        return started
+
+    def find_in_force(self, version: int) -> list[float]:
+        """Return the wall clock times at which dispatchers put a version in force."""
+        pattern = re.compile(rf"^(\S+ \S+) INFO configuration {version} in force")
+        found = []
+        for number in self.processes:
+            for line in self.read_log(number):
+                match = pattern.match(line)
+                if match:
+                    moment = datetime.strptime(match.group(1), "%Y-%m-%d %H:%M:%S,%f")
+                    found.append(moment.timestamp())
+        return found
+
+    def sample(self) -> Sample:
+        """Read the counters."""
+        pids = [process.pid for process in self.processes.values()]
+        sent, received, segments = _read_connections(pids)
+        cpu_s = sum(_read_cpu_s(pid) for pid in pids)
+        return Sample(
+            at=time.monotonic(), cpu_s=cpu_s, sent=sent, received=received, segments=segments
+        )
+
+    def read_memory_mb(self) -> float:
+        """Return the mean resident set of a dispatcher."""
+        sizes = [psutil.Process(p.pid).memory_info().rss for p in self.processes.values()]
+        return fmean(sizes) / 1e6
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in [*self.processes.values(), self.platform]:
+            process.kill()
+            process.wait()
+
+    def _write_settings(self, number: int) -> None:
+        seeds = ", ".join(f"127.0.0.1:{port}" for port in self.ports[:2])
+        text = SETTINGS.format(
+            number=number,
+            region=f"region{number % 3}",
+            domain="ab"[number // 3 % 2],
+            port=self.ports[number],
+            platform=self.platform_url,
+            seeds=seeds,
+            token_file=self.folder / "tokens",
+        )
+        (self.folder / f"n{number:02}.ini").write_text(text)
+
+    def _start(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "-m", "guavamast", *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+            )
+
+
+async def measure(count: int) -> dict[str, float]:
+    """Return the figures of one size, each for one dispatcher and second."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = DispatcherFleet(folder=Path(folder), count=count)
+        try:
+            await asyncio.sleep(SETTLE_S + count * 0.2)
+            figures = {}
+            for version in (1, 2, 3):
+                figures[f"in_force_{version}_s"] = await _measure_spread(fleet, version)
+            await asyncio.sleep(2.0)
+            before = fleet.sample()
+            await asyncio.sleep(WINDOW_S)
+            after = fleet.sample()
+            seconds = (after.at - before.at) * count
+            payload = after.sent + after.received - before.sent - before.received
+            segments = after.segments - before.segments
+            figures["cpu_percent"] = 100.0 * (after.cpu_s - before.cpu_s) / seconds
+            figures["payload_bytes"] = payload / seconds
+            figures["wire_bytes"] = (payload + segments * HEADER_BYTES) / seconds
+            figures["segments"] = segments / seconds
+            figures["rss_mb"] = fleet.read_memory_mb()
+            return figures
+        finally:
+            fleet.close()
+
+
+async def _measure_spread(fleet: DispatcherFleet, version: int) -> float:
+    started = await fleet.announce(0, version)
+    deadline = time.time() + 30.0
+    while time.time() < deadline:
+        found = fleet.find_in_force(version)
+        if len(found) == len(fleet.processes):
+            return max(found) - started
+        await asyncio.sleep(0.1)
+    return float("nan")
+
+
+def _read_cpu_s(pid: int) -> float:
+    tasks = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(task.read_text().split()[0]) for task in tasks) / 1e9
+
+
+def _read_connections(pids: list[int]) -> tuple[int, int, int]:
+    text = subprocess.run(["ss", "-tinpHO"], capture_output=True, text=True, check=True).stdout
+    wanted = [re.compile(rf"pid={pid},") for pid in pids]
+    lines = [line for line in text.splitlines() if any(w.search(line) for w in wanted)]
+
+    def add(name: str) -> int:
+        return sum(int(found) for line in lines for found in re.findall(rf"{name}:(\d+)", line))
+
+    return add("bytes_sent"), add("bytes_received"), add("segs_out") + add("segs_in")
+
+
+def _find_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def main() -> None:
+    """Measure the sizes given on the command line and fit a line to each figure."""
+    counts = [int(text) for text in sys.argv[1:]] or [5, 14, 40]
+    results = {}
+    for count in counts:
+        results[count] = asyncio.run(measure(count))
+        print(count, {name: round(value, 3) for name, value in results[count].items()}, flush=True)
+    if len(counts) > 1:
+        for name in results[counts[0]]:
+            slope, start = linear_regression(counts, [results[n][name] for n in counts])
+            print(f"{name}: slope {slope:.5f} at {DESIGN_SIZE}: {start + slope * DESIGN_SIZE:.3f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/guavamast/configuration_spread.py
+++ b/src/guavamast/configuration_spread.py
@@ -20,6 +20,8 @@
 
 PUSHED_CHARACTERS: Final = 2048
 """Largest delta that is sent unasked. Each instance may get it from every neighbour."""
+PEERS_WANTED: Final = 3
+"""Peers that a new instance hears before it believes the highest, when the platform is down."""
 
 
 class Source(StrEnum):
@@ -86,7 +88,6 @@
         now: The present time of a monotonic clock.
         seed: Seed of the jitter; differs between instances.
         timing: Times of the spread.
-        peers_wanted: Peers to hear before one of them is believed when the platform is down.
     """
 
     __slots__ = (
@@ -114,11 +115,10 @@
         now: float,
         seed: int,
         timing: SpreadTiming | None = None,
-        peers_wanted: int = 3,
     ) -> None:
         self._timing = timing or SpreadTiming()
         self._random = Random(seed)
-        self._peers_wanted = peers_wanted
+        self._peers_wanted = PEERS_WANTED
         self._version = 0
         self._text = ""
         self._chain = DeltaChain()
@@ -246,6 +246,10 @@
             return ConfigurationOffer(version=self._version, deltas=deltas)
         return ConfigurationOffer(version=self._version, text=self._text)
 
+    def set_neighbours(self, number: int) -> None:
+        """Set how many neighbours there are; a small fleet has fewer peers to hear."""
+        self._peers_wanted = max(1, min(PEERS_WANTED, number))
+
     def wants_from(self, name: str, *, now: float) -> bool:
         """Return whether this peer is the one to ask for a text now.
 
@@ -324,10 +328,6 @@
         highest = max((peer.version for peer in fresh), default=0)
         return outage and len(fresh) >= self._peers_wanted and version >= highest
 
-    def set_peers_wanted(self, number: int) -> None:
-        """Lower the number of peers to hear, where the fleet has fewer."""
-        self._peers_wanted = max(1, number)
-
     def _note_behind(self, now: float) -> None:
         highest = max((p.version for p in self._peers.values()), default=0)
         if max(highest, self._head or 0) <= self._version:
--- a/src/guavamast/heartbeats.py
+++ b/src/guavamast/heartbeats.py
@@ -176,6 +176,7 @@
 
     def _update_links(self, now: float) -> None:
         neighbours = {m.instance.name: m for m in self._membership.list_neighbours()}
+        self._spread.set_neighbours(len(neighbours))
         self._close_useless(neighbours, now)
         linked = {link.state.peer for link in self._links}
         for name, member in neighbours.items():
--- a/src/guavamast/member_records.py
+++ b/src/guavamast/member_records.py
@@ -74,6 +74,8 @@
     """When its heartbeat was last seen to rise, or when it became a neighbour."""
     changed_at: float
     """When its incarnation or state changed."""
+    lost: bool = False
+    """Whether its address refused a connection since its last heartbeat."""
     patience: float = 1.0
     """Factor on the allowed silence."""
     inherited: bool = False
--- a/src/guavamast/membership.py
+++ b/src/guavamast/membership.py
@@ -38,6 +38,8 @@
     """Silence after which a neighbour is suspected."""
     gone_after_s: float = 3.0
     """Time that a suspected instance has to refute."""
+    lost_gone_after_s: float = 1.0
+    """The same for one whose address refuses connections: no process is there to refute."""
     forget_after_s: float = 7200.0
     """Time after which a gone instance is forgotten; longer than regions lose each other for."""
     load_period_s: float = 5.0
@@ -180,7 +182,7 @@
             return
         if record.member.state == MemberState.LIVE:
             self._set_state(record, MemberState.SUSPECT, now)
-        record.heard_at = min(record.heard_at, now - self._timing.suspect_after_s)
+        record.lost = True
 
     def set_configuration_version(self, version: int) -> None:
         """Set the version of the configuration that is in force here."""
@@ -294,6 +296,7 @@
         record.member = joined = join(known, heard)
         if (joined.incarnation, joined.heartbeat) > (known.incarnation, known.heartbeat):
             record.heard_at = now
+            record.lost = False
         if (joined.incarnation, joined.state) != (known.incarnation, known.state):
             if record.inherited and joined.state == MemberState.GONE:
                 return
@@ -405,10 +408,11 @@
             record.patience = max(1.0, record.patience * PATIENCE_DECAY)
         allowed = timing.suspect_after_s * record.patience
         if state == MemberState.SUSPECT:
-            if min(silence, now - record.changed_at) > timing.gone_after_s:
+            rest = timing.lost_gone_after_s if record.lost else timing.gone_after_s
+            if min(silence, now - record.changed_at) > rest:
                 self._set_state(record, MemberState.GONE, now)
         elif name in self._neighbours and silence > allowed:
             if state == MemberState.LIVE:
                 self._set_state(record, MemberState.SUSPECT, now)
-            elif silence > allowed + timing.gone_after_s:
+            elif record.lost or silence > allowed + timing.gone_after_s:
                 self._set_state(record, MemberState.GONE, now)
--- /dev/null
+++ b/tests/test_addresses_properties.py
@@ -0,0 +1,94 @@
+"""Properties of the addresses that callers are told."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from bench.exchange_loop import make_instance
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.addresses import choose_addresses
+from guavamast.members import Member, MembershipView, MemberState
+
+STATES = st.sampled_from([MemberState.LIVE, MemberState.SUSPECT, MemberState.LEAVING])
+
+
+def make_member(number: int, state: MemberState, load: float, region: str) -> Member:
+    """Return a member of a region."""
+    return Member(
+        instance=make_instance(f"i{number:02}", region=region, domain="ab"[number % 2]),
+        incarnation=1,
+        state=state,
+        heartbeat=1,
+        configuration_version=1,
+        load=load,
+    )
+
+
+VIEWS = st.lists(
+    st.tuples(STATES, st.floats(0.0, 500.0), st.sampled_from(["sierra", "wallonie"])),
+    min_size=1,
+    max_size=16,
+).map(
+    lambda rows: MembershipView(
+        members=tuple(make_member(number, *row) for number, row in enumerate(rows))
+    )
+)
+
+
+class ChooseAddressesTest(unittest.TestCase):
+    """Answers that callers keep for a while."""
+
+    @given(VIEWS, st.sampled_from(["sierra", "wallonie-a", "elsewhere"]), st.integers(0, 2**40))
+    def test_answers_hold_serving_instances_of_the_callers_region_first(
+        self, view: MembershipView, hint: str, seed: int
+    ) -> None:
+        answer = choose_addresses(view, caller_hint=hint, seed=seed, validity_s=10.0)
+        names = [member.instance.name for member in answer.members]
+        states = {member.state for member in answer.members}
+        live = [m for m in view.members if m.state == MemberState.LIVE]
+        self.assertEqual(len(names), len(set(names)))
+        self.assertNotIn(MemberState.LEAVING, states)
+        self.assertEqual(bool(names), bool(view.list_serving()))
+        self.assertLessEqual(answer.valid_for_s, 10.0)
+        if live:
+            self.assertEqual(states, {MemberState.LIVE})
+        regions = [member.instance.failure_domain.region for member in answer.members]
+        region = hint.split("-")[0]
+        if any(m.instance.failure_domain.region == region for m in live):
+            self.assertEqual(regions[0], region)
+        if len({m.instance.failure_domain.name for m in live}) > 1:
+            domains = {member.instance.failure_domain.name for member in answer.members}
+            self.assertGreater(len(domains), 1)
+
+    @given(st.integers(2, 40), st.integers(0, 2**31), st.floats(1.0, 500.0))
+    def test_a_run_of_answers_is_even_whatever_one_old_load_says(
+        self, count: int, seed: int, load: float
+    ) -> None:
+        """All callers ask within one load report's age and keep what they got.
+
+        If each answer named the least loaded instance, all of them would go there. However low or
+        high one report is, no instance gets more than about twice its share, and the others'
+        shares differ by little.
+        """
+        members = [make_member(n, MemberState.LIVE, 10.0, "sierra") for n in range(count)]
+        members[0] = replace(members[0], load=load)
+        view = MembershipView(members=tuple(members))
+        chosen = Counter(
+            choose_addresses(view, caller_hint="sierra", seed=seed + n, validity_s=10.0)
+            .members[0]
+            .instance.name
+            for n in range(20 * count)
+        )
+        self.assertLessEqual(max(chosen.values()), 2 * 20 + 4)
+        others = [chosen[member.instance.name] for member in members[1:]]
+        self.assertLessEqual(max(others) - min(others), 6)
+        if load >= 20.0:
+            self.assertLess(chosen["i00"], min(others))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_configuration_spread_properties.py
@@ -0,0 +1,164 @@
+"""Properties of the spread of the configuration: deltas, never back, whom to believe."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.configuration_delta import (
+    CHAIN_CHARACTERS,
+    DeltaChain,
+    apply_delta,
+    make_delta,
+)
+from guavamast.configuration_spread import (
+    ConfigurationOffer,
+    ConfigurationSpread,
+    Source,
+    Standing,
+)
+
+TEXTS = st.text(alphabet="ab\né", max_size=30)
+LONG_AGO = 100.0
+
+
+def make_spread(*, head: int | None = 0) -> ConfigurationSpread:
+    """Return a new instance's spread that has read the head row, or could not for long."""
+    spread = ConfigurationSpread(now=0.0, seed=1)
+    if head is None:
+        spread.miss_platform(now=LONG_AGO)
+    else:
+        spread.hear_platform(head, now=LONG_AGO)
+    return spread
+
+
+class DeltaTest(unittest.TestCase):
+    """Texts made from older ones."""
+
+    @given(TEXTS, TEXTS, TEXTS)
+    def test_a_delta_gives_the_new_text_or_none(self, old: str, new: str, other: str) -> None:
+        delta = make_delta(base=1, old=old, version=2, new=new)
+        self.assertEqual(apply_delta(delta, version=1, text=old), new)
+        self.assertIn(apply_delta(delta, version=1, text=other), (new, None))
+        self.assertIsNone(apply_delta(delta, version=3, text=old))
+
+    def test_the_chain_is_bounded(self) -> None:
+        chain = DeltaChain()
+        for version in range(2, 12):
+            text = "x" * (CHAIN_CHARACTERS // 4)
+            chain.append(make_delta(base=version - 1, old="", version=version, new=text))
+        self.assertEqual([delta.version for delta in chain.list_since(7)], [8, 9, 10, 11])
+        self.assertEqual(chain.list_since(2), ())
+
+
+class SpreadTest(unittest.TestCase):
+    """What an instance takes into force."""
+
+    @given(st.lists(st.tuples(st.integers(0, 6), st.sampled_from(Source)), max_size=12))
+    def test_versions_never_go_back(self, offers: list[tuple[int, Source]]) -> None:
+        """Texts arrive late, twice and out of order, from peers and the platform."""
+        spread = make_spread()
+        for version, source in offers:
+            before = spread.version, spread.text
+            changed = spread.accept(version, f"text {version}", source=source, now=LONG_AGO)
+            self.assertEqual(changed, version > before[0])
+            self.assertGreaterEqual(spread.version, before[0])
+            if not changed:
+                self.assertEqual((spread.version, spread.text), before)
+
+    @given(st.lists(TEXTS, min_size=2, max_size=8), st.integers(0, 7))
+    def test_an_offer_brings_a_peer_to_the_same_text(self, texts: list[str], behind: int) -> None:
+        ahead, peer = make_spread(), make_spread()
+        for version, text in enumerate(texts, start=1):
+            ahead.accept(version, text, source=Source.PLATFORM, now=LONG_AGO)
+            if version <= behind:
+                peer.accept(version, text, source=Source.PLATFORM, now=LONG_AGO)
+        offer = ahead.make_offer(peer.version)
+        if offer is not None:
+            self.assertTrue(peer.take_offer(offer, now=LONG_AGO))
+        self.assertEqual((peer.version, peer.text), (ahead.version, ahead.text))
+
+    def test_a_delta_that_does_not_fit_leads_to_the_whole_text(self) -> None:
+        """A peer's delta is based on another text than this instance holds.
+
+        Taken as it is it would put a text in force that nobody accepted. It is dropped, and the
+        next request asks for the whole text in place of the same delta again.
+        """
+        spread = make_spread()
+        spread.accept(1, "mine", source=Source.PLATFORM, now=LONG_AGO)
+        spread.hear_peer("peer", 2, now=LONG_AGO)
+        self.assertTrue(spread.wants_from("peer", now=LONG_AGO))
+        self.assertEqual(spread.ask("peer", now=LONG_AGO), 1)
+        wrong = make_delta(base=1, old="theirs and longer", version=2, new="theirs, changed")
+        self.assertFalse(
+            spread.take_offer(ConfigurationOffer(version=2, deltas=(wrong,)), now=LONG_AGO)
+        )
+        self.assertEqual(spread.text, "mine")
+        later = LONG_AGO + 1.5
+        self.assertTrue(spread.wants_from("peer", now=later))
+        self.assertEqual(spread.ask("peer", now=later), 0)
+
+    @given(st.lists(st.integers(1, 5), min_size=1, max_size=5))
+    def test_a_new_instance_in_an_outage_takes_the_highest_of_several_peers(
+        self, versions: list[int]
+    ) -> None:
+        """The platform is down and one peer was cut off for an hour and holds an old version.
+
+        If a new instance took what the first peer has, it would send work to an endpoint that has
+        left since. It waits until it hears several and takes no less than the highest.
+        """
+        spread = make_spread(head=None)
+        for number, version in enumerate(versions):
+            spread.hear_peer(f"peer{number}", version, now=LONG_AGO)
+        spread.set_neighbours(14)
+        for version in versions:
+            taken = spread.accept(version, f"text {version}", source=Source.PEER, now=LONG_AGO)
+            if taken:
+                self.assertGreaterEqual(len(versions), 3)
+                self.assertEqual(version, max(versions))
+        self.assertEqual(bool(spread.version), len(versions) >= 3)
+
+    def test_a_new_instance_with_the_platform_takes_no_less_than_the_head(self) -> None:
+        spread = make_spread(head=5)
+        self.assertFalse(spread.accept(4, "old", source=Source.PEER, now=LONG_AGO))
+        self.assertEqual(spread.judge(now=LONG_AGO, others_known=True), Standing.WAITING)
+        self.assertTrue(spread.accept(5, "new", source=Source.PEER, now=LONG_AGO))
+
+    def test_an_instance_that_hears_nobody_is_isolated_until_it_hears_someone(self) -> None:
+        """An instance loses its peers and the platform while callers still reach it.
+
+        A plan that takes an endpoint out is confirmed elsewhere; this instance would go on sending
+        to it. It refuses new work as not run instead, until anyone is heard. Alone in the fleet it
+        serves on, since nobody else could have confirmed a plan.
+        """
+        spread = make_spread()
+        spread.accept(1, "text", source=Source.PLATFORM, now=LONG_AGO)
+        late = LONG_AGO + 9.0
+        self.assertEqual(spread.judge(now=LONG_AGO + 7.0, others_known=True), Standing.CURRENT)
+        self.assertEqual(spread.judge(now=late, others_known=True), Standing.ISOLATED)
+        self.assertEqual(spread.judge(now=late, others_known=False), Standing.CURRENT)
+        spread.hear_peer("peer", 1, now=late)
+        self.assertEqual(spread.judge(now=late, others_known=True), Standing.CURRENT)
+
+    @given(st.integers(0, 2**32), st.integers(1, 8))
+    def test_polls_are_jittered_and_slow_down_in_an_outage(self, seed: int, misses: int) -> None:
+        spread = ConfigurationSpread(now=0.0, seed=seed)
+        spread.hear_platform(1, now=10.0)
+        self.assertTrue(12.5 <= spread.next_poll_at <= 17.5)
+        for _ in range(misses):
+            spread.miss_platform(now=10.0)
+        self.assertLessEqual(spread.next_poll_at, 10.0 + 45.0)
+
+    def test_the_snapshot_is_read_once_peers_had_their_time(self) -> None:
+        """All instances see a new head within seconds; reading a megabyte each would swamp it."""
+        spread = make_spread(head=3)
+        self.assertEqual(spread.choose_snapshot(now=LONG_AGO), 3)
+        spread.hear_peer("peer", 3, now=LONG_AGO)
+        self.assertIsNone(spread.choose_snapshot(now=LONG_AGO))
+        self.assertEqual(spread.choose_snapshot(now=LONG_AGO + 2.0), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,112 @@
+"""The failure detector of one instance."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from itertools import pairwise
+
+from bench.exchange_loop import make_instance
+
+from guavamast.members import Member, MemberState
+from guavamast.membership import Membership
+
+
+def make_member(name: str, **changes: int) -> Member:
+    """Return a live member's record."""
+    member = Member(
+        instance=make_instance(name),
+        incarnation=1,
+        state=MemberState.LIVE,
+        heartbeat=1,
+        configuration_version=0,
+    )
+    return replace(member, **changes)
+
+
+def make_membership() -> Membership:
+    """Return the membership of ``a`` that knows ``b``."""
+    membership = Membership(me=make_instance("a"), incarnation=1, now=0.0)
+    membership.merge([make_member("b")], now=0.0)
+    return membership
+
+
+def find_state(membership: Membership, name: str) -> MemberState:
+    """Return the state that an instance is held to be in."""
+    member = membership.find(name)
+    return member.state if member else MemberState.GONE
+
+
+class MembershipTest(unittest.TestCase):
+    """Silence, lost connections, refutations and leaving."""
+
+    def test_a_silent_neighbour_is_suspected_then_gone_then_forgotten(self) -> None:
+        membership = make_membership()
+        states = []
+        for second in range(1, 10):
+            membership.tick(now=float(second))
+            states.append(find_state(membership, "b"))
+        self.assertEqual(states[3:5], [MemberState.LIVE, MemberState.SUSPECT])
+        self.assertEqual(states[-1], MemberState.GONE)
+        self.assertEqual(membership.list_contacts(), ("b",))
+        for second in range(10, 7300):
+            membership.tick(now=float(second))
+        self.assertIsNone(membership.find("b"))
+        self.assertEqual(membership.list_contacts(), ())
+
+    def test_a_refused_connection_makes_a_neighbour_suspected_at_once(self) -> None:
+        """A dispatcher's process is killed; its machine refuses connections at once.
+
+        Waiting for silence would leave its endpoints' queues without a keeper for seconds longer.
+        """
+        membership = make_membership()
+        membership.tick(now=1.0)
+        membership.report_lost("b", now=1.0)
+        self.assertEqual(find_state(membership, "b"), MemberState.SUSPECT)
+        for second in (2.0, 3.0):
+            membership.tick(now=second)
+        self.assertEqual(find_state(membership, "b"), MemberState.GONE)
+
+    def test_a_lost_link_between_two_live_instances_makes_less_and_less_noise(self) -> None:
+        """Only the link between a and b is cut; b refutes each suspicion by way of others.
+
+        Each suspicion goes to the whole fleet. The allowed silence doubles with each refutation,
+        so that they come further and further apart.
+        """
+        membership = make_membership()
+        suspected_at = []
+        for second in range(1, 200):
+            membership.tick(now=float(second))
+            known = membership.find("b")
+            if known.state == MemberState.SUSPECT:
+                suspected_at.append(second)
+                refutation = make_member("b", incarnation=known.incarnation + 1)
+                membership.merge([refutation], now=float(second))
+        gaps = [later - sooner for sooner, later in pairwise(suspected_at)]
+        self.assertEqual(gaps, sorted(gaps))
+        self.assertGreater(gaps[-1], 4 * gaps[0])
+
+    def test_what_is_said_wrongly_of_this_instance_is_refuted(self) -> None:
+        membership = make_membership()
+        membership.leave(now=1.0)
+        wrong = replace(membership.me, state=MemberState.GONE)
+        membership.merge([wrong], now=1.0)
+        self.assertEqual(membership.me.incarnation, 2)
+        self.assertEqual(membership.me.state, MemberState.LEAVING)
+
+    def test_a_gone_instance_is_passed_on_only_by_those_that_saw_it_leave(self) -> None:
+        """One instance forgets a gone one, hears of it again from another, and passes it on.
+
+        Records of instances that left long ago would go round for ever and fill the memory.
+        """
+        membership = make_membership()
+        membership.merge([make_member("c", state=MemberState.GONE)], now=0.0)
+        membership.merge([make_member("b", state=MemberState.GONE)], now=0.0)
+        told = [member.instance.name for member in membership.list_all()]
+        self.assertEqual(told, ["a", "b"])
+        membership.merge([make_member("c")], now=0.0)
+        self.assertEqual(find_state(membership, "c"), MemberState.GONE)
+
+
+if __name__ == "__main__":
+    unittest.main()
