Drop a check for duplicates that no accepted text can need

An injected fault showed that no test needs it: the whole text is checked for duplicates when it is proposed, and the reader only reads accepted texts. Ruled out: a test for texts that are never accepted. Tests: 2 passed.

--- a/src/guavamast/fleet_reader.py
+++ b/src/guavamast/fleet_reader.py
@@ -60,12 +60,10 @@
         if above.findings or above.sections:
             return None
         parts: dict[str, Part] = {}
-        names: set[tuple[str, str]] = set()
         for section in sections:
             part = self._parts.get(section) or read_part(section)
-            if part is None or (part.kind, part.name) in names:
+            if part is None:
                 return None
-            names.add((part.kind, part.name))
             parts[section] = part
         return parts
 
