--- a/src/guavamast/plan_store.py
+++ b/src/guavamast/plan_store.py
@@ -136,8 +136,13 @@
 
     async def load_version(self, version: int) -> Configuration | None:
         """Return one accepted version, or None when there is no such version."""
+        text = await self.read_text(version)
+        return None if text is None else self._parse(version, text)
+
+    async def read_text(self, version: int) -> str | None:
+        """Return the text of one accepted version, or None when there is no such version."""
         row = await self._platform.read(SNAPSHOT_TABLE, make_version_key(version))
-        return None if row.value is None else await self._load(version, row.value["digest"])
+        return None if row.value is None else await self._fetch(version, row.value["digest"])
 
     async def propose(self, text: str, *, who: str, now: float) -> Plan:
         """Compute a plan against the version in force and keep it; nothing is changed.
@@ -310,10 +315,18 @@
         )
 
     async def _load(self, version: int, digest: str) -> Configuration:
+        return self._parse(version, await self._fetch(version, digest))
+
+    async def _fetch(self, version: int, digest: str) -> str:
+        """Return the text of a digest, checked against it."""
         if not digest:
-            return Configuration(version=version)
+            return ""
         body = await self._platform.get_object(make_object_name(digest))
         text = "" if body is None else body.decode(errors="replace")
         if compute_digest(text) != digest:
             raise PlatformUnavailable(f"the text of version {version} is missing or damaged")
+        return text
+
+    @staticmethod
+    def _parse(version: int, text: str) -> Configuration:
         return parse_configuration(text, file=f"version {version}", version=version)
--- /dev/null
+++ b/tests/test_order_loop.py
@@ -0,0 +1,79 @@
+"""Tests of the loop that gives a dispatcher's orders."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from guavamast.order_loop import KeptEndpoints, OrderLoop
+from guavamast.world import Fencing
+from tests.order_world import Holder, World, make_fleet
+
+if TYPE_CHECKING:
+    from guavamast.world import Configuration, Endpoint
+
+
+class FakeKept(KeptEndpoints):
+    """A dispatcher's endpoints."""
+
+    def __init__(self, fleet: Configuration) -> None:
+        self.fleet = fleet
+        self.kept = set(fleet.endpoints)
+        self.out: set[str] = set()
+        self.running = 0
+        self.most_out = 0
+
+    def read_configuration(self) -> Configuration:
+        return self.fleet
+
+    def list_kept(self) -> list[Endpoint]:
+        return [item for item in self.fleet.endpoints.values() if item.name in self.kept]
+
+    def count_running(self, endpoint: str) -> int:
+        assert endpoint in self.kept
+        return self.running
+
+    def hold(self, endpoint: str, *, out: bool) -> None:
+        self.out = self.out | {endpoint} if out else self.out - {endpoint}
+        self.most_out = max(self.most_out, len(self.out))
+
+
+class OrderLoopTest(unittest.IsolatedAsyncioTestCase):
+    """Rounds bring every kept engine to its versions and end with all of them in use."""
+
+    def setUp(self) -> None:
+        self.world = World(fencing=Fencing.CHECKED)
+        self.holder = Holder(self.world, "a")
+        self.kept = FakeKept(make_fleet(engines=4))
+        self.loop = OrderLoop(giver=self.holder.giver, kept=self.kept, clock=self.holder.clock)
+
+    async def go_rounds(self, count: int) -> None:
+        """Go rounds with time between them."""
+        for _ in range(count):
+            await self.loop.go_round()
+            self.world.advance(5.0)
+
+    async def test_all_engines_load_a_few_at_a_time(self) -> None:
+        await self.go_rounds(20)
+        self.assertEqual(len(self.world.reported), 4)
+        self.assertEqual((self.kept.out, self.kept.most_out), (set(), 1))
+
+    async def test_an_outage_holds_up_nothing_for_good(self) -> None:
+        # The platform is down for a while in the middle of a rollout. The loop must live on, and
+        # an endpoint that has loaded gets work again although its entry can't be taken off.
+        await self.go_rounds(2)
+        self.assertEqual(len(self.kept.out), 1)
+        self.world.platform.down_calls = 1000
+        await self.go_rounds(5)
+        self.assertEqual(self.kept.out, set())
+        self.world.platform.down_calls = 0
+        await self.go_rounds(20)
+        self.assertEqual(len(self.world.reported), 4)
+
+    async def test_an_endpoint_that_another_keeps_is_let_go(self) -> None:
+        self.kept.running = 1
+        await self.go_rounds(3)
+        self.assertEqual(self.kept.out, {"e0"})
+        self.kept.kept.discard("e0")
+        await self.go_rounds(1)
+        self.assertNotIn("e0", self.kept.out)
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -46,6 +46,8 @@
         self.assertEqual((await self.store.load_configuration()).text, FASTER)
         self.assertEqual((await self.store.load_version(1)).text, GOOD)
         self.assertIsNone(await self.store.load_version(3))
+        self.assertEqual(await self.store.read_text(2), FASTER)
+        self.assertIsNone(await self.store.read_text(3))
         latest, first = await self.store.list_audit(limit=10)
         self.assertEqual(
             (latest.who, latest.plan, latest.version, latest.at), ("bert", "p2", 2, 11)
