--- a/src/guavamast/fleet.py
+++ b/src/guavamast/fleet.py
@@ -10,19 +10,17 @@
 from guavamast.findings import Finding, FindingsError
 from guavamast.fleet_checks import check_fleet
 from guavamast.inifile import read_ini
-from guavamast.schema import (
+from guavamast.schema import Key, SchemaReader, SectionKind
+from guavamast.value_types import (
     NAME,
     NAME_PATTERN,
     SHA256,
     VERSION,
     Choice,
-    Key,
     ListOf,
     Number,
     PairsOf,
     Pattern,
-    SchemaReader,
-    SectionKind,
     Url,
     make_choice,
 )
--- a/src/guavamast/operator_client.py
+++ b/src/guavamast/operator_client.py
@@ -10,8 +10,8 @@
 from tornado.httpclient import HTTPRequest
 
 from guavamast.errors import ErrorCode, GuavamastError, Outcome
-from guavamast.schema import Fault, Url
 from guavamast.single_fetch import AnswerLost, NotSent, fetch_once
+from guavamast.value_types import Fault, Url
 
 REQUEST_TIMEOUT_S: Final = 30.0
 """Longest wait for an answer; settling a lost answer of the platform takes up to 20 s."""
--- a/src/guavamast/plan_store.py
+++ b/src/guavamast/plan_store.py
@@ -36,7 +36,6 @@
     PlatformUnavailable,
     TransactionConflict,
 )
-from guavamast.world import Configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,6 +44,7 @@
     from guavamast.plan_rows import AuditRecord, Head
     from guavamast.plans import Plan
     from guavamast.platform_client import PlatformClient, Write
+    from guavamast.world import Configuration
 
 _SETTLE_ATTEMPTS: Final = 4
 """Writes of one confirmation before its outcome is given up as unknown."""
--- a/src/guavamast/settings.py
+++ b/src/guavamast/settings.py
@@ -8,16 +8,14 @@
 
 from guavamast.findings import Finding, FindingCode, FindingsError
 from guavamast.inifile import read_ini
-from guavamast.schema import (
+from guavamast.schema import Key, SchemaReader, SectionKind
+from guavamast.value_types import (
     NAME,
     PATH,
     Address,
     Choice,
-    Key,
     ListOf,
     Number,
-    SchemaReader,
-    SectionKind,
     Url,
 )
 from guavamast.world import FailureDomain, Instance
