Let a dispatcher hold an endpoint back from new work

KeeperHost.hold makes its keeper refuse new asks as for a leaving endpoint, across new configurations, and count_running tells when it is empty. Ruled out: a state in EndpointKeeper, which would double what leaving does.

--- a/src/guavamast/keeper_host.py
+++ b/src/guavamast/keeper_host.py
@@ -57,6 +57,8 @@
         self._keepers: dict[str, EndpointKeeper] = {}
         self._endpoints: dict[str, Endpoint] = {}
         """Each kept endpoint as last configured."""
+        self._held: set[str] = set()
+        """Endpoints that get no new work because of their orders."""
         self._used_at: dict[str, float] = {}
         self._streams: dict[str, EntryStream] = {}
         self._waiting: dict[str, set[str]] = {}
@@ -70,12 +72,33 @@
         now = self._clock()
         for name, keeper in list(self._keepers.items()):
             last = replace(self._endpoints[name], state=EndpointState.LEAVING)
-            endpoint = configuration.endpoints.get(name, last)
+            endpoint = self._apply_hold(configuration.endpoints.get(name, last))
             self._endpoints[name] = endpoint
             events = keeper.configure(endpoint=endpoint, configuration=configuration, now=now)
             self._deliver(events, now)
         self._schedule()
 
+    def hold(self, name: str, *, out: bool) -> None:
+        """Let an endpoint take no new work while it loads, or go on; the same again does nothing.
+
+        A hold outlasts new configurations and the keeper's own lifetime.
+        """
+        if out == (name in self._held):
+            return
+        self._held ^= {name}
+        if self._configuration is not None and name in self._keepers:
+            self.configure(self._configuration)
+
+    def count_running(self, name: str) -> int:
+        """Return the requests that hold a slot of an endpoint, as its keeper here knows them."""
+        keeper = self._keepers.get(name)
+        return 0 if keeper is None else keeper.make_probe(now=self._clock()).in_flight
+
+    def _apply_hold(self, endpoint: Endpoint) -> Endpoint:
+        if endpoint.name not in self._held:
+            return endpoint
+        return replace(endpoint, state=EndpointState.LEAVING)
+
     def connect(self, entry: str) -> EntryStream:
         """Open an entry's stream; one before it of the same entry is forgotten."""
         stream = EntryStream(entry=entry)
@@ -170,6 +193,7 @@
         if endpoint is None:
             del self._used_at[name]
             return None
+        endpoint = self._apply_hold(endpoint)
         # A service tells no load, so caution would only hold its first calls back.
         caution_s = CAUTION_S if endpoint.kind is EndpointKind.ENGINE else 0.0
         keeper = EndpointKeeper(
