Look at an engine that is out of use each second

Cause: a load takes three looks at the engine, 15 s out of use even where the load itself is short. Change: one second between rounds while an engine is out, five otherwise; a busy fleet of one loading engine reads one report more each second. Ruled out: one second always, as reports of a quiet fleet would cost five times as much.

--- a/src/guavamast/order_loop.py
+++ b/src/guavamast/order_loop.py
@@ -16,7 +16,9 @@
     from guavamast.world import Configuration, Endpoint
 
 ORDER_INTERVAL_S: Final = 5.0
-"""Time between two looks at each kept engine's report."""
+"""Time between two looks at each kept engine's report while all run what they should."""
+BUSY_INTERVAL_S: Final = 1.0
+"""The same while an engine is out of use: each second of it costs capacity."""
 
 
 class KeptEndpoints(ABC):
@@ -59,17 +61,22 @@
     async def run(self) -> None:
         """Go round until cancelled."""
         while True:
-            await self.go_round()
-            await self._clock.sleep(ORDER_INTERVAL_S)
+            busy = await self.go_round()
+            await self._clock.sleep(BUSY_INTERVAL_S if busy else ORDER_INTERVAL_S)
 
-    async def go_round(self) -> None:
-        """Take one step for each kept engine; one that fails doesn't hold up the others."""
+    async def go_round(self) -> bool:
+        """Take one step for each kept engine; one that fails doesn't hold up the others.
+
+        Returns:
+            Whether an engine is out of use for its orders.
+        """
         configuration = self._kept.read_configuration()
         engines = [item for item in self._kept.list_kept() if item.kind is EndpointKind.ENGINE]
         self._let_go(self._known - {engine.name for engine in engines})
         for engine in engines:
             self._known.add(engine.name)
             await self._take_step(engine, configuration)
+        return any(self._giver.is_out(engine.name) for engine in engines)
 
     async def _take_step(self, engine: Endpoint, configuration: Configuration) -> None:
         running = self._kept.count_running(engine.name)
--- a/tests/test_order_loop.py
+++ b/tests/test_order_loop.py
@@ -50,7 +50,8 @@
     async def go_rounds(self, count: int) -> None:
         """Go rounds with time between them."""
         for _ in range(count):
-            await self.loop.go_round()
+            busy = await self.loop.go_round()
+            self.assertEqual(busy, bool(self.kept.out))
             self.world.advance(5.0)
 
     async def test_all_engines_load_a_few_at_a_time(self) -> None:
