Report a name or address that two instances' settings share

Cause: with 13 files that differ in three lines a copied one is easily left as it was, and two instances of one name look like one that keeps restarting. Change: check compares the settings files that it is given. Ruled out: a finding at start, as a daemon knows only its own file.

--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -96,11 +96,11 @@
     def act() -> int:
         from dataclasses import asdict
 
-        from guavamast.checks import check_file
+        from guavamast.checks import check_files
 
         if not files:
             raise GuavamastError(ErrorCode.USAGE, "check needs a file")
-        findings = [finding for file in files for finding in check_file(file)]
+        findings = check_files(files)
         if json:
             print(json_codec.dumps([asdict(finding) for finding in findings]))
         else:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -222,6 +222,15 @@
                     ["empty.ini:0:", "syntax"],
                 ],
             )
+            (Path(directory) / "other.ini").write_text(
+                SETTINGS.replace("127.0.0.1:0", "10.0.0.1:5", 1)
+            )
+            twice = run_command("check", f"{directory}/instance.ini", f"{directory}/other.ini")
+            self.assertEqual(
+                twice.out,
+                f"{directory}/other.ini:2: duplicate_value name: entry-01 is also in "
+                f"{directory}/instance.ini\n",
+            )
             listed = run_command("check", "--json", f"{directory}/bad.ini")
             self.assertEqual([finding["line"] for finding in json.loads(listed.out)], [7, 8])
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from guavamast.checks import check_file
+from guavamast.checks import check_files
 from guavamast.fleet import parse_configuration
 from guavamast.plans import WarningCode, compute_plan
 from guavamast.settings import load_settings
@@ -22,7 +22,7 @@
     def test_every_file_is_without_findings(self) -> None:
         files = sorted(EXAMPLES.glob("**/*.ini"))
         self.assertEqual(len(files), 29)
-        self.assertEqual([str(item) for file in files for item in check_file(str(file))], [])
+        self.assertEqual(list(map(str, check_files([str(file) for file in files]))), [])
 
     def test_sizes(self) -> None:
         for name, sizes in SIZES.items():
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -27,7 +27,8 @@
 SETTINGS_INTRODUCTION: Final = """\
 ## Instance settings
 
-One file for an instance, read by its `entry` and its `dispatcher` when they start.
+One file for an instance, read by its `entry` and its `dispatcher` when they start. Given the files
+of several instances, `check` also reports a name or an address that two of them have.
 """
 FLEET_INTRODUCTION: Final = """\
 ## Fleet configuration
