Confirm a plan without reading two whole configurations

Ruled out: leaving out the checks of a proposal; it is the one place where the whole text is checked.

--- a/src/guavamast/plan_store.py
+++ b/src/guavamast/plan_store.py
@@ -9,6 +9,7 @@
 from guavamast.changes import compute_changes
 from guavamast.errors import ErrorCode, GuavamastError
 from guavamast.fleet import parse_configuration
+from guavamast.fleet_reader import AcceptedReader
 from guavamast.plan_rows import (
     AUDIT_TABLE,
     CONFIRMATION_TABLE,
@@ -112,7 +113,7 @@
         settle_pause_s: Pause before a confirmation whose answer was lost is written again.
     """
 
-    __slots__ = ("_make_id", "_platform", "_settle_pause_s")
+    __slots__ = ("_make_id", "_platform", "_reader", "_settle_pause_s")
 
     def __init__(
         self,
@@ -123,6 +124,7 @@
     ) -> None:
         self._platform = platform
         self._make_id = make_id
+        self._reader = AcceptedReader()
         self._settle_pause_s = settle_pause_s
 
     async def read_head(self) -> Head:
@@ -327,6 +329,6 @@
             raise PlatformUnavailable(f"the text of version {version} is missing or damaged")
         return text
 
-    @staticmethod
-    def _parse(version: int, text: str) -> Configuration:
-        return parse_configuration(text, file=f"version {version}", version=version)
+    def _parse(self, version: int, text: str) -> Configuration:
+        """Return a text that was checked as a whole when it was proposed."""
+        return self._reader.read(text, version=version)
