--- a/src/guavamast/plan_store.py
+++ b/src/guavamast/plan_store.py
@@ -9,6 +9,7 @@
 from guavamast.changes import compute_changes
 from guavamast.errors import ErrorCode, GuavamastError
 from guavamast.fleet import parse_configuration
+from guavamast.fleet_reader import AcceptedReader
 from guavamast.plan_rows import (
     AUDIT_TABLE,
     CONFIRMATION_TABLE,
@@ -36,7 +37,6 @@
     PlatformUnavailable,
     TransactionConflict,
 )
-from guavamast.world import Configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,6 +45,7 @@
     from guavamast.plan_rows import AuditRecord, Head
     from guavamast.plans import Plan
     from guavamast.platform_client import PlatformClient, Write
+    from guavamast.world import Configuration
 
 _SETTLE_ATTEMPTS: Final = 4
 """Writes of one confirmation before its outcome is given up as unknown."""
@@ -112,7 +113,7 @@
         settle_pause_s: Pause before a confirmation whose answer was lost is written again.
     """
 
-    __slots__ = ("_make_id", "_platform", "_settle_pause_s")
+    __slots__ = ("_make_id", "_platform", "_reader", "_settle_pause_s")
 
     def __init__(
         self,
@@ -123,6 +124,7 @@
     ) -> None:
         self._platform = platform
         self._make_id = make_id
+        self._reader = AcceptedReader()
         self._settle_pause_s = settle_pause_s
 
     async def read_head(self) -> Head:
@@ -136,8 +138,13 @@
 
     async def load_version(self, version: int) -> Configuration | None:
         """Return one accepted version, or None when there is no such version."""
+        text = await self.read_text(version)
+        return None if text is None else self._parse(version, text)
+
+    async def read_text(self, version: int) -> str | None:
+        """Return the text of one accepted version, or None when there is no such version."""
         row = await self._platform.read(SNAPSHOT_TABLE, make_version_key(version))
-        return None if row.value is None else await self._load(version, row.value["digest"])
+        return None if row.value is None else await self._fetch(version, row.value["digest"])
 
     async def propose(self, text: str, *, who: str, now: float) -> Plan:
         """Compute a plan against the version in force and keep it; nothing is changed.
@@ -310,10 +317,18 @@
         )
 
     async def _load(self, version: int, digest: str) -> Configuration:
+        return self._parse(version, await self._fetch(version, digest))
+
+    async def _fetch(self, version: int, digest: str) -> str:
+        """Return the text of a digest, checked against it."""
         if not digest:
-            return Configuration(version=version)
+            return ""
         body = await self._platform.get_object(make_object_name(digest))
         text = "" if body is None else body.decode(errors="replace")
         if compute_digest(text) != digest:
             raise PlatformUnavailable(f"the text of version {version} is missing or damaged")
-        return parse_configuration(text, file=f"version {version}", version=version)
+        return text
+
+    def _parse(self, version: int, text: str) -> Configuration:
+        """Return a text that was checked as a whole when it was proposed."""
+        return self._reader.read(text, version=version)
