Race a second keeper for a request that waits; measure the router's slopes

Ruled out: two keepers asked for every request (2.0 asks a request when calm). Seen failing: without giving back, two grants in one turn leak a slot (test_two_grants_at_once_leave_one).

--- a/bench/router_cost.py
+++ b/bench/router_cost.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from tests._processes import ProcessFleet
@@ -26,7 +27,8 @@
 
 CALM_REQUESTS: Final = 600
 CALM_CONCURRENT: Final = 4
-BUSY_REQUESTS: Final = 6000
+BUSY_RUNS: Final = ((1500, 20), (150, 400))
+"""Chats and the tokens of each, for the two points of the slope."""
 BUSY_CONCURRENT: Final = 60
 MAX_TOKENS: Final = 40
 PATH: Final = "/v1/chat/completions"
@@ -64,36 +66,63 @@
         )
 
 
-async def measure_throughput(fleet: ProcessFleet) -> None:
-    """Load one entry with more than it can pass on and read its processor time."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """One run of chats of one length through one entry."""
+
+    chats: int
+    tokens: int
+    elapsed_s: float
+    entry_cpu_s: float
+    dispatcher_cpu_s: float
+
+
+async def run_chats(fleet: ProcessFleet, *, total: int, length: int) -> Load:
+    """Load one entry with more than it can pass on and read the processes' times."""
     entry = fleet.urls[0].removeprefix("http://")
-    pids = {
-        "entry": fleet.entries[0].popen.pid,
-        "dispatcher 0": fleet.dispatchers[0].popen.pid,
-        "dispatcher 1": fleet.dispatchers[1].popen.pid,
-    }
-    before = {name: read_usage(pid) for name, pid in pids.items()}
+    entry_pid = fleet.entries[0].popen.pid
+    dispatcher_pids = [process.popen.pid for process in fleet.dispatchers]
+    entry_before = read_usage(entry_pid).cpu_s
+    dispatchers_before = sum(read_usage(pid).cpu_s for pid in dispatcher_pids)
     start = time.perf_counter()
 
     async def send(number: int) -> Sample:
-        body = make_chat(f"busy {number}", max_tokens=MAX_TOKENS)
+        body = make_chat(f"tokens={length};busy {number}", max_tokens=length)
         return await send_once(entry, make_request(entry, PATH, body))
 
-    samples = await run_load(send, total=BUSY_REQUESTS, concurrent=BUSY_CONCURRENT)
+    samples = await run_load(send, total=total, concurrent=BUSY_CONCURRENT)
     elapsed = time.perf_counter() - start
-    tokens = sum(sample.tokens for sample in samples)
-    after = {name: read_usage(pid) for name, pid in pids.items()}
-    used = {name: after[name].cpu_s - before[name].cpu_s for name in pids}
-    print(f"\n{len(samples)} chats, {tokens} tokens, whole: {sum(s.ended for s in samples)}")
-    print(
-        f"elapsed {elapsed:.1f} s: {tokens / elapsed:.0f} tokens/s, {len(samples) / elapsed:.0f}/s"
+    whole = sum(sample.ended for sample in samples)
+    if whole != total:
+        raise RuntimeError(f"{total - whole} of {total} answers are not whole")
+    return Load(
+        chats=total,
+        tokens=sum(sample.tokens for sample in samples),
+        elapsed_s=elapsed,
+        entry_cpu_s=read_usage(entry_pid).cpu_s - entry_before,
+        dispatcher_cpu_s=sum(read_usage(pid).cpu_s for pid in dispatcher_pids) - dispatchers_before,
     )
-    print(f"entry: {used['entry'] / tokens * 1e6:.0f} us a token, all costs of the chat in it;")
-    print(f"       {tokens / used['entry']:.0f} tokens for each second of processor time")
-    keepers = used["dispatcher 0"] + used["dispatcher 1"]
-    print(f"dispatchers together: {keepers / len(samples) * 1e6:.0f} us a chat")
-    for name, usage in after.items():
-        print(f"resident memory of {name}: {usage.rss_mb:.1f} MB")
+
+
+async def measure_slopes(fleet: ProcessFleet) -> None:
+    """Fit the processor time of a chat and of a token from two lengths of answer."""
+    loads = [await run_chats(fleet, total=total, length=length) for total, length in BUSY_RUNS]
+    print("\n| tokens a chat | chats | tokens/s | entry ms a chat | dispatchers ms a chat |")
+    print("|---|---|---|---|---|")
+    for (_, length), load in zip(BUSY_RUNS, loads, strict=True):
+        print(
+            f"| {length} | {load.chats} | {load.tokens / load.elapsed_s:.0f} | "
+            f"{load.entry_cpu_s / load.chats * 1e3:.2f} | "
+            f"{load.dispatcher_cpu_s / load.chats * 1e3:.2f} |"
+        )
+    short, long = loads
+    cost_short = short.entry_cpu_s / short.chats
+    cost_long = long.entry_cpu_s / long.chats
+    token_s = (cost_long - cost_short) / (BUSY_RUNS[1][1] - BUSY_RUNS[0][1])
+    chat_s = cost_short - token_s * BUSY_RUNS[0][1]
+    print(f"entry: {chat_s * 1e3:.2f} ms a chat and {token_s * 1e6:.0f} us a token")
+    for role, process in (("entry", fleet.entries[0]), ("dispatcher", fleet.dispatchers[0])):
+        print(f"resident memory of {role} after: {read_usage(process.popen.pid).rss_mb:.1f} MB")
 
 
 async def run() -> None:
@@ -110,7 +139,7 @@
                 f"resident memory of {name} at start: {read_usage(process.popen.pid).rss_mb:.1f} MB"
             )
         await measure_added(fleet)
-        await measure_throughput(fleet)
+        await measure_slopes(fleet)
     finally:
         fleet.close()
 
--- a/src/guavamast/slot_links.py
+++ b/src/guavamast/slot_links.py
@@ -23,7 +23,7 @@
 )
 from guavamast.log import get_logger
 from guavamast.peer_grpc import PeerStub
-from guavamast.slots import Granted, Paused, Refused, Release
+from guavamast.slots import Granted, Paused, Queued, Refused, Release
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,6 +67,7 @@
         "granted",
         "held_since",
         "on_paused",
+        "on_queued",
         "state",
         "tokens",
     )
@@ -80,6 +81,8 @@
         self.held_since = 0.0
         self.tokens = 0
         """Tokens received so far, told to a new keeper."""
+        self.on_queued: Callable[[Queued], None] | None = None
+        """Called when the keeper lets the ask wait."""
         self.on_paused: Callable[[str], None] | None = None
         """Called when the keeper wants the slot back."""
 
@@ -118,11 +121,14 @@
         self._links: dict[str, SlotLink] = {}
         self._holds: dict[str, SlotHold] = {}
 
-    async def acquire(self, ask: Ask) -> SlotHold:
+    async def acquire(
+        self, ask: Ask, *, on_queued: Callable[[Queued], None] | None = None
+    ) -> SlotHold:
         """Ask for a slot and wait for it.
 
         Args:
             ask: The wish; its deadline bounds the wait.
+            on_queued: Called when the keeper lets the ask wait.
 
         Returns:
             The held slot, to be given to `release` exactly once.
@@ -132,6 +138,7 @@
             TimeoutError: The deadline passed first.
         """
         hold = SlotHold(ask=ask)
+        hold.on_queued = on_queued
         self._holds[ask.ask_id] = hold
         try:
             self._route(hold)
@@ -219,6 +226,8 @@
             if not hold.granted.done():
                 refused = AskRefused(code=event.code, retry_after_s=event.retry_after_s)
                 hold.granted.set_exception(refused)
+        elif isinstance(event, Queued) and hold.on_queued is not None:
+            hold.on_queued(event)
         elif isinstance(event, Paused) and hold.on_paused is not None:
             hold.on_paused(event.reason)
 
--- /dev/null
+++ b/tests/test_slot_finder.py
@@ -0,0 +1,128 @@
+"""Tests of finding a slot over several keepers, with scripted answers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+from guavamast.errors import ErrorCode, Outcome, Refusal, SendLatch
+from guavamast.slot_finder import SlotFinder, SlotWish
+from guavamast.slot_links import AskRefused, SlotHold
+from guavamast.slots import Ask, Queued, Release
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.placement import Wanted
+
+
+class ScriptedLinks:
+    """Keepers that grant, queue or refuse as told, by endpoint."""
+
+    def __init__(self, **script: str) -> None:
+        self.script = script
+        self.asked: list[str] = []
+        self.withdrawn: list[str] = []
+        self.given_back: list[str] = []
+        self.freed = asyncio.Event()
+
+    async def acquire(self, ask: Ask, *, on_queued: Callable[[Queued], None]) -> SlotHold:
+        """Answer as scripted: ``grant``, ``refuse``, ``queue`` (until freed) or ``wait``."""
+        self.asked.append(ask.endpoint)
+        answer = self.script[ask.endpoint]
+        await asyncio.sleep(0)
+        if answer == "refuse":
+            raise AskRefused(code=ErrorCode.QUEUE_FULL, retry_after_s=3.0)
+        if answer == "queue":
+            on_queued(Queued(ask=ask, estimated_wait_s=5.0))
+            try:
+                await self.freed.wait()
+            except asyncio.CancelledError:
+                self.withdrawn.append(ask.endpoint)
+                raise
+        return SlotHold(ask=ask)
+
+    def release(self, hold: SlotHold, release: Release) -> None:
+        """Note a grant that is given back."""
+        if not release.used:
+            self.given_back.append(hold.ask.endpoint)
+
+
+def make_finder(links: ScriptedLinks) -> SlotFinder:
+    """Return a finder that goes through the endpoints in the script's order."""
+
+    def choose(wanted: Wanted, *, now: float) -> list[str]:  # noqa: ARG001
+        return [name for name in links.script if name not in wanted.excluded][:2]
+
+    state = SimpleNamespace(
+        chooser=SimpleNamespace(choose=choose), instance=SimpleNamespace(name="i")
+    )
+    return SlotFinder(state=state, links=links, clock=time.monotonic)
+
+
+def make_wish(timeout_s: float = 10.0) -> SlotWish:
+    """Return a wish of the top tier."""
+    return SlotWish(
+        organisation="o",
+        class_name="c",
+        tier=1,
+        kind="chat",
+        deadline=time.monotonic() + timeout_s,
+        model="m",
+    )
+
+
+class SlotFinderTest(unittest.IsolatedAsyncioTestCase):
+    """A request goes on from keeper to keeper and uses one grant."""
+
+    async def test_full_keepers_are_passed_by(self) -> None:
+        links = ScriptedLinks(a="refuse", b="refuse", c="grant")
+        hold = await make_finder(links).find(make_wish(), SendLatch())
+        self.assertEqual(hold.ask.endpoint, "c")
+
+    async def test_queued_ask_is_raced_and_the_loser_withdrawn(self) -> None:
+        # The first keeper lets the request wait, the second has a slot. The caller gets that one
+        # at once, and the first keeper's queue keeps no ask that nobody wants.
+        links = ScriptedLinks(a="queue", b="grant", c="grant")
+        hold = await make_finder(links).find(make_wish(), SendLatch())
+        await asyncio.sleep(0)
+        self.assertEqual(hold.ask.endpoint, "b")
+        self.assertEqual((links.asked, links.withdrawn), (["a", "b"], ["a"]))
+
+    async def test_two_grants_at_once_leave_one(self) -> None:
+        # Both queues come free in the same turn of the loop. One grant is used, the other is given
+        # back unused, so that no slot leaks.
+        links = ScriptedLinks(a="queue", b="queue")
+        search = asyncio.ensure_future(make_finder(links).find(make_wish(), SendLatch()))
+        while len(links.asked) < 2:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+        links.freed.set()
+        hold = await search
+        await asyncio.sleep(0)
+        other = "b" if hold.ask.endpoint == "a" else "a"
+        self.assertEqual(links.given_back + links.withdrawn, [other])
+
+    async def test_all_full_is_refused_as_not_run_with_a_time(self) -> None:
+        links = ScriptedLinks(a="refuse", b="refuse")
+        with self.assertRaises(Refusal) as caught:
+            await make_finder(links).find(make_wish(), SendLatch())
+        self.assertIs(caught.exception.outcome, Outcome.NOT_RUN)
+        self.assertEqual(caught.exception.retry_after_s, 3.0)
+
+    async def test_no_endpoint_is_refused_at_once(self) -> None:
+        with self.assertRaises(Refusal) as caught:
+            await make_finder(ScriptedLinks()).find(make_wish(), SendLatch())
+        self.assertIs(caught.exception.code, ErrorCode.NO_ENDPOINT)
+
+    async def test_caller_that_goes_leaves_no_ask(self) -> None:
+        links = ScriptedLinks(a="queue", b="queue")
+        search = asyncio.ensure_future(make_finder(links).find(make_wish(), SendLatch()))
+        await asyncio.sleep(0.01)
+        search.cancel()
+        await asyncio.gather(search, return_exceptions=True)
+        await asyncio.sleep(0)
+        self.assertEqual(sorted(links.withdrawn), ["a", "b"])
