Decide on a pause before the last moment, and split the long modules

Cause: with every slot held and calm traffic 0.9% of the top tier missed its first-token target, half of them by exactly one pause: an ask that expected a release in time looked again when a pause could no longer help, and half of them by starting right at the last moment. Change: a release counts only when it is expected 1.5 pauses before the target, and then the ask pauses.

--- a/bench/tier_shares.py
+++ b/bench/tier_shares.py
@@ -14,7 +14,8 @@
 from typing import TYPE_CHECKING, Final
 from unittest.mock import patch
 
-from guavamast.keepers import PAUSE_S, EndpointKeeper
+from guavamast.forecasts import PAUSE_S
+from guavamast.keepers import EndpointKeeper
 from guavamast.slots import Ask, Granted, Paused, Refused, Release
 from guavamast.world import Configuration, Endpoint, EndpointKind, ServiceClass
 
--- a/src/guavamast/keepers.py
+++ b/src/guavamast/keepers.py
@@ -2,19 +2,12 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right, insort
+from bisect import bisect_right
 from typing import TYPE_CHECKING, Final
 
-from guavamast._round_robin import QUANTUM
 from guavamast.errors import ErrorCode
-from guavamast.estimates import (
-    LOW_QUANTILE,
-    LengthEstimates,
-    ReleaseRate,
-    ServiceTimes,
-    StartRates,
-    StragglerWeight,
-)
+from guavamast.estimates import LengthEstimates, StragglerWeight
+from guavamast.forecasts import PAUSE_S, Forecast
 from guavamast.grants import Grant, GrantTable
 from guavamast.kv_room import KvRoom
 from guavamast.queues import WaitingQueue
@@ -30,16 +23,8 @@
 """Seconds for which a grant outlives the stream of its entry."""
 OVERRUN_S: Final = 30.0
 """Seconds after its deadline at which a grant without a release is given up."""
-PAUSE_S: Final = 0.05
-"""Seconds that an engine takes to give a paused request's slot up."""
-OVERDUE_SHARE: Final = 0.1
-"""Share of its age that a run which outlasts its estimate is expected to take longer."""
-PROMPT_COST: Final = 0.1
-"""Work of a prompt token, in output tokens; prompts are read in parallel."""
-CALL_COST: Final = QUANTUM
-"""Work of a call of a plain service, whose length is not known in tokens."""
-LEAST_RATE_SHARE: Final = 0.02
-"""Share of the releases that a tier is expected to get under any load of higher ones."""
+PAUSE_LEAD_S: Final = 1.5 * PAUSE_S
+"""Seconds before its target at which an ask no longer waits for an expected release."""
 LEAST_RETRY_S: Final = 0.1
 GREATEST_RETRY_S: Final = 60.0
 PAUSE_REASON: Final = "a higher tier would miss its first-token target"
@@ -60,15 +45,12 @@
         "_cautious_until",
         "_configuration",
         "_endpoint",
+        "_forecast",
         "_grants",
         "_kv_check_at",
         "_kv_room",
-        "_lengths",
         "_pause_check_at",
         "_queue",
-        "_rate",
-        "_service_times",
-        "_start_rates",
         "_strict_starts",
         "_weight",
     )
@@ -85,10 +67,9 @@
         self._endpoint = endpoint
         self._configuration = configuration
         self._cautious_until = cautious_until
-        self._lengths = lengths if lengths is not None else LengthEstimates()
-        self._service_times = ServiceTimes(lengths=self._lengths, kind=endpoint.kind)
-        self._rate = ReleaseRate()
-        self._start_rates = StartRates()
+        self._forecast = Forecast(
+            kind=endpoint.kind, lengths=lengths if lengths is not None else LengthEstimates()
+        )
         self._weight = StragglerWeight(now=now)
         self._grants = GrantTable()
         self._queue = WaitingQueue(configuration=configuration)
@@ -112,7 +93,7 @@
         if ask.ask_id in self._queue or ask.ask_id in self._grants:
             return [self._repeat(ask, now)]
         wait_s = self._estimate_wait(ask, now)
-        least_s = self._service_times.estimate(ask, quantile=LOW_QUANTILE)
+        least_s = self._forecast.estimate_least(ask)
         refusal = self._find_refusal(ask, wait_s, least_s, now)
         if refusal is not None:
             return [refusal]
@@ -157,7 +138,7 @@
         else:
             self._grants.add(self._make_grant(ask, now=now, granted_at=now - held_s))
         self.record_progress(ask.ask_id, tokens, now=now)
-        self._rate.observe(full=self._is_full(), released=False, now=now)
+        self._forecast.note_slots(full=self._is_full(), now=now)
         return []
 
     def record_progress(self, ask_id: str, tokens: int, *, now: float) -> None:
@@ -167,7 +148,7 @@
             return
         grant.tokens = tokens
         grant.progress_at = now
-        self._refresh(grant, now)
+        self._forecast.refresh(grant, now=now)
 
     def record_load(self, report: LoadReport, *, now: float) -> list[KeeperEvent]:
         """Record the endpoint's word on its load."""
@@ -266,11 +247,11 @@
         service_class = self._configuration.classes.get(ask.class_name)
         target_start = ask.deadline
         if service_class is not None:
-            first_token_s = self._service_times.estimate_first_token(ask)
+            first_token_s = self._forecast.estimate_first_token(ask)
             target_start = now + service_class.first_token_ms / 1000.0 - first_token_s
         self._queue.add(
             ask,
-            cost=self._estimate_cost(ask),
+            cost=self._forecast.estimate_cost(ask),
             latest_start=ask.deadline if self._is_idle() else ask.deadline - least_s,
             target_start=target_start,
             now=now,
@@ -278,17 +259,15 @@
 
     def _free(self, grant: Grant, *, unused: bool, now: float) -> list[KeeperEvent]:
         self._settle(grant, unused=unused)
-        self._rate.observe(full=False, released=not (unused or grant.paused), now=now)
+        self._forecast.note_slots(full=False, released=not (unused or grant.paused), now=now)
         return self._continue(now)
 
     def _settle(self, grant: Grant, *, unused: bool) -> None:
         self._strict_starts += grant.paused
         if grant.start is None:
             return
-        cost = grant.start.waiting.cost
-        if grant.ask.model and grant.tokens > 0:
-            cost = PROMPT_COST * grant.ask.prompt_tokens + grant.tokens
-        self._queue.finish(grant.start, cost=0.0 if unused else cost)
+        cost = 0.0 if unused else self._forecast.measure_cost(grant)
+        self._queue.finish(grant.start, cost=cost)
 
     def _continue(self, now: float) -> list[KeeperEvent]:
         return self._start_waiting(now) + self._pause_for_waiting(now)
@@ -310,7 +289,7 @@
         if not len(self._queue):
             self._strict_starts = 0
         self._kv_check_at = None if self._is_full() else self._kv_room.find_expiry(now=now)
-        self._rate.observe(full=self._is_full(), released=False, now=now)
+        self._forecast.note_slots(full=self._is_full(), now=now)
         return events
 
     def _grant(self, start: Start, now: float) -> Granted:
@@ -318,7 +297,7 @@
         grant = self._make_grant(ask, now=now, granted_at=now, start=start)
         self._grants.add(grant)
         self._kv_room.note_grant(grant, slots=self._endpoint.slots)
-        self._start_rates.observe(start.tier, now=now)
+        self._forecast.note_start(start.tier, now=now)
         return Granted(ask=ask)
 
     def _make_grant(
@@ -333,16 +312,9 @@
             progress_at=now,
             start=start,
         )
-        self._refresh(grant, now)
+        self._forecast.refresh(grant, now=now)
         return grant
 
-    def _refresh(self, grant: Grant, now: float) -> None:
-        produced = int(grant.estimate_tokens(now)) if grant.ask.model else 0
-        tokens = self._lengths.estimate(grant.ask, quantile=0.5, produced=produced)
-        grant.expected_tokens = tokens
-        left_s = self._service_times.estimate_left(grant.ask, tokens=tokens, produced=produced)
-        grant.expected_end = now + left_s
-
     def _pause_for_waiting(self, now: float) -> list[KeeperEvent]:
         self._pause_check_at = None
         if self._endpoint.kind is not EndpointKind.ENGINE or self._cautious_until:
@@ -356,44 +328,24 @@
                 break
             needed += 1
             if ends is None:
-                ends = self._list_ends(now)
-            if bisect_right(ends, target) >= needed:
-                self._note_pause_check(target, now)
+                ends = self._forecast.list_ends(self._grants, now=now)
+            decide_at = target - PAUSE_LEAD_S
+            if bisect_right(ends, decide_at) >= needed:
+                if decide_at > now:
+                    self._pause_check_at = min(decide_at, self._pause_check_at or decide_at)
                 continue
             victim = self._grants.find_victim(tier, now=now)
             victim.paused = True
-            ends = self._list_ends(now)
+            ends = self._forecast.list_ends(self._grants, now=now)
             lowest = self._grants.find_pausable_tier()
             events.append(Paused(ask=victim.ask, reason=PAUSE_REASON))
         return events
 
-    def _list_ends(self, now: float) -> list[float]:
-        """Return the times at which slots come free; a paused one counts as free."""
-        ends: list[float] = []
-        for grant in self._grants.list_grants():
-            if not grant.paused and grant.expected_end <= now:
-                # Failure: a run past its greatest length is expected to end at once, for ever,
-                # and the higher tier that waits for it never takes the slot. Expecting a part of
-                # its age more makes the next look at it find it late.
-                self._refresh(grant, now)
-                least_s = max(PAUSE_S, OVERDUE_SHARE * (now - grant.granted_at))
-                grant.expected_end = max(grant.expected_end, now + least_s)
-            insort(ends, float("-inf") if grant.paused else grant.expected_end)
-        return ends
-
-    def _note_pause_check(self, target: float, now: float) -> None:
-        check_at = target - PAUSE_S if target - PAUSE_S > now else target
-        if check_at > now:
-            self._pause_check_at = min(check_at, self._pause_check_at or check_at)
-
     def _learn(self, grant: Grant, release: Release, now: float) -> None:
         grant.tokens = max(grant.tokens, release.tokens)
         self._weight.observe(grant.ask, release, now=now)
-        if release.failed or grant.paused:
-            return
-        self._service_times.observe(grant.ask, release)
-        if grant.ask.model:
-            self._lengths.observe(grant.ask, release.tokens)
+        if not release.failed and not grant.paused:
+            self._forecast.learn(grant.ask, release)
 
     def _is_full(self) -> bool:
         return len(self._grants) >= self._endpoint.slots
@@ -415,39 +367,23 @@
         recent = sum(1 for g in self._grants.list_grants() if g.granted_at > report.as_of)
         return self._endpoint.slots - report.running - recent
 
-    def _estimate_cost(self, ask: Ask) -> float:
-        if not ask.model:
-            return CALL_COST
-        tokens = self._lengths.estimate(ask, quantile=0.5)
-        return PROMPT_COST * ask.prompt_tokens + max(1.0, tokens)
-
     def _estimate_rate(self, now: float) -> float:
-        slots = self._endpoint.slots
-        return self._rate.estimate(slots=slots, service_s=self._service_times.mean_s, now=now)
+        return self._forecast.estimate_rate(slots=self._endpoint.slots, now=now)
 
     def _estimate_wait(self, ask: Ask, now: float) -> float:
-        """Return the seconds until a new ask would start.
-
-        A class has up to three ways to a slot and takes the fastest: its turn among all, with
-        lower classes' shares and higher tiers' starts off the rate; its own share, which only its
-        own asks are before; and pausing.
-        """
-        own = self._queue.count_ahead(ask) + 1
-        ahead = own + self._queue.count_others(ask) - max(0, self._count_free(now))
+        """Return the seconds until a new ask would start; pausing bounds them for its tier."""
+        before = self._queue.count_ahead(ask) + self._queue.count_others(ask)
+        ahead = before + 1 - max(0, self._count_free(now))
         if ahead <= 0:
             return 0.0
-        tier = self._queue.find_tier(ask)
-        rate = self._estimate_rate(now)
-        left = rate * (1.0 - min(0.9, self._queue.sum_lower_shares(tier)))
-        left -= self._start_rates.estimate_above(tier, now=now)
-        waits = [ahead / max(left, LEAST_RATE_SHARE * rate)]
-        share = self._queue.find_share(ask.class_name)
-        if share > 0.0:
-            waits.append(own / (share * rate))
+        wait_s = self._forecast.estimate_wait(
+            ask, queue=self._queue, ahead=ahead, slots=self._endpoint.slots, now=now
+        )
         service_class = self._configuration.classes.get(ask.class_name)
+        tier = self._queue.find_tier(ask)
         if service_class is not None and ahead <= self._grants.count_pausable(tier):
-            waits.append(service_class.first_token_ms / 1000.0 + PAUSE_S)
-        return min(waits)
+            wait_s = min(wait_s, service_class.first_token_ms / 1000.0 + PAUSE_S)
+        return wait_s
 
     def _refuse(self, ask: Ask, code: ErrorCode, retry_after_s: float) -> Refused:
         bounded = min(GREATEST_RETRY_S, max(LEAST_RETRY_S, retry_after_s))
--- a/src/guavamast/queues.py
+++ b/src/guavamast/queues.py
@@ -6,23 +6,19 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
-from collections import OrderedDict
 from dataclasses import dataclass
-from math import ceil
 from typing import TYPE_CHECKING, Final
 
-from guavamast._round_robin import RoundRobin, Waiting
+from guavamast._round_robin import Waiting
+from guavamast.class_queues import DEFAULT_QUEUE_LIMIT, ClassQueue
 from guavamast.errors import ErrorCode
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from guavamast.slots import Ask
-    from guavamast.world import Configuration, ServiceClass
+    from guavamast.world import Configuration
 
-DEFAULT_QUEUE_LIMIT: Final = 100
-"""Waiting asks of a class that the configuration does not name."""
 DEBT_DUE: Final = 1.0
 """Starts owed to a class from which it is paid if no higher tier misses a target by it."""
 DEBT_PRESSING: Final = 1.5
@@ -37,121 +33,6 @@
 """Asks of a class whose first-token targets are weighed before a share is paid."""
 
 
-class SortedTimes:
-    """Points in time, sorted; a change moves at most a few 10 kB at 10,000 entries."""
-
-    __slots__ = ("_times",)
-
-    def __init__(self) -> None:
-        self._times: list[tuple[float, int]] = []
-
-    def __len__(self) -> int:
-        return len(self._times)
-
-    def add(self, time: float, sequence: int) -> None:
-        """Insert a time; the sequence number tells equal times apart."""
-        insort(self._times, (time, sequence))
-
-    def remove(self, time: float, sequence: int) -> None:
-        """Remove a time that is present."""
-        del self._times[bisect_left(self._times, (time, sequence))]
-
-    def count_before(self, time: float) -> int:
-        """Return how many times lie before one."""
-        return bisect_left(self._times, (time, -1))
-
-    def get(self, index: int) -> float:
-        """Return a time by its rank."""
-        return self._times[index][0]
-
-    def find_first(self) -> int:
-        """Return the sequence number of the earliest time."""
-        return self._times[0][1]
-
-
-class ClassQueue:
-    """The waiting asks of one class."""
-
-    __slots__ = (
-        "by_arrival",
-        "debt",
-        "last_start",
-        "latest_starts",
-        "limit",
-        "name",
-        "reserved",
-        "robin",
-        "share",
-        "shares_running",
-        "target_starts",
-        "tier",
-    )
-
-    def __init__(self, *, name: str, tier: int, last_start: int) -> None:
-        self.name = name
-        self.tier = tier
-        self.share = 0.0
-        self.limit = DEFAULT_QUEUE_LIMIT
-        self.reserved = 0
-        """Places that other classes can't fill; they come on top of the whole queue's limit."""
-        self.debt = 0.0
-        """Starts that the class is owed, at most `DEBT_CEILING`; below 0 after a long run."""
-        self.shares_running = 0
-        """Slots held by starts by share."""
-        self.last_start = last_start
-        self.robin = RoundRobin()
-        self.by_arrival: OrderedDict[int, Waiting] = OrderedDict()
-        self.latest_starts = SortedTimes()
-        self.target_starts = SortedTimes()
-
-    def __len__(self) -> int:
-        return len(self.by_arrival)
-
-    def configure(self, service_class: ServiceClass) -> None:
-        """Take on the class as configured."""
-        self.tier = service_class.tier
-        self.share = min(1.0, max(0.0, service_class.guaranteed_share))
-        self.limit = service_class.queue_limit
-        self.reserved = min(self.limit, ceil(self.share * self.limit))
-
-    def count_unreserved(self) -> int:
-        """Return how many asks count against the whole queue's limit."""
-        return max(0, len(self.by_arrival) - self.reserved)
-
-    def add(self, waiting: Waiting) -> None:
-        """Append an ask."""
-        self.robin.add(waiting)
-        self.by_arrival[waiting.sequence] = waiting
-        self.latest_starts.add(waiting.latest_start, waiting.sequence)
-        self.target_starts.add(waiting.target_start, waiting.sequence)
-
-    def remove(self, ask: Ask) -> Waiting:
-        """Take an ask out without starting it."""
-        waiting = self.robin.remove(ask)
-        self._forget(waiting)
-        return waiting
-
-    def take(self) -> Waiting:
-        """Take the ask whose organisation is next."""
-        waiting = self.robin.take()
-        self._forget(waiting)
-        return waiting
-
-    def find_newest(self) -> Waiting:
-        """Return the last to arrive."""
-        return next(reversed(self.by_arrival.values()))
-
-    def count_ahead(self, ask: Ask) -> int:
-        """Return how many of the class start before a new ask of that organisation."""
-        turns = (self.robin.count(ask.organisation) + 1) * self.robin.count_organisations()
-        return min(len(self.by_arrival), turns)
-
-    def _forget(self, waiting: Waiting) -> None:
-        del self.by_arrival[waiting.sequence]
-        self.latest_starts.remove(waiting.latest_start, waiting.sequence)
-        self.target_starts.remove(waiting.target_start, waiting.sequence)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Start:
     """An ask that leaves the queue for a slot."""
