Shed from the longest backlog of a full class, and estimate from where a run is

Cause: one organisation's flood filled its class's queue and every other organisation's newcomer was refused, so round robin among organisations had nothing to choose from. And a run in the same bucket of lengths as most others was expected to end at once, since shorter lengths of the bucket counted. Change: a full class gives up the newest ask of the organisation with the most waiting, when it has at least two more than the newcomer's; counts by length of backlog make that constant time. The quantile of a running request counts the part of its bucket above what it has delivered. Ruled out: a limit for each organisation (it would hold places that nobody uses). Seen first: test_running_request_is_compared_with_longer_ones failed with 1000.0 for 1000 delivered. Conclusion: the order among organisations holds at the door as in the queue.

--- a/src/guavamast/_round_robin.py
+++ b/src/guavamast/_round_robin.py
@@ -53,7 +53,7 @@
     at a time gains nothing.
     """
 
-    __slots__ = ("_accounts", "_heap", "_length", "_round", "_sequence")
+    __slots__ = ("_accounts", "_by_count", "_heap", "_length", "_longest", "_round", "_sequence")
 
     def __init__(self) -> None:
         self._accounts: dict[str, _Account] = {}
@@ -61,6 +61,9 @@
         self._round = 0
         self._sequence = 0
         self._length = 0
+        self._by_count: dict[int, dict[str, None]] = {}
+        """Organisations by how many of their asks wait."""
+        self._longest = 0
 
     def __len__(self) -> int:
         return self._length
@@ -74,10 +77,13 @@
             self._schedule(organisation, self._round)
         account.waiting[waiting.ask.ask_id] = waiting
         self._length += 1
+        self._recount(organisation, len(account.waiting), change=1)
 
     def remove(self, ask: Ask) -> Waiting:
         """Take an ask out without starting it."""
-        waiting = self._accounts[ask.organisation].waiting.pop(ask.ask_id)
+        account = self._accounts[ask.organisation]
+        waiting = account.waiting.pop(ask.ask_id)
+        self._recount(ask.organisation, len(account.waiting), change=-1)
         self._note_removal()
         return waiting
 
@@ -111,8 +117,13 @@
         """Return how many organisations wait or are in debt."""
         return len(self._accounts)
 
-    def find_newest(self, organisation: str) -> Waiting:
-        """Return the last of an organisation's asks."""
+    def count_longest(self) -> int:
+        """Return how many asks the organisation with the most of them has waiting."""
+        return self._longest
+
+    def find_newest_of_longest(self) -> Waiting:
+        """Return the last ask of an organisation that has the most of them waiting."""
+        organisation = next(iter(self._by_count[self._longest]))
         return next(reversed(self._accounts[organisation].waiting.values()))
 
     def list_deficits(self) -> list[float]:
@@ -123,9 +134,21 @@
         _, waiting = account.waiting.popitem(last=False)
         account.deficit = max(-COST_CEILING, account.deficit - waiting.cost)
         self._schedule(organisation, self._find_round(account))
+        self._recount(organisation, len(account.waiting), change=-1)
         self._note_removal()
         return waiting
 
+    def _recount(self, organisation: str, count: int, *, change: int) -> None:
+        before = count - change
+        if before:
+            del self._by_count[before][organisation]
+        if count:
+            self._by_count.setdefault(count, {})[organisation] = None
+        if count > self._longest or not self._by_count.get(self._longest):
+            self._longest = count
+        if before and not self._by_count[before]:
+            del self._by_count[before]
+
     def _note_removal(self) -> None:
         self._length -= 1
         if self._length == 0:
--- a/src/guavamast/estimates.py
+++ b/src/guavamast/estimates.py
@@ -115,12 +115,10 @@
             Tokens in all, at least ``produced``.
         """
         counts = self._blend(ask)
-        first = find_bucket(produced) if produced > 0 else 0
-        total = sum(counts[first:])
-        if total <= 0.0:
+        begin = min(BUCKETS - 1.0, BUCKETS_PER_DOUBLING * math.log2(max(1, produced)))
+        length = _find_quantile(counts, begin, quantile)
+        if length is None:
             length = produced + _find_prior(quantile)
-        else:
-            length = _find_quantile(counts, first, quantile * total)
         ceiling = ask.max_tokens if ask.max_tokens > 0 else math.inf
         return max(float(produced), min(length, ceiling))
 
@@ -140,10 +138,17 @@
     return -DEFAULT_TOKENS * math.log2(1.0 - min(quantile, 0.99))
 
 
-def _find_quantile(counts: list[float], first: int, rank: float) -> float:
+def _find_quantile(counts: list[float], begin: float, quantile: float) -> float | None:
+    """Return a quantile of the lengths above a point of the scale; None when there are none."""
+    first = int(begin)
+    counts[first] *= 1.0 - (begin - first)
+    rank = quantile * sum(counts[first:])
+    if rank <= 0.0:
+        return None
     for bucket in range(first, BUCKETS):
-        if counts[bucket] >= rank and counts[bucket] > 0.0:
-            return find_edge(bucket + rank / counts[bucket])
+        if counts[bucket] >= rank:
+            least = max(begin, float(bucket))
+            return find_edge(least + (bucket + 1 - least) * rank / counts[bucket])
         rank -= counts[bucket]
     return find_edge(BUCKETS)
 
--- a/src/guavamast/queues.py
+++ b/src/guavamast/queues.py
@@ -99,16 +99,18 @@
     def find_overflow(self, ask: Ask) -> Overflow | None:
         """Return what has to be given up for an ask to wait; None when there is room.
 
-        A full class refuses its own newcomer. When the whole queue is full, the newest ask of the
-        lowest tier goes; that is the newcomer unless a lower tier than its own waits. A class's
-        reserved places are left alone and not counted: a burst of a higher tier could else keep a
-        class out of the queue, where no share of starts reaches it, and the higher tier loses
-        nothing by places that are not part of its limit.
+        A full class gives up the newest ask of the organisation that has the most waiting, be it
+        the newcomer: one organisation's flood could else keep all others of its class out. When
+        the whole queue is full, the newest ask of the lowest tier goes; that is the newcomer
+        unless a lower tier than its own waits. A class's reserved places are left alone and not
+        counted: a burst of a higher tier could else keep a class out of the queue, where no share
+        of starts reaches it, and the higher tier loses nothing by places that are not part of its
+        limit.
         """
         queue = self._classes.get(self._find_name(ask))
         held = len(queue) if queue is not None else 0
         if held >= (queue.limit if queue is not None else DEFAULT_QUEUE_LIMIT):
-            return Overflow(ask=ask, code=ErrorCode.QUEUE_FULL)
+            return _find_overflow_of_class(queue, ask)
         if queue is not None and held < queue.reserved:
             return None
         filled = [other for other in self._list_waiting() if other.count_unreserved()]
@@ -336,3 +338,10 @@
         if now + place / rate <= target < now + (place + 1) / rate:
             return True
     return False
+
+
+def _find_overflow_of_class(queue: ClassQueue | None, ask: Ask) -> Overflow:
+    # The difference of two keeps two organisations from pushing each other's asks out in turn.
+    if queue is None or queue.robin.count(ask.organisation) + 2 > queue.robin.count_longest():
+        return Overflow(ask=ask, code=ErrorCode.QUEUE_FULL)
+    return Overflow(ask=queue.robin.find_newest_of_longest().ask, code=ErrorCode.SHED)
