Measure a change of keeper, and count what presented slots free during caution

Cause: a full engine's first asks after a change of keeper waited out the whole cautious second: the report was older than the releases that came in, so it left nothing free until the next one. Ruled out: counting releases of unknown asks as well (a repeated release would count twice), counting expiries (an entry that was lost says nothing of what the engine still runs).

--- a/src/guavamast/keepers.py
+++ b/src/guavamast/keepers.py
@@ -46,6 +46,7 @@
         "_configuration",
         "_endpoint",
         "_forecast",
+        "_freed_since_report",
         "_grants",
         "_kv_check_at",
         "_kv_room",
@@ -75,6 +76,8 @@
         self._queue = WaitingQueue(configuration=configuration)
         self._kv_room = KvRoom()
         self._kv_check_at: float | None = None
+        self._freed_since_report = 0
+        """Presented slots that came free since the last load report was received."""
         self._strict_starts = 0
         """Slots that were taken by pausing and go by tier alone when they come free."""
         self._pause_check_at: float | None = None
@@ -138,8 +141,7 @@
         else:
             self._grants.add(self._make_grant(ask, now=now, granted_at=now - held_s))
         self.record_progress(ask.ask_id, tokens, now=now)
-        self._forecast.note_slots(full=self._is_full(), now=now)
-        return []
+        return self._continue(now)
 
     def record_progress(self, ask_id: str, tokens: int, *, now: float) -> None:
         """Record how many tokens a running request has delivered; late words are dropped."""
@@ -152,7 +154,8 @@
 
     def record_load(self, report: LoadReport, *, now: float) -> list[KeeperEvent]:
         """Record the endpoint's word on its load."""
-        self._kv_room.record(report, grants=self._grants)
+        if self._kv_room.record(report, grants=self._grants):
+            self._freed_since_report = 0
         return self._continue(now)
 
     def drop_entry(self, entry: str, *, now: float) -> list[KeeperEvent]:
@@ -259,6 +262,7 @@
 
     def _free(self, grant: Grant, *, unused: bool, now: float) -> list[KeeperEvent]:
         self._settle(grant, unused=unused)
+        self._freed_since_report += grant.start is None
         self._forecast.note_slots(full=False, released=not (unused or grant.paused), now=now)
         return self._continue(now)
 
@@ -360,12 +364,12 @@
         return free
 
     def _count_reported_free(self, now: float) -> int:
-        """Return what the endpoint's report leaves free, less the grants made since."""
+        """Return what the endpoint's report leaves free, with what has changed since."""
         report = self._kv_room.get_report(now)
         if report is None:
             return 0
         recent = sum(1 for g in self._grants.list_grants() if g.granted_at > report.as_of)
-        return self._endpoint.slots - report.running - recent
+        return self._endpoint.slots - report.running - recent + self._freed_since_report
 
     def _estimate_rate(self, now: float) -> float:
         return self._forecast.estimate_rate(slots=self._endpoint.slots, now=now)
--- a/src/guavamast/kv_room.py
+++ b/src/guavamast/kv_room.py
@@ -36,18 +36,19 @@
         self._share_per_token: float | None = None
         self._mean_need: float | None = None
 
-    def record(self, report: LoadReport, *, grants: GrantTable) -> None:
-        """Take a report on; one that is older than the last known is dropped."""
+    def record(self, report: LoadReport, *, grants: GrantTable) -> bool:
+        """Take a report on; return False for one that is older than the last, which is dropped."""
         if self._report is not None and report.as_of < self._report.as_of:
-            return
+            return False
         self._report = report
         held = sum(_count_held(g) for g in grants.list_grants() if g.granted_at <= report.as_of)
         if held < SAMPLE_TOKENS or report.running < 1:
-            return
+            return True
         sample = max(0.0, 1.0 - report.kv_free) / held
         usual = self._share_per_token
         weight = FALL_WEIGHT if usual is None or sample < usual else RISE_WEIGHT
         self._share_per_token = sample if usual is None else usual + weight * (sample - usual)
+        return True
 
     def note_grant(self, grant: Grant, *, slots: int) -> None:
         """Count a new grant in the mean need of a request."""
