--- a/src/guavamast/_round_robin.py
+++ b/src/guavamast/_round_robin.py
@@ -30,18 +30,24 @@
     """Time after which it can't meet its deadline."""
     target_start: float
     """Time after which it misses its class's first-token target."""
+    is_late: bool = False
+    """It has missed that target; asks that can still meet theirs go first."""
 
 
 class _Account:
     """One organisation's waiting asks and its balance."""
 
-    __slots__ = ("deficit", "last_round", "waiting")
+    __slots__ = ("deficit", "last_round", "late", "waiting")
 
     def __init__(self, *, last_round: int) -> None:
         self.waiting: OrderedDict[str, Waiting] = OrderedDict()
+        self.late: OrderedDict[str, Waiting] = OrderedDict()
         self.deficit = QUANTUM
         self.last_round = last_round
 
+    def __len__(self) -> int:
+        return len(self.waiting) + len(self.late)
+
 
 class RoundRobin:
     """Waiting asks, served round by round and organisation by organisation.
@@ -53,7 +59,7 @@
     at a time gains nothing.
     """
 
-    __slots__ = ("_accounts", "_heap", "_length", "_round", "_sequence")
+    __slots__ = ("_accounts", "_by_count", "_heap", "_length", "_longest", "_round", "_sequence")
 
     def __init__(self) -> None:
         self._accounts: dict[str, _Account] = {}
@@ -61,6 +67,9 @@
         self._round = 0
         self._sequence = 0
         self._length = 0
+        self._by_count: dict[int, dict[str, None]] = {}
+        """Organisations by how many of their asks wait."""
+        self._longest = 0
 
     def __len__(self) -> int:
         return self._length
@@ -74,13 +83,21 @@
             self._schedule(organisation, self._round)
         account.waiting[waiting.ask.ask_id] = waiting
         self._length += 1
+        self._recount(organisation, len(account), change=1)
 
     def remove(self, ask: Ask) -> Waiting:
         """Take an ask out without starting it."""
-        waiting = self._accounts[ask.organisation].waiting.pop(ask.ask_id)
+        account = self._accounts[ask.organisation]
+        waiting = account.waiting.pop(ask.ask_id, None) or account.late.pop(ask.ask_id)
+        self._recount(ask.organisation, len(account), change=-1)
         self._note_removal()
         return waiting
 
+    def turn_late(self, waiting: Waiting) -> None:
+        """Put an ask behind those of its organisation that can still meet their target."""
+        account = self._accounts[waiting.ask.organisation]
+        account.late[waiting.ask.ask_id] = account.waiting.pop(waiting.ask.ask_id)
+
     def take(self) -> Waiting:
         """Take the next ask to start and charge its organisation."""
         while True:
@@ -90,7 +107,7 @@
             self._top_up(account)
             if account.deficit <= 0.0:
                 self._schedule(organisation, self._find_round(account))
-            elif not account.waiting:
+            elif not len(account):
                 del self._accounts[organisation]
             else:
                 return self._start(organisation, account)
@@ -103,7 +120,7 @@
             account.deficit = min(QUANTUM, max(-COST_CEILING, account.deficit - cost))
 
     def count(self, organisation: str) -> int:
-        """Return how many asks of an organisation wait."""
+        """Return how many asks of an organisation wait and are not late."""
         account = self._accounts.get(organisation)
         return len(account.waiting) if account is not None else 0
 
@@ -111,21 +128,44 @@
         """Return how many organisations wait or are in debt."""
         return len(self._accounts)
 
-    def find_newest(self, organisation: str) -> Waiting:
-        """Return the last of an organisation's asks."""
-        return next(reversed(self._accounts[organisation].waiting.values()))
+    def count_all(self, organisation: str) -> int:
+        """Return how many asks of an organisation wait, late or not."""
+        account = self._accounts.get(organisation)
+        return len(account) if account is not None else 0
+
+    def count_longest(self) -> int:
+        """Return how many asks the organisation with the most of them has waiting."""
+        return self._longest
+
+    def find_newest_of_longest(self) -> Waiting:
+        """Return the last ask of an organisation that has the most of them waiting."""
+        organisation = next(iter(self._by_count[self._longest]))
+        account = self._accounts[organisation]
+        return next(reversed((account.waiting or account.late).values()))
 
     def list_deficits(self) -> list[float]:
         """Return all organisations' deficit counters."""
         return [account.deficit for account in self._accounts.values()]
 
     def _start(self, organisation: str, account: _Account) -> Waiting:
-        _, waiting = account.waiting.popitem(last=False)
+        _, waiting = (account.waiting or account.late).popitem(last=False)
         account.deficit = max(-COST_CEILING, account.deficit - waiting.cost)
         self._schedule(organisation, self._find_round(account))
+        self._recount(organisation, len(account), change=-1)
         self._note_removal()
         return waiting
 
+    def _recount(self, organisation: str, count: int, *, change: int) -> None:
+        before = count - change
+        if before:
+            del self._by_count[before][organisation]
+        if count:
+            self._by_count.setdefault(count, {})[organisation] = None
+        if count > self._longest or not self._by_count.get(self._longest):
+            self._longest = count
+        if before and not self._by_count[before]:
+            del self._by_count[before]
+
     def _note_removal(self) -> None:
         self._length -= 1
         if self._length == 0:
