--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -49,21 +49,27 @@
     return replace(idle, **changes)
 
 
-def make_chooser(*endpoints: Endpoint, seed: int = 1) -> EndpointChooser:
-    """Return a chooser in near-a that knows the endpoints."""
-    members = tuple(
-        Member(
-            instance=make_instance(domain),
-            incarnation=1,
-            state=MemberState.LIVE,
-            heartbeat=1,
-            configuration_version=1,
+def make_view() -> MembershipView:
+    """Return a view with a live member in each failure domain."""
+    return MembershipView(
+        members=tuple(
+            Member(
+                instance=make_instance(domain),
+                incarnation=1,
+                state=MemberState.LIVE,
+                heartbeat=1,
+                configuration_version=1,
+            )
+            for domain in DOMAINS
         )
-        for domain in DOMAINS
     )
+
+
+def make_chooser(*endpoints: Endpoint, seed: int = 1) -> EndpointChooser:
+    """Return a chooser in near-a that knows the endpoints."""
     chooser = EndpointChooser(instance=make_instance(), seed=seed)
     configuration = Configuration(version=1, endpoints={each.name: each for each in endpoints})
-    chooser.configure(configuration, MembershipView(members=members))
+    chooser.configure(configuration, make_view())
     return chooser
 
 
