Make the process tests need each safeguard

Cause: trials without a safeguard passed the process tests: a caller's outcome_unknown counted as settled though the holder lived, no test lost the service's answers alone, and the freeze ended before the callers' deadlines. Change: callers ask again while a living holder runs the call, and after an outage every key must end answered; keys asked for at both instances at once, with and without lost answers of the services; the freeze outlasts the deadlines of the calls in the entry. Ruled out: waiting for started rows to fall due (65 s with the default timeout of a call).

--- a/tests/test_operations_processes.py
+++ b/tests/test_operations_processes.py
@@ -13,6 +13,12 @@
 if TYPE_CHECKING:
     from tornado.httpclient import HTTPResponse
 
+ASK_AGAIN_ROUNDS = 150
+"""Most rounds, 0.1 s apart, in which callers ask again."""
+
+FREEZE_S = 3.0
+"""Deadline of the calls in a frozen entry, and time it stays frozen after others were asked."""
+
 ASK_TIMEOUT_S = 20.0
 """A caller's own wait for one answer."""
 
@@ -35,12 +41,20 @@
             self.answers.append(response.body)
             self.outcomes.append("answered")
         else:
-            self.outcomes.append(json.loads(response.body)["error"]["outcome"])
+            error = json.loads(response.body)["error"]
+            running = error["code"] == "in_progress"
+            self.outcomes.append("in_progress" if running else error["outcome"])
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether the caller has an answer or can't get one by asking at once again."""
-        return bool(self.outcomes) and self.outcomes[-1] in ("answered", "outcome_unknown")
+    def is_settled(self, *, holder_lives: bool) -> bool:
+        """Whether the caller has an answer or can't get one by asking again soon.
+
+        Args:
+            holder_lives: Whether a call that is in progress will end.
+        """
+        final = {"answered", "outcome_unknown"}
+        if not holder_lives:
+            final.add("in_progress")
+        return bool(self.outcomes) and self.outcomes[-1] in final
 
     @property
     def never_ran(self) -> bool:
@@ -59,27 +73,39 @@
         self.callers = [Caller(url=url) for url in self.fleet.urls]
         self.logs: list[KeyLog] = []
 
-    async def ask(self, log: KeyLog, number: int) -> None:
+    async def ask(self, log: KeyLog, number: int, *, deadline_s: float = 30.0) -> None:
         """Ask once for a key at one instance."""
+        headers = {
+            "Idempotency-Key": log.key,
+            "X-Request-Timeout-Ms": str(int(1000 * deadline_s)),
+        }
         try:
-            caller = self.callers[number]
-            log.record(await caller.call("approve", key=log.key, timeout_s=ASK_TIMEOUT_S))
+            log.record(
+                await self.callers[number].fetch(
+                    "/v1/services/ledger/approve",
+                    body=b"{}",
+                    headers=headers,
+                    timeout_s=ASK_TIMEOUT_S,
+                )
+            )
         except Exception:
             log.record(None)
 
-    async def ask_many(self, prefix: str, *, count: int, number: int) -> None:
+    async def ask_many(
+        self, prefix: str, *, count: int, number: int, deadline_s: float = 30.0
+    ) -> None:
         """Ask for new keys at one instance, two milliseconds apart."""
         logs = [KeyLog(f"{prefix}-{index}") for index in range(count)]
         self.logs.extend(logs)
         async with asyncio.TaskGroup() as tasks:
             for log in logs:
-                tasks.create_task(self.ask(log, number))
+                tasks.create_task(self.ask(log, number, deadline_s=deadline_s))
                 await asyncio.sleep(0.002)
 
-    async def ask_again(self, number: int, *, rounds: int = 40) -> None:
+    async def ask_again(self, number: int, *, holder_lives: bool) -> None:
         """Ask at an instance for all keys until each is settled."""
-        for _ in range(rounds):
-            open_logs = [log for log in self.logs if not log.is_settled]
+        for _ in range(ASK_AGAIN_ROUNDS):
+            open_logs = [log for log in self.logs if not log.is_settled(holder_lives=holder_lives)]
             if not open_logs:
                 return
             await asyncio.gather(*(self.ask(log, number) for log in open_logs))
@@ -119,24 +145,28 @@
         await self.wait_for_runs(15)
         self.fleet.entries[0].kill()
         await asking
-        await self.ask_again(1)
+        await self.ask_again(1, holder_lives=False)
         await self.expect_promises()
         outcomes = {log.outcomes[-1] for log in self.logs}
         self.assertIn("answered", outcomes)
 
-    async def test_entry_frozen_longer_than_the_callers_wait(self) -> None:
-        # The entry freezes in the middle of sixty approvals. Callers ask at the other instance,
-        # then it goes on with what it holds. Whatever it sends late must not be a second run.
+    async def test_entry_frozen_past_the_deadlines(self) -> None:
+        # The entry freezes in the middle of sixty approvals until all their deadlines have passed.
+        # Callers ask at the other instance meanwhile; then it goes on with what it holds. What it
+        # sent before has run once at most, and what it had not sent is never sent.
         await self.fault_services(kind="slow", delay_s=0.03)
-        asking = asyncio.ensure_future(self.ask_many("freeze", count=60, number=0))
+        asking = asyncio.ensure_future(
+            self.ask_many("freeze", count=60, number=0, deadline_s=FREEZE_S)
+        )
         await self.wait_for_runs(15)
         self.fleet.entries[0].pause()
         again = [KeyLog(f"freeze-{index}") for index in range(60)]
         await asyncio.gather(*(self.ask(log, 1) for log in again))
+        await asyncio.sleep(FREEZE_S)
         self.fleet.entries[0].resume()
         await asking
         self.logs.extend(again)
-        await self.ask_again(1)
+        await self.ask_again(1, holder_lives=True)
         await self.expect_promises()
         for first, second in zip(self.logs[:60], again, strict=True):
             self.assertLessEqual(len({*first.answers, *second.answers}), 1, first.key)
@@ -175,8 +205,24 @@
         await self.fleet.fault(self.fleet.platform_url, kind="down")
         await asking
         await self.fleet.fault(self.fleet.platform_url, kind="none")
-        await self.ask_again(1)
+        await self.ask_again(1, holder_lives=True)
+        await self.expect_promises()
+        told = {log.outcomes[-1] for log in self.logs}
+        self.assertEqual(told, {"answered"})
+
+    async def test_same_keys_at_both_instances_while_answers_are_lost(self) -> None:
+        # Impatient callers ask for each key at both instances at once. First all goes well, then
+        # the services close connections after the run. An insert without its check, or a second
+        # send after a lost answer, would run a key twice.
+        for prefix, kind in (("both", "none"), ("lost", "lose_answers")):
+            await self.fault_services(kind=kind)
+            asking = [self.ask_many(prefix, count=20, number=number) for number in (0, 1)]
+            await asyncio.gather(*asking)
+        await self.fault_services(kind="none")
+        await self.ask_again(0, holder_lives=False)
         await self.expect_promises()
+        lost = [log for log in self.logs if log.key.startswith("lost")]
+        self.assertEqual({log.outcomes[-1] for log in lost}, {"outcome_unknown", "in_progress"})
 
     async def test_answers_lost_by_both_and_entry_killed(self) -> None:
         # Platform and service both close connections after their work, and the entry is killed.
@@ -189,5 +235,5 @@
         await asking
         await self.fleet.fault(self.fleet.platform_url, kind="none")
         await self.fault_services(kind="none")
-        await self.ask_again(1)
+        await self.ask_again(1, holder_lives=False)
         await self.expect_promises()
