Count claims, records, unknown outcomes and rows that wait

Cause: operators could not see how many calls need settling, nor how many rows an outage holds back. A test of the bound on rows that wait. Ruled out: a count for each refusal; callers.py has errors.CODE already. Conclusion: what waits and what is unknown shows.

--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -119,6 +119,7 @@
             pauses=self.pauses,
             retries=BudgetRetryPolicy(budget=budget, random=random.Random(seed)),
             clock=clock,
+            metrics=metrics,
         )
         self._server: HTTPServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
--- a/src/guavamast/repairs.py
+++ b/src/guavamast/repairs.py
@@ -12,6 +12,7 @@
     from collections.abc import Awaitable, Callable
 
     from guavamast.clocks import Clock
+    from guavamast.metrics import Metrics
 
 FIRST_WAIT_S: Final = 0.2
 """Wait before the first repetition."""
@@ -31,12 +32,14 @@
 
     Args:
         clock: Waits between repetitions.
+        metrics: Told how many wait.
     """
 
-    __slots__ = ("_clock", "_tasks")
+    __slots__ = ("_clock", "_metrics", "_tasks")
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
         self._clock = clock
+        self._metrics = metrics
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -52,13 +55,18 @@
         """
         task = asyncio.ensure_future(self._repeat(write))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._forget)
+        self._metrics.gauge("operations.unwritten", len(self._tasks))
 
     async def drain(self) -> None:
         """Wait until all have succeeded."""
         while self._tasks:
             await asyncio.wait(self._tasks)
 
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        self._metrics.gauge("operations.unwritten", len(self._tasks))
+
     async def _repeat(self, write: Callable[[], Awaitable[None]]) -> None:
         wait_s = FIRST_WAIT_S
         while True:
--- a/src/guavamast/service_calls.py
+++ b/src/guavamast/service_calls.py
@@ -27,6 +27,7 @@
 
 from guavamast.attempts import AttemptRunner, Obstructed, Stop
 from guavamast.errors import ErrorCode, Outcome, Refusal, SendLatch
+from guavamast.metrics import NoMetrics
 from guavamast.operation_store import AnswerMissing
 from guavamast.operations import (
     Operation,
@@ -52,6 +53,7 @@
 
     from guavamast.clocks import Clock
     from guavamast.endpoint_sender import EndpointSender
+    from guavamast.metrics import Metrics
     from guavamast.operation_store import OperationStore
     from guavamast.operations import Answer
     from guavamast.send_gates import PauseWatch, SendGate
@@ -97,6 +99,7 @@
         pauses: Whether this process was paused.
         retries: For idempotent calls.
         clock: Source of times.
+        metrics: Where counts of operations go.
     """
 
     __slots__ = (
@@ -120,15 +123,22 @@
         pauses: PauseWatch,
         retries: RetryPolicy,
         clock: Clock,
+        metrics: Metrics | None = None,
     ) -> None:
         self._store = store
         self._slots = slots
         self._retries = retries
         self._clock = clock
         self._attempts = AttemptRunner(sender=sender, gate=gate, pauses=pauses, clock=clock)
-        self._repairs = Repairs(clock=clock)
+        metrics = metrics or NoMetrics()
+        self._repairs = Repairs(clock=clock, metrics=metrics)
         self._single_runner = SingleRunner(
-            store=store, slots=slots, attempts=self._attempts, repairs=self._repairs, clock=clock
+            store=store,
+            slots=slots,
+            attempts=self._attempts,
+            repairs=self._repairs,
+            clock=clock,
+            metrics=metrics,
         )
         self._tasks: set[asyncio.Task[Answer]] = set()
 
--- a/src/guavamast/single_runs.py
+++ b/src/guavamast/single_runs.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from guavamast.attempts import AttemptRunner
     from guavamast.clocks import Clock
+    from guavamast.metrics import Metrics
     from guavamast.operation_store import OperationStore
     from guavamast.operations import Answer, ClaimDecision
     from guavamast.repairs import Repairs
@@ -89,9 +90,18 @@
         attempts: Sends after the last check.
         repairs: Writes rows later when the platform is down.
         clock: Source of times.
+        metrics: Counts claims, recorded answers and unknown outcomes.
     """
 
-    __slots__ = ("_attempts", "_clock", "_repairs", "_sent_keys", "_slots", "_store")
+    __slots__ = (
+        "_attempts",
+        "_clock",
+        "_metrics",
+        "_repairs",
+        "_sent_keys",
+        "_slots",
+        "_store",
+    )
 
     def __init__(
         self,
@@ -101,7 +111,9 @@
         attempts: AttemptRunner,
         repairs: Repairs,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self._store = store
         self._slots = slots
         self._attempts = attempts
@@ -170,6 +182,7 @@
         if not isinstance(claim, Claim):
             grant.release(used=False, failed=False, duration_s=0.0)
             return await self._answer_earlier(run, claim)
+        self._metrics.count("operations.claimed")
         answer = await self._send(run, grant)
         await self._record(claim, answer)
         return answer
@@ -222,6 +235,7 @@
         could know whether it ran.
         """
         if run.latch.sent:
+            self._metrics.count("operations.unknown")
             message = "the endpoint's answer was lost; the call may have run"
             raise run.latch.refuse(ErrorCode.ENDPOINT_FAILED, message, status=503) from error
         try:
@@ -239,6 +253,7 @@
         for _ in range(RECORD_ATTEMPTS):
             try:
                 await self._store.record(claim, answer)
+                self._metrics.count("operations.recorded")
                 return
             except (PlatformUnavailable, PlatformAnswerLost):
                 continue
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -6,11 +6,14 @@
 import json
 import time
 import unittest
+from collections import Counter
+from unittest.mock import patch
 
 from guavamast.clocks import SystemClock
 from guavamast.endpoint_sender import HttpEndpointSender
 from guavamast.errors import ErrorCode, GuavamastError, Outcome, Refusal
 from guavamast.group_commit import GroupCommit
+from guavamast.metrics import NoMetrics
 from guavamast.operation_store import OperationStore
 from guavamast.operations import OperationState, check_key
 from guavamast.platform_http import HttpPlatformClient
@@ -71,6 +74,20 @@
         return 0.0 if attempt < 3 else None
 
 
+class CountingMetrics(NoMetrics):
+    """Keeps the counts and the last gauge."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        self.counts[name] += amount
+
+    def gauge(self, name: str, value: float) -> None:
+        self.gauges[name] = value
+
+
 class ServiceCallsTest(unittest.IsolatedAsyncioTestCase):
     """The whole path of one call, without the daemons."""
 
@@ -80,6 +97,7 @@
         for standin in (self.platform, *self.services):
             standin.start()
             self.addCleanup(standin.stop)
+        self.metrics = CountingMetrics()
         self.slots = ListedSlots([service.url for service in self.services])
         self.calls = self.make_calls()
 
@@ -99,6 +117,7 @@
             pauses=PauseWatch(now=time.monotonic()),
             retries=TwoRetries(),
             clock=clock,
+            metrics=self.metrics,
         )
 
     async def run_call(
@@ -203,6 +222,13 @@
         self.assertEqual((await self.run_call(idempotent=True))["run"], 1)
         self.assertEqual(self.services[0].log.total, 1)
 
+    async def test_no_new_call_while_too_many_rows_wait(self) -> None:
+        # An outage that comes and goes lets calls run whose rows can't be finished; each waits in
+        # memory. Without a bound the entry grows until it is killed, and all of them are lost.
+        with patch("guavamast.repairs.REPAIR_LIMIT", 0):
+            await self.expect_refusal(ErrorCode.PLATFORM_UNAVAILABLE, Outcome.NOT_RUN)
+        self.assertEqual(self.services[0].log.total, 0)
+
     async def test_outage_after_the_run_delays_the_record_and_not_the_answer(self) -> None:
         self.services[0].fault = Fault(kind="slow", delay_s=0.3)
         first = asyncio.ensure_future(self.run_call())
@@ -210,9 +236,11 @@
             await asyncio.sleep(0.01)
         self.platform.fault = Fault(kind="down")
         answer = await first
+        self.assertEqual(self.metrics.gauges, {"operations.unwritten": 1})
         await self.expect_refusal(ErrorCode.PLATFORM_UNAVAILABLE, Outcome.OUTCOME_UNKNOWN)
         self.platform.fault = Fault()
         await self.calls.drain()
+        self.assertEqual(self.metrics.gauges, {"operations.unwritten": 0})
         self.assertEqual(await self.run_call(calls=self.make_calls()), answer)
 
     async def test_dead_endpoint_is_passed_over_before_a_byte_was_sent(self) -> None:
@@ -227,6 +255,7 @@
         self.services[0].fault = Fault(kind="crash", ran=True)
         await self.expect_refusal(ErrorCode.ENDPOINT_FAILED, Outcome.OUTCOME_UNKNOWN)
         self.assertEqual([s.log.total for s in self.services], [1, 0])
+        self.assertEqual(self.metrics.counts, {"operations.claimed": 1, "operations.unknown": 1})
         await self.expect_refusal(ErrorCode.IN_PROGRESS, Outcome.OUTCOME_UNKNOWN)
         self.assertEqual((await self.run_call(idempotent=True))["run"], 1)
         self.assertEqual([s.log.total for s in self.services], [2, 1])
