Split the world of the operations' tests from its fakes

Change: the fakes of clock, platform, endpoint and slots stand in tests/operation_fakes.py; no test changed but for its imports. Ruled out: one module a fake; they are a few lines each and read together. Conclusion: no change of behaviour.

--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -7,7 +7,8 @@
 
 from guavamast.group_commit import GroupCommit
 from guavamast.platform_client import Check, PlatformAnswerLost, TransactionConflict, Write
-from tests.operation_world import Fault, World, WorldClock, WorldPlatform
+from tests.operation_fakes import WorldClock, WorldPlatform
+from tests.operation_world import Fault, World
 
 
 class GroupCommitTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_operations_properties.py
+++ b/tests/test_operations_properties.py
@@ -13,7 +13,8 @@
 from hypothesis import strategies as st
 
 from guavamast.operations import compute_sweep_interval, find_due_prefix
-from tests.operation_world import ENDPOINTS, FAULTS, Fault, make_world
+from tests.operation_fakes import ENDPOINTS, make_world
+from tests.operation_world import FAULTS, Fault
 
 if TYPE_CHECKING:
     from tests.operation_world import Asked, Step, World
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -30,7 +30,8 @@
 from guavamast.standins.platform import PlatformStandin
 from guavamast.standins.service import ServiceStandin
 from guavamast.world import CallRule, Endpoint, EndpointKind
-from tests.operation_world import World, WorldGate
+from tests.operation_fakes import WorldGate
+from tests.operation_world import World
 
 
 class ListedSlots(SlotSource):
--- a/tests/test_single_runs.py
+++ b/tests/test_single_runs.py
@@ -5,7 +5,8 @@
 import unittest
 
 from guavamast.errors import Outcome
-from tests.operation_world import Fault, make_world
+from tests.operation_fakes import make_world
+from tests.operation_world import Fault
 
 
 class SingleRunsTest(unittest.IsolatedAsyncioTestCase):
