Take only the commands' names as commands

Found by drawn command lines: given the table of commands, fire also takes the names of a dictionary's methods, so guavamast __init__ check ended in a traceback and guavamast pop check would have dropped a command. Change: the first word is looked up, with the nearest name as a hint, and fire parses only that command's words. Ruled out: an object with a method for each command, whose own members fire would take too.

--- a/src/guavamast/cli.py
+++ b/src/guavamast/cli.py
@@ -13,6 +13,7 @@
 from guavamast.commands import COMMANDS, EXIT_FAILED, EXIT_OK, EXIT_USAGE, Task, run_task
 from guavamast.errors import ErrorCode, GuavamastError
 from guavamast.findings import FindingsError
+from guavamast.schema import suggest
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -72,12 +73,16 @@
     """
     if "--" in argv:
         raise GuavamastError(ErrorCode.USAGE, "-- is not taken")
-    words = [f"{word}=True" if word in _SWITCHES else word for word in argv]
+    # Given the whole table, fire would also take the names of a dictionary's methods as commands.
+    if argv[0] not in COMMANDS:
+        hint = suggest(argv[0], COMMANDS)
+        raise GuavamastError(ErrorCode.USAGE, f"{argv[0]!r}{hint}")
+    words = [f"{word}=True" if word in _SWITCHES else word for word in argv[1:]]
     # fire prints its own report, in colours and over many lines, before it raises.
     printed = io.StringIO()
     try:
         with contextlib.redirect_stderr(printed), contextlib.redirect_stdout(printed):
-            task = fire.Fire(COMMANDS, command=words, name="guavamast")
+            task = fire.Fire(COMMANDS[argv[0]], command=words, name="guavamast")
     except FireExit:
         raise GuavamastError(ErrorCode.USAGE, find_complaint(printed.getvalue())) from None
     if not isinstance(task, Task):
