Report two listeners of an instance on one address

Found when a daemon ended with the system's error for it: the settings had passed the check. Port 0 stays allowed for both, as the system then chooses two. Ruled out: leaving it to bind, which names no file and no line.

--- a/src/guavamast/settings.py
+++ b/src/guavamast/settings.py
@@ -218,11 +218,21 @@
     """
     reader = SchemaReader(ini=read_ini(text, file=file), kinds=SETTINGS_SECTIONS)
     reader.read()
+    _check_listeners(reader)
     if reader.findings:
         raise FindingsError(reader.findings)
     return _make_settings(_collect_values(reader), directory=Path(file).parent)
 
 
+def _check_listeners(reader: SchemaReader) -> None:
+    """Report two listeners on one address; port 0 is another port for each."""
+    for section in reader.list_sections("listen"):
+        callers, peers = section.values.get("callers"), section.values.get("peers", "")
+        if callers == peers and not peers.endswith(":0"):
+            message = f"peers: {peers} is the address of callers too"
+            reader.add(section.find_line("peers"), FindingCode.DUPLICATE_VALUE, message)
+
+
 def _collect_values(reader: SchemaReader) -> dict[str, dict[str, Any]]:
     """Return the values of each kind of section, the defaults when it isn't written."""
     values = {kind.kind: {key.name: key.default for key in kind.keys} for kind in SETTINGS_SECTIONS}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -66,6 +66,14 @@
             ],
         )
 
+    def test_one_address_for_two_listeners(self) -> None:
+        with self.assertRaises(FindingsError) as caught:
+            parse_settings(GOOD.replace("127.0.0.1:0", "127.0.0.1:80"), file="a.ini")
+        self.assertEqual(
+            [(finding.line, finding.code) for finding in caught.exception.findings],
+            [(7, FindingCode.DUPLICATE_VALUE)],
+        )
+
     def test_an_unreadable_file_is_a_finding(self) -> None:
         with self.assertRaises(FindingsError) as caught:
             load_settings("/nowhere/instance.ini")
