Read a proposal with the objects of its base

Change: after its checks the proposal is read with the base's objects; no text is not read. Ruled out: garbage collection as the cause.

--- a/src/guavamast/plan_store.py
+++ b/src/guavamast/plan_store.py
@@ -37,6 +37,7 @@
     PlatformUnavailable,
     TransactionConflict,
 )
+from guavamast.world import Configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,7 +46,6 @@
     from guavamast.plan_rows import AuditRecord, Head
     from guavamast.plans import Plan
     from guavamast.platform_client import PlatformClient, Write
-    from guavamast.world import Configuration
 
 _SETTLE_ATTEMPTS: Final = 4
 """Writes of one confirmation before its outcome is given up as unknown."""
@@ -161,7 +161,7 @@
             FindingsError: The text is not a configuration.
             PlatformUnavailable: No plan was made.
         """
-        proposed = parse_configuration(text, file="configuration", version=0)
+        parse_configuration(text, file="configuration", version=0)
         head = await self.read_head()
         record = PlanRecord(
             id=self._make_id(),
@@ -171,7 +171,8 @@
             proposed_by=who,
             proposed_at=now,
         )
-        plan = await self._compute(record, proposed)
+        # Read once more, now with the objects of the base, which are then not compared by value.
+        plan = await self._compute(record, self._parse(0, text))
         await self._keep(record, text)
         return plan
 
@@ -331,4 +332,7 @@
 
     def _parse(self, version: int, text: str) -> Configuration:
         """Return a text that was checked as a whole when it was proposed."""
+        if not text:
+            # Reading no text would make the reader forget all that it knows.
+            return Configuration(version=version)
         return self._reader.read(text, version=version)
