Warn when a proposal was edited from another version

Cause: a plan is computed against the version in force at its proposal, so a text edited while another plan was accepted undoes that plan without any conflict; a drain via an instance cut off from the platform would too. Change: show gives the version as a first line, a proposal that begins with one is compared and warned of; the line is not kept. Ruled out: refusing such texts, as they are the way back to an earlier version.

--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -155,6 +155,7 @@
     """Plan a drain: drain endpoint|instance NAME --via URL --token-file F [--undo] [--json]."""
 
     async def call(client: OperatorClient) -> dict[str, Any]:
+        from guavamast.plans import make_remark
         from guavamast.states import set_state
         from guavamast.world import EndpointState
 
@@ -163,8 +164,10 @@
         if what == "instance":
             await _check_instance(client, name)
         state = EndpointState.ACTIVE if undo else EndpointState.LEAVING
-        text = (await client.read_configuration())["text"]
-        return await client.propose(set_state(text, kind=what, name=name, state=state))
+        shown = await client.read_configuration()
+        text = set_state(shown["text"], kind=what, name=name, state=state)
+        # An instance cut off from the platform may show an older version.
+        return await client.propose(make_remark(shown["version"]) + text)
 
     return make_client_task(call, _show_new_plan, via=via, token_file=token_file, json=json)
 
@@ -214,7 +217,9 @@
     """Show the configuration: show --via URL --token-file F [--version N] [--json]."""
 
     def write(answer: dict[str, Any]) -> str:
-        return f"# version {answer['version']}\n{answer['text']}"
+        from guavamast.plans import make_remark
+
+        return make_remark(answer["version"]) + answer["text"]
 
     return make_client_task(
         lambda client: client.read_configuration(version),
--- a/src/guavamast/plan_rows.py
+++ b/src/guavamast/plan_rows.py
@@ -52,6 +52,8 @@
     digest: str
     proposed_by: str
     proposed_at: float
+    taken_from: int | None
+    """Version that the text was edited from, if it said so."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/guavamast/plan_store.py
+++ b/src/guavamast/plan_store.py
@@ -29,7 +29,7 @@
     read_head_row,
     read_plan_row,
 )
-from guavamast.plans import compute_plan
+from guavamast.plans import compute_plan, split_remark
 from guavamast.platform_client import (
     Check,
     PlatformAnswerLost,
@@ -162,6 +162,7 @@
             PlatformUnavailable: No plan was made.
         """
         parse_configuration(text, file="configuration", version=0)
+        taken_from, text = split_remark(text)
         head = await self.read_head()
         record = PlanRecord(
             id=self._make_id(),
@@ -170,6 +171,7 @@
             digest=compute_digest(text),
             proposed_by=who,
             proposed_at=now,
+            taken_from=taken_from,
         )
         # Read once more, now with the objects of the base, which are then not compared by value.
         plan = await self._compute(record, self._parse(0, text))
@@ -315,6 +317,7 @@
             proposed=proposed,
             proposed_by=record.proposed_by,
             now=record.proposed_at,
+            taken_from=record.taken_from,
         )
 
     async def _load(self, version: int, digest: str) -> Configuration:
--- a/src/guavamast/plans.py
+++ b/src/guavamast/plans.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from guavamast.capacity import compute_capacities
 from guavamast.changes import compute_changes, list_drains
@@ -18,10 +19,14 @@
     from guavamast.world import Configuration, Endpoint
 
 
+_REMARK: Final = re.compile(r"# version ([0-9]{1,10})\r?\n")
+
+
 class WarningCode(StrEnum):
     """What an operator should weigh before confirming."""
 
     NOTHING_CHANGES = "nothing_changes"
+    OLDER_TEXT = "older_text"
     CLASS_WITHOUT_ENDPOINTS = "class_without_endpoints"
     CLASS_WITHOUT_SHARE = "class_without_share"
     CLASS_UNUSED = "class_unused"
@@ -77,6 +82,19 @@
     """Engines of the proposal that don't refuse an order with an old fencing number."""
 
 
+def split_remark(text: str) -> tuple[int | None, str]:
+    """Return the version that a text was taken from, if its first line says so, and the rest."""
+    remark = _REMARK.match(text)
+    if remark is None:
+        return None, text
+    return int(remark.group(1)), text[remark.end() :]
+
+
+def make_remark(version: int) -> str:
+    """Return the first line of a version's text that is given out to be edited."""
+    return f"# version {version}\n"
+
+
 def compute_plan(
     *,
     plan_id: str,
@@ -84,6 +102,7 @@
     proposed: Configuration,
     proposed_by: str,
     now: float,
+    taken_from: int | None = None,
 ) -> Plan:
     """Return what a proposal does to the configuration in force.
 
@@ -93,6 +112,7 @@
         proposed: The proposal, checked.
         proposed_by: The operator's name.
         now: Seconds since the epoch.
+        taken_from: Version that the proposal's text was edited from, if it is known.
 
     Returns:
         The plan; nothing is changed by it.
@@ -100,6 +120,7 @@
     changes = compute_changes(base, proposed)
     before, after = compute_capacities(base), compute_capacities(proposed)
     warnings = [] if changes else [_warn(WarningCode.NOTHING_CHANGES, "the plan changes nothing")]
+    warnings.extend(_warn_of_older_text(base, taken_from))
     warnings.extend(_warn_of_classes(proposed, before, after))
     warnings.extend(_warn_of_models(base, proposed))
     warnings.extend(_warn_of_endpoints(base, proposed))
@@ -126,6 +147,21 @@
     return PlanWarning(code=code, message=message)
 
 
+def _warn_of_older_text(base: Configuration, taken_from: int | None) -> Iterator[PlanWarning]:
+    """Warn when a text was edited while others were accepted.
+
+    Failure: an operator edits version 5, another's version 6 is accepted, and the plan made of
+    the edited text is computed against 6: it silently undoes the other's change. It may be meant,
+    as the way back to an earlier version, so it is a warning.
+    """
+    if taken_from is not None and taken_from != base.version:
+        message = (
+            f"the text was taken from version {taken_from}, version {base.version} is in force; "
+            "what was accepted since is undone"
+        )
+        yield _warn(WarningCode.OLDER_TEXT, message)
+
+
 def _compare_capacities(
     before: dict[str, ClassCapacity], after: dict[str, ClassCapacity]
 ) -> Iterator[CapacityChange]:
--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -9,6 +9,7 @@
 from guavamast.findings import FindingsError
 from guavamast.plan_rows import AUDIT_TABLE, compute_digest
 from guavamast.plan_store import ConfirmationUnknown, PlanConflict, PlanStore
+from guavamast.plans import WarningCode
 from guavamast.platform_client import PlatformUnavailable
 from tests.fake_platform import FakePlatform
 from tests.test_fleet import GOOD
@@ -81,6 +82,20 @@
         self.assertEqual([record.who for record in caught.exception.accepted], ["bert"])
         self.assertEqual((await self.store.load_configuration()).text, FASTER)
 
+    async def test_text_edited_while_another_was_accepted(self) -> None:
+        # Two operators take version 1 to edit. The first has version 2 accepted. The second's
+        # plan is computed from 2 and would undo it unseen, so the plan warns. The remark that
+        # tells the version is not kept in the text.
+        await self.accept(GOOD)
+        await self.accept("# version 1\n" + FASTER)
+        self.assertEqual((await self.store.load_configuration()).text, FASTER)
+        for version, warned in ((1, True), (2, False)):
+            text = f"# version {version}\n{DRAINED}"
+            plan = await self.store.propose(text, who="bert", now=12.0)
+            codes = [warning.code for warning in plan.warnings]
+            self.assertEqual(WarningCode.OLDER_TEXT in codes, warned)
+            self.assertEqual(await self.store.read_plan(plan.id), plan)
+
     async def test_lost_answer_is_settled_by_the_plans_id(self) -> None:
         # The platform writes the version and the answer is lost, so the instance sees an error
         # for a plan that is in force. It writes the same transaction again, gets a conflict,
