Ask all kept engines at the same time

Cause: each engine that doesn't answer costs 5 s, and asked one after the other they hold up the loading of all others. Change: one step for each engine at the same time; the limits hold by compare-and-set on the list of those that are out. Ruled out: a shorter timeout, which a busy engine's honest answer needs.

--- a/src/guavamast/order_loop.py
+++ b/src/guavamast/order_loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Final
 
@@ -65,7 +66,11 @@
             await self._clock.sleep(BUSY_INTERVAL_S if busy else ORDER_INTERVAL_S)
 
     async def go_round(self) -> bool:
-        """Take one step for each kept engine; one that fails doesn't hold up the others.
+        """Take one step for each kept engine, all at the same time.
+
+        Failure: engines that don't answer, 5 s each, hold up the loading of all others when they
+        are asked one after the other. The limits hold all the same, as each engine is taken out by
+        compare-and-set on one row.
 
         Returns:
             Whether an engine is out of use for its orders.
@@ -73,9 +78,8 @@
         configuration = self._kept.read_configuration()
         engines = [item for item in self._kept.list_kept() if item.kind is EndpointKind.ENGINE]
         self._let_go(self._known - {engine.name for engine in engines})
-        for engine in engines:
-            self._known.add(engine.name)
-            await self._take_step(engine, configuration)
+        self._known.update(engine.name for engine in engines)
+        await asyncio.gather(*(self._take_step(engine, configuration) for engine in engines))
         return any(self._giver.is_out(engine.name) for engine in engines)
 
     async def _take_step(self, engine: Endpoint, configuration: Configuration) -> None:
--- a/tests/test_order_loop.py
+++ b/tests/test_order_loop.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from guavamast.order_loop import KeptEndpoints, OrderLoop
 from guavamast.world import Fencing
 from tests.order_world import Holder, World, make_fleet
 
 if TYPE_CHECKING:
+    from guavamast.orders import EndpointReport
     from guavamast.world import Configuration, Endpoint
 
 
@@ -59,6 +62,24 @@
         self.assertEqual(len(self.world.reported), 4)
         self.assertEqual((self.kept.out, self.kept.most_out), (set(), 1))
 
+    async def test_silent_engines_are_waited_for_together(self) -> None:
+        # Each engine that doesn't answer costs a timeout. One after the other, they would hold up
+        # the others' loading for the sum of them.
+        sender, waiting, most = self.holder.sender, 0, 0
+        read_report = sender.read_report
+
+        async def wait_and_read(endpoint: Endpoint) -> EndpointReport | None:
+            nonlocal waiting, most
+            waiting += 1
+            most = max(most, waiting)
+            await asyncio.sleep(0)
+            waiting -= 1
+            return await read_report(endpoint)
+
+        with mock.patch.object(sender, "read_report", wait_and_read):
+            await self.loop.go_round()
+        self.assertEqual(most, 4)
+
     async def test_an_outage_holds_up_nothing_for_good(self) -> None:
         # The platform is down for a while in the middle of a rollout. The loop must live on, and
         # an endpoint that has loaded gets work again although its entry can't be taken off.
