--- a/src/guavamast/member_codec.py
+++ b/src/guavamast/member_codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from guavamast.members import Member, MemberState
 from guavamast.peer_pb2 import MemberMessage
@@ -13,6 +13,8 @@
 
     from guavamast.members import MembershipView
 
+_STATES: Final = frozenset(int(state) for state in MemberState)
+
 
 def encode_member(member: Member) -> MemberMessage:
     """Return the whole record as a message."""
@@ -44,8 +46,11 @@
         known: What the receiver knows of the same name.
 
     Returns:
-        The record, or None when its instance is neither told nor known.
+        The record, or None when its instance is neither told nor known, or its state is unknown.
     """
+    if message.state not in _STATES:
+        # A later release may add states; its record is left out rather than ending the stream.
+        return None
     instance = _decode_instance(message)
     if instance is None:
         if known is None or known.incarnation != message.incarnation:
