Keep the allowance for an own pause from reaching into the future

A paused process that reads waiting heartbeats before its next tick moved their times ahead by its pause. Change: the moved times end at the present; the test was seen failing first.

--- a/src/guavamast/membership.py
+++ b/src/guavamast/membership.py
@@ -368,9 +368,9 @@
         if gap <= self._timing.period_s:
             return
         for record in self._records.values():
-            record.heard_at += gap
+            record.heard_at = min(record.heard_at + gap, now)
             if record.member.state == MemberState.SUSPECT:
-                record.changed_at += gap
+                record.changed_at = min(record.changed_at + gap, now)
 
     def _publish(self, now: float) -> None:
         load = self._me.load
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -86,6 +86,20 @@
         self.assertEqual(gaps, sorted(gaps))
         self.assertGreater(gaps[-1], 4 * gaps[0])
 
+    def test_an_allowance_for_an_own_pause_does_not_reach_into_the_future(self) -> None:
+        """A paused process wakes, first reads the waiting heartbeats, then allows for its pause.
+
+        The heartbeats count as heard in the future then, and a neighbour that dies right after is
+        held to be live for as long as the pause was.
+        """
+        membership = make_membership()
+        membership.tick(now=1.0)
+        membership.merge([make_member("b", heartbeat=2)], now=61.0)
+        membership.tick(now=61.0)
+        for second in range(62, 66):
+            membership.tick(now=float(second))
+        self.assertEqual(find_state(membership, "b"), MemberState.SUSPECT)
+
     def test_what_is_said_wrongly_of_this_instance_is_refuted(self) -> None:
         membership = make_membership()
         membership.leave(now=1.0)
