Refuse on learnt estimates only; leave when drained; refuse work when isolated

Cause: at the first release of a burst the rate looks many times too low (16 slots come free together), and 200 concurrent chats with 30 s to go were refused as deadline_unreachable with 60 s to come back. Ruled out: a longer default alone (any default is wrong for some site); no refusal at all (an endpoint that holds all its slots for 40 s must still turn asks away: test_late_ask_without_a_chance_is_told_at_once). Change: forecasts count as learnt after as many releases as slots, or once full for longer than a run. The dispatcher and the entry read changes by AcceptedReader, leave when the configuration drains their instance, and an entry whose dispatcher hears nobody refuses new work as not run. Conclusion: a cold start refuses nobody on a guess.

--- a/src/guavamast/_daemon.py
+++ b/src/guavamast/_daemon.py
@@ -34,6 +34,16 @@
     return f"{host}:{port}"
 
 
+async def wait_for_first(*events: asyncio.Event) -> None:
+    """Wait until one of the events is set."""
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for wait in waits:
+            wait.cancel()
+
+
 def run_daemon(
     settings: InstanceSettings,
     serve: Callable[[InstanceSettings, asyncio.Event], Awaitable[None]],
--- a/src/guavamast/callers.py
+++ b/src/guavamast/callers.py
@@ -42,6 +42,7 @@
 DEFAULT_KIND: Final = "chat"
 NO_CONFIGURATION_RETRY_S: Final = 2.0
 LEAVING_RETRY_S: Final = 1.0
+ISOLATED_RETRY_S: Final = 5.0
 
 
 def _count_from_random() -> Iterator[int]:
@@ -193,6 +194,13 @@
                 status=503,
                 retry_after_s=NO_CONFIGURATION_RETRY_S,
             )
+        if state.isolated:
+            raise SendLatch().refuse(
+                ErrorCode.NO_CONFIGURATION,
+                "this instance hears neither the platform nor another instance",
+                status=503,
+                retry_after_s=ISOLATED_RETRY_S,
+            )
         if state.leaving:
             others = ", ".join(item.instance.caller_address for item in state.list_others()[:3])
             raise SendLatch().refuse(
--- a/src/guavamast/dispatcher.py
+++ b/src/guavamast/dispatcher.py
@@ -11,13 +11,13 @@
 from grpclib.server import Server
 
 from guavamast._allotment_wire import decode_allotment_ask, encode_allotment
-from guavamast._daemon import bind_socket, get_bound_address, run_daemon
+from guavamast._daemon import bind_socket, get_bound_address, run_daemon, wait_for_first
 from guavamast.allotments import AllotmentDispatcher
 from guavamast.clocks import SystemClock
-from guavamast.configuration_spread import ConfigurationSpread, Source
+from guavamast.configuration_spread import ConfigurationSpread, Source, Standing
 from guavamast.errors import GuavamastError
 from guavamast.findings import FindingsError
-from guavamast.fleet import parse_configuration
+from guavamast.fleet_reader import AcceptedReader
 from guavamast.heartbeats import HeartbeatLinks
 from guavamast.hosted_endpoints import HostedEndpoints
 from guavamast.keeper_host import PROBE_INTERVAL_S, KeeperHost
@@ -76,6 +76,10 @@
             tables_url=settings.tables_url, objects_url=settings.objects_url
         )
         self._plans = PlanStore(platform=self._platform, make_id=lambda: uuid.uuid4().hex)
+        self._reader = AcceptedReader()
+        self._unreadable_version = 0
+        self.drained = asyncio.Event()
+        """Set when the configuration says that this instance is to leave."""
         self._tasks: list[asyncio.Task[None]] = []
         self._published: tuple[object, ...] = ()
         self._published_at = 0.0
@@ -217,25 +221,24 @@
 
     async def _read_snapshot(self, version: int) -> None:
         try:
-            snapshot = await self._plans.load_version(version)
+            text = await self._plans.read_text(version)
         except GuavamastError as error:
             get_logger().info("snapshot %d can't be read: %s", version, error)
             return
-        if snapshot is None:
+        if text is None:
             get_logger().info("snapshot %d is not there", version)
             return
-        self.spread.accept(version, snapshot.text, source=Source.PLATFORM, now=self.clock())
+        self.spread.accept(version, text, source=Source.PLATFORM, now=self.clock())
         self._apply_spread()
 
     def _apply_spread(self) -> None:
         version = self.spread.version
-        if version <= self.configuration.version:
+        if version <= max(self.configuration.version, self._unreadable_version):
             return
         try:
-            configuration = parse_configuration(
-                self.spread.text, file="configuration", version=version
-            )
+            configuration = self._reader.read(self.spread.text, version=version)
         except FindingsError as error:
+            self._unreadable_version = version
             get_logger().error("configuration %d can't be read: %s", version, error)
             return
         self.configuration = configuration
@@ -243,6 +246,8 @@
         self.host.configure(configuration)
         self.feed.set_configuration(configuration)
         get_logger().info("configuration %d in force", version)
+        if self._settings.instance.name in configuration.leaving_instances:
+            self.drained.set()
 
     async def _read_seeds(self) -> None:
         while True:
@@ -260,7 +265,7 @@
             now = self.clock()
             view = self.membership.make_view(now=now)
             old = now - self._published_at > LOAD_VIEW_INTERVAL_S
-            if old or _summarize(view) != self._published:
+            if old or self._summarize(view, now) != self._published:
                 self._publish(now)
             await asyncio.sleep(VIEW_INTERVAL_S)
 
@@ -271,9 +276,22 @@
             self._serving = serving
             self.allotments.record_view_change(now=now)
         self.allotments.forget_idle(now=now)
-        self._published = _summarize(view)
+        self._published = self._summarize(view, now)
         self._published_at = now
-        self.feed.set_view(view)
+        self.feed.set_view(view, isolated=self._is_isolated(view, now))
+
+    def _is_isolated(self, view: MembershipView, now: float) -> bool:
+        # Members that are gone count: it may be this instance that was cut off from them.
+        others_known = len(view.members) > 1
+        standing = self.spread.judge(now=now, others_known=others_known)
+        return standing is Standing.ISOLATED
+
+    def _summarize(self, view: MembershipView, now: float) -> tuple[object, ...]:
+        members = tuple(
+            (item.instance, item.incarnation, item.state, item.configuration_version)
+            for item in view.members
+        )
+        return (*members, self._is_isolated(view, now))
 
     async def _send_probes(self) -> None:
         while True:
@@ -281,13 +299,6 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
 
 
-def _summarize(view: MembershipView) -> tuple[object, ...]:
-    return tuple(
-        (item.instance, item.incarnation, item.state, item.configuration_version)
-        for item in view.members
-    )
-
-
 async def serve(settings: InstanceSettings, stop: asyncio.Event) -> None:
     """Run a dispatcher until ``stop`` is set, then leave gracefully."""
     dispatcher = Dispatcher(settings=settings)
@@ -296,7 +307,7 @@
         "ready peers=%s", dispatcher.address, extra={"instance": settings.instance.name}
     )
     try:
-        await stop.wait()
+        await wait_for_first(stop, dispatcher.drained)
         await dispatcher.leave()
     finally:
         await dispatcher.close()
--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -13,7 +13,7 @@
 from tornado.httpserver import HTTPServer
 
 from guavamast import peer_pb2
-from guavamast._daemon import bind_socket, get_bound_address, run_daemon
+from guavamast._daemon import bind_socket, get_bound_address, run_daemon, wait_for_first
 from guavamast.callers import CallerServices, make_application, make_caller_routes
 from guavamast.chats import ChatRouter
 from guavamast.clocks import SystemClock
@@ -68,6 +68,8 @@
         self.clock = time.monotonic
         self.address = ""
         """Caller address as bound."""
+        self.drained = asyncio.Event()
+        """Set when the configuration says that this instance is to leave."""
         metrics = make_metrics(settings.statsd)
         seed = zlib.crc32(settings.instance.name.encode())
         chooser = EndpointChooser(instance=settings.instance, seed=seed)
@@ -214,10 +216,13 @@
         if self.state.accept_configuration(configuration):
             get_logger().info("configuration %d in force", configuration.version)
             self.links.reroute()
+            if self._settings.instance.name in configuration.leaving_instances:
+                self.drained.set()
 
-    def accept_view(self, view: MembershipView) -> None:
+    def accept_view(self, view: MembershipView, isolated: bool) -> None:
         """Take a newer view and move asks whose keeper has changed."""
         self.state.accept_view(view)
+        self.state.isolated = isolated
         self._limiter.configure(view)
         self.links.reroute()
 
@@ -251,7 +256,7 @@
     await entry.start()
     get_logger().info("ready callers=%s", entry.address, extra={"instance": settings.instance.name})
     try:
-        await stop.wait()
+        await wait_for_first(stop, entry.drained)
         await entry.leave()
     finally:
         await entry.close()
--- a/src/guavamast/entry_state.py
+++ b/src/guavamast/entry_state.py
@@ -23,7 +23,15 @@
         chooser: The choice among endpoints, told of each change.
     """
 
-    __slots__ = ("_by_key", "chooser", "configuration", "instance", "leaving", "view")
+    __slots__ = (
+        "_by_key",
+        "chooser",
+        "configuration",
+        "instance",
+        "isolated",
+        "leaving",
+        "view",
+    )
 
     def __init__(self, *, instance: Instance, chooser: EndpointChooser) -> None:
         self.instance = instance
@@ -31,12 +39,18 @@
         self.configuration = Configuration(version=0)
         self.view = MembershipView(members=())
         self.leaving = False
+        self.isolated = False
+        """Whether the dispatcher hears neither the platform nor another dispatcher."""
         self._by_key: dict[str, Organisation] = {}
 
     @property
     def ready(self) -> bool:
-        """Whether callers are served: there is a configuration and the instance stays."""
-        return self.configuration.version > 0 and not self.leaving
+        """Whether callers are served: there is a configuration that can be known to be in force.
+
+        Failure: an instance that is cut off from everybody sends work to an endpoint that has left
+        since. It refuses new work as not run; callers have other addresses.
+        """
+        return self.configuration.version > 0 and not self.leaving and not self.isolated
 
     def accept_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force unless it is not newer.
--- a/src/guavamast/estimates.py
+++ b/src/guavamast/estimates.py
@@ -190,9 +190,9 @@
         """Mean seconds of all runs here."""
 
     @property
-    def has_samples(self) -> bool:
-        """Whether any run has ended here; the estimates are defaults before."""
-        return self._samples > 0
+    def samples(self) -> int:
+        """Runs that have ended here; the estimates are defaults before the first."""
+        return self._samples
 
     def observe(self, ask: Ask, release: Release) -> None:
         """Learn from a run that ended with its whole answer."""
@@ -287,6 +287,13 @@
             self._seconds = self._seconds * fade + elapsed
         self._full_since = now if full else None
 
+    def measure_full(self, *, now: float) -> float:
+        """Return the seconds with every slot held, older ones faded."""
+        return self._seconds + self._measure_last(now)
+
+    def _measure_last(self, now: float) -> float:
+        return max(0.0, now - self._full_since) if self._full_since is not None else 0.0
+
     def estimate(self, *, slots: int, service_s: float, now: float) -> float:
         """Return releases a second.
 
@@ -295,7 +302,7 @@
             service_s: Expected seconds of a run; the rate before any release was seen.
             now: Present time in seconds.
         """
-        waited = max(0.0, now - self._full_since) if self._full_since is not None else 0.0
+        waited = self._measure_last(now)
         prior_s = PRIOR_RELEASES * max(service_s, 1e-6) / max(1, slots)
         return (self._releases + PRIOR_RELEASES) / (self._seconds + waited + prior_s)
 
--- a/src/guavamast/forecasts.py
+++ b/src/guavamast/forecasts.py
@@ -51,6 +51,16 @@
         self._start_rates = TierRates()
         self._arrival_rates = TierRates()
 
+    def is_learnt(self, *, slots: int, now: float) -> bool:
+        """Return whether forecasts rest on more than defaults.
+
+        The slots of a burst fill together and come free together: at the first release the rate
+        still looks many times too low. So it takes as many releases as there are slots, or an
+        endpoint that has been full for longer than a run should take.
+        """
+        seen = self._service_times.samples
+        return seen >= slots or self._rate.measure_full(now=now) > self._service_times.mean_s
+
     def learn(self, ask: Ask, release: Release) -> None:
         """Learn from a run that ended with its whole answer."""
         self._service_times.observe(ask, release)
--- a/src/guavamast/keepers.py
+++ b/src/guavamast/keepers.py
@@ -229,8 +229,10 @@
         if ask.deadline <= now:
             return self._refuse(ask, ErrorCode.DEADLINE_EXCEEDED, wait_s)
         missing_s = now + wait_s + least_s - ask.deadline
-        if missing_s <= 0.0 or self._is_idle() or not self._service_times.has_samples:
-            # Without a release the estimate is a default, which is no ground for a refusal.
+        if missing_s <= 0.0 or self._is_idle():
+            return None
+        if not self._forecast.is_learnt(slots=self._endpoint.slots, now=now):
+            # The estimate is mostly a default, which is no ground for a refusal.
             return None
         return self._refuse(ask, ErrorCode.DEADLINE_UNREACHABLE, missing_s)
 
@@ -303,9 +305,10 @@
     def _give_up_late(self, now: float) -> list[KeeperEvent]:
         """Refuse asks that have missed their target and won't meet their deadline either."""
         events: list[KeeperEvent] = []
+        is_learnt = self._forecast.is_learnt(slots=self._endpoint.slots, now=now)
         for waiting in self._queue.turn_late(now):
             ask = waiting.ask
-            if self._grants.count_pausable(self._queue.find_tier(ask)):
+            if not is_learnt or self._grants.count_pausable(self._queue.find_tier(ask)):
                 continue
             wait_s = self._forecast.estimate_late_wait(
                 ask, queue=self._queue, slots=self._endpoint.slots, now=now
--- a/src/guavamast/view_feed.py
+++ b/src/guavamast/view_feed.py
@@ -35,6 +35,7 @@
         self._instance = instance
         self._configuration: Configuration | None = None
         self._view: MembershipView | None = None
+        self._isolated = False
         self._followers: set[ViewFollower] = set()
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -42,9 +43,10 @@
         self._configuration = configuration
         self._wake()
 
-    def set_view(self, view: MembershipView) -> None:
-        """Publish a view."""
+    def set_view(self, view: MembershipView, *, isolated: bool = False) -> None:
+        """Publish a view, and whether this dispatcher hears nobody who could tell a change."""
         self._view = view
+        self._isolated = isolated
         self._wake()
 
     def add_follower(self) -> ViewFollower:
@@ -61,7 +63,7 @@
         """Wait for a change and return the message that brings a follower up to date."""
         await follower.changed.wait()
         follower.changed.clear()
-        message = peer_pb2.ViewMessage(instance=self._instance)
+        message = peer_pb2.ViewMessage(instance=self._instance, isolated=self._isolated)
         if self._view is not None:
             message.members.extend(encode_member(member) for member in self._view.members)
         configuration = self._configuration
--- a/src/guavamast/view_link.py
+++ b/src/guavamast/view_link.py
@@ -9,7 +9,7 @@
 
 from guavamast import peer_pb2
 from guavamast.findings import FindingsError
-from guavamast.fleet import parse_configuration
+from guavamast.fleet_reader import AcceptedReader
 from guavamast.log import get_logger
 from guavamast.member_codec import decode_member
 from guavamast.members import MembershipView
@@ -39,7 +39,7 @@
         address: Peer address of the own dispatcher.
         list_others: Gives peer addresses of other dispatchers.
         on_configuration: Takes each configuration that arrives.
-        on_view: Takes each view that arrives.
+        on_view: Takes each view that arrives, and whether its dispatcher hears nobody else.
     """
 
     def __init__(
@@ -49,11 +49,12 @@
         address: str,
         list_others: Callable[[], list[str]],
         on_configuration: Callable[[Configuration], None],
-        on_view: Callable[[MembershipView], None],
+        on_view: Callable[[MembershipView, bool], None],
     ) -> None:
         self._entry = entry
         self._address = address
         self._list_others = list_others
+        self._reader = AcceptedReader()
         self._on_configuration = on_configuration
         self._on_view = on_view
         self._task: asyncio.Task[None] | None = None
@@ -116,14 +117,12 @@
         if message.members:
             decoded = [decode_member(member) for member in message.members]
             members = tuple(member for member in decoded if member is not None)
-            self._on_view(MembershipView(members=members))
+            self._on_view(MembershipView(members=members), message.isolated)
         if not message.configuration_text:
             return
         try:
-            configuration = parse_configuration(
-                message.configuration_text,
-                file="configuration",
-                version=message.configuration_version,
+            configuration = self._reader.read(
+                message.configuration_text, version=message.configuration_version
             )
         except FindingsError as error:
             get_logger().error("a configuration can't be read: %s", error)
--- a/tests/_processes.py
+++ b/tests/_processes.py
@@ -142,8 +142,20 @@
         caller = Caller(url=self.urls[number], key=OPERATOR_TOKEN)
         return json.loads((await caller.fetch("/v1/status", method="GET")).body)
 
+    def find_faults(self) -> list[str]:
+        """Return what daemons logged of exceptions that nothing had caught."""
+        faults = []
+        for path in sorted(self.folder.glob("*.log")):
+            text = path.read_text()
+            place = text.find("Traceback")
+            if place >= 0:
+                faults.append(f"{path.name}: {text[place : place + 3000]}")
+        return faults
+
     def close(self) -> None:
-        """End all processes."""
+        """End all processes, and print what they logged of exceptions."""
+        for fault in self.find_faults():
+            print(fault, file=sys.stderr)
         standins = [self.platform, *(p for p, _ in [*self.engines, *self.services])]
         for process in [*self.entries, *self.dispatchers, *standins]:
             process.resume() if process.popen.poll() is None else None
--- a/tests/test_order_http.py
+++ b/tests/test_order_http.py
@@ -24,7 +24,7 @@
             (True, OrderOutcome.OLD_FENCING, "2"),
             (False, OrderOutcome.TAKEN, "1"),
         ):
-            engine = EngineStandin(checks_fencing=checks)
+            engine = EngineStandin(models={}, checks_fencing=checks)
             engine.start()
             endpoint = Endpoint(
                 name="e", kind=EndpointKind.ENGINE, url=engine.url, failure_domain="d", slots=1
