Bound the wake-ups that a test plays

Cause: the injected bug of a load report that never ages made the test hang instead of fail. Change: tick_until stops after 1,000 wake-ups with a failure. Ruled out: a time limit, tests assert no timing. Measured: tests.test_keepers passes; the bug injected again fails instead of hanging. Conclusion: a wake-up that tick leaves undone shows as what it is.

--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -61,9 +61,12 @@
 def tick_until(keeper: EndpointKeeper, end: float) -> list[KeeperEvent]:
     """Return the events of all wake-ups up to a time."""
     events = []
-    while (due := keeper.next_wakeup()) is not None and due <= end:
+    for _ in range(1000):
+        due = keeper.next_wakeup()
+        if due is None or due > end:
+            return events
         events += keeper.tick(now=due)
-    return events
+    raise AssertionError("a wake-up that tick leaves undone")
 
 
 class StarvationTest(unittest.TestCase):
