Fit the cost of idle dispatchers over their links as well

Cause: a line over 5, 14 and 40 instances goes on where the cost does not: links stop growing at about 14 instances. Change: bench/membership_cost.py prints both lines, over the members and over the links of the overlay.

--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -24,6 +24,7 @@
 import psutil
 from grpclib.client import Channel
 
+from guavamast.overlay import Overlay
 from guavamast.peer_grpc import PeerStub
 from guavamast.peer_pb2 import AnnounceRequest
 
@@ -246,8 +247,30 @@
         print(count, {name: round(value, 3) for name, value in results[count].items()}, flush=True)
     if len(counts) > 1:
         for name in results[counts[0]]:
-            slope, start = linear_regression(counts, [results[n][name] for n in counts])
-            print(f"{name}: slope {slope:.5f} at {DESIGN_SIZE}: {start + slope * DESIGN_SIZE:.3f}")
+            _print_fit(name, {count: results[count][name] for count in counts})
+
+
+def _print_fit(name: str, figures: dict[int, float]) -> None:
+    """Print a figure at the design size by two lines: over the size, and over the links.
+
+    Links stop growing at about 14 instances, so a line over the size goes on where the cost does
+    not; the one over the links leaves out what grows with the table of members.
+    """
+    by_size = linear_regression(list(figures), list(figures.values()))
+    by_links = linear_regression([count_links(n) for n in figures], list(figures.values()))
+    size = by_size.intercept + by_size.slope * DESIGN_SIZE
+    links = by_links.intercept + by_links.slope * count_links(DESIGN_SIZE)
+    print(
+        f"{name}: a member {by_size.slope:.5f}, at {DESIGN_SIZE} {size:.3f}; "
+        f"a link {by_links.slope:.5f}, at {DESIGN_SIZE} {links:.3f}"
+    )
+
+
+def count_links(count: int) -> float:
+    """Return the mean number of neighbours in a fleet of this bench."""
+    regions = {f"n{number:02}": f"region{number % 3}" for number in range(count)}
+    overlay = Overlay()
+    return fmean(len(overlay.find_neighbours(name, regions)) for name in regions)
 
 
 if __name__ == "__main__":
