--- a/src/guavamast/addresses.py
+++ b/src/guavamast/addresses.py
@@ -61,7 +61,7 @@
     """
     serving = view.list_serving()
     live = [member for member in serving if member.state == MemberState.LIVE] or list(serving)
-    region = _find_region(live, caller_hint)
+    region = _find_region(view.members, caller_hint)
     near = [member for member in live if member.instance.failure_domain.region == region]
     chosen = _pick(near or live, seed, ADDRESS_COUNT)
     chosen = _add_other_domain(chosen, live, seed)
