Refuse no ask for a wait that rests on defaults

The refusal stood at the door; giving up on late asks had the same fault. Change: waits refuse an ask only when eight runs were seen; the deadline's own limit, queue limits and least service time hold as before. Ruled out: a shorter default (it would only move the fault), counting releases while every slot is held (a calm endpoint has none; tried first, the door still refused). The test of an unreachable deadline now lets eight runs be seen first, since a refusal on no evidence is the fault. Conclusion: estimates refuse only what they know.

--- a/src/guavamast/estimates.py
+++ b/src/guavamast/estimates.py
@@ -180,19 +180,20 @@
 class ServiceTimes:
     """Expected seconds of a run on one endpoint, by kind and model."""
 
-    __slots__ = ("_lengths", "_paces", "_samples", "mean_s")
+    __slots__ = ("_lengths", "_paces", "mean_s", "samples")
 
     def __init__(self, *, lengths: LengthEstimates, kind: EndpointKind) -> None:
         self._lengths = lengths
         self._paces: OrderedDict[tuple[str, str], _Pace] = OrderedDict()
-        self._samples = 0
+        self.samples = 0
+        """Runs that the estimates rest on."""
         self.mean_s = DEFAULT_CALL_S if kind is EndpointKind.SERVICE else DEFAULT_ENGINE_S
         """Mean seconds of all runs here."""
 
     def observe(self, ask: Ask, release: Release) -> None:
         """Learn from a run that ended with its whole answer."""
-        self._samples += 1
-        self.mean_s = _average(self.mean_s, release.duration_s, self._samples)
+        self.samples += 1
+        self.mean_s = _average(self.mean_s, release.duration_s, self.samples)
         pace = self._fetch(ask)
         pace.samples += 1
         if not ask.model:
--- a/src/guavamast/forecasts.py
+++ b/src/guavamast/forecasts.py
@@ -30,6 +30,8 @@
 """Work of a call of a plain service, whose length is not known in tokens."""
 LEAST_RATE_SHARE: Final = 0.02
 """Share of the releases that a tier is expected to get under any load of higher ones."""
+EVIDENCE: Final = 8
+"""Runs that must have been seen before an ask is refused for its expected wait."""
 GREATEST_LOWER_SHARE: Final = 0.9
 """Share of the releases that waiting lower classes are expected to take at most."""
 
@@ -116,6 +118,15 @@
         """Return the releases a second while every slot is held."""
         return self._rate.estimate(slots=slots, service_s=self._service_times.mean_s, now=now)
 
+    def has_evidence(self) -> bool:
+        """Return whether waits rest on enough runs to refuse an ask by them.
+
+        Failure: most of a first burst after a start is refused although the endpoint answers in
+        milliseconds, because waits are worked out from defaults yet. Until `EVIDENCE` runs were
+        seen asks wait, and the queue's limits and their deadlines bound what is held.
+        """
+        return self._service_times.samples >= EVIDENCE
+
     def estimate_wait(
         self, ask: Ask, *, queue: WaitingQueue, ahead: int, slots: int, now: float
     ) -> float:
--- a/src/guavamast/keepers.py
+++ b/src/guavamast/keepers.py
@@ -228,7 +228,8 @@
             return Refused(ask=ask, code=ErrorCode.LEAVING, retry_after_s=0.0)
         if ask.deadline <= now:
             return self._refuse(ask, ErrorCode.DEADLINE_EXCEEDED, wait_s)
-        missing_s = now + wait_s + least_s - ask.deadline
+        known_wait_s = wait_s if self._forecast.has_evidence() else 0.0
+        missing_s = now + known_wait_s + least_s - ask.deadline
         if missing_s <= 0.0 or self._is_idle():
             return None
         return self._refuse(ask, ErrorCode.DEADLINE_UNREACHABLE, missing_s)
@@ -304,7 +305,8 @@
         events: list[KeeperEvent] = []
         for waiting in self._queue.turn_late(now):
             ask = waiting.ask
-            if self._grants.count_pausable(self._queue.find_tier(ask)):
+            can_pause = self._grants.count_pausable(self._queue.find_tier(ask)) > 0
+            if can_pause or not self._forecast.has_evidence():
                 continue
             wait_s = self._forecast.estimate_late_wait(
                 ask, queue=self._queue, slots=self._endpoint.slots, now=now
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -173,12 +173,30 @@
         answers = []
         for number in range(400):
             now = 0.1 * number
+            if number % 10 == 9:
+                running = next(
+                    event.ask for event in reversed(answers) if isinstance(event, Granted)
+                )
+                release = Release(
+                    ask_id=running.ask_id, endpoint="e", used=True, tokens=9, duration_s=1.0
+                )
+                answers += keeper.release(release, now=now)
             answers += tick_until(keeper, now)
             answers += keeper.ask(make_ask(f"d{number}", "drafting", deadline=now + 30.0), now=now)
         refused = [event.ask for event in answers if isinstance(event, Refused)]
         self.assertGreater(len(refused), 300)
         self.assertLess(keeper.make_probe(now=40.0).queued, 90)
 
+    def test_first_burst_is_kept(self) -> None:
+        # Most of 200 callers of a fleet that has just started are refused within half a second
+        # although its engines answer in 20 ms: the wait was worked out from a default.
+        keeper = make_keeper(slots=16)
+        answers = []
+        for number in range(100):
+            answers += keeper.ask(make_ask(f"d{number}", "drafting", deadline=30.0), now=0.0)
+        answers += tick_until(keeper, 1.0)
+        self.assertFalse([event for event in answers if isinstance(event, Refused)])
+
 
 class LoadReportTest(unittest.TestCase):
     """Reports bound the starts only while they are believable."""
@@ -218,6 +236,12 @@
 
     def test_unreachable_deadline_is_refused_with_a_time_to_come_back(self) -> None:
         keeper = make_keeper()
+        for number in range(8):
+            keeper.ask(make_ask(f"seen{number}", "summaries"), now=0.0)
+            release = Release(
+                ask_id=f"seen{number}", endpoint="e", used=True, tokens=50, duration_s=1.2
+            )
+            keeper.release(release, now=0.0)
         for number in range(20):
             keeper.ask(make_ask(f"s{number}", "summaries"), now=0.0)
         (event,) = keeper.ask(make_ask("late", "summaries", deadline=2.0), now=0.0)
