Follow seeds when the own dispatcher dies early; refuse when nobody is heard

Cause: test_killed_dispatchers failed 1 run in 6 (deadline_exceeded): the entry's dispatcher was killed before it had told of any other member, and the entry had nobody to follow and no keeper to ask for 30 s. Ruled out: a lost ask in the slot links (no stream had stood), a leaked slot (keepers had free ones), an exception in the link's task (none logged; it is caught now all the same). Change: the entry follows its settings' seeds too; a dispatcher answers an entry's hello only once it has a configuration; gone members count for the question whether an instance is cut off; keepers share lengths; the platform's list replaces what it told before. Seen failing: tests.test_entry without the seeds (TimeoutError), test_killed_dispatchers 1 of 6.

--- a/src/guavamast/dispatcher.py
+++ b/src/guavamast/dispatcher.py
@@ -245,6 +245,7 @@
         self.membership.set_configuration_version(version)
         self.host.configure(configuration)
         self.feed.set_configuration(configuration)
+        self.heartbeats.tell_soon()
         get_logger().info("configuration %d in force", version)
         if self._settings.instance.name in configuration.leaving_instances:
             self.drained.set()
@@ -256,7 +257,7 @@
             except PlatformError as error:
                 get_logger().info("the list of instances can't be read: %s", error)
             else:
-                self.membership.add_seeds([item.peer_address for item in listed])
+                self.membership.replace_listed(item.peer_address for item in listed)
             await asyncio.sleep(SEED_INTERVAL_S)
 
     async def _publish_views(self) -> None:
@@ -278,11 +279,11 @@
         self.allotments.forget_idle(now=now)
         self._published = self._summarize(view, now)
         self._published_at = now
-        self.feed.set_view(view, isolated=self._is_isolated(view, now))
+        self.feed.set_view(view, isolated=self._is_isolated(now))
 
-    def _is_isolated(self, view: MembershipView, now: float) -> bool:
+    def _is_isolated(self, now: float) -> bool:
         # Members that are gone count: it may be this instance that was cut off from them.
-        others_known = len(view.members) > 1
+        others_known = len(self.membership.list_all()) > 1
         standing = self.spread.judge(now=now, others_known=others_known)
         return standing is Standing.ISOLATED
 
@@ -291,7 +292,7 @@
             (item.instance, item.incarnation, item.state, item.configuration_version)
             for item in view.members
         )
-        return (*members, self._is_isolated(view, now))
+        return (*members, self._is_isolated(now))
 
     async def _send_probes(self) -> None:
         while True:
--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -227,7 +227,15 @@
         self.links.reroute()
 
     def _list_other_dispatchers(self) -> list[str]:
-        return [item.instance.peer_address for item in self.state.list_others()]
+        """Return the other members' peer addresses, then the seeds that aren't among them.
+
+        Failure: the own dispatcher dies before it has told of any other member, and the entry
+        knows nobody to ask for a view. The seeds are known from the start.
+        """
+        members = [item.instance.peer_address for item in self.state.list_others()]
+        own = self._settings.instance.peer_address
+        seeds = [item for item in self._settings.seeds if item != own and item not in members]
+        return [*members, *seeds]
 
     def _is_mine(self, prefix: str) -> bool:
         """Return whether this instance takes a part of the operations' table."""
--- a/src/guavamast/keeper_host.py
+++ b/src/guavamast/keeper_host.py
@@ -8,6 +8,7 @@
 
 from guavamast._slot_wire import decode_ask, decode_release, encode_event, encode_probe
 from guavamast.errors import ErrorCode
+from guavamast.estimates import LengthEstimates
 from guavamast.keepers import EndpointKeeper
 from guavamast.slots import Granted, Refused, Release
 from guavamast.world import EndpointKind, EndpointState
@@ -56,6 +57,10 @@
         self._clock = clock
         self._metrics = metrics
         self._configuration: Configuration | None = None
+        self.configured = asyncio.Event()
+        """Set once there is a configuration to know endpoints from."""
+        self._lengths = LengthEstimates()
+        """Output lengths as all keepers of this process have seen them."""
         self._keepers: dict[str, EndpointKeeper] = {}
         self._endpoints: dict[str, Endpoint] = {}
         """Each kept endpoint as last configured."""
@@ -71,6 +76,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Take a newer configuration; endpoints that it lacks stop granting."""
         self._configuration = configuration
+        self.configured.set()
         now = self._clock()
         for name, keeper in list(self._keepers.items()):
             last = replace(self._endpoints[name], state=EndpointState.LEAVING)
@@ -202,6 +208,7 @@
             configuration=self._configuration,
             now=now,
             cautious_until=now + caution_s,
+            lengths=self._lengths,
         )
         self.on_new_keeper(name)
         self._keepers[name] = keeper
--- a/src/guavamast/peer_service.py
+++ b/src/guavamast/peer_service.py
@@ -58,6 +58,9 @@
             while (batch := await stream.recv_message()) is not None:
                 for message in batch.messages:
                     if message.WhichOneof("body") == "hello":
+                        # Failure: a dispatcher that has just started refuses every ask as of an
+                        # unknown endpoint. Unanswered, the entry asks the next keeper meanwhile.
+                        await host.configured.wait()
                         entry_stream = host.connect(message.hello)
                         await stream.send_message(peer_pb2.KeeperBatch())
                         sender = asyncio.ensure_future(_send_outbox(stream, entry_stream))
--- a/src/guavamast/slot_links.py
+++ b/src/guavamast/slot_links.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from guavamast import peer_pb2
 from guavamast._slot_wire import (
@@ -38,7 +38,7 @@
 RECONNECT_MAX_S: Final = 2.0
 NO_KEEPER_RETRY_S: Final = 0.1
 
-LinkErrors = (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError)
+LinkErrors = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
 
 
 class AskRefused(Exception):
@@ -326,6 +326,10 @@
                 await self._serve()
             except LinkErrors as error:
                 get_logger().info("slot stream to %s lost: %r", self._address, error)
+            except Exception:
+                # Failure: the library raises an error of another kind, this task ends, and every
+                # ask of the address waits to its deadline. Any end of a stream is a lost stream.
+                get_logger().exception("slot stream to %s failed", self._address)
             if self.reachable:
                 pause = RECONNECT_S
                 self.reachable = False
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -72,6 +72,27 @@
         names = {item["instance"] for item in json.loads(response.body)["addresses"]}
         self.assertEqual(names, {"instance-1"})
 
+    async def test_instance_that_hears_nobody_refuses_new_work(self) -> None:
+        # An instance loses its only peer and the platform at once. It can't know any more whether
+        # an endpoint has left, so callers are refused as not run and told when to come back; with
+        # the platform heard again they are served.
+        self.assertTrue((await self.callers[0].stream("before")).ended)
+        self.fleet.entries[1].kill()
+        self.fleet.dispatchers[1].kill()
+        await self.fleet.fault(self.fleet.platform_url, kind="down")
+        answer = await self.callers[0].stream("at once")
+        async with asyncio.timeout(30):
+            while answer.ended:
+                await asyncio.sleep(0.2)
+                answer = await self.callers[0].stream("later")
+        self.assertEqual(answer.error["outcome"], "not_run")
+        self.assertGreater(answer.error["retry_after_s"], 0)
+        await self.fleet.fault(self.fleet.platform_url, kind="none")
+        async with asyncio.timeout(60):
+            while not answer.ended:
+                await asyncio.sleep(0.2)
+                answer = await self.callers[0].stream("again")
+
     async def test_configuration_spreads_and_survives_the_platform(self) -> None:
         # An operator confirms at one instance; all have it in force. With the platform down, chats
         # and idempotent calls go on; a non-idempotent call is refused at once as not run.
