--- /dev/null
+++ b/src/guavamast/chat_handlers.py
@@ -0,0 +1,140 @@
+"""HTTP handler of chats, streamed or whole."""
+
+from __future__ import annotations
+
+import json
+import time
+from functools import partial
+from typing import TYPE_CHECKING, Any, Final
+
+from guavamast.caller_input import parse_chat_body
+from guavamast.callers import CallerHandler, encode_refusal
+from guavamast.chats import AnswerSink, Chat
+from guavamast.errors import ErrorCode, Refusal, SendLatch
+from guavamast.event_stream import DONE, encode_event, encode_json_event
+
+if TYPE_CHECKING:
+    from guavamast.answers import AnswerPiece
+
+DEFAULT_KIND: Final = "chat"
+
+
+class ChatHandler(CallerHandler):
+    """``POST /v1/chat/completions``."""
+
+    async def post(self) -> None:
+        """Serve a chat, streamed or whole."""
+        self.read_request_id()
+        organisation = self.find_caller()
+        kind = self.request.headers.get("X-Request-Kind", DEFAULT_KIND)
+        service_class = self.find_class(organisation, kind)
+        body = parse_chat_body(self.read_body())
+        if body.model not in self.services.state.configuration.models:
+            raise SendLatch().refuse(
+                ErrorCode.UNKNOWN_MODEL, f"no model {body.model!r}", status=404
+            )
+        chat = Chat(
+            request_id=self.request_id,
+            organisation=organisation,
+            service_class=service_class,
+            kind=kind,
+            body=body,
+            deadline=self.compute_deadline(service_class),
+        )
+        self.services.metrics.count(f"chats.{service_class.name}")
+        serve = self._serve_stream if body.stream else self._serve_whole
+        await self.run(partial(serve, chat), organisation)
+
+    async def _serve_whole(self, chat: Chat) -> None:
+        sink = _CollectingSink()
+        await self.services.chats.serve(chat, sink)
+        self.set_header("X-Request-Id", self.request_id)
+        self.finish(sink.make_completion(chat))
+
+    async def _serve_stream(self, chat: Chat) -> None:
+        sink = _StreamingSink(handler=self, chat=chat)
+        try:
+            await self.services.chats.serve(chat, sink)
+        except Refusal as refusal:
+            if not sink.begun:
+                raise
+            # The status line has gone out; the error event and the missing end say it.
+            self.write(encode_json_event(encode_refusal(refusal), name="error"))
+            self.services.metrics.count(f"errors.{refusal.code}")
+            await self.finish()
+            return
+        sink.begin()
+        self.write(encode_event(DONE))
+        await self.finish()
+
+
+class _CollectingSink(AnswerSink):
+    """Keeps an answer until it is whole."""
+
+    def __init__(self) -> None:
+        self.texts: list[str] = []
+        self.finish_reason: str | None = None
+
+    async def write(self, pieces: list[AnswerPiece]) -> None:
+        """Keep the pieces."""
+        self.texts.extend(piece.text for piece in pieces)
+        self.finish_reason = pieces[-1].finish_reason
+
+    def make_completion(self, chat: Chat) -> dict[str, Any]:
+        """Return the body of the whole answer."""
+        prompt_tokens = chat.body.count_prompt_tokens()
+        return {
+            "id": chat.request_id,
+            "object": "chat.completion",
+            "created": int(time.time()),
+            "model": chat.body.model,
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": "".join(self.texts)},
+                    "finish_reason": self.finish_reason,
+                }
+            ],
+            "usage": {
+                "prompt_tokens": prompt_tokens,
+                "completion_tokens": len(self.texts),
+                "total_tokens": prompt_tokens + len(self.texts),
+            },
+        }
+
+
+class _StreamingSink(AnswerSink):
+    """Passes pieces on as server-sent events."""
+
+    def __init__(self, *, handler: ChatHandler, chat: Chat) -> None:
+        self.begun = False
+        self._handler = handler
+        self._prefix = json.dumps(
+            {
+                "id": chat.request_id,
+                "object": "chat.completion.chunk",
+                "created": int(time.time()),
+                "model": chat.body.model,
+            },
+            separators=(",", ":"),
+        )[:-1]
+
+    def begin(self) -> None:
+        """Set the headers, before the first byte of the answer."""
+        if not self.begun:
+            self.begun = True
+            self._handler.set_header("Content-Type", "text/event-stream")
+            self._handler.set_header("Cache-Control", "no-cache")
+            self._handler.set_header("X-Request-Id", self._handler.request_id)
+
+    async def write(self, pieces: list[AnswerPiece]) -> None:
+        """Send the pieces in one write; waits while the caller reads slowly."""
+        self.begin()
+        self._handler.write(b"".join(self._encode(piece) for piece in pieces))
+        await self._handler.flush()
+
+    def _encode(self, piece: AnswerPiece) -> bytes:
+        content = json.dumps(piece.text)
+        reason = json.dumps(piece.finish_reason)
+        choice = f'[{{"index":0,"delta":{{"content":{content}}},"finish_reason":{reason}}}]'
+        return encode_event(f'{self._prefix},"choices":{choice}}}')
--- a/src/guavamast/chats.py
+++ b/src/guavamast/chats.py
@@ -29,7 +29,8 @@
     from guavamast.retries import RetryBudget
     from guavamast.send_gates import PauseWatch
     from guavamast.slot_finder import SlotFinder
-    from guavamast.slot_links import SlotHold, SlotLinks
+    from guavamast.slot_holds import SlotHold
+    from guavamast.slot_links import SlotLinks
     from guavamast.world import Organisation, ServiceClass
 
 STALL_S: Final = 10.0
--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -14,7 +14,7 @@
 
 from guavamast import peer_pb2
 from guavamast._daemon import bind_socket, get_bound_address, run_daemon, wait_for_first
-from guavamast.callers import CallerServices, make_application, make_caller_routes
+from guavamast.callers import CallerServices
 from guavamast.chats import ChatRouter
 from guavamast.clocks import SystemClock
 from guavamast.endpoint_sender import HttpEndpointSender
@@ -34,6 +34,7 @@
 from guavamast.platform_http import HttpPlatformClient
 from guavamast.rendezvous import rank
 from guavamast.retries import RetryBudget
+from guavamast.routes import make_application, make_caller_routes
 from guavamast.send_gates import BEAT_INTERVAL_S, PauseWatch
 from guavamast.service_calls import ServiceCalls
 from guavamast.service_handlers import make_service_routes
@@ -70,24 +71,19 @@
         """Caller address as bound."""
         self.drained = asyncio.Event()
         """Set when the configuration says that this instance is to leave."""
-        metrics = make_metrics(settings.statsd)
-        seed = zlib.crc32(settings.instance.name.encode())
-        chooser = EndpointChooser(instance=settings.instance, seed=seed)
-        self.state = EntryState(instance=settings.instance, chooser=chooser)
-        self.links = SlotLinks(
-            entry=f"{settings.instance.name}/{uuid.uuid4().hex[:8]}",
-            find_keeper=self.state.find_keeper_address,
-            on_probe=lambda probe: chooser.record_probe(probe, now=self.clock()),
-            on_allotment=lambda message: self.limits.take_allotment(message),
-            clock=self.clock,
+        self._metrics = make_metrics(settings.statsd)
+        self._random = random.Random(zlib.crc32(settings.instance.name.encode()))
+        self._chooser = EndpointChooser(
+            instance=settings.instance, seed=self._random.getrandbits(32)
         )
+        self.state = EntryState(instance=settings.instance, chooser=self._chooser)
+        self.links = self._make_links()
         self._limiter = EntryLimiter(
             entry=settings.instance.name, first_sequence=time.time_ns() // 10**6
         )
         self.limits = LimitGate(
             limiter=self._limiter, state=self.state, links=self.links, clock=self.clock
         )
-        finder = SlotFinder(state=self.state, links=self.links, clock=self.clock)
         self.view_link = ViewLink(
             entry=settings.instance.name,
             address=settings.instance.peer_address,
@@ -95,46 +91,61 @@
             on_configuration=self.accept_configuration,
             on_view=self.accept_view,
         )
+        self._platform = HttpPlatformClient(
+            tables_url=settings.tables_url, objects_url=settings.objects_url
+        )
         self.pauses = PauseWatch(now=self.clock())
-        budget = RetryBudget()
+        self._budget = RetryBudget()
+        finder = SlotFinder(state=self.state, links=self.links, clock=self.clock)
+        self.calls = self._make_calls(finder)
+        self.services = self._make_services(finder)
+        self._server: HTTPServer | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _make_links(self) -> SlotLinks:
+        return SlotLinks(
+            entry=f"{self._settings.instance.name}/{uuid.uuid4().hex[:8]}",
+            find_keeper=self.state.find_keeper_address,
+            on_probe=lambda probe: self._chooser.record_probe(probe, now=self.clock()),
+            on_allotment=lambda message: self.limits.take_allotment(message),
+            clock=self.clock,
+        )
+
+    def _make_services(self, finder: SlotFinder) -> CallerServices:
         chats = ChatRouter(
             state=self.state,
             finder=finder,
             links=self.links,
             engines=EngineClient(),
-            budget=budget,
+            budget=self._budget,
             pauses=self.pauses,
-            random=random.Random(seed),
+            random=self._random,
             clock=self.clock,
-            metrics=metrics,
+            metrics=self._metrics,
         )
-        self.services = CallerServices(
+        return CallerServices(
             state=self.state,
             chats=chats,
             limits=self.limits,
-            metrics=metrics,
+            metrics=self._metrics,
             clock=self.clock,
-            max_body_bytes=settings.max_body_bytes,
-            address_validity_s=settings.address_validity_s,
+            max_body_bytes=self._settings.max_body_bytes,
+            address_validity_s=self._settings.address_validity_s,
         )
+
+    def _make_calls(self, finder: SlotFinder) -> ServiceCalls:
         clock = SystemClock()
-        self._platform = HttpPlatformClient(
-            tables_url=settings.tables_url, objects_url=settings.objects_url
-        )
-        self.calls = ServiceCalls(
-            store=OperationStore(
-                client=GroupCommit(client=self._platform, clock=clock), clock=clock
-            ),
+        commits = GroupCommit(client=self._platform, clock=clock)
+        return ServiceCalls(
+            store=OperationStore(client=commits, clock=clock),
             slots=EntrySlotSource(state=self.state, finder=finder, links=self.links),
             sender=HttpEndpointSender(),
             gate=EntryGate(state=self.state),
             pauses=self.pauses,
-            retries=BudgetRetryPolicy(budget=budget, random=random.Random(seed)),
+            retries=BudgetRetryPolicy(budget=self._budget, random=self._random),
             clock=clock,
-            metrics=metrics,
+            metrics=self._metrics,
         )
-        self._server: HTTPServer | None = None
-        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Listen and follow the dispatcher."""
--- a/src/guavamast/service_slots.py
+++ b/src/guavamast/service_slots.py
@@ -18,7 +18,8 @@
     from guavamast.retries import RetryBudget
     from guavamast.service_call import ServiceCall
     from guavamast.slot_finder import SlotFinder
-    from guavamast.slot_links import SlotHold, SlotLinks
+    from guavamast.slot_holds import SlotHold
+    from guavamast.slot_links import SlotLinks
     from guavamast.world import Endpoint
 
 MAX_SENDS = 3
--- a/src/guavamast/slot_finder.py
+++ b/src/guavamast/slot_finder.py
@@ -10,7 +10,7 @@
 from guavamast.errors import ErrorCode
 from guavamast.placement import Wanted
 from guavamast.races import RaceRules, SlotRace
-from guavamast.slot_links import AskRefused
+from guavamast.slot_holds import AskRefused
 from guavamast.slots import Ask, Queued, Release
 
 if TYPE_CHECKING:
@@ -18,7 +18,8 @@
 
     from guavamast.entry_state import EntryState
     from guavamast.errors import Refusal, SendLatch
-    from guavamast.slot_links import SlotHold, SlotLinks
+    from guavamast.slot_holds import SlotHold
+    from guavamast.slot_links import SlotLinks
 
 NO_ENDPOINT_RETRY_S: Final = 2.0
 
--- a/src/guavamast/slot_links.py
+++ b/src/guavamast/slot_links.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 from typing import TYPE_CHECKING, Final
 
 from grpclib.client import Channel
@@ -23,12 +22,12 @@
 )
 from guavamast.log import get_logger
 from guavamast.peer_grpc import PeerStub
+from guavamast.slot_holds import AskRefused, HoldState, SlotHold
 from guavamast.slots import Granted, Paused, Queued, Refused, Release
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.errors import ErrorCode
     from guavamast.slots import Ask, Probe
 
 ANSWER_TIMEOUT_S: Final = 1.0
@@ -41,57 +40,6 @@
 LinkErrors = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
 
 
-class AskRefused(Exception):
-    """The keeper ended an ask without a slot."""
-
-    def __init__(self, *, code: ErrorCode, retry_after_s: float) -> None:
-        super().__init__(code)
-        self.code = code
-        self.retry_after_s = retry_after_s
-
-
-class HoldState(Enum):
-    """How an ask stands."""
-
-    WAITING = 1
-    HELD = 2
-    ENDED = 3
-
-
-class SlotHold:
-    """One ask, from its asking to its release."""
-
-    __slots__ = (
-        "addresses",
-        "ask",
-        "granted",
-        "held_since",
-        "on_paused",
-        "on_queued",
-        "state",
-        "tokens",
-    )
-
-    def __init__(self, *, ask: Ask) -> None:
-        self.ask = ask
-        self.state = HoldState.WAITING
-        self.addresses: list[str] = []
-        """Keepers that were told of it, the present one last."""
-        self.granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.held_since = 0.0
-        self.tokens = 0
-        """Tokens received so far, told to a new keeper."""
-        self.on_queued: Callable[[Queued], None] | None = None
-        """Called when the keeper lets the ask wait."""
-        self.on_paused: Callable[[str], None] | None = None
-        """Called when the keeper wants the slot back."""
-
-    @property
-    def address(self) -> str:
-        """The keeper that decides on it now; empty while there is none."""
-        return self.addresses[-1] if self.addresses else ""
-
-
 class SlotLinks:
     """Asks keepers for slots and follows changes of keeper.
 
--- a/tests/test_slot_finder.py
+++ b/tests/test_slot_finder.py
@@ -10,7 +10,7 @@
 
 from guavamast.errors import ErrorCode, Outcome, Refusal, SendLatch
 from guavamast.slot_finder import SlotFinder, SlotWish
-from guavamast.slot_links import AskRefused, SlotHold
+from guavamast.slot_holds import AskRefused, SlotHold
 from guavamast.slots import Ask, Queued, Release
 
 if TYPE_CHECKING:
--- a/tests/test_slot_links.py
+++ b/tests/test_slot_links.py
@@ -14,7 +14,8 @@
 from guavamast.metrics import NoMetrics
 from guavamast.peer_grpc import PeerBase
 from guavamast.peer_service import PeerService
-from guavamast.slot_links import AskRefused, HoldState, SlotLinks
+from guavamast.slot_holds import AskRefused, HoldState
+from guavamast.slot_links import SlotLinks
 from guavamast.slots import Ask, Release
 from guavamast.view_feed import ViewFeed
 from guavamast.world import Configuration, Endpoint, EndpointKind, ServiceClass
