--- a/tests/test_slot_links.py
+++ b/tests/test_slot_links.py
@@ -42,9 +42,10 @@
 class Keeper:
     """A dispatcher's slot service alone."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, configured: bool = True) -> None:
         self.host = KeeperHost(clock=time.monotonic, metrics=NoMetrics())
-        self.host.configure(CONFIGURATION)
+        if configured:
+            self.host.configure(CONFIGURATION)
         service = PeerService(
             host=self.host,
             feed=ViewFeed(instance="k"),
@@ -190,6 +191,16 @@
         held = await self.links.acquire(make_ask(1))
         self.assertEqual(held.address, self.first.address)
 
+    async def test_keeper_without_configuration_is_passed_over(self) -> None:
+        # The caller is served by the next keeper. A dispatcher that has just started knows no
+        # endpoint yet; it answers no hello, so the entry doesn't take its word for a refusal.
+        fresh = Keeper(configured=False)
+        await fresh.start()
+        self.addAsyncCleanup(fresh.stop)
+        self.order.insert(0, fresh.address)
+        held = await self.links.acquire(make_ask(1))
+        self.assertEqual(held.address, self.first.address)
+
     async def test_withdrawn_ask_leaves_no_slot(self) -> None:
         held = await self.links.acquire(make_ask(1))
         queued = asyncio.ensure_future(self.links.acquire(make_ask(2)))
