Tell the time to come back of endpoints that stay

Cause: read as a newcomer: the refusal took the least retry_after of all keepers, and one whose endpoint leaves says 0, so callers were told to come back at once. Change: endpoints that leave don't count while another one refused; alone they give 2 s. Seen failing: test_time_to_come_back_is_that_of_endpoints_that_stay without the change. Measured: tests.test_slot_finder 7 passed. Conclusion: a refused caller is told a time that helps.

--- a/src/guavamast/slot_finder.py
+++ b/src/guavamast/slot_finder.py
@@ -23,6 +23,8 @@
 
 NO_ENDPOINT_RETRY_S: Final = 2.0
 
+GOING_CODES: Final = frozenset({ErrorCode.LEAVING, ErrorCode.NO_ENDPOINT})
+"""Codes of a keeper whose endpoint is out of use."""
 STATUS_BY_CODE: Final = {
     ErrorCode.DEADLINE_EXCEEDED: 504,
     ErrorCode.RATE_LIMITED: 429,
@@ -228,10 +230,12 @@
                 status=503,
                 retry_after_s=NO_ENDPOINT_RETRY_S,
             )
-        soonest = min(refusals, key=lambda refused: refused.retry_after_s)
+        # An endpoint that leaves tells nothing of when the others will have room.
+        staying = [refused for refused in refusals if refused.code not in GOING_CODES]
+        soonest = min(staying or refusals, key=lambda refused: refused.retry_after_s)
         return latch.refuse(
             soonest.code,
             f"refused by {len(refusals)} endpoints' keepers",
             status=STATUS_BY_CODE.get(soonest.code, 503),
-            retry_after_s=soonest.retry_after_s,
+            retry_after_s=soonest.retry_after_s if staying else NO_ENDPOINT_RETRY_S,
         )
--- a/tests/test_slot_finder.py
+++ b/tests/test_slot_finder.py
@@ -34,6 +34,8 @@
         self.asked.append(ask.endpoint)
         answer = self.script[ask.endpoint]
         await asyncio.sleep(0)
+        if answer == "leaving":
+            raise AskRefused(code=ErrorCode.LEAVING, retry_after_s=0.0)
         if answer == "refuse":
             raise AskRefused(code=ErrorCode.QUEUE_FULL, retry_after_s=3.0)
         if answer == "queue":
@@ -113,6 +115,14 @@
         self.assertIs(caught.exception.outcome, Outcome.NOT_RUN)
         self.assertEqual(caught.exception.retry_after_s, 3.0)
 
+    async def test_time_to_come_back_is_that_of_endpoints_that_stay(self) -> None:
+        # One endpoint leaves, the other is full for 3 s. Told to come back at once, callers would
+        # ask for nothing again and again.
+        for script, expected in (({"a": "leaving", "b": "refuse"}, 3.0), ({"a": "leaving"}, 2.0)):
+            with self.assertRaises(Refusal) as caught:
+                await make_finder(ScriptedLinks(**script)).find(make_wish(), SendLatch())
+            self.assertEqual(caught.exception.retry_after_s, expected)
+
     async def test_no_endpoint_is_refused_at_once(self) -> None:
         with self.assertRaises(Refusal) as caught:
             await make_finder(ScriptedLinks()).find(make_wish(), SendLatch())
