--- a/bench/runs.py
+++ b/bench/runs.py
@@ -26,6 +26,7 @@
     make_fleet,
     make_requests,
 )
+from guavamast.races import RaceRules
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +39,10 @@
 
 POLICIES: Final[dict[str, Callable[..., Policy]]] = {
     "guavamast": RouterPolicy,
-    "guavamast, two keepers": lambda **arguments: RouterPolicy(asked=2, **arguments),
+    "one keeper": lambda **arguments: RouterPolicy(rules=RaceRules(racers=1), **arguments),
+    "two at once": lambda **arguments: RouterPolicy(asked=2, **arguments),
+    "probes 1 s old": lambda **arguments: RouterPolicy(probe_delay_s=1.0, **arguments),
+    "probes 5 s old": lambda **arguments: RouterPolicy(probe_delay_s=5.0, **arguments),
     "random": RandomPolicy,
     "round robin": RoundRobinPolicy,
     "least load": LeastLoadPolicy,
@@ -59,6 +63,8 @@
     """Work of requests completed in time, as a share of the engines' capacity."""
     wasted: float = 0.0
     """Share of computed work that was discarded."""
+    wasted_by: dict[str, float] = field(default_factory=dict)
+    """The same by cause."""
     amplification: float = 0.0
     """Attempts sent for each request that was sent at all."""
     inverted: float = 0.0
@@ -145,7 +151,9 @@
     ]
     capacity = compute_capacity(site, services=False) * DURATION_S
     outcome.goodput = sum(each.tokens for each in in_time) / capacity
-    outcome.wasted = policy.wasted / max(1.0, sum(e.computed for e in policy.engines.values()))
+    computed = max(1.0, sum(engine.computed for engine in policy.engines.values()))
+    outcome.wasted_by = {cause: tokens / computed for cause, tokens in policy.wasted.items()}
+    outcome.wasted = sum(outcome.wasted_by.values())
     sent = sum(1 for each in requests if each.attempts)
     outcome.amplification = policy.attempts / max(1, sent)
     top = [each for each in engine_requests if each.service_class.tier == 1]
--- a/src/guavamast/dispatcher.py
+++ b/src/guavamast/dispatcher.py
@@ -10,17 +10,25 @@
 
 from grpclib.server import Server
 
-from guavamast._daemon import bind_socket, get_bound_address, run_daemon
-from guavamast.configuration_spread import ConfigurationSpread, Source
+from guavamast._allotment_wire import decode_allotment_ask, encode_allotment
+from guavamast._daemon import bind_socket, get_bound_address, run_daemon, wait_for_first
+from guavamast.allotments import AllotmentDispatcher
+from guavamast.clocks import SystemClock
+from guavamast.configuration_spread import ConfigurationSpread, Source, Standing
 from guavamast.errors import GuavamastError
 from guavamast.findings import FindingsError
-from guavamast.fleet import parse_configuration
+from guavamast.fleet_reader import AcceptedReader
 from guavamast.heartbeats import HeartbeatLinks
+from guavamast.hosted_endpoints import HostedEndpoints
 from guavamast.keeper_host import PROBE_INTERVAL_S, KeeperHost
+from guavamast.leases import LeaseHolder, LeaseTerms
 from guavamast.load_poller import LoadPoller
 from guavamast.log import get_logger
 from guavamast.membership import Membership
 from guavamast.metrics import make_metrics
+from guavamast.order_giver import OrderGiver
+from guavamast.order_http import HttpOrderSender
+from guavamast.order_loop import OrderLoop
 from guavamast.peer_service import PeerService
 from guavamast.plan_store import PlanStore
 from guavamast.platform_client import PlatformError
@@ -60,6 +68,7 @@
         self.metrics = make_metrics(settings.statsd)
         self.configuration = Configuration(version=0)
         self.host = KeeperHost(clock=self.clock, metrics=self.metrics)
+        self.allotments = AllotmentDispatcher()
         self.feed = ViewFeed(instance=settings.instance.name)
         self.address = ""
         """Peer address as bound."""
@@ -67,9 +76,14 @@
             tables_url=settings.tables_url, objects_url=settings.objects_url
         )
         self._plans = PlanStore(platform=self._platform, make_id=lambda: uuid.uuid4().hex)
+        self._reader = AcceptedReader()
+        self._unreadable_version = 0
+        self.drained = asyncio.Event()
+        """Set when the configuration says that this instance is to leave."""
         self._tasks: list[asyncio.Task[None]] = []
         self._published: tuple[object, ...] = ()
         self._published_at = 0.0
+        self._serving: frozenset[str] = frozenset()
         self._server: Server | None = None
 
     async def start(self) -> None:
@@ -95,6 +109,7 @@
         )
         self.host.on_new_keeper = poller.poll_soon
         self._start(self.heartbeats.run())
+        self._start(self._make_order_loop().run())
         self._start(poller.run())
         self._start(self._poll_platform())
         self._start(self._read_seeds())
@@ -138,10 +153,47 @@
             self.heartbeats.tell_soon()
         return self.configuration.version
 
+    def answer_allotment(
+        self, message: peer_pb2.AllotmentAskMessage, entry: str
+    ) -> peer_pb2.KeeperMessage | None:
+        """Split an organisation's limits for one entry; None when there is nothing to say."""
+        organisation = self.configuration.organisations.get(message.organisation)
+        if organisation is None:
+            return None
+        ask = decode_allotment_ask(message, entry=entry.partition("/")[0])
+        allotment = self.allotments.ask(ask, organisation, now=self.clock())
+        return None if allotment is None else encode_allotment(allotment)
+
+    def _make_order_loop(self) -> OrderLoop:
+        clock, terms = SystemClock(), LeaseTerms()
+        name = self._settings.instance.name
+        leases = LeaseHolder(
+            platform=self._platform,
+            clock=clock,
+            holder=name,
+            make_nonce=lambda: uuid.uuid4().hex,
+            terms=terms,
+        )
+        giver = OrderGiver(
+            platform=self._platform,
+            leases=leases,
+            sender=HttpOrderSender(),
+            clock=clock,
+            terms=terms,
+        )
+        kept = HostedEndpoints(
+            instance=name,
+            host=self.host,
+            get_configuration=lambda: self.configuration,
+            get_view=lambda: self.membership.make_view(now=self.clock()),
+        )
+        return OrderLoop(giver=giver, kept=kept, clock=clock)
+
     def _make_service(self) -> PeerService:
         return PeerService(
             host=self.host,
             feed=self.feed,
+            answer_allotment=self.answer_allotment,
             take_announcement=self.take_announcement,
             serve_gossip=self.heartbeats.serve,
         )
@@ -169,32 +221,34 @@
 
     async def _read_snapshot(self, version: int) -> None:
         try:
-            snapshot = await self._plans.load_version(version)
+            text = await self._plans.read_text(version)
         except GuavamastError as error:
             get_logger().info("snapshot %d can't be read: %s", version, error)
             return
-        if snapshot is None:
+        if text is None:
             get_logger().info("snapshot %d is not there", version)
             return
-        self.spread.accept(version, snapshot.text, source=Source.PLATFORM, now=self.clock())
+        self.spread.accept(version, text, source=Source.PLATFORM, now=self.clock())
         self._apply_spread()
 
     def _apply_spread(self) -> None:
         version = self.spread.version
-        if version <= self.configuration.version:
+        if version <= max(self.configuration.version, self._unreadable_version):
             return
         try:
-            configuration = parse_configuration(
-                self.spread.text, file="configuration", version=version
-            )
+            configuration = self._reader.read(self.spread.text, version=version)
         except FindingsError as error:
+            self._unreadable_version = version
             get_logger().error("configuration %d can't be read: %s", version, error)
             return
         self.configuration = configuration
         self.membership.set_configuration_version(version)
         self.host.configure(configuration)
         self.feed.set_configuration(configuration)
+        self.heartbeats.tell_soon()
         get_logger().info("configuration %d in force", version)
+        if self._settings.instance.name in configuration.leaving_instances:
+            self.drained.set()
 
     async def _read_seeds(self) -> None:
         while True:
@@ -203,7 +257,7 @@
             except PlatformError as error:
                 get_logger().info("the list of instances can't be read: %s", error)
             else:
-                self.membership.add_seeds([item.peer_address for item in listed])
+                self.membership.replace_listed(item.peer_address for item in listed)
             await asyncio.sleep(SEED_INTERVAL_S)
 
     async def _publish_views(self) -> None:
@@ -212,15 +266,33 @@
             now = self.clock()
             view = self.membership.make_view(now=now)
             old = now - self._published_at > LOAD_VIEW_INTERVAL_S
-            if old or _summarize(view) != self._published:
+            if old or self._summarize(view, now) != self._published:
                 self._publish(now)
             await asyncio.sleep(VIEW_INTERVAL_S)
 
     def _publish(self, now: float) -> None:
         view = self.membership.make_view(now=now)
-        self._published = _summarize(view)
+        serving = frozenset(member.instance.name for member in view.list_serving())
+        if serving != self._serving:
+            self._serving = serving
+            self.allotments.record_view_change(now=now)
+        self.allotments.forget_idle(now=now)
+        self._published = self._summarize(view, now)
         self._published_at = now
-        self.feed.set_view(view)
+        self.feed.set_view(view, isolated=self._is_isolated(now))
+
+    def _is_isolated(self, now: float) -> bool:
+        # Members that are gone count: it may be this instance that was cut off from them.
+        others_known = len(self.membership.list_all()) > 1
+        standing = self.spread.judge(now=now, others_known=others_known)
+        return standing is Standing.ISOLATED
+
+    def _summarize(self, view: MembershipView, now: float) -> tuple[object, ...]:
+        members = tuple(
+            (item.instance, item.incarnation, item.state, item.configuration_version)
+            for item in view.members
+        )
+        return (*members, self._is_isolated(now))
 
     async def _send_probes(self) -> None:
         while True:
@@ -228,13 +300,6 @@
             await asyncio.sleep(PROBE_INTERVAL_S)
 
 
-def _summarize(view: MembershipView) -> tuple[object, ...]:
-    return tuple(
-        (item.instance, item.incarnation, item.state, item.configuration_version)
-        for item in view.members
-    )
-
-
 async def serve(settings: InstanceSettings, stop: asyncio.Event) -> None:
     """Run a dispatcher until ``stop`` is set, then leave gracefully."""
     dispatcher = Dispatcher(settings=settings)
@@ -243,7 +308,7 @@
         "ready peers=%s", dispatcher.address, extra={"instance": settings.instance.name}
     )
     try:
-        await stop.wait()
+        await wait_for_first(stop, dispatcher.drained)
         await dispatcher.leave()
     finally:
         await dispatcher.close()
--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -13,8 +13,8 @@
 from tornado.httpserver import HTTPServer
 
 from guavamast import peer_pb2
-from guavamast._daemon import bind_socket, get_bound_address, run_daemon
-from guavamast.callers import CallerServices, make_application, make_caller_routes
+from guavamast._daemon import bind_socket, get_bound_address, run_daemon, wait_for_first
+from guavamast.callers import CallerServices
 from guavamast.chats import ChatRouter
 from guavamast.clocks import SystemClock
 from guavamast.endpoint_sender import HttpEndpointSender
@@ -22,6 +22,8 @@
 from guavamast.entry_state import EntryState
 from guavamast.entry_status import EntryStatus
 from guavamast.group_commit import GroupCommit
+from guavamast.limit_gate import LimitGate
+from guavamast.limits import EntryLimiter
 from guavamast.log import get_logger
 from guavamast.metrics import make_metrics
 from guavamast.operation_store import OperationStore
@@ -30,7 +32,9 @@
 from guavamast.placement import EndpointChooser
 from guavamast.plan_store import PlanStore
 from guavamast.platform_http import HttpPlatformClient
+from guavamast.rendezvous import rank
 from guavamast.retries import RetryBudget
+from guavamast.routes import make_application, make_caller_routes
 from guavamast.send_gates import BEAT_INTERVAL_S, PauseWatch
 from guavamast.service_calls import ServiceCalls
 from guavamast.service_handlers import make_service_routes
@@ -65,17 +69,21 @@
         self.clock = time.monotonic
         self.address = ""
         """Caller address as bound."""
-        metrics = make_metrics(settings.statsd)
-        seed = zlib.crc32(settings.instance.name.encode())
-        chooser = EndpointChooser(instance=settings.instance, seed=seed)
-        self.state = EntryState(instance=settings.instance, chooser=chooser)
-        self.links = SlotLinks(
-            entry=f"{settings.instance.name}/{uuid.uuid4().hex[:8]}",
-            find_keeper=self.state.find_keeper_address,
-            on_probe=lambda probe: chooser.record_probe(probe, now=self.clock()),
-            clock=self.clock,
+        self.drained = asyncio.Event()
+        """Set when the configuration says that this instance is to leave."""
+        self._metrics = make_metrics(settings.statsd)
+        self._random = random.Random(zlib.crc32(settings.instance.name.encode()))
+        self._chooser = EndpointChooser(
+            instance=settings.instance, seed=self._random.getrandbits(32)
+        )
+        self.state = EntryState(instance=settings.instance, chooser=self._chooser)
+        self.links = self._make_links()
+        self._limiter = EntryLimiter(
+            entry=settings.instance.name, first_sequence=time.time_ns() // 10**6
+        )
+        self.limits = LimitGate(
+            limiter=self._limiter, state=self.state, links=self.links, clock=self.clock
         )
-        finder = SlotFinder(state=self.state, links=self.links, clock=self.clock)
         self.view_link = ViewLink(
             entry=settings.instance.name,
             address=settings.instance.peer_address,
@@ -83,44 +91,61 @@
             on_configuration=self.accept_configuration,
             on_view=self.accept_view,
         )
+        self._platform = HttpPlatformClient(
+            tables_url=settings.tables_url, objects_url=settings.objects_url
+        )
         self.pauses = PauseWatch(now=self.clock())
-        budget = RetryBudget()
+        self._budget = RetryBudget()
+        finder = SlotFinder(state=self.state, links=self.links, clock=self.clock)
+        self.calls = self._make_calls(finder)
+        self.services = self._make_services(finder)
+        self._server: HTTPServer | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _make_links(self) -> SlotLinks:
+        return SlotLinks(
+            entry=f"{self._settings.instance.name}/{uuid.uuid4().hex[:8]}",
+            find_keeper=self.state.find_keeper_address,
+            on_probe=lambda probe: self._chooser.record_probe(probe, now=self.clock()),
+            on_allotment=lambda message: self.limits.take_allotment(message),
+            clock=self.clock,
+        )
+
+    def _make_services(self, finder: SlotFinder) -> CallerServices:
         chats = ChatRouter(
             state=self.state,
             finder=finder,
             links=self.links,
             engines=EngineClient(),
-            budget=budget,
+            budget=self._budget,
             pauses=self.pauses,
-            random=random.Random(seed),
+            random=self._random,
             clock=self.clock,
-            metrics=metrics,
+            metrics=self._metrics,
         )
-        self.services = CallerServices(
+        return CallerServices(
             state=self.state,
             chats=chats,
-            metrics=metrics,
+            limits=self.limits,
+            metrics=self._metrics,
             clock=self.clock,
-            max_body_bytes=settings.max_body_bytes,
-            address_validity_s=settings.address_validity_s,
+            max_body_bytes=self._settings.max_body_bytes,
+            address_validity_s=self._settings.address_validity_s,
         )
+
+    def _make_calls(self, finder: SlotFinder) -> ServiceCalls:
         clock = SystemClock()
-        self._platform = HttpPlatformClient(
-            tables_url=settings.tables_url, objects_url=settings.objects_url
-        )
-        self.calls = ServiceCalls(
-            store=OperationStore(
-                client=GroupCommit(client=self._platform, clock=clock), clock=clock
-            ),
+        commits = GroupCommit(client=self._platform, clock=clock)
+        return ServiceCalls(
+            store=OperationStore(client=commits, clock=clock),
             slots=EntrySlotSource(state=self.state, finder=finder, links=self.links),
             sender=HttpEndpointSender(),
             gate=EntryGate(state=self.state),
             pauses=self.pauses,
-            retries=BudgetRetryPolicy(budget=budget, random=random.Random(seed)),
+            retries=BudgetRetryPolicy(budget=self._budget, random=self._random),
             clock=clock,
+            metrics=self._metrics,
         )
-        self._server: HTTPServer | None = None
-        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Listen and follow the dispatcher."""
@@ -141,7 +166,9 @@
         self.view_link.start()
         self._start(self._report_load())
         self._start(self._watch_pauses())
-        self._start(self.calls.delete_expired(retention_s=self._settings.operation_retention_s))
+        self._start(self.limits.run())
+        retention_s = self._settings.operation_retention_s
+        self._start(self.calls.delete_expired(retention_s=retention_s, is_mine=self._is_mine))
 
     def _make_operator_routes(self) -> list[tuple[str, type, dict[str, Any]]]:
         status = EntryStatus(state=self.state, links=self.links)
@@ -200,14 +227,32 @@
         if self.state.accept_configuration(configuration):
             get_logger().info("configuration %d in force", configuration.version)
             self.links.reroute()
+            if self._settings.instance.name in configuration.leaving_instances:
+                self.drained.set()
 
-    def accept_view(self, view: MembershipView) -> None:
+    def accept_view(self, view: MembershipView, isolated: bool) -> None:
         """Take a newer view and move asks whose keeper has changed."""
         self.state.accept_view(view)
+        self.state.isolated = isolated
+        self._limiter.configure(view)
         self.links.reroute()
 
     def _list_other_dispatchers(self) -> list[str]:
-        return [item.instance.peer_address for item in self.state.list_others()]
+        """Return the other members' peer addresses, then the seeds that aren't among them.
+
+        Failure: the own dispatcher dies before it has told of any other member, and the entry
+        knows nobody to ask for a view. The seeds are known from the start.
+        """
+        members = [item.instance.peer_address for item in self.state.list_others()]
+        own = self._settings.instance.peer_address
+        seeds = [item for item in self._settings.seeds if item != own and item not in members]
+        return [*members, *seeds]
+
+    def _is_mine(self, prefix: str) -> bool:
+        """Return whether this instance takes a part of the operations' table."""
+        members = self.state.view.list_serving()
+        ranked = rank(f"operations/{prefix}", [member.instance.name for member in members])
+        return not ranked or ranked[0] == self._settings.instance.name
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.ensure_future(work))
@@ -230,7 +275,7 @@
     await entry.start()
     get_logger().info("ready callers=%s", entry.address, extra={"instance": settings.instance.name})
     try:
-        await stop.wait()
+        await wait_for_first(stop, entry.drained)
         await entry.leave()
     finally:
         await entry.close()
--- a/src/guavamast/heartbeats.py
+++ b/src/guavamast/heartbeats.py
@@ -69,6 +69,7 @@
 
     __slots__ = (
         "_clock",
+        "_closing",
         "_contact_at",
         "_dialling",
         "_exchange",
@@ -113,6 +114,7 @@
         self._contact_at = 0.0
         self._ticked_at = clock()
         self._rounds = 0
+        self._closing = False
 
     async def run(self) -> None:
         """Send heartbeats once a period until cancelled."""
@@ -129,6 +131,7 @@
 
     async def close(self) -> None:
         """Tell the neighbours that this process ends, and end all streams."""
+        self._closing = True
         self._membership.end()
         for link in self._links:
             link.wake()
@@ -176,6 +179,7 @@
 
     def _update_links(self, now: float) -> None:
         neighbours = {m.instance.name: m for m in self._membership.list_neighbours()}
+        self._spread.set_neighbours(len(neighbours))
         self._close_useless(neighbours, now)
         linked = {link.state.peer for link in self._links}
         for name, member in neighbours.items():
@@ -224,7 +228,7 @@
             self._dial(self._random.choice(ready), "", now)
 
     def _dial(self, address: str, name: str, now: float) -> None:
-        if address in self._dialling or self._retry_at.get(address, now) > now:
+        if self._closing or address in self._dialling or self._retry_at.get(address, now) > now:
             return
         self._dialling.add(address)
         task = asyncio.ensure_future(self._run_dialled(address, name))
@@ -236,10 +240,18 @@
         channel = Channel(host, int(port))
         try:
             async with PeerStub(channel).Gossip.open() as stream:
-                await asyncio.wait_for(stream.send_request(), CONNECT_TIMEOUT_S)
+                # Failure: wait_for loses a cancellation that comes as the connection is made, and
+                # `close` waits for ever. The timeout's context doesn't.
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_request()
                 self._dialling.discard(address)
                 link = HeartbeatLink(stream=stream, address=address, now=self._clock())
-                await self._serve_link(link)
+                try:
+                    await self._serve_link(link)
+                finally:
+                    # Failure: leaving the context waits for the peer's trailers, which a stopped
+                    # peer never sends. It doesn't wait on a closed connection.
+                    channel.close()
         except _STREAM_ERRORS as error:
             if address in self._dialling:
                 self._note_failed_dial(address, name, error)
@@ -260,8 +272,12 @@
             self.tell_soon()
 
     async def _serve_link(self, link: HeartbeatLink) -> None:
+        if self._closing:
+            return
         self._links.add(link)
-        broken = False
+        # grpclib cancels the handler of an accepted stream whose connection is lost, so an end
+        # by an exception counts as broken too.
+        broken = True
         try:
             broken = await link.run(
                 make=lambda: self._exchange.make_message(link.state, now=self._clock()),
@@ -269,7 +285,7 @@
             )
         finally:
             self._links.discard(link)
-            self._note_ended(link, broken)
+            self._note_ended(link, broken and not self._closing)
 
     def _note_ended(self, link: HeartbeatLink, broken: bool) -> None:
         peer = link.state.peer
--- a/src/guavamast/keeper_host.py
+++ b/src/guavamast/keeper_host.py
@@ -8,6 +8,7 @@
 
 from guavamast._slot_wire import decode_ask, decode_release, encode_event, encode_probe
 from guavamast.errors import ErrorCode
+from guavamast.estimates import LengthEstimates
 from guavamast.keepers import EndpointKeeper
 from guavamast.slots import Granted, Refused, Release
 from guavamast.world import EndpointKind, EndpointState
@@ -25,6 +26,8 @@
 PROBE_INTERVAL_S: Final = 0.5
 """Entries with asks in flight hear of the endpoint this often; see ``ANSWER_TIMEOUT_S``."""
 UNKNOWN_ENDPOINT_RETRY_S: Final = 1.0
+SHORTEST_TICK_S: Final = 0.001
+"""Least time between two ticks, so that a keeper whose time has come can't keep the loop busy."""
 IDLE_LIFETIME_S: Final = 60.0
 
 
@@ -54,9 +57,15 @@
         self._clock = clock
         self._metrics = metrics
         self._configuration: Configuration | None = None
+        self.configured = asyncio.Event()
+        """Set once there is a configuration to know endpoints from."""
+        self._lengths = LengthEstimates()
+        """Output lengths as all keepers of this process have seen them."""
         self._keepers: dict[str, EndpointKeeper] = {}
         self._endpoints: dict[str, Endpoint] = {}
         """Each kept endpoint as last configured."""
+        self._held: set[str] = set()
+        """Endpoints that get no new work because of their orders."""
         self._used_at: dict[str, float] = {}
         self._streams: dict[str, EntryStream] = {}
         self._waiting: dict[str, set[str]] = {}
@@ -67,14 +76,36 @@
     def configure(self, configuration: Configuration) -> None:
         """Take a newer configuration; endpoints that it lacks stop granting."""
         self._configuration = configuration
+        self.configured.set()
         now = self._clock()
         for name, keeper in list(self._keepers.items()):
             last = replace(self._endpoints[name], state=EndpointState.LEAVING)
-            endpoint = configuration.endpoints.get(name, last)
+            endpoint = self._apply_hold(configuration.endpoints.get(name, last))
             self._endpoints[name] = endpoint
             events = keeper.configure(endpoint=endpoint, configuration=configuration, now=now)
             self._deliver(events, now)
-        self._schedule()
+        self.schedule()
+
+    def hold(self, name: str, *, out: bool) -> None:
+        """Let an endpoint take no new work while it loads, or go on; the same again does nothing.
+
+        A hold outlasts new configurations and the keeper's own lifetime.
+        """
+        if out == (name in self._held):
+            return
+        self._held ^= {name}
+        if self._configuration is not None and name in self._keepers:
+            self.configure(self._configuration)
+
+    def count_running(self, name: str) -> int:
+        """Return the requests that hold a slot of an endpoint, as its keeper here knows them."""
+        keeper = self._keepers.get(name)
+        return 0 if keeper is None else keeper.make_probe(now=self._clock()).in_flight
+
+    def _apply_hold(self, endpoint: Endpoint) -> Endpoint:
+        if endpoint.name not in self._held:
+            return endpoint
+        return replace(endpoint, state=EndpointState.LEAVING)
 
     def connect(self, entry: str) -> EntryStream:
         """Open an entry's stream; one before it of the same entry is forgotten."""
@@ -90,10 +121,10 @@
         now = self._clock()
         for keeper in list(self._keepers.values()):
             self._deliver(keeper.drop_entry(stream.entry, now=now), now)
-        self._schedule()
+        self.schedule()
 
     def take(self, message: peer_pb2.EntryMessage, *, entry: str) -> None:
-        """Handle one message of an entry."""
+        """Handle one message of an entry; `schedule` is due after the last of a batch."""
         now = self._clock()
         kind = message.WhichOneof("body")
         if kind == "ask":
@@ -110,7 +141,6 @@
             keeper = self._keepers.get(message.progress.endpoint)
             if keeper is not None:
                 keeper.record_progress(message.progress.ask_id, message.progress.tokens, now=now)
-        self._schedule()
 
     def record_load(self, report: LoadReport) -> None:
         """Take an endpoint's load report."""
@@ -118,7 +148,7 @@
         if keeper is not None:
             now = self._clock()
             self._deliver(keeper.record_load(report, now=now), now)
-            self._schedule()
+            self.schedule()
 
     def list_kept(self) -> list[str]:
         """Return the endpoints that were asked for lately."""
@@ -170,6 +200,7 @@
         if endpoint is None:
             del self._used_at[name]
             return None
+        endpoint = self._apply_hold(endpoint)
         # A service tells no load, so caution would only hold its first calls back.
         caution_s = CAUTION_S if endpoint.kind is EndpointKind.ENGINE else 0.0
         keeper = EndpointKeeper(
@@ -177,6 +208,7 @@
             configuration=self._configuration,
             now=now,
             cautious_until=now + caution_s,
+            lengths=self._lengths,
         )
         self.on_new_keeper(name)
         self._keepers[name] = keeper
@@ -206,14 +238,15 @@
         stream.outbox.put_nowait(message)
         return True
 
-    def _schedule(self) -> None:
+    def schedule(self) -> None:
+        """Set the timer to the next thing that a keeper has to do."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         wakeups = [keeper.next_wakeup() for keeper in self._keepers.values()]
         times = [at for at in wakeups if at is not None]
         if times:
-            delay = max(0.0, min(times) - self._clock())
+            delay = max(SHORTEST_TICK_S, min(times) - self._clock())
             self._timer = asyncio.get_running_loop().call_later(delay, self._tick)
 
     def _tick(self) -> None:
@@ -221,4 +254,4 @@
         now = self._clock()
         for keeper in list(self._keepers.values()):
             self._deliver(keeper.tick(now=now), now)
-        self._schedule()
+        self.schedule()
--- a/src/guavamast/membership.py
+++ b/src/guavamast/membership.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
-from guavamast.member_records import ChangeLog, MemberRecord, join
+from guavamast.member_records import ChangeLog, MemberNews, MemberRecord, join
 from guavamast.members import Member, MembershipView, MemberState
 from guavamast.overlay import Overlay
 from guavamast.rendezvous import compute_weight
@@ -38,6 +38,8 @@
     """Silence after which a neighbour is suspected."""
     gone_after_s: float = 3.0
     """Time that a suspected instance has to refute."""
+    lost_gone_after_s: float = 1.0
+    """The same for one whose address refuses connections: no process is there to refute."""
     forget_after_s: float = 7200.0
     """Time after which a gone instance is forgotten; longer than regions lose each other for."""
     load_period_s: float = 5.0
@@ -180,7 +182,7 @@
             return
         if record.member.state == MemberState.LIVE:
             self._set_state(record, MemberState.SUSPECT, now)
-        record.heard_at = min(record.heard_at, now - self._timing.suspect_after_s)
+        record.lost = True
 
     def set_configuration_version(self, version: int) -> None:
         """Set the version of the configuration that is in force here."""
@@ -238,13 +240,17 @@
         unknown = [address for address in (*self._seeds, *self._listed) if address not in known]
         return tuple(dict.fromkeys([*unknown, *gone]))
 
-    def list_news(self, *, after: int) -> list[Member]:
+    def list_news(self, *, after: int) -> list[MemberNews]:
         """Return the records whose incarnation or state changed, oldest change first.
 
         Args:
             after: The value of `sequence` up to which the receiver has been told.
         """
-        return [self._records[name].member for _, name in self._news.list_after(after)]
+        changed = [self._records[name] for _, name in self._news.list_after(after)]
+        return [
+            MemberNews(member=record.member, new_incarnation=record.started > after)
+            for record in changed
+        ]
 
     def list_details(self, *, after: int) -> list[tuple[int, Member]]:
         """Return the records whose load or configuration version changed, oldest change first.
@@ -294,6 +300,7 @@
         record.member = joined = join(known, heard)
         if (joined.incarnation, joined.heartbeat) > (known.incarnation, known.heartbeat):
             record.heard_at = now
+            record.lost = False
         if (joined.incarnation, joined.state) != (known.incarnation, known.state):
             if record.inherited and joined.state == MemberState.GONE:
                 return
@@ -308,7 +315,8 @@
         self._records[heard.instance.name] = record
         self._watch(record)
         if not gone:
-            self._news.note(heard.instance.name, self._count_news())
+            record.started = self._count_news()
+            self._news.note(heard.instance.name, record.started)
             self._overlay_stale = True
 
     def _watch(self, record: MemberRecord) -> None:
@@ -333,7 +341,10 @@
         record.changed_at = now
         record.inherited = False
         self._watch(record)
-        self._news.note(known.instance.name, self._count_news())
+        number = self._count_news()
+        self._news.note(known.instance.name, number)
+        if record.member.incarnation != known.incarnation:
+            record.started = number
         self._overlay_stale = True
 
     def _set_state(self, record: MemberRecord, state: MemberState, now: float) -> None:
@@ -357,9 +368,9 @@
         if gap <= self._timing.period_s:
             return
         for record in self._records.values():
-            record.heard_at += gap
+            record.heard_at = min(record.heard_at + gap, now)
             if record.member.state == MemberState.SUSPECT:
-                record.changed_at += gap
+                record.changed_at = min(record.changed_at + gap, now)
 
     def _publish(self, now: float) -> None:
         load = self._me.load
@@ -405,10 +416,11 @@
             record.patience = max(1.0, record.patience * PATIENCE_DECAY)
         allowed = timing.suspect_after_s * record.patience
         if state == MemberState.SUSPECT:
-            if min(silence, now - record.changed_at) > timing.gone_after_s:
+            rest = timing.lost_gone_after_s if record.lost else timing.gone_after_s
+            if min(silence, now - record.changed_at) > rest:
                 self._set_state(record, MemberState.GONE, now)
         elif name in self._neighbours and silence > allowed:
             if state == MemberState.LIVE:
                 self._set_state(record, MemberState.SUSPECT, now)
-            elif silence > allowed + timing.gone_after_s:
+            elif record.lost or silence > allowed + timing.gone_after_s:
                 self._set_state(record, MemberState.GONE, now)
--- a/src/guavamast/queues.py
+++ b/src/guavamast/queues.py
@@ -6,153 +6,46 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
-from collections import OrderedDict
 from dataclasses import dataclass
-from math import ceil
 from typing import TYPE_CHECKING, Final
 
-from guavamast._round_robin import RoundRobin, Waiting
+from guavamast._round_robin import Waiting
+from guavamast.class_queues import DEFAULT_QUEUE_LIMIT, ClassQueue
 from guavamast.errors import ErrorCode
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from guavamast.slots import Ask
-    from guavamast.world import Configuration, ServiceClass
+    from guavamast.world import Configuration
 
-DEFAULT_QUEUE_LIMIT: Final = 100
-"""Waiting asks of a class that the configuration does not name."""
 DEBT_DUE: Final = 1.0
 """Starts owed to a class from which it is paid if no higher tier misses a target by it."""
 DEBT_PRESSING: Final = 1.5
 """Starts owed from which only higher tiers' deadlines, not their targets, put payment off."""
 DEBT_CEILING: Final = 2.0
 """Starts owed at which it is paid in any case; a class is never owed more."""
+WORK_CEILING: Final = 16.0
+"""Starts that one start by share may cost; bounds the wait of a class of long requests."""
+MEAN_WEIGHT: Final = 0.05
+"""Weight of a new start in the mean work of a start."""
 TARGETS_CHECKED: Final = 8
 """Asks of a class whose first-token targets are weighed before a share is paid."""
 
 
-class SortedTimes:
-    """Points in time, sorted; a change moves at most a few 10 kB at 10,000 entries."""
-
-    __slots__ = ("_times",)
-
-    def __init__(self) -> None:
-        self._times: list[tuple[float, int]] = []
-
-    def __len__(self) -> int:
-        return len(self._times)
-
-    def add(self, time: float, sequence: int) -> None:
-        """Insert a time; the sequence number tells equal times apart."""
-        insort(self._times, (time, sequence))
-
-    def remove(self, time: float, sequence: int) -> None:
-        """Remove a time that is present."""
-        del self._times[bisect_left(self._times, (time, sequence))]
-
-    def count_before(self, time: float) -> int:
-        """Return how many times lie before one."""
-        return bisect_left(self._times, (time, -1))
-
-    def get(self, index: int) -> float:
-        """Return a time by its rank."""
-        return self._times[index][0]
-
-    def find_first(self) -> int:
-        """Return the sequence number of the earliest time."""
-        return self._times[0][1]
-
-
-class ClassQueue:
-    """The waiting asks of one class."""
-
-    __slots__ = (
-        "by_arrival",
-        "debt",
-        "last_start",
-        "latest_starts",
-        "limit",
-        "name",
-        "reserved",
-        "robin",
-        "share",
-        "target_starts",
-        "tier",
-    )
-
-    def __init__(self, *, name: str, tier: int, last_start: int) -> None:
-        self.name = name
-        self.tier = tier
-        self.share = 0.0
-        self.limit = DEFAULT_QUEUE_LIMIT
-        self.reserved = 0
-        """Places that other classes can't fill; they come on top of the whole queue's limit."""
-        self.debt = 0.0
-        """Starts that the class is owed, 0 to `DEBT_CEILING`."""
-        self.last_start = last_start
-        self.robin = RoundRobin()
-        self.by_arrival: OrderedDict[int, Waiting] = OrderedDict()
-        self.latest_starts = SortedTimes()
-        self.target_starts = SortedTimes()
-
-    def __len__(self) -> int:
-        return len(self.by_arrival)
-
-    def configure(self, service_class: ServiceClass) -> None:
-        """Take on the class as configured."""
-        self.tier = service_class.tier
-        self.share = min(1.0, max(0.0, service_class.guaranteed_share))
-        self.limit = service_class.queue_limit
-        self.reserved = min(self.limit, ceil(self.share * self.limit))
-
-    def count_unreserved(self) -> int:
-        """Return how many asks count against the whole queue's limit."""
-        return max(0, len(self.by_arrival) - self.reserved)
-
-    def add(self, waiting: Waiting) -> None:
-        """Append an ask."""
-        self.robin.add(waiting)
-        self.by_arrival[waiting.sequence] = waiting
-        self.latest_starts.add(waiting.latest_start, waiting.sequence)
-        self.target_starts.add(waiting.target_start, waiting.sequence)
-
-    def remove(self, ask: Ask) -> Waiting:
-        """Take an ask out without starting it."""
-        waiting = self.robin.remove(ask)
-        self._forget(waiting)
-        return waiting
-
-    def take(self) -> Waiting:
-        """Take the ask whose organisation is next."""
-        waiting = self.robin.take()
-        self._forget(waiting)
-        return waiting
-
-    def find_newest(self) -> Waiting:
-        """Return the last to arrive."""
-        return next(reversed(self.by_arrival.values()))
-
-    def count_ahead(self, ask: Ask) -> int:
-        """Return how many of the class start before a new ask of that organisation."""
-        turns = (self.robin.count(ask.organisation) + 1) * self.robin.count_organisations()
-        return min(len(self.by_arrival), turns)
-
-    def _forget(self, waiting: Waiting) -> None:
-        del self.by_arrival[waiting.sequence]
-        self.latest_starts.remove(waiting.latest_start, waiting.sequence)
-        self.target_starts.remove(waiting.target_start, waiting.sequence)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Start:
     """An ask that leaves the queue for a slot."""
 
     waiting: Waiting
     tier: int
-    by_share: bool
-    """A higher tier waits meanwhile; the start was owed to the class."""
+    paid: float = 0.0
+    """What it cost the class of its share; above 0 only when a higher tier waited meanwhile."""
+
+    @property
+    def by_share(self) -> bool:
+        """Whether the start was owed to the class while a higher tier waited."""
+        return self.paid > 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -170,11 +63,12 @@
         configuration: The configuration in force.
     """
 
-    __slots__ = ("_class_of", "_classes", "_sequence", "_total_limit")
+    __slots__ = ("_class_of", "_classes", "_mean_cost", "_sequence", "_total_limit")
 
     def __init__(self, *, configuration: Configuration) -> None:
         self._classes: dict[str, ClassQueue] = {}
         self._class_of: dict[str, tuple[ClassQueue, Waiting]] = {}
+        self._mean_cost: float | None = None
         self._sequence = 0
         self._total_limit = DEFAULT_QUEUE_LIMIT
         self.configure(configuration)
@@ -205,16 +99,18 @@
     def find_overflow(self, ask: Ask) -> Overflow | None:
         """Return what has to be given up for an ask to wait; None when there is room.
 
-        A full class refuses its own newcomer. When the whole queue is full, the newest ask of the
-        lowest tier goes; that is the newcomer unless a lower tier than its own waits. A class's
-        reserved places are left alone and not counted: a burst of a higher tier could else keep a
-        class out of the queue, where no share of starts reaches it, and the higher tier loses
-        nothing by places that are not part of its limit.
+        A full class gives up the newest ask of the organisation that has the most waiting, be it
+        the newcomer: one organisation's flood could else keep all others of its class out. When
+        the whole queue is full, the newest ask of the lowest tier goes; that is the newcomer
+        unless a lower tier than its own waits. A class's reserved places are left alone and not
+        counted: a burst of a higher tier could else keep a class out of the queue, where no share
+        of starts reaches it, and the higher tier loses nothing by places that are not part of its
+        limit.
         """
         queue = self._classes.get(self._find_name(ask))
         held = len(queue) if queue is not None else 0
         if held >= (queue.limit if queue is not None else DEFAULT_QUEUE_LIMIT):
-            return Overflow(ask=ask, code=ErrorCode.QUEUE_FULL)
+            return _find_overflow_of_class(queue, ask)
         if queue is not None and held < queue.reserved:
             return None
         filled = [other for other in self._list_waiting() if other.count_unreserved()]
@@ -265,6 +161,21 @@
                 late.append(waiting)
         return late
 
+    def turn_late(self, now: float) -> list[Waiting]:
+        """Put asks that have missed their target behind the others; return them."""
+        return [waiting for queue in self._list_waiting() for waiting in queue.turn_late(now)]
+
+    def find_first_target(self) -> float | None:
+        """Return the time at which the next ask misses its target."""
+        waiting = self._list_waiting()
+        times = [queue.target_starts.get(0) for queue in waiting if len(queue.target_starts)]
+        return min(times, default=None)
+
+    def count_class(self, ask: Ask) -> int:
+        """Return how many asks of an ask's class wait, late ones too."""
+        queue = self._classes.get(self._find_name(ask))
+        return len(queue) if queue is not None else 0
+
     def list_asks(self) -> list[Ask]:
         """Return all asks that wait."""
         return [waiting.ask for _, waiting in self._class_of.values()]
@@ -285,20 +196,21 @@
     def iterate_targets(self, limit: int) -> Iterator[tuple[int, float]]:
         """Yield tier and target start of the asks most in need of a slot, highest tier first."""
         for queue in sorted(self._list_waiting(), key=lambda queue: queue.tier):
-            for index in range(min(limit, len(queue))):
+            for _ in range(min(limit, len(queue.late))):
+                yield queue.tier, float("-inf")
+            for index in range(min(limit, len(queue.target_starts))):
                 yield queue.tier, queue.target_starts.get(index)
 
     def count_ahead(self, ask: Ask) -> int:
-        """Return how many asks start before a new one, shares left aside."""
+        """Return how many asks of its class start before a new one."""
+        queue = self._classes.get(self._find_name(ask))
+        return queue.count_ahead(ask) if queue is not None else 0
+
+    def count_others(self, ask: Ask) -> int:
+        """Return how many asks of other classes, of its tier or higher, wait."""
         tier = self.find_tier(ask)
         name = self._find_name(ask)
-        ahead = 0
-        for queue in self._list_waiting():
-            if queue.name == name:
-                ahead += queue.count_ahead(ask)
-            elif queue.tier <= tier:
-                ahead += len(queue)
-        return ahead
+        return sum(len(q) for q in self._list_waiting() if q.tier <= tier and q.name != name)
 
     def find_share(self, class_name: str) -> float:
         """Return the guaranteed share of a class."""
@@ -309,11 +221,12 @@
         """Return the share of starts that waiting classes below a tier are guaranteed."""
         return sum(queue.share for queue in self._list_waiting() if queue.tier > tier)
 
-    def take(self, *, rate: float, now: float, strict: bool = False) -> Start | None:
+    def take(self, *, rate: float, slots: int, now: float, strict: bool = False) -> Start | None:
         """Take the ask that starts next.
 
         Args:
             rate: Releases a second that can be expected.
+            slots: Slots of the endpoint.
             now: Present time in seconds.
             strict: Leave shares aside: the slot was taken from a running request for the sake of
                 the highest tier that waits.
@@ -321,27 +234,29 @@
         head = self._find_head()
         if head is None:
             return None
-        owed = None if strict else self._find_owed(head, rate, now)
+        owed = None if strict else self._find_owed(head, slots, rate, now)
         queue = owed or head
         waiting = queue.take()
         del self._class_of[waiting.ask.ask_id]
-        self._count_start(queue)
-        return Start(waiting=waiting, tier=queue.tier, by_share=owed is not None)
+        paid = self._measure_work(waiting) if owed is not None else 0.0
+        self._count_start(queue, waiting, paid)
+        return Start(waiting=waiting, tier=queue.tier, paid=paid)
 
-    def give_back(self, start: Start) -> None:
-        """Undo the charge of a start whose slot was returned unused."""
+    def finish(self, start: Start, *, cost: float) -> None:
+        """Settle a start whose slot has come free.
+
+        Args:
+            start: The start.
+            cost: Its true work in tokens; 0 when the slot was returned unused.
+        """
         queue = self._classes.get(self._find_name(start.waiting.ask))
         if queue is None:
             return
-        queue.robin.charge(start.waiting.ask.organisation, -start.waiting.cost)
+        queue.robin.charge(start.waiting.ask.organisation, cost - start.waiting.cost)
         if start.by_share:
-            queue.debt = min(DEBT_CEILING, queue.debt + 1.0)
-
-    def correct(self, start: Start, cost: float) -> None:
-        """Charge the true cost of a start in place of the estimated one."""
-        queue = self._classes.get(self._find_name(start.waiting.ask))
-        if queue is not None:
-            queue.robin.charge(start.waiting.ask.organisation, cost - start.waiting.cost)
+            queue.shares_running = max(0, queue.shares_running - 1)
+            if not cost:
+                queue.debt = min(DEBT_CEILING, queue.debt + start.paid)
 
     def list_classes(self) -> list[ClassQueue]:
         """Return all classes, also those with no waiting work."""
@@ -354,11 +269,15 @@
         order = self._list_waiting()
         return min(order, key=lambda queue: (queue.tier, queue.last_start), default=None)
 
-    def _find_owed(self, head: ClassQueue, rate: float, now: float) -> ClassQueue | None:
+    def _find_owed(
+        self, head: ClassQueue, slots: int, rate: float, now: float
+    ) -> ClassQueue | None:
         owed = [
             queue
             for queue in self._list_waiting()
-            if queue.debt >= DEBT_DUE and queue.tier > head.tier
+            if queue.debt >= DEBT_DUE
+            and queue.tier > head.tier
+            and queue.shares_running < max(1.0, queue.share * slots)
         ]
         for queue in sorted(owed, key=lambda queue: (-queue.debt, queue.tier)):
             if self._can_pay(queue, rate, now):
@@ -389,10 +308,25 @@
             rank = following
         return True
 
-    def _count_start(self, started: ClassQueue) -> None:
+    def _measure_work(self, waiting: Waiting) -> float:
+        """Return the work of an ask in usual starts.
+
+        Failure: a class of long runs gets a start for each twenty short ones, and its runs, which
+        no higher tier may pause, end up with most of the slots. Paying a long run as several
+        starts keeps the class near its share of the slots' time, too.
+        """
+        return min(WORK_CEILING, max(1.0, waiting.cost / (self._mean_cost or waiting.cost)))
+
+    def _count_start(self, started: ClassQueue, waiting: Waiting, paid: float) -> None:
         self._sequence += 1
         started.last_start = self._sequence
-        started.debt = max(0.0, started.debt - 1.0)
+        mean = self._mean_cost if self._mean_cost is not None else waiting.cost
+        self._mean_cost = mean + MEAN_WEIGHT * (waiting.cost - mean)
+        if paid:
+            started.debt -= paid
+            started.shares_running += 1
+        else:
+            started.debt = min(started.debt, max(0.0, started.debt - 1.0))
         for queue in self._list_waiting():
             if queue is not started:
                 queue.debt = min(DEBT_CEILING, queue.debt + queue.share)
@@ -415,9 +349,16 @@
 def _costs_target(queue: ClassQueue, rate: float, now: float) -> bool:
     """Return whether one more start makes an ask of a class miss its first-token target."""
     first = queue.target_starts.count_before(now)
-    last = min(first + TARGETS_CHECKED, len(queue))
+    last = min(first + TARGETS_CHECKED, len(queue.target_starts))
     for place, index in enumerate(range(first, last)):
         target = queue.target_starts.get(index)
         if now + place / rate <= target < now + (place + 1) / rate:
             return True
     return False
+
+
+def _find_overflow_of_class(queue: ClassQueue | None, ask: Ask) -> Overflow:
+    # The difference of two keeps two organisations from pushing each other's asks out in turn.
+    if queue is None or queue.robin.count_all(ask.organisation) + 2 > queue.robin.count_longest():
+        return Overflow(ask=ask, code=ErrorCode.QUEUE_FULL)
+    return Overflow(ask=queue.robin.find_newest_of_longest().ask, code=ErrorCode.SHED)
--- a/src/guavamast/slot_links.py
+++ b/src/guavamast/slot_links.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 from typing import TYPE_CHECKING, Final
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from guavamast import peer_pb2
 from guavamast._slot_wire import (
@@ -23,12 +22,12 @@
 )
 from guavamast.log import get_logger
 from guavamast.peer_grpc import PeerStub
-from guavamast.slots import Granted, Paused, Refused, Release
+from guavamast.slot_holds import AskRefused, HoldState, SlotHold
+from guavamast.slots import Granted, Paused, Queued, Refused, Release
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.errors import ErrorCode
     from guavamast.slots import Ask, Probe
 
 ANSWER_TIMEOUT_S: Final = 1.0
@@ -38,55 +37,7 @@
 RECONNECT_MAX_S: Final = 2.0
 NO_KEEPER_RETRY_S: Final = 0.1
 
-LinkErrors = (OSError, GRPCError, StreamTerminatedError, asyncio.TimeoutError)
-
-
-class AskRefused(Exception):
-    """The keeper ended an ask without a slot."""
-
-    def __init__(self, *, code: ErrorCode, retry_after_s: float) -> None:
-        super().__init__(code)
-        self.code = code
-        self.retry_after_s = retry_after_s
-
-
-class HoldState(Enum):
-    """How an ask stands."""
-
-    WAITING = 1
-    HELD = 2
-    ENDED = 3
-
-
-class SlotHold:
-    """One ask, from its asking to its release."""
-
-    __slots__ = (
-        "addresses",
-        "ask",
-        "granted",
-        "held_since",
-        "on_paused",
-        "state",
-        "tokens",
-    )
-
-    def __init__(self, *, ask: Ask) -> None:
-        self.ask = ask
-        self.state = HoldState.WAITING
-        self.addresses: list[str] = []
-        """Keepers that were told of it, the present one last."""
-        self.granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.held_since = 0.0
-        self.tokens = 0
-        """Tokens received so far, told to a new keeper."""
-        self.on_paused: Callable[[str], None] | None = None
-        """Called when the keeper wants the slot back."""
-
-    @property
-    def address(self) -> str:
-        """The keeper that decides on it now; empty while there is none."""
-        return self.addresses[-1] if self.addresses else ""
+LinkErrors = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
 
 
 class SlotLinks:
@@ -97,6 +48,7 @@
         find_keeper: Gives the peer address of an endpoint's keeper, leaving out addresses that
             can't be reached from here; None when there is none.
         on_probe: Takes each probe that a keeper sends along.
+        on_allotment: Takes each share of an organisation's limits.
         clock: Monotonic time.
     """
 
@@ -106,20 +58,25 @@
         entry: str,
         find_keeper: Callable[[str, frozenset[str]], str | None],
         on_probe: Callable[[Probe], None],
+        on_allotment: Callable[[peer_pb2.AllotmentMessage], None] = lambda _: None,
         clock: Callable[[], float],
     ) -> None:
         self.entry = entry
         self.clock = clock
         self.on_probe = on_probe
+        self.on_allotment = on_allotment
         self._find_keeper = find_keeper
         self._links: dict[str, SlotLink] = {}
         self._holds: dict[str, SlotHold] = {}
 
-    async def acquire(self, ask: Ask) -> SlotHold:
+    async def acquire(
+        self, ask: Ask, *, on_queued: Callable[[Queued], None] | None = None
+    ) -> SlotHold:
         """Ask for a slot and wait for it.
 
         Args:
             ask: The wish; its deadline bounds the wait.
+            on_queued: Called when the keeper lets the ask wait.
 
         Returns:
             The held slot, to be given to `release` exactly once.
@@ -129,6 +86,7 @@
             TimeoutError: The deadline passed first.
         """
         hold = SlotHold(ask=ask)
+        hold.on_queued = on_queued
         self._holds[ask.ask_id] = hold
         try:
             self._route(hold)
@@ -146,7 +104,7 @@
         hold.state = HoldState.ENDED
         self._holds.pop(hold.ask.ask_id, None)
         for address in hold.addresses:
-            self._send(address, encode_release(release))
+            self.send(address, encode_release(release))
 
     def reroute(self) -> None:
         """Move each ask whose keeper has changed; call after a change of view or link."""
@@ -192,6 +150,9 @@
         if kind == "probe":
             self.on_probe(decode_probe(message.probe))
             return
+        if kind == "allotment":
+            self.on_allotment(message.allotment)
+            return
         if kind is None:
             return
         body = getattr(message, kind)
@@ -213,6 +174,8 @@
             if not hold.granted.done():
                 refused = AskRefused(code=event.code, retry_after_s=event.retry_after_s)
                 hold.granted.set_exception(refused)
+        elif isinstance(event, Queued) and hold.on_queued is not None:
+            hold.on_queued(event)
         elif isinstance(event, Paused) and hold.on_paused is not None:
             hold.on_paused(event.reason)
 
@@ -221,7 +184,7 @@
         # there until it expires. Giving it back unused is enough: nothing was sent under it.
         if kind == "grant":
             release = Release(ask_id=body.ask_id, endpoint=body.endpoint, used=False)
-            self._send(address, encode_release(release))
+            self.send(address, encode_release(release))
 
     def _route(self, hold: SlotHold) -> None:
         address = self._find_keeper(hold.ask.endpoint, self.list_unreachable())
@@ -244,12 +207,12 @@
         now = self.clock()
         ask = encode_ask(hold.ask, now=now)
         if hold.state is HoldState.WAITING:
-            self._send(hold.address, peer_pb2.EntryMessage(ask=ask))
+            self.send(hold.address, peer_pb2.EntryMessage(ask=ask))
         elif hold.state is HoldState.HELD:
             present = peer_pb2.PresentMessage(
                 ask=ask, held_s=now - hold.held_since, tokens=hold.tokens
             )
-            self._send(hold.address, peer_pb2.EntryMessage(present=present))
+            self.send(hold.address, peer_pb2.EntryMessage(present=present))
 
     def tell_all(self, address: str) -> None:
         """Tell a keeper again of all asks that are its own; call when its link stands anew."""
@@ -271,9 +234,10 @@
 
     def _send_withdraw(self, hold: SlotHold, address: str) -> None:
         withdraw = peer_pb2.WithdrawMessage(ask_id=hold.ask.ask_id, endpoint=hold.ask.endpoint)
-        self._send(address, peer_pb2.EntryMessage(withdraw=withdraw))
+        self.send(address, peer_pb2.EntryMessage(withdraw=withdraw))
 
-    def _send(self, address: str, message: peer_pb2.EntryMessage) -> None:
+    def send(self, address: str, message: peer_pb2.EntryMessage) -> None:
+        """Send a message to a dispatcher; lost when its stream is."""
         link = self._links.get(address)
         if link is None:
             link = self._links[address] = SlotLink(address=address, links=self)
@@ -310,6 +274,10 @@
                 await self._serve()
             except LinkErrors as error:
                 get_logger().info("slot stream to %s lost: %r", self._address, error)
+            except Exception:
+                # Failure: the library raises an error of another kind, this task ends, and every
+                # ask of the address waits to its deadline. Any end of a stream is a lost stream.
+                get_logger().exception("slot stream to %s failed", self._address)
             if self.reachable:
                 pause = RECONNECT_S
                 self.reachable = False
@@ -329,7 +297,10 @@
                     await stream.recv_message()
                 self._note_heard()
                 if not self.reachable:
+                    # Failure: the only keeper restarts, its asks still point at its address, and
+                    # nobody tells the new process of them. It hears all of its own again here.
                     self.reachable = True
+                    self._links.tell_all(self._address)
                     self._links.reroute()
                 await self._exchange(stream)
         finally:
--- a/tests/test_slot_links.py
+++ b/tests/test_slot_links.py
@@ -14,7 +14,8 @@
 from guavamast.metrics import NoMetrics
 from guavamast.peer_grpc import PeerBase
 from guavamast.peer_service import PeerService
-from guavamast.slot_links import AskRefused, HoldState, SlotLinks
+from guavamast.slot_holds import AskRefused, HoldState
+from guavamast.slot_links import SlotLinks
 from guavamast.slots import Ask, Release
 from guavamast.view_feed import ViewFeed
 from guavamast.world import Configuration, Endpoint, EndpointKind, ServiceClass
@@ -41,20 +42,22 @@
 class Keeper:
     """A dispatcher's slot service alone."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, configured: bool = True) -> None:
         self.host = KeeperHost(clock=time.monotonic, metrics=NoMetrics())
-        self.host.configure(CONFIGURATION)
+        if configured:
+            self.host.configure(CONFIGURATION)
         service = PeerService(
             host=self.host,
             feed=ViewFeed(instance="k"),
+            answer_allotment=lambda *_: None,
             take_announcement=lambda _: 1,
             serve_gossip=lambda _: None,
         )
         self._server = Server([service])
         self.address = ""
 
-    async def start(self) -> None:
-        await self._server.start("127.0.0.1", 0)
+    async def start(self, port: int = 0) -> None:
+        await self._server.start("127.0.0.1", port)
         port = self._server._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
@@ -149,6 +152,21 @@
         self.links.release(held, Release(ask_id="ask-1", endpoint="e", used=True))
         self.assertEqual((await queued).address, self.second.address)
 
+    async def test_only_keeper_that_comes_back_is_asked_again(self) -> None:
+        # The caller waits a moment longer. The only keeper there is dies with an ask in its queue
+        # and starts again at its address, knowing nothing; the entry tells it all of its asks.
+        self.order = [self.first.address]
+        held = await self.links.acquire(make_ask(1))
+        queued = asyncio.ensure_future(self.links.acquire(make_ask(2)))
+        await wait_until(lambda: self.first.count_in_flight() == 1)
+        await self.first.stop()
+        again = Keeper()
+        await again.start(int(self.first.address.rpartition(":")[2]))
+        self.addAsyncCleanup(again.stop)
+        await wait_until(lambda: again.count_in_flight() == 1)
+        self.links.release(held, Release(ask_id="ask-1", endpoint="e", used=True))
+        self.assertIs((await asyncio.wait_for(queued, 15)).state, HoldState.HELD)
+
     async def test_change_of_view_moves_asks(self) -> None:
         # Nobody dies, but the view names another keeper. The waiting ask is withdrawn at the old
         # one and granted at the new one; the held slot is presented there.
@@ -173,6 +191,16 @@
         held = await self.links.acquire(make_ask(1))
         self.assertEqual(held.address, self.first.address)
 
+    async def test_keeper_without_configuration_is_passed_over(self) -> None:
+        # The caller is served by the next keeper. A dispatcher that has just started knows no
+        # endpoint yet; it answers no hello, so the entry doesn't take its word for a refusal.
+        fresh = Keeper(configured=False)
+        await fresh.start()
+        self.addAsyncCleanup(fresh.stop)
+        self.order.insert(0, fresh.address)
+        held = await self.links.acquire(make_ask(1))
+        self.assertEqual(held.address, self.first.address)
+
     async def test_withdrawn_ask_leaves_no_slot(self) -> None:
         held = await self.links.acquire(make_ask(1))
         queued = asyncio.ensure_future(self.links.acquire(make_ask(2)))
