Answer a request that is coming in when the process ends as not run

Tornado answers a handler that asyncio cancels with send_error(500) and no exception: at the loop's end, a request whose head had come and whose body had not. Ruled out: an exception in a handler (each is logged), a request in flight at the leave (they are counted and waited for), the engines (the request never reached the path of a chat). Change: a cancelled handler whose work has not begun is refused as leaving, not run. Seen failing: test_request_without_its_body_is_refused_as_not_run: ('internal', 'outcome_unknown'). Measured: tests.test_chats EndOfProcessTest and ChatTest 7 passed.

--- a/src/guavamast/callers.py
+++ b/src/guavamast/callers.py
@@ -146,7 +146,14 @@
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer with a coded error."""
         error = kwargs.get("exc_info", (None, None, None))[1]
-        refusal = error if isinstance(error, Refusal) else _translate_error(error, status_code)
+        if isinstance(error, Refusal):
+            refusal = error
+        elif error is None and self._work is None:
+            # Failure: the loop ends while a request's body is still coming; tornado answers for
+            # the cancelled handler, and the caller can't tell that nothing has run.
+            refusal = _refuse_leaving("this instance has left")
+        else:
+            refusal = _translate_error(error, status_code)
         self.services.metrics.count(f"errors.{refusal.code}")
         self.set_status(refusal.status)
         if self.request_id:
@@ -198,12 +205,7 @@
             )
         if state.leaving:
             others = ", ".join(item.instance.caller_address for item in state.list_others()[:3])
-            raise SendLatch().refuse(
-                ErrorCode.LEAVING,
-                f"this instance is leaving; others: {others or 'none known'}",
-                status=503,
-                retry_after_s=LEAVING_RETRY_S,
-            )
+            raise _refuse_leaving(f"this instance is leaving; others: {others or 'none known'}")
 
     def find_class(self, organisation: Organisation, kind: str) -> ServiceClass:
         """Return the class of a kind of request of an organisation."""
@@ -219,6 +221,10 @@
         return self.services.clock() + (asked or service_class.completion_s)
 
 
+def _refuse_leaving(message: str) -> Refusal:
+    return SendLatch().refuse(ErrorCode.LEAVING, message, status=503, retry_after_s=LEAVING_RETRY_S)
+
+
 def _translate_error(error: BaseException | None, status: int) -> Refusal:
     if isinstance(error, HTTPError) and status == 404:
         return SendLatch().refuse(ErrorCode.NOT_FOUND, "no such path", status=404)
--- a/tests/test_chats.py
+++ b/tests/test_chats.py
@@ -120,6 +120,31 @@
         self.assertEqual(response.code, 200)
 
 
+class EndOfProcessTest(FleetTest):
+    """A request that is just coming in when its entry's process ends."""
+
+    async def test_request_without_its_body_is_refused_as_not_run(self) -> None:
+        # The head has come, the body has not, and the loop ends: asyncio cancels the handler. The
+        # caller is told that nothing has run, so that it asks another instance.
+        host, port = self.fleet.entries[0].address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n")
+        handlers: list[asyncio.Task] = []
+
+        def find_handlers() -> bool:
+            tasks = asyncio.all_tasks()
+            handlers[:] = [t for t in tasks if "RequestHandler._execute" in repr(t.get_coro())]
+            return bool(handlers)
+
+        await wait_until(find_handlers)
+        handlers[0].cancel()
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 503 ", head.split(b"\r\n")[0])
+        error = json.loads(await reader.readuntil(b"}}"))["error"]
+        self.assertEqual((error["code"], error["outcome"]), ("leaving", "not_run"))
+        writer.close()
+
+
 class PausedEntryTest(FleetTest):
     """An entry that was paused."""
 
