--- a/src/guavamast/callers.py
+++ b/src/guavamast/callers.py
@@ -81,6 +81,9 @@
         self._size = 0
         self._work: asyncio.Task[None] | None = None
         self._caller_gone = False
+        self._organisation = ""
+        self._class_name = ""
+        self._code = ""
 
     def prepare(self) -> None:
         """Refuse a body whose announced length is over the limit before it is read."""
@@ -154,6 +157,7 @@
             refusal = _refuse_leaving("this instance has left")
         else:
             refusal = _translate_error(error, status_code)
+        self._code = refusal.code
         self.services.metrics.count(f"errors.{refusal.code}")
         self.set_status(refusal.status)
         if self.request_id:
@@ -169,6 +173,20 @@
         exc_info = (typ, value, tb)
         get_logger().error("handler failed", exc_info=exc_info, extra={"code": "internal"})
 
+    def on_finish(self) -> None:
+        """Log how a request that has an id has ended."""
+        if not self.request_id:
+            return
+        context = {
+            "request_id": self.request_id,
+            "organisation": self._organisation or None,
+            "class_name": self._class_name or None,
+            "instance": self.services.state.instance.name,
+            "code": self._code or None,
+        }
+        status = self.get_status()
+        get_logger().info("%s %s %d", self.request.method, self.request.path, status, extra=context)
+
     def read_request_id(self) -> None:
         """Take the caller's request id, or make one."""
         header = self.request.headers.get("X-Request-Id", "")
@@ -184,6 +202,7 @@
             raise SendLatch().refuse(
                 ErrorCode.UNAUTHENTICATED, "the key is missing or not known", status=401
             )
+        self._organisation = organisation.name
         return organisation
 
     def require_ready(self) -> None:
@@ -213,6 +232,7 @@
         if name is None:
             message = f"{organisation.name} has no class for the kind {kind!r}"
             raise refuse_input(message, ErrorCode.UNKNOWN_CLASS)
+        self._class_name = name
         return self.services.state.configuration.classes[name]
 
     def compute_deadline(self, service_class: ServiceClass) -> float:
