--- /dev/null
+++ b/src/guavamast/platform/catalog_wire.py
@@ -0,0 +1,108 @@
+"""Decodes the operators' configuration as the platform's store holds it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from guavamast.relay.catalog import (
+    URGENCY_DEFAULT,
+    CallerLimits,
+    CallerOrganisation,
+    Catalog,
+    Route,
+    RouteKind,
+    ServiceRule,
+    WeightedService,
+)
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+
+
+def decode_catalog(fields: dict[str, Any], *, row_version: int) -> Catalog:
+    """Return the configuration of a row.
+
+    Args:
+        fields: The row's value.
+        row_version: The store's number of the row.
+
+    Raises:
+        KeyError, TypeError, ValueError: The value is not a configuration.
+    """
+    tenants = fields.get("tenants")
+    return Catalog(
+        version=int(fields["version"]),
+        row_version=row_version,
+        routes=[_decode_route(entry) for entry in fields["routes"]],
+        services=[_decode_service(entry) for entry in fields["services"]],
+        organisations=None if tenants is None else _decode_tenants(tenants),
+        limits=_decode_limits(fields.get("limits") or {}),
+    )
+
+
+def _decode_route(entry: dict[str, Any]) -> Route:
+    split = entry.get("split")
+    if split:
+        services = tuple(
+            WeightedService(service=part["service"], weight=float(part["weight"])) for part in split
+        )
+    else:
+        services = (WeightedService(service=entry["service"], weight=1.0),)
+    pause_ms = entry.get("target_gap_ms")
+    timeout_s = float(entry.get("timeout_ms") or 60_000) / 1000.0
+    objective_ms = entry.get("target_latency_ms")
+    return Route(
+        name=str(entry.get("name", "")),
+        host=entry["host"],
+        path_prefix=entry["path_prefix"],
+        # An unknown kind is handled as one that must not be repeated.
+        kind=_KINDS.get(entry.get("kind", ""), RouteKind.NON_IDEMPOTENT),
+        services=services,
+        timeout_s=timeout_s,
+        objective_s=float(objective_ms) / 1000.0 if objective_ms else timeout_s,
+        longest_pause_s=float(pause_ms) / 1000.0 if pause_ms else None,
+        max_endpoints=max(1, int(entry.get("max_attempts") or 1)),
+        urgency=_decode_urgency(entry.get("priority"), URGENCY_DEFAULT),
+        needs_key=not entry.get("auth_exempt", False),
+        resumable=bool(entry.get("resumable", False)),
+    )
+
+
+def _decode_urgency(value: object, default: int | None) -> Any:
+    """Return 0 to 9; the platform calls it a priority, of which 0 is the highest."""
+    if value is None:
+        return default
+    return min(9, max(0, int(value)))  # type: ignore[call-overload]
+
+
+def _decode_service(entry: dict[str, Any]) -> ServiceRule:
+    engine = entry.get("engine")
+    return ServiceRule(
+        name=entry["name"],
+        health_path=entry.get("health_path") or "/",
+        max_connections=int(entry.get("max_connections") or 64),
+        prompt_cache_tokens=int(engine.get("kv_capacity_tokens") or 0) if engine else None,
+    )
+
+
+def _decode_tenants(tenants: list[dict[str, Any]]) -> dict[str, CallerOrganisation]:
+    by_key = {}
+    for tenant in tenants:
+        organisation = CallerOrganisation(
+            name=tenant["name"], urgency=_decode_urgency(tenant.get("priority"), None)
+        )
+        for key in tenant.get("api_keys") or ():
+            by_key[key] = organisation
+    return by_key
+
+
+def _decode_limits(entry: dict[str, Any]) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=int(entry.get("max_header_bytes") or 65_536),
+        body_bytes=int(entry.get("max_body_bytes") or 16_777_216),
+        header_timeout_s=float(entry.get("header_timeout_ms") or 10_000) / 1000.0,
+        idle_timeout_s=float(entry.get("idle_timeout_ms") or 60_000) / 1000.0,
+    )
--- /dev/null
+++ b/src/guavamast/platform/endpoint_wire.py
@@ -0,0 +1,45 @@
+"""Decodes what engines and services write of themselves into the store."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from guavamast.relay.endpoint_table import EndpointRecord
+
+
+def decode_endpoint(key: str, fields: Any, *, row_version: int) -> EndpointRecord | None:
+    """Return the record of a row; None if it names no endpoint that can be used.
+
+    Rows may come from other writers: fields missing or of another type, or unknown states.
+
+    Args:
+        key: The endpoint's id.
+        fields: The row's decoded value.
+        row_version: The store's number of the row.
+    """
+    if not isinstance(fields, dict):
+        return None
+    service = fields.get("service")
+    address = fields.get("address")
+    state = fields.get("state")
+    if not isinstance(service, str) or not isinstance(address, str):
+        return None
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return None
+    if state not in ("ready", "draining"):
+        return None
+    slots = fields.get("slots")
+    zone = fields.get("zone")
+    born = fields.get("born")
+    return EndpointRecord(
+        endpoint_id=key,
+        row_version=row_version,
+        service=service,
+        host=host,
+        port=int(port),
+        failure_domain=zone if isinstance(zone, str) else "",
+        slots=slots if isinstance(slots, int) and slots > 0 else 1,
+        ready=state == "ready",
+        born_ms=born if isinstance(born, int) else None,
+    )
--- /dev/null
+++ b/src/guavamast/platform/questions.py
@@ -0,0 +1,85 @@
+"""What the platform and callers ask an instance: where to connect, readiness and metrics."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+from guavamast.relay.beats import InstanceState
+from guavamast.relay.caller_addresses import VALIDITY_S, CallerPlace, choose_addresses
+from guavamast.relay.listener import Question
+from guavamast.relay.node import read_boot_time
+
+if TYPE_CHECKING:
+    from guavamast.relay.node import Node
+
+_JSON = "application/json"
+_TEXT = "text/plain"
+
+
+class AddressQuestion(Question):
+    """``GET /v1/resolve``: addresses for a caller.
+
+    Args:
+        node: The instance that answers.
+    """
+
+    def __init__(self, *, node: Node) -> None:
+        self._node = node
+
+    def answer(self, path: str, query: str) -> tuple[int, str, str] | None:
+        """Return the addresses for the caller's place."""
+        if path != "/v1/resolve":
+            return None
+        fields = parse_qs(query)
+        place = CallerPlace(
+            region=fields.get("region", [""])[0],
+            failure_domain=fields.get("zone", [""])[0],
+        )
+        addresses = choose_addresses(place, self._node.list_serving(), self._node.list_fallback())
+        body = json.dumps({"addresses": addresses, "ttl_s": VALIDITY_S})
+        return 200, _JSON, body
+
+
+class ReadinessQuestion(Question):
+    """``GET /v1/ready``: whether this instance takes new work.
+
+    Args:
+        node: The instance that answers.
+    """
+
+    def __init__(self, *, node: Node) -> None:
+        self._node = node
+
+    def answer(self, path: str, query: str) -> tuple[int, str, str] | None:
+        """Return 200 when callers may come."""
+        del query
+        if path != "/v1/ready":
+            return None
+        state = self._node.state
+        return 200 if state is InstanceState.SERVING else 503, _TEXT, f"{state}\n"
+
+
+class MetricsQuestion(Question):
+    """``GET /metrics``.
+
+    Args:
+        node: The instance that answers.
+    """
+
+    def __init__(self, *, node: Node) -> None:
+        self._node = node
+
+    def answer(self, path: str, query: str) -> tuple[int, str, str] | None:
+        """Return all metrics as text."""
+        del query
+        if path != "/metrics":
+            return None
+        knowledge = self._node.knowledge
+        now = read_boot_time()
+        counters = self._node.counters
+        counters.set("config_age_seconds", min(1e6, knowledge.compute_catalog_age(now=now)))
+        counters.set("endpoints_age_seconds", min(1e6, knowledge.compute_endpoints_age(now=now)))
+        counters.set("instances_live", 1 + len(self._node.peers.list_live(now=now)))
+        return 200, _TEXT, counters.render()
--- /dev/null
+++ b/src/guavamast/platform/settings.py
@@ -0,0 +1,143 @@
+"""Decodes the platform's settings file of one process."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from guavamast.findings import Finding, FindingCode, FindingsError
+from guavamast.relay.node_settings import NodeSettings, SocketAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SETTINGS_VARIABLE = "GUAVAMAST_SETTINGS"
+"""Environment variable that holds the path of the file."""
+
+
+class _Reader:
+    """Takes values out of the file's tables and collects what is wrong."""
+
+    def __init__(self, file: str, fields: dict[str, Any]) -> None:
+        self._file = file
+        self._fields = fields
+        self.findings: list[Finding] = []
+
+    def report(self, path: str, code: FindingCode, message: str) -> None:
+        """Add a finding."""
+        self.findings.append(
+            Finding(file=self._file, line=0, code=code, message=f"{path}: {message}")
+        )
+
+    def find(self, path: str) -> Any:
+        """Return the value at a dotted path; None where there is none."""
+        value: Any = self._fields
+        for name in path.split("."):
+            if not isinstance(value, dict) or name not in value:
+                return None
+            value = value[name]
+        return value
+
+    def read(self, path: str, convert: Callable[[Any], Any], default: Any) -> Any:
+        """Return a converted value; a missing or wrong one is a finding."""
+        value = self.find(path)
+        if value is None:
+            self.report(path, FindingCode.MISSING_KEY, "is missing")
+            return default
+        try:
+            return convert(value)
+        except (TypeError, ValueError) as error:
+            self.report(path, FindingCode.BAD_VALUE, str(error))
+            return default
+
+
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("is not a text")
+    return value
+
+
+def _read_positive(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise ValueError("is not a number above 0")
+    return float(value)
+
+
+def _read_address(value: Any) -> SocketAddress:
+    ip, _, port = _read_text(value).rpartition(":")
+    if not ip or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("is not IP:PORT")
+    return SocketAddress(ip=ip, port=int(port))
+
+
+def _read_ports(value: Any) -> int:
+    if not isinstance(value, list) or len(value) != 2 or value[1] - value[0] < 1:
+        raise ValueError("is not a range of two ports or more")
+    return int(value[0])
+
+
+def read_settings(path: str) -> NodeSettings:
+    """Return the settings in a file.
+
+    Raises:
+        FindingsError: With everything that is wrong in it.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            fields = json.load(file)
+        if not isinstance(fields, dict):
+            raise ValueError("not a table")
+    except (OSError, ValueError) as error:
+        finding = Finding(file=path, line=0, code=FindingCode.UNREADABLE, message=str(error))
+        raise FindingsError([finding]) from error
+    return decode_settings(fields, file=path)
+
+
+def decode_settings(fields: dict[str, Any], *, file: str) -> NodeSettings:
+    """Return the settings in a decoded file; unknown fields are ignored.
+
+    Raises:
+        FindingsError: With everything that is wrong in it.
+    """
+    reader = _Reader(file, fields)
+    nowhere = SocketAddress(ip="127.0.0.1", port=1)
+    ip = reader.read("ip", _read_text, "127.0.0.1")
+    first_port = reader.read("internal_ports", _read_ports, 1)
+    has_directory = reader.find("listen.directory") is not None
+    has_readiness = reader.find("listen.readiness") is not None
+    settings = NodeSettings(
+        name=reader.read("node_name", _read_text, ""),
+        ip=ip,
+        failure_domain=reader.read("zone", _read_text, ""),
+        region=reader.read("region", _read_text, ""),
+        callers=reader.read("listen.front", _read_address, nowhere),
+        directory=(
+            reader.read("listen.directory", _read_address, nowhere) if has_directory else None
+        ),
+        readiness=(
+            reader.read("listen.readiness", _read_address, nowhere) if has_readiness else None
+        ),
+        metrics=SocketAddress(ip=ip, port=first_port + 1),
+        peers=SocketAddress(ip=ip, port=first_port),
+        store=reader.read("platform.address", _read_address, nowhere),
+        # Absent where keys need not stop working at once; a long bound then.
+        revocation_s=_read_revocation(reader),
+        grace_s=reader.read("bounds.grace_s", _read_positive, 8.0),
+        repeat_ratio=reader.read("bounds.retry_budget_ratio", _read_positive, 0.1),
+        repeat_slack=reader.read("bounds.budget_slack", _read_positive, 10.0),
+        repeat_window_s=reader.read("bounds.budget_window_s", _read_positive, 10.0),
+    )
+    if reader.findings:
+        raise FindingsError(reader.findings)
+    return settings
+
+
+UNBOUNDED_REVOCATION_S = 3600.0
+"""Where no bound is set on revoked keys, an instance serves through an outage this long."""
+
+
+def _read_revocation(reader: _Reader) -> float:
+    """Return seconds; the file says milliseconds, and whether the bound holds when cut off."""
+    if not reader.find("bounds.strict_revocation"):
+        return UNBOUNDED_REVOCATION_S
+    return float(reader.read("bounds.revoke_ms", _read_positive, 5000.0)) / 1000.0
--- /dev/null
+++ b/src/guavamast/platform/store_client.py
@@ -0,0 +1,233 @@
+"""The platform's store over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import urlencode
+
+from guavamast.platform.catalog_wire import decode_catalog
+from guavamast.platform.endpoint_wire import decode_endpoint
+from guavamast.relay.endpoint_table import compute_digest
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.relay.store import (
+    CatalogReading,
+    EndpointReading,
+    InstanceRecord,
+    Store,
+    StoreError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.catalog import Catalog
+    from guavamast.relay.freshness import StoreClock
+    from guavamast.relay.node_settings import SocketAddress
+
+CALL_TIMEOUT_S: Final = 0.5
+"""For one call, connecting included; the store answers in some milliseconds, and a connection that
+has fallen silent is given up soon enough for another call before anything gets too old."""
+LONG_TIMEOUT_S: Final = 2.0
+"""For calls that nobody waits for."""
+INSTANCES_TABLE: Final = "instances"
+PAGE_ROWS: Final = 500
+_OPERATOR_TABLE: Final = "op"
+_CONFIGURATION_KEY: Final = "config"
+_ENDPOINT_TABLE: Final = "servers"
+
+
+class StoreClient(Store):
+    """Calls the store over connections that are kept.
+
+    Args:
+        address: Where the store listens.
+        clock: Learns from each answer how the store's clock stands.
+        read_time: The local clock.
+    """
+
+    __slots__ = ("_address", "_clock", "_idle", "_read_time")
+
+    def __init__(
+        self,
+        *,
+        address: SocketAddress,
+        clock: StoreClock,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._address = address
+        self._clock = clock
+        self._read_time = read_time
+        self._idle: list[HttpConnection] = []
+
+    async def read_catalog(self, *, known: Catalog | None) -> CatalogReading:
+        """Read the operators' configuration."""
+        query = {"table": _OPERATOR_TABLE, "part": "", "from": _CONFIGURATION_KEY, "limit": 1}
+        answer = await self._get("/v1/rows-get", query)
+        reading = _read_clock(answer)
+        rows = [row for row in answer["rows"] if row.get("key") == _CONFIGURATION_KEY]
+        if not rows:
+            return CatalogReading(catalog=None, reading=reading)
+        version = int(rows[0]["ver"])
+        if known is not None and known.row_version == version:
+            return CatalogReading(catalog=known, reading=reading)
+        try:
+            catalog = decode_catalog(_decode_value(rows[0]), row_version=version)
+        except (KeyError, TypeError, ValueError) as error:
+            reason = f"configuration: {type(error).__name__}: {error}"
+            raise StoreError(reason, unreachable=False) from error
+        return CatalogReading(catalog=catalog, reading=reading)
+
+    async def read_endpoints(self) -> EndpointReading:
+        """Read the table of endpoints; rows that can't be read name none."""
+        rows, reading = await self._get_all(_ENDPOINT_TABLE)
+        records = []
+        for row in rows:
+            try:
+                fields = _decode_value(row)
+            except ValueError:
+                continue
+            record = decode_endpoint(str(row["key"]), fields, row_version=int(row["ver"]))
+            if record is not None:
+                records.append(record)
+        digest = compute_digest((str(row["key"]), int(row["ver"])) for row in rows)
+        return EndpointReading(records=records, digest=digest, reading=reading)
+
+    async def read_instances(self) -> list[InstanceRecord]:
+        """Read all registered instances."""
+        rows, _ = await self._get_all(INSTANCES_TABLE)
+        records = []
+        for row in rows:
+            try:
+                records.append(_decode_instance(str(row["key"]), _decode_value(row)))
+            except (KeyError, TypeError, ValueError):
+                continue
+        return records
+
+    async def register_instance(self, record: InstanceRecord) -> None:
+        """Write an instance's own record."""
+        value = json.dumps(
+            {
+                "ip": record.ip,
+                "failure_domain": record.failure_domain,
+                "region": record.region,
+                "callers_address": record.callers_address,
+                "peer_port": record.peer_port,
+            }
+        )
+        row = {
+            "table": INSTANCES_TABLE,
+            "part": "",
+            "key": record.name,
+            "value": base64.b64encode(value.encode()).decode(),
+        }
+        await self._transact({"expect": [], "writes": [row], "remove": []})
+
+    async def remove_instance(self, name: str) -> None:
+        """Drop an instance's record."""
+        row = {"table": INSTANCES_TABLE, "part": "", "key": name}
+        await self._transact({"expect": [], "writes": [], "remove": [row]})
+
+    async def _transact(self, fields: dict[str, Any]) -> None:
+        body = json.dumps(fields).encode()
+        await self._call("POST", "/v1/rows-tx", body, timeout_s=LONG_TIMEOUT_S)
+
+    async def _get_all(self, table: str) -> tuple[list[dict[str, Any]], float]:
+        """Return all rows of a table and the reading of the first page, the oldest."""
+        rows: list[dict[str, Any]] = []
+        reading: float | None = None
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "from": start, "limit": PAGE_ROWS}
+            answer = await self._get("/v1/rows-get", query)
+            reading = _read_clock(answer) if reading is None else reading
+            rows.extend(answer["rows"])
+            if not answer.get("more_pages") or not answer["rows"]:
+                return rows, reading
+            start = answer["rows"][-1]["key"] + "\x00"
+
+    async def _get(self, path: str, query: dict[str, str | int]) -> dict[str, Any]:
+        target = f"{path}?{urlencode(query)}"
+        answer = await self._call("GET", target, b"", timeout_s=CALL_TIMEOUT_S)
+        if not isinstance(answer.get("rows"), list):
+            raise StoreError("answer without rows", unreachable=False)
+        return answer
+
+    async def _call(
+        self, method: str, target: str, body: bytes, *, timeout_s: float
+    ) -> dict[str, Any]:
+        """Make one call on a kept connection, or on a new one."""
+        connection: HttpConnection | None = None
+        sent = self._read_time()
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect(timeout_s)
+                status, data = await self._exchange(connection, method, target, body)
+        except (ConnectionLost, MalformedAnswer, TimeoutError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            raise StoreError(reason, unreachable=True) from error
+        finally:
+            if connection is not None and not connection.reusable:
+                connection.close()
+        if connection.reusable:
+            self._idle.append(connection)
+        if status != 200:
+            raise StoreError(f"status {status}", unreachable=False)
+        try:
+            answer = json.loads(data)
+        except ValueError as error:
+            raise StoreError(f"answer: {error}", unreachable=False) from error
+        if "now_ms" in answer:
+            self._clock.record(sent=sent, reading=_read_clock(answer))
+        return answer
+
+    async def _connect(self, timeout_s: float) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+        return await HttpConnection.open(self._address.ip, self._address.port, timeout_s=timeout_s)
+
+    async def _exchange(
+        self, connection: HttpConnection, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        headers = [("Host", str(self._address))]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+            headers.append(("Content-Length", str(len(body))))
+        await connection.send(method, target, headers, body)
+        head = await connection.read_head()
+        data = bytearray()
+        while (chunk := await connection.read_chunk()) is not None:
+            data += chunk
+        return head.status, bytes(data)
+
+
+def _read_clock(answer: dict[str, Any]) -> float:
+    """Return the store's clock in seconds; it is sent in milliseconds."""
+    return float(answer["now_ms"]) / 1000.0
+
+
+def _decode_value(row: dict[str, Any]) -> Any:
+    """Return the value of a row.
+
+    Raises:
+        ValueError: It can't be read.
+    """
+    value = row.get("value")
+    if not isinstance(value, str):
+        raise ValueError("no value")
+    return json.loads(base64.b64decode(value, validate=True))
+
+
+def _decode_instance(name: str, fields: dict[str, Any]) -> InstanceRecord:
+    return InstanceRecord(
+        name=name,
+        ip=str(fields["ip"]),
+        failure_domain=str(fields["failure_domain"]),
+        region=str(fields["region"]),
+        callers_address=str(fields["callers_address"]),
+        peer_port=int(fields["peer_port"]),
+    )
--- /dev/null
+++ b/src/guavamast/relay/attempt.py
@@ -0,0 +1,206 @@
+"""One send of a request to one endpoint, and what came of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.connection_pool import CONNECT_TIMEOUT_S
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+
+if TYPE_CHECKING:
+    from guavamast.relay.connection_pool import ConnectionPool
+    from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.event_framing import EventFraming, StreamEvent
+    from guavamast.relay.messages import AnswerHead, CallerRequest, HeaderCodec, SendTerms
+
+MAX_WHOLE_ANSWER_BYTES: Final = 16_777_216
+"""Body of an answer that is collected before it is passed on."""
+
+
+class FailureKind(StrEnum):
+    """Why an attempt brought no answer."""
+
+    NOT_CONNECTED = "not_connected"
+    """No byte was sent."""
+    REFUSED = "refused"
+    """The endpoint states that it did not run the request."""
+    LOST = "lost"
+    """The connection ended; the request may have run."""
+    INVALID = "invalid"
+    """What came is not the endpoint's whole answer to this request; it may have run."""
+    SILENT = "silent"
+    """Nothing came within the time that this attempt had; it may have run."""
+    ERROR = "error"
+    """The endpoint ran the request and answered with an error of its own."""
+
+
+class AttemptFailed(Exception):
+    """An attempt brought no answer.
+
+    Args:
+        kind: Why.
+        detail: What was seen, for the log.
+    """
+
+    def __init__(self, kind: FailureKind, detail: str) -> None:
+        super().__init__(f"{kind}: {detail}")
+        self.kind = kind
+        self.detail = detail
+
+    @property
+    def unrun(self) -> bool:
+        """Whether the endpoint certainly did not run the request and will not."""
+        return self.kind in (FailureKind.NOT_CONNECTED, FailureKind.REFUSED)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WholeAnswer:
+    """An answer that was read to its end."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class Attempt:
+    """Sends one request over one connection and checks what comes back.
+
+    Args:
+        request: The caller's request.
+        record: The endpoint.
+        codec: Names of the headers.
+        pool: Kept connections.
+        idle_limit: Idle connections to keep to this endpoint.
+    """
+
+    __slots__ = ("_codec", "_connection", "_idle_limit", "_pool", "_request", "head", "record")
+
+    def __init__(
+        self,
+        *,
+        request: CallerRequest,
+        record: EndpointRecord,
+        codec: HeaderCodec,
+        pool: ConnectionPool,
+        idle_limit: int,
+    ) -> None:
+        self._request = request
+        self.record = record
+        self._codec = codec
+        self._pool = pool
+        self._idle_limit = idle_limit
+        self._connection: HttpConnection | None = None
+        self.head: AnswerHead | None = None
+        """The answer's head once it has come."""
+
+    async def connect(self, *, now: float) -> bool:
+        """Get a connection; returns whether it is a new one.
+
+        Raises:
+            AttemptFailed: With ``NOT_CONNECTED``.
+        """
+        self._connection = self._pool.take(self.record.endpoint_id, now=now)
+        if self._connection is not None:
+            return False
+        try:
+            self._connection = await HttpConnection.open(
+                self.record.host, self.record.port, timeout_s=CONNECT_TIMEOUT_S
+            )
+        except ConnectionLost as error:
+            raise AttemptFailed(FailureKind.NOT_CONNECTED, str(error)) from error
+        return True
+
+    async def send(self, terms: SendTerms) -> AnswerHead:
+        """Send the request and return the checked head of its answer.
+
+        Raises:
+            AttemptFailed: There is no answer, or it is not one to this request.
+        """
+        assert self._connection is not None
+        headers = self._codec.write_request(self._request, terms)
+        if self._request.has_body:
+            headers.append(("Content-Length", str(len(self._request.body))))
+        try:
+            await self._connection.send(
+                self._request.method, self._request.target, headers, self._request.body
+            )
+            received = await self._connection.read_head()
+        except ConnectionLost as error:
+            raise AttemptFailed(FailureKind.LOST, str(error)) from error
+        except MalformedAnswer as error:
+            raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+        self.head = self._codec.read_answer(received.status, received.headers)
+        await self._check_head(self.head)
+        return self.head
+
+    async def read_whole(self) -> WholeAnswer:
+        """Return the answer with its whole body and keep the connection.
+
+        Raises:
+            AttemptFailed: The body is not whole.
+        """
+        assert self.head is not None
+        body = bytearray()
+        while (chunk := await self._read_chunk()) is not None:
+            body += chunk
+            if len(body) > MAX_WHOLE_ANSWER_BYTES:
+                raise AttemptFailed(FailureKind.INVALID, "answer too large")
+        return WholeAnswer(head=self.head, body=bytes(body))
+
+    async def read_events(self, framing: EventFraming) -> list[StreamEvent] | None:
+        """Return the next whole events, possibly none yet; None at the end of the stream.
+
+        Raises:
+            AttemptFailed: The stream broke.
+        """
+        chunk = await self._read_chunk()
+        if chunk is None:
+            return None
+        try:
+            return framing.feed(chunk)
+        except ValueError as error:
+            raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+
+    def finish(self, *, now: float) -> None:
+        """Keep the connection for another request if the answer was whole."""
+        if self._connection is None or self.head is None:
+            return
+        keep_alive_s = None if self.head.closes else self.head.keep_alive_s
+        self._pool.give_back(
+            self.record.endpoint_id,
+            self._connection,
+            keep_alive_s=keep_alive_s,
+            limit=self._idle_limit,
+            now=now,
+        )
+        self._connection = None
+
+    def abandon(self) -> None:
+        """Close the connection, so that the endpoint stops its work."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _read_chunk(self) -> bytes | None:
+        assert self._connection is not None
+        try:
+            return await self._connection.read_chunk()
+        except ConnectionLost as error:
+            raise AttemptFailed(FailureKind.LOST, str(error)) from error
+        except MalformedAnswer as error:
+            raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+
+    async def _check_head(self, head: AnswerHead) -> None:
+        """Raise unless the head belongs to this request and may be passed on."""
+        if head.refused_unrun:
+            await self.read_whole()
+            raise AttemptFailed(FailureKind.REFUSED, f"status {head.status}")
+        if head.request_id != self._request.request_id:
+            raise AttemptFailed(FailureKind.INVALID, "answer to another request")
+        if head.status < 300 and not head.sealed:
+            raise AttemptFailed(FailureKind.INVALID, "answer without signature")
+        if head.encoded:
+            raise AttemptFailed(FailureKind.INVALID, "answer with an encoding")
+        if head.status in (408, 421, 429, 503):
+            raise AttemptFailed(FailureKind.INVALID, f"status {head.status} without proof")
--- /dev/null
+++ b/src/guavamast/relay/beat_socket.py
@@ -0,0 +1,65 @@
+"""The UDP socket over which an instance's beats go out and come in."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from guavamast.relay.beats import MalformedBeat, decode_beat
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.beats import Beat
+    from guavamast.relay.counters import Counters
+    from guavamast.relay.store import InstanceRecord
+
+
+class BeatSocket(asyncio.DatagramProtocol):
+    """Receives beats and sends them.
+
+    Args:
+        take: Called with each beat.
+        counters: Metrics.
+    """
+
+    __slots__ = ("_counters", "_take", "_transport")
+
+    def __init__(self, *, take: Callable[[Beat], None], counters: Counters) -> None:
+        self._take = take
+        self._counters = counters
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, ip: str, port: int) -> None:
+        """Bind the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a beat; what is none is counted."""
+        del addr
+        try:
+            beat = decode_beat(data)
+        except MalformedBeat:
+            self._counters.add("malformed_beats_total")
+            return
+        self._take(beat)
+
+    def error_received(self, exc: Exception) -> None:
+        """Count a datagram that could not be delivered; the next beat replaces it."""
+        self._counters.add(f'beat_errors_total{{error="{type(exc).__name__}"}}')
+
+    def send(self, data: bytes, target: InstanceRecord) -> None:
+        """Send a beat to one instance."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, (target.ip, target.peer_port))
+            self._counters.add("beats_sent_total")
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/src/guavamast/relay/caller_gate.py
@@ -0,0 +1,94 @@
+"""Whether a request may be relayed: its route, its key, and how fresh the configuration is."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from guavamast.relay.catalog import CallerOrganisation, Catalog, Route
+    from guavamast.relay.messages import CallerRequest
+
+DENIAL_AGE_S: Final = 1.5
+"""A request is called unknown or unauthorised only by a configuration proved this recently: an
+operator's change counts after two seconds, and a caller does not ask again after such an answer."""
+REVOCATION_MARGIN_S: Final = 0.7
+"""Keys stop being accepted this long before the bound after which a revoked key must not work:
+covers the way from the caller and a pause between the check and the send."""
+STALE_RETRY_S: Final = 0.3
+"""When to come back to an instance that waits for the store: half the interval of its reads."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """A request that may go to an endpoint of its route."""
+
+    route: Route
+    organisation: CallerOrganisation | None
+
+    @property
+    def urgency(self) -> int:
+        """The organisation's urgency if it has one, else the route's."""
+        if self.organisation is not None and self.organisation.urgency is not None:
+            return self.organisation.urgency
+        return self.route.urgency
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Denied:
+    """A request that is answered here."""
+
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+class CallerGate:
+    """Decides on each request by the configuration and its age.
+
+    Failure: an instance is cut off from the store, an operator takes a key away, and the instance
+    goes on accepting it. Each request with a key is checked against the age of the last proof that
+    the configuration is the newest, by a clock that counts suspended time too.
+
+    Args:
+        revocation_s: Time after which a revoked key must not work anywhere.
+    """
+
+    __slots__ = ("_key_age_s",)
+
+    def __init__(self, *, revocation_s: float) -> None:
+        self._key_age_s = revocation_s - REVOCATION_MARGIN_S
+
+    @property
+    def key_age_s(self) -> float:
+        """Greatest age of the configuration at which keys are accepted."""
+        return self._key_age_s
+
+    def decide(
+        self, request: CallerRequest, catalog: Catalog | None, *, age_s: float
+    ) -> Admitted | Denied:
+        """Return where the request may go, or its answer.
+
+        Args:
+            request: The request.
+            catalog: The configuration; None before the first.
+            age_s: Seconds since the configuration was proved to be the newest.
+        """
+        if catalog is None:
+            return _defer("no configuration yet")
+        recent = age_s <= DENIAL_AGE_S
+        route = catalog.find_route(request.host, request.path)
+        if route is None:
+            return Denied(status=404, reason="no route") if recent else _defer("old routes")
+        if not route.needs_key or catalog.organisations is None:
+            return Admitted(route=route, organisation=None)
+        if age_s > self._key_age_s:
+            return _defer("old keys")
+        organisation = catalog.find_organisation(request.api_key)
+        if organisation is None:
+            return Denied(status=401, reason="unknown key") if recent else _defer("old keys")
+        return Admitted(route=route, organisation=organisation)
+
+
+def _defer(reason: str) -> Denied:
+    return Denied(status=503, reason=reason, retry_after_s=STALE_RETRY_S)
--- /dev/null
+++ b/src/guavamast/relay/catalog.py
@@ -0,0 +1,157 @@
+"""What operators configure for relaying: routes, organisations with their keys, and limits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from hashlib import blake2b
+from typing import Final
+
+URGENCY_DEFAULT: Final = 5
+"""Urgency of work whose route and organisation state none; the middle of 0 to 9."""
+
+
+class RouteKind(StrEnum):
+    """Whether the work behind a route may be repeated, and the form of its answers."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WeightedService:
+    """One of the services among which a route splits its requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Where requests of one host and path prefix go, and what is promised for them."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    """Longest time that a caller is kept waiting."""
+    objective_s: float
+    """Time to the answer, for streams to the first event, that earns full credit."""
+    longest_pause_s: float | None
+    """Longest pause between the events of a stream that is still on time."""
+    max_endpoints: int
+    """Endpoints to which one request may be sent, 1 or more."""
+    urgency: int
+    """0 is served first."""
+    needs_key: bool
+    resumable: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run may be sent again from its start."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+    def pick_service(self, request_id: str) -> str:
+        """Return the service of a request; the same for the same id on every instance."""
+        if len(self.services) == 1:
+            return self.services[0].service
+        total = sum(entry.weight for entry in self.services)
+        digest = blake2b(request_id.encode(), digest_size=8).digest()
+        point = int.from_bytes(digest) / 2**64 * total
+        for entry in self.services:
+            point -= entry.weight
+            if point < 0:
+                return entry.service
+        return self.services[-1].service
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerOrganisation:
+    """An organisation whose callers are known by their keys."""
+
+    name: str
+    urgency: int | None
+    """Goes before the route's urgency when given."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceRule:
+    """What holds for all endpoints of one service."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    """Connections that one endpoint accepts from all callers together."""
+    prompt_cache_tokens: int | None
+    """Tokens that fit into the memory of one model engine; None for plain services."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long it may take."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class Catalog:
+    """One version of the operators' configuration, indexed for look-up.
+
+    Args:
+        version: The operators' number of this version.
+        row_version: The store's number of the row; grows with each change.
+        routes: All routes.
+        services: All services.
+        organisations: Organisations by their keys; None when callers need no keys.
+        limits: Bounds on what callers send.
+    """
+
+    __slots__ = ("_hosts", "limits", "organisations", "row_version", "services", "version")
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        row_version: int,
+        routes: list[Route],
+        services: list[ServiceRule],
+        organisations: dict[str, CallerOrganisation] | None,
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.row_version = row_version
+        self.organisations = organisations
+        self.limits = limits
+        self.services = {service.name: service for service in services}
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route of the host whose prefix is the longest that begins the path.
+
+        Args:
+            host: The request's host, with or without a port.
+            path: The request's path without its query.
+        """
+        prefixes = self._hosts.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def find_organisation(self, key: str | None) -> CallerOrganisation | None:
+        """Return the organisation that holds a key."""
+        if key is None or self.organisations is None:
+            return None
+        return self.organisations.get(key)
--- /dev/null
+++ b/src/guavamast/relay/connection_pool.py
@@ -0,0 +1,101 @@
+"""Connections to endpoints that are kept between requests, and when they may be used again."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from guavamast.relay.http_connection import HttpConnection
+
+CONNECT_TIMEOUT_S: Final = 0.35
+"""Time to connect: some hundred times a link's delay; beyond it the endpoint is dark or choked."""
+REUSE_MARGIN_S: Final = 0.6
+"""A connection is not used again this long before its server may close it: covers a message's way
+and a pause of either side."""
+KEPT_PER_ENDPOINT: Final = 12
+"""Idle connections kept to one endpoint at most."""
+CAPACITY_SHARE: Final = 0.5
+"""Share of the connections that an endpoint accepts which all instances together keep idle."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Idle:
+    connection: HttpConnection
+    usable_until: float
+
+
+class ConnectionPool:
+    """Idle connections by endpoint.
+
+    An endpoint is named by its id, so that a connection is never used for another endpoint that
+    was given the same address later.
+    """
+
+    __slots__ = ("_idle",)
+
+    def __init__(self) -> None:
+        self._idle: dict[str, deque[_Idle]] = {}
+
+    def take(self, endpoint_id: str, *, now: float) -> HttpConnection | None:
+        """Return a kept connection that its server still holds open, the last used first."""
+        idle = self._idle.get(endpoint_id)
+        while idle:
+            entry = idle.pop()
+            if entry.connection.reusable and now < entry.usable_until:
+                return entry.connection
+            entry.connection.close()
+        return None
+
+    def give_back(
+        self,
+        endpoint_id: str,
+        connection: HttpConnection,
+        *,
+        keep_alive_s: float | None,
+        limit: int,
+        now: float,
+    ) -> None:
+        """Keep a connection after a whole answer, or close it.
+
+        Args:
+            endpoint_id: Whose connection it is.
+            connection: The connection.
+            keep_alive_s: When its server closes it, as stated in the answer.
+            limit: Most idle connections to this endpoint.
+            now: The present time.
+        """
+        idle = self._idle.setdefault(endpoint_id, deque())
+        usable_s = (keep_alive_s or 0.0) - REUSE_MARGIN_S
+        if not connection.reusable or usable_s <= 0 or len(idle) >= limit:
+            connection.close()
+            return
+        idle.append(_Idle(connection=connection, usable_until=now + usable_s))
+
+    def keep_only(self, endpoint_ids: set[str], *, now: float) -> None:
+        """Close the connections to endpoints that are gone and those that are too old."""
+        for endpoint_id in list(self._idle):
+            idle = self._idle[endpoint_id]
+            keep = endpoint_id in endpoint_ids
+            still = deque(
+                e for e in idle if keep and e.connection.reusable and now < e.usable_until
+            )
+            for entry in idle:
+                if entry not in still:
+                    entry.connection.close()
+            if still:
+                self._idle[endpoint_id] = still
+            else:
+                del self._idle[endpoint_id]
+
+
+def compute_idle_limit(max_connections: int, instances: int) -> int:
+    """Return the idle connections that one instance may keep to one endpoint.
+
+    Args:
+        max_connections: Connections that the endpoint accepts from all instances.
+        instances: Instances that send to it.
+    """
+    share = int(max_connections * CAPACITY_SHARE / max(1, instances))
+    return max(1, min(KEPT_PER_ENDPOINT, share))
--- /dev/null
+++ b/src/guavamast/relay/endpoint_load.py
@@ -0,0 +1,135 @@
+"""Work that is under way at each endpoint: this instance's own and what other instances tell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+FAILURE_HALF_LIFE_S: Final = 2.0
+"""Time in which half of an endpoint's failures is forgotten: an endpoint that is well again gets
+its share back within some seconds."""
+SUCCESS_FACTOR: Final = 0.85
+"""What a success leaves of the failures remembered: an endpoint that fails two requests in five
+settles above four, one that fails one in fifty below a fifth."""
+FAILURE_LIMIT: Final = 8.0
+"""Failures remembered at most, so that a long bad time is forgotten as soon as a short one."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Load:
+    """Work at one endpoint."""
+
+    requests: int = 0
+    prefill_tokens: int = 0
+    """Prompt tokens that are to be read before the first event of their requests."""
+
+
+class Work:
+    """One request's share of its endpoint's load.
+
+    Args:
+        load: What it is part of.
+        prefill_tokens: Prompt tokens until the first event.
+    """
+
+    __slots__ = ("_ended", "_load", "_prefill_tokens")
+
+    def __init__(self, *, load: Load, prefill_tokens: int) -> None:
+        self._load = load
+        self._prefill_tokens = prefill_tokens
+        self._ended = False
+        load.requests += 1
+        load.prefill_tokens += prefill_tokens
+
+    def finish_prefill(self) -> None:
+        """Count the prompt as read."""
+        self._load.prefill_tokens -= self._prefill_tokens
+        self._prefill_tokens = 0
+
+    def end(self) -> None:
+        """Count the request out; a second call changes nothing."""
+        if self._ended:
+            return
+        self._ended = True
+        self.finish_prefill()
+        self._load.requests -= 1
+
+
+class _Failures:
+    __slots__ = ("amount", "updated")
+
+    def __init__(self) -> None:
+        self.amount = 0.0
+        self.updated = 0.0
+
+    def read(self, now: float) -> float:
+        """Return what is remembered."""
+        return self.amount * 0.5 ** (max(0.0, now - self.updated) / FAILURE_HALF_LIFE_S)
+
+
+class EndpointLoads:
+    """Load and recent failures of all endpoints as this instance knows them."""
+
+    __slots__ = ("_failures", "_own", "_peers")
+
+    def __init__(self) -> None:
+        self._own: dict[str, Load] = {}
+        self._peers: dict[str, dict[str, Load]] = {}
+        self._failures: dict[str, _Failures] = {}
+
+    def begin(self, endpoint_id: str, prefill_tokens: int) -> Work:
+        """Count a request that is being sent; the work returned counts it out."""
+        load = self._own.setdefault(endpoint_id, Load())
+        return Work(load=load, prefill_tokens=prefill_tokens)
+
+    def list_own(self) -> dict[str, Load]:
+        """Return this instance's work by endpoint."""
+        self._own = {key: load for key, load in self._own.items() if load.requests}
+        return self._own
+
+    def take_peer(self, instance: str, loads: dict[str, Load]) -> None:
+        """Replace what another instance has told."""
+        self._peers[instance] = loads
+
+    def keep_peers(self, instances: set[str]) -> None:
+        """Drop the work of instances that are gone."""
+        for instance in list(self._peers):
+            if instance not in instances:
+                del self._peers[instance]
+
+    def sum_up(self, endpoint_id: str) -> Load:
+        """Return the work of all instances at an endpoint."""
+        total = Load()
+        for loads in [self._own, *self._peers.values()]:
+            load = loads.get(endpoint_id)
+            if load is not None:
+                total.requests += load.requests
+                total.prefill_tokens += load.prefill_tokens
+        return total
+
+    def record_failure(self, endpoint_id: str, *, weight: float, now: float) -> None:
+        """Remember that an endpoint failed a request."""
+        failures = self._failures.setdefault(endpoint_id, _Failures())
+        failures.amount = min(FAILURE_LIMIT, failures.read(now) + weight)
+        failures.updated = now
+
+    def record_success(self, endpoint_id: str, *, now: float) -> None:
+        """Forget a part of what is remembered."""
+        failures = self._failures.get(endpoint_id)
+        if failures is None:
+            return
+        failures.amount = failures.read(now) * SUCCESS_FACTOR
+        failures.updated = now
+        if failures.amount < 0.05:
+            del self._failures[endpoint_id]
+
+    def read_failures(self, endpoint_id: str, *, now: float) -> float:
+        """Return the failures remembered, each weighing less the longer ago it was."""
+        failures = self._failures.get(endpoint_id)
+        return failures.read(now) if failures else 0.0
+
+    def keep_only(self, endpoint_ids: set[str]) -> None:
+        """Forget the failures of endpoints that are gone."""
+        for endpoint_id in list(self._failures):
+            if endpoint_id not in endpoint_ids:
+                del self._failures[endpoint_id]
--- /dev/null
+++ b/src/guavamast/relay/fleet_knowledge.py
@@ -0,0 +1,129 @@
+"""All that an instance knows of the fleet, and how fresh it is."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.relay.endpoint_table import EndpointTable
+from guavamast.relay.freshness import Freshness, Proof
+
+if TYPE_CHECKING:
+    from guavamast.relay.beats import Beat
+    from guavamast.relay.catalog import Catalog, ServiceRule
+    from guavamast.relay.freshness import StoreClock
+    from guavamast.relay.peers import Peers
+    from guavamast.relay.store import CatalogReading, EndpointReading
+
+
+class FleetKnowledge:
+    """Configuration, endpoints and other instances, each with the proof of its age.
+
+    Args:
+        failure_domain: Where this instance runs.
+        peers: The other instances.
+        clock: Places the store's clock on the local one.
+    """
+
+    __slots__ = (
+        "_catalog_freshness",
+        "_endpoint_freshness",
+        "catalog",
+        "endpoints",
+        "failure_domain",
+        "newer_catalog_heard",
+        "newer_endpoints_heard",
+        "peers",
+    )
+
+    def __init__(self, *, failure_domain: str, peers: Peers, clock: StoreClock) -> None:
+        self.failure_domain = failure_domain
+        self.peers = peers
+        self.catalog: Catalog | None = None
+        """The configuration in force here."""
+        self.endpoints = EndpointTable()
+        self.newer_catalog_heard = False
+        """Whether another instance has a newer configuration."""
+        self.newer_endpoints_heard = False
+        """Whether another instance has read a later table of endpoints that differs."""
+        self._catalog_freshness = Freshness(clock=clock)
+        self._endpoint_freshness = Freshness(clock=clock)
+
+    @property
+    def catalog_version(self) -> int | None:
+        """The operators' number of the configuration in force here."""
+        return self.catalog.version if self.catalog else None
+
+    @property
+    def catalog_proof(self) -> Proof | None:
+        """The newest proof that the configuration is in force."""
+        return self._catalog_freshness.proof
+
+    @property
+    def endpoint_proof(self) -> Proof | None:
+        """The newest proof that the table of endpoints is the store's."""
+        return self._endpoint_freshness.proof
+
+    @property
+    def must_relist(self) -> bool:
+        """Whether endpoints are still used for which the time to come back is over."""
+        return self.endpoints.has_lapsed and not self._endpoint_freshness.is_returning()
+
+    def compute_catalog_age(self, *, now: float) -> float:
+        """Return an upper bound of the seconds since the configuration was the newest."""
+        return self._catalog_freshness.compute_age(now=now)
+
+    def compute_endpoints_age(self, *, now: float) -> float:
+        """Return an upper bound of the seconds since the table of endpoints was the store's."""
+        return self._endpoint_freshness.compute_age(now=now)
+
+    def count_instances(self) -> int:
+        """Return the number of instances that may be running."""
+        return self.peers.count_known()
+
+    def find_service(self, name: str) -> ServiceRule | None:
+        """Return the rule of a service."""
+        return self.catalog.services.get(name) if self.catalog else None
+
+    def take_catalog(self, reading: CatalogReading) -> bool:
+        """Take a reading of the configuration; returns whether it brought a new version."""
+        catalog = reading.catalog
+        if catalog is None:
+            return False
+        current = self.catalog
+        if current is not None and catalog.row_version < current.row_version:
+            return False
+        changed = current is None or catalog.row_version > current.row_version
+        self.catalog = catalog
+        self._catalog_freshness.record(
+            Proof(version=str(catalog.row_version), reading=reading.reading)
+        )
+        self.newer_catalog_heard = False
+        return changed
+
+    def take_endpoints(self, reading: EndpointReading) -> bool:
+        """Take a reading of the table of endpoints; returns whether it differs."""
+        proof = self._endpoint_freshness.proof
+        if proof is not None and reading.reading < proof.reading:
+            return False
+        self._endpoint_freshness.record(Proof(version=reading.digest, reading=reading.reading))
+        changed = reading.digest != self.endpoints.digest
+        returning = self._endpoint_freshness.is_returning()
+        if changed or self.endpoints.has_lapsed:
+            self.endpoints.apply(reading.records, digest=reading.digest, returning=returning)
+        self.newer_endpoints_heard = False
+        return changed
+
+    def take_beat(self, beat: Beat) -> None:
+        """Extend proofs by another instance's word, or note that it knows something newer."""
+        if beat.catalog is not None and not self._catalog_freshness.confirm(beat.catalog):
+            own = self.catalog.row_version if self.catalog else -1
+            if _read_number(beat.catalog.version) > own:
+                self.newer_catalog_heard = True
+        if beat.endpoints is not None and not self._endpoint_freshness.confirm(beat.endpoints):
+            proof = self._endpoint_freshness.proof
+            if proof is None or beat.endpoints.reading > proof.reading:
+                self.newer_endpoints_heard = True
+
+
+def _read_number(text: str) -> int:
+    return int(text) if text.isdigit() else -1
--- /dev/null
+++ b/src/guavamast/relay/http_connection.py
@@ -0,0 +1,236 @@
+"""One kept HTTP/1.1 connection to a server, framed by ``h11``.
+
+``tornado``'s client half can't tell a reset from an end, nor pass on a body without a length as it
+arrives; ``h11`` leaves both to the connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import h11
+
+if TYPE_CHECKING:
+    from guavamast.relay.messages import Header
+
+READ_AHEAD_BYTES: Final = 65_536
+"""Bytes received and not yet taken at which the connection stops reading."""
+
+
+class ConnectionLost(Exception):
+    """The connection ended before the answer was complete."""
+
+
+class MalformedAnswer(Exception):
+    """The server sent bytes that are no answer to the request."""
+
+
+class ResponseHead:
+    """Status and headers of a response as received."""
+
+    __slots__ = ("headers", "status")
+
+    def __init__(self, *, status: int, headers: list[Header]) -> None:
+        self.status = status
+        self.headers = headers
+
+
+class HttpConnection(asyncio.Protocol):
+    """Sends one request after the other on one connection.
+
+    Bytes that arrive while no request is outstanding make the connection unusable: they may be a
+    late second answer, which the next request would take for its own.
+    """
+
+    __slots__ = (
+        "_failure",
+        "_http",
+        "_outstanding",
+        "_paused",
+        "_transport",
+        "_unread",
+        "_waiter",
+        "_write_waiter",
+    )
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(our_role=h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._failure: Exception | None = None
+        self._outstanding = False
+        self._paused = False
+        self._unread = 0
+
+    @classmethod
+    async def open(cls, host: str, port: int, *, timeout_s: float) -> HttpConnection:
+        """Connect.
+
+        Raises:
+            ConnectionLost: No connection within the time.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(cls, host, port)
+        except (OSError, TimeoutError) as error:
+            raise ConnectionLost(f"connect: {type(error).__name__}") from error
+        return connection
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent."""
+        return self._failure is None and not self._outstanding
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Hand bytes to the framing, or give the connection up if none are due."""
+        if not self._outstanding:
+            self._fail(MalformedAnswer("bytes without a request"))
+            return
+        self._http.receive_data(data)
+        self._unread += len(data)
+        if self._unread > READ_AHEAD_BYTES and not self._paused and self._transport:
+            self._paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Tell the framing that the server has sent all."""
+        if not self._outstanding:
+            self._fail(ConnectionLost("closed while idle"))
+            return False
+        self._http.receive_data(b"")
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end; without an end of data before it, a reset."""
+        if exc is not None or not self._outstanding:
+            self._failure = self._failure or ConnectionLost("reset")
+        self._transport = None
+        self._wake()
+        self.resume_writing()
+
+    def pause_writing(self) -> None:
+        """Make senders wait."""
+        self._write_waiter = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let senders go on."""
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+        self._write_waiter = None
+
+    async def send(self, method: str, target: str, headers: list[Header], body: bytes) -> None:
+        """Send a whole request.
+
+        Raises:
+            ConnectionLost: The connection ended; bytes may have left.
+        """
+        if self._failure is not None or self._transport is None:
+            raise ConnectionLost("closed before the send")
+        self._outstanding = True
+        head = h11.Request(method=method, target=target, headers=headers)
+        data = self._http.send(head) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._transport.write(data)
+        if self._write_waiter is not None:
+            await self._write_waiter
+
+    async def read_head(self) -> ResponseHead:
+        """Return the head of the answer to the request that was sent.
+
+        Raises:
+            ConnectionLost: The connection ended first.
+            MalformedAnswer: The bytes are no answer.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise MalformedAnswer("no response head")
+            headers = [
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in event.headers.raw_items()
+            ]
+            return ResponseHead(status=event.status_code, headers=headers)
+
+    async def read_chunk(self) -> bytes | None:
+        """Return the next bytes of the body as they arrive; None after the whole body.
+
+        Raises:
+            ConnectionLost: The connection ended before the body was whole.
+            MalformedAnswer: The bytes are no body.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if not isinstance(event, h11.EndOfMessage):
+            raise MalformedAnswer("no body")
+        self._finish_exchange()
+        return None
+
+    def close(self) -> None:
+        """Drop the connection at once; the server sees it."""
+        if self._transport is not None:
+            self._transport.abort()
+            self._transport = None
+        self._failure = self._failure or ConnectionLost("closed here")
+
+    def _finish_exchange(self) -> None:
+        self._outstanding = False
+        extra, _ = self._http.trailing_data
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        if extra or not done or self._transport is None:
+            self.close()
+            return
+        self._http.start_next_cycle()
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self.close()
+                if self._http.their_state is h11.ERROR and "peer unexpectedly closed" in str(error):
+                    raise ConnectionLost(str(error)) from error
+                raise MalformedAnswer(str(error)) from error
+            if event is not h11.NEED_DATA and event is not h11.PAUSED:
+                return event
+            self._unread = 0
+            if self._paused and self._transport is not None:
+                self._paused = False
+                self._transport.resume_reading()
+            await self._wait()
+
+    async def _wait(self) -> None:
+        if self._failure is not None:
+            raise ConnectionLost(str(self._failure))
+        if self._transport is None:
+            raise ConnectionLost("closed")
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _fail(self, failure: Exception) -> None:
+        self._failure = self._failure or failure
+        if self._transport is not None:
+            self._transport.abort()
+            self._transport = None
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/src/guavamast/relay/listener.py
@@ -0,0 +1,274 @@
+"""HTTP listeners: the one for callers, and small ones that answer single questions."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Final
+
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+
+from guavamast.relay.messages import AnswerWriter
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from tornado.http1connection import HTTP1Connection
+
+    from guavamast.relay.catalog import CallerLimits
+    from guavamast.relay.messages import CallerRequest, Header, HeaderCodec
+    from guavamast.relay.relayer import Relayer
+
+HARD_HEADER_BYTES: Final = 262_144
+"""Headers beyond this end the connection; the operators' limit is below it and gets an answer."""
+HARD_BODY_BYTES: Final = 67_108_864
+"""Bodies beyond this end the connection."""
+DEFAULT_IDLE_S: Final = 60.0
+"""Idle time of a connection before operators have set one."""
+
+
+class _TornadoWriter(AnswerWriter):
+    """Writes an answer to a connection of ``tornado``."""
+
+    __slots__ = ("_begun", "_connection")
+
+    def __init__(self, connection: HTTP1Connection) -> None:
+        self._connection = connection
+        self._begun = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the status has been sent."""
+        return self._begun
+
+    async def send(self, status: int, headers: list[Header], body: bytes) -> None:
+        """Send a whole answer with its length."""
+        self._write_head(status, [*headers, ("Content-Length", str(len(body)))], body)
+        await self.end()
+
+    def begin(self, status: int, headers: list[Header]) -> None:
+        """Send status and headers of an answer whose length is not known yet.
+
+        Each later part is to leave at once, so small segments are not held back.
+        """
+        self._connection.stream.set_nodelay(True)
+        self._write_head(status, headers, b"")
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        try:
+            await self._connection.write(chunk)
+        except StreamClosedError as error:
+            raise asyncio.CancelledError from error
+
+    async def end(self) -> None:
+        """Mark the answer as complete."""
+        self._connection.finish()
+
+    def break_off(self) -> None:
+        """Close the connection without the end of the answer."""
+        self._connection.close()
+
+    def _write_head(self, status: int, headers: list[Header], body: bytes) -> None:
+        self._begun = True
+        fields = httputil.HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        reason = httputil.responses.get(status, "Unknown")
+        start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        self._connection.write_headers(start, fields, body or None)
+
+
+class _CallerExchange(httputil.HTTPMessageDelegate):
+    """Collects one request of a caller and has it relayed."""
+
+    def __init__(self, listener: CallerListener, connection: HTTP1Connection) -> None:
+        self._listener = listener
+        self._connection = connection
+        self._start: httputil.RequestStartLine | None = None
+        self._headers: httputil.HTTPHeaders | None = None
+        self._body = bytearray()
+        self._rejected = False
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        """Check the headers against the limits."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._start = start_line
+        self._headers = headers
+        limits = self._listener.limits
+        if limits is None:
+            return None
+        size = len(start_line.path) + sum(len(k) + len(v) + 4 for k, v in headers.get_all())
+        if size > limits.header_bytes:
+            self._reject(431)
+        elif int(headers.get("Content-Length", "0")) > limits.body_bytes:
+            self._reject(413)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Collect the body, up to the limit."""
+        limits = self._listener.limits
+        if self._rejected:
+            return None
+        if limits is not None and len(self._body) + len(chunk) > limits.body_bytes:
+            self._reject(413)
+            return None
+        self._body += chunk
+        return None
+
+    def finish(self) -> None:
+        """Have the request relayed."""
+        if self._rejected:
+            return
+        assert self._start is not None and self._headers is not None
+        request = self._listener.read_request(
+            self._start, list(self._headers.get_all()), bytes(self._body)
+        )
+        writer = _TornadoWriter(self._connection)
+        self._connection.set_close_callback(self.on_connection_close)
+        self._task = asyncio.create_task(self._listener.relay(request, writer))
+
+    def on_connection_close(self) -> None:
+        """Stop the work for a caller that has left."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _reject(self, status: int) -> None:
+        """Answer a request that is too large; what is left of it ends the connection."""
+        self._rejected = True
+        self._listener.note_rejection(status)
+        writer = _TornadoWriter(self._connection)
+        self._task = asyncio.create_task(writer.send(status, [], b""))
+
+
+class CallerListener(httputil.HTTPServerConnectionDelegate):
+    """Takes callers' requests.
+
+    Args:
+        relayer: Answers them.
+        codec: Names of the headers.
+        read_time: The local clock.
+        note_rejection: Called with the status of each request that breaks a limit.
+        note_fault: Called with an unexpected error while a request was relayed.
+    """
+
+    def __init__(
+        self,
+        *,
+        relayer: Relayer,
+        codec: HeaderCodec,
+        read_time: Callable[[], float],
+        note_rejection: Callable[[int], None],
+        note_fault: Callable[[CallerRequest, Exception], None],
+    ) -> None:
+        self._relayer = relayer
+        self._codec = codec
+        self._read_time = read_time
+        self.note_rejection = note_rejection
+        self._note_fault = note_fault
+        self.limits: CallerLimits | None = None
+        """Bounds on requests; None before the first configuration."""
+        self._server = HTTPServer(
+            self,
+            idle_connection_timeout=DEFAULT_IDLE_S,
+            max_header_size=HARD_HEADER_BYTES,
+            max_body_size=HARD_BODY_BYTES,
+            max_buffer_size=HARD_BODY_BYTES,
+        )
+
+    def listen(self, ip: str, port: int) -> None:
+        """Begin to accept connections."""
+        self._server.listen(port, ip)
+
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Take the operators' limits; they hold for open connections too."""
+        self.limits = limits
+        self._server.conn_params.header_timeout = limits.idle_timeout_s
+
+    def close_after_answers(self) -> None:
+        """Have each connection closed after the answer to its next request."""
+        self._server.conn_params.no_keep_alive = True
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.stop()
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return what collects a request."""
+        del server_conn
+        return _CallerExchange(self, request_conn)  # type: ignore[arg-type]
+
+    def read_request(
+        self, start: httputil.RequestStartLine, headers: list[Header], body: bytes
+    ) -> CallerRequest:
+        """Decode a request."""
+        return self._codec.read_request(
+            method=start.method,
+            target=start.path,
+            headers=headers,
+            body=body,
+            arrived=self._read_time(),
+        )
+
+    async def relay(self, request: CallerRequest, writer: AnswerWriter) -> None:
+        """Relay a request; an unexpected error ends it visibly."""
+        try:
+            await self._relayer.relay(request, writer)
+        except Exception as error:  # noqa: BLE001
+            self._note_fault(request, error)
+            writer.break_off()
+
+
+class Question(ABC):
+    """Answers one kind of question on a small listener."""
+
+    @abstractmethod
+    def answer(self, path: str, query: str) -> tuple[int, str, str] | None:
+        """Return status, content type and body; None if the path is another's."""
+
+
+class QuestionListener:
+    """A small HTTP listener for questions that are answered from memory.
+
+    Args:
+        questions: Asked in order.
+    """
+
+    def __init__(self, *, questions: list[Question]) -> None:
+        self._questions = questions
+        self._server = HTTPServer(self._answer)
+
+    def listen(self, ip: str, port: int) -> None:
+        """Begin to accept connections."""
+        self._server.listen(port, ip)
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.stop()
+
+    def _answer(self, request: httputil.HTTPServerRequest) -> None:
+        status, content_type, text = 404, "text/plain", "not found\n"
+        for question in self._questions:
+            found = question.answer(request.path or "", request.query)
+            if found is not None:
+                status, content_type, text = found
+                break
+        body = text.encode()
+        headers = httputil.HTTPHeaders(
+            {"Content-Type": content_type, "Content-Length": str(len(body))}
+        )
+        reason = httputil.responses.get(status, "Unknown")
+        assert request.connection is not None
+        request.connection.write_headers(
+            httputil.ResponseStartLine("HTTP/1.1", status, reason), headers, body
+        )
+        request.connection.finish()
--- /dev/null
+++ b/src/guavamast/relay/node.py
@@ -0,0 +1,290 @@
+"""One instance of the relay: entry, knowledge and beats in one process on one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import time
+from random import Random
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.attempt_budget import AttemptBudget, BudgetTerms
+from guavamast.relay.beat_socket import BeatSocket
+from guavamast.relay.beats import Beat, InstanceState, encode_beat
+from guavamast.relay.caller_addresses import VALIDITY_S
+from guavamast.relay.caller_gate import CallerGate
+from guavamast.relay.connection_pool import ConnectionPool
+from guavamast.relay.counters import Counters
+from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.endpoint_load import EndpointLoads
+from guavamast.relay.fleet_knowledge import FleetKnowledge
+from guavamast.relay.listener import CallerListener, Question, QuestionListener
+from guavamast.relay.peers import Peers, compute_beat_interval
+from guavamast.relay.relayer import Relayer
+from guavamast.relay.request_notes import RequestNotes
+from guavamast.relay.store import InstanceRecord
+from guavamast.relay.store_watch import StoreWatch
+
+if TYPE_CHECKING:
+    from guavamast.relay.freshness import StoreClock
+    from guavamast.relay.messages import CallerRequest, HeaderCodec
+    from guavamast.relay.node_settings import NodeSettings, SocketAddress
+    from guavamast.relay.store import Store
+
+HELD_ANSWER_FACTOR: Final = 3.0
+"""Some callers keep an answer with addresses for so many times its validity."""
+LEAVE_MARGIN_S: Final = 0.5
+"""Added to the time for which callers may still come: a beat and a caller's way."""
+STOP_MARGIN_S: Final = 0.8
+"""The process ends this long before the platform would kill it."""
+HOUSEKEEPING_S: Final = 1.0
+"""Between two rounds of closing old connections."""
+
+
+def read_boot_time() -> float:
+    """Return seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Node:
+    """Runs one instance.
+
+    Args:
+        settings: Place, addresses and bounds.
+        store: The platform's store.
+        codec: Names of the headers.
+        clock: Learns from the store's answers.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        store: Store,
+        codec: HeaderCodec,
+        clock: StoreClock,
+    ) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self.log = DecisionLog(instance=settings.name)
+        self.peers = Peers(own_name=settings.name)
+        self.knowledge = FleetKnowledge(
+            failure_domain=settings.failure_domain, peers=self.peers, clock=clock
+        )
+        self.record = InstanceRecord(
+            name=settings.name,
+            ip=settings.ip,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            callers_address=str(settings.callers),
+            peer_port=settings.peers.port,
+        )
+        self._store = store
+        self._random = Random(f"{settings.name}{os.getpid()}{time.time_ns()}")
+        self._incarnation = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._leaving = False
+        self._loads = EndpointLoads()
+        self._pool = ConnectionPool()
+        self._gate = CallerGate(revocation_s=settings.revocation_s)
+        self._relayer = self._make_relayer(codec)
+        self._listener = CallerListener(
+            relayer=self._relayer,
+            codec=codec,
+            read_time=read_boot_time,
+            note_rejection=self._note_rejection,
+            note_fault=self._note_fault,
+        )
+        self._beats = BeatSocket(take=self._take_beat, counters=self.counters)
+        self._watch = StoreWatch(
+            store=store,
+            knowledge=self.knowledge,
+            record=self.record,
+            log=self.log,
+            counters=self.counters,
+            random=self._random,
+            read_time=read_boot_time,
+            announce=self._announce,
+        )
+        self._stop = asyncio.Event()
+
+    def _make_relayer(self, codec: HeaderCodec) -> Relayer:
+        settings = self.settings
+        terms = BudgetTerms(
+            ratio=settings.repeat_ratio,
+            slack=settings.repeat_slack,
+            window_s=settings.repeat_window_s,
+        )
+        notes = RequestNotes(log=self.log, counters=self.counters, knowledge=self.knowledge)
+        return Relayer(
+            knowledge=self.knowledge,
+            gate=self._gate,
+            loads=self._loads,
+            budget=AttemptBudget(terms=terms),
+            codec=codec,
+            pool=self._pool,
+            notes=notes,
+            random=self._random,
+            read_time=read_boot_time,
+        )
+
+    @property
+    def state(self) -> InstanceState:
+        """Whether callers may be sent here."""
+        if self._leaving:
+            return InstanceState.LEAVING
+        if self.knowledge.catalog is None or not self.knowledge.endpoints.digest:
+            return InstanceState.STARTING
+        age_s = self.knowledge.compute_catalog_age(now=read_boot_time())
+        return InstanceState.STALE if age_s > self._gate.key_age_s else InstanceState.SERVING
+
+    def list_serving(self) -> list[InstanceRecord]:
+        """Return the instances to which callers may be sent, this one included."""
+        own = [self.record] if self.state is InstanceState.SERVING else []
+        return own + self.peers.list_serving(now=read_boot_time())
+
+    def list_fallback(self) -> list[InstanceRecord]:
+        """Return the instances to name when none is known to serve."""
+        live = self.peers.list_live(now=read_boot_time())
+        return [self.record, *(beat.record for beat in live)]
+
+    async def run(
+        self,
+        *,
+        directory: Question,
+        readiness: Question,
+        metrics: Question,
+    ) -> None:
+        """Serve until asked to stop."""
+        settings = self.settings
+        self._listener.listen(settings.callers.ip, settings.callers.port)
+        listeners = self._open_listeners(directory, readiness, metrics)
+        await self._beats.open(settings.peers.ip, settings.peers.port)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        self.log.write("started", now=read_boot_time(), callers=str(settings.callers))
+        gc.freeze()
+        background = [
+            asyncio.create_task(self._watch.run()),
+            asyncio.create_task(self._send_beats()),
+            asyncio.create_task(self._keep_house()),
+        ]
+        stopping = asyncio.create_task(self._stop.wait())
+        done, _ = await asyncio.wait([stopping, *background], return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if task is not stopping:
+                task.result()
+        await self._leave()
+        for task in background:
+            task.cancel()
+        for listener in listeners:
+            listener.stop()
+        self.log.write("stopped", now=read_boot_time(), in_flight=self._relayer.in_flight)
+
+    def _open_listeners(
+        self, directory: Question, readiness: Question, metrics: Question
+    ) -> list[QuestionListener]:
+        settings = self.settings
+        wanted: list[tuple[SocketAddress | None, Question]] = [
+            (settings.directory, directory),
+            (settings.readiness, readiness),
+            (settings.metrics, metrics),
+        ]
+        listeners = []
+        for address, question in wanted:
+            if address is None:
+                continue
+            listener = QuestionListener(questions=[question])
+            listener.listen(address.ip, address.port)
+            listeners.append(listener)
+        return listeners
+
+    async def _leave(self) -> None:
+        """Serve on while callers may still come, then end when nothing is under way."""
+        asked = read_boot_time()
+        self._leaving = True
+        self._listener.close_after_answers()
+        self._announce()
+        self.log.write("leaving", now=asked, in_flight=self._relayer.in_flight)
+        callers_gone = asked + HELD_ANSWER_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
+        latest = asked + self.settings.grace_s - STOP_MARGIN_S
+        removing = asyncio.create_task(self._unregister())
+        while read_boot_time() < latest:
+            if read_boot_time() >= callers_gone and self._relayer.in_flight == 0:
+                break
+            await asyncio.sleep(0.05)
+        self._listener.stop()
+        removing.cancel()
+
+    async def _unregister(self) -> None:
+        """Drop this instance's record; one that stays is harmless."""
+        try:
+            await self._store.remove_instance(self.settings.name)
+        except Exception as error:  # noqa: BLE001
+            self.log.write("unregister_failed", now=read_boot_time(), reason=str(error))
+
+    def _announce(self) -> None:
+        """Send a beat to all instances now."""
+        now = read_boot_time()
+        self._apply_limits()
+        self._sequence += 1
+        data = encode_beat(
+            Beat(
+                record=self.record,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                state=self.state,
+                store_answers=self._watch.answers,
+                catalog=self.knowledge.catalog_proof,
+                endpoints=self.knowledge.endpoint_proof,
+                loads=self._loads.list_own(),
+            )
+        )
+        for target in self.peers.list_targets(now=now):
+            self._beats.send(data, target)
+
+    async def _send_beats(self) -> None:
+        while True:
+            self._announce()
+            await asyncio.sleep(compute_beat_interval(self.peers.count_known()))
+
+    def _take_beat(self, beat: Beat) -> None:
+        if not self.peers.take(beat, now=read_boot_time()):
+            return
+        self.knowledge.take_beat(beat)
+        self._loads.take_peer(beat.record.name, beat.loads)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now = read_boot_time()
+            known = {record.endpoint_id for record in self.knowledge.endpoints.list_all()}
+            self._pool.keep_only(known, now=now)
+            self._loads.keep_only(known)
+            live = {beat.record.name for beat in self.peers.list_live(now=now)}
+            self._loads.keep_peers(live)
+
+    def _apply_limits(self) -> None:
+        catalog = self.knowledge.catalog
+        if catalog is not None and self._listener.limits is not catalog.limits:
+            self._listener.set_limits(catalog.limits)
+
+    def _note_rejection(self, status: int) -> None:
+        self.counters.add(f'refusals_total{{status="{status}"}}')
+        self.log.write("rejected", now=read_boot_time(), status=status, reason="over a limit")
+
+    def _note_fault(self, request: CallerRequest, error: Exception) -> None:
+        self.counters.add("faults_total")
+        self.log.write(
+            "fault",
+            now=read_boot_time(),
+            request_id=request.request_id,
+            error=f"{type(error).__name__}: {error}",
+        )
+
+    def _note_reload(self) -> None:
+        """Log that a changed settings file holds from the next start on."""
+        self.log.write("reload_ignored", now=read_boot_time())
--- /dev/null
+++ b/src/guavamast/relay/read_schedule.py
@@ -0,0 +1,72 @@
+"""When an instance reads the store: one instance reads, the others step in when it falls silent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from random import Random
+
+READ_INTERVAL_S: Final = 0.6
+"""Age of the proof at which the first reader reads again. A change is in force everywhere after
+this, a beat and a read of the change, well within the two seconds that operators expect."""
+STEP_IN_S: Final = 0.25
+"""How much later each further reader steps in; longer than a read takes and a beat travels."""
+LAST_RANK: Final = 4
+"""Readers beyond this rank step in together, so that nobody waits long when many have gone."""
+SPREAD_S: Final = 0.3
+"""Spread of the last ranks, and of all instances that fetch the same news."""
+BACKOFF_FIRST_S: Final = 0.3
+BACKOFF_LONGEST_S: Final = 1.2
+"""Longest pause between reads that fail: keys stop being accepted some four seconds after the last
+proof, so several reads fit in between."""
+
+
+class ReadSchedule:
+    """Decides when one table is read.
+
+    Failure: every instance asks the store all the time, and the store's calls grow with instances
+    times time. Proofs ride on the beats, so that one reader is enough; a reader that dies or is cut
+    off is replaced by the next rank within `STEP_IN_S`.
+    """
+
+    __slots__ = ("_failures", "_news_at", "_not_before", "_random")
+
+    def __init__(self, *, random: Random) -> None:
+        self._random = random
+        self._failures = 0
+        self._not_before = 0.0
+        self._news_at: float | None = None
+
+    def is_due(self, *, age_s: float, rank: int, news: bool, now: float) -> bool:
+        """Return whether to read now.
+
+        Args:
+            age_s: Age of the newest proof.
+            rank: Instances that come before this one in reading.
+            news: Whether another instance is known to have something newer.
+            now: The present time.
+        """
+        if now < self._not_before:
+            return False
+        if news:
+            if self._news_at is None:
+                self._news_at = now + self._random.random() * SPREAD_S / 3
+            return now >= self._news_at
+        bound = READ_INTERVAL_S + STEP_IN_S * min(rank, LAST_RANK)
+        if rank >= LAST_RANK:
+            bound += SPREAD_S * (rank % 7) / 7
+        return age_s >= bound
+
+    def record_success(self) -> None:
+        """Read at the usual times again."""
+        self._failures = 0
+        self._not_before = 0.0
+        self._news_at = None
+
+    def record_failure(self, *, now: float) -> None:
+        """Pause before the next read, longer after each failure."""
+        self._failures += 1
+        pause = min(BACKOFF_LONGEST_S, BACKOFF_FIRST_S * 2 ** (self._failures - 1))
+        self._not_before = now + pause * (0.75 + 0.5 * self._random.random())
+        self._news_at = None
--- /dev/null
+++ b/src/guavamast/relay/request_notes.py
@@ -0,0 +1,124 @@
+"""Log lines and metrics of the decisions on requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from guavamast.relay.attempt import AttemptFailed
+    from guavamast.relay.caller_gate import Denied
+    from guavamast.relay.counters import Counters
+    from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.messages import CallerRequest, SendTerms
+
+
+class RequestNotes:
+    """Notes each decision on a request with what decided it.
+
+    Args:
+        log: Where the lines go.
+        counters: Where the metrics go.
+        knowledge: For the versions that decisions rest on.
+    """
+
+    __slots__ = ("_counters", "_knowledge", "_log")
+
+    def __init__(self, *, log: DecisionLog, counters: Counters, knowledge: FleetKnowledge) -> None:
+        self._log = log
+        self._counters = counters
+        self._knowledge = knowledge
+
+    def note_connection(self, *, new: bool) -> None:
+        """Count a connection by whether it was kept from before."""
+        self._counters.add(f'endpoint_connections_total{{new="{str(new).lower()}"}}')
+
+    def note_send(
+        self,
+        request: CallerRequest,
+        record: EndpointRecord,
+        terms: SendTerms,
+        *,
+        sent: int,
+        now: float,
+    ) -> None:
+        """Note that a request goes to an endpoint."""
+        self._counters.add(f'sends_total{{repeat="{str(sent > 1).lower()}"}}')
+        self._log.write(
+            "sent",
+            now=now,
+            request_id=request.request_id,
+            endpoint=record.endpoint_id,
+            service=record.service,
+            send=sent,
+            resume_after=terms.resume_after,
+            time_left_s=round(terms.time_left_s or 0.0, 3),
+            waited_s=round(now - request.arrived, 4),
+            config_version=self._knowledge.catalog_version,
+            endpoints_version=self._knowledge.endpoints.digest,
+            endpoints_age_s=round(self._knowledge.compute_endpoints_age(now=now), 2),
+        )
+
+    def note_first_event(self, request: CallerRequest, *, now: float) -> None:
+        """Measure the time to the first event."""
+        self._counters.observe("first_event_seconds", now - request.arrived)
+
+    def note_failure(
+        self,
+        request: CallerRequest,
+        record: EndpointRecord,
+        failure: AttemptFailed,
+        *,
+        now: float,
+    ) -> None:
+        """Note a failed attempt."""
+        self._counters.add(f'attempt_failures_total{{kind="{failure.kind}"}}')
+        self._log.write(
+            "attempt_failed",
+            now=now,
+            request_id=request.request_id,
+            endpoint=record.endpoint_id,
+            kind=str(failure.kind),
+            detail=failure.detail,
+            after_s=round(now - request.arrived, 4),
+        )
+
+    def note_refusal(
+        self, request: CallerRequest, denied: Denied, *, age_s: float, now: float
+    ) -> None:
+        """Note a request that is answered without an attempt."""
+        self._counters.add(f'refusals_total{{status="{denied.status}"}}')
+        self._log.write(
+            "refused",
+            now=now,
+            request_id=request.request_id,
+            status=denied.status,
+            reason=denied.reason,
+            host=request.host,
+            path=request.path,
+            config_version=self._knowledge.catalog_version,
+            config_age_s=round(min(age_s, 1e6), 2),
+        )
+
+    def note_end(
+        self,
+        request: CallerRequest,
+        *,
+        outcome: str,
+        now: float,
+        status: int | None = None,
+        reason: str | None = None,
+    ) -> None:
+        """Note how a request ended."""
+        self._counters.add(f'requests_total{{outcome="{outcome}"}}')
+        self._counters.observe("request_seconds", now - request.arrived)
+        self._log.write(
+            "ended",
+            now=now,
+            request_id=request.request_id,
+            outcome=outcome,
+            status=status,
+            reason=reason,
+            took_s=round(now - request.arrived, 4),
+        )
--- /dev/null
+++ b/src/guavamast/relay/store_watch.py
@@ -0,0 +1,184 @@
+"""Keeps the knowledge of an instance fresh by reading the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.read_schedule import ReadSchedule
+from guavamast.relay.store import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from guavamast.relay.counters import Counters
+    from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.store import InstanceRecord, Store
+
+TICK_S: Final = 0.05
+"""How often it is decided whether to read; a small part of the read interval."""
+REGISTER_RETRY_S: Final = 1.0
+"""Between two attempts to register."""
+
+
+class StoreWatch:
+    """Reads the store when it is due and tells the others by a beat at once.
+
+    Args:
+        store: The platform's store.
+        knowledge: What is kept fresh.
+        record: This instance, to be registered.
+        log: Decisions.
+        counters: Metrics.
+        random: Spreads the reads of instances.
+        read_time: The local clock.
+        announce: Sends a beat to all instances.
+    """
+
+    __slots__ = (
+        "_announce",
+        "_catalog_schedule",
+        "_counters",
+        "_endpoint_schedule",
+        "_knowledge",
+        "_log",
+        "_read_time",
+        "_record",
+        "_store",
+        "answers",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        knowledge: FleetKnowledge,
+        record: InstanceRecord,
+        log: DecisionLog,
+        counters: Counters,
+        random: Random,
+        read_time: Callable[[], float],
+        announce: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._knowledge = knowledge
+        self._record = record
+        self._log = log
+        self._counters = counters
+        self._read_time = read_time
+        self._announce = announce
+        self._catalog_schedule = ReadSchedule(random=random)
+        self._endpoint_schedule = ReadSchedule(random=random)
+        self.answers = True
+        """Whether the last read succeeded."""
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._register())
+            tasks.create_task(self._watch_catalog())
+            tasks.create_task(self._watch_endpoints())
+
+    async def _register(self) -> None:
+        """Make this instance known and learn of the others."""
+        while True:
+            try:
+                await self._store.register_instance(self._record)
+                listed = await self._store.read_instances()
+            except StoreError as error:
+                self._note_failure("register", error)
+                await asyncio.sleep(REGISTER_RETRY_S)
+                continue
+            now = self._read_time()
+            for record in listed:
+                self._knowledge.peers.add_listed(record, now=now)
+            self._log.write("registered", now=now, instances=len(listed))
+            self._announce()
+            return
+
+    async def _watch_catalog(self) -> None:
+        while True:
+            now = self._read_time()
+            due = self._catalog_schedule.is_due(
+                age_s=self._knowledge.compute_catalog_age(now=now),
+                rank=self._knowledge.peers.rank_as_reader(now=now),
+                news=self._knowledge.newer_catalog_heard,
+                now=now,
+            )
+            if due:
+                await self._read_catalog()
+            await asyncio.sleep(TICK_S)
+
+    async def _watch_endpoints(self) -> None:
+        while True:
+            now = self._read_time()
+            due = self._endpoint_schedule.is_due(
+                age_s=self._knowledge.compute_endpoints_age(now=now),
+                rank=self._knowledge.peers.rank_as_reader(now=now),
+                news=self._knowledge.newer_endpoints_heard or self._knowledge.must_relist,
+                now=now,
+            )
+            if due:
+                await self._read_endpoints()
+            await asyncio.sleep(TICK_S)
+
+    async def _read_catalog(self) -> None:
+        try:
+            reading = await self._store.read_catalog(known=self._knowledge.catalog)
+        except StoreError as error:
+            self._catalog_schedule.record_failure(now=self._read_time())
+            self._note_failure("read_configuration", error)
+            return
+        self._catalog_schedule.record_success()
+        self._note_success()
+        if self._knowledge.take_catalog(reading):
+            catalog = self._knowledge.catalog
+            self._log.write(
+                "configuration_taken",
+                now=self._read_time(),
+                config_version=self._knowledge.catalog_version,
+                row_version=catalog.row_version if catalog else None,
+            )
+        self._announce()
+
+    async def _read_endpoints(self) -> None:
+        try:
+            reading = await self._store.read_endpoints()
+        except StoreError as error:
+            self._endpoint_schedule.record_failure(now=self._read_time())
+            self._note_failure("read_endpoints", error)
+            return
+        self._endpoint_schedule.record_success()
+        self._note_success()
+        if self._knowledge.take_endpoints(reading):
+            records = self._knowledge.endpoints.list_all()
+            self._log.write(
+                "endpoints_taken",
+                now=self._read_time(),
+                endpoints_version=reading.digest,
+                listed=len(reading.records),
+                ready=sum(record.ready for record in records),
+                lapsed=self._knowledge.endpoints.has_lapsed,
+            )
+        self._announce()
+
+    def _note_failure(self, call: str, error: StoreError) -> None:
+        self._counters.add(f'store_failures_total{{call="{call}"}}')
+        if self.answers:
+            now = self._read_time()
+            self._log.write(
+                "store_lost",
+                now=now,
+                call=call,
+                reason=error.reason,
+                config_age_s=round(min(1e6, self._knowledge.compute_catalog_age(now=now)), 2),
+            )
+        self.answers = False
+
+    def _note_success(self) -> None:
+        self._counters.add("store_reads_total")
+        if not self.answers:
+            self._log.write("store_regained", now=self._read_time())
+        self.answers = True
--- /dev/null
+++ b/src/guavamast/relay/stream_relay.py
@@ -0,0 +1,51 @@
+"""Passes a stream of events from an endpoint to a caller, each event whole."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.relay.event_framing import EventFraming
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.attempt import Attempt
+    from guavamast.relay.messages import AnswerWriter
+
+
+async def relay_events(
+    attempt: Attempt, writer: AnswerWriter, note_event: Callable[[str | None], None]
+) -> None:
+    """Pass events on as they arrive, and end the caller's answer after the whole stream.
+
+    The caller's answer begins with the first event, so that an attempt that fails before it leaves
+    room for another. An event that an endpoint leaves unfinished is not passed on: the endpoint at
+    which the stream is resumed sends it again from its start.
+
+    Args:
+        attempt: An attempt whose head has come.
+        writer: The caller's side, begun already if this resumes a stream.
+        note_event: Called with each event's id before the event is passed on.
+
+    Raises:
+        AttemptFailed: The stream broke.
+    """
+    framing = EventFraming()
+    while (events := await attempt.read_events(framing)) is not None:
+        if not events:
+            continue
+        for event in events:
+            note_event(event.event_id)
+        _begin_once(attempt, writer)
+        await writer.write(b"".join(event.data for event in events))
+    _begin_once(attempt, writer)
+    rest = framing.take_rest()
+    if rest:
+        await writer.write(rest)
+    await writer.end()
+
+
+def _begin_once(attempt: Attempt, writer: AnswerWriter) -> None:
+    assert attempt.head is not None
+    if not writer.begun:
+        writer.begin(attempt.head.status, list(attempt.head.headers))
--- /dev/null
+++ b/tests/relay_facts.py
@@ -0,0 +1,92 @@
+"""Records, routes and requests that the relay's tests use."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from guavamast.relay.catalog import (
+    CallerLimits,
+    CallerOrganisation,
+    Catalog,
+    Route,
+    RouteKind,
+    WeightedService,
+)
+from guavamast.relay.endpoint_table import EndpointRecord
+from guavamast.relay.messages import CallerRequest, PromptPart
+
+LIMITS = CallerLimits(
+    header_bytes=16_384, body_bytes=65_536, header_timeout_s=3.0, idle_timeout_s=15.0
+)
+
+
+def make_route(**changes: Any) -> Route:
+    """Return a route of a plain idempotent service, with changes."""
+    values: dict[str, Any] = {
+        "name": "status",
+        "host": "portal.example",
+        "path_prefix": "/status/",
+        "kind": RouteKind.IDEMPOTENT,
+        "services": (WeightedService(service="portal", weight=1.0),),
+        "timeout_s": 0.8,
+        "objective_s": 0.3,
+        "longest_pause_s": None,
+        "max_endpoints": 2,
+        "urgency": 2,
+        "needs_key": True,
+        "resumable": False,
+    }
+    return Route(**(values | changes))
+
+
+def make_catalog(*routes: Route, row_version: int = 5) -> Catalog:
+    """Return a configuration with one organisation whose key is ``good``."""
+    return Catalog(
+        version=row_version * 10,
+        row_version=row_version,
+        routes=list(routes) or [make_route()],
+        services=[],
+        organisations={"good": CallerOrganisation(name="bakery", urgency=None)},
+        limits=LIMITS,
+    )
+
+
+def make_request(**changes: Any) -> CallerRequest:
+    """Return a request to the route of `make_route`, with changes."""
+    values: dict[str, Any] = {
+        "request_id": "r1",
+        "method": "GET",
+        "target": "/status/7",
+        "host": "portal.example",
+        "headers": (),
+        "body": b"",
+        "has_body": False,
+        "api_key": "good",
+        "patience_s": 1.5,
+        "prompt_parts": (),
+        "prompt_tokens": 0,
+        "output_tokens": 0,
+        "arrived": 100.0,
+    }
+    return CallerRequest(**(values | changes))
+
+
+def make_endpoint(name: str, **changes: Any) -> EndpointRecord:
+    """Return a ready endpoint, with changes."""
+    values: dict[str, Any] = {
+        "endpoint_id": name,
+        "row_version": 1,
+        "service": "portal",
+        "host": "127.0.0.1",
+        "port": 9,
+        "failure_domain": "a",
+        "slots": 6,
+        "ready": True,
+        "born_ms": 1,
+    }
+    return EndpointRecord(**(values | changes))
+
+
+def make_parts(*entries: tuple[str, int]) -> tuple[PromptPart, ...]:
+    """Return prompt parts from ids and tokens."""
+    return tuple(PromptPart(part_id=part_id, tokens=tokens) for part_id, tokens in entries)
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,230 @@
+"""Tests of the adapter: what the platform sends is decoded once, whatever it holds."""
+
+from __future__ import annotations
+
+import ast
+import re
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.findings import FindingsError
+from guavamast.platform.catalog_wire import decode_catalog
+from guavamast.platform.endpoint_wire import decode_endpoint
+from guavamast.platform.request_headers import PlatformHeaders
+from guavamast.platform.settings import decode_settings
+from guavamast.relay.catalog import RouteKind
+from guavamast.relay.messages import PromptPart, SendTerms
+
+SOURCE = Path(__file__).resolve().parent.parent / "src" / "guavamast"
+SETTINGS = {
+    "node_name": "front-1",
+    "ip": "10.1.0.40",
+    "zone": "a",
+    "region": "r",
+    "listen": {"front": "10.1.0.40:82", "readiness": "10.1.0.40:83", "directory": "10.1.0.40:84"},
+    "internal_ports": [7340, 7355],
+    "bounds": {
+        "strict_revocation": True,
+        "revoke_ms": 5000,
+        "grace_s": 8,
+        "retry_budget_ratio": 0.2,
+        "budget_slack": 108,
+        "budget_window_s": 10,
+    },
+    "platform": {"address": "10.200.1.7:8223"},
+    "new_field": {"of": "a later platform"},
+}
+ENDPOINT = {
+    "service": "pool",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "slots": 64,
+    "state": "ready",
+    "seq": 4,
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=6,
+)
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings are read whole, or all findings are told."""
+
+    def test_settings_are_decoded(self) -> None:
+        settings = decode_settings(SETTINGS, file="f")
+        self.assertEqual(str(settings.callers), "10.1.0.40:82")
+        self.assertEqual(settings.peers.port, 7340)
+        self.assertEqual(settings.revocation_s, 5.0)
+
+    def test_all_findings_at_once(self) -> None:
+        broken = SETTINGS | {"ip": 5, "listen": {"front": "nowhere"}, "zone": None}
+        with self.assertRaises(FindingsError) as caught:
+            decode_settings(broken, file="f")
+        paths = {finding.message.partition(":")[0] for finding in caught.exception.findings}
+        self.assertEqual(paths, {"ip", "listen.front", "zone"})
+
+
+class EndpointWireTest(unittest.TestCase):
+    """A row names an endpoint, or none; it never stops the others from being read."""
+
+    def test_states(self) -> None:
+        for state, ready in (("ready", True), ("draining", False)):
+            record = decode_endpoint("i", ENDPOINT | {"state": state}, row_version=3)
+            assert record is not None
+            self.assertEqual((record.ready, record.port), (ready, 8080))
+        self.assertIsNone(decode_endpoint("i", ENDPOINT | {"state": "odd"}, row_version=3))
+
+    @given(fields=JSON)
+    def test_rows_of_other_writers_name_none(self, fields: object) -> None:
+        self.assertIsNone(decode_endpoint("i", fields, row_version=1))
+
+    @given(name=st.sampled_from(sorted(ENDPOINT)), value=JSON)
+    def test_a_wrong_field_raises_nothing(self, name: str, value: object) -> None:
+        decode_endpoint("i", ENDPOINT | {name: value}, row_version=1)
+
+
+class CatalogWireTest(unittest.TestCase):
+    """The operators' configuration becomes the product's types."""
+
+    def test_routes_services_and_keys(self) -> None:
+        fields = {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r1",
+                    "host": "h",
+                    "path_prefix": "/p/",
+                    "kind": "streaming",
+                    "timeout_ms": 12000,
+                    "target_latency_ms": 300,
+                    "priority": 0,
+                    "split": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+                    "max_attempts": 2,
+                    "resumable": True,
+                    "target_gap_ms": 200,
+                }
+            ],
+            "services": [{"name": "x", "max_connections": 720, "engine": {"slots": 64}}],
+            "limits": {"max_header_bytes": 100},
+            "tenants": [{"name": "t", "api_keys": ["k"], "priority": 1}],
+        }
+        catalog = decode_catalog(fields, row_version=9)
+        route = catalog.find_route("h", "/p/x")
+        assert route is not None
+        self.assertIs(route.kind, RouteKind.STREAM)
+        self.assertEqual((route.timeout_s, route.objective_s, route.urgency), (12.0, 0.3, 0))
+        self.assertTrue(route.needs_key and route.repeatable)
+        organisation = catalog.find_organisation("k")
+        assert organisation is not None
+        self.assertEqual((organisation.name, organisation.urgency), ("t", 1))
+
+
+class RequestHeadersTest(unittest.TestCase):
+    """What is the relay's to set never comes from a caller, and keys never go on."""
+
+    def setUp(self) -> None:
+        self.codec = PlatformHeaders()
+
+    def relay(self, *headers: tuple[str, str]) -> dict[str, str]:
+        request = self.codec.read_request(
+            method="POST", target="/p", headers=list(headers), body=b"x", arrived=0.0
+        )
+        terms = SendTerms(
+            endpoint_id="i-1",
+            organisation="bakery",
+            time_left_s=1.25,
+            urgency=2,
+            resume_after=None,
+        )
+        return {name.lower(): value for name, value in self.codec.write_request(request, terms)}
+
+    def test_callers_cannot_set_the_relays_headers(self) -> None:
+        forged = ("X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch")
+        sent = self.relay(
+            *((name, "forged") for name in (*forged, "X-Expect-Instance", "X-Request-Urgency")),
+            ("Authorization", "Bearer k"),
+            ("X-Request-Deadline-Ms", "90000"),
+            ("Connection", "close, X-Private"),
+            ("X-Private", "1"),
+            ("X-Model", "m"),
+        )
+        self.assertNotIn("forged", sent.values())
+        self.assertNotIn("authorization", sent)
+        self.assertNotIn("x-private", sent)
+        self.assertEqual(sent["x-tenant"], "bakery")
+        self.assertEqual(sent["x-expect-instance"], "i-1")
+        self.assertEqual(sent["x-request-deadline-ms"], "1250")
+        self.assertEqual(sent["x-model"], "m")
+
+    def test_facts_of_a_request(self) -> None:
+        request = self.codec.read_request(
+            method="POST",
+            target="/p?q=1",
+            headers=[
+                ("Authorization", "Bearer k"),
+                ("X-Prompt-Prefix", "5c:800,91:410"),
+                ("X-Token-Usage", "1210,80"),
+                ("X-Request-Deadline-Ms", "1500"),
+            ],
+            body=b"",
+            arrived=0.0,
+        )
+        parts = (PromptPart(part_id="5c", tokens=800), PromptPart(part_id="91", tokens=410))
+        self.assertEqual(request.prompt_parts, parts)
+        self.assertEqual((request.prompt_tokens, request.output_tokens), (1210, 80))
+        self.assertEqual((request.api_key, request.patience_s, request.path), ("k", 1.5, "/p"))
+
+    def test_facts_of_an_answer(self) -> None:
+        head = self.codec.read_answer(
+            200,
+            [
+                ("X-Engine-Seal", "s"),
+                ("X-Attempt-Id", "r"),
+                ("Keep-Alive", "timeout=3"),
+                ("Content-Length", "5"),
+            ],
+        )
+        self.assertTrue(head.sealed)
+        self.assertEqual((head.request_id, head.keep_alive_s), ("r", 3.0))
+        self.assertEqual([name for name, _ in head.headers], ["X-Engine-Seal", "X-Attempt-Id"])
+        self.assertTrue(self.codec.read_answer(421, []).refused_unrun)
+        self.assertFalse(self.codec.read_answer(503, []).refused_unrun)
+        self.assertTrue(self.codec.read_answer(503, [("X-Not-Executed", "1")]).refused_unrun)
+
+
+class BoundaryTest(unittest.TestCase):
+    """The platform's names stand in the adapter alone."""
+
+    def list_modules(self) -> list[Path]:
+        adapter = SOURCE / "platform"
+        return [path for path in SOURCE.rglob("*.py") if adapter not in path.parents]
+
+    def test_nothing_imports_the_adapter(self) -> None:
+        for path in self.list_modules():
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+                if isinstance(node, ast.ImportFrom):
+                    names = [node.module or ""]
+                elif isinstance(node, ast.Import):
+                    names = [alias.name for alias in node.names]
+                else:
+                    continue
+                for name in names:
+                    self.assertNotEqual(name.split(".")[:2], ["guavamast", "platform"], path)
+
+    def test_nothing_else_knows_the_platforms_headers_and_calls(self) -> None:
+        words = re.compile(
+            r"X-Attempt|X-Engine|X-Not-Exec|X-Expect|X-Tenant|rows-get|rows-tx|api_keys"
+            r"|target_latency_ms|max_attempts|strict_revocation|\btenants?\b",
+            re.IGNORECASE,
+        )
+        for path in (SOURCE / "relay").rglob("*.py"):
+            self.assertIsNone(words.search(path.read_text(encoding="utf-8")), path)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_relay_decisions.py
@@ -0,0 +1,327 @@
+"""Tests of the relay's decisions: gate, routes, endpoints, repeats, reads and addresses."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.relay.attempt_budget import AttemptBudget, BudgetTerms
+from guavamast.relay.beats import Beat, InstanceState, MalformedBeat, decode_beat, encode_beat
+from guavamast.relay.caller_addresses import CallerPlace, choose_addresses
+from guavamast.relay.caller_gate import Admitted, CallerGate, Denied
+from guavamast.relay.catalog import WeightedService
+from guavamast.relay.endpoint_choice import Placement, choose_endpoint
+from guavamast.relay.endpoint_load import EndpointLoads, Load
+from guavamast.relay.endpoint_table import EndpointTable
+from guavamast.relay.event_framing import EventFraming
+from guavamast.relay.freshness import Proof
+from guavamast.relay.peers import MISSED_BEATS, READER_KEY, Peers, compute_beat_interval
+from guavamast.relay.read_schedule import LAST_RANK, READ_INTERVAL_S, STEP_IN_S, ReadSchedule
+from guavamast.relay.store import InstanceRecord
+from guavamast.rendezvous import rank
+from tests.relay_facts import make_catalog, make_endpoint, make_parts, make_request, make_route
+
+
+class CatalogTest(unittest.TestCase):
+    """Routes are found by host and longest prefix."""
+
+    def test_longest_prefix_wins(self) -> None:
+        short = make_route(name="short", path_prefix="/a/")
+        long = make_route(name="long", path_prefix="/a/b/")
+        catalog = make_catalog(short, long)
+        self.assertEqual(catalog.find_route("portal.example:80", "/a/b/c"), long)
+        self.assertEqual(catalog.find_route("PORTAL.example", "/a/b"), short)
+        self.assertIsNone(catalog.find_route("portal.example", "/a"))
+        self.assertIsNone(catalog.find_route("other.example", "/a/b/"))
+
+    def test_split_follows_the_weights_and_the_request(self) -> None:
+        services = (
+            WeightedService(service="x", weight=90.0),
+            WeightedService(service="y", weight=10.0),
+        )
+        route = make_route(services=services)
+        picks = [route.pick_service(f"r{number}") for number in range(2000)]
+        self.assertEqual(picks, [route.pick_service(f"r{number}") for number in range(2000)])
+        self.assertAlmostEqual(picks.count("y") / 2000, 0.1, delta=0.03)
+
+
+class CallerGateTest(unittest.TestCase):
+    """Requests are judged by a configuration only while it is proved recent enough."""
+
+    def setUp(self) -> None:
+        self.gate = CallerGate(revocation_s=5.0)
+
+    def decide(self, age_s: float, **changes: object) -> Admitted | Denied:
+        return self.gate.decide(make_request(**changes), make_catalog(), age_s=age_s)
+
+    def test_no_configuration_defers(self) -> None:
+        decision = self.gate.decide(make_request(), None, age_s=0.0)
+        assert isinstance(decision, Denied)
+        self.assertEqual(decision.status, 503)
+
+    def test_key_is_not_accepted_when_it_may_have_been_revoked(self) -> None:
+        """The caller of an instance that is cut off gets 503 with a time to come back.
+
+        The store falls silent, an operator revokes the key, and after five seconds it must not
+        work. The instance can't know, so it stops accepting keys before that.
+        """
+        self.assertIsInstance(self.decide(4.2), Admitted)
+        decision = self.decide(4.4)
+        assert isinstance(decision, Denied)
+        self.assertEqual(decision.status, 503)
+        self.assertIsNotNone(decision.retry_after_s)
+
+    def test_unknown_is_said_by_a_recent_configuration_alone(self) -> None:
+        for changes, status in (({"api_key": "bad"}, 401), ({"target": "/none/"}, 404)):
+            recent = self.decide(1.0, **changes)
+            old = self.decide(2.0, **changes)
+            assert isinstance(recent, Denied) and isinstance(old, Denied)
+            self.assertEqual((recent.status, old.status), (status, 503))
+
+    @given(age_s=st.floats(min_value=0.0, max_value=100.0), key=st.sampled_from(["good", "bad"]))
+    def test_never_admits_a_key_beyond_the_bound(self, age_s: float, key: str) -> None:
+        decision = self.decide(age_s, api_key=key)
+        if isinstance(decision, Admitted):
+            self.assertEqual(key, "good")
+            self.assertLess(age_s, 5.0)
+
+
+class EndpointTableTest(unittest.TestCase):
+    """Endpoints that are gone get nothing; those that lapsed with the store stay."""
+
+    def setUp(self) -> None:
+        self.table = EndpointTable()
+        first = [make_endpoint("x"), make_endpoint("y"), make_endpoint("z", ready=False)]
+        self.table.apply(first, digest="1", returning=False)
+
+    def list_ready(self) -> list[str]:
+        return [record.endpoint_id for record in self.table.list_ready("portal")]
+
+    def test_missing_and_leaving_endpoints_get_nothing(self) -> None:
+        self.table.apply([make_endpoint("x", ready=False)], digest="2", returning=False)
+        self.assertEqual(self.list_ready(), [])
+
+    def test_lapsed_endpoints_stay_until_they_had_time_to_return(self) -> None:
+        """Callers are served right after an outage of the store.
+
+        All entries lapse while it is away; the first listing is empty although the endpoints live.
+        """
+        self.table.apply([], digest="2", returning=True)
+        self.assertEqual(self.list_ready(), ["x", "y"])
+        self.assertTrue(self.table.has_lapsed)
+        self.table.apply([make_endpoint("y")], digest="3", returning=False)
+        self.assertEqual(self.list_ready(), ["y"])
+
+    def test_an_endpoint_that_was_leaving_does_not_stay(self) -> None:
+        self.table.apply([], digest="2", returning=True)
+        self.assertIsNone(self.table.find("z"))
+
+
+class EndpointChoiceTest(unittest.TestCase):
+    """Prompts go where they are cached, unless load or failures outweigh it."""
+
+    def setUp(self) -> None:
+        self.loads = EndpointLoads()
+        self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(5)]
+        parts = make_parts(("common", 500), ("session", 4800), ("own", 900))
+        self.placement = Placement(prompt_parts=parts, prompt_tokens=6200, failure_domain="a")
+
+    def choose(self, exclude: frozenset[str] = frozenset(), seed: int = 0) -> str | None:
+        record = choose_endpoint(
+            self.placement,
+            self.endpoints,
+            loads=self.loads,
+            exclude=exclude,
+            random=Random(seed),
+            now=10.0,
+        )
+        return record.endpoint_id if record else None
+
+    def test_a_session_stays_at_one_endpoint(self) -> None:
+        self.assertEqual(len({self.choose(seed=seed) for seed in range(20)}), 1)
+
+    def test_a_failing_endpoint_loses_even_its_own_sessions(self) -> None:
+        home = self.choose()
+        assert home is not None
+        self.loads.record_failure(home, weight=1.0, now=10.0)
+        self.assertNotEqual(self.choose(), home)
+
+    def test_an_endpoint_is_tried_once(self) -> None:
+        home = self.choose()
+        assert home is not None
+        self.assertNotEqual(self.choose(frozenset((home,))), home)
+        everyone = frozenset(record.endpoint_id for record in self.endpoints)
+        self.assertIsNone(self.choose(everyone))
+
+    def test_failures_fade(self) -> None:
+        self.loads.record_failure("e0", weight=4.0, now=0.0)
+        self.assertAlmostEqual(self.loads.read_failures("e0", now=4.0), 1.0)
+
+    def test_work_of_others_counts_until_they_are_gone(self) -> None:
+        self.loads.take_peer("other", {"e0": Load(requests=3, prefill_tokens=900)})
+        work = self.loads.begin("e0", 100)
+        self.assertEqual(self.loads.sum_up("e0"), Load(requests=4, prefill_tokens=1000))
+        work.end()
+        work.end()
+        self.loads.keep_peers(set())
+        self.assertEqual(self.loads.sum_up("e0"), Load())
+
+
+class AttemptBudgetTest(unittest.TestCase):
+    """Repeats of all instances together stay within the allowance."""
+
+    @given(
+        instances=st.integers(min_value=1, max_value=20),
+        requests=st.lists(st.floats(min_value=0.0, max_value=30.0), max_size=60),
+        tries=st.lists(st.floats(min_value=0.0, max_value=30.0), max_size=60),
+    )
+    def test_every_window_keeps_the_allowance(
+        self, instances: int, requests: list[float], tries: list[float]
+    ) -> None:
+        terms = BudgetTerms(ratio=0.2, slack=20.0, window_s=10.0)
+        budget = AttemptBudget(terms=terms)
+        events = sorted([(at, False) for at in requests] + [(at, True) for at in tries])
+        spent = []
+        for at, repeat in events:
+            if not repeat:
+                budget.record_request("s", now=at)
+            elif budget.try_spend("s", instances=instances, now=at):
+                spent.append(at)
+        for end in spent:
+            repeats = sum(end - 10.0 < at <= end for at in spent)
+            asked = sum(end - 10.0 < at <= end for at in requests)
+            self.assertLessEqual(repeats, 0.2 * asked + 20.0 / instances)
+
+
+class ReadScheduleTest(unittest.TestCase):
+    """One instance reads; the others step in within a second when it falls silent."""
+
+    def setUp(self) -> None:
+        self.schedule = ReadSchedule(random=Random(1))
+
+    def test_ranks_step_in_one_after_the_other(self) -> None:
+        for place in range(LAST_RANK):
+            bound = READ_INTERVAL_S + STEP_IN_S * place
+            for age_s, due in ((bound - 0.01, False), (bound, True)):
+                found = self.schedule.is_due(age_s=age_s, rank=place, news=False, now=0.0)
+                self.assertEqual(found, due)
+
+    def test_everyone_reads_before_keys_stop_being_accepted(self) -> None:
+        for place in range(400):
+            self.assertTrue(self.schedule.is_due(age_s=2.0, rank=place, news=False, now=0.0))
+
+    def test_news_is_fetched_at_once_but_not_by_all_together(self) -> None:
+        self.assertTrue(
+            self.schedule.is_due(age_s=0.0, rank=9, news=True, now=5.0)
+            or self.schedule.is_due(age_s=0.0, rank=9, news=True, now=5.11)
+        )
+
+    def test_failed_reads_pause(self) -> None:
+        self.schedule.record_failure(now=0.0)
+        self.assertFalse(self.schedule.is_due(age_s=9.0, rank=0, news=True, now=0.1))
+        self.assertTrue(self.schedule.is_due(age_s=9.0, rank=0, news=False, now=0.5))
+
+
+def make_record(name: str, domain: str = "a", region: str = "r") -> InstanceRecord:
+    """Return an instance's record."""
+    return InstanceRecord(
+        name=name,
+        ip="127.0.0.1",
+        failure_domain=domain,
+        region=region,
+        callers_address=f"{name}:80",
+        peer_port=7,
+    )
+
+
+def make_beat(name: str, *, incarnation: int = 1, sequence: int = 1, **changes: object) -> Beat:
+    """Return a beat of a serving instance, with changes."""
+    values: dict[str, object] = {
+        "record": make_record(name),
+        "incarnation": incarnation,
+        "sequence": sequence,
+        "state": InstanceState.SERVING,
+        "store_answers": True,
+        "catalog": Proof(version="5", reading=1.25),
+        "endpoints": None,
+        "loads": {"e": Load(requests=2, prefill_tokens=30)},
+    }
+    return Beat(**(values | changes))  # type: ignore[arg-type]
+
+
+class PeersTest(unittest.TestCase):
+    """Instances are there while their beats come, and only their newest word counts."""
+
+    def setUp(self) -> None:
+        self.peers = Peers(own_name="me")
+
+    def test_beats_survive_the_wire(self) -> None:
+        beat = make_beat("x")
+        self.assertEqual(decode_beat(encode_beat(beat)), beat)
+
+    @given(data=st.binary(max_size=200))
+    def test_any_other_datagram_is_refused(self, data: bytes) -> None:
+        with self.assertRaises(MalformedBeat):
+            decode_beat(data)
+
+    def test_a_late_beat_of_a_former_process_changes_nothing(self) -> None:
+        self.assertTrue(self.peers.take(make_beat("x", incarnation=2), now=0.0))
+        late = make_beat("x", incarnation=1, sequence=99, state=InstanceState.LEAVING)
+        self.assertFalse(self.peers.take(late, now=0.1))
+        self.assertEqual([r.name for r in self.peers.list_serving(now=0.2)], ["x"])
+
+    def test_silent_and_leaving_instances_get_no_callers(self) -> None:
+        self.peers.take(make_beat("x"), now=0.0)
+        self.peers.take(make_beat("y", state=InstanceState.LEAVING), now=0.0)
+        bound = MISSED_BEATS * compute_beat_interval(3)
+        self.assertEqual([r.name for r in self.peers.list_serving(now=bound)], ["x"])
+        self.assertEqual(self.peers.list_serving(now=bound + 0.01), [])
+
+    def test_an_instance_that_the_store_turns_away_is_no_reader(self) -> None:
+        for name in "abcdefgh":
+            self.peers.take(make_beat(name, store_answers=False), now=0.0)
+        self.assertEqual(self.peers.rank_as_reader(now=0.1), 0)
+        for name in "abcdefgh":
+            self.peers.take(make_beat(name, sequence=2), now=0.1)
+        readers = rank(READER_KEY, [*"abcdefgh", "me"])
+        self.assertEqual(self.peers.rank_as_reader(now=0.2), readers.index("me"))
+
+
+class CallerAddressesTest(unittest.TestCase):
+    """Callers get instances near them, and always some."""
+
+    def test_near_instances_first_and_never_none(self) -> None:
+        records = [make_record("1", "a"), make_record("2", "a"), make_record("3", "b")]
+        near = CallerPlace(region="r", failure_domain="a")
+        alone = CallerPlace(region="r", failure_domain="b")
+        self.assertEqual(choose_addresses(near, records, []), ["1:80", "2:80"])
+        self.assertEqual(choose_addresses(alone, records, []), ["1:80", "2:80", "3:80"])
+        self.assertEqual(choose_addresses(alone, [], records[:1]), ["1:80"])
+
+
+class EventFramingTest(unittest.TestCase):
+    """Events are passed on whole, however the bytes arrive."""
+
+    @given(
+        events=st.lists(st.binary(max_size=20).filter(lambda data: b"\n" not in data), max_size=8),
+        cuts=st.lists(st.integers(min_value=1, max_value=9), max_size=40),
+    )
+    def test_events_are_whole_and_in_order(self, events: list[bytes], cuts: list[int]) -> None:
+        events = [event for event in events if b"\r" not in event]
+        whole = [b"id: %d\ndata: %b\n\n" % pair for pair in enumerate(events)]
+        data = b"".join(whole) + b"id: 99\nda"
+        framing = EventFraming()
+        found = []
+        for cut in [*cuts, len(data)]:
+            found.extend(framing.feed(data[:cut]))
+            data = data[cut:]
+        self.assertEqual([event.data for event in found], whole)
+        self.assertEqual([event.event_id for event in found], [str(n) for n in range(len(whole))])
+        self.assertEqual(framing.take_rest(), b"id: 99\nda")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_relay_freshness_properties.py
@@ -0,0 +1,84 @@
+"""Property tests of the age of what an instance knows, over generated clocks and faults."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.relay.freshness import OUTAGE_GAP_S, Freshness, Proof, StoreClock
+
+SECONDS = st.floats(min_value=0.0, max_value=30.0)
+
+
+class StoreClockTest(unittest.TestCase):
+    """The age of a reading is never underestimated."""
+
+    @given(
+        offset=st.floats(min_value=-1e6, max_value=1e6),
+        calls=st.lists(st.tuples(SECONDS, SECONDS, SECONDS), min_size=1, max_size=10),
+        held=SECONDS,
+    )
+    def test_age_is_never_below_the_true_one(
+        self, offset: float, calls: list[tuple[float, float, float]], held: float
+    ) -> None:
+        clock = StoreClock()
+        now = 1000.0
+        taken = now
+        for pause, out, back in calls:
+            now += pause
+            sent = now
+            taken = sent + out
+            now = taken + back
+            clock.record(sent=sent, reading=taken - offset)
+        # A message with the last reading waits in a socket while the machine is suspended.
+        now += held
+        true_age = now - taken
+        self.assertGreaterEqual(clock.compute_age(taken - offset, now=now), true_age - 1e-6)
+
+    def test_nothing_known_is_infinitely_old(self) -> None:
+        self.assertEqual(StoreClock().compute_age(5.0, now=6.0), float("inf"))
+
+
+class FreshnessTest(unittest.TestCase):
+    """Proofs only ever move forward, and only for the version that is held."""
+
+    def setUp(self) -> None:
+        self.clock = StoreClock()
+        self.clock.record(sent=100.0, reading=0.0)
+        self.freshness = Freshness(clock=self.clock)
+
+    def test_word_on_another_version_proves_nothing(self) -> None:
+        """A revoked key is refused although a peer's beats say that its configuration is fresh.
+
+        The peer has read the change and tells of its own version; this instance still holds the
+        version before, which the word says nothing about.
+        """
+        self.freshness.record(Proof(version="7", reading=1.0))
+        self.assertFalse(self.freshness.confirm(Proof(version="8", reading=5.0)))
+        self.assertAlmostEqual(self.freshness.compute_age(now=106.0), 5.0)
+        self.assertTrue(self.freshness.confirm(Proof(version="7", reading=2.0)))
+        self.assertAlmostEqual(self.freshness.compute_age(now=106.0), 4.0)
+
+    @given(readings=st.lists(SECONDS, min_size=1, max_size=20))
+    def test_age_never_grows_by_a_late_word(self, readings: list[float]) -> None:
+        freshness = Freshness(clock=self.clock)
+        freshness.record(Proof(version="7", reading=0.0))
+        for reading in readings:
+            before = freshness.compute_age(now=200.0)
+            freshness.confirm(Proof(version="7", reading=reading))
+            self.assertLessEqual(freshness.compute_age(now=200.0), before)
+
+    def test_entries_may_come_back_for_two_seconds_after_an_outage(self) -> None:
+        self.freshness.record(Proof(version="a", reading=1.0))
+        self.freshness.record(Proof(version="b", reading=1.0 + OUTAGE_GAP_S + 0.1))
+        self.assertTrue(self.freshness.is_returning())
+        self.freshness.record(Proof(version="c", reading=4.0))
+        self.assertTrue(self.freshness.is_returning())
+        self.freshness.record(Proof(version="c", reading=4.8))
+        self.assertFalse(self.freshness.is_returning())
+
+
+if __name__ == "__main__":
+    unittest.main()
