Keep prompts that are due soon out of the lane of patient ones; weigh a second read by its price

Half of the re-read prompt parts came from moving sessions to an engine that was a little less loaded.

--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -10,7 +10,7 @@
 
     from guavamast.relay.engine_model import Forecast
 
-WAITING_SHARE: Final = 0.75
+WAITING_SHARE: Final = 0.5
 """Share of the objective for which a request may wait behind others; the rest is for its own
 prompt and the first event. The request's own length does not count, so that long ones are refused
 no sooner than short ones of their kind."""
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.engine_model import READ_TOKENS_PER_MS, Forecast, forecast
-from guavamast.relay.prompt_lanes import assign_lanes, find_lane
+from guavamast.relay.prompt_lanes import assign_lanes
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from guavamast.relay.messages import PromptPart
     from guavamast.relay.prompt_cache import PromptCache
 
-REREAD_WEIGHT: Final = 2.0
+REREAD_WEIGHT: Final = 6.0
 """Weight of reading a shared part again beyond the time that it takes: it is also paid for, and it
 pushes other parts out of the cache."""
 HOME_MS: Final = 8.0
@@ -51,6 +51,8 @@
     prompt_tokens: int
     failure_domain: str
     """Of the instance that sends."""
+    lane: int
+    """Which engines are meant for its prompt."""
     lane_shares: tuple[float, ...]
     """Share of the engines that each lane of prompts should have."""
     output_tokens: int
@@ -176,8 +178,7 @@
     if not placement.shared_parts or not candidates:
         return None
     key = placement.shared_parts[-1].part_id
-    lane = find_lane(placement.prompt_tokens)
-    own_lane = [record for record in candidates if lanes.get(record.endpoint_id) == lane]
+    own_lane = [record for record in candidates if lanes.get(record.endpoint_id) == placement.lane]
     best = max(own_lane or candidates, key=lambda record: compute_weight(key, record.endpoint_id))
     return best.endpoint_id
 
@@ -186,7 +187,6 @@
     """Return the milliseconds that count against an engine of another lane than the prompt's."""
     if lane is None:
         return 0.0
-    own = find_lane(placement.prompt_tokens)
-    if lane < own:
+    if lane < placement.lane:
         return DELAYED_REQUESTS * placement.prompt_tokens / READ_TOKENS_PER_MS
-    return LONGER_LANE_COST_MS * (lane - own)
+    return LONGER_LANE_COST_MS * (lane - placement.lane)
--- a/src/guavamast/relay/prompt_lanes.py
+++ b/src/guavamast/relay/prompt_lanes.py
@@ -15,6 +15,9 @@
 """Prompts of so many tokens and more belong to the next lane: a prompt of the second takes an
 engine 17 ms and more to read, one of the third 50 ms and more, a sixth of the shortest usual
 objective."""
+PATIENT_OBJECTIVE_S: Final = 1.0
+"""Prompts that are due sooner never belong to the last lane: they would wait there behind prompts
+that have several times as long."""
 LANES: Final = len(LANE_BOUNDS_TOKENS) + 1
 LANE_ROOM: Final = (1.5, 1.3, 1.0)
 """Room of each lane relative to its work: the shorter the prompts, the sooner they are due."""
@@ -48,11 +51,11 @@
         self._updated: float | None = None
         self._peers: dict[str, Demand] = {}
 
-    def record(self, prompt_tokens: int, output_tokens: int, *, now: float) -> None:
-        """Count a request to a model engine."""
+    def record(self, lane: int, prompt_tokens: int, output_tokens: int, *, now: float) -> None:
+        """Count a request to a model engine in its lane."""
         self._fade(now)
         work_ms = prompt_tokens / READ_TOKENS_PER_MS + output_tokens * TOKEN_COST_MS
-        self._own[find_lane(prompt_tokens)] += work_ms
+        self._own[lane] += work_ms
 
     def read_own(self, *, now: float) -> Demand:
         """Return what this instance has seen."""
@@ -85,9 +88,15 @@
         self._updated = now
 
 
-def find_lane(prompt_tokens: int) -> int:
-    """Return the lane of a prompt, 0 for the shortest."""
-    return bisect_right(LANE_BOUNDS_TOKENS, prompt_tokens)
+def find_lane(prompt_tokens: int, *, objective_s: float) -> int:
+    """Return the lane of a prompt, 0 for the shortest.
+
+    Args:
+        prompt_tokens: Its length.
+        objective_s: Time in which its first event is due.
+    """
+    lane = bisect_right(LANE_BOUNDS_TOKENS, prompt_tokens)
+    return lane if objective_s >= PATIENT_OBJECTIVE_S else min(lane, LANES - 2)
 
 
 def assign_lanes(candidates: list[EndpointRecord], shares: tuple[float, ...]) -> dict[str, int]:
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -13,6 +13,7 @@
 from guavamast.relay.connection_pool import compute_idle_limit
 from guavamast.relay.endpoint_choice import Placement
 from guavamast.relay.messages import SendTerms
+from guavamast.relay.prompt_lanes import find_lane
 from guavamast.relay.stream_relay import relay_events
 
 if TYPE_CHECKING:
@@ -42,7 +43,7 @@
 RETRY_UNREACHABLE_S: Final = 0.3
 """When to come back when no endpoint could be reached: half an interval of the table's reads."""
 FAILURE_WEIGHTS: Final = {
-    FailureKind.NOT_CONNECTED: 2.0,
+    FailureKind.NOT_CONNECTED: 6.0,
     FailureKind.REFUSED: 0.3,
     FailureKind.MISDIRECTED: 6.0,
     FailureKind.LOST: 1.0,
@@ -64,6 +65,8 @@
     service: str
     ends_at: float
     """Local time at which the answer must be final."""
+    lane: int
+    """Which engines are meant for the request's prompt."""
     tried: set[str] = field(default_factory=set)
     sent: int = 0
     """Endpoints to which the request was sent."""
@@ -165,7 +168,9 @@
         progress = _begin(request, decision)
         self._budget.record_request(progress.service, now=now)
         if request.prompt_tokens:
-            self._demand.record(request.prompt_tokens, request.output_tokens, now=now)
+            self._demand.record(
+                progress.lane, request.prompt_tokens, request.output_tokens, now=now
+            )
         try:
             async with asyncio.timeout(max(0.0, progress.ends_at - now)):
                 await self._try_endpoints(request, writer, progress)
@@ -214,6 +219,7 @@
             prompt_parts=request.prompt_parts,
             prompt_tokens=request.prompt_tokens,
             failure_domain=self._knowledge.failure_domain,
+            lane=progress.lane,
             lane_shares=self._demand.compute_shares(),
             output_tokens=request.output_tokens,
             memory_tokens=self._find_memory(progress.service),
@@ -442,4 +448,5 @@
         admitted=admitted,
         service=admitted.route.pick_service(request.request_id),
         ends_at=request.arrived + patience_s,
+        lane=find_lane(request.prompt_tokens, objective_s=admitted.route.objective_s),
     )
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -135,6 +135,7 @@
             prompt_parts=parts,
             prompt_tokens=6200,
             failure_domain="a",
+            lane=2,
             lane_shares=SHARES,
             output_tokens=300,
             memory_tokens=600_000,
@@ -248,6 +249,11 @@
         lanes = assign_lanes(endpoints, demand.compute_shares())
         self.assertEqual(set(lanes), {record.endpoint_id for record in endpoints})
 
+    def test_prompts_that_are_due_soon_stay_out_of_the_lane_of_patient_ones(self) -> None:
+        self.assertEqual(find_lane(800, objective_s=2.0), 0)
+        self.assertEqual(find_lane(6_000, objective_s=2.0), 2)
+        self.assertEqual(find_lane(6_000, objective_s=0.4), 1)
+
     def test_like_shares_move_one_engine_at_a_border_at_most(self) -> None:
         before = assign_lanes(self.endpoints, (0.30, 0.2, 0.50))
         after = assign_lanes(self.endpoints, (0.35, 0.2, 0.45))
@@ -257,7 +263,7 @@
 
     def test_demand_of_all_instances_counts_and_fades(self) -> None:
         demand = PromptDemand()
-        demand.record(9_000, 0, now=0.0)
+        demand.record(2, 9_000, 0, now=0.0)
         self.assertEqual(demand.compute_shares(), (0.0, 0.0, 1.0))
         demand.take_peer("x", Demand(work_ms=(100.0, 0.0, 0.0)))
         self.assertAlmostEqual(demand.compute_shares()[0], 0.6)
@@ -278,6 +284,7 @@
                 prompt_parts=(),
                 prompt_tokens=12_000,
                 failure_domain="a",
+                lane=2,
                 lane_shares=shares,
                 output_tokens=300,
                 memory_tokens=600_000,
@@ -286,7 +293,7 @@
             assert choice is not None
             name = choice.record.endpoint_id
             loads.begin(name, prefill_tokens=12_000, memory_tokens=12_300)
-            self.assertEqual(lanes[name], find_lane(placement.prompt_tokens))
+            self.assertEqual(lanes[name], 2)
 
 
 class AttemptBudgetTest(unittest.TestCase):
