--- /dev/null
+++ b/src/guavamast/platform/standins/engine.py
@@ -0,0 +1,204 @@
+"""Stand-in of an engine or service: answers deterministically, counts runs, fails on request."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+
+import h11
+
+EVENTS = 6
+"""Events of a stream."""
+EVENT_INTERVAL_S = 0.02
+KEEP_ALIVE_S = 5
+
+
+class EngineFault(StrEnum):
+    """What the engine does wrong."""
+
+    NONE = "none"
+    FULL = "full"
+    """Refuses each request as not run."""
+    ERROR = "error"
+    """Runs the request and answers 500."""
+    CUT = "cut"
+    """Breaks a stream off in the middle of its third event."""
+    LOSE = "lose"
+    """Runs the request and closes the connection without an answer."""
+    EXTRA = "extra"
+    """Sends a second answer, to another request, after each one."""
+    HANG = "hang"
+    """Runs the request and never answers."""
+    UNSEALED = "unsealed"
+    """Leaves the signature out."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """One request that the engine began to work on."""
+
+    request_id: str
+    tenant: str
+    target: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class EngineStandIn:
+    """Serves one connection per request at a time, as engines do.
+
+    Args:
+        engine_id: Its id; requests that expect another are refused.
+    """
+
+    def __init__(self, *, engine_id: str) -> None:
+        self.engine_id = engine_id
+        self.fault = EngineFault.NONE
+        self.runs: list[Run] = []
+        self.abandoned = 0
+        """Requests whose connection was closed before their answer was whole."""
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def port(self) -> int:
+        """The port on which it serves."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def listen(self) -> int:
+        """Begin to serve on loopback; returns the port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self.port
+
+    async def stop(self) -> None:
+        """Stop serving and drop all connections."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        self.connections += 1
+        http = h11.Connection(our_role=h11.SERVER)
+        try:
+            while await self._serve_one(http, reader, writer):
+                http.start_next_cycle()
+        except (ConnectionError, h11.RemoteProtocolError):
+            self.abandoned += 1
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self, http: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one request; returns whether the connection goes on."""
+        request: h11.Request | None = None
+        body = b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await reader.read(65_536))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return False
+        assert request is not None
+        if self.fault is EngineFault.HANG:
+            self._note_run(request, body)
+            await reader.read()
+            self.abandoned += 1
+            return False
+        return await self._answer(http, writer, request, body)
+
+    def _note_run(self, request: h11.Request, body: bytes) -> Run:
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        run = Run(
+            request_id=headers.get("x-attempt-id", ""),
+            tenant=headers.get("x-tenant", ""),
+            target=request.target.decode(),
+            body=body,
+            headers=headers,
+        )
+        self.runs.append(run)
+        return run
+
+    async def _answer(
+        self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, body: bytes
+    ) -> bool:
+        headers = {name.decode(): value.decode() for name, value in request.headers}
+        if headers.get("x-expect-instance", self.engine_id) != self.engine_id:
+            return await self._send(http, writer, 421, [("X-Instance-Id", self.engine_id)], b"")
+        if self.fault is EngineFault.FULL:
+            return await self._send(http, writer, 503, [("X-Not-Executed", "1")], b"")
+        run = self._note_run(request, body)
+        request_id = run.request_id
+        if self.fault is EngineFault.LOSE:
+            return False
+        common = [("X-Attempt-Id", request_id), ("Keep-Alive", f"timeout={KEEP_ALIVE_S}")]
+        if self.fault is not EngineFault.UNSEALED:
+            common.append(("X-Engine-Seal", f"seal-{self.engine_id}"))
+        if self.fault is EngineFault.ERROR:
+            return await self._send(http, writer, 500, common, b"failed")
+        if b"stream" in request.target:
+            return await self._stream(http, writer, common, run)
+        again = await self._send(http, writer, 200, common, b"answer " + request_id.encode())
+        if self.fault is EngineFault.EXTRA:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Engine-Seal: s\r\n"
+                b"Content-Length: 5\r\n\r\nwrong"
+            )
+        return again
+
+    async def _stream(
+        self,
+        http: h11.Connection,
+        writer: asyncio.StreamWriter,
+        headers: list[tuple[str, str]],
+        run: Run,
+    ) -> bool:
+        headers = [*headers, ("Content-Type", "text/event-stream")]
+        headers.append(("Transfer-Encoding", "chunked"))
+        writer.write(http.send(h11.Response(status_code=200, headers=headers)) or b"")
+        first = int(run.headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            data = make_event(run.request_id, number)
+            if self.fault is EngineFault.CUT and number == 3:
+                writer.write(http.send(h11.Data(data=data[:9])) or b"")
+                await writer.drain()
+                return False
+            writer.write(http.send(h11.Data(data=data)) or b"")
+            await writer.drain()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.write(http.send(h11.EndOfMessage()) or b"")
+        await writer.drain()
+        return True
+
+    async def _send(
+        self,
+        http: h11.Connection,
+        writer: asyncio.StreamWriter,
+        status: int,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> bool:
+        fields = [*headers, ("Content-Length", str(len(body)))]
+        data = http.send(h11.Response(status_code=status, headers=fields)) or b""
+        data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        writer.write(data)
+        await writer.drain()
+        return True
+
+
+def make_event(request_id: str, number: int) -> bytes:
+    """Return an event of a stream, the same from every engine."""
+    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
--- /dev/null
+++ b/src/guavamast/platform/standins/store.py
@@ -0,0 +1,121 @@
+"""Stand-in of the platform's store: rows in tables, one counter of versions, a steady clock."""
+
+from __future__ import annotations
+
+import base64
+import json
+import time
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from tornado import httputil
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+
+class StoreFault(StrEnum):
+    """What the store does wrong."""
+
+    NONE = "none"
+    BUSY = "busy"
+    """Answers 503."""
+    SILENT = "silent"
+    """Answers nothing."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Row:
+    value: str
+    version: int
+
+
+class StoreStandIn:
+    """Keeps rows in memory and serves the calls that guavamast makes."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], _Row] = {}
+        self._version = 0
+        self._server = HTTPServer(self._answer)
+        self.fault = StoreFault.NONE
+        self.calls = 0
+        """Calls that arrived."""
+
+    def listen(self) -> int:
+        """Begin to serve on loopback; returns the port."""
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.stop()
+
+    def put(self, table: str, key: str, fields: Any) -> int:
+        """Write a row as an operator or an engine does; returns its version."""
+        self._version += 1
+        value = base64.b64encode(json.dumps(fields).encode()).decode()
+        self._rows[table, key] = _Row(value=value, version=self._version)
+        return self._version
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._version += 1
+        self._rows.pop((table, key), None)
+
+    def count_rows(self, table: str) -> int:
+        """Return the rows of a table."""
+        return sum(1 for name, _ in self._rows if name == table)
+
+    def _answer(self, request: httputil.HTTPServerRequest) -> None:
+        self.calls += 1
+        if self.fault is StoreFault.SILENT:
+            return
+        if self.fault is StoreFault.BUSY:
+            _write(request, 503, {})
+        elif request.path == "/v1/rows-get":
+            _write(request, 200, self._get(request))
+        elif request.path == "/v1/rows-tx":
+            _write(request, 200, self._transact(json.loads(request.body)))
+        else:
+            _write(request, 404, {})
+
+    def _get(self, request: httputil.HTTPServerRequest) -> dict[str, Any]:
+        table = request.query_arguments["table"][0].decode()
+        first = request.query_arguments.get("from", [b""])[0].decode()
+        limit = int(request.query_arguments.get("limit", [b"500"])[0])
+        keys = sorted(key for name, key in self._rows if name == table and key >= first)
+        rows = [
+            {
+                "table": table,
+                "part": "",
+                "key": key,
+                "value": self._rows[table, key].value,
+                "ver": self._rows[table, key].version,
+            }
+            for key in keys[:limit]
+        ]
+        return self._stamp({"rows": rows, "more_pages": len(keys) > limit})
+
+    def _transact(self, fields: dict[str, Any]) -> dict[str, Any]:
+        self._version += 1
+        for row in fields["writes"]:
+            self._rows[row["table"], row["key"]] = _Row(value=row["value"], version=self._version)
+        for row in fields["remove"]:
+            self._rows.pop((row["table"], row["key"]), None)
+        return self._stamp({})
+
+    def _stamp(self, fields: dict[str, Any]) -> dict[str, Any]:
+        now_ms = int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
+        return fields | {"ver": self._version, "now_ms": now_ms}
+
+
+def _write(request: httputil.HTTPServerRequest, status: int, fields: dict[str, Any]) -> None:
+    body = json.dumps(fields).encode()
+    headers = httputil.HTTPHeaders(
+        {"Content-Type": "application/json", "Content-Length": str(len(body))}
+    )
+    assert request.connection is not None
+    start = httputil.ResponseStartLine("HTTP/1.1", status, "")
+    request.connection.write_headers(start, headers, body)
+    request.connection.finish()
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,373 @@
+"""Tests of the whole path on the platform: real processes against the project's stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import unittest
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavamast.platform.standins.engine import EVENTS, EngineFault, make_event
+from guavamast.platform.standins.site import (
+    CALLS,
+    HOST,
+    KEY,
+    LOOKUPS,
+    RESUMABLE,
+    STREAMS,
+    Site,
+    write_settings,
+)
+from guavamast.platform.standins.store import StoreFault
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+
+if TYPE_CHECKING:
+    from guavamast.relay.messages import Header
+
+READY_S = 20.0
+"""Time for a process to start and become ready, on a busy machine."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self.connection = connection
+
+    @classmethod
+    async def open(cls, address: str) -> Caller:
+        host, _, port = address.rpartition(":")
+        return cls(await HttpConnection.open(host, int(port), timeout_s=5.0))
+
+    async def ask(
+        self,
+        target: str,
+        *,
+        request_id: str = "r1",
+        key: str = KEY,
+        body: bytes = b"",
+        extra: tuple[Header, ...] = (),
+    ) -> Reply:
+        headers = [
+            ("Host", HOST),
+            ("Authorization", f"Bearer {key}"),
+            ("X-Attempt-Id", request_id),
+            ("X-Request-Deadline-Ms", "3000"),
+            *extra,
+        ]
+        if body:
+            headers.append(("Content-Length", str(len(body))))
+        await self.connection.send("POST" if body else "GET", target, headers, body)
+        head = await self.connection.read_head()
+        received = b""
+        whole = True
+        try:
+            while (chunk := await self.connection.read_chunk()) is not None:
+                received += chunk
+        except (ConnectionLost, MalformedAnswer):
+            whole = False
+        fields = {name.lower(): value for name, value in head.headers}
+        return Reply(status=head.status, headers=fields, body=received, whole=whole)
+
+
+class Instance:
+    """One process of the relay."""
+
+    def __init__(self, process: asyncio.subprocess.Process, listen: dict[str, str]) -> None:
+        self.process = process
+        self.callers = listen["front"]
+        self.readiness = listen["readiness"]
+        self.directory = listen["directory"]
+
+    async def wait_ready(self) -> None:
+        async with asyncio.timeout(READY_S):
+            while await self.read_readiness() != 200:
+                await asyncio.sleep(0.05)
+
+    async def read_readiness(self) -> int:
+        try:
+            caller = await Caller.open(self.readiness)
+            reply = await caller.ask("/v1/ready")
+        except ConnectionLost:
+            return 0
+        caller.connection.close()
+        return reply.status
+
+    async def stop(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """What callers see of one or two instances and their engines."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        await self.site.start()
+        self.addAsyncCleanup(self.site.stop)
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = directory.name
+
+    async def start_instance(self, name: str = "one") -> Instance:
+        settings = self.site.make_settings(name)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "guavamast.platform",
+            env=os.environ | {"GUAVAMAST_SETTINGS": write_settings(settings, self.directory)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        instance = Instance(process, settings["listen"])
+        self.addAsyncCleanup(instance.stop)
+        await instance.wait_ready()
+        return instance
+
+    def count_runs(self) -> int:
+        return sum(len(engine.runs) for engine in self.site.engines.values())
+
+    def set_fault(self, fault: EngineFault, *names: str) -> None:
+        for name, engine in self.site.engines.items():
+            if not names or name in names:
+                engine.fault = fault
+
+    async def test_requests_reach_an_engine_unchanged_and_answers_come_back_unchanged(
+        self,
+    ) -> None:
+        instance = await self.start_instance()
+        caller = await Caller.open(instance.callers)
+        for number in range(3):
+            target = f"{CALLS}x%2F?q={number}"
+            reply = await caller.ask(target, request_id=f"r{number}", body=b"pay 5")
+            self.assertEqual((reply.status, reply.body), (200, b"answer r%d" % number))
+            self.assertTrue(reply.headers["x-engine-seal"].startswith("seal-portal"))
+        runs = [run for engine in self.site.engines.values() for run in engine.runs]
+        self.assertEqual({run.target for run in runs}, {f"{CALLS}x%2F?q={n}" for n in range(3)})
+        for run in runs:
+            self.assertEqual((run.tenant, run.body), ("bakery", b"pay 5"))
+            self.assertNotIn("authorization", run.headers)
+            self.assertLessEqual(int(run.headers["x-request-deadline-ms"]), 1500)
+
+    async def test_unknown_keys_and_routes_are_refused(self) -> None:
+        instance = await self.start_instance()
+        caller = await Caller.open(instance.callers)
+        self.assertEqual((await caller.ask(CALLS + "x", key="bad")).status, 401)
+        self.assertEqual((await caller.ask("/nowhere/")).status, 404)
+        self.assertEqual(self.count_runs(), 0)
+
+    async def test_requests_beyond_the_limits_are_refused(self) -> None:
+        instance = await self.start_instance()
+        caller = await Caller.open(instance.callers)
+        reply = await caller.ask(CALLS, extra=(("X-Long", "x" * 5000),))
+        self.assertEqual(reply.status, 431)
+        caller = await Caller.open(instance.callers)
+        self.assertEqual((await caller.ask(CALLS, body=b"x" * 9000)).status, 413)
+        self.assertEqual(self.count_runs(), 0)
+
+    async def test_a_resumable_stream_goes_on_at_another_engine(self) -> None:
+        """The caller gets each event once, in order, although the first engine breaks off.
+
+        The engine closes its connection in the middle of the third event. What was left of it is
+        not passed on; the other engine sends that event again from its start.
+        """
+        instance = await self.start_instance()
+        self.set_fault(EngineFault.CUT, "pool-0")
+        caller = await Caller.open(instance.callers)
+        for number in range(6):
+            name = f"r{number}"
+            reply = await caller.ask(RESUMABLE + "x", request_id=name)
+            self.assertTrue(reply.whole)
+            expected = b"".join(make_event(name, event) for event in range(1, EVENTS + 1))
+            self.assertEqual(reply.body, expected)
+        self.assertGreater(len(self.site.engines["pool-0"].runs), 0)
+
+    async def test_a_stream_that_can_not_be_resumed_is_visibly_cut(self) -> None:
+        """The caller sees that the answer is not whole, and the work is not run again.
+
+        The engine breaks off in the third event; the caller has two, and its connection is closed
+        without the end of the answer.
+        """
+        instance = await self.start_instance()
+        self.set_fault(EngineFault.CUT)
+        caller = await Caller.open(instance.callers)
+        reply = await caller.ask(STREAMS + "stream")
+        self.assertFalse(reply.whole)
+        self.assertEqual(reply.body, make_event("r1", 1) + make_event("r1", 2))
+        self.assertEqual(self.count_runs(), 1)
+
+    async def test_a_call_that_may_have_run_is_not_sent_again(self) -> None:
+        """The caller gets 502, which promises nothing, and the call ran once.
+
+        The engine runs the call and closes the connection without an answer.
+        """
+        instance = await self.start_instance()
+        self.set_fault(EngineFault.LOSE)
+        caller = await Caller.open(instance.callers)
+        self.assertEqual((await caller.ask(CALLS + "x", body=b"pay")).status, 502)
+        self.assertEqual(self.count_runs(), 1)
+
+    async def test_a_lookup_is_tried_at_another_engine(self) -> None:
+        instance = await self.start_instance()
+        for fault in (EngineFault.LOSE, EngineFault.ERROR, EngineFault.HANG, EngineFault.UNSEALED):
+            self.set_fault(fault, "portal-0")
+            caller = await Caller.open(instance.callers)
+            for number in range(4):
+                name = f"{fault}{number}"
+                reply = await caller.ask(LOOKUPS + "x", request_id=name)
+                self.assertEqual((reply.status, reply.body), (200, b"answer " + name.encode()))
+
+    async def test_an_answer_without_signature_is_not_passed_on(self) -> None:
+        instance = await self.start_instance()
+        self.set_fault(EngineFault.UNSEALED)
+        caller = await Caller.open(instance.callers)
+        self.assertEqual((await caller.ask(CALLS + "x", body=b"pay")).status, 502)
+
+    async def test_a_second_answer_never_reaches_the_next_caller(self) -> None:
+        """Each caller gets its own answer although engines send another after each one.
+
+        The second answer waits on the connection that was to be kept; the next request would take
+        it for its own. The connection is dropped.
+        """
+        instance = await self.start_instance()
+        self.set_fault(EngineFault.EXTRA)
+        caller = await Caller.open(instance.callers)
+        for number in range(12):
+            reply = await caller.ask(CALLS + "x", request_id=f"r{number}", body=b"pay")
+            if reply.status == 200:
+                self.assertEqual(reply.body, b"answer r%d" % number)
+            else:
+                self.assertEqual(reply.status, 502)
+
+    async def test_a_refusal_is_true_and_says_when_to_come_back(self) -> None:
+        instance = await self.start_instance()
+        self.set_fault(EngineFault.FULL)
+        caller = await Caller.open(instance.callers)
+        reply = await caller.ask(CALLS + "x", body=b"pay")
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(float(reply.headers["retry-after"]), 0.0)
+        self.assertEqual(self.count_runs(), 0)
+
+    async def test_an_engine_at_a_reused_address_gets_nothing(self) -> None:
+        """The caller's request is not run by the service that was given the address later.
+
+        An engine ends and its address goes to an engine of another service; the store still names
+        the first one. Each request says which engine is meant.
+        """
+        instance = await self.start_instance()
+        stranger = await self.site.add_engine("stranger", "pool")
+        for name in ("portal-0", "portal-1"):
+            self.site.list_engine(name, "portal", stranger.port)
+        await asyncio.sleep(1.0)
+        caller = await Caller.open(instance.callers)
+        self.assertEqual((await caller.ask(CALLS + "x", body=b"pay")).status, 503)
+        self.assertEqual(stranger.runs, [])
+
+    async def test_an_engine_stops_when_its_caller_has_left(self) -> None:
+        instance = await self.start_instance()
+        self.set_fault(EngineFault.HANG)
+        caller = await Caller.open(instance.callers)
+        asking = asyncio.create_task(caller.ask(CALLS + "x", body=b"pay"))
+        async with asyncio.timeout(READY_S):
+            while not self.count_runs():
+                await asyncio.sleep(0.01)
+        caller.connection.close()
+        asking.cancel()
+        async with asyncio.timeout(READY_S):
+            while not any(engine.abandoned for engine in self.site.engines.values()):
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.count_runs(), 1)
+
+    async def test_a_revoked_key_stops_working_although_the_store_is_silent(self) -> None:
+        """The caller of a revoked key gets 503 once the instance can't know any more.
+
+        The store falls silent and the operator takes the key away, which the instance never hears.
+        It accepts the key for a part of the two seconds within which it must stop, and no longer;
+        when the store is back, it says 401.
+        """
+        instance = await self.start_instance()
+        self.site.store.fault = StoreFault.SILENT
+        self.site.keys = ["another"]
+        self.site.configure()
+        await asyncio.sleep(2.0)
+        caller = await Caller.open(instance.callers)
+        reply = await caller.ask(CALLS + "x", body=b"pay")
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.count_runs(), 0)
+        self.assertEqual(await instance.read_readiness(), 503)
+        self.site.store.fault = StoreFault.NONE
+        await instance.wait_ready()
+        self.assertEqual((await caller.ask(CALLS + "x", request_id="r2", body=b"pay")).status, 401)
+
+    async def test_an_engine_that_leaves_gets_no_more_requests(self) -> None:
+        instance = await self.start_instance()
+        self.site.store.drop("servers", "portal-0")
+        port_unused = 1
+        self.site.list_engine("portal-1", "portal", port_unused, state="draining")
+        third = await self.site.add_engine("portal-2", "portal")
+        async with asyncio.timeout(READY_S):
+            while True:
+                before = self.count_runs()
+                caller = await Caller.open(instance.callers)
+                reply = await caller.ask(LOOKUPS + "x")
+                if len(third.runs) and self.count_runs() - before == 1 and reply.status == 200:
+                    break
+        for number in range(8):
+            await caller.ask(LOOKUPS + "x", request_id=f"later{number}")
+        self.assertGreaterEqual(len(third.runs), 9)
+
+    async def test_a_stopped_instance_answers_what_it_has_and_leaves_the_directory(self) -> None:
+        """Nobody loses an answer when an instance is stopped.
+
+        SIGTERM comes while a stream is under way. The instance is not ready and not named to
+        callers any more, still answers those that come with an old address, and ends with code 0
+        within its time.
+        """
+        first = await self.start_instance("one")
+        second = await self.start_instance("two")
+        caller = await Caller.open(first.callers)
+        asking = asyncio.create_task(caller.ask(STREAMS + "stream"))
+        await asyncio.sleep(0.05)
+        first.process.send_signal(signal.SIGTERM)
+        reply = await asking
+        self.assertTrue(reply.whole)
+        self.assertEqual(await first.read_readiness(), 503)
+        late = await (await Caller.open(first.callers)).ask(CALLS + "x", body=b"pay")
+        self.assertEqual((late.status, late.headers.get("connection")), (200, "close"))
+        resolver = await Caller.open(second.directory)
+        answer = await resolver.ask(f"/v1/resolve?name={HOST}&region=r&zone=a")
+        self.assertNotIn(first.callers.encode(), answer.body)
+        self.assertIn(second.callers.encode(), answer.body)
+        self.assertEqual(await asyncio.wait_for(first.process.wait(), READY_S), 0)
+
+    async def test_bad_settings_stop_the_start_with_all_findings(self) -> None:
+        settings = self.site.make_settings("one") | {"ip": None, "zone": 7}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "guavamast.platform",
+            env=os.environ | {"GUAVAMAST_SETTINGS": write_settings(settings, self.directory)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await process.communicate()
+        self.assertEqual(process.returncode, 2)
+        self.assertIn(b"missing_key ip", errors)
+        self.assertIn(b"bad_value zone", errors)
+
+
+if __name__ == "__main__":
+    unittest.main()
