Run an instance by the command line and the demo; close gaps that mutations showed in the tests

Cause: with each of fifteen safeguards taken out by hand, five tests still passed: bytes behind an answer, an answer to another request, a call repeated though it may have run, a caller's leaving ignored, no admission. Writing them showed that a cut body was reported as malformed, not as lost.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 demo: $(STAMP)
 	$(BIN)/guavamast demo
+	$(BIN)/python -m guavamast.platform.demo
 
 test: $(STAMP)
 	$(BIN)/black --check --quiet src tests bench tools
--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -73,6 +73,21 @@
 
 
 @SetParseFn(str)
+def run_node(*, settings: str) -> Task:
+    """Run one instance on the users' platform in one process: node --settings FILE."""
+
+    def act() -> int:
+        import asyncio
+
+        from guavamast.platform import runner
+        from guavamast.platform.settings import read_settings
+
+        asyncio.run(runner.run_node(read_settings(settings)))
+        return EXIT_OK
+
+    return Task(act)
+
+
 def run_dispatcher(*, settings: str) -> Task:
     """Run the dispatcher of one instance: dispatcher --settings FILE."""
 
@@ -333,6 +348,7 @@
 COMMANDS: Final = {
     "entry": run_entry,
     "dispatcher": run_dispatcher,
+    "node": run_node,
     "check": check,
     "plan": plan,
     "confirm": confirm,
--- /dev/null
+++ b/src/guavamast/platform/demo.py
@@ -0,0 +1,83 @@
+"""The path on the platform in one process: store, engines, an instance and a few requests."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from typing import TYPE_CHECKING
+
+from guavamast.platform.runner import run_node
+from guavamast.platform.settings import decode_settings
+from guavamast.platform.standins.engine import EngineFault
+from guavamast.platform.standins.site import CALLS, HOST, KEY, LOOKUPS, RESUMABLE, Site
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection
+
+if TYPE_CHECKING:
+    from guavamast.relay.node_settings import SocketAddress
+
+START_S = 10.0
+"""Time for the instance to become ready."""
+
+
+async def ask(address: SocketAddress, target: str, *, request_id: str, body: bytes = b"") -> str:
+    """Send one request as a caller does; return the status and the answer's body."""
+    connection = await HttpConnection.open(address.ip, address.port, timeout_s=1.0)
+    headers = [("Host", HOST), ("Authorization", f"Bearer {KEY}"), ("X-Attempt-Id", request_id)]
+    if body:
+        headers.append(("Content-Length", str(len(body))))
+    await connection.send("POST" if body else "GET", target, headers, body)
+    head = await connection.read_head()
+    received = b""
+    while (chunk := await connection.read_chunk()) is not None:
+        received += chunk
+    connection.close()
+    return f"{head.status} {received.decode().strip()}"
+
+
+async def wait_ready(address: SocketAddress) -> None:
+    """Return when the instance is ready."""
+    async with asyncio.timeout(START_S):
+        while True:
+            try:
+                if (await ask(address, "/v1/ready", request_id="")).startswith("200"):
+                    return
+            except ConnectionLost:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.05)
+
+
+async def show() -> None:
+    """Start the site, make the requests and print what came back."""
+    site = Site()
+    await site.start()
+    settings = decode_settings(site.make_settings("demo"), file="demo")
+    with open(os.devnull, "wb") as log:
+        serving = asyncio.create_task(run_node(settings, log_descriptor=log.fileno()))
+        assert settings.readiness is not None
+        await wait_ready(settings.readiness)
+        callers = settings.callers
+        print("non-idempotent call:", await ask(callers, CALLS + "1", request_id="a", body=b"pay"))
+        print("lookup:", await ask(callers, LOOKUPS + "1", request_id="b"))
+        site.engines["pool-0"].fault = EngineFault.CUT
+        site.engines["pool-1"].fault = EngineFault.CUT
+        stream = asyncio.create_task(ask(callers, RESUMABLE + "1", request_id="c"))
+        while not any(engine.runs for name, engine in site.engines.items() if "pool" in name):
+            await asyncio.sleep(0.005)
+        for engine in site.engines.values():
+            if not engine.runs:
+                engine.fault = EngineFault.NONE
+        events = (await stream).replace("\n", " ")
+        print("stream whose engine broke off:", events)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await serving
+    await site.stop()
+
+
+def main() -> None:
+    """Run the demo."""
+    asyncio.run(show())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/guavamast/platform/runner.py
@@ -0,0 +1,36 @@
+"""Runs one instance of the relay from the platform's settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.platform.questions import AddressQuestion, MetricsQuestion, ReadinessQuestion
+from guavamast.platform.request_headers import PlatformHeaders
+from guavamast.platform.store_client import StoreClient
+from guavamast.relay.freshness import StoreClock
+from guavamast.relay.node import STANDARD_OUTPUT, Node, read_boot_time
+
+if TYPE_CHECKING:
+    from guavamast.relay.node_settings import NodeSettings
+
+
+async def run_node(settings: NodeSettings, *, log_descriptor: int = STANDARD_OUTPUT) -> None:
+    """Serve until SIGTERM.
+
+    Args:
+        settings: What the platform says to this instance.
+        log_descriptor: Where log lines go.
+    """
+    clock = StoreClock()
+    node = Node(
+        settings=settings,
+        store=StoreClient(address=settings.store, clock=clock, read_time=read_boot_time),
+        codec=PlatformHeaders(),
+        clock=clock,
+        log_descriptor=log_descriptor,
+    )
+    await node.run(
+        directory=AddressQuestion(node=node),
+        readiness=ReadinessQuestion(node=node),
+        metrics=MetricsQuestion(node=node),
+    )
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -28,6 +28,8 @@
     """Runs the request and closes the connection without an answer."""
     EXTRA = "extra"
     """Sends a second answer, to another request, after each one."""
+    CROSSED = "crossed"
+    """Answers as if to another request."""
     HANG = "hang"
     """Runs the request and never answers."""
     UNSEALED = "unsealed"
@@ -60,7 +62,7 @@
         """Requests whose connection was closed before their answer was whole."""
         self.connections = 0
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._writers: dict[asyncio.StreamWriter, asyncio.Task[None]] = {}
 
     @property
     def port(self) -> int:
@@ -77,11 +79,15 @@
         """Stop serving and drop all connections."""
         assert self._server is not None
         self._server.close()
+        tasks = list(self._writers.values())
         for writer in list(self._writers):
             writer.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._writers[writer] = task
         self.connections += 1
         http = h11.Connection(our_role=h11.SERVER)
         try:
@@ -90,7 +96,7 @@
         except (ConnectionError, h11.RemoteProtocolError):
             self.abandoned += 1
         finally:
-            self._writers.discard(writer)
+            del self._writers[writer]
             writer.close()
 
     async def _serve_one(
@@ -143,7 +149,8 @@
         request_id = run.request_id
         if self.fault is EngineFault.LOSE:
             return False
-        common = [("X-Attempt-Id", request_id), ("Keep-Alive", f"timeout={KEEP_ALIVE_S}")]
+        told_id = "other" if self.fault is EngineFault.CROSSED else request_id
+        common = [("X-Attempt-Id", told_id), ("Keep-Alive", f"timeout={KEEP_ALIVE_S}")]
         if self.fault is not EngineFault.UNSEALED:
             common.append(("X-Engine-Seal", f"seal-{self.engine_id}"))
         if self.fault is EngineFault.ERROR:
--- a/src/guavamast/relay/decision_log.py
+++ b/src/guavamast/relay/decision_log.py
@@ -29,7 +29,7 @@
 
     __slots__ = ("_allowance", "_descriptor", "_dropped", "_instance", "_rest", "_updated")
 
-    def __init__(self, *, instance: str, descriptor: int = 1) -> None:
+    def __init__(self, *, instance: str, descriptor: int) -> None:
         self._instance = instance
         self._descriptor = descriptor
         self._allowance = BURST_LINES
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -44,6 +44,7 @@
     """
 
     __slots__ = (
+        "_ended",
         "_failure",
         "_http",
         "_outstanding",
@@ -61,6 +62,7 @@
         self._write_waiter: asyncio.Future[None] | None = None
         self._failure: Exception | None = None
         self._outstanding = False
+        self._ended = False
         self._paused = False
         self._unread = 0
 
@@ -106,6 +108,7 @@
         if not self._outstanding:
             self._fail(ConnectionLost("closed while idle"))
             return False
+        self._ended = True
         self._http.receive_data(b"")
         self._wake()
         return False
@@ -202,7 +205,7 @@
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 self.close()
-                if self._http.their_state is h11.ERROR and "peer unexpectedly closed" in str(error):
+                if self._ended:
                     raise ConnectionLost(str(error)) from error
                 raise MalformedAnswer(str(error)) from error
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -37,6 +37,8 @@
     from guavamast.relay.node_settings import NodeSettings, SocketAddress
     from guavamast.relay.store import Store
 
+STANDARD_OUTPUT: Final = 1
+"""File descriptor of the log unless another is given."""
 HELD_ANSWER_FACTOR: Final = 3.0
 """Some callers keep an answer with addresses for so many times its validity."""
 LEAVE_MARGIN_S: Final = 0.5
@@ -60,6 +62,7 @@
         store: The platform's store.
         codec: Names of the headers.
         clock: Learns from the store's answers.
+        log_descriptor: Where log lines go.
     """
 
     def __init__(
@@ -69,10 +72,11 @@
         store: Store,
         codec: HeaderCodec,
         clock: StoreClock,
+        log_descriptor: int = STANDARD_OUTPUT,
     ) -> None:
         self.settings = settings
         self.counters = Counters()
-        self.log = DecisionLog(instance=settings.name)
+        self.log = DecisionLog(instance=settings.name, descriptor=log_descriptor)
         self.peers = Peers(own_name=settings.name)
         self.knowledge = FleetKnowledge(
             failure_domain=settings.failure_domain, peers=self.peers, clock=clock
--- /dev/null
+++ b/tests/test_http_connection.py
@@ -0,0 +1,89 @@
+"""Tests of a kept connection: what ends an answer, and what ends the connection."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+OPEN_ENDED = b"HTTP/1.1 200 OK\r\n\r\nok"
+
+
+class HttpConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A connection over a transport that the test plays."""
+
+    async def asyncSetUp(self) -> None:
+        self.transport = mock.create_autospec(asyncio.Transport, instance=True)
+        self.connection = HttpConnection()
+        self.connection.connection_made(self.transport)
+        await self.connection.send("GET", "/", [("Host", "h")], b"")
+
+    async def read(self) -> bytes:
+        """Return the body of the answer."""
+        await self.connection.read_head()
+        body = b""
+        while (chunk := await self.connection.read_chunk()) is not None:
+            body += chunk
+        return body
+
+    async def test_a_whole_answer_leaves_the_connection_usable(self) -> None:
+        self.connection.data_received(ANSWER)
+        self.assertEqual(await self.read(), b"ok")
+        self.assertTrue(self.connection.reusable)
+        await self.connection.send("GET", "/", [("Host", "h")], b"")
+
+    async def test_bytes_behind_an_answer_end_the_connection(self) -> None:
+        self.connection.data_received(ANSWER + b"HTTP/1.1 200 OK")
+        self.assertEqual(await self.read(), b"ok")
+        self.assertFalse(self.connection.reusable)
+        self.transport.abort.assert_called()
+
+    async def test_bytes_without_a_request_end_the_connection(self) -> None:
+        self.connection.data_received(ANSWER)
+        await self.read()
+        self.connection.data_received(ANSWER)
+        self.assertFalse(self.connection.reusable)
+        self.transport.abort.assert_called()
+
+    async def test_an_answer_without_length_ends_with_its_connection(self) -> None:
+        self.connection.data_received(OPEN_ENDED)
+        self.connection.eof_received()
+        self.connection.connection_lost(None)
+        self.assertEqual(await self.read(), b"ok")
+        self.assertFalse(self.connection.reusable)
+
+    async def test_a_reset_is_no_end(self) -> None:
+        self.connection.data_received(OPEN_ENDED)
+        self.connection.connection_lost(ConnectionResetError())
+        with self.assertRaises(ConnectionLost):
+            await self.read()
+
+    async def test_an_answer_that_is_cut_is_not_whole(self) -> None:
+        self.connection.data_received(ANSWER[:-1])
+        self.connection.eof_received()
+        with self.assertRaises(ConnectionLost):
+            await self.read()
+
+    async def test_bytes_that_are_no_answer_are_told_from_a_lost_connection(self) -> None:
+        self.connection.data_received(b"\x00\x01 no answer\r\n\r\n")
+        with self.assertRaises(MalformedAnswer):
+            await self.read()
+
+    async def test_a_long_answer_stops_being_read_until_it_is_taken(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n"
+        self.connection.data_received(head + b"x" * 100_000)
+        self.transport.pause_reading.assert_called_once()
+        await self.connection.read_head()
+        reading = asyncio.create_task(self.connection.read_chunk())
+        self.assertEqual(len(await reading or b""), 100_000)
+        waiting = asyncio.create_task(self.connection.read_chunk())
+        await asyncio.sleep(0)
+        self.transport.resume_reading.assert_called_once()
+        waiting.cancel()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -8,14 +8,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from guavamast.relay.admission import ComeBack, admit
 from guavamast.relay.attempt_budget import AttemptBudget, BudgetTerms
 from guavamast.relay.beats import Beat, InstanceState, MalformedBeat, decode_beat, encode_beat
 from guavamast.relay.caller_addresses import CallerPlace, choose_addresses
 from guavamast.relay.caller_gate import Admitted, CallerGate, Denied
-from guavamast.relay.catalog import WeightedService
+from guavamast.relay.catalog import CallerOrganisation, Catalog, WeightedService
 from guavamast.relay.endpoint_choice import EndpointChooser, Placement
 from guavamast.relay.endpoint_load import EndpointLoads, Load
 from guavamast.relay.endpoint_table import EndpointTable
+from guavamast.relay.engine_model import Forecast, forecast
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.freshness import Proof
 from guavamast.relay.peers import MISSED_BEATS, READER_KEY, Peers, compute_beat_interval
@@ -296,6 +298,110 @@
             self.assertEqual(lanes[name], 2)
 
 
+class AdmissionTest(unittest.TestCase):
+    """Requests that would be late are sent back at once; none is while little waits.
+
+    The pattern: users come in a burst at twice what the engines can do. The figures are those of
+    the engine model: 60 prompt tokens a millisecond, and objectives of 0.3 and 2 seconds.
+    """
+
+    def admit(self, waiting_ms: float, *, reading_ms: float = 10.0) -> ComeBack | None:
+        expected = Forecast(waiting_ms=waiting_ms, reading_ms=reading_ms)
+        return admit(expected, objective_s=0.3, random=Random(1))
+
+    def test_waiting_decides_and_not_the_length_of_the_request(self) -> None:
+        self.assertIsNone(self.admit(150.0, reading_ms=900.0))
+        self.assertIsNotNone(self.admit(151.0, reading_ms=1.0))
+
+    def test_nobody_is_refused_by_an_idle_engine(self) -> None:
+        idle = forecast(
+            Load(), unread_tokens=60_000, needed_tokens=61_000, slots=64, memory_tokens=600_000
+        )
+        self.assertIsNone(admit(idle, objective_s=0.3, random=Random(1)))
+
+    @given(waiting_ms=st.floats(min_value=151.0, max_value=1e5))
+    def test_the_time_to_come_back_grows_with_the_queue_within_bounds(
+        self, waiting_ms: float
+    ) -> None:
+        refusal = self.admit(waiting_ms)
+        assert refusal is not None
+        self.assertGreaterEqual(refusal.retry_after_s, 0.1)
+        self.assertLessEqual(refusal.retry_after_s, 2.25)
+
+    def test_a_burst_at_twice_the_capacity_is_answered_in_time_up_to_the_capacity(self) -> None:
+        """Ten seconds of twice the prompts that one engine can read, each 6,000 tokens.
+
+        Without a bound the queue would be ten seconds long in the end. With it, nine in ten of the
+        requests that the engine can read are admitted, and each waits a second at most.
+        """
+        engine = Load()
+        admitted = 0
+        longest_ms = 0.0
+        for _ in range(200):
+            engine.prefill_tokens = max(0, engine.prefill_tokens - 3_000)
+            expected = forecast(
+                engine, unread_tokens=6_000, needed_tokens=0, slots=64, memory_tokens=0
+            )
+            if admit(expected, objective_s=2.0, random=Random(1)) is None:
+                admitted += 1
+                longest_ms = max(longest_ms, expected.waiting_ms)
+                engine.prefill_tokens += 6_000
+        self.assertGreaterEqual(admitted, 90)
+        self.assertLessEqual(longest_ms, 1_000.0)
+
+
+class EngineModelTest(unittest.TestCase):
+    """The model follows what was measured of first events."""
+
+    def test_measured_first_events(self) -> None:
+        for waiting, own, measured_ms in ((0, 600, 78), (7_000, 500, 186), (28_000, 2_000, 550)):
+            load = Load(requests=10, prefill_tokens=waiting, memory_tokens=0)
+            found = forecast(load, unread_tokens=own, needed_tokens=0, slots=64, memory_tokens=0)
+            self.assertAlmostEqual(found.first_event_ms, measured_ms, delta=0.15 * measured_ms)
+
+    def test_slots_and_memory(self) -> None:
+        full = Load(requests=66, prefill_tokens=0, memory_tokens=550_000)
+        found = forecast(full, unread_tokens=0, needed_tokens=500, slots=64, memory_tokens=0)
+        self.assertEqual(found.waiting_ms, 150.0)
+        found = forecast(
+            full, unread_tokens=0, needed_tokens=9_000, slots=99, memory_tokens=600_000
+        )
+        self.assertEqual(found.waiting_ms, 1_000.0)
+
+
+class UrgencyTest(unittest.TestCase):
+    """Organisations come before routes, and routes decide among equals."""
+
+    def test_order(self) -> None:
+        answer = make_route(name="answer", path_prefix="/a/", urgency=0)
+        summary = make_route(name="summary", path_prefix="/s/", urgency=2)
+        catalog = make_catalog(answer, summary)
+        first = CallerOrganisation(name="first", urgency=0)
+        catalog = Catalog(
+            version=1,
+            row_version=1,
+            routes=[answer, summary],
+            services=[],
+            organisations={"k": first, "l": CallerOrganisation(name="second", urgency=1)},
+            limits=catalog.limits,
+        )
+        second = catalog.organisations["l"] if catalog.organisations else None
+        order = [
+            catalog.find_urgency(answer, first),
+            catalog.find_urgency(summary, first),
+            catalog.find_urgency(answer, second),
+            catalog.find_urgency(summary, second),
+            catalog.find_urgency(summary, None),
+        ]
+        self.assertEqual(order, [0, 1, 2, 3, 4])
+
+    def test_more_pairs_than_engines_know_fall_back_to_the_first_rank(self) -> None:
+        routes = [make_route(path_prefix=f"/{n}/", urgency=n) for n in range(12)]
+        catalog = make_catalog(*routes)
+        self.assertEqual(catalog.find_urgency(routes[3], None), 3)
+        self.assertEqual(catalog.find_urgency(routes[11], None), 9)
+
+
 class AttemptBudgetTest(unittest.TestCase):
     """Repeats of all instances together stay within the allowance."""
 
