Weigh a long prompt among short ones by how busy the engine is

With admission, what an idle engine could have done was refused.

Change: a long prompt counts as delaying two requests and a quarter of those that run there.

--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -24,9 +24,10 @@
 HOME_MS: Final = 8.0
 """Weight of the engine that all instances would choose for a part that none has read yet, so that
 requests that come at the same time at several instances meet there."""
-DELAYED_REQUESTS: Final = 12.0
-"""Requests of a lane of shorter prompts that one longer prompt delays by the time of its reading:
-some that come meanwhile, and the pauses of those that run."""
+DELAYED_ALWAYS: Final = 2.0
+"""Requests of a lane of shorter prompts that come while one longer prompt is read there."""
+DELAYED_RUNNING: Final = 0.25
+"""Share of the requests that run there which a longer prompt delays beyond their pauses."""
 LONGER_LANE_COST_MS: Final = 60.0
 """Weight of each lane beyond its own for a shorter prompt: a long one may come before it."""
 RUNNING_COST_MS: Final = 2.5
@@ -124,7 +125,7 @@
         for record in others:
             expected = self._forecast(placement, record)
             cost = self._estimate_cost(placement, record, expected, now=now)
-            cost += _weigh_lane(placement, lanes.get(record.endpoint_id))
+            cost += self._weigh_lane(placement, record, lanes.get(record.endpoint_id))
             cost += self._random.random() * JITTER_MS
             cost -= HOME_MS * (record.endpoint_id == home)
             if cost < least:
@@ -169,6 +170,20 @@
         cost += REREAD_WEIGHT * reread / READ_TOKENS_PER_MS
         return cost + expected.first_event_ms + RUNNING_COST_MS * load.requests
 
+    def _weigh_lane(self, placement: Placement, record: EndpointRecord, lane: int | None) -> float:
+        """Return the milliseconds that count against an engine of another lane than the prompt's.
+
+        A long prompt among short ones makes those wait that run or come there, the more the
+        busier the engine is; while it is idle, a long prompt is better off there than in a queue.
+        """
+        if lane is None:
+            return 0.0
+        if lane >= placement.lane:
+            return LONGER_LANE_COST_MS * (lane - placement.lane)
+        running = self._loads.sum_up(record.endpoint_id).requests
+        delayed = DELAYED_ALWAYS + DELAYED_RUNNING * running
+        return delayed * placement.prompt_tokens / READ_TOKENS_PER_MS
+
 
 def _find_home(
     placement: Placement, candidates: list[EndpointRecord], lanes: dict[str, int]
@@ -180,12 +195,3 @@
     own_lane = [record for record in candidates if lanes.get(record.endpoint_id) == placement.lane]
     best = max(own_lane or candidates, key=lambda record: compute_weight(key, record.endpoint_id))
     return best.endpoint_id
-
-
-def _weigh_lane(placement: Placement, lane: int | None) -> float:
-    """Return the milliseconds that count against an engine of another lane than the prompt's."""
-    if lane is None:
-        return 0.0
-    if lane < placement.lane:
-        return DELAYED_REQUESTS * placement.prompt_tokens / READ_TOKENS_PER_MS
-    return LONGER_LANE_COST_MS * (lane - placement.lane)
