--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -206,7 +206,7 @@
             except h11.RemoteProtocolError as error:
                 self.close()
                 if self._ended:
-                    raise ConnectionLost(str(error)) from error
+                    raise ConnectionLost("closed before the answer was whole") from error
                 raise MalformedAnswer(str(error)) from error
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
