--- /dev/null
+++ b/tests/test_relay_placement.py
@@ -0,0 +1,288 @@
+"""Tests of where prompts go and which wait: choice, cache, lanes, engine model and admission."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.relay.admission import ComeBack, admit
+from guavamast.relay.endpoint_choice import EndpointChooser, Placement
+from guavamast.relay.endpoint_load import EndpointLoads, Load
+from guavamast.relay.engine_model import Forecast, forecast
+from guavamast.relay.prompt_cache import PromptCache, PromptSend
+from guavamast.relay.prompt_lanes import LANES, Demand, PromptDemand, assign_lanes, find_lane
+from tests.relay_facts import make_endpoint, make_parts
+
+SHARES = (0.2, 0.2, 0.6)
+
+
+class EndpointChoiceTest(unittest.TestCase):
+    """Prompts go where they are cached, unless load or failures outweigh it."""
+
+    def setUp(self) -> None:
+        self.loads = EndpointLoads()
+        self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(5)]
+        parts = make_parts(("common", 500), ("session", 4800), ("own", 900))
+        self.placement = Placement(
+            prompt_parts=parts,
+            prompt_tokens=6200,
+            failure_domain="a",
+            lane=2,
+            lane_shares=SHARES,
+            output_tokens=300,
+            memory_tokens=600_000,
+        )
+        self.cache = PromptCache()
+
+    def choose(self, exclude: frozenset[str] = frozenset(), seed: int = 0) -> str | None:
+        chooser = EndpointChooser(loads=self.loads, cache=self.cache, random=Random(seed))
+        choice = chooser.choose(self.placement, self.endpoints, exclude=exclude, now=10.0)
+        return choice.record.endpoint_id if choice else None
+
+    def test_a_session_stays_at_one_endpoint(self) -> None:
+        self.assertEqual(len({self.choose(seed=seed) for seed in range(20)}), 1)
+
+    def test_a_session_goes_where_another_instance_has_sent_it(self) -> None:
+        home = self.choose()
+        lanes = assign_lanes(self.endpoints, SHARES)
+        other = next(name for name, lane in lanes.items() if lane == 2 and name != home)
+        send = PromptSend(number=1, endpoint_id=other, part_id="session", tokens=6200)
+        self.cache.take_peer("peer", 1, [send])
+        self.assertEqual(self.choose(), other)
+
+    def test_a_failing_endpoint_loses_even_its_own_sessions(self) -> None:
+        home = self.choose()
+        assert home is not None
+        self.loads.record_failure(home, weight=1.0, now=10.0)
+        self.assertNotEqual(self.choose(), home)
+
+    def test_an_endpoint_is_tried_once(self) -> None:
+        home = self.choose()
+        assert home is not None
+        self.assertNotEqual(self.choose(frozenset((home,))), home)
+        everyone = frozenset(record.endpoint_id for record in self.endpoints)
+        self.assertIsNone(self.choose(everyone))
+
+    def test_failures_fade(self) -> None:
+        self.loads.record_failure("e0", weight=4.0, now=0.0)
+        self.assertAlmostEqual(self.loads.read_failures("e0", now=4.0), 1.0)
+
+    def test_work_of_others_counts_until_they_are_gone(self) -> None:
+        self.loads.take_peer("other", {"e0": Load(requests=3, prefill_tokens=900)})
+        work = self.loads.begin("e0", prefill_tokens=100, memory_tokens=0)
+        self.assertEqual(self.loads.sum_up("e0"), Load(requests=4, prefill_tokens=1000))
+        work.end()
+        work.end()
+        self.loads.keep_peers(set())
+        self.assertEqual(self.loads.sum_up("e0"), Load())
+
+
+class PromptCacheTest(unittest.TestCase):
+    """An engine keeps a part until it has read as much as its memory holds."""
+
+    def setUp(self) -> None:
+        self.cache = PromptCache()
+        self.parts = make_parts(("common", 500), ("session", 4800))
+
+    def count(self) -> int:
+        return self.cache.count_cached("e", self.parts, memory_tokens=100_000)
+
+    def test_least_recently_used_parts_yield(self) -> None:
+        self.cache.record("e", "session", 5300, now=0.0)
+        self.assertEqual(self.count(), 5300)
+        self.cache.record("e", "other", 59_000, now=0.0)
+        self.assertEqual(self.count(), 5300)
+        self.cache.record("e", "another", 2000, now=0.0)
+        self.assertEqual(self.count(), 0)
+
+    def test_a_send_told_again_counts_once(self) -> None:
+        self.cache.record("x", "session", 5300, now=0.0)
+        self.cache.record("x", "session", 0, now=0.3)
+        told = self.cache.list_recent(now=0.5)
+        other = PromptCache()
+        for _ in range(3):
+            other.take_peer("peer", 1, told)
+        other.take_peer("peer", 1, [PromptSend(number=3, endpoint_id="x", part_id="p", tokens=60)])
+        self.assertEqual(other.count_cached("x", self.parts, memory_tokens=100), 0)
+        self.assertEqual(other.count_cached("x", self.parts, memory_tokens=101), 5300)
+        self.assertEqual(len(self.cache.list_recent(now=0.7)), 1)
+
+    def test_a_restarted_instance_counts_from_its_start(self) -> None:
+        send = PromptSend(number=5, endpoint_id="e", part_id="session", tokens=10)
+        again = PromptSend(number=1, endpoint_id="e", part_id="common", tokens=10)
+        self.cache.take_peer("peer", 1, [send])
+        self.cache.take_peer("peer", 2, [again])
+        self.assertEqual(self.cache.count_cached("e", self.parts[:1], memory_tokens=1000), 500)
+
+    def test_engines_that_are_gone_keep_nothing(self) -> None:
+        self.cache.record("e", "session", 10, now=0.0)
+        self.cache.keep_only(set())
+        self.assertEqual(self.count(), 0)
+
+
+class PromptLanesTest(unittest.TestCase):
+    """Prompts of unlike length keep engines of their own, by the share of their work.
+
+    The pattern: long prompts double for some seconds; each takes an engine 100 ms and more to read,
+    and the answers to short questions, due in 300 ms, wait behind several of them.
+    """
+
+    def setUp(self) -> None:
+        self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(9)]
+
+    @given(
+        count=st.integers(min_value=0, max_value=30),
+        work=st.lists(st.floats(min_value=0.0, max_value=1e9), min_size=LANES, max_size=LANES),
+    )
+    def test_each_engine_has_one_lane(self, count: int, work: list[float]) -> None:
+        demand = PromptDemand()
+        demand.take_peer("x", Demand(work_ms=tuple(work)))
+        endpoints = [make_endpoint(f"e{number}") for number in range(count)]
+        lanes = assign_lanes(endpoints, demand.compute_shares())
+        self.assertEqual(set(lanes), {record.endpoint_id for record in endpoints})
+
+    def test_prompts_that_are_due_soon_stay_out_of_the_lane_of_patient_ones(self) -> None:
+        self.assertEqual(find_lane(800, objective_s=2.0), 0)
+        self.assertEqual(find_lane(6_000, objective_s=2.0), 2)
+        self.assertEqual(find_lane(6_000, objective_s=0.4), 1)
+
+    def test_like_shares_move_one_engine_at_a_border_at_most(self) -> None:
+        before = assign_lanes(self.endpoints, (0.30, 0.2, 0.50))
+        after = assign_lanes(self.endpoints, (0.35, 0.2, 0.45))
+        moved = [name for name, lane in before.items() if after[name] != lane]
+        self.assertLessEqual(len(moved), 2)
+        self.assertTrue(all(abs(after[name] - before[name]) == 1 for name in moved))
+
+    def test_demand_of_all_instances_counts_and_fades(self) -> None:
+        demand = PromptDemand()
+        demand.record(2, 9_000, 0, now=0.0)
+        self.assertEqual(demand.compute_shares(), (0.0, 0.0, 1.0))
+        demand.take_peer("x", Demand(work_ms=(100.0, 0.0, 0.0)))
+        self.assertAlmostEqual(demand.compute_shares()[0], 0.6)
+        self.assertAlmostEqual(demand.read_own(now=8.0).work_ms[2], 50.0)
+
+    def send_long_prompts(self, count: int, *, running: int) -> dict[str, int]:
+        """Send long prompts at once; return how many each lane's engines got, by lane.
+
+        Args:
+            count: Prompts, 12,000 tokens each.
+            running: Requests that run at each engine of the shorter lanes.
+        """
+        loads = EndpointLoads()
+        chooser = EndpointChooser(loads=loads, cache=PromptCache(), random=Random(2))
+        shares = (0.3, 0.1, 0.6)
+        lanes = assign_lanes(self.endpoints, shares)
+        busy = {name: Load(requests=running) for name, lane in lanes.items() if lane < 2}
+        loads.take_peer("peer", busy)
+        got = {"short": 0, "long": 0}
+        for _ in range(count):
+            placement = Placement(
+                prompt_parts=(),
+                prompt_tokens=12_000,
+                failure_domain="a",
+                lane=2,
+                lane_shares=shares,
+                output_tokens=300,
+                memory_tokens=600_000,
+            )
+            choice = chooser.choose(placement, self.endpoints, exclude=frozenset(), now=0.0)
+            assert choice is not None
+            name = choice.record.endpoint_id
+            loads.begin(name, prefill_tokens=12_000, memory_tokens=12_300)
+            got["long" if lanes[name] == 2 else "short"] += 1
+        return got
+
+    def test_a_burst_of_long_prompts_leaves_busy_engines_to_short_ones(self) -> None:
+        """Twenty-five long prompts come at once while forty short answers run at each engine.
+
+        No engine of the shorter lanes gets one. Each adds 200 ms to its engine; in the end each of
+        the five engines of their lane is a second behind, within the objective of long prompts.
+        """
+        self.assertEqual(self.send_long_prompts(25, running=40), {"short": 0, "long": 25})
+
+    def test_long_prompts_use_idle_engines_of_shorter_lanes_rather_than_wait(self) -> None:
+        """The same burst while nothing runs elsewhere; four idle engines take a part of it.
+
+        Otherwise the last of it would be sent back although half of the engines do nothing.
+        """
+        got = self.send_long_prompts(25, running=0)
+        self.assertGreaterEqual(got["short"], 4)
+        self.assertGreater(got["long"], got["short"])
+
+
+class AdmissionTest(unittest.TestCase):
+    """Requests that would be late are sent back at once; none is while little waits.
+
+    The pattern: users come in a burst at twice what the engines can do. The figures are those of
+    the engine model: 60 prompt tokens a millisecond, and objectives of 0.3 and 2 seconds.
+    """
+
+    def admit(self, waiting_ms: float, *, reading_ms: float = 10.0) -> ComeBack | None:
+        expected = Forecast(waiting_ms=waiting_ms, reading_ms=reading_ms)
+        return admit(expected, objective_s=0.3, random=Random(1))
+
+    def test_waiting_decides_and_not_the_length_of_the_request(self) -> None:
+        self.assertIsNone(self.admit(150.0, reading_ms=900.0))
+        self.assertIsNotNone(self.admit(151.0, reading_ms=1.0))
+
+    def test_nobody_is_refused_by_an_idle_engine(self) -> None:
+        idle = forecast(
+            Load(), unread_tokens=60_000, needed_tokens=61_000, slots=64, memory_tokens=600_000
+        )
+        self.assertIsNone(admit(idle, objective_s=0.3, random=Random(1)))
+
+    @given(waiting_ms=st.floats(min_value=151.0, max_value=1e5))
+    def test_the_time_to_come_back_grows_with_the_queue_within_bounds(
+        self, waiting_ms: float
+    ) -> None:
+        refusal = self.admit(waiting_ms)
+        assert refusal is not None
+        self.assertGreaterEqual(refusal.retry_after_s, 0.1)
+        self.assertLessEqual(refusal.retry_after_s, 2.25)
+
+    def test_a_burst_at_twice_the_capacity_is_answered_in_time_up_to_the_capacity(self) -> None:
+        """Ten seconds of twice the prompts that one engine can read, each 6,000 tokens.
+
+        Without a bound the queue would be ten seconds long in the end. With it, nine in ten of the
+        requests that the engine can read are admitted, and each waits a second at most.
+        """
+        engine = Load()
+        admitted = 0
+        longest_ms = 0.0
+        for _ in range(200):
+            engine.prefill_tokens = max(0, engine.prefill_tokens - 3_000)
+            expected = forecast(
+                engine, unread_tokens=6_000, needed_tokens=0, slots=64, memory_tokens=0
+            )
+            if admit(expected, objective_s=2.0, random=Random(1)) is None:
+                admitted += 1
+                longest_ms = max(longest_ms, expected.waiting_ms)
+                engine.prefill_tokens += 6_000
+        self.assertGreaterEqual(admitted, 90)
+        self.assertLessEqual(longest_ms, 1_000.0)
+
+
+class EngineModelTest(unittest.TestCase):
+    """The model follows what was measured of first events."""
+
+    def test_measured_first_events(self) -> None:
+        for waiting, own, measured_ms in ((0, 600, 78), (7_000, 500, 186), (28_000, 2_000, 550)):
+            load = Load(requests=10, prefill_tokens=waiting, memory_tokens=0)
+            found = forecast(load, unread_tokens=own, needed_tokens=0, slots=64, memory_tokens=0)
+            self.assertAlmostEqual(found.first_event_ms, measured_ms, delta=0.15 * measured_ms)
+
+    def test_slots_and_memory(self) -> None:
+        full = Load(requests=66, prefill_tokens=0, memory_tokens=550_000)
+        found = forecast(full, unread_tokens=0, needed_tokens=500, slots=64, memory_tokens=0)
+        self.assertEqual(found.waiting_ms, 150.0)
+        found = forecast(
+            full, unread_tokens=0, needed_tokens=9_000, slots=99, memory_tokens=600_000
+        )
+        self.assertEqual(found.waiting_ms, 1_000.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
