Work out an endpoint's load and unread prompt once for each choice

Cause (read in the whole change): choosing summed up the loads of all instances three times and looked into the model of the cache three times for each candidate of each request; a counter's reader and two figures of the store's stand-in were used by nobody.

Change: each is worked out once and passed on; the unused pieces are gone.

--- a/src/guavamast/platform/standins/store.py
+++ b/src/guavamast/platform/standins/store.py
@@ -38,8 +38,6 @@
         self._version = 0
         self._server = HTTPServer(self._answer)
         self.fault = StoreFault.NONE
-        self.calls = 0
-        """Calls that arrived."""
 
     def listen(self) -> int:
         """Begin to serve on loopback; returns the port."""
@@ -63,12 +61,7 @@
         self._version += 1
         self._rows.pop((table, key), None)
 
-    def count_rows(self, table: str) -> int:
-        """Return the rows of a table."""
-        return sum(1 for name, _ in self._rows if name == table)
-
     def _answer(self, request: httputil.HTTPServerRequest) -> None:
-        self.calls += 1
         if self.fault is StoreFault.SILENT:
             return
         if self.fault is StoreFault.BUSY:
--- a/src/guavamast/relay/counters.py
+++ b/src/guavamast/relay/counters.py
@@ -38,10 +38,6 @@
         """Set a gauge."""
         self._counts[name] = value
 
-    def read(self, name: str) -> float:
-        """Return a counter or gauge; 0 if it was never touched."""
-        return self._counts.get(name, 0.0)
-
     def observe(self, name: str, seconds: float) -> None:
         """Count a duration in a histogram."""
         histogram = self._histograms.setdefault(name, _Histogram())
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -13,7 +13,7 @@
     from collections.abc import Set as AbstractSet
     from random import Random
 
-    from guavamast.relay.endpoint_load import EndpointLoads
+    from guavamast.relay.endpoint_load import EndpointLoads, Load
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.messages import PromptPart
     from guavamast.relay.prompt_cache import PromptCache
@@ -123,13 +123,14 @@
         best: Choice | None = None
         least = float("inf")
         for record in others:
-            expected = self._forecast(placement, record)
-            cost = self._estimate_cost(placement, record, expected, now=now)
-            cost += self._weigh_lane(placement, record, lanes.get(record.endpoint_id))
+            load = self._loads.sum_up(record.endpoint_id)
+            unread = placement.prompt_tokens - self._count_cached(placement, record)
+            expected = _forecast(placement, record, load, unread)
+            cost = self._estimate_cost(placement, record, load, expected, unread, now=now)
+            cost += _weigh_lane(placement, load, lanes.get(record.endpoint_id))
             cost += self._random.random() * JITTER_MS
             cost -= HOME_MS * (record.endpoint_id == home)
             if cost < least:
-                unread = placement.prompt_tokens - self._count_cached(placement, record)
                 best = Choice(record=record, forecast=expected, unread_tokens=unread)
                 least = cost
         return best
@@ -139,50 +140,56 @@
             record.endpoint_id, placement.shared_parts, memory_tokens=placement.memory_tokens
         )
 
-    def _forecast(self, placement: Placement, record: EndpointRecord) -> Forecast | None:
-        if placement.prompt_tokens == 0:
-            return None
-        return forecast(
-            self._loads.sum_up(record.endpoint_id),
-            unread_tokens=placement.prompt_tokens - self._count_cached(placement, record),
-            needed_tokens=placement.prompt_tokens + placement.output_tokens,
-            slots=record.slots,
-            memory_tokens=placement.memory_tokens,
-        )
-
     def _estimate_cost(
         self,
         placement: Placement,
         record: EndpointRecord,
+        load: Load,
         expected: Forecast | None,
+        unread_tokens: int,
         *,
         now: float,
     ) -> float:
         """Return the delay in milliseconds that the request would meet, with prices as delays."""
-        load = self._loads.sum_up(record.endpoint_id)
         cost = FAILURE_COST_MS * self._loads.read_failures(record.endpoint_id, now=now)
         if record.failure_domain != placement.failure_domain:
             cost += OTHER_DOMAIN_COST_MS
         if expected is None:
             cost += FULL_COST_MS * max(0, load.requests + 1 - record.slots)
             return cost + PLAIN_SLOT_COST_MS * load.requests / max(1, record.slots)
-        reread = placement.shared_tokens - self._count_cached(placement, record)
+        cached = placement.prompt_tokens - unread_tokens
+        reread = placement.shared_tokens - cached
         cost += REREAD_WEIGHT * reread / READ_TOKENS_PER_MS
         return cost + expected.first_event_ms + RUNNING_COST_MS * load.requests
 
-    def _weigh_lane(self, placement: Placement, record: EndpointRecord, lane: int | None) -> float:
-        """Return the milliseconds that count against an engine of another lane than the prompt's.
 
-        A long prompt among short ones makes those wait that run or come there, the more the
-        busier the engine is; while it is idle, a long prompt is better off there than in a queue.
-        """
-        if lane is None:
-            return 0.0
-        if lane >= placement.lane:
-            return LONGER_LANE_COST_MS * (lane - placement.lane)
-        running = self._loads.sum_up(record.endpoint_id).requests
-        delayed = DELAYED_ALWAYS + DELAYED_RUNNING * running
-        return delayed * placement.prompt_tokens / READ_TOKENS_PER_MS
+def _forecast(
+    placement: Placement, record: EndpointRecord, load: Load, unread_tokens: int
+) -> Forecast | None:
+    """Return what a prompt would meet at an engine; None for calls of plain services."""
+    if placement.prompt_tokens == 0:
+        return None
+    return forecast(
+        load,
+        unread_tokens=unread_tokens,
+        needed_tokens=placement.prompt_tokens + placement.output_tokens,
+        slots=record.slots,
+        memory_tokens=placement.memory_tokens,
+    )
+
+
+def _weigh_lane(placement: Placement, load: Load, lane: int | None) -> float:
+    """Return the milliseconds that count against an engine of another lane than the prompt's.
+
+    A long prompt among short ones makes those wait that run or come there, the more the busier the
+    engine is; while it is idle, a long prompt is better off there than in a queue.
+    """
+    if lane is None:
+        return 0.0
+    if lane >= placement.lane:
+        return LONGER_LANE_COST_MS * (lane - placement.lane)
+    delayed = DELAYED_ALWAYS + DELAYED_RUNNING * load.requests
+    return delayed * placement.prompt_tokens / READ_TOKENS_PER_MS
 
 
 def _find_home(
