Add a fault soak of real processes; ignore a reload signal from the first line on

Its first twelve seeds showed one fault: a SIGHUP that comes while a process still loads its modules ends it (code -1). Ruled out: SIGTERM in that time also ends the process at once; it has begun nothing then, so that is allowed. Change: soak/ plans faults from a seed (kill, freeze, stop, reload, skewed time of day, cut, delayed, silent and reset links, engines that crash, leave, answer wrongly or lose their address, a store that is away for one or all, changes and revoked keys) and checks what callers and engines saw. The instance ignores SIGHUP before it imports anything. Stand-ins keep their ports reserved, so that no outgoing connection takes one while an instance is down. Before: a test of the reload fails (the process ends); after: it passes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test format bench prove slopes proto
+.PHONY: demo test format bench prove slopes proto soak
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -15,13 +15,13 @@
 	$(BIN)/python -m guavamast.platform.demo
 
 test: $(STAMP)
-	$(BIN)/black --check --quiet src tests bench tools
-	$(BIN)/ruff check --quiet src tests bench tools
+	$(BIN)/black --check --quiet src tests bench tools soak
+	$(BIN)/ruff check --quiet src tests bench tools soak
 	$(BIN)/python -m tools.run_tests
 
 format: $(STAMP)
-	$(BIN)/black --quiet src tests bench tools
-	$(BIN)/ruff check --quiet --fix src tests bench tools
+	$(BIN)/black --quiet src tests bench tools soak
+	$(BIN)/ruff check --quiet --fix src tests bench tools soak
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
@@ -29,6 +29,10 @@
 prove: $(STAMP)
 	GUAVAMAST_EXAMPLES=5000 $(BIN)/python -m tools.run_tests --property-only
 
+# Fifty seeds of the fault soak; SEEDS=101-110 for others.
+soak: $(STAMP)
+	$(BIN)/python -m soak --seeds $(or $(SEEDS),1-50)
+
 slopes: $(STAMP)
 	$(BIN)/python -m bench.slopes
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real instances as processes, faults from outside, promises checked meanwhile."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,74 @@
+"""Runs the soak by hand: ``python -m soak --seeds 1-50 --parallel 4``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+
+import fire
+
+from soak.run import SoakRun, Verdict
+
+
+async def run_seed(seed: int, *, length_s: float, instances: int, keep: str) -> Verdict:
+    """Run one seed; its logs are kept in a directory when one is given."""
+    directory = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None)
+    run = SoakRun(seed=seed, length_s=length_s, instances=instances, directory=directory)
+    verdict = await run.run()
+    word = "kept" if not verdict.broken else "BROKEN"
+    print(f"seed {seed}: {word}, {verdict.answered} of {verdict.asked} answered", flush=True)
+    for line in verdict.broken:
+        print(f"  {line}")
+    if verdict.broken:
+        print(f"  logs in {directory}; faults:", *verdict.faults, sep="\n    ", flush=True)
+    return verdict
+
+
+async def run_seeds(
+    first: int, last: int, *, length_s: float, instances: int, parallel: int, keep: str
+) -> list[Verdict]:
+    """Run seeds, some at a time."""
+    slots = asyncio.Semaphore(parallel)
+
+    async def run_one(seed: int) -> Verdict:
+        async with slots:
+            return await run_seed(seed, length_s=length_s, instances=instances, keep=keep)
+
+    return await asyncio.gather(*(run_one(seed) for seed in range(first, last + 1)))
+
+
+def soak(
+    seeds: str = "1-50",
+    length_s: float = 18.0,
+    instances: int = 4,
+    parallel: int = 4,
+    keep: str = "",
+) -> None:
+    """Run seeds and say which promises were broken.
+
+    Args:
+        seeds: One seed, or the first and the last with a dash.
+        length_s: Seconds for which callers ask.
+        instances: Instances of each run.
+        parallel: Runs at the same time.
+        keep: Directory for the logs; a temporary one by default.
+    """
+    first, _, last = str(seeds).partition("-")
+    verdicts = asyncio.run(
+        run_seeds(
+            int(first),
+            int(last or first),
+            length_s=length_s,
+            instances=instances,
+            parallel=parallel,
+            keep=keep,
+        )
+    )
+    broken = sum(bool(verdict.broken) for verdict in verdicts)
+    print(f"{len(verdicts) - broken} seeds kept all promises, {broken} did not")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(soak)
--- /dev/null
+++ b/soak/skewed.py
@@ -0,0 +1,22 @@
+"""Runs one instance whose time of day is ahead or behind."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+
+from guavamast.platform.__main__ import main
+from soak.instances import SKEW_VARIABLE
+
+
+def skew_time_of_day(skew_s: float) -> None:
+    """Move the time of day of this process; the steady clocks stay as they are."""
+    read_time, read_time_ns = time.time, time.time_ns
+    time.time = lambda: read_time() + skew_s
+    time.time_ns = lambda: read_time_ns() + int(skew_s * 1e9)
+
+
+if __name__ == "__main__":
+    skew_time_of_day(float(os.environ.get(SKEW_VARIABLE, "0")))
+    sys.exit(main())
--- a/src/guavamast/platform/__main__.py
+++ b/src/guavamast/platform/__main__.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
+import signal
 import sys
 
-from guavamast.findings import FindingsError
-from guavamast.platform.runner import run_node
-from guavamast.platform.settings import SETTINGS_VARIABLE, read_settings
-
 
 def main() -> int:
-    """Run; exit 2 with all findings when the settings are not usable."""
+    """Run; exit 2 with all findings when the settings are not usable.
+
+    Failure: the platform tells a process that its settings have changed while it still loads its
+    modules, the signal's default action ends it, and an instance is missing for another start. The
+    signal is ignored from the first line on, until the instance logs it.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import asyncio
+
+    from guavamast.findings import FindingsError
+    from guavamast.platform.runner import run_node
+    from guavamast.platform.settings import SETTINGS_VARIABLE, read_settings
+
     try:
         settings = read_settings(os.environ.get(SETTINGS_VARIABLE, ""))
     except FindingsError as error:
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -45,6 +46,8 @@
     target: str
     body: bytes
     headers: dict[str, str]
+    began: float
+    """Seconds of the steady clock."""
 
 
 class EngineStandIn:
@@ -57,6 +60,8 @@
     def __init__(self, *, engine_id: str) -> None:
         self.engine_id = engine_id
         self.fault = EngineFault.NONE
+        self.work_s = 0.0
+        """Time that a request takes before its answer begins."""
         self.runs: list[Run] = []
         self.abandoned = 0
         """Requests whose connection was closed before their answer was whole."""
@@ -70,9 +75,9 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
-    async def listen(self) -> int:
-        """Begin to serve on loopback; returns the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def listen(self, port: int = 0) -> int:
+        """Begin to serve on loopback; returns the port, chosen by the system unless given."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         return self.port
 
     async def stop(self) -> None:
@@ -133,6 +138,7 @@
             target=request.target.decode(),
             body=body,
             headers=headers,
+            began=time.monotonic(),
         )
         self.runs.append(run)
         return run
@@ -147,6 +153,7 @@
             return await self._send(http, writer, 503, [("X-Not-Executed", "1")], b"")
         run = self._note_run(request, body)
         request_id = run.request_id
+        await asyncio.sleep(self.work_s)
         if self.fault is EngineFault.LOSE:
             return False
         told_id = "other" if self.fault is EngineFault.CROSSED else request_id
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -28,13 +28,16 @@
     def __init__(self) -> None:
         self.store = StoreStandIn()
         self.engines: dict[str, EngineStandIn] = {}
-        self._store_port = 0
+        self.store_port = 0
         self._version = 0
+        self._holders: list[socket.socket] = []
         self.keys = [KEY]
+        self.more_keys: dict[str, str] = {}
+        """Keys of further organisations, by their names."""
 
     async def start(self, *, pool: int = 2, portal: int = 2) -> None:
         """Start the store and so many engines of each service."""
-        self._store_port = self.store.listen()
+        self.store_port = self.store.listen()
         self.configure()
         for number in range(pool):
             await self.add_engine(f"pool-{number}", "pool")
@@ -46,6 +49,8 @@
         for engine in self.engines.values():
             await engine.stop()
         self.store.stop()
+        for holder in self._holders:
+            holder.close()
 
     async def add_engine(self, engine_id: str, service: str) -> EngineStandIn:
         """Start an engine and list it."""
@@ -91,14 +96,22 @@
             "routes": routes,
             "services": services,
             "limits": limits,
-            "tenants": [{"name": "bakery", "api_keys": list(self.keys), "priority": 1}],
+            "tenants": self._list_organisations(),
         }
         self.store.put("op", "config", fields)
 
+    def _list_organisations(self) -> list[dict[str, Any]]:
+        first = {"name": "bakery", "api_keys": list(self.keys), "priority": 1}
+        more = [
+            {"name": name, "api_keys": [key], "priority": 1} for name, key in self.more_keys.items()
+        ]
+        return [first, *more]
+
     def make_settings(self, name: str) -> dict[str, Any]:
-        """Return the settings of an instance, on ports that are free now."""
-        ports = _find_free_ports(3)
-        first = _find_free_pair()
+        """Return the settings of an instance, on ports that stay reserved for it."""
+        holders = [*(_reserve_port() for _ in range(3)), *_reserve_pair()]
+        self._holders += holders
+        ports = [int(holder.getsockname()[1]) for holder in holders]
         return {
             "node_name": name,
             "ip": "127.0.0.1",
@@ -109,7 +122,7 @@
                 "readiness": f"127.0.0.1:{ports[1]}",
                 "directory": f"127.0.0.1:{ports[2]}",
             },
-            "internal_ports": [first, first + 1],
+            "internal_ports": ports[3:],
             "bounds": {
                 "strict_revocation": True,
                 "revoke_ms": 2000,
@@ -118,7 +131,7 @@
                 "budget_slack": 20,
                 "budget_window_s": 10,
             },
-            "platform": {"address": f"127.0.0.1:{self._store_port}"},
+            "platform": {"address": f"127.0.0.1:{self.store_port}"},
         }
 
 
@@ -130,27 +143,27 @@
     return path
 
 
-def _find_free_pair() -> int:
-    """Return the first of two ports in a row that are both free."""
+def _reserve_port(port: int = 0) -> socket.socket:
+    """Return a socket that is bound and never listens; a listener may be bound beside it.
+
+    Failure: an instance ends and is started again, and meanwhile its port is given to an outgoing
+    connection. The system chooses no port that is bound, and Linux lets a listener share it when
+    both allow the reuse of addresses.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", port))
+    return holder
+
+
+def _reserve_pair() -> list[socket.socket]:
+    """Return the sockets of two ports in a row."""
     while True:
-        first = _find_free_ports(1)[0]
-        with socket.socket() as second:
-            try:
-                second.bind(("127.0.0.1", first + 1))
-            except OSError:
-                continue
-            return first
-
-
-def _find_free_ports(count: int) -> list[int]:
-    """Return ports that the operating system has just given and taken back."""
-    sockets = [socket.socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
-    ports = [int(entry.getsockname()[1]) for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
+        first = _reserve_port()
+        try:
+            return [first, _reserve_port(first.getsockname()[1] + 1)]
+        except (OSError, OverflowError):
+            first.close()
 
 
 def _make_route(
--- a/src/guavamast/platform/standins/store.py
+++ b/src/guavamast/platform/standins/store.py
@@ -22,6 +22,8 @@
     """Answers 503."""
     SILENT = "silent"
     """Answers nothing."""
+    LOSES_ANSWERS = "loses_answers"
+    """Performs writes and answers nothing to them."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -69,7 +71,9 @@
         elif request.path == "/v1/rows-get":
             _write(request, 200, self._get(request))
         elif request.path == "/v1/rows-tx":
-            _write(request, 200, self._transact(json.loads(request.body)))
+            answer = self._transact(json.loads(request.body))
+            if self.fault is not StoreFault.LOSES_ANSWERS:
+                _write(request, 200, answer)
         else:
             _write(request, 404, {})
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -386,6 +386,37 @@
         self.assertIn(second.callers.encode(), answer.body)
         self.assertEqual(await asyncio.wait_for(first.process.wait(), READY_S), 0)
 
+    async def test_a_reload_while_a_process_starts_does_not_end_it(self) -> None:
+        """Callers have the instance after its first start.
+
+        The platform says that the settings have changed while the process still loads its modules,
+        when a signal's default action would end it: once early, then until it is ready.
+        """
+        while True:
+            settings = self.site.make_settings("one")
+            process = await self.launch(settings)
+            instance = Instance(process, settings["listen"])
+            self.addAsyncCleanup(instance.stop)
+            await self.wait_signal_ignored(process.pid)
+            while process.returncode is None and await instance.read_readiness() != 200:
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.02)
+            if process.returncode is None:
+                return
+            assert process.stderr is not None
+            self.assertIn(b"Address already in use", await process.stderr.read())
+
+    async def wait_signal_ignored(self, pid: int) -> None:
+        """Return once a process ignores SIGHUP: its interpreter has run our first line."""
+        bit = 1 << (signal.SIGHUP - 1)
+        async with asyncio.timeout(READY_S):
+            while True:
+                with open(f"/proc/{pid}/status", encoding="ascii") as status:
+                    masks = [line.split()[1] for line in status if line.startswith("SigIgn")]
+                if masks and int(masks[0], 16) & bit:
+                    return
+                await asyncio.sleep(0.002)
+
     async def test_bad_settings_stop_the_start_with_all_findings(self) -> None:
         settings = self.site.make_settings("one") | {"ip": None, "zone": 7}
         process = await self.launch(settings)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,188 @@
+"""Tests of the soak: its checks, its faults, and a short run of real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from dataclasses import replace
+
+from soak.promises import DRAIN_S, REVOKE_S, Asked, Ran, Record, RequestKind, Span, check
+from soak.proxy import LinkFault, LinkProxy
+from soak.run import SoakRun
+from soak.schedule import RECOVERY_S, FaultKind, plan_faults
+
+from guavamast.platform.standins.engine import EngineStandIn
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection
+
+CI_SEED = 209
+"""Chosen for its kinds: instances killed, frozen and stopped, an engine that crashes."""
+CI_LENGTH_S = 9.0
+
+CALL = Asked(
+    request_id="r1",
+    kind=RequestKind.CALL,
+    organisation="bakery",
+    sent=10.0,
+    ended=10.1,
+    status=200,
+    answer_id="r1",
+    body=b"answer r1",
+    expected=b"answer r1",
+    whole=True,
+)
+RUN = Ran(
+    request_id="r1",
+    engine="portal-0",
+    service="portal",
+    organisation="bakery",
+    began=10.05,
+    intact=True,
+)
+
+
+def make_record(asked: list[Asked], ran: list[Ran]) -> Record:
+    """Return what was seen in a run without faults, with a good answer at its end."""
+    last = replace(CALL, request_id="last", sent=20.0, ended=20.1, answer_id="last")
+    last_run = replace(RUN, request_id="last", began=20.05)
+    return Record(
+        asked=[*asked, last],
+        ran=[*ran, last_run],
+        revoked={},
+        drains={},
+        disruptions=[],
+        recovered=19.0,
+        ended=21.0,
+    )
+
+
+class CheckTest(unittest.TestCase):
+    """Each broken promise is found."""
+
+    def assert_broken(self, record: Record, words: str) -> None:
+        broken = check(record)
+        self.assertEqual(len(broken), 1, broken)
+        self.assertIn(words, broken[0])
+
+    def test_nothing_is_broken_by_good_answers(self) -> None:
+        self.assertEqual(check(make_record([CALL], [RUN])), [])
+
+    def test_second_run(self) -> None:
+        again = replace(RUN, engine="portal-1")
+        self.assert_broken(make_record([CALL], [RUN, again]), "ran 2 times")
+
+    def test_refusal_that_is_not_true(self) -> None:
+        refused = replace(CALL, status=503, body=b"")
+        self.assert_broken(make_record([refused], [RUN]), "refused as not run")
+
+    def test_answers_of_others_and_wrong_bodies(self) -> None:
+        crossed = replace(CALL, answer_id="r2")
+        self.assert_broken(make_record([crossed], [RUN]), "got the answer to r2")
+        record = make_record([replace(CALL, body=b"answer r1!")], [RUN])
+        self.assertEqual(len(check(record)), 2)
+
+    def test_denial_of_a_proper_request(self) -> None:
+        denied = replace(CALL, status=401, body=b"")
+        self.assert_broken(make_record([denied], []), "denied with 401")
+
+    def test_failures_while_nothing_is_disturbed(self) -> None:
+        lost = replace(CALL, status=None, body=b"", whole=False)
+        record = make_record([lost], [RUN])
+        self.assert_broken(record, "nothing was disturbed")
+        disturbed = replace(record, disruptions=[Span(began=9.0, ended=9.5)])
+        self.assertEqual(check(disturbed), [])
+        failed = replace(CALL, status=502, body=b"")
+        self.assert_broken(make_record([failed], [RUN]), "502, though")
+
+    def test_run_for_a_revoked_key(self) -> None:
+        record = make_record([CALL], [RUN])
+        revoked = {"bakery": CALL.sent - REVOKE_S - 0.1}
+        self.assertIn("its key was taken away", check(replace(record, revoked=revoked))[0])
+
+    def test_run_at_an_engine_that_left(self) -> None:
+        record = make_record([CALL], [RUN])
+        drains = {"portal-0": [Span(began=RUN.began - DRAIN_S - 0.1, ended=12.0)]}
+        self.assert_broken(replace(record, drains=drains), "after it left")
+
+    def test_run_that_was_changed_or_not_asked_for(self) -> None:
+        changed = replace(RUN, intact=False)
+        self.assert_broken(make_record([CALL], [changed]), "changed on its way")
+        stranger = replace(RUN, request_id="r9")
+        self.assert_broken(make_record([CALL], [RUN, stranger]), "nobody asked")
+        other = replace(RUN, organisation="florist")
+        self.assert_broken(make_record([CALL], [other]), "ran as florist")
+
+    def test_no_recovery(self) -> None:
+        record = make_record([CALL], [RUN])
+        late = [replace(CALL, request_id=f"l{n}", sent=20.0, status=503) for n in range(3)]
+        broken = check(replace(record, asked=[*record.asked, *late]))
+        self.assertIn("only 1 of the last 4 requests were answered", broken)
+
+
+class ScheduleTest(unittest.TestCase):
+    """Faults follow from the seed and leave time to recover."""
+
+    def test_same_seed_same_faults(self) -> None:
+        self.assertEqual(plan_faults(3, length_s=20.0), plan_faults(3, length_s=20.0))
+        self.assertNotEqual(plan_faults(3, length_s=20.0), plan_faults(4, length_s=20.0))
+
+    def test_all_kinds_come_and_end_in_time(self) -> None:
+        faults = [fault for seed in range(40) for fault in plan_faults(seed, length_s=20.0)]
+        self.assertEqual({fault.kind for fault in faults}, set(FaultKind))
+        for fault in faults:
+            self.assertLessEqual(fault.at_s + fault.for_s, 20.0 - RECOVERY_S + 0.3)
+
+
+class LinkProxyTest(unittest.IsolatedAsyncioTestCase):
+    """Links do to connections what they are told to."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = EngineStandIn(engine_id="e1")
+        self.link = LinkProxy(target_port=await self.engine.listen())
+        await self.link.start()
+        self.addAsyncCleanup(self.engine.stop)
+        self.addAsyncCleanup(self.link.stop)
+
+    async def ask(self) -> HttpConnection:
+        connection = await HttpConnection.open("127.0.0.1", self.link.port, timeout_s=5.0)
+        await connection.send("GET", "/x", [("Host", "h"), ("X-Attempt-Id", "r1")], b"")
+        return connection
+
+    async def test_passes_on(self) -> None:
+        connection = await self.ask()
+        self.assertEqual((await connection.read_head()).status, 200)
+        self.assertEqual(await connection.read_chunk(), b"answer r1")
+        connection.close()
+
+    async def test_cut_one_way_runs_and_answers_nothing(self) -> None:
+        self.link.fault = LinkFault.CUT_TO_CLIENT
+        connection = await self.ask()
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(connection.read_head(), 0.2)
+        self.assertEqual(len(self.engine.runs), 1)
+        connection.close()
+
+    async def test_silence_runs_nothing_and_a_reset_ends_it(self) -> None:
+        self.link.fault = LinkFault.SILENT
+        connection = await self.ask()
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(connection.read_head(), 0.2)
+        self.assertEqual(self.engine.runs, [])
+        self.link.reset_all()
+        with self.assertRaises(ConnectionLost):
+            await connection.read_head()
+
+
+class SoakRunTest(unittest.IsolatedAsyncioTestCase):
+    """Real instances under faults keep what is promised."""
+
+    async def test_a_short_run_keeps_all_promises(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            run = SoakRun(seed=CI_SEED, length_s=CI_LENGTH_S, instances=3, directory=directory)
+            verdict = await run.run()
+        self.assertEqual(verdict.broken, [], verdict.faults)
+        self.assertGreater(verdict.answered, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
