Compare a few engines at random where loads are told late; relays tell by turns

Both relays of a domain told it at the same moment, once a second. Ruled out: processor time (0.068 of a core at most) and refusals (none).

--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from guavamast.relay.beat_relays import RELAYS_EACH
 from guavamast.relay.beats import BeatBundle, encode_beat, encode_bundle
 from guavamast.relay.peers import compute_beat_interval
 
@@ -19,8 +20,9 @@
 
 EXCHANGE_INTERVAL_S: Final = 0.5
 """Between two bundles from relay to relay."""
-EXCHANGES_A_BUNDLE: Final = 2
-"""Every so many exchanges a relay tells its whole failure domain; two relays do so by turns."""
+EXCHANGES_A_BUNDLE: Final = RELAYS_EACH
+"""Every so many exchanges a relay tells its whole failure domain: the relays do so by turns, and an
+instance gets a bundle in each interval."""
 
 BUNDLE_PAUSE_S: Final = 0.008
 """Between the bundles to two instances: 30 of them take half of the time between two exchanges."""
@@ -172,7 +174,8 @@
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
             self.tell_relays()
             turn += 1
-            if turn % EXCHANGES_A_BUNDLE == 0:
+            own_turn = self._relays.find_turn(now=self._read_time())
+            if own_turn is not None and (turn + own_turn) % EXCHANGES_A_BUNDLE == 0:
                 await self.tell_domain(pause_s=BUNDLE_PAUSE_S)
 
 
--- a/src/guavamast/relay/beat_relays.py
+++ b/src/guavamast/relay/beat_relays.py
@@ -50,10 +50,15 @@
 
     def is_relay(self, *, now: float) -> bool:
         """Return whether this instance passes beats on."""
+        return self.find_turn(now=now) is not None
+
+    def find_turn(self, *, now: float) -> int | None:
+        """Return this instance's place among the relays of its domain; None if it is none."""
         if not self._peers.relayed:
-            return False
-        own = self._record.failure_domain
-        return any(one.name == self._record.name for one in self._rank_domain(own, now=now))
+            return None
+        relays = self._rank_domain(self._record.failure_domain, now=now)
+        names = [one.name for one in relays]
+        return names.index(self._record.name) if self._record.name in names else None
 
     def list_own_targets(self, *, now: float) -> list[InstanceRecord]:
         """Return the instances that get each beat of this one."""
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -40,6 +40,9 @@
 """A round trip between failure domains and the price of the bytes."""
 PLAIN_SLOT_COST_MS: Final = 60.0
 """Weight of a fully taken plain endpoint: about the work of one call."""
+SAMPLED_ENGINES: Final = 4
+"""Engines that are compared beside those that have a part of the prompt, when loads are told late:
+with few, two instances seldom look at the same ones; with more, all would choose the same again."""
 JITTER_MS: Final = 1.0
 """Spreads choices among equal endpoints."""
 
@@ -60,6 +63,8 @@
     """Most tokens that the answer may have."""
     memory_tokens: int
     """Tokens that fit into an engine's memory; 0 for plain services."""
+    loads_late: bool = False
+    """Whether other instances' work is told too late to be compared at all endpoints."""
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -120,6 +125,8 @@
             lanes = assign_lanes(candidates, placement.lane_shares)
         others = [record for record in candidates if record.endpoint_id not in exclude]
         home = _find_home(placement, others, lanes)
+        if placement.loads_late:
+            others = self._sample(placement, others, home)
         best: Choice | None = None
         least = float("inf")
         for record in others:
@@ -135,6 +142,26 @@
                 least = cost
         return best
 
+    def _sample(
+        self, placement: Placement, records: list[EndpointRecord], home: str | None
+    ) -> list[EndpointRecord]:
+        """Return the endpoints that one request compares when loads are told late.
+
+        Failure: loads are half a second old, all instances see the same idle engine, each sends it
+        its next request, and the first events there come seconds late while others idle. Chosen
+        among a few at random, the requests spread although nobody knows the present loads.
+        """
+        if len(records) <= SAMPLED_ENGINES:
+            return records
+        sampled = {one.endpoint_id for one in self._random.sample(records, SAMPLED_ENGINES)}
+        return [
+            one
+            for one in records
+            if one.endpoint_id in sampled
+            or one.endpoint_id == home
+            or self._count_cached(placement, one) > 0
+        ]
+
     def _count_cached(self, placement: Placement, record: EndpointRecord) -> int:
         return self._cache.count_cached(
             record.endpoint_id, placement.shared_parts, memory_tokens=placement.memory_tokens
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -183,6 +183,7 @@
             lane_shares=self._demand.compute_shares(),
             output_tokens=request.output_tokens,
             memory_tokens=self._knowledge.find_memory(progress.service),
+            loads_late=self._knowledge.peers.relayed,
         )
 
     def _may_go_on(self, progress: RequestProgress, failure: AttemptFailed, *, now: float) -> bool:
