Drop the records of instances that are gone; put a build in place at once

Cause: rows of instances that were removed without a word stayed in the table of instances, and each new instance told all of them of itself for 90 s. The build removed the package before it copied the new one: a process that another play started in that moment found half of it. Ruled out: a time to live (the store has none). Change: the first reader of the store drops what has been silent for 90 s. The build skips unchanged sources and moves changed ones into place. Test: who is forgotten and who stays.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,7 +6,17 @@
     python3 -m pip install -q -U --disable-pip-version-check --target target/deps -r deploy/requirements.txt
     touch target/.libraries
 fi
-rm -rf target/deps/guavamast
-cp -r src/guavamast target/deps/guavamast
-python3 -m compileall -q target/deps/guavamast/relay target/deps/guavamast/platform
-python3 -m compileall -q -l target/deps/guavamast
+# Unchanged sources stay as they are, and changed ones are put in place at once: processes of another
+# play may start meanwhile, and one that finds half of the package ends.
+if ! diff -rq -x __pycache__ src/guavamast target/deps/guavamast >/dev/null 2>&1; then
+    rm -rf target/new target/old
+    cp -r src/guavamast target/new
+    find target/new -name __pycache__ -prune -exec rm -rf {} +
+    mkdir -p target/old
+    if [ -d target/deps/guavamast ]; then
+        mv target/deps/guavamast target/old/guavamast
+    fi
+    mv target/new target/deps/guavamast
+    python3 -m compileall -q target/deps/guavamast/relay target/deps/guavamast/platform
+    python3 -m compileall -q -l target/deps/guavamast
+fi
--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -86,12 +86,12 @@
         for target in self._relays.list_news_targets(now=now):
             self._send(data, target)
         if self._relays.is_relay(now=now):
-            self._forward(beat, now=now)
+            self._forward(beat)
 
     def announce_to_all(self) -> None:
         """Send a beat to each instance directly: on coming and on leaving."""
         data = encode_beat(self._make_beat())
-        for target in self._peers.list_targets(now=self._read_time()):
+        for target in self._peers.list_targets():
             self._send(data, target)
 
     def take(self, beat: Beat) -> None:
@@ -102,7 +102,7 @@
             return
         self._take_beat(beat)
         if self._relays.is_relay(now=now):
-            self._forward(beat, now=now, changed=state is not beat.state)
+            self._forward(beat, changed=state is not beat.state)
 
     def take_bundle(self, bundle: BeatBundle) -> None:
         """Take the beats that a relay has passed on."""
@@ -116,7 +116,7 @@
             for target in self._relays.list_own_targets(now=now):
                 self._send(data, target)
 
-    def _forward(self, beat: Beat, *, now: float, changed: bool = False) -> None:
+    def _forward(self, beat: Beat, *, changed: bool = False) -> None:
         """Tell the own failure domain of a proof that is newer than those told before."""
         catalog, endpoints = self._forwarded
         newest = (
@@ -127,7 +127,7 @@
             return
         self._forwarded = newest
         data = encode_bundle(BeatBundle(relay=self._name, beats=[beat]))
-        for target in self._relays.list_members(now=now):
+        for target in self._relays.list_members():
             if target.name != beat.record.name:
                 self._send(data, target)
 
@@ -159,7 +159,7 @@
             return
         beats = [*self._peers.list_live(now=now), self._make_beat()]
         data = encode_bundle(BeatBundle(relay=self._name, beats=beats))
-        for target in self._relays.list_members(now=now):
+        for target in self._relays.list_members():
             self._send(data, target)
             await asyncio.sleep(pause_s)
 
--- a/src/guavamast/relay/beat_relays.py
+++ b/src/guavamast/relay/beat_relays.py
@@ -63,12 +63,12 @@
     def list_own_targets(self, *, now: float) -> list[InstanceRecord]:
         """Return the instances that get each beat of this one."""
         if not self._peers.relayed:
-            return self._peers.list_targets(now=now)
+            return self._peers.list_targets()
         own = self._record.failure_domain
         last = self._heard_relay
         deaf = last is None or now - last > SILENT_RELAYS_S
         if deaf and not self.is_relay(now=now):
-            targets = self._peers.list_targets(now=now)
+            targets = self._peers.list_targets()
             return [one for one in targets if one.failure_domain == own]
         return self._drop_own(self._rank_domain(own, now=now))
 
@@ -87,7 +87,7 @@
         that are known are tried in turn; whoever gets the bundle hands it to its relays.
         """
         known: dict[str, dict[str, InstanceRecord]] = {}
-        for one in self._peers.list_targets(now=now):
+        for one in self._peers.list_targets():
             known.setdefault(one.failure_domain, {})[one.name] = one
         known.pop(self._record.failure_domain, None)
         relays = []
@@ -104,10 +104,10 @@
             for beat in bundle.beats
         )
 
-    def list_members(self, *, now: float) -> list[InstanceRecord]:
+    def list_members(self) -> list[InstanceRecord]:
         """Return the other instances of the own failure domain."""
         own = self._record.failure_domain
-        return [one for one in self._peers.list_targets(now=now) if one.failure_domain == own]
+        return [one for one in self._peers.list_targets() if one.failure_domain == own]
 
     def list_domain_beats(self, *, now: float) -> list[Beat]:
         """Return the newest beats of the own failure domain, for the relays of the others."""
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -257,7 +257,7 @@
         self.log.write("leaving", now=asked, in_flight=self._relayer.in_flight)
         callers_gone = asked + HELD_ANSWER_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
         latest = asked + self.settings.grace_s - STOP_MARGIN_S
-        removing = asyncio.create_task(self._unregister())
+        removing = asyncio.create_task(self._unregister(self.settings.name))
         while read_boot_time() < latest:
             if read_boot_time() >= callers_gone and self._relayer.in_flight == 0:
                 break
@@ -265,12 +265,12 @@
         self._listener.stop()
         removing.cancel()
 
-    async def _unregister(self) -> None:
-        """Drop this instance's record; one that stays is harmless."""
+    async def _unregister(self, name: str) -> None:
+        """Drop an instance's record; one that stays is harmless."""
         try:
-            await self._store.remove_instance(self.settings.name)
+            await self._store.remove_instance(name)
         except Exception as error:  # noqa: BLE001
-            self.log.write("unregister_failed", now=read_boot_time(), reason=str(error))
+            self.log.write("unregister_failed", now=read_boot_time(), who=name, reason=str(error))
 
     def _make_beat(self) -> Beat:
         """Return the next beat of this instance."""
@@ -316,6 +316,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             now = read_boot_time()
+            await self._clean_registry(self.peers.forget_silent(now=now), now=now)
             known = {record.endpoint_id for record in self.knowledge.endpoints.list_all()}
             self._pool.keep_only(known, now=now)
             self._loads.keep_only(known)
@@ -324,6 +325,18 @@
             self._loads.keep_peers(live)
             self._demand.keep_peers(live)
 
+    async def _clean_registry(self, silent: list[str], *, now: float) -> None:
+        """Drop the records of instances that are gone for good.
+
+        Failure: instances that are replaced without a word leave their records, and each new one
+        tells all of them of itself for a while. One instance, the first reader of the store, drops
+        them; an instance that was only cut off is told to all again by its next start.
+        """
+        if self.peers.rank_as_reader(now=now) > 0 or not self._watch.answers:
+            return
+        for name in silent:
+            await self._unregister(name)
+
     def _apply_limits(self) -> None:
         catalog = self.knowledge.catalog
         if catalog is not None and self._listener.limits is not catalog.limits:
--- a/src/guavamast/relay/peers.py
+++ b/src/guavamast/relay/peers.py
@@ -113,14 +113,18 @@
         """Return the number of instances that may be running, this one included."""
         return 1 + len(self._peers)
 
-    def list_targets(self, *, now: float) -> list[InstanceRecord]:
-        """Return the instances that get beats; long silent ones are forgotten."""
-        for name, peer in list(self._peers.items()):
-            if now - peer.heard > FORGET_AFTER_S:
-                del self._peers[name]
-                self._weights.pop(name, None)
+    def list_targets(self) -> list[InstanceRecord]:
+        """Return the instances that may be running, heard or not."""
         return [peer.record for peer in self._peers.values()]
 
+    def forget_silent(self, *, now: float) -> list[str]:
+        """Drop the instances that have been silent for long; returns their names."""
+        silent = [name for name, peer in self._peers.items() if now - peer.heard > FORGET_AFTER_S]
+        for name in silent:
+            del self._peers[name]
+            self._weights.pop(name, None)
+        return silent
+
     def find_state(self, name: str) -> InstanceState | None:
         """Return what an instance last said of itself."""
         peer = self._peers.get(name)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -17,7 +17,13 @@
 from guavamast.relay.endpoint_table import EndpointTable
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.freshness import Proof
-from guavamast.relay.peers import MISSED_BEATS, READER_KEY, Peers, compute_beat_interval
+from guavamast.relay.peers import (
+    FORGET_AFTER_S,
+    MISSED_BEATS,
+    READER_KEY,
+    Peers,
+    compute_beat_interval,
+)
 from guavamast.relay.prompt_cache import PromptSend
 from guavamast.relay.prompt_lanes import Demand
 from guavamast.relay.read_schedule import LAST_RANK, READ_INTERVAL_S, STEP_IN_S, ReadSchedule
@@ -286,6 +292,14 @@
         self.assertTrue(self.peers.take(again, now=bound + 0.01))
         self.assertEqual([r.name for r in self.peers.list_serving(now=bound + 0.1)], ["x"])
 
+    def test_instances_that_are_gone_for_good_are_forgotten(self) -> None:
+        for name in ("x", "y"):
+            self.peers.take(make_beat(name), now=0.0)
+        self.peers.take(make_beat("y", sequence=9), now=50.0)
+        self.assertEqual(self.peers.forget_silent(now=FORGET_AFTER_S), [])
+        self.assertEqual(self.peers.forget_silent(now=FORGET_AFTER_S + 1.0), ["x"])
+        self.assertEqual([record.name for record in self.peers.list_targets()], ["y"])
+
     def test_silent_and_leaving_instances_get_no_callers(self) -> None:
         self.peers.take(make_beat("x"), now=0.0)
         self.peers.take(make_beat("y", state=InstanceState.LEAVING), now=0.0)
