--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -100,17 +100,10 @@
         self._loads = EndpointLoads()
         self._cache = PromptCache()
         self._demand = PromptDemand()
-        self._notices = LoadNotices(
-            instance=settings.name,
-            incarnation=self._incarnation,
-            loads=self._loads,
-            cache=self._cache,
-            send=self._send_notice,
-            count_instances=self.peers.count_known,
-            read_time=read_boot_time,
-        )
         self._pool = ConnectionPool()
         self._gate = CallerGate(revocation_s=settings.revocation_s)
+        self._stop = asyncio.Event()
+        self._notices = self._make_notices()
         self._relayer = self._make_relayer(codec)
         self._listener = CallerListener(
             relayer=self._relayer,
@@ -120,8 +113,23 @@
             note_fault=self._note_fault,
         )
         self._beats = BeatSocket(take=self._take_message, counters=self.counters)
-        self._exchange = BeatExchange(
-            name=settings.name,
+        self._exchange = self._make_exchange()
+        self._watch = self._make_watch()
+
+    def _make_notices(self) -> LoadNotices:
+        return LoadNotices(
+            instance=self.settings.name,
+            incarnation=self._incarnation,
+            loads=self._loads,
+            cache=self._cache,
+            send=self._send_notice,
+            count_instances=self.peers.count_known,
+            read_time=read_boot_time,
+        )
+
+    def _make_exchange(self) -> BeatExchange:
+        return BeatExchange(
+            name=self.settings.name,
             peers=self.peers,
             relays=BeatRelays(record=self.record, peers=self.peers),
             make_beat=self._make_beat,
@@ -129,8 +137,10 @@
             send=self._beats.send,
             read_time=read_boot_time,
         )
-        self._watch = StoreWatch(
-            store=store,
+
+    def _make_watch(self) -> StoreWatch:
+        return StoreWatch(
+            store=self._store,
             knowledge=self.knowledge,
             record=self.record,
             log=self.log,
@@ -140,7 +150,6 @@
             announce=self._exchange.announce,
             announce_to_all=self._exchange.announce_to_all,
         )
-        self._stop = asyncio.Event()
 
     def _make_relayer(self, codec: HeaderCodec) -> Relayer:
         settings = self.settings
--- /dev/null
+++ b/tests/_platform_callers.py
@@ -0,0 +1,102 @@
+"""A caller's connection and a process of the relay, for tests of the path on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavamast.platform.standins.site import HOST, KEY
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+
+if TYPE_CHECKING:
+    from guavamast.relay.messages import Header
+
+READY_S = 20.0
+"""Time for a process to start and become ready, on a busy machine."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self.connection = connection
+
+    @classmethod
+    async def open(cls, address: str) -> Caller:
+        host, _, port = address.rpartition(":")
+        return cls(await HttpConnection.open(host, int(port), timeout_s=5.0))
+
+    async def ask(
+        self,
+        target: str,
+        *,
+        request_id: str = "r1",
+        key: str = KEY,
+        body: bytes = b"",
+        patience_ms: int = 3000,
+        extra: tuple[Header, ...] = (),
+    ) -> Reply:
+        headers = [
+            ("Host", HOST),
+            ("Authorization", f"Bearer {key}"),
+            ("X-Attempt-Id", request_id),
+            ("X-Request-Deadline-Ms", str(patience_ms)),
+            *extra,
+        ]
+        if body:
+            headers.append(("Content-Length", str(len(body))))
+        await self.connection.send("POST" if body else "GET", target, headers, body)
+        head = await self.connection.read_head()
+        received = b""
+        whole = True
+        try:
+            while (chunk := await self.connection.read_chunk()) is not None:
+                received += chunk
+        except (ConnectionLost, MalformedAnswer):
+            whole = False
+        fields = {name.lower(): value for name, value in head.headers}
+        return Reply(status=head.status, headers=fields, body=received, whole=whole)
+
+
+class Instance:
+    """One process of the relay."""
+
+    def __init__(self, process: asyncio.subprocess.Process, listen: dict[str, str]) -> None:
+        self.process = process
+        self.callers = listen["front"]
+        self.readiness = listen["readiness"]
+        self.directory = listen["directory"]
+
+    async def wait_ready(self) -> bool:
+        """Return True when the process is ready, False when it has ended."""
+        async with asyncio.timeout(READY_S):
+            while await self.read_readiness() != 200:
+                if self.process.returncode is not None:
+                    return False
+                await asyncio.sleep(0.05)
+        return True
+
+    async def read_readiness(self) -> int:
+        try:
+            caller = await Caller.open(self.readiness)
+            reply = await caller.ask("/v1/ready")
+        except ConnectionLost:
+            return 0
+        caller.connection.close()
+        return reply.status
+
+    async def stop(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
