Tell the table of endpoints to the others when it has changed

Ruled out: reading less often (a change must count within two seconds). A table counts only if its reading of the store's clock is newer.

--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -7,6 +7,7 @@
 
 from guavamast.relay.beat_relays import RELAYS_EACH
 from guavamast.relay.beats import BeatBundle, encode_beat, encode_bundle
+from guavamast.relay.endpoint_news import encode_endpoints
 from guavamast.relay.peers import compute_beat_interval
 
 if TYPE_CHECKING:
@@ -16,7 +17,7 @@
     from guavamast.relay.beats import Beat
     from guavamast.relay.freshness import Proof
     from guavamast.relay.peers import Peers
-    from guavamast.relay.store import InstanceRecord
+    from guavamast.relay.store import EndpointReading, InstanceRecord
 
 EXCHANGE_INTERVAL_S: Final = 0.5
 """Between two bundles from relay to relay."""
@@ -83,11 +84,30 @@
         beat = self._make_beat()
         now = self._read_time()
         data = encode_beat(beat)
-        for target in self._relays.list_news_targets(now=now):
+        for target in self._list_news_targets():
             self._send(data, target)
         if self._relays.is_relay(now=now):
             self._forward(beat)
 
+    def tell_endpoints(self, reading: EndpointReading) -> None:
+        """Tell the others a table of endpoints that has changed.
+
+        It spares each of them a read of the store: a change cost as many calls as there are
+        instances. Who misses it hears of it with the next beat and reads for itself.
+        """
+        data = encode_endpoints(reading)
+        if data is None:
+            return
+        for target in self._list_news_targets():
+            self._send(data, target)
+
+    def forward_endpoints(self, data: bytes) -> None:
+        """As a relay, pass a table that was news on to the own failure domain."""
+        if not self._relays.is_relay(now=self._read_time()):
+            return
+        for target in self._relays.list_members():
+            self._send(data, target)
+
     def announce_to_all(self) -> None:
         """Send a beat to each instance directly: on coming and on leaving."""
         data = encode_beat(self._make_beat())
@@ -116,6 +136,9 @@
             for target in self._relays.list_own_targets(now=now):
                 self._send(data, target)
 
+    def _list_news_targets(self) -> list[InstanceRecord]:
+        return self._relays.list_news_targets(now=self._read_time())
+
     def _forward(self, beat: Beat, *, changed: bool = False) -> None:
         """Tell the own failure domain of a proof that is newer than those told before."""
         catalog, endpoints = self._forwarded
--- a/src/guavamast/relay/beat_socket.py
+++ b/src/guavamast/relay/beat_socket.py
@@ -6,13 +6,14 @@
 from typing import TYPE_CHECKING
 
 from guavamast.relay.beats import MalformedBeat, decode_message
+from guavamast.relay.endpoint_news import NEWS_MARK, decode_endpoints
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from guavamast.relay.beats import Beat, BeatBundle, LoadNotice
     from guavamast.relay.counters import Counters
-    from guavamast.relay.store import InstanceRecord
+    from guavamast.relay.store import EndpointReading, InstanceRecord
 
 
 class BeatSocket(asyncio.DatagramProtocol):
@@ -20,14 +21,20 @@
 
     Args:
         take: Called with each message.
+        take_endpoints: Called with each table of endpoints and its datagram.
         counters: Metrics.
     """
 
-    __slots__ = ("_counters", "_take", "_transport")
+    __slots__ = ("_counters", "_take", "_take_endpoints", "_transport")
 
     def __init__(
-        self, *, take: Callable[[Beat | LoadNotice | BeatBundle], None], counters: Counters
+        self,
+        *,
+        take: Callable[[Beat | LoadNotice | BeatBundle], None],
+        take_endpoints: Callable[[EndpointReading, bytes], None],
+        counters: Counters,
     ) -> None:
+        self._take_endpoints = take_endpoints
         self._take = take
         self._counters = counters
         self._transport: asyncio.DatagramTransport | None = None
@@ -45,11 +52,12 @@
         """Take a beat; what is none is counted."""
         del addr
         try:
-            message = decode_message(data)
+            if data.startswith(NEWS_MARK):
+                self._take_endpoints(decode_endpoints(data), data)
+            else:
+                self._take(decode_message(data))
         except MalformedBeat:
             self._counters.add("malformed_beats_total")
-            return
-        self._take(message)
 
     def error_received(self, exc: Exception) -> None:
         """Count a datagram that could not be delivered; the next beat replaces it."""
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -38,7 +38,7 @@
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import CallerRequest, HeaderCodec
     from guavamast.relay.node_settings import NodeSettings, SocketAddress
-    from guavamast.relay.store import Store
+    from guavamast.relay.store import EndpointReading, Store
 
 STANDARD_OUTPUT: Final = 1
 """File descriptor of the log unless another is given."""
@@ -112,7 +112,11 @@
             note_rejection=self._note_rejection,
             note_fault=self._note_fault,
         )
-        self._beats = BeatSocket(take=self._take_message, counters=self.counters)
+        self._beats = BeatSocket(
+            take=self._take_message,
+            take_endpoints=self._take_endpoints,
+            counters=self.counters,
+        )
         self._exchange = self._make_exchange()
         self._watch = self._make_watch()
 
@@ -149,6 +153,7 @@
             read_time=read_boot_time,
             announce=self._exchange.announce,
             announce_to_all=self._exchange.announce_to_all,
+            tell_endpoints=self._exchange.tell_endpoints,
         )
 
     def _make_relayer(self, codec: HeaderCodec) -> Relayer:
@@ -314,6 +319,11 @@
             self._loads.update_peer(message.instance, message.loads)
             self._cache.take_peer(message.instance, message.incarnation, message.sends)
 
+    def _take_endpoints(self, reading: EndpointReading, data: bytes) -> None:
+        """Take a table of endpoints that another instance has read."""
+        if self._watch.take_endpoints(reading, told=True):
+            self._exchange.forward_endpoints(data)
+
     def _take_beat(self, beat: Beat) -> None:
         self.knowledge.take_beat(beat)
         name = beat.record.name
--- a/src/guavamast/relay/read_schedule.py
+++ b/src/guavamast/relay/read_schedule.py
@@ -12,6 +12,8 @@
 this, a beat and a read of the change, well within the two seconds that operators expect."""
 STEP_IN_S: Final = 0.25
 """How much later each further reader steps in; longer than a read takes and a beat travels."""
+NEWS_WAIT_S: Final = 0.06
+"""Time in which the news itself may come from the instance that has it, before it is read here."""
 LAST_RANK: Final = 4
 """Readers beyond this rank step in together, so that nobody waits long when many have gone."""
 SPREAD_S: Final = 0.3
@@ -51,8 +53,9 @@
             return False
         if news:
             if self._news_at is None:
-                self._news_at = now + self._random.random() * SPREAD_S / 3
+                self._news_at = now + NEWS_WAIT_S + self._random.random() * SPREAD_S / 3
             return now >= self._news_at
+        self._news_at = None
         bound = READ_INTERVAL_S + STEP_IN_S * min(rank, LAST_RANK)
         if rank >= LAST_RANK:
             bound += SPREAD_S * (rank % 7) / 7
--- a/src/guavamast/relay/store_watch.py
+++ b/src/guavamast/relay/store_watch.py
@@ -15,7 +15,7 @@
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.fleet_knowledge import FleetKnowledge
-    from guavamast.relay.store import InstanceRecord, Store
+    from guavamast.relay.store import EndpointReading, InstanceRecord, Store
 
 TICK_S: Final = 0.05
 """How often it is decided whether to read; a small part of the read interval."""
@@ -36,6 +36,7 @@
         read_time: The local clock.
         announce: Sends a beat with news.
         announce_to_all: Sends a beat to each instance directly.
+        tell_endpoints: Tells the others a table of endpoints.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "_read_time",
         "_record",
         "_store",
+        "_tell_endpoints",
         "answers",
     )
 
@@ -64,6 +66,7 @@
         read_time: Callable[[], float],
         announce: Callable[[], None],
         announce_to_all: Callable[[], None],
+        tell_endpoints: Callable[[EndpointReading], None],
     ) -> None:
         self._store = store
         self._knowledge = knowledge
@@ -73,6 +76,7 @@
         self._read_time = read_time
         self._announce = announce
         self._announce_to_all = announce_to_all
+        self._tell_endpoints = tell_endpoints
         self._catalog_schedule = ReadSchedule(random=random)
         self._endpoint_schedule = ReadSchedule(random=random)
         self.answers = True
@@ -148,6 +152,7 @@
         self._announce()
 
     async def _read_endpoints(self) -> None:
+        heard_of = self._knowledge.newer_endpoints_heard
         try:
             reading = await self._store.read_endpoints()
         except StoreError as error:
@@ -156,18 +161,32 @@
             return
         self._endpoint_schedule.record_success()
         self._note_success()
-        if self._knowledge.take_endpoints(reading):
-            records = self._knowledge.endpoints.list_all()
-            self._log.write(
-                "endpoints_taken",
-                now=self._read_time(),
-                endpoints_version=reading.digest,
-                listed=len(reading.records),
-                ready=sum(record.ready for record in records),
-                lapsed=self._knowledge.endpoints.has_lapsed,
-            )
+        # Whoever reads because of another's word has nothing to tell: that one has told it already.
+        if self.take_endpoints(reading, told=False) and not heard_of:
+            self._tell_endpoints(reading)
         self._announce()
 
+    def take_endpoints(self, reading: EndpointReading, *, told: bool) -> bool:
+        """Take a table of endpoints; returns whether it differs from the one in force.
+
+        Args:
+            reading: The table.
+            told: Whether another instance has read it.
+        """
+        if not self._knowledge.take_endpoints(reading):
+            return False
+        records = self._knowledge.endpoints.list_all()
+        self._log.write(
+            "endpoints_taken",
+            now=self._read_time(),
+            endpoints_version=reading.digest,
+            listed=len(reading.records),
+            ready=sum(record.ready for record in records),
+            lapsed=self._knowledge.endpoints.has_lapsed,
+            told=told,
+        )
+        return True
+
     def _note_failure(self, call: str, error: StoreError) -> None:
         self._counters.add(f'store_failures_total{{call="{call}"}}')
         if self.answers:
--- /dev/null
+++ b/tests/test_relay_endpoint_news.py
@@ -0,0 +1,60 @@
+"""Tests of the table of endpoints as instances tell it to each other."""
+
+from __future__ import annotations
+
+import unittest
+import zlib
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.relay.beats import MalformedBeat
+from guavamast.relay.endpoint_news import NEWS_MARK, decode_endpoints, encode_endpoints
+from guavamast.relay.fleet_knowledge import FleetKnowledge
+from guavamast.relay.freshness import StoreClock
+from guavamast.relay.peers import Peers
+from guavamast.relay.store import EndpointReading
+from tests.relay_facts import make_endpoint
+
+
+def make_reading(*names: str, reading: float) -> EndpointReading:
+    """Return a table with endpoints of these names."""
+    records = [make_endpoint(name, slots=64) for name in names]
+    return EndpointReading(records=records, digest="-".join(names), reading=reading)
+
+
+class EndpointNewsTest(unittest.TestCase):
+    """Tables survive the wire, and anything else is refused."""
+
+    def test_tables_survive_the_wire(self) -> None:
+        reading = make_reading("e1", "e2", reading=12.5)
+        data = encode_endpoints(reading)
+        assert data is not None
+        self.assertEqual(decode_endpoints(data), reading)
+
+    def test_a_table_that_no_datagram_holds_is_not_told(self) -> None:
+        names = [f"{number * 2_654_435_761 % 2**64:x}" for number in range(12_000)]
+        self.assertIsNone(encode_endpoints(make_reading(*names, reading=1.0)))
+
+    @given(data=st.binary(max_size=60))
+    def test_any_other_datagram_is_refused(self, data: bytes) -> None:
+        for body in (data, zlib.compress(data)):
+            with self.assertRaises(MalformedBeat):
+                decode_endpoints(NEWS_MARK + body)
+
+    def test_an_older_table_changes_nothing(self) -> None:
+        """A request is not sent to an endpoint that has left.
+
+        The instance has read the table without the endpoint; another's older table, which was held
+        up on its way, still names it.
+        """
+        knowledge = FleetKnowledge(
+            failure_domain="a", peers=Peers(own_name="me"), clock=StoreClock()
+        )
+        self.assertTrue(knowledge.take_endpoints(make_reading("e1", reading=20.0)))
+        self.assertFalse(knowledge.take_endpoints(make_reading("e1", "e2", reading=19.0)))
+        self.assertIsNone(knowledge.endpoints.find("e2"))
+
+
+if __name__ == "__main__":
+    unittest.main()
