Send long bundles in parts; name what relays have forwarded

Cause: a bundle of some 500 instances would not fit into a datagram and be lost at each try; public and private methods of the exchange stood mixed. Ruled out: TCP between relays (a stream can fall silent without an error). Change: 200 beats in a datagram; a bundle's origin is looked up by its relay's name, as only the first part has the relay's own beat. No change up to 200 instances.

--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -24,7 +24,8 @@
 EXCHANGES_A_BUNDLE: Final = RELAYS_EACH
 """Every so many exchanges a relay tells its whole failure domain: the relays do so by turns, and an
 instance gets a bundle in each interval."""
-
+BEATS_A_BUNDLE: Final = 200
+"""Beats in one datagram: some 26 kB compressed, well below the 65,507 bytes that UDP carries."""
 BUNDLE_PAUSE_S: Final = 0.008
 """Between the bundles to two instances: 30 of them take half of the time between two exchanges."""
 
@@ -43,7 +44,8 @@
     """
 
     __slots__ = (
-        "_forwarded",
+        "_catalog_forwarded",
+        "_endpoints_forwarded",
         "_make_beat",
         "_name",
         "_peers",
@@ -71,7 +73,8 @@
         self._take_beat = take_beat
         self._send = send
         self._read_time = read_time
-        self._forwarded = (0.0, 0.0)
+        self._catalog_forwarded = 0.0
+        self._endpoints_forwarded = 0.0
 
     async def run(self) -> None:
         """Send beats until cancelled."""
@@ -131,29 +134,11 @@
         for beat in bundle.beats:
             if self._peers.take(beat, now=now, direct=False):
                 self._take_beat(beat)
-        if self._relays.is_foreign(bundle) and not self._relays.is_relay(now=now):
+        if self._relays.is_foreign(bundle.relay) and not self._relays.is_relay(now=now):
             data = encode_bundle(bundle)
             for target in self._relays.list_own_targets(now=now):
                 self._send(data, target)
 
-    def _list_news_targets(self) -> list[InstanceRecord]:
-        return self._relays.list_news_targets(now=self._read_time())
-
-    def _forward(self, beat: Beat, *, changed: bool = False) -> None:
-        """Tell the own failure domain of a proof that is newer than those told before."""
-        catalog, endpoints = self._forwarded
-        newest = (
-            max(catalog, _read_reading(beat.catalog)),
-            max(endpoints, _read_reading(beat.endpoints)),
-        )
-        if newest == self._forwarded and not changed:
-            return
-        self._forwarded = newest
-        data = encode_bundle(BeatBundle(relay=self._name, beats=[beat]))
-        for target in self._relays.list_members():
-            if target.name != beat.record.name:
-                self._send(data, target)
-
     def send_beat(self) -> None:
         """Send one beat to those who always get it."""
         data = encode_beat(self._make_beat())
@@ -165,10 +150,11 @@
         now = self._read_time()
         if not self._relays.is_relay(now=now):
             return
-        beats = [*self._relays.list_domain_beats(now=now), self._make_beat()]
-        data = encode_bundle(BeatBundle(relay=self._name, beats=beats))
-        for target in self._relays.list_other_relays(now=now):
-            self._send(data, target)
+        beats = [self._make_beat(), *self._relays.list_domain_beats(now=now)]
+        targets = self._relays.list_other_relays(now=now)
+        for data in self._encode_bundles(beats):
+            for target in targets:
+                self._send(data, target)
 
     async def tell_domain(self, *, pause_s: float) -> None:
         """As a relay, tell the own domain of everybody.
@@ -180,12 +166,42 @@
         now = self._read_time()
         if not self._relays.is_relay(now=now):
             return
-        beats = [*self._peers.list_live(now=now), self._make_beat()]
-        data = encode_bundle(BeatBundle(relay=self._name, beats=beats))
+        beats = [self._make_beat(), *self._peers.list_live(now=now)]
+        bundles = self._encode_bundles(beats)
         for target in self._relays.list_members():
-            self._send(data, target)
+            for data in bundles:
+                self._send(data, target)
             await asyncio.sleep(pause_s)
 
+    def _list_news_targets(self) -> list[InstanceRecord]:
+        return self._relays.list_news_targets(now=self._read_time())
+
+    def _forward(self, beat: Beat, *, changed: bool = False) -> None:
+        """Tell the own failure domain of a proof that is newer than those told before.
+
+        Args:
+            beat: The beat with the proof.
+            changed: Whether it brings other news.
+        """
+        catalog = _read_reading(beat.catalog)
+        endpoints = _read_reading(beat.endpoints)
+        newer = catalog > self._catalog_forwarded or endpoints > self._endpoints_forwarded
+        if not newer and not changed:
+            return
+        self._catalog_forwarded = max(catalog, self._catalog_forwarded)
+        self._endpoints_forwarded = max(endpoints, self._endpoints_forwarded)
+        data = encode_bundle(BeatBundle(relay=self._name, beats=[beat]))
+        for target in self._relays.list_members():
+            if target.name != beat.record.name:
+                self._send(data, target)
+
+    def _encode_bundles(self, beats: list[Beat]) -> list[bytes]:
+        """Return the datagrams of many beats."""
+        return [
+            encode_bundle(BeatBundle(relay=self._name, beats=beats[first : first + BEATS_A_BUNDLE]))
+            for first in range(0, len(beats), BEATS_A_BUNDLE)
+        ]
+
     async def _send_beats(self) -> None:
         while True:
             self.send_beat()
--- a/src/guavamast/relay/beat_relays.py
+++ b/src/guavamast/relay/beat_relays.py
@@ -8,7 +8,7 @@
 from guavamast.rendezvous import rank
 
 if TYPE_CHECKING:
-    from guavamast.relay.beats import Beat, BeatBundle
+    from guavamast.relay.beats import Beat
     from guavamast.relay.peers import Peers
     from guavamast.relay.store import InstanceRecord
 
@@ -96,13 +96,10 @@
             relays += live or _take_turn(known[domain], now=now)
         return relays
 
-    def is_foreign(self, bundle: BeatBundle) -> bool:
-        """Return whether a bundle comes from another failure domain."""
-        own = self._record.failure_domain
-        return any(
-            beat.record.name == bundle.relay and beat.record.failure_domain != own
-            for beat in bundle.beats
-        )
+    def is_foreign(self, name: str) -> bool:
+        """Return whether an instance is known to be in another failure domain."""
+        record = self._peers.find_record(name)
+        return record is not None and record.failure_domain != self._record.failure_domain
 
     def list_members(self) -> list[InstanceRecord]:
         """Return the other instances of the own failure domain."""
--- a/src/guavamast/relay/peers.py
+++ b/src/guavamast/relay/peers.py
@@ -125,6 +125,11 @@
             self._weights.pop(name, None)
         return silent
 
+    def find_record(self, name: str) -> InstanceRecord | None:
+        """Return where an instance is."""
+        peer = self._peers.get(name)
+        return peer.record if peer is not None else None
+
     def find_state(self, name: str) -> InstanceState | None:
         """Return what an instance last said of itself."""
         peer = self._peers.get(name)
