--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -104,9 +104,10 @@
         for target in self._list_news_targets():
             self._send(data, target)
 
-    def forward_endpoints(self, data: bytes) -> None:
+    def forward_endpoints(self, reading: EndpointReading) -> None:
         """As a relay, pass a table that was news on to the own failure domain."""
-        if not self._relays.is_relay(now=self._read_time()):
+        data = encode_endpoints(reading)
+        if data is None or not self._relays.is_relay(now=self._read_time()):
             return
         for target in self._relays.list_members():
             self._send(data, target)
--- a/tests/test_relay_beat_exchange.py
+++ b/tests/test_relay_beat_exchange.py
@@ -79,7 +79,7 @@
         reading = decode_endpoints(data)
         if reading != self.endpoints:
             self.endpoints = reading
-            self.exchange.forward_endpoints(data)
+            self.exchange.forward_endpoints(reading)
 
     def list_live(self) -> set[str]:
         return {beat.record.name for beat in self.peers.list_live(now=self.network.now)}
