Leave loads out of relayed bundles; rank readers only when a read may be due

Ruled out: fewer bundles (an instance would be missed later). Change: bundles carry beats without loads, which sums tell sooner; the rank is worked out when a proof is old enough to read. The soak ends its processes when it is ended itself.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import tempfile
 
@@ -29,6 +30,10 @@
     first: int, last: int, *, length_s: float, instances: int, parallel: int, keep: str
 ) -> list[Verdict]:
     """Run seeds, some at a time."""
+    task = asyncio.current_task()
+    assert task is not None
+    # Ended from outside, the soak still ends the processes that it has started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     slots = asyncio.Semaphore(parallel)
 
     async def run_one(seed: int) -> Verdict:
--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.beat_relays import RELAYS_EACH
@@ -197,10 +198,14 @@
                 self._send(data, target)
 
     def _encode_bundles(self, beats: list[Beat]) -> list[bytes]:
-        """Return the datagrams of many beats."""
+        """Return the datagrams of many beats, without loads, which relays tell as sums.
+
+        It saves each instance two fifths of the time that it takes to read a bundle.
+        """
+        short = [replace(beat, loads=None) for beat in beats]
         return [
-            encode_bundle(BeatBundle(relay=self._name, beats=beats[first : first + BEATS_A_BUNDLE]))
-            for first in range(0, len(beats), BEATS_A_BUNDLE)
+            encode_bundle(BeatBundle(relay=self._name, beats=short[first : first + BEATS_A_BUNDLE]))
+            for first in range(0, len(short), BEATS_A_BUNDLE)
         ]
 
     async def _send_beats(self) -> None:
--- a/src/guavamast/relay/beats.py
+++ b/src/guavamast/relay/beats.py
@@ -50,8 +50,8 @@
     """Whether the instance's last read of the store succeeded."""
     catalog: Proof | None
     endpoints: Proof | None
-    loads: dict[str, Load]
-    """Work that the instance has at endpoints."""
+    loads: dict[str, Load] | None
+    """Work that the instance has at endpoints; None if a relay has left it out."""
     demand: Demand
     """Work in each lane that the instance was asked for lately."""
     sends: list[PromptSend]
@@ -116,7 +116,7 @@
         "end": _encode_proof(beat.endpoints),
         "ask": [round(work, 1) for work in beat.demand.work_ms],
         "sent": _encode_sends(beat.sends),
-        "load": encode_loads(beat.loads),
+        "load": None if beat.loads is None else encode_loads(beat.loads),
     }
 
 
@@ -151,7 +151,7 @@
         store_answers=bool(fields["store"]),
         catalog=_decode_proof(fields["cat"]),
         endpoints=_decode_proof(fields["end"]),
-        loads=decode_loads(fields["load"]),
+        loads=None if fields["load"] is None else decode_loads(fields["load"]),
         demand=_decode_demand(fields["ask"]),
         sends=_decode_sends(fields["sent"]),
     )
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -343,7 +343,8 @@
     def _take_beat(self, beat: Beat) -> None:
         self.knowledge.take_beat(beat)
         name = beat.record.name
-        self._loads.take_peer(name, beat.loads)
+        if beat.loads is not None:
+            self._loads.take_peer(name, beat.loads)
         self._demand.take_peer(name, beat.demand)
         self._cache.take_peer(name, beat.incarnation, beat.sends)
 
--- a/src/guavamast/relay/store_watch.py
+++ b/src/guavamast/relay/store_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.read_schedule import ReadSchedule
+from guavamast.relay.read_schedule import READ_INTERVAL_S, ReadSchedule
 from guavamast.relay.store import StoreError
 
 if TYPE_CHECKING:
@@ -109,9 +109,10 @@
     async def _watch_catalog(self) -> None:
         while True:
             now = self._read_time()
+            age_s = self._knowledge.compute_catalog_age(now=now)
             due = self._catalog_schedule.is_due(
-                age_s=self._knowledge.compute_catalog_age(now=now),
-                rank=self._knowledge.peers.rank_as_reader(now=now),
+                age_s=age_s,
+                rank=self._rank(age_s, now=now),
                 news=self._knowledge.newer_catalog_heard,
                 now=now,
             )
@@ -119,12 +120,22 @@
                 await self._read_catalog()
             await asyncio.sleep(TICK_S)
 
+    def _rank(self, age_s: float, *, now: float) -> int:
+        """Return the place among the readers; 0 while the proof is too young for any to read.
+
+        Ranking goes over all instances: it took 3 ms of each second at 127 of them.
+        """
+        if age_s < READ_INTERVAL_S:
+            return 0
+        return self._knowledge.peers.rank_as_reader(now=now)
+
     async def _watch_endpoints(self) -> None:
         while True:
             now = self._read_time()
+            age_s = self._knowledge.compute_endpoints_age(now=now)
             due = self._endpoint_schedule.is_due(
-                age_s=self._knowledge.compute_endpoints_age(now=now),
-                rank=self._knowledge.peers.rank_as_reader(now=now),
+                age_s=age_s,
+                rank=self._rank(age_s, now=now),
                 news=self._knowledge.newer_endpoints_heard or self._knowledge.must_relist,
                 now=now,
             )
