Take back loads as sums; spread a relay's bundles over its interval

Plain calls have nothing to do with prompts' loads; p99 of 1.1 s fits relays whose links are full: half a megabyte of bundles in a quarter of a second on 10 Mbit/s, and sums on top. Ruled out: processor time (0.063 of a core at most, as before). Change: sums and the beats without loads are taken back; bundles are spread over 0.7 s of each second. Up to 32 instances nothing changes. Tests of relays, decisions, placement and pages pass (72).

--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.beat_relays import RELAYS_EACH
@@ -22,13 +21,14 @@
 
 EXCHANGE_INTERVAL_S: Final = 0.5
 """Between two bundles from relay to relay."""
-EXCHANGES_A_BUNDLE: Final = RELAYS_EACH
-"""Every so many exchanges a relay tells its whole failure domain: the relays do so by turns, and an
-instance gets a bundle in each interval."""
+BUNDLE_INTERVAL_S: Final = RELAYS_EACH * EXCHANGE_INTERVAL_S
+"""Between two bundles from a relay to its whole failure domain: the relays do so by turns, and an
+instance gets a bundle in each exchange's interval."""
+PACED_SHARE: Final = 0.7
+"""Share of that interval over which a relay spreads its bundles. At once, the half megabyte for 31
+instances would fill a link of 10 Mbit/s for 0.4 s and hold up the answers on it."""
 BEATS_A_BUNDLE: Final = 200
 """Beats in one datagram: some 26 kB compressed, well below the 65,507 bytes that UDP carries."""
-BUNDLE_PAUSE_S: Final = 0.008
-"""Between the bundles to two instances: 30 of them take half of the time between two exchanges."""
 
 
 class BeatExchange:
@@ -82,6 +82,7 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._send_beats())
             tasks.create_task(self._relay_beats())
+            tasks.create_task(self._tell_domain_by_turns())
 
     def announce(self) -> None:
         """Send a beat with news at once."""
@@ -105,10 +106,9 @@
         for target in self._list_news_targets():
             self._send(data, target)
 
-    def forward_endpoints(self, reading: EndpointReading) -> None:
+    def forward_endpoints(self, data: bytes) -> None:
         """As a relay, pass a table that was news on to the own failure domain."""
-        data = encode_endpoints(reading)
-        if data is None or not self._relays.is_relay(now=self._read_time()):
+        if not self._relays.is_relay(now=self._read_time()):
             return
         for target in self._relays.list_members():
             self._send(data, target)
@@ -198,14 +198,10 @@
                 self._send(data, target)
 
     def _encode_bundles(self, beats: list[Beat]) -> list[bytes]:
-        """Return the datagrams of many beats, without loads, which relays tell as sums.
-
-        It saves each instance two fifths of the time that it takes to read a bundle.
-        """
-        short = [replace(beat, loads=None) for beat in beats]
+        """Return the datagrams of many beats."""
         return [
-            encode_bundle(BeatBundle(relay=self._name, beats=short[first : first + BEATS_A_BUNDLE]))
-            for first in range(0, len(short), BEATS_A_BUNDLE)
+            encode_bundle(BeatBundle(relay=self._name, beats=beats[first : first + BEATS_A_BUNDLE]))
+            for first in range(0, len(beats), BEATS_A_BUNDLE)
         ]
 
     async def _send_beats(self) -> None:
@@ -214,14 +210,25 @@
             await asyncio.sleep(compute_beat_interval(self._peers.count_known()))
 
     async def _relay_beats(self) -> None:
-        turn = 0
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
             self.tell_relays()
-            turn += 1
-            own_turn = self._relays.find_turn(now=self._read_time())
-            if own_turn is not None and (turn + own_turn) % EXCHANGES_A_BUNDLE == 0:
-                await self.tell_domain(pause_s=BUNDLE_PAUSE_S)
+
+    async def _tell_domain_by_turns(self) -> None:
+        place: int | None = None
+        while True:
+            began = self._read_time()
+            found = self._relays.find_turn(now=began)
+            if found is None:
+                place = None
+                await asyncio.sleep(EXCHANGE_INTERVAL_S)
+                continue
+            if found != place:
+                place = found
+                await asyncio.sleep(place * EXCHANGE_INTERVAL_S)
+            members = max(1, len(self._relays.list_members()))
+            await self.tell_domain(pause_s=PACED_SHARE * BUNDLE_INTERVAL_S / members)
+            await asyncio.sleep(max(0.0, began + BUNDLE_INTERVAL_S - self._read_time()))
 
 
 def _read_reading(proof: Proof | None) -> float:
--- a/src/guavamast/relay/beat_socket.py
+++ b/src/guavamast/relay/beat_socket.py
@@ -5,33 +5,36 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from guavamast.relay.beats import Beat, BeatBundle, LoadNotice, MalformedBeat, decode_message
-from guavamast.relay.domain_loads import SUMS_MARK, DomainLoads, decode_sums
+from guavamast.relay.beats import MalformedBeat, decode_message
 from guavamast.relay.endpoint_news import NEWS_MARK, decode_endpoints
-from guavamast.relay.store import EndpointReading
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavamast.relay.beats import Beat, BeatBundle, LoadNotice
     from guavamast.relay.counters import Counters
-    from guavamast.relay.store import InstanceRecord
-
-
-Message = Beat | LoadNotice | BeatBundle | EndpointReading | DomainLoads
-"""What instances send each other."""
+    from guavamast.relay.store import EndpointReading, InstanceRecord
 
 
 class BeatSocket(asyncio.DatagramProtocol):
-    """Receives messages of other instances and sends them.
+    """Receives beats and notices and sends them.
 
     Args:
         take: Called with each message.
+        take_endpoints: Called with each table of endpoints and its datagram.
         counters: Metrics.
     """
 
-    __slots__ = ("_counters", "_take", "_transport")
+    __slots__ = ("_counters", "_take", "_take_endpoints", "_transport")
 
-    def __init__(self, *, take: Callable[[Message], None], counters: Counters) -> None:
+    def __init__(
+        self,
+        *,
+        take: Callable[[Beat | LoadNotice | BeatBundle], None],
+        take_endpoints: Callable[[EndpointReading, bytes], None],
+        counters: Counters,
+    ) -> None:
+        self._take_endpoints = take_endpoints
         self._take = take
         self._counters = counters
         self._transport: asyncio.DatagramTransport | None = None
@@ -49,11 +52,12 @@
         """Take a beat; what is none is counted."""
         del addr
         try:
-            message = decode_datagram(data)
+            if data.startswith(NEWS_MARK):
+                self._take_endpoints(decode_endpoints(data), data)
+            else:
+                self._take(decode_message(data))
         except MalformedBeat:
             self._counters.add("malformed_beats_total")
-            return
-        self._take(message)
 
     def error_received(self, exc: Exception) -> None:
         """Count a datagram that could not be delivered; the next beat replaces it."""
@@ -69,16 +73,3 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
-
-
-def decode_datagram(data: bytes) -> Message:
-    """Return the message of a datagram.
-
-    Raises:
-        MalformedBeat: It is none.
-    """
-    if data.startswith(NEWS_MARK):
-        return decode_endpoints(data)
-    if data.startswith(SUMS_MARK):
-        return decode_sums(data)
-    return decode_message(data)
--- a/src/guavamast/relay/beats.py
+++ b/src/guavamast/relay/beats.py
@@ -50,8 +50,8 @@
     """Whether the instance's last read of the store succeeded."""
     catalog: Proof | None
     endpoints: Proof | None
-    loads: dict[str, Load] | None
-    """Work that the instance has at endpoints; None if a relay has left it out."""
+    loads: dict[str, Load]
+    """Work that the instance has at endpoints."""
     demand: Demand
     """Work in each lane that the instance was asked for lately."""
     sends: list[PromptSend]
@@ -116,7 +116,7 @@
         "end": _encode_proof(beat.endpoints),
         "ask": [round(work, 1) for work in beat.demand.work_ms],
         "sent": _encode_sends(beat.sends),
-        "load": None if beat.loads is None else encode_loads(beat.loads),
+        "load": _encode_loads(beat.loads),
     }
 
 
@@ -151,7 +151,7 @@
         store_answers=bool(fields["store"]),
         catalog=_decode_proof(fields["cat"]),
         endpoints=_decode_proof(fields["end"]),
-        loads=None if fields["load"] is None else decode_loads(fields["load"]),
+        loads=_decode_loads(fields["load"]),
         demand=_decode_demand(fields["ask"]),
         sends=_decode_sends(fields["sent"]),
     )
@@ -180,7 +180,7 @@
         "n",
         notice.instance,
         notice.incarnation,
-        encode_loads(notice.loads),
+        _encode_loads(notice.loads),
         _encode_sends(notice.sends),
     ]
     return json.dumps(fields, separators=(",", ":")).encode()
@@ -201,22 +201,20 @@
         return LoadNotice(
             instance=str(instance),
             incarnation=int(incarnation),
-            loads=decode_loads(loads),
+            loads=_decode_loads(loads),
             sends=_decode_sends(sends),
         )
     except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
         raise MalformedBeat(f"{type(error).__name__}: {error}") from error
 
 
-def encode_loads(loads: dict[str, Load]) -> dict[str, list[int]]:
-    """Return work by endpoint as fields of a message."""
+def _encode_loads(loads: dict[str, Load]) -> dict[str, list[int]]:
     return {
         key: [load.requests, load.prefill_tokens, load.memory_tokens] for key, load in loads.items()
     }
 
 
-def decode_loads(value: dict[str, list[int]]) -> dict[str, Load]:
-    """Return work by endpoint from the fields of a message."""
+def _decode_loads(value: dict[str, list[int]]) -> dict[str, Load]:
     return {
         str(key): Load(
             requests=int(entry[0]), prefill_tokens=int(entry[1]), memory_tokens=int(entry[2])
--- a/src/guavamast/relay/endpoint_load.py
+++ b/src/guavamast/relay/endpoint_load.py
@@ -14,10 +14,6 @@
 FAILURE_LIMIT: Final = 8.0
 """Failures remembered at most, so that a long bad time is forgotten as soon as a short one."""
 
-SUMS_HOLD_S: Final = 1.5
-"""For how long sums of a failure domain are used: six tellings. Beyond, the single instances' words
-count, which come later and do not need the relay."""
-
 
 @dataclass(slots=True, kw_only=True)
 class Load:
@@ -29,18 +25,6 @@
     memory_tokens: int = 0
     """Tokens that the requests take in memory when they end."""
 
-    def add(self, other: Load, *, sign: int = 1) -> None:
-        """Add another load, or take it away with a sign of -1; nothing goes below zero."""
-        self.requests = max(0, self.requests + sign * other.requests)
-        self.prefill_tokens = max(0, self.prefill_tokens + sign * other.prefill_tokens)
-        self.memory_tokens = max(0, self.memory_tokens + sign * other.memory_tokens)
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _DomainSum:
-    loads: dict[str, Load]
-    heard: float
-
 
 class Work:
     """One request's share of its endpoint's load.
@@ -92,18 +76,11 @@
 
 
 class EndpointLoads:
-    """Load and recent failures of all endpoints as this instance knows them.
+    """Load and recent failures of all endpoints as this instance knows them."""
 
-    Args:
-        failure_domain: Of this instance.
-    """
-
-    __slots__ = ("_domains", "_failure_domain", "_failures", "_own", "_peers", "_told")
+    __slots__ = ("_failures", "_own", "_peers")
 
-    def __init__(self, *, failure_domain: str = "") -> None:
-        self._failure_domain = failure_domain
-        self._domains: dict[str, _DomainSum] = {}
-        self._told: dict[str, Load] = {}
+    def __init__(self) -> None:
         self._own: dict[str, Load] = {}
         self._peers: dict[str, dict[str, Load]] = {}
         self._failures: dict[str, _Failures] = {}
@@ -140,51 +117,15 @@
 
     def sum_up(self, endpoint_id: str) -> Load:
         """Return the work of all instances at an endpoint."""
-        if self._failure_domain in self._domains:
-            others = [entry.loads for entry in self._domains.values()]
-        else:
-            others = list(self._peers.values())
         total = Load()
-        for loads in [self._own, *others]:
+        for loads in [self._own, *self._peers.values()]:
             load = loads.get(endpoint_id)
             if load is not None:
-                total.add(load)
+                total.requests += load.requests
+                total.prefill_tokens += load.prefill_tokens
+                total.memory_tokens += load.memory_tokens
         return total
 
-    def note_told(self) -> None:
-        """Remember what the others have been told of this instance's work."""
-        self._told = _sum_by_endpoint([self._own])
-
-    def subtract_told(self, loads: dict[str, Load]) -> dict[str, Load]:
-        """Return the sums of the own failure domain without this instance's own part."""
-        for endpoint_id, told in self._told.items():
-            if endpoint_id in loads:
-                loads[endpoint_id].add(told, sign=-1)
-        return loads
-
-    def sum_peers(self, instances: set[str]) -> dict[str, Load]:
-        """Return the work of some other instances by endpoint."""
-        return _sum_by_endpoint([self._peers[name] for name in instances if name in self._peers])
-
-    def take_domain(self, domain: str, loads: dict[str, Load], *, now: float) -> None:
-        """Take the sums of a failure domain, without this instance's own work."""
-        self._domains[domain] = _DomainSum(loads=loads, heard=now)
-
-    def sum_domain(self, domain: str) -> dict[str, Load]:
-        """Return the sums of the own failure domain with this instance's work."""
-        return _sum_by_endpoint([self._own, self._domains[domain].loads])
-
-    def list_domains(self, *, now: float) -> dict[str, dict[str, Load]]:
-        """Return the sums of all failure domains that are recent."""
-        self.drop_old_domains(now=now)
-        return {domain: entry.loads for domain, entry in self._domains.items()}
-
-    def drop_old_domains(self, *, now: float) -> None:
-        """Forget sums that no relay has told for a while."""
-        for domain, entry in list(self._domains.items()):
-            if now - entry.heard > SUMS_HOLD_S:
-                del self._domains[domain]
-
     def record_failure(self, endpoint_id: str, *, weight: float, now: float) -> None:
         """Remember that an endpoint failed a request."""
         failures = self._failures.setdefault(endpoint_id, _Failures())
@@ -211,13 +152,3 @@
         for endpoint_id in list(self._failures):
             if endpoint_id not in endpoint_ids:
                 del self._failures[endpoint_id]
-
-
-def _sum_by_endpoint(parts: list[dict[str, Load]]) -> dict[str, Load]:
-    """Return new sums of loads by endpoint, without those that are zero."""
-    sums: dict[str, Load] = {}
-    for loads in parts:
-        for endpoint_id, load in loads.items():
-            if load.requests:
-                sums.setdefault(endpoint_id, Load()).add(load)
-    return sums
--- a/src/guavamast/relay/load_notices.py
+++ b/src/guavamast/relay/load_notices.py
@@ -7,7 +7,7 @@
 
 from guavamast.relay.beats import LoadNotice
 from guavamast.relay.endpoint_load import Load
-from guavamast.relay.peers import compute_beat_interval
+from guavamast.relay.peers import FULL_MESH_INSTANCES, compute_beat_interval
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,7 +33,7 @@
         incarnation: Start of this process.
         loads: This instance's loads.
         cache: This instance's sends.
-        send: Sends a notice to all instances, or to the relays where there are many.
+        send: Sends a notice to all instances.
         count_instances: Returns how many there are.
         read_time: The local clock.
     """
@@ -80,6 +80,8 @@
             endpoint_id: The endpoint.
             more: Whether its work has grown.
         """
+        if self._count_instances() > FULL_MESH_INSTANCES:
+            return
         self._changed.add(endpoint_id)
         loop = asyncio.get_running_loop()
         flush_at = loop.time() + (GATHER_S if more else GATHER_LESS_S)
@@ -100,7 +102,6 @@
         sends = [send for send in recent if send.number > self._told]
         if sends:
             self._told = sends[-1].number
-        self._loads.note_told()
         self._send(
             LoadNotice(
                 instance=self._instance,
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -20,7 +20,6 @@
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
-from guavamast.relay.domain_loads import DomainLoadExchange, DomainLoads
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.exchange import Exchanger
@@ -32,15 +31,14 @@
 from guavamast.relay.prompt_lanes import PromptDemand
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_notes import RequestNotes
-from guavamast.relay.store import EndpointReading, InstanceRecord
+from guavamast.relay.store import InstanceRecord
 from guavamast.relay.store_watch import StoreWatch
 
 if TYPE_CHECKING:
-    from guavamast.relay.beat_socket import Message
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import CallerRequest, HeaderCodec
     from guavamast.relay.node_settings import NodeSettings, SocketAddress
-    from guavamast.relay.store import Store
+    from guavamast.relay.store import EndpointReading, Store
 
 STANDARD_OUTPUT: Final = 1
 """File descriptor of the log unless another is given."""
@@ -99,7 +97,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         self._leaving = False
-        self._loads = EndpointLoads(failure_domain=settings.failure_domain)
+        self._loads = EndpointLoads()
         self._cache = PromptCache()
         self._demand = PromptDemand()
         self._pool = ConnectionPool()
@@ -114,9 +112,11 @@
             note_rejection=self._note_rejection,
             note_fault=self._note_fault,
         )
-        self._beats = BeatSocket(take=self._take_message, counters=self.counters)
-        self._relays = BeatRelays(record=self.record, peers=self.peers)
-        self._sums = self._make_sums()
+        self._beats = BeatSocket(
+            take=self._take_message,
+            take_endpoints=self._take_endpoints,
+            counters=self.counters,
+        )
         self._exchange = self._make_exchange()
         self._watch = self._make_watch()
 
@@ -135,22 +135,13 @@
         return BeatExchange(
             name=self.settings.name,
             peers=self.peers,
-            relays=self._relays,
+            relays=BeatRelays(record=self.record, peers=self.peers),
             make_beat=self._make_beat,
             take_beat=self._take_beat,
             send=self._beats.send,
             read_time=read_boot_time,
         )
 
-    def _make_sums(self) -> DomainLoadExchange:
-        return DomainLoadExchange(
-            failure_domain=self.settings.failure_domain,
-            loads=self._loads,
-            relays=self._relays,
-            send=self._beats.send,
-            read_time=read_boot_time,
-        )
-
     def _make_watch(self) -> StoreWatch:
         return StoreWatch(
             store=self._store,
@@ -239,7 +230,6 @@
         background = [
             asyncio.create_task(self._watch.run()),
             asyncio.create_task(self._exchange.run()),
-            asyncio.create_task(self._sums.run()),
             asyncio.create_task(self._keep_house()),
         ]
         stopping = asyncio.create_task(self._stop.wait())
@@ -301,7 +291,6 @@
         now = read_boot_time()
         self._apply_limits()
         self._sequence += 1
-        self._loads.note_told()
         interval_s = compute_beat_interval(self.peers.count_known())
         return Beat(
             record=self.record,
@@ -318,33 +307,27 @@
 
     def _send_notice(self, notice: LoadNotice) -> None:
         data = encode_notice(notice)
-        now = read_boot_time()
-        if self.peers.relayed:
-            targets = self._relays.list_own_targets(now=now)
-        else:
-            targets = [beat.record for beat in self.peers.list_live(now=now)]
-        for target in targets:
-            self._beats.send(data, target)
-
-    def _take_message(self, message: Message) -> None:
+        for beat in self.peers.list_live(now=read_boot_time()):
+            self._beats.send(data, beat.record)
+
+    def _take_message(self, message: Beat | LoadNotice | BeatBundle) -> None:
         if isinstance(message, Beat):
             self._exchange.take(message)
         elif isinstance(message, BeatBundle):
             self._exchange.take_bundle(message)
-        elif isinstance(message, DomainLoads):
-            self._sums.take(message)
-        elif isinstance(message, EndpointReading):
-            if self._watch.take_endpoints(message, told=True):
-                self._exchange.forward_endpoints(message)
         elif self.peers.is_current(message.instance, message.incarnation):
             self._loads.update_peer(message.instance, message.loads)
             self._cache.take_peer(message.instance, message.incarnation, message.sends)
 
+    def _take_endpoints(self, reading: EndpointReading, data: bytes) -> None:
+        """Take a table of endpoints that another instance has read."""
+        if self._watch.take_endpoints(reading, told=True):
+            self._exchange.forward_endpoints(data)
+
     def _take_beat(self, beat: Beat) -> None:
         self.knowledge.take_beat(beat)
         name = beat.record.name
-        if beat.loads is not None:
-            self._loads.take_peer(name, beat.loads)
+        self._loads.take_peer(name, beat.loads)
         self._demand.take_peer(name, beat.demand)
         self._cache.take_peer(name, beat.incarnation, beat.sends)
 
@@ -359,7 +342,6 @@
             self._cache.keep_only(known)
             live = {beat.record.name for beat in self.peers.list_live(now=now)}
             self._loads.keep_peers(live)
-            self._loads.drop_old_domains(now=now)
             self._demand.keep_peers(live)
 
     async def _clean_registry(self, silent: list[str], *, now: float) -> None:
