Answer the callers that wait to be accepted when an entry ends

The listener was closed while a connection that the system had taken, with its request, waited for the busy loop to accept it; it was reset. Change: what waits is accepted right before the close and answered as by any leaving instance, within 0.3 s. What comes in the microseconds between the last accept and the close is still reset; a listening socket has no way to prevent that.

--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -13,7 +13,13 @@
 from tornado.httpserver import HTTPServer
 
 from guavamast import peer_pb2
-from guavamast._daemon import bind_socket, get_bound_address, run_daemon, wait_for_first
+from guavamast._daemon import (
+    bind_socket,
+    get_bound_address,
+    run_daemon,
+    stop_listening,
+    wait_for_first,
+)
 from guavamast.callers import CallerServices
 from guavamast.chats import ChatRouter
 from guavamast.clocks import SystemClock
@@ -44,6 +50,7 @@
 from guavamast.view_link import ViewLink
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Coroutine
 
     from guavamast.members import MembershipView
@@ -100,6 +107,7 @@
         self.calls = self._make_calls(finder)
         self.services = self._make_services(finder)
         self._server: HTTPServer | None = None
+        self._socket: socket.socket | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     def _make_links(self) -> SlotLinks:
@@ -163,6 +171,7 @@
             body_timeout=BODY_TIMEOUT_S,
         )
         self._server.add_sockets([sock])
+        self._socket = sock
         self.view_link.start()
         self._start(self._report_load())
         self._start(self._watch_pauses())
@@ -217,8 +226,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._server is not None:
-            self._server.stop()
+        if self._server is not None and self._socket is not None:
+            await stop_listening(self._server, self._socket)
         await self.view_link.close()
         await self.links.close()
 
