--- a/soak/run.py
+++ b/soak/run.py
@@ -23,9 +23,12 @@
 """Time for the first instances to be ready, on a busy machine."""
 SETTLE_S: Final = 1.5
 """Part of the recovery after which all requests must be answered again."""
+RESTART_S: Final = 0.3
+"""Between the end of a process and the start of the next one with another time of day."""
 CALLERS_EACH: Final = 3
 """Callers of each organisation."""
 SKEWS_S: Final = (-3.0, 2.5, 3600.0)
+"""Seconds by which the time of day is ahead: small steps either way, and one that lasts."""
 ENGINE_FAULTS: Final = (
     EngineFault.FULL,
     EngineFault.ERROR,
@@ -191,7 +194,7 @@
     async def _skew_instance(self, fault: Fault) -> None:
         skew_s = SKEWS_S[int(fault.variant * len(SKEWS_S))]
         instance = self._world.instances[self._choose_instance(fault)]
-        await instance.kill(for_s=SETTLE_S / 5, skew_s=skew_s)
+        await instance.kill(for_s=RESTART_S, skew_s=skew_s)
 
     async def _kill_all(self, fault: Fault) -> None:
         kills = [instance.kill(for_s=fault.for_s) for instance in self._world.instances]
