--- a/tests/test_relay_beat_exchange.py
+++ b/tests/test_relay_beat_exchange.py
@@ -202,6 +202,24 @@
         self.assert_all_know(set(self.network.members) - self.network.down)
         self.assertEqual(len(self.list_relays("b")), RELAYS_EACH)
 
+    async def test_who_hears_no_relay_is_heard_by_its_domain(self) -> None:
+        """Callers are still sent to the instances that are left while no relay works.
+
+        Both relays of a domain have ended and no other has begun to pass beats on. Before all seem
+        gone at once, the instances tell each other directly.
+        """
+        self.network.down = set(self.list_relays("b"))
+        left = [one for one in self.network.list_up() if one.record.failure_domain == "b"]
+        names = {one.record.name for one in left}
+        for _ in range(round((RELAYED_SILENCE_S + 1.0) / EXCHANGE_INTERVAL_S)):
+            self.network.now += EXCHANGE_INTERVAL_S
+            for member in left:
+                member.exchange.send_beat()
+            self.network.deliver()
+            for member in left:
+                heard = member.list_live() & names
+                self.assertEqual(heard | {member.record.name}, names)
+
     async def test_domains_that_lose_their_relays_together_find_each_other(self) -> None:
         """Callers are sent to all that are left although every relay ended at the same time."""
         relays = [name for domain in DOMAINS for name in self.list_relays(domain)]
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -295,6 +295,20 @@
         self.assertFalse(self.peers.take(late, now=0.1))
         self.assertEqual([r.name for r in self.peers.list_serving(now=0.2)], ["x"])
 
+    def test_a_last_beat_that_relays_still_tell_is_no_sign_of_life(self) -> None:
+        """No caller is sent to an instance that ended.
+
+        A relay still has its last beat and passes it on to an instance that has just taken it for
+        gone. The same beat from the instance itself would be one.
+        """
+        beat = make_beat("x", sequence=7)
+        self.peers.take(beat, now=0.0)
+        later = MISSED_BEATS * compute_beat_interval(2) + 0.1
+        self.assertFalse(self.peers.take(beat, now=later, direct=False))
+        self.assertEqual(self.peers.list_live(now=later), [])
+        newer = make_beat("x", sequence=8)
+        self.assertTrue(self.peers.take(newer, now=later, direct=False))
+
     def test_an_instance_whose_time_of_day_went_back_is_heard_again(self) -> None:
         """Callers are sent to an instance that started again after its clock had jumped back.
 
