Drop the service of a run from the soak's records

Cause, from a read of the whole change: it was carried through three places and no check used it. Change: runs and replaced engines are noted without it; no check and no assertion changes. Tests of the soak pass (16, the short run of real processes among them).

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -61,7 +61,6 @@
 
     request_id: str
     engine: str
-    service: str
     organisation: str
     began: float
     intact: bool
--- a/soak/world.py
+++ b/soak/world.py
@@ -38,8 +38,8 @@
         """Links to the engines, by their ids."""
         self.services: dict[str, str] = {}
         """Services of the engines, by their ids."""
-        self.ended: list[tuple[str, str, EngineStandIn]] = []
-        """Engines that have been replaced, with id and service."""
+        self.ended: list[tuple[str, EngineStandIn]] = []
+        """Engines that have been replaced, with their ids."""
         self.revoked: dict[str, float] = {}
         self.drains: dict[str, list[Span]] = {}
         self.more_keys = {name: key for name, key in KEYS.items() if name != "bakery"}
@@ -110,10 +110,9 @@
 
     def list_runs(self) -> list[Ran]:
         """Return all runs of all engines."""
-        engines = [(name, self.services[name], engine) for name, engine in self.engines.items()]
         return [
-            _describe_run(run, engine_id, service)
-            for engine_id, service, engine in [*engines, *self.ended]
+            _describe_run(run, engine_id)
+            for engine_id, engine in [*self.engines.items(), *self.ended]
             for run in engine.runs
         ]
 
@@ -126,7 +125,7 @@
 
     async def _replace_engine(self, old_id: str, new_id: str, service: str) -> None:
         old = self.engines.pop(old_id)
-        self.ended.append((old_id, self.services[old_id], old))
+        self.ended.append((old_id, old))
         engine = type(old)(engine_id=new_id)
         engine.work_s = ENGINE_WORK_S
         self.engines[new_id] = engine
@@ -134,7 +133,7 @@
         self.services[old_id if old_id == new_id else new_id] = service
 
 
-def _describe_run(run: Run, engine_id: str, service: str) -> Ran:
+def _describe_run(run: Run, engine_id: str) -> Ran:
     expected = b"" if "/lookup/" in run.target else run.request_id.encode()
     intact = (
         run.target.endswith("/" + run.request_id)
@@ -144,7 +143,6 @@
     return Ran(
         request_id=run.request_id,
         engine=engine_id,
-        service=service,
         organisation=run.tenant,
         began=run.began,
         intact=intact,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,7 +34,6 @@
 RUN = Ran(
     request_id="r1",
     engine="portal-0",
-    service="portal",
     organisation="bakery",
     began=10.05,
     intact=True,
