Say in the logs why an answer was late, and make a table of it

Cause: a third of the streams of the new customer earn little, and the logs could not tell whether their first event or a pause was late, nor what the engine was reading meanwhile. Prompt lengths and loads at the send were ruled out as a way to tell: the pauses come later.

Change: each answer's line names route, endpoint, what made it late, first event, longest pause and the unread tokens at the engine then; metrics longest_pause_seconds and late_answers_total. `guavamast report` groups the lines of all instances by route, second, endpoint or instance.

--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -285,6 +285,25 @@
     standin.stop()
 
 
+@SetParseFn(str)
+def report(*files: str, by: str = "route") -> Task:
+    """Show what became of requests, from log lines: report FILE... [--by route|second|...]."""
+
+    def act() -> int:
+        from guavamast.log_report import GROUPINGS, read_lines, show_report, tally
+
+        if by not in GROUPINGS or not files:
+            raise GuavamastError(ErrorCode.USAGE, f"report FILE... --by {'|'.join(GROUPINGS)}")
+        entries = []
+        for name in files:
+            with open(name, encoding="utf-8", errors="replace") as file:
+                entries += read_lines(file)
+        print(show_report(tally(entries, by=by)))
+        return EXIT_OK
+
+    return Task(act)
+
+
 @SetParseFn(read_switch, "serve")
 def demo(*, serve: bool = False) -> Task:
     """Run the whole path in one process: demo [--serve]."""
@@ -357,5 +376,6 @@
     "audit": audit,
     "show": show,
     "standin": standin,
+    "report": report,
     "demo": demo,
 }
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -173,19 +173,24 @@
         work: Work,
         patience: asyncio.Timeout,
     ) -> None:
+        endpoint_id = attempt.record.endpoint_id
+
         def note_event(event_id: str | None) -> None:
+            now = self._read_time()
             if work.finish_prefill():
-                self._tell_load(attempt.record.endpoint_id, more=False)
+                self._tell_load(endpoint_id, more=False)
             if not writer.begun:
-                self._notes.note_first_event(request, now=self._read_time())
+                self._notes.note_first_event(request, now=now)
+            unread_tokens = self._loads.sum_up(endpoint_id).prefill_tokens
+            progress.timing.note_event(unread_tokens=unread_tokens, now=now)
             progress.last_event_id = event_id or progress.last_event_id
             if patience.when() is not None:
                 patience.reschedule(asyncio.get_running_loop().time() + STREAM_PATIENCE_S)
 
         await relay_events(attempt, writer, note_event)
         now = self._read_time()
-        self._loads.record_success(attempt.record.endpoint_id, now=now)
-        self._notes.note_end(request, outcome="answered", status=200, now=now)
+        self._loads.record_success(endpoint_id, now=now)
+        self._notes.note_answer(request, progress, attempt.record, status=200, now=now)
 
     async def _pass_whole(
         self,
@@ -205,7 +210,7 @@
             progress.error_answer = answer
             raise AttemptFailed(FailureKind.ERROR, f"status {status}")
         await writer.send(status, list(answer.head.headers), answer.body)
-        self._notes.note_end(request, outcome="answered", status=status, now=now)
+        self._notes.note_answer(request, progress, record, status=status, now=now)
 
     def _note_send(
         self,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -149,7 +149,7 @@
                 objective_s = progress.admitted.route.objective_s
                 later = admit(choice.forecast, objective_s=objective_s, random=self._random)
                 if later is not None:
-                    await self._send_back(request, writer, later, choice)
+                    await self._send_back(request, writer, progress, later, choice)
                     return
             record = choice.record
             try:
@@ -207,11 +207,17 @@
         self._notes.note_refusal(request, denied, age_s=age_s, now=self._read_time())
 
     async def _send_back(
-        self, request: CallerRequest, writer: AnswerWriter, later: ComeBack, choice: Choice
+        self,
+        request: CallerRequest,
+        writer: AnswerWriter,
+        progress: RequestProgress,
+        later: ComeBack,
+        choice: Choice,
     ) -> None:
         headers = self._codec.write_refusal(request.request_id, later.retry_after_s)
         await writer.send(503, headers, b"")
-        self._notes.note_send_back(request, later, choice, now=self._read_time())
+        route = progress.admitted.route.name
+        self._notes.note_send_back(request, later, choice, route=route, now=self._read_time())
 
     async def _give_up(
         self,
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -15,6 +15,7 @@
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_knowledge import FleetKnowledge
     from guavamast.relay.messages import CallerRequest, SendTerms
+    from guavamast.relay.request_progress import RequestProgress
 
 
 class RequestNotes:
@@ -116,7 +117,7 @@
         )
 
     def note_send_back(
-        self, request: CallerRequest, later: ComeBack, choice: Choice, *, now: float
+        self, request: CallerRequest, later: ComeBack, choice: Choice, *, route: str, now: float
     ) -> None:
         """Note a request that is refused for want of room."""
         self._counters.add('refusals_total{status="503"}')
@@ -127,12 +128,46 @@
             request_id=request.request_id,
             status=503,
             reason="no room in time",
+            route=route,
             endpoint=choice.record.endpoint_id,
             expected_wait_ms=round(expected.waiting_ms) if expected else None,
             prompt_tokens=request.prompt_tokens,
             retry_after_s=round(later.retry_after_s, 3),
         )
 
+    def note_answer(
+        self,
+        request: CallerRequest,
+        progress: RequestProgress,
+        record: EndpointRecord,
+        *,
+        status: int,
+        now: float,
+    ) -> None:
+        """Note that an answer has been passed on whole, and whether it was late and why."""
+        timing = progress.timing
+        took_s = now - request.arrived
+        late = timing.find_lateness(progress.admitted.route, took_s=took_s)
+        if late is not None:
+            self._counters.add(f'late_answers_total{{cause="{late}"}}')
+        self._counters.add('requests_total{outcome="answered"}')
+        self._counters.observe("request_seconds", took_s)
+        self._counters.observe("longest_pause_seconds", timing.longest_pause_s)
+        self._log.write(
+            "ended",
+            now=now,
+            request_id=request.request_id,
+            outcome="answered",
+            status=status,
+            took_s=round(took_s, 4),
+            route=progress.admitted.route.name,
+            endpoint=record.endpoint_id,
+            late=str(late) if late is not None else None,
+            first_event_s=round(timing.first_event_s or 0.0, 4),
+            longest_pause_s=round(timing.longest_pause_s, 4),
+            unread_tokens_then=timing.unread_tokens_then,
+        )
+
     def note_end(
         self,
         request: CallerRequest,
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from guavamast.relay.prompt_lanes import find_lane
+from guavamast.relay.stream_timing import StreamTiming
 
 if TYPE_CHECKING:
     from guavamast.relay.attempt import WholeAnswer
@@ -23,6 +24,8 @@
     """Local time at which the answer must be final."""
     lane: int
     """Which engines are meant for the request's prompt."""
+    timing: StreamTiming
+    """Of the events passed on, whichever endpoint they came from."""
     tried: set[str] = field(default_factory=set)
     """Ids of the endpoints that were chosen for it."""
     sent: int = 0
@@ -45,4 +48,5 @@
         service=admitted.route.pick_service(request.request_id),
         ends_at=request.arrived + patience_s,
         lane=find_lane(request.prompt_tokens, objective_s=admitted.route.objective_s),
+        timing=StreamTiming(arrived=request.arrived),
     )
--- /dev/null
+++ b/tests/test_log_report.py
@@ -0,0 +1,75 @@
+"""Tests of the table that is made of log lines."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from guavamast.log_report import GroupTally, read_lines, show_report, tally
+
+
+def write(event: str, **fields: Any) -> str:
+    """Return a log line as a collector stores it: with words of its own before the object."""
+    return f"3.2 front-1 {json.dumps({'time': 100.0, 'event': event} | fields)}\n"
+
+
+LINES = [
+    write("sent", request_id="a", route="chat", endpoint="e1"),
+    write(
+        "ended",
+        request_id="a",
+        outcome="answered",
+        status=200,
+        late="pause",
+        first_event_s=0.1,
+        longest_pause_s=0.4,
+    ),
+    write("sent", request_id="b", route="chat", endpoint="e2"),
+    write("ended", request_id="b", outcome="failed", time=101.5),
+    write("sent", request_id="c", route="status", endpoint="p1"),
+    write("ended", request_id="c", outcome="answered", status=200, late=None),
+    write("refused", request_id="d", route="chat", reason="no room in time", time=101.9),
+    write("refused", request_id="e", reason="old keys"),
+    "front-1 killed\n",
+    '{"time": 1, "eve',
+]
+
+
+class LogReportTest(unittest.TestCase):
+    """Each request that ended or was refused counts once, in the group of its route or place."""
+
+    def count(self, by: str) -> dict[str, dict[str, int]]:
+        return {group.name: dict(group.outcomes) for group in tally(read_lines(LINES), by=by)}
+
+    def test_by_route(self) -> None:
+        self.assertEqual(
+            self.count("route"),
+            {
+                "(none)": {"refused old keys": 1},
+                "chat": {"late pause": 1, "failed": 1, "refused no room in time": 1},
+                "status": {"in_time": 1},
+            },
+        )
+
+    def test_by_endpoint_of_the_last_send(self) -> None:
+        self.assertEqual(self.count("endpoint")["e2"], {"failed": 1})
+
+    def test_by_second_since_the_first_line(self) -> None:
+        seconds = self.count("second")
+        self.assertEqual(seconds["    1"], {"failed": 1, "refused no room in time": 1})
+
+    def test_an_error_of_the_endpoint_is_no_answer_in_time(self) -> None:
+        line = write("ended", request_id="x", outcome="answered", status=500, late=None)
+        groups = tally(read_lines([line]), by="route")
+        self.assertEqual(groups[0].outcomes["error"], 1)
+
+    def test_the_table_names_each_outcome(self) -> None:
+        shown = show_report(tally(read_lines(LINES), by="route"))
+        self.assertIn("LATE PAUSE", shown)
+        self.assertIn("100/100", shown)
+        self.assertEqual(show_report(list[GroupTally]()), "none")
+
+
+if __name__ == "__main__":
+    unittest.main()
