Learn the speed of engines from their answers

Cause: the forecasts held one deployment's engines (72 ms, 60 and 90 tokens a ms, 50 ms a slot, 0.22 ms a token, lane bounds in tokens). The new customer's engines read 41 tokens a ms, so queues there were half again as long as believed. Ruled out: that the engines are short of capacity (one reads 40,800 tokens a second, all nine together four times the demand).

Change: EngineProfiles keeps medians of what passes through (first event, tokens read a ms, time a token, run, pause while reading), tells them on beats and weighs those of all instances with a weak prior. Lanes are bounds on reading time against the shortest objective. Forecast errors and the learnt figures are metrics.

--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.prompt_lanes import PATIENT_OBJECTIVE_S
-
 if TYPE_CHECKING:
     from random import Random
 
@@ -35,17 +33,20 @@
     retry_after_s: float
 
 
-def compute_allowed_wait(objective_s: float) -> float:
+def compute_allowed_wait(objective_s: float, *, patient: bool) -> float:
     """Return the milliseconds that a request may wait by the forecast.
 
     Args:
         objective_s: Time to the first event that is promised.
+        patient: Whether that is far more than the most urgent requests have.
     """
-    share = URGENT_WAITING_SHARE if objective_s < PATIENT_OBJECTIVE_S else WAITING_SHARE
+    share = WAITING_SHARE if patient else URGENT_WAITING_SHARE
     return share * objective_s * 1000.0
 
 
-def admit(forecast: Forecast, *, objective_s: float, random: Random) -> ComeBack | None:
+def admit(
+    forecast: Forecast, *, objective_s: float, patient: bool, random: Random
+) -> ComeBack | None:
     """Refuse a request that would wait too long where it would wait the least.
 
     Failure: more is asked for than the engines can do, every request is queued, and after some
@@ -56,12 +57,13 @@
     Args:
         forecast: What the request would meet at the best engine.
         objective_s: Time to the first event that is promised.
+        patient: Whether that is far more than the most urgent requests have.
         random: Source of the spread.
 
     Returns:
         When to come back, or None if the request is to be sent.
     """
-    allowed_ms = compute_allowed_wait(objective_s)
+    allowed_ms = compute_allowed_wait(objective_s, patient=patient)
     if forecast.waiting_ms <= allowed_ms:
         return None
     excess_s = (forecast.waiting_ms - allowed_ms) / 1000.0
--- a/src/guavamast/relay/beats.py
+++ b/src/guavamast/relay/beats.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 
 from guavamast.relay.endpoint_load import Load
+from guavamast.relay.engine_profile import PROFILE_QUANTITIES, Estimate, ProfileEstimates
 from guavamast.relay.freshness import Proof
 from guavamast.relay.packing import pack, unpack
 from guavamast.relay.prompt_cache import PromptSend
@@ -50,6 +51,8 @@
     """Work that the instance has at endpoints."""
     demand: Demand
     """Work in each lane that the instance was asked for lately."""
+    profiles: dict[str, ProfileEstimates]
+    """What the instance has seen of the engines of each service lately."""
     sends: list[PromptSend]
     """Prompts that the instance has sent in the last second."""
 
@@ -110,6 +113,7 @@
         "cat": _encode_proof(beat.catalog),
         "end": _encode_proof(beat.endpoints),
         "ask": [round(work, 1) for work in beat.demand.work_ms],
+        "speed": _encode_profiles(beat.profiles),
         "sent": _encode_sends(beat.sends),
         "load": _encode_loads(beat.loads),
     }
@@ -148,6 +152,7 @@
         endpoints=_decode_proof(fields["end"]),
         loads=_decode_loads(fields["load"]),
         demand=_decode_demand(fields["ask"]),
+        profiles=_decode_profiles(fields["speed"]),
         sends=_decode_sends(fields["sent"]),
     )
 
@@ -231,6 +236,32 @@
     return Demand(work_ms=tuple(float(work) for work in value))
 
 
+def _encode_profiles(profiles: dict[str, ProfileEstimates]) -> dict[str, list[float]]:
+    """Return value and samples of each quantity in turn."""
+    encoded = {}
+    for service, estimates in profiles.items():
+        numbers: list[float] = []
+        for name in PROFILE_QUANTITIES:
+            estimate: Estimate = getattr(estimates, name)
+            numbers += [float(f"{estimate.value:.3g}"), estimate.samples]
+        encoded[service] = numbers
+    return encoded
+
+
+def _decode_profiles(value: dict[str, list[float]]) -> dict[str, ProfileEstimates]:
+    profiles = {}
+    for service, numbers in value.items():
+        estimates = [
+            Estimate(value=float(number), samples=int(samples))
+            for number, samples in zip(numbers[::2], numbers[1::2], strict=True)
+        ]
+        if len(estimates) != len(PROFILE_QUANTITIES) or any(e.value <= 0.0 for e in estimates):
+            raise MalformedBeat("other profiles")
+        named = dict(zip(PROFILE_QUANTITIES, estimates, strict=True))
+        profiles[str(service)] = ProfileEstimates(**named)
+    return profiles
+
+
 def _encode_proof(proof: Proof | None) -> list[str | float] | None:
     return None if proof is None else [proof.version, round(proof.reading, 4)]
 
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -128,6 +128,7 @@
 
     __slots__ = (
         "_hosts",
+        "_shortest_objectives",
         "_urgencies",
         "limits",
         "organisations",
@@ -155,6 +156,7 @@
         for route in routes:
             self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
         self._urgencies = _rank_urgencies(routes, organisations)
+        self._shortest_objectives = _find_shortest_objectives(routes)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host whose prefix is the longest that begins the path.
@@ -183,6 +185,10 @@
         urgency = _combine(route, organisation)
         return self._urgencies.get((urgency, route.urgency), min(LEAST_URGENT, urgency))
 
+    def find_shortest_objective(self, service: str) -> float:
+        """Return the seconds in which the most urgent streams of a service are due."""
+        return self._shortest_objectives.get(service, float("inf"))
+
     def find_organisation(self, key: str | None) -> CallerOrganisation | None:
         """Return the organisation that holds a key."""
         if key is None or self.organisations is None:
@@ -190,6 +196,17 @@
         return self.organisations.get(key)
 
 
+def _find_shortest_objectives(routes: list[Route]) -> dict[str, float]:
+    shortest: dict[str, float] = {}
+    for route in routes:
+        if route.kind is not RouteKind.STREAM:
+            continue
+        for entry in route.services:
+            known_s = shortest.get(entry.service, float("inf"))
+            shortest[entry.service] = min(known_s, route.objective_s)
+    return shortest
+
+
 def _combine(route: Route, organisation: CallerOrganisation | None) -> int:
     if organisation is not None and organisation.urgency is not None:
         return organisation.urgency
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.engine_model import READ_TOKENS_PER_MS, Forecast, forecast
+from guavamast.relay.engine_model import Forecast, forecast
 from guavamast.relay.prompt_lanes import assign_lanes
 from guavamast.rendezvous import compute_weight
 
@@ -15,6 +15,7 @@
 
     from guavamast.relay.endpoint_load import EndpointLoads, Load
     from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.messages import PromptPart
     from guavamast.relay.prompt_cache import PromptCache
 
@@ -63,6 +64,8 @@
     """Most tokens that the answer may have."""
     memory_tokens: int
     """Tokens that fit into an engine's memory; 0 for plain services."""
+    profile: EngineProfile
+    """How fast the service's engines are; of no account for plain services."""
     loads_late: bool = False
     """Whether other instances' work is told too late to be compared at all endpoints."""
 
@@ -186,7 +189,7 @@
             return cost + PLAIN_SLOT_COST_MS * load.requests / max(1, record.slots)
         cached = placement.prompt_tokens - unread_tokens
         reread = placement.shared_tokens - cached
-        cost += REREAD_WEIGHT * reread / READ_TOKENS_PER_MS
+        cost += REREAD_WEIGHT * placement.profile.compute_reading_ms(reread)
         return cost + expected.first_event_ms + RUNNING_COST_MS * load.requests
 
 
@@ -198,6 +201,7 @@
         return None
     return forecast(
         load,
+        placement.profile,
         unread_tokens=unread_tokens,
         needed_tokens=placement.prompt_tokens + placement.output_tokens,
         slots=record.slots,
@@ -217,7 +221,7 @@
     if lane >= placement.lane:
         return LONGER_LANE_COST_MS * (lane - placement.lane)
     delayed = DELAYED_ALWAYS + DELAYED_RUNNING * load.requests
-    return delayed * placement.prompt_tokens / READ_TOKENS_PER_MS
+    return delayed * placement.profile.compute_reading_ms(placement.prompt_tokens)
 
 
 def _find_home(
--- a/src/guavamast/relay/engine_model.py
+++ b/src/guavamast/relay/engine_model.py
@@ -1,8 +1,9 @@
-"""When an engine would begin to answer, from the work that it has.
+"""When an engine would begin to answer, from the work that it has and how fast it is.
 
-Fitted to the first events of 4,322 requests on a day of heavy load: with little to read, the first
-event came after 75 ms at up to 40 running requests alike; each 60 prompt tokens that waited, those
-of the request included, added 1 ms; each request beyond the slots added about 50 ms.
+The form was fitted to the first events of 4,322 requests on a day of heavy load: with little to
+read, the first event came after the same time at few and at many running requests; all prompt
+tokens that waited, those of the request included, added their reading time; so did each request
+beyond the slots. How large each part is differs between engines and is learnt.
 """
 
 from __future__ import annotations
@@ -12,15 +13,12 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.endpoint_load import Load
+    from guavamast.relay.engine_profile import EngineProfile
 
-FIRST_EVENT_MS: Final = 72.0
-"""Time to the first event of a request that has nothing to read and nothing to wait for."""
-SHEET_TOKENS_PER_MS: Final = 90.0
-"""Prompt tokens that an engine without other work reads in a millisecond, by its data sheet."""
-READ_TOKENS_PER_MS: Final = 60.0
-"""Prompt tokens that a busy engine reads in a millisecond."""
-SLOT_WAIT_MS: Final = 50.0
-"""Wait for each request that is beyond the slots: the time in which one of them falls free."""
+SLOT_WAIT_RUNS: Final = 2.0
+"""Wait for each request that is beyond the slots, in runs of a request shared by the slots. One
+would be the mean time until a slot falls free; those that wait longest meet later, more urgent
+ones that go before them."""
 MEMORY_SHARE: Final = 0.92
 """Share of an engine's memory that running requests may take together, by what is known of them.
 Beyond it the engine would stop some and read their prompts again later."""
@@ -36,6 +34,8 @@
 class Forecast:
     """What a request would meet at an engine."""
 
+    start_ms: float
+    """To the first event without anything to wait for or to read."""
     waiting_ms: float
     """Until the work that is there already leaves room."""
     reading_ms: float
@@ -44,11 +44,12 @@
     @property
     def first_event_ms(self) -> float:
         """Time to the first event."""
-        return FIRST_EVENT_MS + self.waiting_ms + self.reading_ms
+        return self.start_ms + self.waiting_ms + self.reading_ms
 
 
 def forecast(
     load: Load,
+    profile: EngineProfile,
     *,
     unread_tokens: int,
     needed_tokens: int,
@@ -60,6 +61,7 @@
 
     Args:
         load: Work of all instances there.
+        profile: How fast the engines are.
         unread_tokens: Tokens of the request's prompt that the engine has to read.
         needed_tokens: Tokens that the request takes in memory when it ends.
         slots: Requests that run at the same time.
@@ -67,8 +69,13 @@
         loads_late: Whether other instances' work is told late.
     """
     share = LATE_MEMORY_SHARE if loads_late else MEMORY_SHARE
-    waiting_ms = load.prefill_tokens / READ_TOKENS_PER_MS
-    waiting_ms += SLOT_WAIT_MS * max(0, load.requests + 1 - slots)
+    waiting_ms = profile.compute_reading_ms(load.prefill_tokens)
+    slot_wait_ms = SLOT_WAIT_RUNS * profile.run_ms / max(1, slots)
+    waiting_ms += slot_wait_ms * max(0, load.requests + 1 - slots)
     if memory_tokens and load.memory_tokens + needed_tokens > share * memory_tokens:
         waiting_ms += MEMORY_WAIT_MS
-    return Forecast(waiting_ms=waiting_ms, reading_ms=unread_tokens / READ_TOKENS_PER_MS)
+    return Forecast(
+        start_ms=profile.first_event_ms,
+        waiting_ms=waiting_ms,
+        reading_ms=profile.compute_reading_ms(unread_tokens),
+    )
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Protocol
 
 from guavamast.relay.attempt import Attempt, AttemptFailed, FailureKind
 from guavamast.relay.catalog import RouteKind
 from guavamast.relay.connection_pool import compute_idle_limit
 from guavamast.relay.messages import SendTerms
+from guavamast.relay.sent_stream import SentStream
 from guavamast.relay.stream_relay import relay_events
 
 if TYPE_CHECKING:
@@ -18,8 +20,9 @@
     from guavamast.relay.attempt_budget import AttemptBudget
     from guavamast.relay.connection_pool import ConnectionPool
     from guavamast.relay.endpoint_choice import Choice
-    from guavamast.relay.endpoint_load import EndpointLoads, Work
+    from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
     from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.fleet_knowledge import FleetKnowledge
     from guavamast.relay.messages import AnswerWriter, CallerRequest, HeaderCodec
     from guavamast.relay.prompt_cache import PromptCache
@@ -40,6 +43,14 @@
         """Tell of an endpoint and whether its work has grown."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Send:
+    """One send of a request: what was expected of it, and its part of the endpoint's load."""
+
+    choice: Choice
+    work: Work
+
+
 class Exchanger:
     """Makes attempts.
 
@@ -51,6 +62,7 @@
         codec: Names of the headers.
         pool: Kept connections to endpoints.
         notes: Log lines and metrics of requests.
+        profiles: Learns how fast the engines are.
         tell_load: Called when this instance's work at an endpoint has changed.
         read_time: The local clock.
     """
@@ -63,6 +75,7 @@
         "_loads",
         "_notes",
         "_pool",
+        "_profiles",
         "_read_time",
         "_tell_load",
     )
@@ -77,6 +90,7 @@
         codec: HeaderCodec,
         pool: ConnectionPool,
         notes: RequestNotes,
+        profiles: EngineProfiles,
         tell_load: TellLoad,
         read_time: Callable[[], float],
     ) -> None:
@@ -87,6 +101,7 @@
         self._codec = codec
         self._pool = pool
         self._notes = notes
+        self._profiles = profiles
         self._tell_load = tell_load
         self._read_time = read_time
 
@@ -115,7 +130,8 @@
         try:
             new = await attempt.connect(now=self._read_time())
             self._notes.note_connection(new=new)
-            await self._exchange(request, writer, progress, attempt, work)
+            send = _Send(choice=choice, work=work)
+            await self._exchange(request, writer, progress, attempt, send)
             attempt.finish(now=self._read_time())
         finally:
             attempt.abandon()
@@ -142,19 +158,30 @@
         writer: AnswerWriter,
         progress: RequestProgress,
         attempt: Attempt,
-        work: Work,
+        send: _Send,
     ) -> None:
         now = self._read_time()
         terms = self._set_terms(progress, attempt.record, now=now)
         patience_s = self._compute_patience(progress, now=now)
         progress.sent += 1
         progress.may_have_run += 1
-        self._note_send(request, progress, attempt.record, terms, now=now)
+        load = self._loads.sum_up(attempt.record.endpoint_id)
+        self._note_send(request, progress, attempt.record, terms, load=load, now=now)
+        stream = SentStream(
+            profiles=self._profiles,
+            service=attempt.record.service,
+            output_tokens=request.output_tokens,
+            unread_tokens=load.prefill_tokens,
+            sent=now,
+            timing=progress.timing,
+        )
         try:
             async with asyncio.timeout(patience_s) as patience:
                 head = await attempt.send(terms)
                 if head.event_stream and head.status < 300:
-                    await self._pass_events(request, writer, progress, attempt, work, patience)
+                    note_event = self._make_event_note(request, progress, send, stream, patience)
+                    await relay_events(attempt, writer, note_event)
+                    self._note_whole_stream(request, progress, attempt.record, stream)
                     return
                 answer = await attempt.read_whole()
         except TimeoutError as error:
@@ -164,33 +191,43 @@
             raise
         await self._pass_whole(request, writer, progress, attempt.record, answer)
 
-    async def _pass_events(
+    def _make_event_note(
         self,
         request: CallerRequest,
-        writer: AnswerWriter,
         progress: RequestProgress,
-        attempt: Attempt,
-        work: Work,
+        send: _Send,
+        stream: SentStream,
         patience: asyncio.Timeout,
-    ) -> None:
-        endpoint_id = attempt.record.endpoint_id
+    ) -> Callable[[str | None], None]:
+        """Return what is called with the id of each event before it is passed on."""
+        endpoint_id = send.choice.record.endpoint_id
 
         def note_event(event_id: str | None) -> None:
             now = self._read_time()
-            if work.finish_prefill():
+            if send.work.finish_prefill():
                 self._tell_load(endpoint_id, more=False)
-            if not writer.begun:
-                self._notes.note_first_event(request, now=now)
             unread_tokens = self._loads.sum_up(endpoint_id).prefill_tokens
-            progress.timing.note_event(unread_tokens=unread_tokens, now=now)
+            first = progress.timing.first_event_s is None
+            stream.note_event(unread_tokens=unread_tokens, now=now)
+            if first:
+                self._notes.note_first_event(request, send.choice, now=now)
             progress.last_event_id = event_id or progress.last_event_id
             if patience.when() is not None:
                 patience.reschedule(asyncio.get_running_loop().time() + STREAM_PATIENCE_S)
 
-        await relay_events(attempt, writer, note_event)
+        return note_event
+
+    def _note_whole_stream(
+        self,
+        request: CallerRequest,
+        progress: RequestProgress,
+        record: EndpointRecord,
+        stream: SentStream,
+    ) -> None:
         now = self._read_time()
-        self._loads.record_success(endpoint_id, now=now)
-        self._notes.note_answer(request, progress, attempt.record, status=200, now=now)
+        stream.finish(now=now)
+        self._loads.record_success(record.endpoint_id, now=now)
+        self._notes.note_answer(request, progress, record, status=200, now=now)
 
     async def _pass_whole(
         self,
@@ -219,6 +256,7 @@
         record: EndpointRecord,
         terms: SendTerms,
         *,
+        load: Load,
         now: float,
     ) -> None:
         self._notes.note_send(
@@ -226,7 +264,7 @@
             record,
             terms,
             sent=progress.sent,
-            load=self._loads.sum_up(record.endpoint_id),
+            load=load,
             route=progress.admitted.route.name,
             now=now,
         )
--- a/src/guavamast/relay/fleet_knowledge.py
+++ b/src/guavamast/relay/fleet_knowledge.py
@@ -89,6 +89,10 @@
         service = self.find_service(service_name)
         return (service.prompt_cache_tokens or 0) if service is not None else 0
 
+    def find_shortest_objective(self, service_name: str) -> float:
+        """Return the seconds in which the most urgent streams of a service are due."""
+        return self.catalog.find_shortest_objective(service_name) if self.catalog else float("inf")
+
     def take_catalog(self, reading: CatalogReading) -> bool:
         """Take a reading of the configuration; returns whether it brought a new version."""
         catalog = reading.catalog
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -22,6 +22,7 @@
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads
+from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.exchange import Exchanger
 from guavamast.relay.fleet_knowledge import FleetKnowledge
 from guavamast.relay.listener import CallerListener, Question, QuestionListener
@@ -100,6 +101,7 @@
         self._loads = EndpointLoads()
         self._cache = PromptCache()
         self._demand = PromptDemand()
+        self._profiles = EngineProfiles()
         self._pool = ConnectionPool()
         self._gate = CallerGate(revocation_s=settings.revocation_s)
         self._stop = asyncio.Event()
@@ -173,6 +175,7 @@
             codec=codec,
             pool=self._pool,
             notes=notes,
+            profiles=self._profiles,
             tell_load=self._notices.note,
             read_time=read_boot_time,
         )
@@ -186,6 +189,7 @@
             chooser=EndpointChooser(loads=self._loads, cache=self._cache, random=self._random),
             exchanger=exchanger,
             demand=self._demand,
+            profiles=self._profiles,
             random=self._random,
             read_time=read_boot_time,
         )
@@ -302,6 +306,7 @@
             endpoints=self.knowledge.endpoint_proof,
             loads=self._loads.list_own(),
             demand=self._demand.read_own(now=now),
+            profiles=self._profiles.list_own(now=now),
             sends=self._cache.list_recent(now=now, interval_s=interval_s),
         )
 
@@ -329,6 +334,7 @@
         name = beat.record.name
         self._loads.take_peer(name, beat.loads)
         self._demand.take_peer(name, beat.demand)
+        self._profiles.take_peer(name, beat.profiles)
         self._cache.take_peer(name, beat.incarnation, beat.sends)
 
     async def _keep_house(self) -> None:
@@ -343,6 +349,7 @@
             live = {beat.record.name for beat in self.peers.list_live(now=now)}
             self._loads.keep_peers(live)
             self._demand.keep_peers(live)
+            self._profiles.keep_peers(live)
 
     async def _clean_registry(self, silent: list[str], *, now: float) -> None:
         """Drop the records of instances that are gone for good.
--- a/src/guavamast/relay/prompt_lanes.py
+++ b/src/guavamast/relay/prompt_lanes.py
@@ -6,27 +6,26 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.engine_model import SHEET_TOKENS_PER_MS
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
     from guavamast.relay.endpoint_table import EndpointRecord
-
-LANE_BOUNDS_TOKENS: Final = (1_500, 4_500)
-"""Prompts of so many tokens and more belong to the next lane: a prompt of the second takes an
-engine 17 ms and more to read, one of the third 50 ms and more, a sixth of the shortest usual
-objective."""
-PATIENT_OBJECTIVE_S: Final = 1.0
-"""Prompts that are due sooner never belong to the last lane: they would wait there behind prompts
-that have several times as long."""
-LANES: Final = len(LANE_BOUNDS_TOKENS) + 1
+    from guavamast.relay.engine_profile import EngineProfile
+
+LANE_READING_SHARES: Final = (1 / 12, 1 / 4)
+"""Prompts that take an engine this share of the shortest objective and more to read belong to the
+next lane: one of the last lane alone makes a short one wait for a quarter of what it may."""
+PATIENT_OBJECTIVES: Final = 3.3
+"""Prompts that are due within so many of the shortest objective never belong to the last lane: they
+would wait there behind prompts that have more time."""
+LANES: Final = len(LANE_READING_SHARES) + 1
 LANE_ROOM: Final = (1.5, 1.3, 1.0)
 """Room of each lane relative to its work: the shorter the prompts, the sooner they are due."""
 DEMAND_HALF_LIFE_S: Final = 8.0
 """Time in which half of the demand seen is forgotten: bursts last some seconds."""
-TOKEN_COST_MS: Final = 0.22
-"""Engine time of one generated token in a batch of thirty, by the data sheet: 3.03 ms a step shared
-by the batch, and 0.121 ms for the request itself."""
+TOKEN_SHARE: Final = 1 / 20
+"""Share of the time of a generated token that counts as its engine's: a busy engine makes a token
+for some twenty requests in each step."""
 LANE_KEY: Final = "prompt lanes"
 
 
@@ -50,11 +49,19 @@
         self._updated: float | None = None
         self._peers: dict[str, Demand] = {}
 
-    def record(self, lane: int, prompt_tokens: int, output_tokens: int, *, now: float) -> None:
+    def record(
+        self,
+        lane: int,
+        *,
+        prompt_tokens: int,
+        output_tokens: int,
+        profile: EngineProfile,
+        now: float,
+    ) -> None:
         """Count a request to a model engine in its lane."""
         self._fade(now)
-        work_ms = prompt_tokens / SHEET_TOKENS_PER_MS + output_tokens * TOKEN_COST_MS
-        self._own[lane] += work_ms
+        work_ms = profile.compute_reading_ms(prompt_tokens)
+        self._own[lane] += work_ms + TOKEN_SHARE * profile.token_ms * output_tokens
 
     def read_own(self, *, now: float) -> Demand:
         """Return what this instance has seen."""
@@ -87,15 +94,31 @@
         self._updated = now
 
 
-def find_lane(prompt_tokens: int, *, objective_s: float) -> int:
+def is_patient(objective_s: float, *, shortest_s: float) -> bool:
+    """Return whether a request has far more time than the most urgent of its service.
+
+    Args:
+        objective_s: Time in which its first event is due.
+        shortest_s: The shortest such time of all routes to its service.
+    """
+    return objective_s >= PATIENT_OBJECTIVES * shortest_s
+
+
+def find_lane(
+    prompt_tokens: int, *, objective_s: float, shortest_s: float, profile: EngineProfile
+) -> int:
     """Return the lane of a prompt, 0 for the shortest.
 
     Args:
         prompt_tokens: Its length.
         objective_s: Time in which its first event is due.
+        shortest_s: The shortest such time of all routes to its service.
+        profile: How fast the engines read.
     """
-    lane = bisect_right(LANE_BOUNDS_TOKENS, prompt_tokens)
-    return lane if objective_s >= PATIENT_OBJECTIVE_S else min(lane, LANES - 2)
+    reading_ms = profile.compute_reading_ms(prompt_tokens)
+    bounds_ms = [share * shortest_s * 1000.0 for share in LANE_READING_SHARES]
+    lane = bisect_right(bounds_ms, reading_ms)
+    return lane if is_patient(objective_s, shortest_s=shortest_s) else min(lane, LANES - 2)
 
 
 def assign_lanes(candidates: list[EndpointRecord], shares: tuple[float, ...]) -> dict[str, int]:
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -17,9 +17,10 @@
 
     from guavamast.relay.admission import ComeBack
     from guavamast.relay.attempt_budget import AttemptBudget
-    from guavamast.relay.caller_gate import CallerGate
+    from guavamast.relay.caller_gate import Admitted, CallerGate
     from guavamast.relay.endpoint_choice import Choice, EndpointChooser
     from guavamast.relay.endpoint_load import EndpointLoads
+    from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.exchange import Exchanger
     from guavamast.relay.fleet_knowledge import FleetKnowledge
     from guavamast.relay.messages import AnswerWriter, CallerRequest, HeaderCodec
@@ -59,6 +60,7 @@
         chooser: Chooses endpoints.
         exchanger: Makes attempts.
         demand: Told of each prompt that is asked for.
+        profiles: How fast the engines are.
         random: Spreads the times to come back.
         read_time: The local clock.
     """
@@ -73,6 +75,7 @@
         "_knowledge",
         "_loads",
         "_notes",
+        "_profiles",
         "_random",
         "_read_time",
         "in_flight",
@@ -90,6 +93,7 @@
         chooser: EndpointChooser,
         exchanger: Exchanger,
         demand: PromptDemand,
+        profiles: EngineProfiles,
         random: Random,
         read_time: Callable[[], float],
     ) -> None:
@@ -101,6 +105,7 @@
         self._chooser = chooser
         self._exchanger = exchanger
         self._demand = demand
+        self._profiles = profiles
         self._random = random
         self._notes = notes
         self._read_time = read_time
@@ -125,18 +130,36 @@
         if isinstance(decision, Denied):
             await self._refuse(request, writer, decision, age_s=age_s)
             return
-        progress = begin_progress(request, decision)
+        progress = self._begin(request, decision, now=now)
         self._budget.record_request(progress.service, now=now)
-        if request.prompt_tokens:
-            self._demand.record(
-                progress.lane, request.prompt_tokens, request.output_tokens, now=now
-            )
         try:
             async with asyncio.timeout(max(0.0, progress.ends_at - now)):
                 await self._try_endpoints(request, writer, progress)
         except TimeoutError:
             await self._give_up(request, writer, progress, status=504, reason="time is up")
 
+    def _begin(self, request: CallerRequest, admitted: Admitted, *, now: float) -> RequestProgress:
+        """Return the state of a request, and count it in the demand of its lane."""
+        service = admitted.route.pick_service(request.request_id)
+        profile = self._profiles.find(service, now=now)
+        progress = begin_progress(
+            request,
+            admitted,
+            service=service,
+            shortest_s=self._knowledge.find_shortest_objective(service),
+            profile=profile,
+        )
+        if request.prompt_tokens:
+            self._notes.note_profile(service, profile)
+            self._demand.record(
+                progress.lane,
+                prompt_tokens=request.prompt_tokens,
+                output_tokens=request.output_tokens,
+                profile=profile,
+                now=now,
+            )
+        return progress
+
     async def _try_endpoints(
         self, request: CallerRequest, writer: AnswerWriter, progress: RequestProgress
     ) -> None:
@@ -147,7 +170,12 @@
                 return
             if progress.sent == 0 and choice.forecast is not None:
                 objective_s = progress.admitted.route.objective_s
-                later = admit(choice.forecast, objective_s=objective_s, random=self._random)
+                later = admit(
+                    choice.forecast,
+                    objective_s=objective_s,
+                    patient=progress.patient,
+                    random=self._random,
+                )
                 if later is not None:
                     await self._send_back(request, writer, progress, later, choice)
                     return
@@ -167,14 +195,17 @@
                 return
 
     def _choose(self, request: CallerRequest, progress: RequestProgress) -> Choice | None:
+        now = self._read_time()
         return self._chooser.choose(
-            self._describe(request, progress),
+            self._describe(request, progress, now=now),
             self._knowledge.endpoints.list_ready(progress.service),
             exclude=progress.tried,
-            now=self._read_time(),
+            now=now,
         )
 
-    def _describe(self, request: CallerRequest, progress: RequestProgress) -> Placement:
+    def _describe(
+        self, request: CallerRequest, progress: RequestProgress, *, now: float
+    ) -> Placement:
         return Placement(
             prompt_parts=request.prompt_parts,
             prompt_tokens=request.prompt_tokens,
@@ -183,6 +214,7 @@
             lane_shares=self._demand.compute_shares(),
             output_tokens=request.output_tokens,
             memory_tokens=self._knowledge.find_memory(progress.service),
+            profile=self._profiles.find(progress.service, now=now),
             loads_late=self._knowledge.peers.relayed,
         )
 
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -13,6 +13,7 @@
     from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_load import Load
     from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.fleet_knowledge import FleetKnowledge
     from guavamast.relay.messages import CallerRequest, SendTerms
     from guavamast.relay.request_progress import RequestProgress
@@ -71,12 +72,29 @@
             endpoints_age_s=round(self._knowledge.compute_endpoints_age(now=now), 2),
         )
 
-    def note_first_event(self, request: CallerRequest, *, now: float) -> None:
-        """Note the time to the first event."""
+    def note_first_event(self, request: CallerRequest, choice: Choice, *, now: float) -> None:
+        """Note the time to the first event, beside what was expected."""
         took_s = now - request.arrived
+        expected_s = choice.forecast.first_event_ms / 1000.0 if choice.forecast else None
         self._counters.observe("first_event_seconds", took_s)
+        if expected_s is not None:
+            self._counters.observe("forecast_error_seconds", abs(took_s - expected_s))
         self._log.write(
-            "first_event", now=now, request_id=request.request_id, took_s=round(took_s, 4)
+            "first_event",
+            now=now,
+            request_id=request.request_id,
+            took_s=round(took_s, 4),
+            expected_s=round(expected_s, 4) if expected_s is not None else None,
+        )
+
+    def note_profile(self, service: str, profile: EngineProfile) -> None:
+        """Show what is known of the engines of a service."""
+        self._counters.set(
+            f'engine_read_tokens_per_ms{{service="{service}"}}', profile.read_tokens_per_ms
+        )
+        self._counters.set(f'engine_first_event_ms{{service="{service}"}}', profile.first_event_ms)
+        self._counters.set(
+            f'engine_reading_pause_ms{{service="{service}"}}', profile.reading_pause_ms
         )
 
     def note_failure(
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from guavamast.relay.prompt_lanes import find_lane
+from guavamast.relay.prompt_lanes import find_lane, is_patient
 from guavamast.relay.stream_timing import StreamTiming
 
 if TYPE_CHECKING:
     from guavamast.relay.attempt import WholeAnswer
     from guavamast.relay.caller_gate import Admitted
+    from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.messages import CallerRequest
 
 
@@ -24,6 +25,8 @@
     """Local time at which the answer must be final."""
     lane: int
     """Which engines are meant for the request's prompt."""
+    patient: bool
+    """Whether it has far more time than the most urgent requests of its service."""
     timing: StreamTiming
     """Of the events passed on, whichever endpoint they came from."""
     tried: set[str] = field(default_factory=set)
@@ -38,15 +41,37 @@
     """An endpoint's own error, passed on if no other endpoint does better."""
 
 
-def begin_progress(request: CallerRequest, admitted: Admitted) -> RequestProgress:
-    """Return the state of a request that was just admitted."""
+def begin_progress(
+    request: CallerRequest,
+    admitted: Admitted,
+    *,
+    service: str,
+    shortest_s: float,
+    profile: EngineProfile,
+) -> RequestProgress:
+    """Return the state of a request that was just admitted.
+
+    Args:
+        request: The request.
+        admitted: Its route.
+        service: The one among the route's services that it goes to.
+        shortest_s: Time in which the most urgent streams of that service are due.
+        profile: How fast the service's engines are.
+    """
+    objective_s = admitted.route.objective_s
     patience_s = admitted.route.timeout_s
     if request.patience_s is not None:
         patience_s = min(patience_s, request.patience_s)
     return RequestProgress(
         admitted=admitted,
-        service=admitted.route.pick_service(request.request_id),
+        service=service,
         ends_at=request.arrived + patience_s,
-        lane=find_lane(request.prompt_tokens, objective_s=admitted.route.objective_s),
+        lane=find_lane(
+            request.prompt_tokens,
+            objective_s=objective_s,
+            shortest_s=shortest_s,
+            profile=profile,
+        ),
+        patient=is_patient(objective_s, shortest_s=shortest_s),
         timing=StreamTiming(arrived=request.arrived),
     )
--- a/tests/relay_facts.py
+++ b/tests/relay_facts.py
@@ -13,12 +13,22 @@
     WeightedService,
 )
 from guavamast.relay.endpoint_table import EndpointRecord
+from guavamast.relay.engine_profile import EngineProfile
 from guavamast.relay.messages import CallerRequest, PromptPart
 
 LIMITS = CallerLimits(
     header_bytes=16_384, body_bytes=65_536, header_timeout_s=3.0, idle_timeout_s=15.0
 )
 
+PROFILE = EngineProfile(
+    first_event_ms=72.0,
+    read_tokens_per_ms=60.0,
+    token_ms=4.4,
+    run_ms=1_600.0,
+    reading_pause_ms=90.0,
+)
+"""Engines as measured on a day of heavy load; 64 requests run at the same time."""
+
 
 def make_route(**changes: Any) -> Route:
     """Return a route of a plain idempotent service, with changes."""
--- a/tests/test_relay_beat_exchange.py
+++ b/tests/test_relay_beat_exchange.py
@@ -62,6 +62,7 @@
             endpoints=None,
             loads={},
             demand=Demand(work_ms=(0.0,) * LANES),
+            profiles={},
             sends=[],
         )
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -15,6 +15,7 @@
 from guavamast.relay.catalog import CallerOrganisation, Catalog, WeightedService
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.endpoint_table import EndpointTable
+from guavamast.relay.engine_profile import Estimate, ProfileEstimates
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.freshness import Proof
 from guavamast.relay.peers import (
@@ -257,6 +258,15 @@
     )
 
 
+ESTIMATES = ProfileEstimates(
+    first_event_ms=Estimate(value=41.0, samples=4),
+    read_tokens_per_ms=Estimate(value=45.5, samples=7),
+    token_ms=Estimate(value=5.25, samples=9),
+    run_ms=Estimate(value=800.0, samples=9),
+    reading_pause_ms=Estimate(value=1.0, samples=0),
+)
+
+
 def make_beat(name: str, *, incarnation: int = 1, sequence: int = 1, **changes: object) -> Beat:
     """Return a beat of a serving instance, with changes."""
     values: dict[str, object] = {
@@ -269,6 +279,7 @@
         "endpoints": None,
         "loads": {"e": Load(requests=2, prefill_tokens=30)},
         "demand": Demand(work_ms=(1.5, 0.0, 30.0)),
+        "profiles": {"pool": ESTIMATES},
         "sends": [PromptSend(number=1, endpoint_id="e", part_id="p", tokens=30)],
     }
     return Beat(**(values | changes))  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_relay_engine_profile.py
@@ -0,0 +1,219 @@
+"""Tests of what is learnt of engines, and that the same decisions fit engines of unlike speed.
+
+The stand-in engine here answers by arithmetic and without a network: it reads waiting prompts one
+after the other, then takes its time to the first event.
+"""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass
+from random import Random
+
+from guavamast.relay.admission import admit
+from guavamast.relay.endpoint_choice import EndpointChooser, Placement
+from guavamast.relay.endpoint_load import EndpointLoads, Load
+from guavamast.relay.engine_model import forecast
+from guavamast.relay.engine_profile import PRIOR, EngineProfiles, Estimate, ProfileEstimates
+from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.prompt_lanes import LANES, find_lane
+from tests.relay_facts import make_endpoint, make_parts
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StandInEngine:
+    """An engine whose answers take a known time."""
+
+    first_event_ms: float
+    read_tokens_per_ms: float
+    token_ms: float
+    pause_ms: float
+    """Longest pause of a stream while a long prompt is read."""
+    slots: int
+    objective_s: float
+    """Of the most urgent requests."""
+
+    def answer(self, unread_tokens: int) -> float:
+        """Return the milliseconds to the first event behind so many tokens."""
+        return self.first_event_ms + unread_tokens / self.read_tokens_per_ms
+
+
+FAST = StandInEngine(
+    first_event_ms=30.0,
+    read_tokens_per_ms=120.0,
+    token_ms=3.0,
+    pause_ms=60.0,
+    slots=64,
+    objective_s=0.3,
+)
+SLOW = StandInEngine(
+    first_event_ms=60.0,
+    read_tokens_per_ms=30.0,
+    token_ms=12.0,
+    pause_ms=240.0,
+    slots=16,
+    objective_s=0.6,
+)
+"""Four times slower, with a quarter of the slots and other objectives."""
+
+
+def watch(
+    engine: StandInEngine, profiles: EngineProfiles, *, answers: int = 24, seed: int = 1
+) -> None:
+    """Have an instance see some answers; one in six belies what was known of the load."""
+    random = Random(seed)
+    for number in range(answers):
+        now = number * 0.4
+        unread = random.choice((100, 400, 3_000, 9_000, 16_000))
+        known = unread if random.random() < 5 / 6 else unread * 4
+        took_ms = engine.answer(unread) * random.uniform(0.9, 1.1)
+        profiles.record_first_event("pool", unread_tokens=known, took_ms=took_ms, now=now)
+        tokens = random.randint(20, 400)
+        profiles.record_run("pool", output_tokens=tokens, run_ms=tokens * engine.token_ms, now=now)
+        profiles.record_pause("pool", unread_tokens=unread, pause_ms=engine.pause_ms, now=now)
+
+
+class EngineProfilesTest(unittest.TestCase):
+    """A profile follows the engines, whatever the prior says."""
+
+    def test_engines_of_unlike_speed_are_told_apart(self) -> None:
+        for engine in (FAST, SLOW):
+            profiles = EngineProfiles()
+            watch(engine, profiles)
+            found = profiles.find("pool", now=10.0)
+            for name in ("first_event_ms", "read_tokens_per_ms", "token_ms"):
+                true = getattr(engine, name)
+                self.assertAlmostEqual(getattr(found, name), true, delta=0.35 * true, msg=name)
+            true = engine.pause_ms
+            self.assertAlmostEqual(found.reading_pause_ms, true, delta=0.35 * true)
+
+    def test_nothing_seen_leaves_the_prior(self) -> None:
+        self.assertEqual(EngineProfiles().find("pool", now=0.0), PRIOR)
+
+    def test_what_others_have_seen_counts_until_they_are_gone(self) -> None:
+        """An instance that has just started forecasts by what the others tell it."""
+        others = EngineProfiles()
+        watch(SLOW, others)
+        mine = EngineProfiles()
+        mine.take_peer("other", others.list_own(now=10.0))
+        heard = mine.find("pool", now=10.0)
+        self.assertLess(heard.read_tokens_per_ms, 40.0)
+        mine.keep_peers(set())
+        self.assertEqual(mine.find("pool", now=20.0), PRIOR)
+
+    def test_one_instance_that_is_far_off_changes_little(self) -> None:
+        profiles = EngineProfiles()
+        for number in range(9):
+            others = EngineProfiles()
+            watch(SLOW, others, seed=number)
+            profiles.take_peer(f"p{number}", others.list_own(now=10.0))
+        before = profiles.find("pool", now=10.0).read_tokens_per_ms
+        far = Estimate(value=3_000.0, samples=24)
+        profiles.take_peer(
+            "wrong",
+            {
+                "pool": ProfileEstimates(
+                    first_event_ms=far,
+                    read_tokens_per_ms=far,
+                    token_ms=far,
+                    run_ms=far,
+                    reading_pause_ms=far,
+                )
+            },
+        )
+        after = profiles.find("pool", now=11.0).read_tokens_per_ms
+        self.assertLess(after, 2.0 * before)
+
+    def test_samples_of_engines_that_were_replaced_are_forgotten(self) -> None:
+        profiles = EngineProfiles()
+        watch(SLOW, profiles)
+        found = profiles.find("pool", now=60.0)
+        self.assertAlmostEqual(found.read_tokens_per_ms, PRIOR.read_tokens_per_ms)
+
+
+class UnlikeEnginesTest(unittest.TestCase):
+    """The same code decides rightly for fast and for slow engines, once it has seen them.
+
+    The pattern: a fleet is moved to engines that are four times slower, with other objectives. A
+    model with one engine's figures would queue there four times longer than it believes.
+    """
+
+    def setUp(self) -> None:
+        self.learnt: dict[str, EngineProfiles] = {}
+        for name, engine in (("fast", FAST), ("slow", SLOW)):
+            self.learnt[name] = EngineProfiles()
+            watch(engine, self.learnt[name])
+
+    def test_admission_lets_in_what_can_be_in_time(self) -> None:
+        """Queues are let grow to the objective's share on each, within a third."""
+        for name, engine in (("fast", FAST), ("slow", SLOW)):
+            profile = self.learnt[name].find("pool", now=10.0)
+            queue = Load()
+            while True:
+                expected = forecast(
+                    queue,
+                    profile,
+                    unread_tokens=500,
+                    needed_tokens=500,
+                    slots=engine.slots,
+                    memory_tokens=0,
+                )
+                refusal = admit(
+                    expected, objective_s=engine.objective_s, patient=False, random=Random(1)
+                )
+                if refusal is not None:
+                    break
+                queue.prefill_tokens += 500
+            waited_ms = queue.prefill_tokens / engine.read_tokens_per_ms
+            allowed_ms = 0.75 * engine.objective_s * 1000.0
+            self.assertAlmostEqual(waited_ms, allowed_ms, delta=allowed_ms / 3, msg=name)
+
+    def test_lanes_follow_reading_times(self) -> None:
+        lanes = {}
+        for name, engine in (("fast", FAST), ("slow", SLOW)):
+            profile = self.learnt[name].find("pool", now=10.0)
+            lanes[name] = find_lane(
+                3_500, objective_s=5.0, shortest_s=engine.objective_s, profile=profile
+            )
+        self.assertEqual(lanes["fast"], 1)
+        self.assertEqual(lanes["slow"], 1)
+        for name, engine, tokens in (("fast", FAST, 1_500), ("slow", SLOW, 800)):
+            profile = self.learnt[name].find("pool", now=10.0)
+            lane = find_lane(
+                tokens, objective_s=5.0, shortest_s=engine.objective_s, profile=profile
+            )
+            self.assertEqual(lane, 0, name)
+
+    def test_a_cached_prompt_is_worth_the_wait_that_reading_it_would_take(self) -> None:
+        """A part is in the memory of an engine at which others wait; a second one idles.
+
+        On engines that read it in 33 ms it is not worth a wait of 300 ms; where that takes 133 ms,
+        with its price six times as much, it is.
+        """
+        chosen = {}
+        for name, engine in (("fast", FAST), ("slow", SLOW)):
+            loads = EndpointLoads()
+            queue_tokens = int(300.0 * engine.read_tokens_per_ms)
+            loads.take_peer("peer", {"warm": Load(requests=2, prefill_tokens=queue_tokens)})
+            cache = PromptCache()
+            cache.record("warm", "session", 4_000, now=0.0)
+            chooser = EndpointChooser(loads=loads, cache=cache, random=Random(1))
+            placement = Placement(
+                prompt_parts=make_parts(("session", 4_000), ("own", 100)),
+                prompt_tokens=4_100,
+                failure_domain="a",
+                lane=0,
+                lane_shares=(1.0,) + (0.0,) * (LANES - 1),
+                output_tokens=50,
+                memory_tokens=600_000,
+                profile=self.learnt[name].find("pool", now=10.0),
+            )
+            endpoints = [make_endpoint(one, slots=engine.slots) for one in ("warm", "cold")]
+            choice = chooser.choose(placement, endpoints, exclude=frozenset(), now=0.0)
+            assert choice is not None
+            chosen[name] = choice.record.endpoint_id
+        self.assertEqual(chosen, {"fast": "cold", "slow": "warm"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -13,9 +13,10 @@
 from guavamast.relay.endpoint_choice import EndpointChooser, Placement
 from guavamast.relay.endpoint_load import EndpointLoads, Load
 from guavamast.relay.engine_model import Forecast, forecast
+from guavamast.relay.engine_profile import EngineProfile
 from guavamast.relay.prompt_cache import PromptCache, PromptSend
 from guavamast.relay.prompt_lanes import LANES, Demand, PromptDemand, assign_lanes, find_lane
-from tests.relay_facts import make_endpoint, make_parts
+from tests.relay_facts import PROFILE, make_endpoint, make_parts
 
 SHARES = (0.2, 0.2, 0.6)
 
@@ -35,6 +36,7 @@
             lane_shares=SHARES,
             output_tokens=300,
             memory_tokens=600_000,
+            profile=PROFILE,
         )
         self.cache = PromptCache()
 
@@ -167,9 +169,15 @@
         self.assertEqual(set(lanes), {record.endpoint_id for record in endpoints})
 
     def test_prompts_that_are_due_soon_stay_out_of_the_lane_of_patient_ones(self) -> None:
-        self.assertEqual(find_lane(800, objective_s=2.0), 0)
-        self.assertEqual(find_lane(6_000, objective_s=2.0), 2)
-        self.assertEqual(find_lane(6_000, objective_s=0.4), 1)
+        for tokens, objective_s, lane in ((800, 2.0, 0), (6_000, 2.0, 2), (6_000, 0.4, 1)):
+            found = find_lane(tokens, objective_s=objective_s, shortest_s=0.3, profile=PROFILE)
+            self.assertEqual(found, lane)
+
+    def test_the_slower_an_engine_reads_the_shorter_a_long_prompt_is(self) -> None:
+        slow = EngineProfile(read_tokens_per_ms=15.0)
+        for profile, lane in ((PROFILE, 0), (slow, 1)):
+            found = find_lane(1_000, objective_s=0.3, shortest_s=0.3, profile=profile)
+            self.assertEqual(found, lane)
 
     def test_like_shares_move_one_engine_at_a_border_at_most(self) -> None:
         before = assign_lanes(self.endpoints, (0.30, 0.2, 0.50))
@@ -180,7 +188,7 @@
 
     def test_demand_of_all_instances_counts_and_fades(self) -> None:
         demand = PromptDemand()
-        demand.record(2, 9_000, 0, now=0.0)
+        demand.record(2, prompt_tokens=6_000, output_tokens=0, profile=PROFILE, now=0.0)
         self.assertEqual(demand.compute_shares(), (0.0, 0.0, 1.0))
         demand.take_peer("x", Demand(work_ms=(100.0, 0.0, 0.0)))
         self.assertAlmostEqual(demand.compute_shares()[0], 0.6)
@@ -209,6 +217,7 @@
                 lane_shares=shares,
                 output_tokens=300,
                 memory_tokens=600_000,
+                profile=PROFILE,
             )
             choice = chooser.choose(placement, self.endpoints, exclude=frozenset(), now=0.0)
             assert choice is not None
@@ -243,8 +252,8 @@
     """
 
     def admit(self, waiting_ms: float, *, reading_ms: float = 10.0) -> ComeBack | None:
-        expected = Forecast(waiting_ms=waiting_ms, reading_ms=reading_ms)
-        return admit(expected, objective_s=0.3, random=Random(1))
+        expected = Forecast(start_ms=72.0, waiting_ms=waiting_ms, reading_ms=reading_ms)
+        return admit(expected, objective_s=0.3, patient=False, random=Random(1))
 
     def test_waiting_decides_and_not_the_length_of_the_request(self) -> None:
         self.assertIsNone(self.admit(224.0, reading_ms=900.0))
@@ -252,8 +261,8 @@
 
     def test_patient_requests_wait_a_smaller_share(self) -> None:
         for waiting_ms, refused in ((1000.0, False), (1001.0, True)):
-            expected = Forecast(waiting_ms=waiting_ms, reading_ms=10.0)
-            refusal = admit(expected, objective_s=2.0, random=Random(1))
+            expected = Forecast(start_ms=72.0, waiting_ms=waiting_ms, reading_ms=10.0)
+            refusal = admit(expected, objective_s=2.0, patient=True, random=Random(1))
             self.assertEqual(refusal is not None, refused)
 
     def test_late_loads_leave_memory_for_what_nobody_has_heard_of(self) -> None:
@@ -266,20 +275,26 @@
         for loads_late in (False, True):
             expected = forecast(
                 full,
+                PROFILE,
                 unread_tokens=12_000,
                 needed_tokens=12_300,
                 slots=64,
                 memory_tokens=611_000,
                 loads_late=loads_late,
             )
-            refusal = admit(expected, objective_s=2.0, random=Random(1))
+            refusal = admit(expected, objective_s=2.0, patient=True, random=Random(1))
             self.assertEqual(refusal is not None, loads_late)
 
     def test_nobody_is_refused_by_an_idle_engine(self) -> None:
         idle = forecast(
-            Load(), unread_tokens=60_000, needed_tokens=61_000, slots=64, memory_tokens=600_000
+            Load(),
+            PROFILE,
+            unread_tokens=60_000,
+            needed_tokens=61_000,
+            slots=64,
+            memory_tokens=600_000,
         )
-        self.assertIsNone(admit(idle, objective_s=0.3, random=Random(1)))
+        self.assertIsNone(admit(idle, objective_s=0.3, patient=False, random=Random(1)))
 
     @given(waiting_ms=st.floats(min_value=226.0, max_value=1e5))
     def test_the_time_to_come_back_grows_with_the_queue_within_bounds(
@@ -302,9 +317,9 @@
         for _ in range(200):
             engine.prefill_tokens = max(0, engine.prefill_tokens - 3_000)
             expected = forecast(
-                engine, unread_tokens=6_000, needed_tokens=0, slots=64, memory_tokens=0
+                engine, PROFILE, unread_tokens=6_000, needed_tokens=0, slots=64, memory_tokens=0
             )
-            if admit(expected, objective_s=2.0, random=Random(1)) is None:
+            if admit(expected, objective_s=2.0, patient=True, random=Random(1)) is None:
                 admitted += 1
                 longest_ms = max(longest_ms, expected.waiting_ms)
                 engine.prefill_tokens += 6_000
@@ -318,15 +333,19 @@
     def test_measured_first_events(self) -> None:
         for waiting, own, measured_ms in ((0, 600, 78), (7_000, 500, 186), (28_000, 2_000, 550)):
             load = Load(requests=10, prefill_tokens=waiting, memory_tokens=0)
-            found = forecast(load, unread_tokens=own, needed_tokens=0, slots=64, memory_tokens=0)
+            found = forecast(
+                load, PROFILE, unread_tokens=own, needed_tokens=0, slots=64, memory_tokens=0
+            )
             self.assertAlmostEqual(found.first_event_ms, measured_ms, delta=0.15 * measured_ms)
 
     def test_slots_and_memory(self) -> None:
         full = Load(requests=66, prefill_tokens=0, memory_tokens=550_000)
-        found = forecast(full, unread_tokens=0, needed_tokens=500, slots=64, memory_tokens=0)
+        found = forecast(
+            full, PROFILE, unread_tokens=0, needed_tokens=500, slots=64, memory_tokens=0
+        )
         self.assertEqual(found.waiting_ms, 150.0)
         found = forecast(
-            full, unread_tokens=0, needed_tokens=9_000, slots=99, memory_tokens=600_000
+            full, PROFILE, unread_tokens=0, needed_tokens=9_000, slots=99, memory_tokens=600_000
         )
         self.assertEqual(found.waiting_ms, 1_000.0)
 
