Take back the longer wait of callers that seem to come back; relays by link; lanes when loads are late

Cause of the first: nine in ten refusals were marked as of callers that had come back. Callers state patience that differs by 15 in 100 from caller to caller (dossiers 4.2 to 5.0 s, questions 12.9 to 15.0 s), so what is left can't tell who was here before.

Many instances: relays were chosen by name alone and sent 5 Mbit/s of bundles over links of 5 Mbit/s; answers of their callers waited a second. Now the widest links of a domain come first (settings, registration, beats). Engines that a request compares when loads are late are drawn from its own lane: of four drawn from all, none is of the lane one time in eleven. Demand is forgotten within 4 s instead of 8: on the grown site questions came at 200 a second to five engines while sixteen read little.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 
 from bench.costs import ENTRY_SIZES, SIZES, measure_allotment, measure_choose
 from bench.limit_error import measure_limit
+from bench.relay_choice import report_relay
 from bench.runs import run_once
 from bench.tables import format_spread, print_head, print_keepers, print_policies, print_row
 from bench.workload import AGENCE, COTOPAXI, Scenario, Site
@@ -201,7 +202,7 @@
     """Run the chosen sections."""
     parser = argparse.ArgumentParser(prog="bench", description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
-    parser.add_argument("--only", choices=["policies", "keepers", "limits", "costs"])
+    parser.add_argument("--only", choices=["policies", "keepers", "limits", "costs", "relay"])
     arguments = parser.parse_args()
     seeds = range(1, arguments.seeds + 1)
     sections = {
@@ -209,6 +210,7 @@
         "keepers": lambda: report_keepers(seeds),
         "limits": lambda: report_limits(seeds),
         "costs": report_costs,
+        "relay": report_relay,
     }
     for name, report in sections.items():
         if arguments.only in (None, name):
--- a/src/guavamast/platform/settings.py
+++ b/src/guavamast/platform/settings.py
@@ -126,12 +126,20 @@
         repeat_ratio=reader.read("bounds.retry_budget_ratio", _read_positive, 0.1),
         repeat_slack=reader.read("bounds.budget_slack", _read_positive, 10.0),
         repeat_window_s=reader.read("bounds.budget_window_s", _read_positive, 10.0),
+        link_mbps=_read_optional(reader, "limits.link_mbps"),
     )
     if reader.findings:
         raise FindingsError(reader.findings)
     return settings
 
 
+def _read_optional(reader: _Reader, path: str) -> float:
+    """Return a number that may be missing; 0 then."""
+    if reader.find(path) is None:
+        return 0.0
+    return float(reader.read(path, _read_positive, 0.0))
+
+
 UNBOUNDED_REVOCATION_S = 3600.0
 """Where no bound is set on revoked keys, an instance serves through an outage this long."""
 
--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -115,6 +115,7 @@
                 "region": record.region,
                 "callers_address": record.callers_address,
                 "peer_port": record.peer_port,
+                "link_mbps": record.link_mbps,
             }
         )
         row = {
@@ -230,4 +231,5 @@
         region=str(fields["region"]),
         callers_address=str(fields["callers_address"]),
         peer_port=int(fields["peer_port"]),
+        link_mbps=float(fields.get("link_mbps", 0.0)),
     )
--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -18,8 +18,6 @@
 """Share of the objective for which a request may wait behind others; the rest is for its own
 prompt and the first event. The request's own length does not count, so that long ones are refused
 no sooner than short ones of their kind."""
-RETURNED_FACTOR: Final = 1.6
-"""Times as long may a request wait whose caller was refused before: refused again, it is lost."""
 LEAST_RETRY_S: Final = 0.1
 """Shortest time to come back: below it the room that was missing is not there yet."""
 LONGEST_RETRY_S: Final = 1.5
@@ -35,17 +33,14 @@
     retry_after_s: float
 
 
-def compute_allowed_wait(objective_s: float, *, patient: bool, returned: bool = False) -> float:
+def compute_allowed_wait(objective_s: float, *, patient: bool) -> float:
     """Return the milliseconds that a request may wait by the forecast.
 
     Args:
         objective_s: Time to the first event that is promised.
         patient: Whether that is far more than the most urgent requests have.
-        returned: Whether its caller was refused before.
     """
     share = WAITING_SHARE if patient else URGENT_WAITING_SHARE
-    if returned:
-        share *= RETURNED_FACTOR
     return share * objective_s * 1000.0
 
 
@@ -54,7 +49,6 @@
     *,
     objective_s: float,
     patient: bool,
-    returned: bool = False,
     random: Random,
 ) -> ComeBack | None:
     """Refuse a request that would wait too long where it would wait the least.
@@ -68,13 +62,12 @@
         forecast: What the request would meet at the best engine.
         objective_s: Time to the first event that is promised.
         patient: Whether that is far more than the most urgent requests have.
-        returned: Whether its caller was refused before.
         random: Source of the spread.
 
     Returns:
         When to come back, or None if the request is to be sent.
     """
-    allowed_ms = compute_allowed_wait(objective_s, patient=patient, returned=returned)
+    allowed_ms = compute_allowed_wait(objective_s, patient=patient)
     if forecast.waiting_ms <= allowed_ms:
         return None
     excess_s = (forecast.waiting_ms - allowed_ms) / 1000.0
--- a/src/guavamast/relay/beat_relays.py
+++ b/src/guavamast/relay/beat_relays.py
@@ -29,6 +29,10 @@
     what it has heard in its own, and its own domain everything. The datagrams of a second grow with
     the instances, not with their square.
 
+    Failure: a relay with a narrow link passes on half a megabyte of bundles a second, the answers
+    to its own callers wait behind them, and plain calls come a second late. The instances with the
+    widest links are the relays.
+
     Failure: all relays of a domain end at once, and its instances hear of nobody any more. They
     tell each other directly then, which shows who is left and names the next relays.
 
@@ -120,15 +124,21 @@
         }
         if domain == self._record.failure_domain:
             records[self._record.name] = self._record
-        return [records[name] for name in rank(RELAY_KEY, records)[:RELAYS_EACH]]
+        return [records[name] for name in _rank_relays(records)[:RELAYS_EACH]]
 
     def _drop_own(self, records: list[InstanceRecord]) -> list[InstanceRecord]:
         return [one for one in records if one.name != self._record.name]
 
 
+def _rank_relays(records: dict[str, InstanceRecord]) -> list[str]:
+    """Return the names of a domain's instances in the order in which they are to be relays."""
+    # The sort keeps the order of the ranking among links of the same width.
+    return sorted(rank(RELAY_KEY, records), key=lambda name: records[name].link_mbps, reverse=True)
+
+
 def _take_turn(known: dict[str, InstanceRecord], *, now: float) -> list[InstanceRecord]:
     """Return the instances of a domain whose turn it is, the usual relays first."""
-    names = rank(RELAY_KEY, known)
+    names = _rank_relays(known)
     first = int(now / TURN_S) * RELAYS_EACH
     turns = [names[(first + number) % len(names)] for number in range(RELAYS_EACH)]
     usual = names[:RELAYS_EACH]
--- a/src/guavamast/relay/beats.py
+++ b/src/guavamast/relay/beats.py
@@ -105,6 +105,7 @@
             record.region,
             record.callers_address,
             record.peer_port,
+            record.link_mbps,
         ],
         "inc": beat.incarnation,
         "seq": beat.sequence,
@@ -134,7 +135,7 @@
 def _from_fields(fields: dict[str, Any]) -> Beat:
     if fields["v"] != 1:
         raise MalformedBeat("unknown version")
-    name, ip, domain, region, address, port = fields["who"]
+    name, ip, domain, region, address, port, link_mbps = fields["who"]
     return Beat(
         record=InstanceRecord(
             name=str(name),
@@ -143,6 +144,7 @@
             region=str(region),
             callers_address=str(address),
             peer_port=int(port),
+            link_mbps=float(link_mbps),
         ),
         incarnation=int(fields["inc"]),
         sequence=int(fields["seq"]),
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -140,7 +140,7 @@
         others = [record for record in candidates if record.endpoint_id not in exclude]
         home = _find_home(placement, others, lanes)
         if placement.loads_late:
-            others = self._sample(placement, others, home)
+            others = self._sample(placement, others, lanes, home)
         best: Choice | None = None
         least = float("inf")
         for record in others:
@@ -163,7 +163,11 @@
         return best
 
     def _sample(
-        self, placement: Placement, records: list[EndpointRecord], home: str | None
+        self,
+        placement: Placement,
+        records: list[EndpointRecord],
+        lanes: dict[str, int],
+        home: str | None,
     ) -> list[EndpointRecord]:
         """Return the endpoints that one request compares when loads are told late.
 
@@ -173,7 +177,10 @@
         """
         if len(records) <= SAMPLED_ENGINES:
             return records
-        sampled = {one.endpoint_id for one in self._random.sample(records, SAMPLED_ENGINES)}
+        own_lane = [one for one in records if lanes.get(one.endpoint_id) == placement.lane]
+        pool = own_lane or records
+        number = min(SAMPLED_ENGINES, max(1, len(pool) // 2))
+        sampled = {one.endpoint_id for one in self._random.sample(pool, number)}
         return [
             one
             for one in records
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -92,6 +92,7 @@
             region=settings.region,
             callers_address=str(settings.callers),
             peer_port=settings.peers.port,
+            link_mbps=settings.link_mbps,
         )
         self._store = store
         self._random = Random(f"{settings.name}{os.getpid()}{time.time_ns()}")
--- a/src/guavamast/relay/node_settings.py
+++ b/src/guavamast/relay/node_settings.py
@@ -43,3 +43,5 @@
     repeat_slack: float
     """Repeats allowed in a window beyond the ratio, over all instances."""
     repeat_window_s: float
+    link_mbps: float = 0.0
+    """Width of the instance's link in Mbit/s; 0 if not stated."""
--- a/src/guavamast/relay/prompt_lanes.py
+++ b/src/guavamast/relay/prompt_lanes.py
@@ -21,7 +21,7 @@
 LANES: Final = len(LANE_READING_SHARES) + 1
 LANE_ROOM: Final = (1.5, 1.3, 1.0)
 """Room of each lane relative to its work: the shorter the prompts, the sooner they are due."""
-DEMAND_HALF_LIFE_S: Final = 8.0
+DEMAND_HALF_LIFE_S: Final = 4.0
 """Time in which half of the demand seen is forgotten: bursts last some seconds."""
 TOKEN_SHARE: Final = 1 / 20
 """Share of the time of a generated token that counts as its engine's: a busy engine makes a token
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -8,7 +8,6 @@
 from guavamast.relay.admission import admit
 from guavamast.relay.attempt import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Denied
-from guavamast.relay.caller_returns import CallerReturns
 from guavamast.relay.endpoint_choice import Placement
 from guavamast.relay.request_progress import begin_progress
 
@@ -79,7 +78,6 @@
         "_profiles",
         "_random",
         "_read_time",
-        "_returns",
         "in_flight",
     )
 
@@ -111,7 +109,6 @@
         self._random = random
         self._notes = notes
         self._read_time = read_time
-        self._returns = CallerReturns()
         self.in_flight = 0
         """Requests being relayed."""
 
@@ -143,8 +140,7 @@
 
     def _begin(self, request: CallerRequest, admitted: Admitted, *, now: float) -> RequestProgress:
         """Return the state of a request, and count it in the demand of its lane."""
-        route = admitted.route
-        service = route.pick_service(request.request_id)
+        service = admitted.route.pick_service(request.request_id)
         profile = self._profiles.find(service, now=now)
         progress = begin_progress(
             request,
@@ -152,7 +148,6 @@
             service=service,
             shortest_s=self._knowledge.find_shortest_objective(service),
             profile=profile,
-            returned=self._returns.measure_spent(route.name, request.patience_s, now=now) > 0.0,
         )
         if request.prompt_tokens:
             self._notes.note_profile(service, profile)
@@ -179,7 +174,6 @@
                     choice.forecast,
                     objective_s=objective_s,
                     patient=progress.patient,
-                    returned=progress.returned,
                     random=self._random,
                 )
                 if later is not None:
@@ -262,7 +256,6 @@
             later,
             choice,
             route=progress.admitted.route.name,
-            returned=progress.returned,
             now=self._read_time(),
         )
 
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -141,7 +141,6 @@
         choice: Choice,
         *,
         route: str,
-        returned: bool,
         now: float,
     ) -> None:
         """Note a request that is refused for want of room."""
@@ -158,7 +157,6 @@
             expected_wait_ms=round(expected.waiting_ms) if expected else None,
             prompt_tokens=request.prompt_tokens,
             retry_after_s=round(later.retry_after_s, 3),
-            returned=returned,
         )
 
     def note_answer(
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -28,8 +28,6 @@
     """Which engines are meant for the request's prompt."""
     patient: bool
     """Whether it has far more time than the most urgent requests of its service."""
-    returned: bool
-    """Whether its caller was refused before, by the time that it still waits."""
     delicate: bool
     """Whether long prompts that are read beside it would make it late."""
     timing: StreamTiming
@@ -53,7 +51,6 @@
     service: str,
     shortest_s: float,
     profile: EngineProfile,
-    returned: bool,
 ) -> RequestProgress:
     """Return the state of a request that was just admitted.
 
@@ -63,7 +60,6 @@
         service: The one among the route's services that it goes to.
         shortest_s: Time in which the most urgent streams of that service are due.
         profile: How fast the service's engines are.
-        returned: Whether its caller was refused before.
     """
     objective_s = admitted.route.objective_s
     delicate = is_delicate(admitted.route, profile)
@@ -79,7 +75,6 @@
         ends_at=request.arrived + patience_s,
         # Among long prompts its pauses would be too long, however short its own prompt's reading.
         lane=0 if delicate else lane,
-        returned=returned,
         delicate=delicate,
         patient=is_patient(objective_s, shortest_s=shortest_s),
         timing=StreamTiming(arrived=request.arrived),
--- a/src/guavamast/relay/store.py
+++ b/src/guavamast/relay/store.py
@@ -53,6 +53,8 @@
     callers_address: str
     """``IP:PORT`` to which callers connect."""
     peer_port: int
+    link_mbps: float = 0.0
+    """Width of its link in Mbit/s; 0 if not stated."""
     """UDP port for the beats of other instances."""
 
 
--- a/tests/test_relay_beat_exchange.py
+++ b/tests/test_relay_beat_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 from guavamast.relay.beat_exchange import EXCHANGE_INTERVAL_S, BeatExchange
@@ -15,6 +16,15 @@
 from guavamast.relay.store import EndpointReading, InstanceRecord
 from tests.relay_facts import make_endpoint
 
+NARROW = InstanceRecord(
+    name="x",
+    ip="10.0.0.1",
+    failure_domain="a",
+    region="r",
+    callers_address="10.0.0.1:80",
+    peer_port=1,
+    link_mbps=5.0,
+)
 DOMAINS = ("a", "b", "c", "d")
 INSTANCES = 40
 
@@ -140,6 +150,26 @@
             self.deliver()
 
 
+class RelaysByLinkTest(unittest.TestCase):
+    """Relays are the instances with the widest links, whatever their names.
+
+    The pattern: most instances have links of 5 Mbit/s, two in a domain 100. A relay of 112
+    instances sends 5 Mbit/s of bundles; on a narrow link its callers' answers wait a second.
+    """
+
+    def test_widest_links_first(self) -> None:
+        beat = Member(0, Network()).make_beat()
+        peers = Peers(own_name="x")
+        for number in range(INSTANCES):
+            link_mbps = 100.0 if number in (17, 31) else 5.0
+            record = replace(NARROW, name=f"n{number}", link_mbps=link_mbps)
+            peers.take(replace(beat, record=record), now=0.0)
+        relays = BeatRelays(record=NARROW, peers=peers)
+        relays.note_bundle(now=0.0)
+        self.assertEqual({one.name for one in relays.list_own_targets(now=0.0)}, {"n17", "n31"})
+        self.assertFalse(relays.is_relay(now=0.0))
+
+
 class RelayedBeatsTest(unittest.IsolatedAsyncioTestCase):
     """What many instances know of each other."""
 
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -15,7 +15,14 @@
 from guavamast.relay.engine_model import Forecast, estimate_late_share, forecast
 from guavamast.relay.engine_profile import EngineProfile
 from guavamast.relay.prompt_cache import PromptCache, PromptSend
-from guavamast.relay.prompt_lanes import LANES, Demand, PromptDemand, assign_lanes, find_lane
+from guavamast.relay.prompt_lanes import (
+    DEMAND_HALF_LIFE_S,
+    LANES,
+    Demand,
+    PromptDemand,
+    assign_lanes,
+    find_lane,
+)
 from tests.relay_facts import PROFILE, make_endpoint, make_parts
 
 SHARES = (0.2, 0.2, 0.6)
@@ -65,13 +72,26 @@
         self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(20)]
         for number in range(1, 20):
             self.loads.take_peer(f"p{number}", {f"e{number}": Load(requests=5)})
-        self.placement = replace(self.placement, prompt_parts=(), lane=0)
+        all_in_one = (1.0, 0.0, 0.0)
+        self.placement = replace(self.placement, prompt_parts=(), lane=0, lane_shares=all_in_one)
         self.assertEqual({self.choose(seed=seed) for seed in range(60)}, {"e0"})
         self.placement = replace(self.placement, loads_late=True)
         choices = [self.choose(seed=seed) for seed in range(60)]
         self.assertLess(choices.count("e0"), 30)
         self.assertGreater(len(set(choices)), 8)
 
+    def test_late_loads_leave_prompts_in_their_lane(self) -> None:
+        """A short prompt is not sent among long ones because these were all that was looked at."""
+        self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(20)]
+        shares = (0.2, 0.8, 0.0)
+        lanes = assign_lanes(self.endpoints, shares)
+        self.placement = replace(
+            self.placement, prompt_parts=(), lane=0, lane_shares=shares, loads_late=True
+        )
+        chosen = [self.choose(seed=seed) for seed in range(60)]
+        self.assertEqual({lanes[str(name)] for name in chosen}, {0})
+        self.assertGreater(len(set(chosen)), 2)
+
     def test_late_loads_keep_sessions_where_they_are(self) -> None:
         self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(20)]
         self.placement = replace(self.placement, loads_late=True)
@@ -209,7 +229,7 @@
         self.assertEqual(demand.compute_shares(), (0.0, 0.0, 1.0))
         demand.take_peer("x", Demand(work_ms=(100.0, 0.0, 0.0)))
         self.assertAlmostEqual(demand.compute_shares()[0], 0.6)
-        self.assertAlmostEqual(demand.read_own(now=8.0).work_ms[2], 50.0)
+        self.assertAlmostEqual(demand.read_own(now=DEMAND_HALF_LIFE_S).work_ms[2], 50.0)
 
     def send_long_prompts(self, count: int, *, running: int) -> dict[str, int]:
         """Send long prompts at once; return how many each lane's engines got, by lane.
