Draw late loads towards their lanes' mean, trust homes, and let the most urgent wait longer on old news

A quarter of all tokens read were shared parts that some engine had, as nobody had heard yet which.

The costs of a choice stand in a module of their own, without change.

--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -18,6 +18,9 @@
 """Share of the objective for which a request may wait behind others; the rest is for its own
 prompt and the first event. The request's own length does not count, so that long ones are refused
 no sooner than short ones of their kind."""
+UNSURE_FACTOR: Final = 4.0
+"""Times as long may the most urgent requests wait by forecasts that rest on old news. Nothing goes
+before them at an engine, and where some are refused by mistake, less urgent ones are served."""
 LEAST_RETRY_S: Final = 0.1
 """Shortest time to come back: below it the room that was missing is not there yet."""
 LONGEST_RETRY_S: Final = 1.5
@@ -33,14 +36,17 @@
     retry_after_s: float
 
 
-def compute_allowed_wait(objective_s: float, *, patient: bool) -> float:
+def compute_allowed_wait(objective_s: float, *, patient: bool, unsure: bool = False) -> float:
     """Return the milliseconds that a request may wait by the forecast.
 
     Args:
         objective_s: Time to the first event that is promised.
         patient: Whether that is far more than the most urgent requests have.
+        unsure: Whether it is one of the most urgent and the forecast rests on old news.
     """
     share = WAITING_SHARE if patient else URGENT_WAITING_SHARE
+    if unsure:
+        share *= UNSURE_FACTOR
     return share * objective_s * 1000.0
 
 
@@ -49,6 +55,7 @@
     *,
     objective_s: float,
     patient: bool,
+    unsure: bool = False,
     random: Random,
 ) -> ComeBack | None:
     """Refuse a request that would wait too long where it would wait the least.
@@ -62,12 +69,13 @@
         forecast: What the request would meet at the best engine.
         objective_s: Time to the first event that is promised.
         patient: Whether that is far more than the most urgent requests have.
+        unsure: Whether it is one of the most urgent and the forecast rests on old news.
         random: Source of the spread.
 
     Returns:
         When to come back, or None if the request is to be sent.
     """
-    allowed_ms = compute_allowed_wait(objective_s, patient=patient)
+    allowed_ms = compute_allowed_wait(objective_s, patient=patient, unsure=unsure)
     if forecast.waiting_ms <= allowed_ms:
         return None
     excess_s = (forecast.waiting_ms - allowed_ms) / 1000.0
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -131,6 +131,7 @@
 
     __slots__ = (
         "_hosts",
+        "_least_urgencies",
         "_shortest_objectives",
         "_shortest_pauses",
         "_urgencies",
@@ -160,8 +161,9 @@
         for route in routes:
             self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
         self._urgencies = _rank_urgencies(routes, organisations)
-        self._shortest_objectives = _find_shortest(routes, lambda route: route.objective_s)
-        self._shortest_pauses = _find_shortest(routes, lambda route: route.longest_pause_s)
+        self._least_urgencies = _find_least(routes, lambda route: float(route.urgency))
+        self._shortest_objectives = _find_least(routes, lambda route: route.objective_s)
+        self._shortest_pauses = _find_least(routes, lambda route: route.longest_pause_s)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host whose prefix is the longest that begins the path.
@@ -194,6 +196,10 @@
         """Return the seconds in which the most urgent streams of a service are due."""
         return self._shortest_objectives.get(service, float("inf"))
 
+    def is_first(self, route: Route, service: str) -> bool:
+        """Return whether no stream of a service goes before those of a route."""
+        return route.urgency <= self._least_urgencies.get(service, float("inf"))
+
     def find_shortest_pause(self, service: str) -> float:
         """Return the shortest of the longest pauses that the streams of a service may have."""
         return self._shortest_pauses.get(service, float("inf"))
@@ -205,18 +211,18 @@
         return self.organisations.get(key)
 
 
-def _find_shortest(
-    routes: list[Route], read_s: Callable[[Route], float | None]
+def _find_least(
+    routes: list[Route], read_value: Callable[[Route], float | None]
 ) -> dict[str, float]:
     """Return the least of the values that streams have, by service."""
-    shortest: dict[str, float] = {}
+    least: dict[str, float] = {}
     for route in routes:
-        value_s = read_s(route)
-        if route.kind is not RouteKind.STREAM or value_s is None:
+        value = read_value(route)
+        if route.kind is not RouteKind.STREAM or value is None:
             continue
         for entry in route.services:
-            shortest[entry.service] = min(shortest.get(entry.service, float("inf")), value_s)
-    return shortest
+            least[entry.service] = min(least.get(entry.service, float("inf")), value)
+    return least
 
 
 def _combine(route: Route, organisation: CallerOrganisation | None) -> int:
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -5,8 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.disturbance import estimate_disturbed_share
-from guavamast.relay.engine_model import Forecast, estimate_late_share, forecast
+from guavamast.relay.choice_costs import (
+    weigh_disturbance,
+    weigh_engine,
+    weigh_failures,
+    weigh_home,
+    weigh_lane,
+    weigh_link,
+    weigh_plain_load,
+)
+from guavamast.relay.engine_model import Forecast, forecast
+from guavamast.relay.late_loads import blend_loads
 from guavamast.relay.prompt_lanes import assign_lanes
 from guavamast.rendezvous import compute_weight
 
@@ -20,33 +29,11 @@
     from guavamast.relay.messages import PromptPart
     from guavamast.relay.prompt_cache import PromptCache
 
-REREAD_WEIGHT: Final = 4.5
-"""Weight of reading a shared part again beyond the time that it takes: it is also paid for, and it
-pushes other parts out of the cache."""
-HOME_MS: Final = 8.0
-"""Weight of the engine that all instances would choose for a part that none has read yet, so that
-requests that come at the same time at several instances meet there."""
-DELAYED_ALWAYS: Final = 2.0
-"""Requests of a lane of shorter prompts that come while one longer prompt is read there."""
-DELAYED_RUNNING: Final = 0.25
-"""Share of the requests that run there which a longer prompt delays beyond their pauses."""
-LONGER_LANE_COST_MS: Final = 60.0
-"""Weight of each lane beyond its own for a shorter prompt: a long one may come before it."""
-RUNNING_COST_MS: Final = 2.5
-"""Delay that each request at an engine adds to a new one: a longer step for each token."""
-FULL_COST_MS: Final = 150.0
-"""Wait for each call beyond the slots of a plain endpoint: more than the work of a usual call."""
-FAILURE_COST_MS: Final = 400.0
-"""Weight of one recent failure, above the greatest gain of a cached prompt."""
-LATE_COST_MS: Final = 400.0
-"""Weight of one answer that becomes late, as much as that of a failure."""
-OTHER_DOMAIN_COST_MS: Final = 2.0
-"""A round trip between failure domains and the price of the bytes."""
-PLAIN_SLOT_COST_MS: Final = 60.0
-"""Weight of a fully taken plain endpoint: about the work of one call."""
 SAMPLED_ENGINES: Final = 4
 """Engines that are compared beside those that have a part of the prompt, when loads are told late:
 with few, two instances seldom look at the same ones; with more, all would choose the same again."""
+SAMPLED_OTHERS: Final = 2
+"""The same of other lanes, for when the own lane is full."""
 JITTER_MS: Final = 1.0
 """Spreads choices among equal endpoints."""
 
@@ -102,6 +89,28 @@
     """Whether the endpoint is meant for prompts like it."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Meeting:
+    """One request at one endpoint, as far as that is known before the send."""
+
+    record: EndpointRecord
+    load: Load
+    unread_tokens: int
+    expected: Forecast | None
+    """None for plain services."""
+    lane: int | None
+    """The endpoint's; None for plain services."""
+
+    def make_choice(self, placement: Placement) -> Choice:
+        """Return the choice of this endpoint."""
+        return Choice(
+            record=self.record,
+            forecast=self.expected,
+            unread_tokens=self.unread_tokens,
+            own_lane=self.lane is None or self.lane == placement.lane,
+        )
+
+
 class EndpointChooser:
     """Chooses endpoints by what is known of their load, failures and memory.
 
@@ -139,29 +148,52 @@
             lanes = assign_lanes(candidates, placement.lane_shares)
         others = [record for record in candidates if record.endpoint_id not in exclude]
         home = _find_home(placement, others, lanes)
+        loads = {one.endpoint_id: self._loads.sum_up(one.endpoint_id) for one in others}
         if placement.loads_late:
+            if lanes:
+                loads = blend_loads(loads, lanes)
             others = self._sample(placement, others, lanes, home)
         best: Choice | None = None
         least = float("inf")
         for record in others:
-            load = self._loads.sum_up(record.endpoint_id)
-            unread = placement.prompt_tokens - self._count_cached(placement, record)
-            expected = _forecast(placement, record, load, unread)
-            cost = self._estimate_cost(placement, record, load, expected, unread, now=now)
-            lane = lanes.get(record.endpoint_id)
-            if lane is not None:
-                cost += _weigh_lane(placement, load, lane)
-                cost += _weigh_disturbance(placement, load, lane, unread)
-            cost += self._random.random() * JITTER_MS
-            cost -= HOME_MS * (record.endpoint_id == home)
+            meeting = self._describe_meeting(placement, record, loads, lanes)
+            cost = self._estimate_cost(placement, meeting, now=now)
+            if record.endpoint_id == home:
+                cost -= weigh_home(placement, meeting.unread_tokens)
             if cost < least:
-                own_lane = lane is None or lane == placement.lane
-                best = Choice(
-                    record=record, forecast=expected, unread_tokens=unread, own_lane=own_lane
-                )
+                best = meeting.make_choice(placement)
                 least = cost
         return best
 
+    def _describe_meeting(
+        self,
+        placement: Placement,
+        record: EndpointRecord,
+        loads: dict[str, Load],
+        lanes: dict[str, int],
+    ) -> _Meeting:
+        load = loads[record.endpoint_id]
+        unread_tokens = placement.prompt_tokens - self._count_cached(placement, record)
+        return _Meeting(
+            record=record,
+            load=load,
+            unread_tokens=unread_tokens,
+            expected=_forecast(placement, record, load, unread_tokens),
+            lane=lanes.get(record.endpoint_id),
+        )
+
+    def _estimate_cost(self, placement: Placement, meeting: _Meeting, *, now: float) -> float:
+        """Return the delay in milliseconds that the request would meet, with prices as delays."""
+        record, load = meeting.record, meeting.load
+        cost = weigh_failures(self._loads.read_failures(record.endpoint_id, now=now))
+        cost += weigh_link(placement, record)
+        cost += self._random.random() * JITTER_MS
+        if meeting.expected is None or meeting.lane is None:
+            return cost + weigh_plain_load(record, load)
+        cost += weigh_engine(placement, load, meeting.expected, meeting.unread_tokens)
+        cost += weigh_lane(placement, load, meeting.lane)
+        return cost + weigh_disturbance(placement, load, meeting.lane, meeting.unread_tokens)
+
     def _sample(
         self,
         placement: Placement,
@@ -177,10 +209,15 @@
         """
         if len(records) <= SAMPLED_ENGINES:
             return records
-        own_lane = [one for one in records if lanes.get(one.endpoint_id) == placement.lane]
-        pool = own_lane or records
-        number = min(SAMPLED_ENGINES, max(1, len(pool) // 2))
-        sampled = {one.endpoint_id for one in self._random.sample(pool, number)}
+        # Plain endpoints have no lanes; all of them are alike.
+        found = {one.endpoint_id: lanes.get(one.endpoint_id, placement.lane) for one in records}
+        own_lane = [one for one in records if found[one.endpoint_id] == placement.lane]
+        others = [one for one in records if found[one.endpoint_id] != placement.lane]
+        sampled = {
+            one.endpoint_id
+            for pool, most in ((own_lane, SAMPLED_ENGINES), (others, SAMPLED_OTHERS))
+            for one in self._random.sample(pool, min(most, (len(pool) + 1) // 2))
+        }
         return [
             one
             for one in records
@@ -194,32 +231,6 @@
             record.endpoint_id, placement.shared_parts, memory_tokens=placement.memory_tokens
         )
 
-    def _estimate_cost(
-        self,
-        placement: Placement,
-        record: EndpointRecord,
-        load: Load,
-        expected: Forecast | None,
-        unread_tokens: int,
-        *,
-        now: float,
-    ) -> float:
-        """Return the delay in milliseconds that the request would meet, with prices as delays."""
-        cost = FAILURE_COST_MS * self._loads.read_failures(record.endpoint_id, now=now)
-        if record.failure_domain != placement.failure_domain:
-            cost += OTHER_DOMAIN_COST_MS
-        if expected is None:
-            cost += FULL_COST_MS * max(0, load.requests + 1 - record.slots)
-            return cost + PLAIN_SLOT_COST_MS * load.requests / max(1, record.slots)
-        cached = placement.prompt_tokens - unread_tokens
-        reread = placement.shared_tokens - cached
-        cost += REREAD_WEIGHT * placement.profile.compute_reading_ms(reread)
-        late_share = estimate_late_share(
-            expected.first_event_ms, due_ms=placement.objective_s * 1e3
-        )
-        cost += LATE_COST_MS * late_share
-        return cost + expected.first_event_ms + RUNNING_COST_MS * load.requests
-
 
 def _forecast(
     placement: Placement, record: EndpointRecord, load: Load, unread_tokens: int
@@ -238,37 +249,6 @@
     )
 
 
-def _weigh_lane(placement: Placement, load: Load, lane: int) -> float:
-    """Return the milliseconds that count against an engine of another lane than the prompt's.
-
-    A long prompt among short ones makes those wait that run or come there, the more the busier the
-    engine is; while it is idle, a long prompt is better off there than in a queue.
-    """
-    if lane >= placement.lane:
-        return LONGER_LANE_COST_MS * (lane - placement.lane)
-    delayed = DELAYED_ALWAYS + DELAYED_RUNNING * load.requests
-    return delayed * placement.profile.compute_reading_ms(placement.prompt_tokens)
-
-
-def _weigh_disturbance(placement: Placement, load: Load, lane: int, unread_tokens: int) -> float:
-    """Return the milliseconds that count for streams whose pauses would become too long.
-
-    For a delicate request that is its own stream, by what its engine has to read and will be given
-    to read; for any other the delicate ones that run at the engine, by the request's own prompt.
-    """
-    compute_reading_ms = placement.profile.compute_reading_ms
-    pause_s = placement.shortest_pause_s
-    if placement.delicate:
-        if lane > placement.lane:
-            return LATE_COST_MS
-        reading_ms = compute_reading_ms(load.prefill_tokens)
-        return LATE_COST_MS * estimate_disturbed_share(reading_ms, pause_s=pause_s)
-    if load.delicate == 0:
-        return 0.0
-    late_share = estimate_disturbed_share(compute_reading_ms(unread_tokens), pause_s=pause_s)
-    return LATE_COST_MS * load.delicate * late_share
-
-
 def _find_home(
     placement: Placement, candidates: list[EndpointRecord], lanes: dict[str, int]
 ) -> str | None:
--- a/src/guavamast/relay/fleet_knowledge.py
+++ b/src/guavamast/relay/fleet_knowledge.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.beats import Beat
-    from guavamast.relay.catalog import Catalog, ServiceRule
+    from guavamast.relay.catalog import Catalog, Route, ServiceRule
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.peers import Peers
     from guavamast.relay.store import CatalogReading, EndpointReading
@@ -93,6 +93,10 @@
         """Return the seconds in which the most urgent streams of a service are due."""
         return self.catalog.find_shortest_objective(service_name) if self.catalog else float("inf")
 
+    def is_first(self, route: Route, service_name: str) -> bool:
+        """Return whether no stream of a service goes before those of a route."""
+        return self.catalog is not None and self.catalog.is_first(route, service_name)
+
     def find_shortest_pause(self, service_name: str) -> float:
         """Return the shortest of the longest pauses that the streams of a service may have."""
         return self.catalog.find_shortest_pause(service_name) if self.catalog else float("inf")
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -148,6 +148,7 @@
             service=service,
             shortest_s=self._knowledge.find_shortest_objective(service),
             profile=profile,
+            first=self._knowledge.is_first(admitted.route, service),
         )
         if request.prompt_tokens:
             self._notes.note_profile(service, profile)
@@ -174,6 +175,7 @@
                     choice.forecast,
                     objective_s=objective_s,
                     patient=progress.patient,
+                    unsure=self._knowledge.peers.relayed and progress.first,
                     random=self._random,
                 )
                 if later is not None:
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -28,6 +28,8 @@
     """Which engines are meant for the request's prompt."""
     patient: bool
     """Whether it has far more time than the most urgent requests of its service."""
+    first: bool
+    """Whether no stream of its service goes before it."""
     delicate: bool
     """Whether long prompts that are read beside it would make it late."""
     timing: StreamTiming
@@ -51,6 +53,7 @@
     service: str,
     shortest_s: float,
     profile: EngineProfile,
+    first: bool,
 ) -> RequestProgress:
     """Return the state of a request that was just admitted.
 
@@ -60,6 +63,7 @@
         service: The one among the route's services that it goes to.
         shortest_s: Time in which the most urgent streams of that service are due.
         profile: How fast the service's engines are.
+        first: Whether no stream of that service goes before it.
     """
     objective_s = admitted.route.objective_s
     delicate = is_delicate(admitted.route, profile)
@@ -75,6 +79,7 @@
         ends_at=request.arrived + patience_s,
         # Among long prompts its pauses would be too long, however short its own prompt's reading.
         lane=0 if delicate else lane,
+        first=first,
         delicate=delicate,
         patient=is_patient(objective_s, shortest_s=shortest_s),
         timing=StreamTiming(arrived=request.arrived),
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -61,6 +61,13 @@
         self.assertEqual(settings.peers.port, 7340)
         self.assertEqual(settings.revocation_s, 5.0)
 
+    def test_the_link_may_be_left_out_but_not_be_wrong(self) -> None:
+        self.assertEqual(decode_settings(SETTINGS, file="f").link_mbps, 0.0)
+        wide = SETTINGS | {"limits": {"link_mbps": 100.0}}
+        self.assertEqual(decode_settings(wide, file="f").link_mbps, 100.0)
+        with self.assertRaises(FindingsError):
+            decode_settings(SETTINGS | {"limits": {"link_mbps": "wide"}}, file="f")
+
     def test_all_findings_at_once(self) -> None:
         broken = SETTINGS | {"ip": 5, "listen": {"front": "nowhere"}, "zone": None}
         with self.assertRaises(FindingsError) as caught:
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -14,6 +14,7 @@
 from guavamast.relay.endpoint_load import EndpointLoads, Load
 from guavamast.relay.engine_model import Forecast, estimate_late_share, forecast
 from guavamast.relay.engine_profile import EngineProfile
+from guavamast.relay.late_loads import blend_loads
 from guavamast.relay.prompt_cache import PromptCache, PromptSend
 from guavamast.relay.prompt_lanes import (
     DEMAND_HALF_LIFE_S,
@@ -80,6 +81,36 @@
         self.assertLess(choices.count("e0"), 30)
         self.assertGreater(len(set(choices)), 8)
 
+    def test_late_news_of_caches_sends_a_part_to_its_home_all_the_same(self) -> None:
+        """Long prompts with the same part come to a hundred instances within a second.
+
+        None has heard of the others' sends yet. Their home is 100 ms behind; sent elsewhere, each
+        of them would have the part read again, 88 ms at each engine and paid for.
+        """
+        self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(20)]
+        home = self.choose()
+        assert home is not None
+        self.loads.take_peer("peer", {home: Load(requests=4, prefill_tokens=6_000)})
+        for loads_late in (False, True):
+            self.placement = replace(self.placement, loads_late=loads_late)
+            chosen = {self.choose(seed=seed) for seed in range(20)}
+            self.assertEqual(chosen == {home}, loads_late)
+
+    def test_late_loads_are_drawn_towards_the_mean_of_their_lane(self) -> None:
+        """One engine was told full a second ago and is not refused for it while its lane has room.
+
+        Eight engines of a lane have little to read; of the ninth 30,000 tokens were told, 500 ms of
+        reading. By the time that is known, a good part of it has been read.
+        """
+        lanes = {f"e{number}": 0 for number in range(9)} | {"other": 1}
+        loads = {name: Load(requests=2, prefill_tokens=3_000, delicate=1) for name in lanes}
+        loads["e0"] = Load(requests=10, prefill_tokens=30_000, delicate=4)
+        loads["other"] = Load(requests=9, prefill_tokens=9_000)
+        blended = blend_loads(loads, lanes)
+        self.assertEqual(blended["e0"], Load(requests=6, prefill_tokens=18_000, delicate=4))
+        self.assertEqual(blended["e1"].prefill_tokens, 4_500)
+        self.assertEqual(blended["other"], loads["other"])
+
     def test_late_loads_leave_prompts_in_their_lane(self) -> None:
         """A short prompt is not sent among long ones because these were all that was looked at."""
         self.endpoints = [make_endpoint(f"e{number}", slots=64) for number in range(20)]
@@ -322,6 +353,23 @@
             refusal = admit(expected, objective_s=2.0, patient=True, random=Random(1))
             self.assertEqual(refusal is not None, loads_late)
 
+    def test_the_most_urgent_are_not_refused_for_old_news(self) -> None:
+        """Engines were told 300 ms behind a second ago; less urgent prompts come meanwhile.
+
+        Urgent ones go before them at the engine, whatever waits there. Refused, they would get
+        nothing while the others are served. A queue that is far too long still sends them back.
+        """
+        for waiting_ms, unsure, refused in (
+            (300.0, False, True),
+            (300.0, True, False),
+            (950.0, True, True),
+        ):
+            expected = Forecast(start_ms=40.0, waiting_ms=waiting_ms, reading_ms=10.0)
+            refusal = admit(
+                expected, objective_s=0.3, patient=False, unsure=unsure, random=Random(1)
+            )
+            self.assertEqual(refusal is not None, refused, (waiting_ms, unsure))
+
     def test_the_share_of_late_first_events_grows_with_their_forecast(self) -> None:
         shares = [estimate_late_share(ms, due_ms=600.0) for ms in (300.0, 420.0, 600.0, 900.0)]
         for share, expected in zip(shares, (0.0, 0.0, 0.5, 1.0), strict=True):
