--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -18,9 +18,12 @@
 """Share of the objective for which a request may wait behind others; the rest is for its own
 prompt and the first event. The request's own length does not count, so that long ones are refused
 no sooner than short ones of their kind."""
-UNSURE_FACTOR: Final = 4.0
-"""Times as long may the most urgent requests wait by forecasts that rest on old news. Nothing goes
-before them at an engine, and where some are refused by mistake, less urgent ones are served."""
+OLD_NEWS_FACTOR: Final = 2.0
+"""Times as long may requests wait by forecasts that rest on news a second old. All instances have
+the same news: refused by it, callers leave engines idle until the next, which lets all in again."""
+FIRST_FACTOR: Final = 4.0
+"""The same for requests before which none goes at an engine: where some are refused by mistake,
+less urgent ones are served meanwhile."""
 LEAST_RETRY_S: Final = 0.1
 """Shortest time to come back: below it the room that was missing is not there yet."""
 LONGEST_RETRY_S: Final = 1.5
@@ -36,28 +39,29 @@
     retry_after_s: float
 
 
-def compute_allowed_wait(objective_s: float, *, patient: bool, unsure: bool = False) -> float:
-    """Return the milliseconds that a request may wait by the forecast.
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitTerms:
+    """What decides how long a request may wait."""
 
-    Args:
-        objective_s: Time to the first event that is promised.
-        patient: Whether that is far more than the most urgent requests have.
-        unsure: Whether it is one of the most urgent and the forecast rests on old news.
-    """
-    share = WAITING_SHARE if patient else URGENT_WAITING_SHARE
-    if unsure:
-        share *= UNSURE_FACTOR
-    return share * objective_s * 1000.0
-
-
-def admit(
-    forecast: Forecast,
-    *,
-    objective_s: float,
-    patient: bool,
-    unsure: bool = False,
-    random: Random,
-) -> ComeBack | None:
+    objective_s: float
+    """Time to the first event that is promised."""
+    patient: bool = False
+    """Whether that is far more than the most urgent requests have."""
+    first: bool = False
+    """Whether no stream of its service goes before it."""
+    old_news: bool = False
+    """Whether forecasts rest on loads that are told late."""
+
+
+def compute_allowed_wait(terms: WaitTerms) -> float:
+    """Return the milliseconds that a request may wait by the forecast."""
+    share = WAITING_SHARE if terms.patient else URGENT_WAITING_SHARE
+    if terms.old_news:
+        share *= FIRST_FACTOR if terms.first else OLD_NEWS_FACTOR
+    return share * terms.objective_s * 1000.0
+
+
+def admit(forecast: Forecast, terms: WaitTerms, *, random: Random) -> ComeBack | None:
     """Refuse a request that would wait too long where it would wait the least.
 
     Failure: more is asked for than the engines can do, every request is queued, and after some
@@ -67,15 +71,13 @@
 
     Args:
         forecast: What the request would meet at the best engine.
-        objective_s: Time to the first event that is promised.
-        patient: Whether that is far more than the most urgent requests have.
-        unsure: Whether it is one of the most urgent and the forecast rests on old news.
+        terms: How long it may wait.
         random: Source of the spread.
 
     Returns:
         When to come back, or None if the request is to be sent.
     """
-    allowed_ms = compute_allowed_wait(objective_s, patient=patient, unsure=unsure)
+    allowed_ms = compute_allowed_wait(terms)
     if forecast.waiting_ms <= allowed_ms:
         return None
     excess_s = (forecast.waiting_ms - allowed_ms) / 1000.0
--- a/src/guavamast/relay/engine_model.py
+++ b/src/guavamast/relay/engine_model.py
@@ -28,6 +28,9 @@
 611,000 and as many again by chance."""
 MEMORY_WAIT_MS: Final = 1_000.0
 """Wait for a request that finds no memory: some running one has to end."""
+LATE_MEMORY_WAIT_MS: Final = 10_000.0
+"""The same where loads are told late: beyond any wait that is allowed then, as an engine without
+memory would stop some request and read its prompt again."""
 
 NEVER_LATE: Final = 0.7
 """Forecast of the first event, in shares of the time in which it is due, up to which it comes in
@@ -85,7 +88,7 @@
     slot_wait_ms = SLOT_WAIT_RUNS * profile.run_ms / max(1, slots)
     waiting_ms += slot_wait_ms * max(0, load.requests + 1 - slots)
     if memory_tokens and load.memory_tokens + needed_tokens > share * memory_tokens:
-        waiting_ms += MEMORY_WAIT_MS
+        waiting_ms += LATE_MEMORY_WAIT_MS if loads_late else MEMORY_WAIT_MS
     return Forecast(
         start_ms=profile.first_event_ms,
         waiting_ms=waiting_ms,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.admission import admit
+from guavamast.relay.admission import WaitTerms, admit
 from guavamast.relay.attempt import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Denied
 from guavamast.relay.endpoint_choice import Placement
@@ -170,14 +170,8 @@
                 await self._give_up(request, writer, progress, status=502, reason="no endpoint")
                 return
             if progress.sent == 0 and choice.forecast is not None:
-                objective_s = progress.admitted.route.objective_s
-                later = admit(
-                    choice.forecast,
-                    objective_s=objective_s,
-                    patient=progress.patient,
-                    unsure=self._knowledge.peers.relayed and progress.first,
-                    random=self._random,
-                )
+                terms = self._set_wait_terms(progress)
+                later = admit(choice.forecast, terms, random=self._random)
                 if later is not None:
                     await self._send_back(request, writer, progress, later, choice)
                     return
@@ -196,6 +190,14 @@
             else:
                 return
 
+    def _set_wait_terms(self, progress: RequestProgress) -> WaitTerms:
+        return WaitTerms(
+            objective_s=progress.admitted.route.objective_s,
+            patient=progress.patient,
+            first=progress.first,
+            old_news=self._knowledge.peers.relayed,
+        )
+
     def _choose(self, request: CallerRequest, progress: RequestProgress) -> Choice | None:
         now = self._read_time()
         return self._chooser.choose(
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -176,7 +176,8 @@
             self._counters.add(f'late_answers_total{{cause="{late}"}}')
         self._counters.add('requests_total{outcome="answered"}')
         self._counters.observe("request_seconds", took_s)
-        self._counters.observe("longest_pause_seconds", timing.longest_pause_s)
+        if timing.first_event_s is not None:
+            self._counters.observe("longest_pause_seconds", timing.longest_pause_s)
         self._log.write(
             "ended",
             now=now,
--- a/tests/test_log_report.py
+++ b/tests/test_log_report.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import json
+import tempfile
 import unittest
+from pathlib import Path
 from typing import Any
 
+from guavamast.cli import run
 from guavamast.log_report import GroupTally, read_lines, show_report, tally
 
 
@@ -70,6 +75,23 @@
         self.assertIn("100/100", shown)
         self.assertEqual(show_report(list[GroupTally]()), "none")
 
+    def test_the_command_prints_the_table_of_all_files(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "front-1.log"
+            path.write_text("".join(LINES), encoding="utf-8")
+            printed = io.StringIO()
+            with contextlib.redirect_stdout(printed):
+                code = run(["report", str(path), "--by", "endpoint"])
+        self.assertEqual(code, 0)
+        self.assertIn("LATE PAUSE", printed.getvalue())
+
+    def test_a_wrong_grouping_or_no_file_is_a_usage_error(self) -> None:
+        for words in (["report", "x.log", "--by", "colour"], ["report"]):
+            printed = io.StringIO()
+            with contextlib.redirect_stderr(printed):
+                self.assertEqual(run(words), 2)
+            self.assertIn("usage", printed.getvalue())
+
 
 if __name__ == "__main__":
     unittest.main()
