Hold each figure of the relay to its grounds; the most urgent wait eight times as long by old news

Three constants of the relay gave no grounds.

Change: the factor is 8 instead of 4: 1.6 s at an objective of 265 ms, still below the two seconds after which callers leave.

--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -21,9 +21,10 @@
 OLD_NEWS_FACTOR: Final = 2.0
 """Times as long may requests wait by forecasts that rest on news a second old. All instances have
 the same news: refused by it, callers leave engines idle until the next, which lets all in again."""
-FIRST_FACTOR: Final = 4.0
+FIRST_FACTOR: Final = 8.0
 """The same for requests before which none goes at an engine: where some are refused by mistake,
-less urgent ones are served meanwhile."""
+less urgent ones are served meanwhile. Six times an objective of some 300 ms is still below the two
+seconds after which callers leave a stream that brings nothing."""
 LEAST_RETRY_S: Final = 0.1
 """Shortest time to come back: below it the room that was missing is not there yet."""
 LONGEST_RETRY_S: Final = 1.5
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -33,9 +33,10 @@
 """Engines that are compared beside those that have a part of the prompt, when loads are told late:
 with few, two instances seldom look at the same ones; with more, all would choose the same again."""
 SAMPLED_OTHERS: Final = 2
-"""The same of other lanes, for when the own lane is full."""
+"""The same of other lanes, for when the own lane is full; half as many, as most are worse."""
 JITTER_MS: Final = 1.0
-"""Spreads choices among equal endpoints."""
+"""Greatest random part of a cost, to spread choices among equal endpoints: below all that tells one
+endpoint from another."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/guavamast/relay/read_schedule.py
+++ b/src/guavamast/relay/read_schedule.py
@@ -19,6 +19,7 @@
 SPREAD_S: Final = 0.3
 """Spread of the last ranks, and of all instances that fetch the same news."""
 BACKOFF_FIRST_S: Final = 0.3
+"""Pause after the first read that fails, half the interval of reads; doubled after each further."""
 BACKOFF_LONGEST_S: Final = 1.2
 """Longest pause between reads that fail: keys stop being accepted some four seconds after the last
 proof, so several reads fit in between."""
--- a/src/guavamast/relay/store_watch.py
+++ b/src/guavamast/relay/store_watch.py
@@ -20,7 +20,8 @@
 TICK_S: Final = 0.05
 """How often it is decided whether to read; a small part of the read interval."""
 REGISTER_RETRY_S: Final = 1.0
-"""Between two attempts to register."""
+"""Between two attempts to register: short beside the start of an instance, and one call a second
+from each of some hundred instances is a tenth of what the store takes."""
 
 
 class StoreWatch:
