--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -91,7 +91,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class _Meeting:
+class _Candidate:
     """One request at one endpoint, as far as that is known before the send."""
 
     record: EndpointRecord
@@ -157,25 +157,25 @@
         best: Choice | None = None
         least = float("inf")
         for record in others:
-            meeting = self._describe_meeting(placement, record, loads, lanes)
-            cost = self._estimate_cost(placement, meeting, now=now)
+            candidate = self._describe_candidate(placement, record, loads, lanes)
+            cost = self._estimate_cost(placement, candidate, now=now)
             if record.endpoint_id == home:
-                cost -= weigh_home(placement, meeting.unread_tokens)
+                cost -= weigh_home(placement, candidate.unread_tokens)
             if cost < least:
-                best = meeting.make_choice(placement)
+                best = candidate.make_choice(placement)
                 least = cost
         return best
 
-    def _describe_meeting(
+    def _describe_candidate(
         self,
         placement: Placement,
         record: EndpointRecord,
         loads: dict[str, Load],
         lanes: dict[str, int],
-    ) -> _Meeting:
+    ) -> _Candidate:
         load = loads[record.endpoint_id]
         unread_tokens = placement.prompt_tokens - self._count_cached(placement, record)
-        return _Meeting(
+        return _Candidate(
             record=record,
             load=load,
             unread_tokens=unread_tokens,
@@ -183,17 +183,17 @@
             lane=lanes.get(record.endpoint_id),
         )
 
-    def _estimate_cost(self, placement: Placement, meeting: _Meeting, *, now: float) -> float:
+    def _estimate_cost(self, placement: Placement, candidate: _Candidate, *, now: float) -> float:
         """Return the delay in milliseconds that the request would meet, with prices as delays."""
-        record, load = meeting.record, meeting.load
+        record, load = candidate.record, candidate.load
         cost = weigh_failures(self._loads.read_failures(record.endpoint_id, now=now))
         cost += weigh_link(placement, record)
         cost += self._random.random() * JITTER_MS
-        if meeting.expected is None or meeting.lane is None:
+        if candidate.expected is None or candidate.lane is None:
             return cost + weigh_plain_load(record, load)
-        cost += weigh_engine(placement, load, meeting.expected, meeting.unread_tokens)
-        cost += weigh_lane(placement, load, meeting.lane)
-        return cost + weigh_disturbance(placement, load, meeting.lane, meeting.unread_tokens)
+        cost += weigh_engine(placement, load, candidate.expected, candidate.unread_tokens)
+        cost += weigh_lane(placement, load, candidate.lane)
+        return cost + weigh_disturbance(placement, load, candidate.lane, candidate.unread_tokens)
 
     def _sample(
         self,
