--- /dev/null
+++ b/src/guavamast/relay/loop_delay.py
@@ -0,0 +1,42 @@
+"""How late the event loop of this process runs what is due."""
+
+from __future__ import annotations
+
+from typing import Final
+
+RECENT_S: Final = 1.0
+"""Seconds for which a delay is told: as long as a request usually waits for what was held up."""
+
+
+class LoopDelay:
+    """The greatest delay of the last second or two.
+
+    A process that is short of processor time takes messages, timeouts and requests late, and all
+    of them look like faults of others. The delay tells one from the other.
+    """
+
+    __slots__ = ("_before", "_began", "_greatest")
+
+    def __init__(self) -> None:
+        self._began = 0.0
+        self._greatest = 0.0
+        self._before = 0.0
+
+    def record(self, delay_s: float, *, now: float) -> None:
+        """Note how much later than due something ran."""
+        self._turn(now)
+        self._greatest = max(self._greatest, delay_s)
+
+    def read(self, *, now: float) -> float:
+        """Return the greatest delay in seconds that was noted lately."""
+        self._turn(now)
+        return max(self._greatest, self._before)
+
+    def _turn(self, now: float) -> None:
+        """Begin another span; of the spans before, the last one counts."""
+        if now - self._began < RECENT_S:
+            return
+        recent = now - self._began < 2 * RECENT_S
+        self._before = self._greatest if recent else 0.0
+        self._greatest = 0.0
+        self._began = now
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -27,6 +27,7 @@
 from guavamast.relay.fleet_knowledge import FleetKnowledge
 from guavamast.relay.listener import CallerListener, Question, QuestionListener
 from guavamast.relay.load_notices import LoadNotices
+from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peers import Peers, compute_beat_interval
 from guavamast.relay.prompt_cache import PromptCache
 from guavamast.relay.prompt_lanes import PromptDemand
@@ -102,6 +103,7 @@
         self._loads = EndpointLoads()
         self._cache = PromptCache()
         self._demand = PromptDemand()
+        self._loop_delay = LoopDelay()
         self._profiles = EngineProfiles()
         self._pool = ConnectionPool()
         self._gate = CallerGate(revocation_s=settings.revocation_s)
@@ -152,6 +154,7 @@
             record=self.record,
             log=self.log,
             counters=self.counters,
+            loop_delay=self._loop_delay,
             random=self._random,
             read_time=read_boot_time,
             announce=self._exchange.announce,
@@ -167,7 +170,12 @@
             window_s=settings.repeat_window_s,
         )
         budget = AttemptBudget(terms=terms)
-        notes = RequestNotes(log=self.log, counters=self.counters, knowledge=self.knowledge)
+        notes = RequestNotes(
+            log=self.log,
+            counters=self.counters,
+            knowledge=self.knowledge,
+            loop_delay=self._loop_delay,
+        )
         exchanger = Exchanger(
             knowledge=self.knowledge,
             loads=self._loads,
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -15,6 +15,7 @@
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import CallerRequest, SendTerms
     from guavamast.relay.request_progress import RequestProgress
 
@@ -26,14 +27,23 @@
         log: Where the lines go.
         counters: Where the metrics go.
         knowledge: For the versions that decisions rest on.
+        loop_delay: How late this process does what is due.
     """
 
-    __slots__ = ("_counters", "_knowledge", "_log")
+    __slots__ = ("_counters", "_knowledge", "_log", "_loop_delay")
 
-    def __init__(self, *, log: DecisionLog, counters: Counters, knowledge: FleetKnowledge) -> None:
+    def __init__(
+        self,
+        *,
+        log: DecisionLog,
+        counters: Counters,
+        knowledge: FleetKnowledge,
+        loop_delay: LoopDelay,
+    ) -> None:
         self._log = log
         self._counters = counters
         self._knowledge = knowledge
+        self._loop_delay = loop_delay
 
     def note_connection(self, *, new: bool) -> None:
         """Count a connection by whether it was kept from before."""
@@ -51,7 +61,11 @@
         now: float,
     ) -> None:
         """Note that a request goes to an endpoint."""
+        config_age_s = min(1e6, self._knowledge.compute_catalog_age(now=now))
+        endpoints_age_s = min(1e6, self._knowledge.compute_endpoints_age(now=now))
         self._counters.add(f'sends_total{{repeat="{str(sent > 1).lower()}"}}')
+        self._counters.observe("send_config_age_seconds", config_age_s)
+        self._counters.observe("send_endpoints_age_seconds", endpoints_age_s)
         self._log.write(
             "sent",
             now=now,
@@ -68,8 +82,10 @@
             time_left_s=round(terms.time_left_s or 0.0, 3),
             waited_s=round(now - request.arrived, 4),
             config_version=self._knowledge.catalog_version,
+            config_age_s=round(config_age_s, 2),
             endpoints_version=self._knowledge.endpoints.digest,
-            endpoints_age_s=round(self._knowledge.compute_endpoints_age(now=now), 2),
+            endpoints_age_s=round(endpoints_age_s, 2),
+            loop_delay_s=round(self._loop_delay.read(now=now), 3),
         )
 
     def note_first_event(self, request: CallerRequest, choice: Choice, *, now: float) -> None:
--- a/src/guavamast/relay/store_watch.py
+++ b/src/guavamast/relay/store_watch.py
@@ -15,6 +15,7 @@
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.store import EndpointReading, InstanceRecord, Store
 
 TICK_S: Final = 0.05
@@ -33,6 +34,7 @@
         record: This instance, to be registered.
         log: Decisions.
         counters: Metrics.
+        loop_delay: Told how late each round of the watch is.
         random: Spreads the reads of instances.
         read_time: The local clock.
         announce: Sends a beat with news.
@@ -48,6 +50,7 @@
         "_endpoint_schedule",
         "_knowledge",
         "_log",
+        "_loop_delay",
         "_read_time",
         "_record",
         "_store",
@@ -63,6 +66,7 @@
         record: InstanceRecord,
         log: DecisionLog,
         counters: Counters,
+        loop_delay: LoopDelay,
         random: Random,
         read_time: Callable[[], float],
         announce: Callable[[], None],
@@ -74,6 +78,7 @@
         self._record = record
         self._log = log
         self._counters = counters
+        self._loop_delay = loop_delay
         self._read_time = read_time
         self._announce = announce
         self._announce_to_all = announce_to_all
@@ -119,7 +124,7 @@
             )
             if due:
                 await self._read_catalog()
-            await asyncio.sleep(TICK_S)
+            await self._pause()
 
     def _rank(self, age_s: float, *, now: float) -> int:
         """Return the place among the readers; 0 while the proof is too young for any to read.
@@ -144,7 +149,18 @@
                 await self._read_endpoints()
             await asyncio.sleep(TICK_S)
 
+    async def _pause(self) -> None:
+        """Wait for the next round, and note how much later than due it begins."""
+        began = self._read_time()
+        await asyncio.sleep(TICK_S)
+        now = self._read_time()
+        delay_s = max(0.0, now - began - TICK_S)
+        self._loop_delay.record(delay_s, now=now)
+        self._counters.observe("loop_delay_seconds", delay_s)
+
     async def _read_catalog(self) -> None:
+        began = self._read_time()
+        former_age_s = self._knowledge.compute_catalog_age(now=began)
         try:
             reading = await self._store.read_catalog(known=self._knowledge.catalog)
         except StoreError as error:
@@ -152,7 +168,7 @@
             self._note_failure("read_configuration", error)
             return
         self._catalog_schedule.record_success()
-        self._note_success()
+        self._note_success(began=began)
         if self._knowledge.take_catalog(reading):
             catalog = self._knowledge.catalog
             self._log.write(
@@ -160,10 +176,12 @@
                 now=self._read_time(),
                 config_version=self._knowledge.catalog_version,
                 row_version=catalog.row_version if catalog else None,
+                former_age_s=round(min(1e6, former_age_s), 2),
             )
         self._announce()
 
     async def _read_endpoints(self) -> None:
+        began = self._read_time()
         heard_of = self._knowledge.newer_endpoints_heard
         try:
             reading = await self._store.read_endpoints()
@@ -172,7 +190,7 @@
             self._note_failure("read_endpoints", error)
             return
         self._endpoint_schedule.record_success()
-        self._note_success()
+        self._note_success(began=began)
         # Whoever reads because of another's word has nothing to tell: that one has told it already.
         if self.take_endpoints(reading, told=False) and not heard_of:
             self._tell_endpoints(reading)
@@ -185,17 +203,20 @@
             reading: The table.
             told: Whether another instance has read it.
         """
+        now = self._read_time()
+        former_age_s = self._knowledge.compute_endpoints_age(now=now)
         if not self._knowledge.take_endpoints(reading):
             return False
         records = self._knowledge.endpoints.list_all()
         self._log.write(
             "endpoints_taken",
-            now=self._read_time(),
+            now=now,
             endpoints_version=reading.digest,
             listed=len(reading.records),
             ready=sum(record.ready for record in records),
             lapsed=self._knowledge.endpoints.has_lapsed,
             told=told,
+            former_age_s=round(min(1e6, former_age_s), 2),
         )
         return True
 
@@ -212,8 +233,10 @@
             )
         self.answers = False
 
-    def _note_success(self) -> None:
+    def _note_success(self, *, began: float) -> None:
+        now = self._read_time()
         self._counters.add("store_reads_total")
+        self._counters.observe("store_read_seconds", now - began)
         if not self.answers:
-            self._log.write("store_regained", now=self._read_time())
+            self._log.write("store_regained", now=now)
         self.answers = True
--- /dev/null
+++ b/tests/test_relay_loop_delay.py
@@ -0,0 +1,29 @@
+"""Tests of the delay that tells a slow process from a slow store."""
+
+from __future__ import annotations
+
+import unittest
+
+from guavamast.relay.loop_delay import RECENT_S, LoopDelay
+
+
+class LoopDelayTest(unittest.TestCase):
+    """The greatest delay of the last moments, and none of long ago."""
+
+    def test_the_greatest_is_told_until_it_is_old(self) -> None:
+        delay = LoopDelay()
+        delay.record(0.4, now=10.0)
+        delay.record(0.1, now=10.1)
+        self.assertEqual(delay.read(now=10.2), 0.4)
+        self.assertEqual(delay.read(now=10.0 + RECENT_S), 0.4)
+        self.assertEqual(delay.read(now=10.0 + 2 * RECENT_S), 0.0)
+
+    def test_a_long_pause_ends_what_was_before(self) -> None:
+        delay = LoopDelay()
+        delay.record(0.4, now=10.0)
+        delay.record(0.2, now=10.0 + 5 * RECENT_S)
+        self.assertEqual(delay.read(now=10.0 + 5 * RECENT_S), 0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
