Failing tests of calls sent by old knowledge

What callers saw: a call was run by a service that had lost its route seconds before, and calls reached endpoints that had left, one marked as leaving, one whose entry was removed. How it is shown: a real instance stands still for 2.5 s while the route moves or the endpoint leaves; the bounds are 2 s. With the bound on revoked keys at 2 s as in the other tests, keys are refused before and nothing is seen; it is 9 s here.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,7 +8,8 @@
 import sys
 import tempfile
 import unittest
-from typing import Any
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any
 
 from guavamast.platform.standins.engine import EVENTS, EngineFault, make_event
 from guavamast.platform.standins.site import (
@@ -23,6 +24,11 @@
 from guavamast.platform.standins.store import StoreFault
 from tests._platform_callers import READY_S, Caller, Instance
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests._platform_callers import Reply
+
 
 class PathTest(unittest.IsolatedAsyncioTestCase):
     """What callers see of one or two instances and their engines."""
@@ -268,6 +274,92 @@
             await caller.ask(LOOKUPS + "x", request_id=f"later{number}")
         self.assertGreaterEqual(len(third.runs), 9)
 
+    async def test_a_paused_instance_sends_nothing_by_an_old_configuration(self) -> None:
+        """A call runs at a service that had lost its route more than the bound before.
+
+        The instance stands still for 2.5 s; meanwhile an operator moves the route to another
+        service, which is to be in force after 2 s, and callers send. The instance goes on, takes
+        the requests before it reads the store, and sends them by the version that it has.
+        """
+        self.site.bounds["revoke_ms"] = 9000
+        instance = await self.start_instance()
+        await self.site.add_engine("annex-0", "annex")
+        callers = [await Caller.open(instance.callers) for _ in range(4)]
+        await self.ask_all(callers, "before")
+        former = self.count_runs()
+        with self.pause(instance):
+            self.site.route_services[LOOKUPS] = "annex"
+            self.site.configure()
+            await asyncio.sleep(2.5)
+            asking = asyncio.create_task(self.ask_all(callers, "after"))
+            await asyncio.sleep(0.1)
+        for reply in await asking:
+            self.assertIn(reply.status, (200, 503))
+        annex = self.site.engines["annex-0"]
+        self.assertEqual(self.count_runs() - former, len(annex.runs))
+        self.assertEqual((await callers[0].ask(LOOKUPS + "x", request_id="last")).status, 200)
+        self.assertEqual(annex.runs[-1].request_id, "last")
+
+    async def test_a_paused_instance_sends_nothing_to_an_engine_that_left(self) -> None:
+        """A call reaches an engine more than the bound after it had said that it leaves.
+
+        The instance stands still for 2.5 s; meanwhile an engine says that it leaves, after which
+        it is to get nothing more from 2 s on, and callers send. The instance goes on, takes the
+        requests before it reads the store, and chooses among the engines that it knows.
+        """
+        self.site.bounds["revoke_ms"] = 9000
+        instance = await self.start_instance()
+        callers = [await Caller.open(instance.callers) for _ in range(8)]
+        await self.ask_all(callers, "before")
+        leaving = self.site.engines["portal-0"]
+        former = len(leaving.runs)
+        with self.pause(instance):
+            self.site.list_engine("portal-0", "portal", leaving.port, state="draining")
+            await asyncio.sleep(2.5)
+            asking = asyncio.create_task(self.ask_all(callers, "after"))
+            await asyncio.sleep(0.1)
+        for reply in await asking:
+            self.assertIn(reply.status, (200, 503))
+        self.assertEqual(len(leaving.runs), former)
+
+    async def test_an_engine_whose_entry_is_gone_gets_nothing_more(self) -> None:
+        """A call reaches an engine seconds after its entry was removed.
+
+        The instance stands still for 2.5 s, in which an engine leaves without a word: its entry is
+        removed, after which it is to get nothing more from 2 s on. The instance goes on and reads
+        the store, yet callers that come half a second later are still sent there.
+        """
+        self.site.bounds["revoke_ms"] = 9000
+        instance = await self.start_instance()
+        callers = [await Caller.open(instance.callers) for _ in range(8)]
+        await self.ask_all(callers, "before")
+        leaving = self.site.engines["portal-0"]
+        with self.pause(instance):
+            self.site.store.drop("servers", "portal-0")
+            await asyncio.sleep(2.5)
+        await asyncio.sleep(0.5)
+        former = len(leaving.runs)
+        for reply in await self.ask_all(callers, "after"):
+            self.assertEqual(reply.status, 200)
+        self.assertEqual(len(leaving.runs), former)
+
+    async def ask_all(self, callers: list[Caller], name: str) -> list[Reply]:
+        """Have each caller send a look-up; returns the replies."""
+        asking = [
+            caller.ask(LOOKUPS + "x", request_id=f"{name}{number}")
+            for number, caller in enumerate(callers)
+        ]
+        return list(await asyncio.gather(*asking))
+
+    @contextmanager
+    def pause(self, instance: Instance) -> Iterator[None]:
+        """Have a process stand still."""
+        instance.process.send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            instance.process.send_signal(signal.SIGCONT)
+
     async def test_a_stopped_instance_answers_what_it_has_and_leaves_the_directory(self) -> None:
         """Nobody loses an answer when an instance is stopped.
 
