Bound the age of what is known when a request is sent by it

What callers saw: a call was run by the service that had lost its route 4.4 s before, where 3 s were promised; calls reached endpoints marked as leaving. Cause: the age of the configuration was asked for keys and refusals only, that of the endpoints never. "In force in time" held as long as news arrived in time; an instance whose news was lost or late sent by whatever it had, and the schedule of reads lets an instance of the last rank wait for 1.9 s. Ruled out: time between choice and send, a version that came back (record). Change: bounds from the settings (change, leaving, revoked keys), each less a margin. A request that finds something too old waits for a read shared with all others; still too old: 503, come back. Right before the bytes leave, on every attempt, it is checked again, and decided anew if something changed. While the store gives no answers old knowledge serves on, keys up to their own bound. Each instance reads for itself at 0.65 of a bound whatever its rank. Why it holds: an age is an upper bound by the store's clock, so a send within the bound is never by a version that ended longer ago, with every datagram lost; a property test plays pauses and slow reads. Margins (0.4 s, half of a short bound) and the shares 0.65 and 1 s are chosen, not measured.

--- a/src/guavamast/platform/settings.py
+++ b/src/guavamast/platform/settings.py
@@ -13,6 +13,8 @@
 
 SETTINGS_VARIABLE = "GUAVAMAST_SETTINGS"
 """Environment variable that holds the path of the file."""
+UNBOUNDED_S = 3600.0
+"""Where no bound is set, an instance serves by what it knows through an outage this long."""
 
 
 class _Reader:
@@ -120,6 +122,8 @@
         metrics=SocketAddress(ip=ip, port=first_port + 1),
         peers=SocketAddress(ip=ip, port=first_port),
         store=reader.read("platform.address", _read_address, nowhere),
+        change_s=_read_bound(reader, "bounds.config_apply_ms"),
+        leaving_s=_read_bound(reader, "bounds.drain_ms"),
         # Absent where keys need not stop working at once; a long bound then.
         revocation_s=_read_revocation(reader),
         grace_s=reader.read("bounds.grace_s", _read_positive, 8.0),
@@ -140,12 +144,15 @@
     return float(reader.read(path, _read_positive, 0.0))
 
 
-UNBOUNDED_REVOCATION_S = 3600.0
-"""Where no bound is set on revoked keys, an instance serves through an outage this long."""
+def _read_bound(reader: _Reader, path: str) -> float:
+    """Return seconds of a bound in milliseconds that may be missing; a long one then."""
+    if reader.find(path) is None:
+        return UNBOUNDED_S
+    return float(reader.read(path, _read_positive, 2000.0)) / 1000.0
 
 
 def _read_revocation(reader: _Reader) -> float:
     """Return seconds; the file says milliseconds, and whether the bound holds when cut off."""
     if not reader.find("bounds.strict_revocation"):
-        return UNBOUNDED_REVOCATION_S
+        return UNBOUNDED_S
     return float(reader.read("bounds.revoke_ms", _read_positive, 5000.0)) / 1000.0
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -22,6 +22,8 @@
 class FailureKind(StrEnum):
     """Why an attempt brought no answer."""
 
+    OUTDATED = "outdated"
+    """What the request would have been sent by is not in force any more; no byte was sent."""
     NOT_CONNECTED = "not_connected"
     """No byte was sent."""
     REFUSED = "refused"
@@ -39,6 +41,7 @@
 
 
 _UNRUN_KINDS: Final = (
+    FailureKind.OUTDATED,
     FailureKind.NOT_CONNECTED,
     FailureKind.REFUSED,
     FailureKind.MISDIRECTED,
--- a/src/guavamast/relay/caller_gate.py
+++ b/src/guavamast/relay/caller_gate.py
@@ -8,13 +8,8 @@
 if TYPE_CHECKING:
     from guavamast.relay.catalog import CallerOrganisation, Catalog, Route
     from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.staleness import StalenessBounds
 
-DENIAL_AGE_S: Final = 1.5
-"""A request is called unknown or unauthorised only by a configuration proved this recently: an
-operator's change counts after two seconds, and a caller does not ask again after such an answer."""
-REVOCATION_MARGIN_S: Final = 0.7
-"""Keys stop being accepted this long before the bound after which a revoked key must not work:
-covers the way from the caller and a pause between the check and the send."""
 STALE_RETRY_S: Final = 0.3
 """When to come back to an instance that waits for the store: half the interval of its reads."""
 
@@ -23,6 +18,8 @@
 class Admitted:
     """A request that may go to an endpoint of its route."""
 
+    catalog: Catalog
+    """The configuration by which it was admitted."""
     route: Route
     organisation: CallerOrganisation | None
     urgency: int
@@ -45,19 +42,17 @@
     goes on accepting it. Each request with a key is checked against the age of the last proof that
     the configuration is the newest, by a clock that counts suspended time too.
 
+    A request is called unknown or unauthorised only by a configuration that is within its bound, as
+    a caller does not ask again after such an answer.
+
     Args:
-        revocation_s: Time after which a revoked key must not work anywhere.
+        bounds: The greatest ages of what is known.
     """
 
-    __slots__ = ("_key_age_s",)
-
-    def __init__(self, *, revocation_s: float) -> None:
-        self._key_age_s = revocation_s - REVOCATION_MARGIN_S
+    __slots__ = ("_bounds",)
 
-    @property
-    def key_age_s(self) -> float:
-        """Greatest age of the configuration at which keys are accepted."""
-        return self._key_age_s
+    def __init__(self, *, bounds: StalenessBounds) -> None:
+        self._bounds = bounds
 
     def decide(
         self, request: CallerRequest, catalog: Catalog | None, *, age_s: float
@@ -70,25 +65,26 @@
             age_s: Seconds since the configuration was proved to be the newest.
         """
         if catalog is None:
-            return _defer("no configuration yet")
-        recent = age_s <= DENIAL_AGE_S
+            return defer("no configuration yet")
+        recent = age_s <= self._bounds.catalog_s
         route = catalog.find_route(request.host, request.path)
         if route is None:
-            return Denied(status=404, reason="no route") if recent else _defer("old routes")
+            return Denied(status=404, reason="no route") if recent else defer("old routes")
         if not route.needs_key or catalog.organisations is None:
             return _admit(catalog, route, None)
-        if age_s > self._key_age_s:
-            return _defer("old keys")
+        if age_s > self._bounds.keys_s:
+            return defer("old keys")
         organisation = catalog.find_organisation(request.api_key)
         if organisation is None:
-            return Denied(status=401, reason="unknown key") if recent else _defer("old keys")
+            return Denied(status=401, reason="unknown key") if recent else defer("old keys")
         return _admit(catalog, route, organisation)
 
 
 def _admit(catalog: Catalog, route: Route, organisation: CallerOrganisation | None) -> Admitted:
     urgency = catalog.find_urgency(route, organisation)
-    return Admitted(route=route, organisation=organisation, urgency=urgency)
+    return Admitted(catalog=catalog, route=route, organisation=organisation, urgency=urgency)
 
 
-def _defer(reason: str) -> Denied:
+def defer(reason: str) -> Denied:
+    """Return the answer to a request that is to come back, as nothing sure is known here now."""
     return Denied(status=503, reason=reason, retry_after_s=STALE_RETRY_S)
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -18,6 +18,7 @@
 
     from guavamast.relay.attempt import WholeAnswer
     from guavamast.relay.attempt_budget import AttemptBudget
+    from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.connection_pool import ConnectionPool
     from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
@@ -55,6 +56,7 @@
     """Makes attempts.
 
     Args:
+        admission: Checks each request as it is sent.
         knowledge: Services and other instances.
         loads: Told of the work at endpoints.
         cache: Told of each prompt that is sent.
@@ -68,6 +70,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_budget",
         "_cache",
         "_codec",
@@ -83,6 +86,7 @@
     def __init__(
         self,
         *,
+        admission: CallerAdmission,
         knowledge: FleetKnowledge,
         loads: EndpointLoads,
         cache: PromptCache,
@@ -94,6 +98,7 @@
         tell_load: TellLoad,
         read_time: Callable[[], float],
     ) -> None:
+        self._admission = admission
         self._knowledge = knowledge
         self._loads = loads
         self._cache = cache
@@ -115,7 +120,8 @@
         """Send a request to the endpoint that was chosen and pass its answer on.
 
         Raises:
-            AttemptFailed: The endpoint brought no answer, or none that is final.
+            AttemptFailed: The endpoint brought no answer, or none that is final; or the request
+                was not sent to it.
         """
         record = choice.record
         attempt = Attempt(
@@ -165,6 +171,7 @@
         send: _Send,
     ) -> None:
         now = self._read_time()
+        self._admission.check_send(progress.admitted, attempt.record, now=now)
         terms = self._set_terms(progress, attempt.record, now=now)
         patience_s = self._compute_patience(progress, now=now)
         progress.sent += 1
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -16,6 +16,7 @@
 from guavamast.relay.beat_socket import BeatSocket
 from guavamast.relay.beats import Beat, BeatBundle, InstanceState, LoadNotice, encode_notice
 from guavamast.relay.caller_addresses import VALIDITY_S
+from guavamast.relay.caller_admission import CallerAdmission
 from guavamast.relay.caller_gate import CallerGate
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
@@ -33,7 +34,9 @@
 from guavamast.relay.prompt_lanes import PromptDemand
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_notes import RequestNotes
+from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store import InstanceRecord
+from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
 
 if TYPE_CHECKING:
@@ -106,9 +109,21 @@
         self._loop_delay = LoopDelay()
         self._profiles = EngineProfiles()
         self._pool = ConnectionPool()
-        self._gate = CallerGate(revocation_s=settings.revocation_s)
+        self._bounds = StalenessBounds(
+            change_s=settings.change_s,
+            leaving_s=settings.leaving_s,
+            revocation_s=settings.revocation_s,
+        )
         self._stop = asyncio.Event()
         self._notices = self._make_notices()
+        self._beats = BeatSocket(
+            take=self._take_message,
+            take_endpoints=self._take_endpoints,
+            counters=self.counters,
+        )
+        self._exchange = self._make_exchange()
+        self._reader = self._make_reader()
+        self._watch = self._make_watch()
         self._relayer = self._make_relayer(codec)
         self._listener = CallerListener(
             relayer=self._relayer,
@@ -117,13 +132,6 @@
             note_rejection=self._note_rejection,
             note_fault=self._note_fault,
         )
-        self._beats = BeatSocket(
-            take=self._take_message,
-            take_endpoints=self._take_endpoints,
-            counters=self.counters,
-        )
-        self._exchange = self._make_exchange()
-        self._watch = self._make_watch()
 
     def _make_notices(self) -> LoadNotices:
         return LoadNotices(
@@ -147,19 +155,39 @@
             read_time=read_boot_time,
         )
 
+    def _make_reader(self) -> StoreReader:
+        return StoreReader(
+            store=self._store,
+            knowledge=self.knowledge,
+            log=self.log,
+            counters=self.counters,
+            read_time=read_boot_time,
+            announce=self._exchange.announce,
+            tell_endpoints=self._exchange.tell_endpoints,
+        )
+
     def _make_watch(self) -> StoreWatch:
         return StoreWatch(
             store=self._store,
+            reader=self._reader,
             knowledge=self.knowledge,
             record=self.record,
+            bounds=self._bounds,
             log=self.log,
             counters=self.counters,
             loop_delay=self._loop_delay,
             random=self._random,
             read_time=read_boot_time,
-            announce=self._exchange.announce,
             announce_to_all=self._exchange.announce_to_all,
-            tell_endpoints=self._exchange.tell_endpoints,
+        )
+
+    def _make_admission(self) -> CallerAdmission:
+        return CallerAdmission(
+            gate=CallerGate(bounds=self._bounds),
+            bounds=self._bounds,
+            knowledge=self.knowledge,
+            reader=self._reader,
+            read_time=read_boot_time,
         )
 
     def _make_relayer(self, codec: HeaderCodec) -> Relayer:
@@ -176,7 +204,9 @@
             knowledge=self.knowledge,
             loop_delay=self._loop_delay,
         )
+        admission = self._make_admission()
         exchanger = Exchanger(
+            admission=admission,
             knowledge=self.knowledge,
             loads=self._loads,
             cache=self._cache,
@@ -190,7 +220,7 @@
         )
         return Relayer(
             knowledge=self.knowledge,
-            gate=self._gate,
+            admission=admission,
             loads=self._loads,
             budget=budget,
             codec=codec,
@@ -211,7 +241,7 @@
         if self.knowledge.catalog is None or not self.knowledge.endpoints.digest:
             return InstanceState.STARTING
         age_s = self.knowledge.compute_catalog_age(now=read_boot_time())
-        return InstanceState.STALE if age_s > self._gate.key_age_s else InstanceState.SERVING
+        return InstanceState.STALE if age_s > self._bounds.keys_s else InstanceState.SERVING
 
     def list_serving(self) -> list[InstanceRecord]:
         """Return the instances to which callers may be sent, this one included."""
@@ -310,7 +340,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             state=self.state,
-            store_answers=self._watch.answers,
+            store_answers=self._reader.answers,
             catalog=self.knowledge.catalog_proof,
             endpoints=self.knowledge.endpoint_proof,
             loads=self._loads.list_own(),
@@ -335,7 +365,7 @@
 
     def _take_endpoints(self, reading: EndpointReading, data: bytes) -> None:
         """Take a table of endpoints that another instance has read."""
-        if self._watch.take_endpoints(reading, told=True):
+        if self._reader.take_endpoints(reading, told=True):
             self._exchange.forward_endpoints(data)
 
     def _take_beat(self, beat: Beat) -> None:
@@ -367,7 +397,7 @@
         tells all of them of itself for a while. One instance, the first reader of the store, drops
         them; an instance that was only cut off is told to all again by its next start.
         """
-        if self.peers.rank_as_reader(now=now) > 0 or not self._watch.answers:
+        if self.peers.rank_as_reader(now=now) > 0 or not self._reader.answers:
             return
         for name in silent:
             await self._unregister(name)
--- a/src/guavamast/relay/node_settings.py
+++ b/src/guavamast/relay/node_settings.py
@@ -34,6 +34,10 @@
     peers: SocketAddress
     """UDP socket for the beats of other instances."""
     store: SocketAddress
+    change_s: float
+    """Time after which a changed configuration must be in force."""
+    leaving_s: float
+    """Time after which an endpoint that leaves must get nothing more."""
     revocation_s: float
     """Time after which a key that was taken away must not work."""
     grace_s: float
--- a/src/guavamast/relay/read_schedule.py
+++ b/src/guavamast/relay/read_schedule.py
@@ -8,8 +8,11 @@
     from random import Random
 
 READ_INTERVAL_S: Final = 0.6
-"""Age of the proof at which the first reader reads again. A change is in force everywhere after
-this, a beat and a read of the change, well within the two seconds that operators expect."""
+"""Age of the proof at which the first reader reads again; a change is in force everywhere after
+this, a beat and a read of the change."""
+OWN_READ_SHARE: Final = 0.65
+"""Share of the age at which requests are not sent any more: each instance reads for itself then,
+whoever comes before it, so that requests seldom wait for a read."""
 STEP_IN_S: Final = 0.25
 """How much later each further reader steps in; longer than a read takes and a beat travels."""
 NEWS_WAIT_S: Final = 0.06
@@ -31,12 +34,20 @@
     Failure: every instance asks the store all the time, and the store's calls grow with instances
     times time. Proofs ride on the beats, so that one reader is enough; a reader that dies or is cut
     off is replaced by the next rank within `STEP_IN_S`.
+
+    Failure: all datagrams to an instance are lost, it waits for the ranks before it, and what it
+    knows gets too old. It reads for itself at a share of the bound, which no rank delays.
+
+    Args:
+        random: Spreads the reads of instances.
+        bound_s: Age of the proof at which requests are not sent by it any more.
     """
 
-    __slots__ = ("_failures", "_news_at", "_not_before", "_random")
+    __slots__ = ("_failures", "_latest_s", "_news_at", "_not_before", "_random")
 
-    def __init__(self, *, random: Random) -> None:
+    def __init__(self, *, random: Random, bound_s: float) -> None:
         self._random = random
+        self._latest_s = OWN_READ_SHARE * bound_s
         self._failures = 0
         self._not_before = 0.0
         self._news_at: float | None = None
@@ -57,10 +68,10 @@
                 self._news_at = now + NEWS_WAIT_S + self._random.random() * SPREAD_S / 3
             return now >= self._news_at
         self._news_at = None
-        bound = READ_INTERVAL_S + STEP_IN_S * min(rank, LAST_RANK)
+        due_s = min(READ_INTERVAL_S + STEP_IN_S * min(rank, LAST_RANK), self._latest_s)
         if rank >= LAST_RANK:
-            bound += SPREAD_S * (rank % 7) / 7
-        return age_s >= bound
+            due_s += SPREAD_S * (rank % 7) / 7
+        return age_s >= due_s
 
     def record_success(self) -> None:
         """Read at the usual times again."""
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -9,7 +9,7 @@
 from guavamast.relay.attempt import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Denied
 from guavamast.relay.endpoint_choice import Placement
-from guavamast.relay.request_progress import begin_progress
+from guavamast.relay.request_progress import begin_progress, find_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,9 +17,11 @@
 
     from guavamast.relay.admission import ComeBack
     from guavamast.relay.attempt_budget import AttemptBudget
-    from guavamast.relay.caller_gate import Admitted, CallerGate
+    from guavamast.relay.caller_admission import CallerAdmission
+    from guavamast.relay.caller_gate import Admitted
     from guavamast.relay.endpoint_choice import Choice, EndpointChooser
     from guavamast.relay.endpoint_load import EndpointLoads
+    from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.exchange import Exchanger
     from guavamast.relay.fleet_knowledge import FleetKnowledge
@@ -33,6 +35,7 @@
 RETRY_UNREACHABLE_S: Final = 0.3
 """When to come back when no endpoint could be reached: half an interval of the table's reads."""
 FAILURE_WEIGHTS: Final = {
+    FailureKind.OUTDATED: 0.0,
     FailureKind.NOT_CONNECTED: 6.0,
     FailureKind.REFUSED: 0.3,
     FailureKind.MISDIRECTED: 6.0,
@@ -52,7 +55,7 @@
 
     Args:
         knowledge: Configuration, endpoints and other instances.
-        gate: Decides on routes and keys.
+        admission: Decides on routes and keys by recent knowledge.
         loads: Work and failures by endpoint.
         budget: Repeats that are allowed.
         codec: Names of the headers.
@@ -66,12 +69,12 @@
     """
 
     __slots__ = (
+        "_admission",
         "_budget",
         "_chooser",
         "_codec",
         "_demand",
         "_exchanger",
-        "_gate",
         "_knowledge",
         "_loads",
         "_notes",
@@ -85,7 +88,7 @@
         self,
         *,
         knowledge: FleetKnowledge,
-        gate: CallerGate,
+        admission: CallerAdmission,
         loads: EndpointLoads,
         budget: AttemptBudget,
         codec: HeaderCodec,
@@ -98,7 +101,7 @@
         read_time: Callable[[], float],
     ) -> None:
         self._knowledge = knowledge
-        self._gate = gate
+        self._admission = admission
         self._loads = loads
         self._budget = budget
         self._codec = codec
@@ -124,13 +127,13 @@
             self.in_flight -= 1
 
     async def _relay(self, request: CallerRequest, writer: AnswerWriter) -> None:
-        now = self._read_time()
-        age_s = self._knowledge.compute_catalog_age(now=now)
-        decision = self._gate.decide(request, self._knowledge.catalog, age_s=age_s)
+        decision = await self._admission.admit(request, until=find_end(request))
         if isinstance(decision, Denied):
-            await self._refuse(request, writer, decision, age_s=age_s)
+            await self._refuse(request, writer, decision)
             return
+        now = self._read_time()
         progress = self._begin(request, decision, now=now)
+        self._count_demand(request, progress, now=now)
         self._budget.record_request(progress.service, now=now)
         try:
             async with asyncio.timeout(max(0.0, progress.ends_at - now)):
@@ -139,27 +142,32 @@
             await self._give_up(request, writer, progress, status=504, reason="time is up")
 
     def _begin(self, request: CallerRequest, admitted: Admitted, *, now: float) -> RequestProgress:
-        """Return the state of a request, and count it in the demand of its lane."""
+        """Return the state of a request that was just admitted."""
         service = admitted.route.pick_service(request.request_id)
-        profile = self._profiles.find(service, now=now)
-        progress = begin_progress(
+        return begin_progress(
             request,
             admitted,
             service=service,
             shortest_s=self._knowledge.find_shortest_objective(service),
-            profile=profile,
+            profile=self._profiles.find(service, now=now),
             first=self._knowledge.is_first(admitted.route, service),
         )
-        if request.prompt_tokens:
-            self._notes.note_profile(service, profile)
-            self._demand.record(
-                progress.lane,
-                prompt_tokens=request.prompt_tokens,
-                output_tokens=request.output_tokens,
-                profile=profile,
-                now=now,
-            )
-        return progress
+
+    def _count_demand(
+        self, request: CallerRequest, progress: RequestProgress, *, now: float
+    ) -> None:
+        """Count a request to a model engine in the demand of its lane."""
+        if not request.prompt_tokens:
+            return
+        profile = self._profiles.find(progress.service, now=now)
+        self._notes.note_profile(progress.service, profile)
+        self._demand.record(
+            progress.lane,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            profile=profile,
+            now=now,
+        )
 
     async def _try_endpoints(
         self, request: CallerRequest, writer: AnswerWriter, progress: RequestProgress
@@ -183,7 +191,10 @@
                 weight = FAILURE_WEIGHTS[failure.kind]
                 self._loads.record_failure(record.endpoint_id, weight=weight, now=now)
                 self._notes.note_failure(request, record, failure, now=now)
-                if not self._may_go_on(progress, failure, now=now):
+                if failure.kind is FailureKind.OUTDATED:
+                    if not await self._admit_again(request, writer, progress, record):
+                        return
+                elif not self._may_go_on(progress, failure, now=now):
                     reason = str(failure)
                     await self._give_up(request, writer, progress, status=502, reason=reason)
                     return
@@ -238,12 +249,38 @@
         instances = self._knowledge.count_instances()
         return self._budget.try_spend(progress.service, instances=instances, now=now)
 
-    async def _refuse(
-        self, request: CallerRequest, writer: AnswerWriter, denied: Denied, *, age_s: float
-    ) -> None:
+    async def _admit_again(
+        self,
+        request: CallerRequest,
+        writer: AnswerWriter,
+        progress: RequestProgress,
+        unsent: EndpointRecord,
+    ) -> bool:
+        """Decide anew on a request that was not sent; returns whether it goes on.
+
+        A request that may have run at one service is not sent to another, nor once it is not
+        allowed any more.
+        """
+        decision = await self._admission.admit(request, until=progress.ends_at)
+        if isinstance(decision, Denied):
+            if progress.may_have_run:
+                reason = decision.reason
+                await self._give_up(request, writer, progress, status=502, reason=reason)
+            else:
+                await self._refuse(request, writer, decision)
+            return False
+        renewed = self._begin(request, decision, now=self._read_time())
+        if progress.may_have_run and renewed.service != progress.service:
+            reason = "the route has moved"
+            await self._give_up(request, writer, progress, status=502, reason=reason)
+            return False
+        progress.renew(renewed, unsent=unsent.endpoint_id)
+        return True
+
+    async def _refuse(self, request: CallerRequest, writer: AnswerWriter, denied: Denied) -> None:
         headers = self._codec.write_refusal(request.request_id, denied.retry_after_s)
         await writer.send(denied.status, headers, b"")
-        self._notes.note_refusal(request, denied, age_s=age_s, now=self._read_time())
+        self._notes.note_refusal(request, denied, now=self._read_time())
 
     async def _send_back(
         self,
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -133,10 +133,10 @@
             after_s=round(now - request.arrived, 4),
         )
 
-    def note_refusal(
-        self, request: CallerRequest, denied: Denied, *, age_s: float, now: float
-    ) -> None:
+    def note_refusal(self, request: CallerRequest, denied: Denied, *, now: float) -> None:
         """Note a request that is answered without an attempt."""
+        config_age_s = min(1e6, self._knowledge.compute_catalog_age(now=now))
+        endpoints_age_s = min(1e6, self._knowledge.compute_endpoints_age(now=now))
         self._counters.add(f'refusals_total{{status="{denied.status}"}}')
         self._log.write(
             "refused",
@@ -147,7 +147,9 @@
             host=request.host,
             path=request.path,
             config_version=self._knowledge.catalog_version,
-            config_age_s=round(min(age_s, 1e6), 2),
+            config_age_s=round(config_age_s, 2),
+            endpoints_age_s=round(endpoints_age_s, 2),
+            loop_delay_s=round(self._loop_delay.read(now=now), 3),
         )
 
     def note_send_back(
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -45,6 +45,32 @@
     error_answer: WholeAnswer | None = None
     """An endpoint's own error, passed on if no other endpoint does better."""
 
+    def renew(self, other: RequestProgress, *, unsent: str) -> None:
+        """Take how the request was admitted anew, and keep what it has gone through.
+
+        Args:
+            other: The state that the admission begins.
+            unsent: Id of the endpoint that was chosen and not sent to; it may be chosen again.
+        """
+        self.admitted = other.admitted
+        self.service = other.service
+        self.lane = other.lane
+        self.patient = other.patient
+        self.first = other.first
+        self.delicate = other.delicate
+        self.tried.discard(unsent)
+
+
+def find_end(request: CallerRequest, *, timeout_s: float = float("inf")) -> float:
+    """Return the local time at which a request's answer must be final.
+
+    Args:
+        request: The request.
+        timeout_s: Longest time that its route keeps a caller waiting.
+    """
+    patience_s = request.patience_s if request.patience_s is not None else float("inf")
+    return request.arrived + min(timeout_s, patience_s)
+
 
 def begin_progress(
     request: CallerRequest,
@@ -70,13 +96,10 @@
     lane = find_lane(
         request.prompt_tokens, objective_s=objective_s, shortest_s=shortest_s, profile=profile
     )
-    patience_s = admitted.route.timeout_s
-    if request.patience_s is not None:
-        patience_s = min(patience_s, request.patience_s)
     return RequestProgress(
         admitted=admitted,
         service=service,
-        ends_at=request.arrived + patience_s,
+        ends_at=find_end(request, timeout_s=admitted.route.timeout_s),
         # Among long prompts its pauses would be too long, however short its own prompt's reading.
         lane=0 if delicate else lane,
         first=first,
--- /dev/null
+++ b/src/guavamast/relay/store_reader.py
@@ -0,0 +1,173 @@
+"""Reads the store's tables, one read of each at a time, and takes what they hold."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from guavamast.relay.store import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from guavamast.relay.counters import Counters
+    from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.store import EndpointReading, Store
+
+
+class SharedRead:
+    """One read at a time, for all who ask meanwhile.
+
+    Failure: many requests find the same table too old at once, each reads it, and the store gets as
+    many calls as there are callers.
+
+    Args:
+        read: Reads once; returns whether it succeeded.
+    """
+
+    __slots__ = ("_read", "_task")
+
+    def __init__(self, *, read: Callable[[], Awaitable[bool]]) -> None:
+        self._read = read
+        self._task: asyncio.Task[bool] | None = None
+
+    async def join(self) -> bool:
+        """Wait for the read that is under way, or begin one; returns whether it succeeded."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.ensure_future(self._read())
+        return await asyncio.shield(self._task)
+
+
+class StoreReader:
+    """Takes what the store holds and tells the others by a beat at once.
+
+    Args:
+        store: The platform's store.
+        knowledge: What is kept fresh.
+        log: Decisions.
+        counters: Metrics.
+        read_time: The local clock.
+        announce: Sends a beat with news.
+        tell_endpoints: Tells the others a table of endpoints.
+    """
+
+    __slots__ = (
+        "_announce",
+        "_counters",
+        "_knowledge",
+        "_log",
+        "_read_time",
+        "_store",
+        "_tell_endpoints",
+        "answers",
+        "catalog",
+        "endpoints",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        knowledge: FleetKnowledge,
+        log: DecisionLog,
+        counters: Counters,
+        read_time: Callable[[], float],
+        announce: Callable[[], None],
+        tell_endpoints: Callable[[EndpointReading], None],
+    ) -> None:
+        self._store = store
+        self._knowledge = knowledge
+        self._log = log
+        self._counters = counters
+        self._read_time = read_time
+        self._announce = announce
+        self._tell_endpoints = tell_endpoints
+        self.catalog = SharedRead(read=self._read_catalog)
+        """Reads the configuration."""
+        self.endpoints = SharedRead(read=self._read_endpoints)
+        """Reads the table of endpoints."""
+        self.answers = True
+        """Whether the last call to the store had a usable answer."""
+
+    def take_endpoints(self, reading: EndpointReading, *, told: bool) -> bool:
+        """Take a table of endpoints; returns whether it differs from the one in force.
+
+        Args:
+            reading: The table.
+            told: Whether another instance has read it.
+        """
+        now = self._read_time()
+        age_s = self._knowledge.compute_endpoints_age(now=now)
+        if not self._knowledge.take_endpoints(reading):
+            return False
+        records = self._knowledge.endpoints.list_all()
+        self._log.write(
+            "endpoints_taken",
+            now=now,
+            endpoints_version=reading.digest,
+            listed=len(reading.records),
+            ready=sum(record.ready for record in records),
+            lapsed=self._knowledge.endpoints.has_lapsed,
+            told=told,
+            former_age_s=round(min(1e6, age_s), 2),
+        )
+        return True
+
+    def note_failure(self, call: str, error: StoreError) -> None:
+        """Note a call that had no usable answer."""
+        self._counters.add(f'store_failures_total{{call="{call}"}}')
+        if self.answers:
+            now = self._read_time()
+            self._log.write(
+                "store_lost",
+                now=now,
+                call=call,
+                reason=error.reason,
+                config_age_s=round(min(1e6, self._knowledge.compute_catalog_age(now=now)), 2),
+            )
+        self.answers = False
+
+    async def _read_catalog(self) -> bool:
+        began = self._read_time()
+        former_age_s = self._knowledge.compute_catalog_age(now=began)
+        try:
+            reading = await self._store.read_catalog(known=self._knowledge.catalog)
+        except StoreError as error:
+            self.note_failure("read_configuration", error)
+            return False
+        self._note_success(began=began)
+        if self._knowledge.take_catalog(reading):
+            catalog = self._knowledge.catalog
+            self._log.write(
+                "configuration_taken",
+                now=self._read_time(),
+                config_version=self._knowledge.catalog_version,
+                row_version=catalog.row_version if catalog else None,
+                former_age_s=round(min(1e6, former_age_s), 2),
+            )
+        self._announce()
+        return True
+
+    async def _read_endpoints(self) -> bool:
+        began = self._read_time()
+        heard_of = self._knowledge.newer_endpoints_heard
+        try:
+            reading = await self._store.read_endpoints()
+        except StoreError as error:
+            self.note_failure("read_endpoints", error)
+            return False
+        self._note_success(began=began)
+        # Whoever reads because of another's word has nothing to tell: that one has told it already.
+        if self.take_endpoints(reading, told=False) and not heard_of:
+            self._tell_endpoints(reading)
+        self._announce()
+        return True
+
+    def _note_success(self, *, began: float) -> None:
+        now = self._read_time()
+        self._counters.add("store_reads_total")
+        self._counters.observe("store_read_seconds", now - began)
+        if not self.answers:
+            self._log.write("store_regained", now=now)
+        self.answers = True
--- a/src/guavamast/relay/store_watch.py
+++ b/src/guavamast/relay/store_watch.py
@@ -1,4 +1,4 @@
-"""Keeps the knowledge of an instance fresh by reading the store."""
+"""Registers an instance and keeps its knowledge fresh by reading the store in time."""
 
 from __future__ import annotations
 
@@ -16,7 +16,9 @@
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.fleet_knowledge import FleetKnowledge
     from guavamast.relay.loop_delay import LoopDelay
-    from guavamast.relay.store import EndpointReading, InstanceRecord, Store
+    from guavamast.relay.staleness import StalenessBounds
+    from guavamast.relay.store import InstanceRecord, Store
+    from guavamast.relay.store_reader import SharedRead, StoreReader
 
 TICK_S: Final = 0.05
 """How often it is decided whether to read; a small part of the read interval."""
@@ -26,24 +28,23 @@
 
 
 class StoreWatch:
-    """Reads the store when it is due and tells the others by a beat at once.
+    """Reads the store when it is due.
 
     Args:
         store: The platform's store.
+        reader: Reads its tables.
         knowledge: What is kept fresh.
         record: This instance, to be registered.
+        bounds: The ages at which requests are not sent any more.
         log: Decisions.
         counters: Metrics.
         loop_delay: Told how late each round of the watch is.
         random: Spreads the reads of instances.
         read_time: The local clock.
-        announce: Sends a beat with news.
         announce_to_all: Sends a beat to each instance directly.
-        tell_endpoints: Tells the others a table of endpoints.
     """
 
     __slots__ = (
-        "_announce",
         "_announce_to_all",
         "_catalog_schedule",
         "_counters",
@@ -52,41 +53,37 @@
         "_log",
         "_loop_delay",
         "_read_time",
+        "_reader",
         "_record",
         "_store",
-        "_tell_endpoints",
-        "answers",
     )
 
     def __init__(
         self,
         *,
         store: Store,
+        reader: StoreReader,
         knowledge: FleetKnowledge,
         record: InstanceRecord,
+        bounds: StalenessBounds,
         log: DecisionLog,
         counters: Counters,
         loop_delay: LoopDelay,
         random: Random,
         read_time: Callable[[], float],
-        announce: Callable[[], None],
         announce_to_all: Callable[[], None],
-        tell_endpoints: Callable[[EndpointReading], None],
     ) -> None:
         self._store = store
+        self._reader = reader
         self._knowledge = knowledge
         self._record = record
         self._log = log
         self._counters = counters
         self._loop_delay = loop_delay
         self._read_time = read_time
-        self._announce = announce
         self._announce_to_all = announce_to_all
-        self._tell_endpoints = tell_endpoints
-        self._catalog_schedule = ReadSchedule(random=random)
-        self._endpoint_schedule = ReadSchedule(random=random)
-        self.answers = True
-        """Whether the last read succeeded."""
+        self._catalog_schedule = ReadSchedule(random=random, bound_s=bounds.catalog_s)
+        self._endpoint_schedule = ReadSchedule(random=random, bound_s=bounds.endpoints_s)
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -102,7 +99,7 @@
                 await self._store.register_instance(self._record)
                 listed = await self._store.read_instances()
             except StoreError as error:
-                self._note_failure("register", error)
+                self._reader.note_failure("register", error)
                 await asyncio.sleep(REGISTER_RETRY_S)
                 continue
             now = self._read_time()
@@ -123,13 +120,13 @@
                 now=now,
             )
             if due:
-                await self._read_catalog()
+                await self._read(self._reader.catalog, self._catalog_schedule)
             await self._pause()
 
     def _rank(self, age_s: float, *, now: float) -> int:
         """Return the place among the readers; 0 while the proof is too young for any to read.
 
-        Ranking goes over all instances: it took 3 ms of each second at 127 of them.
+        Ranking goes over all instances, so it is done only when it may decide.
         """
         if age_s < READ_INTERVAL_S:
             return 0
@@ -146,9 +143,15 @@
                 now=now,
             )
             if due:
-                await self._read_endpoints()
+                await self._read(self._reader.endpoints, self._endpoint_schedule)
             await asyncio.sleep(TICK_S)
 
+    async def _read(self, read: SharedRead, schedule: ReadSchedule) -> None:
+        if await read.join():
+            schedule.record_success()
+        else:
+            schedule.record_failure(now=self._read_time())
+
     async def _pause(self) -> None:
         """Wait for the next round, and note how much later than due it begins."""
         began = self._read_time()
@@ -157,86 +160,3 @@
         delay_s = max(0.0, now - began - TICK_S)
         self._loop_delay.record(delay_s, now=now)
         self._counters.observe("loop_delay_seconds", delay_s)
-
-    async def _read_catalog(self) -> None:
-        began = self._read_time()
-        former_age_s = self._knowledge.compute_catalog_age(now=began)
-        try:
-            reading = await self._store.read_catalog(known=self._knowledge.catalog)
-        except StoreError as error:
-            self._catalog_schedule.record_failure(now=self._read_time())
-            self._note_failure("read_configuration", error)
-            return
-        self._catalog_schedule.record_success()
-        self._note_success(began=began)
-        if self._knowledge.take_catalog(reading):
-            catalog = self._knowledge.catalog
-            self._log.write(
-                "configuration_taken",
-                now=self._read_time(),
-                config_version=self._knowledge.catalog_version,
-                row_version=catalog.row_version if catalog else None,
-                former_age_s=round(min(1e6, former_age_s), 2),
-            )
-        self._announce()
-
-    async def _read_endpoints(self) -> None:
-        began = self._read_time()
-        heard_of = self._knowledge.newer_endpoints_heard
-        try:
-            reading = await self._store.read_endpoints()
-        except StoreError as error:
-            self._endpoint_schedule.record_failure(now=self._read_time())
-            self._note_failure("read_endpoints", error)
-            return
-        self._endpoint_schedule.record_success()
-        self._note_success(began=began)
-        # Whoever reads because of another's word has nothing to tell: that one has told it already.
-        if self.take_endpoints(reading, told=False) and not heard_of:
-            self._tell_endpoints(reading)
-        self._announce()
-
-    def take_endpoints(self, reading: EndpointReading, *, told: bool) -> bool:
-        """Take a table of endpoints; returns whether it differs from the one in force.
-
-        Args:
-            reading: The table.
-            told: Whether another instance has read it.
-        """
-        now = self._read_time()
-        former_age_s = self._knowledge.compute_endpoints_age(now=now)
-        if not self._knowledge.take_endpoints(reading):
-            return False
-        records = self._knowledge.endpoints.list_all()
-        self._log.write(
-            "endpoints_taken",
-            now=now,
-            endpoints_version=reading.digest,
-            listed=len(reading.records),
-            ready=sum(record.ready for record in records),
-            lapsed=self._knowledge.endpoints.has_lapsed,
-            told=told,
-            former_age_s=round(min(1e6, former_age_s), 2),
-        )
-        return True
-
-    def _note_failure(self, call: str, error: StoreError) -> None:
-        self._counters.add(f'store_failures_total{{call="{call}"}}')
-        if self.answers:
-            now = self._read_time()
-            self._log.write(
-                "store_lost",
-                now=now,
-                call=call,
-                reason=error.reason,
-                config_age_s=round(min(1e6, self._knowledge.compute_catalog_age(now=now)), 2),
-            )
-        self.answers = False
-
-    def _note_success(self, *, began: float) -> None:
-        now = self._read_time()
-        self._counters.add("store_reads_total")
-        self._counters.observe("store_read_seconds", now - began)
-        if not self.answers:
-            self._log.write("store_regained", now=now)
-        self.answers = True
--- a/tests/relay_facts.py
+++ b/tests/relay_facts.py
@@ -15,11 +15,14 @@
 from guavamast.relay.endpoint_table import EndpointRecord
 from guavamast.relay.engine_profile import EngineProfile
 from guavamast.relay.messages import CallerRequest, PromptPart
+from guavamast.relay.staleness import StalenessBounds
 
 LIMITS = CallerLimits(
     header_bytes=16_384, body_bytes=65_536, header_timeout_s=3.0, idle_timeout_s=15.0
 )
 
+BOUNDS = StalenessBounds(change_s=2.0, leaving_s=2.0, revocation_s=5.0)
+
 PROFILE = EngineProfile(
     first_event_ms=72.0,
     read_tokens_per_ms=60.0,
--- /dev/null
+++ b/tests/test_relay_caller_admission.py
@@ -0,0 +1,278 @@
+"""Tests that requests are sent by recent knowledge alone, whatever becomes of news and reads."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.relay.attempt import AttemptFailed, FailureKind
+from guavamast.relay.caller_admission import MOST_WAIT_S, CallerAdmission
+from guavamast.relay.caller_gate import Admitted, CallerGate, Denied
+from guavamast.relay.catalog import WeightedService
+from guavamast.relay.counters import Counters
+from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.endpoint_table import compute_digest
+from guavamast.relay.fleet_knowledge import FleetKnowledge
+from guavamast.relay.freshness import StoreClock
+from guavamast.relay.peers import Peers
+from guavamast.relay.store import CatalogReading, EndpointReading, Store, StoreError
+from guavamast.relay.store_reader import StoreReader
+from tests.relay_facts import BOUNDS, make_catalog, make_endpoint, make_request, make_route
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from guavamast.relay.catalog import Catalog
+    from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.store import InstanceRecord
+
+START_S = 100.0
+
+
+class World(Store):
+    """The store, the clock and one instance that hears of nothing but its own reads."""
+
+    def __init__(self) -> None:
+        self.now = START_S
+        self.away = False
+        self.read_s = 0.004
+        """Seconds that a read takes after the store has spoken."""
+        self.reads = 0
+        self.catalog = make_catalog()
+        self.records = [make_endpoint("x"), make_endpoint("y")]
+        self._clock = StoreClock()
+        peers = Peers(own_name="one")
+        self.knowledge = FleetKnowledge(failure_domain="a", peers=peers, clock=self._clock)
+        counters = Counters()
+        self.reader = StoreReader(
+            store=self,
+            knowledge=self.knowledge,
+            log=DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY)),
+            counters=counters,
+            read_time=lambda: self.now,
+            announce=lambda: None,
+            tell_endpoints=lambda _: None,
+        )
+        self.admission = CallerAdmission(
+            gate=CallerGate(bounds=BOUNDS),
+            bounds=BOUNDS,
+            knowledge=self.knowledge,
+            reader=self.reader,
+            read_time=lambda: self.now,
+        )
+
+    async def read_catalog(self, *, known: Catalog | None) -> CatalogReading:
+        catalog = self.catalog
+        if known is not None and known.row_version == catalog.row_version:
+            catalog = known
+        return CatalogReading(catalog=catalog, reading=await self._answer())
+
+    async def read_endpoints(self) -> EndpointReading:
+        records = list(self.records)
+        digest = compute_digest((one.endpoint_id, one.row_version) for one in records)
+        return EndpointReading(records=records, digest=digest, reading=await self._answer())
+
+    async def read_instances(self) -> list[InstanceRecord]:
+        return []
+
+    async def register_instance(self, record: InstanceRecord) -> None:
+        del record
+
+    async def remove_instance(self, name: str) -> None:
+        del name
+
+    def move_route(self) -> None:
+        services = (WeightedService(service="annex", weight=1.0),)
+        row_version = self.catalog.row_version + 1
+        self.catalog = make_catalog(make_route(services=services), row_version=row_version)
+
+    def change_endpoints(self, *records: EndpointRecord) -> None:
+        self.records = list(records)
+
+    async def admit(self, patience_s: float = 1.5) -> Admitted | Denied:
+        request = make_request(arrived=self.now, patience_s=patience_s)
+        return await self.admission.admit(request, until=self.now + patience_s)
+
+    async def _answer(self) -> float:
+        self.reads += 1
+        await asyncio.sleep(0)
+        if self.away:
+            raise StoreError("silent")
+        reading = self.now
+        self._clock.record(sent=self.now, reading=reading)
+        self.now += self.read_s
+        return reading
+
+
+def list_services(decision: Admitted | Denied) -> Sequence[str]:
+    """Return the services to which a request may go."""
+    assert isinstance(decision, Admitted)
+    return [entry.service for entry in decision.route.services]
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    """What a caller gets from an instance whose news is lost."""
+
+    async def asyncSetUp(self) -> None:
+        self.world = World()
+        await self.world.admit()
+
+    async def test_old_knowledge_is_read_again_before_a_request_goes(self) -> None:
+        """A request goes to the service to which its route was moved, although no news came.
+
+        Every message of the others is lost and the watch is held up. The request finds the
+        configuration older than the bound, and waits for a read.
+        """
+        self.world.move_route()
+        self.world.now += 1.7
+        self.assertEqual(list_services(await self.world.admit()), ["annex"])
+
+    async def test_recent_knowledge_is_used_without_a_read(self) -> None:
+        reads = self.world.reads
+        self.world.now += 1.5
+        await self.world.admit()
+        self.assertEqual(self.world.reads, reads)
+
+    async def test_many_requests_share_one_read_of_each_table(self) -> None:
+        reads = self.world.reads
+        self.world.now += 1.7
+        await asyncio.gather(*(self.world.admit() for _ in range(50)))
+        self.assertEqual(self.world.reads - reads, 2)
+
+    async def test_old_knowledge_serves_while_the_store_is_away(self) -> None:
+        self.world.away = True
+        self.world.now += 3.0
+        self.assertEqual(list_services(await self.world.admit()), ["portal"])
+        reads = self.world.reads
+        await self.world.admit()
+        self.assertEqual(self.world.reads, reads)
+
+    async def test_keys_are_refused_when_the_store_is_away_for_long(self) -> None:
+        self.world.away = True
+        self.world.now += 4.4
+        decision = await self.world.admit()
+        assert isinstance(decision, Denied)
+        self.assertEqual((decision.status, decision.reason), (503, "old keys"))
+
+    async def test_a_slow_instance_sends_its_callers_back(self) -> None:
+        """A caller is told to come back, truthfully, by an instance that can't keep up.
+
+        The store answers at once, but the instance takes each answer so late that what it says is
+        older than the bound again. No request is sent by it.
+        """
+        self.world.read_s = 1.7
+        self.world.move_route()
+        self.world.now += 1.7
+        decision = await self.world.admit()
+        assert isinstance(decision, Denied)
+        self.assertEqual((decision.status, decision.reason), (503, "old knowledge"))
+        self.assertIsNotNone(decision.retry_after_s)
+
+    async def test_a_silent_read_holds_a_request_no_longer_than_the_bound(self) -> None:
+        self.world.now += 1.7
+        decision = await asyncio.wait_for(self.world.admit(patience_s=0.0), MOST_WAIT_S)
+        self.assertIsInstance(decision, Denied)
+
+
+class CheckSendTest(unittest.IsolatedAsyncioTestCase):
+    """What is checked after the connection is made, right before a request leaves."""
+
+    async def asyncSetUp(self) -> None:
+        self.world = World()
+        decision = await self.world.admit()
+        assert isinstance(decision, Admitted)
+        self.admitted = decision
+
+    def check(self, name: str = "x") -> str:
+        """Return why the request must not be sent; empty when it may."""
+        record = make_endpoint(name)
+        try:
+            self.world.admission.check_send(self.admitted, record, now=self.world.now)
+        except AttemptFailed as failure:
+            self.assertEqual(failure.kind, FailureKind.OUTDATED)
+            self.assertTrue(failure.unrun)
+            return failure.detail
+        return ""
+
+    async def test_nothing_has_changed(self) -> None:
+        self.world.now += 1.5
+        self.assertEqual(self.check(), "")
+
+    async def test_a_pause_between_choice_and_send_is_seen(self) -> None:
+        """A request is not sent by a choice that was made before the process stood still.
+
+        It was admitted by recent knowledge, a connection took long or the process was paused, and
+        by the time of the send the bound has passed.
+        """
+        self.world.now += 1.7
+        self.assertEqual(self.check(), "old knowledge")
+
+    async def test_a_changed_route_is_seen(self) -> None:
+        self.world.move_route()
+        await self.world.reader.catalog.join()
+        self.assertEqual(self.check(), "the configuration has changed")
+
+    async def test_an_endpoint_that_leaves_is_seen(self) -> None:
+        gone = [make_endpoint("y")]
+        leaving = [make_endpoint("x", ready=False, row_version=9), make_endpoint("y")]
+        for records in (gone, leaving):
+            self.world.change_endpoints(*records)
+            await self.world.reader.endpoints.join()
+            self.assertEqual(self.check("x"), "the endpoint leaves")
+            self.assertEqual(self.check("y"), "")
+
+    async def test_keys_are_checked_again_while_the_store_is_away(self) -> None:
+        self.world.away = True
+        self.world.now += 4.2
+        await self.world.admit()
+        self.assertEqual(self.check(), "")
+        self.world.now += 0.2
+        self.assertEqual(self.check(), "old keys")
+
+
+class BoundTest(unittest.TestCase):
+    """Over any pauses and slow reads, a request that is sent is within the bounds."""
+
+    @given(
+        steps=st.lists(
+            st.tuples(
+                st.floats(min_value=0.0, max_value=4.0),
+                st.floats(min_value=0.0, max_value=3.0),
+                st.booleans(),
+            ),
+            min_size=1,
+            max_size=8,
+        )
+    )
+    def test_nothing_is_sent_by_a_version_that_ended_too_long_ago(
+        self, steps: list[tuple[float, float, bool]]
+    ) -> None:
+        asyncio.run(self.play(steps))
+
+    async def play(self, steps: list[tuple[float, float, bool]]) -> None:
+        world = World()
+        ended: dict[int, float] = {}
+        for pause_s, read_s, moves in steps:
+            if moves:
+                ended[world.catalog.row_version] = world.now
+                world.move_route()
+            world.now += pause_s
+            world.read_s = read_s
+            asked = world.now
+            decision = await world.admit()
+            if isinstance(decision, Denied):
+                continue
+            try:
+                world.admission.check_send(decision, make_endpoint("x"), now=world.now)
+            except AttemptFailed:
+                continue
+            self.assertLess(asked - ended.get(decision.catalog.row_version, asked), 2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -37,7 +37,7 @@
 )
 from guavamast.relay.store import InstanceRecord
 from guavamast.rendezvous import rank
-from tests.relay_facts import make_catalog, make_endpoint, make_request, make_route
+from tests.relay_facts import BOUNDS, make_catalog, make_endpoint, make_request, make_route
 
 
 class CatalogTest(unittest.TestCase):
@@ -80,7 +80,7 @@
     """Requests are judged by a configuration only while it is proved recent enough."""
 
     def setUp(self) -> None:
-        self.gate = CallerGate(revocation_s=5.0)
+        self.gate = CallerGate(bounds=BOUNDS)
 
     def decide(self, age_s: float, **changes: object) -> Admitted | Denied:
         return self.gate.decide(make_request(**changes), make_catalog(), age_s=age_s)
@@ -211,7 +211,7 @@
     """One instance reads; the others step in within a second when it falls silent."""
 
     def setUp(self) -> None:
-        self.schedule = ReadSchedule(random=Random(1))
+        self.schedule = ReadSchedule(random=Random(1), bound_s=60.0)
 
     def test_ranks_step_in_one_after_the_other(self) -> None:
         for place in range(LAST_RANK):
@@ -224,6 +224,18 @@
         for place in range(400):
             self.assertTrue(self.schedule.is_due(age_s=2.0, rank=place, news=False, now=0.0))
 
+    def test_everyone_reads_before_requests_are_held_for_it(self) -> None:
+        """No request waits for a read although every datagram to its instance is lost.
+
+        A reader that comes after all others would wait for each of them in turn, longer than the
+        bound at which requests stop being sent by what it knows.
+        """
+        for bound_s in (1.6, 2.6):
+            schedule = ReadSchedule(random=Random(1), bound_s=bound_s)
+            for place in range(400):
+                age_s = bound_s - 0.2
+                self.assertTrue(schedule.is_due(age_s=age_s, rank=place, news=False, now=0.0))
+
     def test_news_is_fetched_soon_but_not_by_all_together(self) -> None:
         self.assertFalse(self.schedule.is_due(age_s=0.0, rank=9, news=True, now=5.0))
         latest = 5.0 + NEWS_WAIT_S + SPREAD_S / 3
