Do not take the store for away when this process or one connection is at fault

What callers saw: nothing of its own; it keeps an instance from news and makes it serve by old knowledge as if the store were away. Cause: one timer over a call ended before a process that was held up looked at the answer in its socket; and one kept connection that fell silent counted as the store. Either way the instance paused for up to 1.5 s before it read again. Change: limits on connecting and on calls of the store are counted in seven parts, each ending in a turn of the loop; a call that fails on a kept connection drops all kept ones and is made once more on a new one (0.3 s, then 0.5 s). Figures: with one timer, a connection that was accepted at once is given up while each turn takes 60 ms and the limit is 30 ms (test, seen failing); a read over a silent kept connection failed (test, seen failing). The rest of the same class, patience with endpoints, still has one timer each.

--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import json
 from typing import TYPE_CHECKING, Any, Final
@@ -12,6 +11,7 @@
 from guavamast.platform.endpoint_wire import decode_endpoint
 from guavamast.relay.endpoint_table import compute_digest
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.relay.loop_timeout import wait_turns
 from guavamast.relay.store import (
     CatalogReading,
     EndpointReading,
@@ -27,9 +27,11 @@
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.node_settings import SocketAddress
 
+KEPT_TIMEOUT_S: Final = 0.3
+"""For one call on a kept connection, in seconds: a silent one is given up soon enough for a new one
+before anything gets too old."""
 CALL_TIMEOUT_S: Final = 0.5
-"""For one call, connecting included; the store answers in some milliseconds, and a connection that
-has fallen silent is given up soon enough for another call before anything gets too old."""
+"""For connecting, and for one call on a new connection, in seconds."""
 LONG_TIMEOUT_S: Final = 2.0
 """For calls that nobody waits for."""
 INSTANCES_TABLE: Final = "instances"
@@ -159,21 +161,36 @@
     async def _call(
         self, method: str, target: str, body: bytes, *, timeout_s: float
     ) -> dict[str, Any]:
-        """Make one call on a kept connection, or on a new one."""
-        connection: HttpConnection | None = None
-        sent = self._read_time()
+        """Make one call on a kept connection or, if it brings nothing, on a new one.
+
+        Failure: a kept connection has fallen silent while new ones work, and the store is taken to
+        be away. Whatever is kept is dropped then, so that only a new connection tells.
+        """
+        kept = self._take_kept()
+        if kept is not None:
+            try:
+                return await self._call_on(kept, method, target, body, timeout_s=KEPT_TIMEOUT_S)
+            except (ConnectionLost, MalformedAnswer, TimeoutError):
+                self._drop_kept()
         try:
-            async with asyncio.timeout(timeout_s):
-                connection = await self._connect(timeout_s)
-                status, data = await self._exchange(connection, method, target, body)
+            ip, port = self._address.ip, self._address.port
+            connection = await HttpConnection.open(ip, port, timeout_s=timeout_s)
+            return await self._call_on(connection, method, target, body, timeout_s=timeout_s)
         except (ConnectionLost, MalformedAnswer, TimeoutError) as error:
-            reason = f"{type(error).__name__}: {error}"
-            raise StoreError(reason) from error
+            raise StoreError(f"{type(error).__name__}: {error}") from error
+
+    async def _call_on(
+        self, connection: HttpConnection, method: str, target: str, body: bytes, *, timeout_s: float
+    ) -> dict[str, Any]:
+        """Make one call on a connection and keep it if the answer was whole."""
+        sent = self._read_time()
+        exchange = self._exchange(connection, method, target, body)
+        try:
+            status, data = await wait_turns(exchange, timeout_s=timeout_s)
         finally:
-            if connection is not None and not connection.reusable:
+            if not connection.reusable:
                 connection.close()
-        if connection.reusable:
-            self._idle.append(connection)
+        self._idle.append(connection)
         if status != 200:
             raise StoreError(f"status {status}")
         try:
@@ -184,12 +201,17 @@
             self._clock.record(sent=sent, reading=_read_clock(answer))
         return answer
 
-    async def _connect(self, timeout_s: float) -> HttpConnection:
+    def _take_kept(self) -> HttpConnection | None:
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
-        return await HttpConnection.open(self._address.ip, self._address.port, timeout_s=timeout_s)
+        return None
+
+    def _drop_kept(self) -> None:
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
 
     async def _exchange(
         self, connection: HttpConnection, method: str, target: str, body: bytes
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -11,6 +11,8 @@
 
 import h11
 
+from guavamast.relay.loop_timeout import wait_turns
+
 if TYPE_CHECKING:
     from guavamast.relay.messages import Header
 
@@ -75,8 +77,8 @@
         """
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(cls, host, port)
+            connecting = loop.create_connection(cls, host, port)
+            _, connection = await wait_turns(connecting, timeout_s=timeout_s)
         except (OSError, TimeoutError) as error:
             raise ConnectionLost(f"connect: {type(error).__name__}") from error
         return connection
--- /dev/null
+++ b/tests/test_platform_store_client.py
@@ -0,0 +1,62 @@
+"""Tests of the calls to the store over connections that fail."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import unittest
+
+from guavamast.platform.store_client import StoreClient
+from guavamast.relay.freshness import StoreClock
+from guavamast.relay.node_settings import SocketAddress
+from guavamast.relay.store import StoreError
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    """The store is taken to be away only when a new connection brings nothing either."""
+
+    async def asyncSetUp(self) -> None:
+        self.silent_connections: set[int] = set()
+        self.accepted = 0
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = int(self.server.sockets[0].getsockname()[1])
+        self.client = StoreClient(
+            address=SocketAddress(ip="127.0.0.1", port=port),
+            clock=StoreClock(),
+            read_time=time.monotonic,
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.server.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        number = self.accepted
+        body = json.dumps({"rows": [], "now_ms": 5000}).encode()
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                if number in self.silent_connections:
+                    continue
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except asyncio.IncompleteReadError:
+            writer.close()
+
+    async def test_a_kept_connection_that_fell_silent_is_replaced(self) -> None:
+        """An instance goes on reading the store, and needs not serve by old knowledge.
+
+        Its kept connections fall silent without an error, while new ones work.
+        """
+        await asyncio.gather(*(self.client.read_endpoints() for _ in range(3)))
+        self.silent_connections = {1, 2, 3}
+        self.assertEqual((await self.client.read_endpoints()).reading, 5.0)
+        self.assertEqual(self.accepted, 4)
+
+    async def test_a_silent_store_is_an_error(self) -> None:
+        self.silent_connections = set(range(9))
+        with self.assertRaises(StoreError):
+            await self.client.read_endpoints()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_relay_loop_timeout.py
@@ -0,0 +1,92 @@
+"""Tests of the time limit that a slow process does not mistake for a silent server."""
+
+from __future__ import annotations
+
+import asyncio
+import socketserver
+import threading
+import time
+import unittest
+from unittest import mock
+
+from guavamast.relay.http_connection import HttpConnection
+from guavamast.relay.loop_timeout import wait_turns
+
+HELD_S = 0.06
+"""Time that each turn of the loop takes while the process is held up."""
+
+
+class Handler(socketserver.StreamRequestHandler):
+    """Answers one request at once, or never."""
+
+    silent = False
+
+    def handle(self) -> None:
+        while self.rfile.readline().strip():
+            pass
+        if not self.silent:
+            self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.rfile.read()
+
+
+class WaitTurnsTest(unittest.IsolatedAsyncioTestCase):
+    """What came while the process was held up counts as in time."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        thread = threading.Thread(target=self.server.serve_forever, args=(0.01,))
+        thread.start()
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(thread.join)
+        self.addCleanup(self.server.shutdown)
+        ip, port = self.server.server_address
+        self.connection = await HttpConnection.open(str(ip), int(port), timeout_s=5.0)
+        self.addCleanup(self.connection.close)
+
+    async def ask(self) -> int:
+        await self.connection.send("GET", "/", [("Host", "x")], b"")
+        return (await self.connection.read_head()).status
+
+    def hold(self, turns: int) -> None:
+        """Have each of the next turns of the loop take long."""
+        time.sleep(HELD_S)
+        if turns:
+            asyncio.get_running_loop().call_soon(self.hold, turns - 1)
+
+    async def test_a_connection_that_was_accepted_is_taken(self) -> None:
+        """A store that answers at once is not taken to be away by an instance that is held up.
+
+        Each turn of the loop takes longer than the limit, and the connection is accepted within the
+        first. With one timer over it all, the limit is reached before that is looked at.
+        """
+        asyncio.get_running_loop().call_soon(self.hold, 20)
+        ip, port = self.server.server_address
+        connection = await HttpConnection.open(str(ip), int(port), timeout_s=HELD_S / 2)
+        connection.close()
+
+    async def test_an_answer_that_waits_in_the_socket_is_taken(self) -> None:
+        asyncio.get_running_loop().call_soon(self.hold, 20)
+        self.assertEqual(await wait_turns(self.ask(), timeout_s=HELD_S / 2), 200)
+
+    async def test_a_silent_server_reaches_the_limit(self) -> None:
+        with mock.patch.object(Handler, "silent", True), self.assertRaises(TimeoutError):
+            await wait_turns(self.ask(), timeout_s=0.07)
+
+    async def test_work_ends_with_who_waits_for_it(self) -> None:
+        ended = asyncio.Event()
+
+        async def work() -> None:
+            try:
+                await asyncio.sleep(60.0)
+            finally:
+                ended.set()
+
+        waiting = asyncio.create_task(wait_turns(work(), timeout_s=60.0))
+        await asyncio.sleep(0.01)
+        waiting.cancel()
+        await asyncio.wait_for(ended.wait(), 5.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
