Sleep until a read of the store may be due, and wake for news

An instance that is no reader decided forty times a second, over two tables, to read nothing; that was more than all else that woke an idle instance. Change: one watch for each table (`table_watch.py`; the two loops stood twice) sleeps until its proof may be old enough for any reader, and a beat with news wakes it. The schedule decides as before.

--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -32,18 +32,22 @@
 from guavamast.relay.peers import Peers, compute_beat_interval
 from guavamast.relay.prompt_cache import PromptCache
 from guavamast.relay.prompt_lanes import PromptDemand
+from guavamast.relay.read_schedule import ReadSchedule
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_notes import RequestNotes
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store import InstanceRecord
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
+from guavamast.relay.table_watch import CatalogWatch, EndpointWatch
 
 if TYPE_CHECKING:
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import CallerRequest, HeaderCodec
     from guavamast.relay.node_settings import NodeSettings, SocketAddress
     from guavamast.relay.store import EndpointReading, Store
+    from guavamast.relay.store_reader import SharedRead
+    from guavamast.relay.table_watch import TableWatch
 
 STANDARD_OUTPUT: Final = 1
 """File descriptor of the log unless another is given."""
@@ -170,17 +174,33 @@
         return StoreWatch(
             store=self._store,
             reader=self._reader,
+            watches=self._make_table_watches(),
             knowledge=self.knowledge,
             record=self.record,
-            bounds=self._bounds,
             log=self.log,
-            counters=self.counters,
-            loop_delay=self._loop_delay,
-            random=self._random,
             read_time=read_boot_time,
             announce_to_all=self._exchange.announce_to_all,
         )
 
+    def _make_table_watches(self) -> list[TableWatch]:
+        catalog = ReadSchedule(random=self._random, bound_s=self._bounds.catalog_s)
+        endpoints = ReadSchedule(random=self._random, bound_s=self._bounds.endpoints_s)
+        kinds: list[tuple[type[TableWatch], SharedRead, ReadSchedule]] = [
+            (CatalogWatch, self._reader.catalog, catalog),
+            (EndpointWatch, self._reader.endpoints, endpoints),
+        ]
+        return [
+            kind(
+                read=read,
+                schedule=schedule,
+                knowledge=self.knowledge,
+                counters=self.counters,
+                loop_delay=self._loop_delay,
+                read_time=read_boot_time,
+            )
+            for kind, read, schedule in kinds
+        ]
+
     def _make_admission(self) -> CallerAdmission:
         return CallerAdmission(
             gate=CallerGate(bounds=self._bounds),
@@ -370,6 +390,7 @@
 
     def _take_beat(self, beat: Beat) -> None:
         self.knowledge.take_beat(beat)
+        self._watch.wake_for_news()
         name = beat.record.name
         self._loads.take_peer(name, beat.loads)
         self._demand.take_peer(name, beat.demand)
--- a/src/guavamast/relay/read_schedule.py
+++ b/src/guavamast/relay/read_schedule.py
@@ -13,6 +13,8 @@
 OWN_READ_SHARE: Final = 0.65
 """Share of the age at which requests are not sent any more: each instance reads for itself then,
 whoever comes before it, so that requests seldom wait for a read."""
+TICK_S: Final = 0.05
+"""Seconds between two decisions whether to read, once a read may be due."""
 STEP_IN_S: Final = 0.25
 """How much later each further reader steps in; longer than a read takes and a beat travels."""
 NEWS_WAIT_S: Final = 0.06
@@ -73,6 +75,17 @@
             due_s += SPREAD_S * (rank % 7) / 7
         return age_s >= due_s
 
+    def find_pause(self, *, age_s: float, news: bool) -> float:
+        """Return the seconds for which no read can become due unless news comes.
+
+        Args:
+            age_s: Age of the newest proof.
+            news: Whether another instance is known to have something newer.
+        """
+        if news:
+            return TICK_S
+        return max(TICK_S, READ_INTERVAL_S - age_s)
+
     def record_success(self) -> None:
         """Read at the usual times again."""
         self._failures = 0
--- /dev/null
+++ b/src/guavamast/relay/table_watch.py
@@ -0,0 +1,131 @@
+"""Keeps one table of the store fresh: decides when to read it, and sleeps in between."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from guavamast.relay.read_schedule import READ_INTERVAL_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.counters import Counters
+    from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.loop_delay import LoopDelay
+    from guavamast.relay.read_schedule import ReadSchedule
+    from guavamast.relay.store_reader import SharedRead
+
+
+class TableWatch(ABC):
+    """Reads one table when it is due.
+
+    Most rounds of an instance that is no reader would decide nothing, and waking for them is most
+    of what an idle instance does. It sleeps until its knowledge may be old enough for any reader,
+    unless it is woken by news.
+
+    Args:
+        read: Reads the table.
+        schedule: Decides when.
+        knowledge: What is kept fresh.
+        counters: Metrics.
+        loop_delay: Told how late each round is.
+        read_time: The local clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        read: SharedRead,
+        schedule: ReadSchedule,
+        knowledge: FleetKnowledge,
+        counters: Counters,
+        loop_delay: LoopDelay,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._read = read
+        self._schedule = schedule
+        self._knowledge = knowledge
+        self._counters = counters
+        self._loop_delay = loop_delay
+        self._read_time = read_time
+        self._woken = asyncio.Event()
+
+    @abstractmethod
+    def compute_age(self, *, now: float) -> float:
+        """Return an upper bound of the seconds since the table was the store's."""
+
+    @abstractmethod
+    def has_news(self) -> bool:
+        """Return whether the store is known to hold something newer."""
+
+    def wake_for_news(self) -> None:
+        """Decide at once on what another instance has told, if it is news for this table."""
+        if self.has_news():
+            self._woken.set()
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            now = self._read_time()
+            age_s = self.compute_age(now=now)
+            news = self.has_news()
+            rank = self._rank(age_s, now=now)
+            if self._schedule.is_due(age_s=age_s, rank=rank, news=news, now=now):
+                await self._read_now()
+            age_s = self.compute_age(now=self._read_time())
+            await self._pause(self._schedule.find_pause(age_s=age_s, news=self.has_news()))
+
+    def _rank(self, age_s: float, *, now: float) -> int:
+        """Return the place among the readers; 0 while the proof is too young for any to read.
+
+        Ranking goes over all instances, so it is done only when it may decide.
+        """
+        if age_s < READ_INTERVAL_S:
+            return 0
+        return self._knowledge.peers.rank_as_reader(now=now)
+
+    async def _read_now(self) -> None:
+        if await self._read.join():
+            self._schedule.record_success()
+        else:
+            self._schedule.record_failure(now=self._read_time())
+
+    async def _pause(self, pause_s: float) -> None:
+        """Sleep until the next round or news, and note how much later than due it begins."""
+        due = self._read_time() + pause_s
+        timer = asyncio.get_running_loop().call_later(pause_s, self._woken.set)
+        try:
+            await self._woken.wait()
+        finally:
+            timer.cancel()
+        self._woken.clear()
+        now = self._read_time()
+        delay_s = max(0.0, now - due)
+        self._loop_delay.record(delay_s, now=now)
+        self._counters.observe("loop_delay_seconds", delay_s)
+
+
+class CatalogWatch(TableWatch):
+    """Keeps the configuration fresh."""
+
+    def compute_age(self, *, now: float) -> float:
+        """Return an upper bound of the seconds since the configuration was the newest."""
+        return self._knowledge.compute_catalog_age(now=now)
+
+    def has_news(self) -> bool:
+        """Return whether another instance has a newer configuration."""
+        return self._knowledge.newer_catalog_heard
+
+
+class EndpointWatch(TableWatch):
+    """Keeps the table of endpoints fresh."""
+
+    def compute_age(self, *, now: float) -> float:
+        """Return an upper bound of the seconds since the table was the store's."""
+        return self._knowledge.compute_endpoints_age(now=now)
+
+    def has_news(self) -> bool:
+        """Return whether another instance has a later table, or this one has to be read again."""
+        return self._knowledge.newer_endpoints_heard or self._knowledge.must_relist
--- /dev/null
+++ b/tests/test_relay_table_watch.py
@@ -0,0 +1,83 @@
+"""Tests of when a table of the store is read."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from random import Random
+
+from guavamast.relay.counters import Counters
+from guavamast.relay.loop_delay import LoopDelay
+from guavamast.relay.read_schedule import READ_INTERVAL_S, TICK_S, ReadSchedule
+from guavamast.relay.store_reader import SharedRead
+from guavamast.relay.table_watch import CatalogWatch
+from tests.test_relay_caller_admission import World
+
+READY_S = 20.0
+"""Time for what is to happen at once, on a busy machine."""
+
+
+class SleepySchedule(ReadSchedule):
+    """Reads on news alone, and sleeps for hours otherwise."""
+
+    def __init__(self) -> None:
+        super().__init__(random=Random(1), bound_s=60.0)
+
+    def is_due(self, *, age_s: float, rank: int, news: bool, now: float) -> bool:
+        del age_s, rank, now
+        return news
+
+    def find_pause(self, *, age_s: float, news: bool) -> float:
+        del age_s, news
+        return 3600.0
+
+
+class TableWatchTest(unittest.IsolatedAsyncioTestCase):
+    """An instance sleeps while nothing can be due, and wakes for news."""
+
+    async def asyncSetUp(self) -> None:
+        self.world = World()
+        self.reads = 0
+        self.was_read = asyncio.Event()
+        self.watch = CatalogWatch(
+            read=SharedRead(read=self.read),
+            schedule=SleepySchedule(),
+            knowledge=self.world.knowledge,
+            counters=Counters(),
+            loop_delay=LoopDelay(),
+            read_time=lambda: self.world.now,
+        )
+        task = asyncio.create_task(self.watch.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(0.01)
+
+    async def read(self) -> bool:
+        self.reads += 1
+        self.world.knowledge.newer_catalog_heard = False
+        self.was_read.set()
+        return True
+
+    async def test_news_wakes_it(self) -> None:
+        """A change of the configuration is read although the next round is far away."""
+        self.world.knowledge.newer_catalog_heard = True
+        self.watch.wake_for_news()
+        await asyncio.wait_for(self.was_read.wait(), READY_S)
+
+    async def test_a_beat_without_news_does_not(self) -> None:
+        self.watch.wake_for_news()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.reads, 0)
+
+
+class PauseTest(unittest.TestCase):
+    """No round is missed in which a read may be due."""
+
+    def test_it_sleeps_until_a_reader_may_be_due(self) -> None:
+        schedule = ReadSchedule(random=Random(1), bound_s=1.6)
+        self.assertEqual(schedule.find_pause(age_s=0.2, news=False), READ_INTERVAL_S - 0.2)
+        for age_s, news in ((0.2, True), (READ_INTERVAL_S, False), (float("inf"), False)):
+            self.assertEqual(schedule.find_pause(age_s=age_s, news=news), TICK_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
