--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,10 +1,10 @@
 """Test runner: all unittest tests, with the failures listed in KNOWN-RED.txt passed over.
 
-A line of KNOWN-RED.txt is ``test id | command and seed | what was seen | issue``. The run fails when
-a test that is not listed fails, when a listed test passes again, does not exist, or when more than
-three are listed. A line whose first field begins with ``play`` is a finding of a long play outside
-of the tests: it is printed and counts like the others, and no run of the tests can tell whether it
-still stands.
+A line of KNOWN-RED.txt is ``test id | command and seed | what was seen | issue``. The run fails
+when a test that is not listed fails, when a listed test passes again, does not exist, or when more
+than three are listed. A line whose first field begins with ``play`` is a finding of a long play
+outside of the tests: it is printed and counts like the others, and no run of the tests can tell
+whether it still stands.
 """
 
 from __future__ import annotations
