Keep house and the knowledge of work in modules of their own

Cause: node.py wired, ran and kept house; three gauges were set on every request; an answer and another end of a request counted with the same two lines; the loads of all plain endpoints were summed up where only a sample is compared. Change: `housekeeper.py` (sets the gauges once a second), `work_knowledge.py` (loads, prompts in memory, demand, speeds: taken and forgotten together), `boot_clock.py`; one way to count an end; sums for what is compared.

--- a/src/guavamast/platform/questions.py
+++ b/src/guavamast/platform/questions.py
@@ -7,9 +7,9 @@
 from urllib.parse import parse_qs
 
 from guavamast.relay.beats import InstanceState
+from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.caller_addresses import VALIDITY_S, CallerPlace, choose_addresses
 from guavamast.relay.listener import Question
-from guavamast.relay.node import read_boot_time
 
 if TYPE_CHECKING:
     from guavamast.relay.node import Node
--- a/src/guavamast/platform/runner.py
+++ b/src/guavamast/platform/runner.py
@@ -7,8 +7,9 @@
 from guavamast.platform.questions import AddressQuestion, MetricsQuestion, ReadinessQuestion
 from guavamast.platform.request_headers import PlatformHeaders
 from guavamast.platform.store_client import StoreClient
+from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.freshness import StoreClock
-from guavamast.relay.node import STANDARD_OUTPUT, Node, read_boot_time
+from guavamast.relay.node import STANDARD_OUTPUT, Node
 
 if TYPE_CHECKING:
     from guavamast.relay.node_settings import NodeSettings
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -110,14 +110,17 @@
             lanes = assign_lanes(candidates, placement.lane_shares)
         others = [record for record in candidates if record.endpoint_id not in exclude]
         home = _find_home(placement, others, lanes)
-        loads = {one.endpoint_id: self._loads.sum_up(one.endpoint_id) for one in others}
+        compared = others
         if placement.loads_late:
-            if lanes:
-                loads = blend_loads(loads, lanes)
-            others = self._sample(placement, others, lanes, home)
+            compared = self._sample(placement, others, lanes, home)
+        if placement.loads_late and lanes:
+            # The mean of a lane is that of all its engines.
+            loads = blend_loads(self._sum_up(others), lanes)
+        else:
+            loads = self._sum_up(compared)
         best: Choice | None = None
         least = float("inf")
-        for record in others:
+        for record in compared:
             candidate = self._describe_candidate(placement, record, loads, lanes)
             cost = self._estimate_cost(placement, candidate, now=now)
             if record.endpoint_id == home:
@@ -127,6 +130,9 @@
                 least = cost
         return best
 
+    def _sum_up(self, records: list[EndpointRecord]) -> dict[str, Load]:
+        return {one.endpoint_id: self._loads.sum_up(one.endpoint_id) for one in records}
+
     def _describe_candidate(
         self,
         placement: Placement,
--- /dev/null
+++ b/src/guavamast/relay/housekeeper.py
@@ -0,0 +1,89 @@
+"""Drops what is over: old connections, endpoints and instances that are gone, stale records."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from guavamast.relay.connection_pool import ConnectionPool
+    from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.request_notes import RequestNotes
+    from guavamast.relay.store_reader import StoreReader
+    from guavamast.relay.work_knowledge import WorkKnowledge
+
+HOUSEKEEPING_S: Final = 1.0
+"""Seconds between two rounds of housekeeping."""
+
+
+class Housekeeper:
+    """Keeps what an instance remembers in bounds.
+
+    Args:
+        knowledge: Endpoints and other instances.
+        work: What is known of the work at them.
+        pool: Kept connections.
+        reader: Whether the store answers.
+        notes: Shows what has been learnt.
+        unregister: Drops an instance's record in the store.
+        read_time: The local clock.
+    """
+
+    __slots__ = ("_knowledge", "_notes", "_pool", "_read_time", "_reader", "_unregister", "_work")
+
+    def __init__(
+        self,
+        *,
+        knowledge: FleetKnowledge,
+        work: WorkKnowledge,
+        pool: ConnectionPool,
+        reader: StoreReader,
+        notes: RequestNotes,
+        unregister: Callable[[str], Awaitable[None]],
+        read_time: Callable[[], float],
+    ) -> None:
+        self._knowledge = knowledge
+        self._work = work
+        self._pool = pool
+        self._reader = reader
+        self._notes = notes
+        self._unregister = unregister
+        self._read_time = read_time
+
+    async def run(self) -> None:
+        """Keep house until cancelled."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now = self._read_time()
+            await self._clean_registry(now=now)
+            self._forget_gone(now=now)
+            self._show_profiles(now=now)
+
+    async def _clean_registry(self, *, now: float) -> None:
+        """Drop the records of instances that are gone for good.
+
+        Failure: instances that are replaced without a word leave their records, and each new one
+        tells all of them of itself for a while. One instance, the first reader of the store, drops
+        them; an instance that was only cut off is told to all again by its next start.
+        """
+        peers = self._knowledge.peers
+        silent = peers.forget_silent(now=now)
+        if peers.rank_as_reader(now=now) > 0 or not self._reader.answers:
+            return
+        for name in silent:
+            await self._unregister(name)
+
+    def _forget_gone(self, *, now: float) -> None:
+        known = {record.endpoint_id for record in self._knowledge.endpoints.list_all()}
+        live = {beat.record.name for beat in self._knowledge.peers.list_live(now=now)}
+        self._pool.keep_only(known, now=now)
+        self._work.keep_only(endpoint_ids=known, instances=live)
+
+    def _show_profiles(self, *, now: float) -> None:
+        catalog = self._knowledge.catalog
+        for service in catalog.services.values() if catalog is not None else ():
+            if service.prompt_cache_tokens is not None:
+                profile = self._work.profiles.find(service.name, now=now)
+                self._notes.note_profile(service.name, profile)
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -15,6 +15,7 @@
 from guavamast.relay.beat_relays import BeatRelays
 from guavamast.relay.beat_socket import BeatSocket
 from guavamast.relay.beats import Beat, BeatBundle, InstanceState, LoadNotice, encode_notice
+from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.caller_addresses import VALIDITY_S
 from guavamast.relay.caller_admission import CallerAdmission
 from guavamast.relay.caller_gate import CallerGate
@@ -22,16 +23,13 @@
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.endpoint_choice import EndpointChooser
-from guavamast.relay.endpoint_load import EndpointLoads
-from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.exchange import Exchanger
 from guavamast.relay.fleet_knowledge import FleetKnowledge
+from guavamast.relay.housekeeper import Housekeeper
 from guavamast.relay.listener import CallerListener, Question, QuestionListener
 from guavamast.relay.load_notices import LoadNotices
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peers import Peers, compute_beat_interval
-from guavamast.relay.prompt_cache import PromptCache
-from guavamast.relay.prompt_lanes import PromptDemand
 from guavamast.relay.read_schedule import ReadSchedule
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_notes import RequestNotes
@@ -40,6 +38,7 @@
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
 from guavamast.relay.table_watch import CatalogWatch, EndpointWatch
+from guavamast.relay.work_knowledge import WorkKnowledge
 
 if TYPE_CHECKING:
     from guavamast.relay.freshness import StoreClock
@@ -57,13 +56,6 @@
 """Seconds added to the time for which callers may still come: a beat and a caller's way."""
 STOP_MARGIN_S: Final = 0.8
 """Seconds before the platform would kill it in which the process ends."""
-HOUSEKEEPING_S: Final = 1.0
-"""Seconds between two rounds of housekeeping."""
-
-
-def read_boot_time() -> float:
-    """Return seconds that go on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Node:
@@ -107,11 +99,8 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         self._leaving = False
-        self._loads = EndpointLoads()
-        self._cache = PromptCache()
-        self._demand = PromptDemand()
+        self._work = WorkKnowledge()
         self._loop_delay = LoopDelay()
-        self._profiles = EngineProfiles()
         self._pool = ConnectionPool()
         self._bounds = StalenessBounds(
             change_s=settings.change_s,
@@ -128,6 +117,13 @@
         self._exchange = self._make_exchange()
         self._reader = self._make_reader()
         self._watch = self._make_watch()
+        self._notes = RequestNotes(
+            log=self.log,
+            counters=self.counters,
+            knowledge=self.knowledge,
+            loop_delay=self._loop_delay,
+        )
+        self._housekeeper = self._make_housekeeper()
         self._relayer = self._make_relayer(codec)
         self._listener = CallerListener(
             relayer=self._relayer,
@@ -141,8 +137,8 @@
         return LoadNotices(
             instance=self.settings.name,
             incarnation=self._incarnation,
-            loads=self._loads,
-            cache=self._cache,
+            loads=self._work.loads,
+            cache=self._work.cache,
             send=self._send_notice,
             count_instances=self.peers.count_known,
             read_time=read_boot_time,
@@ -201,6 +197,17 @@
             for kind, read, schedule in kinds
         ]
 
+    def _make_housekeeper(self) -> Housekeeper:
+        return Housekeeper(
+            knowledge=self.knowledge,
+            work=self._work,
+            pool=self._pool,
+            reader=self._reader,
+            notes=self._notes,
+            unregister=self._unregister,
+            read_time=read_boot_time,
+        )
+
     def _make_admission(self) -> CallerAdmission:
         return CallerAdmission(
             gate=CallerGate(bounds=self._bounds),
@@ -218,37 +225,33 @@
             window_s=settings.repeat_window_s,
         )
         budget = AttemptBudget(terms=terms)
-        notes = RequestNotes(
-            log=self.log,
-            counters=self.counters,
-            knowledge=self.knowledge,
-            loop_delay=self._loop_delay,
-        )
         admission = self._make_admission()
         exchanger = Exchanger(
             admission=admission,
             knowledge=self.knowledge,
-            loads=self._loads,
-            cache=self._cache,
+            loads=self._work.loads,
+            cache=self._work.cache,
             budget=budget,
             codec=codec,
             pool=self._pool,
-            notes=notes,
-            profiles=self._profiles,
+            notes=self._notes,
+            profiles=self._work.profiles,
             tell_load=self._notices.note,
             read_time=read_boot_time,
         )
         return Relayer(
             knowledge=self.knowledge,
             admission=admission,
-            loads=self._loads,
+            loads=self._work.loads,
             budget=budget,
             codec=codec,
-            notes=notes,
-            chooser=EndpointChooser(loads=self._loads, cache=self._cache, random=self._random),
+            notes=self._notes,
+            chooser=EndpointChooser(
+                loads=self._work.loads, cache=self._work.cache, random=self._random
+            ),
             exchanger=exchanger,
-            demand=self._demand,
-            profiles=self._profiles,
+            demand=self._work.demand,
+            profiles=self._work.profiles,
             random=self._random,
             read_time=read_boot_time,
         )
@@ -293,7 +296,7 @@
         background = [
             asyncio.create_task(self._watch.run()),
             asyncio.create_task(self._exchange.run()),
-            asyncio.create_task(self._keep_house()),
+            asyncio.create_task(self._housekeeper.run()),
         ]
         stopping = asyncio.create_task(self._stop.wait())
         done, _ = await asyncio.wait([stopping, *background], return_when=asyncio.FIRST_COMPLETED)
@@ -363,10 +366,10 @@
             store_answers=self._reader.answers,
             catalog=self.knowledge.catalog_proof,
             endpoints=self.knowledge.endpoint_proof,
-            loads=self._loads.list_own(),
-            demand=self._demand.read_own(now=now),
-            profiles=self._profiles.list_own(now=now),
-            sends=self._cache.list_recent(now=now, interval_s=interval_s),
+            loads=self._work.loads.list_own(),
+            demand=self._work.demand.read_own(now=now),
+            profiles=self._work.profiles.list_own(now=now),
+            sends=self._work.cache.list_recent(now=now, interval_s=interval_s),
         )
 
     def _send_notice(self, notice: LoadNotice) -> None:
@@ -380,8 +383,7 @@
         elif isinstance(message, BeatBundle):
             self._exchange.take_bundle(message)
         elif self.peers.is_current(message.instance, message.incarnation):
-            self._loads.update_peer(message.instance, message.loads)
-            self._cache.take_peer(message.instance, message.incarnation, message.sends)
+            self._work.take_notice(message)
 
     def _take_endpoints(self, reading: EndpointReading, data: bytes) -> None:
         """Take a table of endpoints that another instance has read."""
@@ -391,37 +393,7 @@
     def _take_beat(self, beat: Beat) -> None:
         self.knowledge.take_beat(beat)
         self._watch.wake_for_news()
-        name = beat.record.name
-        self._loads.take_peer(name, beat.loads)
-        self._demand.take_peer(name, beat.demand)
-        self._profiles.take_peer(name, beat.profiles)
-        self._cache.take_peer(name, beat.incarnation, beat.sends)
-
-    async def _keep_house(self) -> None:
-        while True:
-            await asyncio.sleep(HOUSEKEEPING_S)
-            now = read_boot_time()
-            await self._clean_registry(self.peers.forget_silent(now=now), now=now)
-            known = {record.endpoint_id for record in self.knowledge.endpoints.list_all()}
-            self._pool.keep_only(known, now=now)
-            self._loads.keep_only(known)
-            self._cache.keep_only(known)
-            live = {beat.record.name for beat in self.peers.list_live(now=now)}
-            self._loads.keep_peers(live)
-            self._demand.keep_peers(live)
-            self._profiles.keep_peers(live)
-
-    async def _clean_registry(self, silent: list[str], *, now: float) -> None:
-        """Drop the records of instances that are gone for good.
-
-        Failure: instances that are replaced without a word leave their records, and each new one
-        tells all of them of itself for a while. One instance, the first reader of the store, drops
-        them; an instance that was only cut off is told to all again by its next start.
-        """
-        if self.peers.rank_as_reader(now=now) > 0 or not self._reader.answers:
-            return
-        for name in silent:
-            await self._unregister(name)
+        self._work.take_beat(beat)
 
     def _apply_limits(self) -> None:
         catalog = self.knowledge.catalog
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -161,7 +161,6 @@
         if not request.prompt_tokens:
             return
         profile = self._profiles.find(progress.service, now=now)
-        self._notes.note_profile(progress.service, profile)
         self._demand.record(
             progress.lane,
             prompt_tokens=request.prompt_tokens,
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -192,8 +192,7 @@
         late = timing.find_lateness(progress.admitted.route, took_s=took_s)
         if late is not None:
             self._counters.add(f'late_answers_total{{cause="{late}"}}')
-        self._counters.add('requests_total{outcome="answered"}')
-        self._counters.observe("request_seconds", took_s)
+        self._count_end("answered", took_s)
         if timing.first_event_s is not None:
             self._counters.observe("longest_pause_seconds", timing.longest_pause_s)
         self._log.write(
@@ -221,8 +220,8 @@
         reason: str | None = None,
     ) -> None:
         """Note how a request ended."""
-        self._counters.add(f'requests_total{{outcome="{outcome}"}}')
-        self._counters.observe("request_seconds", now - request.arrived)
+        took_s = now - request.arrived
+        self._count_end(outcome, took_s)
         self._log.write(
             "ended",
             now=now,
@@ -230,5 +229,9 @@
             outcome=outcome,
             status=status,
             reason=reason,
-            took_s=round(now - request.arrived, 4),
+            took_s=round(took_s, 4),
         )
+
+    def _count_end(self, outcome: str, took_s: float) -> None:
+        self._counters.add(f'requests_total{{outcome="{outcome}"}}')
+        self._counters.observe("request_seconds", took_s)
--- /dev/null
+++ b/src/guavamast/relay/work_knowledge.py
@@ -0,0 +1,46 @@
+"""What an instance knows of the work at endpoints: its own and what others tell."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.relay.endpoint_load import EndpointLoads
+from guavamast.relay.engine_profile import EngineProfiles
+from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.prompt_lanes import PromptDemand
+
+if TYPE_CHECKING:
+    from guavamast.relay.beats import Beat, LoadNotice
+
+
+class WorkKnowledge:
+    """Loads, prompts in memory, demand and speeds, kept from the same beats."""
+
+    __slots__ = ("cache", "demand", "loads", "profiles")
+
+    def __init__(self) -> None:
+        self.loads = EndpointLoads()
+        self.cache = PromptCache()
+        self.demand = PromptDemand()
+        self.profiles = EngineProfiles()
+
+    def take_beat(self, beat: Beat) -> None:
+        """Replace what an instance has told before."""
+        name = beat.record.name
+        self.loads.take_peer(name, beat.loads)
+        self.demand.take_peer(name, beat.demand)
+        self.profiles.take_peer(name, beat.profiles)
+        self.cache.take_peer(name, beat.incarnation, beat.sends)
+
+    def take_notice(self, notice: LoadNotice) -> None:
+        """Replace what an instance has told of some endpoints."""
+        self.loads.update_peer(notice.instance, notice.loads)
+        self.cache.take_peer(notice.instance, notice.incarnation, notice.sends)
+
+    def keep_only(self, *, endpoint_ids: set[str], instances: set[str]) -> None:
+        """Forget the endpoints and instances that are gone."""
+        self.loads.keep_only(endpoint_ids)
+        self.cache.keep_only(endpoint_ids)
+        self.loads.keep_peers(instances)
+        self.demand.keep_peers(instances)
+        self.profiles.keep_peers(instances)
