Soak: ask of leaving engines whatever befalls instances, with keys that last

Cause: the soak judged engines that leave in calm times only, and its bound on revoked keys (2 s) had instances refuse all keys before their table of engines was too old to send by, so old knowledge could not show. Change: the check holds through all that strikes instances themselves (kills, stops, freezes, reloads); faults of store, links and engines still excuse it. Found: seed 506 (revoke_s 9, old logic): "ended by itself with -1". Traced: a reload 0.11 s after a start, before the interpreter had run a line; only the parent can prevent that.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,13 +9,22 @@
 
 import fire
 
+from soak.promises import REVOKE_S
 from soak.run import SoakRun, Verdict
 
 
-async def run_seed(seed: int, *, length_s: float, instances: int, keep: str) -> Verdict:
+async def run_seed(
+    seed: int, *, length_s: float, instances: int, keep: str, revoke_s: float
+) -> Verdict:
     """Run one seed; its logs are kept in a directory when one is given."""
     directory = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None)
-    run = SoakRun(seed=seed, length_s=length_s, instances=instances, directory=directory)
+    run = SoakRun(
+        seed=seed,
+        length_s=length_s,
+        instances=instances,
+        directory=directory,
+        revoke_s=revoke_s,
+    )
     verdict = await run.run()
     word = "kept" if not verdict.broken else "BROKEN"
     print(f"seed {seed}: {word}, {verdict.answered} of {verdict.asked} answered", flush=True)
@@ -27,7 +36,14 @@
 
 
 async def run_seeds(
-    first: int, last: int, *, length_s: float, instances: int, parallel: int, keep: str
+    first: int,
+    last: int,
+    *,
+    length_s: float,
+    instances: int,
+    parallel: int,
+    keep: str,
+    revoke_s: float,
 ) -> list[Verdict]:
     """Run seeds, some at a time."""
     task = asyncio.current_task()
@@ -38,7 +54,9 @@
 
     async def run_one(seed: int) -> Verdict:
         async with slots:
-            return await run_seed(seed, length_s=length_s, instances=instances, keep=keep)
+            return await run_seed(
+                seed, length_s=length_s, instances=instances, keep=keep, revoke_s=revoke_s
+            )
 
     return await asyncio.gather(*(run_one(seed) for seed in range(first, last + 1)))
 
@@ -49,6 +67,7 @@
     instances: int = 4,
     parallel: int = 4,
     keep: str = "",
+    revoke_s: float = REVOKE_S,
 ) -> None:
     """Run seeds and say which promises were broken.
 
@@ -58,6 +77,8 @@
         instances: Instances of each run.
         parallel: Runs at the same time.
         keep: Directory for the logs; a temporary one by default.
+        revoke_s: Time after which a revoked key must not work; a long one leaves other bounds to
+            decide how long instances serve by old knowledge.
     """
     first, _, last = str(seeds).partition("-")
     verdicts = asyncio.run(
@@ -68,6 +89,7 @@
             instances=instances,
             parallel=parallel,
             keep=keep,
+            revoke_s=revoke_s,
         )
     )
     broken = sum(bool(verdict.broken) for verdict in verdicts)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -22,6 +22,17 @@
 """On the log once a process listens and answers signals."""
 
 
+def handles_signal(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores or catches a signal, so that it does not end by it."""
+    bit = 1 << (number - 1)
+    try:
+        with open(f"/proc/{pid}/status", encoding="ascii") as status:
+            masks = [line.split()[1] for line in status if line.startswith(("SigIgn", "SigCgt"))]
+    except FileNotFoundError:
+        return False
+    return any(int(mask, 16) & bit for mask in masks)
+
+
 class Instance:
     """One instance and the processes that it has been so far.
 
@@ -85,8 +96,13 @@
             await self.start()
 
     def reload(self) -> None:
-        """Tell the process that its settings have changed."""
-        self._signal(signal.SIGHUP)
+        """Tell the process that its settings have changed.
+
+        Before its interpreter has run a line of ours, the signal ends a process, and nothing that
+        the process does can change that; it reads its settings later anyway.
+        """
+        if self._process is not None and handles_signal(self._process.pid, signal.SIGHUP):
+            self._signal(signal.SIGHUP)
 
     async def stop(self) -> None:
         """End the process for good."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,7 +11,7 @@
 """Statuses which say that a request has not run and never will."""
 DENIALS: Final = (401, 403, 404)
 REVOKE_S: Final = 2.0
-"""Time after which a revoked key must not work, as the soak's settings say."""
+"""Time after which a revoked key must not work, unless a run has another bound."""
 DRAIN_S: Final = 2.0
 """Time after which an engine that leaves gets nothing more."""
 CALM_S: Final = 3.5
@@ -86,6 +86,10 @@
     drains: dict[str, list[Span]]
     """From the listing as leaving to the listing as ready, by engine."""
     disruptions: list[Span]
+    outer_disruptions: list[Span]
+    """Those of the store, of links and of engines: all but the instances' own."""
+    revoke_s: float
+    """Time after which a revoked key must not work in this run."""
     recovered: float
     """From when on everything must be served again."""
     ended: float
@@ -129,7 +133,7 @@
 
 def _check_calm(asked: Asked, record: Record) -> list[str]:
     """Nothing fails while only planned work goes on: stops, reloads, changes and drains."""
-    if asked.ended >= record.ended or not _is_calm(record, asked.sent, asked.ended):
+    if asked.ended >= record.ended or not _is_calm(record.disruptions, asked.sent, asked.ended):
         return []
     if asked.status is None or (asked.status == 200 and not asked.whole):
         return [f"{asked.request_id} ({asked.kind}): no whole answer, though nothing was disturbed"]
@@ -158,23 +162,21 @@
     if not run.intact:
         broken.append(f"{run.request_id}: changed on its way")
     revoked = record.revoked.get(run.organisation)
-    if revoked is not None and sent > revoked + REVOKE_S:
+    if revoked is not None and sent > revoked + record.revoke_s:
         late = sent - revoked
         broken.append(f"{run.request_id}: ran, asked for {late:.2f} s after its key was taken away")
     for drain in record.drains.get(run.engine, []):
-        if drain.began + DRAIN_S < run.began < drain.ended and _is_calm(
-            record, run.began, run.began
-        ):
+        # Whatever befalls an instance itself, it reads before it sends by what is too old.
+        calm = _is_calm(record.outer_disruptions, run.began, run.began)
+        if calm and drain.began + DRAIN_S < run.began < drain.ended:
             late = run.began - drain.began
             broken.append(f"{run.request_id}: ran at {run.engine} {late:.2f} s after it left")
     return broken
 
 
-def _is_calm(record: Record, began: float, ended: float) -> bool:
+def _is_calm(disruptions: list[Span], began: float, ended: float) -> bool:
     """Return whether nothing was disturbed in a time and for a while before it."""
-    return not any(
-        span.began <= ended and began - CALM_S <= span.ended for span in record.disruptions
-    )
+    return not any(span.began <= ended and began - CALM_S <= span.ended for span in disruptions)
 
 
 def _check_recovery(record: Record) -> list[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from guavamast.platform.standins.engine import EngineFault
 from guavamast.platform.standins.store import StoreFault
 from soak.callers import Caller
-from soak.promises import Asked, Record, Span, check
+from soak.promises import REVOKE_S, Asked, Record, Span, check
 from soak.proxy import LinkFault
 from soak.schedule import RECOVERY_S, Fault, FaultKind, plan_faults
 from soak.world import KEYS, World
@@ -69,15 +69,28 @@
         length_s: Time for which callers ask.
         instances: How many instances there are.
         directory: Where settings and logs are written.
+        revoke_s: Time after which a revoked key must not work. A short one has instances refuse
+            all keys before their knowledge is too old for anything else.
     """
 
-    def __init__(self, *, seed: int, length_s: float, instances: int, directory: str) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        length_s: float,
+        instances: int,
+        directory: str,
+        revoke_s: float = REVOKE_S,
+    ) -> None:
         self._seed = seed
         self._length_s = length_s
         self._instances = instances
         self._world = World(directory=directory)
+        self._world.bounds["revoke_ms"] = int(revoke_s * 1000)
+        self._revoke_s = revoke_s
         self._asked: list[Asked] = []
         self._disruptions: list[Span] = []
+        self._outer_disruptions: list[Span] = []
         self._struck: list[str] = []
         self._strikes: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.INSTANCE_KILL: self._kill_instance,
@@ -123,6 +136,8 @@
             revoked=self._world.revoked,
             drains=self._world.drains,
             disruptions=self._disruptions,
+            outer_disruptions=self._outer_disruptions,
+            revoke_s=self._revoke_s,
             recovered=ended - RECOVERY_S + SETTLE_S,
             ended=ended,
         )
@@ -173,8 +188,12 @@
         self._struck.append(f"{fault.at_s:.2f} {fault.kind} for {fault.for_s:.2f}")
         start = time.monotonic()
         await self._strikes[fault.kind](fault)
-        if not fault.kind.planned:
-            self._disruptions.append(Span(began=start, ended=time.monotonic()))
+        if fault.kind.planned:
+            return
+        span = Span(began=start, ended=time.monotonic())
+        self._disruptions.append(span)
+        if not fault.kind.strikes_instances:
+            self._outer_disruptions.append(span)
 
     def _choose_instance(self, fault: Fault) -> int:
         return int(fault.pick * len(self._world.instances))
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -55,6 +55,11 @@
     REVOKE = "revoke"
     """A key is taken away."""
 
+    @property
+    def strikes_instances(self) -> bool:
+        """Whether it disturbs instances themselves, and nothing that they learn from."""
+        return self is FaultKind.KILL_ALL or self.value.startswith("instance_")
+
     @property
     def planned(self) -> bool:
         """Whether this is work during which no request may be lost."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -11,6 +11,8 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
+from soak.instances import handles_signal
+
 from guavamast.platform.standins.engine import EVENTS, EngineFault, make_event
 from guavamast.platform.standins.site import (
     CALLS,
@@ -406,13 +408,8 @@
 
     async def wait_signal_ignored(self, pid: int) -> None:
         """Return once a process ignores SIGHUP: its interpreter has run our first line."""
-        bit = 1 << (signal.SIGHUP - 1)
         async with asyncio.timeout(READY_S):
-            while True:
-                with open(f"/proc/{pid}/status", encoding="ascii") as status:
-                    masks = [line.split()[1] for line in status if line.startswith("SigIgn")]
-                if masks and int(masks[0], 16) & bit:
-                    return
+            while not handles_signal(pid, signal.SIGHUP):
                 await asyncio.sleep(0.002)
 
     async def test_bad_settings_stop_the_start_with_all_findings(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,10 @@
 
 CI_SEED = 209
 """Chosen for its kinds: instances killed, frozen and stopped, an engine that crashes."""
+LONG_KEYS_SEED = 5552
+"""Chosen for an engine that leaves while an instance stands still."""
+LONG_REVOKE_S = 9.0
+"""Longer than any freeze: keys are accepted by knowledge of any age that a run brings about."""
 CI_LENGTH_S = 9.0
 
 CALL = Asked(
@@ -50,6 +54,8 @@
         revoked={},
         drains={},
         disruptions=[],
+        outer_disruptions=[],
+        revoke_s=REVOKE_S,
         recovered=19.0,
         ended=21.0,
     )
@@ -103,6 +109,14 @@
         drains = {"portal-0": [Span(began=RUN.began - DRAIN_S - 0.1, ended=12.0)]}
         self.assert_broken(replace(record, drains=drains), "after it left")
 
+    def test_a_disturbed_instance_may_not_send_to_an_engine_that_left_either(self) -> None:
+        record = make_record([CALL], [RUN])
+        drains = {"portal-0": [Span(began=RUN.began - DRAIN_S - 0.1, ended=12.0)]}
+        spans = [Span(began=RUN.began - 2.0, ended=RUN.began - 1.0)]
+        frozen = replace(record, drains=drains, disruptions=spans)
+        self.assert_broken(frozen, "after it left")
+        self.assertEqual(check(replace(frozen, outer_disruptions=spans)), [])
+
     def test_run_that_was_changed_or_not_asked_for(self) -> None:
         changed = replace(RUN, intact=False)
         self.assert_broken(make_record([CALL], [changed]), "changed on its way")
@@ -182,6 +196,24 @@
         self.assertEqual(verdict.broken, [], verdict.faults)
         self.assertGreater(verdict.answered, 0)
 
+    async def test_old_knowledge_sends_nothing_while_keys_are_still_accepted(self) -> None:
+        """No engine that left gets anything from instances that stood still.
+
+        With the usual short bound on revoked keys, an instance refuses all keys before what it
+        knows of engines is too old, which hides whether it would have sent by that.
+        """
+        with tempfile.TemporaryDirectory() as directory:
+            run = SoakRun(
+                seed=LONG_KEYS_SEED,
+                length_s=CI_LENGTH_S,
+                instances=3,
+                directory=directory,
+                revoke_s=LONG_REVOKE_S,
+            )
+            verdict = await run.run()
+        self.assertEqual(verdict.broken, [], verdict.faults)
+        self.assertGreater(verdict.answered, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
