--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -10,43 +10,36 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.attempt_budget import AttemptBudget, BudgetTerms
 from guavamast.relay.beat_exchange import BeatExchange
 from guavamast.relay.beat_relays import BeatRelays
 from guavamast.relay.beat_socket import BeatSocket
 from guavamast.relay.beats import Beat, BeatBundle, InstanceState, LoadNotice, encode_notice
 from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.caller_addresses import VALIDITY_S
-from guavamast.relay.caller_admission import CallerAdmission
-from guavamast.relay.caller_gate import CallerGate
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
-from guavamast.relay.endpoint_choice import EndpointChooser
-from guavamast.relay.exchange import Exchanger
 from guavamast.relay.fleet_knowledge import FleetKnowledge
 from guavamast.relay.housekeeper import Housekeeper
 from guavamast.relay.listener import CallerListener, Question, QuestionListener
 from guavamast.relay.load_notices import LoadNotices
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peers import Peers, compute_beat_interval
-from guavamast.relay.read_schedule import ReadSchedule
-from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_notes import RequestNotes
+from guavamast.relay.request_path import make_relayer
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store import InstanceRecord
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
-from guavamast.relay.table_watch import CatalogWatch, EndpointWatch
+from guavamast.relay.table_watch import make_table_watches
 from guavamast.relay.work_knowledge import WorkKnowledge
 
 if TYPE_CHECKING:
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import CallerRequest, HeaderCodec
     from guavamast.relay.node_settings import NodeSettings, SocketAddress
+    from guavamast.relay.relayer import Relayer
     from guavamast.relay.store import EndpointReading, Store
-    from guavamast.relay.store_reader import SharedRead
-    from guavamast.relay.table_watch import TableWatch
 
 STANDARD_OUTPUT: Final = 1
 """Descriptor of the log unless another is given."""
@@ -170,7 +163,15 @@
         return StoreWatch(
             store=self._store,
             reader=self._reader,
-            watches=self._make_table_watches(),
+            watches=make_table_watches(
+                reader=self._reader,
+                bounds=self._bounds,
+                knowledge=self.knowledge,
+                counters=self.counters,
+                loop_delay=self._loop_delay,
+                random=self._random,
+                read_time=read_boot_time,
+            ),
             knowledge=self.knowledge,
             record=self.record,
             log=self.log,
@@ -178,25 +179,6 @@
             announce_to_all=self._exchange.announce_to_all,
         )
 
-    def _make_table_watches(self) -> list[TableWatch]:
-        catalog = ReadSchedule(random=self._random, bound_s=self._bounds.catalog_s)
-        endpoints = ReadSchedule(random=self._random, bound_s=self._bounds.endpoints_s)
-        kinds: list[tuple[type[TableWatch], SharedRead, ReadSchedule]] = [
-            (CatalogWatch, self._reader.catalog, catalog),
-            (EndpointWatch, self._reader.endpoints, endpoints),
-        ]
-        return [
-            kind(
-                read=read,
-                schedule=schedule,
-                knowledge=self.knowledge,
-                counters=self.counters,
-                loop_delay=self._loop_delay,
-                read_time=read_boot_time,
-            )
-            for kind, read, schedule in kinds
-        ]
-
     def _make_housekeeper(self) -> Housekeeper:
         return Housekeeper(
             knowledge=self.knowledge,
@@ -208,50 +190,17 @@
             read_time=read_boot_time,
         )
 
-    def _make_admission(self) -> CallerAdmission:
-        return CallerAdmission(
-            gate=CallerGate(bounds=self._bounds),
-            bounds=self._bounds,
-            knowledge=self.knowledge,
-            reader=self._reader,
-            read_time=read_boot_time,
-        )
-
     def _make_relayer(self, codec: HeaderCodec) -> Relayer:
-        settings = self.settings
-        terms = BudgetTerms(
-            ratio=settings.repeat_ratio,
-            slack=settings.repeat_slack,
-            window_s=settings.repeat_window_s,
-        )
-        budget = AttemptBudget(terms=terms)
-        admission = self._make_admission()
-        exchanger = Exchanger(
-            admission=admission,
-            knowledge=self.knowledge,
-            loads=self._work.loads,
-            cache=self._work.cache,
-            budget=budget,
+        return make_relayer(
+            settings=self.settings,
             codec=codec,
+            knowledge=self.knowledge,
+            work=self._work,
+            bounds=self._bounds,
+            reader=self._reader,
             pool=self._pool,
             notes=self._notes,
-            profiles=self._work.profiles,
             tell_load=self._notices.note,
-            read_time=read_boot_time,
-        )
-        return Relayer(
-            knowledge=self.knowledge,
-            admission=admission,
-            loads=self._work.loads,
-            budget=budget,
-            codec=codec,
-            notes=self._notes,
-            chooser=EndpointChooser(
-                loads=self._work.loads, cache=self._work.cache, random=self._random
-            ),
-            exchanger=exchanger,
-            demand=self._work.demand,
-            profiles=self._work.profiles,
             random=self._random,
             read_time=read_boot_time,
         )
--- /dev/null
+++ b/src/guavamast/relay/request_path.py
@@ -0,0 +1,100 @@
+"""Puts together what a request passes on its way: admission, choice, attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.relay.attempt_budget import AttemptBudget, BudgetTerms
+from guavamast.relay.caller_admission import CallerAdmission
+from guavamast.relay.caller_gate import CallerGate
+from guavamast.relay.endpoint_choice import EndpointChooser
+from guavamast.relay.exchange import Exchanger
+from guavamast.relay.relayer import Relayer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from guavamast.relay.connection_pool import ConnectionPool
+    from guavamast.relay.exchange import TellLoad
+    from guavamast.relay.fleet_knowledge import FleetKnowledge
+    from guavamast.relay.messages import HeaderCodec
+    from guavamast.relay.node_settings import NodeSettings
+    from guavamast.relay.request_notes import RequestNotes
+    from guavamast.relay.staleness import StalenessBounds
+    from guavamast.relay.store_reader import StoreReader
+    from guavamast.relay.work_knowledge import WorkKnowledge
+
+
+def make_relayer(
+    *,
+    settings: NodeSettings,
+    codec: HeaderCodec,
+    knowledge: FleetKnowledge,
+    work: WorkKnowledge,
+    bounds: StalenessBounds,
+    reader: StoreReader,
+    pool: ConnectionPool,
+    notes: RequestNotes,
+    tell_load: TellLoad,
+    random: Random,
+    read_time: Callable[[], float],
+) -> Relayer:
+    """Return what relays the requests of one instance.
+
+    Args:
+        settings: Bounds on repeats.
+        codec: Names of the headers.
+        knowledge: Configuration, endpoints and other instances.
+        work: What is known of the work at endpoints.
+        bounds: The greatest ages of what is known.
+        reader: Reads the store.
+        pool: Kept connections to endpoints.
+        notes: Log lines and metrics of requests.
+        tell_load: Called when this instance's work at an endpoint has changed.
+        random: Source of all spread.
+        read_time: The local clock.
+    """
+    admission = CallerAdmission(
+        gate=CallerGate(bounds=bounds),
+        bounds=bounds,
+        knowledge=knowledge,
+        reader=reader,
+        read_time=read_time,
+    )
+    budget = AttemptBudget(terms=_read_terms(settings))
+    exchanger = Exchanger(
+        admission=admission,
+        knowledge=knowledge,
+        loads=work.loads,
+        cache=work.cache,
+        budget=budget,
+        codec=codec,
+        pool=pool,
+        notes=notes,
+        profiles=work.profiles,
+        tell_load=tell_load,
+        read_time=read_time,
+    )
+    return Relayer(
+        knowledge=knowledge,
+        admission=admission,
+        loads=work.loads,
+        budget=budget,
+        codec=codec,
+        notes=notes,
+        chooser=EndpointChooser(loads=work.loads, cache=work.cache, random=random),
+        exchanger=exchanger,
+        demand=work.demand,
+        profiles=work.profiles,
+        random=random,
+        read_time=read_time,
+    )
+
+
+def _read_terms(settings: NodeSettings) -> BudgetTerms:
+    return BudgetTerms(
+        ratio=settings.repeat_ratio,
+        slack=settings.repeat_slack,
+        window_s=settings.repeat_window_s,
+    )
--- a/src/guavamast/relay/table_watch.py
+++ b/src/guavamast/relay/table_watch.py
@@ -6,16 +6,17 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from guavamast.relay.read_schedule import READ_INTERVAL_S
+from guavamast.relay.read_schedule import READ_INTERVAL_S, ReadSchedule
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from guavamast.relay.counters import Counters
     from guavamast.relay.fleet_knowledge import FleetKnowledge
     from guavamast.relay.loop_delay import LoopDelay
-    from guavamast.relay.read_schedule import ReadSchedule
-    from guavamast.relay.store_reader import SharedRead
+    from guavamast.relay.staleness import StalenessBounds
+    from guavamast.relay.store_reader import SharedRead, StoreReader
 
 
 class TableWatch(ABC):
@@ -129,3 +130,41 @@
     def has_news(self) -> bool:
         """Return whether another instance has a later table, or this one has to be read again."""
         return self._knowledge.newer_endpoints_heard or self._knowledge.must_relist
+
+
+def make_table_watches(
+    *,
+    reader: StoreReader,
+    bounds: StalenessBounds,
+    knowledge: FleetKnowledge,
+    counters: Counters,
+    loop_delay: LoopDelay,
+    random: Random,
+    read_time: Callable[[], float],
+) -> list[TableWatch]:
+    """Return the watches of all tables that an instance keeps fresh.
+
+    Args:
+        reader: Reads the tables.
+        bounds: The ages at which requests are not sent any more.
+        knowledge: What is kept fresh.
+        counters: Metrics.
+        loop_delay: Told how late each round is.
+        random: Spreads the reads of instances.
+        read_time: The local clock.
+    """
+    kinds: list[tuple[type[TableWatch], SharedRead, float]] = [
+        (CatalogWatch, reader.catalog, bounds.catalog_s),
+        (EndpointWatch, reader.endpoints, bounds.endpoints_s),
+    ]
+    return [
+        kind(
+            read=read,
+            schedule=ReadSchedule(random=random, bound_s=bound_s),
+            knowledge=knowledge,
+            counters=counters,
+            loop_delay=loop_delay,
+            read_time=read_time,
+        )
+        for kind, read, bound_s in kinds
+    ]
