--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -96,8 +96,8 @@
     async def _refresh(self, *, until: float) -> bool:
         """Read what is too old; returns whether requests may be sent by what is known then.
 
-        Without any knowledge there is nothing to wait for longer than for old knowledge: the gate
-        says so to the caller.
+        Knowledge of any age will do once the store gives no answers. An instance that has just
+        started and knows nothing waits likewise; the gate tells its callers.
         """
         until = min(until, self._read_time() + MOST_WAIT_S)
         while True:
--- a/src/guavamast/relay/store.py
+++ b/src/guavamast/relay/store.py
@@ -53,9 +53,9 @@
     callers_address: str
     """``IP:PORT`` to which callers connect."""
     peer_port: int
+    """UDP port for the beats of other instances."""
     link_mbps: float = 0.0
     """Width of its link in Mbit/s; 0 if not stated."""
-    """UDP port for the beats of other instances."""
 
 
 class Store(ABC):
