Soak: end all instances whatever fails, and give no id twice

An engine was ended while another took its place, the run ended by that error and left instances that asked ports of later runs; a probe that was not served at once counted its ids from one again, so one id ran twice. Ruled out: the relay, by its own lines (each id sent once for each request) and by the five processes found that asked for a store that was gone. Change: an engine is named once it listens; all instances are ended, together, and errors told afterwards; a caller's numbers go on.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -81,14 +81,14 @@
         self._held = HELD_FACTOR if random.random() < 0.3 else 1.0
         self._connection: HttpConnection | None = None
         self._address = ""
+        self._number = 0
 
     async def run(self, until: float) -> None:
         """Send requests until a time of the steady clock."""
-        number = 0
         while time.monotonic() < until:
-            number += 1
+            self._number += 1
             if await self._connect():
-                await self._ask(f"{self._name}-{number}")
+                await self._ask(f"{self._name}-{self._number}")
             await asyncio.sleep(self._random.uniform(0.0, 2.0 * PAUSE_S))
         self._drop()
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
@@ -131,7 +132,8 @@
             await asyncio.wait_for(process.wait(), END_S)
         except TimeoutError:
             self.surprises.append(f"{self.name} did not end within {END_S} s")
-            process.kill()
+            with suppress(ProcessLookupError):
+                process.kill()
             await process.wait()
         if process.returncode not in self._list_good_codes(number):
             self.surprises.append(f"{self.name} ended with {process.returncode}")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -109,7 +109,7 @@
     sent = {asked.request_id: asked.sent for asked in record.asked}
     for run in record.ran:
         if run.request_id not in sent:
-            broken.append(f"{run.request_id}: ran, though nobody asked for it")
+            broken.append(f"{run.request_id}: ran at {run.engine}, though nobody asked for it")
             continue
         broken += _check_run(run, sent[run.request_id], record)
     return broken + _check_recovery(record)
--- a/soak/world.py
+++ b/soak/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING, Final
 
@@ -95,12 +96,19 @@
         await instance.start()
 
     async def stop(self) -> None:
-        """Stop instances, stand-ins and links."""
-        for instance in self.instances:
-            await instance.stop()
+        """Stop instances, stand-ins and links.
+
+        Failure: one instance can't be stopped, the others go on without their site, and ask ports
+        for the store that the engines of a later run have been given.
+        """
+        ends = [instance.stop() for instance in self.instances]
+        results = await asyncio.gather(*ends, return_exceptions=True)
         await super().stop()
         for link in [*self.links.values(), *(one.store_link for one in self.instances)]:
             await link.stop()
+        failures = [result for result in results if isinstance(result, Exception)]
+        if failures:
+            raise ExceptionGroup("instances that could not be stopped", failures)
 
     def revoke(self, organisation: str) -> None:
         """Take an organisation's key away."""
@@ -128,8 +136,9 @@
         self.ended.append((old_id, old))
         engine = type(old)(engine_id=new_id)
         engine.work_s = ENGINE_WORK_S
-        self.engines[new_id] = engine
         self.links[old_id].target_port = await engine.listen()
+        # Only now, as another fault may end whatever engine it finds here.
+        self.engines[new_id] = engine
         self.services[old_id if old_id == new_id else new_id] = service
 
 
