Test that a request held up on its way is decided anew

Change: two tests with the production classes and a connection that takes longer than the bound: the route moves meanwhile, or is gone.

--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from guavamast.relay.catalog import Catalog
+    from guavamast.relay.catalog import Catalog, Route
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.store import InstanceRecord
 
@@ -88,8 +88,10 @@
 
     def move_route(self) -> None:
         services = (WeightedService(service="annex", weight=1.0),)
-        row_version = self.catalog.row_version + 1
-        self.catalog = make_catalog(make_route(services=services), row_version=row_version)
+        self.replace_routes(make_route(services=services))
+
+    def replace_routes(self, *routes: Route) -> None:
+        self.catalog = make_catalog(*routes, row_version=self.catalog.row_version + 1)
 
     def change_endpoints(self, *records: EndpointRecord) -> None:
         self.records = list(records)
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -4,6 +4,7 @@
 
 import os
 import unittest
+from random import Random
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -15,19 +16,23 @@
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
-from guavamast.relay.endpoint_choice import Choice
+from guavamast.relay.endpoint_choice import Choice, EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.exchange import Exchanger
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.messages import AnswerWriter
 from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.prompt_lanes import PromptDemand
+from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_notes import RequestNotes
 from guavamast.relay.request_progress import RequestProgress, begin_progress
-from tests.relay_facts import PROFILE, make_endpoint, make_request
+from tests.relay_facts import PROFILE, make_endpoint, make_request, make_route
 from tests.test_relay_caller_admission import World
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.relay.http_connection import HttpConnection
 
 
@@ -38,9 +43,15 @@
         super().__init__()
         self._world = world
         self.delay_s = 0.0
+        self.on_take: list[Callable[[], None]] = []
+        """What happens while the first connection is made, which alone takes long then."""
 
     def take(self, endpoint_id: str, *, now: float) -> HttpConnection | None:
         self._world.now += self.delay_s
+        if self.on_take:
+            self.delay_s = 0.0
+        while self.on_take:
+            self.on_take.pop(0)()
         return super().take(endpoint_id, now=now)
 
 
@@ -91,6 +102,55 @@
         await self.exchanger.run(request, writer, progress, choice)
         return progress
 
+    async def relay(self) -> mock.Mock:
+        """Relay a request; returns where its answer went."""
+        relayer = Relayer(
+            knowledge=self.world.knowledge,
+            admission=self.world.admission,
+            loads=EndpointLoads(),
+            budget=mock.Mock(),
+            codec=PlatformHeaders(),
+            notes=mock.Mock(),
+            chooser=EndpointChooser(loads=EndpointLoads(), cache=PromptCache(), random=Random(1)),
+            exchanger=self.exchanger,
+            demand=PromptDemand(),
+            profiles=EngineProfiles(),
+            random=Random(1),
+            read_time=lambda: self.world.now,
+        )
+        headers = (("Host", "portal.example"), ("X-Attempt-Id", "r1"))
+        writer = mock.create_autospec(AnswerWriter, instance=True, begun=False)
+        request = make_request(arrived=self.world.now, headers=headers, patience_s=60.0)
+        await relayer.relay(request, writer)
+        return writer
+
+    async def test_a_request_that_was_held_up_goes_by_the_new_route(self) -> None:
+        """A call that is not sent by old knowledge is answered all the same.
+
+        While its connection is made, the route moves to another service and the bound passes. The
+        request is decided anew, and runs at the service that has the route now.
+        """
+        self.world.replace_routes(make_route(timeout_s=30.0))
+        annex = EngineStandIn(engine_id="z")
+        port = await annex.listen()
+        self.addAsyncCleanup(annex.stop)
+        moved = make_endpoint("z", service="annex", port=port)
+        self.pool.on_take.append(self.world.move_route)
+        self.pool.on_take.append(lambda: self.world.change_endpoints(self.record, moved))
+        self.pool.delay_s = 1.7
+        writer = await self.relay()
+        self.assertEqual(writer.send.call_args.args[0], 200)
+        self.assertEqual((len(self.engine.runs), len(annex.runs)), (0, 1))
+
+    async def test_a_request_whose_route_is_gone_by_then_is_refused_as_not_run(self) -> None:
+        self.world.replace_routes(make_route(timeout_s=30.0))
+        other = make_route(path_prefix="/other/")
+        self.pool.on_take.append(lambda: self.world.replace_routes(other))
+        self.pool.delay_s = 1.7
+        writer = await self.relay()
+        self.assertEqual(writer.send.call_args.args[0], 404)
+        self.assertEqual(self.engine.runs, [])
+
     async def test_a_request_is_sent(self) -> None:
         self.assertEqual((await self.run_attempt()).sent, 1)
         self.assertEqual(len(self.engine.runs), 1)
