--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.choice_costs import (
@@ -14,6 +14,7 @@
     weigh_link,
     weigh_plain_load,
 )
+from guavamast.relay.endpoint_load import Load
 from guavamast.relay.engine_model import Forecast, forecast
 from guavamast.relay.late_loads import blend_loads
 from guavamast.relay.prompt_lanes import assign_lanes
@@ -23,7 +24,7 @@
     from collections.abc import Set as AbstractSet
     from random import Random
 
-    from guavamast.relay.endpoint_load import EndpointLoads, Load
+    from guavamast.relay.endpoint_load import EndpointLoads
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.placement import Placement
     from guavamast.relay.prompt_cache import PromptCache
@@ -49,6 +50,8 @@
     """Tokens of its prompt that the endpoint has to read."""
     own_lane: bool = True
     """Whether the endpoint is meant for prompts like it."""
+    load: Load = field(default_factory=Load)
+    """Work that was there before it, as far as whoever chose knew."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +73,7 @@
             forecast=self.expected,
             unread_tokens=self.unread_tokens,
             own_lane=self.lane is None or self.lane == placement.lane,
+            load=self.load,
         )
 
 
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -9,6 +9,7 @@
 from guavamast.relay.attempt import Attempt, AttemptFailed, FailureKind
 from guavamast.relay.catalog import RouteKind
 from guavamast.relay.connection_pool import compute_idle_limit
+from guavamast.relay.endpoint_load import Load
 from guavamast.relay.messages import SendTerms
 from guavamast.relay.sent_stream import SentStream
 from guavamast.relay.stream_relay import relay_events
@@ -21,7 +22,7 @@
     from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.connection_pool import ConnectionPool
     from guavamast.relay.endpoint_choice import Choice
-    from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
+    from guavamast.relay.endpoint_load import EndpointLoads, Work
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.fleet_knowledge import FleetKnowledge
@@ -155,7 +156,10 @@
             attempt.abandon()
             work.end()
             if placed.work is not None:
-                placed.work.end(failure_weight=failure_weight)
+                placed.work.end(
+                    failure_weight=failure_weight,
+                    longest_pause_s=progress.timing.longest_pause_s,
+                )
             self._tell_load(record.endpoint_id, more=False)
 
     def _begin_work(
@@ -192,7 +196,7 @@
         patience_s = self._compute_patience(progress, now=now)
         progress.sent += 1
         progress.may_have_run += 1
-        load = self._loads.sum_up(attempt.record.endpoint_id)
+        load = self._read_load(send)
         self._note_send(request, progress, attempt.record, terms, load=load, now=now)
         stream = SentStream(
             profiles=self._profiles,
@@ -218,6 +222,17 @@
             raise
         await self._pass_whole(request, writer, progress, attempt.record, answer)
 
+    def _read_load(self, send: _Send) -> Load:
+        """Return the work at an endpoint, this request included, as whoever chose it knew."""
+        choice = send.placed.choice
+        assert choice is not None
+        if send.placed.granted:
+            return Load(
+                requests=choice.load.requests + 1,
+                prefill_tokens=choice.load.prefill_tokens + choice.unread_tokens,
+            )
+        return self._loads.sum_up(choice.record.endpoint_id)
+
     def _make_event_note(
         self,
         request: CallerRequest,
--- a/src/guavamast/relay/placing.py
+++ b/src/guavamast/relay/placing.py
@@ -8,6 +8,7 @@
 
 from guavamast.relay.admission import ComeBack, WaitTerms, admit
 from guavamast.relay.endpoint_choice import Choice
+from guavamast.relay.endpoint_load import Load
 from guavamast.relay.engine_model import LATE_LIMIT, RECENT_LIMIT, Forecast
 from guavamast.relay.placement import Placement
 from guavamast.relay.scheduling_messages import PlacedWork, PlacementQuery, Verdict, WorkPhase
@@ -44,6 +45,8 @@
     """When the caller should come back, if there is no room in time."""
     work: PlacedRequest | None = None
     """What is told to the scheduler; None where there is none."""
+    granted: bool = False
+    """Whether a scheduler has chosen, which knows all work there."""
 
 
 class Placer(ABC):
@@ -218,11 +221,13 @@
             forecast=_read_forecast(query, reply),
             unread_tokens=reply.unread_tokens,
             own_lane=reply.own_lane,
+            load=Load(requests=reply.requests_there, prefill_tokens=reply.prefill_tokens_there),
         )
         if reply.verdict is Verdict.REFUSED:
             return Placed(choice=choice, later=ComeBack(retry_after_s=reply.retry_after_s))
         work = _make_work(request, choice, number=query.number, delicate=query.delicate)
-        return Placed(choice=choice, work=self._client.track(query.group, work, asked=True))
+        tracked = self._client.track(query.group, work, asked=True)
+        return Placed(choice=choice, work=tracked, granted=True)
 
     def _decide_alone(self, request: CallerRequest, progress: RequestProgress) -> Placed:
         placed = self._own.decide(request, progress)
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -53,7 +53,18 @@
     shortest_pause_s: float
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndedStream:
+    """What a stream that has ended met at its endpoint."""
+
+    endpoint_id: str
+    longest_pause_s: float
+    """Between two of its events."""
+    most_reading: int
+    """Prompt tokens that its endpoint had to read at once, at most, while it ran."""
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
 class _Grant:
     """One request at its endpoint."""
 
@@ -61,6 +72,10 @@
     work: Work
     granted: float
     """Local time."""
+    running: bool = False
+    """Whether its first event has come."""
+    most_reading: int = 0
+    """Prompt tokens that its endpoint had to read at once, at most, while it ran."""
 
 
 class GroupScheduler:
@@ -78,7 +93,17 @@
         now: The present time, from which it learns.
     """
 
-    __slots__ = ("_began", "_chooser", "_demand", "_grants", "_heard", "_random", "cache", "loads")
+    __slots__ = (
+        "_at_endpoint",
+        "_began",
+        "_chooser",
+        "_demand",
+        "_grants",
+        "_heard",
+        "_random",
+        "cache",
+        "loads",
+    )
 
     def __init__(self, *, random: Random, now: float) -> None:
         self.loads = EndpointLoads()
@@ -88,6 +113,7 @@
         self._random = random
         self._began = now
         self._grants: dict[Asker, dict[int, _Grant]] = {}
+        self._at_endpoint: dict[str, list[_Grant]] = {}
         self._heard: dict[Asker, float] = {}
 
     def is_learning(self, *, now: float) -> bool:
@@ -134,19 +160,31 @@
         self._grant(query, choice, now=now)
         return _make_reply(query, choice, Verdict.GRANTED, learning=learning)
 
-    def take_update(self, update: WorkUpdate, *, now: float) -> None:
-        """Note that work has begun to run or has ended."""
+    def take_update(self, update: WorkUpdate, *, now: float) -> EndedStream | None:
+        """Note that work has begun to run or has ended.
+
+        Returns:
+            What the stream met that has ended, if one has.
+        """
         self._heard[update.asker] = now
         grants = self._grants.get(update.asker, {})
         grant = grants.get(update.number)
         if grant is None:
-            return
+            return None
         grant.work.finish_prefill()
         if update.phase is not WorkPhase.ENDED:
-            return
-        grant.work.end()
-        del grants[update.number]
+            grant.running = True
+            grant.most_reading = self.loads.sum_up(grant.endpoint_id).prefill_tokens
+            return None
+        self._end(grants, update.number)
         self._learn_outcome(grant.endpoint_id, update.failure_weight, now=now)
+        if not grant.running:
+            return None
+        return EndedStream(
+            endpoint_id=grant.endpoint_id,
+            longest_pause_s=update.longest_pause_s,
+            most_reading=grant.most_reading,
+        )
 
     def take_report(self, report: WorkReport, *, now: float) -> None:
         """Replace what is known of an instance's work by what it says itself."""
@@ -156,8 +194,7 @@
         named = {work.number for work in report.works}
         for number, grant in list(grants.items()):
             if number not in named and now - grant.granted > UNCONFIRMED_S:
-                grant.work.end()
-                del grants[number]
+                self._end(grants, number)
         for work in report.works:
             self._take_work(grants, work, now=now)
 
@@ -223,6 +260,21 @@
         )
         grant = _Grant(endpoint_id=endpoint_id, work=work, granted=now)
         self._grants.setdefault(query.asker, {})[query.number] = grant
+        self._note_reading(endpoint_id, grant)
+
+    def _note_reading(self, endpoint_id: str, grant: _Grant) -> None:
+        """Note beside which streams the prompt of a new request is read."""
+        there = self._at_endpoint.setdefault(endpoint_id, [])
+        reading = self.loads.sum_up(endpoint_id).prefill_tokens
+        for other in there:
+            if other.running and reading > other.most_reading:
+                other.most_reading = reading
+        there.append(grant)
+
+    def _end(self, grants: dict[int, _Grant], number: int) -> None:
+        grant = grants.pop(number)
+        grant.work.end()
+        self._at_endpoint[grant.endpoint_id].remove(grant)
 
     def _take_work(self, grants: dict[int, _Grant], work: PlacedWork, *, now: float) -> None:
         grant = grants.get(work.number)
@@ -237,6 +289,7 @@
             )
             grant = _Grant(endpoint_id=work.endpoint_id, work=counted, granted=now)
             grants[work.number] = grant
+            self._note_reading(work.endpoint_id, grant)
         if grant is not None and work.phase is not WorkPhase.WAITING:
             grant.work.finish_prefill()
 
@@ -259,9 +312,10 @@
 
     def _drop(self, asker: Asker) -> int:
         grants = self._grants.pop(asker, {})
-        for grant in grants.values():
-            grant.work.end()
-        return len(grants)
+        dropped = len(grants)
+        for number in list(grants):
+            self._end(grants, number)
+        return dropped
 
 
 def _find_memory_limit(query: PlacementQuery, *, learning: bool) -> MemoryLimit:
@@ -288,6 +342,8 @@
         start_ms=expected.start_ms if expected else 0.0,
         waiting_ms=expected.waiting_ms if expected else 0.0,
         reading_ms=expected.reading_ms if expected else 0.0,
+        requests_there=choice.load.requests,
+        prefill_tokens_there=choice.load.prefill_tokens,
         retry_after_s=retry_after_s,
         learning=learning,
     )
--- a/src/guavamast/relay/scheduler_host.py
+++ b/src/guavamast/relay/scheduler_host.py
@@ -67,8 +67,17 @@
     def take_update(self, update: WorkUpdate, *, now: float) -> None:
         """Note that work has come further."""
         scheduler = self._schedulers.get(update.group)
-        if scheduler is not None:
-            scheduler.take_update(update, now=now)
+        if scheduler is None:
+            return
+        ended = scheduler.take_update(update, now=now)
+        record = self._knowledge.endpoints.find(ended.endpoint_id) if ended is not None else None
+        if ended is not None and record is not None:
+            self._profiles.record_pause(
+                record.service,
+                unread_tokens=ended.most_reading,
+                pause_ms=ended.longest_pause_s * 1000.0,
+                now=now,
+            )
 
     def take_report(self, report: WorkReport, *, now: float) -> None:
         """Take an instance's word on all its work at a group."""
--- a/src/guavamast/relay/scheduling_client.py
+++ b/src/guavamast/relay/scheduling_client.py
@@ -84,15 +84,22 @@
             self._begun = True
             self._client.note_phase(self._number, WorkPhase.RUNNING)
 
-    def end(self, *, failure_weight: float = 0.0) -> None:
+    def end(self, *, failure_weight: float = 0.0, longest_pause_s: float = 0.0) -> None:
         """Tell that the request is over; a second call changes nothing.
 
         Args:
             failure_weight: How much its end says against the endpoint.
+            longest_pause_s: Between two events of its stream.
         """
-        if not self._ended:
-            self._ended = True
-            self._client.note_phase(self._number, WorkPhase.ENDED, failure_weight=failure_weight)
+        if self._ended:
+            return
+        self._ended = True
+        self._client.note_phase(
+            self._number,
+            WorkPhase.ENDED,
+            failure_weight=failure_weight,
+            longest_pause_s=longest_pause_s,
+        )
 
 
 class SchedulingClient:
@@ -216,8 +223,22 @@
             self._tell(group, self._make_report(group))
         return PlacedRequest(client=self, number=work.number, granted=now)
 
-    def note_phase(self, number: int, phase: WorkPhase, *, failure_weight: float = 0.0) -> None:
-        """Tell the scheduler that work has come further."""
+    def note_phase(
+        self,
+        number: int,
+        phase: WorkPhase,
+        *,
+        failure_weight: float = 0.0,
+        longest_pause_s: float = 0.0,
+    ) -> None:
+        """Tell the scheduler that work has come further.
+
+        Args:
+            number: Of the request.
+            phase: How far it has come.
+            failure_weight: How much its end says against its endpoint.
+            longest_pause_s: Between two events of its stream.
+        """
         tracked = self._tracked.get(number)
         if tracked is None or tracked.work.phase is phase:
             return
@@ -239,6 +260,7 @@
             number=number,
             phase=phase,
             failure_weight=failure_weight,
+            longest_pause_s=longest_pause_s,
         )
         self._tell(tracked.group, update)
 
--- a/src/guavamast/relay/scheduling_messages.py
+++ b/src/guavamast/relay/scheduling_messages.py
@@ -72,6 +72,10 @@
     waiting_ms: float = 0.0
     reading_ms: float = 0.0
     """With the two above, what the request would meet; all 0 for plain services."""
+    requests_there: int = 0
+    """At the endpoint before this one."""
+    prefill_tokens_there: int = 0
+    """Prompt tokens that waited to be read there before this one."""
     retry_after_s: float = 0.0
     learning: bool = False
     """Whether the scheduler has begun so lately that it may not know all work yet."""
@@ -96,6 +100,8 @@
     phase: WorkPhase
     failure_weight: float = 0.0
     """How much its end says against its endpoint."""
+    longest_pause_s: float = 0.0
+    """Between two events of its stream."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -123,6 +123,8 @@
         round(reply.start_ms, 1),
         round(reply.waiting_ms, 1),
         round(reply.reading_ms, 1),
+        reply.requests_there,
+        reply.prefill_tokens_there,
         round(reply.retry_after_s, 3),
         int(reply.learning),
     ]
@@ -137,6 +139,8 @@
     start_ms: float,
     waiting_ms: float,
     reading_ms: float,
+    requests_there: int,
+    prefill_tokens_there: int,
     retry_after_s: float,
     learning: int,
 ) -> PlacementReply:
@@ -149,6 +153,8 @@
         start_ms=float(start_ms),
         waiting_ms=float(waiting_ms),
         reading_ms=float(reading_ms),
+        requests_there=int(requests_there),
+        prefill_tokens_there=int(prefill_tokens_there),
         retry_after_s=float(retry_after_s),
         learning=bool(learning),
     )
@@ -163,11 +169,18 @@
         update.number,
         _PHASES[update.phase],
         update.failure_weight,
+        round(update.longest_pause_s, 4),
     ]
 
 
 def _decode_update(
-    instance: str, incarnation: int, group: str, number: int, phase: int, failure_weight: float
+    instance: str,
+    incarnation: int,
+    group: str,
+    number: int,
+    phase: int,
+    failure_weight: float,
+    longest_pause_s: float,
 ) -> WorkUpdate:
     return WorkUpdate(
         asker=Asker(instance=str(instance), incarnation=int(incarnation)),
@@ -175,6 +188,7 @@
         number=int(number),
         phase=_PHASE_LIST[phase],
         failure_weight=float(failure_weight),
+        longest_pause_s=float(longest_pause_s),
     )
 
 
