Tell configurations and tables of endpoints to all; spread the reads of news over the fleet

Configurations were read by each instance, 195 a change.

Change: whoever reads a table that has changed tells it, configurations too; reads of the same news are spread over 4 ms an instance, a fifth of the bound at most. Instances told from another domain before relays are known pass it on.

--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -76,11 +76,19 @@
         if known is not None and known.row_version == version:
             return CatalogReading(catalog=known, reading=reading)
         try:
-            catalog = decode_catalog(_decode_value(rows[0]), row_version=version)
+            text = _decode_text(rows[0])
+        except ValueError as error:
+            raise StoreError(f"configuration: {error}") from error
+        catalog = self.decode_catalog(text, row_version=version)
+        return CatalogReading(catalog=catalog, reading=reading, text=text)
+
+    def decode_catalog(self, text: bytes, *, row_version: int) -> Catalog:
+        """Return the configuration of a row."""
+        try:
+            return decode_catalog(json.loads(text), row_version=row_version)
         except (KeyError, TypeError, ValueError) as error:
             reason = f"configuration: {type(error).__name__}: {error}"
             raise StoreError(reason) from error
-        return CatalogReading(catalog=catalog, reading=reading)
 
     async def read_endpoints(self) -> EndpointReading:
         """Read the table of endpoints; rows that can't be read name none."""
@@ -240,10 +248,19 @@
     Raises:
         ValueError: It can't be read.
     """
+    return json.loads(_decode_text(row))
+
+
+def _decode_text(row: dict[str, Any]) -> bytes:
+    """Return the bytes of a row.
+
+    Raises:
+        ValueError: It holds none.
+    """
     value = row.get("value")
     if not isinstance(value, str):
         raise ValueError("no value")
-    return json.loads(base64.b64decode(value, validate=True))
+    return base64.b64decode(value, validate=True)
 
 
 def _decode_instance(name: str, fields: dict[str, Any]) -> InstanceRecord:
--- a/src/guavamast/relay/beat_exchange.py
+++ b/src/guavamast/relay/beat_exchange.py
@@ -7,7 +7,6 @@
 
 from guavamast.relay.beat_relays import RELAYS_EACH
 from guavamast.relay.beats import BeatBundle, encode_beat, encode_bundle
-from guavamast.relay.endpoint_news import encode_endpoints
 from guavamast.relay.peers import compute_beat_interval
 
 if TYPE_CHECKING:
@@ -18,7 +17,7 @@
     from guavamast.relay.bundle_content import BundleContent
     from guavamast.relay.freshness import Proof
     from guavamast.relay.peers import Peers
-    from guavamast.relay.store import EndpointReading, InstanceRecord
+    from guavamast.relay.store import InstanceRecord
 
 EXCHANGE_INTERVAL_S: Final = 0.5
 """Seconds between two bundles from relay to relay."""
@@ -101,23 +100,35 @@
         if self._relays.is_relay(now=now):
             self._forward(beat)
 
-    def tell_endpoints(self, reading: EndpointReading) -> None:
-        """Tell the others a table of endpoints that has changed.
+    def tell_table(self, data: bytes | None) -> None:
+        """Tell the others a table that this instance has read and that has changed.
 
         It spares each of them a read of the store: a change cost as many calls as there are
         instances. Who misses it hears of it with the next beat and reads for itself.
+
+        Args:
+            data: Its datagram; None if no datagram holds it.
         """
-        data = encode_endpoints(reading)
         if data is None:
             return
         for target in self._list_news_targets():
             self._send(data, target)
 
-    def forward_endpoints(self, data: bytes) -> None:
-        """As a relay, pass a table that was news on to the own failure domain."""
-        if not self._relays.is_relay(now=self._read_time()):
+    def forward_table(self, data: bytes, *, domain: str) -> None:
+        """Pass a table that was news on: a relay does, and whoever is told from another domain.
+
+        Args:
+            data: Its datagram.
+            domain: Failure domain of the instance that has read it.
+        """
+        now = self._read_time()
+        if self._relays.is_relay(now=now):
+            targets = self._relays.list_members()
+        elif domain != self._relays.domain:
+            targets = self._relays.list_own_targets(now=now)
+        else:
             return
-        for target in self._relays.list_members():
+        for target in targets:
             self._send(data, target)
 
     def announce_to_all(self) -> None:
--- a/src/guavamast/relay/beat_relays.py
+++ b/src/guavamast/relay/beat_relays.py
@@ -47,6 +47,11 @@
         self._peers = peers
         self._heard_relay: float | None = None
 
+    @property
+    def domain(self) -> str:
+        """The failure domain of this instance."""
+        return self._record.failure_domain
+
     def note_bundle(self, *, now: float) -> None:
         """Note that a relay has passed beats on to this instance."""
         self._heard_relay = now
--- a/src/guavamast/relay/beat_socket.py
+++ b/src/guavamast/relay/beat_socket.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from guavamast.relay.beats import MalformedBeat, decode_message
+from guavamast.relay.catalog_news import CATALOG_MARK, decode_catalog_news
 from guavamast.relay.endpoint_news import NEWS_MARK, decode_endpoints
 from guavamast.relay.scheduling_wire import (
     SCHEDULING_MARK,
@@ -17,9 +18,11 @@
     from collections.abc import Callable
 
     from guavamast.relay.beats import Beat, BeatBundle, LoadNotice
+    from guavamast.relay.catalog_news import CatalogNews
     from guavamast.relay.counters import Counters
+    from guavamast.relay.endpoint_news import EndpointNews
     from guavamast.relay.scheduling_wire import SchedulingMessage
-    from guavamast.relay.store import EndpointReading, InstanceRecord
+    from guavamast.relay.store import InstanceRecord
 
 
 class BeatSocket(asyncio.DatagramProtocol):
@@ -27,21 +30,31 @@
 
     Args:
         take: Called with each message.
+        take_catalog: Called with each configuration and its datagram.
         take_endpoints: Called with each table of endpoints and its datagram.
         take_scheduling: Called with each message of scheduling and the address that it came from.
         counters: Metrics.
     """
 
-    __slots__ = ("_counters", "_take", "_take_endpoints", "_take_scheduling", "_transport")
+    __slots__ = (
+        "_counters",
+        "_take",
+        "_take_catalog",
+        "_take_endpoints",
+        "_take_scheduling",
+        "_transport",
+    )
 
     def __init__(
         self,
         *,
         take: Callable[[Beat | LoadNotice | BeatBundle], None],
-        take_endpoints: Callable[[EndpointReading, bytes], None],
+        take_catalog: Callable[[CatalogNews, bytes], None],
+        take_endpoints: Callable[[EndpointNews, bytes], None],
         take_scheduling: Callable[[SchedulingMessage, tuple[str, int]], None],
         counters: Counters,
     ) -> None:
+        self._take_catalog = take_catalog
         self._take_endpoints = take_endpoints
         self._take_scheduling = take_scheduling
         self._take = take
@@ -62,6 +75,8 @@
         try:
             if data.startswith(SCHEDULING_MARK):
                 self._take_scheduling(decode_scheduling(data), addr)
+            elif data.startswith(CATALOG_MARK):
+                self._take_catalog(decode_catalog_news(data), data)
             elif data.startswith(NEWS_MARK):
                 self._take_endpoints(decode_endpoints(data), data)
             else:
--- /dev/null
+++ b/src/guavamast/relay/catalog_news.py
@@ -0,0 +1,51 @@
+"""The operators' configuration as one instance has read it, told to the others in a datagram."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from guavamast.relay.beats import MalformedBeat
+from guavamast.relay.endpoint_news import MOST_DATAGRAM_BYTES
+from guavamast.relay.packing import pack, unpack
+
+CATALOG_MARK: Final = b"c"
+"""Begins the datagram of a configuration."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CatalogNews:
+    """A configuration as the store holds it, and who has read it."""
+
+    domain: str
+    """Failure domain of the instance that read it."""
+    row_version: int
+    """The store's number of the row."""
+    reading: float
+    """Seconds on the store's clock at the read."""
+    text: bytes
+
+
+def encode_catalog(news: CatalogNews) -> bytes | None:
+    """Return the datagram of a configuration, or None if it is too long for one."""
+    fields = [news.domain, news.row_version, news.reading, news.text.decode("latin-1")]
+    data = CATALOG_MARK + pack(fields)
+    return data if len(data) <= MOST_DATAGRAM_BYTES else None
+
+
+def decode_catalog_news(data: bytes) -> CatalogNews:
+    """Return the configuration of a datagram.
+
+    Raises:
+        MalformedBeat: It is none.
+    """
+    try:
+        domain, row_version, reading, text = unpack(data[len(CATALOG_MARK) :])
+        return CatalogNews(
+            domain=str(domain),
+            row_version=int(row_version),
+            reading=float(reading),
+            text=text.encode("latin-1"),
+        )
+    except (ValueError, TypeError, KeyError, IndexError, AttributeError) as error:
+        raise MalformedBeat(f"configuration: {type(error).__name__}: {error}") from error
--- a/src/guavamast/relay/endpoint_news.py
+++ b/src/guavamast/relay/endpoint_news.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Final
 
 from guavamast.relay.beats import MalformedBeat
@@ -15,8 +16,18 @@
 """Bytes of the longest datagram that is sent, below what UDP carries."""
 
 
-def encode_endpoints(reading: EndpointReading) -> bytes | None:
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointNews:
+    """A table of endpoints and who has read it."""
+
+    domain: str
+    """Failure domain of the instance that read it."""
+    reading: EndpointReading
+
+
+def encode_endpoints(news: EndpointNews) -> bytes | None:
     """Return the datagram of a table, or None if it is too long for one."""
+    reading = news.reading
     rows = [
         [
             record.endpoint_id,
@@ -31,23 +42,24 @@
         ]
         for record in reading.records
     ]
-    data = NEWS_MARK + pack([reading.digest, reading.reading, rows])
+    data = NEWS_MARK + pack([news.domain, reading.digest, reading.reading, rows])
     return data if len(data) <= MOST_DATAGRAM_BYTES else None
 
 
-def decode_endpoints(data: bytes) -> EndpointReading:
+def decode_endpoints(data: bytes) -> EndpointNews:
     """Return the table of a datagram.
 
     Raises:
         MalformedBeat: It is none.
     """
     try:
-        digest, reading, rows = unpack(data[len(NEWS_MARK) :])
-        return EndpointReading(
+        domain, digest, reading, rows = unpack(data[len(NEWS_MARK) :])
+        table = EndpointReading(
             records=[_decode_record(row) for row in rows],
             digest=str(digest),
             reading=float(reading),
         )
+        return EndpointNews(domain=str(domain), reading=table)
     except (ValueError, TypeError, KeyError, IndexError) as error:
         raise MalformedBeat(f"endpoints: {type(error).__name__}: {error}") from error
 
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -17,9 +17,11 @@
 from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.bundle_content import BundleContent
 from guavamast.relay.caller_addresses import VALIDITY_S
+from guavamast.relay.catalog_news import CatalogNews, encode_catalog
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.endpoint_news import EndpointNews, encode_endpoints
 from guavamast.relay.fleet_knowledge import FleetKnowledge
 from guavamast.relay.housekeeper import Housekeeper
 from guavamast.relay.listener import CallerListener, Question, QuestionListener
@@ -44,7 +46,7 @@
     from guavamast.relay.node_settings import NodeSettings, SocketAddress
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.scheduling_wire import SchedulingMessage
-    from guavamast.relay.store import EndpointReading, Store
+    from guavamast.relay.store import CatalogReading, EndpointReading, Store
 
 STANDARD_OUTPUT: Final = 1
 """Descriptor of the log unless another is given."""
@@ -110,6 +112,7 @@
         self._notices = self._make_notices()
         self._beats = BeatSocket(
             take=self._take_message,
+            take_catalog=self._take_catalog,
             take_endpoints=self._take_endpoints,
             take_scheduling=self._take_scheduling,
             counters=self.counters,
@@ -182,7 +185,8 @@
             counters=self.counters,
             read_time=read_boot_time,
             announce=self._exchange.announce,
-            tell_endpoints=self._exchange.tell_endpoints,
+            tell_catalog=self._tell_catalog,
+            tell_endpoints=self._tell_endpoints,
         )
 
     def _make_watch(self) -> StoreWatch:
@@ -368,10 +372,31 @@
     def _take_scheduling(self, message: SchedulingMessage, source: tuple[str, int]) -> None:
         self._scheduling.take(message, source)
 
-    def _take_endpoints(self, reading: EndpointReading, data: bytes) -> None:
+    def _tell_catalog(self, reading: CatalogReading) -> None:
+        """Tell the others a configuration that this instance has read."""
+        assert reading.catalog is not None
+        news = CatalogNews(
+            domain=self.settings.failure_domain,
+            row_version=reading.catalog.row_version,
+            reading=reading.reading,
+            text=reading.text,
+        )
+        self._exchange.tell_table(encode_catalog(news))
+
+    def _tell_endpoints(self, reading: EndpointReading) -> None:
+        """Tell the others a table of endpoints that this instance has read."""
+        news = EndpointNews(domain=self.settings.failure_domain, reading=reading)
+        self._exchange.tell_table(encode_endpoints(news))
+
+    def _take_catalog(self, news: CatalogNews, data: bytes) -> None:
+        """Take a configuration that another instance has read."""
+        if self._reader.take_catalog(news):
+            self._exchange.forward_table(data, domain=news.domain)
+
+    def _take_endpoints(self, news: EndpointNews, data: bytes) -> None:
         """Take a table of endpoints that another instance has read."""
-        if self._reader.take_endpoints(reading, told=True):
-            self._exchange.forward_endpoints(data)
+        if self._reader.take_endpoints(news.reading, told=True):
+            self._exchange.forward_table(data, domain=news.domain)
 
     def _take_beat(self, beat: Beat) -> None:
         self.knowledge.take_proofs(catalog=beat.catalog, endpoints=beat.endpoints)
--- a/src/guavamast/relay/read_schedule.py
+++ b/src/guavamast/relay/read_schedule.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
 READ_INTERVAL_S: Final = 0.6
@@ -21,6 +22,11 @@
 NEWS_WAIT_S: Final = 0.06
 """Seconds in which the news itself may come from the instance that has it, before it is read
 here."""
+NEWS_SPREAD_EACH_S: Final = 0.004
+"""Seconds, for each instance, over which the reads of the same news are spread: whoever reads first
+tells the others within the next few."""
+NEWS_SPREAD_SHARE: Final = 0.2
+"""Share of the age at which requests are not sent any more that this spread takes at most."""
 LAST_RANK: Final = 4
 """Readers beyond this rank step in together, so that nobody waits long when many have gone."""
 SPREAD_S: Final = 0.3
@@ -41,15 +47,32 @@
     Failure: all datagrams to an instance are lost, it waits for the ranks before it, and what it
     knows gets too old. It reads for itself at a share of the bound, which no rank delays.
 
+    Failure: a table changes every tenth of a second while all engines start, each of two hundred
+    instances reads each change, and the store gets a thousand calls a second. Reads of the same
+    news are spread the wider the more instances there are; the first tells the others.
+
     Args:
         random: Spreads the reads of instances.
         bound_s: Age of the proof at which requests are not sent by it any more.
+        count_instances: Returns how many instances there are.
     """
 
-    __slots__ = ("_failures", "_latest_s", "_news_at", "_not_before", "_random")
-
-    def __init__(self, *, random: Random, bound_s: float) -> None:
+    __slots__ = (
+        "_bound_s",
+        "_count_instances",
+        "_failures",
+        "_latest_s",
+        "_news_at",
+        "_not_before",
+        "_random",
+    )
+
+    def __init__(
+        self, *, random: Random, bound_s: float, count_instances: Callable[[], int]
+    ) -> None:
         self._random = random
+        self._bound_s = bound_s
+        self._count_instances = count_instances
         self._latest_s = OWN_READ_SHARE * bound_s
         self._failures = 0
         self._not_before = 0.0
@@ -68,7 +91,7 @@
             return False
         if news:
             if self._news_at is None:
-                self._news_at = now + NEWS_WAIT_S + self._random.random() * SPREAD_S / 3
+                self._news_at = now + NEWS_WAIT_S + self._random.random() * self._find_news_spread()
             return now >= self._news_at
         self._news_at = None
         due_s = min(READ_INTERVAL_S + STEP_IN_S * min(rank, LAST_RANK), self._latest_s)
@@ -87,6 +110,11 @@
             return TICK_S
         return max(TICK_S, READ_INTERVAL_S - age_s)
 
+    def _find_news_spread(self) -> float:
+        """Return the seconds over which the reads of the same news are spread."""
+        spread_s = max(SPREAD_S / 3, NEWS_SPREAD_EACH_S * self._count_instances())
+        return min(spread_s, NEWS_SPREAD_SHARE * self._bound_s)
+
     def record_success(self) -> None:
         """Read at the usual times again."""
         self._failures = 0
--- a/src/guavamast/relay/store.py
+++ b/src/guavamast/relay/store.py
@@ -31,6 +31,8 @@
     """None when none has been written yet."""
     reading: float
     """Seconds on the store's clock."""
+    text: bytes = b""
+    """As the store holds it, where it was read anew."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,6 +69,14 @@
     async def read_catalog(self, *, known: Catalog | None) -> CatalogReading:
         """Read the operators' configuration; returns ``known`` itself if it is still in force."""
 
+    @abstractmethod
+    def decode_catalog(self, text: bytes, *, row_version: int) -> Catalog:
+        """Return the configuration of a row that another instance has read.
+
+        Raises:
+            StoreError: It is none.
+        """
+
     @abstractmethod
     async def read_endpoints(self) -> EndpointReading:
         """Read the table of endpoints."""
--- a/src/guavamast/relay/store_reader.py
+++ b/src/guavamast/relay/store_reader.py
@@ -5,11 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from guavamast.relay.store import StoreError
+from guavamast.relay.store import CatalogReading, StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from guavamast.relay.catalog_news import CatalogNews
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.fleet_knowledge import FleetKnowledge
@@ -49,6 +50,7 @@
         counters: Metrics.
         read_time: The local clock.
         announce: Sends a beat with news.
+        tell_catalog: Tells the others a configuration.
         tell_endpoints: Tells the others a table of endpoints.
     """
 
@@ -59,6 +61,7 @@
         "_log",
         "_read_time",
         "_store",
+        "_tell_catalog",
         "_tell_endpoints",
         "answers",
         "catalog",
@@ -74,6 +77,7 @@
         counters: Counters,
         read_time: Callable[[], float],
         announce: Callable[[], None],
+        tell_catalog: Callable[[CatalogReading], None],
         tell_endpoints: Callable[[EndpointReading], None],
     ) -> None:
         self._store = store
@@ -82,6 +86,7 @@
         self._counters = counters
         self._read_time = read_time
         self._announce = announce
+        self._tell_catalog = tell_catalog
         self._tell_endpoints = tell_endpoints
         self.catalog = SharedRead(read=self._read_catalog)
         """Reads the configuration."""
@@ -114,6 +119,23 @@
         )
         return True
 
+    def take_catalog(self, news: CatalogNews) -> bool:
+        """Take a configuration that another instance has read; returns whether it was news.
+
+        What can't be decoded is left to the next read by this instance itself.
+        """
+        former_age_s = self._knowledge.compute_catalog_age(now=self._read_time())
+        known = self._knowledge.catalog
+        if known is not None and known.row_version >= news.row_version:
+            return False
+        try:
+            catalog = self._store.decode_catalog(news.text, row_version=news.row_version)
+        except StoreError as error:
+            self._log.write("told_unusable", now=self._read_time(), reason=error.reason)
+            return False
+        reading = CatalogReading(catalog=catalog, reading=news.reading)
+        return self._take_catalog(reading, former_age_s=former_age_s, told=True)
+
     def note_failure(self, call: str, error: StoreError) -> None:
         """Note a call that had no usable answer."""
         self._counters.add(f'store_failures_total{{call="{call}"}}')
@@ -137,21 +159,27 @@
             self.note_failure("read_configuration", error)
             return False
         self._note_success(began=began)
-        if self._knowledge.take_catalog(reading):
-            catalog = self._knowledge.catalog
-            self._log.write(
-                "configuration_taken",
-                now=self._read_time(),
-                config_version=self._knowledge.catalog_version,
-                row_version=catalog.row_version if catalog else None,
-                former_age_s=round(min(1e6, former_age_s), 2),
-            )
+        if self._take_catalog(reading, former_age_s=former_age_s, told=False) and reading.text:
+            self._tell_catalog(reading)
         self._announce()
         return True
 
+    def _take_catalog(self, reading: CatalogReading, *, former_age_s: float, told: bool) -> bool:
+        if not self._knowledge.take_catalog(reading):
+            return False
+        catalog = self._knowledge.catalog
+        self._log.write(
+            "configuration_taken",
+            now=self._read_time(),
+            config_version=self._knowledge.catalog_version,
+            row_version=catalog.row_version if catalog else None,
+            told=told,
+            former_age_s=round(min(1e6, former_age_s), 2),
+        )
+        return True
+
     async def _read_endpoints(self) -> bool:
         began = self._read_time()
-        heard_of = self._knowledge.newer_endpoints_heard
         try:
             reading = await self._store.read_endpoints()
         except StoreError as error:
@@ -159,8 +187,7 @@
             self.note_failure("read_endpoints", error)
             return False
         self._note_success(began=began)
-        # Whoever reads because of another's word has nothing to tell: that one has told it already.
-        if self.take_endpoints(reading, told=False) and not heard_of:
+        if self.take_endpoints(reading, told=False):
             self._tell_endpoints(reading)
         self._announce()
         return True
--- a/src/guavamast/relay/table_watch.py
+++ b/src/guavamast/relay/table_watch.py
@@ -160,7 +160,11 @@
     return [
         kind(
             read=read,
-            schedule=ReadSchedule(random=random, bound_s=bound_s),
+            schedule=ReadSchedule(
+                random=random,
+                bound_s=bound_s,
+                count_instances=knowledge.count_instances,
+            ),
             knowledge=knowledge,
             counters=counters,
             loop_delay=loop_delay,
--- a/tests/test_relay_beat_exchange.py
+++ b/tests/test_relay_beat_exchange.py
@@ -10,7 +10,12 @@
 from guavamast.relay.beat_relays import RELAYS_EACH, SILENT_RELAYS_S, BeatRelays
 from guavamast.relay.beats import Beat, BeatBundle, InstanceState, LoadNotice, decode_message
 from guavamast.relay.bundle_content import BundleContent
-from guavamast.relay.endpoint_news import NEWS_MARK, decode_endpoints
+from guavamast.relay.endpoint_news import (
+    NEWS_MARK,
+    EndpointNews,
+    decode_endpoints,
+    encode_endpoints,
+)
 from guavamast.relay.fleet_knowledge import FleetKnowledge
 from guavamast.relay.freshness import Proof, StoreClock
 from guavamast.relay.peers import FULL_MESH_INSTANCES, RELAYED_SILENCE_S, Peers
@@ -103,10 +108,10 @@
             self.exchange.take_bundle(message)
 
     def take_endpoints(self, data: bytes) -> None:
-        reading = decode_endpoints(data)
-        if reading != self.endpoints:
-            self.endpoints = reading
-            self.exchange.forward_endpoints(data)
+        news = decode_endpoints(data)
+        if news.reading != self.endpoints:
+            self.endpoints = news.reading
+            self.exchange.forward_table(data, domain=news.domain)
 
     def list_live(self) -> set[str]:
         return {peer.record.name for peer in self.peers.list_live(now=self.network.now)}
@@ -300,7 +305,8 @@
 
     async def test_a_table_of_endpoints_reaches_all(self) -> None:
         reading = EndpointReading(records=[make_endpoint("e1", slots=64)], digest="d", reading=1.0)
-        self.network.members["i11"].exchange.tell_endpoints(reading)
+        news = EndpointNews(domain=DOMAINS[11 % len(DOMAINS)], reading=reading)
+        self.network.members["i11"].exchange.tell_table(encode_endpoints(news))
         self.network.deliver()
         for name, member in self.network.members.items():
             if name != "i11":
--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -56,6 +56,7 @@
             counters=counters,
             read_time=lambda: self.now,
             announce=lambda: None,
+            tell_catalog=lambda _: None,
             tell_endpoints=lambda _: None,
         )
         self.admission = CallerAdmission(
@@ -66,6 +67,10 @@
             read_time=lambda: self.now,
         )
 
+    def decode_catalog(self, text: bytes, *, row_version: int) -> Catalog:
+        del text, row_version
+        raise StoreError("nothing is told")
+
     async def read_catalog(self, *, known: Catalog | None) -> CatalogReading:
         catalog = self.catalog
         if known is not None and known.row_version == catalog.row_version:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -211,7 +211,7 @@
     """One instance reads; the others step in within a second when it falls silent."""
 
     def setUp(self) -> None:
-        self.schedule = ReadSchedule(random=Random(1), bound_s=60.0)
+        self.schedule = ReadSchedule(random=Random(1), bound_s=60.0, count_instances=lambda: 14)
 
     def test_ranks_step_in_one_after_the_other(self) -> None:
         for place in range(LAST_RANK):
@@ -231,7 +231,7 @@
         bound at which requests stop being sent by what it knows.
         """
         for bound_s in (1.6, 2.6):
-            schedule = ReadSchedule(random=Random(1), bound_s=bound_s)
+            schedule = ReadSchedule(random=Random(1), bound_s=bound_s, count_instances=lambda: 14)
             for place in range(400):
                 age_s = bound_s - 0.2
                 self.assertTrue(schedule.is_due(age_s=age_s, rank=place, news=False, now=0.0))
--- a/tests/test_relay_endpoint_news.py
+++ b/tests/test_relay_endpoint_news.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from guavamast.relay.beats import MalformedBeat
-from guavamast.relay.endpoint_news import NEWS_MARK, decode_endpoints, encode_endpoints
+from guavamast.relay.endpoint_news import (
+    NEWS_MARK,
+    EndpointNews,
+    decode_endpoints,
+    encode_endpoints,
+)
 from guavamast.relay.fleet_knowledge import FleetKnowledge
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.peers import Peers
@@ -27,14 +32,15 @@
     """Tables survive the wire, and anything else is refused."""
 
     def test_tables_survive_the_wire(self) -> None:
-        reading = make_reading("e1", "e2", reading=12.5)
-        data = encode_endpoints(reading)
+        news = EndpointNews(domain="a", reading=make_reading("e1", "e2", reading=12.5))
+        data = encode_endpoints(news)
         assert data is not None
-        self.assertEqual(decode_endpoints(data), reading)
+        self.assertEqual(decode_endpoints(data), news)
 
     def test_a_table_that_no_datagram_holds_is_not_told(self) -> None:
         names = [f"{number * 2_654_435_761 % 2**64:x}" for number in range(12_000)]
-        self.assertIsNone(encode_endpoints(make_reading(*names, reading=1.0)))
+        news = EndpointNews(domain="a", reading=make_reading(*names, reading=1.0))
+        self.assertIsNone(encode_endpoints(news))
 
     @given(data=st.binary(max_size=60))
     def test_any_other_datagram_is_refused(self, data: bytes) -> None:
--- /dev/null
+++ b/tests/test_relay_table_news.py
@@ -0,0 +1,136 @@
+"""Tests of how changes of the store's tables reach many instances with few reads of the store.
+
+The pattern: hundreds of instances start together with their engines, which list themselves one by
+one over some seconds; later the operators change the configuration, and the store comes back after
+an outage. Each instance that reads every change costs the store thousands of calls.
+"""
+
+from __future__ import annotations
+
+import unittest
+import zlib
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavamast.relay.beats import MalformedBeat
+from guavamast.relay.catalog_news import (
+    CATALOG_MARK,
+    CatalogNews,
+    decode_catalog_news,
+    encode_catalog,
+)
+from guavamast.relay.read_schedule import TICK_S, ReadSchedule
+
+INSTANCES = 350
+BOUND_S = 3.6
+TOLD_S = 0.04
+"""After which all others know what one has read: two datagrams and turns of their loops."""
+BUSY_TOLD_S = 0.15
+"""Likewise while all processes start or take in news at once."""
+BEAT_S = 0.02
+"""After which they know that it has read something newer."""
+
+
+class _Instance:
+    def __init__(self, number: int) -> None:
+        self.schedule = ReadSchedule(
+            random=Random(number), bound_s=BOUND_S, count_instances=lambda: INSTANCES
+        )
+        self.version = 0
+        self.heard = 0
+
+    def is_due(self, *, rank: int, now: float) -> bool:
+        """Return whether it reads now; its proof is as old as its rank lets it get."""
+        news = self.heard > self.version
+        return self.schedule.is_due(age_s=0.1, rank=rank, news=news, now=now)
+
+
+def count_reads(
+    changes: list[float], *, until: float, lost: float = 0.0, told_s: float = TOLD_S
+) -> tuple[int, float]:
+    """Return the reads of a fleet and the greatest delay of a change at any instance.
+
+    Args:
+        changes: When the table changes.
+        until: When the story ends.
+        lost: Share of the instances that are told nothing and hear beats only.
+        told_s: After which all others know what one has read.
+    """
+    instances = [_Instance(number) for number in range(INSTANCES)]
+    reads = 0
+    latest = 0.0
+    told: list[tuple[float, int, bool]] = []
+    now = 0.0
+    while now < until:
+        newest = sum(at <= now for at in changes)
+        if newest and instances[0].version < newest and now % 0.6 < TICK_S:
+            instances[0].heard = newest
+        for at, version, whole in [one for one in told if one[0] <= now]:
+            told.remove((at, version, whole))
+            for number, one in enumerate(instances):
+                one.heard = max(one.heard, version)
+                if whole and number >= lost * INSTANCES and one.version < version:
+                    one.version = version
+                    latest = max(latest, now - changes[version - 1])
+        for rank, one in enumerate(instances):
+            if one.is_due(rank=rank, now=now):
+                reads += 1
+                one.version = newest
+                latest = max(latest, now - changes[newest - 1])
+                one.schedule.record_success()
+                told += [(now + BEAT_S, newest, False), (now + told_s, newest, True)]
+        now = round(now + TICK_S / 2, 4)
+    assert all(one.version == len(changes) for one in instances)
+    return reads, latest
+
+
+class TableNewsTest(unittest.TestCase):
+    """Reads of the store don't grow with the instances."""
+
+    def test_a_change_costs_few_reads_at_350_instances(self) -> None:
+        reads, latest = count_reads([1.0], until=4.0)
+        self.assertLess(reads, 30)
+        self.assertLess(latest, BOUND_S / 2)
+
+    def test_a_change_costs_few_reads_while_all_are_busy(self) -> None:
+        reads, latest = count_reads([1.0], until=4.0, told_s=BUSY_TOLD_S)
+        self.assertLess(reads, INSTANCES / 3)
+        self.assertLess(latest, BOUND_S / 2)
+
+    def test_a_start_of_all_engines_costs_few_reads_a_change(self) -> None:
+        """Sixty engines list themselves within four seconds."""
+        changes = [1.0 + number / 15 for number in range(60)]
+        reads, _ = count_reads(changes, until=9.0)
+        self.assertLess(reads, 5 * INSTANCES)
+
+    def test_who_is_told_nothing_reads_in_time(self) -> None:
+        """No request goes by an old route at an instance that gets no datagram with tables."""
+        _, latest = count_reads([1.0], until=5.0, lost=0.3)
+        self.assertLess(latest, BOUND_S / 2)
+
+
+class CatalogNewsTest(unittest.TestCase):
+    """Configurations survive the wire, and anything else is refused."""
+
+    def test_a_configuration_survives_the_wire(self) -> None:
+        news = CatalogNews(domain="a", row_version=7, reading=2.5, text='{"v": "é"}'.encode())
+        data = encode_catalog(news)
+        assert data is not None
+        self.assertEqual(decode_catalog_news(data), news)
+
+    def test_one_that_no_datagram_holds_is_not_told(self) -> None:
+        text = Random(1).randbytes(200_000)
+        news = CatalogNews(domain="a", row_version=7, reading=2.5, text=text)
+        self.assertIsNone(encode_catalog(news))
+
+    @given(data=st.binary(max_size=60))
+    def test_any_other_datagram_is_refused(self, data: bytes) -> None:
+        for body in (data, zlib.compress(data)):
+            with self.assertRaises(MalformedBeat):
+                decode_catalog_news(CATALOG_MARK + body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_relay_table_watch.py
+++ b/tests/test_relay_table_watch.py
@@ -21,7 +21,7 @@
     """Reads on news alone, and sleeps for hours otherwise."""
 
     def __init__(self) -> None:
-        super().__init__(random=Random(1), bound_s=60.0)
+        super().__init__(random=Random(1), bound_s=60.0, count_instances=lambda: 14)
 
     def is_due(self, *, age_s: float, rank: int, news: bool, now: float) -> bool:
         del age_s, rank, now
@@ -73,7 +73,7 @@
     """No round is missed in which a read may be due."""
 
     def test_it_sleeps_until_a_reader_may_be_due(self) -> None:
-        schedule = ReadSchedule(random=Random(1), bound_s=1.6)
+        schedule = ReadSchedule(random=Random(1), bound_s=1.6, count_instances=lambda: 14)
         self.assertEqual(schedule.find_pause(age_s=0.2, news=False), READ_INTERVAL_S - 0.2)
         for age_s, news in ((0.2, True), (READ_INTERVAL_S, False), (float("inf"), False)):
             self.assertEqual(schedule.find_pause(age_s=age_s, news=news), TICK_S)
