--- a/bench/fleet_ways.py
+++ b/bench/fleet_ways.py
@@ -122,6 +122,7 @@
             patient=is_patient(request.kind.objective_s, shortest_s=shortest_s),
             first=request.kind.objective_s == shortest_s,
             old_news=late,
+            fresh=not late and not request.returned,
         )
         return choice, admit(choice.forecast, terms, random=self.world.random)
 
--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -16,6 +16,12 @@
 WAITING_SHARE: Final = 0.5
 """Share of the objective for which a request may wait behind others; the rest is for its own prompt
 and the first event."""
+IN_TIME_SHARE: Final = 0.85
+"""Share of the objective by which the first event is forecast for a request that is admitted;
+forecasts are off to either side."""
+FRESH_SHARE: Final = 0.8
+"""Share of the allowed wait for a request that was not sent back before: those that were find room
+first, as their callers ask no third time."""
 OLD_NEWS_FACTOR: Final = 2.0
 """Factor on the allowed wait where loads are told late. All instances have the same news: refused
 by it, callers leave engines idle until the next."""
@@ -50,14 +56,30 @@
     """Whether no stream of its service goes before it."""
     old_news: bool = False
     """Whether forecasts rest on loads that are told late."""
+    fresh: bool = False
+    """Whether the request is known not to have been sent back before."""
 
 
-def compute_allowed_wait(terms: WaitTerms) -> float:
-    """Return the milliseconds that a request may wait by the forecast."""
+def compute_allowed_wait(forecast: Forecast, terms: WaitTerms) -> float:
+    """Return the milliseconds that a request may wait.
+
+    Failure: engines are given more than they can do, the queue grows until the allowed wait ends,
+    and half of what is admitted at its end comes just too late. Serving as much, a queue that is a
+    little shorter has all of it in time. A prompt too long to be in time anywhere waits as others.
+
+    Args:
+        forecast: What it would meet.
+        terms: What was promised, and what the forecast rests on.
+    """
+    objective_ms = terms.objective_s * 1000.0
     share = WAITING_SHARE if terms.patient else URGENT_WAITING_SHARE
     if terms.old_news:
-        share *= FIRST_FACTOR if terms.first else OLD_NEWS_FACTOR
-    return share * terms.objective_s * 1000.0
+        return share * objective_ms * (FIRST_FACTOR if terms.first else OLD_NEWS_FACTOR)
+    allowed_ms = share * objective_ms
+    in_time_ms = IN_TIME_SHARE * objective_ms - forecast.start_ms - forecast.reading_ms
+    if in_time_ms > 0.0:
+        allowed_ms = min(allowed_ms, in_time_ms)
+    return allowed_ms * FRESH_SHARE if terms.fresh else allowed_ms
 
 
 def admit(forecast: Forecast, terms: WaitTerms, *, random: Random) -> ComeBack | None:
@@ -76,7 +98,7 @@
     Returns:
         When to come back, or None if the request is to be sent.
     """
-    allowed_ms = compute_allowed_wait(terms)
+    allowed_ms = compute_allowed_wait(forecast, terms)
     if forecast.waiting_ms <= allowed_ms:
         return None
     excess_s = (forecast.waiting_ms - allowed_ms) / 1000.0
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -9,6 +9,7 @@
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.engine_model import FIRST_LIMIT, LATE_LIMIT, PATIENT_LIMIT
+from guavamast.relay.expected_returns import ExpectedReturns
 from guavamast.relay.placement import Placement
 from guavamast.relay.prompt_cache import PromptCache
 from guavamast.relay.prompt_lanes import PromptDemand
@@ -101,6 +102,7 @@
         "_grants",
         "_heard",
         "_random",
+        "_returns",
         "cache",
         "loads",
     )
@@ -112,6 +114,7 @@
         self._chooser = EndpointChooser(loads=self.loads, cache=self.cache, random=random)
         self._random = random
         self._began = now
+        self._returns = ExpectedReturns()
         self._grants: dict[Asker, dict[int, _Grant]] = {}
         self._at_endpoint: dict[str, list[_Grant]] = {}
         self._heard: dict[Asker, float] = {}
@@ -152,7 +155,7 @@
         )
         if choice is None:
             return PlacementReply(number=query.number, verdict=Verdict.UNKNOWN, learning=learning)
-        later = self._admit(query, choice, learning=learning)
+        later = self._admit(query, choice, learning=learning, now=now)
         if later is not None:
             return _make_reply(
                 query, choice, Verdict.REFUSED, learning=learning, retry_after_s=later
@@ -234,7 +237,9 @@
             loads_late=learning,
         )
 
-    def _admit(self, query: PlacementQuery, choice: Choice, *, learning: bool) -> float | None:
+    def _admit(
+        self, query: PlacementQuery, choice: Choice, *, learning: bool, now: float
+    ) -> float | None:
         """Return the seconds after which a request should come back; None if it may be sent."""
         if choice.forecast is None or not query.refusable:
             return None
@@ -243,9 +248,13 @@
             patient=query.patient,
             first=query.first,
             old_news=learning,
+            fresh=not self._returns.recall(query, now=now),
         )
         later = admit(choice.forecast, terms, random=self._random)
-        return None if later is None else later.retry_after_s
+        if later is None:
+            return None
+        self._returns.note(query, now=now)
+        return later.retry_after_s
 
     def _grant(self, query: PlacementQuery, choice: Choice, *, now: float) -> None:
         endpoint_id = choice.record.endpoint_id
--- a/tests/test_relay_scheduler.py
+++ b/tests/test_relay_scheduler.py
@@ -67,7 +67,7 @@
         """Forty prompts without a shared part come to forty instances within a millisecond."""
         self.engines = [make_endpoint(f"e{one}", service=POOL, slots=64) for one in range(4)]
         for number in range(40):
-            reply = self.ask(number, asker=f"i{number}", prompt_parts=())
+            reply = self.ask(number, asker=f"i{number}", prompt_parts=(), objective_s=1.0)
             self.assertIs(reply.verdict, Verdict.GRANTED)
         counts = [self.scheduler.loads.sum_up(one.endpoint_id).requests for one in self.engines]
         self.assertLessEqual(max(counts) - min(counts), 2)
