--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -197,7 +197,7 @@
         progress.sent += 1
         progress.may_have_run += 1
         load = self._read_load(send)
-        self._note_send(request, progress, attempt.record, terms, load=load, now=now)
+        self._note_send(request, progress, attempt.record, terms, send, load=load, now=now)
         stream = SentStream(
             profiles=self._profiles,
             service=attempt.record.service,
@@ -226,7 +226,7 @@
         """Return the work at an endpoint, this request included, as whoever chose it knew."""
         choice = send.placed.choice
         assert choice is not None
-        if send.placed.granted:
+        if send.placed.scheduled is not None:
             return Load(
                 requests=choice.load.requests + 1,
                 prefill_tokens=choice.load.prefill_tokens + choice.unread_tokens,
@@ -299,6 +299,7 @@
         progress: RequestProgress,
         record: EndpointRecord,
         terms: SendTerms,
+        send: _Send,
         *,
         load: Load,
         now: float,
@@ -309,6 +310,7 @@
             terms,
             sent=progress.sent,
             load=load,
+            scheduled=send.placed.scheduled,
             route=progress.admitted.route.name,
             now=now,
         )
--- a/src/guavamast/relay/placing.py
+++ b/src/guavamast/relay/placing.py
@@ -25,7 +25,7 @@
     from guavamast.relay.messages import CallerRequest
     from guavamast.relay.prompt_lanes import PromptDemand
     from guavamast.relay.request_progress import RequestProgress
-    from guavamast.relay.scheduling_client import PlacedRequest, SchedulingClient
+    from guavamast.relay.scheduling_client import PlacedRequest, ScheduledReply, SchedulingClient
     from guavamast.relay.scheduling_messages import PlacementReply
 
 MOST_GROUPS: Final = 3
@@ -45,8 +45,8 @@
     """When the caller should come back, if there is no room in time."""
     work: PlacedRequest | None = None
     """What is told to the scheduler; None where there is none."""
-    granted: bool = False
-    """Whether a scheduler has chosen, which knows all work there."""
+    scheduled: ScheduledReply | None = None
+    """What the scheduler has said that decided, which knows all work there."""
 
 
 class Placer(ABC):
@@ -173,8 +173,8 @@
         key = request.shared_part or request.request_id
         for group in self._groups.rank(progress.service, key)[:MOST_GROUPS]:
             query = self._make_query(request, progress, group)
-            reply = await self._client.ask(query)
-            placed = self._take_reply(request, query, reply) if reply is not None else None
+            answer = await self._client.ask(query)
+            placed = self._take_reply(request, query, answer) if answer is not None else None
             if placed is None:
                 return self._decide_alone(request, progress)
             if placed.later is None:
@@ -208,9 +208,10 @@
         return tuple(progress.tried.union(failing))
 
     def _take_reply(
-        self, request: CallerRequest, query: PlacementQuery, reply: PlacementReply
+        self, request: CallerRequest, query: PlacementQuery, answer: ScheduledReply
     ) -> Placed | None:
         """Return what a reply decides; None if it names no endpoint that may be used."""
+        reply = answer.reply
         record = self._knowledge.endpoints.find(reply.endpoint_id)
         if reply.verdict is Verdict.UNKNOWN or record is None or not record.ready:
             if reply.verdict is Verdict.GRANTED:
@@ -224,10 +225,11 @@
             load=Load(requests=reply.requests_there, prefill_tokens=reply.prefill_tokens_there),
         )
         if reply.verdict is Verdict.REFUSED:
-            return Placed(choice=choice, later=ComeBack(retry_after_s=reply.retry_after_s))
+            later = ComeBack(retry_after_s=reply.retry_after_s)
+            return Placed(choice=choice, later=later, scheduled=answer)
         work = _make_work(request, choice, number=query.number, delicate=query.delicate)
         tracked = self._client.track(query.group, work, asked=True)
-        return Placed(choice=choice, work=tracked, granted=True)
+        return Placed(choice=choice, work=tracked, scheduled=answer)
 
     def _decide_alone(self, request: CallerRequest, progress: RequestProgress) -> Placed:
         placed = self._own.decide(request, progress)
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -12,18 +12,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.relay.admission import ComeBack
     from guavamast.relay.attempt_budget import AttemptBudget
     from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.caller_gate import Admitted
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_load import EndpointLoads
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.exchange import Exchanger
     from guavamast.relay.fleet_knowledge import FleetKnowledge
     from guavamast.relay.messages import AnswerWriter, CallerRequest, HeaderCodec
-    from guavamast.relay.placing import Placer
+    from guavamast.relay.placing import Placed, Placer
     from guavamast.relay.prompt_lanes import PromptDemand
     from guavamast.relay.request_notes import RequestNotes
     from guavamast.relay.request_progress import RequestProgress
@@ -160,7 +158,7 @@
                 await self._give_up(request, writer, progress, status=502, reason="no endpoint")
                 return
             if placed.later is not None:
-                await self._send_back(request, writer, progress, placed.later, placed.choice)
+                await self._send_back(request, writer, progress, placed)
                 return
             record = placed.choice.record
             try:
@@ -230,15 +228,16 @@
         request: CallerRequest,
         writer: AnswerWriter,
         progress: RequestProgress,
-        later: ComeBack,
-        choice: Choice,
+        placed: Placed,
     ) -> None:
-        headers = self._codec.write_refusal(request.request_id, later.retry_after_s)
+        assert placed.later is not None and placed.choice is not None
+        headers = self._codec.write_refusal(request.request_id, placed.later.retry_after_s)
         await writer.send(503, headers, b"")
         self._notes.note_send_back(
             request,
-            later,
-            choice,
+            placed.later,
+            placed.choice,
+            scheduled=placed.scheduled,
             route=progress.admitted.route.name,
             now=self._read_time(),
         )
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -18,6 +18,7 @@
     from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import CallerRequest, SendTerms
     from guavamast.relay.request_progress import RequestProgress
+    from guavamast.relay.scheduling_client import ScheduledReply
 
 
 class RequestNotes:
@@ -57,6 +58,7 @@
         *,
         sent: int,
         load: Load,
+        scheduled: ScheduledReply | None,
         route: str,
         now: float,
     ) -> None:
@@ -78,6 +80,9 @@
             shared_part=request.shared_part,
             requests_there=load.requests,
             prompt_tokens_there=load.prefill_tokens,
+            scheduler=scheduled.scheduler if scheduled is not None else None,
+            scheduled_s=round(scheduled.took_s, 4) if scheduled is not None else None,
+            scheduler_learning=scheduled.reply.learning if scheduled is not None else None,
             resume_after=terms.resume_after,
             time_left_s=round(terms.time_left_s or 0.0, 3),
             waited_s=round(now - request.arrived, 4),
@@ -158,6 +163,7 @@
         later: ComeBack,
         choice: Choice,
         *,
+        scheduled: ScheduledReply | None,
         route: str,
         now: float,
     ) -> None:
@@ -173,6 +179,8 @@
             route=route,
             endpoint=choice.record.endpoint_id,
             expected_wait_ms=round(expected.waiting_ms) if expected else None,
+            requests_there=choice.load.requests,
+            scheduler=scheduled.scheduler if scheduled is not None else None,
             prompt_tokens=request.prompt_tokens,
             retry_after_s=round(later.retry_after_s, 3),
         )
--- a/src/guavamast/relay/scheduling_client.py
+++ b/src/guavamast/relay/scheduling_client.py
@@ -56,6 +56,16 @@
     ended: float | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ScheduledReply:
+    """A scheduler's reply, and what it cost."""
+
+    reply: PlacementReply
+    scheduler: str
+    """Name of the instance."""
+    took_s: float
+
+
 class PlacedRequest:
     """One request as its scheduler counts it, from the grant to its end.
 
@@ -166,7 +176,7 @@
         self._number += 1
         return self._number
 
-    async def ask(self, query: PlacementQuery) -> PlacementReply | None:
+    async def ask(self, query: PlacementQuery) -> ScheduledReply | None:
         """Return the scheduler's reply; None if it does not come in time.
 
         A request that is given up meanwhile is told to the scheduler as ended, so that a grant that
@@ -176,7 +186,8 @@
         scheduler = self.directory.find(query.group, now=now)
         self._inform(query.group, scheduler)
         if scheduler.name == self._record.name:
-            return self._host.decide(query, now=now)
+            reply = self._host.decide(query, now=now)
+            return ScheduledReply(reply=reply, scheduler=scheduler.name, took_s=0.0)
         waiter: asyncio.Future[PlacementReply] = asyncio.get_running_loop().create_future()
         self._waiting[query.number] = waiter
         self._send(query, scheduler)
@@ -194,8 +205,9 @@
         finally:
             timer.cancel()
             del self._waiting[query.number]
-        self._note_reply(scheduler, took_s=self._read_time() - now)
-        return reply
+        took_s = self._read_time() - now
+        self._note_reply(scheduler, took_s=took_s)
+        return ScheduledReply(reply=reply, scheduler=scheduler.name, took_s=took_s)
 
     def take_reply(self, reply: PlacementReply) -> None:
         """Hand a reply to whoever waits for it; a late one finds nobody."""
