Tell in logs and metrics how urgent a request is that is sent or refused

Now sent and refused lines carry the urgency, refusals the prompt tokens that waited, and first_sends_total and sent_back_total count by urgency. No decision changes.

--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -311,7 +311,7 @@
             sent=progress.sent,
             load=load,
             scheduled=send.placed.scheduled,
-            route=progress.admitted.route.name,
+            admitted=progress.admitted,
             now=now,
         )
 
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -238,7 +238,7 @@
             placed.later,
             placed.choice,
             scheduled=placed.scheduled,
-            route=progress.admitted.route.name,
+            admitted=progress.admitted,
             now=self._read_time(),
         )
 
--- a/src/guavamast/relay/request_notes.py
+++ b/src/guavamast/relay/request_notes.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from guavamast.relay.admission import ComeBack
     from guavamast.relay.attempt import AttemptFailed
-    from guavamast.relay.caller_gate import Denied
+    from guavamast.relay.caller_gate import Admitted, Denied
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.endpoint_choice import Choice
@@ -59,13 +59,15 @@
         sent: int,
         load: Load,
         scheduled: ScheduledReply | None,
-        route: str,
+        admitted: Admitted,
         now: float,
     ) -> None:
         """Note that a request goes to an endpoint."""
         config_age_s = min(1e6, self._knowledge.compute_catalog_age(now=now))
         endpoints_age_s = min(1e6, self._knowledge.compute_endpoints_age(now=now))
         self._counters.add(f'sends_total{{repeat="{str(sent > 1).lower()}"}}')
+        if sent == 1:
+            self._counters.add(f'first_sends_total{{urgency="{admitted.urgency}"}}')
         self._counters.observe("send_config_age_seconds", config_age_s)
         self._counters.observe("send_endpoints_age_seconds", endpoints_age_s)
         self._log.write(
@@ -74,7 +76,8 @@
             request_id=request.request_id,
             endpoint=record.endpoint_id,
             service=record.service,
-            route=route,
+            route=admitted.route.name,
+            urgency=admitted.urgency,
             send=sent,
             prompt_tokens=request.prompt_tokens,
             shared_part=request.shared_part,
@@ -164,11 +167,12 @@
         choice: Choice,
         *,
         scheduled: ScheduledReply | None,
-        route: str,
+        admitted: Admitted,
         now: float,
     ) -> None:
         """Note a request that is refused for want of room."""
         self._counters.add('refusals_total{status="503"}')
+        self._counters.add(f'sent_back_total{{urgency="{admitted.urgency}"}}')
         expected = choice.forecast
         self._log.write(
             "refused",
@@ -176,10 +180,12 @@
             request_id=request.request_id,
             status=503,
             reason="no room in time",
-            route=route,
+            route=admitted.route.name,
+            urgency=admitted.urgency,
             endpoint=choice.record.endpoint_id,
             expected_wait_ms=round(expected.waiting_ms) if expected else None,
             requests_there=choice.load.requests,
+            prompt_tokens_there=choice.load.prefill_tokens,
             scheduler=scheduled.scheduler if scheduled is not None else None,
             prompt_tokens=request.prompt_tokens,
             retry_after_s=round(later.retry_after_s, 3),
