Send the most urgent requests wherever there is room while too many of them are sent back

Callers saw: questions refused while engines had half of their slots free. Cause: the endpoint is chosen by cost, and only the one that costs least is asked for room; in a burst that is an engine of the questions' own lane, whose slots are full (33 requests and more of 32 at 266 of 273 refusals), while engines of other lanes cost more. Change: while over a twelfth of the requests before which none goes are sent back, engines that would send one back come after all others. There they are often late by their pauses, so not before, and not for less urgent ones.

--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/admission.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from guavamast.relay.engine_model import Forecast
@@ -175,6 +176,25 @@
             )
         return later
 
+    def find_filter(
+        self, terms: WaitTerms, *, service: str, urgency: int, now: float
+    ) -> Callable[[Forecast], bool] | None:
+        """Return what tells where a request would be admitted; None if any engine may be taken.
+
+        Failure: where an urgent request costs least, all slots are taken; it is sent back from
+        there while an engine that costs more has room. There its pauses are often too long, so only
+        requests before which none goes are sent there, and only while too many are sent back.
+
+        Args:
+            terms: How long the request may wait.
+            service: Where it goes.
+            urgency: 0 goes first.
+            now: The present time.
+        """
+        if not terms.first or not self._history.is_pressed(service, urgency, now=now):
+            return None
+        return lambda forecast: forecast.waiting_ms <= compute_allowed_wait(forecast, terms)
+
     def _take_credit(self, service: str, urgency: int, reading_ms: float) -> bool:
         """Return whether a request that is held back is let in for the share of its kind."""
         key = (service, urgency)
--- a/src/guavamast/relay/choice_costs.py
+++ b/src/guavamast/relay/choice_costs.py
@@ -40,6 +40,8 @@
 LATE_COST_MS: Final = 400.0
 """Milliseconds for one answer that becomes late: as much as for a failure, and more than an engine
 without the prompt's parts costs."""
+NO_ROOM_COST_MS: Final = 1_000_000.0
+"""Milliseconds for an engine from which a request would be sent back, beyond all other costs."""
 OTHER_DOMAIN_COST_MS: Final = 2.0
 """Milliseconds for another failure domain: a round trip and the price of the bytes."""
 PLAIN_SLOT_COST_MS: Final = 60.0
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/endpoint_choice.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.choice_costs import (
+    NO_ROOM_COST_MS,
     weigh_disturbance,
     weigh_engine,
     weigh_failures,
@@ -21,6 +22,7 @@
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Set as AbstractSet
     from random import Random
 
@@ -100,14 +102,20 @@
         *,
         exclude: AbstractSet[str],
         now: float,
+        has_room: Callable[[Forecast], bool] | None = None,
     ) -> Choice | None:
         """Return the candidate with the least cost; None when there is none.
 
+        Failure: where an urgent request costs least, its slots are full; it is sent back from there
+        while an engine that costs more would have begun it in time.
+
         Args:
             placement: The request.
             candidates: Endpoints that may get it.
             exclude: Ids of endpoints that had it before.
             now: The present time.
+            has_room: Returns whether the request would be admitted with a forecast; if given,
+                candidates that would not come last.
         """
         lanes: dict[str, int] = {}
         if placement.prompt_tokens > 0:
@@ -129,6 +137,8 @@
             cost = self._estimate_cost(placement, candidate, now=now)
             if record.endpoint_id == home:
                 cost -= weigh_home(placement, candidate.unread_tokens)
+            if has_room and candidate.expected and not has_room(candidate.expected):
+                cost += NO_ROOM_COST_MS
             if cost < least:
                 best = candidate.make_choice(placement)
                 least = cost
--- a/src/guavamast/relay/placing.py
+++ b/src/guavamast/relay/placing.py
@@ -109,6 +109,9 @@
             self._knowledge.endpoints.list_ready(progress.service),
             exclude=progress.tried,
             now=now,
+            has_room=self._admission.find_filter(
+                terms, service=progress.service, urgency=progress.admitted.urgency, now=now
+            ),
         )
         if choice is None or progress.sent > 0 or choice.forecast is None:
             return Placed(choice=choice)
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -157,6 +157,9 @@
             candidates,
             exclude=frozenset(query.excluded),
             now=now,
+            has_room=self._admission.find_filter(
+                terms, service=query.service, urgency=query.urgency, now=now
+            ),
         )
         if choice is None:
             return PlacementReply(number=query.number, verdict=Verdict.UNKNOWN, learning=learning)
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from guavamast.relay.endpoint_choice import EndpointChooser
+from guavamast.relay.endpoint_choice import Choice, EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
 from guavamast.relay.engine_profile import EngineProfile
 from guavamast.relay.late_loads import blend_loads
@@ -146,6 +146,29 @@
         self.placement = replace(self.placement, objective_s=4.0)
         self.assertEqual(self.choose(), home)
 
+    def test_an_engine_that_would_send_it_back_comes_after_all_others(self) -> None:
+        """Guards against urgent requests sent back from one engine while another has room."""
+        chooser = EndpointChooser(loads=self.loads, cache=self.cache, random=Random(0))
+
+        def choose(full: set[float]) -> Choice:
+            choice = chooser.choose(
+                self.placement,
+                self.endpoints,
+                exclude=frozenset(),
+                now=10.0,
+                has_room=lambda expected: expected.waiting_ms not in full,
+            )
+            assert choice is not None and choice.forecast is not None
+            return choice
+
+        for number, endpoint in enumerate(self.endpoints):
+            self.loads.begin(endpoint.endpoint_id, prefill_tokens=60 * number, memory_tokens=60)
+        waits = [float(number) for number in range(len(self.endpoints))]
+        usual = choose(set()).forecast
+        assert usual is not None
+        self.assertNotEqual(choose({usual.waiting_ms}).forecast, usual)
+        self.assertEqual(choose(set(waits)).forecast, usual)
+
     def test_a_failing_endpoint_loses_even_its_own_sessions(self) -> None:
         home = self.choose()
         assert home is not None
--- a/tests/test_relay_refusal_history.py
+++ b/tests/test_relay_refusal_history.py
@@ -124,6 +124,19 @@
         self.press(reading_ms=400.0)
         self.assertTrue(self.admit(1, 300.0))
 
+    def test_the_first_go_wherever_there_is_room_while_too_many_are_sent_back(self) -> None:
+        """Guards against requests sent back from the engine where they usually go alone."""
+        first = WaitTerms(objective_s=0.25, first=True)
+        self.assertIsNone(self.control.find_filter(first, service=POOL, urgency=0, now=0.0))
+        self.press()
+        has_room = self.control.find_filter(first, service=POOL, urgency=0, now=0.0)
+        assert has_room is not None
+        for waiting_ms in (0.0, 100.0, 300.0):
+            expected = Forecast(start_ms=40.0, waiting_ms=waiting_ms, reading_ms=10.0)
+            self.assertEqual(has_room(expected), waiting_ms < 150.0)
+        later = WaitTerms(objective_s=0.25)
+        self.assertIsNone(self.control.find_filter(later, service=POOL, urgency=1, now=0.0))
+
     def test_a_share_is_let_in_all_the_same(self) -> None:
         """Guards against starving a kind while more urgent requests exceed all there is."""
         let_in = 0
