--- a/bench/fleet_ways.py
+++ b/bench/fleet_ways.py
@@ -8,13 +8,14 @@
 
 from bench.fleet_world import LENGTH_S
 from bench.relay_policies import SERVICE, is_delicate_kind, make_record
-from guavamast.relay.admission import WaitTerms, admit
+from guavamast.relay.admission import AdmissionControl, WaitTerms
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
 from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.placement import Placement
 from guavamast.relay.prompt_cache import PromptCache, PromptSend
 from guavamast.relay.prompt_lanes import Demand, PromptDemand, find_lane, is_patient
+from guavamast.relay.refusal_history import RefusalHistory
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
     cache: PromptCache
     demand: PromptDemand
     chooser: EndpointChooser
+    admission: AdmissionControl
 
     @classmethod
     def begin(cls, world: FleetWorld) -> Knowledge:
@@ -59,7 +61,14 @@
         loads = EndpointLoads()
         cache = PromptCache()
         chooser = EndpointChooser(loads=loads, cache=cache, random=world.random)
-        return cls(loads=loads, cache=cache, demand=PromptDemand(), chooser=chooser)
+        admission = AdmissionControl(history=RefusalHistory(), random=world.random)
+        return cls(
+            loads=loads,
+            cache=cache,
+            demand=PromptDemand(),
+            chooser=chooser,
+            admission=admission,
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,8 +122,6 @@
         """Return what a place decides on a request among some engines."""
         placement = self._describe(request, place, late=late)
         now = self.world.now
-        choice = place.chooser.choose(placement, records, exclude=frozenset(), now=now)
-        assert choice is not None and choice.forecast is not None
         kinds = self.world.fleet.kinds
         shortest_s = min(kind.objective_s for kind in kinds)
         terms = WaitTerms(
@@ -124,7 +131,16 @@
             old_news=late,
             fresh=not late and not request.returned,
         )
-        return choice, admit(choice.forecast, terms, random=self.world.random)
+        urgency = sum(kind.objective_s < request.kind.objective_s for kind in kinds)
+        has_room = place.admission.find_filter(terms, service=SERVICE, urgency=urgency, now=now)
+        choice = place.chooser.choose(
+            placement, records, exclude=frozenset(), now=now, has_room=has_room
+        )
+        assert choice is not None and choice.forecast is not None
+        later = place.admission.admit(
+            choice.forecast, terms, service=SERVICE, urgency=urgency, now=now
+        )
+        return choice, later
 
     def serve(self, request: Request, place: Knowledge, choice: Choice) -> Sent:
         """Send a request to the engine that a place has chosen."""
