--- a/bench/fleet_ways.py
+++ b/bench/fleet_ways.py
@@ -8,7 +8,8 @@
 
 from bench.fleet_world import LENGTH_S
 from bench.relay_policies import SERVICE, is_delicate_kind, make_record
-from guavamast.relay.admission import AdmissionControl, WaitTerms
+from guavamast.relay.admission import WaitTerms
+from guavamast.relay.admission_control import AdmissionControl
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
 from guavamast.relay.engine_profile import EngineProfiles
--- a/src/guavamast/relay/placing.py
+++ b/src/guavamast/relay/placing.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.admission import AdmissionControl, ComeBack, WaitTerms
+from guavamast.relay.admission import ComeBack, WaitTerms
+from guavamast.relay.admission_control import AdmissionControl
 from guavamast.relay.endpoint_choice import Choice
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.engine_model import LATE_LIMIT, RECENT_LIMIT, Forecast
--- a/src/guavamast/relay/scheduler_host.py
+++ b/src/guavamast/relay/scheduler_host.py
@@ -69,7 +69,7 @@
         scheduler = self._schedulers.get(update.group)
         if scheduler is None:
             return
-        ended = scheduler.take_update(update, now=now)
+        ended = scheduler.work.take_update(update, now=now)
         record = self._knowledge.endpoints.find(ended.endpoint_id) if ended is not None else None
         if ended is not None and record is not None:
             self._profiles.record_pause(
@@ -81,12 +81,12 @@
 
     def take_report(self, report: WorkReport, *, now: float) -> None:
         """Take an instance's word on all its work at a group."""
-        self._find(report.group, now=now).take_report(report, now=now)
+        self._find(report.group, now=now).work.take_report(report, now=now)
 
     def count_grants(self, group: str) -> int:
         """Return the requests that are counted at the endpoints of a group."""
         scheduler = self._schedulers.get(group)
-        return scheduler.count_grants() if scheduler is not None else 0
+        return scheduler.work.count() if scheduler is not None else 0
 
     def keep_house(self, *, endpoint_ids: set[str], now: float) -> None:
         """Drop the work of silent instances, and groups that nobody asks about any more.
@@ -96,14 +96,14 @@
             now: The present time.
         """
         for name, scheduler in list(self._schedulers.items()):
-            dropped = scheduler.drop_silent(now=now)
+            dropped = scheduler.work.drop_silent(now=now)
             if dropped:
                 self._counters.add("grants_dropped_total", dropped)
-            scheduler.cache.keep_only(endpoint_ids)
-            scheduler.loads.keep_only(endpoint_ids)
-            if scheduler.is_idle(now=now):
+            scheduler.work.cache.keep_only(endpoint_ids)
+            scheduler.work.loads.keep_only(endpoint_ids)
+            if scheduler.work.is_idle(now=now):
                 del self._schedulers[name]
-        granted = sum(scheduler.count_grants() for scheduler in self._schedulers.values())
+        granted = sum(scheduler.work.count() for scheduler in self._schedulers.values())
         self._counters.set("groups_scheduled", len(self._schedulers))
         self._counters.set("grants_held", granted)
 
--- a/tests/test_relay_scheduler.py
+++ b/tests/test_relay_scheduler.py
@@ -8,13 +8,8 @@
 from guavamast.relay.endpoint_groups import MOST_IN_GROUP, EndpointGroups, count_groups
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.endpoint_table import EndpointTable
-from guavamast.relay.scheduler import (
-    LEARNING_S,
-    LEASE_S,
-    UNCONFIRMED_S,
-    GroupScheduler,
-    ServiceFacts,
-)
+from guavamast.relay.scheduled_work import LEASE_S, UNCONFIRMED_S
+from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceFacts
 from guavamast.relay.scheduling_messages import (
     Asker,
     PlacedWork,
@@ -51,16 +46,16 @@
             phase=phase,
             **changes,
         )
-        self.scheduler.take_update(update, now=NOW)
+        self.scheduler.work.take_update(update, now=NOW)
 
     def report(self, *works: PlacedWork, now: float = NOW, incarnation: int = 1) -> None:
         asker = Asker(instance="i1", incarnation=incarnation)
-        self.scheduler.take_report(WorkReport(asker=asker, group=GROUP, works=works), now=now)
+        self.scheduler.work.take_report(WorkReport(asker=asker, group=GROUP, works=works), now=now)
 
     def sum_up(self) -> Load:
         total = Load()
         for engine in self.engines:
-            total.add(self.scheduler.loads.sum_up(engine.endpoint_id))
+            total.add(self.scheduler.work.loads.sum_up(engine.endpoint_id))
         return total
 
     def test_requests_of_unlike_instances_at_the_same_moment_spread(self) -> None:
@@ -69,7 +64,9 @@
         for number in range(40):
             reply = self.ask(number, asker=f"i{number}", prompt_parts=(), objective_s=1.0)
             self.assertIs(reply.verdict, Verdict.GRANTED)
-        counts = [self.scheduler.loads.sum_up(one.endpoint_id).requests for one in self.engines]
+        counts = [
+            self.scheduler.work.loads.sum_up(one.endpoint_id).requests for one in self.engines
+        ]
         self.assertLessEqual(max(counts) - min(counts), 2)
 
     def test_work_counts_until_its_end(self) -> None:
@@ -99,7 +96,7 @@
         """
         self.ask(1, asker="i1")
         self.ask(1, asker="i2", now=NOW + LEASE_S)
-        self.assertEqual(self.scheduler.drop_silent(now=NOW + LEASE_S + 0.1), 1)
+        self.assertEqual(self.scheduler.work.drop_silent(now=NOW + LEASE_S + 0.1), 1)
         self.assertEqual(self.sum_up().requests, 1)
 
     def test_the_next_process_of_an_asker_replaces_its_work(self) -> None:
@@ -132,7 +129,7 @@
         )
         self.report(work)
         self.assertEqual(
-            scheduler.loads.sum_up("e0"),
+            scheduler.work.loads.sum_up("e0"),
             Load(requests=1, prefill_tokens=900, memory_tokens=1_200),
         )
         self.assertTrue(self.ask(8, asker="i2").learning)
@@ -171,7 +168,7 @@
         for number in range(12):
             endpoint_id = self.ask(number, asker="cut").endpoint_id
             self.update(number, WorkPhase.ENDED, asker="cut", failure_weight=6.0)
-            self.assertLessEqual(self.scheduler.loads.read_failures(endpoint_id, now=NOW), 8.0)
+            self.assertLessEqual(self.scheduler.work.loads.read_failures(endpoint_id, now=NOW), 8.0)
         self.assertIs(self.ask(99, asker="i2").verdict, Verdict.GRANTED)
 
     def test_no_endpoint_left_is_said_so(self) -> None:
@@ -197,14 +194,14 @@
             number += 1
             query = make_query(number, first=False, **asked)
             verdict = scheduler.decide(query, [engine], FACTS, now=NOW).verdict
-            scheduler.take_update(
+            scheduler.work.take_update(
                 WorkUpdate(asker=query.asker, group=GROUP, number=number, phase=WorkPhase.RUNNING),
                 now=NOW,
             )
         self.assertIs(verdict, Verdict.REFUSED)
         urgent = scheduler.decide(make_query(999, asker="i2"), [engine], FACTS, now=NOW)
         self.assertIs(urgent.verdict, Verdict.GRANTED)
-        self.assertLessEqual(scheduler.loads.sum_up("e").memory_tokens, MEMORY_TOKENS)
+        self.assertLessEqual(scheduler.work.loads.sum_up("e").memory_tokens, MEMORY_TOKENS)
 
 
 class GroupsTest(unittest.TestCase):
--- a/tests/test_relay_scheduler_properties.py
+++ b/tests/test_relay_scheduler_properties.py
@@ -85,7 +85,7 @@
                 ended = kind == "end"
                 phase = WorkPhase.ENDED if ended else WorkPhase.RUNNING
                 update = WorkUpdate(asker=query.asker, group=GROUP, number=value, phase=phase)
-                scheduler.take_update(update, now=now)
+                scheduler.work.take_update(update, now=now)
                 if ended:
                     del running[value]
 
@@ -126,7 +126,7 @@
         report = WorkReport(asker=asker, group=GROUP, works=works)
         decoded = decode_scheduling(encode_scheduling(report))
         self.assertEqual(decoded, report)
-        scheduler.take_report(report, now=now)
+        scheduler.work.take_report(report, now=now)
 
 
 class WireTest(unittest.TestCase):
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -16,7 +16,7 @@
 from guavamast.relay.prompt_lanes import PromptDemand
 from guavamast.relay.refusal_history import RefusalHistory
 from guavamast.relay.request_progress import RequestProgress, begin_progress
-from guavamast.relay.scheduler import LEASE_S
+from guavamast.relay.scheduled_work import LEASE_S
 from guavamast.relay.scheduler_directory import PASSED_OVER_S, SILENT_ANSWERS
 from guavamast.relay.scheduling_client import GRANT_VALID_S, MOST_PATIENCE_S
 from tests.relay_facts import PROFILE, make_request
--- a/tests/test_relay_urgency_order.py
+++ b/tests/test_relay_urgency_order.py
@@ -165,7 +165,7 @@
         assert event.phase is not None
         asker = self.make_query(event).asker
         update = WorkUpdate(asker=asker, group=GROUP, number=event.number, phase=event.phase)
-        self.scheduler.take_update(update, now=event.due)
+        self.scheduler.work.take_update(update, now=event.due)
 
 
 def make_catalog(kinds: list[Kind]) -> Catalog:
