--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -19,6 +19,7 @@
     async def asyncSetUp(self) -> None:
         self.silent_connections: set[int] = set()
         self.accepted = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         port = int(self.server.sockets[0].getsockname()[1])
         self.client = StoreClient(
@@ -29,9 +30,13 @@
 
     async def asyncTearDown(self) -> None:
         self.server.close()
+        for writer in self.writers:
+            writer.close()
+            await writer.wait_closed()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted += 1
+        self.writers.append(writer)
         number = self.accepted
         body = json.dumps({"rows": [], "now_ms": 5000}).encode()
         try:
