--- a/src/guavamast/relay/admission_control.py
+++ b/src/guavamast/relay/admission_control.py
@@ -35,7 +35,7 @@
         self._history = history
         self._random = random
         self._credits_ms: dict[tuple[str, int], float] = {}
-        """Reading time that less urgent requests are owed, by service and urgency."""
+        """Reading time that requests which are held back may still have, by service and urgency."""
 
     def admit(
         self, forecast: Forecast, terms: WaitTerms, *, service: str, urgency: int, now: float
@@ -61,6 +61,7 @@
         later = admit_within(allowed_ms, forecast, random=self._random)
         if later is None:
             self._give_credit(service, urgency, forecast.reading_ms)
+        # Nothing is held back for a request that would be late at an idle engine, too.
         if _may_be_in_time(forecast, terms):
             self._history.record(
                 service, urgency, sent_back=later is not None, wait_ms=own_ms, now=now
--- a/src/guavamast/relay/refusal_history.py
+++ b/src/guavamast/relay/refusal_history.py
@@ -36,13 +36,15 @@
     """More urgent requests that are being sent back."""
 
     weight: float
-    """From above 0, if few are, to 1."""
+    """Above 0 and at most 1: how far less urgent requests make way."""
     wait_ms: float
     """For which they are allowed to wait."""
 
 
 @dataclass(slots=True, kw_only=True)
 class _Count:
+    """Requests of one urgency at one service, as of a local time."""
+
     asked: float = 0.0
     sent_back: float = 0.0
     wait_ms: float = 0.0
@@ -143,7 +145,7 @@
     count.fade(now=now)
     total.asked += count.asked
     if count.sent_back > 0.0:
-        # Waits are told alike by all but for the prompts that were sent back.
+        # The mean of the waits, each weighing as the requests that were sent back.
         weight = count.sent_back / (total.sent_back + count.sent_back)
         total.wait_ms += weight * (count.wait_ms - total.wait_ms)
         total.sent_back += count.sent_back
