Name the content of a lost attempt in the log

Change: attempt_failed lines of lost connections carry a digest of method, host, target, organisation and body. It is computed for losses only, so other requests cost nothing more. The body can't be read from it.

--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -7,6 +7,7 @@
 
 from guavamast.relay.attempt import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Denied
+from guavamast.relay.request_digest import compute_request_digest
 from guavamast.relay.request_progress import begin_progress, compute_deadline
 
 if TYPE_CHECKING:
@@ -170,7 +171,8 @@
             except AttemptFailed as failure:
                 now = self._read_time()
                 self._loads.record_failure(record.endpoint_id, weight=failure.weight, now=now)
-                self._recorder.record_failure(request, record, failure, now=now)
+                content = _compute_lost_digest(request, progress, failure)
+                self._recorder.record_failure(request, record, failure, content=content, now=now)
                 if failure.kind is FailureKind.OUTDATED:
                     if not await self._readmit(request, writer, progress, record):
                         return
@@ -280,3 +282,13 @@
             headers = self._codec.encode_rejection(request.request_id, retry_after_s)
             await writer.send(status, headers, b"")
         self._recorder.record_end(request, outcome="failed", status=status, reason=reason, now=now)
+
+
+def _compute_lost_digest(
+    request: CallerRequest, progress: RequestProgress, failure: AttemptFailed
+) -> str | None:
+    """Return the digest of a request whose connection ended; None after any other failure."""
+    if failure.kind is not FailureKind.LOST:
+        return None
+    organisation = progress.admitted.organisation
+    return compute_request_digest(request, organisation=organisation.name if organisation else None)
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -126,9 +126,18 @@
         record: EndpointRecord,
         failure: AttemptFailed,
         *,
+        content: str | None,
         now: float,
     ) -> None:
-        """Record a failed attempt."""
+        """Record a failed attempt.
+
+        Args:
+            request: The request.
+            record: Its endpoint.
+            failure: Why there is no response.
+            content: Digest of the request, if its connection ended.
+            now: The current time.
+        """
         self._counters.add(f'attempt_failures_total{{kind="{failure.kind}"}}')
         self._log.write(
             "attempt_failed",
@@ -137,6 +146,7 @@
             endpoint=record.endpoint_id,
             kind=str(failure.kind),
             detail=failure.detail,
+            content=content,
             after_s=round(now - request.received_at, 4),
         )
 
