Reproduce the incident: a request that ends engines is sent to engine after engine

The stand-in engine gets such a request, the stand-in site restarts what it has ended and states in its rows when an engine was born.

--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -6,9 +6,13 @@
 import time
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 import h11
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 EVENTS_PER_STREAM = 6
 """Default number of events in a stream."""
 EVENT_INTERVAL_S = 0.02
@@ -50,6 +54,12 @@
     """Seconds on the monotonic clock."""
 
 
+LETHAL_BODY_PREFIX = b"lethal "
+"""Beginning of a body that ends each engine that runs it."""
+LETHAL_DELAY_S = 0.05
+"""Seconds from the begin of such a run to the end of the engine."""
+
+
 class EngineStandIn:
     """Serves one request at a time on each connection, as engines do.
 
@@ -68,19 +78,25 @@
         self.abandoned = 0
         """Number of requests whose connection closed before the response was complete."""
         self.connections = 0
+        self.on_crash: Callable[[], None] | None = None
+        """Called when a request has ended this engine."""
+        self.born_ms = int(time.time() * 1000)
+        """Unix milliseconds of its start."""
+        self._crashed = False
+        self._port = 0
         self._server: asyncio.Server | None = None
         self._writers: dict[asyncio.StreamWriter, asyncio.Task[None]] = {}
 
     @property
     def port(self) -> int:
         """The listening port."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        return self._port
 
     async def listen(self, port: int = 0) -> int:
         """Listen on loopback and return the port, chosen by the system unless given."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        return self.port
+        self._port = int(self._server.sockets[0].getsockname()[1])
+        return self._port
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
@@ -91,6 +107,18 @@
             writer.close()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _crash(self) -> None:
+        """End at once: stop listening and close all connections."""
+        if self._crashed:
+            return
+        self._crashed = True
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
+        if self.on_crash is not None:
+            self.on_crash()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -155,6 +183,10 @@
             return await self._send(http, writer, 503, [("X-Not-Executed", "1")], b"")
         run = self._record_run(request, body)
         request_id = run.request_id
+        if body.startswith(LETHAL_BODY_PREFIX):
+            await asyncio.sleep(LETHAL_DELAY_S)
+            self._crash()
+            return False
         await asyncio.sleep(self.processing_s)
         if self.fault is EngineFault.LOSE:
             return False
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import socket
@@ -20,6 +21,8 @@
 """Path prefix of streams that can't be resumed."""
 RESUMABLE_PREFIX = "/resumable/stream/"
 """Path prefix of streams that can be resumed."""
+CRASH_RESTART_S = 0.6
+"""Seconds after which another engine starts at the address of one that a request has ended."""
 
 
 class Site:
@@ -31,6 +34,9 @@
         self.store_port = 0
         self._version = 0
         self._reserved_sockets: list[socket.socket] = []
+        self._restarts: set[asyncio.Task[None]] = set()
+        self.crashed_engines: list[EngineStandIn] = []
+        """Engines that a request has ended, in order."""
         self.keys = [KEY]
         self.other_keys: dict[str, str] = {}
         """Keys of further organisations by name."""
@@ -64,6 +70,9 @@
 
     async def stop(self) -> None:
         """Stop all stand-ins."""
+        for restart in self._restarts:
+            restart.cancel()
+        await asyncio.gather(*self._restarts, return_exceptions=True)
         for engine in self.engines.values():
             await engine.stop()
         self.store.stop()
@@ -72,12 +81,35 @@
 
     async def add_engine(self, engine_id: str, service: str) -> EngineStandIn:
         """Start an engine and write its row."""
-        engine = EngineStandIn(engine_id=engine_id)
+        engine = self._build_engine(engine_id, service)
         port = await engine.listen()
         self.engines[engine_id] = engine
         self.register_engine(engine_id, service, port)
         return engine
 
+    def _build_engine(self, engine_id: str, service: str) -> EngineStandIn:
+        engine = EngineStandIn(engine_id=engine_id)
+        engine.on_crash = lambda: self._schedule_restart(engine, service)
+        return engine
+
+    def _schedule_restart(self, engine: EngineStandIn, service: str) -> None:
+        self.crashed_engines.append(engine)
+        restart = asyncio.ensure_future(self._restart_crashed(engine, service))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart_crashed(self, engine: EngineStandIn, service: str) -> None:
+        """Start an engine with a new id at the address of one that a request has ended."""
+        port = engine.port
+        del self.engines[engine.engine_id]
+        await asyncio.sleep(CRASH_RESTART_S)
+        self.store.drop("servers", engine.engine_id)
+        name = engine.engine_id.partition("+")[0]
+        successor = self._build_engine(f"{name}+{len(self.crashed_engines)}", service)
+        await successor.listen(port)
+        self.engines[successor.engine_id] = successor
+        self.register_engine(successor.engine_id, service, port)
+
     def register_engine(
         self, engine_id: str, service: str, port: int, *, state: str = "ready"
     ) -> None:
@@ -89,6 +121,7 @@
             "slots": 8,
             "state": state,
             "seq": 1,
+            "born": self.engines[engine_id].born_ms if engine_id in self.engines else None,
         }
         self.store.put("servers", engine_id, fields)
 
