Mend a storm of quarantine reports

Cause: each transit adds to the time of a reported acquittal, so it seemed a later one at each hop, was news again, and was forwarded again; and in a mesh, where every report reaches all, it was forwarded at all. Ruled out: the upkeep's rounds (two a second) and the number of losses (some ten an end). Change: an acquittal counts as new only beyond the margin that times may be off; reports are forwarded where heartbeats are aggregated; complete reports go out every second round.

--- a/src/guavamast/relay/quarantine/containment.py
+++ b/src/guavamast/relay/quarantine/containment.py
@@ -88,16 +88,18 @@
         await self._upkeep.run()
 
     def receive(self, data: bytes) -> None:
-        """Merge another instance's report, and forward it if any of it is new here.
+        """Merge another instance's report; in a large fleet, forward it if any of it is new here.
 
         Raises:
             MalformedBeat: The datagram is not a valid report.
         """
         now = self._read_time()
         report = decode_quarantine_report(data, now=now)
-        if self._ledger.apply_report(report, now=now):
+        if not self._ledger.apply_report(report, now=now):
+            return
+        if self._fleet_state.peers.aggregated:
             self._exchange.forward_table_update(data, domain=report.domain)
-            self._upkeep.wake()
+        self._upkeep.wake()
 
     def _wake(self) -> None:
         self._upkeep.wake()
--- a/src/guavamast/relay/quarantine/evidence.py
+++ b/src/guavamast/relay/quarantine/evidence.py
@@ -94,8 +94,12 @@
         return changed
 
     def acquit(self, content: str, *, at: float) -> bool:
-        """Discard the evidence against a content up to a time; return whether this is new."""
-        if at <= self._acquitted.get(content, float("-inf")):
+        """Discard the evidence against a content up to a time; return whether this is new.
+
+        A report of the same acquittal seems a little later with each transit. Taken for a new one,
+        it would be forwarded again and again, and fill the links between instances.
+        """
+        if at <= self._acquitted.get(content, float("-inf")) + CLOCK_MARGIN_S:
             return False
         self._acquitted[content] = at
         suspect = self._suspects.get(content)
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -20,6 +20,8 @@
 
 ROUND_INTERVAL_S: Final = 0.5
 """Seconds between two rounds while anything is suspected or in quarantine."""
+COMPLETE_ROUNDS: Final = 2
+"""Intervals of a round from one complete report to the next: news are repeated in each."""
 SENDERS_RANK: Final = 2
 """Rank below which an instance repeats all quarantines: one more than needed, as one may end."""
 
@@ -49,6 +51,7 @@
         "_losses",
         "_rank_sender",
         "_read_time",
+        "_round",
         "_rows",
         "_send",
         "_woken",
@@ -77,6 +80,7 @@
         self._rank_sender = rank_sender
         self._read_time = read_time
         self._woken = asyncio.Event()
+        self._round = 0
 
     def wake(self) -> None:
         """Start the rounds, after something has changed."""
@@ -105,7 +109,9 @@
         for content in self._ledger.drop_expired(now=now):
             self._log.write("quarantine_ended", now=now, content=content, reason="idle")
         rank = self._rank_sender()
-        self._publish(complete=rank < SENDERS_RANK)
+        self._round += 1
+        due = self._round % COMPLETE_ROUNDS == 0
+        self._publish(complete=due and rank < SENDERS_RANK)
         if rank == 0:
             await self._rows.synchronize()
         else:
--- a/tests/test_relay_quarantine_ledger.py
+++ b/tests/test_relay_quarantine_ledger.py
@@ -146,6 +146,24 @@
         for ledger in ledgers:
             self.assertEqual(len(ledger.decide(now=20.0)), 1)
 
+    def test_a_report_is_news_once(self) -> None:
+        """Guards against instances that forward the same report to each other without end.
+
+        Each transit makes the times in a report seem a little later.
+        """
+        self.decide()
+        self.ledger.acquit("x", now=self.now)
+        report = self.ledger.build_report(complete=True, now=self.now)
+        assert report is not None
+        data = encode_quarantine_report(report, now=self.now)
+        assert data is not None
+        other = build_ledger()
+        end_three(other)
+        for number, expected in enumerate((True, False, False)):
+            now = self.now + 0.1 * number
+            received = decode_quarantine_report(data, now=now)
+            self.assertEqual(other.apply_report(received, now=now), expected)
+
     def test_reports_do_not_put_off_a_trial(self) -> None:
         """Guards against two instances that delay each other's trial with every report."""
         self.decide()
