Let the soak repeat a request that ends engines

The soak ended engines from outside only, so what a request does to them was never checked. Checked: after the third end and the bound, no more than three runs sent by instances that ran undisturbed for the bound; no other request is refused for its content. Old seeds plan the same faults as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 
 
 async def run_seed(
-    seed: int, *, length_s: float, instances: int, keep: str, revoke_s: float
+    seed: int, *, length_s: float, instances: int, keep: str, revoke_s: float, lethal: bool
 ) -> Verdict:
     """Run one seed, with its logs below ``keep`` if given, and print the verdict."""
     directory = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None)
@@ -24,6 +24,7 @@
         instances=instances,
         directory=directory,
         revoke_s=revoke_s,
+        lethal=lethal,
     )
     verdict = await run.run()
     outcome = "kept" if not verdict.violations else "BROKEN"
@@ -44,6 +45,7 @@
     parallel: int,
     keep: str,
     revoke_s: float,
+    lethal: bool,
 ) -> list[Verdict]:
     """Run a range of seeds, ``parallel`` of them at a time."""
     task = asyncio.current_task()
@@ -55,7 +57,12 @@
     async def run_one(seed: int) -> Verdict:
         async with slots:
             return await run_seed(
-                seed, length_s=length_s, instances=instances, keep=keep, revoke_s=revoke_s
+                seed,
+                length_s=length_s,
+                instances=instances,
+                keep=keep,
+                revoke_s=revoke_s,
+                lethal=lethal,
             )
 
     return await asyncio.gather(*(run_one(seed) for seed in range(first, last + 1)))
@@ -68,6 +75,7 @@
     parallel: int = 4,
     keep: str = "",
     revoke_s: float = REVOKE_BOUND_S,
+    lethal: bool = False,
 ) -> None:
     """Run seeds and print the violated guarantees.
 
@@ -79,6 +87,7 @@
         keep: Directory for the logs; the system's temporary directory by default.
         revoke_s: Seconds after which a revoked key must be rejected. With a long bound, other
             bounds decide how long instances serve by stale state.
+        lethal: Whether a caller repeats a request that ends the engines that run it.
     """
     first, _, last = str(seeds).partition("-")
     verdicts = asyncio.run(
@@ -90,6 +99,7 @@
             parallel=parallel,
             keep=keep,
             revoke_s=revoke_s,
+            lethal=lethal,
         )
     )
     failed_seeds = sum(bool(verdict.violations) for verdict in verdicts)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,7 @@
     STREAM_PREFIX,
 )
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.relay.quarantine.guard import MIN_RETRY_AFTER_S
 from soak.guarantees import RequestKind, RequestRecord
 
 if TYPE_CHECKING:
@@ -154,6 +155,7 @@
                 body=bytes(response.body),
                 expected_body=_build_expected_body(kind, request_id),
                 complete=response.complete,
+                quarantined=_is_quarantined(response),
             )
         )
 
@@ -181,6 +183,12 @@
             self._connection = None
 
 
+def _is_quarantined(response: _Response) -> bool:
+    """Return whether a request was refused for its content: others are to return sooner."""
+    retry_after_s = float(response.get_header("retry-after") or 0.0)
+    return retry_after_s >= MIN_RETRY_AFTER_S
+
+
 async def _open_connection(address: str) -> HttpConnection:
     host, _, port = address.rpartition(":")
     return await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -7,6 +7,9 @@
 from enum import StrEnum
 from typing import Final
 
+from guavamast.platform.standins.engine import LETHAL_DELAY_S
+from guavamast.platform.standins.site import CRASH_RESTART_S
+
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 """Statuses that state that a request has not run and never will."""
 DENIAL_STATUSES: Final = (401, 403, 404)
@@ -14,6 +17,14 @@
 """Time after which a revoked key must be rejected, unless a run has another bound."""
 DRAIN_BOUND_S: Final = 2.0
 """Time after which a leaving engine must receive no requests."""
+SPREAD_BOUND_S: Final = 3.0
+"""Time in which all instances must know what one of them has learned."""
+MAX_LETHAL_ENDS: Final = 3
+"""Engines that may end under a request before it must be kept from them."""
+MAX_LATER_LETHAL_RUNS: Final = 3
+"""Runs of such a request that may begin later."""
+LETHAL_OUTAGE_S: Final = LETHAL_DELAY_S + CRASH_RESTART_S
+"""Time from the begin of a lethal run until another engine has replaced the one that it ends."""
 SETTLED_AFTER_S: Final = 3.5
 """Time without a disruption after which the bounds in seconds hold."""
 RECOVERED_SHARE: Final = 0.9
@@ -53,6 +64,8 @@
     expected_body: bytes
     """Complete body that an engine sends for the request."""
     complete: bool
+    quarantined: bool = False
+    """Whether it was refused for its content."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,6 +77,8 @@
     organisation: str
     started_at: float
     unmodified: bool
+    lethal: bool = False
+    """Whether the request ends the engines that run it."""
     """Whether method, target and body were the caller's, and no API key was forwarded."""
 
 
@@ -90,6 +105,8 @@
     """Disruptions of the store, links and engines: all but those of instances."""
     revoke_s: float
     """Time after which a revoked key must be rejected in this run."""
+    instance_disruptions: dict[str, list[Span]]
+    """Disruptions of the instance that took each lethal request, by request id."""
     recovered_at: float
     """Time from which all requests must be served again."""
     ended_at: float
@@ -108,11 +125,13 @@
         violations += _check_runs(request, runs[request.request_id])
     sent_at = {request.request_id: request.sent_at for request in record.requests}
     for run in record.runs:
+        if run.lethal:
+            continue
         if run.request_id not in sent_at:
             violations.append(f"{run.request_id}: ran at {run.engine}, though nobody asked for it")
             continue
         violations += _check_run(run, sent_at[run.request_id], record)
-    return violations + _check_recovery(record)
+    return violations + _check_containment(record) + _check_recovery(record)
 
 
 def _check_response(request: RequestRecord) -> list[str]:
@@ -120,6 +139,8 @@
     if request.status is None or request.status >= 300:
         if request.status in DENIAL_STATUSES and not request.organisation.startswith("revocable"):
             return [f"{name}: denied with {request.status}"]
+        if request.quarantined:
+            return [f"{name}: refused for its content, though no engine ended under it"]
         return []
     violations = []
     if request.response_id != request.request_id:
@@ -135,8 +156,9 @@
 
 def _check_undisturbed(request: RequestRecord, record: SoakRecord) -> list[str]:
     """Check that no request fails during planned work: stops, reloads, changes and drains."""
+    disruptions = record.disruptions + _list_lethal_outages(record)
     if request.ended_at >= record.ended_at or not _is_undisturbed(
-        record.disruptions, request.sent_at, request.ended_at
+        disruptions, request.sent_at, request.ended_at
     ):
         return []
     if request.status is None or (request.status == 200 and not request.complete):
@@ -184,6 +206,15 @@
     return violations
 
 
+def _list_lethal_outages(record: SoakRecord) -> list[Span]:
+    """Return the times in which engines were missing that a request had ended."""
+    return [
+        Span(started_at=run.started_at, ended_at=run.started_at + LETHAL_OUTAGE_S)
+        for run in record.runs
+        if run.lethal
+    ]
+
+
 def _is_undisturbed(disruptions: list[Span], started_at: float, ended_at: float) -> bool:
     """Return whether a time span and ``SETTLED_AFTER_S`` before it had no disruption."""
     return not any(
@@ -192,6 +223,32 @@
     )
 
 
+def _check_containment(record: SoakRecord) -> list[str]:
+    """Check that a request that ended engines is kept from them once all instances must know.
+
+    Only instances count that ran without a disruption for as long as they have to learn of it.
+    """
+    runs = sorted((run for run in record.runs if run.lethal), key=lambda run: run.started_at)
+    if len(runs) <= MAX_LETHAL_ENDS:
+        return []
+    learned_at = runs[MAX_LETHAL_ENDS - 1].started_at + SPREAD_BOUND_S
+    later = sum(
+        run.started_at > learned_at
+        and _has_passed(record.instance_disruptions[run.request_id], run.started_at)
+        for run in runs
+    )
+    if later <= MAX_LATER_LETHAL_RUNS:
+        return []
+    return [f"a request under which {MAX_LETHAL_ENDS} engines had ended ran {later} times more"]
+
+
+def _has_passed(disruptions: list[Span], at: float) -> bool:
+    """Return whether an instance ran undisturbed for the time in which it has to learn."""
+    return not any(
+        span.started_at <= at and at - SPREAD_BOUND_S <= span.ended_at for span in disruptions
+    )
+
+
 def _check_recovery(record: SoakRecord) -> list[str]:
     last_requests = [
         request
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -6,13 +6,17 @@
 import os
 import signal
 import sys
-from contextlib import suppress
+import time
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 from guavamast.platform.standins.site import write_settings
+from soak.guarantees import Span
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from soak.proxy import LinkProxy
 
 SKEW_ENV_VARIABLE: Final = "GUAVAMAST_SOAK_SKEW_S"
@@ -51,6 +55,8 @@
         self.log = Path(directory) / f"{self.name}.log"
         self.unexpected_exits: list[str] = []
         """Process exits that the soak did not request, or with an unexpected exit code."""
+        self.disruptions: list[Span] = []
+        """Times in which its process was killed, suspended, stopped or replaced."""
         self._settings_path = write_settings(settings, directory)
         self._process: asyncio.subprocess.Process | None = None
         self._log_start = 0
@@ -77,24 +83,27 @@
     async def kill(self, *, for_s: float, skew_s: float = 0.0) -> None:
         """Kill the process and start another one after a delay."""
         async with self._lock:
-            await self._end_process(signal.SIGKILL)
-            await asyncio.sleep(for_s)
-            await self.start(skew_s=skew_s)
+            with self._record_disruption():
+                await self._end_process(signal.SIGKILL)
+                await asyncio.sleep(for_s)
+                await self.start(skew_s=skew_s)
 
     async def freeze(self, *, for_s: float) -> None:
         """Suspend the process with SIGSTOP and resume it after a delay."""
         async with self._lock:
-            self._signal(signal.SIGSTOP)
-            try:
-                await asyncio.sleep(for_s)
-            finally:
-                self._signal(signal.SIGCONT)
+            with self._record_disruption():
+                self._signal(signal.SIGSTOP)
+                try:
+                    await asyncio.sleep(for_s)
+                finally:
+                    self._signal(signal.SIGCONT)
 
     async def terminate(self) -> None:
         """Terminate the process with SIGTERM and start another one once it has exited."""
         async with self._lock:
-            await self._end_process(signal.SIGTERM)
-            await self.start()
+            with self._record_disruption():
+                await self._end_process(signal.SIGTERM)
+                await self.start()
 
     def reload(self) -> None:
         """Make the process reload its settings with SIGHUP, if it handles the signal yet.
@@ -117,6 +126,14 @@
         markers = ('"event":"fault"', "Traceback")
         return [f"{self.name}: {line}" for line in lines if any(mark in line for mark in markers)]
 
+    @contextmanager
+    def _record_disruption(self) -> Iterator[None]:
+        started_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self.disruptions.append(Span(started_at=started_at, ended_at=time.monotonic()))
+
     def _signal(self, number: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 from guavamast.platform.standins.store import StoreFault
 from soak.callers import Caller
 from soak.guarantees import REVOKE_BOUND_S, RequestRecord, SoakRecord, Span, find_violations
+from soak.lethal import LethalCaller
 from soak.proxy import LinkFault
 from soak.schedule import RECOVERY_S, Fault, FaultKind, plan_faults
 from soak.site import KEYS, SoakSite
@@ -71,6 +72,7 @@
         directory: Directory for settings and logs.
         revoke_s: Time after which a revoked key must be rejected. With a short one, instances
             reject all keys before their state is too old for anything else.
+        lethal: Whether a caller repeats a request that ends the engines that run it.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         instances: int,
         directory: str,
         revoke_s: float = REVOKE_BOUND_S,
+        lethal: bool = False,
     ) -> None:
         self._seed = seed
         self._length_s = length_s
@@ -88,6 +91,10 @@
         self._site = SoakSite(directory=directory)
         self._site.bounds["revoke_ms"] = int(revoke_s * 1000)
         self._revoke_s = revoke_s
+        self._lethal_caller = LethalCaller(
+            instances=self._site.instances, random=Random(f"{seed}lethal")
+        )
+        self._lethal = lethal
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
         self._external_disruptions: list[Span] = []
@@ -123,6 +130,8 @@
             async with asyncio.TaskGroup() as tasks:
                 for caller in self._build_callers():
                     tasks.create_task(caller.run(started_at + self._length_s))
+                if self._lethal:
+                    tasks.create_task(self._repeat_lethal(started_at))
                 for fault in plan_faults(self._seed, length_s=self._length_s):
                     tasks.create_task(self._inject(fault, started_at))
         finally:
@@ -137,6 +146,10 @@
             drains=self._site.drains,
             disruptions=self._disruptions,
             external_disruptions=self._external_disruptions,
+            instance_disruptions={
+                request_id: instance.disruptions
+                for request_id, instance in self._lethal_caller.senders.items()
+            },
             revoke_s=self._revoke_s,
             recovered_at=ended_at - RECOVERY_S + RECOVERY_GRACE_S,
             ended_at=ended_at,
@@ -167,6 +180,9 @@
                 callers.append(caller)
         return callers
 
+    async def _repeat_lethal(self, started_at: float) -> None:
+        await self._lethal_caller.run(started_at + self._length_s - RECOVERY_S)
+
     async def _wait_until_serving(self) -> None:
         """Wait until each instance serves a caller."""
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,6 +9,7 @@
 from guavamast.platform.standins.site import KEY, Site
 from soak.guarantees import RunRecord, Span
 from soak.instances import Instance
+from soak.lethal import LETHAL_BODY, LETHAL_TARGET
 from soak.proxy import LinkProxy
 
 if TYPE_CHECKING:
@@ -121,10 +122,15 @@
         """Return all runs of all engines, including the replaced ones."""
         return [
             _describe_run(run, engine_id)
-            for engine_id, engine in [*self.engines.items(), *self.replaced_engines]
+            for engine_id, engine in self._list_engines()
             for run in engine.runs
         ]
 
+    def _list_engines(self) -> list[tuple[str, EngineStandIn]]:
+        """Return all engines of the run with their ids."""
+        crashed = [(engine.engine_id, engine) for engine in self.crashed_engines]
+        return [*self.engines.items(), *self.replaced_engines, *crashed]
+
     def find_instance_failures(self) -> list[str]:
         """Return unexpected exits and logged errors of all instances."""
         failures = []
@@ -132,10 +138,20 @@
             failures += instance.unexpected_exits + instance.find_logged_errors()
         return failures
 
+    def register_successor(
+        self, successor: EngineStandIn, service: str, *, predecessor: EngineStandIn
+    ) -> None:
+        """List an engine that has replaced one that a request has ended, behind the same link."""
+        link = self.links.pop(predecessor.engine_id)
+        link.target_port = successor.port
+        self.links[successor.engine_id] = link
+        self.engine_services[successor.engine_id] = service
+        self.list_engine_link(successor.engine_id)
+
     async def _replace_engine(self, old_id: str, new_id: str, service: str) -> None:
         old = self.engines.pop(old_id)
         self.replaced_engines.append((old_id, old))
-        engine = type(old)(engine_id=new_id)
+        engine = self.build_engine(new_id, service)
         engine.processing_s = ENGINE_WORK_S
         self.links[old_id].target_port = await engine.listen()
         # Added only once it listens, as a concurrent fault may stop any engine found here.
@@ -144,10 +160,12 @@
 
 
 def _describe_run(run: Run, engine_id: str) -> RunRecord:
+    lethal = run.body == LETHAL_BODY
     expected = b"" if "/lookup/" in run.target else run.request_id.encode()
+    target = LETHAL_TARGET if lethal else "/" + run.request_id
     intact = (
-        run.target.endswith("/" + run.request_id)
-        and run.body == expected
+        run.target.endswith(target)
+        and (lethal or run.body == expected)
         and "authorization" not in run.headers
     )
     return RunRecord(
@@ -155,5 +173,6 @@
         engine=engine_id,
         organisation=run.tenant,
         started_at=run.began,
+        lethal=lethal,
         unmodified=intact,
     )
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -81,13 +81,14 @@
 
     async def add_engine(self, engine_id: str, service: str) -> EngineStandIn:
         """Start an engine and write its row."""
-        engine = self._build_engine(engine_id, service)
+        engine = self.build_engine(engine_id, service)
         port = await engine.listen()
         self.engines[engine_id] = engine
         self.register_engine(engine_id, service, port)
         return engine
 
-    def _build_engine(self, engine_id: str, service: str) -> EngineStandIn:
+    def build_engine(self, engine_id: str, service: str) -> EngineStandIn:
+        """Return an engine that is replaced when a request ends it."""
         engine = EngineStandIn(engine_id=engine_id)
         engine.on_crash = lambda: self._schedule_restart(engine, service)
         return engine
@@ -105,10 +106,17 @@
         await asyncio.sleep(CRASH_RESTART_S)
         self.store.drop("servers", engine.engine_id)
         name = engine.engine_id.partition("+")[0]
-        successor = self._build_engine(f"{name}+{len(self.crashed_engines)}", service)
+        successor = self.build_engine(f"{name}+{len(self.crashed_engines)}", service)
         await successor.listen(port)
         self.engines[successor.engine_id] = successor
-        self.register_engine(successor.engine_id, service, port)
+        self.register_successor(successor, service, predecessor=engine)
+
+    def register_successor(
+        self, successor: EngineStandIn, service: str, *, predecessor: EngineStandIn
+    ) -> None:
+        """Write the row of an engine that has replaced one that a request has ended."""
+        del predecessor
+        self.register_engine(successor.engine_id, service, successor.port)
 
     def register_engine(
         self, engine_id: str, service: str, port: int, *, state: str = "ready"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,8 @@
 
 CI_SEED = 209
 """Seed whose faults include killed, frozen and stopped instances and an engine crash."""
+LETHAL_SEED = 5
+"""Seed in which all instances are killed while engines end."""
 LONG_KEYS_SEED = 5552
 """Seed in which an engine leaves while an instance is frozen."""
 LONG_REVOKE_S = 9.0
@@ -64,6 +66,7 @@
         drains={},
         disruptions=[],
         external_disruptions=[],
+        instance_disruptions={run.request_id: [] for run in ran},
         revoke_s=REVOKE_BOUND_S,
         recovered_at=19.0,
         ended_at=21.0,
@@ -140,6 +143,23 @@
         other = replace(RUN, organisation="florist")
         self.assert_violation(build_record([CALL], [other]), "ran as florist")
 
+    def test_runs_of_a_lethal_request_beyond_what_is_allowed(self) -> None:
+        times = [1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4]
+        runs = [replace(RUN, request_id=f"l{at}", started_at=at, lethal=True) for at in times]
+        self.assertEqual(find_violations(build_record([], runs[:6])), [])
+        self.assert_violation(build_record([], runs), "ran 4 times more")
+
+    def test_an_instance_that_could_not_learn_of_it_yet_does_not_count(self) -> None:
+        times = [1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4]
+        runs = [replace(RUN, request_id=f"l{at}", started_at=at, lethal=True) for at in times]
+        record = build_record([], runs)
+        record.instance_disruptions["l6.4"].append(Span(started_at=3.0, ended_at=3.5))
+        self.assertEqual(find_violations(record), [])
+
+    def test_an_innocent_request_refused_for_its_content(self) -> None:
+        refused = replace(CALL, status=503, quarantined=True, response_id=None, body=b"")
+        self.assert_violation(build_record([refused], []), "refused for its content")
+
     def test_no_recovery(self) -> None:
         record = build_record([CALL], [RUN])
         late = [replace(CALL, request_id=f"l{n}", sent_at=20.0, status=503) for n in range(3)]
@@ -211,6 +231,20 @@
         self.assertEqual(verdict.violations, [], verdict.faults)
         self.assertGreater(verdict.answered, 0)
 
+    async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
+        """Guards against a fleet that loses what it knows of such a request to kills and resets."""
+        with tempfile.TemporaryDirectory() as directory:
+            run = SoakRun(
+                seed=LETHAL_SEED,
+                length_s=CI_LENGTH_S,
+                instances=3,
+                directory=directory,
+                lethal=True,
+            )
+            verdict = await run.run()
+        self.assertEqual(verdict.violations, [], verdict.faults)
+        self.assertGreater(verdict.answered, 0)
+
     async def test_stale_state_sends_nothing_while_keys_are_accepted(self) -> None:
         """An instance that was frozen sends nothing to an engine that left meanwhile.
 
