--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -88,6 +88,27 @@
     return Task(act)
 
 
+@SetParseFn(str)
+def quarantine(*, settings: str, lift: str = "", by: str = "") -> Task:
+    """List or release quarantined requests: quarantine --settings FILE [--lift ID --by NAME]."""
+
+    def act() -> int:
+        from guavamast.platform import quarantine_admin
+        from guavamast.platform.settings import read_settings
+
+        if bool(lift) != bool(by):
+            raise GuavamastError(ErrorCode.USAGE, "--lift ID goes with --by NAME")
+        store = read_settings(settings).store
+        if lift:
+            print(asyncio.run(quarantine_admin.lift_content(store, lift, by=by)))
+        else:
+            print(asyncio.run(quarantine_admin.list_contents(store)))
+        return EXIT_OK
+
+    return Task(act)
+
+
+@SetParseFn(str)
 def run_dispatcher(*, settings: str) -> Task:
     """Run the dispatcher of one instance: dispatcher --settings FILE."""
 
@@ -378,6 +399,7 @@
     "audit": audit,
     "show": show,
     "standin": standin,
+    "quarantine": quarantine,
     "report": report,
     "demo": demo,
 }
--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -38,6 +38,7 @@
 """Seconds for calls that no request waits for."""
 INSTANCES_TABLE: Final = "instances"
 QUARANTINE_TABLE: Final = "quarantine"
+AUDIT_TABLE: Final = "quarantine_audit"
 STATUS_CONFLICT: Final = 412
 PAGE_ROWS: Final = 500
 _OPERATOR_TABLE: Final = "op"
@@ -163,11 +164,39 @@
 
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         """Write a row unless its version has changed."""
+        return await self._transact_quarantine(row, [])
+
+    async def lift_quarantine(self, row: QuarantineRow, *, at: float) -> bool:
+        """Write a row that an operator has released, and a line of the audit trail with it.
+
+        Args:
+            row: The row, with the operator's name.
+            at: Wall-clock time in Unix seconds.
+
+        Returns:
+            False if the row no longer has the version that it states.
+        """
+        fields = {"at": at, "by": row.lifted_by, "lifted": row.content}
+        audit = {
+            "table": AUDIT_TABLE,
+            "part": "",
+            "key": f"{at:.3f} {row.content}",
+            "value": _encode_value(fields),
+        }
+        return await self._transact_quarantine(row, [audit])
+
+    async def remove_quarantine(self, content: str) -> None:
+        """Remove the row of a content."""
+        row = {"table": QUARANTINE_TABLE, "part": "", "key": content}
+        await self._transact({"expect": [], "writes": [], "remove": [row]})
+
+    async def _transact_quarantine(self, row: QuarantineRow, further: list[dict[str, Any]]) -> bool:
+        """Write a quarantine's row and further rows if it has the version that it states."""
         name = {"table": QUARANTINE_TABLE, "part": "", "key": row.content}
         value = _encode_value(encode_quarantine_row(row))
         fields = {
             "expect": [name | {"ver": row.version}],
-            "writes": [name | {"value": value}],
+            "writes": [name | {"value": value}, *further],
             "remove": [],
         }
         try:
@@ -176,11 +205,6 @@
             return False
         return True
 
-    async def remove_quarantine(self, content: str) -> None:
-        """Remove the row of a content."""
-        row = {"table": QUARANTINE_TABLE, "part": "", "key": content}
-        await self._transact({"expect": [], "writes": [], "remove": [row]})
-
     async def _transact(self, fields: dict[str, Any]) -> None:
         body = json.dumps(fields).encode()
         await self._call("POST", "/v1/rows-tx", body, timeout_s=BACKGROUND_TIMEOUT_S)
@@ -222,7 +246,7 @@
                     idle, method, target, body, timeout_s=REUSED_CONNECTION_TIMEOUT_S
                 )
             except (ConnectionLost, MalformedAnswer, TimeoutError):
-                self._close_idle()
+                self.close_idle()
         try:
             ip, port = self._address.ip, self._address.port
             connection = await HttpConnection.open(ip, port, timeout_s=timeout_s)
@@ -261,7 +285,8 @@
                 return connection
         return None
 
-    def _close_idle(self) -> None:
+    def close_idle(self) -> None:
+        """Close all idle connections."""
         for connection in self._idle:
             connection.close()
         self._idle.clear()
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -10,9 +10,12 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from guavamast.errors import GuavamastError
+from guavamast.platform.quarantine_admin import lift_content, list_contents
 from guavamast.platform.standins.engine import LETHAL_BODY_PREFIX, EngineFault
 from guavamast.platform.standins.site import RESUMABLE_PREFIX, STREAM_PREFIX, Site, write_settings
 from guavamast.relay.http_connection import ConnectionLost
+from guavamast.relay.node_settings import SocketAddress
 from guavamast.relay.quarantine.guard import MIN_RETRY_AFTER_S
 from tests._platform_callers import Caller, Instance, Reply
 
@@ -160,6 +163,26 @@
             self.assertTrue(is_quarantined(reply))
         self.assertEqual(len(self.list_lethal_runs()), runs)
 
+    async def test_an_operator_lists_and_releases_it(self) -> None:
+        await self.repeat_until_refused()
+        async with asyncio.timeout(REFUSED_WITHIN_S):
+            while not (rows := self.site.store.list_versions("quarantine")):
+                await asyncio.sleep(0.05)
+        ((content, _),) = rows
+        address = SocketAddress(ip="127.0.0.1", port=self.site.store_port)
+        listed = await list_contents(address)
+        self.assertIn(content, listed)
+        self.assertIn("bakery", listed)
+        with self.assertRaises(GuavamastError):
+            await lift_content(address, "0" * 32, by="ana")
+        await lift_content(address, content, by="ana")
+        self.assertEqual(len(self.site.store.list_versions("quarantine_audit")), 1)
+        runs = len(self.list_lethal_runs())
+        async with asyncio.timeout(REFUSED_WITHIN_S):
+            while len(self.list_lethal_runs()) == runs:
+                await self.ask(0, STREAM_PREFIX + "stream", LETHAL_BODY)
+                await asyncio.sleep(PAUSE_S)
+
     async def test_requests_that_engines_lose_without_ending_are_not_refused(self) -> None:
         """Guards against a quarantine by reset connections, with no engine that ended."""
         for engine in self.site.engines.values():
