--- a/bench/fleet_choice.py
+++ b/bench/fleet_choice.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 from itertools import product
 from random import Random
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from bench.fleet_policies import POLICIES, FleetPolicy
+from bench.fleet_policies import POLICIES
 from bench.fleet_simulation import (
     FLEETS,
     SCENARIOS,
@@ -26,6 +26,9 @@
 from bench.relay_choice import is_in_time
 from bench.tables import print_head, print_row
 
+if TYPE_CHECKING:
+    from bench.fleet_policy import FleetPolicy
+
 PROCESSES: Final = 4
 
 
--- a/bench/relay_policies.py
+++ b/bench/relay_policies.py
@@ -7,24 +7,25 @@
 from typing import TYPE_CHECKING, Final
 
 from bench.relay_simulation import DURATION_S, INSTANCES
+from bench.simulated_placement import (
+    SERVICE,
+    build_placement,
+    build_record,
+    is_pause_sensitive_kind,
+)
 from guavamast.relay.admission import WaitParameters, admit
-from guavamast.relay.catalog import Route, RouteKind, WeightedService
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
-from guavamast.relay.endpoint_table import EndpointRecord
-from guavamast.relay.engine_profile import PRIOR, EngineProfile, EngineProfiles
-from guavamast.relay.length_buckets import PromptDemand, find_bucket, is_latency_tolerant
-from guavamast.relay.placement import Placement
-from guavamast.relay.prefill_interference import is_pause_sensitive
+from guavamast.relay.engine_profile import PRIOR, EngineProfiles
+from guavamast.relay.length_buckets import PromptDemand, is_latency_tolerant
 from guavamast.relay.prompt_cache import PromptCache
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
-    from bench.relay_engines import Kind, Request, SimulatedEngine
+    from bench.relay_engines import Request, SimulatedEngine
     from bench.relay_simulation import Simulation
     from guavamast.relay.endpoint_load import Work
 
-SERVICE: Final = "pool"
 UPDATE_DELAY_S: Final = 0.025
 """Delay until other instances receive an update of started or ended work."""
 EXCHANGE_INTERVAL_S: Final = 0.5
@@ -153,7 +154,14 @@
         now = self.simulation.now
         instance = self._instances[request.instance]
         profile = instance.profiles.find(SERVICE, now=now) if self.uses_learnt_profiles else PRIOR
-        placement = self._build_placement(request, instance, profile)
+        placement = build_placement(
+            request,
+            kinds=self.simulation.deployment.kinds,
+            demand=instance.demand,
+            profile=profile,
+            kv_capacity_tokens=next(iter(self.simulation.engines.values())).kv_capacity_tokens,
+            now=now,
+        )
         alive = {engine.name: engine for engine in self.simulation.list_alive()}
         records = [build_record(engine) for engine in alive.values()]
         choice = instance.chooser.choose(placement, records, exclude=frozenset(), now=now)
@@ -229,39 +237,6 @@
         )
         self._publish_load(instance, engine)
 
-    def _build_placement(
-        self, request: Request, instance: _Instance, profile: EngineProfile
-    ) -> Placement:
-        kinds = self.simulation.deployment.kinds
-        pause_sensitive = is_pause_sensitive_kind(request.kind, profile)
-        bucket = find_bucket(
-            request.prompt_tokens,
-            objective_s=request.kind.objective_s,
-            shortest_s=min(kind.objective_s for kind in kinds),
-            profile=profile,
-        )
-        bucket = 0 if pause_sensitive else bucket
-        instance.demand.record(
-            bucket,
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=request.output_tokens,
-            profile=profile,
-            now=self.simulation.now,
-        )
-        return Placement(
-            prompt_parts=request.parts,
-            prompt_tokens=request.prompt_tokens,
-            failure_domain="a",
-            bucket=bucket,
-            bucket_shares=instance.demand.compute_shares(),
-            output_tokens=request.output_tokens,
-            kv_capacity_tokens=next(iter(self.simulation.engines.values())).kv_capacity_tokens,
-            profile=profile,
-            objective_s=request.kind.objective_s,
-            pause_sensitive=pause_sensitive,
-            shortest_pause_s=min(kind.longest_pause_s for kind in kinds),
-        )
-
     def _is_latency_tolerant(self, request: Request) -> bool:
         shortest_s = min(kind.objective_s for kind in self.simulation.deployment.kinds)
         return is_latency_tolerant(request.kind.objective_s, shortest_s=shortest_s)
@@ -297,40 +272,6 @@
     uses_learnt_profiles = False
 
 
-def build_record(engine: SimulatedEngine) -> EndpointRecord:
-    """Return the endpoint record of an engine."""
-    return EndpointRecord(
-        endpoint_id=engine.name,
-        row_version=1,
-        service=SERVICE,
-        host="-",
-        port=1,
-        failure_domain="a",
-        slots=engine.slots,
-        ready=True,
-        started_ms=1,
-    )
-
-
-def is_pause_sensitive_kind(kind: Kind, profile: EngineProfile) -> bool:
-    """Return whether concurrent prefills of long prompts make streams of a kind late."""
-    route = Route(
-        name=kind.name,
-        host="-",
-        path_prefix="/",
-        kind=RouteKind.STREAM,
-        services=(WeightedService(service=SERVICE, weight=1.0),),
-        timeout_s=5.0,
-        objective_s=kind.objective_s,
-        longest_pause_s=kind.longest_pause_s,
-        max_endpoints=1,
-        urgency=1,
-        needs_key=False,
-        resumable=False,
-    )
-    return is_pause_sensitive(route, profile)
-
-
 POLICIES: Final[dict[str, type[Policy]]] = {
     "random": RandomChoice,
     "least loaded": LeastLoaded,
