Part the command line's task and its calls of instances from the commands

Task and run_task stay together, so that the action remains private: fire calls public members of what a command returns.

--- a/src/guavamast/cli.py
+++ b/src/guavamast/cli.py
@@ -10,10 +10,11 @@
 import fire
 from fire.core import FireExit
 
-from guavamast.commands import COMMANDS, EXIT_FAILED, EXIT_OK, EXIT_USAGE, Task, run_task
+from guavamast.commands import COMMANDS, EXIT_FAILED, EXIT_USAGE
 from guavamast.errors import ErrorCode, GuavamastError
 from guavamast.findings import FindingsError
 from guavamast.schema import format_suggestion
+from guavamast.task import EXIT_OK, Task, run_task
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -13,42 +13,20 @@
 
 from fire.decorators import SetParseFn
 
+from guavamast.client_task import build_client_task
 from guavamast.errors import ErrorCode, GuavamastError
+from guavamast.task import EXIT_OK, Task
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
 
     from guavamast.operator_client import OperatorClient
     from guavamast.standins.listener import Standin
 
-EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
 """The command line is invalid, or a file has findings."""
 
 
-class Task:
-    """A parsed command that has not started.
-
-    Failure: fire calls a command's function before it detects a surplus argument, so
-    ``confirm PLAN WORD`` would confirm the plan and then report a usage error. The functions
-    only return a task, which runs after the whole command line is parsed.
-
-    Args:
-        act: Runs the command and returns its exit code.
-    """
-
-    __slots__ = ("_act",)
-
-    def __init__(self, act: Callable[[], int]) -> None:
-        self._act = act
-
-
-def run_task(task: Task) -> int:
-    """Run a task and return its exit code."""
-    return task._act()
-
-
 def parse_flag(text: str) -> bool:
     """Return the value of a flag; fire passes ``True`` for a flag without a value."""
     if text not in ("True", "False"):
@@ -339,48 +317,6 @@
     return Task(act)
 
 
-def build_client_task(
-    call: Callable[[OperatorClient], Awaitable[dict[str, Any]]],
-    show: Callable[[dict[str, Any]], str],
-    *,
-    via: str,
-    token_file: str,
-    json: bool,
-) -> Task:
-    """Return a task that calls an instance and prints the response.
-
-    Args:
-        call: Calls the instance.
-        show: Formats the response as text.
-        via: Base URL of the instance.
-        token_file: File with the operator's token.
-        json: Whether to print the response as JSON instead.
-    """
-
-    def act() -> int:
-        from guavamast.operator_client import OperatorClient, parse_url, read_token
-
-        client = OperatorClient(url=parse_url(via), token=read_token(token_file))
-        answer = asyncio.run(_await(call(client)))
-        print(json_codec.dumps(answer) if json else _format_checked(show, answer))
-        return EXIT_OK
-
-    return Task(act)
-
-
-def _format_checked(show: Callable[[dict[str, Any]], str], answer: dict[str, Any]) -> str:
-    """Format a response, which may come from a server that is not an instance."""
-    try:
-        return show(answer)
-    except (AttributeError, KeyError, TypeError, ValueError):
-        message = f"unexpected response from the instance: {json_codec.dumps(answer)[:200]}"
-        raise GuavamastError(ErrorCode.INTERNAL, message) from None
-
-
-async def _await(call: Awaitable[dict[str, Any]]) -> dict[str, Any]:
-    return await call
-
-
 def _format_new_plan(answer: dict[str, Any]) -> str:
     from guavamast.text_output import format_plan
 
