Part the departure of an instance from its wiring

relay/node.py wires an instance, ran its departure and opened its query listeners. The departure has a module of its own; no behaviour changes.

--- /dev/null
+++ b/src/guavamast/relay/departure.py
@@ -0,0 +1,96 @@
+"""Departure of an instance: it serves on while callers may still connect, then stops."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.caller_addresses import VALIDITY_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.listener import CallerListener
+    from guavamast.relay.relayer import Relayer
+    from guavamast.relay.store import Store
+
+ADDRESS_CACHE_FACTOR: Final = 3.0
+"""Factor on the validity of a response with addresses: some callers cache it that long."""
+LEAVE_MARGIN_S: Final = 0.5
+"""Seconds added to the time in which callers may still connect: a heartbeat plus the transit of a
+request."""
+STOP_MARGIN_S: Final = 0.8
+"""Seconds before the platform would kill the process at which it ends."""
+CHECK_INTERVAL_S: Final = 0.05
+"""Seconds between two checks whether all requests have ended."""
+
+
+class Departure:
+    """Ends the service of an instance without cutting a request.
+
+    Args:
+        name: Name of this instance.
+        grace_s: Time from the stop signal until the platform kills the process.
+        store: Holds the record of this instance.
+        listener: Accepts callers' connections.
+        relayer: Counts the requests in flight.
+        announce: Tells the other instances that this one leaves.
+        log: Decision log.
+        read_time: The local clock.
+    """
+
+    __slots__ = (
+        "_announce",
+        "_grace_s",
+        "_listener",
+        "_log",
+        "_name",
+        "_read_time",
+        "_relayer",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        grace_s: float,
+        store: Store,
+        listener: CallerListener,
+        relayer: Relayer,
+        announce: Callable[[], None],
+        log: DecisionLog,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._grace_s = grace_s
+        self._store = store
+        self._listener = listener
+        self._relayer = relayer
+        self._announce = announce
+        self._log = log
+        self._read_time = read_time
+
+    async def run(self) -> None:
+        """Keep serving while callers may still connect, then stop when no request is in flight."""
+        requested_at = self._read_time()
+        self._listener.disable_keep_alive()
+        self._announce()
+        self._log.write("leaving", now=requested_at, in_flight=self._relayer.in_flight)
+        addresses_expired_at = requested_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
+        deadline = requested_at + self._grace_s - STOP_MARGIN_S
+        removing = asyncio.create_task(self.unregister(self._name))
+        while self._read_time() < deadline:
+            if self._read_time() >= addresses_expired_at and self._relayer.in_flight == 0:
+                break
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        self._listener.stop()
+        removing.cancel()
+
+    async def unregister(self, name: str) -> None:
+        """Remove an instance's record; if that fails, the remaining record does no harm."""
+        try:
+            await self._store.remove_instance(name)
+        except Exception as error:  # noqa: BLE001
+            self._log.write("unregister_failed", now=self._read_time(), who=name, reason=str(error))
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -19,6 +19,7 @@
 
     from guavamast.relay.catalog import CallerLimits
     from guavamast.relay.messages import CallerRequest, Header, HeaderCodec
+    from guavamast.relay.node_settings import SocketAddress
     from guavamast.relay.relayer import Relayer
 
 HARD_HEADER_BYTES: Final = 262_144
@@ -273,3 +274,10 @@
             httputil.ResponseStartLine("HTTP/1.1", status, reason), headers, body
         )
         request.connection.finish()
+
+
+def open_query_listener(address: SocketAddress, query: QueryHandler) -> QueryListener:
+    """Return a listener that answers one kind of query at an address."""
+    listener = QueryListener(handlers=[query])
+    listener.listen(address.ip, address.port)
+    return listener
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -11,12 +11,12 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.boot_clock import read_boot_time
-from guavamast.relay.caller_addresses import VALIDITY_S
 from guavamast.relay.catalog_update import CatalogUpdate, encode_catalog_update
 from guavamast.relay.cleanup_loop import CleanupLoop
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.departure import Departure
 from guavamast.relay.endpoint_update import EndpointUpdate, encode_endpoint_update
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.heartbeat_aggregation import HeartbeatAggregation
@@ -30,7 +30,7 @@
 )
 from guavamast.relay.heartbeat_topology import HeartbeatTopology
 from guavamast.relay.length_buckets import NO_DEMAND
-from guavamast.relay.listener import CallerListener, QueryHandler, QueryListener
+from guavamast.relay.listener import CallerListener, QueryHandler, open_query_listener
 from guavamast.relay.load_update_sender import LoadUpdateSender
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peer_socket import PeerSocket
@@ -50,20 +50,13 @@
     from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import CallerRequest, HeaderCodec
-    from guavamast.relay.node_settings import NodeSettings, SocketAddress
+    from guavamast.relay.node_settings import NodeSettings
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.scheduling_wire import SchedulingMessage
     from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot, Store
 
 STANDARD_OUTPUT: Final = 1
 """Descriptor of the log by default."""
-ADDRESS_CACHE_FACTOR: Final = 3.0
-"""Factor on the validity of a response with addresses: some callers cache it that long."""
-LEAVE_MARGIN_S: Final = 0.5
-"""Seconds added to the time in which callers may still connect: a heartbeat plus the transit of a
-request."""
-STOP_MARGIN_S: Final = 0.8
-"""Seconds before the platform would kill the process at which it ends."""
 
 
 class Node:
@@ -137,7 +130,6 @@
             fleet_state=self.fleet_state,
             loop_delay=self._loop_delay,
         )
-        self._cleanup_loop = self._build_cleanup_loop()
         self._relayer = self._build_relayer(codec)
         self._listener = CallerListener(
             relayer=self._relayer,
@@ -146,6 +138,17 @@
             on_rejection=self._record_rejection,
             on_error=self._record_fault,
         )
+        self._departure = Departure(
+            name=settings.name,
+            grace_s=settings.grace_s,
+            store=store,
+            listener=self._listener,
+            relayer=self._relayer,
+            announce=self._exchange.announce_to_all,
+            log=self.log,
+            read_time=read_boot_time,
+        )
+        self._cleanup_loop = self._build_cleanup_loop()
 
     def _build_load_updates(self) -> LoadUpdateSender:
         return LoadUpdateSender(
@@ -240,7 +243,7 @@
             reader=self._reader,
             recorder=self._recorder,
             scheduling=self._scheduling,
-            unregister=self._unregister,
+            unregister=self._departure.unregister,
             read_time=read_boot_time,
         )
 
@@ -291,7 +294,15 @@
         """Serve until SIGTERM."""
         settings = self.settings
         self._listener.listen(settings.callers.ip, settings.callers.port)
-        listeners = self._open_listeners(directory, readiness, metrics)
+        listeners = [
+            open_query_listener(address, query)
+            for address, query in (
+                (settings.directory, directory),
+                (settings.readiness, readiness),
+                (settings.metrics, metrics),
+            )
+            if address is not None
+        ]
         await self._heartbeat_socket.open(settings.peers.ip, settings.peers.port)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
@@ -310,55 +321,14 @@
         for task in done:
             if task is not stopping:
                 task.result()
-        await self._leave()
+        self._leaving = True
+        await self._departure.run()
         for task in background:
             task.cancel()
         for listener in listeners:
             listener.stop()
         self.log.write("stopped", now=read_boot_time(), in_flight=self._relayer.in_flight)
 
-    def _open_listeners(
-        self, directory: QueryHandler, readiness: QueryHandler, metrics: QueryHandler
-    ) -> list[QueryListener]:
-        settings = self.settings
-        queries: list[tuple[SocketAddress | None, QueryHandler]] = [
-            (settings.directory, directory),
-            (settings.readiness, readiness),
-            (settings.metrics, metrics),
-        ]
-        listeners = []
-        for address, query in queries:
-            if address is None:
-                continue
-            listener = QueryListener(handlers=[query])
-            listener.listen(address.ip, address.port)
-            listeners.append(listener)
-        return listeners
-
-    async def _leave(self) -> None:
-        """Keep serving while callers may still connect, then stop when no request is in flight."""
-        requested_at = read_boot_time()
-        self._leaving = True
-        self._listener.disable_keep_alive()
-        self._exchange.announce_to_all()
-        self.log.write("leaving", now=requested_at, in_flight=self._relayer.in_flight)
-        addresses_expired_at = requested_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
-        deadline = requested_at + self.settings.grace_s - STOP_MARGIN_S
-        removing = asyncio.create_task(self._unregister(self.settings.name))
-        while read_boot_time() < deadline:
-            if read_boot_time() >= addresses_expired_at and self._relayer.in_flight == 0:
-                break
-            await asyncio.sleep(0.05)
-        self._listener.stop()
-        removing.cancel()
-
-    async def _unregister(self, name: str) -> None:
-        """Remove an instance's record; if that fails, the remaining record does no harm."""
-        try:
-            await self._store.remove_instance(name)
-        except Exception as error:  # noqa: BLE001
-            self.log.write("unregister_failed", now=read_boot_time(), who=name, reason=str(error))
-
     def _build_heartbeat(self) -> Heartbeat:
         """Return this instance's next heartbeat."""
         now = read_boot_time()
