Part what an instance does with others' messages, and its table updates, from its wiring

PeerSocket gets the receiver of messages when it opens, so it needs no callback for each kind. No behaviour changes; tests of the path with real processes pass.

--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -11,13 +11,11 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.boot_clock import read_boot_time
-from guavamast.relay.catalog_update import CatalogUpdate, encode_catalog_update
 from guavamast.relay.cleanup_loop import CleanupLoop
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.departure import Departure
-from guavamast.relay.endpoint_update import EndpointUpdate, encode_endpoint_update
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.heartbeat_aggregation import HeartbeatAggregation
 from guavamast.relay.heartbeat_exchange import HeartbeatExchange
@@ -33,6 +31,7 @@
 from guavamast.relay.listener import CallerListener, QueryHandler, open_query_listener
 from guavamast.relay.load_update_sender import LoadUpdateSender
 from guavamast.relay.loop_delay import LoopDelay
+from guavamast.relay.peer_messages import PeerMessages
 from guavamast.relay.peer_socket import PeerSocket
 from guavamast.relay.peers import Peers, compute_heartbeat_interval
 from guavamast.relay.quarantine import Containment
@@ -43,6 +42,7 @@
 from guavamast.relay.store import InstanceRecord
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
+from guavamast.relay.table_publisher import TablePublisher
 from guavamast.relay.table_watch import build_table_watches
 from guavamast.relay.work_state import WorkState
 
@@ -52,8 +52,7 @@
     from guavamast.relay.messages import CallerRequest, HeaderCodec
     from guavamast.relay.node_settings import NodeSettings
     from guavamast.relay.relayer import Relayer
-    from guavamast.relay.scheduling_wire import SchedulingMessage
-    from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot, Store
+    from guavamast.relay.store import Store
 
 STANDARD_OUTPUT: Final = 1
 """Descriptor of the log by default."""
@@ -111,14 +110,7 @@
         )
         self._stop = asyncio.Event()
         self._load_updates = self._build_load_updates()
-        self._heartbeat_socket = PeerSocket(
-            on_message=self._receive_message,
-            on_catalog_update=self._receive_catalog,
-            on_endpoint_update=self._receive_endpoints,
-            on_quarantine_report=self._receive_quarantine_report,
-            on_scheduling_message=self._receive_scheduling,
-            counters=self.counters,
-        )
+        self._heartbeat_socket = PeerSocket(counters=self.counters)
         self._scheduling = self._build_scheduling()
         self._exchange = self._build_exchange()
         self._containment = self._build_containment()
@@ -204,6 +196,7 @@
         )
 
     def _build_reader(self) -> StoreReader:
+        publisher = TablePublisher(exchange=self._exchange, domain=self.settings.failure_domain)
         return StoreReader(
             store=self._store,
             fleet_state=self.fleet_state,
@@ -211,8 +204,8 @@
             counters=self.counters,
             read_time=read_boot_time,
             send_heartbeat=self._exchange.announce,
-            publish_catalog=self._publish_catalog,
-            publish_endpoints=self._publish_endpoints,
+            publish_catalog=publisher.publish_catalog,
+            publish_endpoints=publisher.publish_endpoints,
         )
 
     def _build_watch(self) -> StoreWatch:
@@ -264,6 +257,16 @@
             read_time=read_boot_time,
         )
 
+    def _build_peer_messages(self) -> PeerMessages:
+        return PeerMessages(
+            exchange=self._exchange,
+            peers=self.peers,
+            work=self._work,
+            reader=self._reader,
+            scheduling=self._scheduling,
+            containment=self._containment,
+        )
+
     @property
     def state(self) -> InstanceState:
         """State of this instance; only a serving one is listed for callers."""
@@ -303,7 +306,9 @@
             )
             if address is not None
         ]
-        await self._heartbeat_socket.open(settings.peers.ip, settings.peers.port)
+        await self._heartbeat_socket.open(
+            settings.peers.ip, settings.peers.port, messages=self._build_peer_messages()
+        )
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
@@ -357,46 +362,6 @@
         for peer in self.peers.list_live(now=read_boot_time()):
             self._heartbeat_socket.send(data, peer.record)
 
-    def _receive_message(self, message: Heartbeat | LoadUpdate | AggregatedHeartbeat) -> None:
-        if isinstance(message, Heartbeat):
-            self._exchange.receive(message)
-        elif isinstance(message, AggregatedHeartbeat):
-            self._exchange.receive_aggregate(message)
-        elif self.peers.is_current_process(message.instance, message.incarnation):
-            self._work.apply_load_update(message)
-
-    def _receive_scheduling(self, message: SchedulingMessage, source: tuple[str, int]) -> None:
-        self._scheduling.receive(message, source)
-
-    def _receive_quarantine_report(self, data: bytes) -> None:
-        self._containment.receive(data)
-
-    def _publish_catalog(self, snapshot: CatalogSnapshot) -> None:
-        """Send a configuration that this instance has read to the other instances."""
-        assert snapshot.catalog is not None
-        update = CatalogUpdate(
-            domain=self.settings.failure_domain,
-            row_version=snapshot.catalog.row_version,
-            store_time=snapshot.store_time,
-            text=snapshot.text,
-        )
-        self._exchange.send_table_update(encode_catalog_update(update))
-
-    def _publish_endpoints(self, snapshot: EndpointSnapshot) -> None:
-        """Send an endpoint table that this instance has read to the other instances."""
-        update = EndpointUpdate(domain=self.settings.failure_domain, snapshot=snapshot)
-        self._exchange.send_table_update(encode_endpoint_update(update))
-
-    def _receive_catalog(self, update: CatalogUpdate, data: bytes) -> None:
-        """Apply and forward a configuration that another instance has read."""
-        if self._reader.apply_catalog_update(update):
-            self._exchange.forward_table_update(data, domain=update.domain)
-
-    def _receive_endpoints(self, update: EndpointUpdate, data: bytes) -> None:
-        """Apply and forward an endpoint table that another instance has read."""
-        if self._reader.apply_endpoint_snapshot(update.snapshot, from_peer=True):
-            self._exchange.forward_table_update(data, domain=update.domain)
-
     def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         self.fleet_state.apply_stamps(catalog=heartbeat.catalog, endpoints=heartbeat.endpoints)
         self._watch.wake_for_update()
--- /dev/null
+++ b/src/guavamast/relay/peer_messages.py
@@ -0,0 +1,82 @@
+"""What an instance does with each kind of message from another one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.relay.heartbeat_messages import AggregatedHeartbeat, Heartbeat
+
+if TYPE_CHECKING:
+    from guavamast.relay.catalog_update import CatalogUpdate
+    from guavamast.relay.endpoint_update import EndpointUpdate
+    from guavamast.relay.heartbeat_exchange import HeartbeatExchange
+    from guavamast.relay.heartbeat_messages import LoadUpdate
+    from guavamast.relay.peers import Peers
+    from guavamast.relay.quarantine import Containment
+    from guavamast.relay.scheduling import Scheduling
+    from guavamast.relay.scheduling_wire import SchedulingMessage
+    from guavamast.relay.store_reader import StoreReader
+    from guavamast.relay.work_state import WorkState
+
+
+class PeerMessages:
+    """Passes the messages of other instances on to those that use them.
+
+    Args:
+        exchange: Receives heartbeats, and forwards changed tables.
+        peers: The other instances.
+        work: Receives load updates.
+        reader: Applies changed tables.
+        scheduling: Receives scheduling messages.
+        containment: Receives quarantine reports.
+    """
+
+    __slots__ = ("_containment", "_exchange", "_peers", "_reader", "_scheduling", "_work")
+
+    def __init__(
+        self,
+        *,
+        exchange: HeartbeatExchange,
+        peers: Peers,
+        work: WorkState,
+        reader: StoreReader,
+        scheduling: Scheduling,
+        containment: Containment,
+    ) -> None:
+        self._exchange = exchange
+        self._peers = peers
+        self._work = work
+        self._reader = reader
+        self._scheduling = scheduling
+        self._containment = containment
+
+    def receive(self, message: Heartbeat | LoadUpdate | AggregatedHeartbeat) -> None:
+        """Receive a heartbeat or a load update; one of a former process is ignored."""
+        if isinstance(message, Heartbeat):
+            self._exchange.receive(message)
+        elif isinstance(message, AggregatedHeartbeat):
+            self._exchange.receive_aggregate(message)
+        elif self._peers.is_current_process(message.instance, message.incarnation):
+            self._work.apply_load_update(message)
+
+    def receive_scheduling(self, message: SchedulingMessage, source: tuple[str, int]) -> None:
+        """Receive a scheduling message and the address of its sender."""
+        self._scheduling.receive(message, source)
+
+    def receive_catalog(self, update: CatalogUpdate, data: bytes) -> None:
+        """Apply and forward a configuration that another instance has read."""
+        if self._reader.apply_catalog_update(update):
+            self._exchange.forward_table_update(data, domain=update.domain)
+
+    def receive_endpoints(self, update: EndpointUpdate, data: bytes) -> None:
+        """Apply and forward an endpoint table that another instance has read."""
+        if self._reader.apply_endpoint_snapshot(update.snapshot, from_peer=True):
+            self._exchange.forward_table_update(data, domain=update.domain)
+
+    def receive_quarantine(self, data: bytes) -> None:
+        """Receive the datagram of a quarantine report.
+
+        Raises:
+            MalformedBeat: The datagram is not a valid report.
+        """
+        self._containment.receive(data)
--- a/src/guavamast/relay/peer_socket.py
+++ b/src/guavamast/relay/peer_socket.py
@@ -16,13 +16,8 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from guavamast.relay.catalog_update import CatalogUpdate
     from guavamast.relay.counters import Counters
-    from guavamast.relay.endpoint_update import EndpointUpdate
-    from guavamast.relay.heartbeat_messages import AggregatedHeartbeat, Heartbeat, LoadUpdate
-    from guavamast.relay.scheduling_wire import SchedulingMessage
+    from guavamast.relay.peer_messages import PeerMessages
     from guavamast.relay.store import InstanceRecord
 
 
@@ -30,44 +25,25 @@
     """Sends and receives the datagrams between instances.
 
     Args:
-        on_message: Called with each heartbeat, aggregated heartbeat and load update.
-        on_catalog_update: Called with each catalog update and its datagram.
-        on_endpoint_update: Called with each endpoint update and its datagram.
-        on_quarantine_report: Called with the datagram of each quarantine report.
-        on_scheduling_message: Called with each scheduling message and the address of its sender.
         counters: Metrics.
     """
 
-    __slots__ = (
-        "_counters",
-        "_on_message",
-        "_on_catalog_update",
-        "_on_endpoint_update",
-        "_on_quarantine_report",
-        "_on_scheduling_message",
-        "_transport",
-    )
-
-    def __init__(
-        self,
-        *,
-        on_message: Callable[[Heartbeat | LoadUpdate | AggregatedHeartbeat], None],
-        on_catalog_update: Callable[[CatalogUpdate, bytes], None],
-        on_endpoint_update: Callable[[EndpointUpdate, bytes], None],
-        on_quarantine_report: Callable[[bytes], None],
-        on_scheduling_message: Callable[[SchedulingMessage, tuple[str, int]], None],
-        counters: Counters,
-    ) -> None:
-        self._on_catalog_update = on_catalog_update
-        self._on_endpoint_update = on_endpoint_update
-        self._on_quarantine_report = on_quarantine_report
-        self._on_scheduling_message = on_scheduling_message
-        self._on_message = on_message
+    __slots__ = ("_counters", "_messages", "_transport")
+
+    def __init__(self, *, counters: Counters) -> None:
         self._counters = counters
+        self._messages: PeerMessages | None = None
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def open(self, ip: str, port: int) -> None:
-        """Bind the socket."""
+    async def open(self, ip: str, port: int, *, messages: PeerMessages) -> None:
+        """Bind the socket.
+
+        Args:
+            ip: Address to bind.
+            port: UDP port to bind.
+            messages: Receives what other instances send.
+        """
+        self._messages = messages
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
 
@@ -77,17 +53,18 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode and dispatch a datagram; count those that are malformed."""
+        assert self._messages is not None
         try:
             if data.startswith(SCHEDULING_PREFIX):
-                self._on_scheduling_message(decode_scheduling(data), addr)
+                self._messages.receive_scheduling(decode_scheduling(data), addr)
             elif data.startswith(CATALOG_PREFIX):
-                self._on_catalog_update(decode_catalog_update(data), data)
+                self._messages.receive_catalog(decode_catalog_update(data), data)
             elif data.startswith(ENDPOINTS_PREFIX):
-                self._on_endpoint_update(decode_endpoint_update(data), data)
+                self._messages.receive_endpoints(decode_endpoint_update(data), data)
             elif data.startswith(QUARANTINE_PREFIX):
-                self._on_quarantine_report(data)
+                self._messages.receive_quarantine(data)
             else:
-                self._on_message(decode_message(data))
+                self._messages.receive(decode_message(data))
         except (MalformedBeat, MalformedScheduling):
             self._counters.add("malformed_beats_total")
 
