--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from guavamast.platform.request_headers import PlatformHeaders
-from guavamast.platform.standins.engine import EngineStandIn
+from guavamast.platform.standins.engine import EngineFault, EngineStandIn
 from guavamast.relay.attempt import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.connection_pool import ConnectionPool
@@ -27,11 +27,13 @@
 from guavamast.relay.quarantine import (
     CrashGuard,
     PendingLosses,
+    Quarantine,
     QuarantineLedger,
     QuarantineRows,
 )
 from guavamast.relay.rejection_history import RejectionHistory
 from guavamast.relay.relayer import Relayer
+from guavamast.relay.request_digest import compute_request_digest
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
@@ -74,6 +76,7 @@
         self.record = build_endpoint("x", port=port)
         self.simulation.change_endpoints(self.record)
         self.pool = SlowPool(self.simulation)
+        self.ledger = QuarantineLedger(domain="a", window_s=3.0)
         self.exchanger = self.make_exchanger()
 
     def make_exchanger(self) -> Exchanger:
@@ -131,15 +134,17 @@
             read_time=lambda: self.simulation.now,
         )
 
-    def make_guard(self) -> CrashGuard:
+    async def make_guard(self) -> CrashGuard:
         def read_time() -> float:
             return self.simulation.now
 
         log = DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY))
-        ledger = QuarantineLedger(domain="a", window_s=3.0)
-        rows = QuarantineRows(store=self.simulation, ledger=ledger, log=log, read_time=read_time)
+        rows = QuarantineRows(
+            store=self.simulation, ledger=self.ledger, log=log, read_time=read_time
+        )
+        await rows.load()
         return CrashGuard(
-            ledger=ledger,
+            ledger=self.ledger,
             losses=PendingLosses(),
             rows=rows,
             fleet_state=self.simulation.fleet_state,
@@ -162,7 +167,7 @@
             recorder=mock.Mock(),
             placer=self.make_placer(),
             exchanger=self.exchanger,
-            guard=self.make_guard(),
+            guard=await self.make_guard(),
             demand=PromptDemand(),
             profiles=EngineProfiles(),
             read_time=lambda: self.simulation.now,
@@ -200,6 +205,33 @@
         self.assertEqual(writer.send.call_args.args[0], 404)
         self.assertEqual(self.engine.runs, [])
 
+    async def test_a_request_is_not_sent_again_once_its_content_is_held(self) -> None:
+        """Guards against a request under way that goes on to further endpoints.
+
+        The first endpoint is full. Meanwhile another instance reports that the content is kept from
+        endpoints.
+        """
+        other = EngineStandIn(engine_id="y")
+        port = await other.listen()
+        self.addAsyncCleanup(other.stop)
+        self.engine.fault = other.fault = EngineFault.FULL
+        self.simulation.change_endpoints(self.record, build_endpoint("y", port=port))
+        self.simulation.replace_routes(build_route(timeout_s=30.0))
+        content = compute_request_digest(build_request(), organisation="bakery")
+        quarantine = Quarantine(
+            content=content,
+            organisation="bakery",
+            ends=3,
+            since=self.simulation.now,
+            requested_at=self.simulation.now,
+            trials_left=2,
+            next_trial_at=self.simulation.now + 60.0,
+        )
+        self.pool.on_acquire.append(lambda: self.ledger.restore(quarantine))
+        writer = await self.relay()
+        self.assertEqual(writer.send.call_args.args[0], 503)
+        self.assertEqual(self.engine.connections + other.connections, 1)
+
     async def test_a_request_is_sent(self) -> None:
         self.assertEqual((await self.run_attempt()).sends, 1)
         self.assertEqual(len(self.engine.runs), 1)
