Do not fail a request whose content is released while its trial is claimed

Seen in a review: the rejection looked up a quarantine that another instance's report had just removed, a KeyError and so an unexpected error for an innocent caller. The test failed with it. Beside it, the quarantine's names follow the field: clearance for acquittal, outgoing reports for news.

--- a/src/guavamast/relay/quarantine/__init__.py
+++ b/src/guavamast/relay/quarantine/__init__.py
@@ -1,8 +1,8 @@
 """Keeps requests that end the endpoints they run on from further endpoints.
 
 Ends are attributed to contents by what several ended endpoints had in common, all instances are
-told, and a content in quarantine is refused. The package may use the rest of the relay; of it, only
-the request path and the instance itself use this package.
+informed, and a content in quarantine is rejected. The package may use the rest of the relay; of
+that, only the request path and the instance itself use this package.
 """
 
 from guavamast.relay.quarantine.containment import Containment
@@ -11,7 +11,7 @@
 from guavamast.relay.quarantine.ledger import QuarantineLedger, Verdict
 from guavamast.relay.quarantine.losses import PendingLosses
 from guavamast.relay.quarantine.records import (
-    Acquittal,
+    Clearance,
     EndpointEnd,
     EndpointIncarnation,
     LostContent,
@@ -27,7 +27,7 @@
 
 __all__ = [
     "QUARANTINE_PREFIX",
-    "Acquittal",
+    "Clearance",
     "Containment",
     "CrashEvidence",
     "CrashGuard",
--- a/src/guavamast/relay/quarantine/evidence.py
+++ b/src/guavamast/relay/quarantine/evidence.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.quarantine.records import Acquittal
+from guavamast.relay.quarantine.records import Clearance
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,7 +20,7 @@
 """Seconds from sufficient evidence to a decision: other instances' reports of the same ends may
 name the content that all of them have in common."""
 EVIDENCE_LIFETIME_S: Final = 900.0
-"""Seconds for which ends and acquittals count: callers repeat a request for minutes."""
+"""Seconds for which ends and clearances count: callers repeat a request for minutes."""
 CLOCK_MARGIN_S: Final = 0.5
 """Seconds by which a reported time may be off: the transit of a report is added to it."""
 MAX_CONTENTS: Final = 2048
@@ -64,12 +64,12 @@
     do not matter.
     """
 
-    __slots__ = ("_acquitted", "_ended_at", "_suspects")
+    __slots__ = ("_cleared", "_ended_at", "_suspects")
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
         self._ended_at: dict[EndpointIncarnation, float] = {}
-        self._acquitted: dict[str, float] = {}
+        self._cleared: dict[str, float] = {}
 
     def __bool__(self) -> bool:
         return bool(self._suspects)
@@ -85,23 +85,23 @@
         ended_at = min(end.ended_at, self._ended_at.get(end.incarnation, end.ended_at))
         changed = False
         for lost in end.lost:
-            acquitted_at = self._acquitted.get(lost.content, float("-inf"))
-            if ended_at > acquitted_at + CLOCK_MARGIN_S:
+            cleared_at = self._cleared.get(lost.content, float("-inf"))
+            if ended_at > cleared_at + CLOCK_MARGIN_S:
                 changed |= self._add_content(end.incarnation, lost, now=now)
         if changed:
             self._ended_at[end.incarnation] = ended_at
             self._drop_excess()
         return changed
 
-    def acquit(self, content: str, *, at: float) -> bool:
+    def clear(self, content: str, *, at: float) -> bool:
         """Discard the evidence against a content up to a time; return whether this is new.
 
-        A report of the same acquittal seems a little later with each transit. Taken for a new one,
+        A report of the same clearance seems a little later with each transit. Taken for a new one,
         it would be forwarded again and again, and fill the links between instances.
         """
-        if at <= self._acquitted.get(content, float("-inf")) + CLOCK_MARGIN_S:
+        if at <= self._cleared.get(content, float("-inf")) + CLOCK_MARGIN_S:
             return False
-        self._acquitted[content] = at
+        self._cleared[content] = at
         suspect = self._suspects.get(content)
         if suspect is not None:
             suspect.ends = {
@@ -111,17 +111,17 @@
                 del self._suspects[content]
         return True
 
-    def is_acquitted(self, content: str, *, since: float) -> bool:
-        """Return whether a content was acquitted after a time."""
-        at = self._acquitted.get(content)
+    def is_cleared(self, content: str, *, since: float) -> bool:
+        """Return whether a content was cleared after a time."""
+        at = self._cleared.get(content)
         return at is not None and at + CLOCK_MARGIN_S >= since
 
-    def list_acquittals(self, contents: list[str]) -> list[Acquittal]:
-        """Return the acquittals of some contents, as far as they are still known."""
+    def list_clearances(self, contents: list[str]) -> list[Clearance]:
+        """Return the clearances of some contents, as far as they are still known."""
         return [
-            Acquittal(content=content, at=self._acquitted[content])
+            Clearance(content=content, at=self._cleared[content])
             for content in contents
-            if content in self._acquitted
+            if content in self._cleared
         ]
 
     def count_other_ends(self, content: str, incarnation: EndpointIncarnation) -> int:
@@ -153,9 +153,9 @@
         for incarnation, ended_at in list(self._ended_at.items()):
             if now - ended_at > EVIDENCE_LIFETIME_S:
                 self._drop_end(incarnation)
-        for content, at in list(self._acquitted.items()):
+        for content, at in list(self._cleared.items()):
             if now - at > EVIDENCE_LIFETIME_S:
-                del self._acquitted[content]
+                del self._cleared[content]
 
     def _add_content(
         self, incarnation: EndpointIncarnation, lost: LostContent, *, now: float
--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -111,7 +111,8 @@
         if verdict is Verdict.TRIAL_DUE and await self._rows.claim_trial(content):
             self._begin_trial(content, progress)
             return None
-        return self._deny(content)
+        # While the trial was claimed, another instance may have released the content.
+        return self._deny(content) if self._ledger.find(content) is not None else None
 
     def is_quarantined(self, request: CallerRequest, progress: RequestProgress) -> bool:
         """Return whether a request must not be sent, or not again, since it was admitted."""
@@ -169,7 +170,7 @@
             return
         content = _find_content(request, progress)
         held = self._ledger.find(content) is not None
-        if not self._ledger.acquit(content, now=now):
+        if not self._ledger.clear(content, now=now):
             return
         self._wake()
         if held:
@@ -216,7 +217,7 @@
                 self.confirm_end(record.endpoint_id, evidence="refused")
                 return
             except ConnectionLost:
-                # Without an answer, only the store's listing can tell.
+                # Without an answer, only the store's listing can confirm it.
                 return
             connection.close()
 
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -1,4 +1,4 @@
-"""Contents that end endpoints, as one instance knows them: evidence, quarantines, acquittals."""
+"""Contents that end endpoints, as one instance knows them: evidence, quarantines, clearances."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.quarantine.evidence import CrashEvidence
-from guavamast.relay.quarantine.news import QuarantineNews
-from guavamast.relay.quarantine.records import Acquittal, Quarantine, QuarantineReport
+from guavamast.relay.quarantine.outgoing import OutgoingReports
+from guavamast.relay.quarantine.records import Clearance, Quarantine, QuarantineReport
 
 if TYPE_CHECKING:
     from guavamast.relay.quarantine.evidence import Culprit
@@ -26,7 +26,7 @@
 trials: it is hardly innocent, and each trial may end an endpoint with all that runs there."""
 IDLE_LIFETIME_S: Final = 3600.0
 """Seconds without a request after which a quarantine ends."""
-REQUEST_NEWS_INTERVAL_S: Final = 60.0
+REQUEST_REPORT_INTERVAL_S: Final = 60.0
 """Seconds between two reports that a quarantined content is still requested."""
 MAX_QUARANTINES: Final = 128
 """Requests in quarantine at most; together they fit into a datagram."""
@@ -45,7 +45,7 @@
     """Decides which contents are kept from endpoints.
 
     All instances merge each other's reports, so each comes to the same decision by itself, and one
-    that has decided tells the others. Without it, callers that repeat a request which ends
+    that has decided reports it. Without this, callers that repeat a request which ends
     endpoints meet an instance each time that has not seen it before.
 
     Args:
@@ -56,7 +56,7 @@
     __slots__ = (
         "_domain",
         "_evidence",
-        "_news",
+        "_outgoing",
         "_quarantines",
         "_window_s",
     )
@@ -66,7 +66,7 @@
         self._window_s = window_s
         self._evidence = CrashEvidence()
         self._quarantines: dict[str, Quarantine] = {}
-        self._news = QuarantineNews()
+        self._outgoing = OutgoingReports()
 
     @property
     def active(self) -> bool:
@@ -74,9 +74,9 @@
         return bool(self._evidence) or bool(self._quarantines)
 
     @property
-    def has_news(self) -> bool:
+    def has_unsent(self) -> bool:
         """Whether something is still to be reported to other instances."""
-        return bool(self._news)
+        return bool(self._outgoing)
 
     def list_quarantines(self) -> list[Quarantine]:
         """Return all quarantines."""
@@ -86,17 +86,17 @@
         """Return the quarantine of a content."""
         return self._quarantines.get(content)
 
-    def was_acquitted(self, content: str) -> bool:
-        """Return whether a content was acquitted lately."""
-        return self._evidence.is_acquitted(content, since=float("-inf"))
+    def was_cleared(self, content: str) -> bool:
+        """Return whether a content was cleared lately."""
+        return self._evidence.is_cleared(content, since=float("-inf"))
 
     def assess(self, content: str, *, now: float) -> Verdict:
         """Return what may be done with a content that is requested."""
         quarantine = self._quarantines.get(content)
         if quarantine is None:
             return Verdict.CLEAR
-        if now - quarantine.requested_at > REQUEST_NEWS_INTERVAL_S:
-            self._news.add_quarantine(content, now=now)
+        if now - quarantine.requested_at > REQUEST_REPORT_INTERVAL_S:
+            self._outgoing.add_quarantine(content, now=now)
         self._quarantines[content] = replace(quarantine, requested_at=now)
         due = quarantine.trials_left > 0 and now >= quarantine.next_trial_at
         return Verdict.TRIAL_DUE if due else Verdict.QUARANTINED
@@ -113,18 +113,18 @@
         return self._evidence.count_other_ends(content, incarnation) > 0
 
     def record_end(self, end: EndpointEnd, *, now: float) -> bool:
-        """Record an end that this instance has observed; return whether it is news."""
+        """Record an end that this instance has observed; return whether it is new here."""
         changed = self._evidence.add(end, now=now)
         if changed:
-            self._news.add_end(end, now=now)
+            self._outgoing.add_end(end, now=now)
         return changed
 
-    def acquit(self, content: str, *, now: float) -> bool:
+    def clear(self, content: str, *, now: float) -> bool:
         """Record that a content was answered or released; return whether it was suspected."""
         if content not in self._evidence and content not in self._quarantines:
             return False
-        self._apply_acquittal(Acquittal(content=content, at=now))
-        self._news.add_acquittal(content, now=now)
+        self._apply_clearance(Clearance(content=content, at=now))
+        self._outgoing.add_clearance(content, now=now)
         return True
 
     def decide(self, *, now: float) -> list[Culprit]:
@@ -146,7 +146,7 @@
                     next_trial_at=now + _compute_trial_delay(culprit),
                 )
             )
-            self._news.add_quarantine(culprit.content, now=now)
+            self._outgoing.add_quarantine(culprit.content, now=now)
         return culprits
 
     def use_trial(self, content: str, *, trials_left: int, now: float) -> None:
@@ -163,11 +163,11 @@
         self._quarantines[content] = replace(
             quarantine, trials_left=trials_left, next_trial_at=now + TRIAL_AFTER_S
         )
-        self._news.add_quarantine(content, now=now)
+        self._outgoing.add_quarantine(content, now=now)
 
     def restore(self, quarantine: Quarantine) -> bool:
         """Apply a quarantine from the store or another instance; return whether it is new."""
-        if self._evidence.is_acquitted(quarantine.content, since=quarantine.since):
+        if self._evidence.is_cleared(quarantine.content, since=quarantine.since):
             return False
         known = self._quarantines.get(quarantine.content)
         if known is None:
@@ -180,33 +180,33 @@
     def apply_report(self, report: QuarantineReport, *, now: float) -> bool:
         """Merge another instance's report; return whether any of it is new here."""
         changed = False
-        for acquittal in report.acquittals:
-            changed |= self._apply_acquittal(acquittal)
+        for clearance in report.clearances:
+            changed |= self._apply_clearance(clearance)
         for end in report.ends:
             changed |= self._evidence.add(end, now=now)
         for quarantine in report.quarantines:
             changed |= self.restore(quarantine)
-            self._news.drop_quarantine(quarantine.content)
+            self._outgoing.drop_quarantine(quarantine.content)
         return changed
 
     def build_report(self, *, complete: bool, now: float) -> QuarantineReport | None:
         """Return what other instances are to know; None if there is nothing.
 
         Args:
-            complete: Whether to include what is no news, for instances that have missed it.
+            complete: Whether to include all quarantines, for instances that have missed a report.
             now: The current time.
         """
-        self._news.drop_expired(now=now)
-        held = self._quarantines if complete else self._news.list_quarantined()
+        self._outgoing.drop_expired(now=now)
+        held = self._quarantines if complete else self._outgoing.list_quarantined()
         report = QuarantineReport(
             domain=self._domain,
-            ends=tuple(self._news.list_ends()),
-            acquittals=tuple(self._evidence.list_acquittals(self._news.list_acquitted())),
+            ends=tuple(self._outgoing.list_ends()),
+            clearances=tuple(self._evidence.list_clearances(self._outgoing.list_cleared())),
             quarantines=tuple(
                 self._quarantines[content] for content in held if content in self._quarantines
             ),
         )
-        return report if report.ends or report.acquittals or report.quarantines else None
+        return report if report.ends or report.clearances or report.quarantines else None
 
     def drop_expired(self, *, now: float) -> list[str]:
         """Drop what is too old; return the contents whose quarantine has ended."""
@@ -220,11 +220,11 @@
             del self._quarantines[content]
         return idle
 
-    def _apply_acquittal(self, acquittal: Acquittal) -> bool:
-        if not self._evidence.acquit(acquittal.content, at=acquittal.at):
+    def _apply_clearance(self, clearance: Clearance) -> bool:
+        if not self._evidence.clear(clearance.content, at=clearance.at):
             return False
-        held = self._quarantines.get(acquittal.content)
-        if held is not None and self._evidence.is_acquitted(held.content, since=held.since):
+        held = self._quarantines.get(clearance.content)
+        if held is not None and self._evidence.is_cleared(held.content, since=held.since):
             del self._quarantines[held.content]
         return True
 
--- a/src/guavamast/relay/quarantine/news.py
+++ b/src/guavamast/relay/quarantine/outgoing.py
@@ -9,22 +9,22 @@
     from guavamast.relay.quarantine.records import EndpointEnd, EndpointIncarnation
 
 REPEAT_S: Final = 3.0
-"""Seconds for which each piece of news is repeated, as any datagram may be lost."""
+"""Seconds for which each report is repeated, as any datagram may be lost."""
 
 
-class QuarantineNews:
-    """The ends, acquittals and quarantines that an instance reports for a while."""
+class OutgoingReports:
+    """The ends, clearances and quarantines that an instance reports for a while."""
 
-    __slots__ = ("_acquitted", "_ends", "_expires", "_quarantined")
+    __slots__ = ("_cleared", "_ends", "_expires", "_quarantined")
 
     def __init__(self) -> None:
         self._ends: dict[EndpointIncarnation, EndpointEnd] = {}
         self._expires: dict[EndpointIncarnation, float] = {}
-        self._acquitted: dict[str, float] = {}
+        self._cleared: dict[str, float] = {}
         self._quarantined: dict[str, float] = {}
 
     def __bool__(self) -> bool:
-        return bool(self._ends or self._acquitted or self._quarantined)
+        return bool(self._ends or self._cleared or self._quarantined)
 
     def add_end(self, end: EndpointEnd, *, now: float) -> None:
         """Report an end; what was lost there before is reported with it."""
@@ -34,9 +34,9 @@
         self._ends[end.incarnation] = end
         self._expires[end.incarnation] = now + REPEAT_S
 
-    def add_acquittal(self, content: str, *, now: float) -> None:
-        """Report that a content was acquitted, and no longer that it is in quarantine."""
-        self._acquitted[content] = now + REPEAT_S
+    def add_clearance(self, content: str, *, now: float) -> None:
+        """Report that a content was cleared, and no longer that it is in quarantine."""
+        self._cleared[content] = now + REPEAT_S
         self._quarantined.pop(content, None)
 
     def add_quarantine(self, content: str, *, now: float) -> None:
@@ -51,9 +51,9 @@
         """Return the ends to report."""
         return list(self._ends.values())
 
-    def list_acquitted(self) -> list[str]:
-        """Return the acquitted contents to report."""
-        return list(self._acquitted)
+    def list_cleared(self) -> list[str]:
+        """Return the cleared contents to report."""
+        return list(self._cleared)
 
     def list_quarantined(self) -> list[str]:
         """Return the contents whose quarantine is to be reported."""
@@ -65,5 +65,5 @@
             if until < now:
                 del self._expires[incarnation]
                 del self._ends[incarnation]
-        self._acquitted = {key: until for key, until in self._acquitted.items() if until >= now}
+        self._cleared = {key: until for key, until in self._cleared.items() if until >= now}
         self._quarantined = {key: until for key, until in self._quarantined.items() if until >= now}
--- a/src/guavamast/relay/quarantine/records.py
+++ b/src/guavamast/relay/quarantine/records.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Acquittal:
+class Clearance:
     """An endpoint has answered a content completely, or an operator has released it."""
 
     content: str
@@ -63,10 +63,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuarantineReport:
-    """What one instance tells others; times in it are of the clock of who holds it."""
+    """A report of one instance to others; its times are those of the local clock."""
 
     domain: str
     """Failure domain of the instance that sent it first."""
     ends: tuple[EndpointEnd, ...]
-    acquittals: tuple[Acquittal, ...]
+    clearances: tuple[Clearance, ...]
     quarantines: tuple[Quarantine, ...]
--- a/src/guavamast/relay/quarantine/report_wire.py
+++ b/src/guavamast/relay/quarantine/report_wire.py
@@ -7,7 +7,7 @@
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.heartbeat_messages import MalformedBeat
 from guavamast.relay.quarantine.records import (
-    Acquittal,
+    Clearance,
     EndpointEnd,
     EndpointIncarnation,
     LostContent,
@@ -35,7 +35,7 @@
     fields = [
         report.domain,
         [_encode_end(end, now) for end in report.ends],
-        [[one.content, _encode_age(one.at, now)] for one in report.acquittals],
+        [[one.content, _encode_age(one.at, now)] for one in report.clearances],
         [_encode_quarantine(one, now) for one in report.quarantines],
     ]
     data = QUARANTINE_PREFIX + pack(fields)
@@ -53,13 +53,13 @@
         MalformedBeat: The datagram is not a valid report.
     """
     try:
-        domain, ends, acquittals, quarantines = unpack(data[len(QUARANTINE_PREFIX) :])
+        domain, ends, clearances, quarantines = unpack(data[len(QUARANTINE_PREFIX) :])
         return QuarantineReport(
             domain=str(domain),
             ends=tuple(_decode_end(end, now) for end in ends),
-            acquittals=tuple(
-                Acquittal(content=str(content), at=now - float(age_s))
-                for content, age_s in acquittals
+            clearances=tuple(
+                Clearance(content=str(content), at=now - float(age_s))
+                for content, age_s in clearances
             ),
             quarantines=tuple(_decode_quarantine(one, now) for one in quarantines),
         )
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -140,7 +140,7 @@
         return rows
 
     def _release(self, row: QuarantineRow, *, now: float) -> None:
-        if self._ledger.acquit(row.content, now=now):
+        if self._ledger.clear(row.content, now=now):
             self._log.write(
                 "quarantine_ended", now=now, content=row.content, reason="lifted", who=row.lifted_by
             )
@@ -148,7 +148,7 @@
     def _restore(self, row: QuarantineRow, *, now: float) -> None:
         known = self._ledger.find(row.content) is not None
         # The row of a content that was just answered remains until the next synchronization.
-        if known or self._ledger.was_acquitted(row.content):
+        if known or self._ledger.was_cleared(row.content):
             return
         quarantine = Quarantine(
             content=row.content,
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -21,7 +21,7 @@
 ROUND_INTERVAL_S: Final = 0.5
 """Seconds between two rounds while anything is suspected or in quarantine."""
 COMPLETE_ROUNDS: Final = 2
-"""Intervals of a round from one complete report to the next: news are repeated in each."""
+"""Intervals of a round from one complete report to the next; new facts are repeated in each."""
 SENDERS_RANK: Final = 2
 """Rank below which an instance repeats all quarantines: one more than needed, as one may end."""
 
@@ -97,7 +97,7 @@
             await asyncio.sleep(ROUND_INTERVAL_S)
 
     def publish(self) -> None:
-        """Send the news to the other instances at once."""
+        """Send what is new to the other instances at once."""
         self._publish(complete=False)
 
     async def _do_round(self) -> None:
@@ -122,7 +122,7 @@
         return (
             bool(self._losses)
             or self._ledger.active
-            or self._ledger.has_news
+            or self._ledger.has_unsent
             or self._rows.has_leftovers
         )
 
--- a/tests/quarantine_simulation.py
+++ b/tests/quarantine_simulation.py
@@ -145,7 +145,7 @@
             if entry in engine.running and engine.incarnation == incarnation:
                 engine.running.remove(entry)
                 self.answers[content] = self.answers.get(content, 0) + 1
-                self.ledgers[instance].acquit(content, now=self._local(instance))
+                self.ledgers[instance].clear(content, now=self._local(instance))
             elif repeats:
                 self._repeat(instance, content, engine.number, run_s, repeats)
 
--- a/tests/test_relay_quarantine_evidence.py
+++ b/tests/test_relay_quarantine_evidence.py
@@ -102,17 +102,17 @@
         self.add(4, "a", "b", at=40.0)
         self.assertEqual(sorted(self.list_names()), ["a", "b"])
 
-    def test_an_answer_acquits(self) -> None:
+    def test_an_answer_clears(self) -> None:
         """Guards against refusing a common content that ran at each endpoint of an outage."""
         for number in (1, 2, 3):
             self.add(number, "common", at=10.0)
-        self.evidence.acquit("common", at=11.0)
+        self.evidence.clear("common", at=11.0)
         self.assertEqual(self.list_names(), [])
         self.add(4, "common", at=10.2)
         self.assertNotIn("common", self.evidence)
 
     def test_ends_after_an_answer_count(self) -> None:
-        self.evidence.acquit("x", at=9.0)
+        self.evidence.clear("x", at=9.0)
         for number in (1, 2, 3):
             self.add(number, "x", at=10.0 * number)
         self.assertEqual(self.list_names(), ["x"])
--- a/tests/test_relay_quarantine_guard.py
+++ b/tests/test_relay_quarantine_guard.py
@@ -138,7 +138,7 @@
         self.assertTrue(self.guard.forbids_retry(progress, record))
         self.assertFalse(self.guard.forbids_retry(progress, build_endpoint("e0")))
 
-    async def test_an_answer_acquits_and_shows_the_endpoint_alive(self) -> None:
+    async def test_an_answer_clears_and_shows_the_endpoint_alive(self) -> None:
         await self.quarantine()
         await self.end_endpoint(5, listening=True)
         self.store.now += 1.0
@@ -147,7 +147,7 @@
         self.assertFalse(self.losses)
         self.assertIsNone(await self.guard.admit(REQUEST, build_progress()))
 
-    async def test_an_error_response_does_not_acquit(self) -> None:
+    async def test_an_error_response_does_not_clear(self) -> None:
         await self.quarantine()
         self.guard.record_response(REQUEST, build_progress(), build_endpoint("e5"), status=500)
         self.assertIsNotNone(await self.guard.admit(REQUEST, build_progress()))
@@ -167,6 +167,15 @@
         self.assertTrue(self.guard.forbids_retry(progress, build_endpoint("y")))
         self.assertIsNotNone(await self.guard.admit(REQUEST, build_progress()))
 
+    async def test_a_content_released_while_its_trial_is_claimed_is_not_refused(self) -> None:
+        """Guards against an error for a caller whose content another instance has just cleared."""
+        await self.quarantine()
+        self.store.now += OUTAGE_TRIAL_AFTER_S
+        content = self.ledger.list_quarantines()[0].content
+        self.store.on_read = lambda: self.ledger.clear(content, now=self.store.now)
+        self.store.unavailable = True
+        self.assertIsNone(await self.guard.admit(REQUEST, build_progress()))
+
     async def test_a_replaced_endpoint_confirms_the_end(self) -> None:
         await self.end_endpoint(0, listening=True)
         self.guard.record_gone("e0")
--- a/tests/test_relay_quarantine_ledger.py
+++ b/tests/test_relay_quarantine_ledger.py
@@ -20,7 +20,7 @@
     OUTAGE_TRIAL_AFTER_S,
     TRIAL_AFTER_S,
 )
-from guavamast.relay.quarantine.news import REPEAT_S
+from guavamast.relay.quarantine.outgoing import REPEAT_S
 from tests.test_relay_quarantine_evidence import build_end
 
 SKEW_S = 500.0
@@ -50,7 +50,7 @@
         self.assertEqual([one.content for one in self.ledger.decide(now=self.now)], ["x"])
 
     def copy_to(self, other: QuarantineLedger, *, complete: bool, now: float) -> bool:
-        """Send a report to an instance with another clock; return whether it was news there."""
+        """Send a report to an instance with another clock; return whether it was new there."""
         report = self.ledger.build_report(complete=complete, now=now)
         if report is None:
             return False
@@ -103,7 +103,7 @@
         self.decide()
         other = build_ledger()
         self.copy_to(other, complete=False, now=self.now)
-        self.assertTrue(self.ledger.acquit("x", now=self.now + 1.0))
+        self.assertTrue(self.ledger.clear("x", now=self.now + 1.0))
         self.copy_to(other, complete=False, now=self.now + 1.0)
         for ledger in (self.ledger, other):
             self.assertIsNone(ledger.find("x"))
@@ -114,7 +114,7 @@
         self.decide()
         other = build_ledger()
         self.copy_to(other, complete=False, now=self.now)
-        other.acquit("x", now=self.now + SKEW_S + 1.0)
+        other.clear("x", now=self.now + SKEW_S + 1.0)
         self.copy_to(other, complete=True, now=self.now + 2.0)
         self.assertIsNone(other.find("x"))
 
@@ -152,7 +152,7 @@
         Each transit makes the times in a report seem a little later.
         """
         self.decide()
-        self.ledger.acquit("x", now=self.now)
+        self.ledger.clear("x", now=self.now)
         report = self.ledger.build_report(complete=True, now=self.now)
         assert report is not None
         data = encode_quarantine_report(report, now=self.now)
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -5,6 +5,7 @@
 import os
 import unittest
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.quarantine import QuarantineLedger, QuarantineRows, Verdict
@@ -14,6 +15,9 @@
 from tests.test_relay_caller_admission import AdmissionSimulation
 from tests.test_relay_quarantine_ledger import end_three
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class RowStore(AdmissionSimulation):
     """A store that keeps rows of quarantines."""
@@ -22,8 +26,11 @@
         super().__init__()
         self.rows: dict[str, QuarantineRow] = {}
         self.calls = 0
+        self.on_read: Callable[[], object] = lambda: None
+        """Called before each read of the rows."""
 
     async def read_quarantine(self) -> list[QuarantineRow]:
+        self.on_read()
         self.count_call()
         return list(self.rows.values())
 
@@ -120,7 +127,7 @@
     async def test_the_row_of_an_answered_content_is_removed(self) -> None:
         """Guards against a row that puts an innocent content back after a restart."""
         await self.rows.synchronize()
-        self.ledger.acquit("x", now=self.store.now)
+        self.ledger.clear("x", now=self.store.now)
         self.assertTrue(self.rows.has_leftovers)
         self.store.now += ROW_READ_INTERVAL_S
         await self.rows.synchronize()
