Count the store's outages in the soak's check of lethal requests

Trace: all instances killed half a second after the third end, which forgets the evidence; then the store away from 6.1 to 8.9 s and 9.9 to 10.6 s, and one instance cut off from it from 13.1 s.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -226,7 +226,8 @@
 def _check_containment(record: SoakRecord) -> list[str]:
     """Check that a request that ended engines is kept from them once all instances must know.
 
-    Only instances count that ran without a disruption for as long as they have to learn of it.
+    Only instances count that ran without a disruption, of themselves or of their way to the store,
+    for as long as they have to learn of it.
     """
     runs = sorted((run for run in record.runs if run.lethal), key=lambda run: run.started_at)
     if len(runs) <= MAX_LETHAL_ENDS:
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -56,7 +56,8 @@
         self.unexpected_exits: list[str] = []
         """Process exits that the soak did not request, or with an unexpected exit code."""
         self.disruptions: list[Span] = []
-        """Times in which its process was killed, suspended, stopped or replaced."""
+        """Times in which its process was killed, suspended, stopped or replaced, or in which it had
+        no sound way to the store."""
         self._settings_path = write_settings(settings, directory)
         self._process: asyncio.subprocess.Process | None = None
         self._log_start = 0
@@ -83,7 +84,7 @@
     async def kill(self, *, for_s: float, skew_s: float = 0.0) -> None:
         """Kill the process and start another one after a delay."""
         async with self._lock:
-            with self._record_disruption():
+            with self.record_disruption():
                 await self._end_process(signal.SIGKILL)
                 await asyncio.sleep(for_s)
                 await self.start(skew_s=skew_s)
@@ -91,7 +92,7 @@
     async def freeze(self, *, for_s: float) -> None:
         """Suspend the process with SIGSTOP and resume it after a delay."""
         async with self._lock:
-            with self._record_disruption():
+            with self.record_disruption():
                 self._signal(signal.SIGSTOP)
                 try:
                     await asyncio.sleep(for_s)
@@ -101,7 +102,7 @@
     async def terminate(self) -> None:
         """Terminate the process with SIGTERM and start another one once it has exited."""
         async with self._lock:
-            with self._record_disruption():
+            with self.record_disruption():
                 await self._end_process(signal.SIGTERM)
                 await self.start()
 
@@ -127,7 +128,8 @@
         return [f"{self.name}: {line}" for line in lines if any(mark in line for mark in markers)]
 
     @contextmanager
-    def _record_disruption(self) -> Iterator[None]:
+    def record_disruption(self) -> Iterator[None]:
+        """Record the time in which the body of the statement runs as a disruption."""
         started_at = time.monotonic()
         try:
             yield
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import ExitStack
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING, Final
@@ -277,16 +278,21 @@
         self._site.drains.setdefault(engine_id, []).append(span)
 
     async def _impair_store_link(self, fault: Fault) -> None:
-        link = self._site.instances[self._choose_instance(fault)].store_link
-        link.fault = LINK_FAULTS[int(fault.variant * len(LINK_FAULTS))]
-        await asyncio.sleep(fault.duration_s)
-        link.fault = LinkFault.NONE
-        link.reset_all()
+        instance = self._site.instances[self._choose_instance(fault)]
+        link = instance.store_link
+        with instance.record_disruption():
+            link.fault = LINK_FAULTS[int(fault.variant * len(LINK_FAULTS))]
+            await asyncio.sleep(fault.duration_s)
+            link.fault = LinkFault.NONE
+            link.reset_all()
 
     async def _inject_store_fault(self, fault: Fault) -> None:
-        self._site.store.fault = STORE_FAULTS[int(fault.variant * len(STORE_FAULTS))]
-        await asyncio.sleep(fault.duration_s)
-        self._site.store.fault = StoreFault.NONE
+        with ExitStack() as disruptions:
+            for instance in self._site.instances:
+                disruptions.enter_context(instance.record_disruption())
+            self._site.store.fault = STORE_FAULTS[int(fault.variant * len(STORE_FAULTS))]
+            await asyncio.sleep(fault.duration_s)
+            self._site.store.fault = StoreFault.NONE
 
     async def _change_configuration(self, fault: Fault) -> None:
         del fault
