Bound the clearances, and let evidence settle again after some of it is gone

Seen in a review: a content whose evidence had sufficed once, and lost some of it by age or an answer, was decided on at once when it sufficed again, before other instances' reports of the newest end; and cleared contents were bounded by age alone. Both tests fail without the change.

--- a/src/guavamast/relay/quarantine/evidence.py
+++ b/src/guavamast/relay/quarantine/evidence.py
@@ -24,7 +24,7 @@
 CLOCK_MARGIN_S: Final = 0.5
 """Seconds by which a reported time may be off: the transit of a report is added to it."""
 MAX_CONTENTS: Final = 2048
-"""Requests with evidence that are kept at most."""
+"""Requests with evidence, and requests that were cleared, that are kept at most."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -101,14 +101,14 @@
         """
         if at <= self._cleared.get(content, float("-inf")) + CLOCK_MARGIN_S:
             return False
+        self._cleared.pop(content, None)
         self._cleared[content] = at
+        if len(self._cleared) > MAX_CONTENTS:
+            del self._cleared[next(iter(self._cleared))]
         suspect = self._suspects.get(content)
         if suspect is not None:
-            suspect.ends = {
-                end for end in suspect.ends if self._ended_at[end] > at + CLOCK_MARGIN_S
-            }
-            if not suspect.ends:
-                del self._suspects[content]
+            left = {end for end in suspect.ends if self._ended_at[end] > at + CLOCK_MARGIN_S}
+            self._replace_ends(content, left)
         return True
 
     def is_cleared(self, content: str, *, since: float) -> bool:
@@ -169,6 +169,14 @@
             suspect.suspected_at = min(suspect.suspected_at, now)
         return True
 
+    def _replace_ends(self, content: str, ends: set[EndpointIncarnation]) -> None:
+        suspect = self._suspects[content]
+        suspect.ends = ends
+        if len(ends) < MAX_ENDS:
+            suspect.suspected_at = float("inf")
+        if not ends:
+            del self._suspects[content]
+
     def _describe(self, content: str, suspect: _Suspect, *, window_s: float) -> Culprit:
         ends = sorted(suspect.ends, key=lambda end: self._ended_at[end])
         times = [self._ended_at[end] for end in ends]
@@ -184,9 +192,8 @@
     def _drop_end(self, incarnation: EndpointIncarnation) -> None:
         del self._ended_at[incarnation]
         for content, suspect in list(self._suspects.items()):
-            suspect.ends.discard(incarnation)
-            if not suspect.ends:
-                del self._suspects[content]
+            if incarnation in suspect.ends:
+                self._replace_ends(content, suspect.ends - {incarnation})
 
     def _drop_excess(self) -> None:
         """Drop the contents with the fewest ends first, of these the oldest.
--- a/tests/test_relay_quarantine_evidence.py
+++ b/tests/test_relay_quarantine_evidence.py
@@ -123,6 +123,22 @@
         (culprit,) = self.list_culprits(now=20.0)
         self.assertEqual(culprit.late_ends, 2)
 
+    def test_sufficient_evidence_settles_again_after_some_has_expired(self) -> None:
+        """Guards against a decision that does not wait for the reports of the newest end."""
+        for number in range(3):
+            self.add(number, "x", at=10.0 + 100.0 * number)
+        later = 11.0 + EVIDENCE_LIFETIME_S
+        self.evidence.drop_expired(now=later)
+        self.add(4, "x", at=later)
+        self.assertEqual(self.list_names(now=later + SETTLE_S / 2), [])
+        self.assertEqual(self.list_names(now=later + SETTLE_S), ["x"])
+
+    def test_clearances_are_bounded(self) -> None:
+        for number in range(MAX_CONTENTS + 10):
+            self.evidence.clear(f"{number}", at=float(number))
+        self.assertFalse(self.evidence.is_cleared("9", since=0.0))
+        self.assertTrue(self.evidence.is_cleared("10", since=0.0))
+
     def test_old_evidence_expires(self) -> None:
         self.add(1, "x", at=10.0)
         self.evidence.drop_expired(now=11.0 + EVIDENCE_LIFETIME_S)
