Hold the constants of the relay's packages to the same test

test_relay_constants looked at modules directly in relay/ only, so those of the new package escaped it.

--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -33,7 +33,6 @@
 CHECK_DELAYS_S: Final = (0.0, 0.3, 1.0)
 """Seconds before each connection that checks whether an endpoint still listens: one that is ending
 may accept a moment longer."""
-FORWARDED_FAILURE: Final = 500
 
 
 class CrashGuard:
@@ -166,7 +165,7 @@
         now = self._read_time()
         if self._losses:
             self._losses.refute(record.endpoint_id, now=now)
-        if status >= FORWARDED_FAILURE or not self._ledger.active:
+        if status >= 500 or not self._ledger.active:
             return
         content = _find_content(request, progress)
         held = self._ledger.find(content) is not None
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -19,11 +19,11 @@
 OUTAGE_SPAN_S: Final = 2.0
 """Seconds within which all endpoints that one outage ends are seen to end."""
 OUTAGE_TRIAL_AFTER_S: Final = 10.0
-"""Seconds until a content is tried again whose endpoints may have ended in one outage: it may be a
-common one that ran at all of them, and is innocent."""
+"""Seconds until a content may be sent again whose endpoints may have ended in one outage: it may be
+an innocent one that ran at all of them."""
 TRIAL_AFTER_S: Final = 60.0
-"""Seconds until a content is tried again whose endpoints ended one after the other, and between two
-trials: it is hardly innocent, and each trial may end an endpoint with all that runs there."""
+"""Seconds until any other content may be sent again, and between two such sends: it is hardly
+innocent, and each may end an endpoint with all that runs there."""
 IDLE_LIFETIME_S: Final = 3600.0
 """Seconds without a request after which a quarantine ends."""
 REQUEST_REPORT_INTERVAL_S: Final = 60.0
--- a/tests/test_relay_constants.py
+++ b/tests/test_relay_constants.py
@@ -47,7 +47,7 @@
 def list_constants() -> list[tuple[str, str | None]]:
     """Return each numeric constant of the relay's modules with its doc."""
     constants = []
-    for path in sorted(RELAY.glob("*.py")):
+    for path in sorted(RELAY.rglob("*.py")):
         body = ast.parse(path.read_text(encoding="utf-8")).body
         for node, after in zip(body, [*body[1:], None], strict=True):
             if not isinstance(node, ast.AnnAssign) or not _is_number(node.value):
@@ -94,7 +94,7 @@
             self.assertIsNone(TUNING_WORDS.search(text or ""), name)
 
     def test_no_module_names_a_site(self) -> None:
-        for path in RELAY.glob("*.py"):
+        for path in RELAY.rglob("*.py"):
             text = path.read_text(encoding="utf-8").lower()
             for site in SITES:
                 self.assertNotIn(site, text, path.name)
