Read the quarantines' rows later if the store was away at the start

Seen in a review: an instance tried once, at its start. All instances killed while the store is away would never have learned what is held, and the content ended as many engines again.

--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -138,10 +138,8 @@
         self, request: CallerRequest, progress: RequestProgress, record: EndpointRecord
     ) -> None:
         """Record that the connection of a request ended before its response was complete."""
-        organisation = progress.admitted.organisation
         lost = LostContent(
-            content=_find_content(request, progress),
-            organisation=organisation.name if organisation is not None else None,
+            content=_find_content(request, progress), organisation=_find_organisation(progress)
         )
         if self._losses.record(record, lost, now=self._read_time()):
             check = asyncio.create_task(self._check_listening(record))
@@ -248,12 +246,16 @@
 def _find_content(request: CallerRequest, progress: RequestProgress) -> str:
     """Return the digest of a request, computed once."""
     if progress.content is None:
-        organisation = progress.admitted.organisation
-        progress.content = compute_request_digest(
-            request, organisation=organisation.name if organisation is not None else None
-        )
+        organisation = _find_organisation(progress)
+        progress.content = compute_request_digest(request, organisation=organisation)
     return progress.content
 
 
+def _find_organisation(progress: RequestProgress) -> str | None:
+    """Return the name of the organisation whose key a request carries; None without one."""
+    organisation = progress.admitted.organisation
+    return organisation.name if organisation is not None else None
+
+
 def _identify(record: EndpointRecord) -> EndpointIncarnation:
     return EndpointIncarnation(endpoint_id=record.endpoint_id, started_ms=record.started_ms)
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -38,7 +38,17 @@
         read_time: The local clock.
     """
 
-    __slots__ = ("_first_read", "_ledger", "_log", "_read_at", "_read_time", "_store", "_written")
+    __slots__ = (
+        "_first_read",
+        "_ledger",
+        "_load_due_at",
+        "_log",
+        "_read_at",
+        "_read_time",
+        "_store",
+        "_written",
+        "loaded",
+    )
 
     def __init__(
         self,
@@ -56,6 +66,9 @@
         self._written: set[str] = set()
         """Contents whose rows are known to exist."""
         self._read_at = float("-inf")
+        self._load_due_at = float("-inf")
+        self.loaded = False
+        """Whether the rows have been read since the start of the instance."""
 
     @property
     def has_leftovers(self) -> bool:
@@ -78,9 +91,17 @@
             self._log.write("quarantine_unread", now=self._read_time(), reason="timeout")
 
     async def load(self) -> None:
-        """Read the rows at the start of the instance."""
+        """Read the rows after the start of the instance, if the last failure is long enough ago.
+
+        An instance that starts while the store is away would otherwise never learn what is held.
+        """
+        now = self._read_time()
+        if self.loaded or now < self._load_due_at:
+            return
+        self._load_due_at = now + ROW_READ_INTERVAL_S
         try:
             await self._read()
+            self.loaded = True
         except StoreError as error:
             self._log.write("quarantine_unread", now=self._read_time(), reason=error.reason)
         finally:
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -87,9 +87,9 @@
         self._woken.set()
 
     async def run(self) -> None:
-        """Read the rows, then do a round whenever something is due, until cancelled."""
-        await self._rows.load()
+        """Do a round whenever something is due, until cancelled; read the rows before."""
         while True:
+            await self._rows.load()
             if not self._is_busy():
                 self._woken.clear()
                 await self._woken.wait()
@@ -120,7 +120,8 @@
 
     def _is_busy(self) -> bool:
         return (
-            bool(self._losses)
+            not self._rows.loaded
+            or bool(self._losses)
             or self._ledger.active
             or self._ledger.has_unsent
             or self._rows.has_leftovers
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -138,11 +138,20 @@
     async def test_requests_wait_for_the_first_read(self) -> None:
         await self.rows.wait_first_read()
 
-    async def test_an_instance_starts_without_the_store(self) -> None:
+    async def test_an_instance_that_starts_without_the_store_reads_later(self) -> None:
+        """Guards against instances that were killed in an outage and never learn what is held."""
+        await self.rows.synchronize()
         self.store.unavailable = True
         ledger, rows = await self.start_instance()
         await rows.wait_first_read()
         self.assertFalse(ledger.active)
+        self.store.unavailable = False
+        calls = self.store.calls
+        await rows.load()
+        self.assertEqual(self.store.calls, calls)
+        self.store.now += ROW_READ_INTERVAL_S
+        await rows.load()
+        self.assertIs(ledger.assess("x", now=self.store.now), Verdict.QUARANTINED)
 
 
 if __name__ == "__main__":
