Start test instances, and check undisturbed spans in the soak, in one place each

Found on rereading the change: the tests of the quarantine started processes by a copy of what the tests of the path do, without its second try when a port is taken, and so could have failed for that alone; and the soak's check of lethal requests had a twin of the check of undisturbed spans with another bound. One piece serves both now; no check, bound or expectation changes.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -215,10 +215,12 @@
     ]
 
 
-def _is_undisturbed(disruptions: list[Span], started_at: float, ended_at: float) -> bool:
-    """Return whether a time span and ``SETTLED_AFTER_S`` before it had no disruption."""
+def _is_undisturbed(
+    disruptions: list[Span], started_at: float, ended_at: float, *, after_s: float = SETTLED_AFTER_S
+) -> bool:
+    """Return whether a time span and ``after_s`` before it had no disruption."""
     return not any(
-        span.started_at <= ended_at and started_at - SETTLED_AFTER_S <= span.ended_at
+        span.started_at <= ended_at and started_at - after_s <= span.ended_at
         for span in disruptions
     )
 
@@ -235,7 +237,12 @@
     learned_at = runs[MAX_LETHAL_ENDS - 1].started_at + SPREAD_BOUND_S
     later = sum(
         run.started_at > learned_at
-        and _has_passed(record.instance_disruptions[run.request_id], run.started_at)
+        and _is_undisturbed(
+            record.instance_disruptions[run.request_id],
+            run.started_at,
+            run.started_at,
+            after_s=SPREAD_BOUND_S,
+        )
         for run in runs
     )
     if later <= MAX_LATER_LETHAL_RUNS:
@@ -243,13 +250,6 @@
     return [f"a request under which {MAX_LETHAL_ENDS} engines had ended ran {later} times more"]
 
 
-def _has_passed(disruptions: list[Span], at: float) -> bool:
-    """Return whether an instance ran undisturbed for the time in which it has to learn."""
-    return not any(
-        span.started_at <= at and at - SPREAD_BOUND_S <= span.ended_at for span in disruptions
-    )
-
-
 def _check_recovery(record: SoakRecord) -> list[str]:
     last_requests = [
         request
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import sys
+import unittest
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
-from guavamast.platform.standins.site import HOST, KEY
+from guavamast.platform.standins.site import HOST, KEY, Site, write_settings
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 
 if TYPE_CHECKING:
@@ -100,3 +103,37 @@
         if self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+
+
+class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests that run instances as processes; subclasses set the site and the directory."""
+
+    site: Site
+    directory: str
+
+    async def start_instance(self, name: str = "one") -> Instance:
+        """Start a process and wait until it is ready.
+
+        The settings name fixed ports. If one is taken by the time the process binds it, the process
+        ends and other ports are tried.
+        """
+        while True:
+            settings = self.site.build_settings(name)
+            process = await self.launch(settings)
+            instance = Instance(process, settings["listen"])
+            self.addAsyncCleanup(instance.stop)
+            if await instance.wait_ready():
+                return instance
+            assert process.stderr is not None
+            errors = await process.stderr.read()
+            self.assertIn(b"Address already in use", errors)
+
+    async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "guavamast.platform",
+            env=os.environ | {"GUAVAMAST_SETTINGS": write_settings(settings, self.directory)},
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
-import sys
 import tempfile
 import unittest
 from contextlib import contextmanager
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from soak.instances import handles_signal
 
@@ -21,10 +19,9 @@
     RESUMABLE_PREFIX,
     STREAM_PREFIX,
     Site,
-    write_settings,
 )
 from guavamast.platform.standins.store import StoreFault
-from tests._platform_callers import READY_S, Caller, Instance
+from tests._platform_callers import READY_S, Caller, Instance, PlatformTestCase
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -32,7 +29,7 @@
     from tests._platform_callers import Reply
 
 
-class PathTest(unittest.IsolatedAsyncioTestCase):
+class PathTest(PlatformTestCase):
     """Behaviour of one or two instances and their engines as callers see it."""
 
     async def asyncSetUp(self) -> None:
@@ -43,33 +40,6 @@
         self.addCleanup(directory.cleanup)
         self.directory = directory.name
 
-    async def start_instance(self, name: str = "one") -> Instance:
-        """Start a process and wait until it is ready.
-
-        The settings name fixed ports. If one is taken by the time the process binds it, the process
-        ends and other ports are tried.
-        """
-        while True:
-            settings = self.site.build_settings(name)
-            process = await self.launch(settings)
-            instance = Instance(process, settings["listen"])
-            self.addAsyncCleanup(instance.stop)
-            if await instance.wait_ready():
-                return instance
-            assert process.stderr is not None
-            errors = await process.stderr.read()
-            self.assertIn(b"Address already in use", errors)
-
-    async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "guavamast.platform",
-            env=os.environ | {"GUAVAMAST_SETTINGS": write_settings(settings, self.directory)},
-            stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.PIPE,
-        )
-
     def count_runs(self) -> int:
         return sum(len(engine.runs) for engine in self.site.engines.values())
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import sys
 import tempfile
 import time
 import unittest
@@ -13,11 +11,11 @@
 from guavamast.errors import GuavamastError
 from guavamast.platform.quarantine_admin import lift_content, list_contents
 from guavamast.platform.standins.engine import LETHAL_BODY_PREFIX, EngineFault
-from guavamast.platform.standins.site import RESUMABLE_PREFIX, STREAM_PREFIX, Site, write_settings
+from guavamast.platform.standins.site import RESUMABLE_PREFIX, STREAM_PREFIX, Site
 from guavamast.relay.http_connection import ConnectionLost
 from guavamast.relay.node_settings import SocketAddress
 from guavamast.relay.quarantine.guard import MIN_RETRY_AFTER_S
-from tests._platform_callers import Caller, Instance, Reply
+from tests._platform_callers import Caller, PlatformTestCase, Reply
 
 if TYPE_CHECKING:
     from guavamast.platform.standins.engine import Run
@@ -43,7 +41,7 @@
     return reply.status == 503 and retry_after_s >= MIN_RETRY_AFTER_S
 
 
-class QuarantineTest(unittest.IsolatedAsyncioTestCase):
+class QuarantineTest(PlatformTestCase):
     """A request that ends engines is kept from them; those beside it are answered."""
 
     async def asyncSetUp(self) -> None:
@@ -55,21 +53,6 @@
         self.directory = directory.name
         self.instances = [await self.start_instance(f"one-{n}") for n in range(INSTANCES)]
 
-    async def start_instance(self, name: str) -> Instance:
-        """Start a process and wait until it is ready."""
-        settings = self.site.build_settings(name)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "guavamast.platform",
-            env=os.environ | {"GUAVAMAST_SETTINGS": write_settings(settings, self.directory)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
-        instance = Instance(process, settings["listen"])
-        self.addAsyncCleanup(instance.stop)
-        self.assertTrue(await instance.wait_ready())
-        return instance
-
     async def ask(self, number: int, target: str, body: bytes) -> Reply | None:
         """Send a request to one of the instances; None if the connection ends first."""
         caller = await Caller.open(self.instances[number % INSTANCES].callers)
