Trace each connection of a caller, and log those closed without a response

The callers' server accepts connections itself and keeps a trace of each: accepted, last bytes received, bytes received and sent for the current request, head read, request complete, response begun. An entry logs the trace of each connection that it closes before a byte of a response.

--- a/src/guavamast/_daemon.py
+++ b/src/guavamast/_daemon.py
@@ -8,15 +8,13 @@
 import sys
 from typing import TYPE_CHECKING, Final
 
-from tornado.iostream import IOStream
-
 from guavamast.log import get_logger, set_up_logs
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from tornado.httpserver import HTTPServer
-
+    from guavamast.caller_connection import ConnectionTrace
+    from guavamast.caller_server import CallerServer
     from guavamast.settings import InstanceSettings
 
 LAST_RESPONSES_S: Final = 0.3
@@ -42,35 +40,35 @@
     return f"{host}:{port}"
 
 
-async def stop_listening(server: HTTPServer, sock: socket.socket) -> None:
+async def stop_listening(server: CallerServer) -> None:
     """Stop a leaving server after it has responded to the connections in its accept queue.
 
-    Without this, the system resets a connection whose request arrives while the loop is busy, if
-    the listener closes before the loop accepts it; the caller doesn't know whether its request
-    ran. Pending connections are accepted right before the close and get the response of any request
+    Pending connections are accepted right before the close and get the response of any request
     to a leaving instance: rejected as not run.
+    """
+    if server.stop_accepting():
+        await asyncio.sleep(LAST_RESPONSES_S)
+
+
+def log_unanswered(trace: ConnectionTrace, *, now: float) -> None:
+    """Log that a connection was closed before its caller got a byte of a response.
 
     Args:
-        server: The server.
-        sock: Its listening socket.
+        trace: What happened on the connection.
+        now: The time on the trace's clock.
     """
-    accepted_late = False
-    while sock.fileno() >= 0:
-        try:
-            connection, address = sock.accept()
-        except BlockingIOError:
-            break
-        except OSError as error:
-            get_logger().warning(
-                "a caller disconnected before its connection was accepted: %s", error
-            )
-            continue
-        accepted_late = True
-        connection.setblocking(False)
-        server.handle_stream(IOStream(connection), address)
-    server.stop()
-    if accepted_late:
-        await asyncio.sleep(LAST_RESPONSES_S)
+    get_logger().warning(
+        "closed a connection of %s without a response: stage=%s age_s=%.3f silent_s=%.3f"
+        " received_bytes=%d head_received=%s response_begun=%s responses=%d",
+        trace.address,
+        trace.stage,
+        now - trace.accepted_at,
+        now - trace.active_at,
+        trace.received_bytes,
+        trace.head_received,
+        trace.response_begun,
+        trace.responses,
+    )
 
 
 async def wait_for_first(*events: asyncio.Event) -> None:
--- /dev/null
+++ b/src/guavamast/caller_connection.py
@@ -0,0 +1,114 @@
+"""A caller's connection that knows what was received and sent for its current request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream
+
+if TYPE_CHECKING:
+    import socket
+    from asyncio import Future
+    from collections.abc import Callable
+
+__all__ = ["CallerStream", "ConnectionTrace", "RequestStage"]
+
+
+class RequestStage(StrEnum):
+    """How far the current request of a connection has come."""
+
+    IDLE = "idle"
+    """Nothing of it has been received."""
+    RECEIVING = "receiving"
+    """A part has been received."""
+    SERVING = "serving"
+    """All of it has been received, and the response isn't complete."""
+
+
+@dataclass(slots=True, kw_only=True)
+class ConnectionTrace:
+    """What happened on one connection, with times of the server's clock in seconds."""
+
+    address: str
+    """``ip:port`` of the caller."""
+    accepted_at: float
+    active_at: float
+    """When the connection was accepted or last received bytes."""
+    responses: int = 0
+    """Complete responses, all handed to the operating system."""
+    received_bytes: int = 0
+    """Bytes received of the current request."""
+    sent_bytes: int = 0
+    """Bytes of the current response that were handed to the operating system."""
+    head_received: bool = False
+    request_complete: bool = False
+    response_begun: bool = False
+    """Whether a byte of the current response was written, possibly not yet sent."""
+    closed_by_caller: bool = False
+
+    @property
+    def stage(self) -> RequestStage:
+        """How far the current request has come."""
+        if self.request_complete:
+            return RequestStage.SERVING
+        return RequestStage.RECEIVING if self.received_bytes else RequestStage.IDLE
+
+    def begin_request(self) -> None:
+        """Start over with the connection's next request; an earlier one has its response."""
+        if self.request_complete:
+            self.responses += 1
+        self.received_bytes = 0
+        self.sent_bytes = 0
+        self.head_received = False
+        self.request_complete = False
+        self.response_begun = False
+
+
+class CallerStream(IOStream):
+    """A caller's connection with a trace.
+
+    Args:
+        connection: The accepted socket.
+        address: ``ip:port`` of the caller.
+        read_time: Reads the server's clock.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        *,
+        address: str,
+        read_time: Callable[[], float],
+        max_buffer_size: int | None = None,
+    ) -> None:
+        super().__init__(connection, max_buffer_size=max_buffer_size)
+        now = read_time()
+        self._read_time = read_time
+        self.trace = ConnectionTrace(address=address, accepted_at=now, active_at=now)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Receive bytes and record them."""
+        try:
+            count = super().read_from_fd(buf)
+        except ConnectionError:
+            self.trace.closed_by_caller = True
+            raise
+        if count == 0:
+            self.trace.closed_by_caller = True
+        elif count is not None:
+            self.trace.received_bytes += count
+            self.trace.active_at = self._read_time()
+        return count
+
+    def write(self, data: bytes | memoryview) -> Future[None]:
+        """Write a part of the current response."""
+        self.trace.response_begun = True
+        return super().write(data)
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Send bytes and record them."""
+        count = super().write_to_fd(data)
+        self.trace.sent_bytes += count
+        return count
--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -10,16 +10,16 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any, Final
 
-from tornado.httpserver import HTTPServer
-
 from guavamast import peer_pb2
 from guavamast._daemon import (
     bind_socket,
     get_bound_address,
+    log_unanswered,
     run_daemon,
     stop_listening,
     wait_for_first,
 )
+from guavamast.caller_server import CallerServer
 from guavamast.callers import CallerServices
 from guavamast.chats import ChatRouter
 from guavamast.clocks import SystemClock
@@ -50,9 +50,9 @@
 from guavamast.view_link import ViewLink
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Coroutine
 
+    from guavamast.caller_connection import ConnectionTrace
     from guavamast.fleet_objects import Configuration
     from guavamast.members import MembershipView
     from guavamast.settings import InstanceSettings
@@ -106,8 +106,7 @@
         finder = SlotFinder(state=self.state, links=self.links, clock=self.clock)
         self.calls = self._create_calls(finder)
         self.services = self._create_services(finder)
-        self._server: HTTPServer | None = None
-        self._socket: socket.socket | None = None
+        self._server: CallerServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     def _create_links(self) -> SlotLinks:
@@ -165,13 +164,14 @@
             *self._create_operator_routes(),
         ]
         application = build_application(routes, self.services)
-        self._server = HTTPServer(
+        self._server = CallerServer(
             application,
+            read_time=self.clock,
+            on_unanswered=self._log_unanswered,
             max_body_size=DISCARD_LIMIT_BYTES,
             body_timeout=BODY_TIMEOUT_S,
         )
-        self._server.add_sockets([sock])
-        self._socket = sock
+        self._server.add_socket(sock)
         self.view_link.start()
         self._start_task(self._report_load())
         self._start_task(self._watch_pauses())
@@ -228,8 +228,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._server is not None and self._socket is not None:
-            await stop_listening(self._server, self._socket)
+        if self._server is not None:
+            await stop_listening(self._server)
         await self.view_link.close()
         await self.links.close()
 
@@ -265,6 +265,9 @@
         ranked = rank(f"operations/{prefix}", [member.instance.name for member in members])
         return not ranked or ranked[0] == self._settings.instance.name
 
+    def _log_unanswered(self, trace: ConnectionTrace) -> None:
+        log_unanswered(trace, now=self.clock())
+
     def _start_task(self, coroutine: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.ensure_future(coroutine))
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -4,17 +4,25 @@
 
 import asyncio
 import socket
+import time
 import unittest
+from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from guavamast._daemon import bind_socket, stop_listening
+from guavamast.caller_server import CallerServer
+
+if TYPE_CHECKING:
+    from guavamast.caller_connection import ConnectionTrace
 
 
 class StopListeningTest(unittest.IsolatedAsyncioTestCase):
     """A closing listener resets no pending connection."""
 
+    def setUp(self) -> None:
+        self.unanswered: list[ConnectionTrace] = []
+
     async def test_connection_in_the_accept_queue_gets_a_response(self) -> None:
         """A caller that connects while the instance shuts down gets a response.
 
@@ -22,12 +30,14 @@
         listener would reset them.
         """
         sock = bind_socket("127.0.0.1:0")
-        server = HTTPServer(respond_leaving)
-        server.add_sockets([sock])
+        server = CallerServer(
+            respond_leaving, read_time=time.monotonic, on_unanswered=self.unanswered.append
+        )
+        server.add_socket(sock)
         address = sock.getsockname()
         with socket.create_connection(address) as caller:
             caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-            await stop_listening(server, sock)
+            await stop_listening(server)
             response = await asyncio.to_thread(caller.recv, 65_536)
         self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
         with self.assertRaises(ConnectionRefusedError):
