Answer every connection of an instance of the relay that ends

As an instance leaves, connections that it has accepted end without a byte, or are reset, if their request arrives near its end.

Cause: the departure waited for Relayer.in_flight, which counts from the request's last byte, and closed the listening socket with whatever waited in its accept queue. Requests cut by the end of the grace time got no response either. The listeners of single queries closed in the same way.

Change: both listeners use the server that drains by connection. After the addresses have expired the instance accepts nothing more; whatever has not sent a whole request is told that it has not run. Shortly before the end of the grace time, requests in flight run out of time, and each gets the response of any request that does: not run, unknown, or its stream visibly cut. New log events: unanswered (none is expected), expiring and given_up; new counter unanswered_connections_total.

--- a/src/guavamast/platform/query_handlers.py
+++ b/src/guavamast/platform/query_handlers.py
@@ -9,7 +9,7 @@
 from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.caller_addresses import VALIDITY_S, CallerLocation, choose_addresses
 from guavamast.relay.heartbeat_messages import InstanceState
-from guavamast.relay.listener import QueryHandler
+from guavamast.relay.query_listener import QueryHandler
 
 if TYPE_CHECKING:
     from guavamast.relay.node import Node
--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.caller_addresses import VALIDITY_S
+from guavamast.relay.connection_log import log_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +23,10 @@
 request."""
 STOP_MARGIN_S: Final = 0.8
 """Seconds before the platform would kill the process at which it ends."""
+RESPONSE_MARGIN_S: Final = 0.1
+"""Seconds before the end for the responses to requests that ran out of time by it."""
 CHECK_INTERVAL_S: Final = 0.05
-"""Seconds between two checks whether all requests have ended."""
+"""Seconds between two looks at the clock."""
 
 
 class Departure:
@@ -73,7 +76,7 @@
         self._read_time = read_time
 
     async def run(self) -> None:
-        """Keep serving while callers may still connect, then stop when no request is in flight."""
+        """Keep serving while callers may still connect, then finish the requests in flight."""
         requested_at = self._read_time()
         self._listener.disable_keep_alive()
         self._announce()
@@ -81,13 +84,23 @@
         addresses_expired_at = requested_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
         deadline = requested_at + self._grace_s - STOP_MARGIN_S
         removing = asyncio.create_task(self.unregister(self._name))
-        while self._read_time() < deadline:
-            if self._read_time() >= addresses_expired_at and self._relayer.in_flight == 0:
-                break
-            await asyncio.sleep(CHECK_INTERVAL_S)
-        self._listener.stop()
+        await self._wait_until(min(addresses_expired_at, deadline))
+        expiring = asyncio.create_task(self._expire_requests(deadline - RESPONSE_MARGIN_S))
+        for trace in await self._listener.drain(deadline=deadline):
+            log_connection(self._log, "given_up", trace, now=self._read_time())
+        expiring.cancel()
         removing.cancel()
 
+    async def _expire_requests(self, at: float) -> None:
+        await self._wait_until(at)
+        self._log.write("expiring", now=self._read_time(), in_flight=self._relayer.in_flight)
+        self._relayer.expire_requests()
+
+    async def _wait_until(self, moment: float) -> None:
+        """Wait until a time of the local clock, which also counts suspended time."""
+        while self._read_time() < moment:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     async def unregister(self, name: str) -> None:
         """Remove an instance's record; if that fails, the remaining record does no harm."""
         try:
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -12,6 +12,7 @@
 
 from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.cleanup_loop import CleanupLoop
+from guavamast.relay.connection_log import log_connection
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
@@ -28,13 +29,14 @@
 )
 from guavamast.relay.heartbeat_topology import HeartbeatTopology
 from guavamast.relay.length_buckets import NO_DEMAND
-from guavamast.relay.listener import CallerListener, QueryHandler, open_query_listener
+from guavamast.relay.listener import CallerListener
 from guavamast.relay.load_update_sender import LoadUpdateSender
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peer_messages import PeerMessages
 from guavamast.relay.peer_socket import PeerSocket
 from guavamast.relay.peers import Peers, compute_heartbeat_interval
 from guavamast.relay.quarantine import Containment
+from guavamast.relay.query_listener import QueryHandler, QueryListener
 from guavamast.relay.relayer_factory import build_relayer
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.scheduling import Scheduling
@@ -47,10 +49,11 @@
 from guavamast.relay.work_state import WorkState
 
 if TYPE_CHECKING:
+    from guavamast.caller_connection import ConnectionTrace
     from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import CallerRequest, HeaderCodec
-    from guavamast.relay.node_settings import NodeSettings
+    from guavamast.relay.node_settings import NodeSettings, SocketAddress
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.store import Store
 
@@ -129,6 +132,7 @@
             read_time=read_boot_time,
             on_rejection=self._record_rejection,
             on_error=self._record_fault,
+            on_unanswered=self._record_unanswered,
         )
         self._departure = Departure(
             name=settings.name,
@@ -297,15 +301,11 @@
         """Serve until SIGTERM."""
         settings = self.settings
         self._listener.listen(settings.callers.ip, settings.callers.port)
-        listeners = [
-            open_query_listener(address, query)
-            for address, query in (
-                (settings.directory, directory),
-                (settings.readiness, readiness),
-                (settings.metrics, metrics),
-            )
-            if address is not None
-        ]
+        listeners = self._open_query_listeners(
+            (settings.directory, directory),
+            (settings.readiness, readiness),
+            (settings.metrics, metrics),
+        )
         await self._heartbeat_socket.open(
             settings.peers.ip, settings.peers.port, messages=self._build_peer_messages()
         )
@@ -330,10 +330,26 @@
         await self._departure.run()
         for task in background:
             task.cancel()
-        for listener in listeners:
-            listener.stop()
+        await asyncio.gather(*(listener.stop() for listener in listeners))
         self.log.write("stopped", now=read_boot_time(), in_flight=self._relayer.in_flight)
 
+    def _open_query_listeners(
+        self, *queries: tuple[SocketAddress | None, QueryHandler]
+    ) -> list[QueryListener]:
+        """Return the listeners of the queries that have an address."""
+        listeners = []
+        for address, handler in queries:
+            if address is None:
+                continue
+            listener = QueryListener(
+                handlers=[handler],
+                read_time=read_boot_time,
+                on_unanswered=self._record_unanswered,
+            )
+            listener.listen(address.ip, address.port)
+            listeners.append(listener)
+        return listeners
+
     def _build_heartbeat(self) -> Heartbeat:
         """Return this instance's next heartbeat."""
         now = read_boot_time()
@@ -398,6 +414,10 @@
             error=f"{type(error).__name__}: {error}",
         )
 
+    def _record_unanswered(self, trace: ConnectionTrace) -> None:
+        self.counters.add("unanswered_connections_total")
+        log_connection(self.log, "unanswered", trace, now=read_boot_time())
+
     def _log_ignored_reload(self) -> None:
         """Log that a changed settings file takes effect at the next start only."""
         self.log.write("reload_ignored", now=read_boot_time())
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -67,6 +67,7 @@
         "_placer",
         "_profiles",
         "_read_time",
+        "_timeouts",
         "in_flight",
     )
 
@@ -98,6 +99,7 @@
         self._profiles = profiles
         self._recorder = recorder
         self._read_time = read_time
+        self._timeouts: set[asyncio.Timeout] = set()
         self.in_flight = 0
         """Requests being relayed."""
 
@@ -112,6 +114,13 @@
         finally:
             self.in_flight -= 1
 
+    def expire_requests(self) -> None:
+        """End the time of all requests, so that each caller is told whether it may have run."""
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+
     async def _relay(self, request: CallerRequest, writer: ResponseWriter) -> None:
         decision = await self._admission.admit(request, until=compute_deadline(request))
         if isinstance(decision, Denied):
@@ -125,11 +134,15 @@
         now = self._read_time()
         self._record_demand(request, progress, now=now)
         self._budget.record_request(progress.service, now=now)
+        timeout = asyncio.timeout(max(0.0, progress.deadline - now))
+        self._timeouts.add(timeout)
         try:
-            async with asyncio.timeout(max(0.0, progress.deadline - now)):
+            async with timeout:
                 await self._try_endpoints(request, writer, progress)
         except TimeoutError:
             await self._finish_failed(request, writer, progress, status=504, reason="time is up")
+        finally:
+            self._timeouts.discard(timeout)
 
     def _start_progress(
         self, request: CallerRequest, admitted: Admitted, *, now: float
