Tell engines an urgency that doesn't depend on the version of the configuration

What callers may see: a more urgent request is stopped at an engine whose memory runs out, while a less urgent one runs on.

Cause: engines preempt by the number that they are told. That number was the rank of the pair of the organisation's and the route's urgency among the pairs that occur in one version of the configuration. A version that drops or adds a pair (an organisation's last key, a changed urgency) renumbers the others, and for as long as requests of two versions run at one engine, their numbers contradict the users' order.

Evidence: tests.test_relay_catalog_properties over any two versions failed on: (0, route of one version) and (1, route of the other) were both told 0.

Change: engines are told the organisation's urgency, else the route's, as the users set them, and nothing else, so no two versions can contradict each other. What instances admit by keeps the route's urgency as the second key: the precedence, ten times the urgency plus the route's, which doesn't depend on the version either. The same fault stood in it: counts of rejections and queries to schedulers carried ranks of the sender's version. Schedulers of the former version are not asked (wire version 3). The lines 'sent' and 'refused' tell the precedence and the version that admitted the request.

UrgencyTest.test_order expected the ranks and is replaced by one that lists urgency and precedence of the same five requests; its fallback for more pairs than ten has no case any more, and the test of urgencies beyond nine stays.

Seen failing before: tests.test_relay_catalog_properties.

--- a/bench/fleet_policy.py
+++ b/bench/fleet_policy.py
@@ -129,16 +129,16 @@
             loads_stale=loads_stale,
             first_attempt=not loads_stale and not request.retried,
         )
-        urgency = sum(kind.objective_s < request.kind.objective_s for kind in kinds)
+        precedence = sum(kind.objective_s < request.kind.objective_s for kind in kinds)
         has_room = state.admission.create_room_filter(
-            parameters, service=SERVICE, urgency=urgency, now=now
+            parameters, service=SERVICE, precedence=precedence, now=now
         )
         choice = state.chooser.choose(
             placement, records, exclude=frozenset(), now=now, has_room=has_room
         )
         assert choice is not None and choice.forecast is not None
         rejection = state.admission.admit(
-            choice.forecast, parameters, service=SERVICE, urgency=urgency, now=now
+            choice.forecast, parameters, service=SERVICE, precedence=precedence, now=now
         )
         return choice, rejection
 
--- a/src/guavamast/relay/admission_control.py
+++ b/src/guavamast/relay/admission_control.py
@@ -1,4 +1,4 @@
-"""Admission by urgency, so that no request is rejected in favour of a less urgent one."""
+"""Admission by precedence, so that no request is rejected in favour of a less urgent one."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 LESS_URGENT_CREDIT_SHARE: Final = 1 / 4
 """Share of the prefill time of admitted requests that is credited to less urgent ones that yield
-to them, so that no urgency starves while more urgent requests are being rejected."""
+to them, so that no precedence starves while more urgent requests are being rejected."""
 MAX_CREDIT_MS: Final = 100.0
 """Milliseconds of prefill time that are credited at most: about one prompt."""
 
@@ -25,7 +25,7 @@
     """Admission of the requests to a set of endpoints.
 
     Args:
-        history: Recent rejections by urgency.
+        history: Recent rejections by precedence.
         random: Source of the retry jitter.
     """
 
@@ -35,7 +35,7 @@
         self._history = history
         self._random = random
         self._credits_ms: dict[tuple[str, int], float] = {}
-        """Prefill time that requests which yield may still use, by service and urgency."""
+        """Prefill time that requests which yield may still use, by service and precedence."""
 
     def admit(
         self,
@@ -43,7 +43,7 @@
         parameters: WaitParameters,
         *,
         service: str,
-        urgency: int,
+        precedence: int,
         now: float,
     ) -> Rejection | None:
         """Reject a request that would wait too long or take capacity that more urgent ones need.
@@ -52,30 +52,30 @@
             forecast: The request's forecast at the best engine.
             parameters: How long it may wait, regardless of other requests.
             service: Its service.
-            urgency: Its urgency; 0 is the most urgent.
+            precedence: Its rank; 0 goes first.
             now: The present time.
 
         Returns:
             The rejection, or None if the request is admitted.
         """
         own_ms = compute_allowed_wait(forecast, parameters)
-        pressures = self._history.list_pressures(service, urgency, now=now)
+        pressures = self._history.list_pressures(service, precedence, now=now)
         allowed_ms = reduce_wait_for_urgent(own_ms, forecast, pressures)
         yields = allowed_ms < forecast.waiting_ms <= own_ms
-        if yields and self._spend_credit(service, urgency, forecast.prefill_ms):
+        if yields and self._spend_credit(service, precedence, forecast.prefill_ms):
             allowed_ms = own_ms
         rejection = admit_within(allowed_ms, forecast, random=self._random)
         if rejection is None:
-            self._add_credit(service, urgency, forecast.prefill_ms)
+            self._add_credit(service, precedence, forecast.prefill_ms)
         # Less urgent requests don't yield to one that would be late even at an idle engine.
         if _may_be_in_time(forecast, parameters):
             self._history.record(
-                service, urgency, rejected=rejection is not None, wait_ms=own_ms, now=now
+                service, precedence, rejected=rejection is not None, wait_ms=own_ms, now=now
             )
         return rejection
 
     def create_room_filter(
-        self, parameters: WaitParameters, *, service: str, urgency: int, now: float
+        self, parameters: WaitParameters, *, service: str, precedence: int, now: float
     ) -> Callable[[Forecast], bool] | None:
         """Return a predicate for engines that would admit a request; None if any engine may do.
 
@@ -86,28 +86,28 @@
         Args:
             parameters: How long the request may wait.
             service: Its service.
-            urgency: Its urgency; 0 is the most urgent.
+            precedence: Its rank; 0 goes first.
             now: The present time.
         """
         if not parameters.most_urgent or not self._history.exceeds_tolerance(
-            service, urgency, now=now
+            service, precedence, now=now
         ):
             return None
         return lambda forecast: forecast.waiting_ms <= compute_allowed_wait(forecast, parameters)
 
-    def _spend_credit(self, service: str, urgency: int, prefill_ms: float) -> bool:
+    def _spend_credit(self, service: str, precedence: int, prefill_ms: float) -> bool:
         """Return whether a request that yields is admitted on credit, and spend the credit."""
-        key = (service, urgency)
+        key = (service, precedence)
         credit_ms = self._credits_ms.setdefault(key, 0.0)
         if credit_ms <= 0.0:
             return False
         self._credits_ms[key] = credit_ms - prefill_ms
         return True
 
-    def _add_credit(self, service: str, urgency: int, prefill_ms: float) -> None:
+    def _add_credit(self, service: str, precedence: int, prefill_ms: float) -> None:
         """Credit less urgent requests with their share of an admitted request's prefill time."""
         for key, credit_ms in self._credits_ms.items():
-            if key[0] == service and key[1] > urgency:
+            if key[0] == service and key[1] > precedence:
                 raised_ms = credit_ms + LESS_URGENT_CREDIT_SHARE * prefill_ms
                 self._credits_ms[key] = min(MAX_CREDIT_MS, raised_ms)
 
--- a/src/guavamast/relay/caller_gate.py
+++ b/src/guavamast/relay/caller_gate.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from guavamast.relay.catalog import compute_precedence, resolve_urgency
+
 if TYPE_CHECKING:
     from guavamast.relay.catalog import CallerOrganisation, Catalog, Route
     from guavamast.relay.messages import CallerRequest
@@ -22,8 +24,16 @@
     """The configuration that it was admitted by."""
     route: Route
     organisation: CallerOrganisation | None
-    urgency: int
-    """Urgency sent to engines; 0 is the most urgent."""
+
+    @property
+    def urgency(self) -> int:
+        """Urgency sent to engines; 0 is the most urgent."""
+        return resolve_urgency(self.route, self.organisation)
+
+    @property
+    def precedence(self) -> int:
+        """Rank by which instances admit the request; 0 goes first."""
+        return compute_precedence(self.route, self.organisation)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,7 +85,7 @@
                 Denied(status=404, reason="no route") if recent else reject_for_retry("old routes")
             )
         if not route.needs_key or catalog.organisations is None:
-            return _admit(catalog, route, None)
+            return Admitted(catalog=catalog, route=route, organisation=None)
         if age_s > self._bounds.keys_s:
             return reject_for_retry("old keys")
         organisation = catalog.find_organisation(request.api_key)
@@ -83,12 +93,7 @@
             return (
                 Denied(status=401, reason="unknown key") if recent else reject_for_retry("old keys")
             )
-        return _admit(catalog, route, organisation)
-
-
-def _admit(catalog: Catalog, route: Route, organisation: CallerOrganisation | None) -> Admitted:
-    urgency = catalog.find_urgency(route, organisation)
-    return Admitted(catalog=catalog, route=route, organisation=organisation, urgency=urgency)
+        return Admitted(catalog=catalog, route=route, organisation=organisation)
 
 
 def reject_for_retry(reason: str) -> Denied:
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -134,7 +134,6 @@
         "_least_urgencies",
         "_shortest_objectives",
         "_shortest_pauses",
-        "_urgencies",
         "limits",
         "organisations",
         "row_version",
@@ -160,7 +159,6 @@
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
-        self._urgencies = _rank_urgencies(routes, organisations)
         self._least_urgencies = _find_minimum_by_service(routes, lambda route: float(route.urgency))
         self._shortest_objectives = _find_minimum_by_service(
             routes, lambda route: route.objective_s
@@ -187,15 +185,6 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def find_urgency(self, route: Route, organisation: CallerOrganisation | None) -> int:
-        """Return the urgency to send to engines; 0 is the most urgent.
-
-        The organisation's urgency takes precedence if set; the route's urgency breaks ties, so that
-        an engine that is short of KV cache preempts a long summary rather than a short response.
-        """
-        urgency = _resolve_urgency(route, organisation)
-        return self._urgencies.get((urgency, route.urgency), min(LEAST_URGENT, urgency))
-
     def find_shortest_objective(self, service: str) -> float:
         """Return the shortest latency objective, in seconds, of the streams of a service."""
         return self._shortest_objectives.get(service, float("inf"))
@@ -229,23 +218,23 @@
     return least
 
 
-def _resolve_urgency(route: Route, organisation: CallerOrganisation | None) -> int:
+def resolve_urgency(route: Route, organisation: CallerOrganisation | None) -> int:
+    """Return the urgency of a request, which engines are told; 0 is the most urgent.
+
+    The organisation's urgency takes precedence if set. The value depends on nothing else of the
+    configuration: at one engine run requests that were admitted by different versions, and a scale
+    of one version would order them against their urgencies.
+    """
     if organisation is not None and organisation.urgency is not None:
-        return organisation.urgency
-    return route.urgency
+        return min(LEAST_URGENT, organisation.urgency)
+    return min(LEAST_URGENT, route.urgency)
 
 
-def _rank_urgencies(
-    routes: list[Route], organisations: dict[str, CallerOrganisation] | None
-) -> dict[tuple[int, int], int]:
-    """Return the rank of each pair of effective urgency and route urgency.
+def compute_precedence(route: Route, organisation: CallerOrganisation | None) -> int:
+    """Return the rank by which instances admit a request; 0 goes first.
 
-    Empty if there are more pairs than urgencies that engines support.
+    Its tens are the urgency. Its ones are the route's urgency, which orders the requests of equally
+    urgent organisations, so that long summaries yield to short responses.
     """
-    holders: list[CallerOrganisation | None] = [None, *(organisations or {}).values()]
-    pairs = {
-        (_resolve_urgency(route, holder), route.urgency) for route in routes for holder in holders
-    }
-    if len(pairs) > LEAST_URGENT + 1:
-        return {}
-    return {pair: rank for rank, pair in enumerate(sorted(pairs))}
+    urgency = resolve_urgency(route, organisation)
+    return urgency * (LEAST_URGENT + 1) + min(LEAST_URGENT, route.urgency)
--- a/src/guavamast/relay/heartbeat_messages.py
+++ b/src/guavamast/relay/heartbeat_messages.py
@@ -345,7 +345,7 @@
     return [
         [
             one.service,
-            one.urgency,
+            one.precedence,
             round(one.requests, 2),
             round(one.rejected, 2),
             round(one.wait_ms, 1),
@@ -358,12 +358,12 @@
     return [
         RejectionCount(
             service=str(service),
-            urgency=int(urgency),
+            precedence=int(precedence),
             requests=max(0.0, float(asked)),
             rejected=max(0.0, float(sent_back)),
             wait_ms=max(0.0, float(wait_ms)),
         )
-        for service, urgency, asked, sent_back, wait_ms in value
+        for service, precedence, asked, sent_back, wait_ms in value
     ]
 
 
--- a/src/guavamast/relay/placer.py
+++ b/src/guavamast/relay/placer.py
@@ -113,7 +113,7 @@
             has_room=self._admission.create_room_filter(
                 wait_parameters,
                 service=progress.service,
-                urgency=progress.admitted.urgency,
+                precedence=progress.admitted.precedence,
                 now=now,
             ),
         )
@@ -123,7 +123,7 @@
             choice.forecast,
             wait_parameters,
             service=progress.service,
-            urgency=progress.admitted.urgency,
+            precedence=progress.admitted.precedence,
             now=now,
         )
         return PlacementDecision(choice=choice, rejection=rejection)
@@ -219,7 +219,7 @@
             pause_sensitive=progress.pause_sensitive,
             latency_tolerant=progress.latency_tolerant,
             most_urgent=progress.most_urgent,
-            urgency=progress.admitted.urgency,
+            precedence=progress.admitted.precedence,
             failure_domain=self._fleet_state.failure_domain,
             excluded=self._list_excluded(progress),
             rejectable=progress.sends == 0,
--- a/src/guavamast/relay/rejection_history.py
+++ b/src/guavamast/relay/rejection_history.py
@@ -1,4 +1,4 @@
-"""Recent requests and rejections by service and urgency, over all instances."""
+"""Recent requests and rejections by service and precedence, over all instances."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 from typing import Final
 
 HALF_LIFE_S: Final = 1.0
-"""Seconds in which counts decay by half, about the delay of a retry. Requests of an urgency that no
-longer arrive soon exert no pressure."""
+"""Seconds in which counts decay by half, about the delay of a retry. Requests of a precedence that
+no longer arrive soon exert no pressure."""
 TOLERATED_SHARE: Final = 1 / 12
 """Share of rejected requests that is tolerated: most of their callers retry and are served."""
 FULL_PRESSURE_SHARE: Final = 1 / 6
@@ -22,10 +22,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RejectionCount:
-    """Decayed counts of the requests of one urgency to one service."""
+    """Decayed counts of the requests of one precedence to one service."""
 
     service: str
-    urgency: int
+    precedence: int
     requests: float
     rejected: float
     wait_ms: float
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RejectionPressure:
-    """How strongly the rejections of one urgency restrict less urgent requests."""
+    """How strongly the rejections of one precedence restrict less urgent requests."""
 
     weight: float
     """Above 0 and at most 1; at 1, less urgent requests yield in full."""
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Count:
-    """Decayed counts of the requests of one urgency to one service, as of a local time."""
+    """Decayed counts of the requests of one precedence to one service, as of a local time."""
 
     requests: float = 0.0
     rejected: float = 0.0
@@ -63,7 +63,7 @@
     """The recent rejections of urgent requests, which limit the admission of less urgent ones.
 
     Each instance publishes its counts with its heartbeats, as one instance alone sees too few
-    requests of an urgency.
+    requests of a precedence.
     """
 
     __slots__ = ("_own", "_peers")
@@ -73,18 +73,18 @@
         self._peers: dict[str, dict[tuple[str, int], _Count]] = {}
 
     def record(
-        self, service: str, urgency: int, *, rejected: bool, wait_ms: float, now: float
+        self, service: str, precedence: int, *, rejected: bool, wait_ms: float, now: float
     ) -> None:
         """Count a request and its decision.
 
         Args:
             service: Its service.
-            urgency: Its urgency; 0 is the most urgent.
+            precedence: Its rank; 0 goes first.
             rejected: Whether it was rejected for lack of capacity.
             wait_ms: Milliseconds that it was allowed to wait.
             now: The present time.
         """
-        count = self._own.setdefault((service, urgency), _Count(updated=now))
+        count = self._own.setdefault((service, precedence), _Count(updated=now))
         count.decay(now=now)
         count.requests += 1.0
         if rejected:
@@ -99,18 +99,18 @@
         return [
             RejectionCount(
                 service=service,
-                urgency=urgency,
+                precedence=precedence,
                 requests=count.requests,
                 rejected=count.rejected,
                 wait_ms=count.wait_ms,
             )
-            for (service, urgency), count in self._own.items()
+            for (service, precedence), count in self._own.items()
         ]
 
     def replace_peer(self, instance: str, counts: list[RejectionCount], *, now: float) -> None:
         """Replace the counts of another instance."""
         self._peers[instance] = {
-            (one.service, one.urgency): _Count(
+            (one.service, one.precedence): _Count(
                 requests=one.requests, rejected=one.rejected, wait_ms=one.wait_ms, updated=now
             )
             for one in counts
@@ -121,25 +121,25 @@
         self._peers = {key: value for key, value in self._peers.items() if key in instances}
 
     def list_pressures(
-        self, service: str, urgency: int, *, now: float
+        self, service: str, precedence: int, *, now: float
     ) -> tuple[RejectionPressure, ...]:
-        """Return the rejection pressure of more urgent requests to a service, by urgency."""
+        """Return the rejection pressure of more urgent requests to a service, by precedence."""
         totals: dict[int, _Count] = {}
         for counts in (self._own, *self._peers.values()):
-            for (counted_service, counted_urgency), count in counts.items():
-                if counted_service == service and counted_urgency < urgency:
-                    _accumulate(totals.setdefault(counted_urgency, _Count()), count, now=now)
+            for (counted_service, counted_precedence), count in counts.items():
+                if counted_service == service and counted_precedence < precedence:
+                    _accumulate(totals.setdefault(counted_precedence, _Count()), count, now=now)
         return tuple(
             RejectionPressure(weight=_compute_pressure_weight(total), wait_ms=total.wait_ms)
             for _, total in sorted(totals.items())
             if _compute_pressure_weight(total) > 0.0
         )
 
-    def exceeds_tolerance(self, service: str, urgency: int, *, now: float) -> bool:
-        """Return whether more requests of an urgency are being rejected than is tolerated."""
+    def exceeds_tolerance(self, service: str, precedence: int, *, now: float) -> bool:
+        """Return whether more requests of a precedence are being rejected than is tolerated."""
         total = _Count()
         for counts in (self._own, *self._peers.values()):
-            count = counts.get((service, urgency))
+            count = counts.get((service, precedence))
             if count is not None:
                 _accumulate(total, count, now=now)
         return _compute_pressure_weight(total) > 0.0
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -66,7 +66,7 @@
         ages = self._fleet_state.round_ages(now=now)
         self._counters.add(f'sends_total{{repeat="{str(sends > 1).lower()}"}}')
         if sends == 1:
-            self._counters.add(f'first_sends_total{{urgency="{admitted.urgency}"}}')
+            self._counters.add(f'first_sends_total{{precedence="{admitted.precedence}"}}')
         self._counters.observe("send_config_age_seconds", ages.config_s)
         self._counters.observe("send_endpoints_age_seconds", ages.endpoints_s)
         self._log.write(
@@ -77,6 +77,8 @@
             service=record.service,
             route=admitted.route.name,
             urgency=admitted.urgency,
+            precedence=admitted.precedence,
+            admission_version=admitted.catalog.version,
             send=sends,
             prompt_tokens=request.prompt_tokens,
             shared_part=request.shared_part,
@@ -181,7 +183,7 @@
     ) -> None:
         """Record a request that is rejected for lack of capacity."""
         self._counters.add('refusals_total{status="503"}')
-        self._counters.add(f'sent_back_total{{urgency="{admitted.urgency}"}}')
+        self._counters.add(f'sent_back_total{{precedence="{admitted.precedence}"}}')
         expected = choice.forecast
         self._log.write(
             "refused",
@@ -191,6 +193,8 @@
             reason="no room in time",
             route=admitted.route.name,
             urgency=admitted.urgency,
+            precedence=admitted.precedence,
+            admission_version=admitted.catalog.version,
             endpoint=choice.record.endpoint_id,
             expected_wait_ms=round(expected.waiting_ms) if expected else None,
             requests_there=choice.load.requests,
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -96,7 +96,7 @@
             exclude=frozenset(query.excluded),
             now=now,
             has_room=self._admission.create_room_filter(
-                wait_parameters, service=query.service, urgency=query.urgency, now=now
+                wait_parameters, service=query.service, precedence=query.precedence, now=now
             ),
         )
         if choice is None:
@@ -154,7 +154,11 @@
         if choice.forecast is None or not query.rejectable:
             return None
         rejection = self._admission.admit(
-            choice.forecast, wait_parameters, service=query.service, urgency=query.urgency, now=now
+            choice.forecast,
+            wait_parameters,
+            service=query.service,
+            precedence=query.precedence,
+            now=now,
         )
         if rejection is None:
             return None
--- a/src/guavamast/relay/scheduling_messages.py
+++ b/src/guavamast/relay/scheduling_messages.py
@@ -40,8 +40,8 @@
     pause_sensitive: bool
     latency_tolerant: bool
     most_urgent: bool
-    urgency: int
-    """0 is the most urgent."""
+    precedence: int
+    """Rank by which requests are admitted; 0 goes first."""
     failure_domain: str
     """Failure domain of the requester."""
     excluded: tuple[str, ...]
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -19,7 +19,7 @@
 
 SCHEDULING_PREFIX: Final = b"s"
 """Prefix of scheduling datagrams."""
-WIRE_VERSION: Final = 2
+WIRE_VERSION: Final = 3
 """Rank of the datagram format; datagrams of any other version are rejected."""
 
 SchedulingMessage: TypeAlias = PlacementQuery | PlacementReply | WorkUpdate | WorkReport
@@ -75,7 +75,7 @@
             int(query.most_urgent),
             int(query.rejectable),
         ],
-        query.urgency,
+        query.precedence,
         query.failure_domain,
         query.excluded,
     ]
@@ -93,7 +93,7 @@
     bucket: int,
     objective_s: float,
     flags: list[int],
-    urgency: int,
+    precedence: int,
     failure_domain: str,
     excluded: list[str],
 ) -> PlacementQuery:
@@ -114,7 +114,7 @@
         latency_tolerant=latency_tolerant,
         most_urgent=most_urgent,
         rejectable=rejectable,
-        urgency=int(urgency),
+        precedence=int(precedence),
         failure_domain=str(failure_domain),
         excluded=tuple(str(one) for one in excluded),
     )
--- a/tests/burst_simulation.py
+++ b/tests/burst_simulation.py
@@ -156,7 +156,7 @@
             objective_s=kind.objective_s,
             latency_tolerant=is_latency_tolerant(kind.objective_s, shortest_s=self.shortest_s),
             most_urgent=kind.urgency == 0,
-            urgency=kind.urgency,
+            precedence=kind.urgency,
         )
 
     def decide(self, event: Event) -> Decision:
@@ -263,12 +263,7 @@
         route = self.find_route(kind)
         progress = begin_progress(
             request,
-            Admitted(
-                catalog=self.fleet_state.catalog,
-                route=route,
-                organisation=None,
-                urgency=kind.urgency,
-            ),
+            Admitted(catalog=self.fleet_state.catalog, route=route, organisation=None),
             service=POOL,
             shortest_objective_s=self.fleet_state.find_shortest_objective(POOL),
             profile=PROFILE,
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -71,7 +71,7 @@
         "pause_sensitive": False,
         "latency_tolerant": False,
         "most_urgent": True,
-        "urgency": 0,
+        "precedence": 0,
         "failure_domain": "a",
         "excluded": (),
         "rejectable": True,
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -10,7 +10,12 @@
 
 from guavamast.relay.caller_addresses import CallerLocation, choose_addresses
 from guavamast.relay.caller_gate import Admitted, CallerGate, Denied
-from guavamast.relay.catalog import CallerOrganisation, Catalog, WeightedService
+from guavamast.relay.catalog import (
+    CallerOrganisation,
+    WeightedService,
+    compute_precedence,
+    resolve_urgency,
+)
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.endpoint_table import EndpointTable
 from guavamast.relay.engine_profile import Estimate, ProfileEstimates
@@ -157,36 +162,31 @@
 
 
 class UrgencyTest(unittest.TestCase):
-    """Urgency is ordered by organisation first and by route second."""
+    """Engines are told the organisation's urgency, else the route's; instances order by both."""
 
-    def test_order(self) -> None:
+    def setUp(self) -> None:
         answer = build_route(name="answer", path_prefix="/a/", urgency=0)
         summary = build_route(name="summary", path_prefix="/s/", urgency=2)
-        catalog = build_catalog(answer, summary)
         first = CallerOrganisation(name="first", urgency=0)
-        catalog = Catalog(
-            version=1,
-            row_version=1,
-            routes=[answer, summary],
-            services=[],
-            organisations={"k": first, "l": CallerOrganisation(name="second", urgency=1)},
-            limits=catalog.limits,
-        )
-        second = catalog.organisations["l"] if catalog.organisations else None
-        order = [
-            catalog.find_urgency(answer, first),
-            catalog.find_urgency(summary, first),
-            catalog.find_urgency(answer, second),
-            catalog.find_urgency(summary, second),
-            catalog.find_urgency(summary, None),
+        second = CallerOrganisation(name="second", urgency=1)
+        self.requests = [
+            (answer, first),
+            (summary, first),
+            (answer, second),
+            (summary, second),
+            (summary, None),
         ]
-        self.assertEqual(order, [0, 1, 2, 3, 4])
 
-    def test_more_pairs_than_engines_know_fall_back_to_the_first_rank(self) -> None:
+    def test_urgency(self) -> None:
+        self.assertEqual([resolve_urgency(*one) for one in self.requests], [0, 0, 1, 1, 2])
+
+    def test_precedence(self) -> None:
+        self.assertEqual([compute_precedence(*one) for one in self.requests], [0, 2, 10, 12, 22])
+
+    def test_urgencies_beyond_those_of_engines_are_the_least(self) -> None:
         routes = [build_route(path_prefix=f"/{n}/", urgency=n) for n in range(12)]
-        catalog = build_catalog(*routes)
-        self.assertEqual(catalog.find_urgency(routes[3], None), 3)
-        self.assertEqual(catalog.find_urgency(routes[11], None), 9)
+        self.assertEqual(resolve_urgency(routes[3], None), 3)
+        self.assertEqual(resolve_urgency(routes[11], None), 9)
 
 
 class AttemptBudgetTest(unittest.TestCase):
@@ -303,7 +303,7 @@
         "demand": Demand(work_ms=(1.5, 0.0, 30.0)),
         "profiles": {"pool": ESTIMATES},
         "rejections": [
-            RejectionCount(service="pool", urgency=0, requests=2.5, rejected=0.25, wait_ms=187.5)
+            RejectionCount(service="pool", precedence=0, requests=2.5, rejected=0.25, wait_ms=187.5)
         ],
         "sends": [PromptSend(number=1, endpoint_id="e", part_id="p", tokens=30)],
     }
--- a/tests/test_relay_quarantine_guard.py
+++ b/tests/test_relay_quarantine_guard.py
@@ -29,7 +29,7 @@
 
 def build_progress() -> RequestProgress:
     """Return the state of an admitted request."""
-    admitted = Admitted(catalog=build_catalog(), route=build_route(), organisation=None, urgency=1)
+    admitted = Admitted(catalog=build_catalog(), route=build_route(), organisation=None)
     return begin_progress(
         REQUEST,
         admitted,
@@ -119,7 +119,6 @@
             catalog=progress.admitted.catalog,
             route=progress.admitted.route,
             organisation=organisation,
-            urgency=1,
         )
         self.assertIsNone(await self.guard.admit(REQUEST, progress))
 
--- a/tests/test_relay_rejection_history.py
+++ b/tests/test_relay_rejection_history.py
@@ -15,13 +15,13 @@
     def setUp(self) -> None:
         self.history = RejectionHistory()
 
-    def record(self, urgency: int, *, requests: int, rejected: int, now: float = 0.0) -> None:
+    def record(self, precedence: int, *, requests: int, rejected: int, now: float = 0.0) -> None:
         for number in range(requests):
             is_rejected = number < rejected
-            self.history.record(POOL, urgency, rejected=is_rejected, wait_ms=180.0, now=now)
+            self.history.record(POOL, precedence, rejected=is_rejected, wait_ms=180.0, now=now)
 
-    def list_weights(self, urgency: int, *, now: float = 0.0) -> list[float]:
-        pressures = self.history.list_pressures(POOL, urgency, now=now)
+    def list_weights(self, precedence: int, *, now: float = 0.0) -> list[float]:
+        pressures = self.history.list_pressures(POOL, precedence, now=now)
         return [pressure.weight for pressure in pressures]
 
     def test_pressure_applies_only_to_less_urgent_requests_of_the_service(self) -> None:
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -65,7 +65,7 @@
         assert catalog is not None
         route = catalog.find_route("portal.example", "/answers/")
         assert route is not None
-        admitted = Admitted(catalog=catalog, route=route, organisation=None, urgency=0)
+        admitted = Admitted(catalog=catalog, route=route, organisation=None)
         return begin_progress(
             request,
             admitted,
