Answer callers also after a second signal

What callers saw: an orchestrator sends SIGTERM twice, and each connection of the entry, with a request in flight or without, ends without a response.

Cause: the second signal ended the loop from its handler. All tasks were cancelled at once, those that serve connections among them, before the entry could close its server.

Change: the second signal cancels the daemon's own task alone, so that the entry closes as it always does: requests in flight get 503 with an unknown outcome, other connections 503 as not run, in half a second at most. A third signal ends the process at once.

--- a/src/guavamast/_daemon.py
+++ b/src/guavamast/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 import socket
 import sys
@@ -72,7 +73,13 @@
     settings: InstanceSettings,
     serve: Callable[[InstanceSettings, asyncio.Event], Awaitable[None]],
 ) -> None:
-    """Run a daemon until SIGTERM or SIGINT, then leave; a second signal exits immediately."""
+    """Run a daemon until SIGTERM or SIGINT, then leave.
+
+    After a second signal the daemon waits for nothing in flight, and a third one ends it at once.
+
+    Raises:
+        SystemExit: With code 1 after more than one signal.
+    """
     set_up_logs(level=settings.log_level, style=settings.log_format)
     asyncio.run(_run(settings, serve))
 
@@ -83,14 +90,25 @@
 ) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    serving = asyncio.ensure_future(serve(settings, stop))
+    signals = itertools.count(1)
 
     def handle_signal() -> None:
-        if stop.is_set():
-            get_logger().warning("received a second signal; exiting immediately")
-            sys.stderr.flush()
-            raise SystemExit(1)
-        stop.set()
+        match next(signals):
+            case 1:
+                stop.set()
+            case 2:
+                # The daemon still closes: callers of requests in flight get a last response.
+                get_logger().warning("received a second signal; giving up requests in flight")
+                serving.cancel()
+            case _:
+                get_logger().warning("received another signal; exiting immediately")
+                sys.stderr.flush()
+                raise SystemExit(1)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, handle_signal)
-    await serve(settings, stop)
+    try:
+        await serving
+    except asyncio.CancelledError:
+        raise SystemExit(1) from None
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import tempfile
 import unittest
 
 from guavamast.local_fleet import CALLER_KEY
 from guavamast.platform.standins.site import CALL_PREFIX, HOST, KEY, Site
-from tests._callers import build_chat_body
+from tests._callers import Caller, build_chat_body, read_error
 from tests._departure_callers import Attempt, DepartureCallers, SendPattern
 from tests._platform_callers import PlatformTestCase
 from tests._processes import ProcessFleet
@@ -56,6 +57,32 @@
         self.assertLessEqual({attempt.status for attempt in callers.attempts}, LEAVE_STATUSES)
         self.assertEqual({attempt.pattern for attempt in callers.attempts}, set(SendPattern))
 
+    async def test_second_signal_leaves_no_caller_without_a_response(self) -> None:
+        """A caller of a request in flight is told that its outcome is unknown, others that none."""
+        entry = self.fleet.entries[0]
+        caller = Caller(url=self.fleet.urls[0])
+        chat = asyncio.create_task(caller.chat("tokens=400;long"))
+        host, _, port = self.fleet.settings[0].instance.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        await self.wait_for_load()
+        entry.terminate()
+        await asyncio.sleep(0.1)
+        entry.terminate()
+        self.assertEqual(await asyncio.to_thread(entry.popen.wait, 20), 1)
+        self.assertEqual(read_error(await chat)["outcome"], "outcome_unknown")
+        self.assertIn(b'"outcome": "not_run"', await reader.read())
+
+    async def wait_for_load(self) -> None:
+        """Wait until an engine runs a request."""
+        async with asyncio.timeout(20):
+            while True:
+                for _, url in self.fleet.engines:
+                    response = await Caller(url=url).fetch("/runs", method="GET")
+                    if any(run["state"] == "running" for run in json.loads(response.body)["runs"]):
+                        return
+                await asyncio.sleep(0.02)
+
 
 class LeavingRelayTest(PlatformTestCase):
     """One of two instances of the relay gets SIGTERM."""
