Let a caller that is still sending read the response to its request

What callers saw: a request that is too large (413, 431 on the users' platform, 400 for a malformed one) ends with a reset instead of the response, if its body is larger than what the system buffers.

Cause: the server closes the connection right after such a response. The next bytes of the body reach a closed socket, the system resets the connection, and the reset overtakes the response.

Change: a connection that is closed after a response and before the whole request was received has its write side shut; what comes is discarded for 5 s at most, or until the caller closes.

Seen failing before: tests.test_caller_server.EarlyResponseTest (ConnectionResetError at the first of ten bodies of 4 MB).

--- a/src/guavamast/caller_connection.py
+++ b/src/guavamast/caller_connection.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from asyncio import Future
-from contextlib import suppress
+from contextlib import closing, suppress
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from tornado.iostream import IOStream, StreamClosedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["CallerStream", "ConnectionTrace", "RequestStage"]
+__all__ = ["CallerStream", "ConnectionTrace", "RequestStage", "discard_rest"]
+
+REST_TIMEOUT_S: Final = 5.0
+"""Seconds for a caller to finish sending a request that was responded to before its end."""
+READ_BYTES: Final = 65_536
+"""Bytes discarded at once."""
 
 
 class RequestStage(StrEnum):
@@ -76,6 +82,8 @@
         connection: The accepted socket.
         address: ``ip:port`` of the caller.
         read_time: Reads the server's clock.
+        on_early_close: Takes over the socket if the stream is closed after a response and before
+            the whole request was received.
     """
 
     def __init__(
@@ -84,11 +92,13 @@
         *,
         address: str,
         read_time: Callable[[], float],
+        on_early_close: Callable[[socket.socket], None],
         max_buffer_size: int | None = None,
     ) -> None:
         super().__init__(connection, max_buffer_size=max_buffer_size)
         now = read_time()
         self._read_time = read_time
+        self._hand_over = on_early_close
         self.trace = ConnectionTrace(address=address, accepted_at=now, active_at=now)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -111,6 +121,16 @@
         self.trace.sent_bytes += count
         return count
 
+    def close_fd(self) -> None:
+        """Close the socket, or hand it over while its caller may still be sending."""
+        trace = self.trace
+        receiving = trace.stage is RequestStage.RECEIVING and not trace.closed_by_caller
+        if receiving and trace.response_begun and trace.ended_at is None:
+            self._hand_over(self.socket)
+            self.socket = None  # type: ignore[assignment]
+            return
+        super().close_fd()
+
     def end(self, response: bytes) -> None:
         """Send the last response of this connection and read no more requests from it.
 
@@ -144,6 +164,21 @@
             self.socket.shutdown(socket.SHUT_WR)
 
 
+async def discard_rest(connection: socket.socket) -> None:
+    """Close a socket once its caller has sent the rest of its request.
+
+    A socket that is closed earlier is reset by the next bytes that arrive, and a caller that is
+    still sending gets the reset instead of its response.
+    """
+    loop = asyncio.get_running_loop()
+    # Nothing is owed to a caller that disconnects, or that sends on for too long.
+    with closing(connection), suppress(OSError, TimeoutError):
+        connection.shutdown(socket.SHUT_WR)
+        async with asyncio.timeout(REST_TIMEOUT_S):
+            while await loop.sock_recv(connection, READ_BYTES):
+                pass
+
+
 def _fail_closed() -> Future[None]:
     """Return a future that has failed as a write to a closed stream does."""
     future: Future[None] = Future()
--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -10,7 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import add_accept_handler
 
-from guavamast.caller_connection import CallerStream, RequestStage
+from guavamast.caller_connection import CallerStream, RequestStage, discard_rest
 
 if TYPE_CHECKING:
     import socket
@@ -120,6 +120,7 @@
         self._read_time = read_time
         self._report_unanswered = on_unanswered
         self._streams: set[CallerStream] = set()
+        self._discarding: set[asyncio.Task[None]] = set()
         self._listening: list[tuple[socket.socket, Callable[[], None]]] = []
 
     def add_socket(self, sock: socket.socket) -> None:
@@ -144,7 +145,7 @@
 
         Args:
             deadline: Time on the server's clock until which responses are awaited. This returns at
-                most ``LINGER_S`` later.
+                most twice ``LINGER_S`` later.
             responses: The last responses.
 
         Returns:
@@ -160,6 +161,8 @@
                     unfinished.append(stream.trace)
                 self._drain_stream(stream, deadline=deadline, responses=responses, now=now)
             await asyncio.sleep(CHECK_INTERVAL_S)
+        if self._discarding:
+            await asyncio.wait(self._discarding, timeout=LINGER_S)
         return unfinished
 
     def stop_accepting(self) -> None:
@@ -232,11 +235,17 @@
             connection,
             address=f"{address[0]}:{address[1]}",
             read_time=self._read_time,
+            on_early_close=self._discard_rest,
             max_buffer_size=self.max_buffer_size,
         )
         self._streams.add(stream)
         self.handle_stream(stream, address)
 
+    def _discard_rest(self, connection: socket.socket) -> None:
+        task = asyncio.ensure_future(discard_rest(connection))
+        self._discarding.add(task)
+        task.add_done_callback(self._discarding.discard)
+
 
 def _get_stream(server_conn: object) -> CallerStream:
     connection: HTTP1ServerConnection = server_conn  # type: ignore[assignment]
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -8,7 +8,14 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    HTTPServerRequest,
+    ResponseStartLine,
+)
 
 from guavamast._daemon import bind_socket, get_bound_address
 from guavamast.caller_connection import RequestStage
@@ -25,6 +32,7 @@
 RESPONSES = LastResponses(
     not_run=encode_response(503, [], b"not run"), unfinished=encode_response(504, [], b"unknown")
 )
+BODY_BYTES = 4_000_000
 LARGE_BODY = b"x" * 8_000_000
 """More than the operating system buffers for a connection."""
 
@@ -37,6 +45,21 @@
     request.connection.finish()
 
 
+class RejectingDelegate(HTTPServerConnectionDelegate, HTTPMessageDelegate):
+    """Rejects each request by its head."""
+
+    def start_request(self, server_conn: object, request_conn: HTTPConnection) -> RejectingDelegate:
+        del server_conn
+        self.connection = request_conn
+        return self
+
+    def headers_received(self, start_line: object, headers: HTTPHeaders) -> None:
+        del start_line, headers
+        start = ResponseStartLine("HTTP/1.1", 413, "")
+        self.connection.write_headers(start, HTTPHeaders({"Content-Length": "0"}))
+        self.connection.finish()
+
+
 class CallerServerTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests with one server, whose requests wait until the test responds to them."""
 
@@ -180,6 +203,22 @@
             socket.create_connection((host, int(port)))
 
 
+class EarlyResponseTest(CallerServerTestCase):
+    """A server that responds before it has read a request, and closes the connection."""
+
+    async def test_response_is_not_lost_with_the_unread_rest_of_the_request(self) -> None:
+        """A caller that is still sending gets the response, not a reset that overtakes it."""
+        self.server.request_callback = RejectingDelegate()
+        host, _, port = self.address.rpartition(":")
+        for _ in range(10):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            self.addCleanup(writer.close)
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % BODY_BYTES)
+            writer.write(b"x" * BODY_BYTES)
+            await writer.drain()
+            self.assertTrue((await reader.read()).startswith(b"HTTP/1.1 413"))
+
+
 class TraceTest(CallerServerTestCase):
     """What is known of a connection when it closes."""
 
