Accept no request that the end of a leaving instance would cut

What callers saw: with a grace time of 4 s, requests that were accepted right before its end got 504 or a stream without its end.

Cause: a leaving instance accepted requests until the addresses had expired everywhere (3.5 s), or until the end of its grace time, whichever came first. In a short grace time nothing was left for the requests accepted last.

Found by callers that use their connections until these end, and send late on new ones; the soak has them now.

Change: an instance accepts requests for half of its remaining time at most, and gives the other half to their responses. Where the addresses expire earlier (a grace time of 8 s), nothing changes.

Seen failing before: test_request_accepted_within_a_short_grace_time_gets_its_whole_response.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import json
 import time
 from dataclasses import dataclass, field
+from random import Random
 from typing import TYPE_CHECKING, Final
 
 from guavamast.platform.standins.engine import EVENTS_PER_STREAM, encode_event
@@ -21,8 +22,6 @@
 from soak.guarantees import RequestKind, RequestRecord
 
 if TYPE_CHECKING:
-    from random import Random
-
     from guavamast.relay.http_connection import ResponseHead
 
 PATH_PREFIXES: Final = {
@@ -36,6 +35,8 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 MEAN_PAUSE_S: Final = 0.05
 """Mean pause between two requests of a caller."""
+LONGEST_UNUSED_S: Final = 1.5
+"""Longest time from the connect to the first request of a caller that sends late."""
 EXPIRED_ADDRESSES_FACTOR: Final = 3.0
 """Some callers use resolved addresses for this many times their validity."""
 
@@ -65,6 +66,8 @@
         directories: Addresses of the listeners that resolve caller addresses.
         random: Chooses request kinds, instances and pauses.
         requests: List to which it appends its requests.
+        holds_connection: Whether it sends late on a new connection, and uses a connection until
+            that ends, also when its instance is no longer among the resolved addresses.
     """
 
     def __init__(
@@ -76,7 +79,10 @@
         directories: list[str],
         random: Random,
         requests: list[RequestRecord],
+        holds_connection: bool = False,
     ) -> None:
+        self._holds_connection = holds_connection
+        self._late_random = Random(f"{name}late")
         self._name = name
         self._organisation = organisation
         self._key = key
@@ -103,7 +109,8 @@
         """Reuse or open a connection to a resolved address; return False if that fails."""
         await self._resolve()
         connection = self._connection
-        if connection is not None and connection.reusable and self._address in self._addresses:
+        listed = self._holds_connection or self._address in self._addresses
+        if connection is not None and connection.reusable and listed:
             return True
         self._close_connection()
         if not self._addresses:
@@ -114,7 +121,9 @@
         except ConnectionLost:
             self._addresses.remove(self._address)
             return False
-        return True
+        if self._holds_connection:
+            await asyncio.sleep(self._late_random.uniform(0.0, LONGEST_UNUSED_S))
+        return self._connection.reusable
 
     async def _resolve(self) -> None:
         """Resolve addresses at up to three instances once the last ones have expired."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -177,6 +177,7 @@
                     directories=directories,
                     random=random,
                     requests=self._requests,
+                    holds_connection=number == 0,
                 )
                 callers.append(caller)
         return callers
--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -21,6 +21,9 @@
 LEAVE_MARGIN_S: Final = 0.5
 """Seconds added to the time in which callers may still connect: a heartbeat plus the transit of a
 request."""
+MAX_ACCEPT_SHARE: Final = 0.5
+"""Share of its remaining time in which a leaving instance accepts requests at most. The rest is for
+their responses: in a short grace time, those accepted last would be cut."""
 STOP_MARGIN_S: Final = 0.8
 """Seconds before the platform would kill the process at which it ends."""
 RESPONSE_MARGIN_S: Final = 0.1
@@ -83,8 +86,9 @@
         self._log.write("leaving", now=requested_at, in_flight=self._relayer.in_flight)
         addresses_expired_at = requested_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
         deadline = requested_at + self._grace_s - STOP_MARGIN_S
+        accepts_until = requested_at + MAX_ACCEPT_SHARE * (deadline - requested_at)
         removing = asyncio.create_task(self.unregister(self._name))
-        await self._wait_until(min(addresses_expired_at, deadline))
+        await self._wait_until(min(addresses_expired_at, accepts_until))
         expiring = asyncio.create_task(self._expire_requests(deadline - RESPONSE_MARGIN_S))
         for trace in await self._listener.drain(deadline=deadline):
             log_connection(self._log, "given_up", trace, now=self._read_time())
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -9,7 +9,7 @@
 import unittest
 
 from guavamast.local_fleet import CALLER_KEY
-from guavamast.platform.standins.site import CALL_PREFIX, HOST, KEY, Site
+from guavamast.platform.standins.site import CALL_PREFIX, HOST, KEY, STREAM_PREFIX, Site
 from tests._callers import Caller, build_chat_body, read_error
 from tests._departure_callers import Attempt, DepartureCallers, SendPattern
 from tests._platform_callers import PlatformTestCase
@@ -17,6 +17,8 @@
 
 LEAVE_STATUSES = {200, 503}
 """Served, or refused as not run."""
+LAST_CHUNK = b"0\r\n\r\n"
+"""End of a whole response without a length."""
 
 
 def build_request(path: str, headers: dict[str, str], body: bytes) -> bytes:
@@ -89,7 +91,6 @@
 
     async def asyncSetUp(self) -> None:
         self.site = Site()
-        self.site.bounds["grace_s"] = 8
         await self.site.start()
         self.addAsyncCleanup(self.site.stop)
         directory = tempfile.TemporaryDirectory()
@@ -98,6 +99,26 @@
 
     async def test_connection_accepted_before_the_end_gets_a_response(self) -> None:
         """A caller's connection isn't closed without a response, however late it sends."""
+        self.site.bounds["grace_s"] = 8
+        callers = await self.leave(CALL_PREFIX + "x")
+        self.assertEqual(callers.list_unanswered(), [], describe(callers.list_unanswered()))
+        self.assertLessEqual({attempt.status for attempt in callers.attempts}, LEAVE_STATUSES)
+        self.assertEqual({attempt.pattern for attempt in callers.attempts}, set(SendPattern))
+
+    async def test_request_accepted_within_a_short_grace_time_gets_its_whole_response(self) -> None:
+        """A stream isn't accepted so late that the end of the instance cuts it."""
+        self.site.bounds["grace_s"] = 4
+        callers = await self.leave(STREAM_PREFIX + "stream")
+        cut = [
+            attempt
+            for attempt in callers.attempts
+            if attempt.status not in LEAVE_STATUSES
+            or (attempt.status == 200 and not attempt.received.endswith(LAST_CHUNK))
+        ]
+        self.assertEqual(cut, [], describe(cut))
+
+    async def leave(self, target: str) -> DepartureCallers:
+        """Stop an instance, and return the callers that connected until it was gone."""
         instance = await self.start_instance("one")
         await self.start_instance("two")
         headers = {
@@ -106,11 +127,9 @@
             "X-Attempt-Id": "r1",
             "X-Request-Deadline-Ms": "20000",
         }
-        request = build_request(CALL_PREFIX + "x", headers, b"pay 5")
+        request = build_request(target, headers, b"pay 5")
         callers = DepartureCallers(address=instance.callers, request=request)
         instance.process.send_signal(signal.SIGTERM)
         await callers.run(lambda: instance.process.returncode is not None)
         self.assertEqual(instance.process.returncode, 0)
-        self.assertEqual(callers.list_unanswered(), [], describe(callers.list_unanswered()))
-        self.assertLessEqual({attempt.status for attempt in callers.attempts}, LEAVE_STATUSES)
-        self.assertEqual({attempt.pattern for attempt in callers.attempts}, set(SendPattern))
+        return callers
