--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -19,6 +19,7 @@
 
     from guavamast.caller_connection import ConnectionTrace
     from guavamast.relay.catalog import CallerLimits
+    from guavamast.relay.listener_recorder import ListenerRecorder
     from guavamast.relay.messages import CallerRequest, Header, HeaderCodec
     from guavamast.relay.relayer import Relayer
 
@@ -147,7 +148,7 @@
     def _reject(self, status: int) -> None:
         """Reject a request that is too large; its unread rest ends the connection."""
         self._rejected = True
-        self._listener.on_rejection(status)
+        self._listener.recorder.record_rejection(status)
         writer = _TornadoWriter(self._connection)
         self._task = asyncio.create_task(writer.send(status, [], b""))
 
@@ -158,10 +159,8 @@
     Args:
         relayer: Relays them.
         codec: Encodes and decodes headers.
+        recorder: Records rejections, unexpected errors and connections without a response.
         read_time: Reads the local clock.
-        on_rejection: Called with the status of each request that exceeds a limit.
-        on_error: Called with an unexpected error raised while a request was relayed.
-        on_unanswered: Called with each connection that was closed without a response.
     """
 
     def __init__(
@@ -169,22 +168,19 @@
         *,
         relayer: Relayer,
         codec: HeaderCodec,
+        recorder: ListenerRecorder,
         read_time: Callable[[], float],
-        on_rejection: Callable[[int], None],
-        on_error: Callable[[CallerRequest, Exception], None],
-        on_unanswered: Callable[[ConnectionTrace], None],
     ) -> None:
         self._relayer = relayer
         self._codec = codec
         self._read_time = read_time
-        self.on_rejection = on_rejection
-        self._note_fault = on_error
+        self.recorder = recorder
         self.limits: CallerLimits | None = None
         """Limits on requests; None before the first configuration."""
         self._server = CallerServer(
             self,
             read_time=read_time,
-            on_unanswered=on_unanswered,
+            on_unanswered=recorder.record_unanswered,
             idle_connection_timeout=DEFAULT_IDLE_S,
             max_header_size=HARD_HEADER_BYTES,
             max_body_size=HARD_BODY_BYTES,
@@ -246,5 +242,5 @@
         try:
             await self._relayer.relay(request, writer)
         except Exception as error:  # noqa: BLE001
-            self._note_fault(request, error)
+            self.recorder.record_fault(request, error)
             writer.abort()
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -12,7 +12,6 @@
 
 from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.cleanup_loop import CleanupLoop
-from guavamast.relay.connection_log import log_connection
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
@@ -30,13 +29,14 @@
 from guavamast.relay.heartbeat_topology import HeartbeatTopology
 from guavamast.relay.length_buckets import NO_DEMAND
 from guavamast.relay.listener import CallerListener
+from guavamast.relay.listener_recorder import ListenerRecorder
 from guavamast.relay.load_update_sender import LoadUpdateSender
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peer_messages import PeerMessages
 from guavamast.relay.peer_socket import PeerSocket
 from guavamast.relay.peers import Peers, compute_heartbeat_interval
 from guavamast.relay.quarantine import Containment
-from guavamast.relay.query_listener import QueryHandler, QueryListener
+from guavamast.relay.query_listener import QueryHandler, open_query_listener
 from guavamast.relay.relayer_factory import build_relayer
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.scheduling import Scheduling
@@ -49,11 +49,10 @@
 from guavamast.relay.work_state import WorkState
 
 if TYPE_CHECKING:
-    from guavamast.caller_connection import ConnectionTrace
     from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.freshness import StoreClock
-    from guavamast.relay.messages import CallerRequest, HeaderCodec
-    from guavamast.relay.node_settings import NodeSettings, SocketAddress
+    from guavamast.relay.messages import HeaderCodec
+    from guavamast.relay.node_settings import NodeSettings
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.store import Store
 
@@ -126,13 +125,14 @@
             loop_delay=self._loop_delay,
         )
         self._relayer = self._build_relayer(codec)
+        self._listener_recorder = ListenerRecorder(
+            log=self.log, counters=self.counters, read_time=read_boot_time
+        )
         self._listener = CallerListener(
             relayer=self._relayer,
             codec=codec,
+            recorder=self._listener_recorder,
             read_time=read_boot_time,
-            on_rejection=self._record_rejection,
-            on_error=self._record_fault,
-            on_unanswered=self._record_unanswered,
         )
         self._departure = Departure(
             name=settings.name,
@@ -301,11 +301,17 @@
         """Serve until SIGTERM."""
         settings = self.settings
         self._listener.listen(settings.callers.ip, settings.callers.port)
-        listeners = self._open_query_listeners(
-            (settings.directory, directory),
-            (settings.readiness, readiness),
-            (settings.metrics, metrics),
-        )
+        listeners = [
+            open_query_listener(
+                address, query, recorder=self._listener_recorder, read_time=read_boot_time
+            )
+            for address, query in (
+                (settings.directory, directory),
+                (settings.readiness, readiness),
+                (settings.metrics, metrics),
+            )
+            if address is not None
+        ]
         await self._heartbeat_socket.open(
             settings.peers.ip, settings.peers.port, messages=self._build_peer_messages()
         )
@@ -333,23 +339,6 @@
         await asyncio.gather(*(listener.stop() for listener in listeners))
         self.log.write("stopped", now=read_boot_time(), in_flight=self._relayer.in_flight)
 
-    def _open_query_listeners(
-        self, *queries: tuple[SocketAddress | None, QueryHandler]
-    ) -> list[QueryListener]:
-        """Return the listeners of the queries that have an address."""
-        listeners = []
-        for address, handler in queries:
-            if address is None:
-                continue
-            listener = QueryListener(
-                handlers=[handler],
-                read_time=read_boot_time,
-                on_unanswered=self._record_unanswered,
-            )
-            listener.listen(address.ip, address.port)
-            listeners.append(listener)
-        return listeners
-
     def _build_heartbeat(self) -> Heartbeat:
         """Return this instance's next heartbeat."""
         now = read_boot_time()
@@ -401,23 +390,6 @@
         if catalog is not None and self._listener.limits is not catalog.limits:
             self._listener.set_limits(catalog.limits)
 
-    def _record_rejection(self, status: int) -> None:
-        self.counters.add(f'refusals_total{{status="{status}"}}')
-        self.log.write("rejected", now=read_boot_time(), status=status, reason="over a limit")
-
-    def _record_fault(self, request: CallerRequest, error: Exception) -> None:
-        self.counters.add("faults_total")
-        self.log.write(
-            "fault",
-            now=read_boot_time(),
-            request_id=request.request_id,
-            error=f"{type(error).__name__}: {error}",
-        )
-
-    def _record_unanswered(self, trace: ConnectionTrace) -> None:
-        self.counters.add("unanswered_connections_total")
-        log_connection(self.log, "unanswered", trace, now=read_boot_time())
-
     def _log_ignored_reload(self) -> None:
         """Log that a changed settings file takes effect at the next start only."""
         self.log.write("reload_ignored", now=read_boot_time())
--- a/src/guavamast/relay/query_listener.py
+++ b/src/guavamast/relay/query_listener.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.caller_connection import ConnectionTrace
+    from guavamast.relay.listener_recorder import ListenerRecorder
+    from guavamast.relay.node_settings import SocketAddress
 
 
 class QueryHandler(ABC):
@@ -28,21 +29,23 @@
     """A small HTTP listener for queries that are answered from memory.
 
     Args:
-        handlers: Handlers, tried in order.
+        handler: Answers the queries.
+        recorder: Records connections without a response.
         read_time: Reads the local clock.
-        on_unanswered: Called with each connection that was closed without a response.
     """
 
     def __init__(
         self,
         *,
-        handlers: list[QueryHandler],
+        handler: QueryHandler,
+        recorder: ListenerRecorder,
         read_time: Callable[[], float],
-        on_unanswered: Callable[[ConnectionTrace], None],
     ) -> None:
-        self._handlers = handlers
+        self._handler = handler
         self._read_time = read_time
-        self._server = CallerServer(self._handle, read_time=read_time, on_unanswered=on_unanswered)
+        self._server = CallerServer(
+            self._handle, read_time=read_time, on_unanswered=recorder.record_unanswered
+        )
 
     def listen(self, ip: str, port: int) -> None:
         """Begin to accept connections."""
@@ -56,12 +59,8 @@
         await self._server.drain(deadline=self._read_time(), responses=responses)
 
     def _handle(self, request: httputil.HTTPServerRequest) -> None:
-        status, content_type, text = 404, "text/plain", "not found\n"
-        for handler in self._handlers:
-            response = handler.handle(request.path or "", request.query)
-            if response is not None:
-                status, content_type, text = response
-                break
+        response = self._handler.handle(request.path or "", request.query)
+        status, content_type, text = response or (404, "text/plain", "not found\n")
         body = text.encode()
         headers = httputil.HTTPHeaders(
             {"Content-Type": content_type, "Content-Length": str(len(body))}
@@ -72,3 +71,16 @@
             httputil.ResponseStartLine("HTTP/1.1", status, reason), headers, body
         )
         request.connection.finish()
+
+
+def open_query_listener(
+    address: SocketAddress,
+    handler: QueryHandler,
+    *,
+    recorder: ListenerRecorder,
+    read_time: Callable[[], float],
+) -> QueryListener:
+    """Return a listener that answers one kind of query at an address."""
+    listener = QueryListener(handler=handler, recorder=recorder, read_time=read_time)
+    listener.listen(address.ip, address.port)
+    return listener
