--- a/src/guavamast/keepers.py
+++ b/src/guavamast/keepers.py
@@ -9,8 +9,8 @@
 from guavamast.estimates import LengthEstimates, StragglerWeight
 from guavamast.fleet_objects import EndpointKind, EndpointState
 from guavamast.forecasts import PAUSE_DELAY_S, Forecast
+from guavamast.free_slots import FreeSlots
 from guavamast.grants import Grant, GrantTable
-from guavamast.kv_headroom import KvHeadroom
 from guavamast.queues import WaitingQueue
 from guavamast.slots import Granted, Paused, Probe, Queued, Refused
 
@@ -42,14 +42,11 @@
     """
 
     __slots__ = (
-        "_cautious_until",
         "_configuration",
         "_endpoint",
         "_forecast",
-        "_freed_since_report",
+        "_free_slots",
         "_grants",
-        "_kv_check_at",
-        "_kv_headroom",
         "_pause_check_at",
         "_queue",
         "_strict_starts",
@@ -67,17 +64,13 @@
     ) -> None:
         self._endpoint = endpoint
         self._configuration = configuration
-        self._cautious_until = cautious_until
         self._forecast = Forecast(
             kind=endpoint.kind, lengths=lengths if lengths is not None else LengthEstimates()
         )
         self._straggler_weight = StragglerWeight(now=now)
         self._grants = GrantTable()
         self._queue = WaitingQueue(configuration=configuration)
-        self._kv_headroom = KvHeadroom()
-        self._kv_check_at: float | None = None
-        self._freed_since_report = 0
-        """Presented slots that were freed since the last load report was received."""
+        self._free_slots = FreeSlots(grants=self._grants, cautious_until=cautious_until)
         self._strict_starts = 0
         """Slots freed by pausing, which are granted by tier alone."""
         self._pause_check_at: float | None = None
@@ -155,8 +148,7 @@
 
     def record_load(self, report: LoadReport, *, now: float) -> list[KeeperEvent]:
         """Record a load report of the endpoint."""
-        if self._kv_headroom.record(report, grants=self._grants):
-            self._freed_since_report = 0
+        self._free_slots.record_load(report)
         return self._run_queue(now)
 
     def drop_entry(self, entry: str, *, now: float) -> list[KeeperEvent]:
@@ -193,7 +185,7 @@
         if len(self._queue):
             times += [self._queue.find_latest_start(), self._queue.find_first_target()]
             times.append(self._pause_check_at)
-            times += [self._cautious_until or None, self._kv_check_at]
+            times += self._free_slots.list_checks()
         due = min(time for time in times if time is not None)
         return due if due != float("inf") else None
 
@@ -268,7 +260,7 @@
 
     def _free_slot(self, grant: Grant, *, unused: bool, now: float) -> list[KeeperEvent]:
         self._settle(grant, unused=unused)
-        self._freed_since_report += grant.start is None
+        self._free_slots.record_release(grant)
         self._forecast.record_slots(full=False, released=not (unused or grant.paused), now=now)
         return self._run_queue(now)
 
@@ -283,8 +275,7 @@
         return self._start_waiting(now) + self._pause_for_waiting(now)
 
     def _start_waiting(self, now: float) -> list[KeeperEvent]:
-        if now >= self._cautious_until:
-            self._cautious_until = 0.0
+        self._free_slots.end_caution(now=now)
         events: list[KeeperEvent] = [
             self._build_refusal(waiting.ask, ErrorCode.DEADLINE_UNREACHABLE, 0.0)
             for waiting in self._queue.remove_late(now)
@@ -299,7 +290,7 @@
         events += self._reject_late(now)
         if not len(self._queue):
             self._strict_starts = 0
-        self._kv_check_at = None if self._is_full() else self._kv_headroom.find_expiry(now=now)
+        self._free_slots.update(self._endpoint.slots, now=now)
         self._forecast.record_slots(full=self._is_full(), now=now)
         return events
 
@@ -324,7 +315,7 @@
         ask = start.waiting.ask
         grant = self._create_grant(ask, now=now, granted_at=now, start=start)
         self._grants.add(grant)
-        self._kv_headroom.record_grant(grant, slots=self._endpoint.slots)
+        self._free_slots.record_grant(grant, slots=self._endpoint.slots)
         self._forecast.record_start(start.tier, now=now)
         return Granted(ask=ask)
 
@@ -345,7 +336,7 @@
 
     def _pause_for_waiting(self, now: float) -> list[KeeperEvent]:
         self._pause_check_at = None
-        if self._endpoint.kind is not EndpointKind.ENGINE or self._cautious_until:
+        if self._endpoint.kind is not EndpointKind.ENGINE or self._free_slots.cautious:
             return []
         events: list[KeeperEvent] = []
         needed = max(0, len(self._grants) - self._endpoint.slots) if self._is_full() else 0
@@ -376,24 +367,10 @@
             self._forecast.learn(grant.ask, release)
 
     def _is_full(self) -> bool:
-        return len(self._grants) >= self._endpoint.slots
+        return self._free_slots.is_full(self._endpoint.slots)
 
     def _count_free(self, now: float) -> int:
-        slots = self._endpoint.slots
-        free = slots - len(self._grants)
-        if now < self._cautious_until:
-            return min(free, self._count_reported_free(now))
-        if free > 0 and not self._kv_headroom.has_room(grants=self._grants, slots=slots, now=now):
-            return 0
-        return free
-
-    def _count_reported_free(self, now: float) -> int:
-        """Return the free slots by the last load report and the changes since then."""
-        report = self._kv_headroom.get_report(now)
-        if report is None:
-            return 0
-        recent = sum(1 for g in self._grants.list_grants() if g.granted_at > report.as_of)
-        return self._endpoint.slots - report.running - recent + self._freed_since_report
+        return self._free_slots.count(self._endpoint.slots, now=now)
 
     def _estimate_rate(self, now: float) -> float:
         return self._forecast.estimate_rate(slots=self._endpoint.slots, now=now)
