Don't write to a connection that has closed but is not yet forgotten

An end of a server could fail with StreamClosedError, and with it all responses that it still owed: a connection whose stream closes (by the caller, or for a head that is too large) is forgotten a turn of the loop later, and the drain wrote its last response to it in between. Found by a caller that sends a head without end.

The drain passes over closed streams; their tasks forget them.

Seen failing before: test_connection_that_closes_in_the_same_turn_does_not_stop_the_end. The test of a caller whose bytes never cease came with it and passed before, too.

--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -206,6 +206,8 @@
     ) -> None:
         """Take the next step towards the end of a connection, if there is one to take yet."""
         trace = stream.trace
+        if stream.closed():
+            return  # Its task forgets it in the next turns of the loop.
         if trace.ended_at is not None:
             if now >= trace.ended_at + LINGER_S:
                 stream.close()
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -6,6 +6,7 @@
 import socket
 import time
 import unittest
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from tornado.httputil import (
@@ -45,6 +46,14 @@
     request.connection.finish()
 
 
+def send_without_end(caller: socket.socket) -> None:
+    """Send the body of one request until the connection is closed."""
+    with suppress(OSError):
+        caller.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000000\r\n\r\n")
+        while True:
+            caller.sendall(b"x" * 65_536)
+
+
 class RejectingDelegate(HTTPServerConnectionDelegate, HTTPMessageDelegate):
     """Rejects each request by its head."""
 
@@ -142,6 +151,24 @@
         await self.drain()
         self.assertEqual(self.requests, [])
 
+    async def test_connection_that_closes_in_the_same_turn_does_not_stop_the_end(self) -> None:
+        """A connection that is closed but not yet forgotten isn't written to."""
+        reader, _ = await self.connect(POST)
+        (stream,) = self.server._streams  # noqa: SLF001
+        stream.close()
+        await self.drain()
+        self.assertEqual(await reader.read(), b"")
+
+    async def test_caller_that_sends_without_end_does_not_hold_the_server(self) -> None:
+        """The end of a server isn't kept up by one caller whose bytes never cease."""
+        host, _, port = self.address.rpartition(":")
+        with socket.create_connection((host, int(port))) as caller:
+            sending = asyncio.create_task(asyncio.to_thread(send_without_end, caller))
+            await wait_until(lambda: any(one.received_bytes for one in self.server.list_traces()))
+            async with asyncio.timeout(20):
+                await self.drain()
+                await sending
+
     async def test_kept_connection_gets_a_response_to_its_next_request(self) -> None:
         """A caller that uses its idle connection as the server ends isn't left without one."""
         reader, writer = await self.connect(GET)
