--- a/src/guavamast/caller_connection.py
+++ b/src/guavamast/caller_connection.py
@@ -103,10 +103,8 @@
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Receive bytes and record them; discard them once the connection has been ended."""
-        while True:
-            count = self._receive(buf)
-            if not count or self.trace.ended_at is None:
-                return count
+        count = self._receive(buf)
+        return None if count and self.trace.ended_at is not None else count
 
     def write(self, data: bytes | memoryview) -> Future[None]:
         """Write a part of the current response; fail once the connection has been ended."""
