Keep the route's order at engines, without the version

The urgency by value alone made requests of equally urgent organisations equal at engines.

Engines are told three levels of routes below each of the two most urgent values, and one level for each greater one; no version enters.

--- a/src/guavamast/relay/caller_gate.py
+++ b/src/guavamast/relay/caller_gate.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.catalog import compute_precedence, resolve_urgency
+from guavamast.relay.catalog import compute_engine_urgency, compute_precedence
 
 if TYPE_CHECKING:
     from guavamast.relay.catalog import CallerOrganisation, Catalog, Route
@@ -28,7 +28,7 @@
     @property
     def urgency(self) -> int:
         """Urgency sent to engines; 0 is the most urgent."""
-        return resolve_urgency(self.route, self.organisation)
+        return compute_engine_urgency(self.route, self.organisation)
 
     @property
     def precedence(self) -> int:
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -14,6 +14,10 @@
 """Rank of requests whose route and organisation set none; the middle of the engines' range."""
 LEAST_URGENT: Final = 9
 """Rank of the least urgent requests that engines support; greater ranks are less urgent."""
+ORDERED_URGENCIES: Final = 2
+"""Rank from which on requests of equal urgency are not ordered by their routes at engines."""
+ROUTE_LEVELS: Final = 3
+"""Rank from which on routes count as equally urgent at engines."""
 IDLE_MARGIN_S: Final = 1.0
 """Seconds added to the idle timeout of callers: far longer than a message's transit time plus a
 pause of either process."""
@@ -218,23 +222,33 @@
     return least
 
 
-def resolve_urgency(route: Route, organisation: CallerOrganisation | None) -> int:
-    """Return the urgency of a request, which engines are told; 0 is the most urgent.
+def compute_engine_urgency(route: Route, organisation: CallerOrganisation | None) -> int:
+    """Return the urgency that engines are told; 0 is the most urgent.
 
-    The organisation's urgency takes precedence if set. The value depends on nothing else of the
-    configuration: at one engine run requests that were admitted by different versions, and a scale
-    of one version would order them against their urgencies.
+    The organisation's urgency takes precedence if set. Among requests of equal urgency up to 1, the
+    route's orders them, so that an engine that is short of KV cache preempts a long summary rather
+    than a short response. The range has no room for more; urgencies of 5 and more are alike.
+
+    The value depends on nothing else of the configuration: at one engine run requests that were
+    admitted by different versions, and ranks within one version would order them wrongly.
     """
-    if organisation is not None and organisation.urgency is not None:
-        return min(LEAST_URGENT, organisation.urgency)
-    return min(LEAST_URGENT, route.urgency)
+    urgency = _resolve_urgency(route, organisation)
+    if urgency < ORDERED_URGENCIES:
+        return urgency * ROUTE_LEVELS + min(ROUTE_LEVELS - 1, route.urgency)
+    levels_before = ORDERED_URGENCIES * (ROUTE_LEVELS - 1)
+    return min(LEAST_URGENT, levels_before + urgency)
 
 
 def compute_precedence(route: Route, organisation: CallerOrganisation | None) -> int:
     """Return the rank by which instances admit a request; 0 goes first.
 
-    Its tens are the urgency. Its ones are the route's urgency, which orders the requests of equally
-    urgent organisations, so that long summaries yield to short responses.
+    Its tens are the organisation's urgency if set, else the route's. Its ones are the route's.
     """
-    urgency = resolve_urgency(route, organisation)
+    urgency = min(LEAST_URGENT, _resolve_urgency(route, organisation))
     return urgency * (LEAST_URGENT + 1) + min(LEAST_URGENT, route.urgency)
+
+
+def _resolve_urgency(route: Route, organisation: CallerOrganisation | None) -> int:
+    if organisation is not None and organisation.urgency is not None:
+        return organisation.urgency
+    return route.urgency
