Start the site of the platform's tests in their base; name what the rolling restart guards against

The set-up stood in two test classes. The check of the rolling restart is unchanged; its comment of three lines is the one line that a test of a failure has.

--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import sys
+import tempfile
 import unittest
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -106,10 +107,15 @@
 
 
 class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
-    """Base of tests that run instances as processes; subclasses set the site and the directory."""
-
-    site: Site
-    directory: str
+    """Base of tests that run instances as processes, beside a site of stand-ins."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        await self.site.start()
+        self.addAsyncCleanup(self.site.stop)
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = directory.name
 
     async def start_instance(self, name: str = "one") -> Instance:
         """Start a process and wait until it is ready.
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -5,11 +5,10 @@
 import asyncio
 import json
 import signal
-import tempfile
 import unittest
 
 from guavamast.local_fleet import CALLER_KEY
-from guavamast.platform.standins.site import CALL_PREFIX, HOST, KEY, STREAM_PREFIX, Site
+from guavamast.platform.standins.site import CALL_PREFIX, HOST, KEY, STREAM_PREFIX
 from tests._callers import Caller, build_chat_body, read_error
 from tests._departure_callers import Attempt, DepartureCallers, SendPattern
 from tests._platform_callers import PlatformTestCase
@@ -89,14 +88,6 @@
 class LeavingRelayTest(PlatformTestCase):
     """One of two instances of the relay gets SIGTERM."""
 
-    async def asyncSetUp(self) -> None:
-        self.site = Site()
-        await self.site.start()
-        self.addAsyncCleanup(self.site.stop)
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.directory = directory.name
-
     async def test_connection_accepted_before_the_end_gets_a_response(self) -> None:
         """A caller's connection isn't closed without a response, however late it sends."""
         self.site.bounds["grace_s"] = 8
--- a/tests/test_fleet_changes.py
+++ b/tests/test_fleet_changes.py
@@ -76,9 +76,7 @@
             self.assertTrue(response.ended)
 
     async def test_all_instances_replaced_one_by_one(self) -> None:
-        # A rolling restart truncates no response for callers that retry only what was rejected as
-        # not run. Each instance in turn gets SIGTERM and exits by itself. A new one starts under
-        # its name with a higher incarnation and serves once it has the configuration.
+        """Guards against responses that are cut or missing in a rolling restart."""
         for number in range(3):
             replaced = (self.fleet.entries[number], self.fleet.dispatchers[number])
             for process in replaced:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import tempfile
 import unittest
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
@@ -18,7 +17,6 @@
     LOOKUP_PREFIX,
     RESUMABLE_PREFIX,
     STREAM_PREFIX,
-    Site,
 )
 from guavamast.platform.standins.store import StoreFault
 from tests._platform_callers import READY_S, Caller, Instance, PlatformTestCase
@@ -32,14 +30,6 @@
 class PathTest(PlatformTestCase):
     """Behaviour of one or two instances and their engines as callers see it."""
 
-    async def asyncSetUp(self) -> None:
-        self.site = Site()
-        await self.site.start()
-        self.addAsyncCleanup(self.site.stop)
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.directory = directory.name
-
     def count_runs(self) -> int:
         return sum(len(engine.runs) for engine in self.site.engines.values())
 
