--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -25,7 +25,7 @@
 LINGER_S: Final = 0.5
 """Seconds for a caller to close its side of an ended connection."""
 CHECK_INTERVAL_S: Final = 0.02
-"""Seconds between two looks at the open connections while they are closed."""
+"""Seconds between two checks of the open connections during a drain."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -29,7 +29,7 @@
 RESPONSE_MARGIN_S: Final = 0.1
 """Seconds before the end for the responses to requests that ran out of time by it."""
 CHECK_INTERVAL_S: Final = 0.05
-"""Seconds between two looks at the clock."""
+"""Seconds between two checks of the clock."""
 
 
 class Departure:
