Tell a lost path from a failed endpoint in the lines of failed attempts

An attempt_failed line named one endpoint and neither whether its connection was new or kept, nor whether the instance heard any other endpoint of the service meanwhile, so that a partition of the instance and a failed endpoint looked alike, and had to be told apart from the logs of all others. The lines now have service, connection and service_silent_s. No decision uses these yet.

Seen: tests.test_relay_request_recorder fails without the change (no such fields).

--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -10,6 +10,8 @@
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.relay.connection_pool import ConnectionPool
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.event_framing import EventFraming, StreamEvent
@@ -19,11 +21,22 @@
         HeaderCodec,
         SendParameters,
     )
+    from guavamast.relay.reachability import ReachabilityMonitor
 
 MAX_RESPONSE_BYTES: Final = 16_777_216
 """Bytes of a response body that may be buffered before it is forwarded."""
 
 
+class ConnectionKind(StrEnum):
+    """Connection of an attempt."""
+
+    NONE = "none"
+    """There was none."""
+    NEW = "new"
+    KEPT = "kept"
+    """An idle connection from an earlier request."""
+
+
 class FailureKind(StrEnum):
     """Why an attempt produced no response."""
 
@@ -77,6 +90,8 @@
         super().__init__(f"{kind}: {detail}")
         self.kind = kind
         self.detail = detail
+        self.connection = ConnectionKind.NONE
+        """Connection of the attempt."""
 
     @property
     def weight(self) -> float:
@@ -106,9 +121,22 @@
         codec: Encodes and decodes headers.
         pool: Idle connections.
         idle_limit: Maximum idle connections to this endpoint.
+        reachability: Told of each sign of life of the endpoint.
+        read_time: Reads the local clock.
     """
 
-    __slots__ = ("_codec", "_connection", "_idle_limit", "_pool", "_request", "head", "record")
+    __slots__ = (
+        "_codec",
+        "_connection",
+        "_idle_limit",
+        "_pool",
+        "_reachability",
+        "_read_time",
+        "_request",
+        "connection",
+        "head",
+        "record",
+    )
 
     def __init__(
         self,
@@ -118,12 +146,18 @@
         codec: HeaderCodec,
         pool: ConnectionPool,
         idle_limit: int,
+        reachability: ReachabilityMonitor,
+        read_time: Callable[[], float],
     ) -> None:
         self._request = request
         self.record = record
         self._codec = codec
         self._pool = pool
         self._idle_limit = idle_limit
+        self._reachability = reachability
+        self._read_time = read_time
+        self.connection = ConnectionKind.NONE
+        """Connection that the request was sent on."""
         self._connection: HttpConnection | None = None
         self.head: EndpointResponseHead | None = None
         """The response head, once received."""
@@ -136,6 +170,7 @@
         """
         self._connection = self._pool.acquire(self.record.endpoint_id, now=now)
         if self._connection is not None:
+            self.connection = ConnectionKind.KEPT
             return False
         try:
             self._connection = await HttpConnection.open(
@@ -143,6 +178,10 @@
             )
         except ConnectionLost as error:
             raise AttemptFailed(FailureKind.NOT_CONNECTED, str(error)) from error
+        self.connection = ConnectionKind.NEW
+        self._reachability.record_connected(
+            self.record.service, self.record.endpoint_id, now=self._read_time()
+        )
         return True
 
     async def send(self, parameters: SendParameters) -> EndpointResponseHead:
@@ -164,6 +203,7 @@
             raise AttemptFailed(FailureKind.LOST, str(error)) from error
         except MalformedAnswer as error:
             raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+        self._reachability.record_received(self.record.service, now=self._read_time())
         self.head = self._codec.decode_response(received.status, received.headers)
         await self._check_head(self.head)
         return self.head
@@ -219,11 +259,13 @@
     async def _read_chunk(self) -> bytes | None:
         assert self._connection is not None
         try:
-            return await self._connection.read_chunk()
+            chunk = await self._connection.read_chunk()
         except ConnectionLost as error:
             raise AttemptFailed(FailureKind.LOST, str(error)) from error
         except MalformedAnswer as error:
             raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+        self._reachability.record_received(self.record.service, now=self._read_time())
+        return chunk
 
     async def _check_head(self, head: EndpointResponseHead) -> None:
         """Raise unless the head belongs to this request and may be forwarded."""
--- a/src/guavamast/relay/cleanup_loop.py
+++ b/src/guavamast/relay/cleanup_loop.py
@@ -10,6 +10,7 @@
 
     from guavamast.relay.connection_pool import ConnectionPool
     from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.scheduling import Scheduling
     from guavamast.relay.store_reader import StoreReader
@@ -26,6 +27,7 @@
         fleet_state: Endpoints and other instances.
         work: State of the requests at them.
         pool: Connection pool.
+        reachability: Signs of life of the endpoints.
         reader: Tells whether the store answers.
         recorder: Records the engine profiles.
         scheduling: Scheduling state of this instance.
@@ -37,6 +39,7 @@
         "_fleet_state",
         "_recorder",
         "_pool",
+        "_reachability",
         "_read_time",
         "_reader",
         "_scheduling",
@@ -50,6 +53,7 @@
         fleet_state: FleetState,
         work: WorkState,
         pool: ConnectionPool,
+        reachability: ReachabilityMonitor,
         reader: StoreReader,
         recorder: RequestRecorder,
         scheduling: Scheduling,
@@ -59,6 +63,7 @@
         self._fleet_state = fleet_state
         self._work = work
         self._pool = pool
+        self._reachability = reachability
         self._reader = reader
         self._recorder = recorder
         self._scheduling = scheduling
@@ -93,6 +98,7 @@
         known = {record.endpoint_id for record in self._fleet_state.endpoints.list_all()}
         live = {peer.record.name for peer in self._fleet_state.peers.list_live(now=now)}
         self._pool.retain(known, now=now)
+        self._reachability.retain(known)
         self._work.retain(endpoint_ids=known, instances=live)
         self._scheduling.clean_up(endpoint_ids=known, now=now)
 
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -28,6 +28,7 @@
     from guavamast.relay.messages import CallerRequest, HeaderCodec, ResponseWriter
     from guavamast.relay.placer import PlacementDecision
     from guavamast.relay.prompt_cache import PromptCache
+    from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
@@ -74,6 +75,7 @@
         pool: Idle connections to endpoints.
         recorder: Log lines and metrics of requests.
         profiles: Engine speeds, learned from the streams that are forwarded.
+        reachability: Signs of life of the endpoints.
         publish_load: Called when this instance's work at an endpoint has changed.
         read_time: Reads the local clock.
     """
@@ -88,6 +90,7 @@
         "_recorder",
         "_pool",
         "_profiles",
+        "_reachability",
         "_read_time",
         "_publish_load",
     )
@@ -104,6 +107,7 @@
         pool: ConnectionPool,
         recorder: RequestRecorder,
         profiles: EngineProfiles,
+        reachability: ReachabilityMonitor,
         publish_load: PublishLoad,
         read_time: Callable[[], float],
     ) -> None:
@@ -116,6 +120,7 @@
         self._pool = pool
         self._recorder = recorder
         self._profiles = profiles
+        self._reachability = reachability
         self._publish_load = publish_load
         self._read_time = read_time
 
@@ -140,6 +145,8 @@
             codec=self._codec,
             pool=self._pool,
             idle_limit=self._compute_idle_limit(record),
+            reachability=self._reachability,
+            read_time=self._read_time,
         )
         progress.tried.add(record.endpoint_id)
         work = self._begin_work(request, progress, placed.choice)
@@ -152,6 +159,7 @@
             attempt.finish(now=self._read_time())
             return status
         except AttemptFailed as failure:
+            failure.connection = attempt.connection
             failure_weight = failure.weight
             raise
         finally:
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -37,6 +37,7 @@
 from guavamast.relay.peers import Peers, compute_heartbeat_interval
 from guavamast.relay.quarantine import Containment
 from guavamast.relay.query_listener import QueryHandler, open_query_listener
+from guavamast.relay.reachability import ReachabilityMonitor
 from guavamast.relay.relayer_factory import build_relayer
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.scheduling import Scheduling
@@ -105,6 +106,7 @@
         self._work = WorkState()
         self._loop_delay = LoopDelay()
         self._pool = ConnectionPool()
+        self._reachability = ReachabilityMonitor()
         self._bounds = StalenessBounds(
             change_s=settings.change_s,
             leaving_s=settings.leaving_s,
@@ -237,6 +239,7 @@
             fleet_state=self.fleet_state,
             work=self._work,
             pool=self._pool,
+            reachability=self._reachability,
             reader=self._reader,
             recorder=self._recorder,
             scheduling=self._scheduling,
@@ -256,6 +259,7 @@
             recorder=self._recorder,
             scheduling=self._scheduling,
             guard=self._containment.guard,
+            reachability=self._reachability,
             publish_load=self._load_updates.record_change,
             random=self._random,
             read_time=read_boot_time,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -23,6 +23,7 @@
     from guavamast.relay.messages import CallerRequest, HeaderCodec, ResponseWriter
     from guavamast.relay.placer import PlacementDecision, Placer
     from guavamast.relay.quarantine import CrashGuard
+    from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
@@ -51,6 +52,7 @@
         guard: Keeps requests that end endpoints from further ones.
         demand: Demand for engines by length bucket; each prompt is recorded in it.
         profiles: Engine speeds.
+        reachability: Signs of life of the endpoints.
         read_time: Reads the local clock.
     """
 
@@ -66,6 +68,7 @@
         "_recorder",
         "_placer",
         "_profiles",
+        "_reachability",
         "_read_time",
         "_timeouts",
         "in_flight",
@@ -85,6 +88,7 @@
         guard: CrashGuard,
         demand: PromptDemand,
         profiles: EngineProfiles,
+        reachability: ReachabilityMonitor,
         read_time: Callable[[], float],
     ) -> None:
         self._fleet_state = fleet_state
@@ -97,6 +101,7 @@
         self._guard = guard
         self._demand = demand
         self._profiles = profiles
+        self._reachability = reachability
         self._recorder = recorder
         self._read_time = read_time
         self._timeouts: set[asyncio.Timeout] = set()
@@ -222,7 +227,10 @@
         elif failure.kind is FailureKind.MISDIRECTED:
             self._guard.record_gone(record.endpoint_id)
         content = progress.content if lost else None
-        self._recorder.record_failure(request, record, failure, content=content, now=now)
+        silence_s = self._reachability.compute_silence(record.service, now=now)
+        self._recorder.record_failure(
+            request, record, failure, content=content, silence_s=silence_s, now=now
+        )
 
     def _claim_retry(
         self, progress: RequestProgress, record: EndpointRecord, failure: AttemptFailed
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -23,6 +23,7 @@
     from guavamast.relay.node_settings import NodeSettings
     from guavamast.relay.placer import Placer
     from guavamast.relay.quarantine import CrashGuard
+    from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.scheduling import Scheduling
     from guavamast.relay.staleness import StalenessBounds
@@ -42,6 +43,7 @@
     recorder: RequestRecorder,
     scheduling: Scheduling,
     guard: CrashGuard,
+    reachability: ReachabilityMonitor,
     publish_load: PublishLoad,
     random: Random,
     read_time: Callable[[], float],
@@ -59,6 +61,7 @@
         recorder: Log lines and metrics of requests.
         scheduling: Queries the schedulers of endpoints.
         guard: Keeps requests that end endpoints from further ones.
+        reachability: Signs of life of the endpoints.
         publish_load: Called when this instance's work at an endpoint has changed.
         random: Source of all jitter and random choices.
         read_time: Reads the local clock.
@@ -81,6 +84,7 @@
         pool=pool,
         recorder=recorder,
         profiles=work.profiles,
+        reachability=reachability,
         publish_load=publish_load,
         read_time=read_time,
     )
@@ -102,6 +106,7 @@
         guard=guard,
         demand=work.demand,
         profiles=work.profiles,
+        reachability=reachability,
         read_time=read_time,
     )
 
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from guavamast.relay.freshness import round_age
+
 if TYPE_CHECKING:
     from guavamast.relay.admission import Rejection
     from guavamast.relay.attempt import AttemptFailed
@@ -130,6 +132,7 @@
         failure: AttemptFailed,
         *,
         content: str | None,
+        silence_s: float | None,
         now: float,
     ) -> None:
         """Record a failed attempt.
@@ -139,6 +142,7 @@
             record: Its endpoint.
             failure: Why there is no response.
             content: Digest of the request, if its connection ended.
+            silence_s: Seconds since this instance last heard any endpoint of the service.
             now: The current time.
         """
         self._counters.add(f'attempt_failures_total{{kind="{failure.kind}"}}')
@@ -151,6 +155,9 @@
             detail=failure.detail,
             content=content,
             after_s=round(now - request.received_at, 4),
+            service=record.service,
+            connection=str(failure.connection),
+            service_silent_s=round_age(silence_s) if silence_s is not None else None,
         )
 
     def record_rejection(self, request: CallerRequest, denied: Denied, *, now: float) -> None:
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -31,6 +31,7 @@
     QuarantineLedger,
     QuarantineRows,
 )
+from guavamast.relay.reachability import ReachabilityMonitor
 from guavamast.relay.rejection_history import RejectionHistory
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_digest import compute_request_digest
@@ -95,6 +96,7 @@
                 log=log, counters=counters, fleet_state=fleet_state, loop_delay=LoopDelay()
             ),
             profiles=EngineProfiles(),
+            reachability=ReachabilityMonitor(),
             publish_load=mock.Mock(),
             read_time=lambda: self.simulation.now,
         )
@@ -170,6 +172,7 @@
             guard=await self.make_guard(),
             demand=PromptDemand(),
             profiles=EngineProfiles(),
+            reachability=ReachabilityMonitor(),
             read_time=lambda: self.simulation.now,
         )
         headers = (("Host", "portal.example"), ("X-Attempt-Id", "r1"))
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -18,24 +18,51 @@
 class RequestRecorderTest(unittest.TestCase):
     """Lines tell an engineer on call what belongs together."""
 
-    def test_a_lost_attempt_names_the_content(self) -> None:
-        """Guards against losses of one content that look unrelated, as each has its own id."""
-        read_end, write_end = os.pipe()
-        self.addCleanup(os.close, read_end)
+    def setUp(self) -> None:
+        self.read_end, write_end = os.pipe()
+        self.addCleanup(os.close, self.read_end)
         self.addCleanup(os.close, write_end)
-        recorder = RequestRecorder(
+        self.recorder = RequestRecorder(
             log=DecisionLog(instance="one", descriptor=write_end),
             counters=Counters(),
             fleet_state=mock.Mock(),
             loop_delay=LoopDelay(),
         )
+
+    def read_line(self) -> dict[str, object]:
+        return dict(json.loads(os.read(self.read_end, 4096)))
+
+    def test_a_lost_attempt_names_the_content(self) -> None:
+        """Guards against losses of one content that look unrelated, as each has its own id."""
         failure = AttemptFailed(FailureKind.LOST, "reset")
-        recorder.record_failure(
-            build_request(), build_endpoint("x"), failure, content="c0ffee", now=101.0
+        self.recorder.record_failure(
+            build_request(),
+            build_endpoint("x"),
+            failure,
+            content="c0ffee",
+            silence_s=None,
+            now=101.0,
         )
-        line = json.loads(os.read(read_end, 4096))
+        line = self.read_line()
         self.assertEqual((line["event"], line["content"]), ("attempt_failed", "c0ffee"))
 
+    def test_a_failed_attempt_tells_since_when_the_service_is_silent(self) -> None:
+        """Guards against a lost path of an instance that looks like a failed endpoint."""
+        failure = AttemptFailed(FailureKind.NOT_CONNECTED, "connect: TimeoutError")
+        self.recorder.record_failure(
+            build_request(),
+            build_endpoint("x", service="portal"),
+            failure,
+            content=None,
+            silence_s=1.204,
+            now=101.0,
+        )
+        line = self.read_line()
+        self.assertEqual(
+            (line["service"], line["connection"], line["service_silent_s"]),
+            ("portal", "none", 1.2),
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
