Reproduce: instances that are partitioned from endpoints don't serve their callers

What callers see: 503 or 504 at each first attempt, while the other instances serve all. Three of six instances run on an event loop that hangs or refuses their connections to the endpoints' ports, from outside of the code under test; store, peers and callers reach them.

--- a/soak/skewed.py
+++ b/soak/skewed.py
@@ -1,4 +1,4 @@
-"""Process of one instance whose wall clock is ahead or behind."""
+"""Process of one instance whose wall clock is ahead or behind, or that is partitioned."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 from guavamast.platform.__main__ import main
 from soak.instances import SKEW_ENV_VARIABLE
+from soak.partitions import follow_partitions
 
 
 def skew_time_of_day(skew_s: float) -> None:
@@ -19,4 +20,5 @@
 
 if __name__ == "__main__":
     skew_time_of_day(float(os.environ.get(SKEW_ENV_VARIABLE, "0")))
+    follow_partitions()
     sys.exit(main())
--- /dev/null
+++ b/tests/test_platform_partition.py
@@ -0,0 +1,188 @@
+"""End-to-end tests of instances that are partitioned from endpoints while callers reach them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+from soak.partitions import (
+    PARTITION_ENV_VARIABLE,
+    Partition,
+    PartitionKind,
+    write_partition,
+)
+
+from guavamast.platform.standins.site import (
+    CALL_PREFIX,
+    LOOKUP_PREFIX,
+    RESUMABLE_PREFIX,
+    STREAM_PREFIX,
+    Site,
+    write_settings,
+)
+from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
+from tests._platform_callers import Caller, PlatformTestCase
+
+if TYPE_CHECKING:
+    from tests._platform_callers import Instance
+
+INSTANCES: Final = 6
+WARM_UP_S: Final = 0.6
+"""Seconds of requests before the partition, so that connections are kept."""
+STABLE_S: Final = 3.0
+"""Seconds from the beginning of a partition after which first attempts must be served."""
+MEASURED_S: Final = 2.0
+"""Seconds for which first attempts are counted."""
+MIN_SHARE: Final = 2 / 3
+"""Share of the other instances' success that partitioned instances must reach."""
+CALLERS_PER_INSTANCE: Final = 2
+TARGETS: Final = (
+    CALL_PREFIX + "x",
+    LOOKUP_PREFIX + "x",
+    STREAM_PREFIX + "stream/x",
+    RESUMABLE_PREFIX + "stream/x",
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class Count:
+    """First attempts of callers at some instances."""
+
+    sent: int = 0
+    served: int = 0
+
+    @property
+    def share(self) -> float:
+        """The share that was served."""
+        return self.served / max(1, self.sent)
+
+
+class PartitionTestCase(PlatformTestCase):
+    """Base of the tests: instances whose connections to endpoints can be cut one by one."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = Site()
+        await self.site.start(pool=4, portal=4)
+        self.addAsyncCleanup(self.site.stop)
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = directory.name
+        names = [f"one-{number}" for number in range(INSTANCES)]
+        self.instances = await asyncio.gather(*map(self.start_instance, names))
+        self.number = 0
+        self.until = float("inf")
+
+    async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
+        """Start a process whose connections follow a file."""
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "soak.skewed",
+            env=os.environ
+            | {
+                "GUAVAMAST_SETTINGS": write_settings(settings, self.directory),
+                PARTITION_ENV_VARIABLE: str(self.find_partition_file(settings["node_name"])),
+            },
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    def find_partition_file(self, name: str) -> Path:
+        return Path(self.directory) / f"{name}.partition"
+
+    def cut(self, kind: PartitionKind, numbers: list[int], *services: str) -> None:
+        """Partition some instances from the engines of services, or of all."""
+        ports = frozenset(
+            engine.port
+            for name, engine in self.site.engines.items()
+            if not services or name.partition("-")[0] in services
+        )
+        for number in numbers:
+            path = self.find_partition_file(f"one-{number}")
+            write_partition(path, Partition(kind=kind, ports=ports))
+
+    def heal(self, numbers: list[int]) -> None:
+        for number in numbers:
+            write_partition(self.find_partition_file(f"one-{number}"), None)
+
+    async def ask_once(self, instance: Instance, target: str) -> bool:
+        """Send a first attempt on a new connection; return whether it is served completely."""
+        self.number += 1
+        try:
+            caller = await Caller.open(instance.callers)
+        except ConnectionLost:
+            return False
+        try:
+            async with asyncio.timeout(3.0):
+                reply = await caller.send_request(
+                    target, request_id=f"r{self.number}", body=b"x", timeout_ms=2000
+                )
+        except (ConnectionLost, MalformedAnswer, TimeoutError):
+            return False
+        finally:
+            caller.connection.close()
+        return reply.status == 200 and reply.complete
+
+    async def keep_asking(self, instance: Instance, targets: tuple[str, ...], count: Count) -> None:
+        """Count first attempts at one instance."""
+        turn = 0
+        while time.monotonic() < self.until:
+            served = await self.ask_once(instance, targets[turn % len(targets)])
+            turn += 1
+            count.sent += 1
+            count.served += served
+            await asyncio.sleep(0.05)
+
+    async def count_served(
+        self, cut: list[int], *, for_s: float, targets: tuple[str, ...] = TARGETS
+    ) -> tuple[Count, Count]:
+        """Return the first attempts at the partitioned instances, and at the others."""
+        self.until = time.monotonic() + for_s
+        partitioned, others = Count(), Count()
+        async with asyncio.TaskGroup() as tasks:
+            for number, instance in enumerate(self.instances):
+                count = partitioned if number in cut else others
+                for _ in range(CALLERS_PER_INSTANCE):
+                    tasks.create_task(self.keep_asking(instance, targets, count))
+        return partitioned, others
+
+    async def run_partition(
+        self, kind: PartitionKind, cut: list[int], *services: str, quiet: bool = False
+    ) -> tuple[Count, Count]:
+        """Partition instances, and count first attempts once the bound has passed."""
+        await self.count_served([], for_s=WARM_UP_S)
+        self.cut(kind, cut, *services)
+        if quiet:
+            await asyncio.sleep(STABLE_S)
+        else:
+            await self.count_served(cut, for_s=STABLE_S)
+        return await self.count_served(cut, for_s=MEASURED_S)
+
+    def assert_served(self, partitioned: Count, others: Count) -> None:
+        self.assertGreater(others.share, MIN_SHARE)
+        self.assertGreaterEqual(partitioned.share, MIN_SHARE * others.share)
+
+
+class PartitionTest(PartitionTestCase):
+    """Instances that reach no endpoint serve their callers nearly as often as the others."""
+
+    async def test_instances_whose_connections_hang_serve_callers(self) -> None:
+        """Guards against an instance that answers 503 while others reach all endpoints."""
+        self.assert_served(*await self.run_partition(PartitionKind.HANG, [0, 1, 2]))
+
+    async def test_instances_whose_connections_are_refused_serve_callers(self) -> None:
+        """Guards against a partition that resets connections being taken for ended endpoints."""
+        self.assert_served(*await self.run_partition(PartitionKind.REFUSE, [0, 1, 2]))
+
+    async def test_instances_serve_directly_after_the_partition(self) -> None:
+        await self.run_partition(PartitionKind.HANG, [0, 1, 2])
+        self.heal([0, 1, 2])
+        await asyncio.sleep(1.5)
+        partitioned, others = await self.count_served([0, 1, 2], for_s=1.0)
+        self.assert_served(partitioned, others)
