Show on the forwarding path what holds on the direct one

A connection to an endpoint was closed after each forwarded response, although it had been put back among the idle ones (seen by test_a_response_arrives_unchanged: 2 connections where 1 is enough). The forwarder now also takes responses as signs of life of the service. Tests of each promise on the path through another instance: whole and own responses, visible cuts, at most once, age of tables, the newer configuration, one hop, the caller's leaving, choice of the forwarder.

--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -31,7 +31,7 @@
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.forwarding.protocol import EncodedRequest, ForwardOrder
     from guavamast.relay.loop_delay import LoopDelay
-    from guavamast.relay.messages import HeaderCodec, ResponseWriter
+    from guavamast.relay.messages import EndpointResponseHead, HeaderCodec, ResponseWriter
     from guavamast.relay.reachability import ReachabilityMonitor
 
 MAX_FORWARDED: Final = 200
@@ -156,9 +156,13 @@
         self._forwarded += 1
         self._counters.set("forwarded_requests", self._forwarded)
         outcome = "left"
+        kept = False
         try:
             self._check_send(permitted)
-            outcome = await self._exchange(permitted, request, writer)
+            head = await self._exchange(permitted, request, writer)
+            outcome = f"status {head.status}"
+            kept = self._keep(permitted, head)
+            await writer.end()
         except OrderRejected as rejection:
             outcome = str(rejection.reason)
             await writer.send(REJECTED_STATUS, [(REASON_HEADER, outcome)], b"")
@@ -167,7 +171,8 @@
             outcome = f"lost: {error}"
             writer.abort()
         finally:
-            permitted.acquired.connection.close()
+            if not kept:
+                permitted.acquired.connection.close()
             self._forwarded -= 1
             self._counters.set("forwarded_requests", self._forwarded)
             self._record(permitted, outcome)
@@ -220,20 +225,29 @@
 
     async def _exchange(
         self, permitted: PermittedOrder, request: EncodedRequest, writer: ResponseWriter
-    ) -> str:
-        """Send a request and forward its response; return its outcome for the log."""
+    ) -> EndpointResponseHead:
+        """Send a request and forward its response, without its end; return its head."""
         connection = permitted.acquired.connection
         await connection.send(request.method, request.target, request.headers, request.body)
         received = await connection.read_head()
+        self._record_received(permitted)
         head = self._codec.decode_response(received.status, received.headers)
         writer.start(FORWARDED_STATUS, encode_response_headers(received.status, head.headers))
         while (chunk := await connection.read_chunk()) is not None:
+            self._record_received(permitted)
             if chunk:
                 await writer.write(chunk)
-        if head.request_id == permitted.order.request_id:
+        return head
+
+    def _keep(self, permitted: PermittedOrder, head: EndpointResponseHead) -> bool:
+        """Keep a connection on which its own response has arrived; return whether it did."""
+        own = head.request_id == permitted.order.request_id
+        if own:
             permitted.acquired.keep(head)
-        await writer.end()
-        return f"status {received.status}"
+        return own
+
+    def _record_received(self, permitted: PermittedOrder) -> None:
+        self._monitor.record_received(permitted.record.service, now=self._read_time())
 
     def _record(self, permitted: PermittedOrder, outcome: str) -> None:
         now = self._read_time()
--- /dev/null
+++ b/tests/test_relay_forwarding.py
@@ -0,0 +1,418 @@
+"""Tests of requests that reach an endpoint through another instance."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import unittest
+from random import Random
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from guavamast.platform.request_headers import PlatformHeaders
+from guavamast.platform.standins.engine import EngineFault, EngineStandIn
+from guavamast.relay.connection_pool import ConnectionPool
+from guavamast.relay.counters import Counters
+from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.direct_connector import DirectConnector
+from guavamast.relay.endpoint_connection import (
+    ConnectionLost,
+    EndpointUnreachable,
+    NotForwarded,
+    PathLost,
+)
+from guavamast.relay.forwarding import (
+    ForwardClient,
+    ForwarderChoice,
+    ForwardListener,
+    ForwardServer,
+)
+from guavamast.relay.forwarding.protocol import (
+    MalformedForward,
+    decode_order,
+    decode_request,
+    encode_request,
+)
+from guavamast.relay.forwarding.server import MAX_SEND_DELAY_S
+from guavamast.relay.heartbeat_messages import InstanceState
+from guavamast.relay.listener_recorder import ListenerRecorder
+from guavamast.relay.loop_delay import LoopDelay
+from guavamast.relay.peers import Peer
+from guavamast.relay.reachability import PeerReachability, ReachabilityMonitor, ReachabilityReport
+from guavamast.relay.store import InstanceRecord
+from tests.relay_fixtures import BOUNDS, build_endpoint
+from tests.test_relay_caller_admission import AdmissionSimulation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.endpoint_connection import AcquiredConnection
+
+ROW_VERSION = 5
+"""Row version of the configuration at all instances."""
+DEADLINE_S = 5.0
+"""Seconds for anything here to happen on a busy machine."""
+
+
+def build_instance(name: str, *, domain: str = "a", port: int = 0) -> InstanceRecord:
+    """Return the record of an instance."""
+    return InstanceRecord(
+        name=name,
+        ip="127.0.0.1",
+        failure_domain=domain,
+        region="r",
+        callers_address="127.0.0.1:1",
+        peer_port=port,
+        link_mbps=100.0,
+        processor_share=1.0,
+    )
+
+
+def build_peer(
+    name: str,
+    *,
+    domain: str = "a",
+    port: int = 0,
+    state: InstanceState = InstanceState.SERVING,
+) -> Peer:
+    """Return another instance that has just sent a heartbeat."""
+    record = build_instance(name, domain=domain, port=port)
+    return Peer(record=record, received_at=100.0, changed_at=0.0, state=state)
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Return once a condition holds."""
+    async with asyncio.timeout(DEADLINE_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class ForwardingTest(unittest.IsolatedAsyncioTestCase):
+    """What holds for requests on the direct path holds on the path through another instance."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = EngineStandIn(engine_id="x")
+        other = EngineStandIn(engine_id="y")
+        self.record = build_endpoint("x", port=await self.engine.listen())
+        self.other = build_endpoint("y", port=await other.listen(), failure_domain="b")
+        self.addAsyncCleanup(self.engine.stop)
+        self.addAsyncCleanup(other.stop)
+        self.simulation = AdmissionSimulation()
+        """The tables and the clock of the instance that forwards."""
+        self.simulation.change_endpoints(self.record, self.other)
+        await self.simulation.admit()
+        self.monitor = ReachabilityMonitor()
+        self.loop_delay = LoopDelay()
+        self.counters = Counters()
+        self.client = self.build_client(await self.start_forwarder())
+
+    async def start_forwarder(self) -> int:
+        """Start the instance that forwards; return its port."""
+        log = DecisionLog(instance="two", descriptor=os.open(os.devnull, os.O_WRONLY))
+        direct = DirectConnector(
+            pool=ConnectionPool(),
+            monitor=self.monitor,
+            fleet_state=self.simulation.fleet_state,
+            on_blocked=mock.Mock(),
+            on_restored=mock.Mock(),
+            random=Random(1),
+            read_time=self.read_time,
+        )
+        server = ForwardServer(
+            direct=direct,
+            monitor=self.monitor,
+            admission=self.simulation.admission,
+            fleet_state=self.simulation.fleet_state,
+            codec=PlatformHeaders(),
+            loop_delay=self.loop_delay,
+            log=log,
+            counters=self.counters,
+            read_time=self.read_time,
+        )
+        self.listener = ForwardListener(
+            server=server,
+            recorder=ListenerRecorder(log=log, counters=self.counters, read_time=self.read_time),
+            read_time=self.read_time,
+        )
+        with socket.socket() as reserved:
+            reserved.bind(("127.0.0.1", 0))
+            port = int(reserved.getsockname()[1])
+        self.listener.listen("127.0.0.1", port)
+        self.addAsyncCleanup(self.listener.drain, deadline=0.0)
+        return port
+
+    def build_client(self, *ports: int) -> ForwardClient:
+        """Return the client of an instance that knows others at some ports."""
+        peers = [build_peer(f"peer{port}", port=port) for port in ports]
+        fleet_state = mock.Mock()
+        fleet_state.peers.list_live.return_value = peers
+        self.read_catalog = mock.AsyncMock(return_value=True)
+        record = build_instance("one")
+        choice = ForwarderChoice(record=record, reachability=PeerReachability(), random=Random(1))
+        return ForwardClient(
+            record=record,
+            choice=choice,
+            fleet_state=fleet_state,
+            links=ConnectionPool(),
+            read_catalog=self.read_catalog,
+            counters=self.counters,
+            read_time=self.read_time,
+        )
+
+    def read_time(self) -> float:
+        return self.simulation.now
+
+    async def connect(self, *, row_version: int = ROW_VERSION) -> AcquiredConnection:
+        return await self.client.connect(self.record, request_id="r1", row_version=row_version)
+
+    async def send(self, acquired: AcquiredConnection, target: str = "/call/1") -> None:
+        headers = [("Host", "portal.example"), ("X-Attempt-Id", "r1"), ("Content-Length", "4")]
+        await acquired.connection.send("POST", target, headers, b"body")
+
+    async def read_body(self, acquired: AcquiredConnection) -> bytes:
+        body = b""
+        while (chunk := await acquired.connection.read_chunk()) is not None:
+            body += chunk
+        return body
+
+    async def test_a_response_arrives_unchanged(self) -> None:
+        acquired = await self.connect()
+        await self.send(acquired)
+        head = await acquired.connection.read_head()
+        decoded = PlatformHeaders().decode_response(head.status, head.headers)
+        self.assertEqual((head.status, decoded.request_id, decoded.signed), (200, "r1", True))
+        self.assertEqual(await self.read_body(acquired), b"answer r1")
+        (run,) = self.engine.runs
+        self.assertEqual((run.target, run.body, run.request_id), ("/call/1", b"body", "r1"))
+        self.assertFalse([name for name in run.headers if name.startswith("guavamast")])
+        acquired.keep(decoded)
+        again = await self.connect()
+        await self.send(again)
+        self.assertEqual((await again.connection.read_head()).status, 200)
+        self.assertEqual(self.engine.connections, 1)
+
+    async def test_a_status_without_run_arrives_as_such(self) -> None:
+        self.engine.fault = EngineFault.FULL
+        acquired = await self.connect()
+        await self.send(acquired)
+        head = await acquired.connection.read_head()
+        decoded = PlatformHeaders().decode_response(head.status, head.headers)
+        self.assertEqual((head.status, decoded.not_run), (503, True))
+
+    async def test_events_arrive_as_they_are_made(self) -> None:
+        """Guards against streams that are collected before they are passed on."""
+        acquired = await self.connect()
+        await self.send(acquired, "/stream/1")
+        await acquired.connection.read_head()
+        first = await acquired.connection.read_chunk()
+        assert first is not None
+        self.assertLess(first.count(b"id:"), self.engine.events)
+        self.assertEqual((first + await self.read_body(acquired)).count(b"id:"), self.engine.events)
+
+    async def test_nothing_runs_before_the_whole_request_was_sent(self) -> None:
+        """Guards against a request that runs although its caller was told that it did not."""
+        acquired = await self.connect()
+        acquired.connection.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.engine.runs, [])
+
+    async def test_a_forwarder_that_was_suspended_sends_nothing(self) -> None:
+        """Guards against old requests that a process finds in its sockets when it resumes."""
+        acquired = await self.connect()
+        self.simulation.now += MAX_SEND_DELAY_S + 0.01
+        await self.send(acquired)
+        with self.assertRaises(NotForwarded):
+            await acquired.connection.read_head()
+        self.assertEqual(self.engine.runs, [])
+
+    async def test_an_endpoint_that_leaves_meanwhile_gets_nothing(self) -> None:
+        """Guards against a send by the older of two instances' tables."""
+        acquired = await self.connect()
+        self.simulation.change_endpoints(self.other)
+        await self.simulation.reader.endpoints.join()
+        await self.send(acquired)
+        with self.assertRaises(NotForwarded):
+            await acquired.connection.read_head()
+        with self.assertRaises(PathLost):
+            await self.connect()
+        self.assertEqual(self.engine.runs, [])
+
+    async def test_the_newer_configuration_decides(self) -> None:
+        """Guards against a request that is sent by a route that the forwarder knows has moved."""
+        with self.assertRaises(NotForwarded):
+            await self.connect(row_version=ROW_VERSION - 1)
+        self.read_catalog.assert_awaited_once()
+        acquired = await self.connect(row_version=ROW_VERSION + 1)
+        self.assertEqual(acquired.forwarder, f"peer{self.find_port()}")
+
+    async def test_old_tables_forward_nothing(self) -> None:
+        self.simulation.now += BOUNDS.endpoints_s - 0.1
+        acquired = await self.connect()
+        self.simulation.now += 0.2
+        await self.send(acquired)
+        with self.assertRaises(NotForwarded):
+            await acquired.connection.read_head()
+        self.assertEqual(self.engine.runs, [])
+
+    async def test_a_request_passes_one_instance_at_most(self) -> None:
+        """Guards against requests that circle among instances without a path."""
+        self.monitor.record_blocked("portal", now=self.simulation.now)
+        with self.assertRaises(PathLost):
+            await self.connect()
+        self.assertEqual(self.engine.connections, 0)
+
+    async def test_an_ended_endpoint_is_told_from_a_lost_path(self) -> None:
+        await self.engine.stop()
+        with self.assertRaises(EndpointUnreachable) as caught:
+            await self.connect()
+        self.assertTrue(caught.exception.refused)
+
+    async def test_a_busy_instance_forwards_nothing(self) -> None:
+        """Guards against callers of the few instances with a path that wait for those of others."""
+        self.loop_delay.record(1.0, now=self.simulation.now)
+        with self.assertRaises(PathLost):
+            await self.connect()
+        self.simulation.now += 5.0
+        await self.simulation.admit()
+        acquired = await self.connect()
+        acquired.connection.close()
+
+    async def test_an_instance_that_is_gone_is_passed_over(self) -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = int(unused.getsockname()[1])
+            for _ in range(4):
+                self.client = self.build_client(port, self.find_port())
+                (await self.connect()).connection.close()
+
+    async def test_a_response_that_breaks_off_is_not_complete(self) -> None:
+        """Guards against a cut stream that looks like a whole one."""
+        self.engine.fault = EngineFault.CUT
+        acquired = await self.connect()
+        await self.send(acquired, "/stream/1")
+        await acquired.connection.read_head()
+        with self.assertRaises(ConnectionLost):
+            await self.read_body(acquired)
+
+    async def test_a_forwarder_that_is_killed_leaves_no_complete_response(self) -> None:
+        """Guards against a response without length that ends with the forwarder's process."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 100 (Continue)\r\n\r\n")
+            await reader.readuntil(b"0\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nGuavamast-Status: 200\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"4\r\npart\r\n"
+            )
+            writer.close()
+
+        killed = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(killed.close)
+        self.client = self.build_client(int(killed.sockets[0].getsockname()[1]))
+        acquired = await self.connect()
+        await self.send(acquired)
+        await acquired.connection.read_head()
+        with self.assertRaises(ConnectionLost):
+            await self.read_body(acquired)
+
+    async def test_a_caller_that_leaves_ends_the_work_at_the_endpoint(self) -> None:
+        """Guards against engines that work for nobody behind another instance."""
+        self.engine.fault = EngineFault.HANG
+        acquired = await self.connect()
+        await self.send(acquired)
+        await wait_until(lambda: len(self.engine.runs) == 1)
+        acquired.connection.close()
+        await wait_until(lambda: self.engine.abandoned == 1)
+
+    async def test_a_connection_with_another_response_is_not_used_again(self) -> None:
+        """Guards against a response that reaches another request."""
+        self.engine.fault = EngineFault.CROSSED
+        acquired = await self.connect()
+        await self.send(acquired)
+        await acquired.connection.read_head()
+        await self.read_body(acquired)
+        self.engine.fault = EngineFault.NONE
+        await self.connect()
+        await wait_until(lambda: self.engine.connections == 2)
+
+    def find_port(self) -> int:
+        """Return the port of the instance that forwards."""
+        ((sock, _),) = self.listener._http._listening
+        return int(sock.getsockname()[1])
+
+
+class ForwarderChoiceTest(unittest.TestCase):
+    """Requests are spread over instances that reach the service, near ones first."""
+
+    def setUp(self) -> None:
+        self.reachability = PeerReachability()
+        self.choice = ForwarderChoice(
+            record=build_instance("one"), reachability=self.reachability, random=Random(1)
+        )
+
+    def report(self, name: str, *blocked: str) -> None:
+        report = ReachabilityReport(
+            instance=name, failure_domain="a", incarnation=1, sequence=1, blocked=blocked
+        )
+        self.reachability.apply(report, now=100.0)
+
+    def rank(self, *peers: Peer, avoided: tuple[str, ...] = ()) -> list[str]:
+        ranked = self.choice.rank("pool", list(peers), avoided=set(avoided), now=100.0)
+        return [record.name for record in ranked]
+
+    def test_the_own_failure_domain_goes_first(self) -> None:
+        peers = [build_peer("far", domain="b"), build_peer("near")]
+        self.assertEqual({tuple(self.rank(*peers)) for _ in range(20)}, {("near", "far")})
+
+    def test_few_near_instances_are_not_preferred(self) -> None:
+        """Guards against one instance that forwards for all others of its failure domain."""
+        cut = [build_peer(f"cut{number}") for number in range(3)]
+        for peer in cut:
+            self.report(peer.record.name, "pool")
+        peers = [*cut, build_peer("near"), build_peer("far", domain="b")]
+        self.assertEqual({self.rank(*peers)[0] for _ in range(20)}, {"near", "far"})
+
+    def test_instances_without_a_path_or_leaving_are_not_asked(self) -> None:
+        self.report("cut", "pool")
+        self.report("other", "portal")
+        peers = [
+            build_peer("cut"),
+            build_peer("other"),
+            build_peer("leaving", state=InstanceState.LEAVING),
+            build_peer("failed"),
+        ]
+        self.assertEqual(self.rank(*peers, avoided=("failed",)), ["other"])
+
+    def test_nobody_is_asked_when_all_have_lost_the_path(self) -> None:
+        """Guards against a storm of orders among instances that all miss a service."""
+        peers = [build_peer(f"cut{number}") for number in range(5)]
+        for peer in peers:
+            self.report(peer.record.name, "pool")
+        self.assertEqual(self.rank(*peers), [])
+
+
+class ForwardProtocolTest(unittest.TestCase):
+    """Messages survive the encoding, and malformed ones are told apart."""
+
+    def test_a_request_survives(self) -> None:
+        headers = [("Host", "h"), ("X-Name", "v"), ("Content-Length", "3")]
+        request = decode_request(encode_request("POST", "/p?q=1", headers, b"abc"))
+        self.assertEqual((request.method, request.target, request.body), ("POST", "/p?q=1", b"abc"))
+        self.assertEqual(request.headers, headers)
+
+    def test_incomplete_requests_are_malformed(self) -> None:
+        """Guards against a part of a request that is sent to an endpoint."""
+        data = encode_request("POST", "/p", [("Host", "h"), ("Content-Length", "3")], b"abc")
+        for length in (0, 10, len(data) - 1):
+            with self.assertRaises(MalformedForward):
+                decode_request(data[:length])
+
+    def test_orders_without_a_field_are_malformed(self) -> None:
+        with self.assertRaises(MalformedForward):
+            decode_order({"Guavamast-Endpoint": "x"})
+
+
+if __name__ == "__main__":
+    unittest.main()
