Partition instances from engines in the soak, beside the other faults

One to all instances lose all engines or those of one service, for one to seven seconds, in each of four ways: hanging or refused, kept connections silent, reset or alive. The plan of the other faults is unchanged, so seeds that were kept show what they showed. Instances that are otherwise undisturbed must be served two thirds as often as the others from three seconds on.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,14 @@
 
 
 async def run_seed(
-    seed: int, *, length_s: float, instances: int, keep: str, revoke_s: float, lethal: bool
+    seed: int,
+    *,
+    length_s: float,
+    instances: int,
+    keep: str,
+    revoke_s: float,
+    lethal: bool,
+    partitions: bool,
 ) -> Verdict:
     """Run one seed, with its logs below ``keep`` if given, and print the verdict."""
     directory = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None)
@@ -25,6 +32,7 @@
         directory=directory,
         revoke_s=revoke_s,
         lethal=lethal,
+        partitions=partitions,
     )
     verdict = await run.run()
     outcome = "kept" if not verdict.violations else "BROKEN"
@@ -46,6 +54,7 @@
     keep: str,
     revoke_s: float,
     lethal: bool,
+    partitions: bool,
 ) -> list[Verdict]:
     """Run a range of seeds, ``parallel`` of them at a time."""
     task = asyncio.current_task()
@@ -63,6 +72,7 @@
                 keep=keep,
                 revoke_s=revoke_s,
                 lethal=lethal,
+                partitions=partitions,
             )
 
     return await asyncio.gather(*(run_one(seed) for seed in range(first, last + 1)))
@@ -76,6 +86,7 @@
     keep: str = "",
     revoke_s: float = REVOKE_BOUND_S,
     lethal: bool = False,
+    partitions: bool = True,
 ) -> None:
     """Run seeds and print the violated guarantees.
 
@@ -88,6 +99,7 @@
         revoke_s: Seconds after which a revoked key must be rejected. With a long bound, other
             bounds decide how long instances serve by stale state.
         lethal: Whether a caller repeats a request that ends the engines that run it.
+        partitions: Whether instances are partitioned from engines beside the other faults.
     """
     first, _, last = str(seeds).partition("-")
     verdicts = asyncio.run(
@@ -100,6 +112,7 @@
             keep=keep,
             revoke_s=revoke_s,
             lethal=lethal,
+            partitions=partitions,
         )
     )
     failed_seeds = sum(bool(verdict.violations) for verdict in verdicts)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -165,6 +165,7 @@
                 expected_body=_build_expected_body(kind, request_id),
                 complete=response.complete,
                 quarantined=_is_quarantined(response),
+                address=self._address,
             )
         )
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Final
 
@@ -27,6 +27,11 @@
 """Time from the begin of a lethal run until another engine has replaced the one that it ends."""
 SETTLED_AFTER_S: Final = 3.5
 """Time without a disruption after which the bounds in seconds hold."""
+PARTITIONED_SHARE: Final = 2 / 3
+"""Share of the other instances' success that instances partitioned from engines must reach."""
+PARTITIONED_SLACK: Final = 10
+PARTITIONED_SLACK_SHARE: Final = 1 / 50
+"""Requests, and their share, that may fail there in any case."""
 RECOVERED_SHARE: Final = 0.9
 """Share of the requests after the recovery that must succeed, as all faults are over by then."""
 
@@ -66,6 +71,13 @@
     complete: bool
     quarantined: bool = False
     """Whether it was refused for its content."""
+    address: str = ""
+    """Address of the instance that it was sent to."""
+
+    @property
+    def served(self) -> bool:
+        """Whether its response was complete."""
+        return self.status == 200 and self.complete
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,9 +89,9 @@
     organisation: str
     started_at: float
     unmodified: bool
+    """Whether method, target and body were the caller's, and no API key was forwarded."""
     lethal: bool = False
     """Whether the request ends the engines that run it."""
-    """Whether method, target and body were the caller's, and no API key was forwarded."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,6 +102,14 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PartitionRecord:
+    """Instances that were partitioned from engines, and otherwise undisturbed."""
+
+    span: Span
+    addresses: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SoakRecord:
     """Everything that was recorded in a soak run."""
@@ -111,6 +131,7 @@
     """Time from which all requests must be served again."""
     ended_at: float
     """Time at which callers stopped sending and the site was shut down."""
+    partitions: list[PartitionRecord] = field(default_factory=list)
 
 
 def find_violations(record: SoakRecord) -> list[str]:
@@ -131,6 +152,8 @@
             violations.append(f"{run.request_id}: ran at {run.engine}, though nobody asked for it")
             continue
         violations += _check_run(run, sent_at[run.request_id], record)
+    for partition in record.partitions:
+        violations += _check_partition(record.requests, partition)
     return violations + _check_containment(record) + _check_recovery(record)
 
 
@@ -157,7 +180,7 @@
 def _check_undisturbed(request: RequestRecord, record: SoakRecord) -> list[str]:
     """Check that no request fails during planned work: stops, reloads, changes and drains."""
     disruptions = record.disruptions + _list_lethal_outages(record)
-    if request.ended_at >= record.ended_at or not _is_undisturbed(
+    if request.ended_at >= record.ended_at or not is_undisturbed(
         disruptions, request.sent_at, request.ended_at
     ):
         return []
@@ -199,7 +222,7 @@
         )
     for drain in record.drains.get(run.engine, []):
         # Only external disruptions count: a disrupted instance rereads stale state before it sends.
-        undisturbed = _is_undisturbed(record.external_disruptions, run.started_at, run.started_at)
+        undisturbed = is_undisturbed(record.external_disruptions, run.started_at, run.started_at)
         if undisturbed and drain.started_at + DRAIN_BOUND_S < run.started_at < drain.ended_at:
             late_s = run.started_at - drain.started_at
             violations.append(f"{run.request_id}: ran at {run.engine} {late_s:.2f} s after it left")
@@ -215,7 +238,7 @@
     ]
 
 
-def _is_undisturbed(
+def is_undisturbed(
     disruptions: list[Span], started_at: float, ended_at: float, *, after_s: float = SETTLED_AFTER_S
 ) -> bool:
     """Return whether a time span and ``after_s`` before it had no disruption."""
@@ -237,7 +260,7 @@
     learned_at = runs[MAX_LETHAL_ENDS - 1].started_at + SPREAD_BOUND_S
     later = sum(
         run.started_at > learned_at
-        and _is_undisturbed(
+        and is_undisturbed(
             record.instance_disruptions[run.request_id],
             run.started_at,
             run.started_at,
@@ -250,13 +273,34 @@
     return [f"a request under which {MAX_LETHAL_ENDS} engines had ended ran {later} times more"]
 
 
+def _check_partition(requests: list[RequestRecord], partition: PartitionRecord) -> list[str]:
+    """Check that partitioned instances serve their callers nearly as often as the others."""
+    span = partition.span
+    sent = [
+        request
+        for request in requests
+        if span.started_at + SPREAD_BOUND_S <= request.sent_at and request.ended_at <= span.ended_at
+    ]
+    there = [request.served for request in sent if request.address in partition.addresses]
+    others = [request.served for request in sent if request.address not in partition.addresses]
+    failed = len(there) - sum(there)
+    if not there or not others or failed <= PARTITIONED_SLACK + PARTITIONED_SLACK_SHARE * len(sent):
+        return []
+    if sum(there) / len(there) >= PARTITIONED_SHARE * sum(others) / len(others):
+        return []
+    return [
+        f"partitioned instances served {sum(there)} of {len(there)} requests, "
+        f"the others {sum(others)} of {len(others)}"
+    ]
+
+
 def _check_recovery(record: SoakRecord) -> list[str]:
     last_requests = [
         request
         for request in record.requests
         if request.sent_at >= record.recovered_at and request.organisation not in record.revoked
     ]
-    succeeded = sum(request.status == 200 and request.complete for request in last_requests)
+    succeeded = sum(request.served for request in last_requests)
     if succeeded < RECOVERED_SHARE * len(last_requests) or not last_requests:
         return [f"only {succeeded} of the last {len(last_requests)} requests were answered"]
     return []
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -13,6 +13,7 @@
 
 from guavamast.platform.standins.site import write_settings
 from soak.guarantees import Span
+from soak.partitions import PARTITION_ENV_VARIABLE
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -53,6 +54,7 @@
         self.caller_address = str(settings["listen"]["front"])
         self.directory_address = str(settings["listen"]["directory"])
         self.log = Path(directory) / f"{self.name}.log"
+        self.partition_file = Path(directory) / f"{self.name}.partition"
         self.unexpected_exits: list[str] = []
         """Process exits that the soak did not request, or with an unexpected exit code."""
         self.disruptions: list[Span] = []
@@ -76,7 +78,11 @@
                 "-m",
                 "soak.skewed",
                 env=os.environ
-                | {"GUAVAMAST_SETTINGS": self._settings_path, SKEW_ENV_VARIABLE: str(skew_s)},
+                | {
+                    "GUAVAMAST_SETTINGS": self._settings_path,
+                    SKEW_ENV_VARIABLE: str(skew_s),
+                    PARTITION_ENV_VARIABLE: str(self.partition_file),
+                },
                 stdout=log,
                 stderr=log,
             )
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,15 +12,27 @@
 from guavamast.platform.standins.engine import EngineFault
 from guavamast.platform.standins.store import StoreFault
 from soak.callers import Caller
-from soak.guarantees import REVOKE_BOUND_S, RequestRecord, SoakRecord, Span, find_violations
+from soak.guarantees import (
+    REVOKE_BOUND_S,
+    SPREAD_BOUND_S,
+    PartitionRecord,
+    RequestRecord,
+    SoakRecord,
+    Span,
+    find_violations,
+    is_undisturbed,
+)
 from soak.lethal import LethalCaller
+from soak.partitions import Partition, PartitionKind, write_partition
 from soak.proxy import LinkFault
-from soak.schedule import RECOVERY_S, Fault, FaultKind, plan_faults
+from soak.schedule import RECOVERY_S, Fault, FaultKind, plan_faults, plan_partitions
 from soak.site import KEYS, SoakSite
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from soak.instances import Instance
+
 START_TIMEOUT_S: Final = 20.0
 """Timeout for the first instances to be ready, on a busy machine."""
 RECOVERY_GRACE_S: Final = 1.5
@@ -74,6 +86,7 @@
         revoke_s: Time after which a revoked key must be rejected. With a short one, instances
             reject all keys before their state is too old for anything else.
         lethal: Whether a caller repeats a request that ends the engines that run it.
+        partitions: Whether instances are partitioned from engines beside the other faults.
     """
 
     def __init__(
@@ -85,6 +98,7 @@
         directory: str,
         revoke_s: float = REVOKE_BOUND_S,
         lethal: bool = False,
+        partitions: bool = False,
     ) -> None:
         self._seed = seed
         self._length_s = length_s
@@ -96,6 +110,8 @@
             instances=self._site.instances, random=Random(f"{seed}lethal")
         )
         self._lethal = lethal
+        self._plans_partitions = partitions
+        self._partitions: list[tuple[Span, list[Instance]]] = []
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
         self._external_disruptions: list[Span] = []
@@ -117,6 +133,7 @@
             FaultKind.STORE_ANSWERS: self._inject_store_fault,
             FaultKind.CONFIG_CHANGE: self._change_configuration,
             FaultKind.REVOKE: self._revoke,
+            FaultKind.PARTITION: self._partition,
         }
 
     async def run(self) -> Verdict:
@@ -133,12 +150,18 @@
                     tasks.create_task(caller.run(started_at + self._length_s))
                 if self._lethal:
                     tasks.create_task(self._repeat_lethal(started_at))
-                for fault in plan_faults(self._seed, length_s=self._length_s):
+                for fault in self._plan():
                     tasks.create_task(self._inject(fault, started_at))
         finally:
             await site.stop()
         return self._build_verdict(started_at + self._length_s)
 
+    def _plan(self) -> list[Fault]:
+        faults = plan_faults(self._seed, length_s=self._length_s)
+        if self._plans_partitions:
+            faults += plan_partitions(self._seed, length_s=self._length_s)
+        return faults
+
     def _build_verdict(self, ended_at: float) -> Verdict:
         record = SoakRecord(
             requests=self._requests,
@@ -154,6 +177,22 @@
             revoke_s=self._revoke_s,
             recovered_at=ended_at - RECOVERY_S + RECOVERY_GRACE_S,
             ended_at=ended_at,
+            partitions=[
+                PartitionRecord(
+                    span=span,
+                    addresses=frozenset(
+                        instance.caller_address
+                        for instance in instances
+                        if is_undisturbed(
+                            instance.disruptions,
+                            span.started_at,
+                            span.ended_at,
+                            after_s=SPREAD_BOUND_S,
+                        )
+                    ),
+                )
+                for span, instances in self._partitions
+            ],
         )
         return Verdict(
             seed=self._seed,
@@ -302,3 +341,25 @@
     async def _revoke(self, fault: Fault) -> None:
         revocable = [name for name in KEYS if name.startswith("revocable")]
         self._site.revoke(fault.choose_target(revocable))
+
+    async def _partition(self, fault: Fault) -> None:
+        """Partition one to all instances from all engines, or from those of one service."""
+        instances = self._site.instances
+        affected = instances[: 1 + int(fault.target * len(instances))]
+        kinds = list(PartitionKind)
+        kind = kinds[int(fault.variant * len(kinds))]
+        scopes = (("pool", "portal"), ("pool",), ("portal",))
+        services = scopes[int(fault.variant * 100) % len(scopes)]
+        ports = frozenset(
+            link.port
+            for engine_id, link in self._site.links.items()
+            if self._site.engine_services[engine_id] in services
+        )
+        for instance in affected:
+            write_partition(instance.partition_file, Partition(kind=kind, ports=ports))
+        started_at = time.monotonic()
+        await asyncio.sleep(fault.duration_s)
+        for instance in affected:
+            write_partition(instance.partition_file, None)
+        span = Span(started_at=started_at, ended_at=time.monotonic())
+        self._partitions.append((span, affected))
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -17,6 +17,9 @@
 """Range of fault durations: from below to above each timeout of the relay."""
 FAULTS_PER_S: Final = 1.2
 """Mean number of faults that begin per second, so that faults follow closely and overlap."""
+SHORTEST_PARTITION_S: Final = 1.0
+LONGEST_PARTITION_S: Final = 7.0
+"""Range of durations of a partition: to well above the time after which callers must be served."""
 LONGEST_FREEZE_S: Final = 6.0
 """Longest freeze of a process: longer than the time after which revoked keys must be rejected."""
 
@@ -55,6 +58,9 @@
     REVOKE = "revoke"
     """The key of an organisation is revoked."""
 
+    PARTITION = "partition"
+    """Some or all instances reach no engine, or none of one service."""
+
     @property
     def affects_instances(self) -> bool:
         """Whether it disrupts only instances, and no source of their state."""
@@ -98,7 +104,7 @@
         length_s: Length of the run, including its recovery.
     """
     random = Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.PARTITION]
     end_s = length_s - RECOVERY_S
     faults = []
     at_s = QUIET_START_S
@@ -118,3 +124,24 @@
         faults.append(fault)
         at_s += random.expovariate(FAULTS_PER_S)
     return faults
+
+
+def plan_partitions(seed: int, *, length_s: float) -> list[Fault]:
+    """Return the partitions of a run, which come beside its other faults.
+
+    Args:
+        seed: Seed of the generator.
+        length_s: Length of the run, including its recovery.
+    """
+    random = Random(f"{seed}partition")
+    end_s = length_s - RECOVERY_S
+    duration_s = min(random.uniform(SHORTEST_PARTITION_S, LONGEST_PARTITION_S), end_s)
+    return [
+        Fault(
+            start_s=random.uniform(0.0, max(0.0, end_s - duration_s)),
+            kind=FaultKind.PARTITION,
+            duration_s=duration_s,
+            target=random.random(),
+            variant=random.random(),
+        )
+    ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from soak.guarantees import (
     DRAIN_BOUND_S,
     REVOKE_BOUND_S,
+    PartitionRecord,
     RequestKind,
     RequestRecord,
     RunRecord,
@@ -19,7 +20,7 @@
 )
 from soak.proxy import LinkFault, LinkProxy
 from soak.run import SoakRun
-from soak.schedule import RECOVERY_S, FaultKind, plan_faults
+from soak.schedule import RECOVERY_S, FaultKind, plan_faults, plan_partitions
 
 from guavamast.platform.standins.engine import EngineStandIn
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection
@@ -36,6 +37,9 @@
 LONG_REVOKE_S = 9.0
 """Longer than any freeze, so that keys are accepted however old an instance's state gets."""
 CI_LENGTH_S = 9.0
+PARTITION_SEED = 3
+"""Seed in which some instances reach no engine for seconds."""
+PARTITION_LENGTH_S = 14.0
 
 CALL = RequestRecord(
     request_id="r1",
@@ -163,6 +167,26 @@
         refused = replace(CALL, status=503, quarantined=True, response_id=None, body=b"")
         self.assert_violation(build_record([refused], []), "refused for its content")
 
+    def test_partitioned_instances_that_serve_less_than_the_others(self) -> None:
+        partition = PartitionRecord(
+            span=Span(started_at=1.0, ended_at=20.0), addresses=frozenset({"cut"})
+        )
+        others = [replace(CALL, request_id=f"o{n}", address="other") for n in range(20)]
+        runs = [replace(RUN, request_id=one.request_id) for one in others]
+        others = [
+            replace(one, response_id=one.request_id, body=b"answer " + one.request_id.encode())
+            for one in others
+        ]
+        others = [replace(one, expected_body=one.body) for one in others]
+        refused = [
+            replace(CALL, request_id=f"c{n}", address="cut", status=503, body=b"")
+            for n in range(11)
+        ]
+        record = replace(build_record([*others, *refused], runs), partitions=[partition])
+        self.assert_violation(record, "partitioned instances served 0 of 11")
+        few = replace(record, requests=[*others, *refused[:10]])
+        self.assertEqual(find_violations(few), [])
+
     def test_no_recovery(self) -> None:
         record = build_record([CALL], [RUN])
         late = [replace(CALL, request_id=f"l{n}", sent_at=20.0, status=503) for n in range(3)]
@@ -179,6 +203,7 @@
 
     def test_all_kinds_come_and_end_in_time(self) -> None:
         faults = [fault for seed in range(40) for fault in plan_faults(seed, length_s=20.0)]
+        faults += [fault for seed in range(40) for fault in plan_partitions(seed, length_s=20.0)]
         self.assertEqual({fault.kind for fault in faults}, set(FaultKind))
         for fault in faults:
             self.assertLessEqual(fault.start_s + fault.duration_s, 20.0 - RECOVERY_S + 0.3)
@@ -234,6 +259,20 @@
         self.assertEqual(verdict.violations, [], verdict.faults)
         self.assertGreater(verdict.answered, 0)
 
+    async def test_partitions_beside_other_faults_violate_no_guarantee(self) -> None:
+        """Guards against requests through another instance that run twice, late or in part."""
+        with tempfile.TemporaryDirectory() as directory:
+            run = SoakRun(
+                seed=PARTITION_SEED,
+                length_s=PARTITION_LENGTH_S,
+                instances=4,
+                directory=directory,
+                partitions=True,
+            )
+            verdict = await run.run()
+        self.assertEqual(verdict.violations, [], verdict.faults)
+        self.assertGreater(verdict.answered, 0)
+
     async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
         """Guards against a fleet that loses what it knows of such a request to kills and resets."""
         await self.run_lethal(LETHAL_SEED, length_s=CI_LENGTH_S, instances=3)
