Reproduce: engines that bear few rejections end, as the fleet sends more than they have slots for

What callers see: requests lost in the middle, then none served at an engine that restarts. Engines state in all responses how many rejections in a second they bear; no instance reads this, and each one chooses a free slot that the others choose too.

--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -17,6 +17,8 @@
 """Default number of events in a stream."""
 EVENT_INTERVAL_S = 0.02
 KEEP_ALIVE_S = 5
+REJECTION_WINDOW_S = 1.0
+"""Seconds over which rejections are counted."""
 
 
 class EngineFault(StrEnum):
@@ -79,7 +81,16 @@
         """Number of requests whose connection closed before the response was complete."""
         self.connections = 0
         self.on_crash: Callable[[], None] | None = None
-        """Called when a request has ended this engine."""
+        """Called when this engine has ended by itself."""
+        self.slots: int | None = None
+        """Requests that run at a time; each further one is rejected. None for any number."""
+        self.rejection_limit: int | None = None
+        """Rejections in a second beyond which the engine ends, stated in all responses."""
+        self.rejections: list[float] = []
+        """Monotonic times of the requests that it rejected since it had no free slot."""
+        self.completed: list[float] = []
+        """Monotonic times at which responses were complete."""
+        self._running = 0
         self.born_ms = int(time.time() * 1000)
         """Unix milliseconds of its start."""
         self._crashed = False
@@ -180,7 +191,30 @@
         if headers.get("x-expect-instance", self.engine_id) != self.engine_id:
             return await self._send(http, writer, 421, [("X-Instance-Id", self.engine_id)], b"")
         if self.fault is EngineFault.FULL:
-            return await self._send(http, writer, 503, [("X-Not-Executed", "1")], b"")
+            return await self._reject(http, writer)
+        if self.slots is not None and self._running >= self.slots:
+            self._count_rejection()
+            return await self._reject(http, writer)
+        self._running += 1
+        try:
+            return await self._run(http, writer, request, body)
+        finally:
+            self._running -= 1
+
+    async def _reject(self, http: h11.Connection, writer: asyncio.StreamWriter) -> bool:
+        return await self._send(http, writer, 503, [("X-Not-Executed", "1")], b"")
+
+    def _count_rejection(self) -> None:
+        """Count a rejection for want of a slot, and end if there were too many in a second."""
+        now = time.monotonic()
+        self.rejections.append(now)
+        recent = sum(at > now - REJECTION_WINDOW_S for at in self.rejections)
+        if self.rejection_limit is not None and recent > self.rejection_limit:
+            self._crash()
+
+    async def _run(
+        self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, body: bytes
+    ) -> bool:
         run = self._record_run(request, body)
         request_id = run.request_id
         if body.startswith(LETHAL_BODY_PREFIX):
@@ -197,8 +231,11 @@
         if self.fault is EngineFault.ERROR:
             return await self._send(http, writer, 500, common, b"failed")
         if b"stream" in request.target:
-            return await self._stream(http, writer, common, run)
+            keep_open = await self._stream(http, writer, common, run)
+            self.completed.append(time.monotonic())
+            return keep_open
         keep_open = await self._send(http, writer, 200, common, b"answer " + request_id.encode())
+        self.completed.append(time.monotonic())
         if self.fault is EngineFault.EXTRA:
             writer.write(
                 b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Engine-Seal: s\r\n"
@@ -213,7 +250,7 @@
         headers: list[tuple[str, str]],
         run: Run,
     ) -> bool:
-        headers = [*headers, ("Content-Type", "text/event-stream")]
+        headers = [*headers, *self._list_limit(), ("Content-Type", "text/event-stream")]
         headers.append(("Transfer-Encoding", "chunked"))
         writer.write(http.send(h11.Response(status_code=200, headers=headers)) or b"")
         first = int(run.headers.get("last-event-id", "0")) + 1
@@ -230,6 +267,11 @@
         await writer.drain()
         return True
 
+    def _list_limit(self) -> list[tuple[str, str]]:
+        if self.rejection_limit is None:
+            return []
+        return [("Server-Brittle", str(self.rejection_limit))]
+
     async def _send(
         self,
         http: h11.Connection,
@@ -238,7 +280,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
     ) -> bool:
-        fields = [*headers, ("Content-Length", str(len(body)))]
+        fields = [*headers, *self._list_limit(), ("Content-Length", str(len(body)))]
         data = http.send(h11.Response(status_code=status, headers=fields)) or b""
         data += http.send(h11.Data(data=body)) or b""
         data += http.send(h11.EndOfMessage()) or b""
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -36,7 +36,9 @@
         self._reserved_sockets: list[socket.socket] = []
         self._restarts: set[asyncio.Task[None]] = set()
         self.crashed_engines: list[EngineStandIn] = []
-        """Engines that a request has ended, in order."""
+        """Engines that have ended by themselves, in order."""
+        self.slots = 8
+        """Slots that the rows of engines state."""
         self.keys = [KEY]
         self.other_keys: dict[str, str] = {}
         """Keys of further organisations by name."""
@@ -107,6 +109,9 @@
         self.store.drop("servers", engine.engine_id)
         name = engine.engine_id.partition("+")[0]
         successor = self.build_engine(f"{name}+{len(self.crashed_engines)}", service)
+        successor.slots = engine.slots
+        successor.processing_s = engine.processing_s
+        successor.rejection_limit = engine.rejection_limit
         await successor.listen(port)
         self.engines[successor.engine_id] = successor
         self.register_successor(successor, service, predecessor=engine)
@@ -126,7 +131,7 @@
             "service": service,
             "address": f"127.0.0.1:{port}",
             "zone": "a",
-            "slots": 8,
+            "slots": self.slots,
             "state": state,
             "seq": 1,
             "born": self.engines[engine_id].born_ms if engine_id in self.engines else None,
