--- a/src/guavamast/relay/reachability/upkeep.py
+++ b/src/guavamast/relay/reachability/upkeep.py
@@ -27,7 +27,7 @@
     from guavamast.relay.store import InstanceRecord
 
 PROBE_INTERVAL_S: Final = 0.5
-"""Mean seconds between two probes of a service that isn't reached."""
+"""Seconds between two probes of a service that isn't reached, on average."""
 FINAL_REPORTS: Final = 3
 """Reports that all services are reached again: two may be lost."""
 
