Leave streams at an engine that is silent for a second

What callers saw: late streams, read again at another engine, as a sound engine had paused. Resumable streams were left after 1.2 s without an event; an engine may be silent for a second or so and go on. Now 1.5 s, half a second before callers give up.

TCP_USER_TIMEOUT: neither the project nor an installed library sets it (searched in src, soak, tests and all installed packages).

--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -98,6 +98,8 @@
         """Monotonic times of the requests that it rejected since it had no free slot."""
         self.completed: list[CompletedRun] = []
         """Runs whose responses were complete."""
+        self.silent_until = 0.0
+        """Monotonic time until which it sends nothing, and goes on."""
         self._running = 0
         self.born_ms = int(time.time() * 1000)
         """Unix milliseconds of its start."""
@@ -230,6 +232,7 @@
             self._crash()
             return False
         await asyncio.sleep(self.processing_s)
+        await self._wait_for_silence()
         if self.fault is EngineFault.LOSE:
             return False
         response_id = "other" if self.fault is EngineFault.CROSSED else request_id
@@ -251,6 +254,9 @@
             )
         return keep_open
 
+    async def _wait_for_silence(self) -> None:
+        await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
+
     def _record_completed(self, run: Run) -> None:
         self.completed.append(CompletedRun(began=run.began, ended=time.monotonic()))
 
@@ -274,6 +280,7 @@
             writer.write(http.send(h11.Data(data=data)) or b"")
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._wait_for_silence()
         writer.write(http.send(h11.EndOfMessage()) or b"")
         await writer.drain()
         return True
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -36,9 +36,9 @@
 RESPONSE_TIMEOUT_SHARE: Final = 0.6
 """Share of the objective after which a repeatable call without a response is retried at another
 endpoint, which can still respond in time."""
-STREAM_IDLE_TIMEOUT_S: Final = 1.2
-"""Seconds without an event after which a resumable stream is resumed elsewhere: before callers time
-out."""
+STREAM_IDLE_TIMEOUT_S: Final = 1.5
+"""Seconds without an event after which a resumable stream is resumed elsewhere: longer than a sound
+engine may pause, and before callers time out."""
 
 
 class PublishLoad(Protocol):
--- a/src/guavamast/relay/reachability/upkeep.py
+++ b/src/guavamast/relay/reachability/upkeep.py
@@ -29,7 +29,7 @@
 PROBE_INTERVAL_S: Final = 0.5
 """Seconds between two probes of a service that isn't reached, on average."""
 FINAL_REPORTS: Final = 3
-"""Reports that all services are reached again: two may be lost."""
+"""Intervals in which it is reported that all services are reached again: two may be lost."""
 
 
 class ReachabilityUpkeep:
