--- a/tests/test_platform_partition.py
+++ b/tests/test_platform_partition.py
@@ -224,6 +224,23 @@
         """Guards against a lost path to one service that is hidden by another service."""
         self.assert_served(*await self.run_partition(PartitionKind.HANG, [0, 1, 2], "portal"))
 
+    async def test_contents_are_not_blamed_for_a_partition(self) -> None:
+        """Guards against common contents that are refused since all hosts seemed to have ended."""
+        for engine in self.site.engines.values():
+            engine.processing_s = 0.5
+        cut = list(range(INSTANCES))
+        async with asyncio.TaskGroup() as tasks:
+            for instance in self.instances:
+                for _ in range(6):
+                    tasks.create_task(self.ask_once(instance, TARGETS[2]))
+            await asyncio.sleep(0.25)
+            self.cut(PartitionKind.REFUSE, cut)
+        await asyncio.sleep(2.0)
+        self.heal(cut)
+        await asyncio.sleep(1.5)
+        served = [await self.ask_once(instance, TARGETS[2]) for instance in self.instances]
+        self.assertEqual(served, [True] * INSTANCES)
+
     async def test_instances_serve_directly_after_the_partition(self) -> None:
         await self.run_partition(PartitionKind.HANG, [0, 1, 2])
         self.heal([0, 1, 2])
