Part the content of heartbeats from the instance's wiring, and their encoding from their types

CallerServer overrides add_sockets, where tornado's listen and add_socket meet, so the loops over sockets at three listeners go. Behaviour is unchanged.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -16,8 +16,9 @@
 from guavamast.relay.freshness import FreshnessStamp, StoreClock
 from guavamast.relay.heartbeat_aggregation import HeartbeatAggregation
 from guavamast.relay.heartbeat_exchange import HeartbeatExchange
-from guavamast.relay.heartbeat_messages import Heartbeat, InstanceState, encode_heartbeat
+from guavamast.relay.heartbeat_messages import Heartbeat, InstanceState
 from guavamast.relay.heartbeat_topology import AGGREGATORS_PER_DOMAIN, HeartbeatTopology
+from guavamast.relay.heartbeat_wire import encode_heartbeat
 from guavamast.relay.length_buckets import Demand
 from guavamast.relay.peers import FULL_MESH_INSTANCES, Peers, compute_heartbeat_interval
 from guavamast.relay.prompt_cache import PromptSend
--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from tornado.http1connection import HTTP1ServerConnection
 
@@ -123,9 +123,10 @@
         self._discarding: set[asyncio.Task[None]] = set()
         self._listening: list[tuple[socket.socket, Callable[[], None]]] = []
 
-    def add_socket(self, sock: socket.socket) -> None:
-        """Begin to accept connections on a listening socket."""
-        self._listening.append((sock, add_accept_handler(sock, self._accept)))
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Begin to accept connections on listening sockets; ``HTTPServer`` calls this, too."""
+        for sock in sockets:
+            self._listening.append((sock, add_accept_handler(sock, self._accept)))
 
     def list_traces(self) -> list[ConnectionTrace]:
         """Return the traces of the open connections."""
--- a/src/guavamast/relay/forwarding/listener.py
+++ b/src/guavamast/relay/forwarding/listener.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Final
 
 from tornado import httputil
-from tornado.netutil import bind_sockets
 
 from guavamast.caller_server import CallerServer, LastResponses, encode_response
 from guavamast.relay.forwarding.protocol import (
@@ -132,8 +131,7 @@
 
     def listen(self, ip: str, port: int) -> None:
         """Begin to accept connections."""
-        for sock in bind_sockets(port, ip):
-            self._http.add_socket(sock)
+        self._http.listen(port, ip)
 
     async def drain(self, *, deadline: float) -> list[ConnectionTrace]:
         """Accept no more orders, and finish the requests that are being forwarded.
--- a/src/guavamast/relay/heartbeat_exchange.py
+++ b/src/guavamast/relay/heartbeat_exchange.py
@@ -5,12 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.heartbeat_messages import (
-    AggregatedHeartbeat,
-    encode_aggregate,
-    encode_heartbeat,
-)
+from guavamast.relay.heartbeat_messages import AggregatedHeartbeat
 from guavamast.relay.heartbeat_topology import AGGREGATORS_PER_DOMAIN
+from guavamast.relay.heartbeat_wire import encode_aggregate, encode_heartbeat
 from guavamast.relay.peers import compute_heartbeat_interval
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/guavamast/relay/heartbeat_wire.py
@@ -0,0 +1,309 @@
+"""Encoding of heartbeats and load updates as datagrams."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Final
+
+from guavamast.relay.compressed_json import pack, unpack
+from guavamast.relay.endpoint_load import Load
+from guavamast.relay.engine_profile import PROFILE_QUANTITIES, Estimate, ProfileEstimates
+from guavamast.relay.freshness import FreshnessStamp
+from guavamast.relay.heartbeat_messages import (
+    AggregatedHeartbeat,
+    Heartbeat,
+    InstanceState,
+    LivenessRecord,
+    LoadUpdate,
+    MalformedBeat,
+)
+from guavamast.relay.length_buckets import BUCKETS, Demand
+from guavamast.relay.prompt_cache import PromptSend
+from guavamast.relay.rejection_history import RejectionCount
+from guavamast.relay.store import InstanceRecord
+
+AGGREGATE_PREFIX: Final = b"z"
+"""First byte of an aggregated heartbeat; others begin with a brace, load updates with a bracket."""
+AGGREGATE_VERSION: Final = 2
+"""Rank of the encoding of aggregated heartbeats; any other is rejected."""
+_STATES: Final = list(InstanceState)
+_STATE_CODES: Final = {state: code for code, state in enumerate(InstanceState)}
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return the datagram of a heartbeat."""
+    return json.dumps(_to_fields(heartbeat), separators=(",", ":")).encode()
+
+
+def encode_aggregate(aggregate: AggregatedHeartbeat) -> bytes:
+    """Return the datagram of an aggregated heartbeat."""
+    fields = [
+        AGGREGATE_VERSION,
+        aggregate.aggregator,
+        [
+            [
+                liveness.name,
+                liveness.incarnation,
+                liveness.sequence,
+                _STATE_CODES[liveness.state],
+                liveness.store_answers,
+            ]
+            for liveness in aggregate.liveness
+        ],
+        [_encode_record(record) for record in aggregate.records],
+        _encode_stamp(aggregate.catalog),
+        _encode_stamp(aggregate.endpoints),
+        {domain: _encode_profiles(profiles) for domain, profiles in aggregate.profiles.items()},
+    ]
+    return AGGREGATE_PREFIX + pack(fields)
+
+
+def _to_fields(heartbeat: Heartbeat) -> dict[str, Any]:
+    return {
+        "v": 1,
+        "who": _encode_record(heartbeat.record),
+        "inc": heartbeat.incarnation,
+        "seq": heartbeat.sequence,
+        "state": heartbeat.state,
+        "store": heartbeat.store_reachable,
+        "cat": _encode_stamp(heartbeat.catalog),
+        "end": _encode_stamp(heartbeat.endpoints),
+        "ask": [round(work, 1) for work in heartbeat.demand.work_ms],
+        "back": _encode_rejections(heartbeat.rejections),
+        "speed": _encode_profiles(heartbeat.profiles),
+        "sent": _encode_sends(heartbeat.sends),
+        "load": _encode_loads(heartbeat.loads),
+    }
+
+
+def decode_heartbeat(data: bytes) -> Heartbeat:
+    """Return the heartbeat of a datagram.
+
+    Raises:
+        MalformedBeat: The datagram is not a valid heartbeat.
+    """
+    try:
+        return _from_fields(json.loads(data))
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+        raise MalformedBeat(f"{type(error).__name__}: {error}") from error
+
+
+def _from_fields(fields: dict[str, Any]) -> Heartbeat:
+    if fields["v"] != 1:
+        raise MalformedBeat("unknown version")
+    return Heartbeat(
+        record=_decode_record(*fields["who"]),
+        incarnation=int(fields["inc"]),
+        sequence=int(fields["seq"]),
+        state=InstanceState(fields["state"]),
+        store_reachable=bool(fields["store"]),
+        catalog=_decode_stamp(fields["cat"]),
+        endpoints=_decode_stamp(fields["end"]),
+        loads=_decode_loads(fields["load"]),
+        demand=_decode_demand(fields["ask"]),
+        rejections=_decode_rejections(fields.get("back", [])),
+        profiles=_decode_profiles(fields["speed"]),
+        sends=_decode_sends(fields["sent"]),
+    )
+
+
+def _decode_aggregate(data: bytes) -> AggregatedHeartbeat:
+    try:
+        version, aggregator, liveness, records, catalog, endpoints, profiles = unpack(data)
+        if version != AGGREGATE_VERSION:
+            raise MalformedBeat("unknown version")
+        return AggregatedHeartbeat(
+            aggregator=str(aggregator),
+            liveness=[_decode_liveness_record(*fields) for fields in liveness],
+            records=[_decode_record(*fields) for fields in records],
+            catalog=_decode_stamp(catalog),
+            endpoints=_decode_stamp(endpoints),
+            profiles={str(key): _decode_profiles(value) for key, value in profiles.items()},
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+        raise MalformedBeat(f"bundle: {type(error).__name__}: {error}") from error
+
+
+def _encode_record(record: InstanceRecord) -> list[str | float]:
+    return [
+        record.name,
+        record.ip,
+        record.failure_domain,
+        record.region,
+        record.callers_address,
+        record.peer_port,
+        record.link_mbps,
+        record.processor_share,
+    ]
+
+
+def _decode_record(
+    name: str,
+    ip: str,
+    domain: str,
+    region: str,
+    address: str,
+    port: int,
+    link_mbps: float,
+    processor_share: float,
+) -> InstanceRecord:
+    return InstanceRecord(
+        name=str(name),
+        ip=str(ip),
+        failure_domain=str(domain),
+        region=str(region),
+        callers_address=str(address),
+        peer_port=int(port),
+        link_mbps=float(link_mbps),
+        processor_share=float(processor_share),
+    )
+
+
+def _decode_liveness_record(
+    name: str, incarnation: int, sequence: int, state: int, store_answers: bool
+) -> LivenessRecord:
+    return LivenessRecord(
+        name=str(name),
+        incarnation=int(incarnation),
+        sequence=int(sequence),
+        state=_STATES[state],
+        store_answers=bool(store_answers),
+    )
+
+
+def encode_load_update(update: LoadUpdate) -> bytes:
+    """Return the datagram of a load update."""
+    fields = [
+        "n",
+        update.instance,
+        update.incarnation,
+        _encode_loads(update.loads),
+        _encode_sends(update.sends),
+    ]
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_message(data: bytes) -> Heartbeat | LoadUpdate | AggregatedHeartbeat:
+    """Return the message of a datagram.
+
+    Raises:
+        MalformedBeat: The datagram is not a valid message.
+    """
+    if data.startswith(AGGREGATE_PREFIX):
+        return _decode_aggregate(data[len(AGGREGATE_PREFIX) :])
+    if not data.startswith(b'["n"'):
+        return decode_heartbeat(data)
+    try:
+        _, instance, incarnation, loads, sends = json.loads(data)
+        return LoadUpdate(
+            instance=str(instance),
+            incarnation=int(incarnation),
+            loads=_decode_loads(loads),
+            sends=_decode_sends(sends),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+        raise MalformedBeat(f"{type(error).__name__}: {error}") from error
+
+
+def _encode_loads(loads: dict[str, Load]) -> dict[str, list[int]]:
+    return {
+        key: [load.requests, load.prefill_tokens, load.kv_tokens, load.pause_sensitive]
+        for key, load in loads.items()
+    }
+
+
+def _decode_loads(value: dict[str, list[int]]) -> dict[str, Load]:
+    return {
+        str(key): Load(
+            requests=int(entry[0]),
+            prefill_tokens=int(entry[1]),
+            kv_tokens=int(entry[2]),
+            pause_sensitive=int(entry[3]),
+        )
+        for key, entry in value.items()
+    }
+
+
+def _encode_sends(sends: list[PromptSend]) -> list[list[str | int]]:
+    return [[send.number, send.endpoint_id, send.part_id, send.tokens] for send in sends]
+
+
+def _decode_sends(value: list[list[str]]) -> list[PromptSend]:
+    return [
+        PromptSend(
+            number=int(number),
+            endpoint_id=str(endpoint_id),
+            part_id=str(part_id),
+            tokens=int(tokens),
+        )
+        for number, endpoint_id, part_id, tokens in value
+    ]
+
+
+def _decode_demand(value: list[float]) -> Demand:
+    if len(value) != BUCKETS:
+        raise MalformedBeat("other lanes")
+    return Demand(work_ms=tuple(float(work) for work in value))
+
+
+def _encode_rejections(rejections: list[RejectionCount]) -> list[list[str | float]]:
+    return [
+        [
+            one.service,
+            one.precedence,
+            round(one.requests, 2),
+            round(one.rejected, 2),
+            round(one.wait_ms, 1),
+        ]
+        for one in rejections
+    ]
+
+
+def _decode_rejections(value: list[list[Any]]) -> list[RejectionCount]:
+    return [
+        RejectionCount(
+            service=str(service),
+            precedence=int(precedence),
+            requests=max(0.0, float(asked)),
+            rejected=max(0.0, float(sent_back)),
+            wait_ms=max(0.0, float(wait_ms)),
+        )
+        for service, precedence, asked, sent_back, wait_ms in value
+    ]
+
+
+def _encode_profiles(profiles: dict[str, ProfileEstimates]) -> dict[str, list[float]]:
+    """Return the value and sample count of each quantity, alternating."""
+    encoded = {}
+    for service, estimates in profiles.items():
+        numbers: list[float] = []
+        for name in PROFILE_QUANTITIES:
+            estimate: Estimate = getattr(estimates, name)
+            numbers += [float(f"{estimate.value:.3g}"), estimate.samples]
+        encoded[service] = numbers
+    return encoded
+
+
+def _decode_profiles(value: dict[str, list[float]]) -> dict[str, ProfileEstimates]:
+    profiles = {}
+    for service, numbers in value.items():
+        estimates = [
+            Estimate(value=float(number), samples=int(samples))
+            for number, samples in zip(numbers[::2], numbers[1::2], strict=True)
+        ]
+        if len(estimates) != len(PROFILE_QUANTITIES) or any(e.value <= 0.0 for e in estimates):
+            raise MalformedBeat("other profiles")
+        named = dict(zip(PROFILE_QUANTITIES, estimates, strict=True))
+        profiles[str(service)] = ProfileEstimates(**named)
+    return profiles
+
+
+def _encode_stamp(stamp: FreshnessStamp | None) -> list[str | float] | None:
+    return None if stamp is None else [stamp.version, round(stamp.store_time, 4)]
+
+
+def _decode_stamp(value: object) -> FreshnessStamp | None:
+    if value is None:
+        return None
+    version, store_time = value  # type: ignore[misc]
+    return FreshnessStamp(version=str(version), store_time=float(store_time))
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Final
 
 from tornado import httputil
-from tornado.netutil import bind_sockets
 
 from guavamast.caller_server import CallerServer, LastResponses, encode_response
 from guavamast.relay.tornado_writer import TornadoWriter
@@ -136,8 +135,7 @@
 
     def listen(self, ip: str, port: int) -> None:
         """Begin to accept connections."""
-        for sock in bind_sockets(port, ip):
-            self._server.add_socket(sock)
+        self._server.listen(port, ip)
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Apply the configured limits, also to open connections."""
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -22,31 +22,24 @@
 from guavamast.relay.forwarding import ForwardListener
 from guavamast.relay.heartbeat_aggregation import HeartbeatAggregation
 from guavamast.relay.heartbeat_exchange import HeartbeatExchange
-from guavamast.relay.heartbeat_messages import (
-    AggregatedHeartbeat,
-    Heartbeat,
-    InstanceState,
-    LoadUpdate,
-    encode_load_update,
-)
+from guavamast.relay.heartbeat_messages import InstanceState
 from guavamast.relay.heartbeat_topology import HeartbeatTopology
-from guavamast.relay.length_buckets import NO_DEMAND
+from guavamast.relay.instance_heartbeats import InstanceHeartbeats
 from guavamast.relay.listener import CallerListener
 from guavamast.relay.listener_recorder import ListenerRecorder
 from guavamast.relay.load_update_sender import LoadUpdateSender
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peer_messages import PeerMessages
 from guavamast.relay.peer_socket import PeerSocket
-from guavamast.relay.peers import Peers, compute_heartbeat_interval
+from guavamast.relay.peers import Peers
 from guavamast.relay.quarantine import Containment
-from guavamast.relay.query_listener import QueryHandler, open_query_listener
+from guavamast.relay.query_listener import QueryHandler, open_query_listeners
 from guavamast.relay.rejection_limit_sharing import RejectionLimitSharing
 from guavamast.relay.rejection_limits import RejectionLimits
 from guavamast.relay.relayer_factory import build_relayer
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.scheduling import Scheduling
 from guavamast.relay.staleness import StalenessBounds
-from guavamast.relay.store import InstanceRecord
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
 from guavamast.relay.table_publisher import TablePublisher
@@ -54,12 +47,11 @@
 from guavamast.relay.work_state import WorkState
 
 if TYPE_CHECKING:
-    from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import HeaderCodec
     from guavamast.relay.node_settings import NodeSettings
     from guavamast.relay.relayer import Relayer
-    from guavamast.relay.store import Store
+    from guavamast.relay.store import InstanceRecord, Store
 
 STANDARD_OUTPUT: Final = 1
 """Descriptor of the log by default."""
@@ -92,20 +84,10 @@
         self.fleet_state = FleetState(
             failure_domain=settings.failure_domain, peers=self.peers, clock=clock
         )
-        self.record = InstanceRecord(
-            name=settings.name,
-            ip=settings.ip,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            callers_address=str(settings.callers),
-            peer_port=settings.peers.port,
-            link_mbps=settings.link_mbps,
-            processor_share=settings.processor_share,
-        )
+        self.record = settings.build_record()
         self._store = store
         self._random = Random(f"{settings.name}{os.getpid()}{time.time_ns()}")
         self._incarnation = time.time_ns() // 1_000_000
-        self._sequence = 0
         self._leaving = False
         self._work = WorkState()
         self._loop_delay = LoopDelay()
@@ -115,8 +97,9 @@
             revocation_s=settings.revocation_s,
         )
         self._stop = asyncio.Event()
-        self._load_updates = self._build_load_updates()
         self._heartbeat_socket = PeerSocket(counters=self.counters)
+        self._heartbeats = self._build_heartbeats()
+        self._load_updates = self._build_load_updates()
         limits = RejectionLimits()
         self._scheduling = self._build_scheduling(limits)
         self._exchange = self._build_exchange()
@@ -168,13 +151,26 @@
         )
         self._cleanup_loop = self._build_cleanup_loop()
 
+    def _build_heartbeats(self) -> InstanceHeartbeats:
+        return InstanceHeartbeats(
+            record=self.record,
+            incarnation=self._incarnation,
+            fleet_state=self.fleet_state,
+            work=self._work,
+            read_state=self._read_state,
+            is_store_reachable=lambda: self._reader.answers,
+            on_stamps=lambda: self._watch.wake_for_update(),
+            send=self._heartbeat_socket.send,
+            read_time=read_boot_time,
+        )
+
     def _build_load_updates(self) -> LoadUpdateSender:
         return LoadUpdateSender(
             instance=self.settings.name,
             incarnation=self._incarnation,
             loads=self._work.loads,
             cache=self._work.cache,
-            send=self._send_load_update,
+            send=self._heartbeats.send_load_update,
             count_instances=self.peers.count_known,
             read_time=read_boot_time,
         )
@@ -200,11 +196,11 @@
             aggregates=HeartbeatAggregation(
                 record=self.record,
                 fleet_state=self.fleet_state,
-                read_profiles=self._aggregate_profiles,
+                read_profiles=self._heartbeats.aggregate_profiles,
             ),
-            build_heartbeat=self._build_heartbeat,
-            on_heartbeat=self._receive_heartbeat,
-            on_aggregate=self._receive_aggregated_heartbeat,
+            build_heartbeat=self._heartbeats.build,
+            on_heartbeat=self._heartbeats.receive,
+            on_aggregate=self._heartbeats.receive_aggregate,
             send=self._heartbeat_socket.send,
             read_time=read_boot_time,
         )
@@ -355,17 +351,15 @@
         settings = self.settings
         self._listener.listen(settings.callers.ip, settings.callers.port)
         self._forward_listener.listen(settings.peers.ip, settings.peers.port)
-        listeners = [
-            open_query_listener(
-                address, query, recorder=self._listener_recorder, read_time=read_boot_time
-            )
-            for address, query in (
+        listeners = open_query_listeners(
+            [
                 (settings.directory, directory),
                 (settings.readiness, readiness),
                 (settings.metrics, metrics),
-            )
-            if address is not None
-        ]
+            ],
+            recorder=self._listener_recorder,
+            read_time=read_boot_time,
+        )
         await self._heartbeat_socket.open(
             settings.peers.ip, settings.peers.port, messages=self._build_peer_messages()
         )
@@ -394,51 +388,10 @@
         await asyncio.gather(*(listener.stop() for listener in listeners))
         self.log.write("stopped", now=read_boot_time(), in_flight=self._relayer.in_flight)
 
-    def _build_heartbeat(self) -> Heartbeat:
-        """Return this instance's next heartbeat."""
-        now = read_boot_time()
+    def _read_state(self) -> InstanceState:
+        """Return the state for the next heartbeat; changed limits are applied as often."""
         self._apply_limits()
-        self._sequence += 1
-        interval_s = compute_heartbeat_interval(self.peers.count_known())
-        # In large fleets the schedulers track all requests; other instances need no such fields.
-        scheduled = self.peers.aggregated
-        return Heartbeat(
-            record=self.record,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            state=self.state,
-            store_reachable=self._reader.answers,
-            catalog=self.fleet_state.catalog_stamp,
-            endpoints=self.fleet_state.endpoint_stamp,
-            loads={} if scheduled else self._work.loads.list_own(),
-            demand=NO_DEMAND if scheduled else self._work.demand.read_own(now=now),
-            rejections=[] if scheduled else self._work.rejections.list_own(now=now),
-            profiles=self._work.profiles.list_own(now=now),
-            sends=[] if scheduled else self._work.cache.list_recent(now=now, interval_s=interval_s),
-        )
-
-    def _send_load_update(self, update: LoadUpdate) -> None:
-        data = encode_load_update(update)
-        for peer in self.peers.list_live(now=read_boot_time()):
-            self._heartbeat_socket.send(data, peer.record)
-
-    def _receive_heartbeat(self, heartbeat: Heartbeat) -> None:
-        self.fleet_state.apply_stamps(catalog=heartbeat.catalog, endpoints=heartbeat.endpoints)
-        self._watch.wake_for_update()
-        self._work.apply_heartbeat(heartbeat, now=read_boot_time())
-
-    def _receive_aggregated_heartbeat(self, heartbeat: AggregatedHeartbeat) -> None:
-        self.fleet_state.apply_stamps(catalog=heartbeat.catalog, endpoints=heartbeat.endpoints)
-        self._watch.wake_for_update()
-        self._work.apply_aggregated_heartbeat(heartbeat)
-
-    def _aggregate_profiles(self) -> dict[str, dict[str, ProfileEstimates]]:
-        """Return the engine profiles, aggregated by failure domain."""
-        own = self.settings.failure_domain
-        now = read_boot_time()
-        live = self.peers.list_live(now=now)
-        names = [peer.record.name for peer in live if peer.record.failure_domain == own]
-        return self._work.aggregate_profiles(own, names, now=now)
+        return self.state
 
     def _apply_limits(self) -> None:
         catalog = self.fleet_state.catalog
--- a/src/guavamast/relay/node_settings.py
+++ b/src/guavamast/relay/node_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from guavamast.relay.store import InstanceRecord
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SocketAddress:
@@ -32,7 +34,7 @@
     """Listener for the platform's readiness checks."""
     metrics: SocketAddress
     peers: SocketAddress
-    """UDP socket for heartbeats of other instances."""
+    """Port of other instances: by UDP their messages, by TCP the requests to forward."""
     store: SocketAddress
     change_s: float
     """Time after which a changed configuration must be in force."""
@@ -53,3 +55,16 @@
     """Bandwidth of the instance's network link in Mbit/s; 0 if not stated."""
     processor_share: float = 0.0
     """CPU cores that the process may use; 0 if not stated."""
+
+    def build_record(self) -> InstanceRecord:
+        """Return the record by which the other instances know this one."""
+        return InstanceRecord(
+            name=self.name,
+            ip=self.ip,
+            failure_domain=self.failure_domain,
+            region=self.region,
+            callers_address=str(self.callers),
+            peer_port=self.peers.port,
+            link_mbps=self.link_mbps,
+            processor_share=self.processor_share,
+        )
--- a/src/guavamast/relay/peer_socket.py
+++ b/src/guavamast/relay/peer_socket.py
@@ -7,7 +7,8 @@
 
 from guavamast.relay.catalog_update import CATALOG_PREFIX, decode_catalog_update
 from guavamast.relay.endpoint_update import ENDPOINTS_PREFIX, decode_endpoint_update
-from guavamast.relay.heartbeat_messages import MalformedBeat, decode_message
+from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.relay.heartbeat_wire import decode_message
 from guavamast.relay.quarantine import QUARANTINE_PREFIX
 from guavamast.relay.reachability import REACHABILITY_PREFIX
 from guavamast.relay.rejection_limits import REJECTION_LIMIT_PREFIX
--- a/src/guavamast/relay/query_listener.py
+++ b/src/guavamast/relay/query_listener.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from tornado import httputil
-from tornado.netutil import bind_sockets
 
 from guavamast.caller_server import CallerServer, LastResponses, encode_response
 
@@ -49,8 +48,7 @@
 
     def listen(self, ip: str, port: int) -> None:
         """Begin to accept connections."""
-        for sock in bind_sockets(port, ip):
-            self._server.add_socket(sock)
+        self._server.listen(port, ip)
 
     async def stop(self) -> None:
         """Accept no more connections, and close the open ones with a response."""
@@ -73,14 +71,24 @@
         request.connection.finish()
 
 
-def open_query_listener(
-    address: SocketAddress,
-    handler: QueryHandler,
+def open_query_listeners(
+    handlers: list[tuple[SocketAddress | None, QueryHandler]],
     *,
     recorder: ListenerRecorder,
     read_time: Callable[[], float],
-) -> QueryListener:
-    """Return a listener that answers one kind of query at an address."""
-    listener = QueryListener(handler=handler, recorder=recorder, read_time=read_time)
-    listener.listen(address.ip, address.port)
-    return listener
+) -> list[QueryListener]:
+    """Return a listener for each handler that has an address.
+
+    Args:
+        handlers: The address and the handler of each kind of query.
+        recorder: Records connections without a response.
+        read_time: Reads the local clock.
+    """
+    listeners = []
+    for address, handler in handlers:
+        if address is None:
+            continue
+        listener = QueryListener(handler=handler, recorder=recorder, read_time=read_time)
+        listener.listen(address.ip, address.port)
+        listeners.append(listener)
+    return listeners
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -21,13 +21,8 @@
 from guavamast.relay.engine_profile import Estimate, ProfileEstimates
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.freshness import FreshnessStamp
-from guavamast.relay.heartbeat_messages import (
-    Heartbeat,
-    InstanceState,
-    MalformedBeat,
-    decode_heartbeat,
-    encode_heartbeat,
-)
+from guavamast.relay.heartbeat_messages import Heartbeat, InstanceState, MalformedBeat
+from guavamast.relay.heartbeat_wire import decode_heartbeat, encode_heartbeat
 from guavamast.relay.length_buckets import Demand
 from guavamast.relay.peers import (
     FORGET_AFTER_S,
--- a/tests/test_relay_heartbeat_exchange.py
+++ b/tests/test_relay_heartbeat_exchange.py
@@ -21,13 +21,13 @@
     Heartbeat,
     InstanceState,
     LoadUpdate,
-    decode_message,
 )
 from guavamast.relay.heartbeat_topology import (
     AGGREGATOR_SILENCE_S,
     AGGREGATORS_PER_DOMAIN,
     HeartbeatTopology,
 )
+from guavamast.relay.heartbeat_wire import decode_message
 from guavamast.relay.length_buckets import BUCKETS, Demand
 from guavamast.relay.peers import AGGREGATED_SILENCE_S, FULL_MESH_INSTANCES, Peers
 from guavamast.relay.store import EndpointSnapshot, InstanceRecord
