--- a/src/guavamast/relay/forwarding/choice.py
+++ b/src/guavamast/relay/forwarding/choice.py
@@ -17,6 +17,8 @@
 MAX_ORIGINS_PER_FORWARDER: Final = 2.0
 """Instances of a failure domain that one other of it forwards for; if there are more, all domains
 do, as its own callers would be late otherwise."""
+MAX_CANDIDATES: Final = 4
+"""Instances that are named in each part of a ranking: more than are asked for one attempt."""
 
 
 class ForwarderChoice:
@@ -51,18 +53,21 @@
             now: The present time.
         """
         own_domain = self._record.failure_domain
-        serving = [peer.record for peer in live if peer.state is InstanceState.SERVING]
-        blocked = {
-            one.name
-            for one in serving
-            if service in self._reachability.list_blocked(one.name, now=now)
-        }
-        able = [one for one in serving if one.name not in blocked and one.name not in avoided]
-        near = [one for one in able if one.failure_domain == own_domain]
-        origins = 1 + sum(
-            one.failure_domain == own_domain and one.name in blocked for one in serving
-        )
-        self._random.shuffle(able)
+        near: list[InstanceRecord] = []
+        far: list[InstanceRecord] = []
+        origins = 1
+        for peer in live:
+            record = peer.record
+            if peer.state is not InstanceState.SERVING:
+                continue
+            is_near = record.failure_domain == own_domain
+            if service in self._reachability.list_blocked(record.name, now=now):
+                origins += is_near
+            elif record.name not in avoided:
+                (near if is_near else far).append(record)
         if len(near) * MAX_ORIGINS_PER_FORWARDER < origins:
-            return able
-        return sorted(able, key=lambda one: one.failure_domain != own_domain)
+            return self._sample(near + far)
+        return self._sample(near) + self._sample(far)
+
+    def _sample(self, records: list[InstanceRecord]) -> list[InstanceRecord]:
+        return self._random.sample(records, min(MAX_CANDIDATES, len(records)))
