Log why an instance doesn't forward, and leave silent links and changed endpoints behind at once

An instance that asked another one in vain only counted it. A silent link cost half a second each, up to eight times, as the others kept idle to the same instance are as silent. An endpoint that the forwarder knows to leave, or doesn't list, made the origin avoid a sound forwarder for a second, or ask again and again; the endpoint alone is left out now.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -192,6 +192,7 @@
             fleet_state=fleet_state,
             links=ConnectionPool(),
             read_catalog=read_catalog,
+            log=self._log,
             counters=self._counters,
             read_time=time.monotonic,
         )
--- a/src/guavamast/relay/connection_pool.py
+++ b/src/guavamast/relay/connection_pool.py
@@ -73,6 +73,11 @@
             return
         idle.append(_IdleConnection(connection=connection, usable_until=now + usable_s))
 
+    def discard(self, endpoint_id: str) -> None:
+        """Close all idle connections to an endpoint."""
+        for entry in self._idle.pop(endpoint_id, ()):
+            entry.connection.close()
+
     def retain(self, endpoint_ids: set[str], *, now: float) -> None:
         """Close the connections to endpoints that are gone and those that can't be reused."""
         for endpoint_id in list(self._idle):
--- a/src/guavamast/relay/endpoint_access.py
+++ b/src/guavamast/relay/endpoint_access.py
@@ -108,6 +108,7 @@
             fleet_state=fleet_state,
             links=ConnectionPool(),
             read_catalog=read_catalog,
+            log=log,
             counters=counters,
             read_time=read_time,
         )
--- a/src/guavamast/relay/forwarding/listener.py
+++ b/src/guavamast/relay/forwarding/listener.py
@@ -12,11 +12,11 @@
     REASON_HEADER,
     REJECTED_STATUS,
     MalformedForward,
+    OrderRejected,
     RejectionReason,
     decode_order,
     decode_request,
 )
-from guavamast.relay.forwarding.server import OrderRejected
 from guavamast.relay.tornado_writer import TornadoWriter
 
 if TYPE_CHECKING:
--- a/src/guavamast/relay/forwarding/protocol.py
+++ b/src/guavamast/relay/forwarding/protocol.py
@@ -43,15 +43,27 @@
     NO_PATH = "no_path"
     """It doesn't reach the service either."""
     UNREACHABLE = "unreachable"
-    """It reaches the service, but this endpoint doesn't respond."""
+    """It reaches the service, but this endpoint doesn't respond, or leaves."""
     REFUSED = "refused"
     """It reaches the service, but this endpoint's host refuses connections."""
     OUTDATED = "outdated"
-    """Its tables are newer, and the endpoint or the configuration has changed, or they are old."""
+    """Its configuration is newer, or its tables are too old to send anything."""
     LATE = "late"
     """The request came too late after the permission to send it."""
 
 
+class OrderRejected(Exception):
+    """A request that an instance does not forward.
+
+    Args:
+        reason: Why.
+    """
+
+    def __init__(self, reason: RejectionReason) -> None:
+        super().__init__(str(reason))
+        self.reason = reason
+
+
 class MalformedForward(Exception):
     """A message that is not a valid forwarding request or response."""
 
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -15,6 +15,7 @@
     FORWARDED_STATUS,
     REASON_HEADER,
     REJECTED_STATUS,
+    OrderRejected,
     RejectionReason,
     encode_response_headers,
 )
@@ -43,18 +44,6 @@
 on the age of tables leave for the transit to an endpoint."""
 
 
-class OrderRejected(Exception):
-    """A request that is not forwarded.
-
-    Args:
-        reason: Why.
-    """
-
-    def __init__(self, reason: RejectionReason) -> None:
-        super().__init__(str(reason))
-        self.reason = reason
-
-
 class PermittedOrder:
     """An order that was accepted, with the connection that its request will use."""
 
@@ -189,10 +178,12 @@
         """
         catalog = self._fleet_state.catalog
         record = self._fleet_state.endpoints.find(order.endpoint_id)
-        if catalog is None or record is None:
+        if catalog is None:
             raise OrderRejected(RejectionReason.NO_PATH)
-        if catalog.row_version > order.row_version or not record.ready:
+        if catalog.row_version > order.row_version:
             raise OrderRejected(RejectionReason.OUTDATED)
+        if record is None or not record.ready:
+            raise OrderRejected(RejectionReason.UNREACHABLE)
         if self._monitor.is_blocked(record.service):
             raise OrderRejected(RejectionReason.NO_PATH)
         return record
