--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from dataclasses import replace
+from typing import Any
 
 from soak.guarantees import (
     DRAIN_BOUND_S,
@@ -252,48 +253,31 @@
 class SoakRunTest(unittest.IsolatedAsyncioTestCase):
     """Real instances under faults violate no guarantee."""
 
-    async def test_a_short_run_violates_no_guarantee(self) -> None:
+    async def run_seed(self, seed: int, *, instances: int = 3, **options: Any) -> None:
+        """Run a seed, and check that callers were answered and every guarantee was kept."""
+        options = {"length_s": CI_LENGTH_S} | options
         with tempfile.TemporaryDirectory() as directory:
-            run = SoakRun(seed=CI_SEED, length_s=CI_LENGTH_S, instances=3, directory=directory)
+            run = SoakRun(seed=seed, instances=instances, directory=directory, **options)
             verdict = await run.run()
         self.assertEqual(verdict.violations, [], verdict.faults)
         self.assertGreater(verdict.answered, 0)
 
+    async def test_a_short_run_violates_no_guarantee(self) -> None:
+        await self.run_seed(CI_SEED)
+
     async def test_partitions_beside_other_faults_violate_no_guarantee(self) -> None:
         """Guards against requests through another instance that run twice, late or in part."""
-        with tempfile.TemporaryDirectory() as directory:
-            run = SoakRun(
-                seed=PARTITION_SEED,
-                length_s=PARTITION_LENGTH_S,
-                instances=4,
-                directory=directory,
-                partitions=True,
-            )
-            verdict = await run.run()
-        self.assertEqual(verdict.violations, [], verdict.faults)
-        self.assertGreater(verdict.answered, 0)
+        await self.run_seed(
+            PARTITION_SEED, instances=4, length_s=PARTITION_LENGTH_S, partitions=True
+        )
 
     async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
         """Guards against a fleet that loses what it knows of such a request to kills and resets."""
-        await self.run_lethal(LETHAL_SEED, length_s=CI_LENGTH_S, instances=3)
+        await self.run_seed(LETHAL_SEED, lethal=True)
 
     async def test_a_request_that_ends_engines_is_contained_after_outages(self) -> None:
         """Guards against a fleet that is killed and cut off from the store while engines end."""
-        await self.run_lethal(OUTAGE_SEED, length_s=OUTAGE_LENGTH_S, instances=4)
-
-    async def run_lethal(self, seed: int, *, length_s: float, instances: int) -> None:
-        """Run a seed beside a caller that repeats a request which ends engines."""
-        with tempfile.TemporaryDirectory() as directory:
-            run = SoakRun(
-                seed=seed,
-                length_s=length_s,
-                instances=instances,
-                directory=directory,
-                lethal=True,
-            )
-            verdict = await run.run()
-        self.assertEqual(verdict.violations, [], verdict.faults)
-        self.assertGreater(verdict.answered, 0)
+        await self.run_seed(OUTAGE_SEED, instances=4, length_s=OUTAGE_LENGTH_S, lethal=True)
 
     async def test_stale_state_sends_nothing_while_keys_are_accepted(self) -> None:
         """An instance that was frozen sends nothing to an engine that left meanwhile.
@@ -301,17 +285,7 @@
         With the usual short bound on revoked keys, an instance rejects all keys before its state of
         engines is too old, which hides whether it would have sent requests by that state.
         """
-        with tempfile.TemporaryDirectory() as directory:
-            run = SoakRun(
-                seed=LONG_KEYS_SEED,
-                length_s=CI_LENGTH_S,
-                instances=3,
-                directory=directory,
-                revoke_s=LONG_REVOKE_S,
-            )
-            verdict = await run.run()
-        self.assertEqual(verdict.violations, [], verdict.faults)
-        self.assertGreater(verdict.answered, 0)
+        await self.run_seed(LONG_KEYS_SEED, revoke_s=LONG_REVOKE_S)
 
 
 if __name__ == "__main__":
