Grant single slots to urgent requests first, and a part to others

Where nothing may wait at endpoints, a freed slot went to whoever asked first. Less urgent requests have longer objectives, wait longer and ask more often, so they took most while urgent ones were refused. While requests of a precedence find no slot, those after it now get one for four that go before them.

--- a/src/guavamast/relay/admission_control.py
+++ b/src/guavamast/relay/admission_control.py
@@ -17,6 +17,8 @@
 LESS_URGENT_CREDIT_SHARE: Final = 1 / 4
 """Share of the prefill time of admitted requests that is credited to less urgent ones that yield
 to them, so that no precedence starves while more urgent requests are being rejected."""
+SLOT_COST_MS: Final = 20.0
+"""Milliseconds of prefill time that one slot counts for where slots are granted singly."""
 MAX_CREDIT_MS: Final = 100.0
 """Milliseconds of prefill time that are credited at most: about one prompt."""
 
@@ -74,6 +76,31 @@
             )
         return rejection
 
+    def admit_to_slot(
+        self, *, free: bool, service: str, precedence: int, objective_s: float, now: float
+    ) -> bool:
+        """Return whether a request may take a slot, where nothing may wait for one.
+
+        Failure: a slot goes to whoever asks first once it is free, and larger, less urgent
+        requests, which may wait longer, ask more often than urgent ones. While more urgent requests
+        find no slot, less urgent ones get a part of those that these were given.
+
+        Args:
+            free: Whether there is a free slot.
+            service: The request's service.
+            precedence: Its rank; 0 goes first.
+            objective_s: Its objective.
+            now: The present time.
+        """
+        yields = bool(self._history.list_pressures(service, precedence, now=now))
+        admitted = free and (not yields or self._spend_credit(service, precedence, SLOT_COST_MS))
+        if admitted:
+            self._add_credit(service, precedence, SLOT_COST_MS)
+        self._history.record(
+            service, precedence, rejected=not admitted, wait_ms=objective_s * 1000.0, now=now
+        )
+        return admitted
+
     def create_room_filter(
         self, parameters: WaitParameters, *, service: str, precedence: int, now: float
     ) -> Callable[[Forecast], bool] | None:
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -124,10 +124,16 @@
         )
         if choice is None:
             return PlacementReply(number=query.number, verdict=Verdict.UNKNOWN, learning=learning)
-        if free:
-            retry_after_s = self._admit(query, choice, wait_parameters, now=now)
+        if parameters.slots_only and not self._admission.admit_to_slot(
+            free=bool(free),
+            service=query.service,
+            precedence=query.precedence,
+            objective_s=query.objective_s,
+            now=now,
+        ):
+            retry_after_s: float | None = self._compute_slot_retry(query)
         else:
-            retry_after_s = self._compute_slot_retry(query)
+            retry_after_s = self._admit(query, choice, wait_parameters, now=now)
         if retry_after_s is not None:
             return _build_reply(
                 query, choice, Verdict.REFUSED, learning=learning, retry_after_s=retry_after_s
--- a/tests/test_relay_rejection_limits.py
+++ b/tests/test_relay_rejection_limits.py
@@ -86,11 +86,13 @@
 class SlotsOnlyTest(unittest.TestCase):
     """A scheduler grants no more than there are slots, whatever the order of its messages."""
 
-    def decide(self, scheduler: GroupScheduler, number: int, *, now: float) -> Verdict:
+    def decide(
+        self, scheduler: GroupScheduler, number: int, *, now: float, precedence: int = 0
+    ) -> Verdict:
         parameters = ServiceParameters(
             profile=PROFILE, kv_capacity_tokens=0, shortest_pause_s=1.0, slots_only=True
         )
-        query = make_query(number=number, prompt_tokens=0, prompt_parts=())
+        query = make_query(number=number, prompt_tokens=0, prompt_parts=(), precedence=precedence)
         return scheduler.decide(query, [RECORD], parameters, now=now).verdict
 
     def update(self, number: int, phase: WorkPhase) -> WorkUpdate:
@@ -113,6 +115,29 @@
             elif running:
                 scheduler.apply_update(self.update(running.pop(0), WorkPhase.ENDED), now=now)
 
+    def test_urgent_requests_go_first_and_others_are_not_starved(self) -> None:
+        """Guards against slots that go to less urgent requests, as these ask more often."""
+        scheduler = GroupScheduler(random=Random(1), now=0.0)
+        running = list(range(SLOTS - RESERVED_SLOTS))
+        for number in running:
+            self.assertEqual(self.decide(scheduler, number, now=10.0), Verdict.GRANTED)
+        counts = {0: 0, 20: 0}
+        number = 100
+        for turn in range(200):
+            now = 11.0 + turn * 0.05
+            self.decide(scheduler, number, now=now)
+            scheduler.apply_update(self.update(running.pop(0), WorkPhase.ENDED), now=now)
+            for precedence in (20, 20, 0):
+                number += 1
+                verdict = self.decide(scheduler, number, now=now, precedence=precedence)
+                if verdict is Verdict.GRANTED:
+                    running.append(number)
+                    counts[precedence] += 1
+                    break
+            number += 1
+        self.assertGreater(counts[0], 3 * counts[20])
+        self.assertGreater(counts[20], 10)
+
     def test_a_rejected_request_closes_its_endpoint(self) -> None:
         scheduler = GroupScheduler(random=Random(1), now=0.0)
         self.assertEqual(self.decide(scheduler, 1, now=10.0), Verdict.GRANTED)
