Let no grant expire that nobody gave

Requests that an instance places by itself are tracked like granted ones since schedulers may be asked at any time, and expired after a second like these: a connection found on the second way was given up. Seen: test_a_request_that_was_placed_locally_does_not_expire fails without the change.

--- a/src/guavamast/relay/scheduling_client.py
+++ b/src/guavamast/relay/scheduling_client.py
@@ -75,12 +75,12 @@
     Args:
         client: Reports to the scheduler.
         number: Number of the query.
-        granted_at: Local time of the grant.
+        granted_at: Local time of the grant; None if its instance placed it by itself.
     """
 
     __slots__ = ("_begun", "_client", "_ended", "_granted_at", "_number")
 
-    def __init__(self, *, client: SchedulingClient, number: int, granted_at: float) -> None:
+    def __init__(self, *, client: SchedulingClient, number: int, granted_at: float | None) -> None:
         self._client = client
         self._number = number
         self._granted_at = granted_at
@@ -89,7 +89,7 @@
 
     def is_expired(self, *, now: float) -> bool:
         """Return whether the grant is too old to send the request."""
-        return now - self._granted_at > GRANT_VALID_S
+        return self._granted_at is not None and now - self._granted_at > GRANT_VALID_S
 
     def begin(self) -> None:
         """Report that the first event has arrived; repeated calls have no effect."""
@@ -256,7 +256,8 @@
         self._tracked[work.number] = _TrackedWork(group=group, work=work)
         if not granted and self._is_scheduled(find_service(group)):
             self._send_to_scheduler(group, self._build_report(group))
-        return PlacedRequest(client=self, number=work.number, granted_at=now)
+        granted_at = now if granted else None
+        return PlacedRequest(client=self, number=work.number, granted_at=granted_at)
 
     def report_phase(
         self,
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -116,6 +116,13 @@
         self.assertEqual(self.simulation.sent, [])
         self.assertEqual(self.count_grants(self.scheduler), 1)
 
+    async def test_a_request_that_was_placed_locally_does_not_expire(self) -> None:
+        """Guards against a slow connection that is given up for a grant that nobody gave."""
+        self.simulation.silent = {self.scheduler}
+        placed = await self.place()
+        assert placed.work is not None
+        self.assertFalse(placed.work.is_expired(now=self.simulation.now + 10.0))
+
     async def test_requests_of_all_instances_are_compared(self) -> None:
         """Engines are shared evenly although instances do not exchange their loads."""
         self.simulation = SchedulingSimulation(engines=8)
