--- a/tests/test_run_tests.py
+++ b/tests/test_run_tests.py
@@ -2,9 +2,24 @@
 
 from __future__ import annotations
 
+import io
+import time
 import unittest
 
-from tools.run_tests import find_run_failures
+from tools.run_tests import TimedResult, find_run_failures
+
+
+class TimedResultTest(unittest.TestCase):
+    """A run tells which tests took longest."""
+
+    def test_a_test_is_listed_with_its_duration(self) -> None:
+        runner = unittest.TextTestRunner(stream=io.StringIO(), resultclass=TimedResult)
+        sleeper = unittest.FunctionTestCase(lambda: time.sleep(0.01))
+        result = runner.run(unittest.TestSuite([sleeper]))
+        assert isinstance(result, TimedResult)
+        (line,) = result.list_slowest(3)
+        self.assertIn(f" s  {sleeper.id()}", line)
+        self.assertGreaterEqual(result.durations_s[sleeper.id()], 0.01)
 
 
 class FindRunFailuresTest(unittest.TestCase):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,9 +12,10 @@
 
 import argparse
 import sys
+import time
 import unittest
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE: Final = ROOT / "KNOWN-RED.txt"
@@ -25,6 +26,31 @@
 """Prefix of the first field of a test that fails in some runs only."""
 
 
+class TimedResult(unittest.TextTestResult):
+    """A result that knows how long each test took."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.durations_s: dict[str, float] = {}
+        """Seconds from the set-up to the end of the clean-up, by test id."""
+        self._started_at = 0.0
+
+    def startTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Record when a test starts."""
+        self._started_at = time.monotonic()
+        super().startTest(test)
+
+    def stopTest(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Record how long a test took."""
+        super().stopTest(test)
+        self.durations_s[test.id()] = time.monotonic() - self._started_at
+
+    def list_slowest(self, count: int) -> list[str]:
+        """Return a line for each of the tests that took longest."""
+        slowest = sorted(self.durations_s.items(), key=lambda one: one[1], reverse=True)
+        return [f"{duration_s:6.1f} s  {test_id}" for test_id, duration_s in slowest[:count]]
+
+
 def read_known_red() -> dict[str, str]:
     """Return the lines of KNOWN-RED.txt by their first field."""
     if not KNOWN_RED_FILE.exists():
@@ -80,11 +106,16 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--property-only", action="store_true", help="only *_properties modules")
     parser.add_argument("--pattern", default="test_*.py")
+    parser.add_argument("--slowest", type=int, default=0, help="print so many tests by duration")
     args = parser.parse_args()
     pattern = "test_*_properties.py" if args.property_only else args.pattern
     suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), pattern, str(ROOT))
     ids = collect_ids(suite)
-    result = unittest.TextTestRunner(verbosity=1, stream=sys.stderr).run(suite)
+    runner = unittest.TextTestRunner(verbosity=1, stream=sys.stderr, resultclass=TimedResult)
+    result = runner.run(suite)
+    assert isinstance(result, TimedResult)
+    for line in result.list_slowest(args.slowest):
+        print(line)
     failed = find_failed_ids(result)
     known = {} if pattern != "test_*.py" else read_known_red()
     for line in known.values():
