--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -185,7 +185,7 @@
         ]
         record = replace(build_record([*others, *refused], runs), partitions=[partition])
         self.assert_violation(record, "partitioned instances served 0 of 11")
-        few = replace(record, requests=[*others, *refused[:10]])
+        few = replace(build_record([*others, *refused[:10]], runs), partitions=[partition])
         self.assertEqual(find_violations(few), [])
 
     def test_no_recovery(self) -> None:
