Use one set-up for tests with processes, one instance record, and a plainer soak loop

Read once more as a whole, the change had written again what stood elsewhere: three test classes set up the same site and directory, three modules built the same record of an instance, and the bench a second record of an endpoint. PlatformTestCase takes the numbers of engines and slots now and starts instances at the same time; tests.relay_fixtures has build_instance. In the soak a partition's kind is looked up once a port; SchedulingClient asks in one place whether a group is scheduled; DirectConnector's comparison is private; a parameter that no test passed is gone. A comment said that less urgent requests wait shorter, which is true of the share only.

Behaviour, bounds and assertions are unchanged.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -14,7 +14,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from tests.relay_fixtures import build_catalog
+from tests.relay_fixtures import build_catalog, build_endpoint, build_instance
 
 from guavamast.platform.request_headers import PlatformHeaders
 from guavamast.platform.standins.engine import EngineStandIn
@@ -24,7 +24,6 @@
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.direct_connector import DirectConnector
-from guavamast.relay.endpoint_table import EndpointRecord
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.forwarding import (
     ForwardClient,
@@ -39,7 +38,7 @@
 from guavamast.relay.peers import Peer, Peers
 from guavamast.relay.reachability import PeerReachability, ReachabilityMonitor
 from guavamast.relay.staleness import StalenessBounds
-from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot, InstanceRecord
+from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -65,33 +64,6 @@
     answers = True
 
 
-def build_record(name: str, *, port: int = 1, domain: str = "a") -> InstanceRecord:
-    """Return the record of an instance."""
-    return InstanceRecord(
-        name=name,
-        ip="127.0.0.1",
-        failure_domain=domain,
-        region="r",
-        callers_address="127.0.0.1:1",
-        peer_port=port,
-    )
-
-
-def build_endpoint(port: int) -> EndpointRecord:
-    """Return the record of an endpoint on loopback."""
-    return EndpointRecord(
-        endpoint_id="e",
-        row_version=1,
-        service="portal",
-        host="127.0.0.1",
-        port=port,
-        failure_domain="a",
-        slots=8,
-        ready=True,
-        started_ms=1,
-    )
-
-
 class ForwardingCost:
     """An origin, a forwarder and an endpoint in this process."""
 
@@ -107,7 +79,7 @@
 
     async def measure(self) -> list[PathCost]:
         """Return the cost of the direct path and of the one through the forwarder."""
-        record = build_endpoint(await self._engine.listen())
+        record = build_endpoint("e", port=await self._engine.listen())
         now = time.monotonic()
         self._fleet_state.apply_catalog(CatalogSnapshot(catalog=build_catalog(), store_time=now))
         self._fleet_state.apply_endpoints(
@@ -173,7 +145,7 @@
         peers = Peers(own_name="one")
         fleet_state = FleetState(failure_domain="a", peers=peers, clock=self._clock)
         peer = Peer(
-            record=build_record("two", port=port),
+            record=build_instance("two", port=port),
             received_at=time.monotonic() + 3600.0,
             changed_at=0.0,
             state=InstanceState.SERVING,
@@ -184,10 +156,10 @@
             return True
 
         choice = ForwarderChoice(
-            record=build_record("one"), reachability=PeerReachability(), random=Random(1)
+            record=build_instance("one"), reachability=PeerReachability(), random=Random(1)
         )
         return ForwardClient(
-            record=build_record("one"),
+            record=build_instance("one"),
             choice=choice,
             fleet_state=fleet_state,
             links=ConnectionPool(),
@@ -215,7 +187,7 @@
     """Return the processor time of one choice of forwarders in microseconds."""
     live = [
         Peer(
-            record=build_record(f"i{number}", domain=f"d{number % 7}"),
+            record=build_instance(f"i{number}", domain=f"d{number % 7}"),
             received_at=0.0,
             changed_at=0.0,
             state=InstanceState.SERVING,
@@ -223,7 +195,7 @@
         for number in range(peers)
     ]
     choice = ForwarderChoice(
-        record=build_record("one", domain="d1"), reachability=PeerReachability(), random=Random(1)
+        record=build_instance("one", domain="d1"), reachability=PeerReachability(), random=Random(1)
     )
     began = time.process_time()
     for _ in range(CHOICES):
--- a/soak/partitions.py
+++ b/soak/partitions.py
@@ -205,11 +205,11 @@
     def _apply(self, partition: Partition | None) -> None:
         for port, transports in self._open.items():
             transports[:] = [one for one in transports if not one.is_closing()]
-            affected = partition is not None and port in partition.ports
+            kind = partition.kind if partition is not None and port in partition.ports else None
             for transport in transports:
-                if affected and partition is not None and partition.kind is PartitionKind.REFUSE:
+                if kind is PartitionKind.REFUSE:
                     transport.abort()
-                elif affected and partition is not None and partition.kind.silences:
+                elif kind is not None and kind.silences:
                     transport.silence()
                 elif transport.silenced:
                     transport.restore()
--- a/src/guavamast/relay/direct_connector.py
+++ b/src/guavamast/relay/direct_connector.py
@@ -102,14 +102,14 @@
                 record.host, record.port, timeout_s=CONNECT_TIMEOUT_S
             )
         except ConnectionLost as error:
-            if not await self.has_path(record, since=started_at):
+            if not await self._has_path(record, since=started_at):
                 raise PathLost(str(error)) from error
             refused = isinstance(error, ConnectionRefused)
             raise EndpointUnreachable(str(error), refused=refused) from error
         self._record_connected(record)
         return self._wrap(record, connection, ConnectionKind.NEW)
 
-    async def has_path(self, record: EndpointRecord, *, since: float) -> bool:
+    async def _has_path(self, record: EndpointRecord, *, since: float) -> bool:
         """Return whether another endpoint of the service of a failed one can be connected to.
 
         Args:
--- a/src/guavamast/relay/placer.py
+++ b/src/guavamast/relay/placer.py
@@ -245,7 +245,7 @@
         """Return whether a rejected request may wait here for a free slot, and be in time.
 
         Nothing may wait at endpoints that bear few rejections, so what they usually queue is kept
-        for a moment. Less urgent requests wait shorter, so that slots go to the most urgent.
+        for a moment. Less urgent requests wait for a smaller part of their objective.
         """
         now = self._read_time()
         if not self._limits.applies(progress.service, now=now):
--- a/src/guavamast/relay/scheduling_client.py
+++ b/src/guavamast/relay/scheduling_client.py
@@ -254,7 +254,7 @@
         """
         now = self._read_time()
         self._tracked[work.number] = _TrackedWork(group=group, work=work)
-        if not granted and self._is_scheduled(find_service(group)):
+        if not granted and self._is_group_scheduled(group):
             self._send_to_scheduler(group, self._build_report(group))
         granted_at = now if granted else None
         return PlacedRequest(client=self, number=work.number, granted_at=granted_at)
@@ -298,7 +298,7 @@
             failure_weight=failure_weight,
             longest_pause_s=longest_pause_s,
         )
-        if self._is_scheduled(find_service(tracked.group)):
+        if self._is_group_scheduled(tracked.group):
             self._send_to_scheduler(tracked.group, update)
 
     async def run(self) -> None:
@@ -313,7 +313,7 @@
         self._expire_ended(now=now)
         groups = {one.group for one in self._tracked.values() if one.ended_at is None}
         for group in groups:
-            if not self._is_scheduled(find_service(group)):
+            if not self._is_group_scheduled(group):
                 # Its scheduler will know nothing of it when the service is scheduled again.
                 self._reported_to.pop(group, None)
                 continue
@@ -332,6 +332,9 @@
             self._deliver(report, scheduler)
         return True
 
+    def _is_group_scheduled(self, group: str) -> bool:
+        return self._is_scheduled(find_service(group))
+
     def _build_report(self, group: str, *, with_ended: bool = False) -> WorkReport:
         works = tuple(
             one.work
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -109,9 +109,15 @@
 class PlatformTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that run instances as processes, beside a site of stand-ins."""
 
+    pool_engines = 2
+    portal_engines = 2
+    slots = 8
+    """Slots that the rows of engines state."""
+
     async def asyncSetUp(self) -> None:
         self.site = Site()
-        await self.site.start()
+        self.site.slots = self.slots
+        await self.site.start(pool=self.pool_engines, portal=self.portal_engines)
         self.addAsyncCleanup(self.site.stop)
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
@@ -134,6 +140,11 @@
             errors = await process.stderr.read()
             self.assertIn(b"Address already in use", errors)
 
+    async def start_instances(self, count: int) -> list[Instance]:
+        """Start a number of processes at the same time and wait until all are ready."""
+        names = [f"one-{number}" for number in range(count)]
+        return await asyncio.gather(*map(self.start_instance, names))
+
     async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
         return await asyncio.create_subprocess_exec(
             sys.executable,
--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -24,6 +24,7 @@
 from guavamast.relay.messages import CallerRequest, PromptPart
 from guavamast.relay.reachability import ReachabilityMonitor
 from guavamast.relay.staleness import StalenessBounds
+from guavamast.relay.store import InstanceRecord
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -97,6 +98,20 @@
     return CallerRequest(**(values | changes))
 
 
+def build_instance(name: str, *, domain: str = "a", port: int = 0) -> InstanceRecord:
+    """Return the record of an instance."""
+    return InstanceRecord(
+        name=name,
+        ip="127.0.0.1",
+        failure_domain=domain,
+        region="r",
+        callers_address=f"{name}:1",
+        peer_port=port,
+        link_mbps=100.0,
+        processor_share=1.0,
+    )
+
+
 def build_endpoint(name: str, **changes: Any) -> EndpointRecord:
     """Return a ready endpoint, with changes."""
     values: dict[str, Any] = {
--- a/tests/test_platform_partition.py
+++ b/tests/test_platform_partition.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import sys
-import tempfile
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,7 +22,6 @@
     LOOKUP_PREFIX,
     RESUMABLE_PREFIX,
     STREAM_PREFIX,
-    Site,
     write_settings,
 )
 from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
@@ -76,15 +74,12 @@
 
     instance_count = INSTANCES
 
+    pool_engines = 4
+    portal_engines = 4
+
     async def asyncSetUp(self) -> None:
-        self.site = Site()
-        await self.site.start(pool=4, portal=4)
-        self.addAsyncCleanup(self.site.stop)
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.directory = directory.name
-        names = [f"one-{number}" for number in range(self.instance_count)]
-        self.instances = await asyncio.gather(*map(self.start_instance, names))
+        await super().asyncSetUp()
+        self.instances = await self.start_instances(self.instance_count)
         self.number = 0
         self.until = float("inf")
 
@@ -144,19 +139,17 @@
             caller.connection.close()
         return reply.status == 200 and reply.complete
 
-    async def keep_asking(self, instance: Instance, targets: tuple[str, ...], count: Count) -> None:
+    async def keep_asking(self, instance: Instance, count: Count) -> None:
         """Count first attempts at one instance."""
         turn = 0
         while time.monotonic() < self.until:
-            served = await self.ask_once(instance, targets[turn % len(targets)])
+            served = await self.ask_once(instance, TARGETS[turn % len(TARGETS)])
             turn += 1
             count.sent += 1
             count.served += served
             await asyncio.sleep(0.05)
 
-    async def count_served(
-        self, cut: list[int], *, for_s: float, targets: tuple[str, ...] = TARGETS
-    ) -> tuple[Count, Count]:
+    async def count_served(self, cut: list[int], *, for_s: float) -> tuple[Count, Count]:
         """Return the first attempts at the partitioned instances, and at the others."""
         self.until = time.monotonic() + for_s
         partitioned, others = Count(), Count()
@@ -164,7 +157,7 @@
             for number, instance in enumerate(self.instances):
                 count = partitioned if number in cut else others
                 for _ in range(CALLERS_PER_INSTANCE):
-                    tasks.create_task(self.keep_asking(instance, targets, count))
+                    tasks.create_task(self.keep_asking(instance, count))
         return partitioned, others
 
     async def run_partition(
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import tempfile
 import time
 import unittest
 from typing import TYPE_CHECKING
@@ -11,7 +10,7 @@
 from guavamast.errors import GuavamastError
 from guavamast.platform.quarantine_admin import lift_content, list_contents
 from guavamast.platform.standins.engine import LETHAL_BODY_PREFIX, EngineFault
-from guavamast.platform.standins.site import RESUMABLE_PREFIX, STREAM_PREFIX, Site
+from guavamast.platform.standins.site import RESUMABLE_PREFIX, STREAM_PREFIX
 from guavamast.relay.http_connection import ConnectionLost
 from guavamast.relay.node_settings import SocketAddress
 from guavamast.relay.quarantine.guard import MIN_RETRY_AFTER_S
@@ -44,14 +43,11 @@
 class QuarantineTest(PlatformTestCase):
     """A request that ends engines is kept from them; those beside it are answered."""
 
+    pool_engines = ENGINES
+
     async def asyncSetUp(self) -> None:
-        self.site = Site()
-        await self.site.start(pool=ENGINES)
-        self.addAsyncCleanup(self.site.stop)
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.directory = directory.name
-        self.instances = [await self.start_instance(f"one-{n}") for n in range(INSTANCES)]
+        await super().asyncSetUp()
+        self.instances = await self.start_instances(INSTANCES)
 
     async def ask(self, number: int, target: str, body: bytes) -> Reply | None:
         """Send a request to one of the instances; None if the connection ends first."""
@@ -138,7 +134,7 @@
                 await asyncio.sleep(0.05)
         for instance in self.instances:
             await instance.stop()
-        self.instances = [await self.start_instance(f"one-{n}") for n in range(INSTANCES)]
+        self.instances = await self.start_instances(INSTANCES)
         runs = len(self.list_lethal_runs())
         for number in range(INSTANCES):
             reply = await self.ask(number, STREAM_PREFIX + "stream", LETHAL_BODY)
--- a/tests/test_platform_rejection_limit.py
+++ b/tests/test_platform_rejection_limit.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import tempfile
 import time
 from typing import TYPE_CHECKING, Final
 
-from guavamast.platform.standins.site import CALL_PREFIX, STREAM_PREFIX, Site
+from guavamast.platform.standins.site import CALL_PREFIX, STREAM_PREFIX
 from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
 from tests._platform_callers import Caller, PlatformTestCase
 
@@ -38,16 +37,13 @@
 class RejectionLimitTest(PlatformTestCase):
     """The fleet sends engines no more than they have slots for."""
 
+    pool_engines = ENGINES
+    portal_engines = ENGINES
+    slots = SLOTS
+
     async def asyncSetUp(self) -> None:
-        self.site = Site()
-        self.site.slots = SLOTS
-        await self.site.start(pool=ENGINES, portal=ENGINES)
-        self.addAsyncCleanup(self.site.stop)
-        directory = tempfile.TemporaryDirectory()
-        self.addCleanup(directory.cleanup)
-        self.directory = directory.name
-        names = [f"one-{number}" for number in range(INSTANCES)]
-        self.instances = await asyncio.gather(*map(self.start_instance, names))
+        await super().asyncSetUp()
+        self.instances = await self.start_instances(INSTANCES)
         self.until = 0.0
 
     def list_engines(self, service: str) -> list[EngineStandIn]:
--- a/tests/test_relay_caller_addresses.py
+++ b/tests/test_relay_caller_addresses.py
@@ -5,25 +5,11 @@
 import unittest
 
 from guavamast.relay.caller_addresses import CallerLocation, choose_addresses
-from guavamast.relay.store import InstanceRecord
+from tests.relay_fixtures import build_instance
 
 LOCATION = CallerLocation(region="r", failure_domain="a")
 
 
-def build_instance(name: str, *, domain: str = "a") -> InstanceRecord:
-    """Return the record of an instance."""
-    return InstanceRecord(
-        name=name,
-        ip="127.0.0.1",
-        failure_domain=domain,
-        region="r",
-        callers_address=f"{name}:1",
-        peer_port=2,
-        link_mbps=100.0,
-        processor_share=1.0,
-    )
-
-
 class UnreachingTest(unittest.TestCase):
     """Instances that don't reach the endpoints are left out while enough others are left."""
 
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -41,8 +41,7 @@
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peers import Peer
 from guavamast.relay.reachability import PeerReachability, ReachabilityMonitor, ReachabilityReport
-from guavamast.relay.store import InstanceRecord
-from tests.relay_fixtures import BOUNDS, build_endpoint
+from tests.relay_fixtures import BOUNDS, build_endpoint, build_instance
 from tests.test_relay_caller_admission import AdmissionSimulation
 
 if TYPE_CHECKING:
@@ -56,20 +55,6 @@
 """Seconds for anything here to happen on a busy machine."""
 
 
-def build_instance(name: str, *, domain: str = "a", port: int = 0) -> InstanceRecord:
-    """Return the record of an instance."""
-    return InstanceRecord(
-        name=name,
-        ip="127.0.0.1",
-        failure_domain=domain,
-        region="r",
-        callers_address="127.0.0.1:1",
-        peer_port=port,
-        link_mbps=100.0,
-        processor_share=1.0,
-    )
-
-
 def build_peer(
     name: str,
     *,
