Tell in logs and metrics how each response was framed and how it ended

Cause: for a short response, 'the endpoint ended in order', 'a reset was taken for an end' and 'a forwarder framed it' looked alike: lines said neither framing nor ending, nor the hop. Change: connections know the framing of a response (length, chunked, connection) and its ending (framed, closed, reset, open). 'ended', 'attempt_failed' and 'forwarded' lines tell both, the bytes held back after a stream's last complete event, and the forwarder; response_ends_total counts them. A forwarder states the endpoint's framing in its message, whose own framing proves nothing about the endpoint's. No decision uses any of it yet. Seen: the tests of the lines fail without the fields; the wire tests pass.

--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -14,6 +14,8 @@
     NotForwarded,
     PathLost,
 )
+from guavamast.relay.event_framing import EventFraming
+from guavamast.relay.response_end import BodyEnding, BodyFraming, ResponseEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +23,7 @@
     from guavamast.relay.endpoint_connection import AcquiredConnection
     from guavamast.relay.endpoint_connector import EndpointConnector
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.event_framing import EventFraming, StreamEvent
+    from guavamast.relay.event_framing import StreamEvent
     from guavamast.relay.messages import (
         CallerRequest,
         EndpointResponseHead,
@@ -93,6 +95,8 @@
         self.detail = detail
         self.connection = ConnectionKind.NONE
         """Connection of the attempt."""
+        self.end = ResponseEnd()
+        """How its response ended."""
 
     @property
     def weight(self) -> float:
@@ -129,6 +133,9 @@
         "_acquired",
         "_codec",
         "_connector",
+        "_events",
+        "_framing",
+        "_held_bytes",
         "_kept",
         "_reachability",
         "_read_time",
@@ -154,6 +161,9 @@
         self._reachability = reachability
         self._read_time = read_time
         self._acquired: AcquiredConnection | None = None
+        self._events = EventFraming()
+        self._framing: BodyFraming | None = None
+        self._held_bytes = 0
         self._kept = False
         self.head: EndpointResponseHead | None = None
         """The response head, once received."""
@@ -168,6 +178,16 @@
         """Name of the instance that the connection leads through; None for a direct one."""
         return None if self._acquired is None else self._acquired.forwarder
 
+    def describe_end(self) -> ResponseEnd:
+        """Return how the response has ended so far."""
+        connection = self._acquired.connection if self._acquired is not None else None
+        return ResponseEnd(
+            framing=self._framing,
+            ending=connection.ending if connection is not None else BodyEnding.OPEN,
+            held_bytes=self._held_bytes,
+            forwarder=self.forwarder,
+        )
+
     async def connect(self, *, row_version: int) -> None:
         """Acquire a connection.
 
@@ -211,6 +231,7 @@
         except MalformedAnswer as error:
             raise AttemptFailed(FailureKind.INVALID, str(error)) from error
         self._record_received()
+        self._framing = received.framing
         self.head = self._codec.decode_response(received.status, received.headers)
         await self._check_head(self.head)
         return self.head
@@ -229,7 +250,7 @@
                 raise AttemptFailed(FailureKind.INVALID, "response body exceeds the size limit")
         return CompleteResponse(head=self.head, body=bytes(body))
 
-    async def read_events(self, framing: EventFraming) -> list[StreamEvent] | None:
+    async def read_events(self) -> list[StreamEvent] | None:
         """Return the next complete events, possibly none yet; None at the end of the stream.
 
         Raises:
@@ -239,9 +260,15 @@
         if chunk is None:
             return None
         try:
-            return framing.append(chunk)
+            events = self._events.append(chunk)
         except ValueError as error:
             raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+        self._held_bytes = self._events.held_bytes
+        return events
+
+    def drain_events(self) -> bytes:
+        """Return the bytes of a stream that has ended after its last complete event."""
+        return self._events.drain()
 
     def finish(self) -> None:
         """Keep the connection for another request, after a complete response."""
--- a/src/guavamast/relay/endpoint_connection.py
+++ b/src/guavamast/relay/endpoint_connection.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from guavamast.relay.messages import EndpointResponseHead, Header
+    from guavamast.relay.response_end import BodyEnding, BodyFraming
 
 
 class ConnectionLost(Exception):
@@ -61,11 +62,13 @@
 class ResponseHead:
     """Status and headers of a response as received."""
 
-    __slots__ = ("headers", "status")
+    __slots__ = ("framing", "headers", "status")
 
-    def __init__(self, *, status: int, headers: list[Header]) -> None:
+    def __init__(self, *, status: int, headers: list[Header], framing: BodyFraming) -> None:
         self.status = status
         self.headers = headers
+        self.framing = framing
+        """What marks the end of the body on the connection from the server that made it."""
 
 
 class EndpointConnection(ABC):
@@ -73,6 +76,11 @@
 
     __slots__ = ()
 
+    @property
+    @abstractmethod
+    def ending(self) -> BodyEnding:
+        """How the response to the last request has ended."""
+
     @abstractmethod
     async def send(self, method: str, target: str, headers: list[Header], body: bytes) -> None:
         """Send a complete request.
--- a/src/guavamast/relay/event_framing.py
+++ b/src/guavamast/relay/event_framing.py
@@ -30,9 +30,9 @@
         self._pending = bytearray()
 
     @property
-    def has_partial_event(self) -> bool:
-        """Whether the buffer holds an incomplete event."""
-        return bool(self._pending)
+    def held_bytes(self) -> int:
+        """Number of bytes after the last complete event."""
+        return len(self._pending)
 
     def append(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that the chunk completes, in order."""
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -164,6 +164,7 @@
             return status
         except AttemptFailed as failure:
             failure.connection = attempt.connection
+            failure.end = attempt.describe_end()
             failure_weight = failure.weight
             rejected = failure.kind is FailureKind.REFUSED
             raise
@@ -239,7 +240,7 @@
                         request, progress, send, sampler, attempt_timeout
                     )
                     await relay_events(attempt, writer, on_event)
-                    self._record_complete_stream(request, progress, attempt.record, sampler)
+                    self._record_complete_stream(request, progress, attempt, sampler)
                     return head.status
                 response = await attempt.read_response()
         except TimeoutError as error:
@@ -250,7 +251,7 @@
             progress.possible_runs -= failure.not_run
             progress.sends -= failure.kind is FailureKind.OUTDATED
             raise
-        await self._forward_response(request, writer, progress, attempt.record, response)
+        await self._forward_response(request, writer, progress, attempt, response)
         return head.status
 
     def _read_load(self, send: _Send) -> Load:
@@ -299,20 +300,22 @@
         self,
         request: CallerRequest,
         progress: RequestProgress,
-        record: EndpointRecord,
+        attempt: Attempt,
         sampler: StreamSampler,
     ) -> None:
         now = self._read_time()
         sampler.finish(now=now)
-        self._loads.record_success(record.endpoint_id, now=now)
-        self._recorder.record_response(request, progress, record, status=200, now=now)
+        self._loads.record_success(attempt.record.endpoint_id, now=now)
+        self._recorder.record_response(
+            request, progress, attempt.record, status=200, end=attempt.describe_end(), now=now
+        )
 
     async def _forward_response(
         self,
         request: CallerRequest,
         writer: ResponseWriter,
         progress: RequestProgress,
-        record: EndpointRecord,
+        attempt: Attempt,
         response: CompleteResponse,
     ) -> None:
         now = self._read_time()
@@ -322,12 +325,14 @@
                 FailureKind.INVALID, f"status {status} to a request to resume a stream"
             )
         if status < 500:
-            self._loads.record_success(record.endpoint_id, now=now)
+            self._loads.record_success(attempt.record.endpoint_id, now=now)
         elif progress.error_response is None and progress.admitted.route.repeatable:
             progress.error_response = response
             raise AttemptFailed(FailureKind.ERROR, f"status {status}")
         await writer.send(status, list(response.head.headers), response.body)
-        self._recorder.record_response(request, progress, record, status=status, now=now)
+        self._recorder.record_response(
+            request, progress, attempt.record, status=status, end=attempt.describe_end(), now=now
+        )
 
     def _record_send(
         self,
--- a/src/guavamast/relay/forwarding/client.py
+++ b/src/guavamast/relay/forwarding/client.py
@@ -32,6 +32,7 @@
 )
 from guavamast.relay.http_connection import HttpConnection
 from guavamast.relay.loop_timeout import wait_in_steps
+from guavamast.relay.response_end import BodyEnding, BodyFraming
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -67,12 +68,24 @@
         on_rejected: Called if the instance states afterwards that it has not sent the request.
     """
 
-    __slots__ = ("_link", "_on_rejected")
+    __slots__ = ("_framing", "_link", "_on_rejected")
 
     def __init__(self, *, link: HttpConnection, on_rejected: Callable[[], None]) -> None:
+        self._framing: BodyFraming | None = None
         self._link = link
         self._on_rejected = on_rejected
 
+    @property
+    def ending(self) -> BodyEnding:
+        """How the response has ended.
+
+        The other instance ends its message in order when the endpoint closes its connection so.
+        """
+        ending = self._link.ending
+        if ending is BodyEnding.FRAMED and self._framing is BodyFraming.CONNECTION:
+            return BodyEnding.CLOSED
+        return ending
+
     async def send(self, method: str, target: str, headers: list[Header], body: bytes) -> None:
         """Send a complete request."""
         await self._link.send_body(encode_request(method, target, headers, body))
@@ -82,7 +95,9 @@
         head = await self._link.read_head()
         try:
             if head.status == FORWARDED_STATUS:
-                return decode_response_head(head)
+                endpoint_head = decode_response_head(head)
+                self._framing = endpoint_head.framing
+                return endpoint_head
             reason = decode_rejection(head)
         except MalformedForward as error:
             raise MalformedAnswer(f"forwarded: {error}") from error
--- a/src/guavamast/relay/forwarding/protocol.py
+++ b/src/guavamast/relay/forwarding/protocol.py
@@ -15,6 +15,7 @@
 import h11
 
 from guavamast.relay.endpoint_connection import ResponseHead
+from guavamast.relay.response_end import BodyFraming
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -28,6 +29,7 @@
 REQUEST_HEADER: Final = "Guavamast-Request"
 VERSION_HEADER: Final = "Guavamast-Configuration"
 STATUS_HEADER: Final = "Guavamast-Status"
+FRAMING_HEADER: Final = "Guavamast-Framing"
 REASON_HEADER: Final = "Guavamast-Rejection"
 FORWARDED_STATUS: Final = HTTPStatus.OK
 """Status of a message that contains an endpoint's response, whatever its status."""
@@ -35,6 +37,10 @@
 """Status of a message that states that the request was not sent and will not be."""
 
 
+_RESPONSE_HEADERS: Final = (STATUS_HEADER.lower(), FRAMING_HEADER.lower())
+"""Headers that describe the endpoint's response, in lower case."""
+
+
 class RejectionReason(StrEnum):
     """Why an instance does not forward a request."""
 
@@ -155,11 +161,17 @@
     )
 
 
-def encode_response_headers(status: int, headers: tuple[Header, ...]) -> list[Header]:
-    """Return the headers of a message with an endpoint's response."""
+def encode_response_headers(
+    status: int, framing: BodyFraming, headers: tuple[Header, ...]
+) -> list[Header]:
+    """Return the headers of a message with an endpoint's response.
+
+    The message has a framing of its own, so it states that of the endpoint's response.
+    """
     return [
         (STATUS_HEADER, str(status)),
-        *(header for header in headers if header[0].lower() != STATUS_HEADER.lower()),
+        (FRAMING_HEADER, str(framing)),
+        *(header for header in headers if header[0].lower() not in _RESPONSE_HEADERS),
     ]
 
 
@@ -172,8 +184,21 @@
     statuses = [value for name, value in head.headers if name.lower() == STATUS_HEADER.lower()]
     if len(statuses) != 1 or not statuses[0].isdigit():
         raise MalformedForward("no status of the endpoint")
-    headers = [header for header in head.headers if header[0].lower() != STATUS_HEADER.lower()]
-    return ResponseHead(status=int(statuses[0]), headers=headers)
+    framings = [value for name, value in head.headers if name.lower() == FRAMING_HEADER.lower()]
+    headers = [header for header in head.headers if header[0].lower() not in _RESPONSE_HEADERS]
+    framing = _decode_framing(framings)
+    return ResponseHead(status=int(statuses[0]), headers=headers, framing=framing)
+
+
+def _decode_framing(values: list[str]) -> BodyFraming:
+    """Return the framing that a message states; the least certain one if it states none.
+
+    Instances of earlier versions state none.
+    """
+    try:
+        return BodyFraming(values[0])
+    except (IndexError, ValueError):
+        return BodyFraming.CONNECTION
 
 
 def decode_rejection(head: ResponseHead) -> RejectionReason:
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -27,13 +27,14 @@
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.direct_connector import DirectConnector
-    from guavamast.relay.endpoint_connection import AcquiredConnection
+    from guavamast.relay.endpoint_connection import AcquiredConnection, ResponseHead
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.forwarding.protocol import EncodedRequest, ForwardOrder
     from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import EndpointResponseHead, HeaderCodec, ResponseWriter
     from guavamast.relay.reachability import ReachabilityMonitor
+    from guavamast.relay.response_end import BodyFraming
 
 MAX_FORWARDED: Final = 200
 """Requests of others that are forwarded at a time; each takes two descriptors."""
@@ -146,9 +147,12 @@
         self._counters.set("forwarded_requests", self._forwarded)
         outcome = "left"
         kept = False
+        framing: BodyFraming | None = None
         try:
             self._check_send(permitted)
-            head = await self._exchange(permitted, request, writer)
+            received = await self._send(permitted, request)
+            framing = received.framing
+            head = await self._forward_response(permitted, received, writer)
             outcome = f"status {head.status}"
             kept = self._keep(permitted, head)
             await writer.end()
@@ -164,7 +168,7 @@
                 permitted.acquired.connection.close()
             self._forwarded -= 1
             self._counters.set("forwarded_requests", self._forwarded)
-            self._record(permitted, outcome)
+            self._record(permitted, outcome, framing)
 
     def discard(self, permitted: PermittedOrder) -> None:
         """Close the connection of an order whose request never came."""
@@ -214,16 +218,22 @@
         except AttemptFailed as error:
             raise OrderRejected(RejectionReason.OUTDATED) from error
 
-    async def _exchange(
-        self, permitted: PermittedOrder, request: EncodedRequest, writer: ResponseWriter
-    ) -> EndpointResponseHead:
-        """Send a request and forward its response, without its end; return its head."""
+    async def _send(self, permitted: PermittedOrder, request: EncodedRequest) -> ResponseHead:
+        """Send a request and return the head of its response as received."""
         connection = permitted.acquired.connection
         await connection.send(request.method, request.target, request.headers, request.body)
         received = await connection.read_head()
         self._record_received(permitted)
+        return received
+
+    async def _forward_response(
+        self, permitted: PermittedOrder, received: ResponseHead, writer: ResponseWriter
+    ) -> EndpointResponseHead:
+        """Forward a response without its end; return its decoded head."""
+        connection = permitted.acquired.connection
         head = self._codec.decode_response(received.status, received.headers)
-        writer.start(FORWARDED_STATUS, encode_response_headers(received.status, head.headers))
+        headers = encode_response_headers(received.status, received.framing, head.headers)
+        writer.start(FORWARDED_STATUS, headers)
         while (chunk := await connection.read_chunk()) is not None:
             self._record_received(permitted)
             if chunk:
@@ -240,7 +250,7 @@
     def _record_received(self, permitted: PermittedOrder) -> None:
         self._monitor.record_received(permitted.record.service, now=self._read_time())
 
-    def _record(self, permitted: PermittedOrder, outcome: str) -> None:
+    def _record(self, permitted: PermittedOrder, outcome: str, framing: BodyFraming | None) -> None:
         now = self._read_time()
         self._log.write(
             "forwarded",
@@ -249,5 +259,7 @@
             origin=permitted.order.origin,
             endpoint=permitted.record.endpoint_id,
             outcome=outcome,
+            framing=framing,
+            ending=permitted.acquired.connection.ending,
             took_s=round(now - permitted.permitted_at, 4),
         )
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import h11
@@ -19,6 +20,7 @@
     ResponseHead,
 )
 from guavamast.relay.loop_timeout import wait_in_steps
+from guavamast.relay.response_end import BodyEnding, BodyFraming
 
 if TYPE_CHECKING:
     from guavamast.relay.messages import Header
@@ -43,8 +45,10 @@
     """
 
     __slots__ = (
+        "_ending",
         "_eof_received",
         "_failure",
+        "_framing",
         "_http",
         "_outstanding",
         "_reading_paused",
@@ -62,6 +66,8 @@
         self._failure: Exception | None = None
         self._outstanding = False
         self._eof_received = False
+        self._ending = BodyEnding.OPEN
+        self._framing = BodyFraming.LENGTH
         self._reading_paused = False
         self._unread_bytes = 0
 
@@ -83,6 +89,11 @@
             raise ConnectionLost(f"connect: {type(error).__name__}") from error
         return connection
 
+    @property
+    def ending(self) -> BodyEnding:
+        """How the response to the last request has ended."""
+        return self._ending
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent."""
@@ -119,6 +130,8 @@
         """Record the end of the connection; without an EOF before it, as a reset."""
         if exc is not None or not self._outstanding:
             self._failure = self._failure or ConnectionLost("reset")
+            if self._outstanding:
+                self._ending = BodyEnding.RESET
         self._transport = None
         self._wake()
         self.resume_writing()
@@ -160,7 +173,7 @@
         event = await self._next_event()
         if isinstance(event, h11.InformationalResponse):
             return None
-        return _parse_head(event)
+        return self._parse_head(event)
 
     async def send_body(self, body: bytes) -> None:
         """Send the body of a request whose head was sent.
@@ -181,7 +194,7 @@
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
-            return _parse_head(event)
+            return self._parse_head(event)
 
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body as they arrive; None after the whole body.
@@ -195,6 +208,8 @@
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             raise MalformedAnswer("expected a response body")
+        closed = self._framing is BodyFraming.CONNECTION and self._eof_received
+        self._ending = BodyEnding.CLOSED if closed else BodyEnding.FRAMED
         self._finish_exchange()
         return None
 
@@ -209,6 +224,7 @@
         if self._failure is not None or self._transport is None:
             raise ConnectionLost("connection closed before the send")
         self._outstanding = True
+        self._ending = BodyEnding.OPEN
         self._transport.write(b"".join(self._http.send(event) or b"" for event in events))
         if self._write_waiter is not None:
             await self._write_waiter
@@ -229,6 +245,7 @@
             except h11.RemoteProtocolError as error:
                 self.close()
                 if self._eof_received:
+                    self._ending = BodyEnding.CLOSED
                     raise ConnectionLost(
                         "connection closed before the response was complete"
                     ) from error
@@ -241,6 +258,16 @@
                 self._transport.resume_reading()
             await self._wait_for_data()
 
+    def _parse_head(self, event: h11.Event) -> ResponseHead:
+        if not isinstance(event, h11.Response):
+            raise MalformedAnswer("expected a response head")
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers.raw_items()
+        ]
+        self._framing = _find_framing(event.status_code, headers)
+        return ResponseHead(status=event.status_code, headers=headers, framing=self._framing)
+
     async def _wait_for_data(self) -> None:
         if self._failure is not None:
             raise ConnectionLost(str(self._failure))
@@ -269,11 +296,11 @@
     return [*data, h11.EndOfMessage()]
 
 
-def _parse_head(event: h11.Event) -> ResponseHead:
-    if not isinstance(event, h11.Response):
-        raise MalformedAnswer("expected a response head")
-    headers = [
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in event.headers.raw_items()
-    ]
-    return ResponseHead(status=event.status_code, headers=headers)
+def _find_framing(status: int, headers: list[Header]) -> BodyFraming:
+    """Return what marks the end of the body of a response to a request other than HEAD."""
+    names = {name.lower() for name, _ in headers}
+    if "transfer-encoding" in names:
+        return BodyFraming.CHUNKED
+    if "content-length" in names or status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+        return BodyFraming.LENGTH
+    return BodyFraming.CONNECTION
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -21,6 +21,7 @@
     from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import CallerRequest, SendParameters
     from guavamast.relay.request_progress import RequestProgress
+    from guavamast.relay.response_end import ResponseEnd
     from guavamast.relay.scheduling_client import ScheduledReply
 
 
@@ -153,6 +154,7 @@
             now: The current time.
         """
         self._counters.add(f'attempt_failures_total{{kind="{failure.kind}"}}')
+        self._count_response_end(failure.end)
         self._log.write(
             "attempt_failed",
             now=now,
@@ -164,6 +166,10 @@
             after_s=round(now - request.received_at, 4),
             service=record.service,
             connection=str(failure.connection),
+            framing=failure.end.framing,
+            ending=failure.end.ending,
+            held_bytes=failure.end.held_bytes,
+            forwarder=failure.end.forwarder,
             service_silent_s=round_age(silence_s) if silence_s is not None else None,
         )
 
@@ -227,6 +233,7 @@
         record: EndpointRecord,
         *,
         status: int,
+        end: ResponseEnd,
         now: float,
     ) -> None:
         """Record a response that was forwarded completely, and whether and why it was late."""
@@ -236,6 +243,7 @@
         if late is not None:
             self._counters.add(f'late_answers_total{{cause="{late}"}}')
         self._count_end("answered", took_s)
+        self._count_response_end(end)
         if timing.first_event_s is not None:
             self._counters.observe("longest_pause_seconds", timing.longest_pause_s)
         self._log.write(
@@ -247,6 +255,10 @@
             took_s=round(took_s, 4),
             route=progress.admitted.route.name,
             endpoint=record.endpoint_id,
+            framing=end.framing,
+            ending=end.ending,
+            held_bytes=end.held_bytes,
+            forwarder=end.forwarder,
             late=str(late) if late is not None else None,
             first_event_s=round(timing.first_event_s or 0.0, 4),
             longest_pause_s=round(timing.longest_pause_s, 4),
@@ -275,6 +287,14 @@
             took_s=round(took_s, 4),
         )
 
+    def _count_response_end(self, end: ResponseEnd) -> None:
+        """Count a response by its framing and its ending, if there was one."""
+        if end.framing is None:
+            return
+        inside_event = str(end.held_bytes > 0).lower()
+        labels = f'framing="{end.framing}",ending="{end.ending}",inside_event="{inside_event}"'
+        self._counters.add(f"response_ends_total{{{labels}}}")
+
     def _count_end(self, outcome: str, took_s: float) -> None:
         self._counters.add(f'requests_total{{outcome="{outcome}"}}')
         self._counters.observe("request_seconds", took_s)
--- a/src/guavamast/relay/stream_relay.py
+++ b/src/guavamast/relay/stream_relay.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from guavamast.relay.event_framing import EventFraming
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -30,8 +28,7 @@
     Raises:
         AttemptFailed: The stream broke.
     """
-    framing = EventFraming()
-    while (events := await attempt.read_events(framing)) is not None:
+    while (events := await attempt.read_events()) is not None:
         if not events:
             continue
         for event in events:
@@ -39,7 +36,7 @@
         _ensure_started(attempt, writer)
         await writer.write(b"".join(event.data for event in events))
     _ensure_started(attempt, writer)
-    remainder = framing.drain()
+    remainder = attempt.drain_events()
     if remainder:
         await writer.write(remainder)
     await writer.end()
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 from unittest import mock
 
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.relay.response_end import BodyEnding, BodyFraming
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 RESPONSE_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nok"
@@ -84,6 +86,38 @@
         self.transport.resume_reading.assert_called_once()
         waiting.cancel()
 
+    async def test_framing_and_ending_of_responses_are_told_apart(self) -> None:
+        """Guards against a reset, an ordered end and a stated end that look alike in the log."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+        cases = (
+            (RESPONSE, BodyFraming.LENGTH, "", BodyEnding.FRAMED),
+            (RESPONSE[:-1], BodyFraming.LENGTH, "eof", BodyEnding.CLOSED),
+            (RESPONSE[:-1], BodyFraming.LENGTH, "reset", BodyEnding.RESET),
+            (chunked + b"0\r\n\r\n", BodyFraming.CHUNKED, "", BodyEnding.FRAMED),
+            (chunked, BodyFraming.CHUNKED, "eof", BodyEnding.CLOSED),
+            (chunked, BodyFraming.CHUNKED, "reset", BodyEnding.RESET),
+            (RESPONSE_WITHOUT_LENGTH, BodyFraming.CONNECTION, "eof", BodyEnding.CLOSED),
+            (RESPONSE_WITHOUT_LENGTH, BodyFraming.CONNECTION, "reset", BodyEnding.RESET),
+            (RESPONSE_WITHOUT_LENGTH, BodyFraming.CONNECTION, "close", BodyEnding.OPEN),
+        )
+        for data, framing, end, ending in cases:
+            with self.subTest(framing=framing, ending=ending):
+                await self.asyncSetUp()
+                self.connection.data_received(data)
+                self.assertEqual((await self.connection.read_head()).framing, framing)
+                if end == "eof":
+                    self.connection.eof_received()
+                    self.connection.connection_lost(None)
+                elif end == "reset":
+                    self.connection.connection_lost(ConnectionResetError())
+                elif end == "close":
+                    self.connection.close()
+                    self.connection.connection_lost(None)
+                with contextlib.suppress(ConnectionLost):
+                    while await self.connection.read_chunk() is not None:
+                        pass
+                self.assertEqual(self.connection.ending, ending)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -12,6 +12,7 @@
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.request_recorder import RequestRecorder
+from guavamast.relay.response_end import BodyEnding, BodyFraming, ResponseEnd
 from tests.relay_fixtures import build_endpoint, build_request
 
 
@@ -22,9 +23,10 @@
         self.read_end, write_end = os.pipe()
         self.addCleanup(os.close, self.read_end)
         self.addCleanup(os.close, write_end)
+        self.counters = Counters()
         self.recorder = RequestRecorder(
             log=DecisionLog(instance="one", descriptor=write_end),
-            counters=Counters(),
+            counters=self.counters,
             fleet_state=mock.Mock(),
             loop_delay=LoopDelay(),
         )
@@ -63,6 +65,37 @@
             ("portal", "none", 1.2),
         )
 
+    def test_a_failed_attempt_tells_how_its_response_was_framed_and_ended(self) -> None:
+        """Guards against an ordered end, a reset and a forwarder's end that look alike."""
+        failure = AttemptFailed(FailureKind.LOST, "stream ended inside an event")
+        failure.end = ResponseEnd(
+            framing=BodyFraming.CONNECTION,
+            ending=BodyEnding.CLOSED,
+            held_bytes=9,
+            forwarder="two",
+        )
+        self.recorder.record_failure(
+            build_request(),
+            build_endpoint("x"),
+            failure,
+            content=None,
+            silence_s=None,
+            now=101.0,
+        )
+        line = self.read_line()
+        self.assertEqual((line["framing"], line["ending"]), ("connection", "closed"))
+        self.assertEqual((line["held_bytes"], line["forwarder"]), (9, "two"))
+        labels = 'framing="connection",ending="closed",inside_event="true"'
+        self.assertIn(f"response_ends_total{{{labels}}} 1", self.counters.render())
+
+    def test_a_response_that_never_began_has_no_end(self) -> None:
+        failure = AttemptFailed(FailureKind.LOST, "reset")
+        self.recorder.record_failure(
+            build_request(), build_endpoint("x"), failure, content=None, silence_s=None, now=101.0
+        )
+        self.assertIsNone(self.read_line()["framing"])
+        self.assertNotIn("response_ends_total", self.counters.render())
+
 
 if __name__ == "__main__":
     unittest.main()
