--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from enum import StrEnum
 from typing import Final
 
+from guavamast.platform.standins.answer_body import reset
+
 CHUNK_BYTES: Final = 65_536
 """Maximum number of bytes forwarded at a time."""
-RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
-"""SO_LINGER value that makes a close send RST instead of FIN."""
 
 
 class LinkFault(StrEnum):
@@ -70,7 +68,7 @@
     def reset_all(self) -> None:
         """Reset both sides of each open connection."""
         for writer in list(self._writers):
-            _reset(writer)
+            reset(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
@@ -80,7 +78,7 @@
         try:
             await self._forward(reader, writer)
         except (OSError, asyncio.CancelledError):
-            _reset(writer)
+            reset(writer)
         finally:
             self._writers.discard(writer)
             self._tasks.discard(task)
@@ -93,8 +91,8 @@
                 tasks.create_task(self._copy(reader, server_writer, LinkFault.CUT_TO_SERVER))
                 tasks.create_task(self._copy(server_reader, writer, LinkFault.CUT_TO_CLIENT))
         except* OSError:
-            _reset(writer)
-            _reset(server_writer)
+            reset(writer)
+            reset(server_writer)
         finally:
             self._writers.discard(server_writer)
 
@@ -110,14 +108,6 @@
                 writer.write(data)
                 await writer.drain()
         if lost_bytes:
-            _reset(writer)
+            reset(writer)
         elif not writer.is_closing():
             writer.close()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close a connection with a reset."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None and not writer.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    writer.transport.abort()
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -10,9 +10,14 @@
 
 import h11
 
+from guavamast.platform.standins.answer_body import WHOLE, AnswerBody, AnswerEnding, Closing
+from guavamast.relay.response_end import BodyFraming
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavamast.relay.messages import Header
+
 EVENTS_PER_STREAM = 6
 """Default number of events in a stream."""
 EVENT_INTERVAL_S = 0.02
@@ -21,6 +26,9 @@
 """Seconds over which rejections are counted."""
 
 
+CUT_IN_THIRD_EVENT = AnswerEnding(pieces=2, part_bytes=9, closing=Closing.CLOSE)
+
+
 class EngineFault(StrEnum):
     """Fault that the engine injects."""
 
@@ -80,6 +88,10 @@
     def __init__(self, *, engine_id: str) -> None:
         self.engine_id = engine_id
         self.fault = EngineFault.NONE
+        self.framing: BodyFraming | None = None
+        """Framing of its answers; None for chunks for streams and a length for all others."""
+        self.ending: AnswerEnding = WHOLE
+        """Where and how its answers end."""
         self.processing_s = 0.0
         """Seconds that a request takes before its response begins."""
         self.events = EVENTS_PER_STREAM
@@ -88,6 +100,8 @@
         self.abandoned = 0
         """Number of requests whose connection closed before the response was complete."""
         self.connections = 0
+        self.on_run: Callable[[Run], None] | None = None
+        """Called with each request before its answer begins."""
         self.on_crash: Callable[[], None] | None = None
         """Called when this engine has ended by itself."""
         self.slots: int | None = None
@@ -192,6 +206,8 @@
             began=time.monotonic(),
         )
         self.runs.append(run)
+        if self.on_run is not None:
+            self.on_run(run)
         return run
 
     async def _respond(
@@ -245,7 +261,8 @@
             keep_open = await self._stream(http, writer, common, run)
             self._record_completed(run)
             return keep_open
-        keep_open = await self._send(http, writer, 200, common, b"answer " + request_id.encode())
+        answer = encode_answer(request_id)
+        keep_open = await self._send(http, writer, 200, common, answer, ending=self.ending)
         self._record_completed(run)
         if self.fault is EngineFault.EXTRA:
             writer.write(
@@ -264,28 +281,26 @@
         self,
         http: h11.Connection,
         writer: asyncio.StreamWriter,
-        headers: list[tuple[str, str]],
+        headers: list[Header],
         run: Run,
     ) -> bool:
-        headers = [*headers, *self._list_limit(), ("Content-Type", "text/event-stream")]
-        headers.append(("Transfer-Encoding", "chunked"))
-        writer.write(http.send(h11.Response(status_code=200, headers=headers)) or b"")
         first = int(run.headers.get("last-event-id", "0")) + 1
-        for number in range(first, self.events + 1):
-            data = encode_event(run.request_id, number)
-            if self.fault is EngineFault.CUT and number == 3:
-                writer.write(http.send(h11.Data(data=data[:9])) or b"")
-                await writer.drain()
-                return False
-            writer.write(http.send(h11.Data(data=data)) or b"")
-            await writer.drain()
+        numbers = range(first, self.events + 1)
+        body = AnswerBody(
+            http=http,
+            writer=writer,
+            framing=self.framing or BodyFraming.CHUNKED,
+            ending=CUT_IN_THIRD_EVENT if self.fault is EngineFault.CUT else self.ending,
+            pieces=[encode_event(run.request_id, number) for number in numbers],
+        )
+        body.start(200, [*headers, *self._list_limit(), ("Content-Type", "text/event-stream")])
+        for piece in body.pieces:
+            await body.write(piece)
             await asyncio.sleep(EVENT_INTERVAL_S)
             await self._wait_for_silence()
-        writer.write(http.send(h11.EndOfMessage()) or b"")
-        await writer.drain()
-        return True
+        return await body.end()
 
-    def _list_limit(self) -> list[tuple[str, str]]:
+    def _list_limit(self) -> list[Header]:
         if self.rejection_limit is None:
             return []
         return [("Server-Brittle", str(self.rejection_limit))]
@@ -295,16 +310,27 @@
         http: h11.Connection,
         writer: asyncio.StreamWriter,
         status: int,
-        headers: list[tuple[str, str]],
-        body: bytes,
+        headers: list[Header],
+        data: bytes,
+        *,
+        ending: AnswerEnding = WHOLE,
     ) -> bool:
-        fields = [*headers, *self._list_limit(), ("Content-Length", str(len(body)))]
-        data = http.send(h11.Response(status_code=status, headers=fields)) or b""
-        data += http.send(h11.Data(data=body)) or b""
-        data += http.send(h11.EndOfMessage()) or b""
-        writer.write(data)
-        await writer.drain()
-        return True
+        body = AnswerBody(
+            http=http,
+            writer=writer,
+            framing=(self.framing if status == 200 else None) or BodyFraming.LENGTH,
+            ending=ending,
+            pieces=[data],
+        )
+        body.start(status, [*headers, *self._list_limit()])
+        for piece in body.pieces:
+            await body.write(piece)
+        return await body.end()
+
+
+def encode_answer(request_id: str) -> bytes:
+    """Return the body of an answer that is no stream; all engines send the same bytes."""
+    return b"answer " + request_id.encode()
 
 
 def encode_event(request_id: str, number: int) -> bytes:
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -8,12 +8,21 @@
 import tempfile
 import unittest
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from soak.partitions import (
+    PARTITION_ENV_VARIABLE,
+    Partition,
+    write_partition,
+)
+
 from guavamast.platform.standins.site import HOST, KEY, Site, write_settings
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 
 if TYPE_CHECKING:
+    from soak.partitions import PartitionKind
+
     from guavamast.relay.messages import Header
 
 READY_S = 20.0
@@ -154,3 +163,46 @@
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
         )
+
+
+class PartitionableTestCase(PlatformTestCase):
+    """Base of tests with instances whose connections to endpoints can be cut one by one."""
+
+    instance_count = 2
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.instances = await self.start_instances(self.instance_count)
+
+    async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
+        """Start a process whose connections follow a file."""
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "soak.skewed",
+            env=os.environ
+            | {
+                "GUAVAMAST_SETTINGS": write_settings(settings, self.directory),
+                PARTITION_ENV_VARIABLE: str(self.find_partition_file(settings["node_name"])),
+            },
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    def find_partition_file(self, name: str) -> Path:
+        return Path(self.directory) / f"{name}.partition"
+
+    def cut(self, kind: PartitionKind, numbers: list[int], *services: str) -> None:
+        """Partition some instances from the engines of services, or of all."""
+        ports = frozenset(
+            engine.port
+            for name, engine in self.site.engines.items()
+            if not services or name.partition("-")[0] in services
+        )
+        for number in numbers:
+            path = self.find_partition_file(f"one-{number}")
+            write_partition(path, Partition(kind=kind, ports=ports))
+
+    def heal(self, numbers: list[int]) -> None:
+        for number in numbers:
+            write_partition(self.find_partition_file(f"one-{number}"), None)
--- /dev/null
+++ b/tests/test_platform_broken_answers.py
@@ -0,0 +1,211 @@
+"""End-to-end tests of answers that break off, by their framing, their ending and their way."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from soak.partitions import FOLLOW_INTERVAL_S, PartitionKind
+
+from guavamast.platform.standins.answer_body import WHOLE, AnswerEnding, Closing
+from guavamast.platform.standins.engine import EVENTS_PER_STREAM, encode_answer, encode_event
+from guavamast.platform.standins.site import (
+    CALL_PREFIX,
+    LOOKUP_PREFIX,
+    RESUMABLE_PREFIX,
+    STREAM_PREFIX,
+)
+from guavamast.relay.response_end import BodyFraming
+from tests._platform_callers import READY_S, Caller, PartitionableTestCase
+
+if TYPE_CHECKING:
+    from guavamast.platform.standins.engine import EngineStandIn, Run
+    from tests._platform_callers import Instance, Reply
+
+LAST_EVENT_BYTES: Final = len(encode_event("r10", EVENTS_PER_STREAM))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BrokenEnd:
+    """Where a stream breaks off, and the complete events before that."""
+
+    pieces: int
+    part_bytes: int
+
+    def close(self, closing: Closing) -> AnswerEnding:
+        return AnswerEnding(pieces=self.pieces, part_bytes=self.part_bytes, closing=closing)
+
+
+ENDS_INSIDE_EVENTS: Final = (
+    BrokenEnd(pieces=2, part_bytes=9),
+    BrokenEnd(pieces=0, part_bytes=5),
+    BrokenEnd(pieces=EVENTS_PER_STREAM - 1, part_bytes=LAST_EVENT_BYTES - 1),
+)
+
+
+def build_stream(request_id: str, events: int = EVENTS_PER_STREAM) -> bytes:
+    """Return the first events of a stream."""
+    return b"".join(encode_event(request_id, number) for number in range(1, events + 1))
+
+
+class BrokenAnswerTest(PartitionableTestCase):
+    """An answer that breaks off never looks complete, and a whole one is delivered."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.number = 9
+
+    def list_engines(self) -> list[EngineStandIn]:
+        return list(self.site.engines.values())
+
+    def set_answers(self, framing: BodyFraming | None = None, ending: AnswerEnding = WHOLE) -> None:
+        """Choose the framing and the ending of all engines' answers."""
+        for engine in self.list_engines():
+            engine.on_run = None
+            engine.framing = framing
+            engine.ending = ending
+
+    def spoil_first_answer(self, framing: BodyFraming, ending: AnswerEnding) -> None:
+        """Let only the engine that runs the next request end its answer so."""
+        self.set_answers(framing, ending)
+
+        def spare_others(run: Run) -> None:
+            for engine in self.list_engines():
+                engine.on_run = None
+                if run not in engine.runs:
+                    engine.ending = WHOLE
+
+        for engine in self.list_engines():
+            engine.on_run = spare_others
+
+    def count_runs(self, request_id: str) -> int:
+        return sum(
+            run.request_id == request_id for engine in self.list_engines() for run in engine.runs
+        )
+
+    async def ask(self, instance: Instance, target: str, *, body: bytes = b"") -> Reply:
+        """Send the next request on a new connection, again with a new id while it is refused.
+
+        The only forwarder refuses for a moment when its process runs late.
+        """
+        async with asyncio.timeout(READY_S):
+            while True:
+                self.number += 1
+                reply = await self.ask_once(instance, target, body)
+                if reply.status != 503:
+                    return reply
+                self.assertEqual(self.count_runs(f"r{self.number}"), 0)
+                await asyncio.sleep(0.1)
+
+    async def ask_once(self, instance: Instance, target: str, body: bytes) -> Reply:
+        caller = await Caller.open(instance.callers)
+        try:
+            return await caller.send_request(
+                target, request_id=f"r{self.number}", body=body, timeout_ms=6000
+            )
+        finally:
+            caller.connection.close()
+
+    def check_broken_off(self, reply: Reply, end: BrokenEnd) -> None:
+        """Check the reply to a stream that ran once and can't be resumed."""
+        name = f"r{self.number}"
+        self.assertEqual(self.count_runs(name), 1)
+        if end.pieces:
+            self.assertEqual((reply.status, reply.complete), (200, False))
+            self.assertEqual(reply.body, build_stream(name, end.pieces))
+        else:
+            self.assertEqual((reply.status, reply.body), (502, b""))
+
+    async def check_streams_inside_events(self, instance: Instance) -> None:
+        for framing in BodyFraming:
+            for closing in Closing:
+                for end in ENDS_INSIDE_EVENTS:
+                    with self.subTest(framing=framing, closing=closing, end=end):
+                        self.set_answers(framing, end.close(closing))
+                        reply = await self.ask(instance, STREAM_PREFIX + "stream")
+                        self.check_broken_off(reply, end)
+
+    async def check_resumed_streams(self, instance: Instance) -> None:
+        for framing in BodyFraming:
+            for end in ENDS_INSIDE_EVENTS[:2]:
+                with self.subTest(framing=framing, end=end):
+                    self.spoil_first_answer(framing, end.close(Closing.FRAMED))
+                    reply = await self.ask(instance, RESUMABLE_PREFIX + "stream")
+                    name = f"r{self.number}"
+                    self.assertEqual(
+                        (reply.status, reply.complete, reply.body), (200, True, build_stream(name))
+                    )
+                    self.assertEqual(self.count_runs(name), 2)
+                    spoilt = [e for e in self.list_engines() if e.ending is not WHOLE]
+                    if end.pieces:
+                        seal = reply.headers["x-engine-seal"]
+                        self.assertEqual(seal, f"seal-{spoilt[0].engine_id}")
+
+    async def test_streams_that_end_inside_an_event_are_broken_off(self) -> None:
+        """Guards against a short stream that looks complete, as its end was in order."""
+        await self.check_streams_inside_events(self.instances[0])
+        await self.check_resumed_streams(self.instances[0])
+
+    async def test_forwarded_streams_that_end_inside_an_event_are_broken_off(self) -> None:
+        """Guards against a forwarder that turns the end of a connection into a last chunk."""
+        await self.cut_second_instance()
+        await self.check_streams_inside_events(self.instances[1])
+        await self.check_resumed_streams(self.instances[1])
+
+    async def cut_second_instance(self) -> None:
+        """Cut the second instance from all engines; return once the cut is in force."""
+        self.cut(PartitionKind.REFUSE, [1])
+        await asyncio.sleep(10 * FOLLOW_INTERVAL_S)
+
+    async def check_whole_answers(self, instance: Instance) -> None:
+        for framing in BodyFraming:
+            for tail in (b"", b"\n", b"\r\n", b": end\n", b"\n\n"):
+                with self.subTest(framing=framing, tail=tail):
+                    self.set_answers(framing, AnswerEnding(tail=tail))
+                    for prefix in (STREAM_PREFIX, RESUMABLE_PREFIX):
+                        reply = await self.ask(instance, prefix + "stream")
+                        name = f"r{self.number}"
+                        self.assertEqual((reply.status, reply.complete), (200, True))
+                        self.assertEqual(reply.body, build_stream(name) + tail)
+                        self.assertEqual(self.count_runs(name), 1)
+            with self.subTest(framing=framing):
+                self.set_answers(framing)
+                for target in (CALL_PREFIX, LOOKUP_PREFIX):
+                    reply = await self.ask(instance, target + "x", body=b"pay")
+                    name = f"r{self.number}"
+                    self.assertEqual((reply.status, reply.body), (200, encode_answer(name)))
+
+    async def test_whole_answers_are_delivered_in_each_framing(self) -> None:
+        """Guards against a check for broken-off streams that cuts whole ones."""
+        await self.check_whole_answers(self.instances[0])
+
+    async def test_whole_forwarded_answers_are_delivered_in_each_framing(self) -> None:
+        """Guards against a check for broken-off streams that cuts forwarded whole ones."""
+        await self.cut_second_instance()
+        await self.check_whole_answers(self.instances[1])
+
+    async def test_broken_answers_that_are_no_streams_are_not_delivered(self) -> None:
+        """Guards against a part of a plain answer that is taken for the whole."""
+        endings = [
+            (framing, closing)
+            for framing in BodyFraming
+            for closing in (Closing.CLOSE, Closing.RESET)
+            if (framing, closing) != (BodyFraming.CONNECTION, Closing.CLOSE)
+        ]
+        for framing, closing in endings:
+            with self.subTest(framing=framing, closing=closing):
+                ending = AnswerEnding(pieces=0, part_bytes=4, closing=closing)
+                self.set_answers(framing, ending)
+                reply = await self.ask(self.instances[0], CALL_PREFIX + "x", body=b"pay")
+                self.assertEqual((reply.status, self.count_runs(f"r{self.number}")), (502, 1))
+                self.spoil_first_answer(framing, ending)
+                reply = await self.ask(self.instances[0], LOOKUP_PREFIX + "x")
+                name = f"r{self.number}"
+                self.assertEqual((reply.status, reply.body), (200, encode_answer(name)))
+                self.assertEqual(self.count_runs(name), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_partition.py
+++ b/tests/test_platform_partition.py
@@ -3,29 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import sys
 import time
 from dataclasses import dataclass
-from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final
-
-from soak.partitions import (
-    PARTITION_ENV_VARIABLE,
-    Partition,
-    PartitionKind,
-    write_partition,
-)
+from typing import TYPE_CHECKING, Final
+
+from soak.partitions import PartitionKind
 
 from guavamast.platform.standins.site import (
     CALL_PREFIX,
     LOOKUP_PREFIX,
     RESUMABLE_PREFIX,
     STREAM_PREFIX,
-    write_settings,
 )
 from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
-from tests._platform_callers import Caller, PlatformTestCase
+from tests._platform_callers import Caller, PartitionableTestCase
 
 if TYPE_CHECKING:
     from tests._platform_callers import Instance
@@ -69,8 +60,8 @@
         return self.served / max(1, self.sent)
 
 
-class PartitionTestCase(PlatformTestCase):
-    """Base of the tests: instances whose connections to endpoints can be cut one by one."""
+class PartitionTestCase(PartitionableTestCase):
+    """Base of the tests: callers ask partitioned instances and others."""
 
     instance_count = INSTANCES
 
@@ -79,43 +70,9 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.instances = await self.start_instances(self.instance_count)
         self.number = 0
         self.until = float("inf")
 
-    async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
-        """Start a process whose connections follow a file."""
-        return await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "soak.skewed",
-            env=os.environ
-            | {
-                "GUAVAMAST_SETTINGS": write_settings(settings, self.directory),
-                PARTITION_ENV_VARIABLE: str(self.find_partition_file(settings["node_name"])),
-            },
-            stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.PIPE,
-        )
-
-    def find_partition_file(self, name: str) -> Path:
-        return Path(self.directory) / f"{name}.partition"
-
-    def cut(self, kind: PartitionKind, numbers: list[int], *services: str) -> None:
-        """Partition some instances from the engines of services, or of all."""
-        ports = frozenset(
-            engine.port
-            for name, engine in self.site.engines.items()
-            if not services or name.partition("-")[0] in services
-        )
-        for number in numbers:
-            path = self.find_partition_file(f"one-{number}")
-            write_partition(path, Partition(kind=kind, ports=ports))
-
-    def heal(self, numbers: list[int]) -> None:
-        for number in numbers:
-            write_partition(self.find_partition_file(f"one-{number}"), None)
-
     async def ask_once(
         self, instance: Instance, target: str, *, timeout_s: float = TIMEOUT_S
     ) -> bool:
