Take a stream that ends inside an event for broken off, however its connection ended

Callers saw a 200 with the engine's signature, framed as complete, whose body ended in the middle of an event. Cause: the relay forwarded what was left after the last event and ended its response whenever the body had ended in order. An engine that crashes leaves its connection to its system, which closes it in order; where the response had neither length nor chunks, that is the body's end. A forwarder frames it anew with a last chunk, so the framing that the caller's instance sees proves nothing. Ruled out: resets taken for ends (never, in each framing); a cause in the forwarder of its own. Change: the instance that has the caller judges the events. Bytes of an unfinished event at the end are a lost response (LOST): evidence for the quarantine, one failure of the endpoint, one retry of the budget, 502 where nothing was delivered, resumed where possible.

--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -135,7 +135,6 @@
         "_connector",
         "_events",
         "_framing",
-        "_held_bytes",
         "_kept",
         "_reachability",
         "_read_time",
@@ -163,7 +162,6 @@
         self._acquired: AcquiredConnection | None = None
         self._events = EventFraming()
         self._framing: BodyFraming | None = None
-        self._held_bytes = 0
         self._kept = False
         self.head: EndpointResponseHead | None = None
         """The response head, once received."""
@@ -184,7 +182,8 @@
         return ResponseEnd(
             framing=self._framing,
             ending=connection.ending if connection is not None else BodyEnding.OPEN,
-            held_bytes=self._held_bytes,
+            held_bytes=self._events.held_bytes,
+            inside_event=self._events.is_inside_event,
             forwarder=self.forwarder,
         )
 
@@ -251,20 +250,24 @@
         return CompleteResponse(head=self.head, body=bytes(body))
 
     async def read_events(self) -> list[StreamEvent] | None:
-        """Return the next complete events, possibly none yet; None at the end of the stream.
+        """Return the next complete events, possibly none yet; None after the whole stream.
+
+        An engine that crashes may leave its connection to the system, which closes it in order, and
+        a forwarder frames that end anew. So the events decide: a stream that ends inside one was
+        broken off, however its connection ended.
 
         Raises:
             AttemptFailed: The stream broke.
         """
         chunk = await self._read_chunk()
         if chunk is None:
+            if self._events.is_inside_event:
+                raise AttemptFailed(FailureKind.LOST, "the stream ended inside an event")
             return None
         try:
-            events = self._events.append(chunk)
+            return self._events.append(chunk)
         except ValueError as error:
             raise AttemptFailed(FailureKind.INVALID, str(error)) from error
-        self._held_bytes = self._events.held_bytes
-        return events
 
     def drain_events(self) -> bytes:
         """Return the bytes of a stream that has ended after its last complete event."""
--- a/src/guavamast/relay/event_framing.py
+++ b/src/guavamast/relay/event_framing.py
@@ -1,4 +1,7 @@
-"""Splits a stream of server-sent events into whole events, so that none is forwarded in part."""
+"""Splits a stream of server-sent events into whole events, so that none is forwarded in part.
+
+Lines end with LF, CRLF or CR, and a blank line ends an event (WHATWG HTML, section 9.2.5).
+"""
 
 from __future__ import annotations
 
@@ -9,8 +12,12 @@
 MAX_EVENT_BYTES: Final = 1_048_576
 """Bytes of an incomplete event beyond which the stream is invalid."""
 
-_EVENT_END: Final = re.compile(rb"\r?\n\r?\n")
-_EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
+_EVENT_END: Final = re.compile(rb"\n\r?\n|\n\r(?=[^\n])|\r\r\n?")
+"""The end of a line and the blank line after it. A CR that ends the bytes received so far may be
+the first half of a CRLF, except in a stream whose lines end with CR alone."""
+_EVENT_ID: Final = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
+_BYTE_ORDER_MARK: Final = b"\xef\xbb\xbf"
+_COMMENT_START: Final = b":"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -24,26 +31,37 @@
 class EventFraming:
     """Buffers bytes and returns complete events."""
 
-    __slots__ = ("_pending",)
+    __slots__ = ("_has_events", "_pending")
 
     def __init__(self) -> None:
         self._pending = bytearray()
+        self._has_events = False
 
     @property
     def held_bytes(self) -> int:
         """Number of bytes after the last complete event."""
         return len(self._pending)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes after the last complete event begin another one.
+
+        Line breaks, comments and the mark at the start of a stream don't.
+        """
+        pending = self._remove_mark(bytes(self._pending))
+        return any(line and not line.startswith(_COMMENT_START) for line in pending.splitlines())
+
     def append(self, chunk: bytes) -> list[StreamEvent]:
-        """Return the events that the chunk completes, in order."""
+        """Return the events that the chunk completes, in order.
+
+        Raises:
+            ValueError: An event exceeds ``MAX_EVENT_BYTES``.
+        """
         self._pending += chunk
         events = []
         start = 0
         for match in _EVENT_END.finditer(self._pending):
-            data = bytes(self._pending[start : match.end()])
-            id_match = _EVENT_ID.search(data)
-            event_id = id_match.group(1).decode("latin-1") if id_match else None
-            events.append(StreamEvent(data=data, event_id=event_id))
+            events.append(self._build_event(bytes(self._pending[start : match.end()])))
             start = match.end()
         del self._pending[:start]
         if len(self._pending) > MAX_EVENT_BYTES:
@@ -55,3 +73,12 @@
         rest = bytes(self._pending)
         self._pending.clear()
         return rest
+
+    def _build_event(self, data: bytes) -> StreamEvent:
+        id_match = _EVENT_ID.search(self._remove_mark(data))
+        self._has_events = True
+        event_id = id_match.group(1).decode("latin-1") if id_match else None
+        return StreamEvent(data=data, event_id=event_id)
+
+    def _remove_mark(self, data: bytes) -> bytes:
+        return data if self._has_events else data.removeprefix(_BYTE_ORDER_MARK)
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -169,6 +169,7 @@
             framing=failure.end.framing,
             ending=failure.end.ending,
             held_bytes=failure.end.held_bytes,
+            inside_event=failure.end.inside_event,
             forwarder=failure.end.forwarder,
             service_silent_s=round_age(silence_s) if silence_s is not None else None,
         )
@@ -258,6 +259,7 @@
             framing=end.framing,
             ending=end.ending,
             held_bytes=end.held_bytes,
+            inside_event=end.inside_event,
             forwarder=end.forwarder,
             late=str(late) if late is not None else None,
             first_event_s=round(timing.first_event_s or 0.0, 4),
@@ -291,7 +293,7 @@
         """Count a response by its framing and its ending, if there was one."""
         if end.framing is None:
             return
-        inside_event = str(end.held_bytes > 0).lower()
+        inside_event = str(end.inside_event).lower()
         labels = f'framing="{end.framing}",ending="{end.ending}",inside_event="{inside_event}"'
         self._counters.add(f"response_ends_total{{{labels}}}")
 
--- a/src/guavamast/relay/response_end.py
+++ b/src/guavamast/relay/response_end.py
@@ -36,5 +36,7 @@
     ending: BodyEnding = BodyEnding.OPEN
     held_bytes: int = 0
     """Bytes of a stream after its last complete event."""
+    inside_event: bool = False
+    """Whether these bytes begin another event."""
     forwarder: str | None = None
     """Name of the instance that forwarded the response; None for a direct connection."""
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -72,6 +72,7 @@
             framing=BodyFraming.CONNECTION,
             ending=BodyEnding.CLOSED,
             held_bytes=9,
+            inside_event=True,
             forwarder="two",
         )
         self.recorder.record_failure(
@@ -85,6 +86,7 @@
         line = self.read_line()
         self.assertEqual((line["framing"], line["ending"]), ("connection", "closed"))
         self.assertEqual((line["held_bytes"], line["forwarder"]), (9, "two"))
+        self.assertIs(line["inside_event"], True)
         labels = 'framing="connection",ending="closed",inside_event="true"'
         self.assertIn(f"response_ends_total{{{labels}}} 1", self.counters.render())
 
