Reset the connection of an HTTP/1.0 caller whose stream is broken off, and close it after a whole one

A caller that speaks HTTP/1.0 gets no chunks: the end of its connection is the end of its stream. Callers saw a short stream end in order when the engine's answer was reset, and when the instance's process was killed, as its system closes the connection in order. One that asked to keep the connection waited for the end of a whole stream until the connection timed out (6.1 s), as the server kept it open. Cause: one way to end a response towards all callers; the missing last chunk tells only those that know chunks. Change: such a connection is set to be reset by any close, from the response's start until it is complete; then it is closed in order. One place covers aborts, the deadline of a drain and a killed process. Shown by: three tests at the wire, all failing before.

--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -39,6 +39,8 @@
         """Engines that have ended by themselves, in order."""
         self.slots = 8
         """Slots that the rows of engines state."""
+        self.idle_timeout_ms = 5000
+        """Timeout of callers' idle connections in the configuration."""
         self.keys = [KEY]
         self.other_keys: dict[str, str] = {}
         """Keys of further organisations by name."""
@@ -161,7 +163,7 @@
             "max_header_bytes": 4096,
             "max_body_bytes": 8192,
             "header_timeout_ms": 2000,
-            "idle_timeout_ms": 5000,
+            "idle_timeout_ms": self.idle_timeout_ms,
         }
         fields: dict[str, Any] = {
             "version": self._version,
--- a/src/guavamast/relay/forwarding/listener.py
+++ b/src/guavamast/relay/forwarding/listener.py
@@ -80,14 +80,14 @@
             await self._reject(rejection.reason)
         except MalformedForward:
             self._recorder.record_rejection(400)
-            await TornadoWriter(self._connection).send(400, [], b"")
+            await TornadoWriter(connection=self._connection).send(400, [], b"")
 
     async def _reject(self, reason: RejectionReason) -> None:
-        writer = TornadoWriter(self._connection)
+        writer = TornadoWriter(connection=self._connection)
         await writer.send(REJECTED_STATUS, [(REASON_HEADER, str(reason))], b"")
 
     async def _forward(self, permitted: PermittedOrder) -> None:
-        writer = TornadoWriter(self._connection)
+        writer = TornadoWriter(connection=self._connection)
         try:
             request = decode_request(bytes(self._body))
         except MalformedForward:
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -82,7 +82,7 @@
         request = self._listener.read_request(
             self._start, list(self._headers.get_all()), bytes(self._body)
         )
-        writer = TornadoWriter(self._connection)
+        writer = TornadoWriter(connection=self._connection, http_version=self._start.version)
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._listener.relay(request, writer))
 
@@ -95,7 +95,7 @@
         """Reject a request that is too large; its unread rest ends the connection."""
         self._rejected = True
         self._listener.recorder.record_rejection(status)
-        writer = TornadoWriter(self._connection)
+        writer = TornadoWriter(connection=self._connection)
         self._task = asyncio.create_task(writer.send(status, [], b""))
 
 
--- a/src/guavamast/relay/tornado_writer.py
+++ b/src/guavamast/relay/tornado_writer.py
@@ -9,6 +9,7 @@
 from tornado.iostream import StreamClosedError
 
 from guavamast.relay.messages import ResponseWriter
+from guavamast.socket_options import set_reset_on_close
 
 if TYPE_CHECKING:
     from tornado.http1connection import HTTP1Connection
@@ -21,12 +22,15 @@
 
     Args:
         connection: The connection on which the request has arrived.
+        http_version: Version in the request, which decides whether its caller knows chunks.
     """
 
-    __slots__ = ("_started", "_connection")
+    __slots__ = ("_connection", "_ends_with_connection", "_knows_chunks", "_started")
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(self, *, connection: HTTP1Connection, http_version: str = "HTTP/1.1") -> None:
         self._connection = connection
+        self._knows_chunks = http_version != "HTTP/1.0"
+        self._ends_with_connection = False
         self._started = False
 
     @property
@@ -37,14 +41,20 @@
     async def send(self, status: int, headers: list[Header], body: bytes) -> None:
         """Send a complete response with its length."""
         self._write_head(status, [*headers, ("Content-Length", str(len(body)))], body)
-        await self.end()
+        self._connection.finish()
 
     def start(self, status: int, headers: list[Header]) -> None:
         """Send status and headers of a response whose length is not known yet.
 
-        Nagle's algorithm is disabled, so that each later part is sent at once.
+        Nagle's algorithm is disabled, so that each later part is sent at once. To a caller that
+        doesn't know chunks, the end of the connection is the end of the response. It is reset
+        wherever it ends early, also by the end of this process, as the response would look
+        complete otherwise.
         """
         self._connection.stream.set_nodelay(True)
+        self._ends_with_connection = not self._knows_chunks
+        if self._ends_with_connection:
+            set_reset_on_close(self._connection.stream.socket, enabled=True)
         self._write_head(status, headers, b"")
 
     async def write(self, chunk: bytes) -> None:
@@ -56,7 +66,13 @@
 
     async def end(self) -> None:
         """Mark the response as complete."""
+        if not self._ends_with_connection:
+            self._connection.finish()
+            return
+        await self.write(b"")  # Returns once all that was written before has been sent.
+        set_reset_on_close(self._connection.stream.socket, enabled=False)
         self._connection.finish()
+        self._connection.close()
 
     def abort(self) -> None:
         """Close the connection without completing the response."""
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -122,10 +122,13 @@
     portal_engines = 2
     slots = 8
     """Slots that the rows of engines state."""
+    idle_timeout_ms = 5000
+    """Timeout of callers' idle connections."""
 
     async def asyncSetUp(self) -> None:
         self.site = Site()
         self.site.slots = self.slots
+        self.site.idle_timeout_ms = self.idle_timeout_ms
         await self.site.start(pool=self.pool_engines, portal=self.portal_engines)
         self.addAsyncCleanup(self.site.stop)
         directory = tempfile.TemporaryDirectory()
--- a/tests/test_platform_broken_answers.py
+++ b/tests/test_platform_broken_answers.py
@@ -13,6 +13,8 @@
 from guavamast.platform.standins.engine import EVENTS_PER_STREAM, encode_answer, encode_event
 from guavamast.platform.standins.site import (
     CALL_PREFIX,
+    HOST,
+    KEY,
     LOOKUP_PREFIX,
     RESUMABLE_PREFIX,
     STREAM_PREFIX,
@@ -207,5 +209,64 @@
                 self.assertEqual(self.count_runs(name), 2)
 
 
+class OldCallerTest(PartitionableTestCase):
+    """A caller that speaks HTTP/1.0 gets no chunks: the end of its connection tells all."""
+
+    instance_count = 1
+    idle_timeout_ms = 60_000  # Longer than these tests wait, so that it ends nothing.
+
+    async def open_stream(self, target: str, *, keep_alive: bool = False) -> asyncio.StreamReader:
+        """Send a request and return what receives its response."""
+        host, _, port = self.instances[0].callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        lines = [
+            f"GET {target} HTTP/1.0",
+            f"Host: {HOST}",
+            f"Authorization: Bearer {KEY}",
+            "X-Attempt-Id: r10",
+            "X-Request-Deadline-Ms: 6000",
+            *(["Connection: keep-alive"] if keep_alive else []),
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        return reader
+
+    async def ask(self, target: str, *, keep_alive: bool = False) -> bytes:
+        """Return the body of a response that ended in order.
+
+        Raises:
+            ConnectionResetError: The response was broken off.
+        """
+        reader = await self.open_stream(target, keep_alive=keep_alive)
+        async with asyncio.timeout(READY_S):
+            received = await reader.read(-1)
+        head, _, body = received.partition(b"\r\n\r\n")
+        self.assertIn(b" 200 ", head)
+        return body
+
+    async def test_a_broken_stream_does_not_end_in_order(self) -> None:
+        """Guards against a short stream that looks complete to a caller without chunks."""
+        for engine in self.site.engines.values():
+            engine.ending = AnswerEnding(pieces=2, part_bytes=9, closing=Closing.RESET)
+        with self.assertRaises(ConnectionResetError):
+            await self.ask(STREAM_PREFIX + "stream")
+
+    async def test_a_stream_of_a_killed_instance_does_not_end_in_order(self) -> None:
+        """Guards against a short stream that looks complete as the system closes its connection."""
+        reader = await self.open_stream(STREAM_PREFIX + "stream")
+        async with asyncio.timeout(READY_S):
+            await reader.readuntil(encode_event("r10", 1))
+            self.instances[0].process.kill()
+            with self.assertRaises(ConnectionResetError):
+                await reader.read(-1)
+
+    async def test_whole_responses_end_in_order(self) -> None:
+        """Guards against a caller that waits for the end of a whole response until it times out."""
+        for keep_alive in (False, True):
+            body = await self.ask(STREAM_PREFIX + "stream", keep_alive=keep_alive)
+            self.assertEqual(body, build_stream("r10"))
+        self.assertEqual(await self.ask(LOOKUP_PREFIX + "x"), encode_answer("r10"))
+
+
 if __name__ == "__main__":
     unittest.main()
