Don't avoid a forwarder for an endpoint that has ended

Callers of an instance without a path saw 503 and broken-off streams for a second after each crash of an engine, where one other instance reached the service: an instance that said 'this endpoint refuses' or 'is leaving' was avoided like one that failed. Found in the log of a forwarded stream that could not be resumed: forward_failed with 'refused', then no_path for all other endpoints. Change: only an instance that is busy, has no path itself or fails to answer is avoided. Shown by: the test failed with PathLost before.

--- a/src/guavamast/relay/forwarding/client.py
+++ b/src/guavamast/relay/forwarding/client.py
@@ -187,11 +187,14 @@
                 link = await self._ask(forwarder, order)
             except OrderRejected as rejection:
                 self._record_failure(forwarder, order, str(rejection.reason))
+                if rejection.reason in (RejectionReason.BUSY, RejectionReason.NO_PATH):
+                    self._avoid(forwarder)
                 await self._raise_for(rejection.reason)
             except (ConnectionLost, MalformedAnswer, MalformedForward, TimeoutError) as error:
                 # Other idle links may be as silent as this one.
                 self._links.discard(forwarder.name)
                 self._record_failure(forwarder, order, type(error).__name__)
+                self._avoid(forwarder)
             else:
                 self._count("accepted")
                 return self._wrap(forwarder, link)
@@ -258,9 +261,8 @@
         return self._choice.rank(service, live, avoided=avoided, now=now)
 
     def _record_failure(self, forwarder: InstanceRecord, order: ForwardOrder, reason: str) -> None:
-        """Log why an instance does not forward a request, and don't ask it again for a moment."""
+        """Log why an instance does not forward a request."""
         self._count(reason)
-        self._avoid(forwarder)
         self._log.write(
             "forward_failed",
             now=self._read_time(),
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -260,6 +260,14 @@
             await self.connect()
         self.assertTrue(caught.exception.refused)
 
+    async def test_an_ended_endpoint_is_no_failure_of_its_forwarder(self) -> None:
+        """Guards against requests to other endpoints that find no way for a second."""
+        await self.engine.stop()
+        with self.assertRaises(EndpointUnreachable):
+            await self.connect()
+        acquired = await self.client.connect(self.other, request_id="r2", row_version=ROW_VERSION)
+        acquired.connection.close()
+
     async def test_a_busy_instance_forwards_nothing(self) -> None:
         """Guards against callers of the few instances with a path that wait for those of others."""
         self.loop_delay.record(1.0, now=self.simulation.now)
