Take a response without length for broken off where its endpoint has ended with it

Callers saw a stream framed as complete that ended with a whole event, and a part of a plain answer as the whole, where the engine crashed between two events: its connection was closed in order, and no byte tells. Weighed: giving the caller the endpoint's own framing (moves the question to the caller, who knows less); the ends of other connections at the same moment (needs some); holding the end for one connect to the endpoint. The last: events go on as they arrive, only the end of a response without length or chunks waits a round trip, 0.1 s at most. Refused, while the endpoint is listed as ready: broken off, as LOST. Accepted, silent or leaving: whole. The connection is kept for the next request, as such a response has used up its own. Forwarders state the framing, so it holds through them. Shown by: crashes between events, directly, through another instance, of a service's last engine, and in a plain call failed before; whole answers in each framing and those of a leaving engine are delivered.

--- a/src/guavamast/platform/standins/answer_body.py
+++ b/src/guavamast/platform/standins/answer_body.py
@@ -28,6 +28,8 @@
     CLOSE = "close"
     """It closes the connection in order, also where more was announced."""
     RESET = "reset"
+    CRASH = "crash"
+    """The engine ends: it stops listening, and its connections are closed in order."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,7 +47,7 @@
     @property
     def whole(self) -> bool:
         """Whether a reader can take the answer for what the engine made."""
-        return self.pieces is None and self.closing is not Closing.RESET
+        return self.pieces is None and self.closing in (Closing.FRAMED, Closing.CLOSE)
 
     def cut(self, pieces: Sequence[bytes]) -> list[bytes]:
         """Return the pieces that are sent."""
@@ -112,7 +114,7 @@
         if closing is Closing.RESET:
             reset(self._writer)
             return False
-        if closing is Closing.CLOSE or self._framing is BodyFraming.CONNECTION:
+        if closing is not Closing.FRAMED or self._framing is BodyFraming.CONNECTION:
             return False
         self._send(h11.EndOfMessage())
         await self._writer.drain()
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -259,10 +259,11 @@
             return await self._send(http, writer, 500, common, b"failed")
         if b"stream" in request.target:
             keep_open = await self._stream(http, writer, common, run)
-            self._record_completed(run)
-            return keep_open
-        answer = encode_answer(request_id)
-        keep_open = await self._send(http, writer, 200, common, answer, ending=self.ending)
+        else:
+            answer = encode_answer(request_id)
+            keep_open = await self._send(http, writer, 200, common, answer, ending=self.ending)
+        if self.ending.closing is Closing.CRASH:
+            self._crash()
         self._record_completed(run)
         if self.fault is EngineFault.EXTRA:
             writer.write(
--- a/src/guavamast/relay/direct_connector.py
+++ b/src/guavamast/relay/direct_connector.py
@@ -130,12 +130,33 @@
     async def probe(self, record: EndpointRecord, *, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
         """Return whether an endpoint accepts a connection, which is then kept for a request."""
         try:
-            connection = await HttpConnection.open(record.host, record.port, timeout_s=timeout_s)
+            await self._open_unused(record, timeout_s=timeout_s)
         except ConnectionLost:
             return False
+        return True
+
+    async def is_refused(self, record: EndpointRecord, *, timeout_s: float) -> bool:
+        """Return whether an endpoint's host refuses a connection; one that it accepts is kept.
+
+        It isn't compared with other endpoints: they may have ended together.
+        """
+        try:
+            await self._open_unused(record, timeout_s=timeout_s)
+        except ConnectionRefused:
+            return True
+        except ConnectionLost:
+            return False
+        return False
+
+    async def _open_unused(self, record: EndpointRecord, *, timeout_s: float) -> None:
+        """Open a connection and keep it for a request.
+
+        Raises:
+            ConnectionLost: It was not established within the timeout.
+        """
+        connection = await HttpConnection.open(record.host, record.port, timeout_s=timeout_s)
         self._record_connected(record)
         self._keep(record, connection, keep_alive_s=UNUSED_KEEP_S + REUSE_MARGIN_S)
-        return True
 
     async def _compare(self, record: EndpointRecord) -> bool:
         """Connect to endpoints that have little in common with one that failed."""
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Final, Protocol
 
 from guavamast.relay.attempt import Attempt, AttemptFailed, FailureKind
 from guavamast.relay.catalog import RouteKind
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.messages import SendParameters
+from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.stream_relay import relay_events
 from guavamast.relay.stream_sampler import StreamSampler
 
@@ -87,6 +89,7 @@
         "_cache",
         "_codec",
         "_connector",
+        "_end_check",
         "_fleet_state",
         "_limits",
         "_loads",
@@ -121,6 +124,7 @@
         self._budget = budget
         self._codec = codec
         self._connector = connector
+        self._end_check = ResponseEndCheck(connector=connector, fleet_state=fleet_state)
         self._recorder = recorder
         self._profiles = profiles
         self._reachability = reachability
@@ -232,6 +236,9 @@
             sent_at=now,
             timing=progress.timing,
         )
+        confirm_end = partial(
+            self._end_check.confirm, attempt, row_version=progress.admitted.catalog.row_version
+        )
         try:
             async with asyncio.timeout(timeout_s) as attempt_timeout:
                 head = await attempt.send(parameters)
@@ -239,10 +246,11 @@
                     on_event = self._make_event_callback(
                         request, progress, send, sampler, attempt_timeout
                     )
-                    await relay_events(attempt, writer, on_event)
+                    await relay_events(attempt, writer, on_event, confirm_end)
                     self._record_complete_stream(request, progress, attempt, sampler)
                     return head.status
                 response = await attempt.read_response()
+                await confirm_end()
         except TimeoutError as error:
             raise AttemptFailed(
                 FailureKind.SILENT, "nothing received within the attempt timeout"
--- /dev/null
+++ b/src/guavamast/relay/response_end_check.py
@@ -0,0 +1,56 @@
+"""Checks whether a response that ended with its connection was broken off."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.attempt import AttemptFailed, FailureKind
+from guavamast.relay.response_end import BodyEnding
+
+if TYPE_CHECKING:
+    from guavamast.relay.attempt import Attempt
+    from guavamast.relay.endpoint_connector import EndpointConnector
+    from guavamast.relay.fleet_state import FleetState
+
+CHECK_TIMEOUT_S: Final = 0.1
+"""Seconds for which the end of a response waits for its endpoint: many round trips. Silence shows
+nothing, and a whole response must not be withheld for it."""
+
+
+class ResponseEndCheck:
+    """Looks for the sender of a response whose bytes don't show whether it is whole.
+
+    An endpoint that crashes between two events ends its connection as it does after a whole
+    response, if that has neither a length nor chunks. But then its host refuses connections, while
+    an endpoint that has sent a whole response goes on. One that is leaving may have ended its work.
+
+    Args:
+        connector: Tells whether an endpoint's host refuses connections.
+        fleet_state: Endpoints that are in use.
+    """
+
+    __slots__ = ("_connector", "_fleet_state")
+
+    def __init__(self, *, connector: EndpointConnector, fleet_state: FleetState) -> None:
+        self._connector = connector
+        self._fleet_state = fleet_state
+
+    async def confirm(self, attempt: Attempt, *, row_version: int) -> None:
+        """Return if the response of an attempt can be taken for whole.
+
+        Args:
+            attempt: The attempt, whose response has ended.
+            row_version: Row version of the configuration by which its request was admitted.
+
+        Raises:
+            AttemptFailed: The endpoint ended with its response.
+        """
+        if attempt.describe_end().ending is not BodyEnding.CLOSED:
+            return
+        listed = self._fleet_state.endpoints.find(attempt.record.endpoint_id)
+        if listed is None or not listed.ready:
+            return
+        if await self._connector.has_ended(
+            attempt.record, row_version=row_version, timeout_s=CHECK_TIMEOUT_S
+        ):
+            raise AttemptFailed(FailureKind.LOST, "the endpoint ended with its response")
--- a/src/guavamast/relay/stream_relay.py
+++ b/src/guavamast/relay/stream_relay.py
@@ -5,14 +5,17 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from guavamast.relay.attempt import Attempt
     from guavamast.relay.messages import ResponseWriter
 
 
 async def relay_events(
-    attempt: Attempt, writer: ResponseWriter, on_event: Callable[[str | None], None]
+    attempt: Attempt,
+    writer: ResponseWriter,
+    on_event: Callable[[str | None], None],
+    confirm_end: Callable[[], Awaitable[None]],
 ) -> None:
     """Forward events as they arrive, and end the caller's response after the whole stream.
 
@@ -24,6 +27,7 @@
         attempt: An attempt whose response head was received.
         writer: The caller's response, already started if this resumes a stream.
         on_event: Called with each event's id before the event is forwarded.
+        confirm_end: Called after the stream's last byte; raises if it was broken off.
 
     Raises:
         AttemptFailed: The stream broke.
@@ -35,6 +39,7 @@
             on_event(event.event_id)
         _ensure_started(attempt, writer)
         await writer.write(b"".join(event.data for event in events))
+    await confirm_end()
     _ensure_started(attempt, writer)
     remainder = attempt.drain_events()
     if remainder:
--- a/tests/test_platform_broken_answers.py
+++ b/tests/test_platform_broken_answers.py
@@ -26,6 +26,8 @@
     from guavamast.platform.standins.engine import EngineStandIn, Run
     from tests._platform_callers import Instance, Reply
 
+LEAVING_S: Final = 1.5
+"""Seconds from an engine's leaving to its last answer, in which all instances learn of it."""
 LAST_EVENT_BYTES: Final = len(encode_event("r10", EVENTS_PER_STREAM))
 
 
@@ -55,12 +57,15 @@
 class BrokenAnswerTest(PartitionableTestCase):
     """An answer that breaks off never looks complete, and a whole one is delivered."""
 
+    pool_engines = 5
+
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.number = 9
 
     def list_engines(self) -> list[EngineStandIn]:
-        return list(self.site.engines.values())
+        """Return the engines, also those that have ended."""
+        return [*self.site.engines.values(), *self.site.crashed_engines]
 
     def set_answers(self, framing: BodyFraming | None = None, ending: AnswerEnding = WHOLE) -> None:
         """Choose the framing and the ending of all engines' answers."""
@@ -122,7 +127,7 @@
 
     async def check_streams_inside_events(self, instance: Instance) -> None:
         for framing in BodyFraming:
-            for closing in Closing:
+            for closing in (Closing.FRAMED, Closing.CLOSE, Closing.RESET):
                 for end in ENDS_INSIDE_EVENTS:
                     with self.subTest(framing=framing, closing=closing, end=end):
                         self.set_answers(framing, end.close(closing))
@@ -188,6 +193,66 @@
         await self.cut_second_instance()
         await self.check_whole_answers(self.instances[1])
 
+    async def check_crashes_between_events(self, instance: Instance) -> None:
+        """Check streams whose engine ends between two events; each ends one engine."""
+        framing = BodyFraming.CONNECTION
+        end = BrokenEnd(pieces=2, part_bytes=0)
+        self.spoil_first_answer(framing, end.close(Closing.CRASH))
+        reply = await self.ask(instance, STREAM_PREFIX + "stream")
+        self.check_broken_off(reply, end)
+        self.spoil_first_answer(framing, end.close(Closing.CRASH))
+        reply = await self.ask(instance, RESUMABLE_PREFIX + "stream")
+        name = f"r{self.number}"
+        self.assertEqual((reply.status, reply.complete), (200, True))
+        self.assertEqual(reply.body, build_stream(name))
+        end = BrokenEnd(pieces=0, part_bytes=0)
+        self.spoil_first_answer(framing, end.close(Closing.CRASH))
+        reply = await self.ask(instance, STREAM_PREFIX + "stream")
+        self.check_broken_off(reply, end)
+
+    async def test_streams_of_an_engine_that_crashes_between_events_are_broken_off(self) -> None:
+        """Guards against a short stream that looks complete, as it ends with a whole event."""
+        await self.check_crashes_between_events(self.instances[0])
+
+    async def test_a_crash_of_the_last_engine_of_a_service_is_seen(self) -> None:
+        """Guards against a crash that is taken for a lost path, as no other engine listens."""
+        _, *others = [name for name in self.site.engines if name.startswith("pool")]
+        for name in others:
+            self.site.store.drop("servers", name)
+        await asyncio.sleep(LEAVING_S)
+        end = BrokenEnd(pieces=2, part_bytes=0)
+        self.set_answers(BodyFraming.CONNECTION, end.close(Closing.CRASH))
+        reply = await self.ask(self.instances[0], STREAM_PREFIX + "stream")
+        self.check_broken_off(reply, end)
+
+    async def test_forwarded_streams_of_such_an_engine_are_broken_off(self) -> None:
+        """Guards against a forwarder that hides how an engine's stream was framed."""
+        await self.cut_second_instance()
+        await self.check_crashes_between_events(self.instances[1])
+
+    async def test_a_part_of_a_call_of_an_engine_that_crashes_is_not_delivered(self) -> None:
+        """Guards against a part of a plain answer without length that is taken for the whole."""
+        ending = AnswerEnding(pieces=0, part_bytes=4, closing=Closing.CRASH)
+        self.spoil_first_answer(BodyFraming.CONNECTION, ending)
+        reply = await self.ask(self.instances[0], CALL_PREFIX + "x", body=b"pay")
+        self.assertEqual((reply.status, self.count_runs(f"r{self.number}")), (502, 1))
+
+    async def test_the_last_answers_of_a_leaving_engine_are_delivered(self) -> None:
+        """Guards against whole answers that are cut because their engine has left."""
+        self.set_answers(BodyFraming.CONNECTION, AnswerEnding(closing=Closing.CRASH))
+
+        def leave(run: Run) -> None:
+            (engine,) = [engine for engine in self.list_engines() if run in engine.runs]
+            self.site.register_engine(engine.engine_id, "pool", engine.port, state="draining")
+
+        for engine in self.list_engines():
+            engine.on_run = leave
+            engine.processing_s = LEAVING_S
+        reply = await self.ask(self.instances[0], STREAM_PREFIX + "stream")
+        self.assertEqual((reply.status, reply.complete), (200, True))
+        self.assertEqual(reply.body, build_stream(f"r{self.number}"))
+        self.assertEqual(len(self.site.crashed_engines), 1)
+
     async def test_broken_answers_that_are_no_streams_are_not_delivered(self) -> None:
         """Guards against a part of a plain answer that is taken for the whole."""
         endings = [
