--- /dev/null
+++ b/tests/_relay_case.py
@@ -0,0 +1,215 @@
+"""Base of tests that relay requests to stand-in engines, without a listener for callers."""
+
+from __future__ import annotations
+
+import os
+import unittest
+from random import Random
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+from guavamast.platform.request_headers import PlatformHeaders
+from guavamast.platform.standins.engine import EngineStandIn
+from guavamast.relay.caller_gate import Admitted
+from guavamast.relay.counters import Counters
+from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.endpoint_choice import Choice, EndpointChooser
+from guavamast.relay.endpoint_connector import EndpointConnector
+from guavamast.relay.endpoint_load import EndpointLoads
+from guavamast.relay.engine_profile import EngineProfiles
+from guavamast.relay.exchange import Exchanger
+from guavamast.relay.length_buckets import PromptDemand
+from guavamast.relay.loop_delay import LoopDelay
+from guavamast.relay.messages import ResponseWriter
+from guavamast.relay.placer import LocalPlacer, PlacementDecision
+from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.quarantine import (
+    CrashGuard,
+    PendingLosses,
+    QuarantineLedger,
+    QuarantineRows,
+)
+from guavamast.relay.reachability import ReachabilityMonitor
+from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.rejection_limits import RejectionLimits
+from guavamast.relay.relayer import Relayer
+from guavamast.relay.request_progress import RequestProgress, begin_progress
+from guavamast.relay.request_recorder import RequestRecorder
+from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
+from tests.relay_fixtures import (
+    PROFILE,
+    build_connector,
+    build_endpoint,
+    build_request,
+)
+from tests.test_relay_caller_admission import AdmissionSimulation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.endpoint_connection import AcquiredConnection
+    from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.messages import Header
+
+
+class SlowConnector(EndpointConnector):
+    """A connector whose connections take long to acquire."""
+
+    def __init__(self, simulation: AdmissionSimulation) -> None:
+        self._world = simulation
+        self._connector = build_connector(simulation.fleet_state, read_time=lambda: simulation.now)
+        self.delay_s = 0.0
+        self.on_connect: list[Callable[[], None]] = []
+        """Called while the first connection is acquired; then only that one is slow."""
+
+    async def connect(
+        self, record: EndpointRecord, *, request_id: str, row_version: int
+    ) -> AcquiredConnection:
+        self._world.now += self.delay_s
+        if self.on_connect:
+            self.delay_s = 0.0
+        while self.on_connect:
+            self.on_connect.pop(0)()
+        return await self._connector.connect(record, request_id=request_id, row_version=row_version)
+
+    async def has_ended(
+        self, record: EndpointRecord, *, row_version: int, timeout_s: float
+    ) -> bool:
+        return await self._connector.has_ended(record, row_version=row_version, timeout_s=timeout_s)
+
+    async def is_refused(self, record: EndpointRecord, *, row_version: int) -> bool:
+        return await self._connector.is_refused(record, row_version=row_version)
+
+
+class RelayTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests that relay requests to stand-in engines, without a listener for callers."""
+
+    request_changes: dict[str, Any] = {}
+    """Fields in which the requests differ from those of `build_request`."""
+
+    async def asyncSetUp(self) -> None:
+        self.simulation = AdmissionSimulation()
+        self.engine = EngineStandIn(engine_id="x")
+        port = await self.engine.listen()
+        self.addAsyncCleanup(self.engine.stop)
+        self.record = build_endpoint("x", port=port)
+        self.simulation.change_endpoints(self.record)
+        self.connector = SlowConnector(self.simulation)
+        self.ledger = QuarantineLedger(domain="a", window_s=3.0)
+        self.losses = PendingLosses()
+        self.loads = EndpointLoads()
+        self.profiles = EngineProfiles()
+        self.budget = RetryBudget(
+            settings=RetryBudgetSettings(ratio=0.2, slack=20.0, window_s=10.0)
+        )
+        self.exchanger = self.make_exchanger()
+
+    def make_exchanger(self) -> Exchanger:
+        counters = Counters()
+        log = DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY))
+        fleet_state = self.simulation.fleet_state
+        return Exchanger(
+            admission=self.simulation.admission,
+            fleet_state=fleet_state,
+            loads=self.loads,
+            cache=PromptCache(),
+            budget=self.budget,
+            codec=PlatformHeaders(),
+            connector=self.connector,
+            recorder=RequestRecorder(
+                log=log, counters=counters, fleet_state=fleet_state, loop_delay=LoopDelay()
+            ),
+            profiles=self.profiles,
+            reachability=ReachabilityMonitor(),
+            limits=mock.Mock(),
+            publish_load=mock.Mock(),
+            read_time=lambda: self.simulation.now,
+        )
+
+    async def run_attempt(self) -> RequestProgress:
+        """Admit a request and run one attempt."""
+        admitted = await self.simulation.admit()
+        assert isinstance(admitted, Admitted)
+        headers = (("Host", "portal.example"), ("X-Attempt-Id", "r1"))
+        request = build_request(received_at=self.simulation.now, headers=headers)
+        progress = begin_progress(
+            request,
+            admitted,
+            service="portal",
+            shortest_objective_s=0.3,
+            profile=PROFILE,
+            most_urgent=True,
+        )
+        choice = Choice(record=self.record, forecast=None, uncached_tokens=0)
+        writer = mock.create_autospec(ResponseWriter, instance=True, started=False)
+        await self.exchanger.run(request, writer, progress, PlacementDecision(choice=choice))
+        return progress
+
+    def make_placer(self) -> LocalPlacer:
+        """Return a placer that uses this instance's own data."""
+        return LocalPlacer(
+            fleet_state=self.simulation.fleet_state,
+            chooser=EndpointChooser(
+                loads=EndpointLoads(),
+                cache=PromptCache(),
+                random=Random(1),
+            ),
+            demand=PromptDemand(),
+            profiles=EngineProfiles(),
+            rejections=RejectionHistory(),
+            random=Random(1),
+            read_time=lambda: self.simulation.now,
+        )
+
+    async def make_guard(self) -> CrashGuard:
+        def read_time() -> float:
+            return self.simulation.now
+
+        log = DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY))
+        rows = QuarantineRows(
+            store=self.simulation, ledger=self.ledger, log=log, read_time=read_time
+        )
+        await rows.load()
+        return CrashGuard(
+            ledger=self.ledger,
+            losses=self.losses,
+            rows=rows,
+            fleet_state=self.simulation.fleet_state,
+            loads=self.loads,
+            connector=self.connector,
+            limits=RejectionLimits(),
+            log=log,
+            counters=Counters(),
+            wake=mock.Mock(),
+            publish=mock.Mock(),
+            read_time=read_time,
+        )
+
+    async def relay(
+        self, *, headers: tuple[Header, ...] = (), writer: ResponseWriter | None = None
+    ) -> Any:
+        """Relay a request; return the writer that received its response."""
+        relayer = Relayer(
+            fleet_state=self.simulation.fleet_state,
+            admission=self.simulation.admission,
+            loads=self.loads,
+            budget=self.budget,
+            codec=PlatformHeaders(),
+            recorder=mock.Mock(),
+            placer=self.make_placer(),
+            exchanger=self.exchanger,
+            guard=await self.make_guard(),
+            demand=PromptDemand(),
+            profiles=self.profiles,
+            reachability=ReachabilityMonitor(),
+            read_time=lambda: self.simulation.now,
+        )
+        writer = writer or mock.create_autospec(ResponseWriter, instance=True, started=False)
+        request = build_request(
+            received_at=self.simulation.now,
+            headers=(("Host", "portal.example"), ("X-Attempt-Id", "r1"), *headers),
+            timeout_s=60.0,
+            **self.request_changes,
+        )
+        await relayer.relay(request, writer)
+        return writer
