See by its start time that an endpoint was restarted before the end of its response was read

A process that was suspended while an engine crashed and came back under its id finds the connection closed in order and the engine listening: a stream without length that was cut between two events looked complete. Change: the check reads the table of endpoints first if that is too old, and compares the endpoint's start time with that of the record by which the request was sent. Outside of suspensions the table is fresh and nothing is read.

--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -63,7 +63,7 @@
             request: The request.
             until: Local time until which the caller waits.
         """
-        if not await self._refresh(until=until):
+        if not await self.refresh(until=until):
             return reject_for_retry("old knowledge")
         age_s = self._fleet_state.compute_catalog_age(now=self._read_time())
         return self._gate.decide(request, self._fleet_state.catalog, age_s=age_s)
@@ -101,7 +101,7 @@
         if self._reader.answers and self._list_stale_reads(now):
             raise AttemptFailed(FailureKind.OUTDATED, "old knowledge")
 
-    async def _refresh(self, *, until: float) -> bool:
+    async def refresh(self, *, until: float) -> bool:
         """Read the tables that are too old; return whether requests may be sent afterwards.
 
         Tables of any age are accepted while the store does not answer. An instance that has just
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -124,7 +124,9 @@
         self._budget = budget
         self._codec = codec
         self._connector = connector
-        self._end_check = ResponseEndCheck(connector=connector, fleet_state=fleet_state)
+        self._end_check = ResponseEndCheck(
+            connector=connector, admission=admission, fleet_state=fleet_state, read_time=read_time
+        )
         self._recorder = recorder
         self._profiles = profiles
         self._reachability = reachability
--- a/src/guavamast/relay/response_end_check.py
+++ b/src/guavamast/relay/response_end_check.py
@@ -8,7 +8,10 @@
 from guavamast.relay.response_end import BodyEnding
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.relay.attempt import Attempt
+    from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.endpoint_connector import EndpointConnector
     from guavamast.relay.fleet_state import FleetState
 
@@ -23,17 +26,29 @@
     An endpoint that crashes between two events ends its connection as it does after a whole
     response, if that has neither a length nor chunks. But then its host refuses connections, while
     an endpoint that has sent a whole response goes on. One that is leaving may have ended its work.
+    A process that was suspended finds such an end late, when the endpoint may have been restarted.
 
     Args:
         connector: Tells whether an endpoint's host refuses connections.
+        admission: Reads the table of endpoints if it is too old.
         fleet_state: Endpoints that are in use.
+        read_time: Reads the local clock.
     """
 
-    __slots__ = ("_connector", "_fleet_state")
+    __slots__ = ("_admission", "_connector", "_fleet_state", "_read_time")
 
-    def __init__(self, *, connector: EndpointConnector, fleet_state: FleetState) -> None:
+    def __init__(
+        self,
+        *,
+        connector: EndpointConnector,
+        admission: CallerAdmission,
+        fleet_state: FleetState,
+        read_time: Callable[[], float],
+    ) -> None:
         self._connector = connector
+        self._admission = admission
         self._fleet_state = fleet_state
+        self._read_time = read_time
 
     async def confirm(self, attempt: Attempt, *, row_version: int) -> None:
         """Return if the response of an attempt can be taken for whole.
@@ -47,10 +62,14 @@
         """
         if attempt.describe_end().ending is not BodyEnding.CLOSED:
             return
-        listed = self._fleet_state.endpoints.find(attempt.record.endpoint_id)
+        record = attempt.record
+        await self._admission.refresh(until=self._read_time() + CHECK_TIMEOUT_S)
+        listed = self._fleet_state.endpoints.find(record.endpoint_id)
         if listed is None or not listed.ready:
             return
+        if listed.started_ms != record.started_ms:
+            raise AttemptFailed(FailureKind.LOST, "the endpoint was restarted meanwhile")
         if await self._connector.has_ended(
-            attempt.record, row_version=row_version, timeout_s=CHECK_TIMEOUT_S
+            record, row_version=row_version, timeout_s=CHECK_TIMEOUT_S
         ):
             raise AttemptFailed(FailureKind.LOST, "the endpoint ended with its response")
--- a/tests/test_relay_broken_answers.py
+++ b/tests/test_relay_broken_answers.py
@@ -23,9 +23,10 @@
 from guavamast.relay.response_end import BodyFraming
 from guavamast.relay.retry_budget import RetryBudget
 from tests._relay_case import RelayTestCase
-from tests.relay_fixtures import PROFILE, build_endpoint, build_request, build_route
+from tests.relay_fixtures import BOUNDS, PROFILE, build_endpoint, build_request, build_route
 
 if TYPE_CHECKING:
+    from guavamast.platform.standins.engine import Run
     from guavamast.relay.messages import Header
 
 INSIDE_THIRD_EVENT: Final = AnswerEnding(pieces=2, part_bytes=9)
@@ -193,6 +194,24 @@
                 writer = await self.relay_broken(framing, ending)
                 self.assertEqual((writer.status, writer.body), (502, b""))
 
+    async def test_an_endpoint_that_was_restarted_meanwhile_broke_it_off(self) -> None:
+        """Guards against a suspended process that finds the successor of an engine alive."""
+        await self.restart_engine()
+        self.engine.framing = BodyFraming.CONNECTION
+        self.engine.ending = AnswerEnding(pieces=2)
+
+        def restart(run: Run) -> None:
+            del run
+            self.simulation.now += BOUNDS.endpoints_s + 0.1
+            self.simulation.change_endpoints(
+                build_endpoint("x", port=self.engine.port, row_version=9, started_ms=2)
+            )
+
+        self.engine.on_run = restart
+        writer = RecordingWriter()
+        await self.relay(writer=writer)
+        self.assertEqual((writer.completed, writer.aborted), (False, True))
+
     async def test_its_connection_is_not_used_again(self) -> None:
         """Guards against the rest of a broken stream that answers the next request."""
         for framing, ending in BROKEN_ANSWERS[:3]:
