Frame and break off engines' answers in the soak, beside partitions, leaves and crashes

Engines of a service frame all answers with a length, chunks or neither, and engines break off answers in seven ways, planned by a seed of their own, so that seeds keep their other faults. A crashed engine's link refuses connections as its host does. Each answer that a caller takes for whole is compared with what the engine made, as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
     revoke_s: float,
     lethal: bool,
     partitions: bool,
+    answers: bool,
 ) -> Verdict:
     """Run one seed, with its logs below ``keep`` if given, and print the verdict."""
     directory = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None)
@@ -33,6 +34,7 @@
         revoke_s=revoke_s,
         lethal=lethal,
         partitions=partitions,
+        answers=answers,
     )
     verdict = await run.run()
     outcome = "kept" if not verdict.violations else "BROKEN"
@@ -55,6 +57,7 @@
     revoke_s: float,
     lethal: bool,
     partitions: bool,
+    answers: bool,
 ) -> list[Verdict]:
     """Run a range of seeds, ``parallel`` of them at a time."""
     task = asyncio.current_task()
@@ -73,6 +76,7 @@
                 revoke_s=revoke_s,
                 lethal=lethal,
                 partitions=partitions,
+                answers=answers,
             )
 
     return await asyncio.gather(*(run_one(seed) for seed in range(first, last + 1)))
@@ -87,6 +91,7 @@
     revoke_s: float = REVOKE_BOUND_S,
     lethal: bool = False,
     partitions: bool = True,
+    answers: bool = True,
 ) -> None:
     """Run seeds and print the violated guarantees.
 
@@ -100,6 +105,7 @@
             bounds decide how long instances serve by stale state.
         lethal: Whether a caller repeats a request that ends the engines that run it.
         partitions: Whether instances are partitioned from engines beside the other faults.
+        answers: Whether engines change the framing of their answers, and break them off.
     """
     first, _, last = str(seeds).partition("-")
     verdicts = asyncio.run(
@@ -113,6 +119,7 @@
             revoke_s=revoke_s,
             lethal=lethal,
             partitions=partitions,
+            answers=answers,
         )
     )
     failed_seeds = sum(bool(verdict.violations) for verdict in verdicts)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -42,24 +42,30 @@
         self.fault = LinkFault.NONE
         self._delay_s = delay_s
         self._server: asyncio.Server | None = None
+        self._port = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def port(self) -> int:
         """The port to which clients connect."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        return self._port
 
     async def start(self) -> int:
         """Start to accept connections and return the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self.port
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        self._port = int(self._server.sockets[0].getsockname()[1])
+        return self._port
+
+    def stop_listening(self) -> None:
+        """Refuse new connections, as the host of a server that has ended does, until ``start``."""
+        if self._server is not None:
+            self._server.close()
+        self._server = None
 
     async def stop(self) -> None:
         """Stop accepting connections and reset the open ones."""
-        assert self._server is not None
-        self._server.close()
+        self.stop_listening()
         self.reset_all()
         for task in list(self._tasks):
             task.cancel()
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,8 +9,10 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from guavamast.platform.standins.answer_body import WHOLE, AnswerEnding, Closing
 from guavamast.platform.standins.engine import EngineFault
 from guavamast.platform.standins.store import StoreFault
+from guavamast.relay.response_end import BodyFraming
 from soak.callers import Caller
 from soak.guarantees import (
     REVOKE_BOUND_S,
@@ -25,7 +27,14 @@
 from soak.lethal import LethalCaller
 from soak.partitions import Partition, PartitionKind, write_partition
 from soak.proxy import LinkFault
-from soak.schedule import RECOVERY_S, Fault, FaultKind, plan_faults, plan_partitions
+from soak.schedule import (
+    RECOVERY_S,
+    Fault,
+    FaultKind,
+    plan_answers,
+    plan_faults,
+    plan_partitions,
+)
 from soak.site import KEYS, SoakSite
 
 if TYPE_CHECKING:
@@ -53,6 +62,18 @@
     EngineFault.HANG,
     EngineFault.UNSEALED,
 )
+ANSWER_FRAMINGS: Final = tuple(BodyFraming)
+ANSWER_ENDINGS: Final = (
+    AnswerEnding(pieces=2, part_bytes=9),
+    AnswerEnding(pieces=2, part_bytes=9, closing=Closing.CLOSE),
+    AnswerEnding(pieces=2, part_bytes=9, closing=Closing.RESET),
+    AnswerEnding(pieces=3, closing=Closing.RESET),
+    AnswerEnding(pieces=3, closing=Closing.CRASH),
+    AnswerEnding(pieces=0, part_bytes=4, closing=Closing.RESET),
+    AnswerEnding(pieces=0, part_bytes=4, closing=Closing.CRASH),
+)
+"""Endings that can be told from those of whole answers in each framing: a sound engine that closes
+a connection in order between two events, or inside a plain answer without length, can't."""
 STORE_FAULTS: Final = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.LOSES_ANSWERS)
 LINK_FAULTS: Final = (
     LinkFault.DELAY,
@@ -87,6 +108,7 @@
             reject all keys before their state is too old for anything else.
         lethal: Whether a caller repeats a request that ends the engines that run it.
         partitions: Whether instances are partitioned from engines beside the other faults.
+        answers: Whether engines change the framing of their answers, and break them off.
     """
 
     def __init__(
@@ -99,6 +121,7 @@
         revoke_s: float = REVOKE_BOUND_S,
         lethal: bool = False,
         partitions: bool = False,
+        answers: bool = False,
     ) -> None:
         self._seed = seed
         self._length_s = length_s
@@ -111,6 +134,7 @@
         )
         self._lethal = lethal
         self._plans_partitions = partitions
+        self._plans_answers = answers
         self._partitions: list[tuple[Span, list[Instance]]] = []
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
@@ -134,6 +158,8 @@
             FaultKind.CONFIG_CHANGE: self._change_configuration,
             FaultKind.REVOKE: self._revoke,
             FaultKind.PARTITION: self._partition,
+            FaultKind.ANSWER_FRAMING: self._frame_answers,
+            FaultKind.ANSWER_ENDING: self._break_answers_off,
         }
 
     async def run(self) -> Verdict:
@@ -160,6 +186,8 @@
         faults = plan_faults(self._seed, length_s=self._length_s)
         if self._plans_partitions:
             faults += plan_partitions(self._seed, length_s=self._length_s)
+        if self._plans_answers:
+            faults += plan_answers(self._seed, length_s=self._length_s)
         return faults
 
     def _build_verdict(self, ended_at: float) -> Verdict:
@@ -291,6 +319,25 @@
         await asyncio.sleep(fault.duration_s)
         engine.fault = EngineFault.NONE
 
+    async def _frame_answers(self, fault: Fault) -> None:
+        service = fault.choose_target(["pool", "portal"])
+        engines = [
+            engine
+            for engine_id, engine in self._site.engines.items()
+            if self._site.engine_services[engine_id] == service
+        ]
+        for engine in engines:
+            engine.framing = ANSWER_FRAMINGS[int(fault.variant * len(ANSWER_FRAMINGS))]
+        await asyncio.sleep(fault.duration_s)
+        for engine in engines:
+            engine.framing = None
+
+    async def _break_answers_off(self, fault: Fault) -> None:
+        engine = self._site.engines[fault.choose_target(sorted(self._site.engines))]
+        engine.ending = ANSWER_ENDINGS[int(fault.variant * len(ANSWER_ENDINGS))]
+        await asyncio.sleep(fault.duration_s)
+        engine.ending = WHOLE
+
     async def _crash_engine(self, fault: Fault) -> None:
         engine_id = fault.choose_target(sorted(self._site.engines))
         await self._site.crash_engine(engine_id)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,6 +20,8 @@
 SHORTEST_PARTITION_S: Final = 1.0
 LONGEST_PARTITION_S: Final = 7.0
 """Range of durations of a partition: to well above the time after which callers must be served."""
+ANSWER_FAULTS_PER_S: Final = 0.4
+"""Mean number per second of framings, and as many endings, of engines' answers that begin."""
 LONGEST_FREEZE_S: Final = 6.0
 """Longest freeze of a process: longer than the time after which revoked keys must be rejected."""
 
@@ -60,6 +62,10 @@
 
     PARTITION = "partition"
     """Some or all instances reach no engine, or none of one service."""
+    ANSWER_FRAMING = "answer_framing"
+    """All engines of a service frame their answers in one way: a length, chunks or neither."""
+    ANSWER_ENDING = "answer_ending"
+    """An engine breaks off its answers in one way."""
 
     @property
     def affects_instances(self) -> bool:
@@ -68,16 +74,25 @@
 
     @property
     def planned(self) -> bool:
-        """Whether this is planned work, during which no request may fail."""
+        """Whether no request may fail meanwhile, as during planned work."""
         return self in (
             FaultKind.INSTANCE_TERM,
             FaultKind.INSTANCE_HUP,
             FaultKind.ENGINE_DRAIN,
             FaultKind.CONFIG_CHANGE,
             FaultKind.REVOKE,
+            FaultKind.ANSWER_FRAMING,
         )
 
 
+SEPARATE_KINDS: Final = (
+    FaultKind.PARTITION,
+    FaultKind.ANSWER_FRAMING,
+    FaultKind.ANSWER_ENDING,
+)
+"""Kinds that are planned by themselves, beside the others of a seed."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Fault:
     """One fault of a run."""
@@ -104,7 +119,7 @@
         length_s: Length of the run, including its recovery.
     """
     random = Random(seed)
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.PARTITION]
+    kinds = [kind for kind in FaultKind if kind not in SEPARATE_KINDS]
     end_s = length_s - RECOVERY_S
     faults = []
     at_s = QUIET_START_S
@@ -145,3 +160,27 @@
             variant=random.random(),
         )
     ]
+
+
+def plan_answers(seed: int, *, length_s: float) -> list[Fault]:
+    """Return the framings and endings of engines' answers, which come beside the other faults.
+
+    Args:
+        seed: Seed of the generator.
+        length_s: Length of the run, including its recovery.
+    """
+    random = Random(f"{seed}answers")
+    end_s = length_s - RECOVERY_S
+    faults = []
+    for kind in (FaultKind.ANSWER_FRAMING, FaultKind.ANSWER_ENDING):
+        for _ in range(int(ANSWER_FAULTS_PER_S * end_s)):
+            duration_s = random.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
+            fault = Fault(
+                start_s=random.uniform(0.0, max(0.0, end_s - duration_s)),
+                kind=kind,
+                duration_s=duration_s,
+                target=random.random(),
+                variant=random.random(),
+            )
+            faults.append(fault)
+    return faults
--- a/soak/site.py
+++ b/soak/site.py
@@ -84,6 +84,7 @@
 
     async def crash_engine(self, engine_id: str) -> None:
         """Stop an engine and close its connections."""
+        self.links[engine_id].stop_listening()
         await self.engines[engine_id].stop()
 
     async def add_instance(self, name: str) -> None:
@@ -138,12 +139,18 @@
             failures += instance.unexpected_exits + instance.find_logged_errors()
         return failures
 
-    def register_successor(
+    def _schedule_restart(self, engine: EngineStandIn, service: str) -> None:
+        """Replace an engine that has ended by itself; until then its link refuses connections."""
+        self.links[engine.engine_id].stop_listening()
+        super()._schedule_restart(engine, service)
+
+    async def register_successor(
         self, successor: EngineStandIn, service: str, *, predecessor: EngineStandIn
     ) -> None:
-        """List an engine that has replaced one that a request has ended, behind the same link."""
+        """List an engine that has replaced one that has ended, behind the same link."""
         link = self.links.pop(predecessor.engine_id)
         link.target_port = successor.port
+        await link.start()
         self.links[successor.engine_id] = link
         self.engine_services[successor.engine_id] = service
         self.list_engine_link(successor.engine_id)
@@ -154,6 +161,7 @@
         engine = self.build_engine(new_id, service)
         engine.processing_s = ENGINE_WORK_S
         self.links[old_id].target_port = await engine.listen()
+        await self.links[old_id].start()
         # Added only once it listens, as a concurrent fault may stop any engine found here.
         self.engines[new_id] = engine
         self.engine_services[old_id if old_id == new_id else new_id] = service
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -136,6 +136,7 @@
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         assert self._server is not None
+        self._crashed = True
         self._server.close()
         tasks = list(self._writers.values())
         for writer in list(self._writers):
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -92,7 +92,7 @@
         return engine
 
     def build_engine(self, engine_id: str, service: str) -> EngineStandIn:
-        """Return an engine that is replaced when a request ends it."""
+        """Return an engine that is replaced when it has ended by itself."""
         engine = EngineStandIn(engine_id=engine_id)
         engine.on_crash = lambda: self._schedule_restart(engine, service)
         return engine
@@ -104,7 +104,7 @@
         restart.add_done_callback(self._restarts.discard)
 
     async def _restart_crashed(self, engine: EngineStandIn, service: str) -> None:
-        """Start an engine with a new id at the address of one that a request has ended."""
+        """Start an engine with a new id at the address of one that has ended by itself."""
         port = engine.port
         del self.engines[engine.engine_id]
         await asyncio.sleep(CRASH_RESTART_S)
@@ -116,12 +116,12 @@
         successor.rejection_limit = engine.rejection_limit
         await successor.listen(port)
         self.engines[successor.engine_id] = successor
-        self.register_successor(successor, service, predecessor=engine)
+        await self.register_successor(successor, service, predecessor=engine)
 
-    def register_successor(
+    async def register_successor(
         self, successor: EngineStandIn, service: str, *, predecessor: EngineStandIn
     ) -> None:
-        """Write the row of an engine that has replaced one that a request has ended."""
+        """Write the row of an engine that has replaced one that has ended by itself."""
         del predecessor
         self.register_engine(successor.engine_id, service, successor.port)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,7 @@
 )
 from soak.proxy import LinkFault, LinkProxy
 from soak.run import SoakRun
-from soak.schedule import RECOVERY_S, FaultKind, plan_faults, plan_partitions
+from soak.schedule import RECOVERY_S, FaultKind, plan_answers, plan_faults, plan_partitions
 
 from guavamast.platform.standins.engine import EngineStandIn
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection
@@ -41,6 +41,8 @@
 PARTITION_SEED = 3
 """Seed in which some instances reach no engine for seconds."""
 PARTITION_LENGTH_S = 14.0
+ANSWERS_SEED = 4
+"""Seed in which engines break off streams without a length, inside events and between them."""
 
 CALL = RequestRecord(
     request_id="r1",
@@ -205,6 +207,7 @@
     def test_all_kinds_come_and_end_in_time(self) -> None:
         faults = [fault for seed in range(40) for fault in plan_faults(seed, length_s=20.0)]
         faults += [fault for seed in range(40) for fault in plan_partitions(seed, length_s=20.0)]
+        faults += [fault for seed in range(40) for fault in plan_answers(seed, length_s=20.0)]
         self.assertEqual({fault.kind for fault in faults}, set(FaultKind))
         for fault in faults:
             self.assertLessEqual(fault.start_s + fault.duration_s, 20.0 - RECOVERY_S + 0.3)
@@ -271,6 +274,16 @@
             PARTITION_SEED, instances=4, length_s=PARTITION_LENGTH_S, partitions=True
         )
 
+    async def test_broken_answers_beside_other_faults_violate_no_guarantee(self) -> None:
+        """Guards against short answers that look complete, in any framing, also when forwarded."""
+        await self.run_seed(
+            ANSWERS_SEED,
+            instances=4,
+            length_s=PARTITION_LENGTH_S,
+            partitions=True,
+            answers=True,
+        )
+
     async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
         """Guards against a fleet that loses what it knows of such a request to kills and resets."""
         await self.run_seed(LETHAL_SEED, lethal=True)
