Reject a forwarder's message that doesn't mark its end

A forwarder frames its messages in chunks; one that ends with its connection would look complete where the forwarder was killed.

--- a/src/guavamast/relay/forwarding/client.py
+++ b/src/guavamast/relay/forwarding/client.py
@@ -93,6 +93,8 @@
     async def read_head(self) -> ResponseHead:
         """Return the head of the endpoint's response."""
         head = await self._link.read_head()
+        if head.framing is BodyFraming.CONNECTION:
+            raise MalformedAnswer("forwarded: the message doesn't mark its end")
         try:
             if head.status == FORWARDED_STATUS:
                 endpoint_head = decode_response_head(head)
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -19,6 +19,7 @@
 from guavamast.relay.endpoint_connection import (
     ConnectionLost,
     EndpointUnreachable,
+    MalformedAnswer,
     NotForwarded,
     PathLost,
 )
@@ -311,17 +312,14 @@
         with self.assertRaises(ConnectionLost):
             await self.read_body(acquired)
 
-    async def test_a_forwarder_that_is_killed_leaves_no_complete_response(self) -> None:
-        """Guards against a response without length that ends with the forwarder's process."""
+    async def send_to_killed_forwarder(self, response: bytes) -> AcquiredConnection:
+        """Send a request to a forwarder that is killed after a part of its response."""
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 100 (Continue)\r\n\r\n")
             await reader.readuntil(b"0\r\n\r\n")
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nGuavamast-Status: 200\r\nTransfer-Encoding: chunked\r\n\r\n"
-                b"4\r\npart\r\n"
-            )
+            writer.write(response)
             writer.close()
 
         killed = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -329,10 +327,24 @@
         self.client = self.build_client(int(killed.sockets[0].getsockname()[1]))
         acquired = await self.connect()
         await self.send(acquired)
+        return acquired
+
+    async def test_a_forwarder_that_is_killed_leaves_no_complete_response(self) -> None:
+        """Guards against a response without length that ends with the forwarder's process."""
+        head = b"HTTP/1.1 200 OK\r\nGuavamast-Status: 200\r\n"
+        chunk = b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+        acquired = await self.send_to_killed_forwarder(head + chunk)
         await acquired.connection.read_head()
         with self.assertRaises(ConnectionLost):
             await self.read_body(acquired)
 
+    async def test_a_message_that_does_not_mark_its_end_is_malformed(self) -> None:
+        """Guards against a forwarder's message that ends with its connection, whole or not."""
+        head = b"HTTP/1.1 200 OK\r\nGuavamast-Status: 200\r\n"
+        acquired = await self.send_to_killed_forwarder(head + b"\r\npart")
+        with self.assertRaises(MalformedAnswer):
+            await acquired.connection.read_head()
+
     async def test_a_caller_that_leaves_ends_the_work_at_the_endpoint(self) -> None:
         """Guards against engines that work for nobody behind another instance."""
         self.engine.fault = EngineFault.HANG
