--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from guavamast.relay.attempt import Attempt, AttemptFailed, FailureKind
-from guavamast.relay.catalog import RouteKind
-from guavamast.relay.endpoint_load import Load
+from guavamast.relay.attempt_timeouts import compute_attempt_timeout
 from guavamast.relay.messages import SendParameters
+from guavamast.relay.placed_send import PlacedSend
 from guavamast.relay.response_end_check import ResponseEndCheck
+from guavamast.relay.stream_observer import StreamObserver
 from guavamast.relay.stream_relay import relay_events
 from guavamast.relay.stream_sampler import StreamSampler
 
@@ -22,7 +22,7 @@
     from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_connector import EndpointConnector
-    from guavamast.relay.endpoint_load import EndpointLoads, Work
+    from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.fleet_state import FleetState
@@ -35,13 +35,6 @@
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
 
-RESPONSE_TIMEOUT_SHARE: Final = 0.6
-"""Share of the objective after which a repeatable call without a response is retried at another
-endpoint, which can still respond in time."""
-STREAM_IDLE_TIMEOUT_S: Final = 1.5
-"""Seconds without an event after which a resumable stream is resumed elsewhere: longer than a sound
-engine may pause, and before callers time out."""
-
 
 class PublishLoad(Protocol):
     """Reports that this instance's work at an endpoint has changed."""
@@ -50,20 +43,6 @@
         """Report an endpoint and whether its work has grown."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Send:
-    """One send of a request: its placement, and its part of the endpoint's load."""
-
-    placed: PlacementDecision
-    work: Work
-
-    def finish_prefill(self) -> bool:
-        """Count the prompt as prefilled; return whether this changes the load."""
-        if self.placed.work is not None:
-            self.placed.work.begin()
-        return self.work.finish_prefill()
-
-
 class Exchanger:
     """Runs attempts.
 
@@ -159,12 +138,12 @@
         )
         progress.tried.add(record.endpoint_id)
         work = self._begin_work(request, progress, placed.choice)
+        send = PlacedSend(placed=placed, work=work)
         failure_weight = 0.0
         rejected = False
         try:
             await attempt.connect(row_version=progress.admitted.catalog.row_version)
             self._recorder.record_connection(attempt.connection)
-            send = _Send(placed=placed, work=work)
             status = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
             return status
@@ -177,13 +156,11 @@
         finally:
             self._record_limit(attempt)
             attempt.abandon()
-            work.end()
-            if placed.work is not None:
-                placed.work.end(
-                    rejected=rejected,
-                    failure_weight=failure_weight,
-                    longest_pause_s=progress.timing.longest_pause_s,
-                )
+            send.end(
+                rejected=rejected,
+                failure_weight=failure_weight,
+                longest_pause_s=progress.timing.longest_pause_s,
+            )
             self._publish_load(record.endpoint_id, increased=False)
 
     def _record_limit(self, attempt: Attempt) -> None:
@@ -216,19 +193,21 @@
         writer: ResponseWriter,
         progress: RequestProgress,
         attempt: Attempt,
-        send: _Send,
+        send: PlacedSend,
     ) -> int:
         now = self._read_time()
-        if send.placed.work is not None and send.placed.work.is_expired(now=now):
+        if send.is_expired(now=now):
             raise AttemptFailed(
                 FailureKind.OUTDATED, "the scheduler's grant expired before the send"
             )
         self._admission.check_send(progress.admitted, attempt.record, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
-        timeout_s = self._compute_attempt_timeout(progress, now=now)
+        timeout_s = compute_attempt_timeout(
+            progress, budget=self._budget, fleet_state=self._fleet_state, now=now
+        )
         progress.sends += 1
         progress.possible_runs += 1
-        load = self._read_load(send)
+        load = send.read_load(self._loads)
         self._record_send(request, progress, attempt, parameters, send, load=load, now=now)
         sampler = StreamSampler(
             profiles=self._profiles,
@@ -245,10 +224,18 @@
             async with asyncio.timeout(timeout_s) as attempt_timeout:
                 head = await attempt.send(parameters)
                 if head.event_stream and head.status < 300:
-                    on_event = self._make_event_callback(
-                        request, progress, send, sampler, attempt_timeout
+                    observer = StreamObserver(
+                        request=request,
+                        progress=progress,
+                        send=send,
+                        sampler=sampler,
+                        loads=self._loads,
+                        recorder=self._recorder,
+                        idle_timeout=attempt_timeout,
+                        publish_decrease=partial(self._publish_load, increased=False),
+                        read_time=self._read_time,
                     )
-                    await relay_events(attempt, writer, on_event, confirm_end)
+                    await relay_events(attempt, writer, observer.record_event, confirm_end)
                     self._record_complete_stream(request, progress, attempt, sampler)
                     return head.status
                 response = await attempt.read_response()
@@ -264,48 +251,6 @@
         await self._forward_response(request, writer, progress, attempt, response)
         return head.status
 
-    def _read_load(self, send: _Send) -> Load:
-        """Return the work at an endpoint, this request included, as known to its scheduler.
-
-        Without a scheduler, as known to this instance.
-        """
-        choice = send.placed.choice
-        assert choice is not None
-        if send.placed.scheduler_reply is not None:
-            return Load(
-                requests=choice.load.requests + 1,
-                prefill_tokens=choice.load.prefill_tokens + choice.uncached_tokens,
-            )
-        return self._loads.sum_up(choice.record.endpoint_id)
-
-    def _make_event_callback(
-        self,
-        request: CallerRequest,
-        progress: RequestProgress,
-        send: _Send,
-        sampler: StreamSampler,
-        idle_timeout: asyncio.Timeout,
-    ) -> Callable[[str | None], None]:
-        """Return a callback that takes the id of each event before the event is forwarded."""
-        choice = send.placed.choice
-        assert choice is not None
-        endpoint_id = choice.record.endpoint_id
-
-        def on_event(event_id: str | None) -> None:
-            now = self._read_time()
-            if send.finish_prefill():
-                self._publish_load(endpoint_id, increased=False)
-            uncached_tokens = self._loads.sum_up(endpoint_id).prefill_tokens
-            first = progress.timing.first_event_s is None
-            sampler.record_event(uncached_tokens=uncached_tokens, now=now)
-            if first:
-                self._recorder.record_first_event(request, choice, now=now)
-            progress.last_event_id = event_id or progress.last_event_id
-            if idle_timeout.when() is not None:
-                idle_timeout.reschedule(asyncio.get_running_loop().time() + STREAM_IDLE_TIMEOUT_S)
-
-        return on_event
-
     def _record_complete_stream(
         self,
         request: CallerRequest,
@@ -350,7 +295,7 @@
         progress: RequestProgress,
         attempt: Attempt,
         parameters: SendParameters,
-        send: _Send,
+        send: PlacedSend,
         *,
         load: Load,
         now: float,
@@ -379,19 +324,3 @@
             urgency=admitted.urgency if engine else None,
             resume_after=progress.last_event_id,
         )
-
-    def _compute_attempt_timeout(self, progress: RequestProgress, *, now: float) -> float | None:
-        """Return the seconds of silence after which an attempt is abandoned for another endpoint.
-
-        None if no other attempt can follow: an endpoint's silence alone is no reason to end a
-        request.
-        """
-        route = progress.admitted.route
-        if not route.repeatable or progress.sends + 1 >= route.max_endpoints:
-            return None
-        instances = self._fleet_state.count_instances()
-        if not self._budget.has_room(progress.service, instances=instances, now=now):
-            return None
-        if route.kind is RouteKind.STREAM:
-            return max(STREAM_IDLE_TIMEOUT_S, route.objective_s)
-        return RESPONSE_TIMEOUT_SHARE * route.objective_s
