Abandon no attempt for silence where endpoints bear few rejections

Callers of repeatable calls saw 502 and few answers at a plain service whose endpoints state a rejection limit, while streams beside them were served: endpoints ended again and again. Cause: a repeatable call without a response is abandoned after 0.6 of its objective. The scheduler then counts its slot as free, but the endpoint goes on with the call, so the next one is rejected; the retry takes a second slot. Ruled out: the grants (the streams' service, granted alike, had no ends), the count of slots (calls that aren't repeatable had none either, in the test that stood). Change: while a service's endpoints state a limit, silence ends no attempt there. The new test failed before.

--- a/src/guavamast/relay/attempt_timeouts.py
+++ b/src/guavamast/relay/attempt_timeouts.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.retry_budget import RetryBudget
 
@@ -20,21 +21,31 @@
 
 
 def compute_attempt_timeout(
-    progress: RequestProgress, *, budget: RetryBudget, fleet_state: FleetState, now: float
+    progress: RequestProgress,
+    *,
+    budget: RetryBudget,
+    fleet_state: FleetState,
+    limits: RejectionLimits,
+    now: float,
 ) -> float | None:
     """Return the seconds of silence after which an attempt is abandoned for another endpoint.
 
     None if no other attempt can follow: an endpoint's silence alone is no reason to end a request.
+    None, too, if endpoints of the service bear few rejections: an abandoned request may run on at
+    its endpoint, whose slot then counts as free and gets a request that it has to reject.
 
     Args:
         progress: The request.
         budget: Retry budget, from which another attempt would be paid.
         fleet_state: The instances that share it.
+        limits: Services whose endpoints bear few rejections.
         now: The current time.
     """
     route = progress.admitted.route
     if not route.repeatable or progress.sends + 1 >= route.max_endpoints:
         return None
+    if limits.applies(progress.service, now=now):
+        return None
     instances = fleet_state.count_instances()
     if not budget.has_room(progress.service, instances=instances, now=now):
         return None
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -203,7 +203,11 @@
         self._admission.check_send(progress.admitted, attempt.record, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
         timeout_s = compute_attempt_timeout(
-            progress, budget=self._budget, fleet_state=self._fleet_state, now=now
+            progress,
+            budget=self._budget,
+            fleet_state=self._fleet_state,
+            limits=self._limits.limits,
+            now=now,
         )
         progress.sends += 1
         progress.possible_runs += 1
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -121,7 +121,7 @@
             ),
             profiles=self.profiles,
             reachability=ReachabilityMonitor(),
-            limits=mock.Mock(),
+            limits=mock.Mock(limits=RejectionLimits()),
             publish_load=mock.Mock(),
             read_time=lambda: self.simulation.now,
         )
--- a/tests/test_platform_rejection_limit.py
+++ b/tests/test_platform_rejection_limit.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from guavamast.platform.standins.site import CALL_PREFIX, STREAM_PREFIX
+from guavamast.platform.standins.site import CALL_PREFIX, LOOKUP_PREFIX, STREAM_PREFIX
 from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
 from tests._platform_callers import Caller, PlatformTestCase
 
@@ -83,12 +83,20 @@
 
     async def test_engines_that_bear_few_rejections_stay_up_and_busy(self) -> None:
         """Guards against instances that each send what the others have sent already."""
+        await self.check_ends_and_work(CALL_PREFIX + "x")
+
+    async def test_endpoints_of_repeatable_calls_stay_up_and_busy(self) -> None:
+        """Guards against slots that count as free while abandoned calls run on there."""
+        await self.check_ends_and_work(LOOKUP_PREFIX + "x")
+
+    async def check_ends_and_work(self, call_target: str) -> None:
+        """Check the engines of streams and the endpoints of a kind of call."""
         self.set_limits(limit=None)
         started_at = time.monotonic()
         self.until = started_at + 1.0 + STABLE_S + MEASURED_S
         async with asyncio.TaskGroup() as tasks:
             for number in range(CALLERS):
-                tasks.create_task(self.keep_asking("c", number, CALL_PREFIX + "x"))
+                tasks.create_task(self.keep_asking("c", number, call_target))
                 tasks.create_task(self.keep_asking("s", number, STREAM_PREFIX + "stream/x"))
             await asyncio.sleep(1.0)
             # Within the first seconds the engines announce the limit without ending by it.
