--- a/src/guavamast/relay/heartbeat_wire.py
+++ b/src/guavamast/relay/heartbeat_wire.py
@@ -121,7 +121,7 @@
             profiles={str(key): _decode_profiles(value) for key, value in profiles.items()},
         )
     except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
-        raise MalformedBeat(f"bundle: {type(error).__name__}: {error}") from error
+        raise MalformedBeat(f"aggregated heartbeat: {type(error).__name__}: {error}") from error
 
 
 def _encode_record(record: InstanceRecord) -> list[str | float]:
@@ -242,7 +242,7 @@
 
 def _decode_demand(value: list[float]) -> Demand:
     if len(value) != BUCKETS:
-        raise MalformedBeat("other lanes")
+        raise MalformedBeat("unknown number of length buckets")
     return Demand(work_ms=tuple(float(work) for work in value))
 
 
@@ -264,11 +264,11 @@
         RejectionCount(
             service=str(service),
             precedence=int(precedence),
-            requests=max(0.0, float(asked)),
-            rejected=max(0.0, float(sent_back)),
+            requests=max(0.0, float(requests)),
+            rejected=max(0.0, float(rejected)),
             wait_ms=max(0.0, float(wait_ms)),
         )
-        for service, precedence, asked, sent_back, wait_ms in value
+        for service, precedence, requests, rejected, wait_ms in value
     ]
 
 
@@ -292,7 +292,7 @@
             for number, samples in zip(numbers[::2], numbers[1::2], strict=True)
         ]
         if len(estimates) != len(PROFILE_QUANTITIES) or any(e.value <= 0.0 for e in estimates):
-            raise MalformedBeat("other profiles")
+            raise MalformedBeat("unknown quantities in an engine profile")
         named = dict(zip(PROFILE_QUANTITIES, estimates, strict=True))
         profiles[str(service)] = ProfileEstimates(**named)
     return profiles
--- /dev/null
+++ b/src/guavamast/relay/local_placer.py
@@ -0,0 +1,112 @@
+"""Placement of requests by this instance's own state, without a scheduler."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.relay.admission import WaitParameters
+from guavamast.relay.admission_control import AdmissionControl
+from guavamast.relay.engine_forecast import FRESH_LOADS_LIMIT, STALE_LOADS_LIMIT
+from guavamast.relay.placement import Placement
+from guavamast.relay.placer import PlacementDecision, Placer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from guavamast.relay.endpoint_choice import EndpointChooser
+    from guavamast.relay.engine_profile import EngineProfiles
+    from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.length_buckets import PromptDemand
+    from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.rejection_history import RejectionHistory
+    from guavamast.relay.request_progress import RequestProgress
+
+
+class LocalPlacer(Placer):
+    """Places requests by this instance's own state, without a scheduler.
+
+    Args:
+        fleet_state: Endpoints, services and other instances.
+        chooser: Selects endpoints.
+        demand: Work requested in each length bucket.
+        profiles: Speed of the engines.
+        rejections: Recently rejected requests.
+        random: Spreads retry delays.
+        read_time: Local clock.
+    """
+
+    __slots__ = ("_admission", "_chooser", "_demand", "_fleet_state", "_profiles", "_read_time")
+
+    def __init__(
+        self,
+        *,
+        fleet_state: FleetState,
+        chooser: EndpointChooser,
+        demand: PromptDemand,
+        profiles: EngineProfiles,
+        rejections: RejectionHistory,
+        random: Random,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._fleet_state = fleet_state
+        self._chooser = chooser
+        self._demand = demand
+        self._profiles = profiles
+        self._admission = AdmissionControl(history=rejections, random=random)
+        self._read_time = read_time
+
+    async def place(self, request: CallerRequest, progress: RequestProgress) -> PlacementDecision:
+        """Return the endpoint with the least cost, or a rejection."""
+        return self.decide(request, progress)
+
+    def decide(self, request: CallerRequest, progress: RequestProgress) -> PlacementDecision:
+        """Return the endpoint with the least cost, or a rejection."""
+        now = self._read_time()
+        wait_parameters = WaitParameters(
+            objective_s=progress.admitted.route.objective_s,
+            latency_tolerant=progress.latency_tolerant,
+            most_urgent=progress.most_urgent,
+            loads_stale=self._fleet_state.peers.aggregated,
+        )
+        choice = self._chooser.choose(
+            self._build_placement(request, progress, now=now),
+            self._fleet_state.endpoints.list_ready(progress.service),
+            exclude=progress.tried,
+            now=now,
+            has_room=self._admission.create_room_filter(
+                wait_parameters,
+                service=progress.service,
+                precedence=progress.admitted.precedence,
+                now=now,
+            ),
+        )
+        if choice is None or progress.sends > 0 or choice.forecast is None:
+            return PlacementDecision(choice=choice)
+        rejection = self._admission.admit(
+            choice.forecast,
+            wait_parameters,
+            service=progress.service,
+            precedence=progress.admitted.precedence,
+            now=now,
+        )
+        return PlacementDecision(choice=choice, rejection=rejection)
+
+    def _build_placement(
+        self, request: CallerRequest, progress: RequestProgress, *, now: float
+    ) -> Placement:
+        return Placement(
+            prompt_parts=request.prompt_parts,
+            prompt_tokens=request.prompt_tokens,
+            failure_domain=self._fleet_state.failure_domain,
+            bucket=progress.bucket,
+            bucket_shares=self._demand.compute_shares(),
+            output_tokens=request.output_tokens,
+            kv_capacity_tokens=self._fleet_state.find_kv_capacity_tokens(progress.service),
+            profile=self._profiles.find(progress.service, now=now),
+            objective_s=progress.admitted.route.objective_s,
+            pause_sensitive=progress.pause_sensitive,
+            shortest_pause_s=self._fleet_state.find_shortest_pause(progress.service),
+            kv_limit=STALE_LOADS_LIMIT if self._fleet_state.peers.aggregated else FRESH_LOADS_LIMIT,
+            loads_stale=self._fleet_state.peers.aggregated,
+        )
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -6,9 +6,10 @@
 
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.exchange import Exchanger
-from guavamast.relay.placer import LocalPlacer, ScheduledPlacer
+from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
+from guavamast.relay.scheduled_placer import ScheduledPlacer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -0,0 +1,259 @@
+"""Placement of requests by the schedulers of the service's endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.admission import Rejection
+from guavamast.relay.endpoint_choice import Choice
+from guavamast.relay.endpoint_load import Load
+from guavamast.relay.engine_forecast import Forecast
+from guavamast.relay.placer import PlacementDecision, Placer
+from guavamast.relay.scheduling_messages import PlacedWork, PlacementQuery, Verdict, WorkPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from guavamast.relay.endpoint_load import EndpointLoads
+    from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.local_placer import LocalPlacer
+    from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.rejection_limits import RejectionLimits
+    from guavamast.relay.request_progress import RequestProgress
+    from guavamast.relay.scheduling import Scheduling
+    from guavamast.relay.scheduling_client import ScheduledReply
+    from guavamast.relay.scheduling_messages import PlacementReply
+
+SLOT_WAIT_S: Final = 0.03
+"""Seconds between two queries of a request that waits for a free slot, on average."""
+MOST_URGENT_WAIT_SHARE: Final = 0.5
+"""Share of its objective for which a request that nothing precedes waits for a free slot."""
+WAIT_SHARE: Final = 0.25
+"""Share of its objective for which any other request waits for a free slot."""
+UNSCHEDULED_SLOT_SHARE: Final = 0.7
+"""Share of an endpoint's slots that are used without a scheduler if it bears few rejections."""
+SLOT_RETRY_S: Final = 0.2
+"""Seconds until a caller retries that found no free slot without a scheduler."""
+MAX_GROUPS: Final = 3
+"""Groups whose schedulers are queried for one request before it is rejected."""
+FAILURE_THRESHOLD: Final = 1.0
+"""Failures recorded by this instance from which on it excludes an endpoint: the path there may be
+broken for this instance only."""
+
+
+class ScheduledPlacer(Placer):
+    """Queries the schedulers of the service's endpoints.
+
+    A scheduler that does not reply or knows no endpoint costs one short timeout at most; the
+    request is then placed by this instance's own state and reported to the scheduler.
+
+    Args:
+        local_placer: Places requests without a scheduler.
+        scheduling: Queries schedulers.
+        limits: Services whose endpoints bear few rejections.
+        fleet_state: Endpoints and other instances.
+        loads: Loads, and failures that this instance has recorded.
+        random: Spreads waits.
+        read_time: Local clock.
+    """
+
+    __slots__ = (
+        "_client",
+        "_fleet_state",
+        "_groups",
+        "_limits",
+        "_loads",
+        "_local_placer",
+        "_random",
+        "_read_time",
+        "_scheduling",
+    )
+
+    def __init__(
+        self,
+        *,
+        local_placer: LocalPlacer,
+        scheduling: Scheduling,
+        limits: RejectionLimits,
+        fleet_state: FleetState,
+        loads: EndpointLoads,
+        random: Random,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._local_placer = local_placer
+        self._scheduling = scheduling
+        self._client = scheduling.client
+        self._groups = scheduling.groups
+        self._limits = limits
+        self._random = random
+        self._fleet_state = fleet_state
+        self._loads = loads
+        self._read_time = read_time
+
+    async def place(self, request: CallerRequest, progress: RequestProgress) -> PlacementDecision:
+        """Return the next endpoint for a request, or its rejection."""
+        while True:
+            placed = await self._place_once(request, progress)
+            if placed.rejection is None or not self._may_wait(request, progress):
+                return placed
+            await asyncio.sleep(SLOT_WAIT_S * self._random.uniform(0.5, 1.5))
+
+    async def _place_once(
+        self, request: CallerRequest, progress: RequestProgress
+    ) -> PlacementDecision:
+        if not self._scheduling.is_scheduled(progress.service):
+            return self._decide_locally(request, progress)
+        rejected: PlacementDecision | None = None
+        limited = self._limits.applies(progress.service, now=self._read_time())
+        key = request.shared_part or request.request_id
+        for group in self._groups.rank(progress.service, key)[:MAX_GROUPS]:
+            query = self._build_query(request, progress, group)
+            scheduled_reply = await self._client.request_placement(query, patient=limited)
+            placed = (
+                self._apply_reply(request, query, scheduled_reply)
+                if scheduled_reply is not None
+                else None
+            )
+            if placed is None:
+                silent = scheduled_reply is None
+                return self._decide_locally(request, progress, scheduler_silent=silent)
+            if placed.rejection is None:
+                return placed
+            rejected = _select_earlier_retry(rejected, placed)
+        return rejected or self._decide_locally(request, progress)
+
+    def _may_wait(self, request: CallerRequest, progress: RequestProgress) -> bool:
+        """Return whether a rejected request may wait here for a free slot, and be in time.
+
+        Nothing may wait at endpoints that bear few rejections, so what they usually queue is kept
+        for a moment. Less urgent requests wait for a smaller part of their objective.
+        """
+        now = self._read_time()
+        if not self._limits.applies(progress.service, now=now):
+            return False
+        share = MOST_URGENT_WAIT_SHARE if progress.most_urgent else WAIT_SHARE
+        return now - request.received_at < share * progress.admitted.route.objective_s
+
+    def _build_query(
+        self, request: CallerRequest, progress: RequestProgress, group: str
+    ) -> PlacementQuery:
+        return PlacementQuery(
+            requester=self._client.requester,
+            number=self._client.next_number(),
+            group=group,
+            service=progress.service,
+            prompt_parts=request.prompt_parts,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            bucket=progress.bucket,
+            objective_s=progress.admitted.route.objective_s,
+            pause_sensitive=progress.pause_sensitive,
+            latency_tolerant=progress.latency_tolerant,
+            most_urgent=progress.most_urgent,
+            precedence=progress.admitted.precedence,
+            failure_domain=self._fleet_state.failure_domain,
+            excluded=self._list_excluded(progress),
+            rejectable=progress.sends == 0,
+        )
+
+    def _list_excluded(self, progress: RequestProgress) -> tuple[str, ...]:
+        failing = self._loads.list_failing(min_failures=FAILURE_THRESHOLD, now=self._read_time())
+        return tuple(progress.tried.union(failing))
+
+    def _apply_reply(
+        self, request: CallerRequest, query: PlacementQuery, scheduled_reply: ScheduledReply
+    ) -> PlacementDecision | None:
+        """Return the decision in a reply; None if it names no usable endpoint."""
+        reply = scheduled_reply.reply
+        record = self._fleet_state.endpoints.find(reply.endpoint_id)
+        if reply.verdict is Verdict.UNKNOWN or record is None or not record.ready:
+            if reply.verdict is Verdict.GRANTED:
+                self._client.withdraw(query)
+            return None
+        choice = Choice(
+            record=record,
+            forecast=_build_forecast(query, reply),
+            uncached_tokens=reply.uncached_tokens,
+            own_bucket=reply.own_bucket,
+            load=Load(
+                requests=reply.endpoint_requests, prefill_tokens=reply.endpoint_prefill_tokens
+            ),
+        )
+        if reply.verdict is Verdict.REFUSED:
+            rejection = Rejection(retry_after_s=reply.retry_after_s)
+            return PlacementDecision(
+                choice=choice, rejection=rejection, scheduler_reply=scheduled_reply
+            )
+        work = _build_work(
+            request, choice, number=query.number, pause_sensitive=query.pause_sensitive
+        )
+        tracked = self._client.track(query.group, work, granted=True)
+        return PlacementDecision(choice=choice, work=tracked, scheduler_reply=scheduled_reply)
+
+    def _decide_locally(
+        self, request: CallerRequest, progress: RequestProgress, *, scheduler_silent: bool = False
+    ) -> PlacementDecision:
+        placed = self._local_placer.decide(request, progress)
+        if placed.choice is None or placed.rejection is not None:
+            return placed
+        if self._lacks_slot(placed.choice, progress, scheduler_silent=scheduler_silent):
+            retry_after_s = SLOT_RETRY_S * self._random.uniform(1.0, 1.5)
+            return PlacementDecision(
+                choice=placed.choice, rejection=Rejection(retry_after_s=retry_after_s)
+            )
+        number = self._client.next_number()
+        work = _build_work(
+            request, placed.choice, number=number, pause_sensitive=progress.pause_sensitive
+        )
+        group = self._groups.find_group(placed.choice.record)
+        tracked = self._client.track(group, work, granted=False)
+        return PlacementDecision(choice=placed.choice, work=tracked)
+
+    def _lacks_slot(
+        self, choice: Choice, progress: RequestProgress, *, scheduler_silent: bool
+    ) -> bool:
+        """Return whether a request found no slot without a scheduler's help.
+
+        While the scheduler is silent, it asks again, soon the next one. If the scheduler knows no
+        endpoint for it, several instances may take the same slot, so only a part of them counts.
+        """
+        if not self._limits.applies(progress.service, now=self._read_time()):
+            return False
+        if scheduler_silent:
+            return True
+        running = self._loads.sum_up(choice.record.endpoint_id).requests
+        return running >= UNSCHEDULED_SLOT_SHARE * choice.record.slots
+
+
+def _build_forecast(query: PlacementQuery, reply: PlacementReply) -> Forecast | None:
+    if query.prompt_tokens == 0:
+        return None
+    return Forecast(
+        start_ms=reply.start_ms, waiting_ms=reply.waiting_ms, prefill_ms=reply.prefill_ms
+    )
+
+
+def _build_work(
+    request: CallerRequest, choice: Choice, *, number: int, pause_sensitive: bool
+) -> PlacedWork:
+    return PlacedWork(
+        number=number,
+        endpoint_id=choice.record.endpoint_id,
+        phase=WorkPhase.WAITING,
+        shared_part=request.shared_part,
+        uncached_tokens=choice.uncached_tokens,
+        kv_tokens=request.prompt_tokens + request.output_tokens,
+        # On an endpoint of another length bucket it is late anyway; long prompts need not avoid it.
+        pause_sensitive=pause_sensitive and choice.own_bucket,
+    )
+
+
+def _select_earlier_retry(
+    one: PlacementDecision | None, other: PlacementDecision
+) -> PlacementDecision:
+    """Return the rejection with the shorter retry delay."""
+    if one is None or one.rejection is None or other.rejection is None:
+        return other
+    return one if one.rejection.retry_after_s <= other.rejection.retry_after_s else other
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -19,9 +19,10 @@
 from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.exchange import Exchanger
 from guavamast.relay.length_buckets import PromptDemand
+from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.messages import ResponseWriter
-from guavamast.relay.placer import LocalPlacer, PlacementDecision
+from guavamast.relay.placer import PlacementDecision
 from guavamast.relay.prompt_cache import PromptCache
 from guavamast.relay.quarantine import (
     CrashGuard,
--- a/tests/burst_simulation.py
+++ b/tests/burst_simulation.py
@@ -16,8 +16,8 @@
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.length_buckets import PromptDemand, find_bucket, is_latency_tolerant
+from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.peers import Peers
-from guavamast.relay.placer import LocalPlacer
 from guavamast.relay.prompt_cache import PromptCache
 from guavamast.relay.rejection_history import RejectionHistory
 from guavamast.relay.request_progress import begin_progress
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -12,10 +12,11 @@
 from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.length_buckets import PromptDemand
-from guavamast.relay.placer import LocalPlacer, PlacementDecision, ScheduledPlacer
+from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.prompt_cache import PromptCache
 from guavamast.relay.rejection_history import RejectionHistory
 from guavamast.relay.request_progress import RequestProgress, begin_progress
+from guavamast.relay.scheduled_placer import ScheduledPlacer
 from guavamast.relay.scheduled_work import LEASE_S
 from guavamast.relay.scheduler_directory import BACKOFF_S, TIMEOUTS_BEFORE_BACKOFF
 from guavamast.relay.scheduling_client import GRANT_VALID_S, MAX_TIMEOUT_S
@@ -24,6 +25,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.placer import PlacementDecision
     from tests.scheduling_simulation import SimulatedInstance
 
 REQUESTER = "i30"
