Keep the port of a soak link that refuses connections, and start it once

The port stays bound, as those of instances do, and an engine's port while it is down; the new test failed with ConnectionRefused missing a second start.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from guavamast.platform.standins.answer_body import reset
+from guavamast.platform.standins.site import reserve_port
 
 CHUNK_BYTES: Final = 65_536
 """Maximum number of bytes forwarded at a time."""
@@ -42,20 +43,20 @@
         self.fault = LinkFault.NONE
         self._delay_s = delay_s
         self._server: asyncio.Server | None = None
-        self._port = 0
+        self._reserved = reserve_port()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def port(self) -> int:
         """The port to which clients connect."""
-        return self._port
+        return int(self._reserved.getsockname()[1])
 
     async def start(self) -> int:
-        """Start to accept connections and return the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-        self._port = int(self._server.sockets[0].getsockname()[1])
-        return self._port
+        """Accept connections from now on and return the port."""
+        if self._server is None:
+            self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        return self.port
 
     def stop_listening(self) -> None:
         """Refuse new connections, as the host of a server that has ended does, until ``start``."""
@@ -66,6 +67,7 @@
     async def stop(self) -> None:
         """Stop accepting connections and reset the open ones."""
         self.stop_listening()
+        self._reserved.close()
         self.reset_all()
         for task in list(self._tasks):
             task.cancel()
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -99,7 +99,9 @@
 
     def _schedule_restart(self, engine: EngineStandIn, service: str) -> None:
         self.crashed_engines.append(engine)
+        reserved = reserve_port(engine.port)
         restart = asyncio.ensure_future(self._restart_crashed(engine, service))
+        restart.add_done_callback(lambda _: reserved.close())
         self._restarts.add(restart)
         restart.add_done_callback(self._restarts.discard)
 
@@ -184,7 +186,7 @@
 
     def build_settings(self, name: str) -> dict[str, Any]:
         """Return the settings of an instance, with ports that stay reserved for it."""
-        sockets = [*(_reserve_port() for _ in range(3)), *_reserve_pair()]
+        sockets = [*(reserve_port() for _ in range(3)), *_reserve_pair()]
         self._reserved_sockets += sockets
         ports = [int(reserved.getsockname()[1]) for reserved in sockets]
         return {
@@ -211,7 +213,7 @@
     return path
 
 
-def _reserve_port(port: int = 0) -> socket.socket:
+def reserve_port(port: int = 0) -> socket.socket:
     """Return a socket that is bound and never listens, so that a listener may share its port.
 
     Without it, the port of an instance that restarts could be assigned to an outgoing connection.
@@ -227,9 +229,9 @@
 def _reserve_pair() -> list[socket.socket]:
     """Return the sockets of two consecutive ports."""
     while True:
-        first = _reserve_port()
+        first = reserve_port()
         try:
-            return [first, _reserve_port(first.getsockname()[1] + 1)]
+            return [first, reserve_port(first.getsockname()[1] + 1)]
         except (OSError, OverflowError):
             first.close()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
 from soak.schedule import RECOVERY_S, FaultKind, plan_answers, plan_faults, plan_partitions
 
 from guavamast.platform.standins.engine import EngineStandIn
+from guavamast.relay.endpoint_connection import ConnectionRefused
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection
 
 CI_SEED = 209
@@ -242,6 +243,18 @@
         self.assertEqual(len(self.engine.runs), 1)
         connection.close()
 
+    async def test_a_link_that_stopped_listening_refuses_and_starts_again(self) -> None:
+        """Guards against a port that another process takes while the server behind it is down."""
+        port = self.link.port
+        self.link.stop_listening()
+        with self.assertRaises(ConnectionRefused):
+            await self.send_request()
+        for _ in range(2):
+            self.assertEqual(await self.link.start(), port)
+        connection = await self.send_request()
+        self.assertEqual((await connection.read_head()).status, 200)
+        connection.close()
+
     async def test_silent_link_runs_nothing_until_reset(self) -> None:
         self.link.fault = LinkFault.SILENT
         connection = await self.send_request()
