Take the head of another response for no event of a stream without length

Traced by hand: the second answer's head stood behind the last event, and the relay forwarded it as an event. No reader can split such a body by HTTP; but no event begins with a status line, so a stream that has one at an event's place is broken off. The stand-in had come to send second answers after streams and before closing, which an engine that closes can't mean: again only after whole answers that are no streams, on connections that stay open.

--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -42,7 +42,8 @@
     LOSE = "lose"
     """Runs the request and closes the connection without a response."""
     EXTRA = "extra"
-    """Sends a second response, to another request, after each response."""
+    """Sends a second response, to another request, after each response that is no stream, on a
+    connection that stays open."""
     CROSSED = "crossed"
     """Answers with the id of another request."""
     HANG = "hang"
@@ -266,7 +267,7 @@
         if self.ending.closing is Closing.CRASH:
             self._crash()
         self._record_completed(run)
-        if self.fault is EngineFault.EXTRA:
+        if self.fault is EngineFault.EXTRA and keep_open and b"stream" not in request.target:
             writer.write(
                 b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Engine-Seal: s\r\n"
                 b"Content-Length: 5\r\n\r\nwrong"
--- a/src/guavamast/relay/event_framing.py
+++ b/src/guavamast/relay/event_framing.py
@@ -18,6 +18,7 @@
 _EVENT_ID: Final = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 _BYTE_ORDER_MARK: Final = b"\xef\xbb\xbf"
 _COMMENT_START: Final = b":"
+_STATUS_LINE_START: Final = b"HTTP/1."
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,7 +62,10 @@
         events = []
         start = 0
         for match in _EVENT_END.finditer(self._pending):
-            events.append(self._build_event(bytes(self._pending[start : match.end()])))
+            data = bytes(self._pending[start : match.end()])
+            if data.lstrip(b"\r\n").startswith(_STATUS_LINE_START):
+                break  # Bytes of another response, which a body without length can't keep apart.
+            events.append(self._build_event(data))
             start = match.end()
         del self._pending[:start]
         if len(self._pending) > MAX_EVENT_BYTES:
--- a/tests/test_relay_event_framing_properties.py
+++ b/tests/test_relay_event_framing_properties.py
@@ -97,6 +97,15 @@
                 (event,) = framing.append(line_end.join((b"id: 1", b"data: x", b"", b"")))
                 self.assertEqual(event.event_id, "1")
 
+    def test_another_response_is_no_event(self) -> None:
+        """Guards against a second response in a stream that ends with its connection."""
+        stream = b"id: 1\ndata: x\n\n"
+        for spare in (b"", b"\r\n"):
+            with self.subTest(spare=spare):
+                framing, events = read([stream + spare + b"HTTP/1.1 200 OK\r\nA: b\r\n\r\nwrong"])
+                self.assertEqual([event.data for event in events], [stream])
+                self.assertTrue(framing.is_inside_event)
+
     def test_an_event_that_is_too_long_is_invalid(self) -> None:
         with self.assertRaises(ValueError):
             EventFraming().append(b"data: " + b"x" * 1_048_576)
