--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -50,7 +50,7 @@
     MISDIRECTED = "misdirected"
     """The address now belongs to another endpoint; the intended one is gone."""
     LOST = "lost"
-    """The connection ended; the request may have run."""
+    """The connection ended, or the response was broken off; the request may have run."""
     INVALID = "invalid"
     """The data received is not a complete response to this request; it may have run."""
     SILENT = "silent"
--- a/src/guavamast/relay/direct_connector.py
+++ b/src/guavamast/relay/direct_connector.py
@@ -135,7 +135,7 @@
             return False
         return True
 
-    async def is_refused(self, record: EndpointRecord, *, timeout_s: float) -> bool:
+    async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
         """Return whether an endpoint's host refuses a connection; one that it accepts is kept.
 
         It isn't compared with other endpoints: they may have ended together.
--- a/src/guavamast/relay/endpoint_connector.py
+++ b/src/guavamast/relay/endpoint_connector.py
@@ -88,7 +88,7 @@
             timeout_s: Seconds after which silence counts as no refusal.
         """
         if not self._monitor.is_blocked(record.service):
-            return await self._direct.is_refused(record, timeout_s=timeout_s)
+            return await self._direct.refuses_connection(record, timeout_s=timeout_s)
         try:
             async with asyncio.timeout(timeout_s):
                 return await self.is_refused(record, row_version=row_version)
