--- a/src/guavamast/platform/standins/answer_body.py
+++ b/src/guavamast/platform/standins/answer_body.py
@@ -44,11 +44,6 @@
     """Bytes that follow."""
     closing: Closing = Closing.FRAMED
 
-    @property
-    def whole(self) -> bool:
-        """Whether a reader can take the answer for what the engine made."""
-        return self.pieces is None and self.closing in (Closing.FRAMED, Closing.CLOSE)
-
     def cut(self, pieces: Sequence[bytes]) -> list[bytes]:
         """Return the pieces that are sent."""
         count = len(pieces) if self.pieces is None else self.pieces
--- a/tests/test_platform_broken_answers.py
+++ b/tests/test_platform_broken_answers.py
@@ -274,7 +274,7 @@
                 self.assertEqual(self.count_runs(name), 2)
 
 
-class OldCallerTest(PartitionableTestCase):
+class UnchunkedCallerTest(PartitionableTestCase):
     """A caller that speaks HTTP/1.0 gets no chunks: the end of its connection tells all."""
 
     instance_count = 1
