Let the instance with the connection to the endpoint check the end of a response

Cause, by the logs of both instances: the origin asked through the forwarder whether the endpoint refuses; the forwarder compared it with others, which had ended, too, took its path for lost and said so, which counts as no refusal. Ruled out: the time for the check (the forwarder's answer came in 7 ms), idle connections to the ended engine. Change: who reads the endpoint's connection knows the path to be sound and checks before it passes the end on; a forwarder breaks off its message. The origin checks direct connections only.

--- a/src/guavamast/relay/endpoint_connector.py
+++ b/src/guavamast/relay/endpoint_connector.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from guavamast.relay.endpoint_connection import (
@@ -74,26 +73,14 @@
                 raise
         return await self._direct.connect(record)
 
-    async def has_ended(
-        self, record: EndpointRecord, *, row_version: int, timeout_s: float
-    ) -> bool:
-        """Return whether the host of an endpoint that was just heard refuses connections.
-
-        As the endpoint's last bytes have just arrived, the path is sound, and a refusal is not
-        compared with other endpoints, all of which may have ended.
+    async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
+        """Return whether the host of an endpoint that was just heard directly refuses connections.
 
         Args:
             record: The endpoint.
-            row_version: Row version of this instance's configuration.
             timeout_s: Seconds after which silence counts as no refusal.
         """
-        if not self._monitor.is_blocked(record.service):
-            return await self._direct.refuses_connection(record, timeout_s=timeout_s)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self.is_refused(record, row_version=row_version)
-        except TimeoutError:
-            return False
+        return await self._direct.refuses_connection(record, timeout_s=timeout_s)
 
     async def is_refused(self, record: EndpointRecord, *, row_version: int) -> bool:
         """Return whether an endpoint's host refuses connections, as seen from a sound path.
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -221,9 +221,7 @@
             sent_at=now,
             timing=progress.timing,
         )
-        confirm_end = partial(
-            self._end_check.confirm, attempt, row_version=progress.admitted.catalog.row_version
-        )
+        confirm_end = partial(self._confirm_end, attempt)
         try:
             async with asyncio.timeout(timeout_s) as attempt_timeout:
                 head = await attempt.send(parameters)
@@ -255,6 +253,17 @@
         await self._forward_response(request, writer, progress, attempt, response)
         return head.status
 
+    async def _confirm_end(self, attempt: Attempt) -> None:
+        """Raise if a response was broken off although its bytes look whole.
+
+        A forwarder checks this itself, and breaks off its message.
+        """
+        if attempt.forwarder is not None:
+            return
+        ending = attempt.describe_end().ending
+        if await self._end_check.is_broken_off(attempt.record, ending=ending):
+            raise AttemptFailed(FailureKind.LOST, "the endpoint ended with its response")
+
     def _record_complete_stream(
         self,
         request: CallerRequest,
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -19,6 +19,7 @@
     RejectionReason,
     encode_response_headers,
 )
+from guavamast.relay.response_end_check import ResponseEndCheck
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -86,6 +87,7 @@
         "_codec",
         "_counters",
         "_direct",
+        "_end_check",
         "_fleet_state",
         "_forwarded",
         "_log",
@@ -108,6 +110,9 @@
         read_time: Callable[[], float],
     ) -> None:
         self._direct = direct
+        self._end_check = ResponseEndCheck(
+            connector=direct, admission=admission, fleet_state=fleet_state, read_time=read_time
+        )
         self._monitor = monitor
         self._admission = admission
         self._fleet_state = fleet_state
@@ -140,8 +145,8 @@
     ) -> None:
         """Send a request to its endpoint and forward the response as it arrives.
 
-        The instance that has the caller validates the response; this one decides only whether its
-        connection can be used again.
+        The instance that has the caller validates the response; this one decides whether its end
+        can be passed on, and whether its connection can be used again.
         """
         self._forwarded += 1
         self._counters.set("forwarded_requests", self._forwarded)
@@ -153,6 +158,7 @@
             received = await self._send(permitted, request)
             framing = received.framing
             head = await self._forward_response(permitted, received, writer)
+            await self._confirm_end(permitted)
             outcome = f"status {head.status}"
             kept = self._keep(permitted, head)
             await writer.end()
@@ -240,6 +246,15 @@
                 await writer.write(chunk)
         return head
 
+    async def _confirm_end(self, permitted: PermittedOrder) -> None:
+        """Raise if a response was broken off although its bytes look whole.
+
+        The end of this instance's message would make it look complete to the other one.
+        """
+        ending = permitted.acquired.connection.ending
+        if await self._end_check.is_broken_off(permitted.record, ending=ending):
+            raise ConnectionLost("the endpoint ended with its response")
+
     def _keep(self, permitted: PermittedOrder, head: EndpointResponseHead) -> bool:
         """Keep a connection on which its own response has arrived; return whether it did."""
         own = head.request_id == permitted.order.request_id
--- a/src/guavamast/relay/response_end_check.py
+++ b/src/guavamast/relay/response_end_check.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.attempt import AttemptFailed, FailureKind
 from guavamast.relay.response_end import BodyEnding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.relay.attempt import Attempt
     from guavamast.relay.caller_admission import CallerAdmission
+    from guavamast.relay.direct_connector import DirectConnector
     from guavamast.relay.endpoint_connector import EndpointConnector
+    from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
 
 CHECK_TIMEOUT_S: Final = 0.1
@@ -28,6 +28,9 @@
     an endpoint that has sent a whole response goes on. One that is leaving may have ended its work.
     A process that was suspended finds such an end late, when the endpoint may have been restarted.
 
+    The instance that has the connection to the endpoint checks, as it knows that the path is sound:
+    a refusal there is not compared with other endpoints, which may have ended together.
+
     Args:
         connector: Tells whether an endpoint's host refuses connections.
         admission: Reads the table of endpoints if it is too old.
@@ -40,7 +43,7 @@
     def __init__(
         self,
         *,
-        connector: EndpointConnector,
+        connector: DirectConnector | EndpointConnector,
         admission: CallerAdmission,
         fleet_state: FleetState,
         read_time: Callable[[], float],
@@ -50,26 +53,19 @@
         self._fleet_state = fleet_state
         self._read_time = read_time
 
-    async def confirm(self, attempt: Attempt, *, row_version: int) -> None:
-        """Return if the response of an attempt can be taken for whole.
+    async def is_broken_off(self, record: EndpointRecord, *, ending: BodyEnding) -> bool:
+        """Return whether an endpoint has ended with its response.
 
         Args:
-            attempt: The attempt, whose response has ended.
-            row_version: Row version of the configuration by which its request was admitted.
-
-        Raises:
-            AttemptFailed: The endpoint ended with its response.
+            record: The endpoint, as it was when the request was sent.
+            ending: How the response ended on the connection to the endpoint.
         """
-        if attempt.describe_end().ending is not BodyEnding.CLOSED:
-            return
-        record = attempt.record
+        if ending is not BodyEnding.CLOSED:
+            return False
         await self._admission.refresh(until=self._read_time() + CHECK_TIMEOUT_S)
         listed = self._fleet_state.endpoints.find(record.endpoint_id)
         if listed is None or not listed.ready:
-            return
+            return False
         if listed.started_ms != record.started_ms:
-            raise AttemptFailed(FailureKind.LOST, "the endpoint was restarted meanwhile")
-        if await self._connector.has_ended(
-            record, row_version=row_version, timeout_s=CHECK_TIMEOUT_S
-        ):
-            raise AttemptFailed(FailureKind.LOST, "the endpoint ended with its response")
+            return True
+        return await self._connector.refuses_connection(record, timeout_s=CHECK_TIMEOUT_S)
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -73,10 +73,8 @@
             self.on_connect.pop(0)()
         return await self._connector.connect(record, request_id=request_id, row_version=row_version)
 
-    async def has_ended(
-        self, record: EndpointRecord, *, row_version: int, timeout_s: float
-    ) -> bool:
-        return await self._connector.has_ended(record, row_version=row_version, timeout_s=timeout_s)
+    async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
+        return await self._connector.refuses_connection(record, timeout_s=timeout_s)
 
     async def is_refused(self, record: EndpointRecord, *, row_version: int) -> bool:
         return await self._connector.is_refused(record, row_version=row_version)
