--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -151,15 +151,7 @@
     random = Random(f"{seed}partition")
     end_s = length_s - RECOVERY_S
     duration_s = min(random.uniform(SHORTEST_PARTITION_S, LONGEST_PARTITION_S), end_s)
-    return [
-        Fault(
-            start_s=random.uniform(0.0, max(0.0, end_s - duration_s)),
-            kind=FaultKind.PARTITION,
-            duration_s=duration_s,
-            target=random.random(),
-            variant=random.random(),
-        )
-    ]
+    return [_place_fault(random, FaultKind.PARTITION, duration_s=duration_s, end_s=end_s)]
 
 
 def plan_answers(seed: int, *, length_s: float) -> list[Fault]:
@@ -175,12 +167,16 @@
     for kind in (FaultKind.ANSWER_FRAMING, FaultKind.ANSWER_ENDING):
         for _ in range(int(ANSWER_FAULTS_PER_S * end_s)):
             duration_s = random.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
-            fault = Fault(
-                start_s=random.uniform(0.0, max(0.0, end_s - duration_s)),
-                kind=kind,
-                duration_s=duration_s,
-                target=random.random(),
-                variant=random.random(),
-            )
-            faults.append(fault)
+            faults.append(_place_fault(random, kind, duration_s=duration_s, end_s=end_s))
     return faults
+
+
+def _place_fault(random: Random, kind: FaultKind, *, duration_s: float, end_s: float) -> Fault:
+    """Return a fault at any time before the recovery."""
+    return Fault(
+        start_s=random.uniform(0.0, max(0.0, end_s - duration_s)),
+        kind=kind,
+        duration_s=duration_s,
+        target=random.random(),
+        variant=random.random(),
+    )
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -259,7 +259,8 @@
             common.append(("X-Engine-Seal", f"seal-{self.engine_id}"))
         if self.fault is EngineFault.ERROR:
             return await self._send(http, writer, 500, common, b"failed")
-        if b"stream" in request.target:
+        is_stream = b"stream" in request.target
+        if is_stream:
             keep_open = await self._stream(http, writer, common, run)
         else:
             answer = encode_answer(request_id)
@@ -267,7 +268,7 @@
         if self.ending.closing is Closing.CRASH:
             self._crash()
         self._record_completed(run)
-        if self.fault is EngineFault.EXTRA and keep_open and b"stream" not in request.target:
+        if self.fault is EngineFault.EXTRA and keep_open and not is_stream:
             writer.write(
                 b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Engine-Seal: s\r\n"
                 b"Content-Length: 5\r\n\r\nwrong"
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -176,12 +176,16 @@
         """Name of the instance that the connection leads through; None for a direct one."""
         return None if self._acquired is None else self._acquired.forwarder
 
+    @property
+    def ending(self) -> BodyEnding:
+        """How the bytes of the response have ended so far."""
+        return BodyEnding.OPEN if self._acquired is None else self._acquired.connection.ending
+
     def describe_end(self) -> ResponseEnd:
         """Return how the response has ended so far."""
-        connection = self._acquired.connection if self._acquired is not None else None
         return ResponseEnd(
             framing=self._framing,
-            ending=connection.ending if connection is not None else BodyEnding.OPEN,
+            ending=self.ending,
             held_bytes=self._events.held_bytes,
             inside_event=self._events.is_inside_event,
             forwarder=self.forwarder,
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -221,7 +221,6 @@
             sent_at=now,
             timing=progress.timing,
         )
-        confirm_end = partial(self._confirm_end, attempt)
         try:
             async with asyncio.timeout(timeout_s) as attempt_timeout:
                 head = await attempt.send(parameters)
@@ -237,11 +236,12 @@
                         publish_decrease=partial(self._publish_load, increased=False),
                         read_time=self._read_time,
                     )
+                    confirm_end = partial(self._confirm_end, attempt)
                     await relay_events(attempt, writer, observer.record_event, confirm_end)
                     self._record_complete_stream(request, progress, attempt, sampler)
                     return head.status
                 response = await attempt.read_response()
-                await confirm_end()
+                await self._confirm_end(attempt)
         except TimeoutError as error:
             raise AttemptFailed(
                 FailureKind.SILENT, "nothing received within the attempt timeout"
@@ -260,8 +260,7 @@
         """
         if attempt.forwarder is not None:
             return
-        ending = attempt.describe_end().ending
-        if await self._end_check.is_broken_off(attempt.record, ending=ending):
+        if await self._end_check.is_broken_off(attempt.record, ending=attempt.ending):
             raise AttemptFailed(FailureKind.LOST, "the endpoint ended with its response")
 
     def _record_complete_stream(
--- a/src/guavamast/relay/tornado_writer.py
+++ b/src/guavamast/relay/tornado_writer.py
@@ -25,12 +25,11 @@
         http_version: Version in the request, which decides whether its caller knows chunks.
     """
 
-    __slots__ = ("_connection", "_ends_with_connection", "_knows_chunks", "_started")
+    __slots__ = ("_connection", "_knows_chunks", "_started")
 
     def __init__(self, *, connection: HTTP1Connection, http_version: str = "HTTP/1.1") -> None:
         self._connection = connection
         self._knows_chunks = http_version != "HTTP/1.0"
-        self._ends_with_connection = False
         self._started = False
 
     @property
@@ -52,8 +51,7 @@
         complete otherwise.
         """
         self._connection.stream.set_nodelay(True)
-        self._ends_with_connection = not self._knows_chunks
-        if self._ends_with_connection:
+        if not self._knows_chunks:
             set_reset_on_close(self._connection.stream.socket, enabled=True)
         self._write_head(status, headers, b"")
 
@@ -66,7 +64,7 @@
 
     async def end(self) -> None:
         """Mark the response as complete."""
-        if not self._ends_with_connection:
+        if self._knows_chunks:
             self._connection.finish()
             return
         await self.write(b"")  # Returns once all that was written before has been sent.
