Run the test of schedulers' failures by the attempt that the base of its tests has

The test built request, admission and progress again that run_attempt of the same base builds; run_attempt takes the work of a grant and the requests' changed fields now. Its assertions are unchanged. Tried and reverted: to read a response's framing from its connection instead of keeping it for each exchange. A kept connection on which nothing was sent would show the framing of its former response in logs and counters.

--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -51,6 +51,7 @@
     from guavamast.relay.endpoint_connection import AcquiredConnection
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.messages import Header
+    from guavamast.relay.scheduling_client import PlacedRequest
 
 
 class SlowConnector(EndpointConnector):
@@ -125,12 +126,15 @@
             read_time=lambda: self.simulation.now,
         )
 
-    async def run_attempt(self) -> RequestProgress:
-        """Admit a request and run one attempt."""
-        admitted = await self.simulation.admit()
-        assert isinstance(admitted, Admitted)
+    async def run_attempt(self, *, work: PlacedRequest | None = None) -> RequestProgress:
+        """Admit a request and run one attempt, with the work of a scheduler's grant if given."""
         headers = (("Host", "portal.example"), ("X-Attempt-Id", "r1"))
-        request = build_request(received_at=self.simulation.now, headers=headers)
+        request = build_request(
+            received_at=self.simulation.now, headers=headers, **self.request_changes
+        )
+        until = self.simulation.now + (request.timeout_s or 0.0)
+        admitted = await self.simulation.admission.admit(request, until=until)
+        assert isinstance(admitted, Admitted)
         progress = begin_progress(
             request,
             admitted,
@@ -141,7 +145,8 @@
         )
         choice = Choice(record=self.record, forecast=None, uncached_tokens=0)
         writer = mock.create_autospec(ResponseWriter, instance=True, started=False)
-        await self.exchanger.run(request, writer, progress, PlacementDecision(choice=choice))
+        placed = PlacementDecision(choice=choice, work=work)
+        await self.exchanger.run(request, writer, progress, placed)
         return progress
 
     def make_placer(self) -> LocalPlacer:
--- a/tests/test_relay_broken_answers.py
+++ b/tests/test_relay_broken_answers.py
@@ -9,21 +9,17 @@
 from guavamast.platform.standins.answer_body import WHOLE, AnswerEnding, Closing
 from guavamast.platform.standins.engine import EVENTS_PER_STREAM, EngineStandIn, encode_event
 from guavamast.relay.attempt import FAILURE_WEIGHTS, AttemptFailed, FailureKind
-from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.catalog import RouteKind
-from guavamast.relay.endpoint_choice import Choice
 from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.messages import ResponseWriter
-from guavamast.relay.placer import PlacementDecision
 from guavamast.relay.quarantine import CrashGuard
-from guavamast.relay.request_progress import begin_progress
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.response_end import BodyFraming
 from guavamast.relay.retry_budget import RetryBudget
 from tests._relay_case import RelayTestCase
-from tests.relay_fixtures import BOUNDS, PROFILE, build_endpoint, build_request, build_route
+from tests.relay_fixtures import BOUNDS, build_endpoint, build_route
 
 if TYPE_CHECKING:
     from guavamast.platform.standins.engine import Run
@@ -227,26 +223,9 @@
     async def test_schedulers_are_told_of_one_failure(self) -> None:
         """Guards against schedulers that take the endpoint of a broken stream for sound."""
         self.engine.framing, self.engine.ending = BROKEN_ANSWERS[0]
-        admitted = await self.simulation.admission.admit(
-            build_request(**self.request_changes), until=self.simulation.now + 1.0
-        )
-        assert isinstance(admitted, Admitted)
-        request = build_request(
-            headers=(("Host", "portal.example"), ("X-Attempt-Id", "r1")), **self.request_changes
-        )
-        progress = begin_progress(
-            request,
-            admitted,
-            service="portal",
-            shortest_objective_s=0.3,
-            profile=PROFILE,
-            most_urgent=True,
-        )
         work = mock.Mock(**{"is_expired.return_value": False})
-        choice = Choice(record=self.record, forecast=None, uncached_tokens=0)
-        placed = PlacementDecision(choice=choice, work=work)
         with self.assertRaises(AttemptFailed):
-            await self.exchanger.run(request, RecordingWriter(), progress, placed)
+            await self.run_attempt(work=work)
         work.end.assert_called_once()
         self.assertEqual(work.end.call_args.kwargs["failure_weight"], 1.0)
         self.assertFalse(work.end.call_args.kwargs["rejected"])
