Tell the software version of endpoints and the attempt that a caller takes up in the logs

A log couldn't tell whether a stream went on at another software version, nor a caller's take-up from a new stream: the row's version wasn't decoded, and Resumes and a caller's Last-Event-Id left no trace. The stand-in's rows and events state a version. Decisions are as before.

--- a/bench/simulated_placement.py
+++ b/bench/simulated_placement.py
@@ -82,6 +82,7 @@
         slots=engine.slots,
         ready=True,
         started_ms=1,
+        software_version=None,
     )
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+from guavamast.platform.standins.engine import DEFAULT_VERSION
 from guavamast.platform.standins.site import KEY, Site
 from soak.guarantees import RunRecord, Span
 from soak.instances import Instance
@@ -47,9 +48,11 @@
         self.other_keys = {name: key for name, key in KEYS.items() if name != "bakery"}
         self._directory = directory
 
-    async def add_engine(self, engine_id: str, service: str) -> EngineStandIn:
+    async def add_engine(
+        self, engine_id: str, service: str, *, version: str = DEFAULT_VERSION
+    ) -> EngineStandIn:
         """Start an engine behind a link and list the link's address."""
-        engine = await super().add_engine(engine_id, service)
+        engine = await super().add_engine(engine_id, service, version=version)
         engine.processing_s = ENGINE_WORK_S
         link = LinkProxy(target_port=engine.port)
         self.links[engine_id] = link
--- a/src/guavamast/platform/endpoint_wire.py
+++ b/src/guavamast/platform/endpoint_wire.py
@@ -32,6 +32,7 @@
     slots = fields.get("slots")
     zone = fields.get("zone")
     born = fields.get("born")
+    version = fields.get("version")
     return EndpointRecord(
         endpoint_id=key,
         row_version=row_version,
@@ -42,4 +43,5 @@
         slots=slots if isinstance(slots, int) and slots > 0 else 1,
         ready=state == "ready",
         started_ms=born if isinstance(born, int) else None,
+        software_version=version if isinstance(version, str) and version else None,
     )
--- a/src/guavamast/platform/request_headers.py
+++ b/src/guavamast/platform/request_headers.py
@@ -14,6 +14,8 @@
 )
 
 REQUEST_ID: Final = "X-Attempt-Id"
+RESUMED_REQUEST_ID: Final = "Resumes"
+LAST_EVENT_ID: Final = "Last-Event-Id"
 TIMEOUT: Final = "X-Request-Deadline-Ms"
 """The sender's timeout in milliseconds, counted from the time of sending."""
 PROMPT_PARTS: Final = "X-Prompt-Prefix"
@@ -88,14 +90,16 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             received_at=arrived,
+            resumed_request_id=fields.get(RESUMED_REQUEST_ID.lower()),
+            last_event_id=fields.get(LAST_EVENT_ID.lower()),
         )
 
     def encode_request(self, request: CallerRequest, parameters: SendParameters) -> list[Header]:
         """Return the headers of a request to an endpoint."""
         headers = list(request.headers)
         if parameters.resume_after is not None:
-            headers = [header for header in headers if header[0].lower() != "last-event-id"]
-            headers.append(("Last-Event-Id", parameters.resume_after))
+            headers = [header for header in headers if header[0].lower() != LAST_EVENT_ID.lower()]
+            headers.append((LAST_EVENT_ID, parameters.resume_after))
         headers.append(("X-Expect-Instance", parameters.endpoint_id))
         if parameters.organisation is not None:
             headers.append(("X-Tenant", parameters.organisation))
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -22,6 +22,8 @@
 """Default number of events in a stream."""
 EVENT_INTERVAL_S = 0.02
 KEEP_ALIVE_S = 5
+DEFAULT_VERSION = "v1"
+"""Software version of an engine that is given none."""
 REJECTION_WINDOW_S = 1.0
 """Seconds over which rejections are counted."""
 
@@ -84,10 +86,12 @@
 
     Args:
         engine_id: Its id; requests that expect another are rejected.
+        version: Version of its software, which its row and its events state.
     """
 
-    def __init__(self, *, engine_id: str) -> None:
+    def __init__(self, *, engine_id: str, version: str = DEFAULT_VERSION) -> None:
         self.engine_id = engine_id
+        self.version = version
         self.fault = EngineFault.NONE
         self.framing: BodyFraming | None = None
         """Framing of its answers; None for chunks for streams and a length for all others."""
@@ -295,7 +299,7 @@
             writer=writer,
             framing=self.framing or BodyFraming.CHUNKED,
             ending=CUT_IN_THIRD_EVENT if self.fault is EngineFault.CUT else self.ending,
-            pieces=[encode_event(run.request_id, number) for number in numbers],
+            pieces=[encode_event(run.request_id, number, self.version) for number in numbers],
         )
         body.start(200, [*headers, *self._list_limit(), ("Content-Type", "text/event-stream")])
         for piece in body.pieces:
@@ -337,6 +341,6 @@
     return b"answer " + request_id.encode()
 
 
-def encode_event(request_id: str, number: int) -> bytes:
-    """Return an event of a stream; all engines send the same bytes."""
-    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+def encode_event(request_id: str, number: int, version: str = DEFAULT_VERSION) -> bytes:
+    """Return an event of a stream; all engines of a software version send the same bytes."""
+    return f"id: {number}\ndata: {request_id}-{number} {version}\n\n".encode()
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -8,7 +8,7 @@
 import socket
 from typing import Any
 
-from guavamast.platform.standins.engine import EngineStandIn
+from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineStandIn
 from guavamast.platform.standins.store import StoreStandIn
 
 HOST = "portal.example"
@@ -83,17 +83,21 @@
         for reserved in self._reserved_sockets:
             reserved.close()
 
-    async def add_engine(self, engine_id: str, service: str) -> EngineStandIn:
+    async def add_engine(
+        self, engine_id: str, service: str, *, version: str = DEFAULT_VERSION
+    ) -> EngineStandIn:
         """Start an engine and write its row."""
-        engine = self.build_engine(engine_id, service)
+        engine = self.build_engine(engine_id, service, version=version)
         port = await engine.listen()
         self.engines[engine_id] = engine
         self.register_engine(engine_id, service, port)
         return engine
 
-    def build_engine(self, engine_id: str, service: str) -> EngineStandIn:
+    def build_engine(
+        self, engine_id: str, service: str, *, version: str = DEFAULT_VERSION
+    ) -> EngineStandIn:
         """Return an engine that is replaced when it has ended by itself."""
-        engine = EngineStandIn(engine_id=engine_id)
+        engine = EngineStandIn(engine_id=engine_id, version=version)
         engine.on_crash = lambda: self._schedule_restart(engine, service)
         return engine
 
@@ -112,7 +116,9 @@
         await asyncio.sleep(CRASH_RESTART_S)
         self.store.drop("servers", engine.engine_id)
         name = engine.engine_id.partition("+")[0]
-        successor = self.build_engine(f"{name}+{len(self.crashed_engines)}", service)
+        successor = self.build_engine(
+            f"{name}+{len(self.crashed_engines)}", service, version=engine.version
+        )
         successor.slots = engine.slots
         successor.processing_s = engine.processing_s
         successor.rejection_limit = engine.rejection_limit
@@ -139,6 +145,7 @@
             "state": state,
             "seq": 1,
             "born": self.engines[engine_id].born_ms if engine_id in self.engines else None,
+            "version": self.engines[engine_id].version if engine_id in self.engines else None,
         }
         self.store.put("servers", engine_id, fields)
 
--- a/src/guavamast/relay/endpoint_table.py
+++ b/src/guavamast/relay/endpoint_table.py
@@ -27,6 +27,8 @@
     """Whether the state is known and is not leaving."""
     started_ms: int | None
     """Start time of this incarnation in Unix milliseconds, if stated."""
+    software_version: str | None
+    """Version of its software, which has no order; None if it is missing or unusable."""
 
 
 def compute_digest(versions: Iterable[tuple[str, int]]) -> str:
--- a/src/guavamast/relay/endpoint_update.py
+++ b/src/guavamast/relay/endpoint_update.py
@@ -39,6 +39,7 @@
             record.slots,
             int(record.ready),
             record.started_ms,
+            record.software_version,
         ]
         for record in snapshot.records
     ]
@@ -65,7 +66,18 @@
 
 
 def _decode_record(row: list[str | int | None]) -> EndpointRecord:
-    endpoint_id, row_version, service, host, port, domain, slots, ready, born_ms = row
+    (
+        endpoint_id,
+        row_version,
+        service,
+        host,
+        port,
+        domain,
+        slots,
+        ready,
+        born_ms,
+        software_version,
+    ) = row
     return EndpointRecord(
         endpoint_id=str(endpoint_id),
         row_version=int(row_version or 0),
@@ -76,4 +88,5 @@
         slots=int(slots or 0),
         ready=bool(ready),
         started_ms=None if born_ms is None else int(born_ms),
+        software_version=None if software_version is None else str(software_version),
     )
--- a/src/guavamast/relay/messages.py
+++ b/src/guavamast/relay/messages.py
@@ -40,6 +40,11 @@
     """Maximum tokens of the response; 0 when not stated."""
     received_at: float
     """Local time at which the request had been received completely, in seconds."""
+    resumed_request_id: str | None = None
+    """Id of the caller's earlier attempt that brought the first event of the stream that this one
+    continues; None if it begins anew."""
+    last_event_id: str | None = None
+    """Id of the last event that the caller has, if it states one."""
 
     @property
     def shared_part(self) -> str | None:
--- a/src/guavamast/relay/store_reader.py
+++ b/src/guavamast/relay/store_reader.py
@@ -14,6 +14,7 @@
     from guavamast.relay.catalog_update import CatalogUpdate
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.store import EndpointSnapshot, Store
 
@@ -114,6 +115,7 @@
             endpoints_version=snapshot.digest,
             listed=len(snapshot.records),
             ready=sum(record.ready for record in records),
+            software_versions=_list_software_versions(records),
             lapsed=self._fleet_state.endpoints.has_lapsed,
             told=from_peer,
             former_age_s=round_age(age_s),
@@ -205,3 +207,9 @@
         if not self.answers:
             self._log.write("store_regained", now=now)
         self.answers = True
+
+
+def _list_software_versions(records: list[EndpointRecord]) -> str:
+    """Return each service with the software versions of its ready endpoints, for the log."""
+    listed = {f"{record.service}:{record.software_version}" for record in records if record.ready}
+    return ",".join(sorted(listed))
--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -124,6 +124,7 @@
         "slots": 6,
         "ready": True,
         "started_ms": 1,
+        "software_version": "v1",
     }
     return EndpointRecord(**(values | changes))
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -44,6 +44,7 @@
     "slots": 64,
     "state": "ready",
     "seq": 4,
+    "version": "v1.2",
 }
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
@@ -86,6 +87,14 @@
             self.assertEqual((record.ready, record.port), (ready, 8080))
         self.assertIsNone(decode_endpoint("i", ENDPOINT | {"state": "odd"}, row_version=3))
 
+    def test_a_software_version_is_a_text_or_unknown(self) -> None:
+        """Guards against a row of another writer whose version is taken for that of an engine."""
+        versions = [("v1.2", "v1.2"), (None, None), ("", None), (3, None), (["v1"], None)]
+        for stated, decoded in versions:
+            record = decode_endpoint("i", ENDPOINT | {"version": stated}, row_version=3)
+            assert record is not None
+            self.assertEqual(record.software_version, decoded)
+
     @given(fields=JSON)
     def test_rows_of_unknown_shape_are_ignored(self, fields: object) -> None:
         self.assertIsNone(decode_endpoint("i", fields, row_version=1))
--- a/tests/test_relay_endpoint_update.py
+++ b/tests/test_relay_endpoint_update.py
@@ -24,7 +24,10 @@
 
 def make_snapshot(*names: str, store_time: float) -> EndpointSnapshot:
     """Return a snapshot with endpoints of these names."""
-    records = [build_endpoint(name, slots=64) for name in names]
+    records = [
+        build_endpoint(name, slots=64, software_version=None if number % 2 else f"v{number}")
+        for number, name in enumerate(names)
+    ]
     return EndpointSnapshot(records=records, digest="-".join(names), store_time=store_time)
 
 
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -90,6 +90,16 @@
         labels = 'framing="connection",ending="closed",inside_event="true"'
         self.assertIn(f"response_ends_total{{{labels}}} 1", self.counters.render())
 
+    def test_a_failed_attempt_tells_the_software_of_its_endpoint(self) -> None:
+        """Guards against endpoints of several versions that look alike in the log."""
+        endpoint = build_endpoint("x", software_version="v1.2", started_ms=17)
+        failure = AttemptFailed(FailureKind.LOST, "reset")
+        self.recorder.record_failure(
+            build_request(), endpoint, failure, content=None, silence_s=None, now=101.0
+        )
+        line = self.read_line()
+        self.assertEqual((line["software_version"], line["started_ms"]), ("v1.2", 17))
+
     def test_a_response_that_never_began_has_no_end(self) -> None:
         failure = AttemptFailed(FailureKind.LOST, "reset")
         self.recorder.record_failure(
