--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -6,11 +6,14 @@
 import json
 import os
 import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineStandIn
 from guavamast.platform.standins.store import StoreStandIn
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 HOST = "portal.example"
 KEY = "site-caller-key"
 CALL_PREFIX = "/call/"
@@ -51,6 +54,8 @@
             RESUMABLE_PREFIX: "pool",
         }
         """Service of each route by path prefix."""
+        self.route_weights: dict[str, dict[str, float]] = {}
+        """Weights of the services of each route that has several, by path prefix."""
         self.bounds: dict[str, Any] = {
             "strict_revocation": True,
             "revoke_ms": 2000,
@@ -63,12 +68,25 @@
         }
         """Bounds in the settings of instances."""
 
-    async def start(self, *, pool: int = 2, portal: int = 2) -> None:
-        """Start the store and the given numbers of engines of each service."""
+    async def start(
+        self,
+        *,
+        pool: int = 2,
+        portal: int = 2,
+        pool_versions: Sequence[str] = (DEFAULT_VERSION,),
+    ) -> None:
+        """Start the store and the engines of each service.
+
+        Args:
+            pool: Number of engines of the pool.
+            portal: Number of engines of the portal.
+            pool_versions: Software versions of the engines of the pool, in turn.
+        """
         self.store_port = self.store.listen()
         self.publish_configuration()
         for number in range(pool):
-            await self.add_engine(f"pool-{number}", "pool")
+            version = pool_versions[number % len(pool_versions)]
+            await self.add_engine(f"pool-{number}", "pool", version=version)
         for number in range(portal):
             await self.add_engine(f"portal-{number}", "portal")
 
@@ -164,6 +182,12 @@
                 resumable=True,
             ),
         ]
+        for route in routes:
+            weights = self.route_weights.get(route["path_prefix"])
+            if weights:
+                route["split"] = [
+                    {"service": service, "weight": weight} for service, weight in weights.items()
+                ]
         services = [
             {"name": "pool", "max_connections": 100, "engine": {"kv_capacity_tokens": 100_000}},
             {"name": "portal", "max_connections": 100},
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -17,6 +17,7 @@
     write_partition,
 )
 
+from guavamast.platform.standins.engine import DEFAULT_VERSION
 from guavamast.platform.standins.site import HOST, KEY, Site, write_settings
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 
@@ -120,6 +121,8 @@
 
     pool_engines = 2
     portal_engines = 2
+    pool_versions: tuple[str, ...] = (DEFAULT_VERSION,)
+    """Software versions of the engines of the pool, in turn."""
     slots = 8
     """Slots that the rows of engines state."""
     idle_timeout_ms = 5000
@@ -129,7 +132,9 @@
         self.site = Site()
         self.site.slots = self.slots
         self.site.idle_timeout_ms = self.idle_timeout_ms
-        await self.site.start(pool=self.pool_engines, portal=self.portal_engines)
+        await self.site.start(
+            pool=self.pool_engines, portal=self.portal_engines, pool_versions=self.pool_versions
+        )
         self.addAsyncCleanup(self.site.stop)
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
