--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -39,6 +39,7 @@
 from guavamast.relay.reachability import PeerReachability, ReachabilityMonitor
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot
+from guavamast.relay.stream_binding import SoftwareVersions
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -125,6 +126,7 @@
             monitor=monitor,
             admission=admission,
             fleet_state=self._fleet_state,
+            versions=SoftwareVersions(fleet_state=self._fleet_state, bounds=bounds),
             codec=PlatformHeaders(),
             loop_delay=LoopDelay(),
             log=self._log,
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -31,6 +31,7 @@
         SendParameters,
     )
     from guavamast.relay.reachability import ReachabilityMonitor
+    from guavamast.relay.stream_binding import StreamBinding
 
 MAX_RESPONSE_BYTES: Final = 16_777_216
 """Bytes of a response body that may be buffered before it is forwarded."""
@@ -191,18 +192,22 @@
             forwarder=self.forwarder,
         )
 
-    async def connect(self, *, row_version: int) -> None:
+    async def connect(self, *, row_version: int, binding: StreamBinding | None) -> None:
         """Acquire a connection.
 
         Args:
             row_version: Row version of the configuration by which the request was admitted.
+            binding: What the endpoint must be known to run; None if it may run anything.
 
         Raises:
             AttemptFailed: With ``NOT_CONNECTED``, ``NO_PATH`` or ``OUTDATED``.
         """
         try:
             self._acquired = await self._connector.connect(
-                self.record, request_id=self._request.request_id, row_version=row_version
+                self.record,
+                request_id=self._request.request_id,
+                row_version=row_version,
+                binding=binding,
             )
         except EndpointUnreachable as error:
             raise AttemptFailed(FailureKind.NOT_CONNECTED, str(error)) from error
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -66,6 +66,10 @@
         """Whether a request that may have run may be retried from its start."""
         return self.kind is RouteKind.IDEMPOTENT or self.resumable
 
+    def leads_to(self, service: str) -> bool:
+        """Return whether requests of the route may go to a service."""
+        return any(entry.service == service for entry in self.services)
+
     def pick_service(self, request_id: str) -> str:
         """Return the service of a request; every instance returns the same for the same id."""
         if len(self.services) == 1:
--- a/src/guavamast/relay/cleanup_loop.py
+++ b/src/guavamast/relay/cleanup_loop.py
@@ -13,6 +13,7 @@
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.scheduling import Scheduling
     from guavamast.relay.store_reader import StoreReader
+    from guavamast.relay.stream_binding import BindingDirectory
     from guavamast.relay.work_state import WorkState
 
 CLEANUP_INTERVAL_S: Final = 1.0
@@ -29,12 +30,14 @@
         reader: Tells whether the store answers.
         recorder: Records the engine profiles.
         scheduling: Scheduling state of this instance.
+        bindings: Bound streams that this instance remembers.
         unregister: Removes an instance's record from the store.
         read_time: The local clock.
     """
 
     __slots__ = (
         "_access",
+        "_bindings",
         "_fleet_state",
         "_recorder",
         "_read_time",
@@ -53,6 +56,7 @@
         reader: StoreReader,
         recorder: RequestRecorder,
         scheduling: Scheduling,
+        bindings: BindingDirectory,
         unregister: Callable[[str], Awaitable[None]],
         read_time: Callable[[], float],
     ) -> None:
@@ -62,6 +66,7 @@
         self._reader = reader
         self._recorder = recorder
         self._scheduling = scheduling
+        self._bindings = bindings
         self._unregister = unregister
         self._read_time = read_time
 
@@ -95,6 +100,7 @@
         self._access.retain(endpoint_ids=known, instances=live, now=now)
         self._work.retain(endpoint_ids=known, instances=live)
         self._scheduling.clean_up(endpoint_ids=known, now=now)
+        self._bindings.clean_up(now=now)
 
     def _record_profiles(self, *, now: float) -> None:
         catalog = self._fleet_state.catalog
--- a/src/guavamast/relay/endpoint_access.py
+++ b/src/guavamast/relay/endpoint_access.py
@@ -26,6 +26,7 @@
     from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import HeaderCodec
     from guavamast.relay.store import InstanceRecord
+    from guavamast.relay.stream_binding import SoftwareVersions
 
 
 class EndpointAccess:
@@ -118,12 +119,18 @@
         """Finds connections for requests."""
 
     def build_server(
-        self, *, admission: CallerAdmission, codec: HeaderCodec, loop_delay: LoopDelay
+        self,
+        *,
+        admission: CallerAdmission,
+        versions: SoftwareVersions,
+        codec: HeaderCodec,
+        loop_delay: LoopDelay,
     ) -> ForwardServer:
         """Return the server that forwards the requests of other instances.
 
         Args:
             admission: Checks each request as it is sent.
+            versions: Software of the endpoints.
             codec: Decodes the headers of responses.
             loop_delay: Delay of this process.
         """
@@ -131,6 +138,7 @@
             direct=self._direct,
             monitor=self.monitor,
             admission=admission,
+            versions=versions,
             fleet_state=self._fleet_state,
             codec=codec,
             loop_delay=loop_delay,
--- a/src/guavamast/relay/endpoint_connector.py
+++ b/src/guavamast/relay/endpoint_connector.py
@@ -16,6 +16,7 @@
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.forwarding import ForwardClient
     from guavamast.relay.reachability import ReachabilityMonitor
+    from guavamast.relay.stream_binding import StreamBinding
 
 
 class EndpointConnector:
@@ -41,7 +42,12 @@
         self._monitor = monitor
 
     async def connect(
-        self, record: EndpointRecord, *, request_id: str, row_version: int
+        self,
+        record: EndpointRecord,
+        *,
+        request_id: str,
+        row_version: int,
+        binding: StreamBinding | None = None,
     ) -> AcquiredConnection:
         """Return a connection to an endpoint; nothing of the request has been sent yet.
 
@@ -49,6 +55,7 @@
             record: The endpoint.
             request_id: Id of the request.
             row_version: Row version of the configuration by which it was admitted.
+            binding: What the endpoint must be known to run; None if it may run anything.
 
         Raises:
             EndpointUnreachable: The endpoint can't be connected to, while others can.
@@ -66,7 +73,7 @@
                 pass  # Logged by the connector; there may be another way.
         try:
             return await self._forwarding.connect(
-                record, request_id=request_id, row_version=row_version
+                record, request_id=request_id, row_version=row_version, binding=binding
             )
         except PathLost:
             if not was_blocked:
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -34,6 +34,7 @@
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
+    from guavamast.relay.stream_binding import SoftwareVersions, StreamBinding, StreamTakeUps
 
 
 class PublishLoad(Protocol):
@@ -54,6 +55,8 @@
         budget: Retry budget; states whether another attempt could follow.
         codec: Encodes and decodes headers.
         connector: Finds connections to endpoints.
+        versions: Software of the endpoints.
+        take_ups: Told what begins each stream that can be resumed.
         recorder: Log lines and metrics of requests.
         profiles: Engine speeds, learned from the streams that are forwarded.
         reachability: Signs of life of the endpoints.
@@ -77,6 +80,8 @@
         "_reachability",
         "_read_time",
         "_publish_load",
+        "_take_ups",
+        "_versions",
     )
 
     def __init__(
@@ -89,6 +94,8 @@
         budget: RetryBudget,
         codec: HeaderCodec,
         connector: EndpointConnector,
+        versions: SoftwareVersions,
+        take_ups: StreamTakeUps,
         recorder: RequestRecorder,
         profiles: EngineProfiles,
         reachability: ReachabilityMonitor,
@@ -103,6 +110,8 @@
         self._budget = budget
         self._codec = codec
         self._connector = connector
+        self._versions = versions
+        self._take_ups = take_ups
         self._end_check = ResponseEndCheck(
             connector=connector, admission=admission, fleet_state=fleet_state, read_time=read_time
         )
@@ -142,7 +151,9 @@
         failure_weight = 0.0
         rejected = False
         try:
-            await attempt.connect(row_version=progress.admitted.catalog.row_version)
+            await attempt.connect(
+                row_version=progress.admitted.catalog.row_version, binding=progress.binding
+            )
             self._recorder.record_connection(attempt.connection)
             status = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
@@ -201,6 +212,7 @@
                 FailureKind.OUTDATED, "the scheduler's grant expired before the send"
             )
         self._admission.check_send(progress.admitted, attempt.record, now=now)
+        identified = self._check_binding(progress, attempt.record, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
         timeout_s = compute_attempt_timeout(
             progress,
@@ -232,6 +244,7 @@
                         sampler=sampler,
                         loads=self._loads,
                         recorder=self._recorder,
+                        bind=partial(self._bind, request, progress, attempt.record, identified),
                         idle_timeout=attempt_timeout,
                         publish_decrease=partial(self._publish_load, increased=False),
                         read_time=self._read_time,
@@ -253,6 +266,43 @@
         await self._forward_response(request, writer, progress, attempt, response)
         return head.status
 
+    def _check_binding(
+        self, progress: RequestProgress, record: EndpointRecord, *, now: float
+    ) -> StreamBinding | None:
+        """Return what binds a stream that begins at an endpoint now, if it is known.
+
+        Raises:
+            AttemptFailed: With ``OUTDATED``: the request's stream began at other software.
+        """
+        identified = self._versions.identify(record, now=now)
+        if progress.binding is not None and identified != progress.binding:
+            raise AttemptFailed(
+                FailureKind.OUTDATED, "the endpoint isn't known to run the stream's software"
+            )
+        return identified
+
+    def _bind(
+        self,
+        request: CallerRequest,
+        progress: RequestProgress,
+        record: EndpointRecord,
+        identified: StreamBinding | None,
+    ) -> None:
+        """Bind a stream before its first event goes out.
+
+        Args:
+            request: The request.
+            progress: Its state.
+            record: The endpoint that sent the event.
+            identified: What the endpoint was known to run when the request was sent.
+        """
+        if not progress.admitted.route.resumable:
+            return
+        if progress.binding is None and not self._versions.has_changed(record):
+            progress.binding = identified
+        if progress.binding is not None:
+            self._take_ups.bind(request, progress.admitted, progress.binding)
+
     async def _confirm_end(self, attempt: Attempt) -> None:
         """Raise if a response was broken off although its bytes look whole.
 
@@ -321,6 +371,7 @@
             load=load,
             scheduled=send.placed.scheduler_reply,
             admitted=progress.admitted,
+            binding=progress.binding,
             now=now,
         )
 
--- a/src/guavamast/relay/forwarding/client.py
+++ b/src/guavamast/relay/forwarding/client.py
@@ -45,6 +45,7 @@
     from guavamast.relay.forwarding.choice import ForwarderChoice
     from guavamast.relay.messages import EndpointResponseHead, Header
     from guavamast.relay.store import InstanceRecord
+    from guavamast.relay.stream_binding import StreamBinding
 
 MAX_FORWARDERS: Final = 2
 """Instances that are asked for one attempt."""
@@ -164,7 +165,12 @@
         self._avoided_until: dict[str, float] = {}
 
     async def connect(
-        self, record: EndpointRecord, *, request_id: str, row_version: int
+        self,
+        record: EndpointRecord,
+        *,
+        request_id: str,
+        row_version: int,
+        binding: StreamBinding | None = None,
     ) -> AcquiredConnection:
         """Return a connection to an endpoint through another instance.
 
@@ -172,6 +178,7 @@
             record: The endpoint.
             request_id: Id of the request, for the log of the other instance.
             row_version: Row version of the configuration by which it was admitted.
+            binding: What the endpoint must be known to run; None if it may run anything.
 
         Raises:
             EndpointUnreachable: Another instance reaches the service, but not the endpoint.
@@ -183,6 +190,7 @@
             row_version=row_version,
             request_id=request_id,
             origin=self._record.name,
+            software_version=binding.software_version if binding is not None else None,
         )
         for forwarder in self._rank(record.service)[:MAX_FORWARDERS]:
             try:
--- a/src/guavamast/relay/forwarding/protocol.py
+++ b/src/guavamast/relay/forwarding/protocol.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
+from urllib.parse import quote, unquote
 
 import h11
 
@@ -28,6 +29,7 @@
 ORIGIN_HEADER: Final = "Guavamast-Instance"
 REQUEST_HEADER: Final = "Guavamast-Request"
 VERSION_HEADER: Final = "Guavamast-Configuration"
+SOFTWARE_HEADER: Final = "Guavamast-Software-Version"
 STATUS_HEADER: Final = "Guavamast-Status"
 FRAMING_HEADER: Final = "Guavamast-Framing"
 REASON_HEADER: Final = "Guavamast-Rejection"
@@ -54,6 +56,8 @@
     """It reaches the service, but this endpoint's host refuses connections."""
     OUTDATED = "outdated"
     """Its configuration is newer, or its tables are too old to send anything."""
+    OTHER_SOFTWARE = "other_software"
+    """The endpoint isn't known here to run the software that the request needs."""
     LATE = "late"
     """The request came too late after the permission to send it."""
 
@@ -84,6 +88,8 @@
     request_id: str
     origin: str
     """Name of the instance that has the caller."""
+    software_version: str | None = None
+    """What the endpoint must be known to run; None if it may run anything."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,6 +104,7 @@
 
 def encode_order(order: ForwardOrder, *, host: str) -> list[Header]:
     """Return the headers of a forwarding request."""
+    software = order.software_version
     return [
         ("Host", host),
         ("Expect", "100-continue"),
@@ -106,6 +113,7 @@
         (VERSION_HEADER, str(order.row_version)),
         (REQUEST_HEADER, order.request_id),
         (ORIGIN_HEADER, order.origin),
+        *([] if software is None else [(SOFTWARE_HEADER, quote(software))]),
     ]
 
 
@@ -115,12 +123,14 @@
     Raises:
         MalformedForward: A header is missing or invalid.
     """
+    software = headers.get(SOFTWARE_HEADER)
     try:
         return ForwardOrder(
             endpoint_id=headers[ENDPOINT_HEADER],
             row_version=int(headers[VERSION_HEADER]),
             request_id=headers[REQUEST_HEADER],
             origin=headers[ORIGIN_HEADER],
+            software_version=None if software is None else unquote(software),
         )
     except (KeyError, ValueError) as error:
         raise MalformedForward(f"{type(error).__name__}: {error}") from error
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -36,6 +36,7 @@
     from guavamast.relay.messages import EndpointResponseHead, HeaderCodec, ResponseWriter
     from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.response_end import BodyFraming
+    from guavamast.relay.stream_binding import SoftwareVersions
 
 MAX_FORWARDED: Final = 200
 """Requests of others that are forwarded at a time; each takes two descriptors."""
@@ -75,6 +76,7 @@
         monitor: Services that this instance doesn't reach.
         admission: Checks each request as it is sent.
         fleet_state: Endpoints and configuration.
+        versions: Software of the endpoints.
         codec: Decodes the headers of responses.
         loop_delay: Delay of this process.
         log: Decision log.
@@ -94,6 +96,7 @@
         "_loop_delay",
         "_monitor",
         "_read_time",
+        "_versions",
     )
 
     def __init__(
@@ -103,6 +106,7 @@
         monitor: ReachabilityMonitor,
         admission: CallerAdmission,
         fleet_state: FleetState,
+        versions: SoftwareVersions,
         codec: HeaderCodec,
         loop_delay: LoopDelay,
         log: DecisionLog,
@@ -116,6 +120,7 @@
         self._monitor = monitor
         self._admission = admission
         self._fleet_state = fleet_state
+        self._versions = versions
         self._codec = codec
         self._loop_delay = loop_delay
         self._log = log
@@ -196,8 +201,21 @@
             raise OrderRejected(RejectionReason.UNREACHABLE)
         if self._monitor.is_blocked(record.service):
             raise OrderRejected(RejectionReason.NO_PATH)
+        self._check_software(order, record)
         return record
 
+    def _check_software(self, order: ForwardOrder, record: EndpointRecord) -> None:
+        """Raise unless an endpoint is known to run what the request needs.
+
+        An endpoint may have been started again with other software, and this instance may know.
+        """
+        needed = order.software_version
+        if needed is None:
+            return
+        identified = self._versions.identify(record, now=self._read_time())
+        if identified is None or identified.software_version != needed:
+            raise OrderRejected(RejectionReason.OTHER_SOFTWARE)
+
     async def _connect(self, record: EndpointRecord) -> AcquiredConnection:
         try:
             return await self._direct.connect(record)
@@ -223,6 +241,7 @@
             self._admission.check_endpoint(permitted.record, now=now)
         except AttemptFailed as error:
             raise OrderRejected(RejectionReason.OUTDATED) from error
+        self._check_software(permitted.order, permitted.record)
 
     async def _send(self, permitted: PermittedOrder, request: EncodedRequest) -> ResponseHead:
         """Send a request and return the head of its response as received."""
--- a/src/guavamast/relay/local_placer.py
+++ b/src/guavamast/relay/local_placer.py
@@ -21,6 +21,7 @@
     from guavamast.relay.messages import CallerRequest
     from guavamast.relay.rejection_history import RejectionHistory
     from guavamast.relay.request_progress import RequestProgress
+    from guavamast.relay.stream_binding import SoftwareVersions
 
 
 class LocalPlacer(Placer):
@@ -29,6 +30,7 @@
     Args:
         fleet_state: Endpoints, services and other instances.
         chooser: Selects endpoints.
+        versions: Software of the endpoints.
         demand: Work requested in each length bucket.
         profiles: Speed of the engines.
         rejections: Recently rejected requests.
@@ -36,13 +38,22 @@
         read_time: Local clock.
     """
 
-    __slots__ = ("_admission", "_chooser", "_demand", "_fleet_state", "_profiles", "_read_time")
+    __slots__ = (
+        "_admission",
+        "_chooser",
+        "_demand",
+        "_fleet_state",
+        "_profiles",
+        "_read_time",
+        "_versions",
+    )
 
     def __init__(
         self,
         *,
         fleet_state: FleetState,
         chooser: EndpointChooser,
+        versions: SoftwareVersions,
         demand: PromptDemand,
         profiles: EngineProfiles,
         rejections: RejectionHistory,
@@ -51,6 +62,7 @@
     ) -> None:
         self._fleet_state = fleet_state
         self._chooser = chooser
+        self._versions = versions
         self._demand = demand
         self._profiles = profiles
         self._admission = AdmissionControl(history=rejections, random=random)
@@ -72,7 +84,7 @@
         choice = self._chooser.choose(
             self._build_placement(request, progress, now=now),
             self._fleet_state.endpoints.list_ready(progress.service),
-            exclude=progress.tried,
+            exclude=progress.tried | self._list_others(progress),
             now=now,
             has_room=self._admission.create_room_filter(
                 wait_parameters,
@@ -92,6 +104,10 @@
         )
         return PlacementDecision(choice=choice, rejection=rejection)
 
+    def _list_others(self, progress: RequestProgress) -> set[str]:
+        """Return the endpoints at which the request's stream can't go on."""
+        return self._versions.list_others(progress.binding) if progress.binding else set()
+
     def _build_placement(
         self, request: CallerRequest, progress: RequestProgress, *, now: float
     ) -> Placement:
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -42,6 +42,7 @@
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
+from guavamast.relay.stream_binding import BindingDirectory, SoftwareVersions
 from guavamast.relay.table_publisher import TablePublisher
 from guavamast.relay.table_watch import build_table_watches
 from guavamast.relay.work_state import WorkState
@@ -112,6 +113,7 @@
         )
         self._reader = self._build_reader()
         self._access = self._build_access()
+        self._bindings = self._build_bindings()
         self._containment = self._build_containment()
         self._watch = self._build_watch()
         self._recorder = RequestRecorder(
@@ -121,6 +123,7 @@
             loop_delay=self._loop_delay,
         )
         admission = self._build_admission()
+        self._versions = SoftwareVersions(fleet_state=self.fleet_state, bounds=self._bounds)
         self._relayer = self._build_relayer(codec, admission)
         self._listener_recorder = ListenerRecorder(
             log=self.log, counters=self.counters, read_time=read_boot_time
@@ -133,7 +136,10 @@
         )
         self._forward_listener = ForwardListener(
             server=self._access.build_server(
-                admission=admission, codec=codec, loop_delay=self._loop_delay
+                admission=admission,
+                versions=self._versions,
+                codec=codec,
+                loop_delay=self._loop_delay,
             ),
             recorder=self._listener_recorder,
             read_time=read_boot_time,
@@ -188,6 +194,15 @@
             read_time=read_boot_time,
         )
 
+    def _build_bindings(self) -> BindingDirectory:
+        return BindingDirectory(
+            name=self.settings.name,
+            peers=self.peers,
+            send=self._heartbeat_socket.send_to,
+            counters=self.counters,
+            read_time=read_boot_time,
+        )
+
     def _build_exchange(self) -> HeartbeatExchange:
         return HeartbeatExchange(
             name=self.settings.name,
@@ -283,6 +298,7 @@
             reader=self._reader,
             recorder=self._recorder,
             scheduling=self._scheduling,
+            bindings=self._bindings,
             unregister=self._departure.unregister,
             read_time=read_boot_time,
         )
@@ -297,6 +313,8 @@
             access=self._access,
             recorder=self._recorder,
             scheduling=self._scheduling,
+            versions=self._versions,
+            bindings=self._bindings,
             limits=self._limits,
             guard=self._containment.guard,
             publish_load=self._load_updates.record_change,
@@ -314,6 +332,7 @@
             containment=self._containment,
             access=self._access,
             limits=self._limits,
+            bindings=self._bindings,
         )
 
     @property
--- a/src/guavamast/relay/peer_messages.py
+++ b/src/guavamast/relay/peer_messages.py
@@ -18,6 +18,7 @@
     from guavamast.relay.scheduling import Scheduling
     from guavamast.relay.scheduling_wire import SchedulingMessage
     from guavamast.relay.store_reader import StoreReader
+    from guavamast.relay.stream_binding import BindingDirectory
     from guavamast.relay.work_state import WorkState
 
 
@@ -33,9 +34,11 @@
         containment: Receives quarantine reports.
         access: Receives reachability reports.
         limits: Receives rejection limits.
+        bindings: Receives messages about bound streams.
     """
 
     __slots__ = (
+        "_bindings",
         "_access",
         "_containment",
         "_exchange",
@@ -57,6 +60,7 @@
         containment: Containment,
         access: EndpointAccess,
         limits: RejectionLimitSharing,
+        bindings: BindingDirectory,
     ) -> None:
         self._exchange = exchange
         self._peers = peers
@@ -66,6 +70,7 @@
         self._containment = containment
         self._access = access
         self._limits = limits
+        self._bindings = bindings
 
     def receive(self, message: Heartbeat | LoadUpdate | AggregatedHeartbeat) -> None:
         """Receive a heartbeat or a load update; one of a former process is ignored."""
@@ -113,3 +118,11 @@
             MalformedBeat: The datagram is not a valid limit.
         """
         self._limits.receive(data)
+
+    def receive_binding(self, data: bytes, source: tuple[str, int]) -> None:
+        """Receive a datagram about bound streams and the address of its sender.
+
+        Raises:
+            MalformedBeat: The datagram is not a valid message.
+        """
+        self._bindings.receive(data, source)
--- a/src/guavamast/relay/peer_socket.py
+++ b/src/guavamast/relay/peer_socket.py
@@ -17,6 +17,7 @@
     MalformedScheduling,
     decode_scheduling,
 )
+from guavamast.relay.stream_binding import BINDING_PREFIX
 
 if TYPE_CHECKING:
     from guavamast.relay.counters import Counters
@@ -70,6 +71,8 @@
                 self._messages.receive_reachability(data)
             elif data.startswith(REJECTION_LIMIT_PREFIX):
                 self._messages.receive_rejection_limit(data)
+            elif data.startswith(BINDING_PREFIX):
+                self._messages.receive_binding(data, addr)
             else:
                 self._messages.receive(decode_message(data))
         except (MalformedBeat, MalformedScheduling):
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -27,6 +27,7 @@
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
+    from guavamast.relay.stream_binding import SoftwareVersions, StreamBinding, StreamTakeUps
 
 RETRY_AFTER_REJECTION_S: Final = 0.1
 """Seconds until a caller retries after a rejection for lack of capacity: about when a slot becomes
@@ -48,6 +49,8 @@
         codec: Encodes and decodes headers.
         recorder: Log lines and metrics of requests.
         placer: Selects the endpoint of each request.
+        take_ups: Decides on streams that callers take up.
+        versions: Software of the endpoints.
         exchanger: Runs attempts.
         guard: Keeps requests that end endpoints from further ones.
         demand: Demand for engines by length bucket; each prompt is recorded in it.
@@ -70,7 +73,9 @@
         "_profiles",
         "_reachability",
         "_read_time",
+        "_take_ups",
         "_timeouts",
+        "_versions",
         "in_flight",
     )
 
@@ -84,6 +89,8 @@
         codec: HeaderCodec,
         recorder: RequestRecorder,
         placer: Placer,
+        take_ups: StreamTakeUps,
+        versions: SoftwareVersions,
         exchanger: Exchanger,
         guard: CrashGuard,
         demand: PromptDemand,
@@ -97,6 +104,8 @@
         self._budget = budget
         self._codec = codec
         self._placer = placer
+        self._take_ups = take_ups
+        self._versions = versions
         self._exchanger = exchanger
         self._guard = guard
         self._demand = demand
@@ -131,7 +140,12 @@
         if isinstance(decision, Denied):
             await self._reject(request, writer, decision)
             return
-        progress = self._start_progress(request, decision, now=self._read_time())
+        take_up = await self._take_ups.decide(request, decision)
+        if take_up is not None and take_up.binding is None:
+            await self._reject(request, writer, take_up.build_rejection())
+            return
+        binding = take_up.binding if take_up is not None else None
+        progress = self._start_progress(request, decision, binding, now=self._read_time())
         rejection = await self._guard.admit(request, progress)
         if rejection is not None:
             await self._reject(request, writer, rejection)
@@ -150,10 +164,25 @@
             self._timeouts.discard(timeout)
 
     def _start_progress(
-        self, request: CallerRequest, admitted: Admitted, *, now: float
+        self,
+        request: CallerRequest,
+        admitted: Admitted,
+        binding: StreamBinding | None,
+        *,
+        now: float,
     ) -> RequestProgress:
-        """Return the initial state of an admitted request."""
-        service = admitted.route.pick_service(request.request_id)
+        """Return the initial state of an admitted request.
+
+        Args:
+            request: The request.
+            admitted: Its admission.
+            binding: What began its stream; None if it hasn't begun.
+            now: The present time.
+        """
+        if binding is not None:
+            service = binding.service
+        else:
+            service = admitted.route.pick_service(request.request_id)
         return begin_progress(
             request,
             admitted,
@@ -161,6 +190,7 @@
             shortest_objective_s=self._fleet_state.find_shortest_objective(service),
             profile=self._profiles.find(service, now=now),
             most_urgent=self._fleet_state.is_most_urgent(admitted.route, service),
+            binding=binding,
         )
 
     def _record_demand(
@@ -182,10 +212,9 @@
         self, request: CallerRequest, writer: ResponseWriter, progress: RequestProgress
     ) -> None:
         while True:
-            if self._guard.is_quarantined(request, progress):
-                await self._finish_failed(
-                    request, writer, progress, status=502, reason="quarantined"
-                )
+            obstacle = await self._find_obstacle(request, progress)
+            if obstacle is not None:
+                await self._finish_failed(request, writer, progress, status=502, reason=obstacle)
                 return
             placed = await self._placer.place(request, progress)
             if placed.choice is None:
@@ -212,6 +241,17 @@
                 self._guard.record_response(request, progress, record, status=status)
                 return
 
+    async def _find_obstacle(self, request: CallerRequest, progress: RequestProgress) -> str | None:
+        """Return why a request must not be sent to any endpoint now; None if it may."""
+        if self._guard.is_quarantined(request, progress):
+            return "quarantined"
+        if progress.binding is None or self._versions.is_current(now=self._read_time()):
+            return None
+        await self._admission.refresh(until=progress.deadline)
+        if self._versions.is_current(now=self._read_time()):
+            return None
+        return "old knowledge of software versions"
+
     def _record_failure(
         self,
         request: CallerRequest,
@@ -240,7 +280,7 @@
         Failures to connect are limited by their number; any other retry is spent from the budget.
         """
         route = progress.admitted.route
-        if progress.sends >= route.max_endpoints:
+        if progress.sends >= route.max_endpoints or not progress.may_go_on:
             return False
         if failure.kind in (FailureKind.NOT_CONNECTED, FailureKind.NO_PATH):
             progress.connect_failures += 1
@@ -261,8 +301,8 @@
     ) -> bool:
         """Repeat the admission of a request that was not sent; return whether it continues.
 
-        A request that may have run at one service is not sent to another service, nor sent again
-        once it is no longer allowed.
+        A request that may have run, or whose stream has begun, at one service is not sent to
+        another, nor sent again once it is no longer allowed.
         """
         decision = await self._admission.admit(request, until=progress.deadline)
         if isinstance(decision, Denied):
@@ -272,8 +312,12 @@
             else:
                 await self._reject(request, writer, decision)
             return False
-        readmitted = self._start_progress(request, decision, now=self._read_time())
-        if progress.possible_runs and readmitted.service != progress.service:
+        binding = progress.binding
+        readmitted = self._start_progress(request, decision, binding, now=self._read_time())
+        has_moved = readmitted.service != progress.service or not decision.route.leads_to(
+            progress.service
+        )
+        if has_moved and (progress.possible_runs or binding is not None):
             reason = "the route has moved"
             await self._finish_failed(request, writer, progress, status=502, reason=reason)
             return False
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -10,6 +10,7 @@
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.scheduled_placer import ScheduledPlacer
+from guavamast.relay.stream_binding import StreamTakeUps
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +28,7 @@
     from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.scheduling import Scheduling
+    from guavamast.relay.stream_binding import BindingDirectory, SoftwareVersions
     from guavamast.relay.work_state import WorkState
 
 
@@ -40,6 +42,8 @@
     access: EndpointAccess,
     recorder: RequestRecorder,
     scheduling: Scheduling,
+    versions: SoftwareVersions,
+    bindings: BindingDirectory,
     limits: RejectionLimitSharing,
     guard: CrashGuard,
     publish_load: PublishLoad,
@@ -57,6 +61,8 @@
         access: Connections to endpoints.
         recorder: Log lines and metrics of requests.
         scheduling: Queries the schedulers of endpoints.
+        versions: Software of the endpoints.
+        bindings: What began streams that can be resumed.
         limits: Rejection limits that endpoints state.
         guard: Keeps requests that end endpoints from further ones.
         publish_load: Called when this instance's work at an endpoint has changed.
@@ -64,6 +70,7 @@
         read_time: Reads the local clock.
     """
     budget = RetryBudget(settings=_build_budget_terms(settings))
+    take_ups = StreamTakeUps(directory=bindings, recorder=recorder, read_time=read_time)
     exchanger = Exchanger(
         admission=admission,
         fleet_state=fleet_state,
@@ -72,6 +79,8 @@
         budget=budget,
         codec=codec,
         connector=access.connector,
+        versions=versions,
+        take_ups=take_ups,
         recorder=recorder,
         profiles=work.profiles,
         reachability=access.monitor,
@@ -90,10 +99,13 @@
             fleet_state=fleet_state,
             work=work,
             scheduling=scheduling,
+            versions=versions,
             limits=limits.limits,
             random=random,
             read_time=read_time,
         ),
+        take_ups=take_ups,
+        versions=versions,
         exchanger=exchanger,
         guard=guard,
         demand=work.demand,
@@ -108,6 +120,7 @@
     fleet_state: FleetState,
     work: WorkState,
     scheduling: Scheduling,
+    versions: SoftwareVersions,
     limits: RejectionLimits,
     random: Random,
     read_time: Callable[[], float],
@@ -115,6 +128,7 @@
     own_placer = LocalPlacer(
         fleet_state=fleet_state,
         chooser=EndpointChooser(loads=work.loads, cache=work.cache, random=random),
+        versions=versions,
         demand=work.demand,
         profiles=work.profiles,
         rejections=work.rejections,
@@ -124,6 +138,7 @@
     return ScheduledPlacer(
         local_placer=own_placer,
         scheduling=scheduling,
+        versions=versions,
         limits=limits,
         fleet_state=fleet_state,
         loads=work.loads,
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -14,6 +14,7 @@
     from guavamast.relay.caller_gate import Admitted
     from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.stream_binding import StreamBinding
 
 
 @dataclass(slots=True, kw_only=True)
@@ -45,10 +46,18 @@
     """Digest of the request, once it was needed."""
     on_trial: bool = False
     """Whether it is sent once although its content is in quarantine."""
+    binding: StreamBinding | None = None
+    """What began its stream, at which alone it may go on; None before its first event, and if what
+    began it isn't known."""
     last_event_id: str | None = None
     error_response: CompleteResponse | None = None
     """An endpoint's error response, forwarded if no other endpoint does better."""
 
+    @property
+    def may_go_on(self) -> bool:
+        """Whether a further endpoint may continue its response: any if it has not begun."""
+        return self.binding is not None or self.timing.first_event_s is None
+
     def readmit(self, readmitted: RequestProgress, *, unsent_id: str) -> None:
         """Apply a repeated admission, and keep the record of earlier attempts.
 
@@ -85,6 +94,7 @@
     shortest_objective_s: float,
     profile: EngineProfile,
     most_urgent: bool,
+    binding: StreamBinding | None = None,
 ) -> RequestProgress:
     """Return the initial state of an admitted request.
 
@@ -95,6 +105,7 @@
         shortest_objective_s: Shortest objective of that service's streams.
         profile: Speed of the service's engines.
         most_urgent: Whether no stream of that service takes precedence over it.
+        binding: What began the stream that it takes up; None if it begins anew.
     """
     objective_s = admitted.route.objective_s
     pause_sensitive = is_pause_sensitive(admitted.route, profile)
@@ -114,4 +125,5 @@
         pause_sensitive=pause_sensitive,
         latency_tolerant=is_latency_tolerant(objective_s, shortest_s=shortest_objective_s),
         timing=StreamTiming(received_at=request.received_at),
+        binding=binding,
     )
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -6,6 +6,7 @@
 
 from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.freshness import round_age
+from guavamast.relay.stream_binding.directory import OWN_MEMORY
 
 if TYPE_CHECKING:
     from guavamast.relay.admission import Rejection
@@ -23,6 +24,7 @@
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.response_end import ResponseEnd
     from guavamast.relay.scheduling_client import ScheduledReply
+    from guavamast.relay.stream_binding import StreamBinding, TakeUp
 
 
 class RequestRecorder:
@@ -69,6 +71,7 @@
         load: Load,
         scheduled: ScheduledReply | None,
         admitted: Admitted,
+        binding: StreamBinding | None,
         now: float,
     ) -> None:
         """Record that a request is sent to an endpoint."""
@@ -100,6 +103,7 @@
             scheduler_learning=scheduled.reply.learning if scheduled is not None else None,
             software_version=record.software_version,
             started_ms=record.started_ms,
+            bound_version=binding.software_version if binding is not None else None,
             resume_after=parameters.resume_after,
             resumed_request=request.resumed_request_id,
             caller_event_id=request.last_event_id,
@@ -112,6 +116,31 @@
             loop_delay_s=round(self._loop_delay.read(now=now), 3),
         )
 
+    def record_take_up(
+        self, request: CallerRequest, take_up: TakeUp, *, took_s: float, now: float
+    ) -> None:
+        """Record whether a stream that its caller takes up may go on, and whence this is known."""
+        lookup = take_up.lookup
+        stream = lookup.stream
+        own = str(lookup.source == OWN_MEMORY).lower()
+        self._counters.add(f'take_ups_total{{outcome="{take_up.outcome}",own_memory="{own}"}}')
+        self._log.write(
+            "taken_up",
+            now=now,
+            request_id=request.request_id,
+            resumed_request=request.resumed_request_id,
+            caller_event_id=request.last_event_id,
+            outcome=str(take_up.outcome),
+            bound_service=take_up.binding.service if take_up.binding else None,
+            bound_version=take_up.binding.software_version if take_up.binding else None,
+            bound_by=stream.instance if stream is not None else None,
+            bound_s=round(now - stream.bound_at, 3) if stream is not None else None,
+            source=lookup.source,
+            asked=lookup.asked,
+            silent=lookup.silent,
+            took_s=round(took_s, 4),
+        )
+
     def record_first_event(self, request: CallerRequest, choice: Choice, *, now: float) -> None:
         """Record the time to the first event, together with the forecast."""
         took_s = now - request.received_at
--- a/src/guavamast/relay/scheduled_placer.py
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -25,6 +25,7 @@
     from guavamast.relay.scheduling import Scheduling
     from guavamast.relay.scheduling_client import ScheduledReply
     from guavamast.relay.scheduling_messages import PlacementReply
+    from guavamast.relay.stream_binding import SoftwareVersions
 
 SLOT_WAIT_S: Final = 0.03
 """Seconds between two queries of a request that waits for a free slot, on average."""
@@ -52,6 +53,7 @@
     Args:
         local_placer: Places requests without a scheduler.
         scheduling: Queries schedulers.
+        versions: Software of the endpoints.
         limits: Services whose endpoints bear few rejections.
         fleet_state: Endpoints and other instances.
         loads: Loads, and failures that this instance has recorded.
@@ -69,6 +71,7 @@
         "_random",
         "_read_time",
         "_scheduling",
+        "_versions",
     )
 
     def __init__(
@@ -76,6 +79,7 @@
         *,
         local_placer: LocalPlacer,
         scheduling: Scheduling,
+        versions: SoftwareVersions,
         limits: RejectionLimits,
         fleet_state: FleetState,
         loads: EndpointLoads,
@@ -84,6 +88,7 @@
     ) -> None:
         self._local_placer = local_placer
         self._scheduling = scheduling
+        self._versions = versions
         self._client = scheduling.client
         self._groups = scheduling.groups
         self._limits = limits
@@ -107,8 +112,7 @@
             return self._decide_locally(request, progress)
         rejected: PlacementDecision | None = None
         limited = self._limits.applies(progress.service, now=self._read_time())
-        key = request.shared_part or request.request_id
-        for group in self._groups.rank(progress.service, key)[:MAX_GROUPS]:
+        for group in self._rank_groups(request, progress)[:MAX_GROUPS]:
             query = self._build_query(request, progress, group)
             scheduled_reply = await self._client.request_placement(query, patient=limited)
             placed = (
@@ -124,6 +128,22 @@
             rejected = _select_earlier_retry(rejected, placed)
         return rejected or self._decide_locally(request, progress)
 
+    def _rank_groups(self, request: CallerRequest, progress: RequestProgress) -> list[str]:
+        """Return the groups to query, without those at which the request's stream can't go on."""
+        service = progress.service
+        groups = self._groups.rank(service, request.shared_part or request.request_id)
+        if progress.binding is None:
+            return groups
+        others = self._versions.list_others(progress.binding)
+        return [
+            group
+            for group in groups
+            if any(
+                record.endpoint_id not in others
+                for record in self._groups.list_members(service, group)
+            )
+        ]
+
     def _may_wait(self, request: CallerRequest, progress: RequestProgress) -> bool:
         """Return whether a rejected request may wait here for a free slot, and be in time.
 
@@ -154,13 +174,18 @@
             most_urgent=progress.most_urgent,
             precedence=progress.admitted.precedence,
             failure_domain=self._fleet_state.failure_domain,
-            excluded=self._list_excluded(progress),
+            excluded=self._list_excluded(progress, group),
             rejectable=progress.sends == 0,
         )
 
-    def _list_excluded(self, progress: RequestProgress) -> tuple[str, ...]:
+    def _list_excluded(self, progress: RequestProgress, group: str) -> tuple[str, ...]:
         failing = self._loads.list_failing(min_failures=FAILURE_THRESHOLD, now=self._read_time())
-        return tuple(progress.tried.union(failing))
+        excluded = progress.tried.union(failing)
+        if progress.binding is not None:
+            members = self._groups.list_members(progress.service, group)
+            others = self._versions.list_others(progress.binding)
+            excluded |= others.intersection(record.endpoint_id for record in members)
+        return tuple(excluded)
 
     def _apply_reply(
         self, request: CallerRequest, query: PlacementQuery, scheduled_reply: ScheduledReply
--- /dev/null
+++ b/src/guavamast/relay/stream_binding/__init__.py
@@ -0,0 +1,20 @@
+"""Streams go on only at the service and software version that began them."""
+
+from guavamast.relay.stream_binding.directory import BindingDirectory, Lookup
+from guavamast.relay.stream_binding.records import BoundStream, StreamBinding, compute_stream_key
+from guavamast.relay.stream_binding.take_up import StreamTakeUps, TakeUp, TakeUpOutcome
+from guavamast.relay.stream_binding.versions import SoftwareVersions
+from guavamast.relay.stream_binding.wire import BINDING_PREFIX
+
+__all__ = [
+    "BINDING_PREFIX",
+    "BindingDirectory",
+    "BoundStream",
+    "Lookup",
+    "SoftwareVersions",
+    "StreamBinding",
+    "StreamTakeUps",
+    "TakeUp",
+    "TakeUpOutcome",
+    "compute_stream_key",
+]
--- /dev/null
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -0,0 +1,215 @@
+"""Remembers what bound streams, tells a few other instances, and asks them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.stream_binding.ledger import BindingLedger
+from guavamast.relay.stream_binding.records import BoundStream
+from guavamast.relay.stream_binding.replicas import ReplicaChoice
+from guavamast.relay.stream_binding.wire import (
+    BindingCopy,
+    BindingQuery,
+    BindingReply,
+    decode_binding_message,
+    encode_binding_message,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.counters import Counters
+    from guavamast.relay.peers import Peers
+    from guavamast.relay.store import InstanceRecord
+    from guavamast.relay.stream_binding.records import StreamBinding
+    from guavamast.relay.stream_binding.wire import BindingMessage
+
+QUERY_WAITS_S: Final = (0.1, 0.2, 0.2)
+"""Seconds to wait for replies before silent instances are asked again, and at last given up."""
+OWN_MEMORY: Final = "own"
+"""Source of what this instance remembers itself."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Lookup:
+    """What was found out about a stream."""
+
+    stream: BoundStream | None
+    """None if nobody who replied remembers it."""
+    source: str = ""
+    """The instance that remembers it: its name, or ``OWN_MEMORY``."""
+    asked: int = 0
+    """Instances that were asked."""
+    silent: int = 0
+    """Those of them that didn't reply in time."""
+
+
+class _PendingQuery:
+    """A query to several instances."""
+
+    __slots__ = ("done", "found", "silent", "source")
+
+    def __init__(self, *, silent: set[str]) -> None:
+        self.silent = silent
+        """Names of the instances that have not replied."""
+        self.found: BoundStream | None = None
+        self.source = ""
+        self.done = asyncio.Event()
+
+    def apply(self, reply: BindingReply) -> None:
+        """Apply a reply; the first that knows the stream decides."""
+        self.silent.discard(reply.instance)
+        if reply.stream is not None and self.found is None:
+            self.found = reply.stream
+            self.source = reply.instance
+        if self.found is not None or not self.silent:
+            self.done.set()
+
+
+class BindingDirectory:
+    """Remembers what bound streams, with copies at a few other instances.
+
+    A caller takes its stream up at any instance, often because the one that began it was killed. So
+    each binding is sent to instances that its key selects, before the first event goes out, and an
+    instance that doesn't remember a stream asks. Copies are soft state: a lost one only makes a
+    stream unknown, and an unknown stream doesn't go on.
+
+    Args:
+        name: This instance.
+        peers: The other instances.
+        send: Sends a datagram to an address.
+        counters: Metrics.
+        read_time: Reads the local clock.
+    """
+
+    __slots__ = (
+        "_counters",
+        "_ledger",
+        "_name",
+        "_next_number",
+        "_pending",
+        "_read_time",
+        "_replicas",
+        "_send",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        peers: Peers,
+        send: Callable[[bytes, tuple[str, int]], None],
+        counters: Counters,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._ledger = BindingLedger()
+        self._replicas = ReplicaChoice(peers=peers)
+        self._send = send
+        self._counters = counters
+        self._read_time = read_time
+        self._next_number = 0
+        self._pending: dict[int, _PendingQuery] = {}
+
+    def bind(self, key: str, binding: StreamBinding, *, lifetime_s: float) -> None:
+        """Remember what began a stream, here and at other instances.
+
+        Args:
+            key: Key of the stream.
+            binding: What began it.
+            lifetime_s: Seconds for which its caller may take it up.
+        """
+        now = self._read_time()
+        stream = BoundStream(
+            binding=binding, instance=self._name, bound_at=now, expires_at=now + lifetime_s
+        )
+        held = self._ledger.record(key, stream, now=now)
+        for target in self._replicas.list_holders(key, now=now):
+            self._send_message(BindingCopy(key=key, stream=held), _get_address(target))
+
+    async def find(self, key: str) -> Lookup:
+        """Return what this instance or others remember of a stream."""
+        now = self._read_time()
+        known = self._ledger.find(key, now=now)
+        if known is not None:
+            return Lookup(stream=known, source=OWN_MEMORY)
+        targets = {one.name: one for one in self._replicas.list_queried(key, now=now)}
+        if not targets:
+            return Lookup(stream=None)
+        query = await self._ask(key, targets)
+        if query.found is not None:
+            self._ledger.record(key, query.found, now=self._read_time())
+        return Lookup(
+            stream=query.found,
+            source=query.source,
+            asked=len(targets),
+            silent=len(query.silent),
+        )
+
+    def receive(self, data: bytes, source: tuple[str, int]) -> None:
+        """Receive a datagram from another instance.
+
+        Args:
+            data: The datagram.
+            source: Address of its sender, to which a reply goes.
+
+        Raises:
+            MalformedBeat: The datagram is not a valid message.
+        """
+        now = self._read_time()
+        message = decode_binding_message(data, now=now)
+        if isinstance(message, BindingCopy):
+            self._apply_copy(message, source, now=now)
+        elif isinstance(message, BindingQuery):
+            stream = self._ledger.find(message.key, now=now)
+            reply = BindingReply(number=message.number, instance=self._name, stream=stream)
+            self._send_message(reply, source)
+        elif message.number in self._pending:
+            self._pending[message.number].apply(message)
+
+    def clean_up(self, *, now: float) -> None:
+        """Forget streams that have expired."""
+        self._ledger.drop_expired(now=now)
+        self._counters.set("streams_bound", len(self._ledger))
+
+    def _apply_copy(self, copy: BindingCopy, source: tuple[str, int], *, now: float) -> None:
+        """Remember a copy, and tell its sender if the key has another binding already."""
+        held = self._ledger.record(copy.key, copy.stream, now=now)
+        if held.binding is None and copy.stream.binding is not None:
+            self._send_message(BindingCopy(key=copy.key, stream=held), source)
+
+    async def _ask(self, key: str, targets: dict[str, InstanceRecord]) -> _PendingQuery:
+        number = self._next_number
+        self._next_number += 1
+        query = _PendingQuery(silent=set(targets))
+        self._pending[number] = query
+        try:
+            for wait_s in QUERY_WAITS_S:
+                for name in query.silent:
+                    message = BindingQuery(number=number, key=key)
+                    self._send_message(message, _get_address(targets[name]))
+                if await _wait(query.done, timeout_s=wait_s):
+                    break
+        finally:
+            del self._pending[number]
+        return query
+
+    def _send_message(self, message: BindingMessage, address: tuple[str, int]) -> None:
+        self._send(encode_binding_message(message, now=self._read_time()), address)
+        self._counters.add("binding_messages_sent_total")
+
+
+async def _wait(event: asyncio.Event, *, timeout_s: float) -> bool:
+    """Return whether an event is set within a timeout."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
+def _get_address(record: InstanceRecord) -> tuple[str, int]:
+    return record.ip, record.peer_port
--- /dev/null
+++ b/src/guavamast/relay/stream_binding/wire.py
@@ -0,0 +1,127 @@
+"""Messages between instances about bound streams, and their encoding as datagrams.
+
+Times are sent as seconds from the time of sending, as the clocks of instances differ.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any, Final, TypeAlias
+
+from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.relay.stream_binding.records import BoundStream, StreamBinding
+
+BINDING_PREFIX: Final = b"o"
+"""First byte of the datagrams about bound streams."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BindingCopy:
+    """A bound stream, for an instance that is to remember it as well."""
+
+    key: str
+    stream: BoundStream
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BindingQuery:
+    """The question whether an instance remembers a stream."""
+
+    number: int
+    """Identifies the query within the process that asks."""
+    key: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BindingReply:
+    """The reply to a query."""
+
+    number: int
+    """Number of the query."""
+    instance: str
+    """Name of the instance that replies."""
+    stream: BoundStream | None
+    """None if it doesn't remember the stream."""
+
+
+BindingMessage: TypeAlias = BindingCopy | BindingQuery | BindingReply
+
+
+def encode_binding_message(message: BindingMessage, *, now: float) -> bytes:
+    """Return the datagram of a message that is sent at a local time."""
+    fields: list[Any]
+    if isinstance(message, BindingCopy):
+        fields = ["c", message.key, *_encode_stream(message.stream, now)]
+    elif isinstance(message, BindingQuery):
+        fields = ["q", message.number, message.key]
+    else:
+        stream = [] if message.stream is None else _encode_stream(message.stream, now)
+        fields = ["r", message.number, message.instance, *stream]
+    return BINDING_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_binding_message(data: bytes, *, now: float) -> BindingMessage:
+    """Return the message of a datagram that was received at a local time.
+
+    Raises:
+        MalformedBeat: The datagram is not a valid message.
+    """
+    try:
+        kind, *fields = json.loads(data[len(BINDING_PREFIX) :])
+        return _DECODERS[kind](fields, now)
+    except (ValueError, TypeError, KeyError, IndexError) as error:
+        raise MalformedBeat(f"binding: {type(error).__name__}: {error}") from error
+
+
+def _decode_copy(fields: list[Any], now: float) -> BindingCopy:
+    key, *stream = fields
+    return BindingCopy(key=str(key), stream=_decode_stream(stream, now))
+
+
+def _decode_query(fields: list[Any], now: float) -> BindingQuery:
+    del now
+    number, key = fields
+    return BindingQuery(number=int(number), key=str(key))
+
+
+def _decode_reply(fields: list[Any], now: float) -> BindingReply:
+    number, instance, *stream = fields
+    return BindingReply(
+        number=int(number),
+        instance=str(instance),
+        stream=_decode_stream(stream, now) if stream else None,
+    )
+
+
+def _encode_stream(stream: BoundStream, now: float) -> list[Any]:
+    binding = stream.binding
+    return [
+        binding.service if binding is not None else None,
+        binding.software_version if binding is not None else None,
+        stream.instance,
+        round(now - stream.bound_at, 3),
+        round(stream.expires_at - now, 1),
+    ]
+
+
+def _decode_stream(fields: list[Any], now: float) -> BoundStream:
+    service, software_version, instance, age_s, lifetime_s = fields
+    binding = None
+    if service is not None:
+        if not isinstance(service, str) or not isinstance(software_version, str):
+            raise ValueError("neither a binding nor none")
+        binding = StreamBinding(service=service, software_version=software_version)
+    return BoundStream(
+        binding=binding,
+        instance=str(instance),
+        bound_at=now - float(age_s),
+        expires_at=now + float(lifetime_s),
+    )
+
+
+_DECODERS: Final[dict[str, Any]] = {
+    "c": _decode_copy,
+    "q": _decode_query,
+    "r": _decode_reply,
+}
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -127,11 +127,14 @@
     """Slots that the rows of engines state."""
     idle_timeout_ms = 5000
     """Timeout of callers' idle connections."""
+    retry_slack = 20
+    """Retries that all instances together may make beyond their share of requests."""
 
     async def asyncSetUp(self) -> None:
         self.site = Site()
         self.site.slots = self.slots
         self.site.idle_timeout_ms = self.idle_timeout_ms
+        self.site.bounds["budget_slack"] = self.retry_slack
         await self.site.start(
             pool=self.pool_engines, portal=self.portal_engines, pool_versions=self.pool_versions
         )
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -37,6 +37,7 @@
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
+from guavamast.relay.stream_binding import BindingDirectory, StreamTakeUps
 from tests.relay_fixtures import (
     PROFILE,
     build_connector,
@@ -52,6 +53,7 @@
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.messages import Header
     from guavamast.relay.scheduling_client import PlacedRequest
+    from guavamast.relay.stream_binding import StreamBinding
 
 
 class SlowConnector(EndpointConnector):
@@ -65,14 +67,21 @@
         """Called while the first connection is acquired; then only that one is slow."""
 
     async def connect(
-        self, record: EndpointRecord, *, request_id: str, row_version: int
+        self,
+        record: EndpointRecord,
+        *,
+        request_id: str,
+        row_version: int,
+        binding: StreamBinding | None = None,
     ) -> AcquiredConnection:
         self._world.now += self.delay_s
         if self.on_connect:
             self.delay_s = 0.0
         while self.on_connect:
             self.on_connect.pop(0)()
-        return await self._connector.connect(record, request_id=request_id, row_version=row_version)
+        return await self._connector.connect(
+            record, request_id=request_id, row_version=row_version, binding=binding
+        )
 
     async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
         return await self._connector.refuses_connection(record, timeout_s=timeout_s)
@@ -102,11 +111,28 @@
         self.budget = RetryBudget(
             settings=RetryBudgetSettings(ratio=0.2, slack=20.0, window_s=10.0)
         )
+        counters = Counters()
+        self.recorder = RequestRecorder(
+            log=DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY)),
+            counters=counters,
+            fleet_state=self.simulation.fleet_state,
+            loop_delay=LoopDelay(),
+        )
+        self.bindings = BindingDirectory(
+            name="one",
+            peers=self.simulation.fleet_state.peers,
+            send=mock.Mock(),
+            counters=counters,
+            read_time=lambda: self.simulation.now,
+        )
+        self.take_ups = StreamTakeUps(
+            directory=self.bindings,
+            recorder=self.recorder,
+            read_time=lambda: self.simulation.now,
+        )
         self.exchanger = self.make_exchanger()
 
     def make_exchanger(self) -> Exchanger:
-        counters = Counters()
-        log = DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY))
         fleet_state = self.simulation.fleet_state
         return Exchanger(
             admission=self.simulation.admission,
@@ -116,9 +142,9 @@
             budget=self.budget,
             codec=PlatformHeaders(),
             connector=self.connector,
-            recorder=RequestRecorder(
-                log=log, counters=counters, fleet_state=fleet_state, loop_delay=LoopDelay()
-            ),
+            versions=self.simulation.versions,
+            take_ups=self.take_ups,
+            recorder=self.recorder,
             profiles=self.profiles,
             reachability=ReachabilityMonitor(),
             limits=mock.Mock(limits=RejectionLimits()),
@@ -158,6 +184,7 @@
                 cache=PromptCache(),
                 random=Random(1),
             ),
+            versions=self.simulation.versions,
             demand=PromptDemand(),
             profiles=EngineProfiles(),
             rejections=RejectionHistory(),
@@ -201,6 +228,8 @@
             codec=PlatformHeaders(),
             recorder=mock.Mock(),
             placer=self.make_placer(),
+            take_ups=self.take_ups,
+            versions=self.simulation.versions,
             exchanger=self.exchanger,
             guard=await self.make_guard(),
             demand=PromptDemand(),
--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -64,6 +64,7 @@
     instance_count = 3
     pool_engines = 4
     pool_versions = ("v1", "v2")
+    retry_slack = 200
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -22,6 +22,7 @@
 from guavamast.relay.peers import Peers
 from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot, Store, StoreError
 from guavamast.relay.store_reader import StoreReader
+from guavamast.relay.stream_binding import SoftwareVersions
 from tests.relay_fixtures import BOUNDS, build_catalog, build_endpoint, build_request, build_route
 
 if TYPE_CHECKING:
@@ -66,6 +67,7 @@
             reader=self.reader,
             read_time=lambda: self.now,
         )
+        self.versions = SoftwareVersions(fleet_state=self.fleet_state, bounds=BOUNDS)
 
     def decode_catalog(self, text: bytes, *, row_version: int) -> Catalog:
         del text, row_version
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -111,6 +111,7 @@
             monitor=self.monitor,
             admission=self.simulation.admission,
             fleet_state=self.simulation.fleet_state,
+            versions=self.simulation.versions,
             codec=PlatformHeaders(),
             loop_delay=self.loop_delay,
             log=log,
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -20,7 +20,8 @@
 from guavamast.relay.scheduled_work import LEASE_S
 from guavamast.relay.scheduler_directory import BACKOFF_S, TIMEOUTS_BEFORE_BACKOFF
 from guavamast.relay.scheduling_client import GRANT_VALID_S, MAX_TIMEOUT_S
-from tests.relay_fixtures import PROFILE, build_request
+from guavamast.relay.stream_binding import SoftwareVersions
+from tests.relay_fixtures import BOUNDS, PROFILE, build_request
 from tests.scheduling_simulation import GROUP, POOL, PROMPT_PARTS, SchedulingSimulation
 
 if TYPE_CHECKING:
@@ -42,9 +43,11 @@
 
     def build_placer(self, instance: SimulatedInstance) -> ScheduledPlacer:
         loads = EndpointLoads()
+        versions = SoftwareVersions(fleet_state=instance.fleet_state, bounds=BOUNDS)
         own = LocalPlacer(
             fleet_state=instance.fleet_state,
             chooser=EndpointChooser(loads=loads, cache=PromptCache(), random=Random(1)),
+            versions=versions,
             demand=PromptDemand(),
             profiles=instance.profiles,
             rejections=RejectionHistory(),
@@ -54,6 +57,7 @@
         return ScheduledPlacer(
             local_placer=own,
             scheduling=instance.scheduling,
+            versions=versions,
             limits=instance.limits,
             fleet_state=instance.fleet_state,
             loads=loads,
