Roll releases in the soak, and take streams up at any instance

Engines of the pool are replaced, a few at a time, by others of any of three software versions, and one that crashes may start again under its id with another, beside kills, leaves, partitions, cuts, outages, broken answers and reused addresses. Callers leave in the middle of streams and take them up at any instance, whether it runs, up to three more times. Checked over all attempts: one version, no event missing or twice; and how many go on beside how many new ones begin, where two engines of the version serve and the instance was undisturbed. Attempts that take a stream up don't count in the checks of partitions and of the recovery, as they have their own and may be refused for what isn't known.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
     lethal: bool,
     partitions: bool,
     answers: bool,
+    releases: bool,
 ) -> Verdict:
     """Run one seed, with its logs below ``keep`` if given, and print the verdict."""
     directory = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None)
@@ -35,10 +36,12 @@
         lethal=lethal,
         partitions=partitions,
         answers=answers,
+        releases=releases,
     )
     verdict = await run.run()
     outcome = "kept" if not verdict.violations else "BROKEN"
-    print(f"seed {seed}: {outcome}, {verdict.answered} of {verdict.requests} answered", flush=True)
+    answered = f"{verdict.answered} of {verdict.requests} answered"
+    print(f"seed {seed}: {outcome}, {answered}, streams: {verdict.shares}", flush=True)
     for line in verdict.violations:
         print(f"  {line}")
     if verdict.violations:
@@ -58,6 +61,7 @@
     lethal: bool,
     partitions: bool,
     answers: bool,
+    releases: bool,
 ) -> list[Verdict]:
     """Run a range of seeds, ``parallel`` of them at a time."""
     task = asyncio.current_task()
@@ -77,6 +81,7 @@
                 lethal=lethal,
                 partitions=partitions,
                 answers=answers,
+                releases=releases,
             )
 
     return await asyncio.gather(*(run_one(seed) for seed in range(first, last + 1)))
@@ -92,6 +97,7 @@
     lethal: bool = False,
     partitions: bool = True,
     answers: bool = True,
+    releases: bool = True,
 ) -> None:
     """Run seeds and print the violated guarantees.
 
@@ -106,6 +112,8 @@
         lethal: Whether a caller repeats a request that ends the engines that run it.
         partitions: Whether instances are partitioned from engines beside the other faults.
         answers: Whether engines change the framing of their answers, and break them off.
+        releases: Whether engines are replaced by others of other software versions, and callers
+            take streams up at any instance.
     """
     first, _, last = str(seeds).partition("-")
     verdicts = asyncio.run(
@@ -120,6 +128,7 @@
             lethal=lethal,
             partitions=partitions,
             answers=answers,
+            releases=releases,
         )
     )
     failed_seeds = sum(bool(verdict.violations) for verdict in verdicts)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,7 @@
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 from guavamast.relay.quarantine.guard import MIN_RETRY_AFTER_S
 from soak.guarantees import RequestKind, RequestRecord
+from soak.streams import find_events, normalize_versions
 
 if TYPE_CHECKING:
     from guavamast.relay.http_connection import ResponseHead
@@ -161,7 +162,8 @@
                 ended_at=time.monotonic(),
                 status=response.head.status if response.head is not None else None,
                 response_id=response.get_header("x-attempt-id"),
-                body=bytes(response.body),
+                body=normalize_versions(bytes(response.body)),
+                versions=frozenset(event.version for event in find_events(bytes(response.body))),
                 expected_body=_build_expected_body(kind, request_id),
                 complete=response.complete,
                 quarantined=_is_quarantined(response),
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -14,7 +14,7 @@
 from soak.guarantees import Span
 from soak.partitions import Partition, PartitionKind, write_partition
 from soak.proxy import LinkFault
-from soak.schedule import FaultKind
+from soak.schedule import RELEASE_DRAIN_S, RELEASED_ENGINES, FaultKind
 from soak.site import KEYS
 
 if TYPE_CHECKING:
@@ -50,6 +50,7 @@
 )
 """Endings that can be told from those of whole answers in each framing: a sound engine that closes
 a connection in order between two events, or inside a plain answer without length, can't."""
+RELEASE_VERSIONS: Final = ("v1", "v2", "v3")
 STORE_FAULTS: Final = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.LOSES_ANSWERS)
 LINK_FAULTS: Final = (
     LinkFault.DELAY,
@@ -64,11 +65,14 @@
 
     Args:
         site: The site of the run.
+        changes_software: Whether an engine that crashed starts again with other software.
     """
 
-    def __init__(self, *, site: SoakSite) -> None:
+    def __init__(self, *, site: SoakSite, changes_software: bool = False) -> None:
         self._site = site
+        self._changes_software = changes_software
         self._reused_addresses = 0
+        self._released_engines = 0
         self.partitions: list[tuple[Span, list[Instance]]] = []
         """Time and instances of each partition."""
         self._injectors: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
@@ -91,6 +95,7 @@
             FaultKind.PARTITION: self._partition,
             FaultKind.ANSWER_FRAMING: self._frame_answers,
             FaultKind.ANSWER_ENDING: self._break_answers_off,
+            FaultKind.RELEASE: self._release,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -160,13 +165,18 @@
         await self._site.crash_engine(engine_id)
         await asyncio.sleep(fault.duration_s)
         if engine_id in self._site.engines:
-            await self._site.restart_engine(engine_id)
+            version = None
+            if self._changes_software:
+                version = RELEASE_VERSIONS[int(fault.variant * len(RELEASE_VERSIONS))]
+            await self._site.restart_engine(engine_id, version=version)
 
     async def _reuse_address(self, fault: Fault) -> None:
         """Crash an engine, reassign its address and replace it at another address."""
         engine_id = fault.choose_target(sorted(self._site.engines))
         service = self._site.engine_services[engine_id]
         await self._site.crash_engine(engine_id)
+        if engine_id not in self._site.engines:
+            return
         self._reused_addresses += 1
         new_id = f"{engine_id}-{self._reused_addresses}"
         await self._site.reuse_address(engine_id, f"{new_id}-stranger")
@@ -228,3 +238,33 @@
             write_partition(instance.partition_file, None)
         span = Span(started_at=started_at, ended_at=time.monotonic())
         self.partitions.append((span, affected))
+
+    async def _release(self, fault: Fault) -> None:
+        """Replace engines of the pool, one after the other, by others of another version."""
+        version = RELEASE_VERSIONS[int(fault.variant * len(RELEASE_VERSIONS))]
+        names = sorted(
+            name
+            for name, engine in self._site.engines.items()
+            if self._site.engine_services[name] == "pool" and engine.version != version
+        )
+        first = int(fault.target * len(names))
+        replaced = (names[first:] + names[:first])[:RELEASED_ENGINES]
+        async with asyncio.TaskGroup() as tasks:
+            for name in replaced:
+                tasks.create_task(self._replace_by_release(name, version))
+                await asyncio.sleep(fault.duration_s)
+
+    async def _replace_by_release(self, engine_id: str, version: str) -> None:
+        """Start an engine beside another one, which then leaves, serves on for a while and ends."""
+        self._released_engines += 1
+        new_id = f"{engine_id.partition('.')[0]}.{self._released_engines}"
+        await self._site.add_engine(new_id, "pool", version=version)
+        if engine_id not in self._site.links:
+            return
+        self._site.leaving.add(engine_id)
+        self._site.list_engine_link(engine_id)
+        drain_started_at = time.monotonic()
+        await asyncio.sleep(RELEASE_DRAIN_S)
+        span = Span(started_at=drain_started_at, ended_at=time.monotonic())
+        self._site.drains.setdefault(engine_id, []).append(span)
+        await self._site.retire_engine(engine_id)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -73,11 +73,17 @@
     """Whether it was refused for its content."""
     address: str = ""
     """Address of the instance that it was sent to."""
+    versions: frozenset[str] = frozenset()
+    """Software versions of the engines that made the events of the response."""
+    left: bool = False
+    """Whether its caller left in the middle of the response."""
+    continues: bool = False
+    """Whether it takes up a stream, which may be refused as what began it isn't known."""
 
     @property
     def served(self) -> bool:
-        """Whether its response was complete."""
-        return self.status == 200 and self.complete
+        """Whether its response was complete, or its caller had what it wanted of it."""
+        return self.status == 200 and (self.complete or self.left)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,6 +174,8 @@
     violations = []
     if request.response_id != request.request_id:
         violations.append(f"{name}: got the answer to {request.response_id}")
+    if len(request.versions) > 1:
+        violations.append(f"{name}: events of {sorted(request.versions)} in one answer")
     if request.complete and request.body != request.expected_body:
         violations.append(f"{name}: complete response with a wrong body {request.body[:80]!r}")
     if not request.expected_body.startswith(request.body):
@@ -184,7 +192,7 @@
         disruptions, request.sent_at, request.ended_at
     ):
         return []
-    if request.status is None or (request.status == 200 and not request.complete):
+    if request.status is None or (request.status == 200 and not request.served):
         return [
             f"{request.request_id} ({request.kind}): no full response, though nothing was disturbed"
         ]
@@ -279,7 +287,9 @@
     sent = [
         request
         for request in requests
-        if span.started_at + SPREAD_BOUND_S <= request.sent_at and request.ended_at <= span.ended_at
+        if span.started_at + SPREAD_BOUND_S <= request.sent_at
+        and request.ended_at <= span.ended_at
+        and not request.continues
     ]
     there = [request.served for request in sent if request.address in partition.addresses]
     others = [request.served for request in sent if request.address not in partition.addresses]
@@ -298,7 +308,9 @@
     last_requests = [
         request
         for request in record.requests
-        if request.sent_at >= record.recovered_at and request.organisation not in record.revoked
+        if request.sent_at >= record.recovered_at
+        and request.organisation not in record.revoked
+        and not request.continues
     ]
     succeeded = sum(request.served for request in last_requests)
     if succeeded < RECOVERED_SHARE * len(last_requests) or not last_requests:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -52,6 +52,11 @@
         """The port to which clients connect."""
         return int(self._reserved.getsockname()[1])
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether it accepts connections and forwards all bytes at once."""
+        return self._server is not None and self.fault is LinkFault.NONE
+
     async def start(self) -> int:
         """Accept connections from now on and return the port."""
         if self._server is None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from soak.callers import Caller
-from soak.fault_injector import FaultInjector
+from soak.fault_injector import RELEASE_VERSIONS, FaultInjector
 from soak.guarantees import (
     REVOKE_BOUND_S,
     SPREAD_BOUND_S,
@@ -27,13 +27,20 @@
     plan_answers,
     plan_faults,
     plan_partitions,
+    plan_releases,
 )
 from soak.site import KEYS, SoakSite
+from soak.stream_callers import StreamCaller
+from soak.streams import StreamRecord, StreamShares, count_shares, find_stream_violations
 
 START_TIMEOUT_S: Final = 20.0
 """Timeout for the first instances to be ready, on a busy machine."""
 RECOVERY_GRACE_S: Final = 1.5
 """Time from the start of the recovery after which requests must succeed again."""
+STREAM_ORGANISATIONS: Final = ("bakery", "florist")
+"""Organisations of the callers that take streams up."""
+RELEASED_POOL: Final = 5
+"""Engines of the pool in runs with releases."""
 CALLERS_PER_ORGANISATION: Final = 3
 """Number of callers of each organisation."""
 
@@ -49,6 +56,7 @@
     """Injected faults: start, kind and duration."""
     violations: list[str]
     """Violated guarantees."""
+    shares: StreamShares
 
 
 class SoakRun:
@@ -64,6 +72,8 @@
         lethal: Whether a caller repeats a request that ends the engines that run it.
         partitions: Whether instances are partitioned from engines beside the other faults.
         answers: Whether engines change the framing of their answers, and break them off.
+        releases: Whether engines are replaced by others of other software versions, and callers
+            take streams up at any instance.
     """
 
     def __init__(
@@ -77,6 +87,7 @@
         lethal: bool = False,
         partitions: bool = False,
         answers: bool = False,
+        releases: bool = False,
     ) -> None:
         self._seed = seed
         self._length_s = length_s
@@ -90,16 +101,21 @@
         self._lethal = lethal
         self._plans_partitions = partitions
         self._plans_answers = answers
+        self._plans_releases = releases
+        self._streams: list[StreamRecord] = []
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
         self._external_disruptions: list[Span] = []
         self._injected_faults: list[str] = []
-        self._injector = FaultInjector(site=self._site)
+        self._injector = FaultInjector(site=self._site, changes_software=releases)
 
     async def run(self) -> Verdict:
         """Start the site, run callers while faults are injected, stop the site and check."""
         site = self._site
-        await site.start(pool=3, portal=3)
+        if self._plans_releases:
+            await site.start(pool=RELEASED_POOL, portal=3, pool_versions=RELEASE_VERSIONS[:2])
+        else:
+            await site.start(pool=3, portal=3)
         for number in range(self._instance_count):
             await site.add_instance(f"one-{number}")
         try:
@@ -108,6 +124,8 @@
             async with asyncio.TaskGroup() as tasks:
                 for caller in self._build_callers():
                     tasks.create_task(caller.run(started_at + self._length_s))
+                for stream_caller in self._build_stream_callers():
+                    tasks.create_task(stream_caller.run(started_at + self._length_s))
                 if self._lethal:
                     tasks.create_task(self._repeat_lethal(started_at))
                 for fault in self._plan():
@@ -122,6 +140,8 @@
             faults += plan_partitions(self._seed, length_s=self._length_s)
         if self._plans_answers:
             faults += plan_answers(self._seed, length_s=self._length_s)
+        if self._plans_releases:
+            faults += plan_releases(self._seed, length_s=self._length_s)
         return faults
 
     def _build_verdict(self, ended_at: float) -> Verdict:
@@ -161,9 +181,18 @@
             requests=len(self._requests),
             answered=sum(request.status == 200 and request.complete for request in self._requests),
             faults=self._injected_faults,
-            violations=find_violations(record) + self._site.find_instance_failures(),
+            shares=count_shares(self._streams, self._list_disruptions()),
+            violations=[
+                *find_violations(record),
+                *find_stream_violations(self._streams, self._list_disruptions()),
+                *self._site.find_instance_failures(),
+            ],
         )
 
+    def _list_disruptions(self) -> dict[str, list[Span]]:
+        """Return the disruptions of each instance, by its address."""
+        return {one.caller_address: one.disruptions for one in self._site.instances}
+
     def _build_callers(self) -> list[Caller]:
         directories = [instance.directory_address for instance in self._site.instances]
         callers = []
@@ -183,6 +212,24 @@
                 callers.append(caller)
         return callers
 
+    def _build_stream_callers(self) -> list[StreamCaller]:
+        if not self._plans_releases:
+            return []
+        return [
+            StreamCaller(
+                name=f"{organisation}.stream.{number}",
+                organisation=organisation,
+                key=KEYS[organisation],
+                addresses=[instance.caller_address for instance in self._site.instances],
+                random=Random(f"{self._seed}{organisation}stream{number}"),
+                requests=self._requests,
+                streams=self._streams,
+                count_serving=self._site.count_serving,
+            )
+            for organisation in STREAM_ORGANISATIONS
+            for number in range(CALLERS_PER_ORGANISATION)
+        ]
+
     async def _repeat_lethal(self, started_at: float) -> None:
         await self._lethal_caller.run(started_at + self._length_s - RECOVERY_S)
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -22,6 +22,17 @@
 """Range of durations of a partition: to well above the time after which callers must be served."""
 ANSWER_FAULTS_PER_S: Final = 0.4
 """Mean number per second of framings, and as many endings, of engines' answers that begin."""
+SHORTEST_RELEASE_GAP_S: Final = 0.2
+LONGEST_RELEASE_GAP_S: Final = 0.8
+"""Range of the time between two engines of one release."""
+RELEASED_ENGINES: Final = 3
+"""Engines that one release replaces."""
+RELEASE_DRAIN_S: Final = 2.6
+"""Time for which an engine serves on after it was listed as leaving: longer than the bound on new
+requests there and a response."""
+LONGEST_RELEASE_S: Final = RELEASED_ENGINES * LONGEST_RELEASE_GAP_S + RELEASE_DRAIN_S
+RELEASES_PER_S: Final = 0.15
+"""Mean number of releases that begin per second, so that they follow closely and overlap."""
 LONGEST_FREEZE_S: Final = 6.0
 """Longest freeze of a process: longer than the time after which revoked keys must be rejected."""
 
@@ -66,6 +77,9 @@
     """All engines of a service frame their answers in one way: a length, chunks or neither."""
     ANSWER_ENDING = "answer_ending"
     """An engine breaks off its answers in one way."""
+    RELEASE = "release"
+    """Some engines are replaced, one after the other, by others of another software version; the
+    duration is the time between two of them."""
 
     @property
     def affects_instances(self) -> bool:
@@ -82,6 +96,7 @@
             FaultKind.CONFIG_CHANGE,
             FaultKind.REVOKE,
             FaultKind.ANSWER_FRAMING,
+            FaultKind.RELEASE,
         )
 
 
@@ -89,6 +104,7 @@
     FaultKind.PARTITION,
     FaultKind.ANSWER_FRAMING,
     FaultKind.ANSWER_ENDING,
+    FaultKind.RELEASE,
 )
 """Kinds that are planned by themselves, beside the others of a seed."""
 
@@ -171,6 +187,23 @@
     return faults
 
 
+def plan_releases(seed: int, *, length_s: float) -> list[Fault]:
+    """Return the releases of a run, which come beside its other faults.
+
+    Args:
+        seed: Seed of the generator.
+        length_s: Length of the run, including its recovery.
+    """
+    random = Random(f"{seed}release")
+    end_s = length_s - RECOVERY_S - LONGEST_RELEASE_S
+    count = max(1, int(RELEASES_PER_S * end_s))
+    gaps = [random.uniform(SHORTEST_RELEASE_GAP_S, LONGEST_RELEASE_GAP_S) for _ in range(count)]
+    return [
+        _place_fault(random, FaultKind.RELEASE, duration_s=gap_s, end_s=max(gap_s, end_s))
+        for gap_s in gaps
+    ]
+
+
 def _place_fault(random: Random, kind: FaultKind, *, duration_s: float, end_s: float) -> Fault:
     """Return a fault at any time before the recovery."""
     return Fault(
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,7 +6,8 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from guavamast.platform.standins.engine import DEFAULT_VERSION
+from guavamast.platform.standins.answer_body import WHOLE
+from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineFault
 from guavamast.platform.standins.site import KEY, Site
 from soak.guarantees import RunRecord, Span
 from soak.instances import Instance
@@ -46,6 +47,11 @@
         self.revoked: dict[str, float] = {}
         self.drains: dict[str, list[Span]] = {}
         self.other_keys = {name: key for name, key in KEYS.items() if name != "bakery"}
+        self.leaving: set[str] = set()
+        """Engines that are being replaced, and are never listed as ready again."""
+        self.listed_ready: set[str] = set()
+        """Engines that are listed as ready."""
+        self._retired_links: list[LinkProxy] = []
         self._directory = directory
 
     async def add_engine(
@@ -63,13 +69,25 @@
 
     def list_engine_link(self, engine_id: str, *, state: str = "ready") -> None:
         """Write an engine's row to the store, with the address of its link."""
+        if engine_id in self.leaving:
+            state = "draining"
+        if state == "ready":
+            self.listed_ready.add(engine_id)
+        else:
+            self.listed_ready.discard(engine_id)
         self.register_engine(
             engine_id, self.engine_services[engine_id], self.links[engine_id].port, state=state
         )
 
-    async def restart_engine(self, engine_id: str) -> None:
-        """Start a new engine with the id and address of another, but none of its state."""
-        await self._replace_engine(engine_id, engine_id, self.engine_services[engine_id])
+    async def restart_engine(self, engine_id: str, *, version: str | None = None) -> None:
+        """Start a new engine with the id and address of another, but none of its state.
+
+        Args:
+            engine_id: Id of the engine.
+            version: Software version of the new one; that of the other one if not given.
+        """
+        service = self.engine_services[engine_id]
+        await self._replace_engine(engine_id, engine_id, service, version=version)
         self.list_engine_link(engine_id)
 
     async def reuse_address(self, engine_id: str, new_id: str) -> None:
@@ -83,8 +101,33 @@
 
     def unlist_engine(self, engine_id: str) -> None:
         """Remove an engine's row from the store."""
+        self.listed_ready.discard(engine_id)
         self.store.drop("servers", engine_id)
 
+    async def retire_engine(self, engine_id: str) -> None:
+        """End an engine that has left, unless another fault has replaced it meanwhile."""
+        engine = self.engines.pop(engine_id, None)
+        if engine is None:
+            return
+        self.replaced_engines.append((engine_id, engine))
+        self.unlist_engine(engine_id)
+        link = self.links.pop(engine_id)
+        link.stop_listening()
+        self._retired_links.append(link)
+        await engine.stop()
+
+    def count_serving(self, version: str) -> int:
+        """Return the number of the pool's engines of a software version that serve."""
+        return sum(
+            engine.version == version
+            and self.engine_services[name] == "pool"
+            and name in self.listed_ready
+            and engine.fault is EngineFault.NONE
+            and engine.ending is WHOLE
+            and self.links[name].is_sound
+            for name, engine in self.engines.items()
+        )
+
     async def crash_engine(self, engine_id: str) -> None:
         """Stop an engine and close its connections."""
         self.links[engine_id].stop_listening()
@@ -110,7 +153,8 @@
         stops = [instance.stop() for instance in self.instances]
         results = await asyncio.gather(*stops, return_exceptions=True)
         await super().stop()
-        for link in [*self.links.values(), *(instance.store_link for instance in self.instances)]:
+        store_links = [instance.store_link for instance in self.instances]
+        for link in [*self.links.values(), *self._retired_links, *store_links]:
             await link.stop()
         failures = [result for result in results if isinstance(result, Exception)]
         if failures:
@@ -158,10 +202,12 @@
         self.engine_services[successor.engine_id] = service
         self.list_engine_link(successor.engine_id)
 
-    async def _replace_engine(self, old_id: str, new_id: str, service: str) -> None:
+    async def _replace_engine(
+        self, old_id: str, new_id: str, service: str, *, version: str | None = None
+    ) -> None:
         old = self.engines.pop(old_id)
         self.replaced_engines.append((old_id, old))
-        engine = self.build_engine(new_id, service)
+        engine = self.build_engine(new_id, service, version=version or old.version)
         engine.processing_s = ENGINE_WORK_S
         self.links[old_id].target_port = await engine.listen()
         await self.links[old_id].start()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,9 +21,24 @@
 )
 from soak.proxy import LinkFault, LinkProxy
 from soak.run import SoakRun
-from soak.schedule import RECOVERY_S, FaultKind, plan_answers, plan_faults, plan_partitions
+from soak.schedule import (
+    RECOVERY_S,
+    FaultKind,
+    plan_answers,
+    plan_faults,
+    plan_partitions,
+    plan_releases,
+)
+from soak.streams import (
+    StreamAttempt,
+    StreamEvent,
+    StreamRecord,
+    find_events,
+    find_stream_violations,
+    normalize_versions,
+)
 
-from guavamast.platform.standins.engine import EngineStandIn
+from guavamast.platform.standins.engine import EngineStandIn, encode_event
 from guavamast.relay.endpoint_connection import ConnectionRefused
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection
 
@@ -42,6 +57,8 @@
 PARTITION_SEED = 3
 """Seed in which some instances reach no engine for seconds."""
 PARTITION_LENGTH_S = 14.0
+RELEASE_SEED = 301
+"""Seed in which releases overlap with crashes, kills and a partition."""
 ANSWERS_SEED = 4
 """Seed in which engines break off streams without a length, inside events and between them."""
 
@@ -122,6 +139,10 @@
         failed = replace(CALL, status=502, body=b"")
         self.assert_violation(build_record([failed], [RUN]), "502, though")
 
+    def test_two_versions_in_one_answer(self) -> None:
+        mixed = replace(CALL, versions=frozenset({"v1", "v2"}))
+        self.assert_violation(build_record([mixed], [RUN]), "events of ['v1', 'v2']")
+
     def test_run_for_a_revoked_key(self) -> None:
         record = build_record([CALL], [RUN])
         revoked = {"bakery": CALL.sent_at - REVOKE_BOUND_S - 0.1}
@@ -198,6 +219,74 @@
         self.assertIn("only 1 of the last 4 requests were answered", broken)
 
 
+def build_stream(*attempts: str, serving: int = 2) -> StreamRecord:
+    """Return a stream by the versions of each attempt's events: ``112`` for v1, v1, v2."""
+    stream = StreamRecord()
+    for versions in attempts:
+        first = len(stream.events) + 1
+        stream.attempts.append(
+            StreamAttempt(
+                request_id=f"s{len(stream.attempts)}",
+                address="one",
+                sent_at=10.0,
+                ended_at=10.1,
+                status=200 if versions else 503,
+                events=tuple(
+                    StreamEvent(number=first + index, version=f"v{version}")
+                    for index, version in enumerate(versions)
+                ),
+                serving=serving if stream.attempts else 0,
+            )
+        )
+    return stream
+
+
+class StreamCheckTest(unittest.TestCase):
+    """Each violated guarantee of streams is found, over all their attempts."""
+
+    def assert_violation(self, streams: list[StreamRecord], text: str) -> None:
+        broken = find_stream_violations(streams, {})
+        self.assertEqual(len(broken), 1, broken)
+        self.assertIn(text, broken[0])
+
+    def test_streams_of_one_version_violate_nothing(self) -> None:
+        self.assertEqual(find_stream_violations([build_stream("11", "", "1")], {}), [])
+
+    def test_two_versions_in_one_answer_or_over_two(self) -> None:
+        for attempts in (("112",), ("11", "2"), ("1", "", "2")):
+            self.assert_violation([build_stream(*attempts)], "events of ['v1', 'v2']")
+
+    def test_events_that_are_missing_or_come_twice(self) -> None:
+        stream = build_stream("11", "1")
+        for number in (1, 2, 4):
+            (event,) = stream.attempts[1].events
+            stream.attempts[1] = replace(
+                stream.attempts[1], events=(replace(event, number=number),)
+            )
+            self.assert_violation([stream], f"events [1, 2, {number}]")
+
+    def test_streams_that_hardly_ever_go_on(self) -> None:
+        refused = [build_stream("1", "") for _ in range(7)]
+        went_on = [build_stream("1", "1") for _ in range(6)]
+        self.assert_violation([*refused, *went_on], "6 of 13 went on, 13 of 13 began")
+        self.assertEqual(find_stream_violations([*refused[:6], *went_on], {}), [])
+        new = [build_stream("") for _ in range(12)]
+        self.assertEqual(find_stream_violations([*refused, *went_on, *new], {}), [])
+
+    def test_streams_whose_version_or_instance_did_not_serve_do_not_count(self) -> None:
+        alone = [build_stream("1", "", serving=1) for _ in range(20)]
+        self.assertEqual(find_stream_violations(alone, {}), [])
+        refused = [build_stream("1", "") for _ in range(20)]
+        spans = {"one": [Span(started_at=9.0, ended_at=9.5)]}
+        self.assertEqual(find_stream_violations(refused, spans), [])
+
+    def test_versions_are_read_from_events_and_taken_out(self) -> None:
+        body = encode_event("a", 1, "v2") + encode_event("a", 2, "v3") + b"id: 3\ndat"
+        self.assertEqual([event.version for event in find_events(body)], ["v2", "v3"])
+        expected = encode_event("a", 1) + encode_event("a", 2) + b"id: 3\ndat"
+        self.assertEqual(normalize_versions(body), expected)
+
+
 class ScheduleTest(unittest.TestCase):
     """Faults are determined by the seed and leave time to recover."""
 
@@ -209,6 +298,7 @@
         faults = [fault for seed in range(40) for fault in plan_faults(seed, length_s=20.0)]
         faults += [fault for seed in range(40) for fault in plan_partitions(seed, length_s=20.0)]
         faults += [fault for seed in range(40) for fault in plan_answers(seed, length_s=20.0)]
+        faults += [fault for seed in range(40) for fault in plan_releases(seed, length_s=20.0)]
         self.assertEqual({fault.kind for fault in faults}, set(FaultKind))
         for fault in faults:
             self.assertLessEqual(fault.start_s + fault.duration_s, 20.0 - RECOVERY_S + 0.3)
@@ -297,6 +387,17 @@
             answers=True,
         )
 
+    async def test_releases_beside_other_faults_violate_no_guarantee(self) -> None:
+        """Guards against streams that go on at other software, at any instance, or hardly ever."""
+        await self.run_seed(
+            RELEASE_SEED,
+            instances=4,
+            length_s=PARTITION_LENGTH_S,
+            partitions=True,
+            answers=True,
+            releases=True,
+        )
+
     async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
         """Guards against a fleet that loses what it knows of such a request to kills and resets."""
         await self.run_seed(LETHAL_SEED, lethal=True)
