Open the circle of imports around attempts; log take-ups in their own room

AttemptFailed and FailureKind have a module of their own, what a check of a response's end asks of its connector is an interface (RefusalProbe), and the lines and metrics of take-ups are recorded in stream_binding.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -77,8 +77,8 @@
     """Software versions of the engines that made the events of the response."""
     left: bool = False
     """Whether its caller left in the middle of the response."""
-    continues: bool = False
-    """Whether it takes up a stream, which may be refused as what began it isn't known."""
+    anywhere: bool = False
+    """Whether it was sent to any instance, also to one that has stopped or isn't listed."""
 
     @property
     def served(self) -> bool:
@@ -192,7 +192,8 @@
         disruptions, request.sent_at, request.ended_at
     ):
         return []
-    if request.status is None or (request.status == 200 and not request.served):
+    unanswered = request.status is None and not request.anywhere
+    if unanswered or (request.status == 200 and not request.served):
         return [
             f"{request.request_id} ({request.kind}): no full response, though nothing was disturbed"
         ]
@@ -289,7 +290,7 @@
         for request in requests
         if span.started_at + SPREAD_BOUND_S <= request.sent_at
         and request.ended_at <= span.ended_at
-        and not request.continues
+        and not request.anywhere
     ]
     there = [request.served for request in sent if request.address in partition.addresses]
     others = [request.served for request in sent if request.address not in partition.addresses]
@@ -310,7 +311,7 @@
         for request in record.requests
         if request.sent_at >= record.recovered_at
         and request.organisation not in record.revoked
-        and not request.continues
+        and not request.anywhere
     ]
     succeeded = sum(request.served for request in last_requests)
     if succeeded < RECOVERED_SHARE * len(last_requests) or not last_requests:
--- a/soak/site.py
+++ b/soak/site.py
@@ -120,8 +120,8 @@
         """Return the number of the pool's engines of a software version that serve."""
         return sum(
             engine.version == version
-            and self.engine_services[name] == "pool"
             and name in self.listed_ready
+            and self.engine_services[name] == "pool"
             and engine.fault is EngineFault.NONE
             and engine.ending is WHOLE
             and self.links[name].is_sound
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -130,7 +130,7 @@
                 complete=received.complete,
                 address=address,
                 left=received.left,
-                continues=bool(events),
+                anywhere=True,
             )
         )
 
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
+from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.endpoint_connection import (
     ConnectionKind,
     ConnectionLost,
@@ -37,79 +37,6 @@
 """Bytes of a response body that may be buffered before it is forwarded."""
 
 
-class FailureKind(StrEnum):
-    """Why an attempt produced no response."""
-
-    OUTDATED = "outdated"
-    """The decision to send the request is no longer valid; no byte was sent."""
-    NOT_CONNECTED = "not_connected"
-    """The endpoint can't be connected to, while others of its service can; no byte was sent."""
-    NO_PATH = "no_path"
-    """No endpoint of the service can be connected to from here; no byte was sent."""
-    REFUSED = "refused"
-    """The endpoint states that it did not run the request."""
-    MISDIRECTED = "misdirected"
-    """The address now belongs to another endpoint; the intended one is gone."""
-    LOST = "lost"
-    """The connection ended, or the response was broken off; the request may have run."""
-    INVALID = "invalid"
-    """The data received is not a complete response to this request; it may have run."""
-    SILENT = "silent"
-    """Nothing was received within the attempt's timeout; the request may have run."""
-    ERROR = "error"
-    """The endpoint ran the request and responded with an error of its own."""
-
-
-FAILURE_WEIGHTS: Final = {
-    FailureKind.OUTDATED: 0.0,
-    FailureKind.NOT_CONNECTED: 6.0,
-    FailureKind.NO_PATH: 0.0,
-    FailureKind.REFUSED: 0.3,
-    FailureKind.MISDIRECTED: 6.0,
-    FailureKind.LOST: 1.0,
-    FailureKind.INVALID: 1.0,
-    FailureKind.SILENT: 1.0,
-    FailureKind.ERROR: 0.3,
-}
-"""Weight of each failure in its endpoint's failure score. A rejection mostly means a full queue;
-an error response may be the request's fault."""
-_NOT_EXECUTED_KINDS: Final = (
-    FailureKind.OUTDATED,
-    FailureKind.NOT_CONNECTED,
-    FailureKind.NO_PATH,
-    FailureKind.REFUSED,
-    FailureKind.MISDIRECTED,
-)
-
-
-class AttemptFailed(Exception):
-    """An attempt produced no response.
-
-    Args:
-        kind: Why.
-        detail: What was observed, for the log.
-    """
-
-    def __init__(self, kind: FailureKind, detail: str) -> None:
-        super().__init__(f"{kind}: {detail}")
-        self.kind = kind
-        self.detail = detail
-        self.connection = ConnectionKind.NONE
-        """Connection of the attempt."""
-        self.end = ResponseEnd()
-        """How its response ended."""
-
-    @property
-    def weight(self) -> float:
-        """Weight of the failure in its endpoint's failure score."""
-        return FAILURE_WEIGHTS[self.kind]
-
-    @property
-    def not_run(self) -> bool:
-        """Whether the endpoint certainly did not run the request and will not."""
-        return self.kind in _NOT_EXECUTED_KINDS
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CompleteResponse:
     """A response that was read to its end."""
--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.attempt import AttemptFailed, FailureKind
+from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Admitted, Denied, reject_for_retry
 
 if TYPE_CHECKING:
--- a/src/guavamast/relay/direct_connector.py
+++ b/src/guavamast/relay/direct_connector.py
@@ -15,6 +15,7 @@
     PathLost,
 )
 from guavamast.relay.http_connection import HttpConnection
+from guavamast.relay.response_end_check import RefusalProbe
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +37,7 @@
 endpoint states its idle timeout with its first response only."""
 
 
-class DirectConnector:
+class DirectConnector(RefusalProbe):
     """Opens and keeps connections to endpoints.
 
     Args:
--- a/src/guavamast/relay/endpoint_connector.py
+++ b/src/guavamast/relay/endpoint_connector.py
@@ -10,6 +10,7 @@
     NotForwarded,
     PathLost,
 )
+from guavamast.relay.response_end_check import RefusalProbe
 
 if TYPE_CHECKING:
     from guavamast.relay.direct_connector import DirectConnector
@@ -19,7 +20,7 @@
     from guavamast.relay.stream_binding import StreamBinding
 
 
-class EndpointConnector:
+class EndpointConnector(RefusalProbe):
     """Finds a connection to an endpoint for one request.
 
     Args:
@@ -81,12 +82,7 @@
         return await self._direct.connect(record)
 
     async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
-        """Return whether the host of an endpoint that was just heard directly refuses connections.
-
-        Args:
-            record: The endpoint.
-            timeout_s: Seconds after which silence counts as no refusal.
-        """
+        """Return whether an endpoint's host refuses connections, as its direct connections show."""
         return await self._direct.refuses_connection(record, timeout_s=timeout_s)
 
     async def is_refused(self, record: EndpointRecord, *, row_version: int) -> bool:
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -6,7 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
-from guavamast.relay.attempt import Attempt, AttemptFailed, FailureKind
+from guavamast.relay.attempt import Attempt
+from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.attempt_timeouts import compute_attempt_timeout
 from guavamast.relay.messages import SendParameters
 from guavamast.relay.placed_send import PlacedSend
@@ -113,7 +114,7 @@
         self._versions = versions
         self._take_ups = take_ups
         self._end_check = ResponseEndCheck(
-            connector=connector, admission=admission, fleet_state=fleet_state, read_time=read_time
+            probe=connector, admission=admission, fleet_state=fleet_state, read_time=read_time
         )
         self._recorder = recorder
         self._profiles = profiles
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.attempt import AttemptFailed
+from guavamast.relay.attempt_failure import AttemptFailed
 from guavamast.relay.endpoint_connection import (
     ConnectionLost,
     EndpointUnreachable,
@@ -115,7 +115,7 @@
     ) -> None:
         self._direct = direct
         self._end_check = ResponseEndCheck(
-            connector=direct, admission=admission, fleet_state=fleet_state, read_time=read_time
+            probe=direct, admission=admission, fleet_state=fleet_state, read_time=read_time
         )
         self._monitor = monitor
         self._admission = admission
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -42,7 +42,12 @@
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
-from guavamast.relay.stream_binding import BindingDirectory, SoftwareVersions
+from guavamast.relay.stream_binding import (
+    BindingDirectory,
+    SoftwareVersions,
+    StreamTakeUps,
+    TakeUpRecorder,
+)
 from guavamast.relay.table_publisher import TablePublisher
 from guavamast.relay.table_watch import build_table_watches
 from guavamast.relay.work_state import WorkState
@@ -314,7 +319,11 @@
             recorder=self._recorder,
             scheduling=self._scheduling,
             versions=self._versions,
-            bindings=self._bindings,
+            take_ups=StreamTakeUps(
+                directory=self._bindings,
+                recorder=TakeUpRecorder(log=self.log, counters=self.counters),
+                read_time=read_boot_time,
+            ),
             limits=self._limits,
             guard=self._containment.guard,
             publish_load=self._load_updates.record_change,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.attempt import AttemptFailed, FailureKind
+from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Denied
 from guavamast.relay.request_progress import begin_progress, compute_deadline
 
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -10,7 +10,6 @@
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.scheduled_placer import ScheduledPlacer
-from guavamast.relay.stream_binding import StreamTakeUps
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +27,7 @@
     from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.scheduling import Scheduling
-    from guavamast.relay.stream_binding import BindingDirectory, SoftwareVersions
+    from guavamast.relay.stream_binding import SoftwareVersions, StreamTakeUps
     from guavamast.relay.work_state import WorkState
 
 
@@ -43,7 +42,7 @@
     recorder: RequestRecorder,
     scheduling: Scheduling,
     versions: SoftwareVersions,
-    bindings: BindingDirectory,
+    take_ups: StreamTakeUps,
     limits: RejectionLimitSharing,
     guard: CrashGuard,
     publish_load: PublishLoad,
@@ -62,7 +61,7 @@
         recorder: Log lines and metrics of requests.
         scheduling: Queries the schedulers of endpoints.
         versions: Software of the endpoints.
-        bindings: What began streams that can be resumed.
+        take_ups: What began streams that can be resumed.
         limits: Rejection limits that endpoints state.
         guard: Keeps requests that end endpoints from further ones.
         publish_load: Called when this instance's work at an endpoint has changed.
@@ -70,7 +69,6 @@
         read_time: Reads the local clock.
     """
     budget = RetryBudget(settings=_build_budget_terms(settings))
-    take_ups = StreamTakeUps(directory=bindings, recorder=recorder, read_time=read_time)
     exchanger = Exchanger(
         admission=admission,
         fleet_state=fleet_state,
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -6,11 +6,10 @@
 
 from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.freshness import round_age
-from guavamast.relay.stream_binding.directory import OWN_MEMORY
 
 if TYPE_CHECKING:
     from guavamast.relay.admission import Rejection
-    from guavamast.relay.attempt import AttemptFailed
+    from guavamast.relay.attempt_failure import AttemptFailed
     from guavamast.relay.caller_gate import Admitted, Denied
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
@@ -24,7 +23,7 @@
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.response_end import ResponseEnd
     from guavamast.relay.scheduling_client import ScheduledReply
-    from guavamast.relay.stream_binding import StreamBinding, TakeUp
+    from guavamast.relay.stream_binding import StreamBinding
 
 
 class RequestRecorder:
@@ -116,31 +115,6 @@
             loop_delay_s=round(self._loop_delay.read(now=now), 3),
         )
 
-    def record_take_up(
-        self, request: CallerRequest, take_up: TakeUp, *, took_s: float, now: float
-    ) -> None:
-        """Record whether a stream that its caller takes up may go on, and whence this is known."""
-        lookup = take_up.lookup
-        stream = lookup.stream
-        own = str(lookup.source == OWN_MEMORY).lower()
-        self._counters.add(f'take_ups_total{{outcome="{take_up.outcome}",own_memory="{own}"}}')
-        self._log.write(
-            "taken_up",
-            now=now,
-            request_id=request.request_id,
-            resumed_request=request.resumed_request_id,
-            caller_event_id=request.last_event_id,
-            outcome=str(take_up.outcome),
-            bound_service=take_up.binding.service if take_up.binding else None,
-            bound_version=take_up.binding.software_version if take_up.binding else None,
-            bound_by=stream.instance if stream is not None else None,
-            bound_s=round(now - stream.bound_at, 3) if stream is not None else None,
-            source=lookup.source,
-            asked=lookup.asked,
-            silent=lookup.silent,
-            took_s=round(took_s, 4),
-        )
-
     def record_first_event(self, request: CallerRequest, choice: Choice, *, now: float) -> None:
         """Record the time to the first event, together with the forecast."""
         took_s = now - request.received_at
--- a/src/guavamast/relay/response_end_check.py
+++ b/src/guavamast/relay/response_end_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.response_end import BodyEnding
@@ -10,8 +11,6 @@
     from collections.abc import Callable
 
     from guavamast.relay.caller_admission import CallerAdmission
-    from guavamast.relay.direct_connector import DirectConnector
-    from guavamast.relay.endpoint_connector import EndpointConnector
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
 
@@ -20,6 +19,21 @@
 nothing, and a whole response must not be withheld for it."""
 
 
+class RefusalProbe(ABC):
+    """Tells whether the host of an endpoint refuses connections."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
+        """Return whether the host of an endpoint that was just heard directly refuses connections.
+
+        Args:
+            record: The endpoint.
+            timeout_s: Seconds after which silence counts as no refusal.
+        """
+
+
 class ResponseEndCheck:
     """Looks for the sender of a response whose bytes don't show whether it is whole.
 
@@ -32,23 +46,23 @@
     a refusal there is not compared with other endpoints, which may have ended together.
 
     Args:
-        connector: Tells whether an endpoint's host refuses connections.
+        probe: Tells whether an endpoint's host refuses connections.
         admission: Reads the table of endpoints if it is too old.
         fleet_state: Endpoints that are in use.
         read_time: Reads the local clock.
     """
 
-    __slots__ = ("_admission", "_connector", "_fleet_state", "_read_time")
+    __slots__ = ("_admission", "_fleet_state", "_probe", "_read_time")
 
     def __init__(
         self,
         *,
-        connector: DirectConnector | EndpointConnector,
+        probe: RefusalProbe,
         admission: CallerAdmission,
         fleet_state: FleetState,
         read_time: Callable[[], float],
     ) -> None:
-        self._connector = connector
+        self._probe = probe
         self._admission = admission
         self._fleet_state = fleet_state
         self._read_time = read_time
@@ -68,4 +82,4 @@
             return False
         if listed.started_ms != record.started_ms:
             return True
-        return await self._connector.refuses_connection(record, timeout_s=CHECK_TIMEOUT_S)
+        return await self._probe.refuses_connection(record, timeout_s=CHECK_TIMEOUT_S)
--- a/src/guavamast/relay/stream_binding/__init__.py
+++ b/src/guavamast/relay/stream_binding/__init__.py
@@ -1,6 +1,7 @@
 """Streams go on only at the service and software version that began them."""
 
 from guavamast.relay.stream_binding.directory import BindingDirectory, Lookup
+from guavamast.relay.stream_binding.recorder import TakeUpRecorder
 from guavamast.relay.stream_binding.records import BoundStream, StreamBinding, compute_stream_key
 from guavamast.relay.stream_binding.take_up import StreamTakeUps, TakeUp, TakeUpOutcome
 from guavamast.relay.stream_binding.versions import SoftwareVersions
@@ -16,5 +17,6 @@
     "StreamTakeUps",
     "TakeUp",
     "TakeUpOutcome",
+    "TakeUpRecorder",
     "compute_stream_key",
 ]
--- a/src/guavamast/relay/stream_binding/take_up.py
+++ b/src/guavamast/relay/stream_binding/take_up.py
@@ -16,8 +16,8 @@
 
     from guavamast.relay.caller_gate import Admitted
     from guavamast.relay.messages import CallerRequest
-    from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.stream_binding.directory import BindingDirectory
+    from guavamast.relay.stream_binding.recorder import TakeUpRecorder
     from guavamast.relay.stream_binding.records import StreamBinding
 
 LIFETIME_TIMEOUTS: Final = 4.0
@@ -76,7 +76,7 @@
         self,
         *,
         directory: BindingDirectory,
-        recorder: RequestRecorder,
+        recorder: TakeUpRecorder,
         read_time: Callable[[], float],
     ) -> None:
         self._directory = directory
@@ -96,7 +96,7 @@
         started_at = self._read_time()
         take_up = await self._look_up(request, admitted)
         now = self._read_time()
-        self._recorder.record_take_up(request, take_up, took_s=now - started_at, now=now)
+        self._recorder.record(request, take_up, took_s=now - started_at, now=now)
         return take_up
 
     async def _look_up(self, request: CallerRequest, admitted: Admitted) -> TakeUp:
--- a/tests/test_relay_broken_answers.py
+++ b/tests/test_relay_broken_answers.py
@@ -8,7 +8,7 @@
 
 from guavamast.platform.standins.answer_body import WHOLE, AnswerEnding, Closing
 from guavamast.platform.standins.engine import EVENTS_PER_STREAM, EngineStandIn, encode_event
-from guavamast.relay.attempt import FAILURE_WEIGHTS, AttemptFailed, FailureKind
+from guavamast.relay.attempt_failure import FAILURE_WEIGHTS, AttemptFailed, FailureKind
 from guavamast.relay.catalog import RouteKind
 from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.endpoint_load import EndpointLoads
--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from guavamast.relay.attempt import AttemptFailed, FailureKind
+from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.caller_admission import MAX_READ_WAIT_S, CallerAdmission
 from guavamast.relay.caller_gate import Admitted, CallerGate, Denied
 from guavamast.relay.catalog import WeightedService
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -5,7 +5,7 @@
 import unittest
 
 from guavamast.platform.standins.engine import EngineFault, EngineStandIn
-from guavamast.relay.attempt import AttemptFailed, FailureKind
+from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.quarantine import (
     Quarantine,
 )
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from guavamast.relay.attempt import AttemptFailed, FailureKind
+from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.loop_delay import LoopDelay
