--- a/soak/site.py
+++ b/soak/site.py
@@ -54,6 +54,13 @@
         self._retired_links: list[LinkProxy] = []
         self._directory = directory
 
+    def build_engine(
+        self, engine_id: str, service: str, *, version: str = DEFAULT_VERSION
+    ) -> EngineStandIn:
+        """Return an engine, and remember its service before a concurrent fault looks for it."""
+        self.engine_services[engine_id] = service
+        return super().build_engine(engine_id, service, version=version)
+
     async def add_engine(
         self, engine_id: str, service: str, *, version: str = DEFAULT_VERSION
     ) -> EngineStandIn:
@@ -62,7 +69,6 @@
         engine.processing_s = ENGINE_WORK_S
         link = LinkProxy(target_port=engine.port)
         self.links[engine_id] = link
-        self.engine_services[engine_id] = service
         await link.start()
         self.list_engine_link(engine_id)
         return engine
@@ -195,11 +201,11 @@
         self, successor: EngineStandIn, service: str, *, predecessor: EngineStandIn
     ) -> None:
         """List an engine that has replaced one that has ended, behind the same link."""
+        del service
         link = self.links.pop(predecessor.engine_id)
         link.target_port = successor.port
         await link.start()
         self.links[successor.engine_id] = link
-        self.engine_services[successor.engine_id] = service
         self.list_engine_link(successor.engine_id)
 
     async def _replace_engine(
@@ -213,7 +219,6 @@
         await self.links[old_id].start()
         # Added only once it listens, as a concurrent fault may stop any engine found here.
         self.engines[new_id] = engine
-        self.engine_services[old_id if old_id == new_id else new_id] = service
 
 
 def _describe_run(run: Run, engine_id: str) -> RunRecord:
--- a/src/guavamast/relay/stream_binding/__init__.py
+++ b/src/guavamast/relay/stream_binding/__init__.py
@@ -1,9 +1,10 @@
 """Streams go on only at the service and software version that began them."""
 
+from guavamast.relay.stream_binding.decision import TakeUp, TakeUpOutcome
 from guavamast.relay.stream_binding.directory import BindingDirectory, Lookup
 from guavamast.relay.stream_binding.recorder import TakeUpRecorder
 from guavamast.relay.stream_binding.records import BoundStream, StreamBinding, compute_stream_key
-from guavamast.relay.stream_binding.take_up import StreamTakeUps, TakeUp, TakeUpOutcome
+from guavamast.relay.stream_binding.take_up import StreamTakeUps
 from guavamast.relay.stream_binding.versions import SoftwareVersions
 from guavamast.relay.stream_binding.wire import BINDING_PREFIX
 
--- a/src/guavamast/relay/stream_binding/recorder.py
+++ b/src/guavamast/relay/stream_binding/recorder.py
@@ -10,7 +10,7 @@
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.messages import CallerRequest
-    from guavamast.relay.stream_binding.take_up import TakeUp
+    from guavamast.relay.stream_binding.decision import TakeUp
 
 
 class TakeUpRecorder:
