--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -218,9 +218,8 @@
                 return
             placed = await self._placer.place(request, progress)
             if placed.choice is None:
-                await self._finish_failed(
-                    request, writer, progress, status=502, reason="no endpoint"
-                )
+                reason = "no endpoint" if progress.binding is None else "no endpoint of its version"
+                await self._finish_failed(request, writer, progress, status=502, reason=reason)
                 return
             if placed.rejection is not None:
                 await self._reject_for_capacity(request, writer, progress, placed)
