Don't reject a stream that has begun for want of room in time

An attempt that takes a stream up was admitted like a new request, but may go to the engines of one version only: with two of nine full it was refused while new streams found room. The new test failed before at a scheduler (rejected, 2.2 s) and passes with and without one; 61 tests of placement pass.

--- a/src/guavamast/relay/local_placer.py
+++ b/src/guavamast/relay/local_placer.py
@@ -93,7 +93,7 @@
                 now=now,
             ),
         )
-        if choice is None or progress.sends > 0 or choice.forecast is None:
+        if choice is None or progress.has_begun or choice.forecast is None:
             return PlacementDecision(choice=choice)
         rejection = self._admission.admit(
             choice.forecast,
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -53,6 +53,11 @@
     error_response: CompleteResponse | None = None
     """An endpoint's error response, forwarded if no other endpoint does better."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether it was sent before, or takes up a stream, of which its caller has a part."""
+        return self.sends > 0 or self.binding is not None
+
     @property
     def may_go_on(self) -> bool:
         """Whether a further endpoint may continue its response: any if it has not begun."""
--- a/src/guavamast/relay/scheduled_placer.py
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -175,7 +175,7 @@
             precedence=progress.admitted.precedence,
             failure_domain=self._fleet_state.failure_domain,
             excluded=self._list_excluded(progress, group),
-            rejectable=progress.sends == 0,
+            rejectable=not progress.has_begun,
         )
 
     def _list_excluded(self, progress: RequestProgress, group: str) -> tuple[str, ...]:
--- a/src/guavamast/relay/scheduling_messages.py
+++ b/src/guavamast/relay/scheduling_messages.py
@@ -47,7 +47,7 @@
     excluded: tuple[str, ...]
     """Ids of endpoints that must not be selected."""
     rejectable: bool
-    """Whether it may be rejected; false once it was sent to another endpoint."""
+    """Whether it may be rejected; false once it was sent before, or its stream has begun."""
 
 
 class Verdict(StrEnum):
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -301,6 +301,18 @@
             placed = await self.place(prompt_parts=(), prompt_tokens=40_000)
         self.assertIsInstance(placed.rejection, Rejection)
 
+    async def test_a_stream_that_has_begun_is_not_rejected_for_want_of_room(self) -> None:
+        """Guards against streams that hardly ever go on, as few engines run their software."""
+        binding = StreamBinding(service=POOL, software_version="v1")
+        for silent in (set(), {self.scheduler}):
+            self.simulation.silent = silent
+            placed = await self.place(prompt_parts=(), prompt_tokens=40_000)
+            while placed.rejection is None:
+                placed = await self.place(prompt_parts=(), prompt_tokens=40_000)
+            placed = await self.place(prompt_parts=(), prompt_tokens=40_000, binding=binding)
+            self.assertIsNone(placed.rejection)
+            self.assertIsNotNone(placed.choice)
+
 
 if __name__ == "__main__":
     unittest.main()
