--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -42,12 +42,7 @@
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
-from guavamast.relay.stream_binding import (
-    BindingDirectory,
-    SoftwareVersions,
-    StreamTakeUps,
-    TakeUpRecorder,
-)
+from guavamast.relay.stream_binding import StreamBindings
 from guavamast.relay.table_publisher import TablePublisher
 from guavamast.relay.table_watch import build_table_watches
 from guavamast.relay.work_state import WorkState
@@ -128,7 +123,6 @@
             loop_delay=self._loop_delay,
         )
         admission = self._build_admission()
-        self._versions = SoftwareVersions(fleet_state=self.fleet_state, bounds=self._bounds)
         self._relayer = self._build_relayer(codec, admission)
         self._listener_recorder = ListenerRecorder(
             log=self.log, counters=self.counters, read_time=read_boot_time
@@ -142,7 +136,7 @@
         self._forward_listener = ForwardListener(
             server=self._access.build_server(
                 admission=admission,
-                versions=self._versions,
+                versions=self._bindings.versions,
                 codec=codec,
                 loop_delay=self._loop_delay,
             ),
@@ -199,11 +193,13 @@
             read_time=read_boot_time,
         )
 
-    def _build_bindings(self) -> BindingDirectory:
-        return BindingDirectory(
+    def _build_bindings(self) -> StreamBindings:
+        return StreamBindings(
             name=self.settings.name,
-            peers=self.peers,
+            fleet_state=self.fleet_state,
+            bounds=self._bounds,
             send=self._heartbeat_socket.send_to,
+            log=self.log,
             counters=self.counters,
             read_time=read_boot_time,
         )
@@ -303,7 +299,7 @@
             reader=self._reader,
             recorder=self._recorder,
             scheduling=self._scheduling,
-            bindings=self._bindings,
+            bindings=self._bindings.directory,
             unregister=self._departure.unregister,
             read_time=read_boot_time,
         )
@@ -318,12 +314,7 @@
             access=self._access,
             recorder=self._recorder,
             scheduling=self._scheduling,
-            versions=self._versions,
-            take_ups=StreamTakeUps(
-                directory=self._bindings,
-                recorder=TakeUpRecorder(log=self.log, counters=self.counters),
-                read_time=read_boot_time,
-            ),
+            bindings=self._bindings,
             limits=self._limits,
             guard=self._containment.guard,
             publish_load=self._load_updates.record_change,
@@ -341,7 +332,7 @@
             containment=self._containment,
             access=self._access,
             limits=self._limits,
-            bindings=self._bindings,
+            bindings=self._bindings.directory,
         )
 
     @property
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -27,7 +27,7 @@
     from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.scheduling import Scheduling
-    from guavamast.relay.stream_binding import SoftwareVersions, StreamTakeUps
+    from guavamast.relay.stream_binding import SoftwareVersions, StreamBindings
     from guavamast.relay.work_state import WorkState
 
 
@@ -41,8 +41,7 @@
     access: EndpointAccess,
     recorder: RequestRecorder,
     scheduling: Scheduling,
-    versions: SoftwareVersions,
-    take_ups: StreamTakeUps,
+    bindings: StreamBindings,
     limits: RejectionLimitSharing,
     guard: CrashGuard,
     publish_load: PublishLoad,
@@ -60,8 +59,7 @@
         access: Connections to endpoints.
         recorder: Log lines and metrics of requests.
         scheduling: Queries the schedulers of endpoints.
-        versions: Software of the endpoints.
-        take_ups: What began streams that can be resumed.
+        bindings: What binds streams to the software that began them.
         limits: Rejection limits that endpoints state.
         guard: Keeps requests that end endpoints from further ones.
         publish_load: Called when this instance's work at an endpoint has changed.
@@ -77,8 +75,8 @@
         budget=budget,
         codec=codec,
         connector=access.connector,
-        versions=versions,
-        take_ups=take_ups,
+        versions=bindings.versions,
+        take_ups=bindings.take_ups,
         recorder=recorder,
         profiles=work.profiles,
         reachability=access.monitor,
@@ -97,13 +95,13 @@
             fleet_state=fleet_state,
             work=work,
             scheduling=scheduling,
-            versions=versions,
+            versions=bindings.versions,
             limits=limits.limits,
             random=random,
             read_time=read_time,
         ),
-        take_ups=take_ups,
-        versions=versions,
+        take_ups=bindings.take_ups,
+        versions=bindings.versions,
         exchanger=exchanger,
         guard=guard,
         demand=work.demand,
--- a/src/guavamast/relay/stream_binding/__init__.py
+++ b/src/guavamast/relay/stream_binding/__init__.py
@@ -1,5 +1,6 @@
 """Streams go on only at the service and software version that began them."""
 
+from guavamast.relay.stream_binding.components import StreamBindings
 from guavamast.relay.stream_binding.decision import TakeUp, TakeUpOutcome
 from guavamast.relay.stream_binding.directory import BindingDirectory, Lookup
 from guavamast.relay.stream_binding.recorder import TakeUpRecorder
@@ -15,6 +16,7 @@
     "Lookup",
     "SoftwareVersions",
     "StreamBinding",
+    "StreamBindings",
     "StreamTakeUps",
     "TakeUp",
     "TakeUpOutcome",
--- /dev/null
+++ b/src/guavamast/relay/stream_binding/components.py
@@ -0,0 +1,62 @@
+"""What one instance needs to bind streams and to let them go on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavamast.relay.stream_binding.directory import BindingDirectory
+from guavamast.relay.stream_binding.recorder import TakeUpRecorder
+from guavamast.relay.stream_binding.take_up import StreamTakeUps
+from guavamast.relay.stream_binding.versions import SoftwareVersions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.counters import Counters
+    from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.staleness import StalenessBounds
+
+
+class StreamBindings:
+    """Builds and holds what binds streams at one instance.
+
+    Args:
+        name: This instance.
+        fleet_state: Endpoints and other instances.
+        bounds: Maximum age of the endpoint table.
+        send: Sends a datagram to an address.
+        log: Decision log.
+        counters: Metrics.
+        read_time: Reads the local clock.
+    """
+
+    __slots__ = ("directory", "take_ups", "versions")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        fleet_state: FleetState,
+        bounds: StalenessBounds,
+        send: Callable[[bytes, tuple[str, int]], None],
+        log: DecisionLog,
+        counters: Counters,
+        read_time: Callable[[], float],
+    ) -> None:
+        self.versions = SoftwareVersions(fleet_state=fleet_state, bounds=bounds)
+        """Software of the endpoints."""
+        self.directory = BindingDirectory(
+            name=name,
+            peers=fleet_state.peers,
+            send=send,
+            counters=counters,
+            read_time=read_time,
+        )
+        """Bound streams that this instance remembers."""
+        self.take_ups = StreamTakeUps(
+            directory=self.directory,
+            recorder=TakeUpRecorder(log=log, counters=counters),
+            read_time=read_time,
+        )
+        """Decides on streams that callers take up."""
