Bind a stream only by a row that is later than the connection it came on

An engine had started again under its id and address with other software; for half a second the tables of all instances, 0.3 to 0.6 s old and so within their bound, listed its former start, and what was sent there by that row was taken for the former version, in both directions: streams that went on, and new ones.

A connection ends with the process that accepted it. So a row tells what answers on a connection once it is known to be the store's newest at a moment after the connection was there, by a stamp of any instance or an own read; this replaces the bound on the table's age, and holds on kept connections also while the store is away. A send of a bound stream waits for that (a shared read, 0.3 s at most, two turns); a new stream doesn't: it is bound at once with what must be confirmed, told again once it is, or confirmed where its caller takes it up.

--- a/bench/forwarding_cost.py
+++ b/bench/forwarding_cost.py
@@ -65,6 +65,11 @@
     answers = True
 
 
+async def _read_endpoints() -> bool:
+    """Stand for a read of the endpoint table that finds nothing new."""
+    return True
+
+
 class ForwardingCost:
     """An origin, a forwarder and an endpoint in this process."""
 
@@ -126,7 +131,11 @@
             monitor=monitor,
             admission=admission,
             fleet_state=self._fleet_state,
-            versions=SoftwareVersions(fleet_state=self._fleet_state, bounds=bounds),
+            versions=SoftwareVersions(
+                fleet_state=self._fleet_state,
+                read_endpoints=_read_endpoints,
+                read_time=time.monotonic,
+            ),
             codec=PlatformHeaders(),
             loop_delay=LoopDelay(),
             log=self._log,
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -16,6 +16,7 @@
 )
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.response_end import BodyEnding, BodyFraming, ResponseEnd
+from guavamast.relay.stream_binding import StreamSource
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -104,6 +105,12 @@
         """Name of the instance that the connection leads through; None for a direct one."""
         return None if self._acquired is None else self._acquired.forwarder
 
+    @property
+    def source(self) -> StreamSource:
+        """The endpoint, and the time by which its connection was established."""
+        assert self._acquired is not None
+        return StreamSource(record=self.record, established_at=self._acquired.established_at)
+
     @property
     def ending(self) -> BodyEnding:
         """How the bytes of the response have ended so far."""
--- a/src/guavamast/relay/attempt_failure.py
+++ b/src/guavamast/relay/attempt_failure.py
@@ -18,6 +18,8 @@
     """The endpoint can't be connected to, while others of its service can; no byte was sent."""
     NO_PATH = "no_path"
     """No endpoint of the service can be connected to from here; no byte was sent."""
+    UNCONFIRMED = "unconfirmed"
+    """It could not be confirmed that the endpoint runs what began the stream; no byte was sent."""
     REFUSED = "refused"
     """The endpoint states that it did not run the request."""
     MISDIRECTED = "misdirected"
@@ -36,6 +38,7 @@
     FailureKind.OUTDATED: 0.0,
     FailureKind.NOT_CONNECTED: 6.0,
     FailureKind.NO_PATH: 0.0,
+    FailureKind.UNCONFIRMED: 0.0,
     FailureKind.REFUSED: 0.3,
     FailureKind.MISDIRECTED: 6.0,
     FailureKind.LOST: 1.0,
@@ -49,6 +52,7 @@
     FailureKind.OUTDATED,
     FailureKind.NOT_CONNECTED,
     FailureKind.NO_PATH,
+    FailureKind.UNCONFIRMED,
     FailureKind.REFUSED,
     FailureKind.MISDIRECTED,
 )
--- a/src/guavamast/relay/direct_connector.py
+++ b/src/guavamast/relay/direct_connector.py
@@ -107,6 +107,7 @@
                 raise PathLost(str(error)) from error
             refused = isinstance(error, ConnectionRefused)
             raise EndpointUnreachable(str(error), refused=refused) from error
+        connection.established_at = self._read_time()
         self._record_connected(record)
         return self._wrap(record, connection, ConnectionKind.NEW)
 
@@ -156,6 +157,7 @@
             ConnectionLost: It was not established within the timeout.
         """
         connection = await HttpConnection.open(record.host, record.port, timeout_s=timeout_s)
+        connection.established_at = self._read_time()
         self._record_connected(record)
         self._keep(record, connection, keep_alive_s=UNUSED_KEEP_S + REUSE_MARGIN_S)
 
@@ -202,7 +204,12 @@
             keep_alive_s = None if head.closes_connection else head.keep_alive_s
             self._keep(record, connection, keep_alive_s=keep_alive_s)
 
-        return AcquiredConnection(connection=connection, kind=kind, keep=keep)
+        return AcquiredConnection(
+            connection=connection,
+            kind=kind,
+            keep=keep,
+            established_at=connection.established_at,
+        )
 
     def _keep(
         self, record: EndpointRecord, connection: HttpConnection, *, keep_alive_s: float | None
--- a/src/guavamast/relay/endpoint_connection.py
+++ b/src/guavamast/relay/endpoint_connection.py
@@ -121,5 +121,8 @@
     kind: ConnectionKind
     keep: Callable[[EndpointResponseHead], None]
     """Keeps the connection for another request, after a complete response with the given head."""
+    established_at: float
+    """Local time by which the connection to the endpoint was established: what listened there then
+    is what answers on it."""
     forwarder: str | None = None
     """Name of the instance that it leads through; None for a direct one."""
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -35,7 +35,7 @@
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
-    from guavamast.relay.stream_binding import SoftwareVersions, StreamBinding, StreamTakeUps
+    from guavamast.relay.stream_binding import SoftwareVersions, StreamSource, StreamTakeUps
 
 
 class PublishLoad(Protocol):
@@ -156,6 +156,7 @@
                 row_version=progress.admitted.catalog.row_version, binding=progress.binding
             )
             self._recorder.record_connection(attempt.connection)
+            await self._confirm_software(progress, attempt)
             status = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
             return status
@@ -213,7 +214,6 @@
                 FailureKind.OUTDATED, "the scheduler's grant expired before the send"
             )
         self._admission.check_send(progress.admitted, attempt.record, now=now)
-        identified = self._check_binding(progress, attempt.record, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
         timeout_s = compute_attempt_timeout(
             progress,
@@ -245,7 +245,7 @@
                         sampler=sampler,
                         loads=self._loads,
                         recorder=self._recorder,
-                        bind=partial(self._bind, request, progress, attempt.record, identified),
+                        bind=partial(self._bind, request, progress, attempt.source),
                         idle_timeout=attempt_timeout,
                         publish_decrease=partial(self._publish_load, increased=False),
                         read_time=self._read_time,
@@ -267,42 +267,35 @@
         await self._forward_response(request, writer, progress, attempt, response)
         return head.status
 
-    def _check_binding(
-        self, progress: RequestProgress, record: EndpointRecord, *, now: float
-    ) -> StreamBinding | None:
-        """Return what binds a stream that begins at an endpoint now, if it is known.
+    async def _confirm_software(self, progress: RequestProgress, attempt: Attempt) -> None:
+        """Raise unless an endpoint is known to run what began the request's stream.
 
         Raises:
-            AttemptFailed: With ``OUTDATED``: the request's stream began at other software.
+            AttemptFailed: With ``OUTDATED`` if it runs something else, or ``UNCONFIRMED``.
         """
-        identified = self._versions.identify(record, now=now)
-        if progress.binding is not None and identified != progress.binding:
-            raise AttemptFailed(
-                FailureKind.OUTDATED, "the endpoint isn't known to run the stream's software"
-            )
-        return identified
+        if progress.binding is None:
+            return
+        confirmed = await self._versions.confirm(attempt.source)
+        if confirmed == progress.binding:
+            return
+        if confirmed is not None or self._versions.has_changed(attempt.record):
+            raise AttemptFailed(FailureKind.OUTDATED, "the endpoint runs other software")
+        raise AttemptFailed(FailureKind.UNCONFIRMED, "the endpoint's software isn't known")
 
     def _bind(
-        self,
-        request: CallerRequest,
-        progress: RequestProgress,
-        record: EndpointRecord,
-        identified: StreamBinding | None,
+        self, request: CallerRequest, progress: RequestProgress, source: StreamSource
     ) -> None:
-        """Bind a stream before its first event goes out.
-
-        Args:
-            request: The request.
-            progress: Its state.
-            record: The endpoint that sent the event.
-            identified: What the endpoint was known to run when the request was sent.
-        """
-        if not progress.admitted.route.resumable:
+        """Bind a stream before its first event goes out, or as soon as what began it is known."""
+        admitted = progress.admitted
+        if not admitted.route.resumable:
             return
-        if progress.binding is None and not self._versions.has_changed(record):
-            progress.binding = identified
+        if progress.binding is None:
+            progress.source = source
+            progress.binding = self._versions.identify(source, now=self._read_time())
         if progress.binding is not None:
-            self._take_ups.bind(request, progress.admitted, progress.binding)
+            self._take_ups.bind(request, admitted, progress.binding)
+        else:
+            self._take_ups.bind_unconfirmed(request, admitted, source)
 
     async def _confirm_end(self, attempt: Attempt) -> None:
         """Raise if a response was broken off although its bytes look whole.
--- a/src/guavamast/relay/fleet_state.py
+++ b/src/guavamast/relay/fleet_state.py
@@ -35,6 +35,7 @@
     __slots__ = (
         "_catalog_freshness",
         "_endpoint_freshness",
+        "_endpoints_read_at",
         "_received_catalog_stamp",
         "_received_endpoint_stamp",
         "catalog",
@@ -57,6 +58,7 @@
         """Whether another instance has a later endpoint table that differs."""
         self._catalog_freshness = Freshness(clock=clock)
         self._endpoint_freshness = Freshness(clock=clock)
+        self._endpoints_read_at = float("-inf")
         self._received_catalog_stamp: FreshnessStamp | None = None
         self._received_endpoint_stamp: FreshnessStamp | None = None
 
@@ -98,6 +100,14 @@
         """Return an upper bound on the seconds since the endpoint table was the store's newest."""
         return self._endpoint_freshness.compute_age(now=now)
 
+    def find_endpoints_known_until(self, *, now: float) -> float:
+        """Return a local time at which the endpoint table was the store's newest.
+
+        The store's clock is mapped to the local one with some milliseconds to spare; the start of
+        an own read is exact.
+        """
+        return max(self._endpoints_read_at, now - self.compute_endpoints_age(now=now))
+
     def round_ages(self, *, now: float) -> RoundedAges:
         """Return both ages, rounded for logs and metrics."""
         return RoundedAges(
@@ -161,6 +171,10 @@
         self.newer_endpoints_known = False
         return changed
 
+    def record_endpoint_read(self, *, started_at: float) -> None:
+        """Record that this instance has read the endpoint table, and when the read began."""
+        self._endpoints_read_at = max(self._endpoints_read_at, started_at)
+
     def record_failed_endpoint_read(self) -> None:
         """Record that a read of the endpoint table failed."""
         self._endpoint_freshness.record_failure()
--- a/src/guavamast/relay/forwarding/client.py
+++ b/src/guavamast/relay/forwarding/client.py
@@ -299,6 +299,8 @@
             connection=ForwardedConnection(link=link, on_rejected=lambda: self._avoid(forwarder)),
             kind=ConnectionKind.FORWARDED,
             keep=keep,
+            # The other instance had its connection by the time of its permission.
+            established_at=self._read_time(),
             forwarder=forwarder.name,
         )
 
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -20,6 +20,7 @@
     encode_response_headers,
 )
 from guavamast.relay.response_end_check import ResponseEndCheck
+from guavamast.relay.stream_binding import StreamSource
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,6 +66,11 @@
         self.acquired = acquired
         self.permitted_at = permitted_at
 
+    @property
+    def source(self) -> StreamSource:
+        """The endpoint, and the time by which its connection was established."""
+        return StreamSource(record=self.record, established_at=self.acquired.established_at)
+
 
 class ForwardServer:
     """Decides on other instances' orders and forwards their requests.
@@ -141,9 +147,11 @@
         acquired = self._direct.find_kept(record)
         if acquired is None:
             acquired = await self._connect(record)
-        return PermittedOrder(
+        permitted = PermittedOrder(
             order=order, record=record, acquired=acquired, permitted_at=self._read_time()
         )
+        await self._confirm_software(permitted)
+        return permitted
 
     async def forward(
         self, permitted: PermittedOrder, request: EncodedRequest, writer: ResponseWriter
@@ -201,19 +209,16 @@
             raise OrderRejected(RejectionReason.UNREACHABLE)
         if self._monitor.is_blocked(record.service):
             raise OrderRejected(RejectionReason.NO_PATH)
-        self._check_software(order, record)
         return record
 
-    def _check_software(self, order: ForwardOrder, record: EndpointRecord) -> None:
-        """Raise unless an endpoint is known to run what the request needs.
-
-        An endpoint may have been started again with other software, and this instance may know.
-        """
-        needed = order.software_version
+    async def _confirm_software(self, permitted: PermittedOrder) -> None:
+        """Raise unless the endpoint of an order is known to run what its request needs."""
+        needed = permitted.order.software_version
         if needed is None:
             return
-        identified = self._versions.identify(record, now=self._read_time())
-        if identified is None or identified.software_version != needed:
+        confirmed = await self._versions.confirm(permitted.source)
+        if confirmed is None or confirmed.software_version != needed:
+            self.discard(permitted)
             raise OrderRejected(RejectionReason.OTHER_SOFTWARE)
 
     async def _connect(self, record: EndpointRecord) -> AcquiredConnection:
@@ -241,7 +246,10 @@
             self._admission.check_endpoint(permitted.record, now=now)
         except AttemptFailed as error:
             raise OrderRejected(RejectionReason.OUTDATED) from error
-        self._check_software(permitted.order, permitted.record)
+        if permitted.order.software_version is not None and self._versions.has_changed(
+            permitted.record
+        ):
+            raise OrderRejected(RejectionReason.OTHER_SOFTWARE)
 
     async def _send(self, permitted: PermittedOrder, request: EncodedRequest) -> ResponseHead:
         """Send a request and return the head of its response as received."""
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -56,6 +56,7 @@
         "_unread_bytes",
         "_waiter",
         "_write_waiter",
+        "established_at",
     )
 
     def __init__(self) -> None:
@@ -70,6 +71,8 @@
         self._framing = BodyFraming.LENGTH
         self._reading_paused = False
         self._unread_bytes = 0
+        self.established_at = float("inf")
+        """Local time by which it was established, as its owner recorded it."""
 
     @classmethod
     async def open(cls, host: str, port: int, *, timeout_s: float) -> HttpConnection:
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -197,7 +197,7 @@
         return StreamBindings(
             name=self.settings.name,
             fleet_state=self.fleet_state,
-            bounds=self._bounds,
+            read_endpoints=self._reader.endpoints.join,
             send=self._heartbeat_socket.send_to,
             log=self.log,
             counters=self.counters,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -34,6 +34,11 @@
 free."""
 RETRY_AFTER_UNREACHABLE_S: Final = 0.3
 """Seconds until a caller retries when no endpoint could be reached."""
+UNSENT_KINDS: Final = (
+    FailureKind.NOT_CONNECTED,
+    FailureKind.NO_PATH,
+    FailureKind.UNCONFIRMED,
+)
 MAX_CONNECT_FAILURES: Final = 3
 """Endpoints to which one request may fail to connect before it is given up."""
 
@@ -244,12 +249,11 @@
         """Return why a request must not be sent to any endpoint now; None if it may."""
         if self._guard.is_quarantined(request, progress):
             return "quarantined"
-        if progress.binding is None or self._versions.is_current(now=self._read_time()):
-            return None
-        await self._admission.refresh(until=progress.deadline)
-        if self._versions.is_current(now=self._read_time()):
-            return None
-        return "old knowledge of software versions"
+        if progress.binding is None and progress.source is not None:
+            progress.binding = await self._versions.confirm(progress.source)
+            if progress.binding is None:
+                return "what began the stream isn't known"
+        return None
 
     def _record_failure(
         self,
@@ -281,7 +285,7 @@
         route = progress.admitted.route
         if progress.sends >= route.max_endpoints or not progress.may_go_on:
             return False
-        if failure.kind in (FailureKind.NOT_CONNECTED, FailureKind.NO_PATH):
+        if failure.kind in UNSENT_KINDS:
             progress.connect_failures += 1
             return progress.connect_failures < MAX_CONNECT_FAILURES
         if not failure.not_run and not route.repeatable:
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -14,7 +14,7 @@
     from guavamast.relay.caller_gate import Admitted
     from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.messages import CallerRequest
-    from guavamast.relay.stream_binding import StreamBinding
+    from guavamast.relay.stream_binding import StreamBinding, StreamSource
 
 
 @dataclass(slots=True, kw_only=True)
@@ -47,8 +47,10 @@
     on_trial: bool = False
     """Whether it is sent once although its content is in quarantine."""
     binding: StreamBinding | None = None
-    """What began its stream, at which alone it may go on; None before its first event, and if what
-    began it isn't known."""
+    """What began its stream, at which alone it may go on; None before its first event, and as long
+    as what began it isn't known."""
+    source: StreamSource | None = None
+    """Where its first event came from, if it came during this request."""
     last_event_id: str | None = None
     error_response: CompleteResponse | None = None
     """An endpoint's error response, forwarded if no other endpoint does better."""
@@ -61,7 +63,8 @@
     @property
     def may_go_on(self) -> bool:
         """Whether a further endpoint may continue its response: any if it has not begun."""
-        return self.binding is not None or self.timing.first_event_s is None
+        begun = self.timing.first_event_s is not None
+        return not begun or self.binding is not None or self.source is not None
 
     def readmit(self, readmitted: RequestProgress, *, unsent_id: str) -> None:
         """Apply a repeated admission, and keep the record of earlier attempts.
--- a/src/guavamast/relay/store_reader.py
+++ b/src/guavamast/relay/store_reader.py
@@ -195,6 +195,7 @@
             self.record_failure("read_endpoints", error)
             return False
         self._record_success(started_at=started_at)
+        self._fleet_state.record_endpoint_read(started_at=started_at)
         if self.apply_endpoint_snapshot(snapshot, from_peer=False):
             self._publish_endpoints(snapshot)
         self._send_heartbeat()
--- a/src/guavamast/relay/stream_binding/__init__.py
+++ b/src/guavamast/relay/stream_binding/__init__.py
@@ -4,7 +4,12 @@
 from guavamast.relay.stream_binding.decision import TakeUp, TakeUpOutcome
 from guavamast.relay.stream_binding.directory import BindingDirectory, Lookup
 from guavamast.relay.stream_binding.recorder import TakeUpRecorder
-from guavamast.relay.stream_binding.records import BoundStream, StreamBinding, compute_stream_key
+from guavamast.relay.stream_binding.records import (
+    BoundStream,
+    StreamBinding,
+    StreamSource,
+    compute_stream_key,
+)
 from guavamast.relay.stream_binding.take_up import StreamTakeUps
 from guavamast.relay.stream_binding.versions import SoftwareVersions
 from guavamast.relay.stream_binding.wire import BINDING_PREFIX
@@ -17,6 +22,7 @@
     "SoftwareVersions",
     "StreamBinding",
     "StreamBindings",
+    "StreamSource",
     "StreamTakeUps",
     "TakeUp",
     "TakeUpOutcome",
--- a/src/guavamast/relay/stream_binding/components.py
+++ b/src/guavamast/relay/stream_binding/components.py
@@ -10,12 +10,11 @@
 from guavamast.relay.stream_binding.versions import SoftwareVersions
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.fleet_state import FleetState
-    from guavamast.relay.staleness import StalenessBounds
 
 
 class StreamBindings:
@@ -24,7 +23,7 @@
     Args:
         name: This instance.
         fleet_state: Endpoints and other instances.
-        bounds: Maximum age of the endpoint table.
+        read_endpoints: Reads the endpoint table.
         send: Sends a datagram to an address.
         log: Decision log.
         counters: Metrics.
@@ -38,13 +37,15 @@
         *,
         name: str,
         fleet_state: FleetState,
-        bounds: StalenessBounds,
+        read_endpoints: Callable[[], Awaitable[bool]],
         send: Callable[[bytes, tuple[str, int]], None],
         log: DecisionLog,
         counters: Counters,
         read_time: Callable[[], float],
     ) -> None:
-        self.versions = SoftwareVersions(fleet_state=fleet_state, bounds=bounds)
+        self.versions = SoftwareVersions(
+            fleet_state=fleet_state, read_endpoints=read_endpoints, read_time=read_time
+        )
         """Software of the endpoints."""
         self.directory = BindingDirectory(
             name=name,
@@ -56,6 +57,7 @@
         """Bound streams that this instance remembers."""
         self.take_ups = StreamTakeUps(
             directory=self.directory,
+            versions=self.versions,
             recorder=TakeUpRecorder(log=log, counters=counters),
             read_time=read_time,
         )
--- a/src/guavamast/relay/stream_binding/decision.py
+++ b/src/guavamast/relay/stream_binding/decision.py
@@ -26,6 +26,9 @@
     """Nobody who could be asked remembers it."""
     AMBIGUOUS = "ambiguous"
     """Its id was used for streams that began at different software."""
+    UNCONFIRMED = "unconfirmed"
+    """The endpoint that began it has been started again since, or the store doesn't answer, before
+    it was sure which of its starts had begun it."""
     UNNAMED = "unnamed"
     """The caller doesn't name the attempt that began it."""
     MOVED = "moved"
--- a/src/guavamast/relay/stream_binding/directory.py
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -23,7 +23,7 @@
     from guavamast.relay.counters import Counters
     from guavamast.relay.peers import Peers
     from guavamast.relay.store import InstanceRecord
-    from guavamast.relay.stream_binding.records import StreamBinding
+    from guavamast.relay.stream_binding.records import StreamBinding, UnconfirmedSource
     from guavamast.relay.stream_binding.wire import BindingMessage
 
 QUERY_WAITS_S: Final = (0.1, 0.2, 0.2)
@@ -113,17 +113,29 @@
         self._next_number = 0
         self._pending: dict[int, _PendingQuery] = {}
 
-    def bind(self, key: str, binding: StreamBinding, *, lifetime_s: float) -> None:
+    def bind(
+        self,
+        key: str,
+        binding: StreamBinding,
+        *,
+        lifetime_s: float,
+        unconfirmed: UnconfirmedSource | None = None,
+    ) -> None:
         """Remember what began a stream, here and at other instances.
 
         Args:
             key: Key of the stream.
             binding: What began it.
             lifetime_s: Seconds for which its caller may take it up.
+            unconfirmed: What must still be confirmed before the binding counts.
         """
         now = self._read_time()
         stream = BoundStream(
-            binding=binding, instance=self._name, bound_at=now, expires_at=now + lifetime_s
+            binding=binding,
+            instance=self._name,
+            bound_at=now,
+            expires_at=now + lifetime_s,
+            unconfirmed=unconfirmed,
         )
         held = self._ledger.record(key, stream, now=now)
         for target in self._replicas.list_holders(key, now=now):
--- a/src/guavamast/relay/stream_binding/ledger.py
+++ b/src/guavamast/relay/stream_binding/ledger.py
@@ -29,12 +29,7 @@
         Two streams of one key can't be told apart, so their key is bound to neither of them.
         """
         known = self.find(key, now=now)
-        if known is None:
-            held = stream
-        else:
-            held = known if known.binding == stream.binding else replace(known, binding=None)
-            expires_at = max(known.expires_at, stream.expires_at)
-            held = replace(held, expires_at=expires_at)
+        held = stream if known is None else _merge(known, stream)
         self._streams.pop(key, None)
         self._streams[key] = held
         self._drop_oldest(now=now)
@@ -56,3 +51,13 @@
             self.drop_expired(now=now)
         while len(self._streams) > MAX_STREAMS:
             del self._streams[next(iter(self._streams))]
+
+
+def _merge(known: BoundStream, other: BoundStream) -> BoundStream:
+    """Return what is known of a key from two records."""
+    expires_at = max(known.expires_at, other.expires_at)
+    if known.binding != other.binding:
+        return replace(known, binding=None, unconfirmed=None, expires_at=expires_at)
+    confirmed = known.unconfirmed is None or other.unconfirmed is None
+    unconfirmed = None if confirmed else known.unconfirmed
+    return replace(known, unconfirmed=unconfirmed, expires_at=expires_at)
--- a/src/guavamast/relay/stream_binding/records.py
+++ b/src/guavamast/relay/stream_binding/records.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 from hashlib import blake2b
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from guavamast.relay.endpoint_table import EndpointRecord
 
 KEY_BYTES: Final = 12
 """Bytes of a stream key: so many that no two streams share one by chance."""
@@ -18,6 +21,26 @@
     software_version: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamSource:
+    """The endpoint of a send, as it was chosen, and the connection to it."""
+
+    record: EndpointRecord
+    established_at: float
+    """Local time by which the connection was established."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnconfirmedSource:
+    """The start of an endpoint whose row was not yet known to be later than the connection."""
+
+    endpoint_id: str
+    started_ms: int | None
+    """Start time of the endpoint by its row, in Unix milliseconds, if stated."""
+    established_at: float
+    """Local time by which the connection was established."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BoundStream:
     """A stream whose first event has gone to its caller, as one instance remembers it."""
@@ -30,6 +53,8 @@
     """Local time of its first event."""
     expires_at: float
     """Local time from which on it is forgotten."""
+    unconfirmed: UnconfirmedSource | None = None
+    """What must still be confirmed before the binding counts; None if it does."""
 
 
 def compute_stream_key(organisation: str | None, request_id: str) -> str:
--- a/src/guavamast/relay/stream_binding/take_up.py
+++ b/src/guavamast/relay/stream_binding/take_up.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.catalog import RouteKind
 from guavamast.relay.stream_binding.decision import TakeUp, TakeUpOutcome
 from guavamast.relay.stream_binding.directory import Lookup
-from guavamast.relay.stream_binding.records import compute_stream_key
+from guavamast.relay.stream_binding.records import (
+    StreamBinding,
+    UnconfirmedSource,
+    compute_stream_key,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,40 +21,77 @@
     from guavamast.relay.messages import CallerRequest
     from guavamast.relay.stream_binding.directory import BindingDirectory
     from guavamast.relay.stream_binding.recorder import TakeUpRecorder
-    from guavamast.relay.stream_binding.records import StreamBinding
+    from guavamast.relay.stream_binding.records import StreamSource
+    from guavamast.relay.stream_binding.versions import SoftwareVersions
 
 LIFETIME_TIMEOUTS: Final = 4.0
 """Factor on its route's timeout: a stream may be taken up for as long as three more attempts of its
 caller may last."""
 
+BIND_WAITS_S: Final = (0.1, 0.2, 0.3, 0.6, 1.2)
+"""Seconds between the looks for news of the table after a stream's first event."""
+
 
 class StreamTakeUps:
     """Binds streams to what began them, and finds it again when callers take them up.
 
     Args:
         directory: Remembers bound streams.
+        versions: Software of the endpoints.
         recorder: Log lines and metrics.
         read_time: Reads the local clock.
     """
 
-    __slots__ = ("_directory", "_read_time", "_recorder")
+    __slots__ = ("_directory", "_read_time", "_recorder", "_versions")
 
     def __init__(
         self,
         *,
         directory: BindingDirectory,
+        versions: SoftwareVersions,
         recorder: TakeUpRecorder,
         read_time: Callable[[], float],
     ) -> None:
         self._directory = directory
+        self._versions = versions
         self._recorder = recorder
         self._read_time = read_time
 
     def bind(self, request: CallerRequest, admitted: Admitted, binding: StreamBinding) -> None:
         """Remember what began the stream of a request, before its first event goes out."""
         key = _compute_key(admitted, request.request_id)
-        lifetime_s = LIFETIME_TIMEOUTS * admitted.route.timeout_s
-        self._directory.bind(key, binding, lifetime_s=lifetime_s)
+        self._directory.bind(key, binding, lifetime_s=_compute_lifetime(admitted))
+
+    def bind_unconfirmed(
+        self, request: CallerRequest, admitted: Admitted, source: StreamSource
+    ) -> None:
+        """Remember where a stream began, and what that is once the table is late enough to tell."""
+        record = source.record
+        if record.software_version is None or self._versions.has_changed(record):
+            return
+        key = _compute_key(admitted, request.request_id)
+        lifetime_s = _compute_lifetime(admitted)
+        self._directory.bind(
+            key,
+            StreamBinding(service=record.service, software_version=record.software_version),
+            lifetime_s=lifetime_s,
+            unconfirmed=UnconfirmedSource(
+                endpoint_id=record.endpoint_id,
+                started_ms=record.started_ms,
+                established_at=source.established_at,
+            ),
+        )
+        self._bind_later(key, source, lifetime_s, BIND_WAITS_S)
+
+    def _bind_later(
+        self, key: str, source: StreamSource, lifetime_s: float, waits_s: tuple[float, ...]
+    ) -> None:
+        binding = self._versions.identify(source, now=self._read_time())
+        if binding is not None:
+            self._directory.bind(key, binding, lifetime_s=lifetime_s)
+        elif waits_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(waits_s[0], self._bind_later, key, source, lifetime_s, waits_s[1:])
 
     async def decide(self, request: CallerRequest, admitted: Admitted) -> TakeUp | None:
         """Return the decision on a request that takes a stream up; None for any other request."""
@@ -74,11 +116,18 @@
         binding = lookup.stream.binding
         if binding is None:
             return TakeUp(outcome=TakeUpOutcome.AMBIGUOUS, lookup=lookup)
+        source = lookup.stream.unconfirmed
+        if source is not None and not await self._versions.confirm_later(binding, source):
+            return TakeUp(outcome=TakeUpOutcome.UNCONFIRMED, lookup=lookup)
         if not admitted.route.leads_to(binding.service):
             return TakeUp(outcome=TakeUpOutcome.MOVED, lookup=lookup)
         return TakeUp(outcome=TakeUpOutcome.KNOWN, lookup=lookup, binding=binding)
 
 
+def _compute_lifetime(admitted: Admitted) -> float:
+    return LIFETIME_TIMEOUTS * admitted.route.timeout_s
+
+
 def _continues_stream(request: CallerRequest) -> bool:
     return request.resumed_request_id is not None or request.last_event_id is not None
 
--- a/src/guavamast/relay/stream_binding/wire.py
+++ b/src/guavamast/relay/stream_binding/wire.py
@@ -10,7 +10,11 @@
 from typing import Any, Final, TypeAlias
 
 from guavamast.relay.heartbeat_messages import MalformedBeat
-from guavamast.relay.stream_binding.records import BoundStream, StreamBinding
+from guavamast.relay.stream_binding.records import (
+    BoundStream,
+    StreamBinding,
+    UnconfirmedSource,
+)
 
 BINDING_PREFIX: Final = b"o"
 """First byte of the datagrams about bound streams."""
@@ -96,17 +100,32 @@
 
 def _encode_stream(stream: BoundStream, now: float) -> list[Any]:
     binding = stream.binding
+    source = stream.unconfirmed
     return [
         binding.service if binding is not None else None,
         binding.software_version if binding is not None else None,
         stream.instance,
         round(now - stream.bound_at, 3),
         round(stream.expires_at - now, 1),
+        *([] if source is None else _encode_source(source, now)),
     ]
 
 
+def _encode_source(source: UnconfirmedSource, now: float) -> list[Any]:
+    return [source.endpoint_id, source.started_ms, round(now - source.established_at, 3)]
+
+
+def _decode_source(fields: list[Any], now: float) -> UnconfirmedSource:
+    endpoint_id, started_ms, age_s = fields
+    return UnconfirmedSource(
+        endpoint_id=str(endpoint_id),
+        started_ms=None if started_ms is None else int(started_ms),
+        established_at=now - float(age_s),
+    )
+
+
 def _decode_stream(fields: list[Any], now: float) -> BoundStream:
-    service, software_version, instance, age_s, lifetime_s = fields
+    service, software_version, instance, age_s, lifetime_s, *source = fields
     binding = None
     if service is not None:
         if not isinstance(service, str) or not isinstance(software_version, str):
@@ -117,6 +136,7 @@
         instance=str(instance),
         bound_at=now - float(age_s),
         expires_at=now + float(lifetime_s),
+        unconfirmed=_decode_source(source, now) if source else None,
     )
 
 
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -161,6 +161,7 @@
         )
         self.take_ups = StreamTakeUps(
             directory=self.bindings,
+            versions=self.simulation.versions,
             recorder=TakeUpRecorder(log=log, counters=counters),
             read_time=lambda: self.simulation.now,
         )
--- a/tests/burst_simulation.py
+++ b/tests/burst_simulation.py
@@ -24,8 +24,14 @@
 from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import PlacementQuery, Verdict, WorkPhase, WorkUpdate
 from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot
-from guavamast.relay.stream_binding import SoftwareVersions
-from tests.relay_fixtures import BOUNDS, LIMITS, PROFILE, build_endpoint, build_request, build_route
+from tests.relay_fixtures import (
+    LIMITS,
+    PROFILE,
+    build_endpoint,
+    build_request,
+    build_route,
+    build_versions,
+)
 from tests.scheduling_simulation import GROUP, POOL, make_query
 
 if TYPE_CHECKING:
@@ -237,7 +243,7 @@
         return LocalPlacer(
             fleet_state=self.fleet_state,
             chooser=EndpointChooser(loads=self.loads, cache=PromptCache(), random=Random(seed)),
-            versions=SoftwareVersions(fleet_state=self.fleet_state, bounds=BOUNDS),
+            versions=build_versions(self.fleet_state),
             demand=self.demand,
             profiles=self.profiles,
             rejections=history,
--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -25,6 +25,7 @@
 from guavamast.relay.reachability import ReachabilityMonitor
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store import InstanceRecord
+from guavamast.relay.stream_binding import SoftwareVersions
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -134,6 +135,13 @@
     return tuple(PromptPart(part_id=part_id, tokens=tokens) for part_id, tokens in entries)
 
 
+def build_versions(fleet_state: FleetState) -> SoftwareVersions:
+    """Return what tells the software of endpoints, of an instance that never reads the store."""
+    return SoftwareVersions(
+        fleet_state=fleet_state, read_endpoints=mock.AsyncMock(), read_time=lambda: 0.0
+    )
+
+
 def build_connector(
     fleet_state: FleetState, *, read_time: Callable[[], float]
 ) -> EndpointConnector:
--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -12,6 +12,7 @@
 
 from guavamast.platform.standins.answer_body import WHOLE, AnswerEnding, Closing
 from guavamast.platform.standins.site import HOST, KEY, RESUMABLE_PREFIX
+from guavamast.platform.standins.store import StoreFault
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 from tests._platform_callers import READY_S, PartitionableTestCase
 
@@ -343,3 +344,47 @@
         streams = [await self.begin(self.instances[0]) for _ in range(4 * STREAMS)]
         began = [next(iter(stream.versions)) for stream in streams]
         self.assertGreaterEqual(min(began.count("v1"), began.count("v2")), STREAMS)
+
+
+class RestartedEngineTest(SoftwareVersionTestCase):
+    """Engines that start again under their ids and addresses with other software."""
+
+    async def restart(self, name: str, version: str) -> None:
+        """Start an engine again; the row of its former start stays listed."""
+        old = self.site.engines[name]
+        port = old.port
+        await old.stop()
+        engine = self.site.build_engine(name, "pool", version=version)
+        engine.events = EVENTS
+        await engine.listen(port)
+        self.site.engines[name] = engine
+
+    async def restart_all(self, version: str) -> None:
+        for engine in self.list_engines():
+            if engine.version != version:
+                await self.restart(engine.engine_id, version)
+
+    async def test_streams_do_not_go_on_by_the_row_of_an_earlier_start(self) -> None:
+        """Guards against an endpoint that runs other software before its row says so."""
+        streams = [await self.begin(self.instances[0]) for _ in range(STREAMS)]
+        self.site.store.fault = StoreFault.SILENT
+        await self.restart_all("v3")
+        for number, stream in enumerate(streams):
+            await self.take_up(self.instances[number % 3], stream)
+        self.check_versions(streams)
+
+    async def test_streams_are_not_bound_by_the_row_of_an_earlier_start(self) -> None:
+        """Guards against a new stream that is taken for one of the software that ran before."""
+        await self.begin(self.instances[0])
+        self.site.store.fault = StoreFault.SILENT
+        await self.restart("pool-0", "v3")
+        await self.restart("pool-1", "v3")
+        streams = [await self.begin(self.instances[0]) for _ in range(2 * STREAMS)]
+        self.site.store.fault = StoreFault.NONE
+        for name in ("pool-0", "pool-1"):
+            self.site.register_engine(name, "pool", self.site.engines[name].port)
+        await asyncio.sleep(TABLE_S)
+        for number, stream in enumerate(streams):
+            await self.take_up(self.instances[number % 3], stream)
+        self.check_versions(streams)
+        self.check_going_on([stream for stream in streams if "v3" not in stream.versions])
--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -67,7 +67,11 @@
             reader=self.reader,
             read_time=lambda: self.now,
         )
-        self.versions = SoftwareVersions(fleet_state=self.fleet_state, bounds=BOUNDS)
+        self.versions = SoftwareVersions(
+            fleet_state=self.fleet_state,
+            read_endpoints=self.reader.endpoints.join,
+            read_time=lambda: self.now,
+        )
 
     def decode_catalog(self, text: bytes, *, row_version: int) -> Catalog:
         del text, row_version
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -262,7 +262,8 @@
         with self.assertRaises(PathLost):
             await self.connect_bound("v 2/é")
         (await self.connect_bound("v1")).connection.close()
-        self.simulation.now += BOUNDS.endpoints_s + 0.1
+        self.simulation.unavailable = True
+        self.simulation.now += 0.1
         with self.assertRaises(PathLost):
             await self.connect_bound("v1")
         self.assertEqual(self.engine.runs, [])
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -22,8 +22,8 @@
 from guavamast.relay.scheduler_directory import BACKOFF_S, TIMEOUTS_BEFORE_BACKOFF
 from guavamast.relay.scheduling_client import GRANT_VALID_S, MAX_TIMEOUT_S
 from guavamast.relay.store import EndpointSnapshot
-from guavamast.relay.stream_binding import SoftwareVersions, StreamBinding
-from tests.relay_fixtures import BOUNDS, PROFILE, build_request
+from guavamast.relay.stream_binding import StreamBinding
+from tests.relay_fixtures import PROFILE, build_request, build_versions
 from tests.scheduling_simulation import GROUP, POOL, PROMPT_PARTS, SchedulingSimulation
 
 if TYPE_CHECKING:
@@ -45,7 +45,7 @@
 
     def build_placer(self, instance: SimulatedInstance) -> ScheduledPlacer:
         loads = EndpointLoads()
-        versions = SoftwareVersions(fleet_state=instance.fleet_state, bounds=BOUNDS)
+        versions = build_versions(instance.fleet_state)
         own = LocalPlacer(
             fleet_state=instance.fleet_state,
             chooser=EndpointChooser(loads=loads, cache=PromptCache(), random=Random(1)),
--- a/tests/test_relay_stream_binding.py
+++ b/tests/test_relay_stream_binding.py
@@ -5,7 +5,7 @@
 import unittest
 from collections import Counter
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from guavamast.relay.counters import Counters
 from guavamast.relay.fleet_state import FleetState
@@ -17,12 +17,15 @@
     BindingDirectory,
     SoftwareVersions,
     StreamBinding,
+    StreamSource,
     compute_stream_key,
 )
 from guavamast.relay.stream_binding.replicas import COPIES, QUERIED, ReplicaChoice
-from tests.relay_fixtures import BOUNDS, build_endpoint, build_instance
+from tests.relay_fixtures import build_endpoint, build_instance
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.store import InstanceRecord
 
@@ -210,46 +213,88 @@
         self.assertLess(max(held.values()), 5 * 2_000 * COPIES / 13)
 
 
-class SoftwareVersionsTest(unittest.TestCase):
-    """Software is known by a recent table only, and by the row that a request was sent by."""
+class SoftwareVersionsTest(unittest.IsolatedAsyncioTestCase):
+    """Software is known by a row that was the newest after the connection was there."""
 
     def setUp(self) -> None:
         self.now = 100.0
         clock = StoreClock()
         clock.record(sent=self.now, store_time=self.now)
         self.fleet_state = FleetState(failure_domain="a", peers=Peers(own_name="one"), clock=clock)
-        self.versions = SoftwareVersions(fleet_state=self.fleet_state, bounds=BOUNDS)
+        self.reads: list[Callable[[], None]] = []
+        """What each read of the table finds."""
+        self.versions = SoftwareVersions(
+            fleet_state=self.fleet_state,
+            read_endpoints=self.read,
+            read_time=lambda: self.now,
+        )
         self.record = build_endpoint("x")
         self.apply(self.record)
 
+    async def read(self) -> bool:
+        if not self.reads:
+            return False
+        self.reads.pop(0)()
+        return True
+
     def apply(self, *records: EndpointRecord) -> None:
         snapshot = EndpointSnapshot(records=list(records), digest=str(records), store_time=self.now)
         self.fleet_state.apply_endpoints(snapshot)
 
-    def test_an_endpoint_is_identified_by_its_row(self) -> None:
-        self.assertEqual(self.versions.identify(self.record, now=self.now), V1)
+    def build_source(self, **changes: Any) -> StreamSource:
+        values = {"record": self.record, "established_at": self.now} | changes
+        return StreamSource(**values)
+
+    async def test_an_endpoint_is_identified_by_its_row(self) -> None:
+        self.assertEqual(self.versions.identify(self.build_source(), now=self.now), V1)
 
-    def test_an_old_table_identifies_nothing(self) -> None:
+    async def test_an_old_row_tells_what_answers_on_an_older_connection(self) -> None:
+        """Guards against streams that break off in an outage although their engine is known."""
+        source = self.build_source()
+        self.now += 3600.0
+        self.assertEqual(self.versions.identify(source, now=self.now), V1)
+
+    async def test_a_row_that_was_read_before_the_connection_was_there_tells_nothing(self) -> None:
         """Guards against an endpoint that was started again with other software meanwhile."""
-        later = self.now + BOUNDS.endpoints_s + 0.1
-        self.assertIsNone(self.versions.identify(self.record, now=later))
-        self.assertFalse(self.versions.is_current(now=later))
+        source = self.build_source(established_at=self.now + 0.01)
+        self.now += 0.02
+        self.assertIsNone(self.versions.identify(source, now=self.now))
+
+    async def test_a_row_is_read_again_after_the_connection_was_there(self) -> None:
+        """Guards against a read under way that is taken for a later one."""
+        source = self.build_source(established_at=self.now + 0.5)
+        self.reads = [lambda: self.apply(self.record), lambda: self.pass_time(1.0)]
+        self.assertEqual(await self.versions.confirm(source), V1)
+        self.assertEqual(self.reads, [])
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        self.apply(self.record)
+
+    async def test_nothing_is_confirmed_while_the_store_is_away(self) -> None:
+        """Guards against a guess in an outage."""
+        source = self.build_source(established_at=self.now + 0.5)
+        self.now += 1.0
+        self.assertIsNone(await self.versions.confirm(source))
 
-    def test_an_endpoint_that_was_started_again_is_another(self) -> None:
+    async def test_an_endpoint_that_was_started_again_is_another(self) -> None:
         """Guards against the row of an earlier start of the same id."""
         for changes in ({"started_ms": 2}, {"software_version": "v2"}):
+            self.now += 0.1
             self.apply(build_endpoint("x", **changes))
-            self.assertIsNone(self.versions.identify(self.record, now=self.now))
+            source = self.build_source(established_at=100.0)
+            self.assertIsNone(self.versions.identify(source, now=self.now))
             self.assertTrue(self.versions.has_changed(self.record))
-            self.now += 0.1
 
-    def test_an_endpoint_without_a_version_is_not_identified(self) -> None:
+    async def test_an_endpoint_without_a_version_is_not_identified(self) -> None:
         """Guards against streams of endpoints without a version that are taken for alike."""
         record = build_endpoint("x", software_version=None)
         self.apply(record)
-        self.assertIsNone(self.versions.identify(record, now=self.now))
+        source = self.build_source(record=record)
+        self.assertIsNone(self.versions.identify(source, now=self.now))
+        self.assertIsNone(await self.versions.confirm(source))
 
-    def test_all_endpoints_of_other_software_are_left_out(self) -> None:
+    async def test_all_endpoints_of_other_software_are_left_out(self) -> None:
         """Guards against a stream that goes on at an endpoint whose version isn't known."""
         self.apply(
             self.record,
--- a/tests/test_relay_stream_binding_properties.py
+++ b/tests/test_relay_stream_binding_properties.py
@@ -12,6 +12,7 @@
 from guavamast.relay.stream_binding import BoundStream, StreamBinding, compute_stream_key
 from guavamast.relay.stream_binding import ledger as ledger_module
 from guavamast.relay.stream_binding.ledger import BindingLedger
+from guavamast.relay.stream_binding.records import UnconfirmedSource
 from guavamast.relay.stream_binding.wire import (
     BINDING_PREFIX,
     BindingCopy,
@@ -34,6 +35,13 @@
     instance=st.sampled_from(["one", "two"]),
     bound_at=st.integers(0, 50).map(float),
     expires_at=st.integers(51, 90).map(float),
+    unconfirmed=st.none()
+    | st.builds(
+        UnconfirmedSource,
+        endpoint_id=st.sampled_from(["x", "y"]),
+        started_ms=st.none() | st.integers(0, 9),
+        established_at=st.integers(0, 50).map(float),
+    ),
 )
 MESSAGES = (
     st.builds(BindingCopy, key=st.text(max_size=5), stream=STREAMS)
@@ -104,6 +112,20 @@
             assert found is not None
             self.assertEqual(found.binding, bindings.pop() if len(bindings) == 1 else None)
 
+    @given(streams=st.lists(STREAMS, min_size=1, max_size=6))
+    def test_a_binding_counts_once_any_record_has_confirmed_it(
+        self, streams: list[BoundStream]
+    ) -> None:
+        """Guards against a binding that counts although nobody has confirmed it."""
+        ledger = BindingLedger()
+        for stream in streams:
+            ledger.record("a", stream, now=NOW)
+        found = ledger.find("a", now=NOW)
+        assert found is not None
+        if found.binding is not None:
+            confirmed = any(stream.unconfirmed is None for stream in streams)
+            self.assertEqual(found.unconfirmed is None, confirmed)
+
     @given(streams=st.lists(STREAMS, max_size=12), later_s=st.integers(0, 60))
     def test_what_has_expired_is_not_found(self, streams: list[BoundStream], later_s: int) -> None:
         """Guards against a stream that goes on by what was bound under its id long ago."""
