--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -59,6 +59,8 @@
 PARTITION_LENGTH_S = 14.0
 RELEASE_SEED = 301
 """Seed in which releases overlap with crashes, kills and a partition."""
+RESTART_SEED = 49
+"""Seed in which an engine starts again with other software while the store is away."""
 ANSWERS_SEED = 4
 """Seed in which engines break off streams without a length, inside events and between them."""
 
@@ -387,17 +389,19 @@
             answers=True,
         )
 
-    async def test_releases_beside_other_faults_violate_no_guarantee(self) -> None:
-        """Guards against streams that go on at other software, at any instance, or hardly ever."""
+    async def run_releases(self, seed: int, *, length_s: float) -> None:
         await self.run_seed(
-            RELEASE_SEED,
-            instances=4,
-            length_s=PARTITION_LENGTH_S,
-            partitions=True,
-            answers=True,
-            releases=True,
+            seed, instances=4, length_s=length_s, partitions=True, answers=True, releases=True
         )
 
+    async def test_releases_beside_other_faults_violate_no_guarantee(self) -> None:
+        """Guards against streams that go on at other software, at any instance, or hardly ever."""
+        await self.run_releases(RELEASE_SEED, length_s=PARTITION_LENGTH_S)
+
+    async def test_restarts_with_other_software_violate_no_guarantee(self) -> None:
+        """Guards against streams that go on by the row of an engine's earlier start."""
+        await self.run_releases(RESTART_SEED, length_s=OUTAGE_LENGTH_S)
+
     async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
         """Guards against a fleet that loses what it knows of such a request to kills and resets."""
         await self.run_seed(LETHAL_SEED, lethal=True)
