--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -192,8 +192,9 @@
         disruptions, request.sent_at, request.ended_at
     ):
         return []
-    unanswered = request.status is None and not request.anywhere
-    if unanswered or (request.status == 200 and not request.served):
+    if request.status is None and request.anywhere:
+        return []
+    if request.status is None or (request.status == 200 and not request.served):
         return [
             f"{request.request_id} ({request.kind}): no full response, though nothing was disturbed"
         ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -141,6 +141,12 @@
         failed = replace(CALL, status=502, body=b"")
         self.assert_violation(build_record([failed], [RUN]), "502, though")
 
+    def test_no_response_of_an_instance_that_may_have_stopped(self) -> None:
+        lost = replace(CALL, status=None, body=b"", complete=False, anywhere=True)
+        self.assertEqual(find_violations(build_record([lost], [RUN])), [])
+        cut = replace(CALL, body=b"", complete=False, anywhere=True)
+        self.assert_violation(build_record([cut], [RUN]), "nothing was disturbed")
+
     def test_two_versions_in_one_answer(self) -> None:
         mixed = replace(CALL, versions=frozenset({"v1", "v2"}))
         self.assert_violation(build_record([mixed], [RUN]), "events of ['v1', 'v2']")
