Take a missing row for unknown; remember what is confirmed after the first event

A row that is gone looked unchanged, so a stream could be bound by a row that nobody had seen after its connection. What its instance confirms after the first event is now kept for the stream itself too, so that it goes on when its endpoint's row has gone meanwhile (the new test failed without). The wire test of an instance that is cut off waits until nobody is told of the streams any more: an instance that had just started was told, and went on rightly.

--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -295,7 +295,7 @@
         if progress.binding is not None:
             self._take_ups.bind(request, admitted, progress.binding)
         else:
-            self._take_ups.bind_unconfirmed(request, admitted, source)
+            self._take_ups.bind_unconfirmed(request, admitted, source, progress.record_binding)
 
     async def _confirm_end(self, attempt: Attempt) -> None:
         """Raise if a response was broken off although its bytes look whole.
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -66,6 +66,10 @@
         begun = self.timing.first_event_s is not None
         return not begun or self.binding is not None or self.source is not None
 
+    def record_binding(self, binding: StreamBinding) -> None:
+        """Record what began the stream, known after its first event only."""
+        self.binding = binding
+
     def readmit(self, readmitted: RequestProgress, *, unsent_id: str) -> None:
         """Apply a repeated admission, and keep the record of earlier attempts.
 
--- a/src/guavamast/relay/stream_binding/take_up.py
+++ b/src/guavamast/relay/stream_binding/take_up.py
@@ -63,9 +63,20 @@
         self._directory.bind(key, binding, lifetime_s=_compute_lifetime(admitted))
 
     def bind_unconfirmed(
-        self, request: CallerRequest, admitted: Admitted, source: StreamSource
+        self,
+        request: CallerRequest,
+        admitted: Admitted,
+        source: StreamSource,
+        on_known: Callable[[StreamBinding], None],
     ) -> None:
-        """Remember where a stream began, and what that is once the table is late enough to tell."""
+        """Remember where a stream began, and what that is once the table is late enough to tell.
+
+        Args:
+            request: The request.
+            admitted: Its admission.
+            source: The endpoint of the stream's first event, and its connection.
+            on_known: Called with the binding once it is known, if it becomes so in time.
+        """
         record = source.record
         if record.software_version is None or self._versions.has_changed(record):
             return
@@ -81,17 +92,25 @@
                 established_at=source.established_at,
             ),
         )
-        self._bind_later(key, source, lifetime_s, BIND_WAITS_S)
 
-    def _bind_later(
-        self, key: str, source: StreamSource, lifetime_s: float, waits_s: tuple[float, ...]
+        def bind(binding: StreamBinding) -> None:
+            on_known(binding)
+            self._directory.bind(key, binding, lifetime_s=lifetime_s)
+
+        self._call_once_known(source, bind, BIND_WAITS_S)
+
+    def _call_once_known(
+        self,
+        source: StreamSource,
+        on_known: Callable[[StreamBinding], None],
+        waits_s: tuple[float, ...],
     ) -> None:
         binding = self._versions.identify(source, now=self._read_time())
         if binding is not None:
-            self._directory.bind(key, binding, lifetime_s=lifetime_s)
+            on_known(binding)
         elif waits_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(waits_s[0], self._bind_later, key, source, lifetime_s, waits_s[1:])
+            loop.call_later(waits_s[0], self._call_once_known, source, on_known, waits_s[1:])
 
     async def decide(self, request: CallerRequest, admitted: Admitted) -> TakeUp | None:
         """Return the decision on a request that takes a stream up; None for any other request."""
--- a/src/guavamast/relay/stream_binding/versions.py
+++ b/src/guavamast/relay/stream_binding/versions.py
@@ -51,7 +51,7 @@
     def identify(self, source: StreamSource, *, now: float) -> StreamBinding | None:
         """Return the binding of a stream from an endpoint; None if it isn't known, or not yet."""
         record = source.record
-        if record.software_version is None or self.has_changed(record):
+        if not self._may_be_identified(record):
             return None
         if self._fleet_state.find_endpoints_known_until(now=now) < source.established_at:
             return None
@@ -95,4 +95,5 @@
         }
 
     def _may_be_identified(self, record: EndpointRecord) -> bool:
-        return record.software_version is not None and not self.has_changed(record)
+        is_listed = self._fleet_state.endpoints.find(record.endpoint_id) is not None
+        return record.software_version is not None and is_listed and not self.has_changed(record)
--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -14,6 +14,7 @@
 from guavamast.platform.standins.site import HOST, KEY, RESUMABLE_PREFIX
 from guavamast.platform.standins.store import StoreFault
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.relay.stream_binding.take_up import BIND_WAITS_S
 from tests._platform_callers import READY_S, PartitionableTestCase
 
 if TYPE_CHECKING:
@@ -328,6 +329,7 @@
     async def test_at_an_instance_that_is_cut_off_from_the_others(self) -> None:
         """Guards against a guess where nobody can be asked what began the stream."""
         streams = await self.begin_all(self.instances[0])
+        await asyncio.sleep(sum(BIND_WAITS_S))
         started = await self.start_instance("late")
         for instance in self.instances:
             instance.process.send_signal(signal.SIGSTOP)
--- a/tests/test_relay_stream_binding.py
+++ b/tests/test_relay_stream_binding.py
@@ -286,6 +286,12 @@
             self.assertIsNone(self.versions.identify(source, now=self.now))
             self.assertTrue(self.versions.has_changed(self.record))
 
+    async def test_an_endpoint_that_is_gone_is_not_identified(self) -> None:
+        """Guards against a row that is missing, and is taken for one that has not changed."""
+        self.apply(build_endpoint("y"))
+        self.assertIsNone(self.versions.identify(self.build_source(), now=self.now))
+        self.assertIsNone(await self.versions.confirm(self.build_source()))
+
     async def test_an_endpoint_without_a_version_is_not_identified(self) -> None:
         """Guards against streams of endpoints without a version that are taken for alike."""
         record = build_endpoint("x", software_version=None)
--- a/tests/test_relay_stream_take_up.py
+++ b/tests/test_relay_stream_take_up.py
@@ -127,6 +127,26 @@
         writer = await self.relay_stream()
         self.assertTrue(writer.completed)
 
+    async def test_it_goes_on_although_its_endpoint_is_gone_by_then(self) -> None:
+        """Guards against streams of engines that left, whose rows were confirmed before."""
+
+        async def read_and_leave() -> None:
+            await asyncio.sleep(0.05)
+            await self.simulation.reader.endpoints.join()
+            await asyncio.sleep(0.25)
+            self.row_version += 1
+            self.simulation.change_endpoints(build_endpoint("y", port=self.second_port))
+            await self.simulation.reader.endpoints.join()
+
+        self.engine.events = 20
+        self.engine.ending = AnswerEnding(pieces=19, closing=Closing.RESET)
+        self.second.events = 20
+        tasks: list[asyncio.Future[None]] = []
+        self.call_on_run(self.engine, lambda: tasks.append(asyncio.ensure_future(read_and_leave())))
+        writer = await self.relay_stream()
+        await asyncio.gather(*tasks)
+        self.assertEqual((writer.body.count(b"id:"), writer.completed), (20, True))
+
     async def test_an_endpoint_that_is_started_again_before_the_send_gets_nothing(self) -> None:
         """Guards against a send by the row of an endpoint's earlier start."""
 
