Permit a forwarded stream after its software is confirmed

The time of the permission was taken before the confirmation, which may wait for a read of the table, so a slow one made the request late (0.3 s).

--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -66,11 +66,6 @@
         self.acquired = acquired
         self.permitted_at = permitted_at
 
-    @property
-    def source(self) -> StreamSource:
-        """The endpoint, and the time by which its connection was established."""
-        return StreamSource(record=self.record, established_at=self.acquired.established_at)
-
 
 class ForwardServer:
     """Decides on other instances' orders and forwards their requests.
@@ -147,11 +142,10 @@
         acquired = self._direct.find_kept(record)
         if acquired is None:
             acquired = await self._connect(record)
-        permitted = PermittedOrder(
+        await self._confirm_software(order, record, acquired)
+        return PermittedOrder(
             order=order, record=record, acquired=acquired, permitted_at=self._read_time()
         )
-        await self._confirm_software(permitted)
-        return permitted
 
     async def forward(
         self, permitted: PermittedOrder, request: EncodedRequest, writer: ResponseWriter
@@ -211,14 +205,17 @@
             raise OrderRejected(RejectionReason.NO_PATH)
         return record
 
-    async def _confirm_software(self, permitted: PermittedOrder) -> None:
+    async def _confirm_software(
+        self, order: ForwardOrder, record: EndpointRecord, acquired: AcquiredConnection
+    ) -> None:
         """Raise unless the endpoint of an order is known to run what its request needs."""
-        needed = permitted.order.software_version
+        needed = order.software_version
         if needed is None:
             return
-        confirmed = await self._versions.confirm(permitted.source)
+        source = StreamSource(record=record, established_at=acquired.established_at)
+        confirmed = await self._versions.confirm(source)
         if confirmed is None or confirmed.software_version != needed:
-            self.discard(permitted)
+            acquired.connection.close()
             raise OrderRejected(RejectionReason.OTHER_SOFTWARE)
 
     async def _connect(self, record: EndpointRecord) -> AcquiredConnection:
