--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -88,8 +88,7 @@
         self._request_count += 1
         request_id = f"{self._name}-{self._request_count}"
         address = self._random.choice(self._addresses)
-        events = stream.events
-        serving_before = self._count_serving(events[0].version) if events else 0
+        serving_before = self._count_engines(stream)
         sent_at = time.monotonic()
         received = _Received()
         leaves = self._random.random() < LEAVING_SHARE
@@ -99,36 +98,42 @@
                 await self._exchange(address, request_id, stream, received, leaves_after)
         except (ConnectionLost, MalformedAnswer, TimeoutError):
             pass  # What was received until then is recorded.
-        serving_after = self._count_serving(events[0].version) if events else 0
-        ended_at = time.monotonic()
-        stream.attempts.append(
-            StreamAttempt(
-                request_id=request_id,
-                address=address,
-                sent_at=sent_at,
-                ended_at=ended_at,
-                status=received.status,
-                events=find_events(received.body) if received.status == 200 else (),
-                serving=min(serving_before, serving_after),
-            )
+        attempt = StreamAttempt(
+            request_id=request_id,
+            address=address,
+            sent_at=sent_at,
+            ended_at=time.monotonic(),
+            status=received.status,
+            events=find_events(received.body) if received.status == 200 else (),
+            serving=min(serving_before, self._count_engines(stream)),
         )
-        first = len(events) + 1
+        self._record_request(attempt, received, first_event=len(stream.events) + 1)
+        stream.attempts.append(attempt)
+
+    def _count_engines(self, stream: StreamRecord) -> int:
+        """Return the number of engines at which a stream may go on; 0 for one that is new."""
+        return self._count_serving(stream.events[0].version) if stream.events else 0
+
+    def _record_request(
+        self, attempt: StreamAttempt, received: _Received, *, first_event: int
+    ) -> None:
+        numbers = range(first_event, EVENTS_PER_STREAM + 1)
         self._requests.append(
             RequestRecord(
-                request_id=request_id,
+                request_id=attempt.request_id,
                 kind=RequestKind.RESUMABLE,
                 organisation=self._organisation,
-                sent_at=sent_at,
-                ended_at=ended_at,
+                sent_at=attempt.sent_at,
+                ended_at=attempt.ended_at,
                 status=received.status,
                 response_id=received.response_id,
                 body=normalize_versions(received.body),
+                versions=frozenset(event.version for event in attempt.events),
                 expected_body=b"".join(
-                    encode_event(request_id, number)
-                    for number in range(first, EVENTS_PER_STREAM + 1)
+                    encode_event(attempt.request_id, number) for number in numbers
                 ),
                 complete=received.complete,
-                address=address,
+                address=attempt.address,
                 left=received.left,
                 anywhere=True,
             )
