--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -22,6 +22,8 @@
     from guavamast.operator_client import OperatorClient
     from guavamast.standins.listener import Standin
 
+URGENCY_GROUPING: Final = "urgency"
+"""Report on the order of urgencies instead of a table of outcomes."""
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
 """The command line is invalid, or a file has findings."""
@@ -288,18 +290,23 @@
 
 @SetParseFn(str)
 def report(*files: str, by: str = "route") -> Task:
-    """Summarize the outcomes of requests from log lines: report FILE... [--by route|second|...]."""
+    """Summarize requests' outcomes from log lines: report FILE... [--by route|urgency|...]."""
 
     def act() -> int:
         from guavamast.log_report import GROUPINGS, count_outcomes, decode_lines, format_report
+        from guavamast.urgency_report import build_urgency_report, format_urgency_report
 
-        if by not in GROUPINGS or not files:
-            raise GuavamastError(ErrorCode.USAGE, f"report FILE... --by {'|'.join(GROUPINGS)}")
+        groupings = (*GROUPINGS, URGENCY_GROUPING)
+        if by not in groupings or not files:
+            raise GuavamastError(ErrorCode.USAGE, f"report FILE... --by {'|'.join(groupings)}")
         entries = []
         for name in files:
             with open(name, encoding="utf-8", errors="replace") as file:
                 entries += decode_lines(file)
-        print(format_report(count_outcomes(entries, by=by)))
+        if by == URGENCY_GROUPING:
+            print(format_urgency_report(build_urgency_report(entries)))
+        else:
+            print(format_report(count_outcomes(entries, by=by)))
         return EXIT_OK
 
     return Task(act)
--- a/src/guavamast/relay/decision_log.py
+++ b/src/guavamast/relay/decision_log.py
@@ -5,12 +5,22 @@
 import json
 import os
 import time
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from guavamast.relay.counters import Counters
 
 LINES_PER_S: Final = 80.0
 """Lines per second on average: several times an instance's usual request rate."""
 BURST_LINES: Final = 400.0
 """Lines in one burst after an idle period."""
+RESERVED_LINES: Final = 200.0
+"""Part of that burst that only lines other than routine ones use."""
+ROUTINE_EVENTS: Final = frozenset({"first_event", "sent"})
+"""Events that are left out first under load: counters tell them as well, and a request that gets
+nothing has a line of its own at its end."""
+MAX_UNWRITTEN_BYTES: Final = 65_536
+"""Bytes that are kept while the reader of the log doesn't read; a pipe holds as many again."""
 
 LogValue = str | int | float | bool | None
 
@@ -19,19 +29,29 @@
     """Writes lines up to a rate limit; the next line written states how many were dropped.
 
     Without this, when the reader of the log stops reading, the pipe fills and the process blocks in
-    a write while its callers wait for responses. The descriptor is non-blocking, and a line that
-    does not fit is dropped and counted.
+    a write while its callers wait for responses. The descriptor is non-blocking. While it takes no
+    more, routine lines are dropped, and others are kept up to a limit.
 
     Args:
         instance: Name of this instance, on each line.
         descriptor: File descriptor that lines are written to.
+        counters: Count the lines that are dropped, by event.
     """
 
-    __slots__ = ("_allowance", "_descriptor", "_dropped", "_instance", "_unwritten", "_updated")
+    __slots__ = (
+        "_allowance",
+        "_counters",
+        "_descriptor",
+        "_dropped",
+        "_instance",
+        "_unwritten",
+        "_updated",
+    )
 
-    def __init__(self, *, instance: str, descriptor: int) -> None:
+    def __init__(self, *, instance: str, descriptor: int, counters: Counters | None = None) -> None:
         self._instance = instance
         self._descriptor = descriptor
+        self._counters = counters
         self._allowance = BURST_LINES
         self._updated: float | None = None
         self._dropped = 0
@@ -46,14 +66,9 @@
             now: The current time, for the rate limit.
             fields: The inputs of the decision and its outcome.
         """
-        if self._updated is not None:
-            elapsed = max(0.0, now - self._updated)
-            self._allowance = min(BURST_LINES, self._allowance + elapsed * LINES_PER_S)
-        self._updated = now
-        if self._allowance < 1.0:
-            self._dropped += 1
+        if not self._spend_allowance(event, now=now):
+            self._drop(event)
             return
-        self._allowance -= 1.0
         line: dict[str, LogValue] = {
             "time": round(time.time(), 3),
             "event": event,
@@ -62,21 +77,46 @@
         line.update(fields)
         if self._dropped:
             line["dropped"] = self._dropped
-        if self._write_bytes(json.dumps(line, separators=(",", ":")).encode() + b"\n"):
+        if self._write_bytes(event, json.dumps(line, separators=(",", ":")).encode() + b"\n"):
             self._dropped = 0
         else:
-            self._dropped += 1
+            self._drop(event)
 
-    def _write_bytes(self, data: bytes) -> bool:
-        """Write a line after the rest of the previous one; return False if the pipe is full."""
-        try:
-            if self._unwritten:
-                written = os.write(self._descriptor, self._unwritten)
-                self._unwritten = self._unwritten[written:]
-                if self._unwritten:
-                    return False
-            written = os.write(self._descriptor, data)
-        except (BlockingIOError, BrokenPipeError):
+    def _spend_allowance(self, event: str, *, now: float) -> bool:
+        """Return whether the rate limit permits a line."""
+        if self._updated is not None:
+            elapsed = max(0.0, now - self._updated)
+            self._allowance = min(BURST_LINES, self._allowance + elapsed * LINES_PER_S)
+        self._updated = now
+        reserved = RESERVED_LINES if event in ROUTINE_EVENTS else 0.0
+        if self._allowance < reserved + 1.0:
             return False
-        self._unwritten = data[written:]
+        self._allowance -= 1.0
+        return True
+
+    def _drop(self, event: str) -> None:
+        self._dropped += 1
+        if self._counters is not None:
+            self._counters.add(f'log_lines_dropped_total{{event="{event}"}}')
+
+    def _write_bytes(self, event: str, data: bytes) -> bool:
+        """Write a line after what is unwritten, or keep it; return False if it can't be kept."""
+        self._flush()
+        if self._unwritten:
+            if event in ROUTINE_EVENTS or len(self._unwritten) + len(data) > MAX_UNWRITTEN_BYTES:
+                return False
+            self._unwritten += data
+            return True
+        self._unwritten = data
+        self._flush()
         return True
+
+    def _flush(self) -> None:
+        """Write what is unwritten, as far as the descriptor takes it."""
+        if not self._unwritten:
+            return
+        try:
+            written = os.write(self._descriptor, self._unwritten)
+        except (BlockingIOError, BrokenPipeError):
+            return
+        self._unwritten = self._unwritten[written:]
--- a/src/guavamast/relay/messages.py
+++ b/src/guavamast/relay/messages.py
@@ -51,6 +51,14 @@
         """The id of the longest prefix shared with other requests; None when there is none."""
         return self.prompt_parts[-2].part_id if len(self.prompt_parts) > 1 else None
 
+    @property
+    def caller_part(self) -> str | None:
+        """The id of the part of its prompt that no other caller shares; None without a prompt.
+
+        It is the same for each attempt of its caller, or for all requests of its session.
+        """
+        return self.prompt_parts[-1].part_id if self.prompt_parts else None
+
     @property
     def path(self) -> str:
         """The target without its query."""
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -80,7 +80,9 @@
     ) -> None:
         self.settings = settings
         self.counters = Counters()
-        self.log = DecisionLog(instance=settings.name, descriptor=log_descriptor)
+        self.log = DecisionLog(
+            instance=settings.name, descriptor=log_descriptor, counters=self.counters
+        )
         self.peers = Peers(own_name=settings.name)
         self.fleet_state = FleetState(
             failure_domain=settings.failure_domain, peers=self.peers, clock=clock
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -8,6 +8,7 @@
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.caller_gate import Denied
 from guavamast.relay.request_progress import begin_progress, compute_deadline
+from guavamast.relay.unserved_cause import UnservedCause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -125,10 +126,19 @@
     async def relay(self, request: CallerRequest, writer: ResponseWriter) -> None:
         """Relay one request; cancelled when the caller has disconnected."""
         self.in_flight += 1
+        progress: RequestProgress | None = None
         try:
-            await self._relay(request, writer)
+            progress = await self._admit(request, writer)
+            if progress is not None:
+                await self._serve(request, writer, progress)
         except asyncio.CancelledError:
-            self._recorder.record_end(request, outcome="caller_left", now=self._read_time())
+            self._recorder.record_end(
+                request,
+                progress,
+                cause=UnservedCause.CALLER_LEFT,
+                outcome="caller_left",
+                now=self._read_time(),
+            )
             raise
         finally:
             self.in_flight -= 1
@@ -140,21 +150,29 @@
             if not timeout.expired():
                 timeout.reschedule(now)
 
-    async def _relay(self, request: CallerRequest, writer: ResponseWriter) -> None:
+    async def _admit(
+        self, request: CallerRequest, writer: ResponseWriter
+    ) -> RequestProgress | None:
+        """Return the state of a request that may go to an endpoint; None if it was rejected."""
         decision = await self._admission.admit(request, until=compute_deadline(request))
         if isinstance(decision, Denied):
             await self._reject(request, writer, decision)
-            return
+            return None
         take_up = await self._take_ups.decide(request, decision)
         if take_up is not None and take_up.binding is None:
             await self._reject(request, writer, take_up.build_rejection())
-            return
+            return None
         binding = take_up.binding if take_up is not None else None
         progress = self._start_progress(request, decision, binding, now=self._read_time())
         rejection = await self._guard.admit(request, progress)
         if rejection is not None:
             await self._reject(request, writer, rejection)
-            return
+            return None
+        return progress
+
+    async def _serve(
+        self, request: CallerRequest, writer: ResponseWriter, progress: RequestProgress
+    ) -> None:
         now = self._read_time()
         self._record_demand(request, progress, now=now)
         self._budget.record_request(progress.service, now=now)
@@ -164,7 +182,14 @@
             async with timeout:
                 await self._try_endpoints(request, writer, progress)
         except TimeoutError:
-            await self._finish_failed(request, writer, progress, status=504, reason="time is up")
+            await self._finish_failed(
+                request,
+                writer,
+                progress,
+                status=504,
+                reason="time is up",
+                cause=UnservedCause.TIME_UP,
+            )
         finally:
             self._timeouts.discard(timeout)
 
@@ -238,8 +263,14 @@
                     if not await self._readmit(request, writer, progress, record):
                         return
                 elif not self._claim_retry(progress, record, failure):
-                    reason = str(failure)
-                    await self._finish_failed(request, writer, progress, status=502, reason=reason)
+                    await self._finish_failed(
+                        request,
+                        writer,
+                        progress,
+                        status=502,
+                        reason=str(failure),
+                        cause=_classify_failure(failure),
+                    )
                     return
             else:
                 self._guard.record_response(request, progress, record, status=status)
@@ -350,7 +381,7 @@
             placed.rejection,
             placed.choice,
             scheduled=placed.scheduler_reply,
-            admitted=progress.admitted,
+            progress=progress,
             now=self._read_time(),
         )
 
@@ -362,12 +393,20 @@
         *,
         status: int,
         reason: str,
+        cause: UnservedCause = UnservedCause.FAILED,
     ) -> None:
         """End a request that gets no more attempts, with an endpoint's error response if any."""
         now = self._read_time()
         if writer.started:
             writer.abort()
-            self._recorder.record_end(request, outcome="broken_off", reason=reason, now=now)
+            self._recorder.record_end(
+                request,
+                progress,
+                cause=UnservedCause.BROKEN_OFF,
+                outcome="broken_off",
+                reason=reason,
+                now=now,
+            )
             return
         if progress.error_response is not None:
             response = progress.error_response
@@ -382,4 +421,18 @@
                 )
             headers = self._codec.encode_rejection(request.request_id, retry_after_s)
             await writer.send(status, headers, b"")
-        self._recorder.record_end(request, outcome="failed", status=status, reason=reason, now=now)
+        self._recorder.record_end(
+            request,
+            progress,
+            cause=cause,
+            outcome="failed",
+            status=status,
+            reason=reason,
+            now=now,
+        )
+
+
+def _classify_failure(failure: AttemptFailed) -> UnservedCause:
+    """Return why a request whose last attempt failed was not answered."""
+    full = failure.kind is FailureKind.REFUSED
+    return UnservedCause.ENDPOINT_FULL if full else UnservedCause.FAILED
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -6,6 +6,7 @@
 
 from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.freshness import round_age
+from guavamast.relay.unserved_cause import UnservedCause
 
 if TYPE_CHECKING:
     from guavamast.relay.admission import Rejection
@@ -78,6 +79,8 @@
         self._counters.add(f'sends_total{{repeat="{str(sends > 1).lower()}"}}')
         if sends == 1:
             self._counters.add(f'first_sends_total{{precedence="{admitted.precedence}"}}')
+            labels = f'service="{record.service}",precedence="{admitted.precedence}"'
+            self._counters.add(f"begun_tokens_total{{{labels}}}", request.prompt_tokens)
         self._counters.observe("send_config_age_seconds", ages.config_s)
         self._counters.observe("send_endpoints_age_seconds", ages.endpoints_s)
         self._log.write(
@@ -95,6 +98,7 @@
             forwarder=forwarder,
             prompt_tokens=request.prompt_tokens,
             shared_part=request.shared_part,
+            caller_part=request.caller_part,
             requests_there=load.requests,
             prompt_tokens_there=load.prefill_tokens,
             scheduler=scheduled.scheduler if scheduled is not None else None,
@@ -210,12 +214,14 @@
         choice: Choice,
         *,
         scheduled: ScheduledReply | None,
-        admitted: Admitted,
+        progress: RequestProgress,
         now: float,
     ) -> None:
         """Record a request that is rejected for lack of capacity."""
+        admitted = progress.admitted
         self._counters.add('refusals_total{status="503"}')
         self._counters.add(f'sent_back_total{{precedence="{admitted.precedence}"}}')
+        self._count_unserved(progress, UnservedCause.NO_ROOM)
         expected = choice.forecast
         self._log.write(
             "refused",
@@ -223,6 +229,10 @@
             request_id=request.request_id,
             status=503,
             reason="no room in time",
+            cause=str(UnservedCause.NO_ROOM),
+            took_s=round(now - request.received_at, 4),
+            service=progress.service,
+            caller_part=request.caller_part,
             route=admitted.route.name,
             organisation=admitted.organisation.name if admitted.organisation else None,
             urgency=admitted.urgency,
@@ -265,6 +275,10 @@
             status=status,
             took_s=round(took_s, 4),
             route=progress.admitted.route.name,
+            service=progress.service,
+            precedence=progress.admitted.precedence,
+            prompt_tokens=request.prompt_tokens,
+            caller_part=request.caller_part,
             endpoint=record.endpoint_id,
             software_version=record.software_version,
             framing=end.framing,
@@ -281,15 +295,29 @@
     def record_end(
         self,
         request: CallerRequest,
+        progress: RequestProgress | None,
         *,
+        cause: UnservedCause,
         outcome: str,
         now: float,
         status: int | None = None,
         reason: str | None = None,
     ) -> None:
-        """Record how a request ended."""
+        """Record how a request ended that was not answered.
+
+        Args:
+            request: The request.
+            progress: Its state; None if it was not admitted yet.
+            cause: Why it was not answered.
+            outcome: What its caller saw.
+            now: The current time.
+            status: Status of the response, if one was sent.
+            reason: Details of the cause.
+        """
         took_s = now - request.received_at
         self._count_end(outcome, took_s)
+        if progress is not None:
+            self._count_unserved(progress, cause)
         self._log.write(
             "ended",
             now=now,
@@ -298,8 +326,19 @@
             status=status,
             reason=reason,
             took_s=round(took_s, 4),
+            cause=str(cause),
+            route=progress.admitted.route.name if progress is not None else None,
+            service=progress.service if progress is not None else None,
+            precedence=progress.admitted.precedence if progress is not None else None,
+            prompt_tokens=request.prompt_tokens,
+            caller_part=request.caller_part,
         )
 
+    def _count_unserved(self, progress: RequestProgress, cause: UnservedCause) -> None:
+        """Count an attempt of a caller that was not answered."""
+        labels = f'precedence="{progress.admitted.precedence}",cause="{cause}"'
+        self._counters.add(f"unserved_total{{{labels}}}")
+
     def _count_response_end(self, end: ResponseEnd) -> None:
         """Count a response by its framing and its ending, if there was one."""
         if end.framing is None:
