--- a/bench/fleet_policies.py
+++ b/bench/fleet_policies.py
@@ -16,10 +16,10 @@
 if TYPE_CHECKING:
     from bench.fleet_simulation import FleetSimulation
     from bench.relay_engines import Request
-    from guavamast.relay.admission import Rejection
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.length_buckets import Demand
-    from guavamast.relay.prompt_cache import PromptSend
+    from guavamast.relay.placement.admission import Rejection
+    from guavamast.relay.placement.length_buckets import Demand
+    from guavamast.relay.placement.prompt_cache import PromptSend
 
 HOP_S: Final = 0.002
 """Delay of one datagram: the link and one turn of both processes' event loops."""
--- a/bench/fleet_policy.py
+++ b/bench/fleet_policy.py
@@ -12,22 +12,22 @@
     build_record,
     is_pause_sensitive_kind,
 )
-from guavamast.relay.admission import WaitParameters
-from guavamast.relay.admission_control import AdmissionControl
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads
-from guavamast.relay.engine_profile import EngineProfiles
-from guavamast.relay.length_buckets import PromptDemand, is_latency_tolerant
-from guavamast.relay.prompt_cache import PromptCache
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement.admission import WaitParameters
+from guavamast.relay.placement.admission_control import AdmissionControl
+from guavamast.relay.placement.endpoint_choice import EndpointChooser
+from guavamast.relay.placement.engine_profile import EngineProfiles
+from guavamast.relay.placement.length_buckets import PromptDemand, is_latency_tolerant
+from guavamast.relay.placement.prompt_cache import PromptCache
+from guavamast.relay.placement.rejection_history import RejectionHistory
 
 if TYPE_CHECKING:
     from bench.fleet_simulation import FleetSimulation
     from bench.relay_engines import Request, SimulatedEngine
-    from guavamast.relay.admission import Rejection
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_load import Work
     from guavamast.relay.endpoint_table import EndpointRecord
+    from guavamast.relay.placement.admission import Rejection
+    from guavamast.relay.placement.endpoint_choice import Choice
 
 
 @dataclass(slots=True, kw_only=True)
--- a/bench/relay_policies.py
+++ b/bench/relay_policies.py
@@ -13,12 +13,12 @@
     build_record,
     is_pause_sensitive_kind,
 )
-from guavamast.relay.admission import WaitParameters, admit
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
-from guavamast.relay.engine_profile import PRIOR, EngineProfiles
-from guavamast.relay.length_buckets import PromptDemand, is_latency_tolerant
-from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.placement.admission import WaitParameters, admit
+from guavamast.relay.placement.endpoint_choice import EndpointChooser
+from guavamast.relay.placement.engine_profile import PRIOR, EngineProfiles
+from guavamast.relay.placement.length_buckets import PromptDemand, is_latency_tolerant
+from guavamast.relay.placement.prompt_cache import PromptCache
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -11,7 +11,6 @@
 from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.endpoint_table import compute_digest
-from guavamast.relay.engine_profile import Estimate, ProfileEstimates
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.freshness import FreshnessStamp, StoreClock
 from guavamast.relay.heartbeat_aggregation import HeartbeatAggregation
@@ -19,9 +18,10 @@
 from guavamast.relay.heartbeat_messages import Heartbeat, InstanceState
 from guavamast.relay.heartbeat_topology import AGGREGATORS_PER_DOMAIN, HeartbeatTopology
 from guavamast.relay.heartbeat_wire import encode_heartbeat
-from guavamast.relay.length_buckets import Demand
 from guavamast.relay.peers import FULL_MESH_INSTANCES, Peers, compute_heartbeat_interval
-from guavamast.relay.prompt_cache import PromptSend
+from guavamast.relay.placement.engine_profile import Estimate, ProfileEstimates
+from guavamast.relay.placement.length_buckets import Demand
+from guavamast.relay.placement.prompt_cache import PromptSend
 from guavamast.relay.store import InstanceRecord
 
 if TYPE_CHECKING:
--- a/bench/simulated_placement.py
+++ b/bench/simulated_placement.py
@@ -6,14 +6,14 @@
 
 from guavamast.relay.catalog import Route, RouteKind, WeightedService
 from guavamast.relay.endpoint_table import EndpointRecord
-from guavamast.relay.length_buckets import find_bucket
-from guavamast.relay.placement import Placement
-from guavamast.relay.prefill_interference import is_pause_sensitive
+from guavamast.relay.placement.length_buckets import find_bucket
+from guavamast.relay.placement.placement import Placement
+from guavamast.relay.placement.prefill_interference import is_pause_sensitive
 
 if TYPE_CHECKING:
     from bench.relay_engines import Kind, Request, SimulatedEngine
-    from guavamast.relay.engine_profile import EngineProfile
-    from guavamast.relay.length_buckets import PromptDemand
+    from guavamast.relay.placement.engine_profile import EngineProfile
+    from guavamast.relay.placement.length_buckets import PromptDemand
 
 SERVICE: Final = "pool"
 
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -21,15 +21,13 @@
 
     from guavamast.relay.attempt import CompleteResponse
     from guavamast.relay.caller_admission import CallerAdmission
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_connector import EndpointConnector
     from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.messages import CallerRequest, HeaderCodec, ResponseWriter
+    from guavamast.relay.placement import Choice, EngineProfiles, PromptCache
     from guavamast.relay.placer import PlacementDecision
-    from guavamast.relay.prompt_cache import PromptCache
     from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.rejection_limit_sharing import RejectionLimitSharing
     from guavamast.relay.request_progress import RequestProgress
--- a/src/guavamast/relay/heartbeat_aggregation.py
+++ b/src/guavamast/relay/heartbeat_aggregation.py
@@ -9,10 +9,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.heartbeat_messages import Heartbeat
     from guavamast.relay.peers import Peer
+    from guavamast.relay.placement import ProfileEstimates
     from guavamast.relay.store import InstanceRecord
 
 INSTANCES_PER_DATAGRAM: Final = 400
--- a/src/guavamast/relay/heartbeat_messages.py
+++ b/src/guavamast/relay/heartbeat_messages.py
@@ -12,11 +12,8 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.endpoint_load import Load
-    from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.freshness import FreshnessStamp
-    from guavamast.relay.length_buckets import Demand
-    from guavamast.relay.prompt_cache import PromptSend
-    from guavamast.relay.rejection_history import RejectionCount
+    from guavamast.relay.placement import Demand, ProfileEstimates, PromptSend, RejectionCount
     from guavamast.relay.store import InstanceRecord
 
 
--- a/src/guavamast/relay/heartbeat_wire.py
+++ b/src/guavamast/relay/heartbeat_wire.py
@@ -7,7 +7,6 @@
 
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.endpoint_load import Load
-from guavamast.relay.engine_profile import PROFILE_QUANTITIES, Estimate, ProfileEstimates
 from guavamast.relay.freshness import FreshnessStamp
 from guavamast.relay.heartbeat_messages import (
     AggregatedHeartbeat,
@@ -17,9 +16,15 @@
     LoadUpdate,
     MalformedBeat,
 )
-from guavamast.relay.length_buckets import BUCKETS, Demand
-from guavamast.relay.prompt_cache import PromptSend
-from guavamast.relay.rejection_history import RejectionCount
+from guavamast.relay.placement import (
+    BUCKETS,
+    PROFILE_QUANTITIES,
+    Demand,
+    Estimate,
+    ProfileEstimates,
+    PromptSend,
+    RejectionCount,
+)
 from guavamast.relay.store import InstanceRecord
 
 AGGREGATE_PREFIX: Final = b"z"
--- a/src/guavamast/relay/instance_heartbeats.py
+++ b/src/guavamast/relay/instance_heartbeats.py
@@ -6,19 +6,19 @@
 
 from guavamast.relay.heartbeat_messages import Heartbeat
 from guavamast.relay.heartbeat_wire import encode_load_update
-from guavamast.relay.length_buckets import NO_DEMAND
 from guavamast.relay.peers import compute_heartbeat_interval
+from guavamast.relay.placement import NO_DEMAND
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.heartbeat_messages import (
         AggregatedHeartbeat,
         InstanceState,
         LoadUpdate,
     )
+    from guavamast.relay.placement import ProfileEstimates
     from guavamast.relay.store import InstanceRecord
     from guavamast.relay.work_state import WorkState
 
--- a/src/guavamast/relay/load_update_sender.py
+++ b/src/guavamast/relay/load_update_sender.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable
 
     from guavamast.relay.endpoint_load import EndpointLoads
-    from guavamast.relay.prompt_cache import PromptCache
+    from guavamast.relay.placement import PromptCache
 
 INCREASE_BATCH_S: Final = 0.02
 """Seconds for which increases are collected into one load update: short beside the usual wait for
--- a/src/guavamast/relay/local_placer.py
+++ b/src/guavamast/relay/local_placer.py
@@ -4,22 +4,27 @@
 
 from typing import TYPE_CHECKING
 
-from guavamast.relay.admission import WaitParameters
-from guavamast.relay.admission_control import AdmissionControl
-from guavamast.relay.engine_forecast import FRESH_LOADS_LIMIT, STALE_LOADS_LIMIT
-from guavamast.relay.placement import Placement
+from guavamast.relay.placement import (
+    FRESH_LOADS_LIMIT,
+    STALE_LOADS_LIMIT,
+    AdmissionControl,
+    Placement,
+    WaitParameters,
+)
 from guavamast.relay.placer import PlacementDecision, Placer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
-    from guavamast.relay.endpoint_choice import EndpointChooser
-    from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.fleet_state import FleetState
-    from guavamast.relay.length_buckets import PromptDemand
     from guavamast.relay.messages import CallerRequest
-    from guavamast.relay.rejection_history import RejectionHistory
+    from guavamast.relay.placement import (
+        EndpointChooser,
+        EngineProfiles,
+        PromptDemand,
+        RejectionHistory,
+    )
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.stream_binding import SoftwareVersions
 
--- a/src/guavamast/relay/placed_send.py
+++ b/src/guavamast/relay/placed_send.py
@@ -8,8 +8,8 @@
 from guavamast.relay.endpoint_load import Load
 
 if TYPE_CHECKING:
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_load import EndpointLoads, Work
+    from guavamast.relay.placement import Choice
     from guavamast.relay.placer import PlacementDecision
 
 
--- /dev/null
+++ b/src/guavamast/relay/placement/__init__.py
@@ -0,0 +1,73 @@
+"""Choice of an endpoint for each request, and its admission there.
+
+The package decides where a request goes, whether it has room there now, and who yields to whom. It
+knows loads, prompts and engine speeds as types of its own or of the relay; it sends nothing, and
+the rest of the relay doesn't decide on capacity.
+"""
+
+from guavamast.relay.placement.admission import MIN_RETRY_S, Rejection, WaitParameters
+from guavamast.relay.placement.admission_control import AdmissionControl
+from guavamast.relay.placement.endpoint_choice import Choice, EndpointChooser
+from guavamast.relay.placement.engine_forecast import (
+    FRESH_LOADS_LIMIT,
+    LESS_URGENT_LIMIT,
+    MOST_URGENT_LIMIT,
+    STALE_LOADS_LIMIT,
+    Forecast,
+    KvLimit,
+)
+from guavamast.relay.placement.engine_profile import (
+    PROFILE_QUANTITIES,
+    EngineProfile,
+    EngineProfiles,
+    Estimate,
+    ProfileEstimates,
+)
+from guavamast.relay.placement.expected_retries import ExpectedRetries
+from guavamast.relay.placement.free_slots import FreeSlots
+from guavamast.relay.placement.length_buckets import (
+    BUCKETS,
+    NO_DEMAND,
+    Demand,
+    PromptDemand,
+    find_bucket,
+    is_latency_tolerant,
+)
+from guavamast.relay.placement.placement import Placement
+from guavamast.relay.placement.prefill_interference import is_pause_sensitive
+from guavamast.relay.placement.prompt_cache import PromptCache, PromptSend
+from guavamast.relay.placement.rejection_history import RejectionCount, RejectionHistory
+
+__all__ = [
+    "AdmissionControl",
+    "BUCKETS",
+    "Choice",
+    "Demand",
+    "EndpointChooser",
+    "EngineProfile",
+    "EngineProfiles",
+    "Estimate",
+    "ExpectedRetries",
+    "FRESH_LOADS_LIMIT",
+    "Forecast",
+    "FreeSlots",
+    "KvLimit",
+    "LESS_URGENT_LIMIT",
+    "MIN_RETRY_S",
+    "MOST_URGENT_LIMIT",
+    "NO_DEMAND",
+    "PROFILE_QUANTITIES",
+    "Placement",
+    "ProfileEstimates",
+    "PromptCache",
+    "PromptDemand",
+    "PromptSend",
+    "Rejection",
+    "RejectionCount",
+    "RejectionHistory",
+    "STALE_LOADS_LIMIT",
+    "WaitParameters",
+    "find_bucket",
+    "is_latency_tolerant",
+    "is_pause_sensitive",
+]
--- a/src/guavamast/relay/admission.py
+++ b/src/guavamast/relay/placement/admission.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from guavamast.relay.engine_forecast import Forecast
+    from guavamast.relay.placement.engine_forecast import Forecast
 
 URGENT_WAITING_SHARE: Final = 0.75
 """Share of the objective for which a request that isn't latency-tolerant may wait. What is queued
--- a/src/guavamast/relay/admission_control.py
+++ b/src/guavamast/relay/placement/admission_control.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.admission import admit_within, compute_allowed_wait
+from guavamast.relay.placement.admission import admit_within, compute_allowed_wait
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
-    from guavamast.relay.admission import Rejection, WaitParameters
-    from guavamast.relay.engine_forecast import Forecast
-    from guavamast.relay.rejection_history import RejectionHistory, RejectionPressure
+    from guavamast.relay.placement.admission import Rejection, WaitParameters
+    from guavamast.relay.placement.engine_forecast import Forecast
+    from guavamast.relay.placement.rejection_history import RejectionHistory, RejectionPressure
 
 LESS_URGENT_CREDIT_SHARE: Final = 1 / 4
 """Share of the prefill time of admitted requests that is credited to less urgent ones that yield
--- a/src/guavamast/relay/choice_costs.py
+++ b/src/guavamast/relay/placement/choice_costs.py
@@ -7,14 +7,14 @@
 
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.engine_forecast import estimate_late_share
-from guavamast.relay.prefill_interference import estimate_delayed_share
+from guavamast.relay.placement.engine_forecast import estimate_late_share
+from guavamast.relay.placement.prefill_interference import estimate_delayed_share
 
 if TYPE_CHECKING:
     from guavamast.relay.endpoint_load import Load
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.engine_forecast import Forecast
-    from guavamast.relay.placement import Placement
+    from guavamast.relay.placement.engine_forecast import Forecast
+    from guavamast.relay.placement.placement import Placement
 
 RECOMPUTE_WEIGHT: Final = 4.5
 """Factor on the time to prefill a shared part again: it is also paid for, and it evicts other parts
--- a/src/guavamast/relay/endpoint_choice.py
+++ b/src/guavamast/relay/placement/endpoint_choice.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.choice_costs import (
+from guavamast.relay.endpoint_load import Load
+from guavamast.relay.placement.choice_costs import (
     NO_ROOM_COST_MS,
     compute_affinity_discount,
     compute_bucket_cost,
@@ -15,10 +16,9 @@
     compute_link_cost,
     compute_plain_load_cost,
 )
-from guavamast.relay.endpoint_load import Load
-from guavamast.relay.engine_forecast import Forecast, forecast
-from guavamast.relay.length_buckets import assign_buckets
-from guavamast.relay.stale_loads import blend_loads
+from guavamast.relay.placement.engine_forecast import Forecast, forecast
+from guavamast.relay.placement.length_buckets import assign_buckets
+from guavamast.relay.placement.stale_loads import blend_loads
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
@@ -28,8 +28,8 @@
 
     from guavamast.relay.endpoint_load import EndpointLoads
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.placement import Placement
-    from guavamast.relay.prompt_cache import PromptCache
+    from guavamast.relay.placement.placement import Placement
+    from guavamast.relay.placement.prompt_cache import PromptCache
 
 SAMPLED_ENGINES: Final = 4
 """Engines that are compared, besides those that have a part of the prompt, when load updates are
--- a/src/guavamast/relay/engine_forecast.py
+++ b/src/guavamast/relay/placement/engine_forecast.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.endpoint_load import Load
-    from guavamast.relay.engine_profile import EngineProfile
+    from guavamast.relay.placement.engine_profile import EngineProfile
 
 SLOT_WAIT_RUNS: Final = 2.0
 """Runs of a request, divided by the slots, that each request beyond the slots adds to the wait.
--- a/src/guavamast/relay/length_buckets.py
+++ b/src/guavamast/relay/placement/length_buckets.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.engine_profile import EngineProfile
+    from guavamast.relay.placement.engine_profile import EngineProfile
 
 BUCKET_PREFILL_SHARES: Final = (1 / 12, 1 / 4)
 """Share of the shortest objective; prompts whose prefill takes at least this long belong to the
--- a/src/guavamast/relay/placement.py
+++ b/src/guavamast/relay/placement/placement.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from guavamast.relay.engine_forecast import FRESH_LOADS_LIMIT
+from guavamast.relay.placement.engine_forecast import FRESH_LOADS_LIMIT
 
 if TYPE_CHECKING:
-    from guavamast.relay.engine_forecast import KvLimit
-    from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.messages import PromptPart
+    from guavamast.relay.placement.engine_forecast import KvLimit
+    from guavamast.relay.placement.engine_profile import EngineProfile
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/guavamast/relay/prefill_interference.py
+++ b/src/guavamast/relay/placement/prefill_interference.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.catalog import Route
-    from guavamast.relay.engine_profile import EngineProfile
+    from guavamast.relay.placement.engine_profile import EngineProfile
 
 PAUSE_SENSITIVE_MARGIN: Final = 1.2
 """Factor on the pauses caused by prefill; routes that allow only shorter ones are pause-sensitive.
--- a/src/guavamast/relay/placer.py
+++ b/src/guavamast/relay/placer.py
@@ -7,9 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from guavamast.relay.admission import Rejection
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.placement import Choice, Rejection
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.scheduling_client import PlacedRequest, ScheduledReply
 
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -17,11 +17,10 @@
     from guavamast.relay.caller_gate import Admitted
     from guavamast.relay.endpoint_load import EndpointLoads
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.exchange import Exchanger
     from guavamast.relay.fleet_state import FleetState
-    from guavamast.relay.length_buckets import PromptDemand
     from guavamast.relay.messages import CallerRequest, HeaderCodec, ResponseWriter
+    from guavamast.relay.placement import EngineProfiles, PromptDemand
     from guavamast.relay.placer import PlacementDecision, Placer
     from guavamast.relay.quarantine import CrashGuard
     from guavamast.relay.reachability import ReachabilityMonitor
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.exchange import Exchanger
 from guavamast.relay.local_placer import LocalPlacer
+from guavamast.relay.placement import EndpointChooser
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.scheduled_placer import ScheduledPlacer
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -5,15 +5,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from guavamast.relay.length_buckets import find_bucket, is_latency_tolerant
-from guavamast.relay.prefill_interference import is_pause_sensitive
+from guavamast.relay.placement import find_bucket, is_latency_tolerant, is_pause_sensitive
 from guavamast.relay.stream_timing import StreamTiming
 
 if TYPE_CHECKING:
     from guavamast.relay.attempt import CompleteResponse
     from guavamast.relay.caller_gate import Admitted
-    from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.placement import EngineProfile
     from guavamast.relay.stream_binding import StreamBinding, StreamSource
 
 
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -9,18 +9,16 @@
 from guavamast.relay.unserved_cause import UnservedCause
 
 if TYPE_CHECKING:
-    from guavamast.relay.admission import Rejection
     from guavamast.relay.attempt_failure import AttemptFailed
     from guavamast.relay.caller_gate import Admitted, Denied
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_load import Load
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.engine_profile import EngineProfile
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import CallerRequest, SendParameters
+    from guavamast.relay.placement import Choice, EngineProfile, Rejection
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.response_end import ResponseEnd
     from guavamast.relay.scheduling_client import ScheduledReply
--- a/src/guavamast/relay/scheduled_placer.py
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -5,10 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.admission import Rejection
-from guavamast.relay.endpoint_choice import Choice
 from guavamast.relay.endpoint_load import Load
-from guavamast.relay.engine_forecast import Forecast
+from guavamast.relay.placement import Choice, Forecast, Rejection
 from guavamast.relay.placer import PlacementDecision, Placer
 from guavamast.relay.scheduling_messages import PlacedWork, PlacementQuery, Verdict, WorkPhase
 
--- a/src/guavamast/relay/scheduled_work.py
+++ b/src/guavamast/relay/scheduled_work.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.endpoint_load import EndpointLoads
-from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.placement import PromptCache
 from guavamast.relay.scheduling_messages import WorkPhase
 
 if TYPE_CHECKING:
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_load import Work
+    from guavamast.relay.placement import Choice
     from guavamast.relay.scheduling_messages import (
         PlacedWork,
         PlacementQuery,
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -5,25 +5,28 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.admission import MIN_RETRY_S, WaitParameters
-from guavamast.relay.admission_control import AdmissionControl
-from guavamast.relay.endpoint_choice import EndpointChooser
-from guavamast.relay.engine_forecast import LESS_URGENT_LIMIT, MOST_URGENT_LIMIT, STALE_LOADS_LIMIT
-from guavamast.relay.expected_retries import ExpectedRetries
-from guavamast.relay.free_slots import FreeSlots
-from guavamast.relay.length_buckets import PromptDemand
-from guavamast.relay.placement import Placement
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement import (
+    LESS_URGENT_LIMIT,
+    MIN_RETRY_S,
+    MOST_URGENT_LIMIT,
+    STALE_LOADS_LIMIT,
+    AdmissionControl,
+    EndpointChooser,
+    ExpectedRetries,
+    FreeSlots,
+    Placement,
+    PromptDemand,
+    RejectionHistory,
+    WaitParameters,
+)
 from guavamast.relay.scheduled_work import ScheduledWork
 from guavamast.relay.scheduling_messages import PlacementReply, Verdict, WorkPhase
 
 if TYPE_CHECKING:
     from random import Random
 
-    from guavamast.relay.endpoint_choice import Choice
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.engine_forecast import KvLimit
-    from guavamast.relay.engine_profile import EngineProfile
+    from guavamast.relay.placement import Choice, EngineProfile, KvLimit
     from guavamast.relay.scheduled_work import EndedStream
     from guavamast.relay.scheduling_messages import PlacementQuery, WorkUpdate
 
--- a/src/guavamast/relay/scheduler_host.py
+++ b/src/guavamast/relay/scheduler_host.py
@@ -12,8 +12,8 @@
 
     from guavamast.relay.counters import Counters
     from guavamast.relay.endpoint_groups import EndpointGroups
-    from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.placement import EngineProfiles
     from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.scheduling_messages import PlacementQuery, WorkReport, WorkUpdate
 
--- a/src/guavamast/relay/scheduling.py
+++ b/src/guavamast/relay/scheduling.py
@@ -22,8 +22,8 @@
     from random import Random
 
     from guavamast.relay.counters import Counters
-    from guavamast.relay.engine_profile import EngineProfiles
     from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.placement import EngineProfiles
     from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.scheduling_wire import SchedulingMessage
     from guavamast.relay.store import InstanceRecord
--- a/src/guavamast/relay/stream_sampler.py
+++ b/src/guavamast/relay/stream_sampler.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from guavamast.relay.engine_profile import EngineProfiles
+    from guavamast.relay.placement import EngineProfiles
     from guavamast.relay.stream_timing import StreamTiming
 
 
--- a/src/guavamast/relay/work_state.py
+++ b/src/guavamast/relay/work_state.py
@@ -5,14 +5,11 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.endpoint_load import EndpointLoads
-from guavamast.relay.engine_profile import EngineProfiles
-from guavamast.relay.length_buckets import PromptDemand
-from guavamast.relay.prompt_cache import PromptCache
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement import EngineProfiles, PromptCache, PromptDemand, RejectionHistory
 
 if TYPE_CHECKING:
-    from guavamast.relay.engine_profile import ProfileEstimates
     from guavamast.relay.heartbeat_messages import AggregatedHeartbeat, Heartbeat, LoadUpdate
+    from guavamast.relay.placement import ProfileEstimates
 
 DOMAIN_PREFIX: Final = "domain "
 """Prefix of the name of a source that is a failure domain."""
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -13,17 +13,18 @@
 from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
-from guavamast.relay.endpoint_choice import Choice, EndpointChooser
 from guavamast.relay.endpoint_connector import EndpointConnector
 from guavamast.relay.endpoint_load import EndpointLoads
-from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.exchange import Exchanger
-from guavamast.relay.length_buckets import PromptDemand
 from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.messages import ResponseWriter
+from guavamast.relay.placement.endpoint_choice import Choice, EndpointChooser
+from guavamast.relay.placement.engine_profile import EngineProfiles
+from guavamast.relay.placement.length_buckets import PromptDemand
+from guavamast.relay.placement.prompt_cache import PromptCache
+from guavamast.relay.placement.rejection_history import RejectionHistory
 from guavamast.relay.placer import PlacementDecision
-from guavamast.relay.prompt_cache import PromptCache
 from guavamast.relay.quarantine import (
     CrashGuard,
     PendingLosses,
@@ -31,7 +32,6 @@
     QuarantineRows,
 )
 from guavamast.relay.reachability import ReachabilityMonitor
-from guavamast.relay.rejection_history import RejectionHistory
 from guavamast.relay.rejection_limits import RejectionLimits
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_progress import RequestProgress, begin_progress
--- a/tests/burst_simulation.py
+++ b/tests/burst_simulation.py
@@ -10,16 +10,16 @@
 
 from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.catalog import Catalog, Route, RouteKind, ServiceSettings, WeightedService
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Work
-from guavamast.relay.engine_profile import EngineProfiles, Estimate, ProfileEstimates
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.freshness import StoreClock
-from guavamast.relay.length_buckets import PromptDemand, find_bucket, is_latency_tolerant
 from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.peers import Peers
-from guavamast.relay.prompt_cache import PromptCache
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement.endpoint_choice import EndpointChooser
+from guavamast.relay.placement.engine_profile import EngineProfiles, Estimate, ProfileEstimates
+from guavamast.relay.placement.length_buckets import PromptDemand, find_bucket, is_latency_tolerant
+from guavamast.relay.placement.prompt_cache import PromptCache
+from guavamast.relay.placement.rejection_history import RejectionHistory
 from guavamast.relay.request_progress import begin_progress
 from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import PlacementQuery, Verdict, WorkPhase, WorkUpdate
--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -19,9 +19,9 @@
 from guavamast.relay.endpoint_connection import PathLost
 from guavamast.relay.endpoint_connector import EndpointConnector
 from guavamast.relay.endpoint_table import EndpointRecord
-from guavamast.relay.engine_profile import EngineProfile
 from guavamast.relay.forwarding import ForwardClient
 from guavamast.relay.messages import CallerRequest, PromptPart
+from guavamast.relay.placement.engine_profile import EngineProfile
 from guavamast.relay.reachability import ReachabilityMonitor
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store import InstanceRecord
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -8,13 +8,13 @@
 
 from guavamast.relay.catalog import Catalog, RouteKind, ServiceSettings, WeightedService
 from guavamast.relay.counters import Counters
-from guavamast.relay.engine_profile import EngineProfiles
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.heartbeat_messages import Heartbeat, InstanceState
-from guavamast.relay.length_buckets import NO_DEMAND
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.peers import FULL_MESH_INSTANCES, Peers
+from guavamast.relay.placement.engine_profile import EngineProfiles
+from guavamast.relay.placement.length_buckets import NO_DEMAND
 from guavamast.relay.rejection_limits import RejectionLimits
 from guavamast.relay.scheduling import Scheduling
 from guavamast.relay.scheduling_messages import PlacementQuery, Requester
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from guavamast.relay.admission import Rejection, WaitParameters, admit
 from guavamast.relay.endpoint_load import Load
-from guavamast.relay.engine_forecast import (
+from guavamast.relay.placement.admission import Rejection, WaitParameters, admit
+from guavamast.relay.placement.engine_forecast import (
     FRESH_LOADS_LIMIT,
     STALE_LOADS_LIMIT,
     Forecast,
--- a/tests/test_relay_admission_control_properties.py
+++ b/tests/test_relay_admission_control_properties.py
@@ -9,10 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from guavamast.relay.admission import WaitParameters
-from guavamast.relay.admission_control import LESS_URGENT_CREDIT_SHARE, AdmissionControl
-from guavamast.relay.engine_forecast import Forecast
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement.admission import WaitParameters
+from guavamast.relay.placement.admission_control import LESS_URGENT_CREDIT_SHARE, AdmissionControl
+from guavamast.relay.placement.engine_forecast import Forecast
+from guavamast.relay.placement.rejection_history import RejectionHistory
 
 EXAMPLES = int(os.environ.get("GUAVAMAST_EXAMPLES", "100"))
 POOL = "pool"
--- a/tests/test_relay_broken_answers.py
+++ b/tests/test_relay_broken_answers.py
@@ -12,7 +12,7 @@
 from guavamast.relay.catalog import RouteKind
 from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.endpoint_load import EndpointLoads
-from guavamast.relay.engine_profile import EngineProfiles
+from guavamast.relay.placement.engine_profile import EngineProfiles
 from guavamast.relay.quarantine import CrashGuard
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.response_end import BodyFraming
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -18,12 +18,10 @@
 )
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.endpoint_table import EndpointTable
-from guavamast.relay.engine_profile import Estimate, ProfileEstimates
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.freshness import FreshnessStamp
 from guavamast.relay.heartbeat_messages import Heartbeat, InstanceState, MalformedBeat
 from guavamast.relay.heartbeat_wire import decode_heartbeat, encode_heartbeat
-from guavamast.relay.length_buckets import Demand
 from guavamast.relay.peers import (
     FORGET_AFTER_S,
     MISSED_HEARTBEATS,
@@ -31,7 +29,10 @@
     Peers,
     compute_heartbeat_interval,
 )
-from guavamast.relay.prompt_cache import PromptSend
+from guavamast.relay.placement.engine_profile import Estimate, ProfileEstimates
+from guavamast.relay.placement.length_buckets import Demand
+from guavamast.relay.placement.prompt_cache import PromptSend
+from guavamast.relay.placement.rejection_history import RejectionCount
 from guavamast.relay.read_schedule import (
     JITTER_S,
     LAST_RANK,
@@ -40,7 +41,6 @@
     UPDATE_WAIT_S,
     ReadSchedule,
 )
-from guavamast.relay.rejection_history import RejectionCount
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.store import InstanceRecord
 from guavamast.rendezvous import rank
--- a/tests/test_relay_engine_profile.py
+++ b/tests/test_relay_engine_profile.py
@@ -10,14 +10,19 @@
 from dataclasses import dataclass
 from random import Random
 
-from guavamast.relay.admission import WaitParameters, admit
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
-from guavamast.relay.engine_forecast import forecast
-from guavamast.relay.engine_profile import PRIOR, EngineProfiles, Estimate, ProfileEstimates
-from guavamast.relay.length_buckets import BUCKETS, find_bucket
-from guavamast.relay.placement import Placement
-from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.placement.admission import WaitParameters, admit
+from guavamast.relay.placement.endpoint_choice import EndpointChooser
+from guavamast.relay.placement.engine_forecast import forecast
+from guavamast.relay.placement.engine_profile import (
+    PRIOR,
+    EngineProfiles,
+    Estimate,
+    ProfileEstimates,
+)
+from guavamast.relay.placement.length_buckets import BUCKETS, find_bucket
+from guavamast.relay.placement.placement import Placement
+from guavamast.relay.placement.prompt_cache import PromptCache
 from tests.relay_fixtures import build_endpoint, build_parts
 
 
--- a/tests/test_relay_heartbeat_exchange.py
+++ b/tests/test_relay_heartbeat_exchange.py
@@ -28,8 +28,8 @@
     HeartbeatTopology,
 )
 from guavamast.relay.heartbeat_wire import decode_message
-from guavamast.relay.length_buckets import BUCKETS, Demand
 from guavamast.relay.peers import AGGREGATED_SILENCE_S, FULL_MESH_INSTANCES, Peers
+from guavamast.relay.placement.length_buckets import BUCKETS, Demand
 from guavamast.relay.store import EndpointSnapshot, InstanceRecord
 from tests.relay_fixtures import build_endpoint
 
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -9,10 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from guavamast.relay.endpoint_choice import Choice, EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
-from guavamast.relay.engine_profile import EngineProfile
-from guavamast.relay.length_buckets import (
+from guavamast.relay.placement.endpoint_choice import Choice, EndpointChooser
+from guavamast.relay.placement.engine_profile import EngineProfile
+from guavamast.relay.placement.length_buckets import (
     BUCKETS,
     DEMAND_HALF_LIFE_S,
     Demand,
@@ -20,9 +20,9 @@
     assign_buckets,
     find_bucket,
 )
-from guavamast.relay.placement import Placement
-from guavamast.relay.prompt_cache import PromptCache, PromptSend
-from guavamast.relay.stale_loads import blend_loads
+from guavamast.relay.placement.placement import Placement
+from guavamast.relay.placement.prompt_cache import PromptCache, PromptSend
+from guavamast.relay.placement.stale_loads import blend_loads
 from tests.relay_fixtures import PROFILE, build_endpoint, build_parts
 
 SHARES = (0.2, 0.2, 0.6)
--- a/tests/test_relay_prefill_interference.py
+++ b/tests/test_relay_prefill_interference.py
@@ -12,13 +12,16 @@
 from random import Random
 
 from guavamast.relay.catalog import RouteKind
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load
-from guavamast.relay.engine_profile import EngineProfile
-from guavamast.relay.length_buckets import assign_buckets
-from guavamast.relay.placement import Placement
-from guavamast.relay.prefill_interference import estimate_delayed_share, is_pause_sensitive
-from guavamast.relay.prompt_cache import PromptCache
+from guavamast.relay.placement.endpoint_choice import EndpointChooser
+from guavamast.relay.placement.engine_profile import EngineProfile
+from guavamast.relay.placement.length_buckets import assign_buckets
+from guavamast.relay.placement.placement import Placement
+from guavamast.relay.placement.prefill_interference import (
+    estimate_delayed_share,
+    is_pause_sensitive,
+)
+from guavamast.relay.placement.prompt_cache import PromptCache
 from tests.relay_fixtures import build_endpoint, build_route
 
 PROFILE = EngineProfile(
--- a/tests/test_relay_rejection_history.py
+++ b/tests/test_relay_rejection_history.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement.rejection_history import RejectionHistory
 
 POOL = "pool"
 
--- a/tests/test_relay_rejection_limits.py
+++ b/tests/test_relay_rejection_limits.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from guavamast.platform.request_headers import PlatformHeaders
-from guavamast.relay.free_slots import PAUSE_S, REDUCED_S, RESERVED_SLOTS, FreeSlots
 from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.relay.placement.free_slots import PAUSE_S, REDUCED_S, RESERVED_SLOTS, FreeSlots
 from guavamast.relay.rejection_limits import (
     ANNOUNCE_AFTER_S,
     LIMIT_LIFETIME_S,
--- a/tests/test_relay_scheduler_properties.py
+++ b/tests/test_relay_scheduler_properties.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from guavamast.relay.engine_forecast import LESS_URGENT_KV_SHARE, MOST_URGENT_KV_SHARE
+from guavamast.relay.placement.engine_forecast import LESS_URGENT_KV_SHARE, MOST_URGENT_KV_SHARE
 from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import (
     PlacementQuery,
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -8,14 +8,14 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from guavamast.relay.admission import Rejection
 from guavamast.relay.caller_gate import Admitted
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads
-from guavamast.relay.length_buckets import PromptDemand
 from guavamast.relay.local_placer import LocalPlacer
-from guavamast.relay.prompt_cache import PromptCache
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement.admission import Rejection
+from guavamast.relay.placement.endpoint_choice import EndpointChooser
+from guavamast.relay.placement.length_buckets import PromptDemand
+from guavamast.relay.placement.prompt_cache import PromptCache
+from guavamast.relay.placement.rejection_history import RejectionHistory
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.scheduled_placer import ScheduledPlacer
 from guavamast.relay.scheduled_work import LEASE_S
--- a/tests/urgency_simulation.py
+++ b/tests/urgency_simulation.py
@@ -16,21 +16,21 @@
 
 from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.catalog import Catalog, RouteKind, ServiceSettings, WeightedService
-from guavamast.relay.endpoint_choice import EndpointChooser
 from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
-from guavamast.relay.engine_profile import (
+from guavamast.relay.fleet_state import FleetState
+from guavamast.relay.freshness import StoreClock
+from guavamast.relay.local_placer import LocalPlacer
+from guavamast.relay.peers import Peers
+from guavamast.relay.placement.endpoint_choice import EndpointChooser
+from guavamast.relay.placement.engine_profile import (
     EngineProfile,
     EngineProfiles,
     Estimate,
     ProfileEstimates,
 )
-from guavamast.relay.fleet_state import FleetState
-from guavamast.relay.freshness import StoreClock
-from guavamast.relay.length_buckets import PromptDemand
-from guavamast.relay.local_placer import LocalPlacer
-from guavamast.relay.peers import Peers
-from guavamast.relay.prompt_cache import PromptCache
-from guavamast.relay.rejection_history import RejectionHistory
+from guavamast.relay.placement.length_buckets import PromptDemand
+from guavamast.relay.placement.prompt_cache import PromptCache
+from guavamast.relay.placement.rejection_history import RejectionHistory
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import PlacementQuery, Verdict, WorkPhase, WorkUpdate
