--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,8 @@
 import signal
 import sys
 import tempfile
+from functools import partial
+from typing import Protocol
 
 import fire
 
@@ -13,35 +15,22 @@
 from soak.run import SoakRun, Verdict
 
 
-async def run_seed(
-    seed: int,
-    *,
-    length_s: float,
-    instances: int,
-    keep: str,
-    revoke_s: float,
-    lethal: bool,
-    partitions: bool,
-    answers: bool,
-    releases: bool,
-) -> Verdict:
+class BuildRun(Protocol):
+    """Builds the run of a seed."""
+
+    def __call__(self, *, seed: int, directory: str) -> SoakRun:
+        """Return the run of a seed, with its logs in a directory."""
+
+
+async def run_seed(seed: int, build_run: BuildRun, *, keep: str) -> Verdict:
     """Run one seed, with its logs below ``keep`` if given, and print the verdict."""
     directory = tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None)
-    run = SoakRun(
-        seed=seed,
-        length_s=length_s,
-        instances=instances,
-        directory=directory,
-        revoke_s=revoke_s,
-        lethal=lethal,
-        partitions=partitions,
-        answers=answers,
-        releases=releases,
-    )
-    verdict = await run.run()
+    verdict = await build_run(seed=seed, directory=directory).run()
     outcome = "kept" if not verdict.violations else "BROKEN"
     answered = f"{verdict.answered} of {verdict.requests} answered"
     print(f"seed {seed}: {outcome}, {answered}, streams: {verdict.shares}", flush=True)
+    if verdict.worst_order is not None:
+        print(f"  closest to a wrong order: {verdict.worst_order}", flush=True)
     for line in verdict.violations:
         print(f"  {line}")
     if verdict.violations:
@@ -50,18 +39,7 @@
 
 
 async def run_seeds(
-    first: int,
-    last: int,
-    *,
-    length_s: float,
-    instances: int,
-    parallel: int,
-    keep: str,
-    revoke_s: float,
-    lethal: bool,
-    partitions: bool,
-    answers: bool,
-    releases: bool,
+    seeds: range, build_run: BuildRun, *, parallel: int, keep: str
 ) -> list[Verdict]:
     """Run a range of seeds, ``parallel`` of them at a time."""
     task = asyncio.current_task()
@@ -72,19 +50,9 @@
 
     async def run_one(seed: int) -> Verdict:
         async with slots:
-            return await run_seed(
-                seed,
-                length_s=length_s,
-                instances=instances,
-                keep=keep,
-                revoke_s=revoke_s,
-                lethal=lethal,
-                partitions=partitions,
-                answers=answers,
-                releases=releases,
-            )
+            return await run_seed(seed, build_run, keep=keep)
 
-    return await asyncio.gather(*(run_one(seed) for seed in range(first, last + 1)))
+    return await asyncio.gather(*(run_one(seed) for seed in seeds))
 
 
 def soak(
@@ -98,6 +66,8 @@
     partitions: bool = True,
     answers: bool = True,
     releases: bool = True,
+    urgency: bool = True,
+    faults: bool = True,
 ) -> None:
     """Run seeds and print the violated guarantees.
 
@@ -114,23 +84,24 @@
         answers: Whether engines change the framing of their answers, and break them off.
         releases: Whether engines are replaced by others of other software versions, and callers
             take streams up at any instance.
+        urgency: Whether callers of three kinds ask for more than a further service can do.
+        faults: Whether any faults are injected.
     """
     first, _, last = str(seeds).partition("-")
-    verdicts = asyncio.run(
-        run_seeds(
-            int(first),
-            int(last or first),
-            length_s=length_s,
-            instances=instances,
-            parallel=parallel,
-            keep=keep,
-            revoke_s=revoke_s,
-            lethal=lethal,
-            partitions=partitions,
-            answers=answers,
-            releases=releases,
-        )
+    build_run = partial(
+        SoakRun,
+        length_s=length_s,
+        instances=instances,
+        revoke_s=revoke_s,
+        lethal=lethal,
+        partitions=partitions,
+        answers=answers,
+        releases=releases,
+        urgency=urgency,
+        faults=faults,
     )
+    numbers = range(int(first), int(last or first) + 1)
+    verdicts = asyncio.run(run_seeds(numbers, build_run, parallel=parallel, keep=keep))
     failed_seeds = sum(bool(verdict.violations) for verdict in verdicts)
     print(f"{len(verdicts) - failed_seeds} seeds kept all promises, {failed_seeds} did not")
     sys.exit(1 if failed_seeds else 0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass
 from random import Random
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from soak.callers import Caller
 from soak.fault_injector import RELEASE_VERSIONS, FaultInjector
@@ -32,6 +32,10 @@
 from soak.site import KEYS, SoakSite
 from soak.stream_callers import StreamCaller
 from soak.streams import StreamRecord, StreamShares, count_shares, find_stream_violations
+from soak.urgency import UrgencyCrowd
+
+if TYPE_CHECKING:
+    from guavamast.urgency_order import OrderWindow
 
 START_TIMEOUT_S: Final = 20.0
 """Timeout for the first instances to be ready, on a busy machine."""
@@ -57,6 +61,8 @@
     violations: list[str]
     """Violated guarantees."""
     shares: StreamShares
+    worst_order: OrderWindow | None = None
+    """What came closest to a wrong order of urgencies; None if it was not observed."""
 
 
 class SoakRun:
@@ -74,6 +80,8 @@
         answers: Whether engines change the framing of their answers, and break them off.
         releases: Whether engines are replaced by others of other software versions, and callers
             take streams up at any instance.
+        urgency: Whether callers of three kinds ask for more than a further service can do.
+        faults: Whether any faults are injected.
     """
 
     def __init__(
@@ -88,6 +96,8 @@
         partitions: bool = False,
         answers: bool = False,
         releases: bool = False,
+        urgency: bool = False,
+        faults: bool = True,
     ) -> None:
         self._seed = seed
         self._length_s = length_s
@@ -102,6 +112,10 @@
         self._plans_partitions = partitions
         self._plans_answers = answers
         self._plans_releases = releases
+        self._injects_faults = faults
+        self._crowd = (
+            UrgencyCrowd(site=self._site, random=Random(f"{seed}urgency")) if urgency else None
+        )
         self._streams: list[StreamRecord] = []
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
@@ -116,6 +130,8 @@
             await site.start(pool=RELEASED_POOL, portal=3, pool_versions=RELEASE_VERSIONS[:2])
         else:
             await site.start(pool=3, portal=3)
+        if self._crowd is not None:
+            await self._crowd.start_engines()
         for number in range(self._instance_count):
             await site.add_instance(f"one-{number}")
         try:
@@ -126,6 +142,8 @@
                     tasks.create_task(caller.run(started_at + self._length_s))
                 for stream_caller in self._build_stream_callers():
                     tasks.create_task(stream_caller.run(started_at + self._length_s))
+                if self._crowd is not None:
+                    tasks.create_task(self._crowd.run(started_at + self._length_s - RECOVERY_S))
                 if self._lethal:
                     tasks.create_task(self._repeat_lethal(started_at))
                 for fault in self._plan():
@@ -135,6 +153,8 @@
         return self._build_verdict(started_at + self._length_s)
 
     def _plan(self) -> list[Fault]:
+        if not self._injects_faults:
+            return []
         faults = plan_faults(self._seed, length_s=self._length_s)
         if self._plans_partitions:
             faults += plan_partitions(self._seed, length_s=self._length_s)
@@ -145,6 +165,8 @@
         return faults
 
     def _build_verdict(self, ended_at: float) -> Verdict:
+        if self._crowd is not None:
+            self._requests += self._crowd.requests
         record = SoakRecord(
             requests=self._requests,
             runs=self._site.list_runs(),
@@ -181,14 +203,22 @@
             requests=len(self._requests),
             answered=sum(request.status == 200 and request.complete for request in self._requests),
             faults=self._injected_faults,
+            worst_order=self._find_worst_order(),
             shares=count_shares(self._streams, self._list_disruptions()),
             violations=[
                 *find_violations(record),
                 *find_stream_violations(self._streams, self._list_disruptions()),
                 *self._site.find_instance_failures(),
+                *(self._crowd.find_violations(self._disruptions) if self._crowd else ()),
             ],
         )
 
+    def _find_worst_order(self) -> OrderWindow | None:
+        if self._crowd is None:
+            return None
+        windows = self._crowd.list_windows(self._disruptions)
+        return windows[0] if windows else None
+
     def _list_disruptions(self) -> dict[str, list[Span]]:
         """Return the disruptions of each instance, by its address."""
         return {one.caller_address: one.disruptions for one in self._site.instances}
--- a/soak/site.py
+++ b/soak/site.py
@@ -8,7 +8,8 @@
 
 from guavamast.platform.standins.answer_body import WHOLE
 from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineFault
-from guavamast.platform.standins.site import KEY, Site
+from guavamast.platform.standins.prefill_batch import PrefillBatch
+from guavamast.platform.standins.site import KEY, MODELS, Site
 from soak.guarantees import RunRecord, Span
 from soak.instances import Instance
 from soak.lethal import LETHAL_BODY, LETHAL_TARGET
@@ -19,6 +20,10 @@
 
 ENGINE_WORK_S: Final = 0.03
 """Time that an engine takes before a response, so that faults affect running requests."""
+MODEL_SLOTS: Final = 8
+"""Requests that an engine of the service of models runs at a time."""
+PREFILL_TOKENS_PER_S: Final = 3_000.0
+"""Prompt tokens that it prefills in a second: few, so that long prompts take long."""
 KEYS: Final = {
     "bakery": KEY,
     "florist": "florist-key",
@@ -59,7 +64,10 @@
     ) -> EngineStandIn:
         """Return an engine, and remember its service before a concurrent fault looks for it."""
         self.engine_services[engine_id] = service
-        return super().build_engine(engine_id, service, version=version)
+        engine = super().build_engine(engine_id, service, version=version)
+        if service == MODELS:
+            engine.batch = PrefillBatch(slots=MODEL_SLOTS, tokens_per_s=PREFILL_TOKENS_PER_S)
+        return engine
 
     async def add_engine(
         self, engine_id: str, service: str, *, version: str = DEFAULT_VERSION
--- /dev/null
+++ b/soak/urgency.py
@@ -0,0 +1,235 @@
+"""Callers of three kinds that ask for more than a service can do, and the check of its order."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from guavamast.platform.standins.engine import EVENTS_PER_STREAM, encode_event
+from guavamast.platform.standins.site import HOST, KEY, MODELS, ModelRoute
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.urgency_order import BegunWork, OrderWindow, RequestOutcome, find_worst_windows
+from soak.guarantees import RequestKind, RequestRecord, Span, is_undisturbed
+from soak.streams import find_events, normalize_versions
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from soak.site import SoakSite
+
+MODEL_ENGINES: Final = 4
+CONNECT_TIMEOUT_S: Final = 1.0
+MAX_RETRY_SHARE: Final = 1 / 3
+"""Share of its remaining time for which a caller waits before its retry at most."""
+CALM_S: Final = 1.0
+"""Seconds after its first attempt in which a counted request must be undisturbed."""
+MAX_USED_SHARE: Final = 0.5
+"""Share of what the order of urgencies allows that may be used: half."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrowdKind:
+    """One kind of request."""
+
+    route: ModelRoute
+    per_s: float
+    tokens: int
+
+
+KINDS: Final = (
+    CrowdKind(
+        route=ModelRoute(name="question", urgency=0, objective_ms=400, timeout_ms=6_000),
+        per_s=6.0,
+        tokens=150,
+    ),
+    CrowdKind(
+        route=ModelRoute(name="photo", urgency=1, objective_ms=500, timeout_ms=4_000),
+        per_s=8.0,
+        tokens=450,
+    ),
+    CrowdKind(
+        route=ModelRoute(name="digest", urgency=2, objective_ms=2_500, timeout_ms=12_000),
+        per_s=6.0,
+        tokens=1_800,
+    ),
+)
+"""The kinds in the order of their urgency; together a quarter more than what engines do."""
+
+
+class UrgencyCrowd:
+    """Sends requests of all kinds, whatever becomes of earlier ones, and retries each once.
+
+    Args:
+        site: Site of the run.
+        random: Chooses arrivals and instances.
+    """
+
+    def __init__(self, *, site: SoakSite, random: Random) -> None:
+        self._site = site
+        self._random = random
+        self._count = 0
+        self.requests: list[RequestRecord] = []
+        """All attempts."""
+        self.outcomes: list[RequestOutcome] = []
+        """All requests over their attempts."""
+
+    async def start_engines(self) -> None:
+        """Start the engines of the service and publish its routes."""
+        self._site.model_routes = tuple(kind.route for kind in KINDS)
+        self._site.publish_configuration()
+        for number in range(MODEL_ENGINES):
+            await self._site.add_engine(f"models-{number}", MODELS)
+
+    async def run(self, until: float) -> None:
+        """Send requests until a time of the monotonic clock, and wait for their ends."""
+        async with asyncio.TaskGroup() as tasks:
+            for kind in KINDS:
+                tasks.create_task(self._send_kind(kind, until, tasks))
+
+    def find_violations(self, disruptions: list[Span]) -> list[str]:
+        """Return where less urgent work began while urgent requests got nothing.
+
+        Args:
+            disruptions: Spans in which, and shortly after which, nothing is promised.
+        """
+        return [
+            f"{window.unserved} of {window.requests} requests of {window.kind} got nothing "
+            f"({window.unserved_tokens} tokens), while less urgent ones of "
+            f"{window.less_urgent_tokens} tokens began: {window.used_share:.2f} of what is allowed"
+            for window in self.list_windows(disruptions)
+            if window.used_share > MAX_USED_SHARE
+        ]
+
+    def list_windows(self, disruptions: list[Span]) -> list[OrderWindow]:
+        """Return the window of each kind that comes closest to a violation, the worst first.
+
+        Args:
+            disruptions: Spans in which, and shortly after which, nothing is promised.
+        """
+        calm = [
+            one
+            for one in self.outcomes
+            if is_undisturbed(disruptions, one.asked_at, one.asked_at + CALM_S)
+        ]
+        work = [
+            one
+            for one in self._list_work()
+            if is_undisturbed(disruptions, one.began_at, one.began_at)
+        ]
+        return find_worst_windows(calm, work)
+
+    def _list_work(self) -> list[BegunWork]:
+        """Return the requests that engines of the service began to work on."""
+        by_name = {kind.route.name: kind for kind in KINDS}
+        kinds = {one.request_id: one.request_id.partition("-")[0] for one in self.requests}
+        return [
+            BegunWork(
+                service=MODELS,
+                precedence=by_name[kinds[run.request_id]].route.urgency,
+                tokens=by_name[kinds[run.request_id]].tokens,
+                began_at=run.started_at,
+            )
+            for run in self._site.list_runs()
+            if run.request_id in kinds
+        ]
+
+    async def _send_kind(self, kind: CrowdKind, until: float, tasks: asyncio.TaskGroup) -> None:
+        while time.monotonic() < until:
+            await asyncio.sleep(self._random.expovariate(kind.per_s))
+            self._count += 1
+            tasks.create_task(self._ask(kind, f"{kind.route.name}-{self._count}"))
+
+    async def _ask(self, kind: CrowdKind, name: str) -> None:
+        """Send a request, and once more if it is told to."""
+        asked_at = time.monotonic()
+        deadline = asked_at + kind.route.timeout_ms / 1000.0
+        served, retry_after_s = await self._attempt(kind, f"{name}-1", name, deadline)
+        if not served and retry_after_s is not None:
+            left_s = deadline - time.monotonic()
+            await asyncio.sleep(min(retry_after_s, MAX_RETRY_SHARE * left_s))
+            served, _ = await self._attempt(kind, f"{name}-2", name, deadline)
+        self.outcomes.append(
+            RequestOutcome(
+                service=MODELS,
+                kind=kind.route.name,
+                precedence=kind.route.urgency,
+                tokens=kind.tokens,
+                asked_at=asked_at,
+                served=served,
+            )
+        )
+
+    async def _attempt(
+        self, kind: CrowdKind, request_id: str, part: str, deadline: float
+    ) -> tuple[bool, float | None]:
+        """Return whether an attempt was served, and the seconds until the next one."""
+        sent_at = time.monotonic()
+        address = self._random.choice([one.caller_address for one in self._site.instances])
+        status: int | None = None
+        headers: dict[str, str] = {}
+        body = bytearray()
+        complete = False
+        left = False
+        connection: HttpConnection | None = None
+        try:
+            async with asyncio.timeout(max(0.1, deadline - sent_at)):
+                host, _, port = address.rpartition(":")
+                connection = await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
+                await connection.send(
+                    "POST",
+                    kind.route.path_prefix + request_id,
+                    _build_headers(kind, request_id, part, left_s=deadline - sent_at),
+                    request_id.encode(),
+                )
+                head = await connection.read_head()
+                status = head.status
+                headers = {key.lower(): value for key, value in head.headers}
+                while (chunk := await connection.read_chunk()) is not None:
+                    body += chunk
+                complete = True
+        except (ConnectionLost, MalformedAnswer):
+            pass
+        except TimeoutError:
+            left = True
+        finally:
+            if connection is not None:
+                connection.close()
+        self.requests.append(
+            RequestRecord(
+                request_id=request_id,
+                kind=RequestKind.STREAM,
+                organisation="bakery",
+                sent_at=sent_at,
+                ended_at=time.monotonic(),
+                status=status,
+                response_id=headers.get("x-attempt-id"),
+                body=normalize_versions(bytes(body)),
+                versions=frozenset(event.version for event in find_events(bytes(body))),
+                expected_body=b"".join(
+                    encode_event(request_id, number) for number in range(1, EVENTS_PER_STREAM + 1)
+                ),
+                complete=complete,
+                left=left,
+                address=address,
+                anywhere=True,
+            )
+        )
+        retry_after = headers.get("retry-after")
+        return status == 200 and complete, float(retry_after) if retry_after else None
+
+
+def _build_headers(
+    kind: CrowdKind, request_id: str, part: str, *, left_s: float
+) -> list[tuple[str, str]]:
+    return [
+        ("Host", HOST),
+        ("Authorization", f"Bearer {KEY}"),
+        ("X-Attempt-Id", request_id),
+        ("X-Request-Deadline-Ms", str(int(left_s * 1000))),
+        ("X-Model", "m"),
+        ("X-Token-Usage", f"{kind.tokens},24"),
+        ("X-Prompt-Prefix", f"{part.encode().hex()[-16:]}:{kind.tokens}"),
+        ("Content-Length", str(len(request_id))),
+    ]
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -11,11 +11,13 @@
 import h11
 
 from guavamast.platform.standins.answer_body import WHOLE, AnswerBody, AnswerEnding, Closing
+from guavamast.platform.standins.prefill_batch import DEFAULT_URGENCY
 from guavamast.relay.response_end import BodyFraming
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavamast.platform.standins.prefill_batch import PrefillBatch
     from guavamast.relay.messages import Header
 
 EVENTS_PER_STREAM = 6
@@ -117,6 +119,8 @@
         """Monotonic times of the requests that it rejected since it had no free slot."""
         self.completed: list[CompletedRun] = []
         """Runs whose responses were complete."""
+        self.batch: PrefillBatch | None = None
+        """Slots, prefill and order of the requests; None if each begins at once."""
         self.silent_until = 0.0
         """Monotonic time until which it sends nothing, and goes on."""
         self._running = 0
@@ -248,7 +252,21 @@
         self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, body: bytes
     ) -> bool:
         run = self._record_run(request, body)
-        request_id = run.request_id
+        if self.batch is None:
+            return await self._answer(http, writer, request, run)
+        await self.batch.join(
+            urgency=int(run.headers.get("x-request-urgency", DEFAULT_URGENCY)),
+            tokens=int(run.headers.get("x-token-usage", "0").partition(",")[0]),
+        )
+        try:
+            return await self._answer(http, writer, request, run)
+        finally:
+            self.batch.leave()
+
+    async def _answer(
+        self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, run: Run
+    ) -> bool:
+        request_id, body = run.request_id, run.body
         if body.startswith(LETHAL_BODY_PREFIX):
             await asyncio.sleep(LETHAL_DELAY_S)
             self._crash()
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineStandIn
@@ -24,10 +25,39 @@
 """Path prefix of streams that can't be resumed."""
 RESUMABLE_PREFIX = "/resumable/stream/"
 """Path prefix of streams that can be resumed."""
+MODELS = "models"
+"""Service of the routes that differ in urgency."""
+MODEL_KV_TOKENS = 400_000
+"""Tokens that fit into the memory of one of its engines."""
 CRASH_RESTART_S = 0.6
 """Seconds after which another engine starts at the address of one that a request has ended."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ModelRoute:
+    """A streaming route of the service of models."""
+
+    name: str
+    urgency: int
+    objective_ms: int
+    timeout_ms: int
+
+    @property
+    def path_prefix(self) -> str:
+        """The path prefix of its requests."""
+        return f"/models/{self.name}/stream/"
+
+    def build_fields(self) -> dict[str, Any]:
+        """Return the route as it stands in the configuration."""
+        fields = _build_route(self.path_prefix, "streaming", MODELS, 1)
+        changes = {
+            "timeout_ms": self.timeout_ms,
+            "target_latency_ms": self.objective_ms,
+            "priority": self.urgency,
+        }
+        return fields | changes
+
+
 class Site:
     """Stand-ins for all that an instance connects to, and the settings for instances."""
 
@@ -56,6 +86,8 @@
         """Service of each route by path prefix."""
         self.route_weights: dict[str, dict[str, float]] = {}
         """Weights of the services of each route that has several, by path prefix."""
+        self.model_routes: tuple[ModelRoute, ...] = ()
+        """Routes of the service of models, which has its own engines."""
         self.bounds: dict[str, Any] = {
             "strict_revocation": True,
             "revoke_ms": 2000,
@@ -182,6 +214,7 @@
                 resumable=True,
             ),
         ]
+        routes += [one.build_fields() for one in self.model_routes]
         for route in routes:
             weights = self.route_weights.get(route["path_prefix"])
             if weights:
@@ -192,6 +225,9 @@
             {"name": "pool", "max_connections": 100, "engine": {"kv_capacity_tokens": 100_000}},
             {"name": "portal", "max_connections": 100},
         ]
+        if self.model_routes:
+            engine = {"kv_capacity_tokens": MODEL_KV_TOKENS}
+            services.append({"name": MODELS, "max_connections": 200, "engine": engine})
         limits = {
             "max_header_bytes": 4096,
             "max_body_bytes": 8192,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,11 +37,15 @@
     find_stream_violations,
     normalize_versions,
 )
+from soak.urgency import MAX_USED_SHARE
 
 from guavamast.platform.standins.engine import EngineStandIn, encode_event
 from guavamast.relay.endpoint_connection import ConnectionRefused
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection
 
+URGENCY_SEED = 1
+URGENCY_LENGTH_S = 14.0
+"""Long enough for two windows of the order of urgencies."""
 CI_SEED = 209
 """Seed whose faults include killed, frozen and stopped instances and an engine crash."""
 LETHAL_SEED = 5
@@ -408,6 +412,21 @@
         """Guards against streams that go on by the row of an engine's earlier start."""
         await self.run_releases(RESTART_SEED, length_s=OUTAGE_LENGTH_S)
 
+    async def test_urgent_requests_get_something_before_less_urgent_ones_begin(self) -> None:
+        """Guards against a wrong order that only processes with sockets between them show."""
+        with tempfile.TemporaryDirectory() as directory:
+            run = SoakRun(
+                seed=URGENCY_SEED,
+                length_s=URGENCY_LENGTH_S,
+                instances=5,
+                directory=directory,
+                urgency=True,
+                faults=False,
+            )
+            verdict = await run.run()
+        assert verdict.worst_order is not None
+        self.assertLessEqual(verdict.worst_order.used_share, MAX_USED_SHARE, verdict.worst_order)
+
     async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
         """Guards against a fleet that loses what it knows of such a request to kills and resets."""
         await self.run_seed(LETHAL_SEED, lethal=True)
