--- a/src/guavamast/relay/local_placer.py
+++ b/src/guavamast/relay/local_placer.py
@@ -52,6 +52,7 @@
         "_fleet_state",
         "_profiles",
         "_read_time",
+        "_rejections",
         "_versions",
     )
 
@@ -72,6 +73,7 @@
         self._versions = versions
         self._demand = demand
         self._profiles = profiles
+        self._rejections = rejections
         self._admission = AdmissionControl(history=rejections, random=random)
         self._read_time = read_time
 
@@ -79,6 +81,12 @@
         """Return the endpoint with the least cost, or a rejection."""
         return self.decide(request, progress, SINGLE_CHECK)
 
+    def record_unserved(self, progress: RequestProgress) -> None:
+        """Record a request that was placed and got nothing, as its endpoint had no room in time."""
+        self._rejections.record_rejection(
+            progress.service, progress.admitted.precedence, now=self._read_time()
+        )
+
     def decide(
         self, request: CallerRequest, progress: RequestProgress, check: RoomCheck
     ) -> PlacementDecision:
--- a/src/guavamast/relay/placer.py
+++ b/src/guavamast/relay/placer.py
@@ -33,3 +33,7 @@
     @abstractmethod
     async def place(self, request: CallerRequest, progress: RequestProgress) -> PlacementDecision:
         """Return the next endpoint for a request, or its rejection."""
+
+    @abstractmethod
+    def record_unserved(self, progress: RequestProgress) -> None:
+        """Record a request that was placed and got nothing, as its endpoint had no room in time."""
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -248,7 +248,9 @@
             placed = await self._placer.place(request, progress)
             if placed.choice is None:
                 reason = "no endpoint" if progress.binding is None else "no endpoint of its version"
-                await self._finish_failed(request, writer, progress, status=502, reason=reason)
+                await self._finish_failed(
+                    request, writer, progress, status=502, reason=reason, cause=progress.cause
+                )
                 return
             if placed.rejection is not None:
                 await self._reject_for_capacity(request, writer, progress, placed)
@@ -258,6 +260,7 @@
                 status = await self._exchanger.run(request, writer, progress, placed)
             except AttemptFailed as failure:
                 self._record_failure(request, progress, record, failure)
+                progress.cause = _classify_failure(failure)
                 if failure.kind is FailureKind.OUTDATED:
                     if not await self._readmit(request, writer, progress, record):
                         return
@@ -268,7 +271,7 @@
                         progress,
                         status=502,
                         reason=str(failure),
-                        cause=_classify_failure(failure),
+                        cause=progress.cause,
                     )
                     return
             else:
@@ -407,6 +410,8 @@
                 now=now,
             )
             return
+        if cause.lacks_room and request.prompt_tokens:
+            self._placer.record_unserved(progress)
         if progress.error_response is not None:
             response = progress.error_response
             await writer.send(response.head.status, list(response.head.headers), response.body)
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -7,6 +7,7 @@
 
 from guavamast.relay.placement import find_bucket, is_latency_tolerant, is_pause_sensitive
 from guavamast.relay.stream_timing import StreamTiming
+from guavamast.relay.unserved_cause import UnservedCause
 
 if TYPE_CHECKING:
     from guavamast.relay.attempt import CompleteResponse
@@ -40,6 +41,8 @@
     """Number of endpoints to which the request was sent."""
     possible_runs: int = 0
     """Number of sends that the endpoint may have run."""
+    cause: UnservedCause = UnservedCause.FAILED
+    """Why its last attempt at an endpoint brought no response."""
     connect_failures: int = 0
     content: str | None = None
     """Digest of the request, once it was needed."""
--- a/src/guavamast/relay/scheduled_placer.py
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -119,6 +119,10 @@
                 return placed
             await asyncio.sleep(self._draw_interval(placed))
 
+    def record_unserved(self, progress: RequestProgress) -> None:
+        """Record a request that was placed and got nothing, as its endpoint had no room in time."""
+        self._local_placer.record_unserved(progress)
+
     async def _place_once(
         self, request: CallerRequest, progress: RequestProgress, check: RoomCheck
     ) -> PlacementDecision:
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -141,6 +141,7 @@
         self.losses = PendingLosses()
         self.loads = EndpointLoads()
         self.profiles = EngineProfiles()
+        self.rejections = AdmissionHistory()
         self.budget = RetryBudget(
             settings=RetryBudgetSettings(ratio=0.2, slack=20.0, window_s=10.0)
         )
@@ -222,7 +223,7 @@
             versions=self.simulation.versions,
             demand=PromptDemand(),
             profiles=EngineProfiles(),
-            rejections=AdmissionHistory(),
+            rejections=self.rejections,
             random=Random(1),
             read_time=lambda: self.simulation.now,
         )
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -50,6 +50,17 @@
         self.assertEqual(writer.send.call_args.args[0], 404)
         self.assertEqual(self.engine.runs, [])
 
+    async def test_a_prompt_that_endpoints_have_no_room_for_presses_on_less_urgent_ones(
+        self,
+    ) -> None:
+        """Guards against urgent requests that engines reject while less urgent ones begin."""
+        self.simulation.replace_routes(build_route(timeout_s=30.0, urgency=1))
+        self.engine.fault = EngineFault.FULL
+        self.request_changes = {"prompt_tokens": 500}
+        writer = await self.relay()
+        self.assertEqual(writer.send.call_args.args[0], 503)
+        self.assertTrue(self.rejections.are_rejected("portal", 11, now=self.simulation.now))
+
     async def test_a_request_is_not_sent_again_once_its_content_is_held(self) -> None:
         """Guards against a request under way that goes on to further endpoints.
 
