--- a/src/guavamast/relay/heartbeat_wire.py
+++ b/src/guavamast/relay/heartbeat_wire.py
@@ -79,6 +79,7 @@
         "end": _encode_stamp(heartbeat.endpoints),
         "ask": [round(work, 1) for work in heartbeat.demand.work_ms],
         "back": _encode_rejections(heartbeat.rejections),
+        "late": [round(one.delayed, 2) for one in heartbeat.rejections],
         "speed": _encode_profiles(heartbeat.profiles),
         "sent": _encode_sends(heartbeat.sends),
         "load": _encode_loads(heartbeat.loads),
@@ -110,7 +111,7 @@
         endpoints=_decode_stamp(fields["end"]),
         loads=_decode_loads(fields["load"]),
         demand=_decode_demand(fields["ask"]),
-        rejections=_decode_rejections(fields.get("back", [])),
+        rejections=_decode_rejections(fields.get("back", []), fields.get("late", [])),
         profiles=_decode_profiles(fields["speed"]),
         sends=_decode_sends(fields["sent"]),
     )
@@ -188,17 +189,10 @@
         update.incarnation,
         _encode_loads(update.loads),
         _encode_sends(update.sends),
-        [
-            [
-                one.service,
-                one.precedence,
-                one.attempts,
-                int(one.delayed),
-                round(one.remaining_s, 3),
-            ]
-            for one in update.waiting
-        ],
     ]
+    if update.waiting:
+        # A former version reads updates without this field only.
+        fields.append(_encode_waiting(update.waiting))
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -213,27 +207,44 @@
     if not data.startswith(b'["n"'):
         return decode_heartbeat(data)
     try:
-        _, instance, incarnation, loads, sends, waiting = json.loads(data)
+        _, instance, incarnation, loads, sends, *rest = json.loads(data)
         return LoadUpdate(
             instance=str(instance),
             incarnation=int(incarnation),
             loads=_decode_loads(loads),
             sends=_decode_sends(sends),
-            waiting=[
-                WaitingPrecedence(
-                    service=str(service),
-                    precedence=int(precedence),
-                    attempts=max(0, int(attempts)),
-                    delayed=bool(delayed),
-                    remaining_s=min(MAX_WAITING_S, float(remaining_s)),
-                )
-                for service, precedence, attempts, delayed, remaining_s in waiting
-            ],
+            waiting=_decode_waiting(rest[0]) if rest else [],
         )
     except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
         raise MalformedBeat(f"{type(error).__name__}: {error}") from error
 
 
+def _encode_waiting(waiting: list[WaitingPrecedence]) -> list[list[str | float]]:
+    return [
+        [
+            one.service,
+            one.precedence,
+            one.attempts,
+            int(one.delayed),
+            round(one.remaining_s, 3),
+        ]
+        for one in waiting
+    ]
+
+
+def _decode_waiting(value: list[list[Any]]) -> list[WaitingPrecedence]:
+    return [
+        WaitingPrecedence(
+            service=str(service),
+            precedence=int(precedence),
+            attempts=max(0, int(attempts)),
+            delayed=bool(delayed),
+            remaining_s=min(MAX_WAITING_S, float(remaining_s)),
+        )
+        for service, precedence, attempts, delayed, remaining_s in value
+    ]
+
+
 def _encode_loads(loads: dict[str, Load]) -> dict[str, list[int]]:
     return {
         key: [load.requests, load.prefill_tokens, load.kv_tokens, load.pause_sensitive]
@@ -282,24 +293,27 @@
             one.precedence,
             round(one.requests, 2),
             round(one.rejected, 2),
-            round(one.delayed, 2),
             round(one.wait_ms, 1),
         ]
         for one in rejections
     ]
 
 
-def _decode_rejections(value: list[list[Any]]) -> list[AdmissionCount]:
+def _decode_rejections(counts: list[list[Any]], delayed: list[float]) -> list[AdmissionCount]:
+    """Return the counts of a heartbeat; a former version tells no delays."""
+    delays = delayed or [0.0] * len(counts)
     return [
         AdmissionCount(
             service=str(service),
             precedence=int(precedence),
             requests=max(0.0, float(requests)),
-            delayed=max(0.0, float(delayed)),
+            delayed=max(0.0, float(delay)),
             rejected=max(0.0, float(rejected)),
             wait_ms=max(0.0, float(wait_ms)),
         )
-        for service, precedence, requests, rejected, delayed, wait_ms in value
+        for (service, precedence, requests, rejected, wait_ms), delay in zip(
+            counts, delays, strict=True
+        )
     ]
 
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from random import Random
 
@@ -20,8 +21,18 @@
 from guavamast.relay.endpoint_table import EndpointTable
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.freshness import FreshnessStamp
-from guavamast.relay.heartbeat_messages import Heartbeat, InstanceState, MalformedBeat
-from guavamast.relay.heartbeat_wire import decode_heartbeat, encode_heartbeat
+from guavamast.relay.heartbeat_messages import (
+    Heartbeat,
+    InstanceState,
+    LoadUpdate,
+    MalformedBeat,
+)
+from guavamast.relay.heartbeat_wire import (
+    decode_heartbeat,
+    decode_message,
+    encode_heartbeat,
+    encode_load_update,
+)
 from guavamast.relay.peers import (
     FORGET_AFTER_S,
     MISSED_HEARTBEATS,
@@ -29,7 +40,7 @@
     Peers,
     compute_heartbeat_interval,
 )
-from guavamast.relay.placement.admission_history import AdmissionCount
+from guavamast.relay.placement.admission_history import AdmissionCount, WaitingPrecedence
 from guavamast.relay.placement.engine_profile import Estimate, ProfileEstimates
 from guavamast.relay.placement.length_buckets import Demand
 from guavamast.relay.placement.prompt_cache import PromptSend
@@ -323,6 +334,27 @@
         heartbeat = build_heartbeat("x")
         self.assertEqual(decode_heartbeat(encode_heartbeat(heartbeat)), heartbeat)
 
+    def test_a_heartbeat_of_the_former_version_is_read(self) -> None:
+        """Guards against instances that count as dead while a new version is rolled out."""
+        fields = json.loads(encode_heartbeat(build_heartbeat("x")))
+        del fields["late"]
+        decoded = decode_heartbeat(json.dumps(fields).encode())
+        self.assertEqual([one.delayed for one in decoded.rejections], [0.0])
+        self.assertEqual([len(row) for row in fields["back"]], [5])
+
+    def test_load_updates_round_trip_and_read_as_before_unless_something_waits(self) -> None:
+        """Guards against a rollout in which the two versions ignore each other's loads."""
+        waiting = [
+            WaitingPrecedence(
+                service="pool", precedence=1, attempts=3, delayed=True, remaining_s=0.25
+            )
+        ]
+        for listed, fields in (([], 5), (waiting, 6)):
+            update = LoadUpdate(instance="x", incarnation=1, loads={}, sends=[], waiting=listed)
+            data = encode_load_update(update)
+            self.assertEqual(len(json.loads(data)), fields)
+            self.assertEqual(decode_message(data), update)
+
     @given(data=st.binary(max_size=200))
     def test_any_other_datagram_is_refused(self, data: bytes) -> None:
         with self.assertRaises(MalformedBeat):
