--- a/src/guavamast/relay/placement/admission.py
+++ b/src/guavamast/relay/placement/admission.py
@@ -103,6 +103,27 @@
     return allowed_ms * FIRST_ATTEMPT_SHARE if parameters.first_attempt else allowed_ms
 
 
+def admit(forecast: Forecast, parameters: WaitParameters, *, random: Random) -> Rejection | None:
+    """Reject a request that would wait longer than it may, regardless of other requests.
+
+    Failure: under overload every request is queued, and after some seconds every answer is late,
+    including those that the engines could have given in time. Requests that would be late go on
+    waiting or are rejected, so that queues stay shorter than the objective.
+
+    Args:
+        forecast: The request's forecast at the best engine.
+        parameters: How long it may wait.
+        random: Source of the retry jitter.
+
+    Returns:
+        The rejection, or None if the request is admitted.
+    """
+    excess_ms = forecast.waiting_ms - compute_allowed_wait(forecast, parameters)
+    if excess_ms <= 0.0:
+        return None
+    return reject(objective_s=parameters.objective_s, excess_ms=excess_ms, random=random)
+
+
 def reject(*, objective_s: float, excess_ms: float, random: Random) -> Rejection:
     """Return a rejection.
 
--- a/tests/test_relay_admission.py
+++ b/tests/test_relay_admission.py
@@ -9,12 +9,7 @@
 from hypothesis import strategies as st
 
 from guavamast.relay.endpoint_load import Load
-from guavamast.relay.placement.admission import (
-    Rejection,
-    WaitParameters,
-    compute_allowed_wait,
-    reject,
-)
+from guavamast.relay.placement.admission import Rejection, WaitParameters, admit
 from guavamast.relay.placement.engine_forecast import (
     FRESH_LOADS_LIMIT,
     STALE_LOADS_LIMIT,
@@ -25,14 +20,6 @@
 from tests.relay_fixtures import PROFILE
 
 
-def admit(expected: Forecast, parameters: WaitParameters, *, random: Random) -> Rejection | None:
-    """Reject a request that would wait longer than it may."""
-    excess_ms = expected.waiting_ms - compute_allowed_wait(expected, parameters)
-    if excess_ms <= 0.0:
-        return None
-    return reject(objective_s=parameters.objective_s, excess_ms=excess_ms, random=random)
-
-
 class AdmissionTest(unittest.TestCase):
     """Requests that would be late are rejected at once, and none is while queues are short.
 
