--- a/soak/urgency.py
+++ b/soak/urgency.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from guavamast.platform.standins.engine import EVENTS_PER_STREAM, encode_event
@@ -58,6 +58,16 @@
 """The kinds in the order of their urgency; together a quarter more than what engines do."""
 
 
+@dataclass(slots=True, kw_only=True)
+class _Answer:
+    """The part of an answer that was received."""
+
+    status: int | None = None
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    complete: bool = False
+
+
 class UrgencyCrowd:
     """Sends requests of all kinds, whatever becomes of earlier ones, and retries each once.
 
@@ -167,35 +177,17 @@
         """Return whether an attempt was served, and the seconds until the next one."""
         sent_at = time.monotonic()
         address = self._random.choice([one.caller_address for one in self._site.instances])
-        status: int | None = None
-        headers: dict[str, str] = {}
-        body = bytearray()
-        complete = False
+        answer = _Answer()
         left = False
-        connection: HttpConnection | None = None
         try:
             async with asyncio.timeout(max(0.1, deadline - sent_at)):
-                host, _, port = address.rpartition(":")
-                connection = await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
-                await connection.send(
-                    "POST",
-                    kind.route.path_prefix + request_id,
-                    _build_headers(kind, request_id, part, left_s=deadline - sent_at),
-                    request_id.encode(),
-                )
-                head = await connection.read_head()
-                status = head.status
-                headers = {key.lower(): value for key, value in head.headers}
-                while (chunk := await connection.read_chunk()) is not None:
-                    body += chunk
-                complete = True
+                headers = _build_headers(kind, request_id, part, left_s=deadline - sent_at)
+                target = kind.route.path_prefix + request_id
+                await _exchange(address, target, headers, request_id.encode(), answer)
         except (ConnectionLost, MalformedAnswer):
             pass
         except TimeoutError:
             left = True
-        finally:
-            if connection is not None:
-                connection.close()
         self.requests.append(
             RequestRecord(
                 request_id=request_id,
@@ -203,21 +195,40 @@
                 organisation="bakery",
                 sent_at=sent_at,
                 ended_at=time.monotonic(),
-                status=status,
-                response_id=headers.get("x-attempt-id"),
-                body=normalize_versions(bytes(body)),
-                versions=frozenset(event.version for event in find_events(bytes(body))),
+                status=answer.status,
+                response_id=answer.headers.get("x-attempt-id"),
+                body=normalize_versions(bytes(answer.body)),
+                versions=frozenset(one.version for one in find_events(bytes(answer.body))),
                 expected_body=b"".join(
                     encode_event(request_id, number) for number in range(1, EVENTS_PER_STREAM + 1)
                 ),
-                complete=complete,
+                complete=answer.complete,
                 left=left,
                 address=address,
                 anywhere=True,
             )
         )
-        retry_after = headers.get("retry-after")
-        return status == 200 and complete, float(retry_after) if retry_after else None
+        retry_after = answer.headers.get("retry-after")
+        served = answer.status == 200 and answer.complete
+        return served, float(retry_after) if retry_after else None
+
+
+async def _exchange(
+    address: str, target: str, headers: list[tuple[str, str]], body: bytes, answer: _Answer
+) -> None:
+    """Send a request on a new connection and receive its answer."""
+    host, _, port = address.rpartition(":")
+    connection = await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
+    try:
+        await connection.send("POST", target, headers, body)
+        head = await connection.read_head()
+        answer.status = head.status
+        answer.headers = {key.lower(): value for key, value in head.headers}
+        while (chunk := await connection.read_chunk()) is not None:
+            answer.body += chunk
+        answer.complete = True
+    finally:
+        connection.close()
 
 
 def _build_headers(
--- a/src/guavamast/relay/attempt_failure.py
+++ b/src/guavamast/relay/attempt_failure.py
@@ -7,6 +7,7 @@
 
 from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.response_end import ResponseEnd
+from guavamast.relay.unserved_cause import UnservedCause
 
 
 class FailureKind(StrEnum):
@@ -80,6 +81,12 @@
         """Weight of the failure in its endpoint's failure score."""
         return FAILURE_WEIGHTS[self.kind]
 
+    @property
+    def cause(self) -> UnservedCause:
+        """Why the request gets nothing, if no other attempt follows."""
+        full = self.kind is FailureKind.REFUSED
+        return UnservedCause.ENDPOINT_FULL if full else UnservedCause.FAILED
+
     @property
     def not_run(self) -> bool:
         """Whether the endpoint certainly did not run the request and will not."""
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -260,7 +260,7 @@
                 status = await self._exchanger.run(request, writer, progress, placed)
             except AttemptFailed as failure:
                 self._record_failure(request, progress, record, failure)
-                progress.cause = _classify_failure(failure)
+                progress.cause = failure.cause
                 if failure.kind is FailureKind.OUTDATED:
                     if not await self._readmit(request, writer, progress, record):
                         return
@@ -434,9 +434,3 @@
             reason=reason,
             now=now,
         )
-
-
-def _classify_failure(failure: AttemptFailed) -> UnservedCause:
-    """Return why a request whose last attempt failed was not answered."""
-    full = failure.kind is FailureKind.REFUSED
-    return UnservedCause.ENDPOINT_FULL if full else UnservedCause.FAILED
