--- a/bench/fleet_policy.py
+++ b/bench/fleet_policy.py
@@ -127,6 +127,7 @@
             objective_s=request.kind.objective_s,
             latency_tolerant=is_latency_tolerant(request.kind.objective_s, shortest_s=shortest_s),
             most_urgent=request.kind.objective_s == shortest_s,
+            least_urgent=request.kind.objective_s == max(one.objective_s for one in kinds),
             loads_stale=loads_stale,
             first_attempt=not loads_stale and not request.retried,
         )
@@ -140,7 +141,7 @@
             exclude=frozenset(),
             now=now,
             terms=terms,
-            needs_room=not parameters.latency_tolerant,
+            needs_room=not parameters.least_urgent,
         )
         assert choice is not None and choice.forecast is not None and choice.survey is not None
         rejection = state.admission.admit(
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -140,6 +140,7 @@
     __slots__ = (
         "_hosts",
         "_least_urgencies",
+        "_negated_urgencies",
         "_shortest_objectives",
         "_shortest_pauses",
         "limits",
@@ -168,6 +169,9 @@
         for route in routes:
             self._hosts.setdefault(route.host.lower(), {})[route.path_prefix] = route
         self._least_urgencies = _find_minimum_by_service(routes, lambda route: float(route.urgency))
+        self._negated_urgencies = _find_minimum_by_service(
+            routes, lambda route: -float(route.urgency)
+        )
         self._shortest_objectives = _find_minimum_by_service(
             routes, lambda route: route.objective_s
         )
@@ -201,6 +205,10 @@
         """Return whether no stream of a service is more urgent than those of a route."""
         return route.urgency <= self._least_urgencies.get(service, float("inf"))
 
+    def is_least_urgent(self, route: Route, service: str) -> bool:
+        """Return whether no stream of a service is less urgent than those of a route."""
+        return route.urgency >= -self._negated_urgencies.get(service, float("inf"))
+
     def find_shortest_pause(self, service: str) -> float:
         """Return the smallest pause limit, in seconds, among the streams of a service."""
         return self._shortest_pauses.get(service, float("inf"))
--- a/src/guavamast/relay/fleet_state.py
+++ b/src/guavamast/relay/fleet_state.py
@@ -136,6 +136,10 @@
         """Return whether no stream of a service is more urgent than those of a route."""
         return self.catalog is not None and self.catalog.is_most_urgent(route, service_name)
 
+    def is_least_urgent(self, route: Route, service_name: str) -> bool:
+        """Return whether no stream of a service is less urgent than those of a route."""
+        return self.catalog is not None and self.catalog.is_least_urgent(route, service_name)
+
     def find_shortest_pause(self, service_name: str) -> float:
         """Return the smallest pause limit, in seconds, among the streams of a service."""
         return self.catalog.find_shortest_pause(service_name) if self.catalog else float("inf")
--- a/src/guavamast/relay/local_placer.py
+++ b/src/guavamast/relay/local_placer.py
@@ -102,6 +102,7 @@
             objective_s=progress.admitted.route.objective_s,
             latency_tolerant=progress.latency_tolerant,
             most_urgent=progress.most_urgent,
+            least_urgent=progress.least_urgent,
             loads_stale=self._fleet_state.peers.aggregated,
             waited_s=check.waited_s,
             waited_share=check.waited_share,
@@ -121,7 +122,7 @@
             exclude=progress.tried | self._list_others(progress),
             now=now,
             terms=terms,
-            needs_room=check.delayed or not progress.latency_tolerant,
+            needs_room=check.delayed or not progress.least_urgent,
         )
         if choice is None or progress.has_begun or not choice.forecast or not choice.survey:
             return PlacementDecision(choice=choice)
--- a/src/guavamast/relay/placement/admission.py
+++ b/src/guavamast/relay/placement/admission.py
@@ -62,6 +62,8 @@
     """Whether the request is latency-tolerant: its objective far exceeds its service's shortest."""
     most_urgent: bool = False
     """Whether no stream of its service is more urgent."""
+    least_urgent: bool = False
+    """Whether no stream of its service is less urgent."""
     loads_stale: bool = False
     """Whether forecasts use stale loads, from late updates."""
     waited_s: float = 0.0
@@ -94,10 +96,11 @@
             * (MOST_URGENT_FACTOR if parameters.most_urgent else STALE_LOADS_FACTOR)
         )
     allowed_ms = share * objective_ms
-    if parameters.last_check and not parameters.latency_tolerant:
-        return LAST_CHECK_SHARE * objective_ms
-    in_time_ms = IN_TIME_SHARE * objective_ms - 1000.0 * parameters.waited_s
-    in_time_ms -= forecast.start_ms + forecast.prefill_ms
+    in_time_ms = IN_TIME_SHARE * objective_ms - forecast.start_ms - forecast.prefill_ms
+    if not parameters.least_urgent:
+        if parameters.last_check:
+            return LAST_CHECK_SHARE * objective_ms
+        in_time_ms -= 1000.0 * parameters.waited_s
     if in_time_ms > 0.0:
         allowed_ms = min(allowed_ms, max(in_time_ms, MIN_WAITING_SHARE * objective_ms))
     return allowed_ms * FIRST_ATTEMPT_SHARE if parameters.first_attempt else allowed_ms
--- a/src/guavamast/relay/placement/admission_control.py
+++ b/src/guavamast/relay/placement/admission_control.py
@@ -61,7 +61,7 @@
 
         The more precedences go before a request, the more engines it leaves to them, so that the
         least urgent requests don't use up what is left to those between. While more urgent requests
-        are delayed it leaves up to twice as many. Unless it is latency-tolerant, it leaves fewer
+        are delayed it leaves up to twice as many. Unless it is the least urgent, it leaves fewer
         the longer it waits, as it would be rejected for engines that nobody uses.
 
         Args:
@@ -69,7 +69,7 @@
             engines: Engines that can be used.
         """
         share = MAX_KEPT_SHARE * (1.0 - 0.5 ** len(self.more_urgent)) * (1.0 + demand.pressure)
-        if not self.parameters.latency_tolerant:
+        if not self.parameters.least_urgent:
             share *= 1.0 - self.parameters.waited_share
         return min(engines - 1, math.ceil(share * engines))
 
--- a/src/guavamast/relay/placement/waiting.py
+++ b/src/guavamast/relay/placement/waiting.py
@@ -7,8 +7,8 @@
 
 WAIT_SHARE: Final = 2.0
 """Share of its objective for which an attempt waits: a late answer is worth more than none."""
-LATENCY_TOLERANT_WAIT_SHARE: Final = 0.25
-"""Share for a latency-tolerant request, which has time to return once the burst is over."""
+LEAST_URGENT_WAIT_SHARE: Final = 0.25
+"""Share for a request to which nothing yields: its wait would make it late for no room gained."""
 MAX_TIME_SHARE: Final = 1 / 3
 """Share of its remaining time for which it waits at most; the rest is for a run or a retry."""
 DELAYED_SHARE: Final = 0.25
@@ -95,7 +95,7 @@
     attempt: str,
     received_at: float,
     objective_s: float,
-    latency_tolerant: bool,
+    least_urgent: bool,
     deadline: float,
 ) -> PlacementWait:
     """Return the wait of an attempt for room in an engine.
@@ -104,10 +104,10 @@
         attempt: Its id.
         received_at: Time at which it was received.
         objective_s: Its objective.
-        latency_tolerant: Whether it is latency-tolerant.
+        least_urgent: Whether no stream of its service is less urgent.
         deadline: Time at which its response must be complete.
     """
-    share = LATENCY_TOLERANT_WAIT_SHARE if latency_tolerant else WAIT_SHARE
+    share = LEAST_URGENT_WAIT_SHARE if least_urgent else WAIT_SHARE
     return PlacementWait(
         attempt=attempt,
         began_at=received_at,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -219,6 +219,7 @@
             shortest_objective_s=self._fleet_state.find_shortest_objective(service),
             profile=self._profiles.find(service, now=now),
             most_urgent=self._fleet_state.is_most_urgent(admitted.route, service),
+            least_urgent=self._fleet_state.is_least_urgent(admitted.route, service),
             binding=binding,
         )
 
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -31,6 +31,8 @@
     """Whether it has far more time than the most urgent requests of its service."""
     most_urgent: bool
     """Whether no stream of its service takes precedence over it."""
+    least_urgent: bool
+    """Whether it takes precedence over no stream of its service."""
     pause_sensitive: bool
     """Whether it would be late if its engine prefills long prompts at the same time."""
     timing: StreamTiming
@@ -85,6 +87,7 @@
         self.bucket = readmitted.bucket
         self.latency_tolerant = readmitted.latency_tolerant
         self.most_urgent = readmitted.most_urgent
+        self.least_urgent = readmitted.least_urgent
         self.pause_sensitive = readmitted.pause_sensitive
         self.tried.discard(unsent_id)
 
@@ -108,6 +111,7 @@
     shortest_objective_s: float,
     profile: EngineProfile,
     most_urgent: bool,
+    least_urgent: bool = False,
     binding: StreamBinding | None = None,
 ) -> RequestProgress:
     """Return the initial state of an admitted request.
@@ -119,6 +123,7 @@
         shortest_objective_s: Shortest objective of that service's streams.
         profile: Speed of the service's engines.
         most_urgent: Whether no stream of that service takes precedence over it.
+        least_urgent: Whether it takes precedence over no stream of that service.
         binding: What began the stream that it takes up; None if it begins anew.
     """
     objective_s = admitted.route.objective_s
@@ -136,6 +141,7 @@
         # Beside long prompts its pauses would be too long, however short its own prefill.
         bucket=0 if pause_sensitive else bucket,
         most_urgent=most_urgent,
+        least_urgent=least_urgent,
         pause_sensitive=pause_sensitive,
         latency_tolerant=is_latency_tolerant(objective_s, shortest_s=shortest_objective_s),
         timing=StreamTiming(received_at=request.received_at),
--- a/src/guavamast/relay/scheduled_placer.py
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -174,7 +174,7 @@
                 attempt=request.request_id,
                 received_at=request.received_at,
                 objective_s=objective_s,
-                latency_tolerant=progress.latency_tolerant,
+                least_urgent=progress.least_urgent,
                 deadline=progress.deadline,
             )
         share = MOST_URGENT_WAIT_SHARE if progress.most_urgent else WAIT_SHARE
@@ -212,6 +212,7 @@
             pause_sensitive=progress.pause_sensitive,
             latency_tolerant=progress.latency_tolerant,
             most_urgent=progress.most_urgent,
+            least_urgent=progress.least_urgent,
             precedence=progress.admitted.precedence,
             failure_domain=self._fleet_state.failure_domain,
             excluded=self._list_excluded(progress, group),
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -130,7 +130,7 @@
             exclude=frozenset(query.excluded),
             now=now,
             terms=terms,
-            needs_room=query.check.delayed or not query.latency_tolerant,
+            needs_room=query.check.delayed or not query.least_urgent,
         )
         if choice is None:
             return PlacementReply(number=query.number, verdict=Verdict.UNKNOWN, learning=learning)
@@ -214,6 +214,7 @@
             objective_s=query.objective_s,
             latency_tolerant=query.latency_tolerant,
             most_urgent=query.most_urgent,
+            least_urgent=query.least_urgent,
             loads_stale=learning,
             waited_s=query.check.waited_s,
             waited_share=query.check.waited_share,
--- a/src/guavamast/relay/scheduling_messages.py
+++ b/src/guavamast/relay/scheduling_messages.py
@@ -41,6 +41,7 @@
     pause_sensitive: bool
     latency_tolerant: bool
     most_urgent: bool
+    least_urgent: bool
     precedence: int
     """Rank by which requests are admitted; 0 goes first."""
     failure_domain: str
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -74,6 +74,7 @@
             int(query.pause_sensitive),
             int(query.latency_tolerant),
             int(query.most_urgent),
+            int(query.least_urgent),
             int(query.rejectable),
         ],
         _encode_check(query.check),
@@ -100,7 +101,7 @@
     failure_domain: str,
     excluded: list[str],
 ) -> PlacementQuery:
-    pause_sensitive, latency_tolerant, most_urgent, rejectable = map(bool, flags)
+    pause_sensitive, latency_tolerant, most_urgent, least_urgent, rejectable = map(bool, flags)
     return PlacementQuery(
         requester=Requester(instance=str(instance), incarnation=int(incarnation)),
         number=int(number),
@@ -116,6 +117,7 @@
         pause_sensitive=pause_sensitive,
         latency_tolerant=latency_tolerant,
         most_urgent=most_urgent,
+        least_urgent=least_urgent,
         rejectable=rejectable,
         check=_decode_check(*check),
         precedence=int(precedence),
--- a/tests/burst_simulation.py
+++ b/tests/burst_simulation.py
@@ -155,6 +155,7 @@
 
     def __init__(self, records: list[EndpointRecord], kinds: list[Kind], *, seed: int) -> None:
         self.shortest_s = min(kind.objective_s for kind in kinds)
+        self.least_urgency = max(kind.urgency for kind in kinds)
         self.scheduler = GroupScheduler(random=Random(seed), now=0.0)
         self.records = records
 
@@ -174,6 +175,7 @@
             objective_s=kind.objective_s,
             latency_tolerant=is_latency_tolerant(kind.objective_s, shortest_s=self.shortest_s),
             most_urgent=kind.urgency == 0,
+            least_urgent=kind.urgency == self.least_urgency,
             precedence=kind.urgency,
             check=check,
         )
@@ -288,6 +290,7 @@
             shortest_objective_s=self.fleet_state.find_shortest_objective(POOL),
             profile=PROFILE,
             most_urgent=kind.urgency == 0,
+            least_urgent=self.fleet_state.is_least_urgent(route, POOL),
         )
         placed = self.random.choice(self.placers).decide(request, progress, check)
         assert placed.choice is not None
@@ -333,7 +336,7 @@
             if local
             else ScheduledDecider(records, kinds, seed=seed)
         )
-        self.shortest_objectives = [kind.objective_s for kind in kinds]
+        self.least_urgency = max(kind.urgency for kind in kinds)
         self.engines = {record.endpoint_id: Engine() for record in records}
         self.outcomes = {kind.name: Outcome() for kind in kinds}
         self.events: list[Event] = []
@@ -385,13 +388,11 @@
             heappush(self.events, retry)
 
     def begin_wait(self, event: Event) -> PlacementWait:
-        objective_s = event.kind.objective_s
-        shortest_s = min(self.shortest_objectives)
         return begin_wait(
             attempt=f"{event.number}",
             received_at=event.due,
-            objective_s=objective_s,
-            latency_tolerant=is_latency_tolerant(objective_s, shortest_s=shortest_s),
+            objective_s=event.kind.objective_s,
+            least_urgent=event.kind.urgency == self.least_urgency,
             deadline=event.due + TIMEOUT_S,
         )
 
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -73,6 +73,7 @@
         "pause_sensitive": False,
         "latency_tolerant": False,
         "most_urgent": True,
+        "least_urgent": False,
         "precedence": 0,
         "failure_domain": "a",
         "excluded": (),
--- a/tests/urgency_simulation.py
+++ b/tests/urgency_simulation.py
@@ -327,6 +327,7 @@
             shortest_objective_s=self.catalog.find_shortest_objective(POOL),
             profile=self.profile,
             most_urgent=self.catalog.is_most_urgent(route, POOL),
+            least_urgent=self.catalog.is_least_urgent(route, POOL),
         )
         if check.first:
             self.demand.record(
@@ -489,6 +490,7 @@
             objective_s=progress.admitted.route.objective_s,
             latency_tolerant=progress.latency_tolerant,
             most_urgent=progress.most_urgent,
+            least_urgent=progress.least_urgent,
             precedence=progress.admitted.precedence,
             check=check,
         )
@@ -600,7 +602,7 @@
             attempt=f"{asked.number}.{asked.attempts}",
             received_at=self.now,
             objective_s=asked.kind.objective_s,
-            latency_tolerant=asked.kind is DIGEST,
+            least_urgent=asked.kind is DIGEST,
             deadline=asked.deadline,
         )
         self._check(asked, wait)
