--- a/src/guavamast/relay/placement/admission_control.py
+++ b/src/guavamast/relay/placement/admission_control.py
@@ -91,20 +91,20 @@
         one long prompt takes longer than that at a slow engine. The less urgent ones keep all
         queues beyond the limit of the urgent ones, which are rejected everywhere although each
         decision is right by itself. So a less urgent request closes an engine to more urgent ones
-        only if enough others stay open to them, and doesn't begin while one of them waits.
+        only if enough others stay open to them, and leaves an engine to each of them that waits.
 
         Args:
             forecast: Its forecast at the engine.
         """
-        if any(demand.waiting for demand in self.terms.more_urgent):
-            return False
         if forecast.waiting_ms > compute_allowed_wait(forecast, self.terms.parameters):
             return False
         joined_ms = forecast.waiting_ms + forecast.prefill_ms
         for demand, open_engines in zip(self.terms.more_urgent, self.open_engines, strict=True):
+            open_elsewhere = open_engines - (forecast.waiting_ms <= demand.wait_ms)
+            if open_elsewhere < demand.waiting:
+                return False
             if joined_ms <= demand.wait_ms:
                 continue
-            open_elsewhere = open_engines - (forecast.waiting_ms <= demand.wait_ms)
             if open_elsewhere < self.terms.count_kept(demand, engines=len(self.waits_ms)):
                 return False
         return True
--- a/src/guavamast/relay/placement/admission_history.py
+++ b/src/guavamast/relay/placement/admission_history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -63,8 +64,8 @@
     """Milliseconds that they are allowed to wait at an engine."""
     pressure: float
     """How strongly they need room, from 0 if few are delayed to 1."""
-    waiting: bool
-    """Whether a delayed one waits for room at present, as far as known."""
+    waiting: int
+    """Attempts that wait for room at present, as far as known; 0 unless one is delayed."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -270,23 +271,25 @@
     ) -> tuple[UrgentDemand, ...]:
         """Return the demand of each more urgent precedence that is in use at a service."""
         totals: dict[int, _Count] = {}
-        waiting: set[int] = set()
+        waiting: dict[int, int] = defaultdict(int)
+        delayed: set[int] = set()
         for counts in (self._own, *self._peers.values()):
             for (counted_service, counted_precedence), count in counts.items():
                 if counted_service == service and counted_precedence < precedence:
                     count.decay(now=now)
                     totals.setdefault(counted_precedence, _Count()).add(count)
+                    waiting[counted_precedence] += count.count_waiting(now=now)
                     if count.has_delayed(now=now):
-                        waiting.add(counted_precedence)
+                        delayed.add(counted_precedence)
         return tuple(
             UrgentDemand(
                 precedence=precedence,
                 wait_ms=total.wait_ms,
                 pressure=_compute_pressure(total),
-                waiting=precedence in waiting,
+                waiting=waiting[precedence] if precedence in delayed else 0,
             )
             for precedence, total in sorted(totals.items())
-            if total.requests >= MIN_PRESENT or precedence in waiting
+            if total.requests >= MIN_PRESENT or precedence in delayed
         )
 
     def are_rejected(self, service: str, precedence: int, *, now: float) -> bool:
--- a/tests/test_relay_admission_control_properties.py
+++ b/tests/test_relay_admission_control_properties.py
@@ -92,6 +92,12 @@
         self.assertFalse(self.admit(2, 0.0, last=False))
         self.assertTrue(self.admit(0, 0.0, last=False))
 
+    def test_less_urgent_requests_begin_where_an_engine_is_left_to_each_that_waits(self) -> None:
+        """Guards against a large fleet, where someone always waits, that begins nothing else."""
+        self.admit(0, 5_000.0, last=False)
+        self.assertFalse(self.admit(1, 0.0, others_ms=(400.0,), last=False))
+        self.assertTrue(self.admit(1, 0.0, others_ms=(0.0,), last=False))
+
     def test_the_room_of_a_rejected_request_is_kept_until_its_caller_returns(self) -> None:
         """Guards against callers who return when told, and find the room taken meanwhile."""
         self.admit(0, 200.0)
