The stand-in engine ends under a part of a prompt; lines of lost requests name their shared parts

Nothing in a line named all shared parts of a lost request: 'sent' has the last one only, so what ended engines have in common can't be seen if it is another. attempt_failed lines of lost connections now have prompt_parts. The stand-in's lethal requests move to a module of their own, with parts of prompts that end an engine before its response, after an event in chunks, or after or inside one without framing.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Final
 
-from guavamast.platform.standins.engine import LETHAL_DELAY_S
+from guavamast.platform.standins.lethal_requests import LETHAL_DELAY_S
 from guavamast.platform.standins.site import CRASH_RESTART_S
 
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
--- a/soak/lethal.py
+++ b/soak/lethal.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Final
 
-from guavamast.platform.standins.engine import LETHAL_BODY_PREFIX
+from guavamast.platform.standins.lethal_requests import LETHAL_BODY_PREFIX
 from guavamast.platform.standins.site import HOST, KEY, STREAM_PREFIX
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 
--- a/src/guavamast/platform/request_headers.py
+++ b/src/guavamast/platform/request_headers.py
@@ -86,7 +86,7 @@
             has_body=bool(body) or "content-length" in fields or "transfer-encoding" in fields,
             api_key=_parse_bearer_key(fields.get("authorization")),
             timeout_s=_parse_timeout_s(fields.get(TIMEOUT.lower())),
-            prompt_parts=_parse_prompt_parts(fields.get(PROMPT_PARTS.lower())),
+            prompt_parts=parse_prompt_parts(fields.get(PROMPT_PARTS.lower())),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             received_at=arrived,
@@ -175,7 +175,8 @@
     return int(value) if value is not None and value.strip().isdigit() else None
 
 
-def _parse_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
+def parse_prompt_parts(value: str | None) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt that a header lists; entries that can't be read are skipped."""
     parts = []
     for entry in (value or "").split(","):
         part_id, _, tokens = entry.strip().partition(":")
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -11,6 +11,11 @@
 import h11
 
 from guavamast.platform.standins.answer_body import WHOLE, AnswerBody, AnswerEnding, Closing
+from guavamast.platform.standins.lethal_requests import (
+    LETHAL_DELAY_S,
+    LethalEnding,
+    LethalRequests,
+)
 from guavamast.platform.standins.prefill_batch import DEFAULT_URGENCY
 from guavamast.relay.response_end import BodyFraming
 
@@ -77,12 +82,6 @@
     ended: float
 
 
-LETHAL_BODY_PREFIX = b"lethal "
-"""Beginning of a body that ends each engine that runs it."""
-LETHAL_DELAY_S = 0.05
-"""Seconds from the begin of such a run to the end of the engine."""
-
-
 class EngineStandIn:
     """Serves one request at a time on each connection, as engines do.
 
@@ -99,6 +98,8 @@
         """Framing of its answers; None for chunks for streams and a length for all others."""
         self.ending: AnswerEnding = WHOLE
         """Where and how its answers end."""
+        self.lethal = LethalRequests()
+        """Requests that end it."""
         self.processing_s = 0.0
         """Seconds that a request takes before its response begins."""
         self.events = EVENTS_PER_STREAM
@@ -266,10 +267,10 @@
     async def _answer(
         self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, run: Run
     ) -> bool:
-        request_id, body = run.request_id, run.body
-        if body.startswith(LETHAL_BODY_PREFIX):
-            await asyncio.sleep(LETHAL_DELAY_S)
-            self._crash()
+        request_id = run.request_id
+        lethal_ending = self.lethal.find_ending(body=run.body, headers=run.headers)
+        if lethal_ending is not None:
+            await self._end_under(http, writer, run, lethal_ending)
             return False
         await asyncio.sleep(self.processing_s)
         await self._wait_for_silence()
@@ -283,7 +284,11 @@
             return await self._send(http, writer, 500, common, b"failed")
         is_stream = b"stream" in request.target
         if is_stream:
-            keep_open = await self._stream(http, writer, common, run)
+            ending = CUT_IN_THIRD_EVENT if self.fault is EngineFault.CUT else self.ending
+            framing = self.framing or BodyFraming.CHUNKED
+            keep_open = await self._stream(
+                http, writer, common, run, framing=framing, ending=ending
+            )
         else:
             answer = encode_answer(request_id)
             keep_open = await self._send(http, writer, 200, common, answer, ending=self.ending)
@@ -297,6 +302,30 @@
             )
         return keep_open
 
+    async def _end_under(
+        self,
+        http: h11.Connection,
+        writer: asyncio.StreamWriter,
+        run: Run,
+        lethal_ending: LethalEnding,
+    ) -> None:
+        """End at a request, after what the engine still sends of the stream."""
+        await asyncio.sleep(LETHAL_DELAY_S)
+        if not self._crashed and lethal_ending is not LethalEnding.BEFORE_RESPONSE:
+            headers = [
+                ("X-Attempt-Id", run.request_id),
+                ("X-Engine-Seal", f"seal-{self.engine_id}"),
+            ]
+            await self._stream(
+                http,
+                writer,
+                headers,
+                run,
+                framing=BodyFraming.CHUNKED if lethal_ending.framed else BodyFraming.CONNECTION,
+                ending=lethal_ending.build_answer_ending(),
+            )
+        self._crash()
+
     async def _wait_for_silence(self) -> None:
         await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
 
@@ -309,14 +338,17 @@
         writer: asyncio.StreamWriter,
         headers: list[Header],
         run: Run,
+        *,
+        framing: BodyFraming,
+        ending: AnswerEnding,
     ) -> bool:
         first = int(run.headers.get("last-event-id", "0")) + 1
         numbers = range(first, self.events + 1)
         body = AnswerBody(
             http=http,
             writer=writer,
-            framing=self.framing or BodyFraming.CHUNKED,
-            ending=CUT_IN_THIRD_EVENT if self.fault is EngineFault.CUT else self.ending,
+            framing=framing,
+            ending=ending,
             pieces=[encode_event(run.request_id, number, self.version) for number in numbers],
         )
         body.start(200, [*headers, *self._list_limit(), ("Content-Type", "text/event-stream")])
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineStandIn
+from guavamast.platform.standins.lethal_requests import LethalRequests
 from guavamast.platform.standins.store import StoreStandIn
 
 if TYPE_CHECKING:
@@ -70,6 +71,10 @@
         self._restarts: set[asyncio.Task[None]] = set()
         self.crashed_engines: list[EngineStandIn] = []
         """Engines that have ended by themselves, in order."""
+        self.lethal = LethalRequests()
+        """Requests that end engines, wherever they run."""
+        self.crash_restart_s = CRASH_RESTART_S
+        """Seconds until another engine replaces one that has ended by itself."""
         self.slots = 8
         """Slots that the rows of engines state."""
         self.idle_timeout_ms = 5000
@@ -148,6 +153,7 @@
     ) -> EngineStandIn:
         """Return an engine that is replaced when it has ended by itself."""
         engine = EngineStandIn(engine_id=engine_id, version=version)
+        engine.lethal = self.lethal
         engine.on_crash = lambda: self._schedule_restart(engine, service)
         return engine
 
@@ -163,7 +169,7 @@
         """Start an engine with a new id at the address of one that has ended by itself."""
         port = engine.port
         del self.engines[engine.engine_id]
-        await asyncio.sleep(CRASH_RESTART_S)
+        await asyncio.sleep(self.crash_restart_s)
         self.store.drop("servers", engine.engine_id)
         name = engine.engine_id.partition("+")[0]
         successor = self.build_engine(
--- a/src/guavamast/relay/messages.py
+++ b/src/guavamast/relay/messages.py
@@ -51,6 +51,11 @@
         """The id of the longest prefix shared with other requests; None when there is none."""
         return self.prompt_parts[-2].part_id if len(self.prompt_parts) > 1 else None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of all parts of its prompt that other requests may share, in order."""
+        return tuple(part.part_id for part in self.prompt_parts[:-1])
+
     @property
     def caller_part(self) -> str | None:
         """The id of the part of its prompt that no other caller shares; None without a prompt.
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -172,6 +172,7 @@
             kind=str(failure.kind),
             detail=failure.detail,
             content=content,
+            prompt_parts=",".join(request.shared_parts) if content is not None else None,
             after_s=round(now - request.received_at, 4),
             service=record.service,
             software_version=record.software_version,
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -9,7 +9,8 @@
 
 from guavamast.errors import GuavamastError
 from guavamast.platform.quarantine_admin import lift_content, list_contents
-from guavamast.platform.standins.engine import LETHAL_BODY_PREFIX, EngineFault
+from guavamast.platform.standins.engine import EngineFault
+from guavamast.platform.standins.lethal_requests import LETHAL_BODY_PREFIX
 from guavamast.platform.standins.site import RESUMABLE_PREFIX, STREAM_PREFIX
 from guavamast.relay.http_connection import ConnectionLost
 from guavamast.relay.node_settings import SocketAddress
