--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -80,9 +80,9 @@
             raise GuavamastError(ErrorCode.USAGE, "--lift ID goes with --by NAME")
         store = read_settings(settings).store
         if lift:
-            print(asyncio.run(quarantine_admin.lift_content(store, lift, by=by)))
+            print(asyncio.run(quarantine_admin.lift_attribute(store, lift, by=by)))
         else:
-            print(asyncio.run(quarantine_admin.list_contents(store)))
+            print(asyncio.run(quarantine_admin.list_attributes(store)))
         return EXIT_OK
 
     return Task(act)
--- a/src/guavamast/platform/quarantine_admin.py
+++ b/src/guavamast/platform/quarantine_admin.py
@@ -1,4 +1,4 @@
-"""What operators do with contents in quarantine: list them, and release one."""
+"""What operators do with attributes in quarantine: list them, and release one."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
     from guavamast.relay.store import QuarantineRow
 
 
-async def list_contents(address: SocketAddress) -> str:
-    """Return a table of the contents in quarantine.
+async def list_attributes(address: SocketAddress) -> str:
+    """Return a table of the attributes in quarantine.
 
     Args:
         address: Address of the store.
@@ -30,40 +30,48 @@
     client = _connect(address)
     rows = await _read_rows(client)
     client.close_idle()
-    header = ["CONTENT", "ORGANISATION", "ENDPOINTS ENDED", "TRIALS LEFT", "LIFTED BY"]
+    header = ["ATTRIBUTE", "ORGANISATION", "ENDPOINTS ENDED", "TRIALS LEFT", "LIFTED BY"]
     return format_table(
         header,
         [
-            [row.content, row.organisation or "-", row.ends, row.trials_left, row.lifted_by or "-"]
-            for row in sorted(rows, key=lambda row: row.content)
+            [
+                row.attribute,
+                row.organisation or "-",
+                row.ends,
+                row.trials_left,
+                row.lifted_by or "-",
+            ]
+            for row in sorted(rows, key=lambda row: row.attribute)
         ],
     )
 
 
-async def lift_content(address: SocketAddress, content: str, *, by: str) -> str:
-    """Release a content, with a line in the audit trail; return what happens next.
+async def lift_attribute(address: SocketAddress, attribute: str, *, by: str) -> str:
+    """Release an attribute, with a line in the audit trail; return what happens next.
 
     Args:
         address: Address of the store.
-        content: Digest of the content.
+        attribute: Name of the attribute.
         by: Name of the operator.
 
     Raises:
-        GuavamastError: The content is not in quarantine, its row has changed meanwhile, or the
+        GuavamastError: The attribute is not in quarantine, its row has changed meanwhile, or the
             store gives no usable response.
     """
     client = _connect(address)
-    rows = {row.content: row for row in await _read_rows(client)}
-    if content not in rows:
-        raise GuavamastError(ErrorCode.NOT_FOUND, f"{content} is not in quarantine")
+    rows = {row.attribute: row for row in await _read_rows(client)}
+    if attribute not in rows:
+        raise GuavamastError(ErrorCode.NOT_FOUND, f"{attribute} is not in quarantine")
     try:
-        lifted = await client.lift_quarantine(replace(rows[content], lifted_by=by), at=time.time())
+        lifted = await client.lift_quarantine(
+            replace(rows[attribute], lifted_by=by), at=time.time()
+        )
     except StoreError as error:
         raise GuavamastError(ErrorCode.PLATFORM_UNAVAILABLE, error.reason) from error
     client.close_idle()
     if not lifted:
         raise GuavamastError(ErrorCode.PLAN_CONFLICT, "the row has changed; list and try again")
-    return f"{content} is released within seconds"
+    return f"{attribute} is released within seconds"
 
 
 async def _read_rows(client: StoreClient) -> list[QuarantineRow]:
--- a/src/guavamast/platform/quarantine_wire.py
+++ b/src/guavamast/platform/quarantine_wire.py
@@ -1,12 +1,27 @@
-"""Codec of the rows of contents in quarantine."""
+"""Codec of the rows of attributes in quarantine, and of the evidence."""
 
 from __future__ import annotations
 
+from base64 import b64decode, b64encode
 from typing import Any
 
 from guavamast.relay.store import QuarantineRow
 
 
+def encode_evidence(report: bytes) -> dict[str, Any]:
+    """Return the value of the row with the evidence."""
+    return {"report": b64encode(report).decode()}
+
+
+def decode_evidence(fields: Any) -> bytes:
+    """Return the report in the row with the evidence.
+
+    Raises:
+        KeyError, TypeError, ValueError: The value is not that of such a row.
+    """
+    return b64decode(fields["report"], validate=True)
+
+
 def encode_quarantine_row(row: QuarantineRow) -> dict[str, Any]:
     """Return the value of a row."""
     return {
@@ -18,10 +33,10 @@
 
 
 def decode_quarantine_row(key: str, fields: Any, *, version: int) -> QuarantineRow:
-    """Return the row of a content.
+    """Return the row of an attribute.
 
     Args:
-        key: Digest of the content.
+        key: Name of the attribute.
         fields: The decoded value of the row.
         version: The row's version in the store.
 
@@ -31,7 +46,7 @@
     organisation = fields["organisation"]
     lifted_by = fields["lifted_by"]
     return QuarantineRow(
-        content=key,
+        attribute=key,
         version=version,
         organisation=None if organisation is None else str(organisation),
         ends=int(fields["ends"]),
--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -4,12 +4,18 @@
 
 import base64
 import json
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import urlencode
 
 from guavamast.platform.catalog_wire import decode_catalog
 from guavamast.platform.endpoint_wire import decode_endpoint
-from guavamast.platform.quarantine_wire import decode_quarantine_row, encode_quarantine_row
+from guavamast.platform.quarantine_wire import (
+    decode_evidence,
+    decode_quarantine_row,
+    encode_evidence,
+    encode_quarantine_row,
+)
 from guavamast.relay.endpoint_table import compute_digest
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 from guavamast.relay.loop_timeout import wait_in_steps
@@ -38,6 +44,9 @@
 """Seconds for calls that no request waits for."""
 INSTANCES_TABLE: Final = "instances"
 QUARANTINE_TABLE: Final = "quarantine"
+EVIDENCE_TABLE: Final = "quarantine_evidence"
+EVIDENCE_KEY: Final = "latest"
+"""Key of the only row of its table."""
 AUDIT_TABLE: Final = "quarantine_audit"
 STATUS_CONFLICT: Final = 412
 PAGE_ROWS: Final = 500
@@ -150,7 +159,7 @@
         await self._transact({"expect": [], "writes": [], "remove": [row]})
 
     async def read_quarantine(self) -> list[QuarantineRow]:
-        """Read the rows of all contents in quarantine; rows that can't be decoded are skipped."""
+        """Read the rows of all attributes in quarantine; rows that can't be decoded are skipped."""
         rows, _ = await self._get_all(QUARANTINE_TABLE)
         decoded = []
         for row in rows:
@@ -162,6 +171,23 @@
                 continue
         return decoded
 
+    async def read_evidence(self) -> bytes | None:
+        """Read the evidence below a decision; None if there is none that can be decoded."""
+        rows, _ = await self._get_all(EVIDENCE_TABLE)
+        for row in rows:
+            with suppress(KeyError, TypeError, ValueError):
+                return decode_evidence(_decode_value(row))
+        return None
+
+    async def write_evidence(self, report: bytes | None) -> None:
+        """Save evidence below a decision, or remove it."""
+        name = {"table": EVIDENCE_TABLE, "part": "", "key": EVIDENCE_KEY}
+        if report is None:
+            await self._transact({"expect": [], "writes": [], "remove": [name]})
+            return
+        row = name | {"value": _encode_value(encode_evidence(report))}
+        await self._transact({"expect": [], "writes": [row], "remove": []})
+
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         """Write a row unless its version has changed."""
         return await self._transact_quarantine(row, [])
@@ -176,23 +202,23 @@
         Returns:
             False if the row no longer has the version that it states.
         """
-        fields = {"at": at, "by": row.lifted_by, "lifted": row.content}
+        fields = {"at": at, "by": row.lifted_by, "lifted": row.attribute}
         audit = {
             "table": AUDIT_TABLE,
             "part": "",
-            "key": f"{at:.3f} {row.content}",
+            "key": f"{at:.3f} {row.attribute}",
             "value": _encode_value(fields),
         }
         return await self._transact_quarantine(row, [audit])
 
-    async def remove_quarantine(self, content: str) -> None:
-        """Remove the row of a content."""
-        row = {"table": QUARANTINE_TABLE, "part": "", "key": content}
+    async def remove_quarantine(self, attribute: str) -> None:
+        """Remove the row of an attribute."""
+        row = {"table": QUARANTINE_TABLE, "part": "", "key": attribute}
         await self._transact({"expect": [], "writes": [], "remove": [row]})
 
     async def _transact_quarantine(self, row: QuarantineRow, further: list[dict[str, Any]]) -> bool:
         """Write a quarantine's row and further rows if it has the version that it states."""
-        name = {"table": QUARANTINE_TABLE, "part": "", "key": row.content}
+        name = {"table": QUARANTINE_TABLE, "part": "", "key": row.attribute}
         value = _encode_value(encode_quarantine_row(row))
         fields = {
             "expect": [name | {"ver": row.version}],
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -15,6 +15,7 @@
     PathLost,
 )
 from guavamast.relay.event_framing import EventFraming
+from guavamast.relay.relayed_response import RelayedResponse
 from guavamast.relay.response_end import BodyEnding, BodyFraming, ResponseEnd
 from guavamast.relay.stream_binding import StreamSource
 
@@ -126,6 +127,19 @@
             forwarder=self.forwarder,
         )
 
+    def describe_response(self, *, began_at: float) -> RelayedResponse:
+        """Return what a response that was forwarded completely shows of its endpoint.
+
+        Args:
+            began_at: Local time at which the endpoint began it.
+        """
+        assert self.head is not None
+        return RelayedResponse(
+            status=self.head.status,
+            began_at=began_at,
+            framed=self._framing is not BodyFraming.CONNECTION,
+        )
+
     async def connect(self, *, row_version: int, binding: StreamBinding | None) -> None:
         """Acquire a connection.
 
--- a/src/guavamast/relay/caller_gate.py
+++ b/src/guavamast/relay/caller_gate.py
@@ -43,8 +43,8 @@
     status: int
     reason: str
     retry_after_s: float | None = None
-    content: str | None = None
-    """Digest of the request, if its content is the reason."""
+    attribute: str | None = None
+    """The attribute in quarantine, if that is the reason."""
 
 
 class CallerGate:
--- a/src/guavamast/relay/endpoint_connector.py
+++ b/src/guavamast/relay/endpoint_connector.py
@@ -91,15 +91,31 @@
         Behind a partition that resets connections, every host seems to refuse.
         """
         try:
-            if self._monitor.is_blocked(record.service):
-                acquired = await self._forwarding.connect(
-                    record, request_id="", row_version=row_version
-                )
-            else:
-                acquired = await self._direct.connect(record)
+            acquired = await self._connect_for_check(record, row_version=row_version)
         except EndpointUnreachable as error:
             return error.refused
         except (NotForwarded, PathLost):
             return False
         acquired.connection.close()
         return False
+
+    async def is_accepting(self, record: EndpointRecord, *, row_version: int) -> bool:
+        """Return whether an endpoint's host accepts a connection."""
+        try:
+            acquired = await self._connect_for_check(record, row_version=row_version)
+        except (EndpointUnreachable, NotForwarded, PathLost):
+            return False
+        acquired.connection.close()
+        return True
+
+    async def _connect_for_check(
+        self, record: EndpointRecord, *, row_version: int
+    ) -> AcquiredConnection:
+        """Connect to an endpoint, through another instance if this one doesn't reach its service.
+
+        Raises:
+            EndpointUnreachable, NotForwarded, PathLost: There is no connection.
+        """
+        if self._monitor.is_blocked(record.service):
+            return await self._forwarding.connect(record, request_id="", row_version=row_version)
+        return await self._direct.connect(record)
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -11,6 +11,7 @@
 from guavamast.relay.attempt_timeouts import compute_attempt_timeout
 from guavamast.relay.messages import SendParameters
 from guavamast.relay.placed_send import PlacedSend
+from guavamast.relay.quarantine import RunWatch
 from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.stream_observer import StreamObserver
 from guavamast.relay.stream_relay import relay_events
@@ -28,8 +29,10 @@
     from guavamast.relay.messages import CallerRequest, HeaderCodec, ResponseWriter
     from guavamast.relay.placement import Choice, EngineProfiles, PromptCache
     from guavamast.relay.placer import PlacementDecision
+    from guavamast.relay.quarantine import CrashGuard
     from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.rejection_limit_sharing import RejectionLimitSharing
+    from guavamast.relay.relayed_response import RelayedResponse
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
@@ -53,6 +56,7 @@
         cache: Prompts in the endpoints' KV caches; each send is recorded in it.
         budget: Retry budget; states whether another attempt could follow.
         codec: Encodes and decodes headers.
+        guard: Keeps requests that end endpoints from further ones.
         connector: Finds connections to endpoints.
         versions: Software of the endpoints.
         take_ups: Told what begins each stream that can be resumed.
@@ -72,6 +76,7 @@
         "_connector",
         "_end_check",
         "_fleet_state",
+        "_guard",
         "_limits",
         "_loads",
         "_recorder",
@@ -92,6 +97,7 @@
         cache: PromptCache,
         budget: RetryBudget,
         codec: HeaderCodec,
+        guard: CrashGuard,
         connector: EndpointConnector,
         versions: SoftwareVersions,
         take_ups: StreamTakeUps,
@@ -108,6 +114,7 @@
         self._cache = cache
         self._budget = budget
         self._codec = codec
+        self._guard = guard
         self._connector = connector
         self._versions = versions
         self._take_ups = take_ups
@@ -127,8 +134,8 @@
         writer: ResponseWriter,
         progress: RequestProgress,
         placed: PlacementDecision,
-    ) -> int:
-        """Send a request to the selected endpoint and forward its response; return its status.
+    ) -> RelayedResponse:
+        """Send a request to the selected endpoint and forward its response.
 
         Raises:
             AttemptFailed: The endpoint gave no response, or none that is final; or the request was
@@ -155,9 +162,9 @@
             )
             self._recorder.record_connection(attempt.connection)
             await self._confirm_software(progress, attempt)
-            status = await self._exchange(request, writer, progress, attempt, send)
+            response = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
-            return status
+            return response
         except AttemptFailed as failure:
             failure.connection = attempt.connection
             failure.end = attempt.describe_end()
@@ -205,12 +212,14 @@
         progress: RequestProgress,
         attempt: Attempt,
         send: PlacedSend,
-    ) -> int:
+    ) -> RelayedResponse:
         now = self._read_time()
         if send.is_expired(now=now):
             raise AttemptFailed(
                 FailureKind.OUTDATED, "the scheduler's grant expired before the send"
             )
+        if self._guard.find_denial(request, progress) is not None:
+            raise AttemptFailed(FailureKind.OUTDATED, "quarantined before the send")
         self._admission.check_send(progress.admitted, attempt.record, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
         timeout_s = compute_attempt_timeout(
@@ -232,15 +241,22 @@
             sent_at=now,
             timing=progress.timing,
         )
+        watch = RunWatch(
+            on_lasting=lambda began_at: self._guard.record_lasting(
+                request, progress, began_at=began_at
+            )
+        )
         try:
             async with asyncio.timeout(timeout_s) as attempt_timeout:
                 head = await attempt.send(parameters)
+                head_at = self._read_time()
                 if head.event_stream and head.status < 300:
                     observer = StreamObserver(
                         request=request,
                         progress=progress,
                         send=send,
                         sampler=sampler,
+                        watch=watch,
                         loads=self._loads,
                         recorder=self._recorder,
                         bind=partial(self._bind, request, progress, attempt.source),
@@ -251,7 +267,7 @@
                     confirm_end = partial(self._confirm_end, attempt)
                     await relay_events(attempt, writer, observer.record_event, confirm_end)
                     self._record_complete_stream(request, progress, attempt, sampler)
-                    return head.status
+                    return attempt.describe_response(began_at=watch.began_at or head_at)
                 response = await attempt.read_response()
                 await self._confirm_end(attempt)
         except TimeoutError as error:
@@ -263,7 +279,7 @@
             progress.sends -= failure.kind is FailureKind.OUTDATED
             raise
         await self._forward_response(request, writer, progress, attempt, response)
-        return head.status
+        return attempt.describe_response(began_at=head_at)
 
     async def _confirm_software(self, progress: RequestProgress, attempt: Attempt) -> None:
         """Raise unless an endpoint is known to run what began the request's stream.
--- a/src/guavamast/relay/quarantine/containment.py
+++ b/src/guavamast/relay/quarantine/containment.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from guavamast.relay.quarantine.answered_parts import AnsweredParts
 from guavamast.relay.quarantine.guard import CrashGuard
 from guavamast.relay.quarantine.ledger import QuarantineLedger
 from guavamast.relay.quarantine.losses import PendingLosses
@@ -63,11 +64,13 @@
         self._read_time = read_time
         self._ledger = QuarantineLedger(domain=domain, window_s=window_s)
         losses = PendingLosses()
+        answered_parts = AnsweredParts()
         rows = QuarantineRows(store=store, ledger=self._ledger, log=log, read_time=read_time)
         self.guard = CrashGuard(
             ledger=self._ledger,
             losses=losses,
             rows=rows,
+            answered_parts=answered_parts,
             fleet_state=fleet_state,
             loads=loads,
             connector=connector,
@@ -84,6 +87,7 @@
             losses=losses,
             guard=self.guard,
             rows=rows,
+            answered_parts=answered_parts,
             log=log,
             counters=counters,
             send=exchange.spread,
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -1,52 +1,65 @@
-"""Contents that end endpoints, as one instance knows them: evidence, quarantines, clearances."""
+"""Attributes that end endpoints, as one instance knows them: evidence, quarantines, clearances."""
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
+from guavamast.relay.quarantine.attributes import find_kind
 from guavamast.relay.quarantine.evidence import CrashEvidence
 from guavamast.relay.quarantine.outgoing import OutgoingReports
 from guavamast.relay.quarantine.records import Clearance, Quarantine, QuarantineReport
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.relay.quarantine.evidence import Culprit
     from guavamast.relay.quarantine.records import EndpointEnd, EndpointIncarnation
 
 MAX_TRIALS: Final = 2
-"""Requests that all instances together may still send of a quarantined content."""
+"""Requests that all instances together may still send with a quarantined attribute."""
 OUTAGE_SPAN_S: Final = 2.0
 """Seconds within which all endpoints that one outage ends are seen to end."""
 OUTAGE_TRIAL_AFTER_S: Final = 10.0
-"""Seconds until a content may be sent again whose endpoints may have ended in one outage: it may be
-an innocent one that ran at all of them."""
+"""Seconds until an attribute may be tried again whose endpoints may have ended in one outage: it
+may be an innocent one that ran at all of them."""
 TRIAL_AFTER_S: Final = 60.0
-"""Seconds until any other content may be sent again, and between two such sends: it is hardly
+"""Seconds until any other attribute may be tried again, and between two trials: it is hardly
 innocent, and each may end an endpoint with all that runs there."""
 IDLE_LIFETIME_S: Final = 3600.0
 """Seconds without a request after which a quarantine ends."""
 REQUEST_REPORT_INTERVAL_S: Final = 60.0
-"""Seconds between two reports that a quarantined content is still requested."""
+"""Seconds between two reports that a quarantined attribute is still requested."""
 MAX_QUARANTINES: Final = 128
-"""Requests in quarantine at most; together they fit into a datagram."""
+"""Attributes in quarantine at most; together they fit into a datagram."""
 
 
 class Verdict(StrEnum):
-    """What may be done with a content."""
+    """What may be done with requests that have an attribute."""
 
     CLEAR = "clear"
     QUARANTINED = "quarantined"
     TRIAL_DUE = "trial_due"
-    """In quarantine; the instance that is granted the trial may send it once."""
+    """In quarantine; the instance that is granted the trial may send one request."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Decision:
+    """What the evidence leads to."""
+
+    held: list[Culprit]
+    """Attributes whose requests are kept from endpoints from now on."""
+    spared: list[Culprit]
+    """Attributes that aren't, since too many requests that are answered have them."""
 
 
 class QuarantineLedger:
-    """Decides which contents are kept from endpoints.
+    """Decides which requests are kept from endpoints, by their attributes.
 
     All instances merge each other's reports, so each comes to the same decision by itself, and one
-    that has decided reports it. Without this, callers that repeat a request which ends
-    endpoints meet an instance each time that has not seen it before.
+    that has decided reports it. Without this, callers whose requests end endpoints meet an instance
+    each time that has not seen what those have in common.
 
     Args:
         domain: Failure domain of this instance.
@@ -70,7 +83,7 @@
 
     @property
     def active(self) -> bool:
-        """Whether any content is under suspicion or in quarantine."""
+        """Whether any attribute is under suspicion or in quarantine."""
         return bool(self._evidence) or bool(self._quarantines)
 
     @property
@@ -78,39 +91,67 @@
         """Whether something is still to be reported to other instances."""
         return bool(self._outgoing)
 
+    @property
+    def suspect_count(self) -> int:
+        """The number of attributes under suspicion."""
+        return len(self._evidence)
+
     def list_quarantines(self) -> list[Quarantine]:
         """Return all quarantines."""
         return list(self._quarantines.values())
 
-    def find(self, content: str) -> Quarantine | None:
-        """Return the quarantine of a content."""
-        return self._quarantines.get(content)
+    def list_lasting_ends(self, *, now: float) -> list[EndpointEnd]:
+        """Return the evidence that instances need that start later."""
+        return self._evidence.list_lasting_ends(now=now)
+
+    def find(self, attribute: str) -> Quarantine | None:
+        """Return the quarantine of an attribute."""
+        return self._quarantines.get(attribute)
 
-    def was_cleared(self, content: str) -> bool:
-        """Return whether a content was cleared lately."""
-        return self._evidence.is_cleared(content, since=float("-inf"))
+    def is_suspected(self, attribute: str) -> bool:
+        """Return whether endpoints ended under an attribute, or it is in quarantine."""
+        return attribute in self._evidence or attribute in self._quarantines
 
-    def assess(self, content: str, *, now: float) -> Verdict:
-        """Return what may be done with a content that is requested."""
-        quarantine = self._quarantines.get(content)
+    def count_ends(self, attribute: str) -> int:
+        """Return how many endpoints ended under an attribute that wasn't cleared since."""
+        return self._evidence.count_ends(attribute)
+
+    def was_cleared(self, attribute: str) -> bool:
+        """Return whether an attribute was cleared lately."""
+        return self._evidence.is_cleared(attribute, since=float("-inf"))
+
+    def assess(self, attribute: str, *, now: float) -> Verdict:
+        """Return what may be done with a request that has an attribute."""
+        quarantine = self._quarantines.get(attribute)
         if quarantine is None:
             return Verdict.CLEAR
         if now - quarantine.requested_at > REQUEST_REPORT_INTERVAL_S:
-            self._outgoing.add_quarantine(content, now=now)
-        self._quarantines[content] = replace(quarantine, requested_at=now)
+            self._outgoing.add_quarantine(attribute, now=now)
+        self._quarantines[attribute] = replace(quarantine, requested_at=now)
         due = quarantine.trials_left > 0 and now >= quarantine.next_trial_at
         return Verdict.TRIAL_DUE if due else Verdict.QUARANTINED
 
-    def compute_retry_after(self, content: str, *, now: float) -> float:
-        """Return the seconds until a quarantined content may be tried again."""
-        quarantine = self._quarantines[content]
+    def compute_retry_after(self, attribute: str, *, now: float) -> float:
+        """Return the seconds until a quarantined attribute may be tried again."""
+        quarantine = self._quarantines[attribute]
         if quarantine.trials_left == 0:
             return IDLE_LIFETIME_S
         return max(0.0, quarantine.next_trial_at - now)
 
-    def has_ended_another(self, content: str, incarnation: EndpointIncarnation) -> bool:
-        """Return whether an endpoint other than the given one ended under a content."""
-        return self._evidence.count_other_ends(content, incarnation) > 0
+    def has_ended_another(
+        self, attribute: str, incarnation: EndpointIncarnation, *, settled: bool, now: float
+    ) -> bool:
+        """Return whether an endpoint other than the given one ended under an attribute.
+
+        Args:
+            attribute: The attribute.
+            incarnation: The endpoint that is left out.
+            settled: Whether only ends count after which an answer could have cleared it.
+            now: The current time.
+        """
+        min_age_s = find_kind(attribute).settle_s if settled else 0.0
+        others = self._evidence.list_other_ends(attribute, incarnation)
+        return any(now - learned_at >= min_age_s for learned_at in others)
 
     def record_end(self, end: EndpointEnd, *, now: float) -> bool:
         """Record an end that this instance has observed; return whether it is new here."""
@@ -119,62 +160,75 @@
             self._outgoing.add_end(end, now=now)
         return changed
 
-    def clear(self, content: str, *, now: float) -> bool:
-        """Record that a content was answered or released; return whether it was suspected."""
-        if content not in self._evidence and content not in self._quarantines:
+    def clear(self, attribute: str, *, now: float, at: float | None = None) -> bool:
+        """Record that an attribute was answered or released; return whether it was suspected.
+
+        Args:
+            attribute: The attribute.
+            now: The current time.
+            at: Time at which the endpoint began to answer; ends until then no longer count. The
+                current time if not given.
+        """
+        if not self.is_suspected(attribute):
+            return False
+        cleared_at = now if at is None else at
+        if attribute in self._quarantines and not self._evidence.has_ends_after(
+            attribute, at=cleared_at
+        ):
+            # Reports of the quarantine that are under way are older than this and change nothing.
+            cleared_at = now
+        if not self._apply_clearance(Clearance(attribute=attribute, at=cleared_at)):
             return False
-        self._apply_clearance(Clearance(content=content, at=now))
-        self._outgoing.add_clearance(content, now=now)
+        self._outgoing.add_clearance(attribute, now=now)
         return True
 
-    def decide(self, *, now: float) -> list[Culprit]:
-        """Put the contents into quarantine that settled evidence shows to end endpoints."""
-        culprits = [
-            culprit
-            for culprit in self._evidence.list_culprits(window_s=self._window_s, now=now)
-            if culprit.content not in self._quarantines
-        ]
+    def decide(self, *, now: float, is_common: Callable[[str], bool] | None = None) -> Decision:
+        """Put the attributes into quarantine that settled evidence shows to end endpoints.
+
+        Args:
+            now: The current time.
+            is_common: Tells whether too many of the requests that are answered have an attribute;
+                none has if not given.
+        """
+        culprits = self._evidence.list_culprits(
+            held=self._quarantines.keys(), window_s=self._window_s, now=now
+        )
+        decision = Decision(held=[], spared=[])
         for culprit in culprits:
-            self._add_quarantine(
-                Quarantine(
-                    content=culprit.content,
-                    organisation=culprit.organisation,
-                    ends=len(culprit.endpoint_ids),
-                    since=now,
-                    requested_at=now,
-                    trials_left=max(0, MAX_TRIALS - culprit.late_ends),
-                    next_trial_at=now + _compute_trial_delay(culprit),
-                )
-            )
-            self._outgoing.add_quarantine(culprit.content, now=now)
-        return culprits
-
-    def use_trial(self, content: str, *, trials_left: int, now: float) -> None:
+            if is_common is not None and is_common(culprit.attribute):
+                decision.spared.append(culprit)
+                continue
+            self._hold(culprit, now=now)
+            decision.held.append(culprit)
+        return decision
+
+    def use_trial(self, attribute: str, *, trials_left: int, now: float) -> None:
         """Record that a trial was granted to this or another instance.
 
         Args:
-            content: The content.
+            attribute: The attribute.
             trials_left: Trials left after it.
             now: The current time.
         """
-        quarantine = self._quarantines.get(content)
+        quarantine = self._quarantines.get(attribute)
         if quarantine is None or trials_left >= quarantine.trials_left:
             return
-        self._quarantines[content] = replace(
+        self._quarantines[attribute] = replace(
             quarantine, trials_left=trials_left, next_trial_at=now + TRIAL_AFTER_S
         )
-        self._outgoing.add_quarantine(content, now=now)
+        self._outgoing.add_quarantine(attribute, now=now)
 
     def restore(self, quarantine: Quarantine) -> bool:
         """Apply a quarantine from the store or another instance; return whether it is new."""
-        if self._evidence.is_cleared(quarantine.content, since=quarantine.since):
+        attribute = quarantine.attribute
+        if self._evidence.is_cleared(attribute, since=quarantine.since):
             return False
-        known = self._quarantines.get(quarantine.content)
+        known = self._quarantines.get(attribute)
         if known is None:
             self._add_quarantine(quarantine)
             return True
         merged = _merge(known, quarantine)
-        self._quarantines[quarantine.content] = merged
+        self._quarantines[attribute] = merged
         return merged.trials_left < known.trials_left
 
     def apply_report(self, report: QuarantineReport, *, now: float) -> bool:
@@ -182,11 +236,12 @@
         changed = False
         for clearance in report.clearances:
             changed |= self._apply_clearance(clearance)
+            self._drop_repeated(clearance)
         for end in report.ends:
             changed |= self._evidence.add(end, now=now)
         for quarantine in report.quarantines:
             changed |= self.restore(quarantine)
-            self._outgoing.drop_quarantine(quarantine.content)
+            self._outgoing.drop_quarantine(quarantine.attribute)
         return changed
 
     def build_report(self, *, complete: bool, now: float) -> QuarantineReport | None:
@@ -203,36 +258,60 @@
             ends=tuple(self._outgoing.list_ends()),
             clearances=tuple(self._evidence.list_clearances(self._outgoing.list_cleared())),
             quarantines=tuple(
-                self._quarantines[content] for content in held if content in self._quarantines
+                self._quarantines[attribute] for attribute in held if attribute in self._quarantines
             ),
         )
         return report if report.ends or report.clearances or report.quarantines else None
 
     def drop_expired(self, *, now: float) -> list[str]:
-        """Drop what is too old; return the contents whose quarantine has ended."""
+        """Drop what is too old; return the attributes whose quarantine has ended."""
         self._evidence.drop_expired(now=now)
         idle = [
-            content
-            for content, quarantine in self._quarantines.items()
+            attribute
+            for attribute, quarantine in self._quarantines.items()
             if now - quarantine.requested_at > IDLE_LIFETIME_S
         ]
-        for content in idle:
-            del self._quarantines[content]
+        for attribute in idle:
+            del self._quarantines[attribute]
         return idle
 
     def _apply_clearance(self, clearance: Clearance) -> bool:
-        if not self._evidence.clear(clearance.content, at=clearance.at):
+        attribute = clearance.attribute
+        if not self._evidence.clear(attribute, at=clearance.at):
             return False
-        held = self._quarantines.get(clearance.content)
-        if held is not None and self._evidence.is_cleared(held.content, since=held.since):
-            del self._quarantines[held.content]
+        held = self._quarantines.get(attribute)
+        if held is not None and self._evidence.is_cleared(attribute, since=held.since):
+            del self._quarantines[attribute]
         return True
 
+    def _drop_repeated(self, clearance: Clearance) -> None:
+        """Leave the repeating of a clearance to another instance, unless it reports an older one.
+
+        What is common to many requests is answered at each instance soon after an end. Without
+        this, all would report the same.
+        """
+        attribute = clearance.attribute
+        if not self._evidence.was_cleared_after(attribute, at=clearance.at):
+            self._outgoing.drop_clearance(attribute)
+
+    def _hold(self, culprit: Culprit, *, now: float) -> None:
+        quarantine = Quarantine(
+            attribute=culprit.attribute,
+            organisation=culprit.organisation,
+            ends=len(culprit.endpoint_ids),
+            since=now,
+            requested_at=now,
+            trials_left=max(0, MAX_TRIALS - culprit.late_ends),
+            next_trial_at=now + _compute_trial_delay(culprit),
+        )
+        self._add_quarantine(quarantine)
+        self._outgoing.add_quarantine(culprit.attribute, now=now)
+
     def _add_quarantine(self, quarantine: Quarantine) -> None:
-        self._quarantines[quarantine.content] = quarantine
+        self._quarantines[quarantine.attribute] = quarantine
         if len(self._quarantines) > MAX_QUARANTINES:
             oldest = min(self._quarantines.values(), key=lambda one: one.requested_at)
-            del self._quarantines[oldest.content]
+            del self._quarantines[oldest.attribute]
 
 
 def _compute_trial_delay(culprit: Culprit) -> float:
@@ -247,7 +326,7 @@
     """
     newer = other if other.trials_left < known.trials_left else known
     return Quarantine(
-        content=known.content,
+        attribute=known.attribute,
         organisation=known.organisation or other.organisation,
         ends=max(known.ends, other.ends),
         since=min(known.since, other.since),
--- a/src/guavamast/relay/quarantine/losses.py
+++ b/src/guavamast/relay/quarantine/losses.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.quarantine.records import EndpointEnd, EndpointIncarnation, LostContent
+from guavamast.relay.quarantine.records import EndpointEnd, EndpointIncarnation, LostAttribute
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from guavamast.relay.endpoint_table import EndpointRecord, EndpointTable
 
 PENDING_LIFETIME_S: Final = 6.0
@@ -22,14 +24,14 @@
     record: EndpointRecord
     """The endpoint as it was when the first request was lost."""
     lost_at: float
-    lost: set[LostContent]
+    lost: set[LostAttribute]
 
 
 class PendingLosses:
     """Losses at endpoints that may have ended, or only closed some connections.
 
     A reset connection, a faulty endpoint or a cut link loses requests as well. Charged with these,
-    innocent contents would soon look like the cause of ends that never happened.
+    innocent requests would soon look like the cause of ends that never happened.
     """
 
     __slots__ = ("_pending",)
@@ -40,23 +42,34 @@
     def __bool__(self) -> bool:
         return bool(self._pending)
 
-    def record(self, record: EndpointRecord, lost: LostContent, *, now: float) -> bool:
-        """Record a loss; return whether it is the first at its endpoint, which is to be checked.
+    def record(
+        self, record: EndpointRecord, lost: Collection[LostAttribute], *, now: float
+    ) -> bool:
+        """Record a lost request; return whether it is the first at its endpoint, to be checked.
 
         An endpoint that ends loses all its requests at once, so earlier losses had another cause.
         """
         pending = self._pending.get(record.endpoint_id)
         if pending is not None and now - pending.lost_at <= ALIVE_MARGIN_S:
-            pending.lost.add(lost)
+            pending.lost.update(lost)
             return False
-        self._pending[record.endpoint_id] = _PendingEnd(record=record, lost_at=now, lost={lost})
+        self._pending[record.endpoint_id] = _PendingEnd(record=record, lost_at=now, lost=set(lost))
         return True
 
-    def refute(self, endpoint_id: str, *, now: float) -> None:
-        """Discard the losses at an endpoint that has just answered, unless they are that recent."""
-        pending = self._pending.get(endpoint_id)
-        if pending is not None and now - pending.lost_at > ALIVE_MARGIN_S:
-            del self._pending[endpoint_id]
+    def refute(self, record: EndpointRecord, *, now: float) -> None:
+        """Discard the losses at an endpoint that has just answered, unless they are that recent.
+
+        An endpoint that has restarted under its id shows nothing about its predecessor.
+        """
+        pending = self._pending.get(record.endpoint_id)
+        if pending is None or pending.record.started_ms != record.started_ms:
+            return
+        if now - pending.lost_at > ALIVE_MARGIN_S:
+            del self._pending[record.endpoint_id]
+
+    def has_lost(self, endpoint_id: str) -> bool:
+        """Return whether requests were lost at an endpoint that may have ended."""
+        return endpoint_id in self._pending
 
     def confirm(self, endpoint_id: str) -> EndpointEnd | None:
         """Return the end of an endpoint that is known to have ended; None without a loss there."""
--- a/src/guavamast/relay/quarantine/outgoing.py
+++ b/src/guavamast/relay/quarantine/outgoing.py
@@ -34,29 +34,33 @@
         self._ends[end.incarnation] = end
         self._expires[end.incarnation] = now + REPEAT_S
 
-    def add_clearance(self, content: str, *, now: float) -> None:
-        """Report that a content was cleared, and no longer that it is in quarantine."""
-        self._cleared[content] = now + REPEAT_S
-        self._quarantined.pop(content, None)
+    def add_clearance(self, attribute: str, *, now: float) -> None:
+        """Report that an attribute was cleared, and no longer that it is in quarantine."""
+        self._cleared[attribute] = now + REPEAT_S
+        self._quarantined.pop(attribute, None)
 
-    def add_quarantine(self, content: str, *, now: float) -> None:
-        """Report that a content is in quarantine."""
-        self._quarantined[content] = now + REPEAT_S
+    def drop_clearance(self, attribute: str) -> None:
+        """Leave the repeating to another instance that reports the same."""
+        self._cleared.pop(attribute, None)
+
+    def add_quarantine(self, attribute: str, *, now: float) -> None:
+        """Report that an attribute is in quarantine."""
+        self._quarantined[attribute] = now + REPEAT_S
 
-    def drop_quarantine(self, content: str) -> None:
+    def drop_quarantine(self, attribute: str) -> None:
         """Leave the repeating to another instance that reports the same."""
-        self._quarantined.pop(content, None)
+        self._quarantined.pop(attribute, None)
 
     def list_ends(self) -> list[EndpointEnd]:
         """Return the ends to report."""
         return list(self._ends.values())
 
     def list_cleared(self) -> list[str]:
-        """Return the cleared contents to report."""
+        """Return the cleared attributes to report."""
         return list(self._cleared)
 
     def list_quarantined(self) -> list[str]:
-        """Return the contents whose quarantine is to be reported."""
+        """Return the attributes whose quarantine is to be reported."""
         return list(self._quarantined)
 
     def drop_expired(self, *, now: float) -> None:
--- a/src/guavamast/relay/quarantine/records.py
+++ b/src/guavamast/relay/quarantine/records.py
@@ -1,4 +1,4 @@
-"""Typed records of engines that ended and of the contents that were running there."""
+"""Typed records of endpoints that ended and of the attributes of requests that ran there."""
 
 from __future__ import annotations
 
@@ -15,13 +15,12 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class LostContent:
-    """A request whose connection ended before its response was complete."""
+class LostAttribute:
+    """An attribute of a request whose connection ended before its response was complete."""
 
-    content: str
-    """Digest of the request."""
+    attribute: str
     organisation: str | None
-    """Organisation that sent it; None on routes without keys."""
+    """Organisation whose requests alone have it; None if any may have it."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,24 +30,25 @@
     incarnation: EndpointIncarnation
     ended_at: float
     """Local time in seconds."""
-    lost: frozenset[LostContent]
+    lost: frozenset[LostAttribute]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Clearance:
-    """An endpoint has answered a content completely, or an operator has released it."""
+    """An endpoint has answered a request with an attribute, or an operator has released it."""
 
-    content: str
+    attribute: str
     at: float
-    """Local time in seconds; ends until then no longer count for the content."""
+    """Local time in seconds; ends until then no longer count for the attribute."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Quarantine:
-    """A content that is kept from endpoints because they ended while they ran it."""
+    """An attribute whose requests are kept from endpoints, as they ended while running them."""
 
-    content: str
+    attribute: str
     organisation: str | None
+    """Organisation whose requests alone have it; None if any may have it."""
     ends: int
     """Endpoints that have ended under it."""
     since: float
@@ -56,7 +56,7 @@
     requested_at: float
     """Local time at which it was last requested, as far as known."""
     trials_left: int
-    """Further times that it may be sent, by all instances together."""
+    """Further requests with it that may be sent, by all instances together."""
     next_trial_at: float
     """Local time before which none of them may be used."""
 
--- a/src/guavamast/relay/quarantine/report_wire.py
+++ b/src/guavamast/relay/quarantine/report_wire.py
@@ -6,11 +6,12 @@
 
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.relay.quarantine.attributes import find_kind
 from guavamast.relay.quarantine.records import (
     Clearance,
     EndpointEnd,
     EndpointIncarnation,
-    LostContent,
+    LostAttribute,
     Quarantine,
     QuarantineReport,
 )
@@ -20,7 +21,7 @@
 MAX_DATAGRAM_BYTES: Final = 60_000
 """Bytes of the longest report that is sent, below the UDP limit."""
 MAX_LOST: Final = 256
-"""Requests named for each end at most: more than an endpoint runs and queues."""
+"""Attributes named for each end at most: those of more requests than an instance has there."""
 
 
 def encode_quarantine_report(report: QuarantineReport, *, now: float) -> bytes | None:
@@ -35,7 +36,7 @@
     fields = [
         report.domain,
         [_encode_end(end, now) for end in report.ends],
-        [[one.content, _encode_age(one.at, now)] for one in report.clearances],
+        [[one.attribute, _encode_age(one.at, now)] for one in report.clearances],
         [_encode_quarantine(one, now) for one in report.quarantines],
     ]
     data = QUARANTINE_PREFIX + pack(fields)
@@ -58,8 +59,8 @@
             domain=str(domain),
             ends=tuple(_decode_end(end, now) for end in ends),
             clearances=tuple(
-                Clearance(content=str(content), at=now - float(age_s))
-                for content, age_s in clearances
+                Clearance(attribute=str(attribute), at=now - float(age_s))
+                for attribute, age_s in clearances
             ),
             quarantines=tuple(_decode_quarantine(one, now) for one in quarantines),
         )
@@ -72,15 +73,23 @@
 
 
 def _encode_end(end: EndpointEnd, now: float) -> list[Any]:
-    lost = sorted(end.lost, key=lambda one: one.content)[:MAX_LOST]
+    lost = sorted(end.lost, key=_rank_lost)[:MAX_LOST]
     return [
         end.incarnation.endpoint_id,
         end.incarnation.started_ms,
         _encode_age(end.ended_at, now),
-        [[one.content, one.organisation] for one in lost],
+        [[one.attribute, one.organisation] for one in lost],
     ]
 
 
+def _rank_lost(lost: LostAttribute) -> tuple[int, str]:
+    """Return the order in which attributes are left out where there are too many, the last first.
+
+    A attribute is hardly ever at a second end.
+    """
+    return -find_kind(lost.attribute).breadth, lost.attribute
+
+
 def _decode_end(fields: list[Any], now: float) -> EndpointEnd:
     endpoint_id, started_ms, age_s, lost = fields
     return EndpointEnd(
@@ -90,15 +99,15 @@
         ),
         ended_at=now - float(age_s),
         lost=frozenset(
-            LostContent(content=str(content), organisation=_decode_name(organisation))
-            for content, organisation in lost
+            LostAttribute(attribute=str(attribute), organisation=_decode_name(organisation))
+            for attribute, organisation in lost
         ),
     )
 
 
 def _encode_quarantine(quarantine: Quarantine, now: float) -> list[Any]:
     return [
-        quarantine.content,
+        quarantine.attribute,
         quarantine.organisation,
         quarantine.ends,
         _encode_age(quarantine.since, now),
@@ -109,9 +118,9 @@
 
 
 def _decode_quarantine(fields: list[Any], now: float) -> Quarantine:
-    content, organisation, ends, since_s, requested_s, trials_left, trial_s = fields
+    attribute, organisation, ends, since_s, requested_s, trials_left, trial_s = fields
     return Quarantine(
-        content=str(content),
+        attribute=str(attribute),
         organisation=_decode_name(organisation),
         ends=int(ends),
         since=now - float(since_s),
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -6,8 +6,13 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from guavamast.relay.heartbeat_messages import MalformedBeat
 from guavamast.relay.quarantine.ledger import TRIAL_AFTER_S
-from guavamast.relay.quarantine.records import Quarantine
+from guavamast.relay.quarantine.records import Quarantine, QuarantineReport
+from guavamast.relay.quarantine.report_wire import (
+    decode_quarantine_report,
+    encode_quarantine_report,
+)
 from guavamast.relay.store import QuarantineRow, StoreError
 
 if TYPE_CHECKING:
@@ -15,21 +20,24 @@
 
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.quarantine.ledger import QuarantineLedger
+    from guavamast.relay.quarantine.records import EndpointEnd
     from guavamast.relay.store import Store
 
 ROW_READ_INTERVAL_S: Final = 5.0
-"""Seconds between two reads of the rows while any content is in quarantine: an operator's release
+"""Seconds between two reads of the rows while any attribute is in quarantine: an operator's release
 takes effect within that time."""
+MIN_SAVE_INTERVAL_S: Final = 1.0
+"""Seconds between two writes of the evidence at least."""
 MAX_FIRST_READ_WAIT_S: Final = 1.0
 """Seconds that a request waits at most for the first read at an instance that has just started."""
 
 
 class QuarantineRows:
-    """Reads and writes the rows of contents in quarantine.
+    """Reads and writes the rows of attributes in quarantine, and the evidence below a decision.
 
-    Killed all at once, instances forget what they know of each other's losses, and a content would
-    end as many endpoints once more. The rows outlast that. A trial is granted by a conditional
-    write, so however many instances ask for it, one gets it.
+    Killed all at once, instances forget what they know of each other's losses, and an attribute
+    would end as many endpoints once more. The rows outlast that. A trial is granted by a
+    conditional write, so however many instances ask for it, one gets it.
 
     Args:
         store: The platform's store.
@@ -45,6 +53,8 @@
         "_log",
         "_read_at",
         "_read_time",
+        "_saved",
+        "_saved_at",
         "_store",
         "_written",
         "loaded",
@@ -65,6 +75,9 @@
         self._first_read = asyncio.Event()
         self._written: set[str] = set()
         """Contents whose rows are known to exist."""
+        self._saved: frozenset[EndpointEnd] = frozenset()
+        """Evidence that is known to be saved."""
+        self._saved_at = float("-inf")
         self._read_at = float("-inf")
         self._load_due_at = float("-inf")
         self.loaded = False
@@ -72,15 +85,18 @@
 
     @property
     def has_leftovers(self) -> bool:
-        """Whether rows remain of contents that are no longer in quarantine."""
-        return any(self._ledger.find(content) is None for content in self._written)
+        """Whether rows remain of attributes that are no longer in quarantine or suspected."""
+        return bool(self._saved) or any(
+            self._ledger.find(attribute) is None for attribute in self._written
+        )
 
     def forget(self) -> None:
         """Leave the rows to the instance that synchronizes them."""
         self._written.clear()
+        self._saved = frozenset()
 
     async def wait_first_read(self) -> None:
-        """Wait for the first read after the start, so that no content in quarantine is sent."""
+        """Wait for the first read after the start, so that no attribute in quarantine is sent."""
         if self._first_read.is_set():
             return
         try:
@@ -101,6 +117,7 @@
         self._load_due_at = now + ROW_READ_INTERVAL_S
         try:
             await self._read()
+            self._apply_evidence(await self._store.read_evidence())
             self.loaded = True
         except StoreError as error:
             self._log.write("quarantine_unread", now=self._read_time(), reason=error.reason)
@@ -113,31 +130,31 @@
         One instance of the fleet does this, so that a quarantine costs one write.
         """
         now = self._read_time()
-        held = {quarantine.content for quarantine in self._ledger.list_quarantines()}
+        held = {quarantine.attribute for quarantine in self._ledger.list_quarantines()}
         if held <= self._written and now - self._read_at < ROW_READ_INTERVAL_S:
             return
         try:
             rows = await self._read()
             for quarantine in self._ledger.list_quarantines():
-                if quarantine.content not in self._written:
+                if quarantine.attribute not in self._written:
                     await self._store.write_quarantine(_build_row(quarantine))
-                    self._written.add(quarantine.content)
+                    self._written.add(quarantine.attribute)
             for row in rows:
-                if self._ledger.find(row.content) is None:
-                    await self._remove(row.content)
+                if self._ledger.find(row.attribute) is None:
+                    await self._remove(row.attribute)
         except StoreError as error:
             self._log.write("quarantine_unread", now=self._read_time(), reason=error.reason)
 
-    async def claim_trial(self, content: str) -> bool:
-        """Return whether this instance may send a content once, for all instances together."""
+    async def claim_trial(self, attribute: str) -> bool:
+        """Return whether this instance may send an attribute once, for all instances together."""
         try:
-            rows = {row.content: row for row in await self._read()}
-            quarantine = self._ledger.find(content)
+            rows = {row.attribute: row for row in await self._read()}
+            quarantine = self._ledger.find(attribute)
             if quarantine is None:
                 return True
-            row = rows.get(content) or _build_row(quarantine)
+            row = rows.get(attribute) or _build_row(quarantine)
             if row.trials_left <= 0 or row.trials_left < quarantine.trials_left:
-                self._use_trial(content, trials_left=row.trials_left)
+                self._use_trial(attribute, trials_left=row.trials_left)
                 return False
             claimed = replace(row, trials_left=row.trials_left - 1)
             if not await self._store.write_quarantine(claimed):
@@ -145,14 +162,32 @@
         except StoreError as error:
             self._log.write("quarantine_unread", now=self._read_time(), reason=error.reason)
             return False
-        self._use_trial(content, trials_left=claimed.trials_left)
+        self._use_trial(attribute, trials_left=claimed.trials_left)
         return True
 
+    async def save_evidence(self) -> None:
+        """Save the evidence if it has changed, for instances that start.
+
+        One instance of the fleet does this.
+        """
+        now = self._read_time()
+        ends = self._ledger.list_lasting_ends(now=now)
+        evidence = frozenset(ends)
+        if evidence == self._saved or now - self._saved_at < MIN_SAVE_INTERVAL_S:
+            return
+        self._saved_at = now
+        try:
+            await self._store.write_evidence(_encode_evidence(ends, now=now))
+        except StoreError as error:
+            self._log.write("quarantine_unread", now=self._read_time(), reason=error.reason)
+            return
+        self._saved = evidence
+
     async def _read(self) -> list[QuarantineRow]:
         rows = await self._store.read_quarantine()
         now = self._read_time()
         self._read_at = now
-        self._written = {row.content for row in rows}
+        self._written = {row.attribute for row in rows}
         for row in rows:
             if row.lifted_by is not None:
                 self._release(row, now=now)
@@ -160,19 +195,37 @@
                 self._restore(row, now=now)
         return rows
 
+    def _apply_evidence(self, data: bytes | None) -> None:
+        """Merge saved evidence. Its ends seem later by the time since it was saved."""
+        if data is None:
+            return
+        now = self._read_time()
+        try:
+            report = decode_quarantine_report(data, now=now)
+        except MalformedBeat as error:
+            # Another software version may save it in another form.
+            self._log.write("quarantine_unread", now=now, reason=str(error))
+            return
+        self._ledger.apply_report(report, now=now)
+        self._saved = frozenset(report.ends)
+
     def _release(self, row: QuarantineRow, *, now: float) -> None:
-        if self._ledger.clear(row.content, now=now):
+        if self._ledger.clear(row.attribute, now=now):
             self._log.write(
-                "quarantine_ended", now=now, content=row.content, reason="lifted", who=row.lifted_by
+                "quarantine_ended",
+                now=now,
+                attribute=row.attribute,
+                reason="lifted",
+                who=row.lifted_by,
             )
 
     def _restore(self, row: QuarantineRow, *, now: float) -> None:
-        known = self._ledger.find(row.content) is not None
-        # The row of a content that was just answered remains until the next synchronization.
-        if known or self._ledger.was_cleared(row.content):
+        known = self._ledger.find(row.attribute) is not None
+        # The row of an attribute that was just answered remains until the next synchronization.
+        if known or self._ledger.was_cleared(row.attribute):
             return
         quarantine = Quarantine(
-            content=row.content,
+            attribute=row.attribute,
             organisation=row.organisation,
             ends=row.ends,
             since=now,
@@ -182,17 +235,24 @@
         )
         self._ledger.restore(quarantine)
 
-    async def _remove(self, content: str) -> None:
-        await self._store.remove_quarantine(content)
-        self._written.discard(content)
+    async def _remove(self, attribute: str) -> None:
+        await self._store.remove_quarantine(attribute)
+        self._written.discard(attribute)
+
+    def _use_trial(self, attribute: str, *, trials_left: int) -> None:
+        self._ledger.use_trial(attribute, trials_left=trials_left, now=self._read_time())
+
 
-    def _use_trial(self, content: str, *, trials_left: int) -> None:
-        self._ledger.use_trial(content, trials_left=trials_left, now=self._read_time())
+def _encode_evidence(ends: list[EndpointEnd], *, now: float) -> bytes | None:
+    if not ends:
+        return None
+    report = QuarantineReport(domain="", ends=tuple(ends), clearances=(), quarantines=())
+    return encode_quarantine_report(report, now=now)
 
 
 def _build_row(quarantine: Quarantine) -> QuarantineRow:
     return QuarantineRow(
-        content=quarantine.content,
+        attribute=quarantine.attribute,
         version=0,
         organisation=quarantine.organisation,
         ends=quarantine.ends,
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -12,6 +12,7 @@
 
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.quarantine.answered_parts import AnsweredParts
     from guavamast.relay.quarantine.evidence import Culprit
     from guavamast.relay.quarantine.guard import CrashGuard
     from guavamast.relay.quarantine.ledger import QuarantineLedger
@@ -36,6 +37,7 @@
         losses: Requests that were lost at endpoints that may have ended.
         guard: Confirms ends.
         rows: The rows in the store.
+        answered_parts: Prompts that are answered.
         log: Decision log.
         counters: Metrics.
         send: Sends a datagram to the other instances.
@@ -44,6 +46,7 @@
     """
 
     __slots__ = (
+        "_answered_parts",
         "_counters",
         "_guard",
         "_ledger",
@@ -54,6 +57,7 @@
         "_round",
         "_rows",
         "_send",
+        "_spared",
         "_woken",
     )
 
@@ -64,6 +68,7 @@
         losses: PendingLosses,
         guard: CrashGuard,
         rows: QuarantineRows,
+        answered_parts: AnsweredParts,
         log: DecisionLog,
         counters: Counters,
         send: Callable[[bytes], None],
@@ -74,6 +79,7 @@
         self._losses = losses
         self._guard = guard
         self._rows = rows
+        self._answered_parts = answered_parts
         self._log = log
         self._counters = counters
         self._send = send
@@ -81,6 +87,8 @@
         self._read_time = read_time
         self._woken = asyncio.Event()
         self._round = 0
+        self._spared: set[str] = set()
+        """Attributes that were spared in the last round."""
 
     def wake(self) -> None:
         """Start the rounds, after something has changed."""
@@ -104,19 +112,23 @@
         now = self._read_time()
         self._guard.confirm_replaced()
         self._losses.drop_expired(now=now)
-        for culprit in self._ledger.decide(now=now):
-            self._record_decision(culprit, now=now)
-        for content in self._ledger.drop_expired(now=now):
-            self._log.write("quarantine_ended", now=now, content=content, reason="idle")
+        decision = self._ledger.decide(now=now, is_common=self._answered_parts.is_common)
+        for culprit in decision.held:
+            self._record_held(culprit, now=now)
+        self._record_spared(decision.spared, now=now)
+        for attribute in self._ledger.drop_expired(now=now):
+            self._log.write("quarantine_ended", now=now, attribute=attribute, reason="idle")
         rank = self._rank_sender()
         self._round += 1
         due = self._round % COMPLETE_ROUNDS == 0
         self._publish(complete=due and rank < SENDERS_RANK)
         if rank == 0:
             await self._rows.synchronize()
+            await self._rows.save_evidence()
         else:
             self._rows.forget()
-        self._counters.set("quarantined_contents", len(self._ledger.list_quarantines()))
+        self._counters.set("quarantined_attributes", len(self._ledger.list_quarantines()))
+        self._counters.set("suspected_attributes", self._ledger.suspect_count)
 
     def _is_busy(self) -> bool:
         return (
@@ -138,12 +150,23 @@
             return
         self._send(data)
 
-    def _record_decision(self, culprit: Culprit, *, now: float) -> None:
+    def _record_held(self, culprit: Culprit, *, now: float) -> None:
         self._counters.add("quarantines_total")
+        self._write_decision("quarantined", culprit, now=now)
+
+    def _record_spared(self, culprits: list[Culprit], *, now: float) -> None:
+        """Record attributes that are too common to be kept from endpoints, once for each."""
+        for culprit in culprits:
+            if culprit.attribute not in self._spared:
+                self._counters.add("quarantine_spared_total")
+                self._write_decision("quarantine_spared", culprit, now=now)
+        self._spared = {culprit.attribute for culprit in culprits}
+
+    def _write_decision(self, event: str, culprit: Culprit, *, now: float) -> None:
         self._log.write(
-            "quarantined",
+            event,
             now=now,
-            content=culprit.content,
+            attribute=culprit.attribute,
             who=culprit.organisation,
             endpoints=",".join(culprit.endpoint_ids),
             late_ends=culprit.late_ends,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -242,47 +242,67 @@
         self, request: CallerRequest, writer: ResponseWriter, progress: RequestProgress
     ) -> None:
         while True:
-            obstacle = await self._find_obstacle(request, progress)
-            if obstacle is not None:
-                await self._finish_failed(request, writer, progress, status=502, reason=obstacle)
-                return
-            placed = await self._placer.place(request, progress)
-            if placed.choice is None:
-                reason = "no endpoint" if progress.binding is None else "no endpoint of its version"
-                await self._finish_failed(
-                    request, writer, progress, status=502, reason=reason, cause=progress.cause
-                )
-                return
-            if placed.rejection is not None:
-                await self._reject_for_capacity(request, writer, progress, placed)
-                return
-            record = placed.choice.record
-            try:
-                status = await self._exchanger.run(request, writer, progress, placed)
-            except AttemptFailed as failure:
-                self._record_failure(request, progress, record, failure)
-                progress.cause = failure.cause
-                if failure.kind is FailureKind.OUTDATED:
-                    if not await self._readmit(request, writer, progress, record):
-                        return
-                elif not self._claim_retry(progress, record, failure):
-                    await self._finish_failed(
-                        request,
-                        writer,
-                        progress,
-                        status=502,
-                        reason=str(failure),
-                        cause=progress.cause,
-                    )
-                    return
-            else:
-                self._guard.record_response(request, progress, record, status=status)
+            placed = await self._place(request, writer, progress)
+            if placed is None or await self._attempt(request, writer, progress, placed):
                 return
 
-    async def _find_obstacle(self, request: CallerRequest, progress: RequestProgress) -> str | None:
+    async def _place(
+        self, request: CallerRequest, writer: ResponseWriter, progress: RequestProgress
+    ) -> PlacementDecision | None:
+        """Return the endpoint that a request goes to next; None if it has been ended."""
+        denied = self._guard.find_denial(request, progress)
+        if denied is not None:
+            await self._refuse(request, writer, progress, denied)
+            return None
+        obstacle = await self._find_obstacle(progress)
+        if obstacle is not None:
+            await self._finish_failed(request, writer, progress, status=502, reason=obstacle)
+            return None
+        placed = await self._placer.place(request, progress)
+        if placed.choice is None:
+            reason = "no endpoint" if progress.binding is None else "no endpoint of its version"
+            await self._finish_failed(
+                request, writer, progress, status=502, reason=reason, cause=progress.cause
+            )
+            return None
+        if placed.rejection is not None:
+            await self._reject_for_capacity(request, writer, progress, placed)
+            return None
+        return placed
+
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        writer: ResponseWriter,
+        progress: RequestProgress,
+        placed: PlacementDecision,
+    ) -> bool:
+        """Send a request to its endpoint; return whether it has been ended."""
+        assert placed.choice is not None
+        record = placed.choice.record
+        try:
+            response = await self._exchanger.run(request, writer, progress, placed)
+        except AttemptFailed as failure:
+            self._record_failure(request, progress, record, failure)
+            progress.cause = failure.cause
+            if failure.kind is FailureKind.OUTDATED:
+                return not await self._readmit(request, writer, progress, record)
+            if self._claim_retry(progress, record, failure):
+                return False
+            await self._finish_failed(
+                request,
+                writer,
+                progress,
+                status=502,
+                reason=str(failure),
+                cause=progress.cause,
+            )
+            return True
+        self._guard.record_response(request, progress, record, response)
+        return True
+
+    async def _find_obstacle(self, progress: RequestProgress) -> str | None:
         """Return why a request must not be sent to any endpoint now; None if it may."""
-        if self._guard.is_quarantined(request, progress):
-            return "quarantined"
         if progress.binding is None and progress.source is not None:
             progress.binding = await self._versions.confirm(progress.source)
             if progress.binding is None:
@@ -303,10 +323,10 @@
             self._guard.record_loss(request, progress, record)
         elif failure.kind is FailureKind.MISDIRECTED:
             self._guard.record_gone(record.endpoint_id)
-        content = progress.content if lost else None
+        attributes = progress.attributes if lost else None
         silence_s = self._reachability.compute_silence(record.service, now=now)
         self._recorder.record_failure(
-            request, record, failure, content=content, silence_s=silence_s, now=now
+            request, record, failure, attributes=attributes, silence_s=silence_s, now=now
         )
 
     def _claim_retry(
@@ -343,11 +363,7 @@
         """
         decision = await self._admission.admit(request, until=progress.deadline)
         if isinstance(decision, Denied):
-            if progress.possible_runs:
-                reason = decision.reason
-                await self._finish_failed(request, writer, progress, status=502, reason=reason)
-            else:
-                await self._reject(request, writer, decision)
+            await self._refuse(request, writer, progress, decision)
             return False
         binding = progress.binding
         readmitted = self._start_progress(request, decision, binding, now=self._read_time())
@@ -361,6 +377,20 @@
         progress.readmit(readmitted, unsent_id=unsent.endpoint_id)
         return True
 
+    async def _refuse(
+        self,
+        request: CallerRequest,
+        writer: ResponseWriter,
+        progress: RequestProgress,
+        denied: Denied,
+    ) -> None:
+        """End a request that is no longer allowed; one that may have run isn't called rejected."""
+        if progress.possible_runs or writer.started:
+            reason = denied.reason
+            await self._finish_failed(request, writer, progress, status=502, reason=reason)
+        else:
+            await self._reject(request, writer, denied)
+
     async def _reject(self, request: CallerRequest, writer: ResponseWriter, denied: Denied) -> None:
         headers = self._codec.encode_rejection(request.request_id, denied.retry_after_s)
         await writer.send(denied.status, headers, b"")
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -76,6 +76,7 @@
         cache=work.cache,
         budget=budget,
         codec=codec,
+        guard=guard,
         connector=access.connector,
         versions=bindings.versions,
         take_ups=bindings.take_ups,
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -46,10 +46,11 @@
     cause: UnservedCause = UnservedCause.FAILED
     """Why its last attempt at an endpoint brought no response."""
     connect_failures: int = 0
-    content: str | None = None
-    """Digest of the request, once it was needed."""
-    on_trial: bool = False
-    """Whether it is sent once although its content is in quarantine."""
+    attributes: tuple[str, ...] | None = None
+    """What may be in quarantine: the digest of the request, and the parts of its prompt. None until
+    it was needed."""
+    trials: set[str] = field(default_factory=set)
+    """Attributes in quarantine with which it is sent once all the same."""
     binding: StreamBinding | None = None
     """What began its stream, at which alone it may go on; None before its first event, and as long
     as what began it isn't known."""
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -148,7 +148,7 @@
         record: EndpointRecord,
         failure: AttemptFailed,
         *,
-        content: str | None,
+        attributes: tuple[str, ...] | None,
         silence_s: float | None,
         now: float,
     ) -> None:
@@ -158,7 +158,7 @@
             request: The request.
             record: Its endpoint.
             failure: Why there is no response.
-            content: Digest of the request, if its connection ended.
+            attributes: Digest of the request and parts of its prompt, if its connection ended.
             silence_s: Seconds since this instance last heard any endpoint of the service.
             now: The current time.
         """
@@ -171,8 +171,7 @@
             endpoint=record.endpoint_id,
             kind=str(failure.kind),
             detail=failure.detail,
-            content=content,
-            prompt_parts=",".join(request.shared_parts) if content is not None else None,
+            attributes=",".join(attributes) if attributes is not None else None,
             after_s=round(now - request.received_at, 4),
             service=record.service,
             software_version=record.software_version,
@@ -196,7 +195,7 @@
             request_id=request.request_id,
             status=denied.status,
             reason=denied.reason,
-            content=denied.content,
+            attribute=denied.attribute,
             host=request.host,
             path=request.path,
             resumed_request=request.resumed_request_id,
--- a/src/guavamast/relay/store.py
+++ b/src/guavamast/relay/store.py
@@ -64,10 +64,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuarantineRow:
-    """The row of a content in quarantine, which all instances share."""
+    """The row of an attribute in quarantine, which all instances share."""
 
-    content: str
-    """Digest of the request."""
+    attribute: str
+    """What the requests that are held have in common, as `attributes.py` names it."""
     version: int
     """Version of the row; 0 for one that is not written yet."""
     organisation: str | None
@@ -112,12 +112,20 @@
 
     @abstractmethod
     async def read_quarantine(self) -> list[QuarantineRow]:
-        """Read the rows of all contents in quarantine."""
+        """Read the rows of all attributes in quarantine."""
 
     @abstractmethod
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         """Write a row; return False if it no longer has the version that the row states."""
 
     @abstractmethod
-    async def remove_quarantine(self, content: str) -> None:
-        """Remove the row of a content that is no longer in quarantine."""
+    async def read_evidence(self) -> bytes | None:
+        """Read the evidence below a decision as it was saved last; None if there is none."""
+
+    @abstractmethod
+    async def write_evidence(self, report: bytes | None) -> None:
+        """Save evidence below a decision, replacing the last one; remove it if None."""
+
+    @abstractmethod
+    async def remove_quarantine(self, attribute: str) -> None:
+        """Remove the row of an attribute that is no longer in quarantine."""
--- a/src/guavamast/relay/stream_observer.py
+++ b/src/guavamast/relay/stream_observer.py
@@ -13,6 +13,7 @@
     from guavamast.relay.endpoint_load import EndpointLoads
     from guavamast.relay.messages import CallerRequest
     from guavamast.relay.placed_send import PlacedSend
+    from guavamast.relay.quarantine import RunWatch
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.stream_sampler import StreamSampler
@@ -26,6 +27,7 @@
         progress: Its state; the last event's id is recorded there.
         send: Its placement and its part of the endpoint's load.
         sampler: Samples the engine's speed.
+        watch: Watches how long the answer goes on.
         loads: Work at endpoints.
         recorder: Log lines and metrics of requests.
         bind: Called before the first event of the request's stream.
@@ -45,6 +47,7 @@
         "_request",
         "_sampler",
         "_send",
+        "_watch",
     )
 
     def __init__(
@@ -54,6 +57,7 @@
         progress: RequestProgress,
         send: PlacedSend,
         sampler: StreamSampler,
+        watch: RunWatch,
         loads: EndpointLoads,
         recorder: RequestRecorder,
         bind: Callable[[], None],
@@ -65,6 +69,7 @@
         self._progress = progress
         self._send = send
         self._sampler = sampler
+        self._watch = watch
         self._loads = loads
         self._recorder = recorder
         self._bind = bind
@@ -79,6 +84,7 @@
         if self._send.finish_prefill():
             self._publish_decrease(endpoint_id)
         uncached_tokens = self._loads.sum_up(endpoint_id).prefill_tokens
+        self._watch.record_event(now=now)
         first = self._progress.timing.first_event_s is None
         self._sampler.record_event(uncached_tokens=uncached_tokens, now=now)
         if first:
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -26,6 +26,7 @@
 from guavamast.relay.placement.prompt_cache import PromptCache
 from guavamast.relay.placer import PlacementDecision
 from guavamast.relay.quarantine import (
+    AnsweredParts,
     CrashGuard,
     PendingLosses,
     QuarantineLedger,
@@ -122,6 +123,9 @@
     async def is_refused(self, record: EndpointRecord, *, row_version: int) -> bool:
         return await self._connector.is_refused(record, row_version=row_version)
 
+    async def is_accepting(self, record: EndpointRecord, *, row_version: int) -> bool:
+        return await self._connector.is_accepting(record, row_version=row_version)
+
 
 class RelayTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that relay requests to stand-in engines, without a listener for callers."""
@@ -166,6 +170,7 @@
             recorder=TakeUpRecorder(log=log, counters=counters),
             read_time=lambda: self.simulation.now,
         )
+        self.guard = await self.make_guard()
         self.exchanger = self.make_exchanger()
 
     def make_exchanger(self) -> Exchanger:
@@ -177,6 +182,7 @@
             cache=PromptCache(),
             budget=self.budget,
             codec=PlatformHeaders(),
+            guard=self.guard,
             connector=self.connector,
             versions=self.simulation.versions,
             take_ups=self.take_ups,
@@ -241,6 +247,7 @@
             ledger=self.ledger,
             losses=self.losses,
             rows=rows,
+            answered_parts=AnsweredParts(),
             fleet_state=self.simulation.fleet_state,
             loads=self.loads,
             connector=self.connector,
@@ -267,7 +274,7 @@
             take_ups=self.take_ups,
             versions=self.simulation.versions,
             exchanger=self.exchanger,
-            guard=await self.make_guard(),
+            guard=self.guard,
             demand=PromptDemand(),
             profiles=self.profiles,
             reachability=ReachabilityMonitor(),
--- a/tests/quarantine_simulation.py
+++ b/tests/quarantine_simulation.py
@@ -11,7 +11,7 @@
 from guavamast.relay.quarantine import (
     EndpointEnd,
     EndpointIncarnation,
-    LostContent,
+    LostAttribute,
     QuarantineLedger,
     Verdict,
     decode_quarantine_report,
@@ -43,7 +43,7 @@
     incarnation: int = 0
     up: bool = True
     running: list[tuple[int, str]] = field(default_factory=list)
-    """Instance and content of each request."""
+    """Instance and attribute of each request."""
 
 
 class FleetSimulation:
@@ -66,7 +66,7 @@
         self.culprit_sends: list[float] = []
         self.culprit_ends: list[float] = []
         self.refusals: dict[str, list[float]] = {}
-        """Times at which each content was refused."""
+        """Times at which each attribute was refused."""
         self.answers: dict[str, int] = {}
         self.datagrams = 0
         self._loss = loss
@@ -74,7 +74,7 @@
         self._offsets = [random.uniform(0.0, 1000.0) for _ in range(instances)]
         self.ledgers = [self._build_ledger(number) for number in range(instances)]
         self._trials_left: dict[str, int] = {}
-        """Trials that the store still grants, by content."""
+        """Trials that the store still grants, by attribute."""
         self._numbers = count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         for number in range(instances):
@@ -91,23 +91,23 @@
             action()
         self.now = until
 
-    def request(self, content: str, *, run_s: float, repeats: int = 0) -> None:
+    def request(self, attribute: str, *, run_s: float, repeats: int = 0) -> None:
         """Send a request to a random instance.
 
         Args:
-            content: The content.
+            attribute: The attribute.
             run_s: Seconds that an engine takes to answer it; the culprit ends its engine instead.
             repeats: Further engines it may go to when it is lost.
         """
         instance = self.random.randrange(len(self.ledgers))
         ledger = self.ledgers[instance]
-        verdict = ledger.assess(content, now=self._local(instance))
-        if verdict is Verdict.TRIAL_DUE and not self._claim_trial(instance, content):
+        verdict = ledger.assess(attribute, now=self._local(instance))
+        if verdict is Verdict.TRIAL_DUE and not self._claim_trial(instance, attribute):
             verdict = Verdict.QUARANTINED
         if verdict is Verdict.QUARANTINED:
-            self.refusals.setdefault(content, []).append(self.now)
+            self.refusals.setdefault(attribute, []).append(self.now)
             return
-        self._send(instance, content, run_s=run_s, repeats=repeats)
+        self._send(instance, attribute, run_s=run_s, repeats=repeats)
 
     def end_engines(self, engines: list[Engine]) -> None:
         """End engines at once, as in a power outage."""
@@ -118,9 +118,9 @@
         """Replace an instance by one that knows nothing."""
         self.ledgers[instance] = self._build_ledger(instance)
 
-    def count_held(self, content: str) -> int:
-        """Return the number of instances that keep a content in quarantine."""
-        return sum(ledger.find(content) is not None for ledger in self.ledgers)
+    def count_held(self, attribute: str) -> int:
+        """Return the number of instances that keep a attribute in quarantine."""
+        return sum(ledger.find(attribute) is not None for ledger in self.ledgers)
 
     def _build_ledger(self, instance: int) -> QuarantineLedger:
         return QuarantineLedger(domain=f"d{instance % DOMAINS}", window_s=WINDOW_S)
@@ -128,15 +128,15 @@
     def _local(self, instance: int) -> float:
         return self.now + self._offsets[instance]
 
-    def _send(self, instance: int, content: str, *, run_s: float, repeats: int) -> None:
+    def _send(self, instance: int, attribute: str, *, run_s: float, repeats: int) -> None:
         up = [engine for engine in self.engines if engine.up]
         if not up:
             return
         engine = self.random.choice(up)
-        entry = (instance, content)
+        entry = (instance, attribute)
         engine.running.append(entry)
         incarnation = engine.incarnation
-        if content == CULPRIT:
+        if attribute == CULPRIT:
             self.culprit_sends.append(self.now)
             self.schedule(RUN_S, lambda: self._end_by_culprit(engine, incarnation))
             return
@@ -144,18 +144,22 @@
         def finish() -> None:
             if entry in engine.running and engine.incarnation == incarnation:
                 engine.running.remove(entry)
-                self.answers[content] = self.answers.get(content, 0) + 1
-                self.ledgers[instance].clear(content, now=self._local(instance))
+                self.answers[attribute] = self.answers.get(attribute, 0) + 1
+                self.ledgers[instance].clear(attribute, now=self._local(instance))
             elif repeats:
-                self._repeat(instance, content, engine.number, run_s, repeats)
+                self._repeat(instance, attribute, engine.number, run_s, repeats)
 
         self.schedule(run_s, finish)
 
-    def _repeat(self, instance: int, content: str, engine: int, run_s: float, repeats: int) -> None:
+    def _repeat(
+        self, instance: int, attribute: str, engine: int, run_s: float, repeats: int
+    ) -> None:
         ledger = self.ledgers[instance]
         known = EndpointIncarnation(endpoint_id=f"e{engine}", started_ms=None)
-        if ledger.find(content) is None and not ledger.has_ended_another(content, known):
-            self._send(instance, content, run_s=run_s, repeats=repeats - 1)
+        if ledger.find(attribute) is None and not ledger.has_ended_another(
+            attribute, known, settled=False, now=self._local(instance)
+        ):
+            self._send(instance, attribute, run_s=run_s, repeats=repeats - 1)
 
     def _end_by_culprit(self, engine: Engine, incarnation: int) -> None:
         if engine.up and engine.incarnation == incarnation:
@@ -163,16 +167,16 @@
             self._end(engine)
 
     def _end(self, engine: Engine) -> None:
-        lost: dict[int, set[LostContent]] = {}
-        for instance, content in engine.running:
+        lost: dict[int, set[LostAttribute]] = {}
+        for instance, attribute in engine.running:
             lost.setdefault(instance, set()).add(
-                LostContent(content=content, organisation="bakery")
+                LostAttribute(attribute=attribute, organisation="bakery")
             )
         name = EndpointIncarnation(endpoint_id=f"e{engine.number}", started_ms=engine.incarnation)
-        for instance, contents in lost.items():
+        for instance, attributes in lost.items():
             self.schedule(
                 self.random.uniform(0.0, self._max_delay_s),
-                lambda i=instance, c=frozenset(contents): self._record_end(i, name, c),
+                lambda i=instance, c=frozenset(attributes): self._record_end(i, name, c),
             )
         engine.up = False
         engine.running = []
@@ -180,25 +184,25 @@
         self.schedule(RESTART_S, lambda: setattr(engine, "up", True))
 
     def _record_end(
-        self, instance: int, name: EndpointIncarnation, lost: frozenset[LostContent]
+        self, instance: int, name: EndpointIncarnation, lost: frozenset[LostAttribute]
     ) -> None:
         now = self._local(instance)
         end = EndpointEnd(incarnation=name, ended_at=now, lost=lost)
         if self.ledgers[instance].record_end(end, now=now):
             self._publish(instance, complete=False)
 
-    def _claim_trial(self, instance: int, content: str) -> bool:
+    def _claim_trial(self, instance: int, attribute: str) -> bool:
         """Grant a trial as a conditional write to the store does."""
         ledger = self.ledgers[instance]
-        quarantine = ledger.find(content)
+        quarantine = ledger.find(attribute)
         assert quarantine is not None
-        left = self._trials_left.setdefault(content, quarantine.trials_left)
+        left = self._trials_left.setdefault(attribute, quarantine.trials_left)
         now = self._local(instance)
         if left <= 0 or left < quarantine.trials_left:
-            ledger.use_trial(content, trials_left=left, now=now)
+            ledger.use_trial(attribute, trials_left=left, now=now)
             return False
-        self._trials_left[content] = left - 1
-        ledger.use_trial(content, trials_left=left - 1, now=now)
+        self._trials_left[attribute] = left - 1
+        ledger.use_trial(attribute, trials_left=left - 1, now=now)
         return True
 
     def _round(self, instance: int, number: int) -> None:
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from guavamast.errors import GuavamastError
-from guavamast.platform.quarantine_admin import lift_content, list_contents
+from guavamast.platform.quarantine_admin import lift_attribute, list_attributes
 from guavamast.platform.standins.engine import EngineFault
 from guavamast.platform.standins.lethal_requests import LETHAL_BODY_PREFIX
 from guavamast.platform.standins.site import RESUMABLE_PREFIX, STREAM_PREFIX
@@ -150,12 +150,12 @@
                 await asyncio.sleep(0.05)
         ((content, _),) = rows
         address = SocketAddress(ip="127.0.0.1", port=self.site.store_port)
-        listed = await list_contents(address)
+        listed = await list_attributes(address)
         self.assertIn(content, listed)
         self.assertIn("bakery", listed)
         with self.assertRaises(GuavamastError):
-            await lift_content(address, "0" * 32, by="ana")
-        await lift_content(address, content, by="ana")
+            await lift_attribute(address, "0" * 32, by="ana")
+        await lift_attribute(address, content, by="ana")
         self.assertEqual(len(self.site.store.list_versions("quarantine_audit")), 1)
         runs = len(self.list_lethal_runs())
         async with asyncio.timeout(REFUSED_WITHIN_S):
--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -20,7 +20,12 @@
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.peers import Peers
-from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot, Store, StoreError
+from guavamast.relay.store import (
+    CatalogSnapshot,
+    EndpointSnapshot,
+    Store,
+    StoreError,
+)
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.stream_binding import SoftwareVersions
 from tests.relay_fixtures import BOUNDS, build_catalog, build_endpoint, build_request, build_route
@@ -80,12 +85,18 @@
     async def read_quarantine(self) -> list[QuarantineRow]:
         return []
 
+    async def read_evidence(self) -> bytes | None:
+        return None
+
+    async def write_evidence(self, report: bytes | None) -> None:
+        del report
+
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         del row
         raise StoreError("no quarantines in this test")
 
-    async def remove_quarantine(self, content: str) -> None:
-        del content
+    async def remove_quarantine(self, attribute: str) -> None:
+        del attribute
 
     async def read_catalog(self, *, known: Catalog | None) -> CatalogSnapshot:
         catalog = self.catalog
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -75,7 +75,7 @@
         self.simulation.replace_routes(build_route(timeout_s=30.0))
         content = compute_request_digest(build_request(), organisation="bakery")
         quarantine = Quarantine(
-            content=content,
+            attribute=content,
             organisation="bakery",
             ends=3,
             since=self.simulation.now,
--- a/tests/test_relay_quarantine_evidence.py
+++ b/tests/test_relay_quarantine_evidence.py
@@ -5,19 +5,20 @@
 import unittest
 
 from guavamast.relay.quarantine import (
+    CONTENT,
     CrashEvidence,
     Culprit,
     EndpointEnd,
     EndpointIncarnation,
-    LostContent,
+    LostAttribute,
 )
 from guavamast.relay.quarantine.evidence import (
     EVIDENCE_LIFETIME_S,
-    MAX_CONTENTS,
-    SETTLE_S,
+    MAX_ATTRIBUTES,
 )
 
 WINDOW_S = 3.0
+SETTLE_S = CONTENT.settle_s
 
 
 def build_end(number: int, *contents: str, at: float) -> EndpointEnd:
@@ -25,7 +26,7 @@
     return EndpointEnd(
         incarnation=EndpointIncarnation(endpoint_id=f"e{number}", started_ms=number),
         ended_at=at,
-        lost=frozenset(LostContent(content=content, organisation="o") for content in contents),
+        lost=frozenset(LostAttribute(attribute=content, organisation="o") for content in contents),
     )
 
 
@@ -39,17 +40,17 @@
         self.evidence.add(build_end(number, *contents, at=at), now=at)
 
     def list_culprits(self, *, now: float) -> list[Culprit]:
-        return self.evidence.list_culprits(window_s=WINDOW_S, now=now)
+        return self.evidence.list_culprits(held=(), window_s=WINDOW_S, now=now)
 
     def list_names(self, *, now: float = 60.0) -> list[str]:
-        return [culprit.content for culprit in self.list_culprits(now=now)]
+        return [culprit.attribute for culprit in self.list_culprits(now=now)]
 
     def test_what_three_ends_had_in_common_is_the_culprit(self) -> None:
         self.add(1, "x", "a", "b", at=10.0)
         self.add(2, "x", "a", at=14.0)
         self.add(3, "x", "c", at=18.0)
         (culprit,) = self.list_culprits(now=20.0)
-        self.assertEqual(culprit.content, "x")
+        self.assertEqual(culprit.attribute, "x")
         self.assertEqual(culprit.endpoint_ids, ("e1", "e2", "e3"))
         self.assertEqual((culprit.late_ends, culprit.span_s), (0, 8.0))
 
@@ -69,7 +70,7 @@
             end = EndpointEnd(
                 incarnation=EndpointIncarnation(endpoint_id="e", started_ms=started_ms),
                 ended_at=10.0,
-                lost=frozenset({LostContent(content="x", organisation=None)}),
+                lost=frozenset({LostAttribute(attribute="x", organisation=None)}),
             )
             self.evidence.add(end, now=10.0)
         self.assertEqual(self.list_names(), ["x"])
@@ -134,7 +135,7 @@
         self.assertEqual(self.list_names(now=later + SETTLE_S), ["x"])
 
     def test_clearances_are_bounded(self) -> None:
-        for number in range(MAX_CONTENTS + 10):
+        for number in range(MAX_ATTRIBUTES + 10):
             self.evidence.clear(f"{number}", at=float(number))
         self.assertFalse(self.evidence.is_cleared("9", since=0.0))
         self.assertTrue(self.evidence.is_cleared("10", since=0.0))
@@ -149,9 +150,9 @@
         self.add(1, "x", at=10.0)
         self.add(2, "x", at=11.0)
         for number in range(20):
-            flood = [f"f{number}-{one}" for one in range(MAX_CONTENTS // 8)]
+            flood = [f"f{number}-{one}" for one in range(MAX_ATTRIBUTES // 8)]
             self.add(10 + number, *flood, at=20.0 + number)
-        self.assertEqual(len(self.evidence), MAX_CONTENTS)
+        self.assertEqual(len(self.evidence), MAX_ATTRIBUTES)
         self.assertIn("x", self.evidence)
 
 
--- a/tests/test_relay_quarantine_guard.py
+++ b/tests/test_relay_quarantine_guard.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from guavamast.platform.standins.engine import EngineStandIn
@@ -13,6 +14,7 @@
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.quarantine import (
+    AnsweredParts,
     CrashGuard,
     PendingLosses,
     QuarantineLedger,
@@ -21,6 +23,7 @@
 from guavamast.relay.quarantine.guard import MAX_RETRY_AFTER_S
 from guavamast.relay.quarantine.ledger import OUTAGE_TRIAL_AFTER_S
 from guavamast.relay.rejection_limits import RejectionLimits
+from guavamast.relay.relayed_response import RelayedResponse
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from tests.relay_fixtures import (
     PROFILE,
@@ -32,6 +35,9 @@
 )
 from tests.test_relay_quarantine_rows import RowStore
 
+if TYPE_CHECKING:
+    from guavamast.relay.endpoint_table import EndpointRecord
+
 REQUEST = build_request()
 
 
@@ -48,6 +54,11 @@
     )
 
 
+def build_response(*, status: int = 200, began_at: float, framed: bool = True) -> RelayedResponse:
+    """Return what a complete response shows."""
+    return RelayedResponse(status=status, began_at=began_at, framed=framed)
+
+
 class CrashGuardTest(unittest.IsolatedAsyncioTestCase):
     """A request is charged with ends of endpoints only, and refused when it caused them."""
 
@@ -74,6 +85,7 @@
             ledger=self.ledger,
             losses=self.losses,
             rows=rows,
+            answered_parts=AnsweredParts(),
             fleet_state=self.store.fleet_state,
             loads=self.loads,
             connector=build_connector(self.store.fleet_state, read_time=self.read_time),
@@ -100,11 +112,15 @@
         self.guard.record_loss(REQUEST, build_progress(), record)
         await asyncio.sleep(0.05)
 
+    def record_response(self, record: EndpointRecord, *, status: int) -> None:
+        response = build_response(status=status, began_at=self.store.now)
+        self.guard.record_response(REQUEST, build_progress(), record, response)
+
     async def quarantine(self) -> None:
         for number in range(3):
             await self.end_endpoint(number)
         self.store.now += 1.0
-        self.assertEqual(len(self.ledger.decide(now=self.store.now)), 1)
+        self.assertEqual(len(self.ledger.decide(now=self.store.now).held), 1)
 
     async def test_a_refused_connection_confirms_the_end(self) -> None:
         await self.end_endpoint(0)
@@ -149,9 +165,9 @@
 
     async def test_a_request_under_way_is_not_sent_again(self) -> None:
         progress = build_progress()
-        self.assertFalse(self.guard.is_quarantined(REQUEST, progress))
+        self.assertIsNone(self.guard.find_denial(REQUEST, progress))
         await self.quarantine()
-        self.assertTrue(self.guard.is_quarantined(REQUEST, progress))
+        self.assertIsNotNone(self.guard.find_denial(REQUEST, progress))
 
     async def test_a_request_that_ended_an_endpoint_is_not_repeated(self) -> None:
         """Guards against one arrival that ends as many endpoints as it may go to."""
@@ -167,13 +183,13 @@
         await self.end_endpoint(5, listening=True)
         self.store.now += 1.0
         record = build_endpoint("e5")
-        self.guard.record_response(REQUEST, build_progress(), record, status=200)
+        self.record_response(record, status=200)
         self.assertFalse(self.losses)
         self.assertIsNone(await self.guard.admit(REQUEST, build_progress()))
 
     async def test_an_error_response_does_not_clear(self) -> None:
         await self.quarantine()
-        self.guard.record_response(REQUEST, build_progress(), build_endpoint("e5"), status=500)
+        self.record_response(build_endpoint("e5"), status=500)
         self.assertIsNotNone(await self.guard.admit(REQUEST, build_progress()))
 
     async def test_a_trial_goes_where_least_runs_and_is_not_repeated(self) -> None:
@@ -185,9 +201,9 @@
         self.store.now += OUTAGE_TRIAL_AFTER_S
         progress = build_progress()
         self.assertIsNone(await self.guard.admit(REQUEST, progress))
-        self.assertTrue(progress.on_trial)
+        self.assertTrue(progress.trials)
         self.assertEqual(progress.tried, {"x", "z"})
-        self.assertFalse(self.guard.is_quarantined(REQUEST, progress))
+        self.assertIsNone(self.guard.find_denial(REQUEST, progress))
         self.assertTrue(self.guard.forbids_retry(progress, build_endpoint("y")))
         self.assertIsNotNone(await self.guard.admit(REQUEST, build_progress()))
 
@@ -195,7 +211,7 @@
         """Guards against an error for a caller whose content another instance has just cleared."""
         await self.quarantine()
         self.store.now += OUTAGE_TRIAL_AFTER_S
-        content = self.ledger.list_quarantines()[0].content
+        content = self.ledger.list_quarantines()[0].attribute
         self.store.on_read = lambda: self.ledger.clear(content, now=self.store.now)
         self.store.unavailable = True
         self.assertIsNone(await self.guard.admit(REQUEST, build_progress()))
@@ -209,8 +225,10 @@
         """Guards against the cost of a digest for each request while nothing has ended."""
         progress = build_progress()
         self.assertIsNone(await self.guard.admit(REQUEST, progress))
-        self.guard.record_response(REQUEST, progress, build_endpoint("x"), status=200)
-        self.assertIsNone(progress.content)
+        self.guard.record_response(
+            REQUEST, progress, build_endpoint("x"), build_response(began_at=self.store.now)
+        )
+        self.assertIsNone(progress.attributes)
 
 
 if __name__ == "__main__":
--- a/tests/test_relay_quarantine_ledger.py
+++ b/tests/test_relay_quarantine_ledger.py
@@ -47,7 +47,7 @@
         self.now = end_three(self.ledger)
 
     def decide(self) -> None:
-        self.assertEqual([one.content for one in self.ledger.decide(now=self.now)], ["x"])
+        self.assertEqual([one.attribute for one in self.ledger.decide(now=self.now).held], ["x"])
 
     def copy_to(self, other: QuarantineLedger, *, complete: bool, now: float) -> bool:
         """Send a report to an instance with another clock; return whether it was new there."""
@@ -144,7 +144,7 @@
                 assert report is not None
                 other.apply_report(report, now=4.0 * number)
         for ledger in ledgers:
-            self.assertEqual(len(ledger.decide(now=20.0)), 1)
+            self.assertEqual(len(ledger.decide(now=20.0).held), 1)
 
     def test_a_report_is_news_once(self) -> None:
         """Guards against instances that forward the same report to each other without end.
@@ -202,14 +202,14 @@
         first, second = build_end(1, at=0.0).incarnation, build_end(9, at=0.0).incarnation
         ledger = build_ledger()
         ledger.record_end(build_end(1, "x", at=1.0), now=1.0)
-        self.assertFalse(ledger.has_ended_another("x", first))
-        self.assertTrue(ledger.has_ended_another("x", second))
-        self.assertFalse(ledger.has_ended_another("y", second))
+        self.assertFalse(ledger.has_ended_another("x", first, settled=False, now=1.0))
+        self.assertTrue(ledger.has_ended_another("x", second, settled=False, now=1.0))
+        self.assertFalse(ledger.has_ended_another("y", second, settled=False, now=1.0))
 
     def test_quarantines_are_bounded(self) -> None:
         for number in range(MAX_QUARANTINES + 20):
             quarantine = Quarantine(
-                content=f"{number:032x}",
+                attribute=f"{number:032x}",
                 organisation="o",
                 ends=3,
                 since=1.0,
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -25,6 +25,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.rows: dict[str, QuarantineRow] = {}
+        self.evidence: bytes | None = None
         self.calls = 0
         self.on_read: Callable[[], object] = lambda: None
         """Called before each read of the rows."""
@@ -34,17 +35,25 @@
         self.count_call()
         return list(self.rows.values())
 
+    async def read_evidence(self) -> bytes | None:
+        self.count_call()
+        return self.evidence
+
+    async def write_evidence(self, report: bytes | None) -> None:
+        self.count_call()
+        self.evidence = report
+
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         self.count_call()
-        known = self.rows.get(row.content)
+        known = self.rows.get(row.attribute)
         if row.version != (known.version if known is not None else 0):
             return False
-        self.rows[row.content] = replace(row, version=row.version + 1)
+        self.rows[row.attribute] = replace(row, version=row.version + 1)
         return True
 
-    async def remove_quarantine(self, content: str) -> None:
+    async def remove_quarantine(self, attribute: str) -> None:
         self.count_call()
-        self.rows.pop(content, None)
+        self.rows.pop(attribute, None)
 
     def count_call(self) -> None:
         """Count a call, or fail it while the store is away."""
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -41,12 +41,12 @@
             build_request(),
             build_endpoint("x"),
             failure,
-            content="c0ffee",
+            attributes=("c0ffee",),
             silence_s=None,
             now=101.0,
         )
         line = self.read_line()
-        self.assertEqual((line["event"], line["content"]), ("attempt_failed", "c0ffee"))
+        self.assertEqual((line["event"], line["attributes"]), ("attempt_failed", "c0ffee"))
 
     def test_a_failed_attempt_tells_since_when_the_service_is_silent(self) -> None:
         """Guards against a lost path of an instance that looks like a failed endpoint."""
@@ -55,7 +55,7 @@
             build_request(),
             build_endpoint("x", service="portal"),
             failure,
-            content=None,
+            attributes=None,
             silence_s=1.204,
             now=101.0,
         )
@@ -79,7 +79,7 @@
             build_request(),
             build_endpoint("x"),
             failure,
-            content=None,
+            attributes=None,
             silence_s=None,
             now=101.0,
         )
@@ -95,7 +95,7 @@
         endpoint = build_endpoint("x", software_version="v1.2", started_ms=17)
         failure = AttemptFailed(FailureKind.LOST, "reset")
         self.recorder.record_failure(
-            build_request(), endpoint, failure, content=None, silence_s=None, now=101.0
+            build_request(), endpoint, failure, attributes=None, silence_s=None, now=101.0
         )
         line = self.read_line()
         self.assertEqual((line["software_version"], line["started_ms"]), ("v1.2", 17))
@@ -103,7 +103,12 @@
     def test_a_response_that_never_began_has_no_end(self) -> None:
         failure = AttemptFailed(FailureKind.LOST, "reset")
         self.recorder.record_failure(
-            build_request(), build_endpoint("x"), failure, content=None, silence_s=None, now=101.0
+            build_request(),
+            build_endpoint("x"),
+            failure,
+            attributes=None,
+            silence_s=None,
+            now=101.0,
         )
         self.assertIsNone(self.read_line()["framing"])
         self.assertNotIn("response_ends_total", self.counters.render())
