Clearances wait for an aggregator's next report, and are repeated for a second

Each clearance that was new to an aggregator went on at once to each member of its domain; there are some tens after each end. A report says now whether an end, a quarantine or a release was new, which still go on at once.

--- a/src/guavamast/relay/quarantine/containment.py
+++ b/src/guavamast/relay/quarantine/containment.py
@@ -100,17 +100,24 @@
         await self._upkeep.run()
 
     def receive(self, data: bytes) -> None:
-        """Merge another instance's report; in a large fleet, forward it if any of it is new here.
+        """Merge another instance's report; in a large fleet, forward what of it is new here.
+
+        Clearances wait for the next report of an aggregator. There are some for each end from each
+        instance that had answered something, and each forwarded alone is a datagram to each member.
 
         Raises:
             MalformedBeat: The datagram is not a valid report.
         """
         now = self._read_time()
         report = decode_quarantine_report(data, now=now)
-        if not self._ledger.apply_report(report, now=now):
+        news = self._ledger.apply_report(report, now=now)
+        if not news:
             return
         if self._fleet_state.peers.aggregated:
-            self._exchange.forward_table_update(data, domain=report.domain)
+            if news.urgent:
+                self._exchange.forward_table_update(data, domain=report.domain)
+            elif self._exchange.is_aggregator(now=now):
+                self._ledger.relay_clearances(news.cleared, now=now)
         self._upkeep.wake()
 
     def _wake(self) -> None:
--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -39,7 +39,7 @@
 may accept a moment longer."""
 UNFRAMED_DELAY_S: Final = 0.5
 """Seconds after a response without framing until its endpoint is looked for once more."""
-PUBLISHED_ENDS: Final = 2
+PUBLISHED_ENDS: Final = 3
 """Ends of a cleared attribute from which on other instances are told at once: they may be about to
 decide."""
 
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -12,7 +12,7 @@
 from guavamast.relay.quarantine.records import Clearance, Quarantine, QuarantineReport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from guavamast.relay.quarantine.evidence import Culprit
     from guavamast.relay.quarantine.records import EndpointEnd, EndpointIncarnation
@@ -54,6 +54,19 @@
     """Attributes that aren't, since too many requests that are answered have them."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportNews:
+    """What of another instance's report was new here."""
+
+    urgent: bool
+    """Whether an end, a quarantine or the release of one was new."""
+    cleared: tuple[str, ...]
+    """Suspected attributes whose clearance was new."""
+
+    def __bool__(self) -> bool:
+        return self.urgent or bool(self.cleared)
+
+
 class QuarantineLedger:
     """Decides which requests are kept from endpoints, by their attributes.
 
@@ -172,14 +185,13 @@
         if not self.is_suspected(attribute):
             return False
         cleared_at = now if at is None else at
-        if attribute in self._quarantines and not self._evidence.has_ends_after(
-            attribute, at=cleared_at
-        ):
+        held = attribute in self._quarantines
+        if held and not self._evidence.has_ends_after(attribute, at=cleared_at):
             # Reports of the quarantine that are under way are older than this and change nothing.
             cleared_at = now
         if not self._apply_clearance(Clearance(attribute=attribute, at=cleared_at)):
             return False
-        self._outgoing.add_clearance(attribute, now=now)
+        self._outgoing.add_clearance(attribute, released=held, now=now)
         return True
 
     def decide(self, *, now: float, is_common: Callable[[str], bool] | None = None) -> Decision:
@@ -229,18 +241,27 @@
         self._quarantines[attribute] = merged
         return merged.trials_left < known.trials_left
 
-    def apply_report(self, report: QuarantineReport, *, now: float) -> bool:
-        """Merge another instance's report; return whether any of it is new here."""
-        changed = False
+    def apply_report(self, report: QuarantineReport, *, now: float) -> ReportNews:
+        """Merge another instance's report; return what of it is new here."""
+        urgent = False
+        cleared = []
         for clearance in report.clearances:
-            changed |= self._apply_clearance(clearance)
+            held = clearance.attribute in self._quarantines
+            if self._apply_clearance(clearance):
+                urgent |= held
+                cleared.append(clearance.attribute)
             self._drop_repeated(clearance)
         for end in report.ends:
-            changed |= self._evidence.add(end, now=now)
+            urgent |= self._evidence.add(end, now=now)
         for quarantine in report.quarantines:
-            changed |= self.restore(quarantine)
+            urgent |= self.restore(quarantine)
             self._outgoing.drop_quarantine(quarantine.attribute)
-        return changed
+        return ReportNews(urgent=urgent, cleared=tuple(cleared))
+
+    def relay_clearances(self, attributes: Iterable[str], *, now: float) -> None:
+        """Report clearances that other instances have reported, with the next report."""
+        for attribute in attributes:
+            self._outgoing.add_clearance(attribute, released=False, now=now)
 
     def build_report(self, *, complete: bool, now: float) -> QuarantineReport | None:
         """Return what other instances are to know; None if there is nothing.
--- a/src/guavamast/relay/quarantine/outgoing.py
+++ b/src/guavamast/relay/quarantine/outgoing.py
@@ -10,6 +10,9 @@
 
 REPEAT_S: Final = 3.0
 """Seconds for which each report is repeated, as any datagram may be lost."""
+CLEARANCE_REPEAT_S: Final = 1.0
+"""Seconds for which the clearance of an attribute is repeated that isn't in quarantine. An instance
+that misses it is told by the next answer."""
 
 
 class OutgoingReports:
@@ -34,9 +37,15 @@
         self._ends[end.incarnation] = end
         self._expires[end.incarnation] = now + REPEAT_S
 
-    def add_clearance(self, attribute: str, *, now: float) -> None:
-        """Report that an attribute was cleared, and no longer that it is in quarantine."""
-        self._cleared[attribute] = now + REPEAT_S
+    def add_clearance(self, attribute: str, *, released: bool, now: float) -> None:
+        """Report that an attribute was cleared, and no longer that it is in quarantine.
+
+        Args:
+            attribute: The attribute.
+            released: Whether it was in quarantine.
+            now: The current time.
+        """
+        self._cleared[attribute] = now + (REPEAT_S if released else CLEARANCE_REPEAT_S)
         self._quarantined.pop(attribute, None)
 
     def drop_clearance(self, attribute: str) -> None:
--- a/tests/quarantine_simulation.py
+++ b/tests/quarantine_simulation.py
@@ -261,7 +261,10 @@
     def _receive(self, instance: int, data: bytes) -> None:
         now = self._local(instance)
         report = decode_quarantine_report(data, now=now)
-        if not self.ledgers[instance].apply_report(report, now=now):
+        news = self.ledgers[instance].apply_report(report, now=now)
+        if not self._is_aggregator(instance):
             return
-        if self._is_aggregator(instance):
+        if not news.urgent:
+            self.ledgers[instance].relay_clearances(news.cleared, now=now)
+        else:
             self._deliver(data, set(self._list_domain(instance)) - {instance})
--- a/tests/test_relay_quarantine_ledger.py
+++ b/tests/test_relay_quarantine_ledger.py
@@ -57,7 +57,7 @@
         data = encode_quarantine_report(report, now=now)
         assert data is not None
         received = decode_quarantine_report(data, now=now + SKEW_S)
-        return other.apply_report(received, now=now + SKEW_S)
+        return bool(other.apply_report(received, now=now + SKEW_S))
 
     def test_nothing_is_refused_before_the_decision(self) -> None:
         self.assertIs(self.ledger.assess("x", now=self.now), Verdict.CLEAR)
@@ -162,7 +162,7 @@
         for number, expected in enumerate((True, False, False)):
             now = self.now + 0.1 * number
             received = decode_quarantine_report(data, now=now)
-            self.assertEqual(other.apply_report(received, now=now), expected)
+            self.assertEqual(bool(other.apply_report(received, now=now)), expected)
 
     def test_reports_do_not_put_off_a_trial(self) -> None:
         """Guards against two instances that delay each other's trial with every report."""
