--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -6,9 +6,8 @@
 
 from guavamast.platform.standins.engine import EngineFault, EngineStandIn
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
-from guavamast.relay.quarantine import (
-    Quarantine,
-)
+from guavamast.relay.messages import PromptPart
+from guavamast.relay.quarantine import Quarantine, name_part
 from guavamast.relay.request_digest import compute_request_digest
 from tests._relay_case import RelayTestCase
 from tests.relay_fixtures import (
@@ -88,6 +87,28 @@
         self.assertEqual(writer.send.call_args.args[0], 503)
         self.assertEqual(self.engine.connections + other.connections, 1)
 
+    async def test_a_request_is_not_sent_once_it_is_held_during_the_connect(self) -> None:
+        """Guards against what waits for a connection while other instances decide."""
+        self.simulation.replace_routes(build_route(timeout_s=30.0))
+        quarantine = Quarantine(
+            attribute=name_part("dead"),
+            organisation=None,
+            ends=4,
+            since=self.simulation.now,
+            requested_at=self.simulation.now,
+            trials_left=2,
+            next_trial_at=self.simulation.now + 60.0,
+        )
+        self.request_changes = {
+            "prompt_parts": tuple(PromptPart(part_id=one, tokens=9) for one in ("dead", "own"))
+        }
+        self.connector.on_connect.append(lambda: self.ledger.restore(quarantine))
+        writer = await self.relay()
+        status, headers, _ = writer.send.call_args.args
+        self.assertEqual(status, 503)
+        self.assertGreater(float(dict(headers)["Retry-After"]), 50.0)
+        self.assertEqual(self.engine.runs, [])
+
     async def test_a_request_is_sent(self) -> None:
         self.assertEqual((await self.run_attempt()).sends, 1)
         self.assertEqual(len(self.engine.runs), 1)
--- a/tests/test_relay_quarantine_losses.py
+++ b/tests/test_relay_quarantine_losses.py
@@ -42,6 +42,12 @@
         self.losses.refute(RECORD, now=2.0)
         self.assertIsNone(self.losses.confirm("e"))
 
+    def test_an_answer_of_its_successor_does_not_refute_an_end(self) -> None:
+        """Guards against an endpoint that is back soon under its id, and hides its end."""
+        self.losses.record(RECORD, {LOST}, now=1.0)
+        self.losses.refute(build_endpoint("e", started_ms=2), now=2.0)
+        self.assertIsNotNone(self.losses.confirm("e"))
+
     def test_an_earlier_reset_is_not_part_of_the_end(self) -> None:
         self.losses.record(RECORD, {LOST}, now=1.0)
         self.assertTrue(self.losses.record(RECORD, {OTHER}, now=3.0))
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -13,6 +13,7 @@
 from guavamast.relay.quarantine.rows import ROW_READ_INTERVAL_S
 from guavamast.relay.store import QuarantineRow, StoreError
 from tests.test_relay_caller_admission import AdmissionSimulation
+from tests.test_relay_quarantine_evidence import build_end
 from tests.test_relay_quarantine_ledger import end_three
 
 if TYPE_CHECKING:
@@ -144,6 +145,54 @@
         self.assertEqual(self.store.rows, {})
         self.assertFalse(self.rows.has_leftovers)
 
+    async def test_evidence_below_a_decision_outlasts_all_instances(self) -> None:
+        """Guards against a fleet that is killed after two ends and allows three more."""
+        ledger, rows = await self.start_instance()
+        ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
+        ledger.record_end(build_end(2, "y", at=4.0), now=4.0)
+        self.store.now = 4.1
+        await rows.save_evidence()
+        self.store.now = 8.0
+        restarted, _ = await self.start_instance()
+        self.assertEqual(restarted.count_ends("y"), 2)
+        restarted.record_end(build_end(3, "y", at=9.0), now=9.0)
+        self.assertEqual([one.attribute for one in restarted.decide(now=10.0).held], ["y"])
+
+    async def test_evidence_is_written_when_it_changes(self) -> None:
+        ledger, rows = await self.start_instance()
+        ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
+        calls = self.store.calls
+        for _ in range(6):
+            self.store.now += 1.0
+            await rows.save_evidence()
+        self.assertEqual(self.store.calls, calls + 1)
+
+    async def test_evidence_that_was_cleared_is_removed(self) -> None:
+        """Guards against evidence against innocent requests that a restart brings back."""
+        ledger, rows = await self.start_instance()
+        ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
+        self.store.now += 1.0
+        await rows.save_evidence()
+        self.assertIsNotNone(self.store.evidence)
+        self.assertTrue(rows.has_leftovers)
+        ledger.clear("y", now=self.store.now)
+        self.store.now += 1.0
+        await rows.save_evidence()
+        self.assertIsNone(self.store.evidence)
+        self.assertFalse(rows.has_leftovers)
+
+    async def test_what_was_just_lost_once_is_not_saved(self) -> None:
+        ledger, rows = await self.start_instance()
+        ledger.record_end(build_end(1, "y", at=self.store.now), now=self.store.now)
+        await rows.save_evidence()
+        self.assertIsNone(self.store.evidence)
+
+    async def test_evidence_in_another_form_is_ignored(self) -> None:
+        self.store.evidence = b"?"
+        ledger, rows = await self.start_instance()
+        self.assertTrue(rows.loaded)
+        self.assertFalse(ledger.active)
+
     async def test_requests_wait_for_the_first_read(self) -> None:
         await self.rows.wait_first_read()
 
