Soak: callers of prompts that share all but a part, one of which ends engines; checks of both rules

Beside the other faults, callers send sound prompts, and from the third second on prompts with a part that ends engines before the response, after an event, or without framing. Checked: runs later than 3 s after the fifth end by instances in touch (1 at most, half of what is allowed), and what sound requests get from 6 s after it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,6 +67,7 @@
     answers: bool = True,
     releases: bool = True,
     urgency: bool = True,
+    prompts: bool = True,
     faults: bool = True,
 ) -> None:
     """Run seeds and print the violated guarantees.
@@ -85,6 +86,7 @@
         releases: Whether engines are replaced by others of other software versions, and callers
             take streams up at any instance.
         urgency: Whether callers of three kinds ask for more than a further service can do.
+        prompts: Whether callers send prompts that share all but one part, which ends engines.
         faults: Whether any faults are injected.
     """
     first, _, last = str(seeds).partition("-")
@@ -98,6 +100,7 @@
         answers=answers,
         releases=releases,
         urgency=urgency,
+        prompts=prompts,
         faults=faults,
     )
     numbers = range(int(first), int(last or first) + 1)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -23,6 +23,10 @@
 """Engines that may end under a request before it must be kept from them."""
 MAX_LATER_LETHAL_RUNS: Final = 3
 """Runs of such a request that may begin later."""
+MAX_PART_ENDS: Final = 5
+"""Engines that may end under a part of prompts before it must be kept from them."""
+MAX_LATER_PART_RUNS: Final = 1
+"""Runs with such a part that may begin later: less than half of the three that are allowed."""
 LETHAL_OUTAGE_S: Final = LETHAL_DELAY_S + CRASH_RESTART_S
 """Time from the begin of a lethal run until another engine has replaced the one that it ends."""
 SETTLED_AFTER_S: Final = 3.5
@@ -98,6 +102,8 @@
     """Whether method, target and body were the caller's, and no API key was forwarded."""
     lethal: bool = False
     """Whether the request ends the engines that run it."""
+    lethal_part: str | None = None
+    """The part of its prompt that ends them; None if the whole request does."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -264,7 +270,8 @@
     Only instances count that ran without a disruption, of themselves or of their way to the store,
     for as long as they have to learn of it.
     """
-    runs = sorted((run for run in record.runs if run.lethal), key=lambda run: run.started_at)
+    whole = [run for run in record.runs if run.lethal and run.lethal_part is None]
+    runs = sorted(whole, key=lambda run: run.started_at)
     if len(runs) <= MAX_LETHAL_ENDS:
         return []
     learned_at = runs[MAX_LETHAL_ENDS - 1].started_at + SPREAD_BOUND_S
@@ -283,6 +290,18 @@
     return [f"a request under which {MAX_LETHAL_ENDS} engines had ended ran {later} times more"]
 
 
+def find_fifth_end(runs: list[RunRecord]) -> float | None:
+    """Return when the fifth of some lethal runs ended its engine; None if there are fewer.
+
+    Of several runs at an engine, the first ends it.
+    """
+    first_runs: dict[str, float] = {}
+    for run in sorted(runs, key=lambda run: run.started_at):
+        first_runs.setdefault(run.engine, run.started_at)
+    ends = sorted(first_runs.values())
+    return ends[MAX_PART_ENDS - 1] + LETHAL_DELAY_S if len(ends) >= MAX_PART_ENDS else None
+
+
 def _check_partition(requests: list[RequestRecord], partition: PartitionRecord) -> list[str]:
     """Check that partitioned instances serve their callers nearly as often as the others."""
     span = partition.span
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
     is_undisturbed,
 )
 from soak.lethal import LethalCaller
+from soak.prompts import PromptCrowd
 from soak.schedule import (
     RECOVERY_S,
     Fault,
@@ -45,6 +46,8 @@
 """Organisations of the callers that take streams up."""
 RELEASED_POOL: Final = 5
 """Engines of the pool in runs with releases."""
+MORE_FOR_PROMPTS: Final = 5
+"""Further engines of the pool in runs with a part of prompts that ends them."""
 CALLERS_PER_ORGANISATION: Final = 3
 """Number of callers of each organisation."""
 
@@ -81,6 +84,7 @@
         releases: Whether engines are replaced by others of other software versions, and callers
             take streams up at any instance.
         urgency: Whether callers of three kinds ask for more than a further service can do.
+        prompts: Whether callers send prompts that share all but one part, which ends engines.
         faults: Whether any faults are injected.
     """
 
@@ -97,6 +101,7 @@
         answers: bool = False,
         releases: bool = False,
         urgency: bool = False,
+        prompts: bool = False,
         faults: bool = True,
     ) -> None:
         self._seed = seed
@@ -116,6 +121,9 @@
         self._crowd = (
             UrgencyCrowd(site=self._site, random=Random(f"{seed}urgency")) if urgency else None
         )
+        self._prompts = (
+            PromptCrowd(site=self._site, random=Random(f"{seed}prompts")) if prompts else None
+        )
         self._streams: list[StreamRecord] = []
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
@@ -126,10 +134,12 @@
     async def run(self) -> Verdict:
         """Start the site, run callers while faults are injected, stop the site and check."""
         site = self._site
+        more = MORE_FOR_PROMPTS if self._prompts is not None else 0
         if self._plans_releases:
-            await site.start(pool=RELEASED_POOL, portal=3, pool_versions=RELEASE_VERSIONS[:2])
+            versions = RELEASE_VERSIONS[:2]
+            await site.start(pool=RELEASED_POOL + more, portal=3, pool_versions=versions)
         else:
-            await site.start(pool=3, portal=3)
+            await site.start(pool=3 + more, portal=3)
         if self._crowd is not None:
             await self._crowd.start_engines()
         for number in range(self._instance_count):
@@ -144,6 +154,9 @@
                     tasks.create_task(stream_caller.run(started_at + self._length_s))
                 if self._crowd is not None:
                     tasks.create_task(self._crowd.run(started_at + self._length_s - RECOVERY_S))
+                if self._prompts is not None:
+                    until = started_at + self._length_s - RECOVERY_S
+                    tasks.create_task(self._prompts.run(until))
                 if self._lethal:
                     tasks.create_task(self._repeat_lethal(started_at))
                 for fault in self._plan():
@@ -167,6 +180,8 @@
     def _build_verdict(self, ended_at: float) -> Verdict:
         if self._crowd is not None:
             self._requests += self._crowd.requests
+        if self._prompts is not None:
+            self._requests += self._prompts.requests
         record = SoakRecord(
             requests=self._requests,
             runs=self._site.list_runs(),
@@ -210,9 +225,15 @@
                 *find_stream_violations(self._streams, self._list_disruptions()),
                 *self._site.find_instance_failures(),
                 *(self._crowd.find_violations(self._disruptions) if self._crowd else ()),
+                *self._find_prompt_violations(ended_at - RECOVERY_S),
             ],
         )
 
+    def _find_prompt_violations(self, until: float) -> list[str]:
+        if self._prompts is None:
+            return []
+        return self._prompts.find_violations(self._site.list_runs(), self._disruptions, until=until)
+
     def _find_worst_order(self) -> OrderWindow | None:
         if self._crowd is None:
             return None
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
+from guavamast.platform.request_headers import PROMPT_PARTS, parse_prompt_parts
 from guavamast.platform.standins.answer_body import WHOLE
 from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineFault
 from guavamast.platform.standins.prefill_batch import PrefillBatch
@@ -16,6 +17,8 @@
 from soak.proxy import LinkProxy
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from guavamast.platform.standins.engine import EngineStandIn, Run
 
 ENGINE_WORK_S: Final = 0.03
@@ -183,7 +186,7 @@
     def list_runs(self) -> list[RunRecord]:
         """Return all runs of all engines, including the replaced ones."""
         return [
-            _describe_run(run, engine_id)
+            _describe_run(run, engine_id, lethal_parts=self.lethal.parts)
             for engine_id, engine in self._list_engines()
             for run in engine.runs
         ]
@@ -229,7 +232,9 @@
         self.engines[new_id] = engine
 
 
-def _describe_run(run: Run, engine_id: str) -> RunRecord:
+def _describe_run(run: Run, engine_id: str, *, lethal_parts: Collection[str]) -> RunRecord:
+    parts = parse_prompt_parts(run.headers.get(PROMPT_PARTS.lower()))
+    lethal_part = next((one.part_id for one in parts[:-1] if one.part_id in lethal_parts), None)
     lethal = run.body == LETHAL_BODY
     expected = b"" if "/lookup/" in run.target else run.request_id.encode()
     target = LETHAL_TARGET if lethal else "/" + run.request_id
@@ -243,6 +248,7 @@
         engine=engine_id,
         organisation=run.tenant,
         started_at=run.began,
-        lethal=lethal,
+        lethal=lethal or lethal_part is not None,
+        lethal_part=lethal_part,
         unmodified=intact,
     )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,10 @@
 OUTAGE_SEED = 28
 """Seed in which all instances are killed, and the store is away, while engines end."""
 OUTAGE_LENGTH_S = 18.0
+PROMPTS_SEED = 2
+"""Seed in which engines end between two events of answers without framing."""
+PROMPTS_LENGTH_S = 18.0
+"""Long enough for five ends, and for requests after the fleet has to know of them."""
 LONG_KEYS_SEED = 5552
 """Seed in which an engine leaves while an instance is frozen."""
 LONG_REVOKE_S = 9.0
@@ -435,6 +439,14 @@
         """Guards against a fleet that is killed and cut off from the store while engines end."""
         await self.run_seed(OUTAGE_SEED, instances=4, length_s=OUTAGE_LENGTH_S, lethal=True)
 
+    async def test_a_part_that_ends_engines_is_contained_under_faults(self) -> None:
+        """Guards against a fleet that loses what it knows of such a part to kills and resets."""
+        await self.run_seed(PROMPTS_SEED, length_s=PROMPTS_LENGTH_S, answers=True, prompts=True)
+
+    async def test_a_part_that_ends_engines_is_contained_without_faults(self) -> None:
+        """Guards against a check that counts nothing, as all instances were disturbed."""
+        await self.run_seed(PROMPTS_SEED, length_s=PROMPTS_LENGTH_S, prompts=True, faults=False)
+
     async def test_stale_state_sends_nothing_while_keys_are_accepted(self) -> None:
         """An instance that was frozen sends nothing to an engine that left meanwhile.
 
