--- a/src/guavamast/relay/quarantine/answered_parts.py
+++ b/src/guavamast/relay/quarantine/answered_parts.py
@@ -11,7 +11,7 @@
     from guavamast.relay.messages import PromptPart
 
 MAX_ANSWERS: Final = 128
-"""Answers that are remembered."""
+"""Answers that are remembered, the newest ones."""
 MIN_ANSWERS: Final = 5
 """Answers below which nothing is known of what is common."""
 MAX_HELD_SHARE: Final = 0.05
--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -40,8 +40,8 @@
 UNFRAMED_DELAY_S: Final = 0.5
 """Seconds after a response without framing until its endpoint is looked for once more."""
 PUBLISHED_ENDS: Final = 3
-"""Ends of a cleared attribute from which on other instances are told at once: they may be about to
-decide."""
+"""Endpoints that ended under a cleared attribute from which on other instances are told at once:
+they may be about to decide."""
 
 
 class CrashGuard:
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -18,15 +18,15 @@
     from guavamast.relay.quarantine.records import EndpointEnd, EndpointIncarnation
 
 MAX_TRIALS: Final = 2
-"""Requests that all instances together may still send with a quarantined attribute."""
+"""Requests with a quarantined attribute that all instances together may still send."""
 OUTAGE_SPAN_S: Final = 2.0
 """Seconds within which all endpoints that one outage ends are seen to end."""
 OUTAGE_TRIAL_AFTER_S: Final = 10.0
 """Seconds until an attribute may be tried again whose endpoints may have ended in one outage: it
 may be an innocent one that ran at all of them."""
 TRIAL_AFTER_S: Final = 60.0
-"""Seconds until any other attribute may be tried again, and between two trials: it is hardly
-innocent, and each may end an endpoint with all that runs there."""
+"""Seconds until any other attribute may be tried again, and between two such requests: it is
+hardly innocent, and each may end an endpoint with all that runs there."""
 IDLE_LIFETIME_S: Final = 3600.0
 """Seconds without a request after which a quarantine ends."""
 REQUEST_REPORT_INTERVAL_S: Final = 60.0
--- a/tests/test_relay_constants.py
+++ b/tests/test_relay_constants.py
@@ -10,6 +10,8 @@
 RELAY = Path(__file__).resolve().parent.parent / "src" / "guavamast" / "relay"
 UNITS = (
     "Addresses",
+    "Answers",
+    "Attributes",
     "Beats",
     "Bytes",
     "Connections",
