--- a/src/guavamast/relay/quarantine/run_watch.py
+++ b/src/guavamast/relay/quarantine/run_watch.py
@@ -10,8 +10,8 @@
 LASTING_S: Final = 1.0
 """Seconds of events after which an endpoint has clearly outlived the begin of an answer."""
 MAX_GAP_S: Final = 0.25
-"""Seconds that one pause between two events counts at most. A process that was suspended reads the
-last events of an endpoint that has ended as if these had come much later than the first."""
+"""Seconds that one pause between two events counts at most: a process that was suspended reads
+events of an endpoint that has ended long after the first."""
 
 
 class RunWatch:
