--- a/tests/test_relay_quarantine_guard_parts.py
+++ b/tests/test_relay_quarantine_guard_parts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from guavamast.platform.standins.engine import EngineStandIn
@@ -21,6 +22,9 @@
 from tests.relay_fixtures import build_endpoint, build_request
 from tests.test_relay_quarantine_guard import CrashGuardTest, build_progress, build_response
 
+if TYPE_CHECKING:
+    from guavamast.relay.request_progress import RequestProgress
+
 PROMPT = (
     PromptPart(part_id="common", tokens=10),
     PromptPart(part_id="dead", tokens=10),
@@ -37,6 +41,17 @@
     asyncSetUp = CrashGuardTest.asyncSetUp
     read_time = CrashGuardTest.read_time
 
+    def build_progress_of(self, key: str) -> RequestProgress:
+        """Return the state of a request with an organisation's key."""
+        progress = build_progress()
+        catalog = progress.admitted.catalog
+        progress.admitted = Admitted(
+            catalog=catalog,
+            route=progress.admitted.route,
+            organisation=catalog.find_organisation(key),
+        )
+        return progress
+
     def end_endpoints(self, *attributes: str, count: int = 4) -> None:
         """Record ends that other requests with some attributes have caused, a second apart."""
         for number in range(count):
@@ -64,13 +79,7 @@
     async def test_a_held_part_refuses_requests_of_all_organisations(self) -> None:
         """Guards against a part that ends engines for each further organisation."""
         self.hold()
-        for organisation in (None, "good"):
-            progress = build_progress()
-            catalog = progress.admitted.catalog
-            found = catalog.find_organisation(organisation) if organisation else None
-            progress.admitted = Admitted(
-                catalog=catalog, route=progress.admitted.route, organisation=found
-            )
+        for progress in (build_progress(), self.build_progress_of("good")):
             denied = await self.guard.admit(REQUEST, progress)
             assert denied is not None
             self.assertEqual((denied.status, denied.attribute), (503, PART))
@@ -86,12 +95,17 @@
         self.assertIsNone(await self.guard.admit(request, build_progress()))
 
     async def test_a_lost_request_charges_its_shared_parts(self) -> None:
+        """Guards against a part that is listed as if it were one organisation's alone."""
+        progress = self.build_progress_of("good")
         with mock.patch.object(CrashGuard, "_check_listening"):
-            self.guard.record_loss(REQUEST, build_progress(), build_endpoint("e1"))
+            self.guard.record_loss(REQUEST, progress, build_endpoint("e1"))
         end = self.losses.confirm("e1")
         assert end is not None
-        parts = {lost.attribute for lost in end.lost if lost.attribute.startswith("part:")}
-        self.assertEqual(parts, {name_part("common"), PART})
+        owners = {lost.attribute: lost.organisation for lost in end.lost}
+        assert progress.attributes is not None
+        digest = progress.attributes[0]
+        expected = {digest: "bakery", name_part("common"): None, PART: None}
+        self.assertEqual(owners, expected)
 
     async def test_an_answer_that_went_on_charges_no_parts(self) -> None:
         """Guards against suspicion of all parts of the streams that an end breaks off."""
@@ -155,10 +169,24 @@
         self.assertTrue(self.ledger.is_suspected(PART))
 
     async def test_an_unframed_answer_of_an_unlisted_engine_clears_nothing(self) -> None:
+        """Guards against an engine that has ended and whose address another one answers at."""
         self.end_endpoints(PART)
+        (record,) = self.store.fleet_state.endpoints.list_all()
+        response = build_response(began_at=self.store.now, framed=False)
         self.store.fleet_state.endpoints.apply([], digest="2", recovering=False)
         with mock.patch.object(guard_module, "UNFRAMED_DELAY_S", 0.02):
-            self.answer(framed=False)
+            self.guard.record_response(REQUEST, build_progress(), record, response)
+            await asyncio.sleep(0.2)
+        self.assertTrue(self.ledger.is_suspected(PART))
+
+    async def test_an_unframed_answer_of_an_engine_that_lost_requests_clears_nothing(self) -> None:
+        """Guards against an engine that is back at its address before it is looked for."""
+        self.end_endpoints(PART)
+        (record,) = self.store.fleet_state.endpoints.list_all()
+        response = build_response(began_at=self.store.now, framed=False)
+        with mock.patch.object(guard_module, "UNFRAMED_DELAY_S", 0.02):
+            self.guard.record_response(REQUEST, build_progress(), record, response)
+            self.guard.record_loss(SOUND, build_progress(), record)
             await asyncio.sleep(0.2)
         self.assertTrue(self.ledger.is_suspected(PART))
 
--- a/tests/test_relay_quarantine_suspects.py
+++ b/tests/test_relay_quarantine_suspects.py
@@ -46,7 +46,9 @@
         """Guards against refusing all requests with a part for one of them."""
         part = build_suspect(P, 1, 2, 3, 4)
         self.assertEqual(self.find(part, build_suspect(DIGEST, 1, 2, 3, 4)), [DIGEST])
-        held = build_suspect(DIGEST, 1, 2, 3, 4)
+        part = build_suspect(P, 1, 2, 3, 4, 5)
+        self.assertEqual(self.find(part, build_suspect(DIGEST, 1, 2, 3, 4, 5)), [DIGEST])
+        held = build_suspect(DIGEST, 1, 2, 3, 4, 5)
         self.assertEqual(self.find(part, held=(held,)), [])
 
     def test_a_part_is_chosen_although_one_request_with_it_is_held(self) -> None:
--- a/tests/test_relay_urgency_margin.py
+++ b/tests/test_relay_urgency_margin.py
@@ -9,7 +9,8 @@
 import unittest
 
 from guavamast.urgency_order import find_worst_windows
-from tests.urgency_simulation import DIGEST, PHOTO, Burst, Scenario, UrgencyWorld
+from tests.urgency_simulation import UrgencyWorld
+from tests.urgency_workload import DIGEST, PHOTO, Burst, Scenario
 
 MAX_USED_SHARE = 0.5
 """Share of what is allowed that may be used: half."""
--- /dev/null
+++ b/tests/urgency_workload.py
@@ -0,0 +1,163 @@
+"""Kinds of requests, bursts, and engines of the simulation of urgencies."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from heapq import heappop, heappush
+
+from guavamast.relay.placement.engine_profile import (
+    EngineProfile,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """A kind of request."""
+
+    name: str
+    urgency: int
+    objective_s: float
+    per_s: float
+    mean_tokens: float
+    max_tokens: float
+    output_tokens: int
+    timeout_s: float
+    patience_s: float
+    """Seconds without an event after which a caller leaves."""
+
+
+QUESTION = Kind(
+    name="question",
+    urgency=0,
+    objective_s=0.3,
+    per_s=12.0,
+    mean_tokens=830.0,
+    max_tokens=3_500.0,
+    output_tokens=290,
+    timeout_s=12.0,
+    patience_s=2.0,
+)
+PHOTO = Kind(
+    name="photo",
+    urgency=1,
+    objective_s=0.4,
+    per_s=16.0,
+    mean_tokens=2_370.0,
+    max_tokens=7_400.0,
+    output_tokens=24,
+    timeout_s=3.0,
+    patience_s=2.4,
+)
+DIGEST = Kind(
+    name="digest",
+    urgency=2,
+    objective_s=2.0,
+    per_s=8.5,
+    mean_tokens=10_500.0,
+    max_tokens=50_000.0,
+    output_tokens=384,
+    timeout_s=15.0,
+    patience_s=8.0,
+)
+KINDS = (QUESTION, PHOTO, DIGEST)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Burst:
+    """A span in which more is asked for."""
+
+    factor: float
+    from_s: float
+    until_s: float
+    kind: Kind | None = None
+    """None for all kinds."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """Engines, instances and load of a run."""
+
+    engines: int = 6
+    speed: float = 1.0
+    """Share of the usual speed of engines."""
+    bursts: tuple[Burst, ...] = ()
+    load: float = 1.0
+    """Factor on all rates."""
+    instances: int = 13
+    scheduled: bool = False
+    """Whether one scheduler decides for all instances."""
+    length_s: float = 18.0
+    kinds: tuple[Kind, ...] = KINDS
+
+    def compute_rate(self, kind: Kind, at_s: float) -> float:
+        """Return how many requests of a kind arrive in a second."""
+        rate = self.load * kind.per_s
+        for burst in self.bursts:
+            if burst.kind in (None, kind) and burst.from_s <= at_s < burst.until_s:
+                rate *= burst.factor
+        return rate
+
+    def build_profile(self) -> EngineProfile:
+        """Return the speed of the engines, as all instances have learnt it."""
+        return EngineProfile(
+            first_event_ms=60.0 / self.speed,
+            read_tokens_per_ms=92.0 * self.speed,
+            token_ms=4.5 / self.speed,
+            run_ms=900.0 / self.speed,
+            reading_pause_ms=90.0 / self.speed,
+        )
+
+
+@dataclass(slots=True, kw_only=True)
+class Asked:
+    """One request of a caller, over its attempts."""
+
+    number: int
+    kind: Kind
+    tokens: int
+    arrived: float
+    attempts: int = 0
+    attempt_began: float = 0.0
+    first_event: float | None = None
+    left: bool = False
+
+    @property
+    def deadline(self) -> float:
+        return self.arrived + self.kind.timeout_s
+
+    def is_served(self) -> bool:
+        return self.first_event is not None and not self.left
+
+
+class Engine:
+    """An engine that admits the most urgent requests first and prefills one prompt at a time."""
+
+    def __init__(self, profile: EngineProfile, *, slots: int) -> None:
+        self._profile = profile
+        self._slots = slots
+        self._running = 0
+        self._prefill_until = 0.0
+        self._waiting: list[tuple[int, int, Asked]] = []
+        self._arrivals = 0
+
+    def enqueue(self, asked: Asked) -> None:
+        """Add a request to those that wait for a slot."""
+        self._arrivals += 1
+        heappush(self._waiting, (asked.kind.urgency, self._arrivals, asked))
+
+    def admit(self, now: float) -> list[tuple[Asked, float, float]]:
+        """Return the requests that get a slot, each with the times of its first event and end."""
+        admitted = []
+        while self._waiting and self._running < self._slots:
+            _, _, asked = heappop(self._waiting)
+            self._running += 1
+            start = max(now, self._prefill_until)
+            self._prefill_until = start + self._profile.compute_prefill_ms(asked.tokens) / 1000.0
+            first = self._prefill_until + self._profile.first_event_ms / 1000.0
+            token_s = self._profile.token_ms / 1000.0 * (1.0 + self._running / self._slots)
+            admitted.append((asked, first, first + token_s * asked.kind.output_tokens))
+        return admitted
+
+    def release(self) -> None:
+        """Free a slot."""
+        self._running -= 1
