--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -19,7 +19,7 @@
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.exchange import Exchanger
     from guavamast.relay.fleet_state import FleetState
-    from guavamast.relay.messages import CallerRequest, HeaderCodec, ResponseWriter
+    from guavamast.relay.messages import CallerRequest, ResponseWriter
     from guavamast.relay.placement import EngineProfiles, PromptDemand
     from guavamast.relay.placer import PlacementDecision, Placer
     from guavamast.relay.quarantine import CrashGuard
@@ -28,12 +28,8 @@
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
     from guavamast.relay.stream_binding import SoftwareVersions, StreamBinding, StreamTakeUps
+    from guavamast.relay.unserved_ends import UnservedEnds
 
-RETRY_AFTER_REJECTION_S: Final = 0.1
-"""Seconds until a caller retries after a rejection for lack of capacity: about when a slot becomes
-free."""
-RETRY_AFTER_UNREACHABLE_S: Final = 0.3
-"""Seconds until a caller retries when no endpoint could be reached."""
 UNSENT_KINDS: Final = (
     FailureKind.NOT_CONNECTED,
     FailureKind.NO_PATH,
@@ -51,7 +47,7 @@
         admission: Checks routes and API keys against recent configuration.
         loads: Work and failures by endpoint.
         budget: Retry budget.
-        codec: Encodes and decodes headers.
+        ends: Ends requests that no endpoint serves.
         recorder: Log lines and metrics of requests.
         placer: Selects the endpoint of each request.
         take_ups: Decides on streams that callers take up.
@@ -67,8 +63,8 @@
     __slots__ = (
         "_admission",
         "_budget",
-        "_codec",
         "_demand",
+        "_ends",
         "_exchanger",
         "_fleet_state",
         "_guard",
@@ -91,7 +87,7 @@
         admission: CallerAdmission,
         loads: EndpointLoads,
         budget: RetryBudget,
-        codec: HeaderCodec,
+        ends: UnservedEnds,
         recorder: RequestRecorder,
         placer: Placer,
         take_ups: StreamTakeUps,
@@ -107,7 +103,7 @@
         self._admission = admission
         self._loads = loads
         self._budget = budget
-        self._codec = codec
+        self._ends = ends
         self._placer = placer
         self._take_ups = take_ups
         self._versions = versions
@@ -155,17 +151,17 @@
         """Return the state of a request that may go to an endpoint; None if it was rejected."""
         decision = await self._admission.admit(request, until=compute_deadline(request))
         if isinstance(decision, Denied):
-            await self._reject(request, writer, decision)
+            await self._ends.reject(request, writer, decision)
             return None
         take_up = await self._take_ups.decide(request, decision)
         if take_up is not None and take_up.binding is None:
-            await self._reject(request, writer, take_up.build_rejection())
+            await self._ends.reject(request, writer, take_up.build_rejection())
             return None
         binding = take_up.binding if take_up is not None else None
         progress = self._start_progress(request, decision, binding, now=self._read_time())
         rejection = await self._guard.admit(request, progress)
         if rejection is not None:
-            await self._reject(request, writer, rejection)
+            await self._ends.reject(request, writer, rejection)
             return None
         return progress
 
@@ -181,7 +177,7 @@
             async with timeout:
                 await self._try_endpoints(request, writer, progress)
         except TimeoutError:
-            await self._finish_failed(
+            await self._ends.finish_failed(
                 request,
                 writer,
                 progress,
@@ -252,21 +248,21 @@
         """Return the endpoint that a request goes to next; None if it has been ended."""
         denied = self._guard.find_denial(request, progress)
         if denied is not None:
-            await self._refuse(request, writer, progress, denied)
+            await self._ends.refuse(request, writer, progress, denied)
             return None
         obstacle = await self._find_obstacle(progress)
         if obstacle is not None:
-            await self._finish_failed(request, writer, progress, status=502, reason=obstacle)
+            await self._ends.finish_failed(request, writer, progress, status=502, reason=obstacle)
             return None
         placed = await self._placer.place(request, progress)
         if placed.choice is None:
             reason = "no endpoint" if progress.binding is None else "no endpoint of its version"
-            await self._finish_failed(
+            await self._ends.finish_failed(
                 request, writer, progress, status=502, reason=reason, cause=progress.cause
             )
             return None
         if placed.rejection is not None:
-            await self._reject_for_capacity(request, writer, progress, placed)
+            await self._ends.reject_for_capacity(request, writer, progress, placed)
             return None
         return placed
 
@@ -289,7 +285,7 @@
                 return not await self._readmit(request, writer, progress, record)
             if self._claim_retry(progress, record, failure):
                 return False
-            await self._finish_failed(
+            await self._ends.finish_failed(
                 request,
                 writer,
                 progress,
@@ -363,7 +359,7 @@
         """
         decision = await self._admission.admit(request, until=progress.deadline)
         if isinstance(decision, Denied):
-            await self._refuse(request, writer, progress, decision)
+            await self._ends.refuse(request, writer, progress, decision)
             return False
         binding = progress.binding
         readmitted = self._start_progress(request, decision, binding, now=self._read_time())
@@ -372,96 +368,7 @@
         )
         if has_moved and (progress.possible_runs or binding is not None):
             reason = "the route has moved"
-            await self._finish_failed(request, writer, progress, status=502, reason=reason)
+            await self._ends.finish_failed(request, writer, progress, status=502, reason=reason)
             return False
         progress.readmit(readmitted, unsent_id=unsent.endpoint_id)
         return True
-
-    async def _refuse(
-        self,
-        request: CallerRequest,
-        writer: ResponseWriter,
-        progress: RequestProgress,
-        denied: Denied,
-    ) -> None:
-        """End a request that is no longer allowed; one that may have run isn't called rejected."""
-        if progress.possible_runs or writer.started:
-            reason = denied.reason
-            await self._finish_failed(request, writer, progress, status=502, reason=reason)
-        else:
-            await self._reject(request, writer, denied)
-
-    async def _reject(self, request: CallerRequest, writer: ResponseWriter, denied: Denied) -> None:
-        headers = self._codec.encode_rejection(request.request_id, denied.retry_after_s)
-        await writer.send(denied.status, headers, b"")
-        self._recorder.record_rejection(request, denied, now=self._read_time())
-
-    async def _reject_for_capacity(
-        self,
-        request: CallerRequest,
-        writer: ResponseWriter,
-        progress: RequestProgress,
-        placed: PlacementDecision,
-    ) -> None:
-        assert placed.rejection is not None and placed.choice is not None
-        if progress.possible_runs:
-            await self._finish_failed(request, writer, progress, status=502, reason="no slot")
-            return
-        headers = self._codec.encode_rejection(request.request_id, placed.rejection.retry_after_s)
-        await writer.send(503, headers, b"")
-        self._recorder.record_capacity_rejection(
-            request,
-            placed.rejection,
-            placed.choice,
-            scheduled=placed.scheduler_reply,
-            progress=progress,
-            now=self._read_time(),
-        )
-
-    async def _finish_failed(
-        self,
-        request: CallerRequest,
-        writer: ResponseWriter,
-        progress: RequestProgress,
-        *,
-        status: int,
-        reason: str,
-        cause: UnservedCause = UnservedCause.FAILED,
-    ) -> None:
-        """End a request that gets no more attempts, with an endpoint's error response if any."""
-        now = self._read_time()
-        if writer.started:
-            writer.abort()
-            self._recorder.record_end(
-                request,
-                progress,
-                cause=UnservedCause.BROKEN_OFF,
-                outcome="broken_off",
-                reason=reason,
-                now=now,
-            )
-            return
-        if cause.lacks_room and request.prompt_tokens:
-            self._placer.record_unserved(progress)
-        if progress.error_response is not None:
-            response = progress.error_response
-            await writer.send(response.head.status, list(response.head.headers), response.body)
-            status = response.head.status
-        else:
-            retry_after_s = None
-            if progress.possible_runs == 0:
-                status = 503
-                retry_after_s = (
-                    RETRY_AFTER_REJECTION_S if progress.sends else RETRY_AFTER_UNREACHABLE_S
-                )
-            headers = self._codec.encode_rejection(request.request_id, retry_after_s)
-            await writer.send(status, headers, b"")
-        self._recorder.record_end(
-            request,
-            progress,
-            cause=cause,
-            outcome="failed",
-            status=status,
-            reason=reason,
-            now=now,
-        )
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -10,6 +10,7 @@
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.scheduled_placer import ScheduledPlacer
+from guavamast.relay.unserved_ends import UnservedEnds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,23 +88,25 @@
         publish_load=publish_load,
         read_time=read_time,
     )
+    placer = _build_placer(
+        fleet_state=fleet_state,
+        work=work,
+        scheduling=scheduling,
+        versions=bindings.versions,
+        limits=limits.limits,
+        random=random,
+        read_time=read_time,
+        publish_waiting=publish_waiting,
+    )
+    ends = UnservedEnds(codec=codec, recorder=recorder, placer=placer, read_time=read_time)
     return Relayer(
         fleet_state=fleet_state,
         admission=admission,
         loads=work.loads,
         budget=budget,
-        codec=codec,
+        ends=ends,
         recorder=recorder,
-        placer=_build_placer(
-            fleet_state=fleet_state,
-            work=work,
-            scheduling=scheduling,
-            versions=bindings.versions,
-            limits=limits.limits,
-            random=random,
-            read_time=read_time,
-            publish_waiting=publish_waiting,
-        ),
+        placer=placer,
         take_ups=bindings.take_ups,
         versions=bindings.versions,
         exchanger=exchanger,
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -39,6 +39,7 @@
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.stream_binding import BindingDirectory, StreamTakeUps, TakeUpRecorder
+from guavamast.relay.unserved_ends import UnservedEnds
 from tests.relay_fixtures import (
     PROFILE,
     build_connector,
@@ -263,14 +264,21 @@
         self, *, headers: tuple[Header, ...] = (), writer: ResponseWriter | None = None
     ) -> Any:
         """Relay a request; return the writer that received its response."""
+        recorder, placer = mock.Mock(), self.make_placer()
+        ends = UnservedEnds(
+            codec=PlatformHeaders(),
+            recorder=recorder,
+            placer=placer,
+            read_time=lambda: self.simulation.now,
+        )
         relayer = Relayer(
             fleet_state=self.simulation.fleet_state,
             admission=self.simulation.admission,
             loads=self.loads,
             budget=self.budget,
-            codec=PlatformHeaders(),
-            recorder=mock.Mock(),
-            placer=self.make_placer(),
+            ends=ends,
+            recorder=recorder,
+            placer=placer,
             take_ups=self.take_ups,
             versions=self.simulation.versions,
             exchanger=self.exchanger,
