--- a/tests/test_platform_lethal_parts.py
+++ b/tests/test_platform_lethal_parts.py
@@ -36,6 +36,11 @@
 MIN_SOUND_SHARE: Final = 0.75
 """Share of the calm success that sound requests keep: half is asked for."""
 TIMEOUT_S: Final = 4.0
+KILLED_AFTER_ENDS: Final = 4
+"""Ends before all instances are killed, too few for a decision by then."""
+SLOW_LETHAL_PAUSE_S: Final = 1.2
+SAVED_AFTER_S: Final = 0.9
+"""Seconds after an end in which it is saved, on a busy machine."""
 COMMON: Final = "c0"
 """The first part of most prompts."""
 LETHAL: Final = "dead"
@@ -60,6 +65,7 @@
         for engine in self.site.engines.values():
             engine.processing_s = 0.05
         self.instances = await self.start_instances(INSTANCES)
+        self.lethal_pause_s = LETHAL_PAUSE_S
         self.outcomes: list[Outcome] = []
         self.count = 0
 
@@ -112,7 +118,7 @@
             while time.monotonic() < until:
                 tasks.create_task(self.ask(prompts[number % len(prompts)], target))
                 number += 1
-                await asyncio.sleep(LETHAL_PAUSE_S)
+                await asyncio.sleep(self.lethal_pause_s)
 
     async def play(self, prompts: list[tuple[str, ...]], target: str) -> float:
         """Let callers send sound requests, then lethal ones beside; return when these began."""
@@ -187,6 +193,29 @@
         ending = LethalEnding.BEFORE_RESPONSE
         await self.check(prompts, STREAM_PREFIX, LETHAL, "dead2", ending=ending)
 
+    async def test_evidence_outlasts_all_instances(self) -> None:
+        """Guards against a fleet that is killed after some ends and allows as many once more."""
+        self.site.lethal.parts[LETHAL] = LethalEnding.BEFORE_RESPONSE
+        self.lethal_pause_s = SLOW_LETHAL_PAUSE_S
+        began_at = time.monotonic() + CALM_S
+        until = began_at + LETHAL_S
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.send_sound_requests(STREAM_PREFIX, until=until))
+            await asyncio.sleep(CALM_S)
+            lethal = self.send_lethal_requests([(COMMON, LETHAL)], STREAM_PREFIX, until=until)
+            tasks.create_task(lethal)
+            await self.restart_after(KILLED_AFTER_ENDS)
+        self.assert_contained(LETHAL, began_at=began_at)
+
+    async def restart_after(self, ends: int) -> None:
+        """Kill all instances a moment after some engines have ended, and start others."""
+        async with asyncio.timeout(LETHAL_S):
+            while len(self.site.crashed_engines) < ends:
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(SAVED_AFTER_S)
+        await asyncio.gather(*(instance.stop() for instance in self.instances))
+        self.instances[:] = await self.start_instances(INSTANCES)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
+from unittest import mock
 
 from guavamast.platform.standins.engine import EngineFault, EngineStandIn
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.quarantine import Quarantine, name_part
 from guavamast.relay.request_digest import compute_request_digest
+from guavamast.relay.request_progress import RequestProgress, begin_progress
 from tests._relay_case import RelayTestCase
 from tests.relay_fixtures import (
     build_endpoint,
@@ -109,6 +112,18 @@
         self.assertGreater(float(dict(headers)["Retry-After"]), 50.0)
         self.assertEqual(self.engine.runs, [])
 
+    async def test_each_send_begins_an_answer_anew(self) -> None:
+        """Guards against parts that aren't charged as an earlier send's answer had gone on."""
+
+        def begin(*args: Any, **options: Any) -> RequestProgress:
+            progress = begin_progress(*args, **options)
+            progress.lasted = True
+            return progress
+
+        with mock.patch("tests._relay_case.begin_progress", begin):
+            progress = await self.run_attempt()
+        self.assertFalse(progress.lasted)
+
     async def test_a_request_is_sent(self) -> None:
         self.assertEqual((await self.run_attempt()).sends, 1)
         self.assertEqual(len(self.engine.runs), 1)
