--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -204,7 +204,11 @@
         """
         spared = []
         if is_common is not None:
-            spared = list(filter(is_common, self._evidence.list_sufficient(now=now)))
+            spared = [
+                attribute
+                for attribute in self._evidence.list_sufficient(now=now)
+                if attribute not in self._quarantines and is_common(attribute)
+            ]
         culprits = self._evidence.list_culprits(
             held=self._quarantines.keys(), spared=spared, window_s=self._window_s, now=now
         )
--- a/tests/test_relay_quarantine_parts.py
+++ b/tests/test_relay_quarantine_parts.py
@@ -93,6 +93,13 @@
         decision = self.ledger.decide(now=20.0, is_common=lambda attribute: attribute == PART)
         self.assertEqual((decision.held, decision.spared), ([], [PART]))
 
+    def test_a_held_part_is_not_spared(self) -> None:
+        """Guards against a log that says both of a part after a restart with few answers."""
+        self.end(1, 2, 3, 4)
+        self.decide(now=20.0)
+        decision = self.ledger.decide(now=21.0, is_common=lambda _: True)
+        self.assertEqual((decision.held, decision.spared), ([], []))
+
     def test_a_spared_part_does_not_hide_the_cause(self) -> None:
         self.end(1, 2, 3, 4, attributes=(PART, COMMON))
         self.end(5, attributes=(COMMON,))
