--- a/src/guavamast/relay/quarantine/evidence.py
+++ b/src/guavamast/relay/quarantine/evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from heapq import nlargest
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.quarantine.records import Clearance, EndpointEnd
@@ -37,6 +38,11 @@
     """Seconds between the first and the last end."""
 
 
+def _rank_suspicion(suspect: Suspect) -> tuple[int, int, float]:
+    """Return the order in which evidence is saved, the last first."""
+    return len(suspect.ends), suspect.kind.breadth, suspect.changed_at
+
+
 class CrashEvidence:
     """The endpoints that ended, and the attributes of the requests that were running at each.
 
@@ -48,9 +54,11 @@
     do not matter.
     """
 
-    __slots__ = ("_cleared", "_ended_at", "_suspects")
+    __slots__ = ("_cleared", "_ended_at", "_suspects", "revision")
 
     def __init__(self) -> None:
+        self.revision = 0
+        """Number of changes so far."""
         self._suspects: dict[str, Suspect] = {}
         self._ended_at: dict[EndpointIncarnation, float] = {}
         self._cleared: dict[str, float] = {}
@@ -73,6 +81,7 @@
             if ended_at > cleared_at + CLOCK_MARGIN_S:
                 changed |= self._add_attribute(end.incarnation, lost, now=now)
         if changed:
+            self.revision += 1
             self._ended_at[end.incarnation] = ended_at
             self._drop_excess()
         return changed
@@ -85,6 +94,7 @@
         """
         if at <= self._cleared.get(attribute, float("-inf")) + CLOCK_MARGIN_S:
             return False
+        self.revision += 1
         self._cleared.pop(attribute, None)
         self._cleared[attribute] = at
         if len(self._cleared) > MAX_ATTRIBUTES:
@@ -178,9 +188,8 @@
             for suspect in self._suspects.values()
             if len(suspect.ends) > 1 or suspect.count_settled(now=now)
         ]
-        lasting.sort(key=lambda one: (-len(one.ends), -one.kind.breadth, -one.changed_at))
         lost: dict[EndpointIncarnation, set[LostAttribute]] = {}
-        for suspect in lasting[:MAX_SAVED]:
+        for suspect in nlargest(MAX_SAVED, lasting, key=_rank_suspicion):
             for incarnation in suspect.ends:
                 lost.setdefault(incarnation, set()).add(suspect.describe())
         return [
@@ -226,6 +235,7 @@
         )
 
     def _drop_end(self, incarnation: EndpointIncarnation) -> None:
+        self.revision += 1
         del self._ended_at[incarnation]
         for attribute, suspect in list(self._suspects.items()):
             suspect.ends.pop(incarnation, None)
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -109,6 +109,11 @@
         """The number of attributes under suspicion."""
         return len(self._evidence)
 
+    @property
+    def evidence_revision(self) -> int:
+        """The number of changes of the evidence so far."""
+        return self._evidence.revision
+
     def list_quarantines(self) -> list[Quarantine]:
         """Return all quarantines."""
         return list(self._quarantines.values())
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -28,6 +28,8 @@
 takes effect within that time."""
 MIN_SAVE_INTERVAL_S: Final = 1.0
 """Seconds between two writes of the evidence at least."""
+SETTLED_AFTER_S: Final = 2.0
+"""Seconds after a change of the evidence from which on the same attributes are to be saved."""
 MAX_FIRST_READ_WAIT_S: Final = 1.0
 """Seconds that a request waits at most for the first read at an instance that has just started."""
 
@@ -53,6 +55,9 @@
         "_log",
         "_read_at",
         "_read_time",
+        "_compared_at",
+        "_revised_at",
+        "_revision",
         "_saved",
         "_saved_at",
         "_store",
@@ -78,6 +83,10 @@
         self._saved: frozenset[EndpointEnd] = frozenset()
         """Evidence that is known to be saved."""
         self._saved_at = float("-inf")
+        self._compared_at = float("-inf")
+        self._revised_at = float("-inf")
+        self._revision = 0
+        """Number of changes of the evidence when it was last compared with what is saved."""
         self._read_at = float("-inf")
         self._load_due_at = float("-inf")
         self.loaded = False
@@ -94,6 +103,7 @@
         """Leave the rows to the instance that synchronizes them."""
         self._written.clear()
         self._saved = frozenset()
+        self._compared_at = float("-inf")
 
     async def wait_first_read(self) -> None:
         """Wait for the first read after the start, so that no attribute in quarantine is sent."""
@@ -171,8 +181,15 @@
         One instance of the fleet does this.
         """
         now = self._read_time()
+        if self._ledger.evidence_revision != self._revision:
+            self._revision = self._ledger.evidence_revision
+            self._revised_at = now
+        if self._compared_at > self._revised_at + SETTLED_AFTER_S:
+            return
         ends = self._ledger.list_lasting_ends(now=now)
         evidence = frozenset(ends)
+        if evidence == self._saved:
+            self._compared_at = now
         if evidence == self._saved or now - self._saved_at < MIN_SAVE_INTERVAL_S:
             return
         self._saved_at = now
--- a/src/guavamast/relay/quarantine/suspects.py
+++ b/src/guavamast/relay/quarantine/suspects.py
@@ -25,10 +25,11 @@
     """Local time at which each end was reported here. An end counts from the report on: until then
     no answer could speak against it."""
 
-    @property
-    def kind(self) -> AttributeKind:
-        """The kind of the attribute."""
-        return find_kind(self.attribute)
+    kind: AttributeKind = field(init=False)
+    """The kind of the attribute."""
+
+    def __post_init__(self) -> None:
+        self.kind = find_kind(self.attribute)
 
     @property
     def changed_at(self) -> float:
