Soak: prompt requests in one module; unframed answers without suspects are remembered at once

Both crowds of the soak had the same exchange and record of a prompt request. In a deployment without framing answers counted as answered only if one of their attributes was suspected, so that a restarted instance would have taken all parts for common ones (test).

--- a/soak/prompts.py
+++ b/soak/prompts.py
@@ -5,29 +5,27 @@
 import asyncio
 import time
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-from guavamast.platform.standins.engine import EVENTS_PER_STREAM, encode_event
 from guavamast.platform.standins.lethal_requests import LethalEnding
-from guavamast.platform.standins.site import HOST, KEY, STREAM_PREFIX
-from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.platform.standins.site import STREAM_PREFIX
+from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
 from guavamast.relay.quarantine.guard import MIN_RETRY_AFTER_S
 from soak.guarantees import (
     MAX_LATER_PART_RUNS,
     SPREAD_BOUND_S,
-    RequestKind,
     RequestRecord,
     RunRecord,
     Span,
     find_fifth_end,
     is_undisturbed,
 )
-from soak.streams import normalize_versions
+from soak.prompt_requests import PromptAnswer, PromptRequest, send_prompt
 
 if TYPE_CHECKING:
     from random import Random
 
-    from guavamast.relay.messages import Header
     from soak.instances import Instance
     from soak.site import SoakSite
 
@@ -41,6 +39,7 @@
 LETHAL_PAUSES_S: Final = (0.1, 0.3, 0.6, 1.0)
 """Pauses between two requests with the lethal part."""
 TIMEOUT_S: Final = 4.0
+PART_TOKENS: Final = 100
 MIN_COUNTED: Final = 20
 """Sound requests of each kind below which their success is not compared."""
 MIN_SOUND_SHARE: Final = 0.75
@@ -137,92 +136,38 @@
 
     async def _ask_lethally(self, parts: tuple[str, ...]) -> None:
         self._count += 1
-        request_id = f"part-{self._count}"
+        request = _build_request(f"part-{self._count}", parts)
         instance = self._random.choice(self._site.instances)
-        self.senders[request_id] = instance
+        self.senders[request.request_id] = instance
         # What it gets is of no interest: engines record what reaches them.
-        with suppress(ConnectionLost, MalformedAnswer, TimeoutError):
-            async with asyncio.timeout(TIMEOUT_S):
-                await _exchange(instance.caller_address, request_id, parts)
+        await _ask(instance.caller_address, request)
 
     async def _ask_soundly(self, parts: tuple[str, ...]) -> None:
         self._count += 1
-        request_id = f"sound-{self._count}"
+        request = _build_request(f"sound-{self._count}", parts)
         address = self._random.choice(self._site.instances).caller_address
         sent_at = time.monotonic()
-        answer = None
-        with suppress(ConnectionLost, MalformedAnswer, TimeoutError):
-            async with asyncio.timeout(TIMEOUT_S):
-                answer = await _exchange(address, request_id, parts)
-        numbers = range(1, EVENTS_PER_STREAM + 1)
-        headers = answer.headers if answer is not None else {}
-        self.requests.append(
-            RequestRecord(
-                request_id=request_id,
-                kind=RequestKind.STREAM,
-                organisation="bakery",
-                sent_at=sent_at,
-                ended_at=time.monotonic(),
-                status=answer.status if answer is not None else None,
-                response_id=headers.get("x-attempt-id"),
-                body=normalize_versions(answer.body) if answer is not None else b"",
-                expected_body=b"".join(encode_event(request_id, number) for number in numbers),
-                complete=answer is not None and answer.complete,
-                quarantined=float(headers.get("retry-after", "0")) >= MIN_RETRY_AFTER_S,
-                address=address,
-                anywhere=True,
-            )
-        )
-
-
-class _Answer:
-    """The part of an answer that was received."""
-
-    __slots__ = ("body", "complete", "headers", "status")
-
-    def __init__(self, *, status: int, headers: dict[str, str]) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = b""
-        self.complete = False
-
-
-async def _exchange(address: str, request_id: str, parts: tuple[str, ...]) -> _Answer:
-    """Send a request with its own last part; return what came of its answer.
-
-    Raises:
-        ConnectionLost, MalformedAnswer: There is no answer.
-    """
-    host, _, port = address.rpartition(":")
-    connection = await HttpConnection.open(host, int(port), timeout_s=TIMEOUT_S)
-    target = f"{STREAM_PREFIX}stream/{request_id}"
-    try:
-        await connection.send(
-            "POST", target, _build_headers(request_id, parts), request_id.encode()
-        )
-        head = await connection.read_head()
-        answer = _Answer(
-            status=head.status, headers={name.lower(): value for name, value in head.headers}
-        )
-        with suppress(ConnectionLost, MalformedAnswer):
-            while (chunk := await connection.read_chunk()) is not None:
-                answer.body += chunk
-            answer.complete = True
-        return answer
-    finally:
-        connection.close()
+        answer = await _ask(address, request)
+        record = answer.build_record(request, address=address, sent_at=sent_at)
+        quarantined = (answer.retry_after_s or 0.0) >= MIN_RETRY_AFTER_S
+        self.requests.append(replace(record, quarantined=quarantined))
 
 
-def _build_headers(request_id: str, parts: tuple[str, ...]) -> list[Header]:
+def _build_request(request_id: str, parts: tuple[str, ...]) -> PromptRequest:
+    """Return a request with a last part of its own."""
     own = request_id.encode().hex()[-16:]
-    prompt = ",".join(f"{part}:100" for part in (*parts, own))
-    return [
-        ("Host", HOST),
-        ("Authorization", f"Bearer {KEY}"),
-        ("X-Attempt-Id", request_id),
-        ("X-Request-Deadline-Ms", str(int(TIMEOUT_S * 1000))),
-        ("X-Model", "m"),
-        ("X-Token-Usage", f"{100 * (len(parts) + 1)},24"),
-        ("X-Prompt-Prefix", prompt),
-        ("Content-Length", str(len(request_id))),
-    ]
+    return PromptRequest(
+        request_id=request_id,
+        path_prefix=f"{STREAM_PREFIX}stream/",
+        prompt=",".join(f"{part}:{PART_TOKENS}" for part in (*parts, own)),
+        tokens=PART_TOKENS * (len(parts) + 1),
+        timeout_s=TIMEOUT_S,
+    )
+
+
+async def _ask(address: str, request: PromptRequest) -> PromptAnswer:
+    answer = PromptAnswer()
+    with suppress(ConnectionLost, MalformedAnswer, TimeoutError):
+        async with asyncio.timeout(TIMEOUT_S):
+            await send_prompt(address, request, answer)
+    return answer
--- a/soak/urgency.py
+++ b/soak/urgency.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from guavamast.platform.standins.engine import EVENTS_PER_STREAM, encode_event
-from guavamast.platform.standins.site import HOST, KEY, MODELS, ModelRoute
-from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.platform.standins.site import MODELS, ModelRoute
+from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
 from guavamast.urgency_order import BegunWork, OrderWindow, RequestOutcome, find_worst_windows
-from soak.guarantees import RequestKind, RequestRecord, Span, is_undisturbed
-from soak.streams import find_events, normalize_versions
+from soak.guarantees import RequestRecord, Span, is_undisturbed
+from soak.prompt_requests import PromptAnswer, PromptRequest, send_prompt
 
 if TYPE_CHECKING:
     from random import Random
@@ -20,7 +19,6 @@
     from soak.site import SoakSite
 
 MODEL_ENGINES: Final = 4
-CONNECT_TIMEOUT_S: Final = 1.0
 MAX_RETRY_SHARE: Final = 1 / 3
 """Share of its remaining time for which a caller waits before its retry at most."""
 CALM_S: Final = 1.0
@@ -58,16 +56,6 @@
 """The kinds in the order of their urgency; together a quarter more than what engines do."""
 
 
-@dataclass(slots=True, kw_only=True)
-class _Answer:
-    """The part of an answer that was received."""
-
-    status: int | None = None
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytearray = field(default_factory=bytearray)
-    complete: bool = False
-
-
 class UrgencyCrowd:
     """Sends requests of all kinds, whatever becomes of earlier ones, and retries each once.
 
@@ -177,70 +165,25 @@
         """Return whether an attempt was served, and the seconds until the next one."""
         sent_at = time.monotonic()
         address = self._random.choice([one.caller_address for one in self._site.instances])
-        answer = _Answer()
+        answer = PromptAnswer()
         left = False
+        timeout_s = deadline - sent_at
+        request = PromptRequest(
+            request_id=request_id,
+            path_prefix=kind.route.path_prefix,
+            prompt=f"{part.encode().hex()[-16:]}:{kind.tokens}",
+            tokens=kind.tokens,
+            timeout_s=timeout_s,
+        )
         try:
-            async with asyncio.timeout(max(0.1, deadline - sent_at)):
-                headers = _build_headers(kind, request_id, part, left_s=deadline - sent_at)
-                target = kind.route.path_prefix + request_id
-                await _exchange(address, target, headers, request_id.encode(), answer)
+            async with asyncio.timeout(max(0.1, timeout_s)):
+                await send_prompt(address, request, answer)
         except (ConnectionLost, MalformedAnswer):
             pass
         except TimeoutError:
             left = True
         self.requests.append(
-            RequestRecord(
-                request_id=request_id,
-                kind=RequestKind.STREAM,
-                organisation="bakery",
-                sent_at=sent_at,
-                ended_at=time.monotonic(),
-                status=answer.status,
-                response_id=answer.headers.get("x-attempt-id"),
-                body=normalize_versions(bytes(answer.body)),
-                versions=frozenset(one.version for one in find_events(bytes(answer.body))),
-                expected_body=b"".join(
-                    encode_event(request_id, number) for number in range(1, EVENTS_PER_STREAM + 1)
-                ),
-                complete=answer.complete,
-                left=left,
-                address=address,
-                anywhere=True,
-            )
+            answer.build_record(request, address=address, sent_at=sent_at, left=left)
         )
-        retry_after = answer.headers.get("retry-after")
         served = answer.status == 200 and answer.complete
-        return served, float(retry_after) if retry_after else None
-
-
-async def _exchange(
-    address: str, target: str, headers: list[tuple[str, str]], body: bytes, answer: _Answer
-) -> None:
-    """Send a request on a new connection and receive its answer."""
-    host, _, port = address.rpartition(":")
-    connection = await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
-    try:
-        await connection.send("POST", target, headers, body)
-        head = await connection.read_head()
-        answer.status = head.status
-        answer.headers = {key.lower(): value for key, value in head.headers}
-        while (chunk := await connection.read_chunk()) is not None:
-            answer.body += chunk
-        answer.complete = True
-    finally:
-        connection.close()
-
-
-def _build_headers(
-    kind: CrowdKind, request_id: str, part: str, *, left_s: float
-) -> list[tuple[str, str]]:
-    return [
-        ("Host", HOST),
-        ("Authorization", f"Bearer {KEY}"),
-        ("X-Attempt-Id", request_id),
-        ("X-Request-Deadline-Ms", str(int(left_s * 1000))),
-        ("X-Model", "m"),
-        ("X-Token-Usage", f"{kind.tokens},24"),
-        ("X-Prompt-Prefix", f"{part.encode().hex()[-16:]}:{kind.tokens}"),
-        ("Content-Length", str(len(request_id))),
-    ]
+        return served, answer.retry_after_s
--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -226,15 +226,13 @@
             for attribute in self._list_attributes(request, progress)
             if response.status < find_kind(attribute).acquitted_below_status
         ]
-        if response.framed:
+        if response.framed or not any(map(self._ledger.is_suspected, attributes)):
             self._acquit(request, response, attributes)
-        elif any(map(self._ledger.is_suspected, attributes)):
-            row_version = progress.admitted.catalog.row_version
-            self._start(
-                self._acquit_if_alive(
-                    request, response, attributes, record, row_version=row_version
-                )
-            )
+            return
+        row_version = progress.admitted.catalog.row_version
+        self._start(
+            self._acquit_if_alive(request, response, attributes, record, row_version=row_version)
+        )
 
     def confirm_end(self, endpoint_id: str, *, evidence: str) -> None:
         """Charge the end of an endpoint to what this instance has lost there."""
--- a/tests/test_relay_quarantine_guard_parts.py
+++ b/tests/test_relay_quarantine_guard_parts.py
@@ -154,6 +154,15 @@
             await asyncio.sleep(0.2)
         self.assertFalse(self.ledger.is_suspected(PART))
 
+    async def test_an_unframed_answer_without_suspects_is_remembered(self) -> None:
+        """Guards against deployments without framing, in which all parts would seem common."""
+        self.end_endpoints(name_part("other"))
+        self.answer(framed=False)
+        self.end_endpoints(PART, count=1)
+        progress = build_progress()
+        self.assertIsNone(await self.guard.admit(REQUEST, progress))
+        self.assertFalse(self.guard.forbids_retry(progress, build_endpoint("e9")))
+
     async def test_an_unframed_answer_of_an_ended_engine_clears_nothing(self) -> None:
         """Guards against a stream that ends between two events as its engine ends."""
         engine = EngineStandIn(engine_id="ended")
