Ends of engines that bear few rejections charge parts of prompts

Nothing was charged with ends of such engines, so a part that ends them would never have been held there (found by reading; the test fails on the code before).

--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -177,11 +177,14 @@
         """Record that the connection of a request ended before its response was complete.
 
         An endpoint that bears few rejections ends under load, whatever runs there: charged with
-        such ends, common attributes would soon be kept from all endpoints.
+        such ends, contents that many callers send would soon be kept from all endpoints. Parts of
+        prompts are cleared by the answers to other requests.
         """
+        lost = self._list_lost(request, progress)
         if self._limits.applies(record.service, now=self._read_time()):
+            lost = [one for one in lost if find_kind(one.attribute).shared]
+        if not lost:
             return
-        lost = self._list_lost(request, progress)
         if self._losses.record(record, lost, now=self._read_time()):
             row_version = progress.admitted.catalog.row_version
             self._start(self._check_listening(record, row_version=row_version))
--- a/tests/test_relay_quarantine_guard_parts.py
+++ b/tests/test_relay_quarantine_guard_parts.py
@@ -107,6 +107,16 @@
         expected = {digest: "bakery", name_part("common"): None, PART: None}
         self.assertEqual(owners, expected)
 
+    async def test_an_endpoint_that_bears_few_rejections_charges_parts_alone(self) -> None:
+        """Guards against a part that ends engines unseen where engines end under load, too."""
+        self.limits.record("portal", now=self.store.now)
+        with mock.patch.object(CrashGuard, "_check_listening"):
+            self.guard.record_loss(REQUEST, build_progress(), build_endpoint("e1"))
+        end = self.losses.confirm("e1")
+        assert end is not None
+        lost = {one.attribute for one in end.lost}
+        self.assertEqual(lost, {name_part("common"), PART})
+
     async def test_an_answer_that_went_on_charges_no_parts(self) -> None:
         """Guards against suspicion of all parts of the streams that an end breaks off."""
         progress = build_progress()
