--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -214,13 +214,7 @@
         send: PlacedSend,
     ) -> RelayedResponse:
         now = self._read_time()
-        if send.is_expired(now=now):
-            raise AttemptFailed(
-                FailureKind.OUTDATED, "the scheduler's grant expired before the send"
-            )
-        if self._guard.find_denial(request, progress) is not None:
-            raise AttemptFailed(FailureKind.OUTDATED, "quarantined before the send")
-        self._admission.check_send(progress.admitted, attempt.record, now=now)
+        self._check_send(request, progress, attempt, send, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
         timeout_s = compute_attempt_timeout(
             progress,
@@ -252,18 +246,8 @@
                 head = await attempt.send(parameters)
                 head_at = self._read_time()
                 if head.event_stream and head.status < 300:
-                    observer = StreamObserver(
-                        request=request,
-                        progress=progress,
-                        send=send,
-                        sampler=sampler,
-                        watch=watch,
-                        loads=self._loads,
-                        recorder=self._recorder,
-                        bind=partial(self._bind, request, progress, attempt.source),
-                        idle_timeout=attempt_timeout,
-                        publish_decrease=partial(self._publish_load, increased=False),
-                        read_time=self._read_time,
+                    observer = self._build_observer(
+                        request, progress, attempt, send, sampler, watch, attempt_timeout
                     )
                     confirm_end = partial(self._confirm_end, attempt)
                     await relay_events(attempt, writer, observer.record_event, confirm_end)
@@ -282,6 +266,53 @@
         await self._forward_response(request, writer, progress, attempt, response)
         return attempt.describe_response(began_at=head_at)
 
+    def _check_send(
+        self,
+        request: CallerRequest,
+        progress: RequestProgress,
+        attempt: Attempt,
+        send: PlacedSend,
+        *,
+        now: float,
+    ) -> None:
+        """Raise if a request must no longer be sent, right before its bytes go out.
+
+        Raises:
+            AttemptFailed: With ``OUTDATED``.
+        """
+        if send.is_expired(now=now):
+            raise AttemptFailed(
+                FailureKind.OUTDATED, "the scheduler's grant expired before the send"
+            )
+        if self._guard.find_denial(request, progress) is not None:
+            raise AttemptFailed(FailureKind.OUTDATED, "quarantined before the send")
+        self._admission.check_send(progress.admitted, attempt.record, now=now)
+
+    def _build_observer(
+        self,
+        request: CallerRequest,
+        progress: RequestProgress,
+        attempt: Attempt,
+        send: PlacedSend,
+        sampler: StreamSampler,
+        watch: RunWatch,
+        idle_timeout: asyncio.Timeout,
+    ) -> StreamObserver:
+        """Return the observer of the events of one send."""
+        return StreamObserver(
+            request=request,
+            progress=progress,
+            send=send,
+            sampler=sampler,
+            watch=watch,
+            loads=self._loads,
+            recorder=self._recorder,
+            bind=partial(self._bind, request, progress, attempt.source),
+            idle_timeout=idle_timeout,
+            publish_decrease=partial(self._publish_load, increased=False),
+            read_time=self._read_time,
+        )
+
     async def _confirm_software(self, progress: RequestProgress, attempt: Attempt) -> None:
         """Raise unless an endpoint is known to run what began the request's stream.
 
