Saved evidence is removed also by an instance that hasn't saved it

An instance that took over the saving took what it had not written for nothing saved, and left the last report of one that had ended, with evidence that answers had cleared (found by reading; the test fails on the code before).

--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -80,8 +80,8 @@
         self._first_read = asyncio.Event()
         self._written: set[str] = set()
         """Contents whose rows are known to exist."""
-        self._saved: frozenset[EndpointEnd] = frozenset()
-        """Evidence that is known to be saved."""
+        self._saved: frozenset[EndpointEnd] | None = None
+        """Evidence that is known to be saved; None if it isn't known what is."""
         self._saved_at = float("-inf")
         self._compared_at = float("-inf")
         self._revised_at = float("-inf")
@@ -102,7 +102,7 @@
     def forget(self) -> None:
         """Leave the rows to the instance that synchronizes them."""
         self._written.clear()
-        self._saved = frozenset()
+        self._saved = None
         self._compared_at = float("-inf")
 
     async def wait_first_read(self) -> None:
@@ -215,6 +215,7 @@
     def _apply_evidence(self, data: bytes | None) -> None:
         """Merge saved evidence. Its ends seem later by the time since it was saved."""
         if data is None:
+            self._saved = frozenset()
             return
         now = self._read_time()
         try:
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -181,6 +181,19 @@
         self.assertIsNone(self.store.evidence)
         self.assertFalse(rows.has_leftovers)
 
+    async def test_evidence_that_another_instance_saved_is_removed(self) -> None:
+        """Guards against old evidence that an instance leaves behind which has ended."""
+        ledger, rows = await self.start_instance()
+        ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
+        self.store.now += 1.0
+        await rows.save_evidence()
+        ledger, rows = await self.start_instance()
+        rows.forget()
+        ledger.clear("y", now=self.store.now)
+        self.store.now += 1.0
+        await rows.save_evidence()
+        self.assertIsNone(self.store.evidence)
+
     async def test_what_was_just_lost_once_is_not_saved(self) -> None:
         ledger, rows = await self.start_instance()
         ledger.record_end(build_end(1, "y", at=self.store.now), now=self.store.now)
