The check right before the send counts no refusal

Found on the last read of the change: find_denial counts quarantine_refusals_total, and the check at the bytes asked it only whether a request is held; the placement that follows asked again, so such a refusal was counted twice. The check asks is_quarantined now, which counts nothing. Decisions are as before.

--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -284,7 +284,7 @@
             raise AttemptFailed(
                 FailureKind.OUTDATED, "the scheduler's grant expired before the send"
             )
-        if self._guard.find_denial(request, progress) is not None:
+        if self._guard.is_quarantined(request, progress):
             raise AttemptFailed(FailureKind.OUTDATED, "quarantined before the send")
         self._admission.check_send(progress.admitted, attempt.record, now=now)
 
--- a/src/guavamast/relay/quarantine/guard.py
+++ b/src/guavamast/relay/quarantine/guard.py
@@ -136,14 +136,14 @@
                 return self._deny(attribute)
         return None
 
+    def is_quarantined(self, request: CallerRequest, progress: RequestProgress) -> bool:
+        """Return whether a request must not be sent, or not again, since it was admitted."""
+        return self._find_held(request, progress) is not None
+
     def find_denial(self, request: CallerRequest, progress: RequestProgress) -> Denied | None:
-        """Return why a request must not be sent, or not again, since it was admitted."""
-        if not self._ledger.active:
-            return None
-        for attribute in self._list_attributes(request, progress):
-            if attribute not in progress.trials and self._ledger.find(attribute) is not None:
-                return self._deny(attribute)
-        return None
+        """Return the rejection of a request that must not be sent, or not again; None if it may."""
+        attribute = self._find_held(request, progress)
+        return self._deny(attribute) if attribute is not None else None
 
     def forbids_retry(self, progress: RequestProgress, record: EndpointRecord) -> bool:
         """Return whether this instance must not repeat a request that it has just lost.
@@ -326,6 +326,15 @@
         if held or ends >= PUBLISHED_ENDS:
             self._publish()
 
+    def _find_held(self, request: CallerRequest, progress: RequestProgress) -> str | None:
+        """Return an attribute in quarantine that a request has without a trial; None if none."""
+        if not self._ledger.active:
+            return None
+        for attribute in self._list_attributes(request, progress):
+            if attribute not in progress.trials and self._ledger.find(attribute) is not None:
+                return attribute
+        return None
+
     def _start(self, check: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(check)
         self._checks.add(task)
--- a/tests/test_relay_quarantine_guard_parts.py
+++ b/tests/test_relay_quarantine_guard_parts.py
@@ -9,6 +9,7 @@
 
 from guavamast.platform.standins.engine import EngineStandIn
 from guavamast.relay.caller_gate import Admitted
+from guavamast.relay.counters import Counters
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.quarantine import (
     CrashGuard,
@@ -89,6 +90,15 @@
         self.hold()
         self.assertIsNone(await self.guard.admit(SOUND, build_progress()))
 
+    async def test_the_check_before_the_send_counts_no_refusal(self) -> None:
+        """Guards against a refusal that is counted twice, as it is found and as it is told."""
+        self.hold()
+        with mock.patch.object(Counters, "add") as add:
+            self.assertTrue(self.guard.is_quarantined(REQUEST, build_progress()))
+            add.assert_not_called()
+            self.assertIsNotNone(self.guard.find_denial(REQUEST, build_progress()))
+            add.assert_called_once_with("quarantine_refusals_total")
+
     async def test_the_last_part_is_no_reason(self) -> None:
         self.hold()
         request = build_request(prompt_parts=(PROMPT[0], PROMPT[1]))
