Refusals tell what held the request back at the engine selected for it

Lines have held_by, held_for_precedence, held_for_waiting and the engines that are open, kept and usable; held_back_total{precedence,by} counts them. Schedulers' replies carry the same (wire format 5). No decision changes.

--- a/src/guavamast/relay/placement/__init__.py
+++ b/src/guavamast/relay/placement/__init__.py
@@ -38,6 +38,7 @@
     find_bucket,
     is_latency_tolerant,
 )
+from guavamast.relay.placement.obstacle import Obstacle, ObstacleKind
 from guavamast.relay.placement.placement import Placement
 from guavamast.relay.placement.prefill_interference import is_pause_sensitive
 from guavamast.relay.placement.prompt_cache import PromptCache, PromptSend
@@ -74,6 +75,8 @@
     "MOST_URGENT_LIMIT",
     "NO_DEMAND",
     "PROFILE_QUANTITIES",
+    "Obstacle",
+    "ObstacleKind",
     "Placement",
     "ProfileEstimates",
     "PromptCache",
--- a/src/guavamast/relay/placement/admission.py
+++ b/src/guavamast/relay/placement/admission.py
@@ -9,6 +9,7 @@
     from random import Random
 
     from guavamast.relay.placement.engine_forecast import Forecast
+    from guavamast.relay.placement.obstacle import Obstacle
 
 URGENT_WAITING_SHARE: Final = 0.75
 """Share of the objective for which a request that isn't latency-tolerant may wait. What is queued
@@ -50,6 +51,8 @@
     """The rejection of a request, with the delay before its retry."""
 
     retry_after_s: float
+    obstacle: Obstacle | None = None
+    """What kept the request from the engine selected for it, where known."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,14 +130,18 @@
     return reject(objective_s=parameters.objective_s, excess_ms=excess_ms, random=random)
 
 
-def reject(*, objective_s: float, excess_ms: float, random: Random) -> Rejection:
+def reject(
+    *, objective_s: float, excess_ms: float, random: Random, obstacle: Obstacle | None = None
+) -> Rejection:
     """Return a rejection.
 
     Args:
         objective_s: The request's objective.
         excess_ms: Milliseconds by which the wait at the best engine exceeds what is allowed.
         random: Source of the retry jitter.
+        obstacle: What kept the request from that engine.
     """
     earliest_s = max(MIN_RETRY_S, RETRY_SHARE * objective_s)
     retry_after_s = min(MAX_RETRY_S, earliest_s + excess_ms / 1000.0)
-    return Rejection(retry_after_s=retry_after_s * (1.0 + RETRY_JITTER * random.random()))
+    retry_after_s *= 1.0 + RETRY_JITTER * random.random()
+    return Rejection(retry_after_s=retry_after_s, obstacle=obstacle)
--- a/src/guavamast/relay/placement/admission_control.py
+++ b/src/guavamast/relay/placement/admission_control.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.placement.admission import WaitParameters, compute_allowed_wait, reject
+from guavamast.relay.placement.obstacle import Obstacle, ObstacleKind
 from guavamast.relay.placement.waiting import CHECK_INTERVAL_S
 from guavamast.relay.placement.yield_credits import YieldCredits
 
@@ -85,7 +86,11 @@
     """For each more urgent precedence, the engines that its requests may still join."""
 
     def has_room(self, forecast: Forecast) -> bool:
-        """Return whether an engine has room for the request.
+        """Return whether an engine has room for the request."""
+        return self.find_obstacle(forecast) is None
+
+    def find_obstacle(self, forecast: Forecast) -> Obstacle | None:
+        """Return what keeps the request from an engine; None if there is room for it.
 
         Failure: urgent requests may wait for a fifth of a second, less urgent ones for longer, and
         one long prompt takes longer than that at a slow engine. The less urgent ones keep all
@@ -97,17 +102,32 @@
             forecast: Its forecast at the engine.
         """
         if forecast.waiting_ms > compute_allowed_wait(forecast, self.terms.parameters):
-            return False
+            kind = ObstacleKind.MEMORY if forecast.lacks_memory else ObstacleKind.QUEUE
+            return Obstacle(kind=kind, engines=len(self.waits_ms))
         joined_ms = forecast.waiting_ms + forecast.prefill_ms
         for demand, open_engines in zip(self.terms.more_urgent, self.open_engines, strict=True):
             open_elsewhere = open_engines - (forecast.waiting_ms <= demand.wait_ms)
             if open_elsewhere < demand.waiting:
-                return False
+                return self._describe_yield(ObstacleKind.CLAIM, demand, open_engines, kept=0)
             if joined_ms <= demand.wait_ms:
                 continue
-            if open_elsewhere < self.terms.count_kept(demand, engines=len(self.waits_ms)):
-                return False
-        return True
+            kept = self.terms.count_kept(demand, engines=len(self.waits_ms))
+            if open_elsewhere < kept:
+                return self._describe_yield(ObstacleKind.RESERVE, demand, open_engines, kept=kept)
+        return None
+
+    def _describe_yield(
+        self, kind: ObstacleKind, demand: UrgentDemand, open_engines: int, *, kept: int
+    ) -> Obstacle:
+        """Return the obstacle of a request that leaves an engine to more urgent ones."""
+        return Obstacle(
+            kind=kind,
+            precedence=demand.precedence,
+            waiting=demand.waiting,
+            open_engines=open_engines,
+            kept_engines=kept,
+            engines=len(self.waits_ms),
+        )
 
     def count_places(self, forecast: Forecast) -> float:
         """Return how many requests like this one find room at present.
@@ -204,7 +224,8 @@
             self._history.record_request(service, precedence, wait_ms=own_ms, now=now)
         if check.newly_delayed:
             self._history.record_delay(service, precedence, now=now)
-        admitted = survey.has_room(forecast) and self._takes_place(forecast, survey)
+        obstacle = survey.find_obstacle(forecast) or self._find_competition(forecast, survey)
+        admitted = obstacle is None
         if not admitted and check.last and forecast.waiting_ms <= own_ms:
             admitted = self._credits.spend(terms, forecast.prefill_ms)
         if admitted:
@@ -213,7 +234,10 @@
             return None
         excess_ms = max(0.0, forecast.waiting_ms - own_ms)
         rejection = reject(
-            objective_s=terms.parameters.objective_s, excess_ms=excess_ms, random=self._random
+            objective_s=terms.parameters.objective_s,
+            excess_ms=excess_ms,
+            random=self._random,
+            obstacle=obstacle,
         )
         wait_s = CHECK_INTERVAL_S
         if check.last:
@@ -231,8 +255,8 @@
         )
         return rejection
 
-    def _takes_place(self, forecast: Forecast, survey: RoomSurvey) -> bool:
-        """Return whether a request is among those that take the room that there is.
+    def _find_competition(self, forecast: Forecast, survey: RoomSurvey) -> Obstacle | None:
+        """Return the obstacle of a request that isn't among those that take the room there is.
 
         Failure: many requests wait at many instances for the same room, all see it within the time
         that a load update takes, and all take it. The queue grows to several times its limit, and
@@ -240,9 +264,11 @@
         a place for it, so that about as many go as there are places.
         """
         competing = survey.terms.competitors + 1
-        if competing == 1:
-            return True
-        return self._random.random() * competing < survey.count_places(forecast)
+        if competing == 1 or self._random.random() * competing < survey.count_places(forecast):
+            return None
+        return Obstacle(
+            kind=ObstacleKind.COMPETITION, waiting=competing, engines=len(survey.waits_ms)
+        )
 
     def admit_to_slot(
         self,
--- a/src/guavamast/relay/placement/engine_forecast.py
+++ b/src/guavamast/relay/placement/engine_forecast.py
@@ -69,6 +69,8 @@
     """Wait for the work that is already at the engine."""
     prefill_ms: float
     """Prefill time of its own prompt."""
+    lacks_memory: bool = False
+    """Whether the wait is one for room in the KV cache."""
 
     @property
     def first_event_ms(self) -> float:
@@ -106,10 +108,13 @@
     waiting_ms = profile.compute_prefill_ms(load.prefill_tokens)
     slot_wait_ms = SLOT_WAIT_RUNS * profile.run_ms / max(1, slots)
     waiting_ms += slot_wait_ms * max(0, load.requests + 1 - slots)
-    if kv_capacity_tokens and load.kv_tokens + kv_tokens > kv_limit.share * kv_capacity_tokens:
+    kv_limit_tokens = kv_limit.share * kv_capacity_tokens
+    lacks_memory = bool(kv_capacity_tokens) and load.kv_tokens + kv_tokens > kv_limit_tokens
+    if lacks_memory:
         waiting_ms += kv_limit.wait_ms
     return Forecast(
         start_ms=profile.first_event_ms,
         waiting_ms=waiting_ms,
         prefill_ms=profile.compute_prefill_ms(uncached_tokens),
+        lacks_memory=lacks_memory,
     )
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -221,6 +221,10 @@
         self._counters.add(f'sent_back_total{{precedence="{admitted.precedence}"}}')
         self._count_unserved(progress, UnservedCause.NO_ROOM)
         expected = choice.forecast
+        obstacle = rejection.obstacle
+        if obstacle is not None:
+            labels = f'precedence="{admitted.precedence}",by="{obstacle.kind}"'
+            self._counters.add(f"held_back_total{{{labels}}}")
         self._log.write(
             "refused",
             now=now,
@@ -243,6 +247,12 @@
             scheduler=scheduled.scheduler if scheduled is not None else None,
             prompt_tokens=request.prompt_tokens,
             retry_after_s=round(rejection.retry_after_s, 3),
+            held_by=str(obstacle.kind) if obstacle else None,
+            held_for_precedence=obstacle.precedence if obstacle else None,
+            held_for_waiting=obstacle.waiting if obstacle else None,
+            open_engines=obstacle.open_engines if obstacle else None,
+            kept_engines=obstacle.kept_engines if obstacle else None,
+            usable_engines=obstacle.engines if obstacle else None,
         )
 
     def record_response(
--- a/src/guavamast/relay/scheduled_placer.py
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -10,6 +10,8 @@
     CHECK_INTERVAL_S,
     Choice,
     Forecast,
+    Obstacle,
+    ObstacleKind,
     PlacementWait,
     Rejection,
     begin_wait,
@@ -249,7 +251,7 @@
             ),
         )
         if reply.verdict is Verdict.REFUSED:
-            rejection = Rejection(retry_after_s=reply.retry_after_s)
+            rejection = Rejection(retry_after_s=reply.retry_after_s, obstacle=reply.obstacle)
             return PlacementDecision(
                 choice=choice, rejection=rejection, scheduler_reply=scheduled_reply
             )
@@ -273,7 +275,10 @@
         if self._lacks_slot(placed.choice, progress, scheduler_silent=scheduler_silent):
             retry_after_s = SLOT_RETRY_S * self._random.uniform(1.0, 1.5)
             return PlacementDecision(
-                choice=placed.choice, rejection=Rejection(retry_after_s=retry_after_s)
+                choice=placed.choice,
+                rejection=Rejection(
+                    retry_after_s=retry_after_s, obstacle=Obstacle(kind=ObstacleKind.SLOTS)
+                ),
             )
         number = self._client.next_number()
         work = _build_work(
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -15,8 +15,11 @@
     EndpointChooser,
     ExpectedRetries,
     FreeSlots,
+    Obstacle,
+    ObstacleKind,
     Placement,
     PromptDemand,
+    Rejection,
     WaitParameters,
 )
 from guavamast.relay.scheduled_work import ScheduledWork
@@ -142,12 +145,12 @@
             check=query.check,
             now=now,
         ):
-            retry_after_s: float | None = self._compute_slot_retry(query)
+            rejection: Rejection | None = self._reject_for_slots(query)
         else:
-            retry_after_s = self._admit(query, choice, now=now)
-        if retry_after_s is not None:
+            rejection = self._admit(query, choice, now=now)
+        if rejection is not None:
             return _build_reply(
-                query, choice, Verdict.REFUSED, learning=learning, retry_after_s=retry_after_s
+                query, choice, Verdict.REFUSED, learning=learning, rejection=rejection
             )
         self.work.grant(query, choice, now=now)
         return _build_reply(query, choice, Verdict.GRANTED, learning=learning)
@@ -176,9 +179,12 @@
             and self.slots.has_one(record, running=self.work.count_at(record.endpoint_id), now=now)
         ]
 
-    def _compute_slot_retry(self, query: PlacementQuery) -> float:
+    def _reject_for_slots(self, query: PlacementQuery) -> Rejection:
         jitter = 1.0 + SLOT_RETRY_JITTER * self._random.random()
-        return max(MIN_RETRY_S, SLOT_RETRY_SHARE * query.objective_s) * jitter
+        return Rejection(
+            retry_after_s=max(MIN_RETRY_S, SLOT_RETRY_SHARE * query.objective_s) * jitter,
+            obstacle=Obstacle(kind=ObstacleKind.SLOTS),
+        )
 
     def _build_placement(
         self, query: PlacementQuery, parameters: ServiceParameters, *, learning: bool, now: float
@@ -222,17 +228,16 @@
             first_attempt=query.check.first and not self._expected_retries.is_retry(query, now=now),
         )
 
-    def _admit(self, query: PlacementQuery, choice: Choice, *, now: float) -> float | None:
-        """Return the seconds after which to retry a rejected request; None if it is admitted."""
+    def _admit(self, query: PlacementQuery, choice: Choice, *, now: float) -> Rejection | None:
+        """Return the rejection of a request; None if it is admitted."""
         if not choice.forecast or not choice.survey or not query.rejectable:
             return None
         rejection = self._admission.admit(
             choice.forecast, choice.survey, check=query.check, now=now
         )
-        if rejection is None:
-            return None
-        self._expected_retries.record_rejection(query, now=now)
-        return rejection.retry_after_s
+        if rejection is not None:
+            self._expected_retries.record_rejection(query, now=now)
+        return rejection
 
 
 def _select_memory_limit(query: PlacementQuery, *, learning: bool) -> KvLimit:
@@ -247,7 +252,7 @@
     verdict: Verdict,
     *,
     learning: bool,
-    retry_after_s: float = 0.0,
+    rejection: Rejection | None = None,
 ) -> PlacementReply:
     forecast = choice.forecast
     return PlacementReply(
@@ -261,6 +266,7 @@
         prefill_ms=forecast.prefill_ms if forecast else 0.0,
         endpoint_requests=choice.load.requests,
         endpoint_prefill_tokens=choice.load.prefill_tokens,
-        retry_after_s=retry_after_s,
+        retry_after_s=rejection.retry_after_s if rejection else 0.0,
+        obstacle=rejection.obstacle if rejection else None,
         learning=learning,
     )
--- a/src/guavamast/relay/scheduling_messages.py
+++ b/src/guavamast/relay/scheduling_messages.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.messages import PromptPart
-    from guavamast.relay.placement import RoomCheck
+    from guavamast.relay.placement import Obstacle, RoomCheck
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +83,8 @@
     endpoint_prefill_tokens: int = 0
     """Prompt tokens that awaited prefill there before this one."""
     retry_after_s: float = 0.0
+    obstacle: Obstacle | None = None
+    """What kept the request from that endpoint, if it is refused."""
     learning: bool = False
     """Whether the scheduler started so recently that it may not know all work yet."""
 
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -6,7 +6,7 @@
 from typing import Any, Final, TypeAlias
 
 from guavamast.relay.messages import PromptPart
-from guavamast.relay.placement import RoomCheck
+from guavamast.relay.placement import Obstacle, ObstacleKind, RoomCheck
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
     PlacementQuery,
@@ -20,7 +20,7 @@
 
 SCHEDULING_PREFIX: Final = b"s"
 """Prefix of scheduling datagrams."""
-WIRE_VERSION: Final = 4
+WIRE_VERSION: Final = 5
 """Rank of the datagram format; datagrams of any other version are rejected."""
 
 SchedulingMessage: TypeAlias = PlacementQuery | PlacementReply | WorkUpdate | WorkReport
@@ -160,6 +160,7 @@
         reply.endpoint_prefill_tokens,
         round(reply.retry_after_s, 3),
         int(reply.learning),
+        _encode_obstacle(reply.obstacle),
     ]
 
 
@@ -176,6 +177,7 @@
     endpoint_prefill_tokens: int,
     retry_after_s: float,
     learning: int,
+    obstacle: list[Any] | None,
 ) -> PlacementReply:
     return PlacementReply(
         number=int(number),
@@ -190,6 +192,32 @@
         endpoint_prefill_tokens=int(endpoint_prefill_tokens),
         retry_after_s=float(retry_after_s),
         learning=bool(learning),
+        obstacle=_decode_obstacle(*obstacle) if obstacle is not None else None,
+    )
+
+
+def _encode_obstacle(obstacle: Obstacle | None) -> list[Any] | None:
+    if obstacle is None:
+        return None
+    counts = (obstacle.waiting, obstacle.open_engines, obstacle.kept_engines, obstacle.engines)
+    return [str(obstacle.kind), obstacle.precedence, *counts]
+
+
+def _decode_obstacle(
+    kind: str,
+    precedence: int | None,
+    waiting: int,
+    open_engines: int,
+    kept_engines: int,
+    engines: int,
+) -> Obstacle:
+    return Obstacle(
+        kind=ObstacleKind(kind),
+        precedence=int(precedence) if precedence is not None else None,
+        waiting=int(waiting),
+        open_engines=int(open_engines),
+        kept_engines=int(kept_engines),
+        engines=int(engines),
     )
 
 
--- a/tests/test_relay_admission_control_properties.py
+++ b/tests/test_relay_admission_control_properties.py
@@ -9,10 +9,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from guavamast.relay.placement.admission import WaitParameters
+from guavamast.relay.placement.admission import Rejection, WaitParameters
 from guavamast.relay.placement.admission_control import AdmissionControl
 from guavamast.relay.placement.admission_history import AdmissionHistory
 from guavamast.relay.placement.engine_forecast import Forecast
+from guavamast.relay.placement.obstacle import ObstacleKind
 from guavamast.relay.placement.waiting import RoomCheck
 from guavamast.relay.placement.yield_credits import ADMITTED_SHARE, MAX_CREDIT_MS, REJECTED_SHARE
 
@@ -53,6 +54,27 @@
         last: bool = True,
     ) -> bool:
         """Return whether a request is admitted to an engine beside others."""
+        rejection = self.decide(
+            precedence,
+            waiting_ms,
+            prefill_ms=prefill_ms,
+            others_ms=others_ms,
+            now=now,
+            last=last,
+        )
+        return rejection is None
+
+    def decide(
+        self,
+        precedence: int,
+        waiting_ms: float,
+        *,
+        prefill_ms: float = 60.0,
+        others_ms: tuple[float, ...] = (),
+        now: float = 0.0,
+        last: bool = True,
+    ) -> Rejection | None:
+        """Return the rejection of a request at an engine beside others."""
         self.number += 1
         check = RoomCheck(
             attempt=str(self.number), waited_s=0.0, delayed=True, newly_delayed=True, last=last
@@ -66,7 +88,7 @@
         )
         forecast = Forecast(start_ms=40.0, waiting_ms=waiting_ms, prefill_ms=prefill_ms)
         survey = terms.survey((waiting_ms, *others_ms))
-        return self.control.admit(forecast, survey, check=check, now=now) is None
+        return self.control.admit(forecast, survey, check=check, now=now)
 
     def reject_requests(self, precedence: int = 0, *, prefill_ms: float = 10.0) -> None:
         for _ in range(40):
@@ -80,6 +102,17 @@
         self.assertFalse(self.admit(1, 300.0, others_ms=(400.0, 400.0, 400.0)))
         self.assertFalse(self.admit(1, 0.0, prefill_ms=400.0, others_ms=(400.0, 400.0, 400.0)))
 
+    def test_a_rejection_tells_what_held_the_request_back(self) -> None:
+        """Guards against rejections at idle engines whose reason can't be told afterwards."""
+        self.admit(0, 5_000.0, last=False)
+        rejection = self.decide(1, 0.0)
+        assert rejection is not None
+        assert rejection.obstacle is not None
+        self.assertEqual(
+            (rejection.obstacle.kind, rejection.obstacle.precedence, rejection.obstacle.waiting),
+            (ObstacleKind.CLAIM, 0, 1),
+        )
+
     def test_a_service_of_one_engine_serves_less_urgent_requests_too(self) -> None:
         """Guards against an engine that is kept open for urgent requests that don't come."""
         self.admit(0, 0.0)
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -11,9 +11,11 @@
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.loop_delay import LoopDelay
+from guavamast.relay.placement import Choice, Obstacle, ObstacleKind, Rejection
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.response_end import BodyEnding, BodyFraming, ResponseEnd
 from tests.relay_fixtures import build_endpoint, build_request
+from tests.test_relay_quarantine_guard import build_progress
 
 
 class RequestRecorderTest(unittest.TestCase):
@@ -65,6 +67,26 @@
             ("portal", "none", 1.2),
         )
 
+    def test_a_refusal_tells_what_held_the_request_back(self) -> None:
+        """Guards against refusals at idle engines that look like those at full ones."""
+        obstacle = Obstacle(
+            kind=ObstacleKind.CLAIM, precedence=2, waiting=12, open_engines=12, engines=12
+        )
+        self.recorder.record_capacity_rejection(
+            build_request(),
+            Rejection(retry_after_s=0.5, obstacle=obstacle),
+            Choice(record=build_endpoint("x"), forecast=None, uncached_tokens=10),
+            scheduled=None,
+            progress=build_progress(),
+            now=101.0,
+        )
+        line = self.read_line()
+        self.assertEqual(
+            (line["held_by"], line["held_for_precedence"], line["held_for_waiting"]),
+            ("claim", 2, 12),
+        )
+        self.assertIn('held_back_total{precedence="22",by="claim"} 1', self.counters.render())
+
     def test_a_failed_attempt_tells_how_its_response_was_framed_and_ended(self) -> None:
         """Guards against an ordered end, a reset and a forwarder's end that look alike."""
         failure = AttemptFailed(FailureKind.LOST, "stream ended inside an event")
--- a/tests/test_relay_scheduler_properties.py
+++ b/tests/test_relay_scheduler_properties.py
@@ -10,9 +10,11 @@
 from hypothesis import strategies as st
 
 from guavamast.relay.placement.engine_forecast import LESS_URGENT_KV_SHARE, MOST_URGENT_KV_SHARE
+from guavamast.relay.placement.obstacle import Obstacle, ObstacleKind
 from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import (
     PlacementQuery,
+    PlacementReply,
     Verdict,
     WorkPhase,
     WorkReport,
@@ -151,6 +153,9 @@
             (decoded.number, decoded.verdict, decoded.endpoint_id),
             (reply.number, reply.verdict, reply.endpoint_id),
         )
+        obstacle = Obstacle(kind=ObstacleKind.CLAIM, precedence=3, waiting=2, engines=6)
+        refused = PlacementReply(number=6, verdict=Verdict.REFUSED, obstacle=obstacle)
+        self.assertEqual(decode_scheduling(encode_scheduling(refused)), refused)
         update = WorkUpdate(requester=query.requester, group=GROUP, number=5, phase=WorkPhase.ENDED)
         self.assertEqual(decode_scheduling(encode_scheduling(update)), update)
 
