--- a/src/guavamast/relay/placement/waiting.py
+++ b/src/guavamast/relay/placement/waiting.py
@@ -90,6 +90,18 @@
         return min(1.0, max(0.0, (now - self._began_at) / longest_s)) if longest_s > 0.0 else 1.0
 
 
+def compute_longest_wait(*, objective_s: float, least_urgent: bool, remaining_s: float) -> float:
+    """Return the seconds for which an attempt waits for room at most.
+
+    Args:
+        objective_s: Its objective.
+        least_urgent: Whether no stream of its service is less urgent.
+        remaining_s: Seconds until its response must be complete.
+    """
+    share = LEAST_URGENT_WAIT_SHARE if least_urgent else WAIT_SHARE
+    return min(share * objective_s, MAX_TIME_SHARE * remaining_s)
+
+
 def begin_wait(
     *,
     attempt: str,
@@ -107,10 +119,12 @@
         least_urgent: Whether no stream of its service is less urgent.
         deadline: Time at which its response must be complete.
     """
-    share = LEAST_URGENT_WAIT_SHARE if least_urgent else WAIT_SHARE
+    wait_s = compute_longest_wait(
+        objective_s=objective_s, least_urgent=least_urgent, remaining_s=deadline - received_at
+    )
     return PlacementWait(
         attempt=attempt,
         began_at=received_at,
-        wait_s=min(share * objective_s, MAX_TIME_SHARE * (deadline - received_at)),
+        wait_s=wait_s,
         delayed_s=DELAYED_SHARE * objective_s,
     )
--- a/tests/urgency_fleets.py
+++ b/tests/urgency_fleets.py
@@ -41,6 +41,7 @@
 from tests.scheduling_simulation import GROUP, POOL, make_query
 
 if TYPE_CHECKING:
+    from guavamast.relay.catalog import Route
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.messages import CallerRequest
     from guavamast.relay.placement.waiting import RoomCheck
@@ -72,10 +73,10 @@
         """Learn of the progress of an attempt that was sent."""
 
 
-def make_catalog(kinds: tuple[Kind, ...]) -> Catalog:
-    """Return a configuration with a route for each kind."""
+def make_routes(kinds: tuple[Kind, ...]) -> list[Route]:
+    """Return a route for each kind."""
     service = WeightedService(service=POOL, weight=1.0)
-    routes = [
+    return [
         build_route(
             name=kind.name,
             path_prefix=f"/{kind.name}/",
@@ -88,13 +89,17 @@
         )
         for kind in kinds
     ]
+
+
+def make_catalog(kinds: tuple[Kind, ...]) -> Catalog:
+    """Return a configuration with a route for each kind."""
     settings = ServiceSettings(
         name=POOL, health_path="/", max_connections=700, kv_capacity_tokens=614_000
     )
     return Catalog(
         version=1,
         row_version=1,
-        routes=routes,
+        routes=make_routes(kinds),
         services=[settings],
         organisations=None,
         limits=LIMITS,
@@ -146,13 +151,15 @@
             timeout_s=asked.deadline - now,
         )
 
-    def begin(self, request: CallerRequest, check: RoomCheck, now: float) -> RequestProgress:
+    def begin(
+        self, asked: Asked, request: CallerRequest, check: RoomCheck, now: float
+    ) -> RequestProgress:
         """Return the state of an attempt, whose demand is counted at its first check."""
         route = self.catalog.find_route(request.host, request.path)
         assert route is not None
         progress = begin_progress(
             request,
-            Admitted(catalog=self.catalog, route=route, organisation=None),
+            Admitted(catalog=self.catalog, route=route, organisation=asked.organisation),
             service=POOL,
             shortest_objective_s=self.catalog.find_shortest_objective(POOL),
             profile=self.profile,
@@ -206,7 +213,7 @@
         self.deliver(now)
         instance.now = now
         request = instance.build_request(asked, now)
-        progress = instance.begin(request, check, now)
+        progress = instance.begin(asked, request, check, now)
         placed = instance.placer.decide(request, progress, check)
         if placed.rejection is not None:
             self._announce_waiting(instance, now)
@@ -298,7 +305,7 @@
     def decide(self, asked: Asked, check: RoomCheck, now: float) -> Decision:
         """Ask the scheduler."""
         request = self._instance.build_request(asked, now)
-        progress = self._instance.begin(request, check, now)
+        progress = self._instance.begin(asked, request, check, now)
         self._count += 1
         query = self.build_query(request, progress, check)
         reply = self._scheduler.decide(query, self._records, self._parameters, now=now)
--- a/tests/urgency_simulation.py
+++ b/tests/urgency_simulation.py
@@ -13,16 +13,16 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from guavamast.relay.catalog import compute_engine_urgency, compute_precedence
 from guavamast.relay.placement.waiting import CHECK_INTERVAL_S, PlacementWait, begin_wait
 from guavamast.relay.scheduled_placer import MAX_QUERY_INTERVAL_S
 from guavamast.relay.scheduler import LEARNING_S
 from guavamast.relay.scheduling_messages import WorkPhase
 from guavamast.urgency_order import BegunWork, RequestOutcome
-from tests.relay_fixtures import (
-    build_endpoint,
-)
+from tests.relay_fixtures import build_endpoint
 from tests.scheduling_simulation import POOL
-from tests.urgency_fleets import Fleet, LocalFleet, ScheduledFleet
+from tests.urgency_fleets import Fleet, LocalFleet, ScheduledFleet, make_routes
+from tests.urgency_idle import IdleMeter
 from tests.urgency_workload import DIGEST, Asked, Engine, Kind, Scenario
 
 if TYPE_CHECKING:
@@ -61,6 +61,10 @@
         self._engines = {one.endpoint_id: Engine(profile, slots=64) for one in records}
         fleet_class = ScheduledFleet if scenario.scheduled else LocalFleet
         self._fleet: Fleet = fleet_class(scenario, records, seed=seed)
+        self._routes = {route.name: route for route in make_routes(scenario.kinds)}
+        self._waiting: dict[int, float] = {}
+        """Times since which attempts wait for room."""
+        self.idle = IdleMeter(self._engines)
         self._events: list[Event] = []
         self._count = 0
         self.now = 0.0
@@ -73,6 +77,7 @@
         """Process all events in the order of their times."""
         while self._events:
             event = heappop(self._events)
+            self.idle.measure(self._waiting, from_s=self.now, until_s=event.due)
             self.now = event.due
             event.act()
 
@@ -81,8 +86,8 @@
         return [
             RequestOutcome(
                 service=POOL,
-                kind=one.kind.name,
-                precedence=one.kind.urgency,
+                kind=f"{one.kind.name} {one.precedence}",
+                precedence=one.precedence,
                 tokens=one.tokens,
                 asked_at=one.arrived,
                 served=one.is_served(),
@@ -96,6 +101,13 @@
         served = Counter(one.kind.name for one in self.asked if one.is_served())
         return {name: served[name] / count for name, count in asked.items()}
 
+    def sum_up_served(self) -> dict[int, int]:
+        """Return the prompt tokens of the requests that were served, by precedence."""
+        served: dict[int, int] = defaultdict(int)
+        for one in self.asked:
+            served[one.precedence] += one.tokens * one.is_served()
+        return served
+
     def count_in_time(self) -> dict[str, float]:
         """Return the share of the requests of each kind that were served in time."""
         served: dict[str, list[bool]] = defaultdict(list)
@@ -125,7 +137,17 @@
         spread = 0.8
         mean = math.log(kind.mean_tokens) - spread * spread / 2.0
         tokens = int(min(kind.max_tokens, self._random.lognormvariate(mean, spread)))
-        asked = Asked(number=len(self.asked) + 1, kind=kind, tokens=tokens, arrived=arrived)
+        organisation = self._scenario.draw_organisation(self._random)
+        route = self._routes[kind.name]
+        asked = Asked(
+            number=len(self.asked) + 1,
+            kind=kind,
+            tokens=tokens,
+            arrived=arrived,
+            organisation=organisation,
+            precedence=compute_precedence(route, organisation),
+            engine_urgency=compute_engine_urgency(route, organisation),
+        )
         self.asked.append(asked)
         self._at(arrived, lambda: self._attempt(asked))
 
@@ -145,6 +167,9 @@
         """Look for room once; check again, or let the caller retry, if there is none."""
         check = wait.begin_check(now=self.now)
         decision = self._fleet.decide(asked, check, self.now)
+        self._waiting.setdefault(asked.number, self.now)
+        if decision.endpoint_id is not None or check.last:
+            del self._waiting[asked.number]
         if decision.endpoint_id is not None:
             self._send(asked, decision.endpoint_id)
         elif not check.last:
@@ -152,14 +177,14 @@
             if self._scenario.scheduled:
                 interval_s = max(interval_s, min(MAX_QUERY_INTERVAL_S, decision.retry_after_s))
             self._at(self.now + interval_s, lambda: self._check(asked, wait))
-        elif asked.attempts == 1:
+        elif asked.attempts == 1 and self._random.random() < self._scenario.returning_share:
             wait_s = min(decision.retry_after_s, MAX_RETRY_SHARE * (asked.deadline - self.now))
             self._at(self.now + wait_s, lambda: self._attempt(asked))
 
     def _send(self, asked: Asked, endpoint_id: str) -> None:
         begun = BegunWork(
             service=POOL,
-            precedence=asked.kind.urgency,
+            precedence=asked.precedence,
             tokens=asked.tokens,
             began_at=self.now,
         )
--- a/tests/urgency_workload.py
+++ b/tests/urgency_workload.py
@@ -4,10 +4,13 @@
 
 from dataclasses import dataclass
 from heapq import heappop, heappush
+from typing import TYPE_CHECKING
 
-from guavamast.relay.placement.engine_profile import (
-    EngineProfile,
-)
+from guavamast.relay.catalog import CallerOrganisation
+from guavamast.relay.placement.engine_profile import EngineProfile
+
+if TYPE_CHECKING:
+    from random import Random
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,6 +65,10 @@
 KINDS = (QUESTION, PHOTO, DIGEST)
 
 
+URGENT_ORGANISATION = CallerOrganisation(name="urgent", urgency=0)
+OTHER_ORGANISATION = CallerOrganisation(name="other", urgency=1)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Burst:
     """A span in which more is asked for."""
@@ -88,6 +95,10 @@
     """Whether one scheduler decides for all instances."""
     length_s: float = 18.0
     kinds: tuple[Kind, ...] = KINDS
+    urgent_share: float = 0.0
+    """Share of the requests, of all kinds, of an organisation that goes before all others."""
+    returning_share: float = 1.0
+    """Share of the callers that return when told."""
 
     def compute_rate(self, kind: Kind, at_s: float) -> float:
         """Return how many requests of a kind arrive in a second."""
@@ -97,6 +108,12 @@
                 rate *= burst.factor
         return rate
 
+    def draw_organisation(self, random: Random) -> CallerOrganisation | None:
+        """Return the organisation of a request; None if all are equally urgent."""
+        if self.urgent_share == 0.0:
+            return None
+        return URGENT_ORGANISATION if random.random() < self.urgent_share else OTHER_ORGANISATION
+
     def build_profile(self) -> EngineProfile:
         """Return the speed of the engines, as all instances have learnt it."""
         return EngineProfile(
@@ -116,6 +133,11 @@
     kind: Kind
     tokens: int
     arrived: float
+    organisation: CallerOrganisation | None
+    precedence: int
+    """Rank by which it is admitted; 0 goes first."""
+    engine_urgency: int
+    """Urgency that engines are told."""
     attempts: int = 0
     attempt_began: float = 0.0
     first_event: float | None = None
@@ -143,7 +165,7 @@
     def enqueue(self, asked: Asked) -> None:
         """Add a request to those that wait for a slot."""
         self._arrivals += 1
-        heappush(self._waiting, (asked.kind.urgency, self._arrivals, asked))
+        heappush(self._waiting, (asked.engine_urgency, self._arrivals, asked))
 
     def admit(self, now: float) -> list[tuple[Asked, float, float]]:
         """Return the requests that get a slot, each with the times of its first event and end."""
@@ -158,6 +180,16 @@
             admitted.append((asked, first, first + token_s * asked.kind.output_tokens))
         return admitted
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether it has nothing to prefill, and a free slot."""
+        return self._prefill_until <= now and self._running < self._slots
+
+    def measure_idle(self, *, from_s: float, until_s: float) -> float:
+        """Return for how long it is idle in a span in which nothing begins or ends there."""
+        if self._running >= self._slots:
+            return 0.0
+        return max(0.0, until_s - max(from_s, self._prefill_until))
+
     def release(self) -> None:
         """Free a slot."""
         self._running -= 1
