Rejected requests hold no engine for longer than 0.3 s

Callers saw: questions and photos refused at idle engines, all of them in some seconds. Cause: a rejected attempt counted as waiting until its caller was told to return, over a second for long prompts, whether or not it came, and each that waits keeps an engine from all that are less urgent. Change: such a claim ends after 0.3 s. Shorter absences keep their room as before (its test stands). The new test fails without it.

--- a/src/guavamast/relay/placement/admission_control.py
+++ b/src/guavamast/relay/placement/admission_control.py
@@ -23,6 +23,9 @@
 MAX_KEPT_SHARE: Final = 1 / 2
 """Share of the engines that are kept open for more urgent requests at most while none is delayed;
 the least urgent ones have the rest to themselves."""
+MAX_ABSENCE_S: Final = 0.3
+"""Seconds for which a rejected request counts as waiting at most. A caller that returns later, or
+not at all, doesn't take the room meanwhile, and waits for the next when it is back."""
 SLOT_COST_MS: Final = 20.0
 """Milliseconds of prefill time that one slot counts for where slots are granted singly."""
 
@@ -242,7 +245,7 @@
         wait_s = CHECK_INTERVAL_S
         if check.last:
             # Until its caller returns, less urgent requests would take the room that it needs then.
-            wait_s = rejection.retry_after_s
+            wait_s = min(MAX_ABSENCE_S, rejection.retry_after_s)
             self._history.record_rejection(service, precedence, now=now)
             self._credits.add_rejected(terms, forecast.prefill_ms)
         self._history.record_waiting(
--- a/tests/test_relay_admission_control_properties.py
+++ b/tests/test_relay_admission_control_properties.py
@@ -137,6 +137,14 @@
         self.assertFalse(self.admit(1, 0.0, now=0.1, last=False))
         self.assertTrue(self.admit(1, 0.0, now=1.0, last=False))
 
+    def test_the_room_of_a_rejected_request_is_used_while_its_caller_stays_away(self) -> None:
+        """Guards against idle engines that are left to callers told to return much later."""
+        rejection = self.decide(0, 5_000.0)
+        assert rejection is not None
+        self.assertGreater(rejection.retry_after_s, 1.0)
+        self.assertFalse(self.admit(1, 0.0, now=0.2, last=False))
+        self.assertTrue(self.admit(1, 0.0, now=0.5, last=False))
+
     def test_requests_that_are_late_everywhere_press_too_but_starve_nobody(self) -> None:
         """Guards against slow engines at which urgent requests count for nothing, or for all."""
         self.reject_requests(prefill_ms=400.0)
--- a/tests/urgency_oracle.py
+++ b/tests/urgency_oracle.py
@@ -12,6 +12,8 @@
 
 from guavamast.relay.placement.admission import RETRY_SHARE
 from guavamast.relay.placement.waiting import compute_longest_wait
+from guavamast.urgency_order import BegunWork
+from tests.scheduling_simulation import POOL
 from tests.urgency_workload import DIGEST, Asked, Engine, Scenario
 
 if TYPE_CHECKING:
@@ -27,6 +29,8 @@
         least_urgent=asked.kind is DIGEST,
         remaining_s=asked.kind.timeout_s,
     )
+    if not asked.returns:
+        return wait_s
     return CALLER_ATTEMPTS * wait_s + RETRY_SHARE * asked.kind.objective_s
 
 
@@ -44,6 +48,10 @@
         self._releases: list[tuple[float, int, Engine]] = []
         self._queue: list[tuple[int, float, int, Asked]] = []
         self._count = 0
+        self.begun: list[BegunWork] = []
+        """What began, in order."""
+        self.served: set[int] = set()
+        """Numbers of the requests that were served."""
 
     def serve(self, requests: Iterable[Asked]) -> dict[int, int]:
         """Return the prompt tokens served by precedence."""
@@ -68,6 +76,15 @@
         engine.enqueue(asked)
         for _, first, end in engine.admit(now):
             served[asked.precedence] += asked.tokens
+            self.served.add(asked.number)
+            self.begun.append(
+                BegunWork(
+                    service=POOL,
+                    precedence=asked.precedence,
+                    tokens=asked.tokens,
+                    began_at=now,
+                )
+            )
             self._count += 1
             heappush(self._releases, (end, self._count, engine))
             self._add(first - self._profile.first_event_ms / 1000.0, engine)
--- a/tests/urgency_workload.py
+++ b/tests/urgency_workload.py
@@ -114,6 +114,10 @@
             return None
         return URGENT_ORGANISATION if random.random() < self.urgent_share else OTHER_ORGANISATION
 
+    def draw_return(self, random: Random) -> bool:
+        """Return whether a caller returns when told."""
+        return self.returning_share == 1.0 or random.random() < self.returning_share
+
     def build_profile(self) -> EngineProfile:
         """Return the speed of the engines, as all instances have learnt it."""
         return EngineProfile(
@@ -138,6 +142,8 @@
     """Rank by which it is admitted; 0 goes first."""
     engine_urgency: int
     """Urgency that engines are told."""
+    returns: bool
+    """Whether its caller returns when told."""
     attempts: int = 0
     attempt_began: float = 0.0
     first_event: float | None = None
