Who goes last is told by precedence, not by the route

Callers saw: long prompts of an organisation that goes before all others refused beside idle engines, and then everyone else for their claims. Change: whether any less urgent precedence of the service is in use decides. The new test fails without it.

--- a/src/guavamast/relay/placement/admission_control.py
+++ b/src/guavamast/relay/placement/admission_control.py
@@ -40,6 +40,8 @@
     parameters: WaitParameters
     more_urgent: tuple[UrgentDemand, ...]
     """Demand of the more urgent requests to the service, one entry for each precedence."""
+    goes_last: bool = False
+    """Whether no less urgent request of its service is in use, by organisation and route."""
     own_rejected: bool = False
     """Whether requests of its own precedence are being rejected."""
     competitors: int = 0
@@ -65,15 +67,15 @@
 
         The more precedences go before a request, the more engines it leaves to them, so that the
         least urgent requests don't use up what is left to those between. While more urgent requests
-        are delayed it leaves up to twice as many. Unless it is the least urgent, it leaves fewer
-        the longer it waits, as it would be rejected for engines that nobody uses.
+        are delayed it leaves up to twice as many. Unless it goes last, it leaves fewer the longer
+        it waits, as it would be rejected for engines that nobody uses.
 
         Args:
             demand: The demand of the more urgent requests.
             engines: Engines that can be used.
         """
         share = MAX_KEPT_SHARE * (1.0 - 0.5 ** len(self.more_urgent)) * (1.0 + demand.pressure)
-        if not self.parameters.least_urgent:
+        if not self.goes_last:
             share *= 1.0 - self.parameters.waited_share
         return min(engines - 1, math.ceil(share * engines))
 
@@ -202,6 +204,7 @@
             precedence=precedence,
             parameters=parameters,
             more_urgent=self._history.list_more_urgent(service, precedence, now=now),
+            goes_last=not self._history.has_less_urgent(service, precedence, now=now),
             own_rejected=self._history.are_rejected(service, precedence, now=now),
             competitors=max(0, competitors),
         )
--- a/src/guavamast/relay/placement/admission_history.py
+++ b/src/guavamast/relay/placement/admission_history.py
@@ -292,6 +292,16 @@
             if total.requests >= MIN_PRESENT or precedence in delayed
         )
 
+    def has_less_urgent(self, service: str, precedence: int, *, now: float) -> bool:
+        """Return whether a less urgent precedence is in use at a service."""
+        requests = 0.0
+        for counts in (self._own, *self._peers.values()):
+            for (counted_service, counted_precedence), count in counts.items():
+                if counted_service == service and counted_precedence > precedence:
+                    count.decay(now=now)
+                    requests += count.requests
+        return requests >= MIN_PRESENT
+
     def are_rejected(self, service: str, precedence: int, *, now: float) -> bool:
         """Return whether requests of a precedence are being rejected."""
         rejected = 0.0
--- a/tests/test_relay_admission_control_properties.py
+++ b/tests/test_relay_admission_control_properties.py
@@ -145,6 +145,24 @@
         self.assertFalse(self.admit(1, 0.0, now=0.2, last=False))
         self.assertTrue(self.admit(1, 0.0, now=0.5, last=False))
 
+    def test_long_prompts_that_go_before_others_use_an_idle_engine_before_they_are_rejected(
+        self,
+    ) -> None:
+        """Guards against an urgent organisation's long prompts rejected beside idle engines."""
+        self.admit(0, 0.0)
+        self.admit(2, 0.0)
+        check = RoomCheck(attempt="long", waited_share=1.0, delayed=True, last=True)
+        terms = self.control.prepare(
+            WaitParameters(objective_s=2.0, least_urgent=True, waited_share=1.0, last_check=True),
+            service=POOL,
+            precedence=1,
+            check=check,
+            now=0.0,
+        )
+        forecast = Forecast(start_ms=40.0, waiting_ms=0.0, prefill_ms=400.0)
+        survey = terms.survey((0.0, 400.0, 400.0, 400.0))
+        self.assertIsNone(self.control.admit(forecast, survey, check=check, now=0.0))
+
     def test_requests_that_are_late_everywhere_press_too_but_starve_nobody(self) -> None:
         """Guards against slow engines at which urgent requests count for nothing, or for all."""
         self.reject_requests(prefill_ms=400.0)
