--- a/src/guavamast/relay/placement/admission_control.py
+++ b/src/guavamast/relay/placement/admission_control.py
@@ -24,8 +24,7 @@
 """Share of the engines that are kept open for more urgent requests at most while none is delayed;
 the least urgent ones have the rest to themselves."""
 MAX_ABSENCE_S: Final = 0.3
-"""Seconds for which a rejected request counts as waiting at most. A caller that returns later, or
-not at all, doesn't take the room meanwhile, and waits for the next when it is back."""
+"""Seconds for which a rejected request counts as waiting at most; who returns later waits again."""
 SLOT_COST_MS: Final = 20.0
 """Milliseconds of prefill time that one slot counts for where slots are granted singly."""
 
