Leases: one mechanism in a room of its own, over an interface of its table

The relay needs leases for duties; the leases of orders to endpoints stood on the product's own platform client only. The row, the watch and the holder are modules now, behind LeaseTable. Ruled out: a second lease class for the relay.

--- a/src/guavamast/dispatcher.py
+++ b/src/guavamast/dispatcher.py
@@ -22,7 +22,7 @@
 from guavamast.heartbeat_links import HeartbeatLinks
 from guavamast.hosted_endpoints import HostedEndpoints
 from guavamast.keeper_host import PROBE_INTERVAL_S, KeeperHost
-from guavamast.leases import LeaseHolder, LeaseParameters
+from guavamast.leases import LeaseHolder, LeaseParameters, PlatformLeaseTable
 from guavamast.load_poller import LoadPoller
 from guavamast.log import get_logger
 from guavamast.membership import Membership
@@ -168,8 +168,8 @@
         clock, parameters = SystemClock(), LeaseParameters()
         name = self._settings.instance.name
         leases = LeaseHolder(
-            platform=self._platform,
-            clock=clock,
+            table=PlatformLeaseTable(platform=self._platform),
+            read_time=clock.read_monotonic,
             holder=name,
             generate_nonce=lambda: uuid.uuid4().hex,
             parameters=parameters,
--- a/src/guavamast/order_issuer.py
+++ b/src/guavamast/order_issuer.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from guavamast.fleet_objects import Fencing
 from guavamast.orders import Order, OrderOutcome, OrderProgress, OrderStep
 from guavamast.platform_client import Check, PlatformAnswerLost, PlatformError, Write
 from guavamast.rollouts import (
@@ -106,7 +107,8 @@
     async def _send(
         self, endpoint: Endpoint, progress: OrderProgress, missing: dict[str, str]
     ) -> None:
-        lease = await self._leases.acquire(endpoint.name, endpoint.fencing)
+        fenced = endpoint.fencing is Fencing.CHECKED
+        lease = await self._leases.acquire(endpoint.name, fenced=fenced)
         # Acquiring the lease may have taken long; get_valid reads the clock again.
         if lease is None or self._leases.get_valid(endpoint.name) is None:
             return
--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -11,7 +11,7 @@
 from guavamast.clocks import Clock
 from guavamast.fleet import parse_configuration
 from guavamast.fleet_objects import Fencing
-from guavamast.leases import LeaseHolder, LeaseParameters
+from guavamast.leases import LeaseHolder, LeaseParameters, PlatformLeaseTable
 from guavamast.order_issuer import OrderIssuer
 from guavamast.orders import EndpointReport, Order, OrderOutcome, OrderSender
 from tests.fake_platform import FakePlatform
@@ -191,8 +191,8 @@
         self.sender = FakeSender(simulation)
         numbers = itertools.count(1)
         self.leases = LeaseHolder(
-            platform=simulation.platform,
-            clock=self.clock,
+            table=PlatformLeaseTable(platform=simulation.platform),
+            read_time=self.clock.read_monotonic,
             holder=name,
             generate_nonce=lambda: f"{name}-{next(numbers)}",
             parameters=PARAMETERS,
--- a/tests/test_hosted_endpoints.py
+++ b/tests/test_hosted_endpoints.py
@@ -11,7 +11,7 @@
 from guavamast.fleet_objects import FailureDomain, Instance
 from guavamast.hosted_endpoints import HostedEndpoints
 from guavamast.keeper_host import KeeperHost
-from guavamast.leases import LeaseHolder, LeaseParameters
+from guavamast.leases import LeaseHolder, LeaseParameters, PlatformLeaseTable
 from guavamast.members import Member, MembershipView, MemberState
 from guavamast.metrics import NoMetrics
 from guavamast.order_http import HttpOrderSender
@@ -68,8 +68,8 @@
         """Return the order loop on an in-memory platform."""
         platform, clock, parameters = FakePlatform(), SystemClock(), LeaseParameters()
         leases = LeaseHolder(
-            platform=platform,
-            clock=clock,
+            table=PlatformLeaseTable(platform=platform),
+            read_time=clock.read_monotonic,
             holder="a",
             generate_nonce=lambda: "n",
             parameters=parameters,
