--- a/src/guavamast/leases/holder.py
+++ b/src/guavamast/leases/holder.py
@@ -122,6 +122,14 @@
         fencing = held.row.fencing + advance
         return await self._write(resource, held.row, held.clock, records=records, fencing=fencing)
 
+    async def read_records(self, resource: str) -> list[LeaseRecord]:
+        """Return the records of a resource; only after an acquisition they can't change unseen.
+
+        Raises:
+            PlatformError: The platform is down.
+        """
+        return await self._table.read_records(resource)
+
     async def release(self, resource: str) -> None:
         """Release the lease, so that the next holder need not wait until it expires.
 
--- a/src/guavamast/platform/catalog_wire.py
+++ b/src/guavamast/platform/catalog_wire.py
@@ -11,6 +11,7 @@
     Catalog,
     Route,
     RouteKind,
+    ScalingSettings,
     ServiceSettings,
     WeightedService,
 )
@@ -85,6 +86,23 @@
         health_path=entry.get("health_path") or "/",
         max_connections=int(entry.get("max_connections") or 64),
         kv_capacity_tokens=int(engine.get("kv_capacity_tokens") or 0) if engine else None,
+        scaling=_decode_scaling(entry.get("scaling")),
+    )
+
+
+def _decode_scaling(entry: dict[str, Any] | None) -> ScalingSettings | None:
+    """Return the bounds of a service's engines; None if none can be ordered."""
+    if not entry:
+        return None
+    spot_price = entry.get("spot_price")
+    return ScalingSettings(
+        min_engines=int(entry.get("min") or 0),
+        max_engines=int(entry["max"]),
+        start_s=float(entry.get("boot_s") or 0.0),
+        reclaimable_price=None if spot_price is None else float(spot_price),
+        domain_prices={
+            str(zone): float(price) for zone, price in (entry.get("zone_prices") or {}).items()
+        },
     )
 
 
--- a/src/guavamast/platform/endpoint_wire.py
+++ b/src/guavamast/platform/endpoint_wire.py
@@ -33,6 +33,7 @@
     zone = fields.get("zone")
     born = fields.get("born")
     version = fields.get("version")
+    leaves_ms = fields.get("leaves_ms")
     return EndpointRecord(
         endpoint_id=key,
         row_version=row_version,
@@ -44,4 +45,10 @@
         ready=state == "ready",
         started_ms=born if isinstance(born, int) else None,
         software_version=version if isinstance(version, str) and version else None,
+        reclaimable=fields.get("spot") is True,
+        leaves_s=leaves_ms / 1000.0 if _is_number(leaves_ms) else None,
     )
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
--- a/src/guavamast/platform/runner.py
+++ b/src/guavamast/platform/runner.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from guavamast.platform.lease_client import StoreLeaseTable
+from guavamast.platform.provider_client import ProviderClient
 from guavamast.platform.query_handlers import (
     AddressQueryHandler,
     MetricsQueryHandler,
@@ -27,11 +29,19 @@
         log_descriptor: File descriptor to which log lines are written.
     """
     clock = StoreClock()
+    store = StoreClient(address=settings.store, clock=clock, read_time=read_boot_time)
+    duties = settings.duties
     node = Node(
         settings=settings,
-        store=StoreClient(address=settings.store, clock=clock, read_time=read_boot_time),
+        store=store,
         codec=PlatformHeaders(),
         clock=clock,
+        leases=StoreLeaseTable(calls=store.calls),
+        provider=(
+            ProviderClient(address=duties.provider, name=settings.name)
+            if duties is not None
+            else None
+        ),
         log_descriptor=log_descriptor,
     )
     await node.run(
--- a/src/guavamast/platform/settings.py
+++ b/src/guavamast/platform/settings.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from guavamast.findings import Finding, FindingCode, FindingsError
+from guavamast.relay.duties.settings import DutySettings
 from guavamast.relay.node_settings import NodeSettings, SocketAddress
 
 if TYPE_CHECKING:
@@ -19,6 +20,17 @@
 DEFAULT_SPREAD_S = 3.0
 """Seconds in which all instances must know what one has learned, if no bound is set."""
 
+DEFAULT_LEASE_S = 3.0
+"""Seconds in which duties must not pass to another instance and back, if no bound is set."""
+DEFAULT_WINDOW_S = 5.0
+"""Seconds of a usage window, if none is set."""
+DEFAULT_USAGE_DUE_S = 10.0
+"""Seconds from the end of a window until its usage is due, if none are set."""
+DEFAULT_CALLS_PER_S = 10.0
+"""Calls per second that the provider accepts, if no rate is set."""
+USAGE_DUTY = "usage_report"
+SCALING_DUTY = "autoscale"
+
 
 class _SettingsReader:
     """Reads values from a decoded settings file and collects findings."""
@@ -137,6 +149,7 @@
         link_mbps=_read_optional(reader, "limits.link_mbps"),
         processor_share=_read_optional(reader, "limits.cpu_share")
         * (_read_optional(reader, "limits.cores") or 1.0),
+        duties=_read_duties(reader),
     )
     if reader.findings:
         raise FindingsError(reader.findings)
@@ -166,3 +179,28 @@
     if not reader.look_up("bounds.strict_revocation"):
         return DEFAULT_BOUND_S
     return float(reader.read("bounds.revoke_ms", _read_positive, 5000.0)) / 1000.0
+
+
+def _read_duties(reader: _SettingsReader) -> DutySettings | None:
+    """Return the duties towards the provider; None if the file names none."""
+    if reader.look_up("cloud.address") is None:
+        return None
+    names = reader.look_up("cloud.duties") or ()
+    return DutySettings(
+        provider=reader.read("cloud.address", _read_address, SocketAddress(ip="127.0.0.1", port=1)),
+        reports_usage=USAGE_DUTY in names,
+        orders_engines=SCALING_DUTY in names,
+        fenced=bool(reader.look_up("bounds.enforce_fencing")),
+        lease_s=_read_bound(reader, "bounds.lease_ms", default_s=DEFAULT_LEASE_S),
+        resume_slack_s=_read_bound(reader, "bounds.thaw_slack_ms", default_s=0.3),
+        window_s=_read_seconds(reader, "bounds.report_window_s", DEFAULT_WINDOW_S),
+        usage_due_s=_read_seconds(reader, "bounds.usage_late_s", DEFAULT_USAGE_DUE_S),
+        calls_per_s=_read_seconds(reader, "cloud.duty_per_s", DEFAULT_CALLS_PER_S),
+    )
+
+
+def _read_seconds(reader: _SettingsReader, path: str, default: float) -> float:
+    """Return an optional positive number; the default if it is missing."""
+    if reader.look_up(path) is None:
+        return default
+    return float(reader.read(path, _read_positive, default))
--- /dev/null
+++ b/src/guavamast/platform/store_calls.py
@@ -0,0 +1,269 @@
+"""Calls to the platform's store over persistent connections."""
+
+from __future__ import annotations
+
+import base64
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import urlencode
+
+from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
+from guavamast.relay.loop_timeout import wait_in_steps
+from guavamast.relay.store import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavamast.relay.freshness import StoreClock
+    from guavamast.relay.node_settings import SocketAddress
+
+REUSED_CONNECTION_TIMEOUT_S: Final = 0.3
+"""Seconds for one call on a reused connection; short enough to retry an unresponsive one on a new
+connection before any state gets too old."""
+CALL_TIMEOUT_S: Final = 0.5
+"""Seconds for connecting, and for one call on a new connection."""
+BACKGROUND_TIMEOUT_S: Final = 2.0
+"""Seconds for calls that no request waits for."""
+STATUS_CONFLICT: Final = 412
+PAGE_ROWS: Final = 500
+
+
+class StoreConflict(StoreError):
+    """A conditional write whose row has another version than expected."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredRow:
+    """A row of a table, not decoded."""
+
+    key: str
+    version: int
+    value: Any
+    """As the response has it; Base64 if the row is valid."""
+
+    def decode_text(self) -> bytes:
+        """Return the value as bytes.
+
+        Raises:
+            ValueError: The value is missing or not Base64.
+        """
+        if not isinstance(self.value, str):
+            raise ValueError("row has no value")
+        return base64.b64decode(self.value, validate=True)
+
+    def decode(self) -> Any:
+        """Return the decoded value.
+
+        Raises:
+            ValueError: The value is missing or malformed.
+        """
+        return json.loads(self.decode_text())
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredRows:
+    """Rows of one table as of one moment."""
+
+    rows: list[StoredRow]
+    store_time: float
+    """Store time in seconds; with several pages that of the first, the oldest."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Committed:
+    """A transaction that the store has performed."""
+
+    version: int
+    """The newest version of any row."""
+    store_time: float
+    """Store time in seconds."""
+
+
+class Transaction:
+    """Conditions and changes that the store applies together or not at all."""
+
+    __slots__ = ("_expect", "_remove", "_writes")
+
+    def __init__(self) -> None:
+        self._expect: list[dict[str, Any]] = []
+        self._writes: list[dict[str, Any]] = []
+        self._remove: list[dict[str, Any]] = []
+
+    def expect(self, table: str, key: str, version: int) -> None:
+        """Require a version of a row; 0 for a row that does not exist."""
+        self._expect.append(_name_row(table, key) | {"ver": version})
+
+    def write(self, table: str, key: str, fields: Any) -> None:
+        """Write a row."""
+        value = base64.b64encode(json.dumps(fields).encode()).decode()
+        self._writes.append(_name_row(table, key) | {"value": value})
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._remove.append(_name_row(table, key))
+
+    def encode(self) -> bytes:
+        """Return the body of the call."""
+        fields = {"expect": self._expect, "writes": self._writes, "remove": self._remove}
+        return json.dumps(fields).encode()
+
+
+class StoreCalls:
+    """Makes calls to the store.
+
+    Args:
+        address: The store's address.
+        clock: Receives the store time of each response.
+        read_time: Returns the local time in seconds.
+    """
+
+    __slots__ = ("_address", "_clock", "_idle", "_read_time")
+
+    def __init__(
+        self,
+        *,
+        address: SocketAddress,
+        clock: StoreClock,
+        read_time: Callable[[], float],
+    ) -> None:
+        self._address = address
+        self._clock = clock
+        self._read_time = read_time
+        self._idle: list[HttpConnection] = []
+
+    async def commit(self, transaction: Transaction) -> Committed:
+        """Perform a transaction.
+
+        Raises:
+            StoreConflict: A row has another version than expected.
+            StoreError: It isn't known whether it was performed.
+        """
+        response = await self._call(
+            "POST", "/v1/rows-tx", transaction.encode(), timeout_s=BACKGROUND_TIMEOUT_S
+        )
+        try:
+            version = int(response["ver"])
+            return Committed(version=version, store_time=_decode_store_time(response))
+        except (KeyError, TypeError, ValueError) as error:
+            raise StoreError(f"answer: {type(error).__name__}: {error}") from error
+
+    async def read_rows(
+        self, table: str, *, start: str = "", end: str | None = None, limit: int | None = None
+    ) -> StoredRows:
+        """Read the rows of a table.
+
+        Args:
+            table: Its name.
+            start: The first key.
+            end: The key before which to end; None for all further ones.
+            limit: Number of rows at most; None for all.
+        """
+        rows: list[StoredRow] = []
+        store_time: float | None = None
+        while True:
+            query = {"table": table, "part": "", "from": start, "limit": limit or PAGE_ROWS}
+            if end is not None:
+                query["target"] = end
+            response = await self._get("/v1/rows-get", query)
+            store_time = _decode_store_time(response) if store_time is None else store_time
+            rows.extend(_decode_row(row) for row in response["rows"])
+            more = response.get("more_pages") and response["rows"] and limit is None
+            if not more:
+                return StoredRows(rows=rows, store_time=store_time)
+            start = rows[-1].key + "\x00"
+
+    async def _get(self, path: str, query: dict[str, str | int]) -> dict[str, Any]:
+        target = f"{path}?{urlencode(query)}"
+        response = await self._call("GET", target, b"", timeout_s=CALL_TIMEOUT_S)
+        if not isinstance(response.get("rows"), list):
+            raise StoreError("response has no list of rows")
+        return response
+
+    async def _call(
+        self, method: str, target: str, body: bytes, *, timeout_s: float
+    ) -> dict[str, Any]:
+        """Make one call on an idle connection or, if that fails, on a new one.
+
+        After a failure, all idle connections are closed, so that only a new one decides whether the
+        store is unavailable. Without this, idle connections that became unresponsive while new ones
+        work would make the store look unavailable.
+        """
+        idle = self._pop_idle()
+        if idle is not None:
+            try:
+                return await self._call_on(
+                    idle, method, target, body, timeout_s=REUSED_CONNECTION_TIMEOUT_S
+                )
+            except (ConnectionLost, MalformedAnswer, TimeoutError):
+                self.close_idle()
+        try:
+            ip, port = self._address.ip, self._address.port
+            connection = await HttpConnection.open(ip, port, timeout_s=timeout_s)
+            return await self._call_on(connection, method, target, body, timeout_s=timeout_s)
+        except (ConnectionLost, MalformedAnswer, TimeoutError) as error:
+            raise StoreError(f"{type(error).__name__}: {error}") from error
+
+    async def _call_on(
+        self, connection: HttpConnection, method: str, target: str, body: bytes, *, timeout_s: float
+    ) -> dict[str, Any]:
+        """Make one call on a connection and keep it for reuse if the response was complete."""
+        sent = self._read_time()
+        exchange = self._exchange(connection, method, target, body)
+        try:
+            status, data = await wait_in_steps(exchange, timeout_s=timeout_s)
+        finally:
+            if not connection.reusable:
+                connection.close()
+        self._idle.append(connection)
+        if status == STATUS_CONFLICT:
+            raise StoreConflict("a row has another version")
+        if status != 200:
+            raise StoreError(f"status {status}")
+        try:
+            response = json.loads(data)
+        except ValueError as error:
+            raise StoreError(f"answer: {error}") from error
+        if "now_ms" in response:
+            self._clock.record(sent=sent, store_time=_decode_store_time(response))
+        return response
+
+    def _pop_idle(self) -> HttpConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+        return None
+
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def _exchange(
+        self, connection: HttpConnection, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        headers = [("Host", str(self._address))]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+            headers.append(("Content-Length", str(len(body))))
+        await connection.send(method, target, headers, body)
+        head = await connection.read_head()
+        data = bytearray()
+        while (chunk := await connection.read_chunk()) is not None:
+            data += chunk
+        return head.status, bytes(data)
+
+
+def _decode_store_time(response: dict[str, Any]) -> float:
+    """Return the store time of a response in seconds; it is sent in milliseconds."""
+    return float(response["now_ms"]) / 1000.0
+
+
+def _name_row(table: str, key: str) -> dict[str, Any]:
+    return {"table": table, "part": "", "key": key}
+
+
+def _decode_row(row: dict[str, Any]) -> StoredRow:
+    return StoredRow(key=str(row["key"]), version=int(row["ver"]), value=row.get("value"))
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -93,6 +93,22 @@
     """Overrides the route's urgency if set."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ScalingSettings:
+    """Bounds and prices of the engines that can be ordered for a service."""
+
+    min_engines: int
+    """Engines of both kinds together that each failure domain has at least."""
+    max_engines: int
+    start_s: float
+    """Time from an order until its engines serve."""
+    reclaimable_price: float | None
+    """Price of an engine that may be taken away, as a fraction of another one's; None if there are
+    none."""
+    domain_prices: dict[str, float]
+    """Relative price of an engine in each failure domain."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceSettings:
     """Settings of all endpoints of one service."""
@@ -103,6 +119,8 @@
     """Connections that one endpoint accepts from all callers together."""
     kv_capacity_tokens: int | None
     """KV cache capacity of one engine; None for services that run no model."""
+    scaling: ScalingSettings | None = None
+    """None for services whose engines can't be ordered."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/guavamast/relay/duties/usage_ledger.py
@@ -0,0 +1,134 @@
+"""The usage of windows that is fixed in the lease's records, and which of it is reported."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from guavamast.leases import LeaseRecord
+from guavamast.relay.provider import CallOutcome, WindowUsage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+STATE_KEY: Final = "usage"
+"""Key of the record with the offset of Unix time and the last fixed window."""
+WINDOW_PREFIX: Final = "usage/"
+"""Prefix of the keys of records with the counts of one window."""
+FIRST_RETRY_S: Final = 0.4
+"""Seconds until a report is repeated; doubled after each further failure."""
+MAX_RETRY_S: Final = 3.0
+"""Seconds between two repeats of a report at most."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Unreported:
+    """A fixed window that is not known to be reported."""
+
+    usage: WindowUsage
+    due_at: float
+    failures: int = 0
+
+
+class UsageLedger:
+    """Keeps what the present holder knows of the fixed windows.
+
+    Two different counts for one window must never be sent. So the counts are written under the
+    lease before they are first sent, and whoever holds the lease next reads them back and sends
+    exactly those.
+    """
+
+    __slots__ = ("_fixed_through", "_offset_s", "_removed", "_unreported", "_unwritten")
+
+    def __init__(self) -> None:
+        self._offset_s: float | None = None
+        self._fixed_through = -1
+        self._unreported: dict[int, _Unreported] = {}
+        self._unwritten: set[int] = set()
+        """Windows whose counts are not known to be written; they must not be sent."""
+        self._removed: set[int] = set()
+        """Windows that are reported and whose records are to be removed."""
+
+    @property
+    def offset_s(self) -> float | None:
+        """Offset of Unix time from the store's clock in seconds; None before the first holder."""
+        return self._offset_s
+
+    @property
+    def fixed_through(self) -> int:
+        """The last window whose counts are fixed."""
+        return self._fixed_through
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is something that has to be written before anything is sent."""
+        return bool(self._unwritten)
+
+    def load(self, records: Iterable[LeaseRecord], *, now: float) -> None:
+        """Replace all state by the records of the lease.
+
+        Raises:
+            ValueError: A record can't be decoded.
+        """
+        self._offset_s = None
+        self._fixed_through = -1
+        self._unreported = {}
+        self._unwritten = set()
+        self._removed = set()
+        for record in records:
+            if record.key == STATE_KEY and record.text is not None:
+                state = json.loads(record.text)
+                self._offset_s = float(state["offset_s"])
+                self._fixed_through = int(state["fixed_through"])
+            elif record.key.startswith(WINDOW_PREFIX) and record.text is not None:
+                window = int(record.key.removeprefix(WINDOW_PREFIX))
+                counts = {str(name): int(count) for name, count in json.loads(record.text).items()}
+                usage = WindowUsage(window=window, counts=counts)
+                self._unreported[window] = _Unreported(usage=usage, due_at=now)
+
+    def begin(self, *, offset_s: float, first_window: int) -> None:
+        """Begin with a window, as no holder has fixed any yet."""
+        self._offset_s = offset_s
+        self._fixed_through = first_window - 1
+
+    def fix(self, usage: WindowUsage, *, now: float) -> None:
+        """Fix the counts of the window after the last fixed one."""
+        assert usage.window == self._fixed_through + 1
+        self._fixed_through = usage.window
+        self._unreported[usage.window] = _Unreported(usage=usage, due_at=now)
+        self._unwritten.add(usage.window)
+
+    def build_records(self) -> list[LeaseRecord]:
+        """Return the records that are to be written or removed."""
+        state = {"offset_s": self._offset_s, "fixed_through": self._fixed_through}
+        records = [LeaseRecord(key=STATE_KEY, text=json.dumps(state))] if self._unwritten else []
+        for window in sorted(self._unwritten):
+            counts = json.dumps(self._unreported[window].usage.counts)
+            records.append(LeaseRecord(key=f"{WINDOW_PREFIX}{window}", text=counts))
+        for window in sorted(self._removed):
+            records.append(LeaseRecord(key=f"{WINDOW_PREFIX}{window}", text=None))
+        return records
+
+    def record_written(self) -> None:
+        """Record that all of `build_records` is written."""
+        self._unwritten.clear()
+        self._removed.clear()
+
+    def list_due(self, *, now: float) -> list[WindowUsage]:
+        """Return the windows whose written counts are to be sent now, the oldest first."""
+        return [
+            self._unreported[window].usage
+            for window in sorted(self._unreported)
+            if window not in self._unwritten and self._unreported[window].due_at <= now
+        ]
+
+    def record_outcome(self, window: int, outcome: CallOutcome, *, now: float) -> None:
+        """Record what became of a report."""
+        if outcome is CallOutcome.DONE:
+            del self._unreported[window]
+            self._removed.add(window)
+            return
+        unreported = self._unreported[window]
+        unreported.due_at = now + min(MAX_RETRY_S, FIRST_RETRY_S * 2**unreported.failures)
+        unreported.failures += 1
--- a/src/guavamast/relay/endpoint_table.py
+++ b/src/guavamast/relay/endpoint_table.py
@@ -29,6 +29,10 @@
     """Start time of this incarnation in Unix milliseconds, if stated."""
     software_version: str | None
     """Version of its software, which has no order; None if it is missing or unusable."""
+    reclaimable: bool = False
+    """Whether its provider may take it away at short notice."""
+    leaves_s: float | None = None
+    """Time from the write of its row until it ends, if it is leaving and states the time."""
 
 
 def compute_digest(versions: Iterable[tuple[str, int]]) -> str:
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -22,6 +22,7 @@
 
     from guavamast.relay.attempt import CompleteResponse
     from guavamast.relay.caller_admission import CallerAdmission
+    from guavamast.relay.duties import UsageCounter
     from guavamast.relay.endpoint_connector import EndpointConnector
     from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
     from guavamast.relay.endpoint_table import EndpointRecord
@@ -36,6 +37,7 @@
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
+    from guavamast.relay.scaling import DemandCounter
     from guavamast.relay.stream_binding import SoftwareVersions, StreamSource, StreamTakeUps
 
 
@@ -57,6 +59,8 @@
         budget: Retry budget; states whether another attempt could follow.
         codec: Encodes and decodes headers.
         guard: Keeps requests that end endpoints from further ones.
+        usage: Counts the requests that begin to run; None if usage isn't reported.
+        demand: Counts the prompt tokens to prefill; None if no engines are ordered.
         connector: Finds connections to endpoints.
         versions: Software of the endpoints.
         take_ups: Told what begins each stream that can be resumed.
@@ -74,6 +78,7 @@
         "_cache",
         "_codec",
         "_connector",
+        "_demand",
         "_end_check",
         "_fleet_state",
         "_guard",
@@ -85,6 +90,7 @@
         "_read_time",
         "_publish_load",
         "_take_ups",
+        "_usage",
         "_versions",
     )
 
@@ -98,6 +104,8 @@
         budget: RetryBudget,
         codec: HeaderCodec,
         guard: CrashGuard,
+        usage: UsageCounter | None,
+        demand: DemandCounter | None,
         connector: EndpointConnector,
         versions: SoftwareVersions,
         take_ups: StreamTakeUps,
@@ -115,6 +123,8 @@
         self._budget = budget
         self._codec = codec
         self._guard = guard
+        self._usage = usage
+        self._demand = demand
         self._connector = connector
         self._versions = versions
         self._take_ups = take_ups
@@ -194,6 +204,8 @@
         if request.shared_part is not None:
             now = self._read_time()
             self._cache.record(endpoint_id, request.shared_part, choice.uncached_tokens, now=now)
+        if self._demand is not None and request.prompt_tokens:
+            self._demand.record_send(choice.record.service, prefill_tokens=choice.uncached_tokens)
         work = self._loads.begin(
             endpoint_id,
             prefill_tokens=choice.uncached_tokens,
@@ -245,6 +257,8 @@
             async with asyncio.timeout(timeout_s) as attempt_timeout:
                 head = await attempt.send(parameters)
                 head_at = self._read_time()
+                if not head.event_stream:
+                    self._record_run(progress, now=head_at)
                 if head.event_stream and head.status < 300:
                     observer = self._build_observer(
                         request, progress, attempt, send, sampler, watch, attempt_timeout
@@ -307,12 +321,25 @@
             watch=watch,
             loads=self._loads,
             recorder=self._recorder,
-            bind=partial(self._bind, request, progress, attempt.source),
+            begin=partial(self._begin_stream, request, progress, attempt.source),
             idle_timeout=idle_timeout,
             publish_decrease=partial(self._publish_load, increased=False),
             read_time=self._read_time,
         )
 
+    def _begin_stream(
+        self, request: CallerRequest, progress: RequestProgress, source: StreamSource
+    ) -> None:
+        """Record what begins a stream, before its first event is forwarded."""
+        self._bind(request, progress, source)
+        self._record_run(progress, now=self._read_time())
+
+    def _record_run(self, progress: RequestProgress, *, now: float) -> None:
+        """Count a request of an organisation that has begun to run."""
+        organisation = progress.admitted.organisation
+        if self._usage is not None and organisation is not None:
+            self._usage.record(organisation.name, now=now)
+
     async def _confirm_software(self, progress: RequestProgress, attempt: Attempt) -> None:
         """Raise unless an endpoint is known to run what began the request's stream.
 
--- a/src/guavamast/relay/freshness.py
+++ b/src/guavamast/relay/freshness.py
@@ -49,6 +49,10 @@
         if self._clock_offset is None or difference > self._clock_offset:
             self._clock_offset = difference
 
+    def locate(self, at: float) -> float | None:
+        """Return the latest store time that a local time can be; None before any response."""
+        return None if self._clock_offset is None else at - self._clock_offset
+
     def compute_age(self, store_time: float, *, now: float) -> float:
         """Return an upper bound on the seconds since a store time; infinite before any response."""
         if self._clock_offset is None:
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -17,6 +17,7 @@
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.departure import Departure
+from guavamast.relay.duties import Duties
 from guavamast.relay.endpoint_access import EndpointAccess
 from guavamast.relay.fleet_state import FleetState
 from guavamast.relay.forwarding import ForwardListener
@@ -48,9 +49,11 @@
 from guavamast.relay.work_state import WorkState
 
 if TYPE_CHECKING:
+    from guavamast.leases import LeaseTable
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import HeaderCodec
     from guavamast.relay.node_settings import NodeSettings
+    from guavamast.relay.provider import Provider
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.store import InstanceRecord, Store
 
@@ -66,6 +69,8 @@
         store: The platform's store.
         codec: Header names.
         clock: Updated from the store's responses.
+        leases: Stores the lease of the duties; None if there are no duties.
+        provider: Receives the calls of the duties; None if there are no duties.
         log_descriptor: File descriptor of the log.
     """
 
@@ -76,6 +81,8 @@
         store: Store,
         codec: HeaderCodec,
         clock: StoreClock,
+        leases: LeaseTable | None = None,
+        provider: Provider | None = None,
         log_descriptor: int = STANDARD_OUTPUT,
     ) -> None:
         self.settings = settings
@@ -117,6 +124,7 @@
         self._access = self._build_access()
         self._bindings = self._build_bindings()
         self._containment = self._build_containment()
+        self._duties = self._build_duties(leases, provider, clock)
         self._watch = self._build_watch()
         self._recorder = RequestRecorder(
             log=self.log,
@@ -261,6 +269,25 @@
             read_time=read_boot_time,
         )
 
+    def _build_duties(
+        self, leases: LeaseTable | None, provider: Provider | None, clock: StoreClock
+    ) -> Duties | None:
+        if self.settings.duties is None or leases is None or provider is None:
+            return None
+        return Duties(
+            settings=self.settings.duties,
+            record=self.record,
+            incarnation=self._incarnation,
+            fleet_state=self.fleet_state,
+            table=leases,
+            provider=provider,
+            clock=clock,
+            send=self._heartbeat_socket.send_to,
+            log=self.log,
+            counters=self.counters,
+            read_time=read_boot_time,
+        )
+
     def _build_reader(self) -> StoreReader:
         publisher = TablePublisher(exchange=self._exchange, domain=self.settings.failure_domain)
         return StoreReader(
@@ -320,6 +347,7 @@
             bindings=self._bindings,
             limits=self._limits,
             guard=self._containment.guard,
+            duties=self._duties,
             publish_load=self._load_updates.record_change,
             publish_waiting=self._load_updates.record_waiting,
             random=self._random,
@@ -337,6 +365,7 @@
             access=self._access,
             limits=self._limits,
             bindings=self._bindings.directory,
+            duties=self._duties,
             read_time=read_boot_time,
         )
 
@@ -400,12 +429,16 @@
             asyncio.create_task(self._containment.run()),
             asyncio.create_task(self._access.run()),
         ]
+        if self._duties is not None:
+            background.append(asyncio.create_task(self._duties.run()))
         stopping = asyncio.create_task(self._stop.wait())
         done, _ = await asyncio.wait([stopping, *background], return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             if task is not stopping:
                 task.result()
         self._leaving = True
+        if self._duties is not None:
+            background.append(asyncio.create_task(self._duties.holder.leave()))
         await self._departure.run()
         for task in background:
             task.cancel()
--- a/src/guavamast/relay/node_settings.py
+++ b/src/guavamast/relay/node_settings.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from guavamast.relay.store import InstanceRecord
 
+if TYPE_CHECKING:
+    from guavamast.relay.duties.settings import DutySettings
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SocketAddress:
@@ -55,6 +59,8 @@
     """Bandwidth of the instance's network link in Mbit/s; 0 if not stated."""
     processor_share: float = 0.0
     """CPU cores that the process may use; 0 if not stated."""
+    duties: DutySettings | None = None
+    """Duties that one instance at a time performs for the fleet; None if there are none."""
 
     def build_record(self) -> InstanceRecord:
         """Return the record by which the other instances know this one."""
--- a/src/guavamast/relay/peer_messages.py
+++ b/src/guavamast/relay/peer_messages.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from guavamast.relay.catalog_update import CatalogUpdate
+    from guavamast.relay.duties import Duties
     from guavamast.relay.endpoint_access import EndpointAccess
     from guavamast.relay.endpoint_update import EndpointUpdate
     from guavamast.relay.heartbeat_exchange import HeartbeatExchange
@@ -37,6 +38,7 @@
         access: Receives reachability reports.
         limits: Receives rejection limits.
         bindings: Receives messages about bound streams.
+        duties: Receives messages about duties; None if there are none.
         read_time: Local clock.
     """
 
@@ -44,6 +46,7 @@
         "_bindings",
         "_access",
         "_containment",
+        "_duties",
         "_exchange",
         "_limits",
         "_peers",
@@ -65,6 +68,7 @@
         access: EndpointAccess,
         limits: RejectionLimitSharing,
         bindings: BindingDirectory,
+        duties: Duties | None,
         read_time: Callable[[], float],
     ) -> None:
         self._exchange = exchange
@@ -76,6 +80,7 @@
         self._access = access
         self._limits = limits
         self._bindings = bindings
+        self._duties = duties
         self._read_time = read_time
 
     def receive(self, message: Heartbeat | LoadUpdate | AggregatedHeartbeat) -> None:
@@ -132,3 +137,12 @@
             MalformedBeat: The datagram is not a valid message.
         """
         self._bindings.receive(data, source)
+
+    def receive_duty(self, data: bytes) -> None:
+        """Receive the datagram of a message about duties.
+
+        Raises:
+            MalformedBeat: The datagram is not a valid message.
+        """
+        if self._duties is not None:
+            self._duties.receive(data)
--- a/src/guavamast/relay/peer_socket.py
+++ b/src/guavamast/relay/peer_socket.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from guavamast.relay.catalog_update import CATALOG_PREFIX, decode_catalog_update
+from guavamast.relay.duties import DUTY_PREFIX
 from guavamast.relay.endpoint_update import ENDPOINTS_PREFIX, decode_endpoint_update
 from guavamast.relay.heartbeat_messages import MalformedBeat
 from guavamast.relay.heartbeat_wire import decode_message
@@ -73,6 +74,8 @@
                 self._messages.receive_rejection_limit(data)
             elif data.startswith(BINDING_PREFIX):
                 self._messages.receive_binding(data, addr)
+            elif data.startswith(DUTY_PREFIX):
+                self._messages.receive_duty(data)
             else:
                 self._messages.receive(decode_message(data))
         except (MalformedBeat, MalformedScheduling):
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -27,6 +27,7 @@
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.retry_budget import RetryBudget
+    from guavamast.relay.scaling import DemandCounter
     from guavamast.relay.stream_binding import SoftwareVersions, StreamBinding, StreamTakeUps
     from guavamast.relay.unserved_ends import UnservedEnds
 
@@ -55,6 +56,7 @@
         exchanger: Runs attempts.
         guard: Keeps requests that end endpoints from further ones.
         demand: Demand for engines by length bucket; each prompt is recorded in it.
+        engine_demand: Demand for engines that may be ordered; None if none can be.
         profiles: Engine speeds.
         reachability: Signs of life of the endpoints.
         read_time: Reads the local clock.
@@ -64,6 +66,7 @@
         "_admission",
         "_budget",
         "_demand",
+        "_engine_demand",
         "_ends",
         "_exchanger",
         "_fleet_state",
@@ -95,6 +98,7 @@
         exchanger: Exchanger,
         guard: CrashGuard,
         demand: PromptDemand,
+        engine_demand: DemandCounter | None,
         profiles: EngineProfiles,
         reachability: ReachabilityMonitor,
         read_time: Callable[[], float],
@@ -110,6 +114,7 @@
         self._exchanger = exchanger
         self._guard = guard
         self._demand = demand
+        self._engine_demand = engine_demand
         self._profiles = profiles
         self._reachability = reachability
         self._recorder = recorder
@@ -225,6 +230,10 @@
         """Count a request to an engine in the demand of its length bucket."""
         if not request.prompt_tokens:
             return
+        if self._engine_demand is not None:
+            self._engine_demand.record_request(
+                progress.service, output_tokens=request.output_tokens
+            )
         profile = self._profiles.find(progress.service, now=now)
         self._demand.record(
             progress.bucket,
@@ -262,6 +271,8 @@
             )
             return None
         if placed.rejection is not None:
+            if self._engine_demand is not None:
+                self._engine_demand.record_rejection(progress.service)
             await self._ends.reject_for_capacity(request, writer, progress, placed)
             return None
         return placed
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -17,6 +17,7 @@
     from random import Random
 
     from guavamast.relay.caller_admission import CallerAdmission
+    from guavamast.relay.duties import Duties
     from guavamast.relay.endpoint_access import EndpointAccess
     from guavamast.relay.exchange import PublishLoad
     from guavamast.relay.fleet_state import FleetState
@@ -45,6 +46,7 @@
     bindings: StreamBindings,
     limits: RejectionLimitSharing,
     guard: CrashGuard,
+    duties: Duties | None,
     publish_load: PublishLoad,
     publish_waiting: Callable[[], None],
     random: Random,
@@ -64,6 +66,7 @@
         bindings: What binds streams to the software that began them.
         limits: Rejection limits that endpoints state.
         guard: Keeps requests that end endpoints from further ones.
+        duties: Count what is reported to the provider; None if there are none.
         publish_load: Called when this instance's work at an endpoint has changed.
         publish_waiting: Called when a request waits for room by this instance's own decision.
         random: Source of all jitter and random choices.
@@ -78,6 +81,8 @@
         budget=budget,
         codec=codec,
         guard=guard,
+        usage=duties.usage if duties is not None else None,
+        demand=duties.demand if duties is not None else None,
         connector=access.connector,
         versions=bindings.versions,
         take_ups=bindings.take_ups,
@@ -112,6 +117,7 @@
         exchanger=exchanger,
         guard=guard,
         demand=work.demand,
+        engine_demand=duties.demand if duties is not None else None,
         profiles=work.profiles,
         reachability=access.monitor,
         read_time=read_time,
--- /dev/null
+++ b/src/guavamast/relay/scaling/__init__.py
@@ -0,0 +1,24 @@
+"""How many engines of which kind each failure domain needs, and the orders for them."""
+
+from guavamast.relay.scaling.demand import DemandCounter, ServiceDemand
+from guavamast.relay.scaling.engine_scaling import EngineScaling
+from guavamast.relay.scaling.order_book import OrderBook
+from guavamast.relay.scaling.policy import GroupState, ScalingPolicy, ScalingView
+from guavamast.relay.scaling.static_policy import StaticPolicy
+
+__all__ = [
+    "DemandCounter",
+    "EngineScaling",
+    "GroupState",
+    "OrderBook",
+    "ScalingPolicy",
+    "ScalingView",
+    "ServiceDemand",
+    "StaticPolicy",
+    "build_policy",
+]
+
+
+def build_policy() -> ScalingPolicy:
+    """Return the policy by which engines are ordered."""
+    return StaticPolicy(lasting=1, reclaimable=7)
--- a/src/guavamast/relay/stream_observer.py
+++ b/src/guavamast/relay/stream_observer.py
@@ -30,14 +30,14 @@
         watch: Watches how long the answer goes on.
         loads: Work at endpoints.
         recorder: Log lines and metrics of requests.
-        bind: Called before the first event of the request's stream.
+        begin: Called before the first event of the request's stream.
         idle_timeout: Timeout of the attempt; each event extends it if it is set.
         publish_decrease: Called with the endpoint's id when its load has decreased.
         read_time: Reads the local clock.
     """
 
     __slots__ = (
-        "_bind",
+        "_begin",
         "_idle_timeout",
         "_loads",
         "_progress",
@@ -60,7 +60,7 @@
         watch: RunWatch,
         loads: EndpointLoads,
         recorder: RequestRecorder,
-        bind: Callable[[], None],
+        begin: Callable[[], None],
         idle_timeout: asyncio.Timeout,
         publish_decrease: Callable[[str], None],
         read_time: Callable[[], float],
@@ -72,7 +72,7 @@
         self._watch = watch
         self._loads = loads
         self._recorder = recorder
-        self._bind = bind
+        self._begin = begin
         self._idle_timeout = idle_timeout
         self._publish_decrease = publish_decrease
         self._read_time = read_time
@@ -88,7 +88,7 @@
         first = self._progress.timing.first_event_s is None
         self._sampler.record_event(uncached_tokens=uncached_tokens, now=now)
         if first:
-            self._bind()
+            self._begin()
             self._recorder.record_first_event(self._request, self._send.choice, now=now)
         self._progress.last_event_id = event_id or self._progress.last_event_id
         self._extend_timeout()
