--- a/src/guavamast/relay/endpoint_update.py
+++ b/src/guavamast/relay/endpoint_update.py
@@ -40,6 +40,8 @@
             int(record.ready),
             record.started_ms,
             record.software_version,
+            int(record.reclaimable),
+            record.leaves_s,
         ]
         for record in snapshot.records
     ]
@@ -65,7 +67,7 @@
         raise MalformedBeat(f"endpoints: {type(error).__name__}: {error}") from error
 
 
-def _decode_record(row: list[str | int | None]) -> EndpointRecord:
+def _decode_record(row: list[str | int | float | None]) -> EndpointRecord:
     (
         endpoint_id,
         row_version,
@@ -77,6 +79,8 @@
         ready,
         born_ms,
         software_version,
+        reclaimable,
+        leaves_s,
     ) = row
     return EndpointRecord(
         endpoint_id=str(endpoint_id),
@@ -89,4 +93,6 @@
         ready=bool(ready),
         started_ms=None if born_ms is None else int(born_ms),
         software_version=None if software_version is None else str(software_version),
+        reclaimable=bool(reclaimable),
+        leaves_s=None if leaves_s is None else float(leaves_s),
     )
--- a/tests/test_relay_endpoint_update.py
+++ b/tests/test_relay_endpoint_update.py
@@ -25,7 +25,13 @@
 def make_snapshot(*names: str, store_time: float) -> EndpointSnapshot:
     """Return a snapshot with endpoints of these names."""
     records = [
-        build_endpoint(name, slots=64, software_version=None if number % 2 else f"v{number}")
+        build_endpoint(
+            name,
+            slots=64,
+            software_version=None if number % 2 else f"v{number}",
+            reclaimable=number % 2 == 0,
+            leaves_s=None if number % 2 else 2.4,
+        )
         for number, name in enumerate(names)
     ]
     return EndpointSnapshot(records=records, digest="-".join(names), store_time=store_time)
