--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from guavamast.platform.standins.provider import ProviderStandIn
+
 HOST = "portal.example"
 KEY = "site-caller-key"
 CALL_PREFIX = "/call/"
@@ -30,6 +32,10 @@
 """Service of the routes that differ in urgency."""
 MODEL_KV_TOKENS = 400_000
 """Tokens that fit into the memory of one of its engines."""
+DUTY_LEASE_MS = 3000
+"""Milliseconds in which duties must not pass to another instance and back."""
+DUTY_WINDOW_S = 2
+"""Seconds of a usage window."""
 CRASH_RESTART_S = 0.6
 """Seconds after which another engine starts at the address of one that a request has ended."""
 
@@ -93,6 +99,11 @@
         """Weights of the services of each route that has several, by path prefix."""
         self.model_routes: tuple[ModelRoute, ...] = ()
         """Routes of the service of models, which has its own engines."""
+        self.provider: ProviderStandIn | None = None
+        """Receives usage reports and orders for engines; None if instances have no such duties."""
+        self.provider_port = 0
+        self.scaling: dict[str, Any] | None = None
+        """Bounds of the engines of the pool that can be ordered; None if none can be."""
         self.bounds: dict[str, Any] = {
             "strict_revocation": True,
             "revoke_ms": 2000,
@@ -120,6 +131,8 @@
             pool_versions: Software versions of the engines of the pool, in turn.
         """
         self.store_port = self.store.listen()
+        if self.provider is not None:
+            self.provider_port = self.provider.listen()
         self.publish_configuration()
         for number in range(pool):
             version = pool_versions[number % len(pool_versions)]
@@ -135,6 +148,8 @@
         for engine in self.engines.values():
             await engine.stop()
         self.store.stop()
+        if self.provider is not None:
+            self.provider.stop()
         for reserved in self._reserved_sockets:
             reserved.close()
 
@@ -228,7 +243,12 @@
                     {"service": service, "weight": weight} for service, weight in weights.items()
                 ]
         services = [
-            {"name": "pool", "max_connections": 100, "engine": {"kv_capacity_tokens": 100_000}},
+            {
+                "name": "pool",
+                "max_connections": 100,
+                "engine": {"kv_capacity_tokens": 100_000},
+                "scaling": self.scaling,
+            },
             {"name": "portal", "max_connections": 100},
         ]
         if self.model_routes:
@@ -262,7 +282,7 @@
         sockets = [*(reserve_port() for _ in range(3)), *_reserve_pair()]
         self._reserved_sockets += sockets
         ports = [int(reserved.getsockname()[1]) for reserved in sockets]
-        return {
+        settings: dict[str, Any] = {
             "node_name": name,
             "ip": "127.0.0.1",
             "zone": "a",
@@ -276,6 +296,20 @@
             "bounds": dict(self.bounds),
             "platform": {"address": f"127.0.0.1:{self.store_port}"},
         }
+        if self.provider is not None:
+            settings["cloud"] = {
+                "address": f"127.0.0.1:{self.provider_port}",
+                "duties": ["usage_report", "autoscale"],
+                "duty_per_s": 50,
+            }
+            settings["bounds"].update(
+                enforce_fencing=self.provider.fenced,
+                lease_ms=DUTY_LEASE_MS,
+                thaw_slack_ms=300,
+                report_window_s=DUTY_WINDOW_S,
+                usage_late_s=10,
+            )
+        return settings
 
 
 def write_settings(fields: dict[str, Any], directory: str) -> str:
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -135,6 +135,7 @@
         self.site.slots = self.slots
         self.site.idle_timeout_ms = self.idle_timeout_ms
         self.site.bounds["budget_slack"] = self.retry_slack
+        self.prepare_site()
         await self.site.start(
             pool=self.pool_engines, portal=self.portal_engines, pool_versions=self.pool_versions
         )
@@ -143,6 +144,9 @@
         self.addCleanup(directory.cleanup)
         self.directory = directory.name
 
+    def prepare_site(self) -> None:
+        """Change the site before it starts."""
+
     async def start_instance(self, name: str = "one") -> Instance:
         """Start a process and wait until it is ready.
 
