--- a/src/guavamast/relay/duties/components.py
+++ b/src/guavamast/relay/duties/components.py
@@ -28,6 +28,7 @@
     from guavamast.relay.duties.settings import DutySettings
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.freshness import StoreClock
+    from guavamast.relay.placement import EngineProfiles
     from guavamast.relay.provider import Provider
     from guavamast.relay.store import InstanceRecord
 
@@ -47,6 +48,7 @@
         fleet_state: Configuration, endpoints and other instances.
         table: Stores the lease.
         provider: Receives the calls.
+        profiles: Speeds of the engines.
         clock: Maps store time to local time.
         send: Sends a datagram to an address.
         log: Decision log.
@@ -75,6 +77,7 @@
         fleet_state: FleetState,
         table: LeaseTable,
         provider: Provider,
+        profiles: EngineProfiles,
         clock: StoreClock,
         send: Callable[[bytes, tuple[str, int]], None],
         log: DecisionLog,
@@ -121,7 +124,7 @@
             candidacy=self._candidacy,
             collection=self._collection,
             usage=self._build_usage(settings),
-            scaling=self._build_scaling(settings),
+            scaling=self._build_scaling(settings, profiles),
             provider=provider,
             fleet_state=fleet_state,
             broadcast=self._broadcast,
@@ -162,13 +165,16 @@
             due_s=settings.usage_due_s,
         )
 
-    def _build_scaling(self, settings: DutySettings) -> EngineScaling | None:
+    def _build_scaling(
+        self, settings: DutySettings, profiles: EngineProfiles
+    ) -> EngineScaling | None:
         if not settings.orders_engines:
             return None
         return EngineScaling(
             fleet_state=self._fleet_state,
             collection=self._collection,
             orders=OrderBook(),
+            profiles=profiles,
             build_policy=build_policy,
         )
 
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -281,6 +281,7 @@
             fleet_state=self.fleet_state,
             table=leases,
             provider=provider,
+            profiles=self._work.profiles,
             clock=clock,
             send=self._heartbeat_socket.send_to,
             log=self.log,
--- a/src/guavamast/relay/scaling/__init__.py
+++ b/src/guavamast/relay/scaling/__init__.py
@@ -2,6 +2,7 @@
 
 from guavamast.relay.scaling.demand import DemandCounter, ServiceDemand
 from guavamast.relay.scaling.engine_scaling import EngineScaling
+from guavamast.relay.scaling.marginal_policy import MarginalPolicy
 from guavamast.relay.scaling.order_book import OrderBook
 from guavamast.relay.scaling.policy import GroupState, ScalingPolicy, ScalingView
 from guavamast.relay.scaling.static_policy import StaticPolicy
@@ -10,6 +11,7 @@
     "DemandCounter",
     "EngineScaling",
     "GroupState",
+    "MarginalPolicy",
     "OrderBook",
     "ScalingPolicy",
     "ScalingView",
@@ -21,4 +23,4 @@
 
 def build_policy() -> ScalingPolicy:
     """Return the policy by which engines are ordered."""
-    return StaticPolicy(lasting=1, reclaimable=7)
+    return MarginalPolicy()
--- a/src/guavamast/relay/scaling/engine_scaling.py
+++ b/src/guavamast/relay/scaling/engine_scaling.py
@@ -14,6 +14,7 @@
     from guavamast.relay.catalog import ServiceSettings
     from guavamast.relay.duties.collection import ReportCollection
     from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.placement import EngineProfiles
     from guavamast.relay.provider import EngineOrder
     from guavamast.relay.scaling.order_book import OrderBook
     from guavamast.relay.scaling.policy import ScalingPolicy
@@ -31,6 +32,7 @@
         fleet_state: Configuration and endpoints.
         collection: Demand as all instances report it.
         orders: The orders so far.
+        profiles: Speeds of the engines.
         build_policy: Builds the policy of one service.
     """
 
@@ -40,6 +42,7 @@
         "_complete_at",
         "_fleet_state",
         "_policies",
+        "_profiles",
         "orders",
     )
 
@@ -49,10 +52,12 @@
         fleet_state: FleetState,
         collection: ReportCollection,
         orders: OrderBook,
+        profiles: EngineProfiles,
         build_policy: Callable[[], ScalingPolicy],
     ) -> None:
         self._fleet_state = fleet_state
         self._collection = collection
+        self._profiles = profiles
         self._build_policy = build_policy
         self._policies: dict[str, ScalingPolicy] = {}
         self._complete_at: dict[EngineGroup, float] = {}
@@ -78,7 +83,7 @@
     def _place_for(self, service: ServiceSettings, *, now: float) -> list[EngineOrder]:
         settings = service.scaling
         assert settings is not None
-        view = self._build_view(service)
+        view = self._build_view(service, now=now)
         policy = self._policies.get(service.name)
         if policy is None:
             policy = self._policies[service.name] = self._build_policy()
@@ -86,7 +91,7 @@
         self._reopen_missing(view, now=now)
         return self.orders.place(wanted, view.groups, settings, now=now)
 
-    def _build_view(self, service: ServiceSettings) -> ScalingView:
+    def _build_view(self, service: ServiceSettings, *, now: float) -> ScalingView:
         assert service.scaling is not None
         records = [
             one for one in self._fleet_state.endpoints.list_all() if one.service == service.name
@@ -117,6 +122,7 @@
             settings=service.scaling,
             groups=tuple(groups),
             demand=self._collection.demand.get(service.name, ServiceDemand()),
+            profile=self._profiles.find(service.name, now=now),
             slots=max((one.slots for one in records), default=1),
         )
 
--- /dev/null
+++ b/src/guavamast/relay/scaling/marginal_policy.py
@@ -0,0 +1,136 @@
+"""Policy that orders engines as long as one more is worth its price."""
+
+from __future__ import annotations
+
+import math
+from statistics import NormalDist
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.provider import EngineOrder
+from guavamast.relay.scaling.load_estimate import LoadEstimate
+from guavamast.relay.scaling.policy import ScalingPolicy
+
+if TYPE_CHECKING:
+    from guavamast.relay.provider import EngineGroup
+    from guavamast.relay.scaling.policy import GroupState, ScalingView
+
+WORK_VALUE: Final = 12.0
+"""Worth of the work of a fully used engine, relative to the price of one that isn't taken away."""
+LOAD_SPREAD: Final = 0.5
+"""Standard deviation of the logarithm of the load that is to come, relative to the mean."""
+USUAL_LOAD: Final = 0.5
+"""Share of the engines found at the start that counts as load until there are requests."""
+LEARNING_S: Final = 8.0
+"""Seconds of requests after which the engines found at the start no longer count."""
+PEAK_MARGIN: Final = 1.25
+"""Factor on the greatest load of the last seconds, as its bursts come again."""
+HOLD_S: Final = 8.0
+"""Seconds for which fewer engines must do before any is given back."""
+MIN_DECREASE: Final = 0.1
+"""Share of the engines below which none is given back: their caches are lost with them."""
+
+
+class MarginalPolicy(ScalingPolicy):
+    """Orders engines up to the load at which one more costs more than it brings.
+
+    An engine brings its work while the load exceeds what the others do. So it is worth its price
+    if that happens for a longer share of the time than its price is of the worth of its work. The
+    load to come is taken as log-normally distributed around the recent mean. Engines that may be
+    taken away cost a fraction, so more of them are worth their price; they are spread over all
+    failure domains, and what remains without any one of them bears the recent peak.
+    """
+
+    __slots__ = ("_load", "_low_since", "_prior", "_reason", "_total")
+
+    def __init__(self) -> None:
+        self._load = LoadEstimate()
+        self._prior: float | None = None
+        self._total = 0
+        self._low_since: float | None = None
+        self._reason = ""
+
+    def decide(self, view: ScalingView, *, now: float) -> list[EngineOrder]:
+        """Return the engines of each group."""
+        ready = sum(state.ready for state in view.groups)
+        if ready == 0 and self._prior is None:
+            return []
+        if self._prior is None:
+            self._prior = USUAL_LOAD * ready
+        self._load.record(view.demand, view.profile, slots=view.slots, now=now)
+        price = view.settings.reclaimable_price
+        domains = sorted({state.group.failure_domain for state in view.groups})
+        total = self._hold(self._compute_total(price or 1.0, len(domains), now=now), now=now)
+        shares = _spread(total, domains, view)
+        if price is None:
+            return [
+                EngineOrder(group=state.group, engines=shares[state.group.failure_domain])
+                for state in view.groups
+                if not state.group.reclaimable
+            ]
+        return self._replace_lasting(view, shares)
+
+    def explain(self, group: EngineGroup) -> str:
+        """Return the load by which the number was chosen."""
+        del group
+        return self._reason
+
+    def _compute_total(self, price: float, domains: int, *, now: float) -> int:
+        """Return the number of engines in all failure domains together."""
+        mean = self._load.mean
+        if not self._load.has_lasted(LEARNING_S, now=now):
+            mean = max(mean, self._prior or 0.0)
+        share = 1.0 - min(0.5, price / WORK_VALUE)
+        by_price = mean * math.exp(NormalDist().inv_cdf(share) * LOAD_SPREAD)
+        by_peak = PEAK_MARGIN * self._load.peak * domains / max(1, domains - 1)
+        self._reason = (
+            f"mean load {mean:.1f}, peak {self._load.peak:.1f}, price {price:.2f}: "
+            f"{by_price:.1f} by price, {by_peak:.1f} by peak"
+        )
+        return math.ceil(max(by_price, by_peak))
+
+    def _hold(self, total: int, *, now: float) -> int:
+        """Return the total, decreased only after it has been lower for some time."""
+        if total >= self._total:
+            self._total = total
+            self._low_since = None
+        elif total > self._total * (1.0 - MIN_DECREASE):
+            self._low_since = None
+        elif self._low_since is None:
+            self._low_since = now
+        elif now - self._low_since >= HOLD_S:
+            self._total = total
+            self._low_since = None
+        return self._total
+
+    def _replace_lasting(self, view: ScalingView, shares: dict[str, int]) -> list[EngineOrder]:
+        """Return orders of engines that may be taken away, and give lasting ones back after them.
+
+        Lasting engines go only once those that replace them serve, so that no capacity is missing.
+        """
+        orders = []
+        for domain, engines in shares.items():
+            lasting, reclaimable = _find_pair(view, domain)
+            orders.append(EngineOrder(group=reclaimable.group, engines=engines))
+            present = lasting.ready if lasting.ordered is None else lasting.ordered
+            kept = min(present, max(0, engines - reclaimable.ready))
+            orders.append(EngineOrder(group=lasting.group, engines=kept))
+        return orders
+
+
+def _find_pair(view: ScalingView, domain: str) -> tuple[GroupState, GroupState]:
+    """Return the lasting and the reclaimable engines of a failure domain."""
+    own = [state for state in view.groups if state.group.failure_domain == domain]
+    lasting = next(state for state in own if not state.group.reclaimable)
+    return lasting, next(state for state in own if state.group.reclaimable)
+
+
+def _spread(total: int, domains: list[str], view: ScalingView) -> dict[str, int]:
+    """Return the engines of each failure domain: even, the rest where they are cheapest."""
+    prices = view.settings.domain_prices
+    order = sorted(domains, key=lambda domain: (prices.get(domain, 1.0), domain))
+    base, rest = divmod(total, len(order))
+    shares = {domain: base + (place < rest) for place, domain in enumerate(order)}
+    return {
+        domain: max(view.settings.min_engines, min(view.settings.max_engines, engines))
+        for domain, engines in shares.items()
+    }
--- a/src/guavamast/relay/scaling/policy.py
+++ b/src/guavamast/relay/scaling/policy.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from guavamast.relay.catalog import ScalingSettings
+    from guavamast.relay.placement import EngineProfile
     from guavamast.relay.provider import EngineGroup, EngineOrder
     from guavamast.relay.scaling.demand import ServiceDemand
 
@@ -33,6 +34,8 @@
     """Both kinds in each failure domain in which the service has run."""
     demand: ServiceDemand
     """Demand since the holder started, in total."""
+    profile: EngineProfile
+    """Speed of the engines."""
     slots: int
     """Requests that one engine runs concurrently."""
 
