Bounds on answers without end, in a head, a body and a stream

Cause: lines, comments, blank lines and rejections without end were held without a bound that fits the machines (24 callers, two sick engines of three: 36, 270 and 164 MB more, 3 of 24 streams 502), interim heads held their connections. Comments and blank lines are no sign of life of a run. Ruled out: a time limit on bodies, which sound slow answers would meet.

--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -11,6 +11,7 @@
 import h11
 
 from guavamast.platform.standins.answer_body import WHOLE, AnswerBody, AnswerEnding, Closing
+from guavamast.platform.standins.endless_answer import EndlessAnswer, write_endless_answer
 from guavamast.platform.standins.lethal_requests import (
     LETHAL_DELAY_S,
     LethalEnding,
@@ -28,6 +29,7 @@
 EVENTS_PER_STREAM = 6
 """Default number of events in a stream."""
 EVENT_INTERVAL_S = 0.02
+COMMENT = b": keep-alive\n\n"
 KEEP_ALIVE_S = 5
 DEFAULT_VERSION = "v1"
 """Software version of an engine that is given none."""
@@ -98,12 +100,20 @@
         """Framing of its answers; None for chunks for streams and a length for all others."""
         self.ending: AnswerEnding = WHOLE
         """Where and how its answers end."""
+        self.endless: EndlessAnswer | None = None
+        """What it sends without end in place of an answer; None for whole answers."""
         self.lethal = LethalRequests()
         """Requests that end it."""
         self.processing_s = 0.0
         """Seconds that a request takes before its response begins."""
         self.events = EVENTS_PER_STREAM
         """Number of events in each stream."""
+        self.event_interval_s = EVENT_INTERVAL_S
+        """Seconds between two events of a stream."""
+        self.comments_before_event = 0
+        """Comments in a stream before each event."""
+        self.padding_bytes = 0
+        """Bytes that each answer that is no stream has in addition."""
         self.runs: list[Run] = []
         self.abandoned = 0
         """Number of requests whose connection closed before the response was complete."""
@@ -274,6 +284,9 @@
             return False
         await asyncio.sleep(self.processing_s)
         await self._wait_for_silence()
+        if self.endless is not None:
+            seal = f"seal-{self.engine_id}"
+            await write_endless_answer(writer, self.endless, request_id, seal)
         if self.fault is EngineFault.LOSE:
             return False
         response_id = "other" if self.fault is EngineFault.CROSSED else request_id
@@ -290,7 +303,7 @@
                 http, writer, common, run, framing=framing, ending=ending
             )
         else:
-            answer = encode_answer(request_id)
+            answer = encode_answer(request_id) + b" " * self.padding_bytes
             keep_open = await self._send(http, writer, 200, common, answer, ending=self.ending)
         if self.ending.closing is Closing.CRASH:
             self._crash()
@@ -349,12 +362,16 @@
             writer=writer,
             framing=framing,
             ending=ending,
-            pieces=[encode_event(run.request_id, number, self.version) for number in numbers],
+            pieces=[
+                COMMENT * self.comments_before_event
+                + encode_event(run.request_id, number, self.version)
+                for number in numbers
+            ],
         )
         body.start(200, [*headers, *self._list_limit(), ("Content-Type", "text/event-stream")])
         for piece in body.pieces:
             await body.write(piece)
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
             await self._wait_for_silence()
         return await body.end()
 
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -95,6 +95,8 @@
             RESUMABLE_PREFIX: "pool",
         }
         """Service of each route by path prefix."""
+        self.max_attempts = 2
+        """Engines to which a request that may be repeated may be sent."""
         self.route_weights: dict[str, dict[str, float]] = {}
         """Weights of the services of each route that has several, by path prefix."""
         self.model_routes: tuple[ModelRoute, ...] = ()
@@ -225,13 +227,18 @@
         self._version += 3
         routes = [
             _build_route(CALL_PREFIX, "non_idempotent", self.route_services[CALL_PREFIX], 2),
-            _build_route(LOOKUP_PREFIX, "idempotent", self.route_services[LOOKUP_PREFIX], 2),
+            _build_route(
+                LOOKUP_PREFIX,
+                "idempotent",
+                self.route_services[LOOKUP_PREFIX],
+                self.max_attempts,
+            ),
             _build_route(STREAM_PREFIX, "streaming", self.route_services[STREAM_PREFIX], 1),
             _build_route(
                 RESUMABLE_PREFIX,
                 "streaming",
                 self.route_services[RESUMABLE_PREFIX],
-                2,
+                self.max_attempts,
                 resumable=True,
             ),
         ]
--- a/src/guavamast/platform/store_calls.py
+++ b/src/guavamast/platform/store_calls.py
@@ -26,6 +26,8 @@
 BACKGROUND_TIMEOUT_S: Final = 2.0
 """Seconds for calls that no request waits for."""
 STATUS_CONFLICT: Final = 412
+MAX_RESPONSE_BYTES: Final = 4_194_304
+"""Bytes of a response: far above one page of rows."""
 PAGE_ROWS: Final = 500
 
 
@@ -253,6 +255,8 @@
         data = bytearray()
         while (chunk := await connection.read_chunk()) is not None:
             data += chunk
+            if len(data) > MAX_RESPONSE_BYTES:
+                raise MalformedAnswer("the response is too long")
         return head.status, bytes(data)
 
 
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -13,6 +14,7 @@
     MalformedAnswer,
     NotForwarded,
     PathLost,
+    UnboundedAnswer,
 )
 from guavamast.relay.event_framing import EventFraming
 from guavamast.relay.relayed_response import RelayedResponse
@@ -33,9 +35,14 @@
         SendParameters,
     )
     from guavamast.relay.reachability import ReachabilityMonitor
+    from guavamast.relay.response_memory import ResponseMemory
     from guavamast.relay.stream_binding import StreamBinding
 
-MAX_RESPONSE_BYTES: Final = 16_777_216
+MAX_REJECTION_BYTES: Final = 65_536
+"""Bytes of the body of a rejection, of which nothing is used."""
+REJECTION_TIMEOUT_S: Final = 0.5
+"""Seconds in which that body must have arrived: longer than a sound endpoint takes under load."""
+MAX_RESPONSE_BYTES: Final = 4_194_304
 """Bytes of a response body that may be buffered before it is forwarded."""
 
 
@@ -56,6 +63,7 @@
         codec: Encodes and decodes headers.
         connector: Finds a connection to the endpoint.
         reachability: Told of each sign of life of the endpoint.
+        memory: Bounds the bodies that are read at the same time.
         read_time: Reads the local clock.
     """
 
@@ -66,6 +74,7 @@
         "_events",
         "_framing",
         "_kept",
+        "_memory",
         "_reachability",
         "_read_time",
         "_request",
@@ -81,8 +90,10 @@
         codec: HeaderCodec,
         connector: EndpointConnector,
         reachability: ReachabilityMonitor,
+        memory: ResponseMemory,
         read_time: Callable[[], float],
     ) -> None:
+        self._memory = memory
         self._request = request
         self.record = record
         self._codec = codec
@@ -184,6 +195,8 @@
             raise AttemptFailed(FailureKind.OUTDATED, str(error)) from error
         except ConnectionLost as error:
             raise AttemptFailed(FailureKind.LOST, str(error)) from error
+        except UnboundedAnswer as error:
+            raise AttemptFailed(FailureKind.UNBOUNDED, str(error)) from error
         except MalformedAnswer as error:
             raise AttemptFailed(FailureKind.INVALID, str(error)) from error
         self._record_received()
@@ -199,12 +212,7 @@
             AttemptFailed: The body is incomplete or too large.
         """
         assert self.head is not None
-        body = bytearray()
-        while (chunk := await self._read_chunk()) is not None:
-            body += chunk
-            if len(body) > MAX_RESPONSE_BYTES:
-                raise AttemptFailed(FailureKind.INVALID, "response body exceeds the size limit")
-        return CompleteResponse(head=self.head, body=bytes(body))
+        return CompleteResponse(head=self.head, body=await self._read_body(MAX_RESPONSE_BYTES))
 
     async def read_events(self) -> list[StreamEvent] | None:
         """Return the next complete events, possibly none yet; None after the whole stream.
@@ -224,7 +232,20 @@
         try:
             return self._events.append(chunk)
         except ValueError as error:
-            raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+            raise AttemptFailed(FailureKind.UNBOUNDED, str(error)) from error
+
+    async def _read_body(self, max_bytes: int) -> bytes:
+        body = bytearray()
+        try:
+            while (chunk := await self._read_chunk()) is not None:
+                if not self._memory.take(len(chunk), held=len(body)):
+                    raise AttemptFailed(FailureKind.UNBOUNDED, "no memory for the response body")
+                body += chunk
+                if len(body) > max_bytes:
+                    raise AttemptFailed(FailureKind.UNBOUNDED, "response body exceeds the limit")
+        finally:
+            self._memory.release(len(body))
+        return bytes(body)
 
     def drain_events(self) -> bytes:
         """Return the bytes of a stream that has ended after its last complete event."""
@@ -248,6 +269,8 @@
             chunk = await self._acquired.connection.read_chunk()
         except ConnectionLost as error:
             raise AttemptFailed(FailureKind.LOST, str(error)) from error
+        except UnboundedAnswer as error:
+            raise AttemptFailed(FailureKind.UNBOUNDED, str(error)) from error
         except MalformedAnswer as error:
             raise AttemptFailed(FailureKind.INVALID, str(error)) from error
         self._record_received()
@@ -257,13 +280,27 @@
         if self.forwarder is None:
             self._reachability.record_received(self.record.service, now=self._read_time())
 
+    async def _skip_rejection(self) -> bool:
+        """Read the body of a rejection; return whether it has no end within the bounds.
+
+        The head has said that the request was not run. Its caller must not wait for a body that is
+        of no use.
+        """
+        try:
+            async with asyncio.timeout(REJECTION_TIMEOUT_S):
+                await self._read_body(MAX_REJECTION_BYTES)
+        except (AttemptFailed, TimeoutError) as error:
+            self.abandon()
+            return not isinstance(error, AttemptFailed) or error.overrun
+        return False
+
     async def _check_head(self, head: EndpointResponseHead) -> None:
         """Raise unless the head belongs to this request and may be forwarded."""
         if head.not_run:
-            await self.read_response()
+            overrun = await self._skip_rejection()
             misdirected = head.status == 421
             kind = FailureKind.MISDIRECTED if misdirected else FailureKind.REFUSED
-            raise AttemptFailed(kind, f"status {head.status}")
+            raise AttemptFailed(kind, f"status {head.status}", overrun=overrun)
         if head.request_id != self._request.request_id:
             raise AttemptFailed(FailureKind.INVALID, "response belongs to another request")
         if head.status < 300 and not head.signed:
--- a/src/guavamast/relay/attempt_failure.py
+++ b/src/guavamast/relay/attempt_failure.py
@@ -29,12 +29,16 @@
     """The connection ended, or the response was broken off; the request may have run."""
     INVALID = "invalid"
     """The data received is not a complete response to this request; it may have run."""
+    UNBOUNDED = "unbounded"
+    """The endpoint sends more bytes than a response may have; it may have run the request."""
     SILENT = "silent"
     """Nothing was received within the attempt's timeout; the request may have run."""
     ERROR = "error"
     """The endpoint ran the request and responded with an error of its own."""
 
 
+OVERRUN_WEIGHT: Final = 6.0
+"""Weight of a response without end: it costs memory that all requests share."""
 FAILURE_WEIGHTS: Final = {
     FailureKind.OUTDATED: 0.0,
     FailureKind.NOT_CONNECTED: 6.0,
@@ -44,6 +48,7 @@
     FailureKind.MISDIRECTED: 6.0,
     FailureKind.LOST: 1.0,
     FailureKind.INVALID: 1.0,
+    FailureKind.UNBOUNDED: OVERRUN_WEIGHT,
     FailureKind.SILENT: 1.0,
     FailureKind.ERROR: 0.3,
 }
@@ -65,12 +70,14 @@
     Args:
         kind: Why.
         detail: What was observed, for the log.
+        overrun: Whether the endpoint sent more bytes than a response may have.
     """
 
-    def __init__(self, kind: FailureKind, detail: str) -> None:
+    def __init__(self, kind: FailureKind, detail: str, *, overrun: bool = False) -> None:
         super().__init__(f"{kind}: {detail}")
         self.kind = kind
         self.detail = detail
+        self.overrun = overrun or kind is FailureKind.UNBOUNDED
         self.connection = ConnectionKind.NONE
         """Connection of the attempt."""
         self.end = ResponseEnd()
@@ -79,7 +86,7 @@
     @property
     def weight(self) -> float:
         """Weight of the failure in its endpoint's failure score."""
-        return FAILURE_WEIGHTS[self.kind]
+        return OVERRUN_WEIGHT if self.overrun else FAILURE_WEIGHTS[self.kind]
 
     @property
     def cause(self) -> UnservedCause:
--- a/src/guavamast/relay/endpoint_connection.py
+++ b/src/guavamast/relay/endpoint_connection.py
@@ -26,6 +26,10 @@
     """The server sent bytes that are not a response to the request."""
 
 
+class UnboundedAnswer(MalformedAnswer):
+    """The server sent more bytes than a response may have, and might go on without end."""
+
+
 class NotForwarded(Exception):
     """Another instance states that it did not send the request to the endpoint and will not."""
 
--- a/src/guavamast/relay/event_framing.py
+++ b/src/guavamast/relay/event_framing.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-MAX_EVENT_BYTES: Final = 1_048_576
-"""Bytes of an incomplete event beyond which the stream is invalid."""
+MAX_EVENT_BYTES: Final = 262_144
+"""Bytes of an incomplete event, with the comments and blank lines before it, beyond which the
+stream is invalid."""
 
 _EVENT_END: Final = re.compile(rb"\n\r?\n|\n\r(?=[^\n])|\r\r\n?")
 """The end of a line and the blank line after it. A CR that ends the bytes received so far may be
@@ -49,25 +50,29 @@
 
         Line breaks, comments and the mark at the start of a stream don't.
         """
-        pending = self._remove_mark(bytes(self._pending))
-        return any(line and not line.startswith(_COMMENT_START) for line in pending.splitlines())
+        return self._has_field(bytes(self._pending))
 
     def append(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that the chunk completes, in order.
 
+        Comments and blank lines go with the event after them: they are no sign that the endpoint
+        works on the request, and without end they must not pass for one.
+
         Raises:
             ValueError: An event exceeds ``MAX_EVENT_BYTES``.
         """
         self._pending += chunk
         events = []
-        start = 0
+        event_start = block_start = 0
         for match in _EVENT_END.finditer(self._pending):
-            data = bytes(self._pending[start : match.end()])
-            if data.lstrip(b"\r\n").startswith(_STATUS_LINE_START):
+            block = bytes(self._pending[block_start : match.end()])
+            if block.lstrip(b"\r\n").startswith(_STATUS_LINE_START):
                 break  # Bytes of another response, which a body without length can't keep apart.
-            events.append(self._build_event(data))
-            start = match.end()
-        del self._pending[:start]
+            block_start = match.end()
+            if self._has_field(block):
+                events.append(self._build_event(bytes(self._pending[event_start:block_start])))
+                event_start = block_start
+        del self._pending[:event_start]
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ValueError("event exceeds the size limit")
         return events
@@ -78,6 +83,11 @@
         self._pending.clear()
         return rest
 
+    def _has_field(self, data: bytes) -> bool:
+        """Return whether any line is neither blank nor a comment."""
+        lines = self._remove_mark(data).splitlines()
+        return any(line and not line.startswith(_COMMENT_START) for line in lines)
+
     def _build_event(self, data: bytes) -> StreamEvent:
         id_match = _EVENT_ID.search(self._remove_mark(data))
         self._has_events = True
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -13,6 +13,7 @@
 from guavamast.relay.placed_send import PlacedSend
 from guavamast.relay.quarantine import RunWatch
 from guavamast.relay.response_end_check import ResponseEndCheck
+from guavamast.relay.response_memory import ResponseMemory
 from guavamast.relay.stream_observer import StreamObserver
 from guavamast.relay.stream_relay import relay_events
 from guavamast.relay.stream_sampler import StreamSampler
@@ -84,6 +85,7 @@
         "_guard",
         "_limits",
         "_loads",
+        "_memory",
         "_recorder",
         "_profiles",
         "_reachability",
@@ -136,6 +138,7 @@
         self._reachability = reachability
         self._limits = limits
         self._publish_load = publish_load
+        self._memory = ResponseMemory()
         self._read_time = read_time
 
     async def run(
@@ -159,6 +162,7 @@
             codec=self._codec,
             connector=self._connector,
             reachability=self._reachability,
+            memory=self._memory,
             read_time=self._read_time,
         )
         progress.tried.add(record.endpoint_id)
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -18,6 +18,7 @@
     EndpointConnection,
     MalformedAnswer,
     ResponseHead,
+    UnboundedAnswer,
 )
 from guavamast.relay.loop_timeout import wait_in_steps
 from guavamast.relay.response_end import BodyEnding, BodyFraming
@@ -31,10 +32,15 @@
     "HttpConnection",
     "MalformedAnswer",
     "ResponseHead",
+    "UnboundedAnswer",
 ]
 
 READ_AHEAD_BYTES: Final = 65_536
 """Bytes received and not yet consumed beyond which the connection pauses reading."""
+MAX_HEAD_BYTES: Final = 65_536
+"""Bytes of the lines before a body, or after one in chunks."""
+MAX_INTERIM_RESPONSES: Final = 8
+"""Interim responses before the head of a response."""
 
 
 class HttpConnection(asyncio.Protocol, EndpointConnection):
@@ -60,7 +66,7 @@
     )
 
     def __init__(self) -> None:
-        self._http = h11.Connection(our_role=h11.CLIENT)
+        self._http = h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
@@ -192,12 +198,14 @@
         Raises:
             ConnectionLost: The connection ended first.
             MalformedAnswer: The bytes are not a response.
+            UnboundedAnswer: The head has no end within the bounds.
         """
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            return self._parse_head(event)
+            if not isinstance(event, h11.InformationalResponse):
+                return self._parse_head(event)
+        self.close()
+        raise UnboundedAnswer("too many interim responses")
 
     async def read_chunk(self) -> bytes | None:
         """Return the next bytes of the body as they arrive; None after the whole body.
@@ -247,6 +255,8 @@
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 self.close()
+                if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+                    raise UnboundedAnswer(str(error)) from error
                 if self._eof_received:
                     self._ending = BodyEnding.CLOSED
                     raise ConnectionLost(
--- a/src/guavamast/relay/scaling/load_estimate.py
+++ b/src/guavamast/relay/scaling/load_estimate.py
@@ -5,10 +5,9 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.scaling.demand import ServiceDemand
-
 if TYPE_CHECKING:
     from guavamast.relay.placement import EngineProfile
+    from guavamast.relay.scaling.demand import ServiceDemand
 
 SAMPLE_INTERVAL_S: Final = 0.5
 """Seconds between two samples at least."""
