--- a/src/guavamast/relay/scaling/engine_scaling.py
+++ b/src/guavamast/relay/scaling/engine_scaling.py
@@ -115,6 +115,7 @@
                     ready=ready,
                     leaving=len(own) - ready,
                     ordered=self.orders.find_order(group),
+                    available=self.orders.is_available(group),
                 )
                 groups.append(state)
         return ScalingView(
--- a/src/guavamast/relay/scaling/marginal_policy.py
+++ b/src/guavamast/relay/scaling/marginal_policy.py
@@ -20,14 +20,17 @@
 """Standard deviation of the logarithm of the load that is to come, relative to the mean."""
 USUAL_LOAD: Final = 0.5
 """Share of the engines found at the start that counts as load until there are requests."""
-LEARNING_S: Final = 8.0
+SETTLE_S: Final = 2.5
+"""Seconds without a further engine after which those found at the start are complete."""
+LEARNING_S: Final = 10.0
 """Seconds of requests after which the engines found at the start no longer count."""
 PEAK_MARGIN: Final = 1.25
 """Factor on the greatest load of the last seconds, as its bursts come again."""
 HOLD_S: Final = 8.0
 """Seconds for which fewer engines must do before any is given back."""
-MIN_DECREASE: Final = 0.1
-"""Share of the engines below which none is given back: their caches are lost with them."""
+MIN_CHANGE: Final = 0.12
+"""Share of the engines below which their number stays: each order is a call, and each engine that
+is given back takes its cache with it."""
 
 
 class MarginalPolicy(ScalingPolicy):
@@ -40,26 +43,28 @@
     failure domains, and what remains without any one of them bears the recent peak.
     """
 
-    __slots__ = ("_load", "_low_since", "_prior", "_reason", "_total")
+    __slots__ = ("_found", "_found_at", "_load", "_low_since", "_reason", "_total")
 
     def __init__(self) -> None:
         self._load = LoadEstimate()
-        self._prior: float | None = None
+        self._found = 0
+        """Engines found at the start."""
+        self._found_at: float | None = None
+        """Local time at which the last of them was found."""
         self._total = 0
         self._low_since: float | None = None
         self._reason = ""
 
     def decide(self, view: ScalingView, *, now: float) -> list[EngineOrder]:
         """Return the engines of each group."""
-        ready = sum(state.ready for state in view.groups)
-        if ready == 0 and self._prior is None:
-            return []
-        if self._prior is None:
-            self._prior = USUAL_LOAD * ready
         self._load.record(view.demand, view.profile, slots=view.slots, now=now)
-        price = view.settings.reclaimable_price
+        if not self._has_settled(view, now=now):
+            return []
         domains = sorted({state.group.failure_domain for state in view.groups})
-        total = self._hold(self._compute_total(price or 1.0, len(domains), now=now), now=now)
+        price = view.settings.reclaimable_price
+        needed = self._compute_total(price or 1.0, len(domains), now=now)
+        most = view.settings.max_engines * len(domains)
+        total = self._hold(min(needed, most), most=most, now=now)
         shares = _spread(total, domains, view)
         if price is None:
             return [
@@ -67,7 +72,17 @@
                 for state in view.groups
                 if not state.group.reclaimable
             ]
-        return self._replace_lasting(view, shares)
+        return self._replace_lasting(view, shares, now=now)
+
+    def _has_settled(self, view: ScalingView, *, now: float) -> bool:
+        """Return whether the engines that were there at the start are known."""
+        if self._total:
+            return True
+        ready = sum(state.ready for state in view.groups)
+        if ready > self._found or self._found_at is None:
+            self._found = ready
+            self._found_at = now
+        return self._found > 0 and now - self._found_at >= SETTLE_S
 
     def explain(self, group: EngineGroup) -> str:
         """Return the load by which the number was chosen."""
@@ -76,24 +91,25 @@
 
     def _compute_total(self, price: float, domains: int, *, now: float) -> int:
         """Return the number of engines in all failure domains together."""
-        mean = self._load.mean
-        if not self._load.has_lasted(LEARNING_S, now=now):
-            mean = max(mean, self._prior or 0.0)
-        share = 1.0 - min(0.5, price / WORK_VALUE)
-        by_price = mean * math.exp(NormalDist().inv_cdf(share) * LOAD_SPREAD)
+        mean = self._estimate_mean(now=now)
+        by_price = _find_quantile(mean, price)
         by_peak = PEAK_MARGIN * self._load.peak * domains / max(1, domains - 1)
         self._reason = (
-            f"mean load {mean:.1f}, peak {self._load.peak:.1f}, price {price:.2f}: "
+            f"mean load {mean:.1f}, peak {self._load.peak:.1f}: "
             f"{by_price:.1f} by price, {by_peak:.1f} by peak"
         )
         return math.ceil(max(by_price, by_peak))
 
-    def _hold(self, total: int, *, now: float) -> int:
-        """Return the total, decreased only after it has been lower for some time."""
-        if total >= self._total:
+    def _estimate_mean(self, *, now: float) -> float:
+        if self._load.has_lasted(LEARNING_S, now=now):
+            return self._load.mean
+        return max(self._load.mean, USUAL_LOAD * self._found)
+
+    def _hold(self, total: int, *, most: int, now: float) -> int:
+        """Return the total; it decreases only after it has been lower for some time."""
+        if total > self._total * (1.0 + MIN_CHANGE) or (total == most and total > self._total):
             self._total = total
-            self._low_since = None
-        elif total > self._total * (1.0 - MIN_DECREASE):
+        if total >= self._total * (1.0 - MIN_CHANGE):
             self._low_since = None
         elif self._low_since is None:
             self._low_since = now
@@ -102,20 +118,38 @@
             self._low_since = None
         return self._total
 
-    def _replace_lasting(self, view: ScalingView, shares: dict[str, int]) -> list[EngineOrder]:
+    def _replace_lasting(
+        self, view: ScalingView, shares: dict[str, int], *, now: float
+    ) -> list[EngineOrder]:
         """Return orders of engines that may be taken away, and give lasting ones back after them.
 
         Lasting engines go only once those that replace them serve, so that no capacity is missing.
+        While none that may be taken away are to be had, lasting ones are worth their own price.
         """
+        missing = self._count_missing(view, now=now)
         orders = []
-        for domain, engines in shares.items():
+        for place, (domain, engines) in enumerate(shares.items()):
             lasting, reclaimable = _find_pair(view, domain)
-            orders.append(EngineOrder(group=reclaimable.group, engines=engines))
             present = lasting.ready if lasting.ordered is None else lasting.ordered
             kept = min(present, max(0, engines - reclaimable.ready))
-            orders.append(EngineOrder(group=lasting.group, engines=kept))
+            added = missing // len(shares) + (place < missing % len(shares))
+            orders.append(EngineOrder(group=reclaimable.group, engines=engines))
+            orders.append(EngineOrder(group=lasting.group, engines=max(kept, added)))
         return orders
 
+    def _count_missing(self, view: ScalingView, *, now: float) -> int:
+        """Return the lasting engines that are worth their price while others can't be had."""
+        if all(state.available for state in view.groups):
+            return 0
+        reclaimable = sum(state.ready for state in view.groups if state.group.reclaimable)
+        return max(0, math.ceil(_find_quantile(self._estimate_mean(now=now), 1.0)) - reclaimable)
+
+
+def _find_quantile(mean: float, price: float) -> float:
+    """Return the load above which another engine of this price brings less than it costs."""
+    share = 1.0 - min(0.5, price / WORK_VALUE)
+    return mean * math.exp(NormalDist().inv_cdf(share) * LOAD_SPREAD)
+
 
 def _find_pair(view: ScalingView, domain: str) -> tuple[GroupState, GroupState]:
     """Return the lasting and the reclaimable engines of a failure domain."""
--- a/src/guavamast/relay/scaling/order_book.py
+++ b/src/guavamast/relay/scaling/order_book.py
@@ -29,7 +29,7 @@
     sent, and the next holder knows from the record what may have been ordered.
     """
 
-    __slots__ = ("_failures", "_open", "_ordered", "_retry_at", "_unwritten")
+    __slots__ = ("_conflicts", "_failures", "_open", "_ordered", "_retry_at", "_unwritten")
 
     def __init__(self) -> None:
         self._ordered: dict[EngineGroup, int] = {}
@@ -38,6 +38,7 @@
         self._unwritten = False
         self._retry_at: dict[EngineGroup, float] = {}
         self._failures: dict[EngineGroup, int] = {}
+        self._conflicts: set[EngineGroup] = set()
 
     @property
     def has_changes(self) -> bool:
@@ -52,6 +53,7 @@
         """
         self._ordered = {}
         self._open = set()
+        self._conflicts = set()
         self._unwritten = False
         for record in records:
             if record.key == ORDERS_KEY and record.text is not None:
@@ -69,6 +71,10 @@
         """Return the last order for a group; None if there was none."""
         return self._ordered.get(group)
 
+    def is_available(self, group: EngineGroup) -> bool:
+        """Return whether the last order for a group was not rejected for want of engines."""
+        return group not in self._conflicts
+
     def place(
         self,
         wanted: Iterable[EngineOrder],
@@ -127,7 +133,11 @@
     def record_outcome(self, order: EngineOrder, outcome: CallOutcome, *, now: float) -> None:
         """Record what became of an order."""
         group = order.group
+        if outcome is CallOutcome.CONFLICT:
+            # Each order has a greater fencing number than all before, so none were to be had.
+            self._conflicts.add(group)
         if outcome is CallOutcome.DONE:
+            self._conflicts.discard(group)
             self._open.discard(group)
             self._failures.pop(group, None)
             self._retry_at.pop(group, None)
--- a/src/guavamast/relay/scaling/policy.py
+++ b/src/guavamast/relay/scaling/policy.py
@@ -22,6 +22,8 @@
     leaving: int
     ordered: int | None
     """The last order for the group; None if there was none."""
+    available: bool = True
+    """Whether the last order was not rejected for want of such engines."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
