--- a/src/guavamast/relay/scaling/order_book.py
+++ b/src/guavamast/relay/scaling/order_book.py
@@ -109,6 +109,7 @@
                 self._ordered[order.group] = engines
                 self._unwritten = True
             self._open.add(order.group)
+            self._conflicts.discard(order.group)
             due.append(EngineOrder(group=order.group, engines=engines))
         return due
 
@@ -137,7 +138,6 @@
             # Each order has a greater fencing number than all before, so none were to be had.
             self._conflicts.add(group)
         if outcome is CallOutcome.DONE:
-            self._conflicts.discard(group)
             self._open.discard(group)
             self._failures.pop(group, None)
             self._retry_at.pop(group, None)
@@ -160,7 +160,9 @@
             failure_domain=group.failure_domain,
             reclaimable=not group.reclaimable,
         )
-        counts = [present.get(other, 0), self._ordered.get(other, present.get(other, 0))]
+        counts = [present.get(other, 0)]
+        if other in self._ordered and self.is_available(other):
+            counts.append(self._ordered[other])
         most = max(0, settings.max_engines - max(counts))
         least = max(0, settings.min_engines - min(counts))
-        return max(least, min(most, order.engines))
+        return min(most, max(least, order.engines))
