--- a/src/guavamast/relay/scaling/order_book.py
+++ b/src/guavamast/relay/scaling/order_book.py
@@ -29,7 +29,15 @@
     sent, and the next holder knows from the record what may have been ordered.
     """
 
-    __slots__ = ("_conflicts", "_failures", "_open", "_ordered", "_retry_at", "_unwritten")
+    __slots__ = (
+        "_conflicts",
+        "_failures",
+        "_open",
+        "_ordered",
+        "_possible",
+        "_retry_at",
+        "_unwritten",
+    )
 
     def __init__(self) -> None:
         self._ordered: dict[EngineGroup, int] = {}
@@ -39,6 +47,8 @@
         self._retry_at: dict[EngineGroup, float] = {}
         self._failures: dict[EngineGroup, int] = {}
         self._conflicts: set[EngineGroup] = set()
+        self._possible: dict[EngineGroup, list[int]] = {}
+        """Orders of each group of which one is in force: the last that was answered, and later."""
 
     @property
     def has_changes(self) -> bool:
@@ -66,6 +76,7 @@
                     self._ordered[group] = int(engines)
         # The last holder may have ended before its last orders were answered.
         self._open.update(self._ordered)
+        self._possible = {group: [engines] for group, engines in self._ordered.items()}
 
     def find_order(self, group: EngineGroup) -> int | None:
         """Return the last order for a group; None if there was none."""
@@ -110,6 +121,7 @@
                 self._unwritten = True
             self._open.add(order.group)
             self._conflicts.discard(order.group)
+            self._possible.setdefault(order.group, []).append(engines)
             due.append(EngineOrder(group=order.group, engines=engines))
         return due
 
@@ -137,8 +149,10 @@
         if outcome is CallOutcome.CONFLICT:
             # Each order has a greater fencing number than all before, so none were to be had.
             self._conflicts.add(group)
+            self._possible[group] = []
         if outcome is CallOutcome.DONE:
             self._open.discard(group)
+            self._possible[group] = [order.engines]
             self._failures.pop(group, None)
             self._retry_at.pop(group, None)
             return
@@ -160,9 +174,7 @@
             failure_domain=group.failure_domain,
             reclaimable=not group.reclaimable,
         )
-        counts = [present.get(other, 0)]
-        if other in self._ordered and self.is_available(other):
-            counts.append(self._ordered[other])
+        counts = [present.get(other, 0), *self._possible.get(other, ())]
         most = max(0, settings.max_engines - max(counts))
         least = max(0, settings.min_engines - min(counts))
         return min(most, max(least, order.engines))
