Operators see who holds the duties, and stop automatic orders or set a floor

An operator's record is written together with the lease's row, so its holder loses the row, reads the records again once its lease has ended, and costs no polling.

--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -88,6 +88,28 @@
     return Task(act)
 
 
+@SetParseFn(str)
+def duties(*, settings: str, orders: str = "", floor: str = "0", by: str = "") -> Task:
+    """Show duties, limit orders: duties --settings FILE [--orders on|off [--floor N] --by NAME]."""
+
+    def act() -> int:
+        from guavamast.platform import duty_admin
+        from guavamast.platform.settings import read_settings
+        from guavamast.relay.scaling.control import ScalingControl
+
+        if bool(orders) != bool(by) or orders not in ("", "on", "off") or not floor.isdigit():
+            raise GuavamastError(ErrorCode.USAGE, "--orders on|off [--floor N] goes with --by NAME")
+        store = read_settings(settings).store
+        if orders:
+            control = ScalingControl(paused=orders == "off", floor=int(floor), by=by)
+            print(asyncio.run(duty_admin.set_control(store, control)))
+        else:
+            print(asyncio.run(duty_admin.describe_duties(store)))
+        return EXIT_OK
+
+    return Task(act)
+
+
 @SetParseFn(str)
 def run_dispatcher(*, settings: str) -> Task:
     """Run the dispatcher of one instance: dispatcher --settings FILE."""
@@ -343,6 +365,7 @@
     "show": show,
     "standin": standin,
     "quarantine": quarantine,
+    "duties": duties,
     "report": report,
     "demo": demo,
 }
--- a/src/guavamast/relay/duties/holder.py
+++ b/src/guavamast/relay/duties/holder.py
@@ -179,7 +179,7 @@
         if self._usage is not None:
             self._usage.ledger.load(records, now=now)
         if self._scaling is not None:
-            self._scaling.orders.load(records)
+            self._scaling.load(records)
         self._unanswered_since = None
         self._counters.add("duty_acquisitions_total")
         self._log.write("duties_acquired", now=now, fencing=held.fencing, records=len(records))
--- a/src/guavamast/relay/scaling/engine_scaling.py
+++ b/src/guavamast/relay/scaling/engine_scaling.py
@@ -5,12 +5,14 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.provider import EngineGroup
+from guavamast.relay.scaling.control import ScalingControl, find_control
 from guavamast.relay.scaling.demand import ServiceDemand
 from guavamast.relay.scaling.policy import GroupState, ScalingView
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
+    from guavamast.leases import LeaseRecord
     from guavamast.relay.catalog import ServiceSettings
     from guavamast.relay.duties.collection import ReportCollection
     from guavamast.relay.fleet_state import FleetState
@@ -40,6 +42,7 @@
         "_build_policy",
         "_collection",
         "_complete_at",
+        "_control",
         "_fleet_state",
         "_policies",
         "_profiles",
@@ -62,12 +65,25 @@
         self._policies: dict[str, ScalingPolicy] = {}
         self._complete_at: dict[EngineGroup, float] = {}
         """Local time at which each group last had the engines that were ordered for it."""
+        self._control = ScalingControl()
         self.orders = orders
 
+    def load(self, records: Iterable[LeaseRecord]) -> None:
+        """Replace the orders, and what operators have set, by the records of the lease.
+
+        Raises:
+            ValueError: A record can't be decoded.
+        """
+        records = list(records)
+        self.orders.load(records)
+        self._control = find_control(records)
+
     def place_orders(self, *, now: float) -> list[EngineOrder]:
         """Return the orders that are to be given once they are written."""
         catalog = self._fleet_state.catalog
-        if catalog is None or self._fleet_state.compute_endpoints_age(now=now) > MAX_TABLE_AGE_S:
+        if self._control.paused or catalog is None:
+            return []
+        if self._fleet_state.compute_endpoints_age(now=now) > MAX_TABLE_AGE_S:
             return []
         placed = []
         for service in catalog.services.values():
@@ -124,6 +140,7 @@
             groups=tuple(groups),
             demand=self._collection.demand.get(service.name, ServiceDemand()),
             profile=self._profiles.find(service.name, now=now),
+            floor=self._control.floor,
             slots=max((one.slots for one in records), default=1),
         )
 
--- a/src/guavamast/relay/scaling/marginal_policy.py
+++ b/src/guavamast/relay/scaling/marginal_policy.py
@@ -64,7 +64,7 @@
         price = view.settings.reclaimable_price
         needed = self._compute_total(price or 1.0, len(domains), now=now)
         most = view.settings.max_engines * len(domains)
-        total = self._hold(min(needed, most), most=most, now=now)
+        total = self._hold(min(max(needed, view.floor), most), most=most, now=now)
         shares = _spread(total, domains, view)
         if price is None:
             return [
--- a/src/guavamast/relay/scaling/policy.py
+++ b/src/guavamast/relay/scaling/policy.py
@@ -40,6 +40,8 @@
     """Speed of the engines."""
     slots: int
     """Requests that one engine runs concurrently."""
+    floor: int = 0
+    """Engines in all failure domains together that operators want at least."""
 
 
 class ScalingPolicy(ABC):
--- a/tests/duty_simulation.py
+++ b/tests/duty_simulation.py
@@ -322,6 +322,9 @@
         self._random = random
         self._due_at = 0.0
 
+    def load(self, records: list[LeaseRecord]) -> None:
+        self.orders.load(records)
+
     def place_orders(self, *, now: float) -> list[EngineOrder]:
         if now < self._due_at:
             return []
--- a/tests/test_platform_duties.py
+++ b/tests/test_platform_duties.py
@@ -8,8 +8,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from guavamast.errors import GuavamastError
+from guavamast.platform.duty_admin import describe_duties, set_control
 from guavamast.platform.standins.provider import ProviderFault, ProviderStandIn
 from guavamast.platform.standins.site import CALL_PREFIX, DUTY_WINDOW_S
+from guavamast.relay.node_settings import SocketAddress
+from guavamast.relay.scaling.control import ScalingControl
 from tests._platform_callers import Caller, PlatformTestCase
 
 if TYPE_CHECKING:
@@ -107,6 +111,25 @@
         await self.wait_until(lambda: self.count_reported() == 12)
         self.assertEqual(self.provider.find_violations(), [])
 
+    async def test_operators_see_the_duties_and_stop_orders(self) -> None:
+        """Guards against duties that nobody can look at, and orders that nobody can stop."""
+        await self.wait_until(lambda: bool(self.provider.list_usage()))
+        store = SocketAddress(ip="127.0.0.1", port=self.site.store_port)
+        holder = self.provider.list_usage()[-1].holder
+        self.assertIn(f"holder: {holder}", await describe_duties(store))
+        until = time.monotonic() + WAIT_S
+        while True:
+            try:
+                await set_control(store, ScalingControl(paused=True, floor=3, by="anna"))
+                break
+            except GuavamastError:
+                self.assertLess(time.monotonic(), until)
+        reported = len(self.provider.list_usage())
+        await self.wait_until(lambda: len(self.provider.list_usage()) > reported + 1)
+        described = await describe_duties(store)
+        self.assertIn("orders: paused, at least 3 engines a service, set by anna", described)
+        self.assertEqual(self.provider.find_violations(), [])
+
 
 class UnfencedDutiesTest(DutiesTest):
     """The same where the provider doesn't check fencing numbers."""
