--- a/src/guavamast/relay/duties/candidacy.py
+++ b/src/guavamast/relay/duties/candidacy.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from guavamast.rendezvous import compute_weight
+from guavamast.rendezvous import compute_weight_cached
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,7 +37,7 @@
     """
     ranked = sorted(
         records,
-        key=lambda one: (-one.processor_share, compute_weight(RANK_KEY, one.name), one.name),
+        key=lambda one: (-one.processor_share, compute_weight_cached(RANK_KEY, one.name), one.name),
     )
     chosen: list[InstanceRecord] = []
     domains: set[str] = set()
--- a/src/guavamast/relay/duties/holder.py
+++ b/src/guavamast/relay/duties/holder.py
@@ -158,6 +158,8 @@
             self._lease.forget(RESOURCE)
             self._log.write("duties_lost", now=now, fencing=held.fencing)
             held = None
+        if held is None and self._candidacy.find_holder(now=now) is not None:
+            return False
         peers = self._fleet_state.peers
         live = [peer.record for peer in peers.list_live(now=now)]
         names = [one.name for one in rank_candidates([self._record, *live])]
