--- a/src/guavamast/relay/scaling/__init__.py
+++ b/src/guavamast/relay/scaling/__init__.py
@@ -5,7 +5,6 @@
 from guavamast.relay.scaling.marginal_policy import MarginalPolicy
 from guavamast.relay.scaling.order_book import OrderBook
 from guavamast.relay.scaling.policy import GroupState, ScalingPolicy, ScalingView
-from guavamast.relay.scaling.static_policy import StaticPolicy
 
 __all__ = [
     "DemandCounter",
@@ -16,7 +15,6 @@
     "ScalingPolicy",
     "ScalingView",
     "ServiceDemand",
-    "StaticPolicy",
     "build_policy",
 ]
 
--- a/src/guavamast/relay/scaling/load_estimate.py
+++ b/src/guavamast/relay/scaling/load_estimate.py
@@ -52,6 +52,11 @@
         while now - self._loads[0][0] > MEMORY_S:
             self._loads.popleft()
 
+    @property
+    def latest(self) -> float:
+        """The load over the last seconds."""
+        return self._loads[-1][1] if self._loads else 0.0
+
     @property
     def peak(self) -> float:
         """The greatest remembered load."""
--- a/tests/test_relay_scaling.py
+++ b/tests/test_relay_scaling.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from guavamast.relay.provider import CallOutcome, EngineOrder
-from guavamast.relay.scaling import GroupState, MarginalPolicy, OrderBook, StaticPolicy
+from guavamast.relay.scaling import GroupState, MarginalPolicy, OrderBook
+from tests.scaling_policies import StaticPolicy
 from tests.scaling_simulation import DOMAINS, SETTINGS, ScalingSimulation, build_group
 
 if TYPE_CHECKING:
