--- a/tests/duty_simulation.py
+++ b/tests/duty_simulation.py
@@ -604,18 +604,14 @@
 
 
 def find_alternations(calls: list[Call]) -> list[str]:
-    """Return each time that two instances acted in turns within the lease time."""
+    """Return each time that two instances acted in turns within the lease time, on any subject."""
     found = []
-    by_subject: dict[str, list[Call]] = defaultdict(list)
-    for call in calls:
-        if not call.excused:
-            by_subject[call.subject].append(call)
-    for subject, ordered in by_subject.items():
-        for index, last in enumerate(ordered):
-            recent = [one for one in ordered[:index] if last.at - one.at < LEASE_S]
-            others = [place for place, one in enumerate(recent) if one.machine != last.machine]
-            if others and any(one.machine == last.machine for one in recent[: others[-1]]):
-                found.append(f"{last.machine} acts in turns on {subject} at {last.at:.2f}")
+    acts = [call for call in calls if not call.excused]
+    for index, last in enumerate(acts):
+        recent = [one for one in acts[:index] if last.at - one.at < LEASE_S]
+        others = [place for place, one in enumerate(recent) if one.machine != last.machine]
+        if others and any(one.machine == last.machine for one in recent[: others[-1]]):
+            found.append(f"{last.machine} acts in turns at {last.at:.2f}")
     return found
 
 
