Engines found at the start are replaced as they are found

Reclaimable engines are ordered with each engine found; lasting ones go down to what was found, no longer to what is wanted.

--- a/src/guavamast/relay/scaling/marginal_policy.py
+++ b/src/guavamast/relay/scaling/marginal_policy.py
@@ -20,7 +20,7 @@
 """Factor, as a logarithm, by which the load to come usually deviates from the mean."""
 USUAL_LOAD: Final = 0.5
 """Share of the engines found at the start that counts as load until there are requests."""
-SETTLE_S: Final = 2.5
+SETTLE_S: Final = 2.0
 """Seconds without a further engine after which those found at the start are complete."""
 LEARNING_S: Final = 10.0
 """Seconds of requests after which the engines found at the start no longer count."""
@@ -47,8 +47,8 @@
 
     def __init__(self) -> None:
         self._load = LoadEstimate()
-        self._found = 0
-        """Engines found at the start."""
+        self._found: dict[str, int] = {}
+        """Engines found at the start, by failure domain."""
         self._found_at: float | None = None
         """Local time at which the last of them was found."""
         self._total = 0
@@ -58,10 +58,10 @@
     def decide(self, view: ScalingView, *, now: float) -> list[EngineOrder]:
         """Return the engines of each group."""
         self._load.record(view.demand, view.profile, slots=view.slots, now=now)
+        price = view.settings.reclaimable_price
         if not self._has_settled(view, now=now):
-            return []
+            return self._replace_found(view) if price is not None else []
         domains = sorted({state.group.failure_domain for state in view.groups})
-        price = view.settings.reclaimable_price
         needed = self._compute_total(price or 1.0, len(domains), now=now)
         most = view.settings.max_engines * len(domains)
         total = self._hold(min(max(needed, view.floor), most), most=most, now=now)
@@ -78,11 +78,21 @@
         """Return whether the engines that were there at the start are known."""
         if self._total:
             return True
-        ready = sum(state.ready for state in view.groups)
-        if ready > self._found or self._found_at is None:
-            self._found = ready
-            self._found_at = now
-        return self._found > 0 and now - self._found_at >= SETTLE_S
+        for state in view.groups:
+            domain = state.group.failure_domain
+            known = self._found.get(domain, 0)
+            if not state.group.reclaimable and state.ready > known:
+                self._found[domain] = state.ready
+                self._found_at = now
+        return self._found_at is not None and now - self._found_at >= SETTLE_S
+
+    def _replace_found(self, view: ScalingView) -> list[EngineOrder]:
+        """Return orders of as many reclaimable engines as there are lasting ones so far."""
+        return [
+            EngineOrder(group=state.group, engines=self._found[state.group.failure_domain])
+            for state in view.groups
+            if state.group.reclaimable and state.group.failure_domain in self._found
+        ]
 
     def explain(self, group: EngineGroup) -> str:
         """Return the load by which the number was chosen."""
@@ -103,7 +113,7 @@
     def _estimate_mean(self, *, now: float) -> float:
         if self._load.has_lasted(LEARNING_S, now=now):
             return self._load.mean
-        return max(self._load.mean, USUAL_LOAD * self._found)
+        return max(self._load.mean, USUAL_LOAD * sum(self._found.values()))
 
     def _hold(self, total: int, *, most: int, now: float) -> int:
         """Return the total; it decreases only after it has been lower for some time."""
@@ -123,7 +133,8 @@
     ) -> list[EngineOrder]:
         """Return orders of engines that may be taken away, and give lasting ones back after them.
 
-        Lasting engines go only once those that replace them serve, so that no capacity is missing.
+        Lasting engines go only once those that replace them serve, so that there are never fewer
+        than at the start, or than wanted.
         While none that may be taken away are to be had, lasting ones are worth their own price.
         """
         missing = self._count_missing(view, now=now)
@@ -131,7 +142,8 @@
         for place, (domain, engines) in enumerate(shares.items()):
             lasting, reclaimable = _find_pair(view, domain)
             present = lasting.ready if lasting.ordered is None else lasting.ordered
-            kept = min(present, max(0, engines - reclaimable.ready))
+            needed = min(engines, self._found.get(domain, engines))
+            kept = min(present, max(0, needed - reclaimable.ready))
             added = missing // len(shares) + (place < missing % len(shares))
             orders.append(EngineOrder(group=reclaimable.group, engines=engines))
             orders.append(EngineOrder(group=lasting.group, engines=max(kept, added)))
