--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -68,6 +68,7 @@
     releases: bool = True,
     urgency: bool = True,
     prompts: bool = True,
+    duties: bool = True,
     faults: bool = True,
 ) -> None:
     """Run seeds and print the violated guarantees.
@@ -87,6 +88,7 @@
             take streams up at any instance.
         urgency: Whether callers of three kinds ask for more than a further service can do.
         prompts: Whether callers send prompts that share all but one part, which ends engines.
+        duties: Whether one instance at a time reports usage, while it and the provider fail.
         faults: Whether any faults are injected.
     """
     first, _, last = str(seeds).partition("-")
@@ -101,6 +103,7 @@
         releases=releases,
         urgency=urgency,
         prompts=prompts,
+        duties=duties,
         faults=faults,
     )
     numbers = range(int(first), int(last or first) + 1)
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -9,12 +9,13 @@
 
 from guavamast.platform.standins.answer_body import WHOLE, AnswerEnding, Closing
 from guavamast.platform.standins.engine import EngineFault
+from guavamast.platform.standins.provider import ProviderFault
 from guavamast.platform.standins.store import StoreFault
 from guavamast.relay.response_end import BodyFraming
 from soak.guarantees import Span
 from soak.partitions import Partition, PartitionKind, write_partition
 from soak.proxy import LinkFault
-from soak.schedule import RELEASE_DRAIN_S, RELEASED_ENGINES, FaultKind
+from soak.schedule import LONGEST_FAULT_S, RELEASE_DRAIN_S, RELEASED_ENGINES, FaultKind
 from soak.site import KEYS
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
 a connection in order between two events, or inside a plain answer without length, can't."""
 RELEASE_VERSIONS: Final = ("v1", "v2", "v3")
 STORE_FAULTS: Final = (StoreFault.BUSY, StoreFault.SILENT, StoreFault.LOSES_ANSWERS)
+PROVIDER_FAULTS: Final = tuple(kind for kind in ProviderFault if kind is not ProviderFault.NONE)
 LINK_FAULTS: Final = (
     LinkFault.DELAY,
     LinkFault.CUT_TO_SERVER,
@@ -96,6 +98,8 @@
             FaultKind.ANSWER_FRAMING: self._frame_answers,
             FaultKind.ANSWER_ENDING: self._break_answers_off,
             FaultKind.RELEASE: self._release,
+            FaultKind.PROVIDER_CALLS: self._inject_provider_fault,
+            FaultKind.INSTANCE_HOLDER: self._fail_holder,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -141,6 +145,26 @@
         await asyncio.sleep(fault.duration_s)
         engine.fault = EngineFault.NONE
 
+    async def _inject_provider_fault(self, fault: Fault) -> None:
+        provider = self._site.provider
+        assert provider is not None
+        provider.fault = PROVIDER_FAULTS[int(fault.variant * len(PROVIDER_FAULTS))]
+        await asyncio.sleep(fault.duration_s)
+        provider.fault = ProviderFault.NONE
+
+    async def _fail_holder(self, fault: Fault) -> None:
+        """Kill or freeze the instance that made the last call, as far as there was one."""
+        provider = self._site.provider
+        assert provider is not None
+        if not provider.calls:
+            return
+        name = provider.calls[-1].holder
+        instance = next(one for one in self._site.instances if one.name == name)
+        if fault.variant < 0.5:
+            await instance.kill(for_s=min(fault.duration_s, LONGEST_FAULT_S))
+        else:
+            await instance.freeze(for_s=fault.duration_s)
+
     async def _frame_answers(self, fault: Fault) -> None:
         service = fault.choose_target(["pool", "portal"])
         engines = [
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from guavamast.platform.standins.provider import ProviderStandIn
 from soak.callers import Caller
 from soak.fault_injector import RELEASE_VERSIONS, FaultInjector
 from soak.guarantees import (
@@ -26,6 +27,7 @@
     RECOVERY_S,
     Fault,
     plan_answers,
+    plan_duty_faults,
     plan_faults,
     plan_partitions,
     plan_releases,
@@ -85,6 +87,7 @@
             take streams up at any instance.
         urgency: Whether callers of three kinds ask for more than a further service can do.
         prompts: Whether callers send prompts that share all but one part, which ends engines.
+        duties: Whether one instance at a time reports usage, while it and the provider fail.
         faults: Whether any faults are injected.
     """
 
@@ -102,6 +105,7 @@
         releases: bool = False,
         urgency: bool = False,
         prompts: bool = False,
+        duties: bool = False,
         faults: bool = True,
     ) -> None:
         self._seed = seed
@@ -124,6 +128,10 @@
         self._prompts = (
             PromptCrowd(site=self._site, random=Random(f"{seed}prompts")) if prompts else None
         )
+        if duties:
+            self._site.provider = ProviderStandIn(
+                fenced=seed % 2 == 0, random=Random(f"{seed}provider")
+            )
         self._streams: list[StreamRecord] = []
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
@@ -175,6 +183,8 @@
             faults += plan_answers(self._seed, length_s=self._length_s)
         if self._plans_releases:
             faults += plan_releases(self._seed, length_s=self._length_s)
+        if self._site.provider is not None:
+            faults += plan_duty_faults(self._seed, length_s=self._length_s)
         return faults
 
     def _build_verdict(self, ended_at: float) -> Verdict:
@@ -226,6 +236,7 @@
                 *self._site.find_instance_failures(),
                 *(self._crowd.find_violations(self._disruptions) if self._crowd else ()),
                 *self._find_prompt_violations(ended_at - RECOVERY_S),
+                *(self._site.provider.find_violations() if self._site.provider else ()),
             ],
         )
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -33,6 +33,8 @@
 LONGEST_RELEASE_S: Final = RELEASED_ENGINES * LONGEST_RELEASE_GAP_S + RELEASE_DRAIN_S
 RELEASES_PER_S: Final = 0.15
 """Mean number of releases that begin per second, so that they follow closely and overlap."""
+DUTY_FAULTS_PER_S: Final = 0.15
+"""Mean number per second of faults of the provider, and as many of the holder of the duties."""
 LONGEST_FREEZE_S: Final = 6.0
 """Longest freeze of a process: longer than the time after which revoked keys must be rejected."""
 
@@ -80,6 +82,10 @@
     RELEASE = "release"
     """Some engines are replaced, one after the other, by others of another software version; the
     duration is the time between two of them."""
+    PROVIDER_CALLS = "provider_calls"
+    """The provider of engines is slow or silent, rejects calls, or carries them out late."""
+    INSTANCE_HOLDER = "instance_holder"
+    """The instance that made the last call to the provider is killed or frozen."""
 
     @property
     def affects_instances(self) -> bool:
@@ -97,6 +103,7 @@
             FaultKind.REVOKE,
             FaultKind.ANSWER_FRAMING,
             FaultKind.RELEASE,
+            FaultKind.PROVIDER_CALLS,
         )
 
 
@@ -105,6 +112,8 @@
     FaultKind.ANSWER_FRAMING,
     FaultKind.ANSWER_ENDING,
     FaultKind.RELEASE,
+    FaultKind.PROVIDER_CALLS,
+    FaultKind.INSTANCE_HOLDER,
 )
 """Kinds that are planned by themselves, beside the others of a seed."""
 
@@ -204,6 +213,26 @@
     ]
 
 
+def plan_duty_faults(seed: int, *, length_s: float) -> list[Fault]:
+    """Return the faults of the duties, which come beside the other faults.
+
+    Args:
+        seed: Seed of the generator.
+        length_s: Length of the run, including its recovery.
+    """
+    random = Random(f"{seed}duties")
+    end_s = length_s - RECOVERY_S
+    faults = []
+    for kind, longest_s in (
+        (FaultKind.PROVIDER_CALLS, LONGEST_FAULT_S),
+        (FaultKind.INSTANCE_HOLDER, LONGEST_FREEZE_S),
+    ):
+        for _ in range(max(1, int(DUTY_FAULTS_PER_S * end_s))):
+            duration_s = min(end_s, random.uniform(SHORTEST_FAULT_S, longest_s))
+            faults.append(_place_fault(random, kind, duration_s=duration_s, end_s=end_s))
+    return faults
+
+
 def _place_fault(random: Random, kind: FaultKind, *, duration_s: float, end_s: float) -> Fault:
     """Return a fault at any time before the recovery."""
     return Fault(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,8 @@
 """Seed in which engines end between two events of answers without framing."""
 PROMPTS_LENGTH_S = 18.0
 """Long enough for five ends, and for requests after the fleet has to know of them."""
+DUTY_SEEDS = (4, 7)
+"""Seeds whose providers check fencing numbers, and do not."""
 LONG_KEYS_SEED = 5552
 """Seed in which an engine leaves while an instance is frozen."""
 LONG_REVOKE_S = 9.0
@@ -431,6 +433,12 @@
         assert verdict.worst_order is not None
         self.assertLessEqual(verdict.worst_order.used_share, MAX_USED_SHARE, verdict.worst_order)
 
+    async def test_duties_beside_other_faults_violate_no_guarantee(self) -> None:
+        """Guards against two reports of one window, or one fencing number of two instances."""
+        for seed in DUTY_SEEDS:
+            with self.subTest(seed=seed):
+                await self.run_seed(seed, instances=4, length_s=PARTITION_LENGTH_S, duties=True)
+
     async def test_a_request_that_ends_engines_is_contained_under_faults(self) -> None:
         """Guards against a fleet that loses what it knows of such a request to kills and resets."""
         await self.run_seed(LETHAL_SEED, lethal=True)
