Groups of engines keep their number while engines come and go

Cause: beyond 45 engines there are two groups, and a prompt's part belongs to one. The number follows what there can be.

--- a/src/guavamast/relay/scheduling.py
+++ b/src/guavamast/relay/scheduling.py
@@ -63,7 +63,9 @@
         self._limits = limits
         self._send = send
         self._read_time = read_time
-        self.groups = EndpointGroups(table=fleet_state.endpoints)
+        self.groups = EndpointGroups(
+            table=fleet_state.endpoints, find_most_engines=fleet_state.find_most_engines
+        )
         """Groups of endpoints that are scheduled together."""
         self.host = SchedulerHost(
             fleet_state=fleet_state,
