The next holder of the duties goes on with what is ordered; few instances ask a store that is down

Causes: the policy took the lasting engines that it found for the start of the fleet, and a later holder finds none, so it never ordered again (read in the code; the new test failed). Four instances go on asking; the others are told by heartbeats.

--- a/src/guavamast/relay/peers.py
+++ b/src/guavamast/relay/peers.py
@@ -226,6 +226,13 @@
             and self._get_weight(peer.record.name) > self._own_weight
         )
 
+    def rank_in_outage(self, *, now: float) -> int | None:
+        """Return how many live instances precede this one if the store answers none of them."""
+        live = self.list_live(now=now)
+        if any(peer.store_reachable for peer in live):
+            return None
+        return sum(self._get_weight(peer.record.name) > self._own_weight for peer in live)
+
     def list_serving(self, *, now: float) -> list[InstanceRecord]:
         """Return the live instances to which callers may be sent."""
         return [
--- a/src/guavamast/relay/read_schedule.py
+++ b/src/guavamast/relay/read_schedule.py
@@ -35,6 +35,10 @@
 """Seconds until the retry after a first failed read; doubled after each further failure."""
 BACKOFF_MAX_S: Final = 1.2
 """Seconds between failed reads at most: several fit in before keys stop being accepted."""
+OUTAGE_PROBERS: Final = 4
+"""Instances that go on at that pace while the store answers none: they tell the others."""
+OUTAGE_BACKOFF_S: Final = 4.8
+"""Seconds between failed reads of all others meanwhile, in case that they are not told."""
 
 
 class ReadSchedule:
@@ -61,6 +65,7 @@
         "_bound_s",
         "_count_instances",
         "_failures",
+        "_outage_retry_at",
         "_own_read_age_s",
         "_update_read_at",
         "_retry_at",
@@ -76,6 +81,7 @@
         self._own_read_age_s = OWN_READ_AGE_SHARE * bound_s
         self._failures = 0
         self._retry_at = 0.0
+        self._outage_retry_at = 0.0
         self._update_read_at: float | None = None
 
     def is_due(self, *, age_s: float, rank: int, has_update: bool, now: float) -> bool:
@@ -96,6 +102,8 @@
                 )
             return now >= self._update_read_at
         self._update_read_at = None
+        if now < self._outage_retry_at:
+            return False
         due_s = min(READ_INTERVAL_S + TAKEOVER_DELAY_S * min(rank, LAST_RANK), self._own_read_age_s)
         if rank >= LAST_RANK:
             due_s += JITTER_S * (rank % 7) / 7
@@ -121,11 +129,24 @@
         """Reset the backoff."""
         self._failures = 0
         self._retry_at = 0.0
+        self._outage_retry_at = 0.0
         self._update_read_at = None
 
-    def record_failure(self, *, now: float) -> None:
-        """Delay the next read, longer after each failure."""
+    def record_failure(self, *, now: float, outage_rank: int | None = None) -> None:
+        """Delay the next read, longer after each failure.
+
+        Failure: while the store is away, hundreds of instances ask it once a second each, and all
+        at once when it is back. The first instances find out as soon, and their heartbeats tell.
+
+        Args:
+            now: The present time.
+            outage_rank: Number of live instances that ask before this one, if the store answers
+                none of them; None if it answers any.
+        """
         self._failures += 1
         pause = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2 ** (self._failures - 1))
-        self._retry_at = now + pause * (0.75 + 0.5 * self._random.random())
+        jitter = 0.75 + 0.5 * self._random.random()
+        self._retry_at = now + pause * jitter
+        if outage_rank is not None and outage_rank >= OUTAGE_PROBERS:
+            self._outage_retry_at = now + OUTAGE_BACKOFF_S * jitter
         self._update_read_at = None
--- a/src/guavamast/relay/scaling/marginal_policy.py
+++ b/src/guavamast/relay/scaling/marginal_policy.py
@@ -43,7 +43,7 @@
     failure domains, and what remains without any one of them bears the recent peak.
     """
 
-    __slots__ = ("_found", "_found_at", "_load", "_low_since", "_reason", "_total")
+    __slots__ = ("_found", "_found_at", "_load", "_low_since", "_prior", "_reason", "_total")
 
     def __init__(self) -> None:
         self._load = LoadEstimate()
@@ -51,6 +51,8 @@
         """Engines found at the start, by failure domain."""
         self._found_at: float | None = None
         """Local time at which the last of them was found."""
+        self._prior = 0.0
+        """Load that is assumed until there have been requests for some time."""
         self._total = 0
         self._low_since: float | None = None
         self._reason = ""
@@ -78,14 +80,29 @@
         """Return whether the engines that were there at the start are known."""
         if self._total:
             return True
+        ordered = sum(state.ordered or 0 for state in view.groups)
+        if self._found_at is None and ordered:
+            self._go_on(view, ordered)
+            return True
         for state in view.groups:
             domain = state.group.failure_domain
             known = self._found.get(domain, 0)
             if not state.group.reclaimable and state.ready > known:
                 self._found[domain] = state.ready
                 self._found_at = now
+        self._prior = USUAL_LOAD * sum(self._found.values())
         return self._found_at is not None and now - self._found_at >= SETTLE_S
 
+    def _go_on(self, view: ScalingView, ordered: int) -> None:
+        """Begin with the orders of the former holder, which knew the load.
+
+        Failure: the next holder knows no load yet, gives back engines that are in use, and finds
+        out seconds later that they are needed.
+        """
+        price = view.settings.reclaimable_price or 1.0
+        self._total = ordered
+        self._prior = ordered / _find_quantile(1.0, price)
+
     def _replace_found(self, view: ScalingView) -> list[EngineOrder]:
         """Return orders of as many reclaimable engines as there are lasting ones so far."""
         return [
@@ -113,7 +130,7 @@
     def _estimate_mean(self, *, now: float) -> float:
         if self._load.has_lasted(LEARNING_S, now=now):
             return self._load.mean
-        return max(self._load.mean, USUAL_LOAD * sum(self._found.values()))
+        return max(self._load.mean, self._prior)
 
     def _hold(self, total: int, *, most: int, now: float) -> int:
         """Return the total; it decreases only after it has been lower for some time."""
--- a/src/guavamast/relay/scaling/order_book.py
+++ b/src/guavamast/relay/scaling/order_book.py
@@ -131,8 +131,10 @@
 
     def build_records(self) -> list[LeaseRecord]:
         """Return the records that are to be written."""
-        if not self._unwritten:
-            return []
+        return self.build_all() if self._unwritten else []
+
+    def build_all(self) -> list[LeaseRecord]:
+        """Return the records of all orders."""
         rows = [
             [group.service, group.failure_domain, group.reclaimable, engines]
             for group, engines in self._ordered.items()
--- a/src/guavamast/relay/table_watch.py
+++ b/src/guavamast/relay/table_watch.py
@@ -93,7 +93,9 @@
         if await self._read.join():
             self._schedule.record_success()
         else:
-            self._schedule.record_failure(now=self._read_time())
+            now = self._read_time()
+            outage_rank = self._fleet_state.peers.rank_in_outage(now=now)
+            self._schedule.record_failure(now=now, outage_rank=outage_rank)
 
     async def _pause(self, pause_s: float) -> None:
         """Sleep until the next round or an update, and record how late the round starts."""
--- a/tests/scaling_simulation.py
+++ b/tests/scaling_simulation.py
@@ -88,6 +88,14 @@
             self._step()
         return self.outcome
 
+    def replace_holder(self, policy: ScalingPolicy) -> None:
+        """Let another instance hold the duties, which knows the orders and no load."""
+        self._policy = policy
+        records = self._orders.build_all()
+        self._orders = OrderBook()
+        self._orders.load(records)
+        self._demand = ServiceDemand()
+
     def reclaim(self, domain: str, *, for_s: float, everywhere: bool = False) -> None:
         """Take away the reclaimable engines of a failure domain, with no others for some time."""
         for engine in self.engines:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -47,6 +47,7 @@
 from guavamast.relay.read_schedule import (
     JITTER_S,
     LAST_RANK,
+    OUTAGE_PROBERS,
     READ_INTERVAL_S,
     TAKEOVER_DELAY_S,
     UPDATE_WAIT_S,
@@ -267,6 +268,22 @@
         self.assertFalse(self.schedule.is_due(age_s=0.0, rank=9, has_update=False, now=5.2))
         self.assertFalse(self.schedule.is_due(age_s=0.0, rank=9, has_update=True, now=6.0))
 
+    def test_few_instances_ask_a_store_that_answers_none(self) -> None:
+        """Guards against an outage in which all instances ask the store once a second each."""
+        for place, due in ((0, True), (OUTAGE_PROBERS - 1, True), (OUTAGE_PROBERS, False)):
+            schedule = ReadSchedule(random=Random(1), bound_s=60.0, count_instances=lambda: 14)
+            schedule.record_failure(now=0.0, outage_rank=place)
+            self.assertEqual(
+                schedule.is_due(age_s=9.0, rank=0, has_update=False, now=2.0), due, place
+            )
+            self.assertTrue(schedule.is_due(age_s=9.0, rank=0, has_update=False, now=6.1))
+
+    def test_an_update_ends_the_wait_in_an_outage(self) -> None:
+        """Guards against a change that is taken seconds late as the store was away before it."""
+        self.schedule.record_failure(now=0.0, outage_rank=9)
+        self.schedule.is_due(age_s=9.0, rank=0, has_update=True, now=1.0)
+        self.assertTrue(self.schedule.is_due(age_s=9.0, rank=0, has_update=True, now=1.3))
+
     def test_failed_reads_pause(self) -> None:
         self.schedule.record_failure(now=0.0)
         self.assertFalse(self.schedule.is_due(age_s=9.0, rank=0, has_update=True, now=0.1))
--- a/tests/test_relay_scaling.py
+++ b/tests/test_relay_scaling.py
@@ -93,6 +93,18 @@
         simulation.run(BEGIN_S)
         self.assertGreaterEqual(simulation.count_ready(), 32)
 
+    def test_the_next_holder_goes_on_with_what_is_ordered(self) -> None:
+        """Guards against a next holder that gives engines back, or never orders any again."""
+        simulation = play(lambda now: 14.0 if now < 40.0 else 25.0)
+        simulation.run(BEGIN_S + 25.0)
+        before = simulation.count_ready()
+        simulation.replace_holder(MarginalPolicy())
+        while simulation.now < BEGIN_S + 39.0:
+            simulation.run(simulation.now + 0.25)
+            self.assertGreaterEqual(simulation.count_ready(), 0.85 * before)
+        simulation.run(BEGIN_S + 60.0)
+        self.assertGreater(simulation.count_ready(), 1.1 * before)
+
     def test_the_standing_number_costs_more_and_serves_less_of_a_burst(self) -> None:
         """Guards against a policy that is worse than the engines found at the start."""
 
