--- a/tests/test_relay_duties_simulation.py
+++ b/tests/test_relay_duties_simulation.py
@@ -10,7 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.duty_simulation import DutySimulation, find_misses, find_violations
+from tests.duty_checks import find_misses, find_violations
+from tests.duty_simulation import DutySimulation
 from tests.virtual_time import run_in_virtual_time
 
 if TYPE_CHECKING:
