--- a/src/guavamast/relay/duties/member.py
+++ b/src/guavamast/relay/duties/member.py
@@ -23,6 +23,8 @@
 
 REPORT_INTERVAL_S: Final = 0.5
 """Seconds between two reports: an instance that is killed loses the runs of one at most."""
+RANKING_INTERVAL_S: Final = 2.0
+"""Seconds for which the candidates are kept: ranking them iterates over all instances."""
 
 
 class DutyMember:
@@ -43,6 +45,7 @@
     """
 
     __slots__ = (
+        "_candidates",
         "_collection",
         "_demand",
         "_fleet_state",
@@ -50,6 +53,7 @@
         "_incarnation",
         "_locate",
         "_offset_s",
+        "_ranked_at",
         "_read_time",
         "_read_wall",
         "_record",
@@ -88,6 +92,8 @@
         self._sequence = 0
         self._offset_s: float | None = None
         self._holder: str | None = None
+        self._candidates: list[InstanceRecord] = []
+        self._ranked_at = float("-inf")
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -104,6 +110,12 @@
 
     def list_candidates(self, *, now: float) -> list[InstanceRecord]:
         """Return the instances that may hold the duties, in order."""
+        if now - self._ranked_at >= RANKING_INTERVAL_S:
+            self._candidates = self._rank_candidates(now=now)
+            self._ranked_at = now
+        return self._candidates
+
+    def _rank_candidates(self, *, now: float) -> list[InstanceRecord]:
         live = [
             peer.record
             for peer in self._fleet_state.peers.list_live(now=now)
