A fault of the duties ends no instance; the lease of the duties is built in one place

Found on reading: records that can't be decoded raised out of the holder's loop, which ended the process, and the next candidate's after it. The new test failed before (the holder's task was gone).

--- a/src/guavamast/relay/duties/components.py
+++ b/src/guavamast/relay/duties/components.py
@@ -17,7 +17,7 @@
 from guavamast.relay.duties.usage_counter import UsageCounter
 from guavamast.relay.duties.usage_duty import UsageDuty
 from guavamast.relay.duties.usage_ledger import UsageLedger
-from guavamast.relay.scaling import DemandCounter, EngineScaling, OrderBook, build_policy
+from guavamast.relay.scaling import DemandCounter, EngineScaling, MarginalPolicy, OrderBook
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -108,18 +108,7 @@
         )
         self.holder = DutyHolder(
             record=record,
-            lease=LeaseHolder(
-                table=table,
-                read_time=read_time,
-                holder=record.name,
-                generate_nonce=lambda: uuid.uuid4().hex,
-                parameters=LeaseParameters(
-                    duration_s=settings.lease_s,
-                    margin_s=CALL_MARGIN_S,
-                    order_time_s=LATE_ARRIVAL_S + settings.resume_slack_s,
-                    tenure_s=settings.lease_s + LATE_ARRIVAL_S,
-                ),
-            ),
+            lease=self._build_lease(settings, record, table),
             fenced=settings.fenced,
             candidacy=self._candidacy,
             collection=self._collection,
@@ -155,6 +144,17 @@
         else:
             self._collection.apply(message, now=now)
 
+    def _build_lease(
+        self, settings: DutySettings, record: InstanceRecord, table: LeaseTable
+    ) -> LeaseHolder:
+        return LeaseHolder(
+            table=table,
+            read_time=self._read_time,
+            holder=record.name,
+            generate_nonce=lambda: uuid.uuid4().hex,
+            parameters=build_lease_parameters(settings),
+        )
+
     def _build_usage(self, settings: DutySettings) -> UsageDuty | None:
         if not settings.reports_usage:
             return None
@@ -175,7 +175,7 @@
             collection=self._collection,
             orders=OrderBook(),
             profiles=profiles,
-            build_policy=build_policy,
+            build_policy=MarginalPolicy,
         )
 
     def _broadcast(self, notice: DutyNotice) -> None:
@@ -184,3 +184,13 @@
         data = encode_duty_message(notice)
         for target in self._fleet_state.peers.list_targets():
             self._send(data, (target.ip, target.peer_port))
+
+
+def build_lease_parameters(settings: DutySettings) -> LeaseParameters:
+    """Return the durations of the lease of the duties."""
+    return LeaseParameters(
+        duration_s=settings.lease_s,
+        margin_s=CALL_MARGIN_S,
+        order_time_s=LATE_ARRIVAL_S + settings.resume_slack_s,
+        tenure_s=settings.lease_s + LATE_ARRIVAL_S,
+    )
--- a/src/guavamast/relay/duties/holder.py
+++ b/src/guavamast/relay/duties/holder.py
@@ -123,7 +123,7 @@
         """Take steps until cancelled."""
         while not self._leaving:
             await asyncio.sleep(STEP_INTERVAL_S)
-            await self.take_step()
+            await self.take_guarded_step()
 
     async def leave(self) -> None:
         """Hand the duties over as this instance leaves."""
@@ -134,6 +134,15 @@
         await self._lease.release(RESOURCE)
         self._log.write("duties_released", now=self._read_time(), fencing=held.fencing)
 
+    async def take_guarded_step(self) -> None:
+        """Take a step; a fault of it leaves the duties to others, and callers are served on."""
+        try:
+            await self.take_step()
+        except Exception as error:  # noqa: BLE001
+            # Records that another software version wrote, for example.
+            self._lease.forget(RESOURCE)
+            self._stand_back(f"{type(error).__name__}: {error}")
+
     async def take_step(self) -> None:
         """Acquire the lease if this instance is to hold it, and make the calls that are due."""
         now = self._read_time()
@@ -145,12 +154,17 @@
                 return
             await self._perform()
         except (PlatformError, PlatformAnswerLost) as error:
-            self._counters.add("duty_lease_failures_total")
-            self._log.write("duties_unleased", now=self._read_time(), reason=str(error))
-            self._candidacy.stand_back(until=self._read_time() + STAND_BACK_S)
+            self._stand_back(str(error))
             return
         self._send_notice(now=self._read_time())
 
+    def _stand_back(self, reason: str) -> None:
+        """Leave the duties to other instances for a while, as they can't be performed here."""
+        now = self._read_time()
+        self._counters.add("duty_lease_failures_total")
+        self._log.write("duties_unleased", now=now, reason=reason)
+        self._candidacy.stand_back(until=now + STAND_BACK_S)
+
     def _may_hold(self, *, now: float) -> bool:
         """Return whether to go on; a lease that another instance has acquired is forgotten."""
         held = self._lease.find(RESOURCE)
--- a/src/guavamast/relay/scaling/__init__.py
+++ b/src/guavamast/relay/scaling/__init__.py
@@ -15,10 +15,4 @@
     "ScalingPolicy",
     "ScalingView",
     "ServiceDemand",
-    "build_policy",
 ]
-
-
-def build_policy() -> ScalingPolicy:
-    """Return the policy by which engines are ordered."""
-    return MarginalPolicy()
--- a/src/guavamast/relay/scaling/engine_scaling.py
+++ b/src/guavamast/relay/scaling/engine_scaling.py
@@ -77,6 +77,8 @@
         records = list(records)
         self.orders.load(records)
         self._control = find_control(records)
+        # Another instance may have ordered meanwhile, by a load that isn't known here.
+        self._policies.clear()
 
     def place_orders(self, *, now: float) -> list[EngineOrder]:
         """Return the orders that are to be given once they are written."""
--- a/tests/duty_simulation.py
+++ b/tests/duty_simulation.py
@@ -274,7 +274,7 @@
         while True:
             await asyncio.sleep(STEP_INTERVAL_S)
             await self.thawed()
-            await self.holder.take_step()
+            await self.holder.take_guarded_step()
 
     def _broadcast(self, notice: DutyNotice) -> None:
         self.candidacy.receive(notice, now=self.read_time())
--- a/tests/test_relay_duties_simulation.py
+++ b/tests/test_relay_duties_simulation.py
@@ -279,6 +279,23 @@
                 missed = self.check(trouble, instances=14, fenced=True, seed=5)
                 self.assertEqual(missed, [])
 
+    def test_records_that_cannot_be_read_end_no_instance(self) -> None:
+        """Guards against instances that end one after the other at the records of the duties."""
+
+        async def run() -> DutySimulation:
+            simulation = DutySimulation(random=Random(3), instances=8, fenced=True)
+            simulation.rows.records["usage"] = "no JSON"
+            await simulation.start()
+            await asyncio.sleep(20.0)
+            running = len(simulation.world.tasks)
+            simulation.rows.records.clear()
+            await asyncio.sleep(20.0)
+            self.assertEqual(running, 2 * len(simulation.instances) + 1)
+            await simulation.stop()
+            return simulation
+
+        self.assertGreater(len(run_in_virtual_time(run()).world.accepted), 3)
+
     def test_the_rule_holds_at_112_instances(self) -> None:
         """Guards against a hand-over that works in small fleets only."""
         for trouble in (kill_holder, freeze_holder):
