--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -108,11 +108,6 @@
     domain_prices: dict[str, float]
     """Relative price of an engine in each failure domain."""
 
-    @property
-    def most_engines(self) -> int:
-        """Engines of the service that there can be in all failure domains together."""
-        return self.max_engines * len(self.domain_prices)
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceSettings:
--- a/src/guavamast/relay/endpoint_groups.py
+++ b/src/guavamast/relay/endpoint_groups.py
@@ -7,15 +7,11 @@
 from guavamast.rendezvous import compute_weight
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from guavamast.relay.endpoint_table import EndpointRecord, EndpointTable
 
 MAX_MEAN_GROUP_SIZE: Final = 45
 """Endpoints of a group at most, on average: a scheduler compares all endpoints of its group for
 each request, and a larger group gives it a better choice."""
-MIN_MEAN_GROUP_SIZE: Final = 15
-"""Endpoints of a group at least, on average, however many there can be."""
 GROUP_SEPARATOR: Final = "/"
 """Character between the service and the number in the name of a group."""
 
@@ -26,20 +22,14 @@
     Rendezvous hashing assigns each endpoint to a group, so that adding or removing one moves others
     only when the number of groups changes. Instances with the same table have the same groups.
 
-    Where engines are ordered by need, the number of groups follows the number that there can be. If
-    it followed the present one, each change across the limit would send half of all requests to
-    engines that have none of their prompts' parts.
-
     Args:
         table: Endpoints of all services.
-        find_most_engines: Returns the number that a service may grow to; 0 if it doesn't change.
     """
 
-    __slots__ = ("_find_most_engines", "_groups", "_revision", "_table")
+    __slots__ = ("_groups", "_revision", "_table")
 
-    def __init__(self, *, table: EndpointTable, find_most_engines: Callable[[str], int]) -> None:
+    def __init__(self, *, table: EndpointTable) -> None:
         self._table = table
-        self._find_most_engines = find_most_engines
         self._revision = -1
         self._groups: dict[str, dict[str, list[EndpointRecord]]] = {}
 
@@ -70,9 +60,7 @@
             self._groups.clear()
         groups = self._groups.get(service)
         if groups is None:
-            records = self._table.list_ready(service)
-            most = self._find_most_engines(service)
-            groups = _split(service, records, count_groups(len(records), most=most))
+            groups = _split(service, self._table.list_ready(service))
             self._groups[service] = groups
         return groups
 
@@ -82,22 +70,13 @@
     return group.rpartition(GROUP_SEPARATOR)[0]
 
 
-def count_groups(endpoints: int, *, most: int = 0) -> int:
-    """Return the number of groups of a service.
-
-    Args:
-        endpoints: Its present endpoints.
-        most: Endpoints that there can be; 0 if their number doesn't change.
-    """
-    needed = max(1, -(-endpoints // MAX_MEAN_GROUP_SIZE))
-    lasting = min(-(-most // MAX_MEAN_GROUP_SIZE), endpoints // MIN_MEAN_GROUP_SIZE)
-    return max(needed, lasting)
+def count_groups(endpoints: int) -> int:
+    """Return the number of groups for a number of endpoints of a service."""
+    return max(1, -(-endpoints // MAX_MEAN_GROUP_SIZE))
 
 
-def _split(
-    service: str, records: list[EndpointRecord], count: int
-) -> dict[str, list[EndpointRecord]]:
-    names = [_format_name(service, number) for number in range(count)]
+def _split(service: str, records: list[EndpointRecord]) -> dict[str, list[EndpointRecord]]:
+    names = [_format_name(service, number) for number in range(count_groups(len(records)))]
     groups: dict[str, list[EndpointRecord]] = {name: [] for name in names}
     for record in records:
         groups[_select_group(record.endpoint_id, names)].append(record)
--- a/src/guavamast/relay/fleet_state.py
+++ b/src/guavamast/relay/fleet_state.py
@@ -128,11 +128,6 @@
         service = self.find_service(service_name)
         return (service.kv_capacity_tokens or 0) if service is not None else 0
 
-    def find_most_engines(self, service_name: str) -> int:
-        """Return the number of engines that a service may grow to; 0 if it doesn't change."""
-        service = self.find_service(service_name)
-        return service.scaling.most_engines if service and service.scaling else 0
-
     def find_shortest_objective(self, service_name: str) -> float:
         """Return the shortest latency objective, in seconds, of the streams of a service."""
         return self.catalog.find_shortest_objective(service_name) if self.catalog else float("inf")
--- a/src/guavamast/relay/scheduling.py
+++ b/src/guavamast/relay/scheduling.py
@@ -63,9 +63,7 @@
         self._limits = limits
         self._send = send
         self._read_time = read_time
-        self.groups = EndpointGroups(
-            table=fleet_state.endpoints, find_most_engines=fleet_state.find_most_engines
-        )
+        self.groups = EndpointGroups(table=fleet_state.endpoints)
         """Groups of endpoints that are scheduled together."""
         self.host = SchedulerHost(
             fleet_state=fleet_state,
--- a/tests/test_relay_scheduler.py
+++ b/tests/test_relay_scheduler.py
@@ -221,10 +221,7 @@
 
     def setUp(self) -> None:
         self.table = EndpointTable()
-        self.groups = EndpointGroups(
-            table=self.table, find_most_engines=lambda _: self.most_engines
-        )
-        self.most_engines = 0
+        self.groups = EndpointGroups(table=self.table)
 
     def list_groups(self, number: int) -> dict[str, set[str]]:
         records = [build_endpoint(f"e{one}", service=POOL) for one in range(number)]
