--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
     RECOVERY_S,
     FaultKind,
     plan_answers,
+    plan_duty_faults,
     plan_faults,
     plan_partitions,
     plan_releases,
@@ -317,6 +318,7 @@
         faults += [fault for seed in range(40) for fault in plan_partitions(seed, length_s=20.0)]
         faults += [fault for seed in range(40) for fault in plan_answers(seed, length_s=20.0)]
         faults += [fault for seed in range(40) for fault in plan_releases(seed, length_s=20.0)]
+        faults += [fault for seed in range(40) for fault in plan_duty_faults(seed, length_s=20.0)]
         self.assertEqual({fault.kind for fault in faults}, set(FaultKind))
         for fault in faults:
             self.assertLessEqual(fault.start_s + fault.duration_s, 20.0 - RECOVERY_S + 0.3)
