--- a/src/guavamast/relay/event_framing.py
+++ b/src/guavamast/relay/event_framing.py
@@ -33,10 +33,12 @@
 class EventFraming:
     """Buffers bytes and returns complete events."""
 
-    __slots__ = ("_has_events", "_pending")
+    __slots__ = ("_block_start", "_has_events", "_pending")
 
     def __init__(self) -> None:
         self._pending = bytearray()
+        self._block_start = 0
+        """Position after the comments and blank lines that wait for the next event."""
         self._has_events = False
 
     @property
@@ -63,16 +65,20 @@
         """
         self._pending += chunk
         events = []
-        event_start = block_start = 0
-        for match in _EVENT_END.finditer(self._pending):
-            block = bytes(self._pending[block_start : match.end()])
+        event_start = 0
+        self._skip_blank_lines()
+        # Only what is new: comments without end would otherwise be searched again with each chunk.
+        for match in _EVENT_END.finditer(self._pending, self._block_start):
+            block = bytes(self._pending[self._block_start : match.end()])
             if block.lstrip(b"\r\n").startswith(_STATUS_LINE_START):
                 break  # Bytes of another response, which a body without length can't keep apart.
-            block_start = match.end()
+            self._block_start = match.end()
             if self._has_field(block):
-                events.append(self._build_event(bytes(self._pending[event_start:block_start])))
-                event_start = block_start
+                data = bytes(self._pending[event_start : self._block_start])
+                events.append(self._build_event(data))
+                event_start = self._block_start
         del self._pending[:event_start]
+        self._block_start -= event_start
         if len(self._pending) > MAX_EVENT_BYTES:
             raise ValueError("event exceeds the size limit")
         return events
@@ -81,8 +87,17 @@
         """Return and clear the bytes after the last complete event."""
         rest = bytes(self._pending)
         self._pending.clear()
+        self._block_start = 0
         return rest
 
+    def _skip_blank_lines(self) -> None:
+        """Leave out blank lines that nothing follows yet; without end, they would occupy the loop.
+
+        The last two bytes stay, as they may be the first half of a line break.
+        """
+        if not self._pending[self._block_start :].strip(b"\r\n"):
+            self._block_start = max(self._block_start, len(self._pending) - 2)
+
     def _has_field(self, data: bytes) -> bool:
         """Return whether any line is neither blank nor a comment."""
         lines = self._remove_mark(data).splitlines()
