--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -287,4 +287,5 @@
         """End all processes and remove the temporary folder."""
         await asyncio.gather(*(one.stop() for one in self.instances))
         self._site.store.stop()
+        await asyncio.sleep(0.1)  # Connections that were closed just now end.
         shutil.rmtree(self._folder, ignore_errors=True)
