Review: scripts exit with 2 where a case can't run

An unexpected error ended a script with Python's status 1, which means a broken rule. Now it is 2, as where nothing was served at all.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,13 +5,12 @@
 import asyncio
 import base64
 import json
-import sys
 from pathlib import Path
 
 from support.clients import ClientConnection, build_headers, exchange
 from support.deployment import HOST, KEY, STABLE_WINDOW_S, Deployment
 from support.engines import Engine
-from support.record import TROUBLE, Record
+from support.record import COULD_NOT_RUN, TROUBLE, Record, play_case
 
 INSTANCES = 3
 WATCHED_S = 12.0
@@ -63,12 +62,12 @@
             port = await engine.listen()
             deployment.register_engine(engine.engine_id, "primes-portal", port)
         if not await deployment.start_instances(INSTANCES):
-            return 2
+            return COULD_NOT_RUN
         await asyncio.sleep(STABLE_WINDOW_S)
         before = [await ask(deployment, number, record) for number in range(9)]
         if not all(before):
             record.write("the deployment doesn't serve before the disruption")
-            return 2
+            return COULD_NOT_RUN
         if TROUBLE:
             status = await write_foreign_entry(deployment)
             record.write(f"another writer's entry: the store answers {status}")
@@ -93,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run(Record(Path(__file__).parent))))
+    play_case(run, Path(__file__).parent)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 from support.clients import ClientConnection, build_headers
 from support.deployment import HOST, KEY, ROOT, STABLE_WINDOW_S, Deployment
 from support.engines import Engine
-from support.record import TROUBLE, Record
+from support.record import COULD_NOT_RUN, TROUBLE, Record, play_case
 
 ORDERS_PER_S = 10
 TRAFFIC_S = 14.0
@@ -76,7 +76,7 @@
         deployment.register_engine("i-m0", "guavamast-pool", port)
         tasks.append(asyncio.create_task(read_lines(runaway, "i-m0", record)))
         if not await deployment.start_instances(1):
-            return 2
+            return COULD_NOT_RUN
         await asyncio.sleep(STABLE_WINDOW_S)
         address = deployment.instances[0].front
         orders = []
@@ -92,6 +92,9 @@
         late = [one for one in longer if one is None or one > TIMEOUT_S + SLACK_S]
         record.write(f"orders: {len(took)}, over {TIMEOUT_S} s: {len(longer)}, late: {len(late)}")
         broken = len(late) >= 8 and len(late) > len(longer) / 4
+        if any(one is None for one in took[: int(ORDERS_PER_S / 2)]):
+            record.write("the deployment doesn't serve before the disruption")
+            return COULD_NOT_RUN
         record.write(f"CONFIG: {'BROKEN' if broken else 'held'}")
         return 1 if broken else 0
     finally:
@@ -106,4 +109,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run(Record(FOLDER))))
+    play_case(run, FOLDER)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,7 @@
 from support import deployment as deployments
 from support.clients import build_headers
 from support.deployment import HOST, KEY, ROOT, STABLE_WINDOW_S, Deployment
-from support.record import TROUBLE, Record
+from support.record import COULD_NOT_RUN, TROUBLE, Record, play_case
 
 INSTANCES = 8
 ENGINES = (("i-e0", "v1"), ("i-e1", "v1"), ("i-e2", "v2"), ("i-e3", "v2"))
@@ -187,7 +187,7 @@
         for (engine_id, version), port in zip(ENGINES, ports, strict=True):
             deployment.register_engine(engine_id, "guavamast-pool", int(port), version=version)
         if not await deployment.start_instances(INSTANCES):
-            return 2
+            return COULD_NOT_RUN
         streams = await play(deployment, record)
         for stream in streams:
             record.write(
@@ -198,6 +198,8 @@
         whole = sum(stream.is_whole for stream in streams)
         record.write(f"streams: {len(streams)}, whole: {whole}, of two versions: {mixed}")
         broken = len(mixed) > ALLOWED_STREAMS
+        if not any(stream.events for stream in streams):
+            return COULD_NOT_RUN
         record.write(f"ORDER: {'BROKEN' if broken else 'held'}")
         return 1 if broken else 0
     finally:
@@ -215,4 +217,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run(Record(Path(__file__).parent))))
+    play_case(run, Path(__file__).parent)
