A background task that fails is restarted instead of ending its instance

Cause: Node.run waited for the first of its tasks to end and raised its error.

Going on without the task was ruled out: an instance without heartbeats or reads looks sound for seconds. What depends on a task that keeps failing ages, and requests are rejected by the bounds on ages as in an outage. All run() methods that are supervised were read: each may be called again.

--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -52,6 +52,7 @@
 from guavamast.relay.store_reader import StoreReader
 from guavamast.relay.store_watch import StoreWatch
 from guavamast.relay.stream_binding import StreamBindings
+from guavamast.relay.supervisor import Supervisor
 from guavamast.relay.table_publisher import TablePublisher
 from guavamast.relay.table_watch import build_table_watches
 from guavamast.relay.unread_headers import UnreadHeaders
@@ -486,22 +487,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
         self.log.write("started", now=read_boot_time(), callers=str(settings.callers))
         gc.freeze()
-        background = [
-            asyncio.create_task(self._watch.run()),
-            asyncio.create_task(self._exchange.run()),
-            asyncio.create_task(self._cleanup_loop.run()),
-            asyncio.create_task(self._scheduling.client.run()),
-            asyncio.create_task(self._containment.run()),
-            asyncio.create_task(self._access.run()),
-            asyncio.create_task(self._rate_limits.run()),
-        ]
-        if self._duties is not None:
-            background.append(asyncio.create_task(self._duties.run()))
-        stopping = asyncio.create_task(self._stop.wait())
-        done, _ = await asyncio.wait([stopping, *background], return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            if task is not stopping:
-                task.result()
+        background = self._start_background()
+        await self._stop.wait()
         self._leaving = True
         if self._duties is not None:
             background.append(asyncio.create_task(self._duties.holder.leave()))
@@ -511,6 +498,22 @@
         await asyncio.gather(*(listener.stop() for listener in listeners))
         self.log.write("stopped", now=read_boot_time(), in_flight=self._relayer.in_flight)
 
+    def _start_background(self) -> list[asyncio.Task[None]]:
+        """Start the tasks that run until the instance has left."""
+        supervisor = Supervisor(log=self.log, counters=self.counters, read_time=read_boot_time)
+        runs = {
+            "store_watch": self._watch.run,
+            "heartbeats": self._exchange.run,
+            "cleanup": self._cleanup_loop.run,
+            "scheduling": self._scheduling.client.run,
+            "quarantine": self._containment.run,
+            "endpoint_access": self._access.run,
+            "rate_limits": self._rate_limits.run,
+        }
+        if self._duties is not None:
+            runs["duties"] = self._duties.run
+        return [supervisor.start(name, run) for name, run in runs.items()]
+
     def _read_state(self) -> InstanceState:
         """Return the state for the next heartbeat; changed limits are applied as often."""
         self._apply_limits()
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -171,6 +171,13 @@
         names = [f"one-{number}" for number in range(count)]
         return await asyncio.gather(*map(self.start_instance, names))
 
+    async def list_addresses(self, instance: Instance) -> str:
+        """Return what an instance tells callers that ask which addresses to use."""
+        caller = await Caller.open(instance.directory)
+        response = await caller.send_request(f"/v1/resolve?name={HOST}&region=r&zone=a")
+        caller.connection.close()
+        return response.body.decode()
+
     async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
         return await asyncio.create_subprocess_exec(
             sys.executable,
