--- a/src/guavamast/platform/catalog_wire.py
+++ b/src/guavamast/platform/catalog_wire.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from guavamast.decoding import Decoding
 from guavamast.relay.catalog import (
     URGENCY_DEFAULT,
     CallerLimits,
@@ -23,16 +24,21 @@
 }
 
 
-def decode_catalog(fields: dict[str, Any], *, row_version: int) -> Catalog:
+def decode_catalog(fields: Any, *, row_version: int) -> Catalog:
     """Decode the configuration of a row.
 
     Args:
-        fields: The row's value.
+        fields: The row's decoded value.
         row_version: The row's version in the store.
 
     Raises:
-        KeyError, TypeError, ValueError: The value is not a valid configuration.
+        MalformedData: The value is not a valid configuration.
     """
+    with Decoding("configuration"):
+        return _decode_fields(fields, row_version=row_version)
+
+
+def _decode_fields(fields: dict[str, Any], *, row_version: int) -> Catalog:
     tenants = fields.get("tenants")
     return Catalog(
         version=int(fields["version"]),
--- a/src/guavamast/platform/duty_admin.py
+++ b/src/guavamast/platform/duty_admin.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import uuid
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from guavamast.decoding import Decoding, MalformedData, decode_json
 from guavamast.errors import ErrorCode, GuavamastError
 from guavamast.platform.lease_client import StoreLeaseTable
 from guavamast.platform.store_calls import StoreCalls
@@ -36,9 +36,17 @@
     calls = _connect(address)
     read, records = await _read(calls)
     calls.close_idle()
+    try:
+        with Decoding("records of the duties"):
+            return _describe(read, records)
+    except MalformedData as error:
+        raise GuavamastError(ErrorCode.PLATFORM_UNAVAILABLE, str(error)) from error
+
+
+def _describe(read: LeaseRead, records: list[LeaseRecord]) -> str:
     texts = {record.key: record.text or "" for record in records}
     lines = [_describe_holder(read), _describe_usage(texts), _describe_control(records)]
-    orders = json.loads(texts.get(ORDERS_KEY, "[]"))
+    orders = decode_json(texts.get(ORDERS_KEY, "[]"))
     rows = [
         [service, domain, "reclaimable" if reclaimable else "lasting", engines]
         for service, domain, reclaimable, engines in sorted(orders)
@@ -97,7 +105,7 @@
 def _describe_usage(texts: dict[str, str]) -> str:
     if STATE_KEY not in texts:
         return "usage: no window fixed yet"
-    state = json.loads(texts[STATE_KEY])
+    state = decode_json(texts[STATE_KEY])
     unreported = sorted(
         int(key.removeprefix(WINDOW_PREFIX)) for key in texts if key.startswith(WINDOW_PREFIX)
     )
--- a/src/guavamast/platform/endpoint_wire.py
+++ b/src/guavamast/platform/endpoint_wire.py
@@ -4,29 +4,33 @@
 
 from typing import Any
 
+from guavamast.decoding import Decoding, decode_ip, decode_name, decode_port
 from guavamast.relay.endpoint_table import EndpointRecord
 
 
 def decode_endpoint(key: str, fields: Any, *, row_version: int) -> EndpointRecord | None:
-    """Return the record of a row; None if it describes no usable endpoint.
+    """Return the record of a row; None if its state is unknown.
 
-    Rows may come from other writers, with missing fields, other types or unknown states.
+    Rows may come from other writers, with missing fields or other types.
 
     Args:
         key: The endpoint's id.
         fields: The row's decoded value.
         row_version: The row's version in the store.
+
+    Raises:
+        MalformedData: The row describes no usable endpoint.
     """
-    if not isinstance(fields, dict):
-        return None
-    service = fields.get("service")
-    address = fields.get("address")
-    state = fields.get("state")
-    if not isinstance(service, str) or not isinstance(address, str):
-        return None
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        return None
+    with Decoding("endpoint"):
+        return _decode(key, fields, row_version=row_version)
+
+
+def _decode(key: str, fields: dict[str, Any], *, row_version: int) -> EndpointRecord | None:
+    service = fields["service"]
+    if not isinstance(service, str):
+        raise ValueError("the service is no text")
+    host, _, port = fields["address"].rpartition(":")
+    state = fields["state"]
     if state not in ("ready", "draining"):
         return None
     slots = fields.get("slots")
@@ -35,11 +39,11 @@
     version = fields.get("version")
     leaves_ms = fields.get("leaves_ms")
     return EndpointRecord(
-        endpoint_id=key,
+        endpoint_id=decode_name(key),
         row_version=row_version,
         service=service,
-        host=host,
-        port=int(port),
+        host=decode_ip(host),
+        port=decode_port(port),
         failure_domain=zone if isinstance(zone, str) else "",
         slots=slots if isinstance(slots, int) and slots > 0 else 1,
         ready=state == "ready",
--- a/src/guavamast/platform/lease_client.py
+++ b/src/guavamast/platform/lease_client.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any, Final
 
+from guavamast.decoding import Decoding, MalformedData
 from guavamast.leases import LeaseRead, LeaseRecord, LeaseRow, LeaseTable, LeaseWrite
 from guavamast.platform.store_calls import StoreCalls, StoredRow, Transaction
 from guavamast.platform_client import PlatformAnswerLost, PlatformUnavailable
@@ -36,8 +37,8 @@
             row = _decode_lease(rows.rows[0]) if rows.rows else _NEVER_ACQUIRED
         except StoreError as error:
             raise PlatformUnavailable(error.reason) from error
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformUnavailable(f"lease {resource}: {error}") from error
+        except MalformedData as error:
+            raise PlatformUnavailable(f"{resource}: {error}") from error
         return LeaseRead(row=row, table_time=rows.store_time)
 
     async def read_records(self, resource: str) -> list[LeaseRecord]:
@@ -45,14 +46,15 @@
         prefix = f"{resource}/"
         try:
             rows = await self._calls.read_rows(RECORD_TABLE, start=prefix, end=f"{resource}0")
-            return [
-                LeaseRecord(key=row.key.removeprefix(prefix), text=str(row.decode()["text"]))
-                for row in rows.rows
-            ]
+            with Decoding("record of a lease"):
+                return [
+                    LeaseRecord(key=row.key.removeprefix(prefix), text=str(row.decode()["text"]))
+                    for row in rows.rows
+                ]
         except StoreError as error:
             raise PlatformUnavailable(error.reason) from error
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformUnavailable(f"records of {resource}: {error}") from error
+        except MalformedData as error:
+            raise PlatformUnavailable(f"{resource}: {error}") from error
 
     async def write(
         self, resource: str, row: LeaseRow, records: Sequence[LeaseRecord] = ()
@@ -88,16 +90,17 @@
 
 
 def _decode_lease(row: StoredRow) -> LeaseRow:
-    fields = row.decode()
-    return LeaseRow(
-        row_version=row.version,
-        fencing=int(fields["fencing"]),
-        holder=str(fields["holder"]),
-        nonce=str(fields["nonce"]),
-        released=bool(fields["released"]),
-        expires_at=_decode_time(fields.get("expires_at")),
-        acquired_at=_decode_time(fields.get("acquired_at")),
-    )
+    with Decoding("lease"):
+        fields = row.decode()
+        return LeaseRow(
+            row_version=row.version,
+            fencing=int(fields["fencing"]),
+            holder=str(fields["holder"]),
+            nonce=str(fields["nonce"]),
+            released=bool(fields["released"]),
+            expires_at=_decode_time(fields.get("expires_at")),
+            acquired_at=_decode_time(fields.get("acquired_at")),
+        )
 
 
 def _decode_time(value: Any) -> float | None:
--- a/src/guavamast/platform/quarantine_wire.py
+++ b/src/guavamast/platform/quarantine_wire.py
@@ -5,6 +5,7 @@
 from base64 import b64decode, b64encode
 from typing import Any
 
+from guavamast.decoding import Decoding
 from guavamast.relay.store import QuarantineRow
 
 
@@ -17,9 +18,10 @@
     """Return the report in the row with the evidence.
 
     Raises:
-        KeyError, TypeError, ValueError: The value is not that of such a row.
+        MalformedData: The value is not that of such a row.
     """
-    return b64decode(fields["report"], validate=True)
+    with Decoding("evidence"):
+        return b64decode(fields["report"], validate=True)
 
 
 def encode_quarantine_row(row: QuarantineRow) -> dict[str, Any]:
@@ -41,15 +43,16 @@
         version: The row's version in the store.
 
     Raises:
-        KeyError, TypeError, ValueError: The value is not that of such a row.
+        MalformedData: The value is not that of such a row.
     """
-    organisation = fields["organisation"]
-    lifted_by = fields["lifted_by"]
-    return QuarantineRow(
-        attribute=key,
-        version=version,
-        organisation=None if organisation is None else str(organisation),
-        ends=int(fields["ends"]),
-        trials_left=int(fields["trials_left"]),
-        lifted_by=None if lifted_by is None else str(lifted_by),
-    )
+    with Decoding("quarantine"):
+        organisation = fields["organisation"]
+        lifted_by = fields["lifted_by"]
+        return QuarantineRow(
+            attribute=key,
+            version=version,
+            organisation=None if organisation is None else str(organisation),
+            ends=int(fields["ends"]),
+            trials_left=int(fields["trials_left"]),
+            lifted_by=None if lifted_by is None else str(lifted_by),
+        )
--- a/src/guavamast/platform/runner.py
+++ b/src/guavamast/platform/runner.py
@@ -49,6 +49,7 @@
         provider=clients.provider,
         log_descriptor=log_descriptor,
     )
+    store.unreadable.report = node.record_unreadable_row
     await node.run(
         directory=AddressQueryHandler(node=node),
         readiness=ReadinessQueryHandler(node=node),
--- a/src/guavamast/platform/settings.py
+++ b/src/guavamast/platform/settings.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from guavamast.decoding import Decoding, MalformedData, decode_ip, decode_json, decode_port
 from guavamast.findings import Finding, FindingCode, FindingsError
 from guavamast.relay.duty_settings import DutySettings
 from guavamast.relay.node_settings import NodeSettings, SocketAddress
@@ -65,9 +66,10 @@
             self.add_finding(path, FindingCode.MISSING_KEY, "is missing")
             return default
         try:
-            return convert(value)
-        except (TypeError, ValueError) as error:
-            self.add_finding(path, FindingCode.BAD_VALUE, str(error))
+            with Decoding(path):
+                return convert(value)
+        except MalformedData as error:
+            self.add_finding(path, FindingCode.BAD_VALUE, error.reason)
             return default
 
 
@@ -85,9 +87,7 @@
 
 def _read_address(value: Any) -> SocketAddress:
     ip, _, port = _read_text(value).rpartition(":")
-    if not ip or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("is not IP:PORT")
-    return SocketAddress(ip=ip, port=int(port))
+    return SocketAddress(ip=decode_ip(ip), port=decode_port(port))
 
 
 def _read_first_port(value: Any) -> int:
@@ -103,11 +103,12 @@
         FindingsError: With all findings of the file.
     """
     try:
-        with open(path, encoding="utf-8") as file:
-            fields = json.load(file)
-        if not isinstance(fields, dict):
-            raise ValueError("not a JSON object")
-    except (OSError, ValueError) as error:
+        data = Path(path).read_bytes()
+        with Decoding("settings"):
+            fields = decode_json(data)
+            if not isinstance(fields, dict):
+                raise ValueError("not a JSON object")
+    except (OSError, MalformedData) as error:
         finding = Finding(file=path, line=0, code=FindingCode.UNREADABLE, message=str(error))
         raise FindingsError([finding]) from error
     return decode_settings(fields, file=path)
--- a/src/guavamast/platform/standins/store.py
+++ b/src/guavamast/platform/standins/store.py
@@ -53,9 +53,12 @@
 
     def put(self, table: str, key: str, fields: Any) -> int:
         """Write a row as an operator or an engine does and return its version."""
+        return self.put_bytes(table, key, json.dumps(fields).encode())
+
+    def put_bytes(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as any writer does, whatever its value means, and return its version."""
         self._version += 1
-        value = base64.b64encode(json.dumps(fields).encode()).decode()
-        self._rows[table, key] = _Row(value=value, version=self._version)
+        self._rows[table, key] = _Row(value=base64.b64encode(value).decode(), version=self._version)
         return self._version
 
     def find_version(self, table: str, key: str) -> int:
--- a/src/guavamast/platform/store_calls.py
+++ b/src/guavamast/platform/store_calls.py
@@ -8,12 +8,14 @@
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import urlencode
 
+from guavamast.decoding import Decoding, MalformedData, decode_json
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 from guavamast.relay.loop_timeout import wait_in_steps
 from guavamast.relay.store import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from types import TracebackType
 
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.node_settings import SocketAddress
@@ -48,19 +50,21 @@
         """Return the value as bytes.
 
         Raises:
-            ValueError: The value is missing or not Base64.
+            MalformedData: The value is missing or not Base64.
         """
-        if not isinstance(self.value, str):
-            raise ValueError("row has no value")
-        return base64.b64decode(self.value, validate=True)
+        with Decoding("row"):
+            if not isinstance(self.value, str):
+                raise ValueError("row has no value")
+            return base64.b64decode(self.value, validate=True)
 
     def decode(self) -> Any:
         """Return the decoded value.
 
         Raises:
-            ValueError: The value is missing or malformed.
+            MalformedData: The value is missing or malformed.
         """
-        return json.loads(self.decode_text())
+        with Decoding("row"):
+            return decode_json(self.decode_text())
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -144,11 +148,9 @@
         response = await self._call(
             "POST", "/v1/rows-tx", transaction.encode(), timeout_s=BACKGROUND_TIMEOUT_S
         )
-        try:
+        with _StoreDecoding():
             version = int(response["ver"])
             return Committed(version=version, store_time=_decode_store_time(response))
-        except (KeyError, TypeError, ValueError) as error:
-            raise StoreError(f"answer: {type(error).__name__}: {error}") from error
 
     async def read_rows(
         self, table: str, *, start: str = "", end: str | None = None, limit: int | None = None
@@ -167,21 +169,16 @@
             query = {"table": table, "part": "", "from": start, "limit": limit or PAGE_ROWS}
             if end is not None:
                 query["target"] = end
-            response = await self._get("/v1/rows-get", query)
-            store_time = _decode_store_time(response) if store_time is None else store_time
-            rows.extend(_decode_row(row) for row in response["rows"])
-            more = response.get("more_pages") and response["rows"] and limit is None
-            if not more:
+            target = f"/v1/rows-get?{urlencode(query)}"
+            response = await self._call("GET", target, b"", timeout_s=CALL_TIMEOUT_S)
+            with _StoreDecoding():
+                page = _decode_page(response)
+            store_time = page.store_time if store_time is None else store_time
+            rows.extend(page.rows)
+            if not page.has_more or not page.rows or limit is not None:
                 return StoredRows(rows=rows, store_time=store_time)
             start = rows[-1].key + "\x00"
 
-    async def _get(self, path: str, query: dict[str, str | int]) -> dict[str, Any]:
-        target = f"{path}?{urlencode(query)}"
-        response = await self._call("GET", target, b"", timeout_s=CALL_TIMEOUT_S)
-        if not isinstance(response.get("rows"), list):
-            raise StoreError("response has no list of rows")
-        return response
-
     async def _call(
         self, method: str, target: str, body: bytes, *, timeout_s: float
     ) -> dict[str, Any]:
@@ -222,13 +219,11 @@
             raise StoreConflict("a row has another version")
         if status != 200:
             raise StoreError(f"status {status}")
-        try:
-            response = json.loads(data)
-        except ValueError as error:
-            raise StoreError(f"answer: {error}") from error
-        if "now_ms" in response:
-            self._clock.record(sent=sent, store_time=_decode_store_time(response))
-        return response
+        with _StoreDecoding():
+            response = decode_json(data)
+            if "now_ms" in response:
+                self._clock.record(sent=sent, store_time=_decode_store_time(response))
+            return response
 
     def _pop_idle(self) -> HttpConnection | None:
         while self._idle:
@@ -260,6 +255,51 @@
         return head.status, bytes(data)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Page:
+    """Rows of one response."""
+
+    rows: list[StoredRow]
+    store_time: float
+    has_more: bool
+
+
+class _StoreDecoding(Decoding):
+    """Context of the decoder of a response; what is malformed fails the call."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        super().__init__("answer")
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Convert an error.
+
+        Raises:
+            StoreError: There was an error.
+        """
+        try:
+            super().__exit__(kind, error, traceback)
+        except MalformedData as malformed:
+            raise StoreError(str(malformed)) from error
+
+
+def _decode_page(response: dict[str, Any]) -> _Page:
+    rows = response.get("rows")
+    if not isinstance(rows, list):
+        raise ValueError("response has no list of rows")
+    return _Page(
+        rows=[_decode_row(row) for row in rows],
+        store_time=_decode_store_time(response),
+        has_more=bool(response.get("more_pages")),
+    )
+
+
 def _decode_store_time(response: dict[str, Any]) -> float:
     """Return the store time of a response in seconds; it is sent in milliseconds."""
     return float(response["now_ms"]) / 1000.0
--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import json
-from contextlib import suppress
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final, TypeVar
 
+from guavamast.decoding import Decoding, MalformedData, decode_ip, decode_json, decode_port
 from guavamast.platform.catalog_wire import decode_catalog
 from guavamast.platform.endpoint_wire import decode_endpoint
 from guavamast.platform.quarantine_wire import (
@@ -14,7 +13,7 @@
     encode_evidence,
     encode_quarantine_row,
 )
-from guavamast.platform.store_calls import StoreCalls, StoreConflict, Transaction
+from guavamast.platform.store_calls import StoreCalls, StoreConflict, StoredRow, Transaction
 from guavamast.relay.endpoint_table import compute_digest
 from guavamast.relay.store import (
     CatalogSnapshot,
@@ -24,11 +23,13 @@
     Store,
     StoreError,
 )
+from guavamast.relay.unreadable_rows import UnreadableRow, UnreadableRows
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from guavamast.relay.catalog import Catalog
+    from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.node_settings import SocketAddress
 
@@ -43,6 +44,9 @@
 _ENDPOINT_TABLE: Final = "servers"
 
 
+Decoded = TypeVar("Decoded")
+
+
 class StoreClient(Store):
     """Reads and writes the store's rows.
 
@@ -52,7 +56,7 @@
         read_time: Returns the local time in seconds.
     """
 
-    __slots__ = ("calls",)
+    __slots__ = ("calls", "unreadable")
 
     def __init__(
         self,
@@ -63,6 +67,8 @@
     ) -> None:
         self.calls = StoreCalls(address=address, clock=clock, read_time=read_time)
         """Makes the calls."""
+        self.unreadable = UnreadableRows()
+        """Rows that are skipped, as they can't be decoded."""
 
     async def read_catalog(self, *, known: Catalog | None) -> CatalogSnapshot:
         """Read the operators' configuration."""
@@ -76,44 +82,31 @@
             return CatalogSnapshot(catalog=known, store_time=store_time)
         try:
             text = rows[0].decode_text()
-        except ValueError as error:
-            raise StoreError(f"configuration: {error}") from error
+        except MalformedData as error:
+            raise StoreError(f"configuration: {error.reason}") from error
         catalog = self.decode_catalog(text, row_version=version)
         return CatalogSnapshot(catalog=catalog, store_time=store_time, text=text)
 
     def decode_catalog(self, text: bytes, *, row_version: int) -> Catalog:
         """Decode the configuration of a row."""
         try:
-            return decode_catalog(json.loads(text), row_version=row_version)
-        except (KeyError, TypeError, ValueError) as error:
-            reason = f"configuration: {type(error).__name__}: {error}"
-            raise StoreError(reason) from error
+            with Decoding("configuration"):
+                return decode_catalog(decode_json(text), row_version=row_version)
+        except MalformedData as error:
+            raise StoreError(str(error)) from error
 
     async def read_endpoints(self) -> EndpointSnapshot:
         """Read the table of endpoints; rows that can't be decoded are skipped."""
         read = await self.calls.read_rows(_ENDPOINT_TABLE)
-        records = []
-        for row in read.rows:
-            try:
-                fields = row.decode()
-            except ValueError:
-                continue
-            record = decode_endpoint(row.key, fields, row_version=row.version)
-            if record is not None:
-                records.append(record)
+        decoded = self._decode_rows(_ENDPOINT_TABLE, read.rows, _decode_endpoint)
+        records = [record for record in decoded if record is not None]
         digest = compute_digest((row.key, row.version) for row in read.rows)
         return EndpointSnapshot(records=records, digest=digest, store_time=read.store_time)
 
     async def read_instances(self) -> list[InstanceRecord]:
-        """Read all registered instances."""
+        """Read all registered instances; rows that can't be decoded are skipped."""
         read = await self.calls.read_rows(INSTANCES_TABLE)
-        records = []
-        for row in read.rows:
-            try:
-                records.append(_decode_instance(row.key, row.decode()))
-            except (KeyError, TypeError, ValueError):
-                continue
-        return records
+        return self._decode_rows(INSTANCES_TABLE, read.rows, _decode_instance)
 
     async def register_instance(self, record: InstanceRecord) -> None:
         """Write an instance's own record."""
@@ -139,21 +132,13 @@
     async def read_quarantine(self) -> list[QuarantineRow]:
         """Read the rows of all attributes in quarantine; rows that can't be decoded are skipped."""
         read = await self.calls.read_rows(QUARANTINE_TABLE)
-        decoded = []
-        for row in read.rows:
-            try:
-                decoded.append(decode_quarantine_row(row.key, row.decode(), version=row.version))
-            except (KeyError, TypeError, ValueError):
-                continue
-        return decoded
+        return self._decode_rows(QUARANTINE_TABLE, read.rows, _decode_quarantine)
 
     async def read_evidence(self) -> bytes | None:
         """Read the evidence below a decision; None if there is none that can be decoded."""
         read = await self.calls.read_rows(EVIDENCE_TABLE)
-        for row in read.rows:
-            with suppress(KeyError, TypeError, ValueError):
-                return decode_evidence(row.decode())
-        return None
+        reports = self._decode_rows(EVIDENCE_TABLE, read.rows, _decode_report)
+        return reports[0] if reports else None
 
     async def write_evidence(self, report: bytes | None) -> None:
         """Save evidence below a decision, or remove it."""
@@ -199,19 +184,51 @@
             return False
         return True
 
+    def _decode_rows(
+        self, table: str, rows: Iterable[StoredRow], decode: Callable[[StoredRow], Decoded]
+    ) -> list[Decoded]:
+        """Return the decoded rows of a table; one that can't be decoded doesn't hide the others."""
+        decoded = []
+        unreadable = []
+        for row in rows:
+            try:
+                decoded.append(decode(row))
+            except MalformedData as error:
+                unreadable.append(
+                    UnreadableRow(
+                        table=table, key=row.key, version=row.version, reason=error.reason
+                    )
+                )
+        self.unreadable.replace(table, unreadable)
+        return decoded
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         self.calls.close_idle()
 
 
-def _decode_instance(name: str, fields: dict[str, Any]) -> InstanceRecord:
-    return InstanceRecord(
-        name=name,
-        ip=str(fields["ip"]),
-        failure_domain=str(fields["failure_domain"]),
-        region=str(fields["region"]),
-        callers_address=str(fields["callers_address"]),
-        peer_port=int(fields["peer_port"]),
-        link_mbps=float(fields.get("link_mbps", 0.0)),
-        processor_share=float(fields.get("processor_share", 0.0)),
-    )
+def _decode_endpoint(row: StoredRow) -> EndpointRecord | None:
+    return decode_endpoint(row.key, row.decode(), row_version=row.version)
+
+
+def _decode_quarantine(row: StoredRow) -> QuarantineRow:
+    return decode_quarantine_row(row.key, row.decode(), version=row.version)
+
+
+def _decode_report(row: StoredRow) -> bytes:
+    return decode_evidence(row.decode())
+
+
+def _decode_instance(row: StoredRow) -> InstanceRecord:
+    with Decoding("instance"):
+        fields = row.decode()
+        return InstanceRecord(
+            name=row.key,
+            ip=decode_ip(fields["ip"]),
+            failure_domain=str(fields["failure_domain"]),
+            region=str(fields["region"]),
+            callers_address=str(fields["callers_address"]),
+            peer_port=decode_port(fields["peer_port"]),
+            link_mbps=float(fields.get("link_mbps", 0.0)),
+            processor_share=float(fields.get("processor_share", 0.0)),
+        )
--- a/src/guavamast/relay/catalog_update.py
+++ b/src/guavamast/relay/catalog_update.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import Final
 
+from guavamast.decoding import Decoding
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.endpoint_update import MAX_DATAGRAM_BYTES
-from guavamast.relay.heartbeat_messages import MalformedBeat
 
 CATALOG_PREFIX: Final = b"c"
 """First byte of a catalog update."""
@@ -37,9 +37,9 @@
     """Return the catalog update of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid catalog update.
+        MalformedData: The datagram is not a valid catalog update.
     """
-    try:
+    with Decoding("configuration"):
         domain, row_version, store_time, text = unpack(data[len(CATALOG_PREFIX) :])
         return CatalogUpdate(
             domain=str(domain),
@@ -47,5 +47,3 @@
             store_time=float(store_time),
             text=text.encode("latin-1"),
         )
-    except (ValueError, TypeError, KeyError, IndexError, AttributeError) as error:
-        raise MalformedBeat(f"configuration: {type(error).__name__}: {error}") from error
--- a/src/guavamast/relay/compressed_json.py
+++ b/src/guavamast/relay/compressed_json.py
@@ -6,6 +6,8 @@
 import zlib
 from typing import Any, Final
 
+from guavamast.decoding import Decoding, decode_json
+
 COMPRESSION_LEVEL: Final = 1
 """Level of compression, the lowest: most of the reduction for little CPU time."""
 MAX_UNPACKED_BYTES: Final = 4_194_304
@@ -22,9 +24,7 @@
     """Return the fields of compressed JSON, decompressing a bounded length.
 
     Raises:
-        ValueError: The data is not compressed JSON, or is too long.
+        MalformedData: The data is not compressed JSON, or is too long.
     """
-    try:
-        return json.loads(zlib.decompressobj().decompress(data, MAX_UNPACKED_BYTES))
-    except zlib.error as error:
-        raise ValueError(str(error)) from error
+    with Decoding("compressed JSON"):
+        return decode_json(zlib.decompressobj().decompress(data, MAX_UNPACKED_BYTES))
--- a/src/guavamast/relay/duties/components.py
+++ b/src/guavamast/relay/duties/components.py
@@ -134,7 +134,7 @@
         """Receive the datagram of a message about duties.
 
         Raises:
-            MalformedBeat: The datagram is not a valid message.
+            MalformedData: The datagram is not a valid message.
         """
         message = decode_duty_message(data)
         now = self._read_time()
--- a/src/guavamast/relay/duties/report_wire.py
+++ b/src/guavamast/relay/duties/report_wire.py
@@ -5,10 +5,10 @@
 from enum import IntEnum
 from typing import Any
 
+from guavamast.decoding import Decoding
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.duties.reports import DutyNotice, DutyReport
 from guavamast.relay.duty_settings import DUTY_PREFIX
-from guavamast.relay.heartbeat_messages import MalformedBeat
 from guavamast.relay.scaling import ServiceDemand
 
 
@@ -49,17 +49,15 @@
     """Return the message of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid message.
+        MalformedData: The datagram is not a valid message.
     """
-    try:
+    with Decoding("duty message"):
         fields = unpack(data[len(DUTY_PREFIX) :])
         if fields[0] == _Kind.NOTICE:
             return _decode_notice(*fields[1:])
         if fields[0] == _Kind.REPORT:
             return _decode_report(*fields[1:])
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
-        raise MalformedBeat(f"{type(error).__name__}: {error}") from error
-    raise MalformedBeat("unknown kind of message")
+        raise ValueError("unknown kind of message")
 
 
 def _decode_notice(
--- a/src/guavamast/relay/duties/saved_usage.py
+++ b/src/guavamast/relay/duties/saved_usage.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from guavamast.decoding import Decoding, decode_json
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -62,17 +64,15 @@
     """Return the counts in a record.
 
     Raises:
-        ValueError: The text is not such a record.
+        MalformedData: The text is not such a record.
     """
-    try:
-        fields = json.loads(text)
+    with Decoding("saved usage"):
+        fields = decode_json(text)
         return SavedUsage(
             ended=_decode_windows(fields["ended"]),
             reporting=_decode_windows(fields["reporting"]),
             processes={str(name): int(one) for name, one in fields["processes"].items()},
         )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"{type(error).__name__}: {error}") from error
 
 
 def _encode_windows(windows: WindowCounts) -> dict[str, dict[str, int]]:
--- a/src/guavamast/relay/duties/usage_duty.py
+++ b/src/guavamast/relay/duties/usage_duty.py
@@ -61,7 +61,7 @@
         """Take over what the earlier holder has written.
 
         Raises:
-            ValueError: A record can't be decoded.
+            MalformedData: A record can't be decoded.
         """
         self.ledger.load(records, now=now)
         self._collection.restore(self.ledger.saved)
--- a/src/guavamast/relay/duties/usage_ledger.py
+++ b/src/guavamast/relay/duties/usage_ledger.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from guavamast.decoding import Decoding, decode_json
 from guavamast.leases import LeaseRecord
 from guavamast.relay.duties.saved_usage import SavedUsage, decode_saved_usage
 from guavamast.relay.provider import CallOutcome, WindowUsage
@@ -87,7 +88,7 @@
         """Replace all state by the records of the lease.
 
         Raises:
-            ValueError: A record can't be decoded.
+            MalformedData: A record can't be decoded.
         """
         self._offset_s = None
         self._fixed_through = -1
@@ -101,14 +102,13 @@
             if record.key == SAVED_KEY and record.text is not None:
                 self.saved = decode_saved_usage(record.text)
             elif record.key == STATE_KEY and record.text is not None:
-                state = json.loads(record.text)
-                self._offset_s = float(state["offset_s"])
-                self._fixed_through = int(state["fixed_through"])
+                with Decoding("usage state"):
+                    state = decode_json(record.text)
+                    self._offset_s = float(state["offset_s"])
+                    self._fixed_through = int(state["fixed_through"])
             elif record.key.startswith(WINDOW_PREFIX) and record.text is not None:
-                window = int(record.key.removeprefix(WINDOW_PREFIX))
-                counts = {str(name): int(count) for name, count in json.loads(record.text).items()}
-                usage = WindowUsage(window=window, counts=counts)
-                self._unreported[window] = _Unreported(usage=usage, due_at=now)
+                usage = _decode_window(record.key, record.text)
+                self._unreported[usage.window] = _Unreported(usage=usage, due_at=now)
 
     def begin(self, *, offset_s: float, first_window: int) -> None:
         """Begin with a window, as no holder has fixed any yet."""
@@ -167,3 +167,10 @@
         unreported = self._unreported[window]
         unreported.due_at = now + min(MAX_RETRY_S, FIRST_RETRY_S * 2**unreported.failures)
         unreported.failures += 1
+
+
+def _decode_window(key: str, text: str) -> WindowUsage:
+    with Decoding("usage of a window"):
+        window = int(key.removeprefix(WINDOW_PREFIX))
+        counts = {str(name): int(count) for name, count in decode_json(text).items()}
+        return WindowUsage(window=window, counts=counts)
--- a/src/guavamast/relay/endpoint_access.py
+++ b/src/guavamast/relay/endpoint_access.py
@@ -159,7 +159,7 @@
         """Receive the datagram of a reachability report.
 
         Raises:
-            MalformedBeat: The datagram is not a valid report.
+            MalformedData: The datagram is not a valid report.
         """
         self._upkeep.receive(data)
 
--- a/src/guavamast/relay/endpoint_update.py
+++ b/src/guavamast/relay/endpoint_update.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import Final
 
+from guavamast.decoding import Decoding, decode_ip, decode_name, decode_port
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.endpoint_table import EndpointRecord
-from guavamast.relay.heartbeat_messages import MalformedBeat
 from guavamast.relay.store import EndpointSnapshot
 
 ENDPOINTS_PREFIX: Final = b"e"
@@ -53,9 +53,9 @@
     """Return the endpoint update of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid endpoint update.
+        MalformedData: The datagram is not a valid endpoint update.
     """
-    try:
+    with Decoding("endpoint table"):
         domain, digest, store_time, rows = unpack(data[len(ENDPOINTS_PREFIX) :])
         table = EndpointSnapshot(
             records=[_decode_record(row) for row in rows],
@@ -63,8 +63,6 @@
             store_time=float(store_time),
         )
         return EndpointUpdate(domain=str(domain), snapshot=table)
-    except (ValueError, TypeError, KeyError, IndexError) as error:
-        raise MalformedBeat(f"endpoints: {type(error).__name__}: {error}") from error
 
 
 def _decode_record(row: list[str | int | float | None]) -> EndpointRecord:
@@ -83,11 +81,11 @@
         leaves_s,
     ) = row
     return EndpointRecord(
-        endpoint_id=str(endpoint_id),
+        endpoint_id=decode_name(endpoint_id),
         row_version=int(row_version or 0),
         service=str(service),
-        host=str(host),
-        port=int(port or 0),
+        host=decode_ip(host),
+        port=decode_port(port),
         failure_domain=str(domain),
         slots=int(slots or 0),
         ready=bool(ready),
--- a/src/guavamast/relay/forwarding/client.py
+++ b/src/guavamast/relay/forwarding/client.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from guavamast.decoding import MalformedData
 from guavamast.relay.connection_pool import CONNECT_TIMEOUT_S
 from guavamast.relay.endpoint_connection import (
     AcquiredConnection,
@@ -22,7 +23,6 @@
     METHOD,
     TARGET,
     ForwardOrder,
-    MalformedForward,
     OrderRejected,
     RejectionReason,
     decode_rejection,
@@ -102,7 +102,7 @@
                 self._framing = endpoint_head.framing
                 return endpoint_head
             reason = decode_rejection(head)
-        except MalformedForward as error:
+        except MalformedData as error:
             raise MalformedAnswer(f"forwarded: {error}") from error
         self._on_rejected()
         raise NotForwarded(f"not forwarded: {reason}")
@@ -207,7 +207,7 @@
                 if rejection.reason in (RejectionReason.BUSY, RejectionReason.NO_PATH):
                     self._avoid(forwarder)
                 await self._raise_for(rejection.reason)
-            except (ConnectionLost, MalformedAnswer, MalformedForward, TimeoutError) as error:
+            except (ConnectionLost, MalformedAnswer, MalformedData, TimeoutError) as error:
                 # Other idle links may be as silent as this one.
                 self._links.discard(forwarder.name)
                 self._record_failure(forwarder, order, type(error).__name__)
@@ -231,7 +231,7 @@
             OrderRejected: The other instance does not forward it.
             ConnectionLost: The link ended first.
             MalformedAnswer: The other instance sent no response.
-            MalformedForward: Its response is neither a permission nor a rejection.
+            MalformedData: Its response is neither a permission nor a rejection.
             TimeoutError: It did not respond in time.
         """
         link = await self._open_link(forwarder)
--- a/src/guavamast/relay/forwarding/listener.py
+++ b/src/guavamast/relay/forwarding/listener.py
@@ -8,10 +8,10 @@
 from tornado import httputil
 
 from guavamast.caller_server import CallerServer, LastResponses, encode_response
+from guavamast.decoding import MalformedData
 from guavamast.relay.forwarding.protocol import (
     REASON_HEADER,
     REJECTED_STATUS,
-    MalformedForward,
     OrderRejected,
     RejectionReason,
     decode_order,
@@ -78,7 +78,7 @@
             self._permitted = await self._server.accept(decode_order(headers))
         except OrderRejected as rejection:
             await self._reject(rejection.reason)
-        except MalformedForward:
+        except MalformedData:
             self._recorder.record_rejection(400)
             await TornadoWriter(connection=self._connection).send(400, [], b"")
 
@@ -90,7 +90,7 @@
         writer = TornadoWriter(connection=self._connection)
         try:
             request = decode_request(bytes(self._body))
-        except MalformedForward:
+        except MalformedData:
             self._server.discard(permitted)
             self._recorder.record_rejection(400)
             writer.abort()
--- a/src/guavamast/relay/forwarding/protocol.py
+++ b/src/guavamast/relay/forwarding/protocol.py
@@ -15,6 +15,7 @@
 
 import h11
 
+from guavamast.decoding import Decoding
 from guavamast.relay.endpoint_connection import ResponseHead
 from guavamast.relay.response_end import BodyFraming
 
@@ -77,10 +78,6 @@
         self.reason = reason
 
 
-class MalformedForward(Exception):
-    """A message that is not a valid forwarding request or response."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardOrder:
     """What an instance asks another one to do with the request that follows."""
@@ -127,10 +124,10 @@
     """Return the order in the headers of a forwarding request.
 
     Raises:
-        MalformedForward: A header is missing or invalid.
+        MalformedData: A header is missing or invalid.
     """
-    software = headers.get(SOFTWARE_HEADER)
-    try:
+    with Decoding("forwarding order"):
+        software = headers.get(SOFTWARE_HEADER)
         return ForwardOrder(
             endpoint_id=headers[ENDPOINT_HEADER],
             row_version=int(headers[VERSION_HEADER]),
@@ -139,8 +136,6 @@
             software_version=None if software is None else unquote(software),
             permitted=PERMIT_HEADER in headers,
         )
-    except (KeyError, ValueError) as error:
-        raise MalformedForward(f"{type(error).__name__}: {error}") from error
 
 
 def encode_request(method: str, target: str, headers: list[Header], body: bytes) -> bytes:
@@ -154,28 +149,26 @@
     """Return the request in the body of a forwarding request.
 
     Raises:
-        MalformedForward: The bytes are not a complete request.
+        MalformedData: The bytes are not a complete request.
     """
-    decoder = h11.Connection(our_role=h11.SERVER)
-    decoder.receive_data(data)
-    body = bytearray()
-    try:
+    with Decoding("forwarded request"):
+        decoder = h11.Connection(our_role=h11.SERVER)
+        decoder.receive_data(data)
+        body = bytearray()
         request = decoder.next_event()
         while isinstance(event := decoder.next_event(), h11.Data):
             body += event.data
-    except h11.RemoteProtocolError as error:
-        raise MalformedForward(str(error)) from error
-    if not isinstance(request, h11.Request) or not isinstance(event, h11.EndOfMessage):
-        raise MalformedForward("incomplete request")
-    return EncodedRequest(
-        method=request.method.decode("latin-1"),
-        target=request.target.decode("latin-1"),
-        headers=[
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.headers.raw_items()
-        ],
-        body=bytes(body),
-    )
+        if not isinstance(request, h11.Request) or not isinstance(event, h11.EndOfMessage):
+            raise ValueError("incomplete request")
+        return EncodedRequest(
+            method=request.method.decode("latin-1"),
+            target=request.target.decode("latin-1"),
+            headers=[
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in request.headers.raw_items()
+            ],
+            body=bytes(body),
+        )
 
 
 def encode_response_headers(
@@ -196,15 +189,16 @@
     """Return the head of the endpoint's response in a message.
 
     Raises:
-        MalformedForward: The message does not state the endpoint's status.
+        MalformedData: The message does not state the endpoint's status.
     """
-    statuses = [value for name, value in head.headers if name.lower() == STATUS_HEADER.lower()]
-    if len(statuses) != 1 or not statuses[0].isdigit():
-        raise MalformedForward("no status of the endpoint")
-    framings = [value for name, value in head.headers if name.lower() == FRAMING_HEADER.lower()]
-    headers = [header for header in head.headers if header[0].lower() not in _RESPONSE_HEADERS]
-    framing = _decode_framing(framings)
-    return ResponseHead(status=int(statuses[0]), headers=headers, framing=framing)
+    with Decoding("forwarded response"):
+        statuses = [value for name, value in head.headers if name.lower() == STATUS_HEADER.lower()]
+        if len(statuses) != 1 or not statuses[0].isdigit():
+            raise ValueError("no status of the endpoint")
+        framings = [value for name, value in head.headers if name.lower() == FRAMING_HEADER.lower()]
+        headers = [header for header in head.headers if header[0].lower() not in _RESPONSE_HEADERS]
+        framing = _decode_framing(framings)
+        return ResponseHead(status=int(statuses[0]), headers=headers, framing=framing)
 
 
 def _decode_framing(values: list[str]) -> BodyFraming:
@@ -222,12 +216,10 @@
     """Return why a request is not forwarded.
 
     Raises:
-        MalformedForward: The message is not a rejection.
+        MalformedData: The message is not a rejection.
     """
-    fields = {name.lower(): value for name, value in head.headers}
-    try:
+    with Decoding("rejection of an order"):
+        fields = {name.lower(): value for name, value in head.headers}
         if head.status != REJECTED_STATUS:
             raise ValueError(f"status {head.status}")
         return RejectionReason(fields[REASON_HEADER.lower()])
-    except (KeyError, ValueError) as error:
-        raise MalformedForward(f"{type(error).__name__}: {error}") from error
--- a/src/guavamast/relay/heartbeat_messages.py
+++ b/src/guavamast/relay/heartbeat_messages.py
@@ -119,7 +119,3 @@
     endpoints: FreshnessStamp | None
     profiles: dict[str, dict[str, ProfileEstimates]]
     """Combined estimates of each failure domain for the engines of each service."""
-
-
-class MalformedBeat(Exception):
-    """A datagram that is not a valid heartbeat or update."""
--- a/src/guavamast/relay/heartbeat_wire.py
+++ b/src/guavamast/relay/heartbeat_wire.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any, Final
 
+from guavamast.decoding import Decoding, decode_ip, decode_peer_json, decode_port
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.freshness import FreshnessStamp
@@ -14,7 +15,6 @@
     InstanceState,
     LivenessRecord,
     LoadUpdate,
-    MalformedBeat,
 )
 from guavamast.relay.placement import (
     BUCKETS,
@@ -94,17 +94,15 @@
     """Return the heartbeat of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid heartbeat.
+        MalformedData: The datagram is not a valid heartbeat.
     """
-    try:
-        return _from_fields(json.loads(data))
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
-        raise MalformedBeat(f"{type(error).__name__}: {error}") from error
+    with Decoding("heartbeat"):
+        return _from_fields(decode_peer_json(data))
 
 
 def _from_fields(fields: dict[str, Any]) -> Heartbeat:
     if fields["v"] != 1:
-        raise MalformedBeat("unknown version")
+        raise ValueError("unknown version")
     return Heartbeat(
         record=_decode_record(*fields["who"]),
         incarnation=int(fields["inc"]),
@@ -123,10 +121,10 @@
 
 
 def _decode_aggregate(data: bytes) -> AggregatedHeartbeat:
-    try:
+    with Decoding("heartbeat"):
         version, aggregator, liveness, records, catalog, endpoints, profiles = unpack(data)
         if version != AGGREGATE_VERSION:
-            raise MalformedBeat("unknown version")
+            raise ValueError("unknown version")
         return AggregatedHeartbeat(
             aggregator=str(aggregator),
             liveness=[_decode_liveness_record(*fields) for fields in liveness],
@@ -135,8 +133,6 @@
             endpoints=_decode_stamp(endpoints),
             profiles={str(key): _decode_profiles(value) for key, value in profiles.items()},
         )
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
-        raise MalformedBeat(f"aggregated heartbeat: {type(error).__name__}: {error}") from error
 
 
 def _encode_record(record: InstanceRecord) -> list[str | float]:
@@ -164,11 +160,11 @@
 ) -> InstanceRecord:
     return InstanceRecord(
         name=str(name),
-        ip=str(ip),
+        ip=decode_ip(ip),
         failure_domain=str(domain),
         region=str(region),
         callers_address=str(address),
-        peer_port=int(port),
+        peer_port=decode_port(port),
         link_mbps=float(link_mbps),
         processor_share=float(processor_share),
     )
@@ -207,14 +203,14 @@
     """Return the message of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid message.
+        MalformedData: The datagram is not a valid message.
     """
     if data.startswith(AGGREGATE_PREFIX):
         return _decode_aggregate(data[len(AGGREGATE_PREFIX) :])
     if not data.startswith(b'["n"'):
         return decode_heartbeat(data)
-    try:
-        _, instance, incarnation, loads, sends, *rest = json.loads(data)
+    with Decoding("heartbeat"):
+        _, instance, incarnation, loads, sends, *rest = decode_peer_json(data)
         return LoadUpdate(
             instance=str(instance),
             incarnation=int(incarnation),
@@ -223,8 +219,6 @@
             waiting=_decode_waiting(rest[0]) if rest else [],
             organisations=_decode_organisations(rest[1]) if len(rest) > 1 else [],
         )
-    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
-        raise MalformedBeat(f"{type(error).__name__}: {error}") from error
 
 
 def _encode_waiting(waiting: list[WaitingPrecedence]) -> list[list[str | float]]:
@@ -318,7 +312,7 @@
 
 def _decode_demand(value: list[float]) -> Demand:
     if len(value) != BUCKETS:
-        raise MalformedBeat("unknown number of length buckets")
+        raise ValueError("unknown number of length buckets")
     return Demand(work_ms=tuple(float(work) for work in value))
 
 
@@ -373,7 +367,7 @@
             for number, samples in zip(numbers[::2], numbers[1::2], strict=True)
         ]
         if len(estimates) != len(PROFILE_QUANTITIES) or any(e.value <= 0.0 for e in estimates):
-            raise MalformedBeat("unknown quantities in an engine profile")
+            raise ValueError("unknown quantities in an engine profile")
         named = dict(zip(PROFILE_QUANTITIES, estimates, strict=True))
         profiles[str(service)] = ProfileEstimates(**named)
     return profiles
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -67,6 +67,7 @@
     from guavamast.relay.provider import Provider
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.store import InstanceRecord, Store
+    from guavamast.relay.unreadable_rows import UnreadableRow
 
 STANDARD_OUTPUT: Final = 1
 """Descriptor of the log by default."""
@@ -514,6 +515,18 @@
             runs["duties"] = self._duties.run
         return [supervisor.start(name, run) for name, run in runs.items()]
 
+    def record_unreadable_row(self, row: UnreadableRow) -> None:
+        """Record a row of the store that is skipped, as it can't be decoded."""
+        self.counters.add(f'unreadable_rows_total{{table="{row.table}"}}')
+        self.log.write(
+            "row_unreadable",
+            now=read_boot_time(),
+            table=row.table,
+            key=row.key,
+            row_version=row.version,
+            reason=row.reason,
+        )
+
     def _read_state(self) -> InstanceState:
         """Return the state for the next heartbeat; changed limits are applied as often."""
         self._apply_limits()
--- a/src/guavamast/relay/peer_messages.py
+++ b/src/guavamast/relay/peer_messages.py
@@ -115,7 +115,7 @@
         """Receive the datagram of a quarantine report.
 
         Raises:
-            MalformedBeat: The datagram is not a valid report.
+            MalformedData: The datagram is not a valid report.
         """
         self._containment.receive(data)
 
@@ -123,7 +123,7 @@
         """Receive the datagram of a reachability report.
 
         Raises:
-            MalformedBeat: The datagram is not a valid report.
+            MalformedData: The datagram is not a valid report.
         """
         self._access.receive(data)
 
@@ -131,7 +131,7 @@
         """Receive the datagram of a rejection limit.
 
         Raises:
-            MalformedBeat: The datagram is not a valid limit.
+            MalformedData: The datagram is not a valid limit.
         """
         self._limits.receive(data)
 
@@ -139,7 +139,7 @@
         """Receive a datagram of rate limits and the address of its sender.
 
         Raises:
-            MalformedBeat: The datagram is not a valid report.
+            MalformedData: The datagram is not a valid report.
         """
         self._rate_limits.receive(data, source)
 
@@ -147,7 +147,7 @@
         """Receive a datagram about bound streams and the address of its sender.
 
         Raises:
-            MalformedBeat: The datagram is not a valid message.
+            MalformedData: The datagram is not a valid message.
         """
         self._bindings.receive(data, source)
 
@@ -155,7 +155,7 @@
         """Receive the datagram of a message about duties.
 
         Raises:
-            MalformedBeat: The datagram is not a valid message.
+            MalformedData: The datagram is not a valid message.
         """
         if self._duties is not None:
             self._duties.receive(data)
--- a/src/guavamast/relay/peer_socket.py
+++ b/src/guavamast/relay/peer_socket.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from guavamast.decoding import MalformedData
 from guavamast.relay.catalog_update import CATALOG_PREFIX, decode_catalog_update
 from guavamast.relay.duty_settings import DUTY_PREFIX
 from guavamast.relay.endpoint_update import ENDPOINTS_PREFIX, decode_endpoint_update
-from guavamast.relay.heartbeat_messages import MalformedBeat
 from guavamast.relay.heartbeat_wire import decode_message
 from guavamast.relay.quarantine import QUARANTINE_PREFIX
 from guavamast.relay.rate_limits import RATE_LIMIT_PREFIX
@@ -16,7 +16,6 @@
 from guavamast.relay.rejection_limits import REJECTION_LIMIT_PREFIX
 from guavamast.relay.scheduling_wire import (
     SCHEDULING_PREFIX,
-    MalformedScheduling,
     decode_scheduling,
 )
 from guavamast.relay.stream_binding import BINDING_PREFIX
@@ -67,7 +66,7 @@
         handle = self._handlers.get(data[:1], self._handle_other)
         try:
             handle(data, addr)
-        except (MalformedBeat, MalformedScheduling):
+        except MalformedData:
             self._counters.add("malformed_beats_total")
 
     def _handle_other(self, data: bytes, source: tuple[str, int]) -> None:
--- a/src/guavamast/relay/quarantine/containment.py
+++ b/src/guavamast/relay/quarantine/containment.py
@@ -110,7 +110,7 @@
         instance that had answered something, and each forwarded alone is a datagram to each member.
 
         Raises:
-            MalformedBeat: The datagram is not a valid report.
+            MalformedData: The datagram is not a valid report.
         """
         now = self._read_time()
         report = decode_quarantine_report(data, now=now)
--- a/src/guavamast/relay/quarantine/report_wire.py
+++ b/src/guavamast/relay/quarantine/report_wire.py
@@ -4,8 +4,8 @@
 
 from typing import Any, Final
 
+from guavamast.decoding import Decoding
 from guavamast.relay.compressed_json import pack, unpack
-from guavamast.relay.heartbeat_messages import MalformedBeat
 from guavamast.relay.quarantine.attributes import find_kind
 from guavamast.relay.quarantine.records import (
     Clearance,
@@ -51,9 +51,9 @@
         now: The local time at which it was received.
 
     Raises:
-        MalformedBeat: The datagram is not a valid report.
+        MalformedData: The datagram is not a valid report.
     """
-    try:
+    with Decoding("quarantine report"):
         domain, ends, clearances, quarantines = unpack(data[len(QUARANTINE_PREFIX) :])
         return QuarantineReport(
             domain=str(domain),
@@ -64,8 +64,6 @@
             ),
             quarantines=tuple(_decode_quarantine(one, now) for one in quarantines),
         )
-    except (ValueError, TypeError, KeyError, IndexError) as error:
-        raise MalformedBeat(f"quarantine: {type(error).__name__}: {error}") from error
 
 
 def _encode_age(time_s: float, now: float) -> float:
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.decoding import MalformedData
 from guavamast.relay.quarantine.ledger import TRIAL_AFTER_S
 from guavamast.relay.quarantine.records import Quarantine, QuarantineReport
 from guavamast.relay.quarantine.report_wire import (
@@ -220,7 +220,7 @@
         now = self._read_time()
         try:
             report = decode_quarantine_report(data, now=now)
-        except MalformedBeat as error:
+        except MalformedData as error:
             # Another software version may save it in another form.
             self._log.write("quarantine_unread", now=now, reason=str(error))
             return
--- a/src/guavamast/relay/rate_limits/sharing.py
+++ b/src/guavamast/relay/rate_limits/sharing.py
@@ -107,7 +107,7 @@
         An instance that tells something older is told what is known here.
 
         Raises:
-            MalformedBeat: The datagram is not a valid report.
+            MalformedData: The datagram is not a valid report.
         """
         report = decode_rate_limits(data)
         now = self._read_time()
--- a/src/guavamast/relay/rate_limits/wire.py
+++ b/src/guavamast/relay/rate_limits/wire.py
@@ -7,7 +7,7 @@
 from math import isfinite
 from typing import Final
 
-from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.decoding import Decoding, decode_json
 from guavamast.relay.rate_limits.ledger import RateLimit
 
 RATE_LIMIT_PREFIX: Final = b"n"
@@ -39,17 +39,15 @@
     """Return the report of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid report.
+        MalformedData: The datagram is not a valid report.
     """
-    try:
-        instance, domain, limits = json.loads(data[len(RATE_LIMIT_PREFIX) :])
+    with Decoding("rate limits"):
+        instance, domain, limits = decode_json(data[len(RATE_LIMIT_PREFIX) :])
         return RateLimitReport(
             instance=str(instance),
             failure_domain=str(domain),
             limits=tuple(_decode_limit(*fields) for fields in limits),
         )
-    except (ValueError, TypeError, OverflowError) as error:
-        raise MalformedBeat(f"rate limits: {type(error).__name__}: {error}") from error
 
 
 def _decode_limit(
--- a/src/guavamast/relay/reachability/reports.py
+++ b/src/guavamast/relay/reachability/reports.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.decoding import Decoding, decode_json
 
 REACHABILITY_PREFIX: Final = b"r"
 """First byte of the datagram of a reachability report."""
@@ -47,10 +47,10 @@
     """Return the report of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid report.
+        MalformedData: The datagram is not a valid report.
     """
-    try:
-        instance, domain, incarnation, sequence, blocked = json.loads(
+    with Decoding("reachability report"):
+        instance, domain, incarnation, sequence, blocked = decode_json(
             data[len(REACHABILITY_PREFIX) :]
         )
         return ReachabilityReport(
@@ -60,8 +60,6 @@
             sequence=int(sequence),
             blocked=tuple(str(service) for service in blocked),
         )
-    except (ValueError, TypeError) as error:
-        raise MalformedBeat(f"reachability: {type(error).__name__}: {error}") from error
 
 
 @dataclass(slots=True, kw_only=True)
--- a/src/guavamast/relay/reachability/upkeep.py
+++ b/src/guavamast/relay/reachability/upkeep.py
@@ -121,7 +121,7 @@
         """Apply another instance's report; in a large fleet, forward it if it is news.
 
         Raises:
-            MalformedBeat: The datagram is not a valid report.
+            MalformedData: The datagram is not a valid report.
         """
         report = decode_reachability_report(data)
         if not self._peers.apply(report, now=self._read_time()):
--- a/src/guavamast/relay/rejection_limit_sharing.py
+++ b/src/guavamast/relay/rejection_limit_sharing.py
@@ -66,7 +66,7 @@
         """Apply a limit that another instance tells; in a large fleet, forward it if it is news.
 
         Raises:
-            MalformedBeat: The datagram is not a valid limit.
+            MalformedData: The datagram is not a valid limit.
         """
         limit = decode_rejection_limit(data)
         is_news = self._apply(limit.service, limit.rejections_per_s)
--- a/src/guavamast/relay/rejection_limits.py
+++ b/src/guavamast/relay/rejection_limits.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.decoding import Decoding, decode_json
 
 REJECTION_LIMIT_PREFIX: Final = b"l"
 """First byte of the datagram of a rejection limit."""
@@ -37,17 +37,15 @@
     """Return the limit of a datagram.
 
     Raises:
-        MalformedBeat: The datagram is not a valid limit.
+        MalformedData: The datagram is not a valid limit.
     """
-    try:
-        service, rejections_per_s, domain = json.loads(data[len(REJECTION_LIMIT_PREFIX) :])
+    with Decoding("rejection limit"):
+        service, rejections_per_s, domain = decode_json(data[len(REJECTION_LIMIT_PREFIX) :])
         return RejectionLimit(
             service=str(service),
             rejections_per_s=int(rejections_per_s),
             failure_domain=str(domain),
         )
-    except (ValueError, TypeError) as error:
-        raise MalformedBeat(f"rejection limit: {type(error).__name__}: {error}") from error
 
 
 class RejectionLimits:
--- a/src/guavamast/relay/scaling/control.py
+++ b/src/guavamast/relay/scaling/control.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from guavamast.decoding import Decoding, decode_json
 from guavamast.leases import LeaseRecord
 
 if TYPE_CHECKING:
@@ -36,12 +37,13 @@
     """Return what operators have set; nothing if there is no record.
 
     Raises:
-        ValueError: The record can't be decoded.
+        MalformedData: The record can't be decoded.
     """
     for record in records:
         if record.key == CONTROL_KEY and record.text is not None:
-            fields = json.loads(record.text)
-            return ScalingControl(
-                paused=bool(fields["paused"]), floor=int(fields["floor"]), by=str(fields["by"])
-            )
+            with Decoding("scaling control"):
+                fields = decode_json(record.text)
+                return ScalingControl(
+                    paused=bool(fields["paused"]), floor=int(fields["floor"]), by=str(fields["by"])
+                )
     return ScalingControl()
--- a/src/guavamast/relay/scaling/engine_scaling.py
+++ b/src/guavamast/relay/scaling/engine_scaling.py
@@ -72,7 +72,7 @@
         """Replace the orders, and what operators have set, by the records of the lease.
 
         Raises:
-            ValueError: A record can't be decoded.
+            MalformedData: A record can't be decoded.
         """
         records = list(records)
         self.orders.load(records)
--- a/src/guavamast/relay/scaling/order_book.py
+++ b/src/guavamast/relay/scaling/order_book.py
@@ -5,6 +5,7 @@
 import json
 from typing import TYPE_CHECKING, Final
 
+from guavamast.decoding import Decoding, decode_json
 from guavamast.leases import LeaseRecord
 from guavamast.relay.provider import CallOutcome, EngineGroup, EngineOrder
 
@@ -59,7 +60,7 @@
         """Replace all state by the records of the lease.
 
         Raises:
-            ValueError: A record can't be decoded.
+            MalformedData: A record can't be decoded.
         """
         self._ordered = {}
         self._open = set()
@@ -67,13 +68,7 @@
         self._unwritten = False
         for record in records:
             if record.key == ORDERS_KEY and record.text is not None:
-                for service, domain, reclaimable, engines in json.loads(record.text):
-                    group = EngineGroup(
-                        service=str(service),
-                        failure_domain=str(domain),
-                        reclaimable=bool(reclaimable),
-                    )
-                    self._ordered[group] = int(engines)
+                self._ordered = _decode_orders(record.text)
         # The last holder may have ended before its last orders were answered.
         self._open.update(self._ordered)
         self._possible = {group: [engines] for group, engines in self._ordered.items()}
@@ -180,3 +175,14 @@
         most = max(0, settings.max_engines - max(counts))
         least = max(0, settings.min_engines - min(counts))
         return min(most, max(least, order.engines))
+
+
+def _decode_orders(text: str) -> dict[EngineGroup, int]:
+    ordered = {}
+    with Decoding("orders of engines"):
+        for service, domain, reclaimable, engines in decode_json(text):
+            group = EngineGroup(
+                service=str(service), failure_domain=str(domain), reclaimable=bool(reclaimable)
+            )
+            ordered[group] = int(engines)
+    return ordered
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any, Final, TypeAlias
 
+from guavamast.decoding import Decoding, decode_peer_json
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.placement import Obstacle, ObstacleKind, RoomCheck
 from guavamast.relay.scheduling_messages import (
@@ -31,10 +32,6 @@
 _PHASE_LIST: Final = list(WorkPhase)
 
 
-class MalformedScheduling(Exception):
-    """A datagram that is not a valid scheduling message."""
-
-
 def encode_scheduling(message: SchedulingMessage) -> bytes:
     """Encode a message as a datagram."""
     encode = _ENCODERS[type(message)]
@@ -46,15 +43,13 @@
     """Decode a datagram.
 
     Raises:
-        MalformedScheduling: It is not a valid scheduling message.
+        MalformedData: It is not a valid scheduling message.
     """
-    try:
-        version, kind, *fields = json.loads(data[len(SCHEDULING_PREFIX) :])
+    with Decoding("scheduling message"):
+        version, kind, *fields = decode_peer_json(data[len(SCHEDULING_PREFIX) :])
         if version != WIRE_VERSION:
-            raise MalformedScheduling(f"unsupported wire version {version}")
+            raise ValueError(f"unsupported wire version {version}")
         return _DECODERS[kind](*fields)
-    except (ValueError, TypeError, KeyError, IndexError, AttributeError) as error:
-        raise MalformedScheduling(f"{type(error).__name__}: {error}") from error
 
 
 def _encode_query(query: PlacementQuery) -> list[Any]:
--- a/src/guavamast/relay/stream_binding/directory.py
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -168,7 +168,7 @@
             source: Address of its sender, to which a reply goes.
 
         Raises:
-            MalformedBeat: The datagram is not a valid message.
+            MalformedData: The datagram is not a valid message.
         """
         now = self._read_time()
         message = decode_binding_message(data, now=now)
--- a/src/guavamast/relay/stream_binding/wire.py
+++ b/src/guavamast/relay/stream_binding/wire.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, Final, TypeAlias
 
-from guavamast.relay.heartbeat_messages import MalformedBeat
+from guavamast.decoding import Decoding, decode_json
 from guavamast.relay.stream_binding.records import (
     BoundStream,
     StreamBinding,
@@ -69,13 +69,11 @@
     """Return the message of a datagram that was received at a local time.
 
     Raises:
-        MalformedBeat: The datagram is not a valid message.
+        MalformedData: The datagram is not a valid message.
     """
-    try:
-        kind, *fields = json.loads(data[len(BINDING_PREFIX) :])
+    with Decoding("stream binding"):
+        kind, *fields = decode_json(data[len(BINDING_PREFIX) :])
         return _DECODERS[kind](fields, now)
-    except (ValueError, TypeError, KeyError, IndexError) as error:
-        raise MalformedBeat(f"binding: {type(error).__name__}: {error}") from error
 
 
 def _decode_copy(fields: list[Any], now: float) -> BindingCopy:
