A caller's head is sent on with its own bytes, and answered if it can't be

Callers' connections were closed without an answer, so that they could not tell whether their requests had run: for a header with a character beyond ASCII (X-Note: Liège), for superscript digits in a count, for a length that is no number, for a target with raw bytes.

Now headers go on with the bytes that came; counts are up to 15 ASCII digits and timeouts finite, others aren't there; 400 for a target that can't be sent on and (by the HTTP server) for a length. The stand-in engine decoded heads as UTF-8 and failed on such bytes; as Latin-1 now.

A SystemError of ast.parse in test_platform_wire, seen once on the way, came from the stand-in's failed tasks: their tracebacks were printed by the garbage collector within another ast.parse.

--- a/src/guavamast/platform/request_headers.py
+++ b/src/guavamast/platform/request_headers.py
@@ -82,6 +82,7 @@
 )
 """Standard headers that are about a response only."""
 _DECIMAL_NUMBER: Final = re.compile(r"[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]{1,3})?", re.ASCII)
+_COUNT: Final = re.compile(r"\s*([0-9]{1,15})\s*", re.ASCII)
 _BEARER_PREFIX: Final = "bearer "
 
 
@@ -192,21 +193,24 @@
 
 def _parse_timeout_s(value: str | None) -> float | None:
     try:
-        return None if value is None else float(value) / 1000.0
+        timeout_ms = float(value or "nan")
     except ValueError:
         return None
+    return timeout_ms / 1000.0 if isfinite(timeout_ms) else None
 
 
 def _parse_token_counts(value: str | None) -> tuple[int, int]:
     """Return the prompt tokens and the maximum output tokens; both 0 if not stated."""
-    parts = (value or "").split(",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    counts = [_parse_count(part) for part in (value or "").split(",")]
+    if len(counts) != 2 or counts[0] is None or counts[1] is None:
         return 0, 0
-    return int(parts[0]), int(parts[1])
+    return counts[0], counts[1]
 
 
 def _parse_count(value: str | None) -> int | None:
-    return int(value) if value is not None and value.strip().isdigit() else None
+    """Return a count; None if the value is none, or has more digits than any count can have."""
+    match = _COUNT.fullmatch(value or "")
+    return int(match.group(1)) if match is not None else None
 
 
 def _parse_rate_limit(headers: list[Header]) -> tuple[float | None, str | None]:
@@ -229,14 +233,16 @@
     parts = []
     for entry in (value or "").split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if part_id and tokens.isdigit():
-            parts.append(PromptPart(part_id=part_id, tokens=int(tokens)))
+        count = _parse_count(tokens)
+        if part_id and count is not None:
+            parts.append(PromptPart(part_id=part_id, tokens=count))
     return tuple(parts)
 
 
 def _parse_keep_alive(value: str | None) -> float | None:
     for entry in (value or "").split(","):
         name, _, seconds = entry.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
-            return float(seconds)
+        count = _parse_count(seconds)
+        if name.lower() == "timeout" and count is not None:
+            return float(count)
     return None
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -261,11 +261,13 @@
         return await read_slowly(reader, bytes_per_s=self.read_bytes_per_s)
 
     def _record_arrival(self, request: h11.Request) -> None:
-        ids = [value.decode() for name, value in request.headers if name == b"x-attempt-id"]
+        ids = [
+            value.decode("latin-1") for name, value in request.headers if name == b"x-attempt-id"
+        ]
         self.arrivals.append(Arrival(request_id=ids[0] if ids else "", at=time.monotonic()))
 
     def _record_run(self, request: h11.Request, body: bytes) -> Run:
-        headers = {name.decode(): value.decode() for name, value in request.headers}
+        headers = {name.decode(): value.decode("latin-1") for name, value in request.headers}
         run = Run(
             request_id=headers.get("x-attempt-id", ""),
             tenant=headers.get("x-tenant", ""),
@@ -282,7 +284,7 @@
     async def _respond(
         self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, body: bytes
     ) -> bool:
-        headers = {name.decode(): value.decode() for name, value in request.headers}
+        headers = {name.decode(): value.decode("latin-1") for name, value in request.headers}
         if headers.get("x-expect-instance", self.engine_id) != self.engine_id:
             return await self._send(http, writer, 421, [("X-Instance-Id", self.engine_id)], b"")
         if self.fault is EngineFault.FULL:
--- a/src/guavamast/platform/standins/kv_cache.py
+++ b/src/guavamast/platform/standins/kv_cache.py
@@ -35,4 +35,6 @@
 def count_tokens(headers: dict[str, str]) -> int:
     """Return the tokens of a request's prompt and of its longest response; 0 if not stated."""
     prompt, _, output = headers.get("x-token-usage", "").partition(",")
-    return sum(int(part) for part in (prompt.strip(), output.strip()) if part.isdigit())
+    return sum(
+        int(part) for part in (prompt.strip(), output.strip()) if part.isascii() and part.isdigit()
+    )
--- a/src/guavamast/relay/endpoint_connection.py
+++ b/src/guavamast/relay/endpoint_connection.py
@@ -78,7 +78,7 @@
     def length(self) -> int | None:
         """Bytes of the body, if the server has stated them."""
         for name, value in self.headers:
-            if name.lower() == "content-length" and value.isdigit():
+            if name.lower() == "content-length" and value.isdecimal():
                 return int(value)
         return None
 
--- a/src/guavamast/relay/fleet_state.py
+++ b/src/guavamast/relay/fleet_state.py
@@ -211,4 +211,4 @@
 
 
 def _parse_row_version(text: str) -> int:
-    return int(text) if text.isdigit() else -1
+    return int(text) if text.isdecimal() else -1
--- a/src/guavamast/relay/forwarding/protocol.py
+++ b/src/guavamast/relay/forwarding/protocol.py
@@ -17,6 +17,7 @@
 
 from guavamast.decoding import Decoding
 from guavamast.relay.endpoint_connection import ResponseHead
+from guavamast.relay.http_connection import encode_headers
 from guavamast.relay.response_end import BodyFraming
 
 if TYPE_CHECKING:
@@ -141,8 +142,8 @@
 def encode_request(method: str, target: str, headers: list[Header], body: bytes) -> bytes:
     """Return the body of a forwarding request: the request as it goes to the endpoint."""
     encoder = h11.Connection(our_role=h11.CLIENT)
-    data = encoder.send(h11.Request(method=method, target=target, headers=headers)) or b""
-    return data + body
+    head = h11.Request(method=method, target=target, headers=encode_headers(headers))
+    return (encoder.send(head) or b"") + body
 
 
 def decode_request(data: bytes) -> EncodedRequest:
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -160,7 +160,7 @@
         Raises:
             ConnectionLost: The connection ended; bytes may have been sent.
         """
-        head = h11.Request(method=method, target=target, headers=headers)
+        head = h11.Request(method=method, target=target, headers=encode_headers(headers))
         await self._write(head, *_build_body_events(body))
 
     async def send_head(self, method: str, target: str, headers: list[Header]) -> None:
@@ -169,7 +169,9 @@
         Raises:
             ConnectionLost: The connection ended.
         """
-        await self._write(h11.Request(method=method, target=target, headers=headers))
+        await self._write(
+            h11.Request(method=method, target=target, headers=encode_headers(headers))
+        )
 
     async def wait_continue(self) -> ResponseHead | None:
         """Return None once the server asks for the body; otherwise the head of its response.
@@ -313,6 +315,22 @@
             self._waiter.set_result(None)
 
 
+def encode_headers(headers: list[Header]) -> list[tuple[bytes, bytes]]:
+    """Return headers as they go over the wire: those of a caller with the bytes that it sent.
+
+    Text that was received was decoded as Latin-1, which has a character for each byte. Only a name
+    from the configuration can hold others.
+    """
+    return [(name.encode("latin-1"), _encode_value(value)) for name, value in headers]
+
+
+def _encode_value(value: str) -> bytes:
+    try:
+        return value.encode("latin-1")
+    except UnicodeEncodeError:
+        return value.encode()
+
+
 def _build_body_events(body: bytes) -> list[h11.Event]:
     data = [h11.Data(data=body)] if body else []
     return [*data, h11.EndOfMessage()]
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING, Final
 
 from tornado import httputil
@@ -34,6 +35,8 @@
 """Seconds until a caller retries, at another instance, after this one has left."""
 RETRY_AFTER_FULL_S: Final = 0.5
 """Seconds until a caller retries a large request that found the memory full."""
+_TARGET: Final = re.compile(r"[!-~]+")
+"""What a request may ask for: visible ASCII characters; others can't be sent on."""
 
 
 class _CallerRequestHandler(httputil.HTTPMessageDelegate):
@@ -64,8 +67,10 @@
         if size > limits.header_bytes:
             self._reject(431)
             return None
-        stated = int(headers.get("Content-Length", "0"))
-        if stated > limits.body_bytes:
+        stated = _parse_length(headers.get("Content-Length", "0"))
+        if _TARGET.fullmatch(start_line.path) is None:
+            self._reject(400, reason="the target has characters that need escaping")
+        elif stated > limits.body_bytes:
             self._reject(413)
         elif not self._body.has_room(stated):
             self._reject_for_memory()
@@ -231,3 +236,8 @@
         except Exception as error:  # noqa: BLE001
             self.recorder.record_fault(request.request_id, error)
             writer.abort()
+
+
+def _parse_length(value: str) -> int:
+    """Return the stated length of a body; 0 for one that the HTTP server rejects next."""
+    return int(value) if value.isascii() and value.isdecimal() else 0
