A reply about a bound stream counts for who asked and for that stream only

Cause: a reply was matched by the number of its query, and numbers began at 0 in each process. The paused instance, asked by a process that was killed meanwhile, replied to the next process at that address, whose first queries had the same numbers and were about other streams. Ruled out: the memory of bound streams (keys hold 96 bits), and instances that remember nothing (an unknown stream doesn't go on).

Now a query and its reply carry the process that asks (its name and start) and the key; the number is gone. A late reply to the same process still counts for its own key, about which it tells the truth. A query that reaches another process than was meant is harmless: it tells what that process knows of the key, under its own name.

The kinds of both datagrams are new, so instances of the former version ignore them: in a rolling change of the router's own version, streams whose instances have no common version end instead of going on.

--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -47,6 +47,7 @@
 from guavamast.relay.rejection_limits import RejectionLimits
 from guavamast.relay.relayer_factory import build_relayer
 from guavamast.relay.request_recorder import RequestRecorder
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduling import Scheduling
 from guavamast.relay.staleness import StalenessBounds
 from guavamast.relay.store_reader import StoreReader
@@ -261,7 +262,7 @@
 
     def _build_bindings(self) -> StreamBindings:
         return StreamBindings(
-            name=self.settings.name,
+            requester=Requester(instance=self.settings.name, incarnation=self._incarnation),
             fleet_state=self.fleet_state,
             read_endpoints=self._reader.endpoints.join,
             send=self._heartbeat_socket.send_to,
--- a/src/guavamast/relay/stream_binding/components.py
+++ b/src/guavamast/relay/stream_binding/components.py
@@ -15,13 +15,14 @@
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.requester import Requester
 
 
 class StreamBindings:
     """Builds and holds what binds streams at one instance.
 
     Args:
-        name: This instance.
+        requester: This process.
         fleet_state: Endpoints and other instances.
         read_endpoints: Reads the endpoint table.
         send: Sends a datagram to an address.
@@ -35,7 +36,7 @@
     def __init__(
         self,
         *,
-        name: str,
+        requester: Requester,
         fleet_state: FleetState,
         read_endpoints: Callable[[], Awaitable[bool]],
         send: Callable[[bytes, tuple[str, int]], None],
@@ -48,7 +49,7 @@
         )
         """Software of the endpoints."""
         self.directory = BindingDirectory(
-            name=name,
+            requester=requester,
             peers=fleet_state.peers,
             send=send,
             counters=counters,
--- a/src/guavamast/relay/stream_binding/directory.py
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -22,6 +22,7 @@
 
     from guavamast.relay.counters import Counters
     from guavamast.relay.peers import Peers
+    from guavamast.relay.requester import Requester
     from guavamast.relay.store import InstanceRecord
     from guavamast.relay.stream_binding.records import StreamBinding, UnconfirmedSource
     from guavamast.relay.stream_binding.wire import BindingMessage
@@ -77,7 +78,7 @@
     stream unknown, and an unknown stream doesn't go on.
 
     Args:
-        name: This instance.
+        requester: This process.
         peers: The other instances.
         send: Sends a datagram to an address.
         counters: Metrics.
@@ -87,31 +88,30 @@
     __slots__ = (
         "_counters",
         "_ledger",
-        "_name",
-        "_next_number",
         "_pending",
         "_read_time",
         "_replicas",
+        "_requester",
         "_send",
     )
 
     def __init__(
         self,
         *,
-        name: str,
+        requester: Requester,
         peers: Peers,
         send: Callable[[bytes, tuple[str, int]], None],
         counters: Counters,
         read_time: Callable[[], float],
     ) -> None:
-        self._name = name
+        self._requester = requester
         self._ledger = BindingLedger()
         self._replicas = ReplicaChoice(peers=peers)
         self._send = send
         self._counters = counters
         self._read_time = read_time
-        self._next_number = 0
-        self._pending: dict[int, _PendingQuery] = {}
+        self._pending: dict[str, list[_PendingQuery]] = {}
+        """Queries that await replies, by the key of the stream."""
 
     def bind(
         self,
@@ -132,7 +132,7 @@
         now = self._read_time()
         stream = BoundStream(
             binding=binding,
-            instance=self._name,
+            instance=self._requester.instance,
             bound_at=now,
             expires_at=now + lifetime_s,
             unconfirmed=unconfirmed,
@@ -175,11 +175,12 @@
         if isinstance(message, BindingCopy):
             self._apply_copy(message, source, now=now)
         elif isinstance(message, BindingQuery):
-            stream = self._ledger.find(message.key, now=now)
-            reply = BindingReply(number=message.number, instance=self._name, stream=stream)
-            self._send_message(reply, source)
-        elif message.number in self._pending:
-            self._pending[message.number].apply(message)
+            self._reply(message, source, now=now)
+        elif message.requester == self._requester:
+            for query in self._pending.get(message.key, ()):
+                query.apply(message)
+        else:
+            self._counters.add("late_binding_replies_total")
 
     def clean_up(self, *, now: float) -> None:
         """Forget streams that have expired."""
@@ -192,20 +193,30 @@
         if held.binding is None and copy.stream.binding is not None:
             self._send_message(BindingCopy(key=copy.key, stream=held), source)
 
+    def _reply(self, query: BindingQuery, source: tuple[str, int], *, now: float) -> None:
+        reply = BindingReply(
+            requester=query.requester,
+            key=query.key,
+            instance=self._requester.instance,
+            stream=self._ledger.find(query.key, now=now),
+        )
+        self._send_message(reply, source)
+
     async def _ask(self, key: str, targets: dict[str, InstanceRecord]) -> _PendingQuery:
-        number = self._next_number
-        self._next_number += 1
         query = _PendingQuery(silent=set(targets))
-        self._pending[number] = query
+        pending = self._pending.setdefault(key, [])
+        pending.append(query)
+        message = BindingQuery(requester=self._requester, key=key)
         try:
             for wait_s in QUERY_WAITS_S:
                 for name in sorted(query.silent):
-                    message = BindingQuery(number=number, key=key)
                     self._send_message(message, _get_address(targets[name]))
                 if await _wait(query.done, timeout_s=wait_s):
                     break
         finally:
-            del self._pending[number]
+            pending.remove(query)
+            if not pending:
+                del self._pending[key]
         return query
 
     def _send_message(self, message: BindingMessage, address: tuple[str, int]) -> None:
--- a/src/guavamast/relay/stream_binding/wire.py
+++ b/src/guavamast/relay/stream_binding/wire.py
@@ -10,6 +10,7 @@
 from typing import Any, Final, TypeAlias
 
 from guavamast.decoding import Decoding, decode_json
+from guavamast.relay.requester import Requester
 from guavamast.relay.stream_binding.records import (
     BoundStream,
     StreamBinding,
@@ -32,8 +33,8 @@
 class BindingQuery:
     """The question whether an instance remembers a stream."""
 
-    number: int
-    """Identifies the query within the process that asks."""
+    requester: Requester
+    """The process that asks."""
     key: str
 
 
@@ -41,8 +42,10 @@
 class BindingReply:
     """The reply to a query."""
 
-    number: int
-    """Number of the query."""
+    requester: Requester
+    """The process that has asked."""
+    key: str
+    """The key that it has asked for."""
     instance: str
     """Name of the instance that replies."""
     stream: BoundStream | None
@@ -58,10 +61,10 @@
     if isinstance(message, BindingCopy):
         fields = ["c", message.key, *_encode_stream(message.stream, now)]
     elif isinstance(message, BindingQuery):
-        fields = ["q", message.number, message.key]
+        fields = ["ask", *_encode_question(message)]
     else:
         stream = [] if message.stream is None else _encode_stream(message.stream, now)
-        fields = ["r", message.number, message.instance, *stream]
+        fields = ["reply", *_encode_question(message), message.instance, *stream]
     return BINDING_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -83,19 +86,28 @@
 
 def _decode_query(fields: list[Any], now: float) -> BindingQuery:
     del now
-    number, key = fields
-    return BindingQuery(number=int(number), key=str(key))
+    name, incarnation, key = fields
+    return BindingQuery(requester=_decode_requester(name, incarnation), key=str(key))
 
 
 def _decode_reply(fields: list[Any], now: float) -> BindingReply:
-    number, instance, *stream = fields
+    name, incarnation, key, instance, *stream = fields
     return BindingReply(
-        number=int(number),
+        requester=_decode_requester(name, incarnation),
+        key=str(key),
         instance=str(instance),
         stream=_decode_stream(stream, now) if stream else None,
     )
 
 
+def _encode_question(message: BindingQuery | BindingReply) -> list[Any]:
+    return [message.requester.instance, message.requester.incarnation, message.key]
+
+
+def _decode_requester(name: str, incarnation: int) -> Requester:
+    return Requester(instance=str(name), incarnation=int(incarnation))
+
+
 def _encode_stream(stream: BoundStream, now: float) -> list[Any]:
     binding = stream.binding
     source = stream.unconfirmed
@@ -140,6 +152,6 @@
 
 _DECODERS: Final[dict[str, Any]] = {
     "c": _decode_copy,
-    "q": _decode_query,
-    "r": _decode_reply,
+    "ask": _decode_query,
+    "reply": _decode_reply,
 }
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -41,6 +41,7 @@
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.request_recorder import RequestRecorder
+from guavamast.relay.requester import Requester
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.stream_binding import BindingDirectory, StreamTakeUps, TakeUpRecorder
 from guavamast.relay.unserved_ends import UnservedEnds
@@ -186,7 +187,7 @@
             loop_delay=LoopDelay(),
         )
         self.bindings = BindingDirectory(
-            name="one",
+            requester=Requester(instance="one", incarnation=1),
             peers=self.simulation.fleet_state.peers,
             send=mock.Mock(),
             counters=counters,
--- a/tests/test_relay_stream_binding.py
+++ b/tests/test_relay_stream_binding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from collections import Counter
 from random import Random
@@ -12,6 +13,7 @@
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.heartbeat_messages import InstanceState, LivenessRecord
 from guavamast.relay.peers import Peers
+from guavamast.relay.requester import Requester
 from guavamast.relay.store import EndpointSnapshot
 from guavamast.relay.stream_binding import (
     BindingDirectory,
@@ -28,6 +30,7 @@
 
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.store import InstanceRecord
+    from guavamast.relay.stream_binding.directory import Lookup
 
 V1 = StreamBinding(service="portal", software_version="v1")
 V2 = StreamBinding(service="portal", software_version="v2")
@@ -45,6 +48,10 @@
         self.bytes = 0
         self.cut: set[str] = set()
         """Instances that send and receive nothing."""
+        self.held: dict[str, list[tuple[bytes, tuple[str, int]]]] = {}
+        """Datagrams that wait in the sockets of paused instances, with their sources."""
+        self.starts: Counter[str] = Counter()
+        """Processes that each instance has started."""
         self.records = {
             f"i{number}": build_instance(
                 f"i{number}", domain=DOMAINS[number % len(DOMAINS)], port=1 + number
@@ -60,18 +67,26 @@
             self.sent[name] += 1
             self.bytes += len(data)
             target = f"i{address[1] - 1}"
-            if name not in self.cut and target not in self.cut:
-                source = (self.records[name].ip, self.records[name].peer_port)
+            source = (self.records[name].ip, self.records[name].peer_port)
+            if target in self.held:
+                self.held[target].append((data, source))
+            elif name not in self.cut and target not in self.cut:
                 self.directories[target].receive(data, source)
 
+        self.starts[name] += 1
         return BindingDirectory(
-            name=name,
+            requester=Requester(instance=name, incarnation=self.starts[name]),
             peers=self.build_peers(name),
             send=send,
             counters=Counters(),
             read_time=lambda: self.now,
         )
 
+    def resume(self, name: str) -> None:
+        """Let a paused instance receive what waits in its socket."""
+        for data, source in self.held.pop(name):
+            self.directories[name].receive(data, source)
+
     def build_peers(self, name: str, *, dead: frozenset[str] = frozenset()) -> Peers:
         return build_peers(name, self.records, dead=dead, now=self.now)
 
@@ -92,6 +107,53 @@
     return peers
 
 
+class LateReplyTest(unittest.IsolatedAsyncioTestCase):
+    """A reply counts for the stream and the process that asked, and for nothing else.
+
+    An instance is paused while others ask it about one stream. The process that asked is killed,
+    and the next one at its address asks about another stream when the paused instance goes on: it
+    first replies to the former process. Taken for the reply to the new question, it binds the
+    second stream to what began the first, and its caller gets events of two software versions.
+    """
+
+    def setUp(self) -> None:
+        self.fleet = SimulatedFleet(3)
+        self.first, self.second = (compute_stream_key("o", name) for name in ("first", "second"))
+        self.fleet.directories["i2"].bind(self.first, V1, lifetime_s=LIFETIME_S)
+        self.fleet.directories["i0"] = self.fleet.start("i0")
+        self.fleet.directories["i1"] = self.fleet.start("i1")
+        self.fleet.held["i2"] = []
+
+    async def find_beside_resume(self, key: str) -> Lookup:
+        """Look a stream up, while the paused instance goes on."""
+        finding = asyncio.create_task(self.fleet.directories["i0"].find(key))
+        await asyncio.sleep(0)
+        self.fleet.resume("i2")
+        return await finding
+
+    async def test_a_reply_to_a_former_process_binds_no_other_stream(self) -> None:
+        """Guards against a stream that goes on at other software than began it."""
+        asked = await self.fleet.directories["i0"].find(self.first)
+        self.assertEqual((asked.stream, asked.silent), (None, 1))
+        self.fleet.directories["i0"] = self.fleet.start("i0")
+        self.assertIsNone((await self.find_beside_resume(self.second)).stream)
+
+    async def test_a_late_reply_of_the_same_process_binds_no_other_stream(self) -> None:
+        """Guards against the same between two questions of one process."""
+        await self.fleet.directories["i0"].find(self.first)
+        self.assertIsNone((await self.find_beside_resume(self.second)).stream)
+
+    async def test_two_callers_that_ask_about_one_stream_both_learn(self) -> None:
+        """Guards against a reply that counts for only one of two questions about a stream."""
+        directory = self.fleet.directories["i0"]
+        findings = [asyncio.create_task(directory.find(self.first)) for _ in range(2)]
+        await asyncio.sleep(0)
+        self.fleet.resume("i2")
+        for lookup in await asyncio.gather(*findings):
+            assert lookup.stream is not None
+            self.assertEqual(lookup.stream.binding, V1)
+
+
 class BindingDirectoryTest(unittest.IsolatedAsyncioTestCase):
     """What began a stream is found wherever its caller takes it up, or nothing is."""
 
--- a/tests/test_relay_stream_binding_properties.py
+++ b/tests/test_relay_stream_binding_properties.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from guavamast.decoding import MalformedData
+from guavamast.relay.requester import Requester
 from guavamast.relay.stream_binding import BoundStream, StreamBinding, compute_stream_key
 from guavamast.relay.stream_binding import ledger as ledger_module
 from guavamast.relay.stream_binding.ledger import BindingLedger
@@ -43,12 +44,16 @@
         established_at=st.integers(0, 50).map(float),
     ),
 )
+REQUESTERS = st.builds(
+    Requester, instance=st.sampled_from(["one", "two"]), incarnation=st.integers(0, 99)
+)
 MESSAGES = (
     st.builds(BindingCopy, key=st.text(max_size=5), stream=STREAMS)
-    | st.builds(BindingQuery, number=st.integers(0, 99), key=st.text(max_size=5))
+    | st.builds(BindingQuery, requester=REQUESTERS, key=st.text(max_size=5))
     | st.builds(
         BindingReply,
-        number=st.integers(0, 99),
+        requester=REQUESTERS,
+        key=st.text(max_size=5),
         instance=st.sampled_from(["one", "two"]),
         stream=STREAMS | st.none(),
     )
