A placement reply counts for the process that asked, at its own service

Now replies name the process that asked (wire version 7; instances of version 6 place without each other's schedulers meanwhile), and a reply that names an endpoint of another service is as one that names none.

Also read for the same cause, and sound: heartbeats, load updates and sends of prompts (incarnation and sequence), duty reports (by incarnation), work updates and reports (the requester), copies of bound streams (their key), permits (part of a placement reply), rate limits (start of the endpoint and version), leases (nonce), forwarded requests and calls to the store and the provider (one connection each, closed on a timeout).

Tests: two in test_relay_scheduling, each fails with its check taken out.

--- a/src/guavamast/relay/scheduled_placer.py
+++ b/src/guavamast/relay/scheduled_placer.py
@@ -284,7 +284,8 @@
         """Return the decision in a reply; None if it names no usable endpoint."""
         reply = scheduled_reply.reply
         record = self._fleet_state.endpoints.find(reply.endpoint_id)
-        if reply.verdict is Verdict.UNKNOWN or record is None or not record.ready:
+        usable = record is not None and record.ready and record.service == query.service
+        if reply.verdict is Verdict.UNKNOWN or record is None or not usable:
             if reply.verdict is Verdict.GRANTED:
                 self._client.withdraw(query)
             return None
--- a/src/guavamast/relay/scheduled_work.py
+++ b/src/guavamast/relay/scheduled_work.py
@@ -19,10 +19,10 @@
 if TYPE_CHECKING:
     from guavamast.relay.endpoint_load import Load, Work
     from guavamast.relay.placement import Choice
+    from guavamast.relay.requester import Requester
     from guavamast.relay.scheduling_messages import (
         PlacedWork,
         PlacementQuery,
-        Requester,
         WorkReport,
         WorkUpdate,
     )
--- a/src/guavamast/relay/scheduler.py
+++ b/src/guavamast/relay/scheduler.py
@@ -175,7 +175,12 @@
             needs_room=query.check.delayed or not query.least_urgent,
         )
         if choice is None:
-            return PlacementReply(number=query.number, verdict=Verdict.UNKNOWN, learning=learning)
+            return PlacementReply(
+                requester=query.requester,
+                number=query.number,
+                verdict=Verdict.UNKNOWN,
+                learning=learning,
+            )
         rejection: Rejection | None
         if self._bounds_memory(parameters) and (_lacks_memory(choice) or (free and not unlearnt)):
             rejection = reject_for_memory(objective_s=query.objective_s)
@@ -390,6 +395,7 @@
 ) -> PlacementReply:
     forecast = choice.forecast
     return PlacementReply(
+        requester=query.requester,
         number=query.number,
         verdict=verdict,
         endpoint_id=choice.record.endpoint_id,
--- a/src/guavamast/relay/scheduler_host.py
+++ b/src/guavamast/relay/scheduler_host.py
@@ -107,7 +107,9 @@
         """Return the decision on a request."""
         candidates = self._groups.list_members(query.service, query.group)
         if not candidates:
-            return PlacementReply(number=query.number, verdict=Verdict.UNKNOWN)
+            return PlacementReply(
+                requester=query.requester, number=query.number, verdict=Verdict.UNKNOWN
+            )
         permit_waits = self._compute_permit_waits(query, candidates, now=now)
         parameters = ServiceParameters(
             profile=self._profiles.find(query.service, now=now),
--- a/src/guavamast/relay/scheduling.py
+++ b/src/guavamast/relay/scheduling.py
@@ -7,13 +7,13 @@
 from guavamast.relay.endpoint_groups import EndpointGroups, find_service
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.rate_limits import RateLimitLedger
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduler_directory import SchedulerDirectory
 from guavamast.relay.scheduler_host import SchedulerHost
 from guavamast.relay.scheduling_client import SchedulingClient
 from guavamast.relay.scheduling_messages import (
     PlacementQuery,
     PlacementReply,
-    Requester,
     WorkReport,
     WorkUpdate,
 )
--- a/src/guavamast/relay/scheduling_client.py
+++ b/src/guavamast/relay/scheduling_client.py
@@ -11,7 +11,6 @@
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
     PlacementReply,
-    Requester,
     WorkPhase,
     WorkReport,
     WorkUpdate,
@@ -21,6 +20,7 @@
     from collections.abc import Callable
 
     from guavamast.relay.counters import Counters
+    from guavamast.relay.requester import Requester
     from guavamast.relay.scheduler_directory import SchedulerDirectory
     from guavamast.relay.scheduler_host import SchedulerHost
     from guavamast.relay.scheduling_messages import PlacementQuery
@@ -257,8 +257,14 @@
         return ScheduledReply(reply=reply, scheduler=scheduler.name, took_s=took_s)
 
     def receive_reply(self, reply: PlacementReply) -> None:
-        """Pass a reply to the query that awaits it; a late reply is only counted."""
-        waiter = self._pending.get(reply.number)
+        """Pass a reply to the query that awaits it; a late reply is only counted.
+
+        Failure: numbers begin anew with each process. A scheduler that was paused while this
+        instance restarted replies to the former process, and a request of another service, or one
+        that the endpoint has no room for, goes where the former one was to go.
+        """
+        is_own = reply.requester == self._requester
+        waiter = self._pending.get(reply.number) if is_own else None
         if waiter is not None and not waiter.done():
             waiter.set_result(reply)
         else:
--- a/src/guavamast/relay/scheduling_messages.py
+++ b/src/guavamast/relay/scheduling_messages.py
@@ -14,14 +14,7 @@
 if TYPE_CHECKING:
     from guavamast.relay.messages import PromptPart
     from guavamast.relay.placement import Obstacle, RoomCheck
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Requester:
-    """One process of an instance that queries schedulers."""
-
-    instance: str
-    incarnation: int
+    from guavamast.relay.requester import Requester
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,8 +69,10 @@
 class PlacementReply:
     """Endpoint for a request, or the delay after which its caller should retry."""
 
+    requester: Requester
+    """The process that has asked."""
     number: int
-    """Number of the query."""
+    """Number of its query."""
     verdict: Verdict
     endpoint_id: str = ""
     uncached_tokens: int = 0
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -8,11 +8,11 @@
 from guavamast.decoding import Decoding, decode_peer_json
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.placement import Obstacle, ObstacleKind, RoomCheck
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
     PlacementQuery,
     PlacementReply,
-    Requester,
     Verdict,
     WorkPhase,
     WorkReport,
@@ -21,7 +21,7 @@
 
 SCHEDULING_PREFIX: Final = b"s"
 """Prefix of scheduling datagrams."""
-WIRE_VERSION: Final = 6
+WIRE_VERSION: Final = 7
 """Rank of the datagram format; datagrams of any other version are rejected."""
 
 SchedulingMessage: TypeAlias = PlacementQuery | PlacementReply | WorkUpdate | WorkReport
@@ -154,6 +154,8 @@
 def _encode_reply(reply: PlacementReply) -> list[Any]:
     return [
         "r",
+        reply.requester.instance,
+        reply.requester.incarnation,
         reply.number,
         _VERDICTS[reply.verdict],
         reply.endpoint_id,
@@ -173,6 +175,8 @@
 
 
 def _decode_reply(
+    instance: str,
+    incarnation: int,
     number: int,
     verdict: int,
     endpoint_id: str,
@@ -190,6 +194,7 @@
     permitted: int = 0,
 ) -> PlacementReply:
     return PlacementReply(
+        requester=Requester(instance=str(instance), incarnation=int(incarnation)),
         number=int(number),
         verdict=_VERDICT_LIST[verdict],
         endpoint_id=str(endpoint_id),
--- a/tests/memory_simulation.py
+++ b/tests/memory_simulation.py
@@ -28,10 +28,10 @@
 )
 from guavamast.relay.placement.engine_forecast import KV_FULL_WAIT_MS
 from guavamast.relay.request_progress import begin_progress
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduler import GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
-    Requester,
     Verdict,
     WorkPhase,
     WorkReport,
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -18,8 +18,9 @@
 from guavamast.relay.placement.waiting import SINGLE_CHECK
 from guavamast.relay.rate_limits import RateLimitLedger
 from guavamast.relay.rejection_limits import RejectionLimits
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduling import Scheduling
-from guavamast.relay.scheduling_messages import PlacementQuery, Requester
+from guavamast.relay.scheduling_messages import PlacementQuery
 from guavamast.relay.scheduling_wire import decode_scheduling
 from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot, InstanceRecord
 from tests.relay_fixtures import LIMITS, build_endpoint, build_route
--- a/tests/test_relay_scheduler.py
+++ b/tests/test_relay_scheduler.py
@@ -8,12 +8,12 @@
 from guavamast.relay.endpoint_groups import MAX_MEAN_GROUP_SIZE, EndpointGroups, count_groups
 from guavamast.relay.endpoint_load import Load
 from guavamast.relay.endpoint_table import EndpointTable
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduled_work import LEASE_S, UNCONFIRMED_GRANT_S
 from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
     PlacementReply,
-    Requester,
     Verdict,
     WorkPhase,
     WorkReport,
--- a/tests/test_relay_scheduler_properties.py
+++ b/tests/test_relay_scheduler_properties.py
@@ -13,12 +13,12 @@
 from guavamast.relay.placement.engine_forecast import LESS_URGENT_KV_SHARE, MOST_URGENT_KV_SHARE
 from guavamast.relay.placement.engine_memory import URGENT_MEMORY_SHARE, MemoryReserve
 from guavamast.relay.placement.obstacle import Obstacle, ObstacleKind
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduler import LEARNING_S, GroupScheduler, ServiceParameters
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
     PlacementQuery,
     PlacementReply,
-    Requester,
     Verdict,
     WorkPhase,
     WorkReport,
@@ -233,7 +233,13 @@
         scheduler = GroupScheduler(random=Random(1), now=0.0)
         query = make_query(5, excluded=("e1",), most_urgent=False)
         self.assertEqual(decode_scheduling(encode_scheduling(query)), query)
-        fast = PlacementReply(number=6, verdict=Verdict.GRANTED, endpoint_id="e", speed=1.73)
+        fast = PlacementReply(
+            requester=query.requester,
+            number=6,
+            verdict=Verdict.GRANTED,
+            endpoint_id="e",
+            speed=1.73,
+        )
         self.assertEqual(decode_scheduling(encode_scheduling(fast)), fast)
         reply = scheduler.decide(query, ENGINES, PARAMETERS, now=9.0)
         decoded = decode_scheduling(encode_scheduling(reply))
@@ -242,7 +248,9 @@
             (reply.number, reply.verdict, reply.endpoint_id),
         )
         obstacle = Obstacle(kind=ObstacleKind.CLAIM, precedence=3, waiting=2, engines=6)
-        refused = PlacementReply(number=6, verdict=Verdict.REFUSED, obstacle=obstacle)
+        refused = PlacementReply(
+            requester=query.requester, number=6, verdict=Verdict.REFUSED, obstacle=obstacle
+        )
         self.assertEqual(decode_scheduling(encode_scheduling(refused)), refused)
         update = WorkUpdate(requester=query.requester, group=GROUP, number=5, phase=WorkPhase.ENDED)
         self.assertEqual(decode_scheduling(encode_scheduling(update)), update)
--- a/tests/test_relay_scheduling.py
+++ b/tests/test_relay_scheduling.py
@@ -21,12 +21,12 @@
 from guavamast.relay.scheduled_placer import ScheduledPlacer
 from guavamast.relay.scheduled_work import LEASE_S
 from guavamast.relay.scheduler_directory import BACKOFF_S, TIMEOUTS_BEFORE_BACKOFF
-from guavamast.relay.scheduling_client import GRANT_VALID_S, MAX_TIMEOUT_S
+from guavamast.relay.scheduling_client import GRANT_VALID_S, MAX_TIMEOUT_S, ScheduledReply
 from guavamast.relay.scheduling_messages import PlacementReply, Verdict
 from guavamast.relay.scheduling_wire import decode_scheduling, encode_scheduling
 from guavamast.relay.store import EndpointSnapshot
 from guavamast.relay.stream_binding import StreamBinding
-from tests.relay_fixtures import PROFILE, build_request, build_versions
+from tests.relay_fixtures import PROFILE, build_endpoint, build_request, build_versions
 from tests.scheduling_simulation import (
     GROUP,
     POOL,
@@ -170,7 +170,9 @@
         self.assertEqual(len(encode_scheduling(known)), len(encode_scheduling(query)) + 2)
         for one in (query, known, make_query(1, knows_limits=True, may_ask=True)):
             self.assertEqual(decode_scheduling(encode_scheduling(one)), one)
-        reply = PlacementReply(number=1, verdict=Verdict.GRANTED, endpoint_id="e0")
+        reply = PlacementReply(
+            requester=query.requester, number=1, verdict=Verdict.GRANTED, endpoint_id="e0"
+        )
         permitted = replace(reply, permitted=True)
         self.assertEqual(len(encode_scheduling(permitted)), len(encode_scheduling(reply)) + 2)
         for answer in (reply, permitted):
@@ -290,6 +292,43 @@
         counters = self.simulation.instances[REQUESTER].counters.render()
         self.assertIn("late_replies_total 1", counters)
 
+    async def test_a_reply_to_a_former_process_places_no_other_request(self) -> None:
+        """Guards against a request that goes where one of the former process was to go.
+
+        A scheduler is paused while an instance restarts. The new process numbers its queries like
+        the former one, and the scheduler first replies to that one.
+        """
+        client = self.simulation.instances[REQUESTER].scheduling.client
+        self.simulation.silent = {self.scheduler}
+        query = make_query(client.next_number(), requester=REQUESTER)
+        asking = asyncio.create_task(client.request_placement(query))
+        await asyncio.sleep(0)
+        client.receive_reply(
+            PlacementReply(
+                requester=replace(query.requester, incarnation=0),
+                number=query.number,
+                verdict=Verdict.GRANTED,
+                endpoint_id="e0",
+            )
+        )
+        self.assertIsNone(await asking)
+
+    async def test_an_endpoint_of_another_service_is_not_used(self) -> None:
+        """Guards against a request that runs at a service to which its route doesn't lead."""
+        instance = self.simulation.instances[REQUESTER]
+        other = build_endpoint("a0", service="annex", slots=8)
+        instance.apply_endpoints([*self.simulation.engines, other], reading=2.0)
+        client = instance.scheduling.client
+        reply = PlacementReply(
+            requester=client.requester, number=1, verdict=Verdict.GRANTED, endpoint_id="a0"
+        )
+        scheduled = ScheduledReply(reply=reply, scheduler=self.scheduler, took_s=0.0)
+        answer = mock.AsyncMock(return_value=scheduled)
+        with mock.patch.object(type(client), "request_placement", answer):
+            placed = await self.place()
+        assert placed.choice is not None
+        self.assertEqual(placed.choice.record.service, POOL)
+
     async def test_new_scheduler_receives_running_work(self) -> None:
         """Engines are not overloaded when the scheduler dies.
 
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -14,10 +14,10 @@
 from guavamast.relay.placement.engine_profile import EngineProfile
 from guavamast.relay.placement.obstacle import ObstacleKind
 from guavamast.relay.placement.waiting import RoomCheck
+from guavamast.relay.requester import Requester
 from guavamast.relay.scheduled_work import ScheduledWork
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
-    Requester,
     WorkPhase,
     WorkReport,
     WorkUpdate,
