--- a/src/guavamast/relay/reachability/reports.py
+++ b/src/guavamast/relay/reachability/reports.py
@@ -77,9 +77,14 @@
         self._received: dict[str, _Received] = {}
 
     def apply(self, report: ReachabilityReport, *, now: float) -> bool:
-        """Apply a report; return whether it is newer than the known one of its instance."""
+        """Apply a report; return whether it is newer than the known one of its instance.
+
+        Failure: a process that starts after its wall clock was set back seems older than the former
+        one, and all its reports would be ignored: requests go through an instance that reaches no
+        endpoint. A report that has expired says nothing, so any other replaces it.
+        """
         known = self._received.get(report.instance)
-        if known is not None:
+        if known is not None and now - known.received_at <= REPORT_LIFETIME_S:
             order = (known.report.incarnation, known.report.sequence)
             if (report.incarnation, report.sequence) <= order:
                 return False
--- a/tests/test_relay_reachability.py
+++ b/tests/test_relay_reachability.py
@@ -76,6 +76,15 @@
     def setUp(self) -> None:
         self.peers = PeerReachability()
 
+    def test_a_process_that_seems_older_is_heard_once_the_former_report_has_expired(self) -> None:
+        """Guards against a process that is ignored, as its clock was set back before its start."""
+        self.peers.apply(build_report(incarnation=5, sequence=7), now=10.0)
+        late = build_report("pool", incarnation=4, sequence=1)
+        self.assertFalse(self.peers.apply(late, now=10.0 + REPORT_LIFETIME_S))
+        later = 10.1 + REPORT_LIFETIME_S
+        self.assertTrue(self.peers.apply(late, now=later))
+        self.assertEqual(self.peers.list_blocked("one", now=later), ("pool",))
+
     def test_a_report_survives_the_datagram(self) -> None:
         report = build_report("pool", "portal")
         self.assertEqual(decode_reachability_report(encode_reachability_report(report)), report)
