--- a/src/guavamast/caller_connection.py
+++ b/src/guavamast/caller_connection.py
@@ -12,6 +12,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from guavamast.loop_turns import ReaderTurn
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -100,6 +102,30 @@
         self._read_time = read_time
         self._hand_over = on_early_close
         self.trace = ConnectionTrace(address=address, accepted_at=now, active_at=now)
+        self._turn = ReaderTurn()
+
+    def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> Future[bytes]:
+        """Read up to a delimiter; a caller that sends many small chunks takes turns with others."""
+        return self._take_turn(super().read_until(delimiter, max_bytes))
+
+    def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> Future[bytes]:
+        """Read a head; a caller that sends many requests at once takes turns with others."""
+        return self._take_turn(super().read_until_regex(regex, max_bytes))
+
+    def _take_turn(self, read: Future[bytes]) -> Future[bytes]:
+        """Return a read that is done in this connection's next turn of the loop, if one is due.
+
+        The HTTP server leaves the loop now and then while it reads what has been received, but each
+        of many such connections then goes on in the same iteration, and others get a step between
+        two of them only.
+        """
+        if not self._turn.is_over():
+            return read
+        return asyncio.ensure_future(self._finish_later(read))
+
+    async def _finish_later(self, read: Future[bytes]) -> bytes:
+        await self._turn.wait_next()
+        return await read
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Receive bytes and record them; discard them once the connection has been ended."""
--- a/src/guavamast/platform/standins/endless_answer.py
+++ b/src/guavamast/platform/standins/endless_answer.py
@@ -31,6 +31,10 @@
     """Comments in a stream."""
     BLANK_LINES = "blank_lines"
     """Blank lines in a stream."""
+    SMALL_CHUNKS = "small_chunks"
+    """A body in chunks of a byte, as from a server that doesn't buffer what it writes."""
+    SMALL_EVENTS = "small_events"
+    """The shortest events of a stream, in large chunks."""
     TRAILERS = "trailers"
     """Header lines after a body in chunks."""
 
@@ -57,6 +61,8 @@
         EndlessAnswer.LINES: (stream, _fill(b"data: aaaaaaaa\n")),
         EndlessAnswer.COMMENTS: (stream, _fill(b": aaaaaaaa\n\n")),
         EndlessAnswer.BLANK_LINES: (stream, _fill(b"\n\n")),
+        EndlessAnswer.SMALL_CHUNKS: (chunked, _fill(b"1\r\na\r\n")),
+        EndlessAnswer.SMALL_EVENTS: (stream, _fill(b"data: a\n\n")),
         EndlessAnswer.TRAILERS: (chunked + b"1\r\na\r\n0\r\n", _fill(b"X-Filler: aaaaaaaa\r\n")),
     }[kind]
 
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from guavamast.loop_turns import ReaderTurn
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.buffering import BodyTooLarge, ResponseBody
 from guavamast.relay.endpoint_connection import (
@@ -40,6 +41,8 @@
     from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.stream_binding import StreamBinding
 
+FRAMED_BYTES: Final = 4096
+"""Bytes of a stream that are split into events at once: some hundred of the shortest ones."""
 MAX_REJECTION_BYTES: Final = 65_536
 """Bytes of the body of a rejection, of which nothing is used."""
 REJECTION_TIMEOUT_S: Final = 0.5
@@ -84,6 +87,8 @@
         "_reachability",
         "_read_time",
         "_request",
+        "_turn",
+        "_unframed",
         "head",
         "record",
         "sent_at",
@@ -111,6 +116,9 @@
         self._read_time = read_time
         self._acquired: AcquiredConnection | None = None
         self._events = EventFraming()
+        self._unframed = memoryview(b"")
+        """Bytes of the stream that weren't split into events yet."""
+        self._turn = ReaderTurn()
         self._framing: BodyFraming | None = None
         self._length: int | None = None
         self._kept = False
@@ -262,13 +270,24 @@
         Raises:
             AttemptFailed: The stream broke.
         """
-        chunk = await self._read_chunk()
-        if chunk is None:
-            if self._events.is_inside_event:
-                raise AttemptFailed(FailureKind.LOST, "the stream ended inside an event")
-            return None
+        if not self._unframed:
+            chunk = await self._read_chunk()
+            if chunk is None:
+                if self._events.is_inside_event:
+                    raise AttemptFailed(FailureKind.LOST, "the stream ended inside an event")
+                return None
+            if len(chunk) <= FRAMED_BYTES:
+                return self._split_events(chunk)
+            self._unframed = memoryview(chunk)
+            self._turn.renew()
+        if self._turn.is_over():
+            await self._turn.wait_next()
+        part, self._unframed = self._unframed[:FRAMED_BYTES], self._unframed[FRAMED_BYTES:]
+        return self._split_events(part)
+
+    def _split_events(self, part: bytes | memoryview) -> list[StreamEvent]:
         try:
-            return self._events.append(chunk)
+            return self._events.append(part)
         except ValueError as error:
             raise AttemptFailed(FailureKind.UNBOUNDED, str(error)) from error
 
--- a/src/guavamast/relay/event_framing.py
+++ b/src/guavamast/relay/event_framing.py
@@ -60,7 +60,7 @@
         """
         return self._has_field(bytes(self._pending))
 
-    def append(self, chunk: bytes) -> list[StreamEvent]:
+    def append(self, chunk: bytes | memoryview) -> list[StreamEvent]:
         """Return the events that the chunk completes, in order.
 
         Comments and blank lines go with the event after them: they are no sign that the endpoint
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from guavamast.loop_turns import ReaderTurn
 from guavamast.relay.endpoint_connection import (
     ConnectionLost,
     ConnectionRefused,
@@ -59,6 +60,7 @@
         "_outstanding",
         "_reading_paused",
         "_transport",
+        "_turn",
         "_unread_bytes",
         "_waiter",
         "_write_waiter",
@@ -77,6 +79,7 @@
         self._framing = BodyFraming.LENGTH
         self._reading_paused = False
         self._unread_bytes = 0
+        self._turn = ReaderTurn()
         self.established_at = float("inf")
         """Local time by which it was established, as its owner recorded it."""
 
@@ -258,6 +261,8 @@
         self._http.start_next_cycle()
 
     async def _next_event(self) -> h11.Event:
+        if self._turn.is_over():
+            await self._turn.wait_next()
         while True:
             try:
                 event = self._http.next_event()
@@ -302,6 +307,7 @@
             await self._waiter
         finally:
             self._waiter = None
+        self._turn.renew()
 
     def _fail(self, failure: Exception) -> None:
         self._failure = self._failure or failure
--- a/tests/test_platform_endless_answers.py
+++ b/tests/test_platform_endless_answers.py
@@ -26,6 +26,8 @@
 BUSY_FACTOR = 4.0
 """Factor for a busy machine, on which stand-in and instance share one core."""
 STREAM_WAYS = (EndlessAnswer.LINES, EndlessAnswer.COMMENTS, EndlessAnswer.BLANK_LINES)
+SMALL_PARTS = (EndlessAnswer.SMALL_CHUNKS, EndlessAnswer.SMALL_EVENTS)
+"""Ways in which few bytes take long to read; their test is `test_platform_small_parts`."""
 BOTH_WAYS = (EndlessAnswer.HEADERS, EndlessAnswer.INTERIM_HEADS, EndlessAnswer.REJECTION)
 
 
@@ -86,7 +88,7 @@
     async def test_lookups_are_answered_elsewhere(self) -> None:
         """Guards against memory that runs out, and lookups that fail, while an engine sends on."""
         for kind in EndlessAnswer:
-            if kind in STREAM_WAYS:
+            if kind in STREAM_WAYS or kind in SMALL_PARTS:
                 continue
             with self.subTest(kind=kind):
                 await self.check(LOOKUP_PREFIX + "x", "portal", kind)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -35,6 +35,10 @@
     def time(self) -> float:
         return self._instant.now
 
+    def occupy(self, seconds: float) -> None:
+        """Let time pass as if the running callback took it."""
+        self._instant.now += seconds
+
 
 def run_in_virtual_time(main: Coroutine[object, object, Result]) -> Result:
     """Run a coroutine to its end in virtual time."""
