Test: streams don't go on after all instances were killed at once

For the report of "rejoined" streams: engines replaced under their ids and addresses by other software, all instances killed and started again at theirs, streams taken up twice beside new ones.

--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -133,6 +133,8 @@
     """Retries that all instances together may make beyond their share of requests."""
 
     async def asyncSetUp(self) -> None:
+        self.settings: dict[str, dict[str, Any]] = {}
+        """Settings of each instance by its address for callers."""
         self.site = Site()
         self.site.slots = self.slots
         self.site.idle_timeout_ms = self.idle_timeout_ms
@@ -158,14 +160,22 @@
         while True:
             settings = self.site.build_settings(name)
             process = await self.launch(settings)
-            instance = Instance(process, settings["listen"])
-            self.addAsyncCleanup(instance.stop)
+            instance = self.build_instance(process, settings)
             if await instance.wait_ready():
                 return instance
             assert process.stderr is not None
             errors = await process.stderr.read()
             self.assertIn(b"Address already in use", errors)
 
+    def build_instance(
+        self, process: asyncio.subprocess.Process, settings: dict[str, Any]
+    ) -> Instance:
+        """Return the instance of a process that was started with settings."""
+        instance = Instance(process, settings["listen"])
+        self.addAsyncCleanup(instance.stop)
+        self.settings[instance.callers] = settings
+        return instance
+
     async def start_instances(self, count: int) -> list[Instance]:
         """Start a number of processes at the same time and wait until all are ready."""
         names = [f"one-{number}" for number in range(count)]
--- a/tests/test_platform_software_versions.py
+++ b/tests/test_platform_software_versions.py
@@ -375,6 +375,40 @@
             await self.take_up(self.instances[number % 3], stream)
         self.check_versions(streams)
 
+    async def restart_instances(self) -> None:
+        """Kill the processes of all instances at once, and start them again at their addresses."""
+        for instance in self.instances:
+            instance.process.kill()
+        for instance in self.instances:
+            await instance.process.wait()
+        self.instances = [await self.relaunch(instance) for instance in self.instances]
+
+    async def relaunch(self, instance: Instance) -> Instance:
+        """Start a new process with the settings of a former one."""
+        settings = self.settings[instance.callers]
+        started = self.build_instance(await self.launch(settings), settings)
+        self.assertTrue(await started.wait_ready())
+        return started
+
+    async def test_streams_do_not_go_on_after_all_instances_were_killed(self) -> None:
+        """Guards against streams joined of two versions when nobody remembers what began them.
+
+        Half of the engines have just been replaced by other software, at their addresses and under
+        their ids, when all instances are killed at once and come back. Callers take their streams
+        up, twice each, while new streams with other ids begin.
+        """
+        streams = [await self.begin(self.instances[number % 3]) for number in range(STREAMS)]
+        await self.restart("pool-0", "v3")
+        await self.restart("pool-1", "v3")
+        for name in ("pool-0", "pool-1"):
+            self.site.register_engine(name, "pool", self.site.engines[name].port)
+        await self.restart_instances()
+        for attempt in range(2):
+            for number, stream in enumerate(streams):
+                instance = self.instances[(number + attempt) % 3]
+                await asyncio.gather(self.take_up(instance, stream), self.begin(instance))
+        self.check_refused(streams)
+
     async def test_streams_are_not_bound_by_the_row_of_an_earlier_start(self) -> None:
         """Guards against a new stream that is taken for one of the software that ran before."""
         await self.begin(self.instances[0])
