--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -9,13 +9,12 @@
 from guavamast.relay.attempt import Attempt
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.attempt_timeouts import compute_attempt_timeout
-from guavamast.relay.buffering import SlowReader
+from guavamast.relay.caller_delivery import CallerDelivery
 from guavamast.relay.messages import SendParameters
 from guavamast.relay.placed_send import PlacedSend
 from guavamast.relay.quarantine import RunWatch
 from guavamast.relay.request_progress import ReadStream
 from guavamast.relay.response_end_check import ResponseEndCheck
-from guavamast.relay.stream_delivery import StreamDelivery
 from guavamast.relay.stream_observer import StreamObserver
 from guavamast.relay.stream_relay import relay_events
 from guavamast.relay.stream_sampler import StreamSampler
@@ -99,6 +98,7 @@
         "_cache",
         "_codec",
         "_connector",
+        "_delivery",
         "_demand",
         "_end_check",
         "_fleet_state",
@@ -110,7 +110,6 @@
         "_profiles",
         "_rate_limits",
         "_reachability",
-        "_readers",
         "_speeds",
         "_read_time",
         "_publish_load",
@@ -171,7 +170,9 @@
         self._statements = statements
         self._publish_load = publish_load
         self._memory = memory
-        self._readers = readers
+        self._delivery = CallerDelivery(
+            memory=memory, readers=readers, recorder=recorder, read_time=read_time
+        )
         self._read_time = read_time
 
     async def run(
@@ -233,18 +234,8 @@
             self._publish_load(record.endpoint_id, increased=False)
 
     async def deliver(self, request: CallerRequest, progress: RequestProgress) -> None:
-        """Return when the caller has a stream that was read to its end; at once without one.
-
-        A response that was read is delivered, even if late, so the request's time doesn't end this.
-        """
-        stream, delivery = progress.read_stream, progress.delivery
-        if stream is None or delivery is None:
-            return
-        await delivery.flush()
-        await delivery.writer.end()
-        self._recorder.record_response(
-            request, progress, stream.record, status=200, end=stream.end, now=self._read_time()
-        )
+        """Return when the caller has a stream that was read to its end; at once without one."""
+        await self._delivery.finish_stream(request, progress)
 
     def _release_retry(self, progress: RequestProgress) -> None:
         if progress.reserved_retry is not None:
@@ -324,7 +315,7 @@
                     observer = self._build_observer(
                         request, progress, attempt, send, sampler, watch, attempt_timeout
                     )
-                    delivery = self._open_delivery(request, writer, progress)
+                    delivery = self._delivery.open_stream(request, writer, progress)
                     confirm_end = partial(self._confirm_end, attempt)
                     on_event = observer.record_event
                     await relay_events(attempt, delivery, on_event, confirm_end, attempt_timeout)
@@ -462,64 +453,6 @@
         self._loads.record_success(attempt.record.endpoint_id, now=now)
         progress.read_stream = ReadStream(record=attempt.record, end=attempt.describe_end())
 
-    def _open_delivery(
-        self, request: CallerRequest, writer: ResponseWriter, progress: RequestProgress
-    ) -> StreamDelivery:
-        """Return the delivery of a request's events, which goes on across its attempts."""
-        if progress.delivery is None:
-            task = asyncio.current_task()
-            assert task is not None
-
-            def on_cut(reader: SlowReader) -> None:
-                progress.cut_off = True
-                self._record_cut(request, progress, reader)
-                task.cancel()
-
-            progress.delivery = StreamDelivery(
-                writer=writer,
-                account=self._memory,
-                readers=self._readers,
-                on_cut=on_cut,
-                read_time=self._read_time,
-            )
-        return progress.delivery
-
-    def _hold_body(
-        self,
-        request: CallerRequest,
-        writer: ResponseWriter,
-        progress: RequestProgress,
-        response: CompleteResponse,
-    ) -> None:
-        """Count a body that was written until its caller's connection has taken it."""
-
-        def cut_off() -> None:
-            self._record_cut(request, progress, reader)
-            response.held.release()
-            writer.abort()
-
-        def release() -> None:
-            self._readers.close(reader)
-            response.held.release()
-
-        reader = SlowReader(cut_off=cut_off)
-        reader.held_bytes = len(response.body)
-        reader.unsent_since = self._read_time()
-        self._readers.open(reader)
-        writer.call_when_sent(release)
-
-    def _record_cut(
-        self, request: CallerRequest, progress: RequestProgress, reader: SlowReader
-    ) -> None:
-        now = self._read_time()
-        self._recorder.record_reader_cut(
-            request,
-            service=progress.service,
-            held_bytes=reader.held_bytes,
-            unsent_s=now - reader.unsent_since,
-            now=now,
-        )
-
     async def _forward_response(
         self,
         request: CallerRequest,
@@ -540,10 +473,7 @@
         elif progress.error_response is None and progress.admitted.route.repeatable:
             progress.error_response = response
             raise AttemptFailed(FailureKind.ERROR, f"status {status}")
-        try:
-            await writer.send(status, list(response.head.headers), response.body)
-        finally:
-            self._hold_body(request, writer, progress, response)
+        await self._delivery.send(request, writer, progress, response)
         self._recorder.record_response(
             request, progress, attempt.record, status=status, end=attempt.describe_end(), now=now
         )
