--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -140,7 +140,7 @@
         self._site.links[fault.choose_target(sorted(self._site.links))].reset_all()
 
     async def _inject_engine_fault(self, fault: Fault) -> None:
-        engine = self._site.engines[fault.choose_target(sorted(self._site.engines))]
+        engine = self._site.engines[fault.choose_target(self._site.list_linked_engines())]
         engine.fault = ENGINE_FAULTS[int(fault.variant * len(ENGINE_FAULTS))]
         await asyncio.sleep(fault.duration_s)
         engine.fault = EngineFault.NONE
@@ -179,13 +179,13 @@
             engine.framing = None
 
     async def _break_answers_off(self, fault: Fault) -> None:
-        engine = self._site.engines[fault.choose_target(sorted(self._site.engines))]
+        engine = self._site.engines[fault.choose_target(self._site.list_linked_engines())]
         engine.ending = ANSWER_ENDINGS[int(fault.variant * len(ANSWER_ENDINGS))]
         await asyncio.sleep(fault.duration_s)
         engine.ending = WHOLE
 
     async def _crash_engine(self, fault: Fault) -> None:
-        engine_id = fault.choose_target(sorted(self._site.engines))
+        engine_id = fault.choose_target(self._site.list_linked_engines())
         await self._site.crash_engine(engine_id)
         await asyncio.sleep(fault.duration_s)
         if engine_id in self._site.engines:
@@ -196,7 +196,7 @@
 
     async def _reuse_address(self, fault: Fault) -> None:
         """Crash an engine, reassign its address and replace it at another address."""
-        engine_id = fault.choose_target(sorted(self._site.engines))
+        engine_id = fault.choose_target(self._site.list_linked_engines())
         service = self._site.engine_services[engine_id]
         await self._site.crash_engine(engine_id)
         if engine_id not in self._site.engines:
@@ -207,7 +207,7 @@
         await self._site.add_engine(new_id, service)
 
     async def _drain_engine(self, fault: Fault) -> None:
-        engine_id = fault.choose_target(sorted(self._site.engines))
+        engine_id = fault.choose_target(self._site.list_linked_engines())
         self._site.list_engine_link(engine_id, state="draining")
         drain_started_at = time.monotonic()
         await asyncio.sleep(fault.duration_s)
--- a/soak/site.py
+++ b/soak/site.py
@@ -91,6 +91,14 @@
         self.list_engine_link(engine_id)
         return engine
 
+    def list_linked_engines(self) -> list[str]:
+        """Return the ids of the engines that faults may affect.
+
+        An engine that a concurrent fault starts has no link yet: a fault that chose it would fail,
+        and end the run with all its seeds.
+        """
+        return sorted(self.engines.keys() & self.links.keys())
+
     def list_engine_link(self, engine_id: str, *, state: str = "ready") -> None:
         """Write an engine's row to the store, with the address of its link."""
         if engine_id in self.leaving:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,6 +35,7 @@
     plan_partitions,
     plan_releases,
 )
+from soak.site import SoakSite
 from soak.streams import (
     StreamAttempt,
     StreamEvent,
@@ -365,6 +366,17 @@
         self.assertEqual(self.find(30, disruptions=[disruption]), [])
 
 
+class TargetTest(unittest.TestCase):
+    """Faults affect engines that they can reach."""
+
+    def test_an_engine_that_is_being_started_is_no_target(self) -> None:
+        """Guards against a fault that fails for want of a link, and ends the run of all seeds."""
+        site = SoakSite(directory="")
+        site.engines = {"b": mock.Mock(), "a": mock.Mock(), "started": mock.Mock()}
+        site.links = {"b": mock.Mock(), "a": mock.Mock(), "replaced": mock.Mock()}
+        self.assertEqual(site.list_linked_engines(), ["a", "b"])
+
+
 class ScheduleTest(unittest.TestCase):
     """Faults are determined by the seed and leave time to recover."""
 
