A row's key that can't be encoded hides no other row

Found on reading the boundary of bytes from outside once more: the text of the store's whole response was checked, so one key with a lone surrogate failed the read of its table at each instance, as one bad value had ended them. Keys are now checked row by row, where records are decoded; paging and the digest of a table take any key.

The test of a row among others plays such a key as well; without the change the instance that starts beside it is never ready.

--- a/src/guavamast/decoding.py
+++ b/src/guavamast/decoding.py
@@ -95,6 +95,18 @@
     return _decode(data, _PEER_DECODER)
 
 
+def decode_rows_json(data: bytes) -> Any:
+    """Return the same for rows of several writers: any text, which is checked row by row.
+
+    One key that can't be encoded would otherwise hide all other rows.
+
+    Raises:
+        ValueError: The text is malformed or has another such value.
+        RecursionError: It is nested too deeply.
+    """
+    return _DECODER.decode(data.decode())
+
+
 def decode_ip(value: object) -> str:
     """Return the IPv4 address in a value.
 
--- a/src/guavamast/platform/quarantine_wire.py
+++ b/src/guavamast/platform/quarantine_wire.py
@@ -46,6 +46,7 @@
         MalformedData: The value is not that of such a row.
     """
     with Decoding("quarantine"):
+        key.encode()  # A lone surrogate fails wherever the attribute is compared later.
         organisation = fields["organisation"]
         lifted_by = fields["lifted_by"]
         return QuarantineRow(
--- a/src/guavamast/platform/store_calls.py
+++ b/src/guavamast/platform/store_calls.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import urlencode
 
-from guavamast.decoding import Decoding, MalformedData, decode_json
+from guavamast.decoding import Decoding, MalformedData, decode_json, decode_rows_json
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 from guavamast.relay.loop_timeout import wait_in_steps
 from guavamast.relay.store import StoreError
@@ -169,7 +169,7 @@
             query = {"table": table, "part": "", "from": start, "limit": limit or PAGE_ROWS}
             if end is not None:
                 query["target"] = end
-            target = f"/v1/rows-get?{urlencode(query)}"
+            target = f"/v1/rows-get?{urlencode(query, errors='surrogatepass')}"
             response = await self._call("GET", target, b"", timeout_s=CALL_TIMEOUT_S)
             with _StoreDecoding():
                 page = _decode_page(response)
@@ -220,7 +220,7 @@
         if status != 200:
             raise StoreError(f"status {status}")
         with _StoreDecoding():
-            response = decode_json(data)
+            response = decode_rows_json(data)
             if "now_ms" in response:
                 self._clock.record(sent=sent, store_time=_decode_store_time(response))
             return response
--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -4,7 +4,14 @@
 
 from typing import TYPE_CHECKING, Final, TypeVar
 
-from guavamast.decoding import Decoding, MalformedData, decode_ip, decode_json, decode_port
+from guavamast.decoding import (
+    Decoding,
+    MalformedData,
+    decode_ip,
+    decode_json,
+    decode_name,
+    decode_port,
+)
 from guavamast.platform.catalog_wire import decode_catalog
 from guavamast.platform.endpoint_wire import decode_endpoint
 from guavamast.platform.quarantine_wire import (
@@ -223,7 +230,7 @@
     with Decoding("instance"):
         fields = row.decode()
         return InstanceRecord(
-            name=row.key,
+            name=decode_name(row.key),
             ip=decode_ip(fields["ip"]),
             failure_domain=str(fields["failure_domain"]),
             region=str(fields["region"]),
--- a/src/guavamast/relay/endpoint_table.py
+++ b/src/guavamast/relay/endpoint_table.py
@@ -39,7 +39,7 @@
     """Return a digest of a table's content, computed from the keys and versions of its rows."""
     digest = blake2b(digest_size=8)
     for key, version in sorted(versions):
-        digest.update(f"{key}\x00{version}\x00".encode())
+        digest.update(f"{key}\x00{version}\x00".encode(errors="surrogatepass"))
     return digest.hexdigest()
 
 
--- a/tests/test_platform_unreadable_rows.py
+++ b/tests/test_platform_unreadable_rows.py
@@ -18,6 +18,8 @@
 INSTANCES = 2
 UNREADABLE = b"[" * 20_000
 """A value that is nested too deeply to be decoded."""
+UNENCODABLE = "\ud800"
+"""A key that can't be encoded."""
 WATCHED_S = 3.0
 """Seconds after a row was written: several reads of each table, and a start of a process."""
 SILENT_S = 4.0
@@ -71,6 +73,7 @@
         """Guards against a row in any table that ends all instances, and all that start after."""
         for table in TABLES:
             self.site.store.put_bytes(table, "i-0f3c77aa10", UNREADABLE)
+            self.site.store.put(table, UNENCODABLE, {})
         await self.check_served(self.instances)
         started = await self.start_instance("late")
         await self.check_served([*self.instances, started])
