Answers of the store are decoded by one function

A subclass of the context wrote its whole signature again to raise another error; a function that converts the error replaces it. Behaviour as before: the tests of the store's client, of unreadable rows and of duties pass.

--- a/src/guavamast/platform/store_calls.py
+++ b/src/guavamast/platform/store_calls.py
@@ -5,7 +5,7 @@
 import base64
 import json
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 from urllib.parse import urlencode
 
 from guavamast.decoding import Decoding, MalformedData, decode_json, decode_rows_json
@@ -15,7 +15,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from types import TracebackType
 
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.node_settings import SocketAddress
@@ -32,6 +31,9 @@
 """Bytes of a response: far above one page of rows."""
 PAGE_ROWS: Final = 500
 
+Answer = TypeVar("Answer")
+Result = TypeVar("Result")
+
 
 class StoreConflict(StoreError):
     """A conditional write whose row has another version than expected."""
@@ -148,9 +150,7 @@
         response = await self._call(
             "POST", "/v1/rows-tx", transaction.encode(), timeout_s=BACKGROUND_TIMEOUT_S
         )
-        with _StoreDecoding():
-            version = int(response["ver"])
-            return Committed(version=version, store_time=_decode_store_time(response))
+        return _read_answer(response, _decode_committed)
 
     async def read_rows(
         self, table: str, *, start: str = "", end: str | None = None, limit: int | None = None
@@ -171,8 +171,7 @@
                 query["target"] = end
             target = f"/v1/rows-get?{urlencode(query, errors='surrogatepass')}"
             response = await self._call("GET", target, b"", timeout_s=CALL_TIMEOUT_S)
-            with _StoreDecoding():
-                page = _decode_page(response)
+            page = _read_answer(response, _decode_page)
             store_time = page.store_time if store_time is None else store_time
             rows.extend(page.rows)
             if not page.has_more or not page.rows or limit is not None:
@@ -219,11 +218,11 @@
             raise StoreConflict("a row has another version")
         if status != 200:
             raise StoreError(f"status {status}")
-        with _StoreDecoding():
-            response = decode_rows_json(data)
-            if "now_ms" in response:
-                self._clock.record(sent=sent, store_time=_decode_store_time(response))
-            return response
+        response = _read_answer(data, _decode_answer)
+        if "now_ms" in response:
+            store_time = _read_answer(response, _decode_store_time)
+            self._clock.record(sent=sent, store_time=store_time)
+        return response
 
     def _pop_idle(self) -> HttpConnection | None:
         while self._idle:
@@ -264,29 +263,29 @@
     has_more: bool
 
 
-class _StoreDecoding(Decoding):
-    """Context of the decoder of a response; what is malformed fails the call."""
+def _read_answer(answer: Answer, decode: Callable[[Answer], Result]) -> Result:
+    """Return what a decoder makes of an answer.
 
-    __slots__ = ()
+    Raises:
+        StoreError: The answer is malformed.
+    """
+    try:
+        with Decoding("answer"):
+            return decode(answer)
+    except MalformedData as error:
+        raise StoreError(str(error)) from error
 
-    def __init__(self) -> None:
-        super().__init__("answer")
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Convert an error.
+def _decode_answer(data: bytes) -> dict[str, Any]:
+    response = decode_rows_json(data)
+    if not isinstance(response, dict):
+        raise ValueError("response is no object")
+    return response
 
-        Raises:
-            StoreError: There was an error.
-        """
-        try:
-            super().__exit__(kind, error, traceback)
-        except MalformedData as malformed:
-            raise StoreError(str(malformed)) from error
+
+def _decode_committed(response: dict[str, Any]) -> Committed:
+    version = int(response["ver"])
+    return Committed(version=version, store_time=_decode_store_time(response))
 
 
 def _decode_page(response: dict[str, Any]) -> _Page:
