The requester in a message is decoded in one place

Five decoders, four of scheduling messages and one of bound streams, built it from the same two fields. Behaviour as before; tests of both kinds of messages and of all decoders pass.

--- a/src/guavamast/relay/requester.py
+++ b/src/guavamast/relay/requester.py
@@ -16,3 +16,12 @@
     instance: str
     incarnation: int
     """Start of the process in Unix milliseconds."""
+
+
+def decode_requester(instance: object, incarnation: int) -> Requester:
+    """Return the requester in two fields of a message.
+
+    Raises:
+        TypeError, ValueError: The start is no number.
+    """
+    return Requester(instance=str(instance), incarnation=int(incarnation))
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -8,7 +8,7 @@
 from guavamast.decoding import Decoding, decode_peer_json
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.placement import Obstacle, ObstacleKind, RoomCheck
-from guavamast.relay.requester import Requester
+from guavamast.relay.requester import decode_requester
 from guavamast.relay.scheduling_messages import (
     PlacedWork,
     PlacementQuery,
@@ -105,7 +105,7 @@
     pause_sensitive, latency_tolerant, most_urgent, least_urgent, rejectable = map(bool, flags[:5])
     limits = flags[5] if len(flags) > 5 else 0
     return PlacementQuery(
-        requester=Requester(instance=str(instance), incarnation=int(incarnation)),
+        requester=decode_requester(instance, incarnation),
         number=int(number),
         group=str(group),
         service=str(service),
@@ -194,7 +194,7 @@
     permitted: int = 0,
 ) -> PlacementReply:
     return PlacementReply(
-        requester=Requester(instance=str(instance), incarnation=int(incarnation)),
+        requester=decode_requester(instance, incarnation),
         number=int(number),
         verdict=_VERDICT_LIST[verdict],
         endpoint_id=str(endpoint_id),
@@ -263,7 +263,7 @@
     mean_pause_ms: float,
 ) -> WorkUpdate:
     return WorkUpdate(
-        requester=Requester(instance=str(instance), incarnation=int(incarnation)),
+        requester=decode_requester(instance, incarnation),
         group=str(group),
         number=int(number),
         phase=_PHASE_LIST[phase],
@@ -295,7 +295,7 @@
     instance: str, incarnation: int, group: str, works: list[list[Any]]
 ) -> WorkReport:
     return WorkReport(
-        requester=Requester(instance=str(instance), incarnation=int(incarnation)),
+        requester=decode_requester(instance, incarnation),
         group=str(group),
         works=tuple(_decode_work(*fields) for fields in works),
     )
--- a/src/guavamast/relay/stream_binding/wire.py
+++ b/src/guavamast/relay/stream_binding/wire.py
@@ -10,7 +10,7 @@
 from typing import Any, Final, TypeAlias
 
 from guavamast.decoding import Decoding, decode_json
-from guavamast.relay.requester import Requester
+from guavamast.relay.requester import Requester, decode_requester
 from guavamast.relay.stream_binding.records import (
     BoundStream,
     StreamBinding,
@@ -87,13 +87,13 @@
 def _decode_query(fields: list[Any], now: float) -> BindingQuery:
     del now
     name, incarnation, key = fields
-    return BindingQuery(requester=_decode_requester(name, incarnation), key=str(key))
+    return BindingQuery(requester=decode_requester(name, incarnation), key=str(key))
 
 
 def _decode_reply(fields: list[Any], now: float) -> BindingReply:
     name, incarnation, key, instance, *stream = fields
     return BindingReply(
-        requester=_decode_requester(name, incarnation),
+        requester=decode_requester(name, incarnation),
         key=str(key),
         instance=str(instance),
         stream=_decode_stream(stream, now) if stream else None,
@@ -104,10 +104,6 @@
     return [message.requester.instance, message.requester.incarnation, message.key]
 
 
-def _decode_requester(name: str, incarnation: int) -> Requester:
-    return Requester(instance=str(name), incarnation=int(incarnation))
-
-
 def _encode_stream(stream: BoundStream, now: float) -> list[Any]:
     binding = stream.binding
     source = stream.unconfirmed
