--- a/src/guavamast/platform/settings.py
+++ b/src/guavamast/platform/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from guavamast.decoding import Decoding, MalformedData, decode_ip, decode_json, decode_port
@@ -103,7 +102,8 @@
         FindingsError: With all findings of the file.
     """
     try:
-        data = Path(path).read_bytes()
+        with open(path, "rb") as file:
+            data = file.read()
         with Decoding("settings"):
             fields = decode_json(data)
             if not isinstance(fields, dict):
