Log and metrics tell when a request cut by a departure was received

A stream that a leaving instance cut said "time is up", as one whose route's timeout had passed, and given_up named a connection only. Ended requests now have the cause instance_left and received_after_signal_s, given_up also the request, and ended_by_leaving_total counts them by received before or after the signal. The moments of a departure are a module of their own (DepartureSchedule), which both read.

--- a/src/guavamast/caller_connection.py
+++ b/src/guavamast/caller_connection.py
@@ -53,6 +53,10 @@
     """Bytes of the current response that were handed to the operating system."""
     head_received: bool = False
     request_complete: bool = False
+    completed_at: float | None = None
+    """When the current request had been received completely."""
+    request_id: str | None = None
+    """Id of the current request, once it is known."""
     response_begun: bool = False
     """Whether a byte of the current response was written, possibly not yet sent."""
     closed_by_caller: bool = False
@@ -74,6 +78,8 @@
         self.sent_bytes = 0
         self.head_received = False
         self.request_complete = False
+        self.completed_at = None
+        self.request_id = None
         self.response_begun = False
 
 
--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -55,13 +55,21 @@
     Args:
         request: Receives the request.
         trace: Trace of the request's connection.
+        read_time: Reads the clock of the trace.
     """
 
-    __slots__ = ("_request", "_trace")
+    __slots__ = ("_read_time", "_request", "_trace")
 
-    def __init__(self, *, request: httputil.HTTPMessageDelegate, trace: ConnectionTrace) -> None:
+    def __init__(
+        self,
+        *,
+        request: httputil.HTTPMessageDelegate,
+        trace: ConnectionTrace,
+        read_time: Callable[[], float],
+    ) -> None:
         self._request = request
         self._trace = trace
+        self._read_time = read_time
 
     def headers_received(
         self,
@@ -86,6 +94,7 @@
             self.on_connection_close()
             return
         self._trace.request_complete = True
+        self._trace.completed_at = self._read_time()
         self._request.finish()
 
     def on_connection_close(self) -> None:
@@ -185,7 +194,7 @@
         if stream.trace.ended_at is None and not stream.closed():
             stream.trace.begin_request()
         request = super().start_request(server_conn, request_conn)
-        return _TracedRequest(request=request, trace=stream.trace)
+        return _TracedRequest(request=request, trace=stream.trace, read_time=self._read_time)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that has closed."""
--- a/src/guavamast/relay/connection_log.py
+++ b/src/guavamast/relay/connection_log.py
@@ -6,10 +6,12 @@
 
 if TYPE_CHECKING:
     from guavamast.caller_connection import ConnectionTrace
-    from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.decision_log import DecisionLog, LogValue
 
 
-def log_connection(log: DecisionLog, event: str, trace: ConnectionTrace, *, now: float) -> None:
+def log_connection(
+    log: DecisionLog, event: str, trace: ConnectionTrace, *, now: float, **fields: LogValue
+) -> None:
     """Log what happened on a connection.
 
     Args:
@@ -17,11 +19,13 @@
         event: What the instance did.
         trace: What happened on the connection before.
         now: The time on the trace's clock.
+        fields: Further fields of the line.
     """
     log.write(
         event,
         now=now,
         caller=trace.address,
+        request_id=trace.request_id,
         stage=trace.stage,
         age_s=round(now - trace.accepted_at, 3),
         silent_s=round(now - trace.active_at, 3),
@@ -29,4 +33,5 @@
         head_received=trace.head_received,
         response_begun=trace.response_begun,
         responses=trace.responses,
+        **fields,
     )
--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -6,30 +6,18 @@
 from itertools import chain
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.caller_addresses import VALIDITY_S
 from guavamast.relay.connection_log import log_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.departure_schedule import DepartureSchedule
     from guavamast.relay.forwarding import ForwardListener
     from guavamast.relay.listener import CallerListener
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.store import Store
 
-ADDRESS_CACHE_FACTOR: Final = 3.0
-"""Factor on the validity of a response with addresses: some callers cache it that long."""
-LEAVE_MARGIN_S: Final = 0.5
-"""Seconds added to the time in which callers may still connect: a heartbeat plus the transit of a
-request."""
-MAX_ACCEPT_SHARE: Final = 0.5
-"""Share of its remaining time in which a leaving instance accepts requests at most. The rest is for
-their responses: in a short grace time, those accepted last would be cut."""
-STOP_MARGIN_S: Final = 0.8
-"""Seconds before the platform would kill the process at which it ends."""
-RESPONSE_MARGIN_S: Final = 0.1
-"""Seconds before the end for the responses to requests that ran out of time by it."""
 CHECK_INTERVAL_S: Final = 0.05
 """Seconds between two checks of the clock."""
 
@@ -39,7 +27,7 @@
 
     Args:
         name: Name of this instance.
-        grace_s: Time from the stop signal until the platform kills the process.
+        schedule: Moments of the departure; begun by the stop signal.
         store: Holds the record of this instance.
         listener: Accepts callers' connections.
         forward_listener: Accepts the requests of other instances.
@@ -52,12 +40,12 @@
     __slots__ = (
         "_announce",
         "_forward_listener",
-        "_grace_s",
         "_listener",
         "_log",
         "_name",
         "_read_time",
         "_relayer",
+        "_schedule",
         "_store",
     )
 
@@ -65,7 +53,7 @@
         self,
         *,
         name: str,
-        grace_s: float,
+        schedule: DepartureSchedule,
         store: Store,
         listener: CallerListener,
         forward_listener: ForwardListener,
@@ -75,7 +63,7 @@
         read_time: Callable[[], float],
     ) -> None:
         self._name = name
-        self._grace_s = grace_s
+        self._schedule = schedule
         self._store = store
         self._listener = listener
         self._forward_listener = forward_listener
@@ -86,22 +74,25 @@
 
     async def run(self) -> None:
         """Keep serving while callers may still connect, then finish the requests in flight."""
-        requested_at = self._read_time()
+        schedule = self._schedule
         self._listener.disable_keep_alive()
         self._announce()
-        self._log.write("leaving", now=requested_at, in_flight=self._relayer.in_flight)
-        addresses_expired_at = requested_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
-        deadline = requested_at + self._grace_s - STOP_MARGIN_S
-        accepts_until = requested_at + MAX_ACCEPT_SHARE * (deadline - requested_at)
+        self._log.write("leaving", now=self._read_time(), in_flight=self._relayer.in_flight)
         removing = asyncio.create_task(self.unregister(self._name))
-        await self._wait_until(min(addresses_expired_at, accepts_until))
-        expiring = asyncio.create_task(self._expire_requests(deadline - RESPONSE_MARGIN_S))
+        await self._wait_until(schedule.accepts_until)
+        expiring = asyncio.create_task(self._expire_requests(schedule.requests_end_at))
         drained = await asyncio.gather(
-            self._listener.drain(deadline=deadline),
-            self._forward_listener.drain(deadline=deadline),
+            self._listener.drain(deadline=schedule.ends_at),
+            self._forward_listener.drain(deadline=schedule.ends_at),
         )
         for trace in chain(*drained):
-            log_connection(self._log, "given_up", trace, now=self._read_time())
+            log_connection(
+                self._log,
+                "given_up",
+                trace,
+                now=self._read_time(),
+                received_after_signal_s=schedule.compute_offset(trace.completed_at),
+            )
         expiring.cancel()
         removing.cancel()
 
--- /dev/null
+++ b/src/guavamast/relay/departure_schedule.py
@@ -0,0 +1,70 @@
+"""Moments of an instance's departure, from the stop signal to the end of its process."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from guavamast.relay.caller_addresses import VALIDITY_S
+
+ADDRESS_CACHE_FACTOR: Final = 3.0
+"""Factor on the validity of a response with addresses: some callers cache it that long."""
+LEAVE_MARGIN_S: Final = 0.5
+"""Seconds added to the time in which callers may still connect: a heartbeat plus the transit of a
+request."""
+MAX_ACCEPT_SHARE: Final = 0.5
+"""Share of its remaining time in which a leaving instance accepts requests at most. The rest is for
+their responses: in a short grace time, those accepted last would be cut."""
+STOP_MARGIN_S: Final = 0.8
+"""Seconds before the platform would kill the process at which it ends."""
+RESPONSE_MARGIN_S: Final = 0.1
+"""Seconds before the end for the responses to requests that ran out of time by it."""
+
+
+class DepartureSchedule:
+    """When a leaving instance stops accepting, ends requests, and ends itself.
+
+    Args:
+        grace_s: Seconds from the stop signal until the platform kills the process.
+    """
+
+    __slots__ = ("_grace_s", "_signalled_at")
+
+    def __init__(self, *, grace_s: float) -> None:
+        self._grace_s = grace_s
+        self._signalled_at: float | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the stop signal was received."""
+        return self._signalled_at is not None
+
+    @property
+    def accepts_until(self) -> float:
+        """Local time until which requests are accepted."""
+        signalled_at = self._get_signal_time()
+        expired_at = signalled_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
+        return min(expired_at, signalled_at + MAX_ACCEPT_SHARE * (self.ends_at - signalled_at))
+
+    @property
+    def requests_end_at(self) -> float:
+        """Local time at which the requests in flight run out of time."""
+        return self.ends_at - RESPONSE_MARGIN_S
+
+    @property
+    def ends_at(self) -> float:
+        """Local time at which the last connections are closed."""
+        return self._get_signal_time() + self._grace_s - STOP_MARGIN_S
+
+    def begin(self, *, now: float) -> None:
+        """Record the stop signal."""
+        self._signalled_at = now
+
+    def compute_offset(self, at: float | None) -> float | None:
+        """Return the seconds from the stop signal to a local time; None without one of them."""
+        if self._signalled_at is None or at is None:
+            return None
+        return round(at - self._signalled_at, 3)
+
+    def _get_signal_time(self) -> float:
+        assert self._signalled_at is not None
+        return self._signalled_at
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -8,6 +8,7 @@
 
 from tornado import httputil
 
+from guavamast.caller_connection import CallerStream
 from guavamast.caller_server import CallerServer, LastResponses, encode_response
 from guavamast.relay.buffering import RequestBody
 from guavamast.relay.tornado_writer import TornadoWriter
@@ -98,6 +99,7 @@
         request = self._listener.read_request(
             self._start, list(self._headers.get_all()), self._body.take()
         )
+        _record_id(self._connection, request.request_id)
         writer = TornadoWriter(connection=self._connection, http_version=self._start.version)
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(self._listener.relay(request, writer))
@@ -238,6 +240,13 @@
             writer.abort()
 
 
+def _record_id(connection: HTTP1Connection, request_id: str) -> None:
+    """Record the id of a connection's current request in its trace."""
+    stream = connection.stream
+    assert isinstance(stream, CallerStream)
+    stream.trace.request_id = request_id
+
+
 def _parse_length(value: str) -> int:
     """Return the stated length of a body; 0 for one that the HTTP server rejects next."""
     return int(value) if value.isascii() and value.isdecimal() else 0
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -23,6 +23,7 @@
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.departure import Departure
+from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.endpoint_access import EndpointAccess
 from guavamast.relay.endpoint_statements import EndpointStatements
 from guavamast.relay.fleet_state import FleetState
@@ -111,7 +112,7 @@
         self._store = store
         self._random = Random(f"{settings.name}{os.getpid()}{time.time_ns()}")
         self._incarnation = time.time_ns() // 1_000_000
-        self._leaving = False
+        self._schedule = DepartureSchedule(grace_s=settings.grace_s)
         self._work = WorkState(settings.sharing)
         self._loop_delay = LoopDelay()
         memory_limit = compute_memory_limit(settings.memory_bytes)
@@ -160,6 +161,7 @@
             counters=self.counters,
             fleet_state=self.fleet_state,
             loop_delay=self._loop_delay,
+            schedule=self._schedule,
         )
         admission = self._build_admission()
         self._relayer = self._build_relayer(codec, admission)
@@ -188,7 +190,7 @@
         )
         self._departure = Departure(
             name=settings.name,
-            grace_s=settings.grace_s,
+            schedule=self._schedule,
             store=store,
             listener=self._listener,
             forward_listener=self._forward_listener,
@@ -250,7 +252,7 @@
             profiles=self._work.profiles,
             limits=limits,
             rate_limits=rate_limits,
-            is_leaving=lambda: self._leaving,
+            is_leaving=lambda: self._schedule.is_leaving,
             counters=self.counters,
             send=self._heartbeat_socket.send_to,
             sharing=self.settings.sharing,
@@ -440,7 +442,7 @@
     @property
     def state(self) -> InstanceState:
         """State of this instance; only a serving one is listed for callers."""
-        if self._leaving:
+        if self._schedule.is_leaving:
             return InstanceState.LEAVING
         if self.fleet_state.catalog is None or not self.fleet_state.endpoints.digest:
             return InstanceState.STARTING
@@ -491,7 +493,7 @@
         gc.freeze()
         background = self._start_background()
         await self._stop.wait()
-        self._leaving = True
+        self._schedule.begin(now=read_boot_time())
         if self._duties is not None:
             background.append(asyncio.create_task(self._duties.holder.leave()))
         await self._departure.run()
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -68,6 +68,7 @@
         "_demand",
         "_engine_demand",
         "_ends",
+        "_expired",
         "_exchanger",
         "_fleet_state",
         "_guard",
@@ -120,6 +121,8 @@
         self._recorder = recorder
         self._read_time = read_time
         self._timeouts: set[asyncio.Timeout] = set()
+        self._expired = False
+        """Whether the time of all requests was ended, as the instance leaves."""
         self.in_flight = 0
         """Requests being relayed."""
 
@@ -149,6 +152,7 @@
 
     def expire_requests(self) -> None:
         """End the time of all requests, so that each caller is told whether it may have run."""
+        self._expired = True
         now = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
             if not timeout.expired():
@@ -191,8 +195,8 @@
                 writer,
                 progress,
                 status=504,
-                reason="time is up",
-                cause=UnservedCause.TIME_UP,
+                reason="the instance left" if self._expired else "time is up",
+                cause=UnservedCause.INSTANCE_LEFT if self._expired else UnservedCause.TIME_UP,
             )
         finally:
             self._timeouts.discard(timeout)
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -18,6 +18,7 @@
     from guavamast.relay.caller_gate import Admitted, Denied
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.departure_schedule import DepartureSchedule
     from guavamast.relay.endpoint_load import Load
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
@@ -41,9 +42,10 @@
         counters: Receives the metrics.
         fleet_state: Versions and ages of the data behind decisions.
         loop_delay: Delay of this process's event loop.
+        schedule: Moments of this instance's departure.
     """
 
-    __slots__ = ("_counters", "_fleet_state", "_log", "_loop_delay", "_share_names")
+    __slots__ = ("_counters", "_fleet_state", "_log", "_loop_delay", "_schedule", "_share_names")
 
     def __init__(
         self,
@@ -52,11 +54,13 @@
         counters: Counters,
         fleet_state: FleetState,
         loop_delay: LoopDelay,
+        schedule: DepartureSchedule,
     ) -> None:
         self._log = log
         self._counters = counters
         self._fleet_state = fleet_state
         self._loop_delay = loop_delay
+        self._schedule = schedule
         self._share_names: set[str] = set()
         """Organisations that have a metric of their own."""
 
@@ -275,6 +279,7 @@
             config_age_s=ages.config_s,
             endpoints_age_s=ages.endpoints_s,
             loop_delay_s=round(self._loop_delay.read(now=now), 3),
+            received_after_signal_s=self._schedule.compute_offset(request.received_at),
         )
 
     def record_capacity_rejection(
@@ -379,6 +384,7 @@
             first_event_s=round(timing.first_event_s or 0.0, 4),
             longest_pause_s=round(timing.longest_pause_s, 4),
             unread_tokens_then=timing.uncached_tokens_at_longest_pause,
+            received_after_signal_s=self._schedule.compute_offset(request.received_at),
         )
 
     def record_end(
@@ -407,6 +413,9 @@
         self._count_end(outcome, took_s)
         if progress is not None:
             self._count_unserved(progress, cause)
+        if cause is UnservedCause.INSTANCE_LEFT:
+            received = "after" if self._is_after_signal(request) else "before"
+            self._counters.add(f'ended_by_leaving_total{{received="{received}"}}')
         self._log.write(
             "ended",
             now=now,
@@ -421,8 +430,14 @@
             precedence=progress.admitted.precedence if progress is not None else None,
             prompt_tokens=request.prompt_tokens,
             caller_part=request.caller_part,
+            received_after_signal_s=self._schedule.compute_offset(request.received_at),
         )
 
+    def _is_after_signal(self, request: CallerRequest) -> bool:
+        """Return whether a request was received after this instance was told to leave."""
+        offset_s = self._schedule.compute_offset(request.received_at)
+        return offset_s is not None and offset_s >= 0.0
+
     def _count_unserved(self, progress: RequestProgress, cause: UnservedCause) -> None:
         """Count an attempt of a caller that was not answered."""
         labels = f'precedence="{progress.admitted.precedence}",cause="{cause}"'
--- a/src/guavamast/relay/unserved_cause.py
+++ b/src/guavamast/relay/unserved_cause.py
@@ -14,6 +14,8 @@
     """Rejected by the endpoints that it was sent to."""
     TIME_UP = "time_up"
     """Its time ended before its response did."""
+    INSTANCE_LEFT = "instance_left"
+    """Its instance left before its response was complete."""
     BROKEN_OFF = "broken_off"
     """Its stream had begun and could not go on."""
     FAILED = "failed"
--- a/src/guavamast/relay/unserved_ends.py
+++ b/src/guavamast/relay/unserved_ends.py
@@ -109,7 +109,7 @@
             self._recorder.record_end(
                 request,
                 progress,
-                cause=UnservedCause.BROKEN_OFF,
+                cause=cause if cause is UnservedCause.INSTANCE_LEFT else UnservedCause.BROKEN_OFF,
                 outcome="broken_off",
                 reason=reason,
                 now=now,
--- a/tests/_kept_callers.py
+++ b/tests/_kept_callers.py
@@ -71,9 +71,7 @@
     def list_sent(self, address: str, *, since: float, until: float) -> list[KeptRequest]:
         """Return the requests sent to an instance within a span of the monotonic clock."""
         return [
-            one
-            for one in self.requests
-            if one.address == address and since <= one.sent_at < until
+            one for one in self.requests if one.address == address and since <= one.sent_at < until
         ]
 
     async def _call(self, name: str, address: str, has_ended: Callable[[str], bool]) -> None:
@@ -81,9 +79,7 @@
         count = 0
         while not has_ended(address):
             try:
-                connection = await HttpConnection.open(
-                    host, int(port), timeout_s=CONNECT_TIMEOUT_S
-                )
+                connection = await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
             except ConnectionLost:
                 await asyncio.sleep(RECONNECT_PAUSE_S)
                 continue
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -14,6 +14,7 @@
 from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.endpoint_connector import EndpointConnector
 from guavamast.relay.endpoint_load import EndpointLoads
 from guavamast.relay.endpoint_statements import EndpointStatements
@@ -185,6 +186,7 @@
             counters=counters,
             fleet_state=self.simulation.fleet_state,
             loop_delay=LoopDelay(),
+            schedule=DepartureSchedule(grace_s=8.0),
         )
         self.bindings = BindingDirectory(
             requester=Requester(instance="one", incarnation=1),
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -10,10 +10,12 @@
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.placement import Choice, Obstacle, ObstacleKind, Rejection
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.response_end import BodyEnding, BodyFraming, ResponseEnd
+from guavamast.relay.unserved_cause import UnservedCause
 from tests.relay_fixtures import build_endpoint, build_request
 from tests.test_relay_quarantine_guard import build_progress
 
@@ -26,11 +28,13 @@
         self.addCleanup(os.close, self.read_end)
         self.addCleanup(os.close, write_end)
         self.counters = Counters()
+        self.schedule = DepartureSchedule(grace_s=8.0)
         self.recorder = RequestRecorder(
             log=DecisionLog(instance="one", descriptor=write_end),
             counters=self.counters,
             fleet_state=mock.Mock(),
             loop_delay=LoopDelay(),
+            schedule=self.schedule,
         )
 
     def read_line(self) -> dict[str, object]:
@@ -112,6 +116,21 @@
         labels = 'framing="connection",ending="closed",inside_event="true"'
         self.assertIn(f"response_ends_total{{{labels}}} 1", self.counters.render())
 
+    def test_a_request_cut_by_a_departure_tells_when_it_was_received(self) -> None:
+        """Guards against a cut request that looks as if its own time had been up."""
+        request = build_request(received_at=104.0)
+        self.schedule.begin(now=101.5)
+        self.recorder.record_end(
+            request,
+            build_progress(),
+            cause=UnservedCause.INSTANCE_LEFT,
+            outcome="broken_off",
+            now=108.0,
+        )
+        line = self.read_line()
+        self.assertEqual((line["cause"], line["received_after_signal_s"]), ("instance_left", 2.5))
+        self.assertIn('ended_by_leaving_total{received="after"} 1', self.counters.render())
+
     def test_a_failed_attempt_tells_the_software_of_its_endpoint(self) -> None:
         """Guards against endpoints of several versions that look alike in the log."""
         endpoint = build_endpoint("x", software_version="v1.2", started_ms=17)
