--- a/tests/_kept_callers.py
+++ b/tests/_kept_callers.py
@@ -50,12 +50,16 @@
         addresses: ``ip:port`` of the instance of each caller.
         target: Path of the requests.
         timeout_ms: Milliseconds that a caller waits for a response.
+        stagger_s: Seconds between the first requests of two callers.
     """
 
-    def __init__(self, *, addresses: list[str], target: str, timeout_ms: int) -> None:
+    def __init__(
+        self, *, addresses: list[str], target: str, timeout_ms: int, stagger_s: float = 0.0
+    ) -> None:
         self._addresses = addresses
         self._target = target
         self._timeout_ms = timeout_ms
+        self._stagger_s = stagger_s
         self.requests: list[KeptRequest] = []
 
     async def run(self, has_ended: Callable[[str], bool]) -> None:
@@ -66,7 +70,8 @@
         """
         async with asyncio.TaskGroup() as tasks:
             for number, address in enumerate(self._addresses):
-                tasks.create_task(self._call(f"c{number}", address, has_ended))
+                delay_s = number * self._stagger_s
+                tasks.create_task(self._call(f"c{number}", address, has_ended, delay_s=delay_s))
 
     def list_sent(self, address: str, *, since: float, until: float) -> list[KeptRequest]:
         """Return the requests sent to an instance within a span of the monotonic clock."""
@@ -74,8 +79,11 @@
             one for one in self.requests if one.address == address and since <= one.sent_at < until
         ]
 
-    async def _call(self, name: str, address: str, has_ended: Callable[[str], bool]) -> None:
+    async def _call(
+        self, name: str, address: str, has_ended: Callable[[str], bool], *, delay_s: float
+    ) -> None:
         host, _, port = address.rpartition(":")
+        await asyncio.sleep(delay_s)
         count = 0
         while not has_ended(address):
             try:
