--- a/tests/test_departing_streams.py
+++ b/tests/test_departing_streams.py
@@ -1,4 +1,4 @@
-"""Tests of streams on kept connections while their instance leaves, each instance a real process."""
+"""Tests of streams on kept connections while their instance, a real process, leaves."""
 
 from __future__ import annotations
 
