--- /dev/null
+++ b/src/guavamast/relay/departure_gate.py
@@ -0,0 +1,97 @@
+"""Decides which requests a leaving instance still sends to endpoints."""
+
+from __future__ import annotations
+
+from collections import deque
+from math import ceil
+from typing import TYPE_CHECKING, Final
+
+from guavamast.relay.caller_gate import Denied
+
+if TYPE_CHECKING:
+    from guavamast.relay.departure_schedule import DepartureSchedule
+    from guavamast.relay.request_progress import RequestProgress
+
+RETRY_AFTER_LEAVING_S: Final = 0.1
+"""Seconds until a caller retries, at another instance, after this one has left."""
+RESPONSE_SAMPLES: Final = 64
+"""Responses of a route whose durations are kept."""
+RESPONSE_QUANTILE: Final = 0.9
+"""Part of a route's responses that a forecast covers."""
+MAX_ROUTES: Final = 512
+"""Routes whose durations are kept; the one that was recorded first goes first."""
+
+
+class ResponseDurations:
+    """Recent durations of responses by route, from the send to the end."""
+
+    __slots__ = ("_by_route",)
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, deque[float]] = {}
+
+    def record(self, route: str, duration_s: float) -> None:
+        """Record a complete response."""
+        durations = self._by_route.get(route)
+        if durations is None:
+            if len(self._by_route) >= MAX_ROUTES:
+                del self._by_route[next(iter(self._by_route))]
+            durations = self._by_route[route] = deque(maxlen=RESPONSE_SAMPLES)
+        durations.append(duration_s)
+
+    def forecast(self, route: str) -> float | None:
+        """Return the seconds that a response may take; None if there was none."""
+        durations = self._by_route.get(route)
+        if not durations:
+            return None
+        return sorted(durations)[ceil(RESPONSE_QUANTILE * len(durations)) - 1]
+
+
+class DepartureGate:
+    """Keeps requests from endpoints whose responses would outlast this instance.
+
+    A stream that a leaving instance sends on and then cuts costs its caller the whole stream and
+    the endpoint its work, where a rejection as not run costs a moment. While callers may still hold
+    this instance's address, the durations of the route's recent responses decide. Later, only
+    requests are sent whose own time ends first: whatever their responses take, none is cut.
+
+    Args:
+        schedule: Moments of this instance's departure.
+        durations: Durations of responses.
+    """
+
+    __slots__ = ("_durations", "_schedule")
+
+    def __init__(self, *, schedule: DepartureSchedule, durations: ResponseDurations) -> None:
+        self._schedule = schedule
+        self._durations = durations
+
+    def record_response(self, progress: RequestProgress, *, sent_at: float, now: float) -> None:
+        """Record a complete response.
+
+        Args:
+            progress: State of its request.
+            sent_at: Local time at which the request was sent.
+            now: The present time.
+        """
+        self._durations.record(progress.admitted.route.name, now - sent_at)
+
+    def find_denial(self, progress: RequestProgress, *, now: float) -> Denied | None:
+        """Return why a request must not be sent any more; None if it may be.
+
+        A response that has begun is always continued: ending it here would cut it now.
+        """
+        if not self._schedule.is_leaving or progress.response_begun:
+            return None
+        if self._ends_in_time(progress, now=now):
+            return None
+        return Denied(status=503, reason="the instance leaves", retry_after_s=RETRY_AFTER_LEAVING_S)
+
+    def _ends_in_time(self, progress: RequestProgress, *, now: float) -> bool:
+        ends_at = self._schedule.requests_end_at
+        if progress.deadline <= ends_at:
+            return True
+        if now >= self._schedule.forecasts_until:
+            return False
+        expected_s = self._durations.forecast(progress.admitted.route.name)
+        return expected_s is None or now + expected_s <= ends_at
--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -16,6 +16,9 @@
 their responses: in a short grace time, those accepted last would be cut."""
 STOP_MARGIN_S: Final = 0.8
 """Seconds before the platform would kill the process at which it ends."""
+FORECAST_MARGIN_S: Final = 0.1
+"""Seconds before callers' addresses expire from which on no forecast is relied on: a signal and a
+request are received later than they were sent."""
 RESPONSE_MARGIN_S: Final = 0.1
 """Seconds before the end for the responses to requests that ran out of time by it."""
 
@@ -45,6 +48,12 @@
         expired_at = signalled_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
         return min(expired_at, signalled_at + MAX_ACCEPT_SHARE * (self.ends_at - signalled_at))
 
+    @property
+    def forecasts_until(self) -> float:
+        """Local time until which requests are sent that are only expected to end in time."""
+        expired_at = self._get_signal_time() + ADDRESS_CACHE_FACTOR * VALIDITY_S
+        return expired_at - FORECAST_MARGIN_S
+
     @property
     def requests_end_at(self) -> float:
         """Local time at which the requests in flight run out of time."""
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -25,6 +25,7 @@
     from guavamast.relay.attempt import CompleteResponse
     from guavamast.relay.buffering import MemoryAccount, SlowReaders
     from guavamast.relay.caller_admission import CallerAdmission
+    from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.duties import UsageCounter
     from guavamast.relay.endpoint_connector import EndpointConnector
     from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
@@ -71,6 +72,8 @@
         fleet_state: Services and other instances.
         loads: Work at endpoints; each send is counted in it.
         cache: Prompts in the endpoints' KV caches; each send is recorded in it.
+        departure: Keeps requests from endpoints that would outlast this instance; checked right
+            before each send, and told how long responses take.
         budget: Retry budget; states whether another attempt could follow.
         codec: Encodes and decodes headers.
         guard: Keeps requests that end endpoints from further ones.
@@ -100,6 +103,7 @@
         "_connector",
         "_delivery",
         "_demand",
+        "_departure",
         "_end_check",
         "_fleet_state",
         "_guard",
@@ -126,6 +130,7 @@
         fleet_state: FleetState,
         loads: EndpointLoads,
         cache: PromptCache,
+        departure: DepartureGate,
         budget: RetryBudget,
         codec: HeaderCodec,
         guard: CrashGuard,
@@ -150,6 +155,7 @@
         self._fleet_state = fleet_state
         self._loads = loads
         self._cache = cache
+        self._departure = departure
         self._budget = budget
         self._codec = codec
         self._guard = guard
@@ -215,6 +221,9 @@
             await self._confirm_software(progress, attempt)
             response = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
+            self._departure.record_response(
+                progress, sent_at=attempt.sent_at, now=self._read_time()
+            )
             return response
         except AttemptFailed as failure:
             failure.connection = attempt.connection
@@ -357,6 +366,8 @@
             raise AttemptFailed(FailureKind.OUTDATED, "no permit under the endpoint's rate limit")
         if self._guard.is_quarantined(request, progress):
             raise AttemptFailed(FailureKind.OUTDATED, "quarantined before the send")
+        if self._departure.find_denial(progress, now=now) is not None:
+            raise AttemptFailed(FailureKind.OUTDATED, "the instance leaves")
         self._admission.check_send(progress.admitted, attempt.record, now=now)
 
     def _build_observer(
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -11,6 +11,7 @@
 from guavamast.caller_connection import CallerStream
 from guavamast.caller_server import CallerServer, LastResponses, encode_response
 from guavamast.relay.buffering import RequestBody
+from guavamast.relay.departure_gate import RETRY_AFTER_LEAVING_S
 from guavamast.relay.tornado_writer import TornadoWriter
 
 if TYPE_CHECKING:
@@ -32,8 +33,6 @@
 """Bytes of a body beyond which the connection is closed."""
 DEFAULT_IDLE_S: Final = 60.0
 """Seconds that a connection may be idle until a configured limit applies."""
-RETRY_AFTER_LEAVING_S: Final = 0.1
-"""Seconds until a caller retries, at another instance, after this one has left."""
 RETRY_AFTER_FULL_S: Final = 0.5
 """Seconds until a caller retries a large request that found the memory full."""
 _TARGET: Final = re.compile(r"[!-~]+")
--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -23,6 +23,7 @@
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.departure import Departure
+from guavamast.relay.departure_gate import DepartureGate, ResponseDurations
 from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.endpoint_access import EndpointAccess
 from guavamast.relay.endpoint_statements import EndpointStatements
@@ -405,6 +406,7 @@
             codec=codec,
             fleet_state=self.fleet_state,
             work=self._work,
+            departure=DepartureGate(schedule=self._schedule, durations=ResponseDurations()),
             admission=admission,
             access=self._access,
             recorder=self._recorder,
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -15,6 +15,7 @@
 
     from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.caller_gate import Admitted
+    from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.endpoint_load import EndpointLoads
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.exchange import Exchanger
@@ -48,6 +49,7 @@
         admission: Checks routes and API keys against recent configuration.
         loads: Work and failures by endpoint.
         budget: Retry budget.
+        departure: Keeps requests from endpoints that would outlast this instance.
         ends: Ends requests that no endpoint serves.
         recorder: Log lines and metrics of requests.
         placer: Selects the endpoint of each request.
@@ -66,6 +68,7 @@
         "_admission",
         "_budget",
         "_demand",
+        "_departure",
         "_engine_demand",
         "_ends",
         "_expired",
@@ -91,6 +94,7 @@
         admission: CallerAdmission,
         loads: EndpointLoads,
         budget: RetryBudget,
+        departure: DepartureGate,
         ends: UnservedEnds,
         recorder: RequestRecorder,
         placer: Placer,
@@ -108,6 +112,7 @@
         self._admission = admission
         self._loads = loads
         self._budget = budget
+        self._departure = departure
         self._ends = ends
         self._placer = placer
         self._take_ups = take_ups
@@ -263,7 +268,9 @@
         self, request: CallerRequest, writer: ResponseWriter, progress: RequestProgress
     ) -> PlacementDecision | None:
         """Return the endpoint that a request goes to next; None if it has been ended."""
-        denied = self._guard.find_denial(request, progress)
+        denied = self._guard.find_denial(request, progress) or self._departure.find_denial(
+            progress, now=self._read_time()
+        )
         if denied is not None:
             await self._ends.refuse(request, writer, progress, denied)
             return None
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -18,6 +18,7 @@
 
     from guavamast.relay.buffering import MemoryAccount, SlowReaders
     from guavamast.relay.caller_admission import CallerAdmission
+    from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.duties import Duties
     from guavamast.relay.endpoint_access import EndpointAccess
     from guavamast.relay.endpoint_statements import EndpointStatements
@@ -41,6 +42,7 @@
     codec: HeaderCodec,
     fleet_state: FleetState,
     work: WorkState,
+    departure: DepartureGate,
     admission: CallerAdmission,
     access: EndpointAccess,
     recorder: RequestRecorder,
@@ -65,6 +67,7 @@
         codec: Encodes and decodes headers.
         fleet_state: Configuration, endpoints and other instances.
         work: Known work at endpoints.
+        departure: Keeps requests from endpoints that would outlast this instance.
         admission: Checks requests by the tables, on arrival and as they are sent.
         access: Connections to endpoints.
         recorder: Log lines and metrics of requests.
@@ -88,6 +91,7 @@
         fleet_state=fleet_state,
         loads=work.loads,
         cache=work.cache,
+        departure=departure,
         budget=budget,
         codec=codec,
         guard=guard,
@@ -126,6 +130,7 @@
         admission=admission,
         loads=work.loads,
         budget=budget,
+        departure=departure,
         ends=ends,
         recorder=recorder,
         placer=placer,
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -88,11 +88,15 @@
         """Whether it was sent before, or takes up a stream, of which its caller has a part."""
         return self.sends > 0 or self.binding is not None
 
+    @property
+    def response_begun(self) -> bool:
+        """Whether its caller has a part of its stream."""
+        return self.timing.first_event_s is not None
+
     @property
     def may_go_on(self) -> bool:
         """Whether a further endpoint may continue its response: any if it has not begun."""
-        begun = self.timing.first_event_s is not None
-        return not begun or self.binding is not None or self.source is not None
+        return not self.response_begun or self.binding is not None or self.source is not None
 
     def record_binding(self, binding: StreamBinding) -> None:
         """Record what began the stream, known after its first event only."""
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -14,6 +14,7 @@
 from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.departure_gate import DepartureGate, ResponseDurations
 from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.endpoint_connector import EndpointConnector
 from guavamast.relay.endpoint_load import EndpointLoads
@@ -179,6 +180,9 @@
         self.budget = RetryBudget(
             settings=RetryBudgetSettings(ratio=0.2, slack=20.0, window_s=10.0)
         )
+        self.schedule = DepartureSchedule(grace_s=8.0)
+        self.durations = ResponseDurations()
+        self.departure = DepartureGate(schedule=self.schedule, durations=self.durations)
         counters = Counters()
         log = DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY))
         self.recorder = RequestRecorder(
@@ -186,7 +190,7 @@
             counters=counters,
             fleet_state=self.simulation.fleet_state,
             loop_delay=LoopDelay(),
-            schedule=DepartureSchedule(grace_s=8.0),
+            schedule=self.schedule,
         )
         self.bindings = BindingDirectory(
             requester=Requester(instance="one", incarnation=1),
@@ -213,6 +217,7 @@
             fleet_state=fleet_state,
             loads=self.loads,
             cache=PromptCache(),
+            departure=self.departure,
             budget=self.budget,
             codec=PlatformHeaders(),
             guard=self.guard,
@@ -319,6 +324,7 @@
             admission=self.simulation.admission,
             loads=self.loads,
             budget=self.budget,
+            departure=self.departure,
             ends=ends,
             recorder=recorder,
             placer=placer,
