--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -14,8 +14,11 @@
 MAX_ACCEPT_SHARE: Final = 0.5
 """Share of its remaining time in which a leaving instance accepts requests at most. The rest is for
 their responses: in a short grace time, those accepted last would be cut."""
-STOP_MARGIN_S: Final = 0.8
-"""Seconds before the platform would kill the process at which it ends."""
+STOP_MARGIN_S: Final = 0.5
+"""Seconds before the platform would kill the process at which it ends, at most."""
+MAX_STOP_SHARE: Final = 0.1
+"""Share of the grace time that is left to it then at most: in a short one, responses would be cut
+that the platform lets end."""
 FORECAST_MARGIN_S: Final = 0.1
 """Seconds before callers' addresses expire from which on no forecast is relied on: a signal and a
 request are received later than they were sent."""
@@ -62,7 +65,8 @@
     @property
     def ends_at(self) -> float:
         """Local time at which the last connections are closed."""
-        return self._get_signal_time() + self._grace_s - STOP_MARGIN_S
+        margin_s = min(STOP_MARGIN_S, MAX_STOP_SHARE * self._grace_s)
+        return self._get_signal_time() + self._grace_s - margin_s
 
     def begin(self, *, now: float) -> None:
         """Record the stop signal."""
--- a/tests/test_departing_streams.py
+++ b/tests/test_departing_streams.py
@@ -48,6 +48,17 @@
         self.assertEqual(self.list_cut(since=ADDRESS_VALIDITY_S), [])
         self.assert_refused_never_ran()
 
+    async def test_no_stream_is_ended_before_the_last_sixth_of_the_grace_time(self) -> None:
+        """Guards against streams that are cut while the platform would still let them run.
+
+        Streams of 3.2 s begin right before the signal, with a grace time of 4 s. Their callers get
+        all events but the last ones, as the instance ends its requests at 3.1 s.
+        """
+        await self.leave(stream_s=3.2, grace_s=4.0)
+        early = [one for one in self.list_cut() if self.count_after(one.ended_at) < 4.0 * 5 / 6]
+        self.assertEqual(early, [])
+        self.assert_refused_never_ran()
+
     async def test_short_streams_sent_while_callers_may_hold_the_address_are_served(self) -> None:
         """Guards against refusing what would have ended in time."""
         await self.leave(stream_s=0.5, grace_s=8.0)
