--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -131,6 +131,8 @@
         self._streams: set[CallerStream] = set()
         self._discarding: set[asyncio.Task[None]] = set()
         self._listening: list[tuple[socket.socket, Callable[[], None]]] = []
+        self._last_responses: LastResponses | None = None
+        """What ends the connections; None until the drain."""
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Begin to accept connections on listening sockets; ``HTTPServer`` calls this, too."""
@@ -153,6 +155,11 @@
         a caller sends its request, it finds that response. The process may exit after this, as no
         connection and no byte of a response is left in it.
 
+        No request is taken from here on. Connections that serve none are ended in this turn of the
+        loop, and each other one as soon as its response is complete, in ``start_request``: if
+        that were left to a later check, a caller's next request could be complete by then, and be
+        cut at the deadline.
+
         Args:
             deadline: Time on the server's clock until which responses are awaited. This returns at
                 most twice ``LINGER_S`` later.
@@ -161,15 +168,18 @@
         Returns:
             The traces of the requests without a complete response at the deadline.
         """
+        self._last_responses = responses
         self.disable_keep_alive()
         self.stop_accepting()
+        for stream in tuple(self._streams):
+            self._end_unserved(stream, responses.not_run)
         unfinished: list[ConnectionTrace] = []
         while self._streams:
             now = self._read_time()
             for stream in tuple(self._streams):
                 if self._is_overdue(stream, deadline=deadline, now=now):
                     unfinished.append(stream.trace)
-                self._drain_stream(stream, deadline=deadline, responses=responses, now=now)
+                self._close_overdue(stream, responses.unfinished, deadline=deadline, now=now)
             await asyncio.sleep(CHECK_INTERVAL_S)
         if self._discarding:
             await asyncio.wait(self._discarding, timeout=LINGER_S)
@@ -193,6 +203,8 @@
         stream = _get_stream(server_conn)
         if stream.trace.ended_at is None and not stream.closed():
             stream.trace.begin_request()
+            if self._last_responses is not None:
+                stream.end(self._last_responses.not_run)
         request = super().start_request(server_conn, request_conn)
         return _TracedRequest(request=request, trace=stream.trace, read_time=self._read_time)
 
@@ -211,10 +223,18 @@
         trace = stream.trace
         return trace.ended_at is None and trace.stage is RequestStage.SERVING and now >= deadline
 
-    def _drain_stream(
-        self, stream: CallerStream, *, deadline: float, responses: LastResponses, now: float
+    def _end_unserved(self, stream: CallerStream, response: bytes) -> None:
+        """End a connection whose request, if any, hasn't been received completely."""
+        trace = stream.trace
+        if stream.closed() or trace.ended_at is not None or trace.response_begun:
+            return
+        if trace.stage is not RequestStage.SERVING:
+            stream.end(response)
+
+    def _close_overdue(
+        self, stream: CallerStream, unfinished: bytes, *, deadline: float, now: float
     ) -> None:
-        """Take the next step towards the end of a connection, if there is one to take yet."""
+        """Close a connection whose time is up."""
         trace = stream.trace
         if stream.closed():
             return  # Its task forgets it in the next turns of the loop.
@@ -226,10 +246,8 @@
             # caller that it is incomplete.
             if now >= deadline:
                 stream.close()
-        elif trace.stage is not RequestStage.SERVING:
-            stream.end(responses.not_run)
         elif now >= deadline:
-            stream.end(responses.unfinished)
+            stream.end(unfinished)
 
     def _accept_pending(self, sock: socket.socket) -> None:
         while True:
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -191,6 +191,23 @@
         self.assertEqual(await draining, [])
         self.assertEqual(await reader.read(), RESPONSES.not_run)
 
+    async def test_request_sent_right_after_a_response_during_the_drain_is_not_served(self) -> None:
+        """Guards against a request that is taken while connections are drained.
+
+        A caller gets its response during the drain, and has its next request complete in the next
+        turn of the loop, before any check. It would be served, and cut at the deadline.
+        """
+        reader, writer = await self.connect(GET)
+        await wait_until(lambda: bool(self.requests))
+        draining = asyncio.create_task(self.drain())
+        await asyncio.sleep(0)
+        respond(self.requests[0])
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(await reader.read(), RESPONSES.not_run)
+        self.assertEqual(await draining, [])
+        self.assertEqual(len(self.requests), 1)
+
     async def test_response_tells_that_the_connection_is_not_kept(self) -> None:
         """A caller of a leaving server doesn't send its next request on the same connection."""
         self.server.disable_keep_alive()
