--- a/src/guavamast/relay/node.py
+++ b/src/guavamast/relay/node.py
@@ -472,8 +472,15 @@
         readiness: QueryHandler,
         metrics: QueryHandler,
     ) -> None:
-        """Serve until SIGTERM."""
+        """Serve until SIGTERM.
+
+        Signals are handled before the first listener opens: by its default action, SIGTERM would
+        end the process at once and reset the connections of callers.
+        """
         settings = self.settings
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
         self._listener.listen(settings.callers.ip, settings.callers.port)
         self._forward_listener.listen(settings.peers.ip, settings.peers.port)
         listeners = open_query_listeners(
@@ -488,9 +495,6 @@
         await self._heartbeat_socket.open(
             settings.peers.ip, settings.peers.port, messages=self._build_peer_messages()
         )
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
         self.log.write("started", now=read_boot_time(), callers=str(settings.callers))
         gc.freeze()
         background = self._start_background()
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -85,6 +85,34 @@
                 await asyncio.sleep(0.02)
 
 
+class SignalDuringStartTest(PlatformTestCase):
+    """An instance gets SIGTERM between the opening of its listeners and the end of its start."""
+
+    entry_module = "tests._signal_during_start"
+
+    async def test_callers_that_connect_meanwhile_get_a_response(self) -> None:
+        """Guards against a process that the signal ends at once, with callers connected.
+
+        Callers connect as soon as the port is open. The signal comes before the start is over, and
+        by its default action the process would be gone, and their connections reset.
+        """
+        settings = self.site.build_settings("one")
+        process = await self.launch(settings)
+        instance = self.build_instance(process, settings)
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
+            "X-Attempt-Id": "r1",
+            "X-Request-Deadline-Ms": "2000",
+        }
+        request = build_request(CALL_PREFIX + "x", headers, b"pay 5")
+        callers = DepartureCallers(address=instance.callers, request=request)
+        await callers.run(lambda: process.returncode is not None)
+        self.assertEqual(process.returncode, 0)
+        self.assertGreater(len(callers.attempts), 0)
+        self.assertEqual(callers.list_unanswered(), [], describe(callers.list_unanswered()))
+
+
 class LeavingRelayTest(PlatformTestCase):
     """One of two instances of the relay gets SIGTERM."""
 
