--- a/src/guavamast/relay/departure_gate.py
+++ b/src/guavamast/relay/departure_gate.py
@@ -15,11 +15,11 @@
 RETRY_AFTER_LEAVING_S: Final = 0.1
 """Seconds until a caller retries, at another instance, after this one has left."""
 RESPONSE_SAMPLES: Final = 64
-"""Responses of a route whose durations are kept."""
+"""Samples of durations that are kept for a route, the newest ones."""
 RESPONSE_QUANTILE: Final = 0.9
-"""Part of a route's responses that a forecast covers."""
-MAX_ROUTES: Final = 512
-"""Routes whose durations are kept; the one that was recorded first goes first."""
+"""Share of a route's responses that a forecast covers."""
+MAX_SAMPLED_ROUTES: Final = 512
+"""Samples are kept for so many routes at most; the route that came first goes first."""
 
 
 class ResponseDurations:
@@ -34,7 +34,7 @@
         """Record a complete response."""
         durations = self._by_route.get(route)
         if durations is None:
-            if len(self._by_route) >= MAX_ROUTES:
+            if len(self._by_route) >= MAX_SAMPLED_ROUTES:
                 del self._by_route[next(iter(self._by_route))]
             durations = self._by_route[route] = deque(maxlen=RESPONSE_SAMPLES)
         durations.append(duration_s)
