A drain ends requests whose body was asked for, too

Cause: 'HTTP/1.1 100 (Continue)' is written on the connection by the HTTP library, and CallerStream.write took any byte for the begin of a response. The drain left such a connection open, served the request whenever its body came (at any moment until the deadline, then cut), and closed it without a response if the body didn't come. All orders of other instances (relay/forwarding) and callers with large bodies send Expect: 100-continue. A connection that was closed after only an interim response wasn't reported as unanswered either. Ruled out: early rejections (413), which do begin a response; they end their connection by themselves.

Change: an interim response doesn't begin one.

--- a/src/guavamast/caller_connection.py
+++ b/src/guavamast/caller_connection.py
@@ -23,6 +23,8 @@
 """Seconds for a caller to finish sending a request that was responded to before its end."""
 READ_BYTES: Final = 65_536
 """Bytes discarded at once."""
+_CONTINUE: Final = b"HTTP/1.1 100 "
+"""What the HTTP server writes, in one piece, to ask for the body of a request."""
 
 
 class RequestStage(StrEnum):
@@ -58,7 +60,8 @@
     request_id: str | None = None
     """Id of the current request, once it is known."""
     response_begun: bool = False
-    """Whether a byte of the current response was written, possibly not yet sent."""
+    """Whether a byte of the current response was written, possibly not yet sent. An interim one
+    doesn't count: nothing has run, and another response may follow."""
     closed_by_caller: bool = False
     ended_at: float | None = None
     """When the server sent its last response and stopped reading requests."""
@@ -142,7 +145,8 @@
         """Write a part of the current response; fail once the connection has been ended."""
         if self.trace.ended_at is not None:
             return _fail_closed()
-        self.trace.response_begun = True
+        if bytes(data[: len(_CONTINUE)]) != _CONTINUE:
+            self.trace.response_begun = True
         return super().write(data)
 
     def write_to_fd(self, data: memoryview) -> int:
--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -215,7 +215,8 @@
         self._streams.discard(stream)
         trace = stream.trace
         between_requests = trace.stage is RequestStage.IDLE and trace.responses > 0
-        if trace.closed_by_caller or trace.sent_bytes or between_requests:
+        response_sent = trace.response_begun and trace.sent_bytes > 0
+        if trace.closed_by_caller or response_sent or between_requests:
             return
         self._report_unanswered(trace)
 
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -208,6 +208,23 @@
         self.assertEqual(await draining, [])
         self.assertEqual(len(self.requests), 1)
 
+    async def test_body_sent_after_an_interim_response_during_the_drain_is_not_served(self) -> None:
+        """Guards against a request that a drain takes since its response seems to have begun.
+
+        A caller sends a head, is asked for the body, and the drain begins. It would leave the
+        connection open, as bytes have been written on it, and serve the request whenever its body
+        comes; a body that doesn't come by the deadline would leave its caller without a response.
+        """
+        expecting = POST.replace(b"Host", b"Expect: 100-continue\r\nHost")
+        reader, writer = await self.connect(expecting)
+        await reader.readuntil(b"100 (Continue)\r\n\r\n")
+        draining = asyncio.create_task(self.drain(wait_s=0.5))
+        await asyncio.sleep(0)
+        writer.write(b"body")
+        self.assertEqual(await reader.read(), RESPONSES.not_run)
+        self.assertEqual(await draining, [])
+        self.assertEqual(self.requests, [])
+
     async def test_response_tells_that_the_connection_is_not_kept(self) -> None:
         """A caller of a leaving server doesn't send its next request on the same connection."""
         self.server.disable_keep_alive()
