No request starts on a connection that has been closed

Cause: after a response that closes its connection (a leaving instance, or an early rejection) the HTTP library goes on to read what is in the buffer of the closed stream. CallerServer.start_request passed such a request on: a caller that had sent two requests at once had the second one run for nobody, without a response, and would send it again elsewhere. Nothing cancelled that run, as the callback of the close is set only on open connections.

Change: such a request gets a delegate that drops it.

--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -201,7 +201,10 @@
     ) -> httputil.HTTPMessageDelegate:
         """Return the delegate of a connection's next request."""
         stream = _get_stream(server_conn)
-        if stream.trace.ended_at is None and not stream.closed():
+        if stream.closed():
+            # The HTTP server still reads what had been received. Nobody could get a response.
+            return httputil.HTTPMessageDelegate()
+        if stream.trace.ended_at is None:
             stream.trace.begin_request()
             if self._last_responses is not None:
                 stream.end(self._last_responses.not_run)
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -264,6 +264,25 @@
             socket.create_connection((host, int(port)))
 
 
+class ClosedConnectionTest(CallerServerTestCase):
+    """A server that has closed a connection with the next request already in its buffer."""
+
+    async def test_request_behind_the_last_response_is_not_served(self) -> None:
+        """Guards against a request that runs although its connection has been closed.
+
+        A caller sends two requests at once to a leaving server. The first response closes the
+        connection. The second request has been received by then; it would run, and nobody could
+        get its response.
+        """
+        self.server.disable_keep_alive()
+        reader, _ = await self.connect(GET + GET)
+        await wait_until(lambda: bool(self.requests))
+        respond(self.requests[0])
+        self.assertEqual((await reader.read()).count(b"HTTP/1.1 200"), 1)
+        await wait_until(lambda: not self.server.list_traces())
+        self.assertEqual(len(self.requests), 1)
+
+
 class EarlyResponseTest(CallerServerTestCase):
     """A server that responds before it has read a request, and closes the connection."""
 
