KNOWN-RED.txt has one entry for each fault, and the runner judges their form

Cause: the runner allowed three lines, whatever they said, and counted findings of plays and soaks among them. Each new finding was appended to the first line instead, which grew to 4,775 characters: 20 findings with one name, one command field and one issue field between them. The form had no check at all.

Change: tools/known_red.py reads entries into a type and checks each.

As strict as before: at most three tests are excused (by test, so several entries may name one), and they are the same three; the five findings in tests that the old first line only mentioned excused nothing and still don't (`seen`), nor do `play`, `soak` and `review`, so their number loosens nothing. A listed test that passes or doesn't exist fails the run as before; a `seen` test has to exist, too. New: the run fails on an entry without four filled fields, without an issue number, or of over 400 characters. A misspelt first word is a test that doesn't exist.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,11 +1,7 @@
 """Test runner: runs all unittest tests and tolerates the failures listed in KNOWN-RED.txt.
 
-A line of KNOWN-RED.txt is ``test id | command and seed | what was seen | issue``. The run fails
-when a test that is not listed fails, when a listed test passes or does not exist, or when more than
-three lines are listed. A line whose first field begins with ``play`` is a finding of a long run
-outside of the tests: it is printed and counts toward the limit, but the tests can't show whether it
-still holds. A line whose first field begins with ``sometimes`` names a flaky test: it may pass or
-fail, is printed and counts toward the limit.
+The run fails when a test fails that no entry excuses, when an entry is malformed or contradicts the
+run, or when more tests are excused than allowed; `tools.known_red` describes the entries.
 """
 
 from __future__ import annotations
@@ -17,13 +13,15 @@
 from pathlib import Path
 from typing import Any, Final
 
+from tools.known_red import (
+    KnownFailure,
+    collect_excused_ids,
+    find_list_faults,
+    parse_entries,
+)
+
 ROOT: Final = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE: Final = ROOT / "KNOWN-RED.txt"
-KNOWN_RED_LIMIT: Final = 3
-EXTERNAL_FINDING_PREFIX: Final = "play "
-"""Prefix of the first field of a finding that no test reproduces."""
-FLAKY_PREFIX: Final = "sometimes "
-"""Prefix of the first field of a test that fails in some runs only."""
 
 
 class TimedResult(unittest.TextTestResult):
@@ -51,13 +49,9 @@
         return [f"{duration_s:6.1f} s  {test_id}" for test_id, duration_s in slowest[:count]]
 
 
-def read_known_red() -> dict[str, str]:
-    """Return the lines of KNOWN-RED.txt by their first field."""
-    if not KNOWN_RED_FILE.exists():
-        return {}
-    lines = [line.strip() for line in KNOWN_RED_FILE.read_text().splitlines()]
-    entries = [line for line in lines if line and not line.startswith("#")]
-    return {line.split("|")[0].strip(): line for line in entries}
+def read_known_red() -> list[KnownFailure]:
+    """Return the entries of KNOWN-RED.txt; none if there is no such file."""
+    return parse_entries(KNOWN_RED_FILE.read_text()) if KNOWN_RED_FILE.exists() else []
 
 
 def collect_ids(suite: unittest.TestSuite) -> list[str]:
@@ -80,24 +74,12 @@
     return failed
 
 
-def find_excused_ids(known: dict[str, str]) -> set[str]:
-    """Return the ids of the tests whose failure is tolerated."""
-    return {entry.removeprefix(FLAKY_PREFIX) for entry in known}
-
-
-def find_run_failures(ids: list[str], failed: set[str], known: dict[str, str]) -> list[str]:
+def find_run_failures(ids: list[str], failed: set[str], known: list[KnownFailure]) -> list[str]:
     """Return the reasons why this run fails; empty when it passes."""
-    reasons = [f"failed: {test_id}" for test_id in sorted(failed - find_excused_ids(known))]
-    if len(known) > KNOWN_RED_LIMIT:
-        reasons.append(f"KNOWN-RED.txt lists {len(known)} tests, {KNOWN_RED_LIMIT} at most")
-    for entry in known:
-        if entry.startswith(EXTERNAL_FINDING_PREFIX):
-            continue
-        test_id = entry.removeprefix(FLAKY_PREFIX)
-        if test_id not in ids:
-            reasons.append(f"KNOWN-RED.txt names a test that does not exist: {test_id}")
-        elif test_id not in failed and entry == test_id:
-            reasons.append(f"KNOWN-RED.txt names a test that passes: {test_id}")
+    reasons = [f"failed: {test_id}" for test_id in sorted(failed - collect_excused_ids(known))]
+    reasons.extend(find_list_faults(known))
+    faults = [entry.find_fault(ids=ids, failed=failed) for entry in known]
+    reasons.extend(fault for fault in faults if fault is not None)
     return reasons
 
 
@@ -117,13 +99,13 @@
     for line in result.list_slowest(args.slowest):
         print(line)
     failed = find_failed_ids(result)
-    known = {} if pattern != "test_*.py" else read_known_red()
-    for line in known.values():
-        print(f"known red: {line}")
+    known = [] if pattern != "test_*.py" else read_known_red()
+    for entry in known:
+        print(f"known red: {entry.line}")
     reasons = find_run_failures(ids, failed, known)
     for reason in reasons:
         print(reason)
-    unknown_failures = len(failed - find_excused_ids(known))
+    unknown_failures = len(failed - collect_excused_ids(known))
     print(f"{len(ids) - len(failed)} passed, {max(unknown_failures, len(reasons))} failed")
     return 1 if reasons or not ids else 0
 
