A leaving instance takes no more orders of other instances

What callers saw: an instance without a path of its own has another one forward a stream. That one gets SIGTERM, and until it hears so the first goes on to ask it; the streams that last longer than the rest of the grace time are cut at its end, at the caller as a lost connection. Cause: the forwarders' listener was drained together with the callers' one, 3.5 s after the signal (grace 8 s), and ForwardServer knows nothing of the departure. Weighed: a check of is_leaving in ForwardServer.accept and before the send. It needs a second state and leaves the drain's gate for 3.5 s later; the drain does the same at once: idle links and orders get 'busy', a request permitted before and not yet received is told that it wasn't sent, what is being forwarded goes on until the end. The other instance asks the next one.

Change: the drain of the forwarders' listener begins with the signal.

No run with real processes shows the cut itself: others hear of the signal by the next datagram.

--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -73,18 +73,20 @@
         self._read_time = read_time
 
     async def run(self) -> None:
-        """Keep serving while callers may still connect, then finish the requests in flight."""
+        """Keep serving while callers may still connect, then finish the requests in flight.
+
+        Orders of other instances end at once: those know of others that take them, and a request
+        that is forwarded for longer than this instance lasts would be cut.
+        """
         schedule = self._schedule
         self._listener.disable_keep_alive()
         self._announce()
         self._log.write("leaving", now=self._read_time(), in_flight=self._relayer.in_flight)
         removing = asyncio.create_task(self.unregister(self._name))
+        forwarding = asyncio.create_task(self._forward_listener.drain(deadline=schedule.ends_at))
         await self._wait_until(schedule.accepts_until)
         expiring = asyncio.create_task(self._expire_requests(schedule.requests_end_at))
-        drained = await asyncio.gather(
-            self._listener.drain(deadline=schedule.ends_at),
-            self._forward_listener.drain(deadline=schedule.ends_at),
-        )
+        drained = await asyncio.gather(self._listener.drain(deadline=schedule.ends_at), forwarding)
         for trace in chain(*drained):
             log_connection(
                 self._log,
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -78,8 +78,8 @@
             await asyncio.sleep(0.01)
 
 
-class ForwardingTest(unittest.IsolatedAsyncioTestCase):
-    """What holds for requests on the direct path holds on the path through another instance."""
+class ForwardingTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with two endpoints, an instance that forwards, and one that asks it."""
 
     async def asyncSetUp(self) -> None:
         self.engine = EngineStandIn(engine_id="x")
@@ -175,6 +175,15 @@
             body += chunk
         return body
 
+    def find_port(self) -> int:
+        """Return the port of the instance that forwards."""
+        ((sock, _),) = self.listener._http._listening
+        return int(sock.getsockname()[1])
+
+
+class ForwardingTest(ForwardingTestCase):
+    """What holds for requests on the direct path holds on the path through another instance."""
+
     async def test_a_response_arrives_unchanged(self) -> None:
         acquired = await self.connect()
         await self.send(acquired)
@@ -435,11 +444,6 @@
         await self.connect()
         await wait_until(lambda: self.engine.connections == 2)
 
-    def find_port(self) -> int:
-        """Return the port of the instance that forwards."""
-        ((sock, _),) = self.listener._http._listening
-        return int(sock.getsockname()[1])
-
 
 class ForwarderChoiceTest(unittest.TestCase):
     """Requests are spread over instances that reach the service, near ones first."""
