--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,12 +7,15 @@
 import sys
 import tempfile
 from functools import partial
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import fire
 
 from soak.guarantees import REVOKE_BOUND_S
-from soak.run import SoakRun, Verdict
+from soak.run import SoakRun
+
+if TYPE_CHECKING:
+    from soak.verdict import Verdict
 
 
 class BuildRun(Protocol):
@@ -28,7 +31,8 @@
     verdict = await build_run(seed=seed, directory=directory).run()
     outcome = "kept" if not verdict.violations else "BROKEN"
     answered = f"{verdict.answered} of {verdict.requests} answered"
-    print(f"seed {seed}: {outcome}, {answered}, streams: {verdict.shares}", flush=True)
+    stall = f"longest stall of the soak {verdict.longest_stall_s:.2f} s"
+    print(f"seed {seed}: {outcome}, {answered}, streams: {verdict.shares}, {stall}", flush=True)
     if verdict.worst_order is not None:
         print(f"  closest to a wrong order: {verdict.worst_order}", flush=True)
     for line in verdict.violations:
@@ -71,6 +75,8 @@
     duties: bool = True,
     slowreaders: bool = True,
     ratelimits: bool = True,
+    kept: bool = True,
+    unplanned: bool = True,
     faults: bool = True,
 ) -> None:
     """Run seeds and print the violated guarantees.
@@ -94,6 +100,8 @@
         slowreaders: Whether further callers read large responses slowly or stop reading, engines
             differ in speed, and one organisation asks for more than the others.
         ratelimits: Whether engines name the requests a second that they take, one after the other.
+        kept: Whether callers use connections until they end, while instances stop in series.
+        unplanned: Whether faults are injected beside planned work.
         faults: Whether any faults are injected.
     """
     first, _, last = str(seeds).partition("-")
@@ -111,6 +119,8 @@
         duties=duties,
         slowreaders=slowreaders,
         ratelimits=ratelimits,
+        kept=kept,
+        unplanned=unplanned,
         faults=faults,
     )
     numbers = range(int(first), int(last or first) + 1)
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from contextlib import ExitStack
+from math import ceil
 from typing import TYPE_CHECKING, Final
 
 from guavamast.platform.standins.answer_body import WHOLE, AnswerEnding, Closing
@@ -29,6 +30,8 @@
 """Delay between the end of a process and the start of the next one with a skewed wall clock."""
 SKEWS_S: Final = (-3.0, 2.5, 3600.0)
 """Seconds by which the wall clock is ahead: small steps either way, and a large one."""
+ROLLED_RANGE: Final = 0.5
+"""Share of the instances that a roll leaves out at most."""
 ENGINE_FAULTS: Final = (
     EngineFault.FULL,
     EngineFault.ERROR,
@@ -82,6 +85,7 @@
             FaultKind.INSTANCE_FREEZE: self._freeze_instance,
             FaultKind.INSTANCE_TERM: self._terminate_instance,
             FaultKind.INSTANCE_HUP: self._reload_instance,
+            FaultKind.INSTANCE_ROLL: self._roll_instances,
             FaultKind.INSTANCE_SKEW: self._skew_instance,
             FaultKind.KILL_ALL: self._kill_all,
             FaultKind.ENGINE_LINK: self._impair_engine_link,
@@ -121,6 +125,19 @@
     async def _reload_instance(self, fault: Fault) -> None:
         self._site.instances[self._choose_instance(fault)].reload()
 
+    async def _roll_instances(self, fault: Fault) -> None:
+        """Stop half of the instances or more, one after the other, each with SIGHUP meanwhile."""
+        instances = self._site.instances
+        first = self._choose_instance(fault)
+        count = ceil(len(instances) * (1.0 - ROLLED_RANGE * fault.variant))
+        async with asyncio.TaskGroup() as tasks:
+            for instance in (instances[first:] + instances[:first])[:count]:
+                if not instance.is_disrupted:
+                    tasks.create_task(instance.terminate())
+                await asyncio.sleep(fault.duration_s / 2)
+                instance.reload()
+                await asyncio.sleep(fault.duration_s / 2)
+
     async def _skew_instance(self, fault: Fault) -> None:
         skew_s = SKEWS_S[int(fault.variant * len(SKEWS_S))]
         instance = self._site.instances[self._choose_instance(fault)]
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -89,6 +89,8 @@
     """Whether its caller left in the middle of the response."""
     anywhere: bool = False
     """Whether it was sent to any instance, also to one that has stopped or isn't listed."""
+    kept: bool = False
+    """Whether it was sent on a connection that its caller uses until that ends."""
 
     @property
     def served(self) -> bool:
@@ -229,10 +231,15 @@
 
 
 def _check_undisturbed(request: RequestRecord, record: SoakRecord) -> list[str]:
-    """Check that no request fails during planned work: stops, reloads, changes and drains."""
-    disruptions = record.disruptions + _list_lethal_outages(record)
-    if request.ended_at >= record.ended_at or not is_undisturbed(
-        disruptions, request.sent_at, request.ended_at
+    """Check that no request fails during planned work: stops, reloads, changes and drains.
+
+    Those on kept connections are checked against the departures of their instances.
+    """
+    disruptions = record.disruptions + list_lethal_outages(record)
+    if (
+        request.kept
+        or request.ended_at >= record.ended_at
+        or not is_undisturbed(disruptions, request.sent_at, request.ended_at)
     ):
         return []
     if request.status is None and request.anywhere:
@@ -282,7 +289,7 @@
     return violations
 
 
-def _list_lethal_outages(record: SoakRecord) -> list[Span]:
+def list_lethal_outages(record: SoakRecord) -> list[Span]:
     """Return the times in which engines were missing that a request had ended."""
     return [
         Span(started_at=run.started_at, ended_at=run.started_at + LETHAL_OUTAGE_S)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -22,8 +22,8 @@
 
 SKEW_ENV_VARIABLE: Final = "GUAVAMAST_SOAK_SKEW_S"
 """Environment variable: seconds by which the wall clock of an instance is ahead."""
-STOP_TIMEOUT_S: Final = 8.0
-"""Time for an instance to exit after SIGTERM, longer than the grace of its settings."""
+STOP_GRACES: Final = 2.0
+"""Time for an instance to exit after SIGTERM, as a multiple of the grace of its settings."""
 STARTED_EVENT: Final = b'"event":"started"'
 """Event that a process logs once it listens and handles signals."""
 
@@ -60,6 +60,9 @@
         self.disruptions: list[Span] = []
         """Times in which its process was killed, suspended, stopped or replaced, or in which it had
         no sound way to the store."""
+        self.signals: list[float] = []
+        """Monotonic times at which its processes got SIGTERM."""
+        self._stop_timeout_s = STOP_GRACES * float(settings["bounds"]["grace_s"])
         self._settings_path = write_settings(settings, directory)
         self._process: asyncio.subprocess.Process | None = None
         self._log_start = 0
@@ -71,6 +74,11 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def is_disrupted(self) -> bool:
+        """Whether its process is being killed, suspended, stopped or replaced."""
+        return self._lock.locked()
+
     async def start(self, *, skew_s: float = 0.0) -> None:
         """Start a process.
 
@@ -160,11 +168,15 @@
                 f"{self.name} exited unexpectedly with code {process.returncode}"
             )
             return
+        if number is signal.SIGTERM:
+            self.signals.append(time.monotonic())
         process.send_signal(number)
         try:
-            await asyncio.wait_for(process.wait(), STOP_TIMEOUT_S)
+            await asyncio.wait_for(process.wait(), self._stop_timeout_s)
         except TimeoutError:
-            self.unexpected_exits.append(f"{self.name} did not exit within {STOP_TIMEOUT_S} s")
+            self.unexpected_exits.append(
+                f"{self.name} did not exit within {self._stop_timeout_s} s"
+            )
             with suppress(ProcessLookupError):
                 process.kill()
             await process.wait()
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING, Final
 
 from guavamast.platform.settings import BYTES_PER_MB
 from guavamast.platform.standins.provider import ProviderStandIn
 from soak.callers import Caller
+from soak.departures import find_departure_violations
 from soak.fault_injector import RELEASE_VERSIONS, FaultInjector
 from soak.guarantees import (
     REVOKE_BOUND_S,
@@ -22,6 +22,7 @@
     find_violations,
     is_undisturbed,
 )
+from soak.kept_streams import GRACES_S, KeptStreams
 from soak.lethal import LethalCaller
 from soak.prompts import PromptCrowd
 from soak.rate_limits import RateLimitNamer
@@ -33,12 +34,15 @@
     plan_faults,
     plan_partitions,
     plan_releases,
+    plan_rolls,
 )
 from soak.site import KEYS, SoakSite
 from soak.slow_readers import MEMORY_MB, PACES, READERS_PER_PACE, MemoryWatch, SlowReader
+from soak.stalls import StallWatch
 from soak.stream_callers import StreamCaller
-from soak.streams import StreamRecord, StreamShares, count_shares, find_stream_violations
+from soak.streams import StreamRecord, count_shares, find_stream_violations
 from soak.urgency import UrgencyCrowd
+from soak.verdict import Verdict
 
 if TYPE_CHECKING:
     from guavamast.urgency_order import OrderWindow
@@ -49,6 +53,8 @@
 """Time from the start of the recovery after which requests must succeed again."""
 STREAM_ORGANISATIONS: Final = ("bakery", "florist")
 """Organisations of the callers that take streams up."""
+KEPT_ORGANISATION: Final = "florist"
+"""Organisation of the callers that keep their connections."""
 RELEASED_POOL: Final = 5
 """Engines of the pool in runs with releases."""
 MORE_FOR_PROMPTS: Final = 5
@@ -59,22 +65,6 @@
 """Further callers in runs with slow readers, so that organisations of one rank differ in demand."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Verdict:
-    """Result of one run."""
-
-    seed: int
-    requests: int
-    answered: int
-    faults: list[str]
-    """Injected faults: start, kind and duration."""
-    violations: list[str]
-    """Violated guarantees."""
-    shares: StreamShares
-    worst_order: OrderWindow | None = None
-    """What came closest to a wrong order of urgencies; None if it was not observed."""
-
-
 class SoakRun:
     """One run of the soak.
 
@@ -96,6 +86,8 @@
         slowreaders: Whether further callers read large responses slowly or stop reading, engines
             differ in speed, and one organisation asks for more than the others.
         ratelimits: Whether engines name the requests a second that they take, one after the other.
+        kept: Whether callers use connections until they end, while instances stop in series.
+        unplanned: Whether faults are injected beside planned work.
         faults: Whether any faults are injected.
     """
 
@@ -116,6 +108,8 @@
         duties: bool = False,
         slowreaders: bool = False,
         ratelimits: bool = False,
+        kept: bool = False,
+        unplanned: bool = True,
         faults: bool = True,
     ) -> None:
         self._seed = seed
@@ -132,7 +126,21 @@
         self._plans_answers = answers
         self._plans_releases = releases
         self._injects_faults = faults
+        self._injects_unplanned = unplanned
+        self._kept_streams = (
+            KeptStreams(
+                key=KEYS[KEPT_ORGANISATION],
+                organisation=KEPT_ORGANISATION,
+                durations=self._site.stream_durations,
+                random=Random(f"{seed}kept"),
+            )
+            if kept
+            else None
+        )
+        if kept:
+            self._site.bounds["grace_s"] = GRACES_S[seed % len(GRACES_S)]
         self._site.has_slow_readers = slowreaders
+        self._stalls = StallWatch()
         self._memory = MemoryWatch(instances=self._site.instances)
         self._crowd = (
             UrgencyCrowd(site=self._site, random=Random(f"{seed}urgency")) if urgency else None
@@ -190,8 +198,12 @@
             tasks.create_task(self._crowd.run(recovery_at))
         if self._prompts is not None:
             tasks.create_task(self._prompts.run(recovery_at))
+        if self._kept_streams is not None:
+            addresses = [instance.caller_address for instance in self._site.instances]
+            tasks.create_task(self._kept_streams.run(addresses, until=recovery_at))
         if self._limits is not None:
             tasks.create_task(self._limits.run(recovery_at))
+        tasks.create_task(self._stalls.run(until))
         if self._site.has_slow_readers:
             tasks.create_task(self._memory.run(until))
         for slow_reader in self._build_slow_readers():
@@ -211,13 +223,22 @@
             faults += plan_releases(self._seed, length_s=self._length_s)
         if self._site.provider is not None:
             faults += plan_duty_faults(self._seed, length_s=self._length_s)
-        return faults
+        if self._kept_streams is not None:
+            faults += plan_rolls(
+                self._seed,
+                length_s=self._length_s,
+                instances=self._instance_count,
+                grace_s=self._site.bounds["grace_s"],
+            )
+        return [fault for fault in faults if self._injects_unplanned or fault.kind.planned]
 
     def _build_verdict(self, ended_at: float) -> Verdict:
         if self._crowd is not None:
             self._requests += self._crowd.requests
         if self._prompts is not None:
             self._requests += self._prompts.requests
+        if self._kept_streams is not None:
+            self._requests += self._kept_streams.list_requests()
         record = SoakRecord(
             requests=self._requests,
             runs=self._site.list_runs(),
@@ -257,9 +278,11 @@
             answered=sum(request.status == 200 and request.complete for request in self._requests),
             faults=self._injected_faults,
             worst_order=self._find_worst_order(),
+            longest_stall_s=self._stalls.longest_s,
             shares=count_shares(self._streams, self._list_disruptions()),
             violations=[
                 *find_violations(record),
+                *find_departure_violations(record, self._site.build_departures()),
                 *find_stream_violations(self._streams, self._list_disruptions()),
                 *self._site.find_instance_failures(),
                 *(self._crowd.find_violations(self._disruptions) if self._crowd else ()),
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -35,6 +35,11 @@
 """Mean number of releases that begin per second, so that they follow closely and overlap."""
 DUTY_FAULTS_PER_S: Final = 0.15
 """Mean number per second of faults of the provider, and as many of the holder of the duties."""
+SHORTEST_ROLL_GAP_S: Final = 0.2
+LONGEST_ROLL_GAP_S: Final = 0.8
+"""Range of the time between the stops of two instances of one roll."""
+ROLLS_PER_S: Final = 0.2
+"""Mean number of rolls that begin per second, so that they overlap."""
 LONGEST_FREEZE_S: Final = 6.0
 """Longest freeze of a process: longer than the time after which revoked keys must be rejected."""
 
@@ -49,6 +54,9 @@
     INSTANCE_TERM = "instance_term"
     """SIGTERM, and a restart after the process has exited."""
     INSTANCE_HUP = "instance_hup"
+    INSTANCE_ROLL = "instance_roll"
+    """Some instances get SIGTERM, one after the other, and SIGHUP as they leave; each is restarted
+    after its process has exited. The duration is the time between two of them."""
     INSTANCE_SKEW = "instance_skew"
     """SIGKILL, and a restart with a wall clock that is ahead or behind."""
     KILL_ALL = "kill_all"
@@ -98,6 +106,7 @@
         return self in (
             FaultKind.INSTANCE_TERM,
             FaultKind.INSTANCE_HUP,
+            FaultKind.INSTANCE_ROLL,
             FaultKind.ENGINE_DRAIN,
             FaultKind.CONFIG_CHANGE,
             FaultKind.REVOKE,
@@ -114,6 +123,7 @@
     FaultKind.RELEASE,
     FaultKind.PROVIDER_CALLS,
     FaultKind.INSTANCE_HOLDER,
+    FaultKind.INSTANCE_ROLL,
 )
 """Kinds that are planned by themselves, beside the others of a seed."""
 
@@ -233,6 +243,29 @@
     return faults
 
 
+def plan_rolls(
+    seed: int, *, length_s: float, instances: int = 4, grace_s: float = 4.0
+) -> list[Fault]:
+    """Return the rolls of a run, which come beside its other faults.
+
+    Each begins so early that its instances are back before the recovery, if the run is long enough.
+
+    Args:
+        seed: Seed of the generator.
+        length_s: Length of the run, including its recovery.
+        instances: Number of instances.
+        grace_s: Seconds for which an instance leaves at most.
+    """
+    random = Random(f"{seed}roll")
+    end_s = length_s - RECOVERY_S
+    faults = []
+    for _ in range(max(1, int(ROLLS_PER_S * end_s))):
+        gap_s = random.uniform(SHORTEST_ROLL_GAP_S, LONGEST_ROLL_GAP_S)
+        last_s = max(gap_s, end_s - grace_s - instances * gap_s)
+        faults.append(_place_fault(random, FaultKind.INSTANCE_ROLL, duration_s=gap_s, end_s=last_s))
+    return faults
+
+
 def _place_fault(random: Random, kind: FaultKind, *, duration_s: float, end_s: float) -> Fault:
     """Return a fault at any time before the recovery."""
     return Fault(
--- a/soak/site.py
+++ b/soak/site.py
@@ -11,6 +11,7 @@
 from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineFault
 from guavamast.platform.standins.prefill_batch import PrefillBatch
 from guavamast.platform.standins.site import KEY, MODELS, Site
+from soak.departures import DepartureRecord
 from soak.guarantees import RunRecord, Span
 from soak.instances import Instance
 from soak.lethal import LETHAL_BODY, LETHAL_TARGET
@@ -28,6 +29,9 @@
 """Requests that an engine of the service of models runs at a time."""
 PREFILL_TOKENS_PER_S: Final = 3_000.0
 """Prompt tokens that it prefills in a second: few, so that long prompts take long."""
+IDLE_TIMEOUT_S: Final = 10.0
+"""Time for which the last streams of an engine that has left are awaited."""
+IDLE_CHECK_INTERVAL_S: Final = 0.05
 KEYS: Final = {
     "bakery": KEY,
     "florist": "florist-key",
@@ -62,6 +66,8 @@
         """Engines that are listed as ready."""
         self.has_slow_readers = False
         """Whether engines send large responses to slow readers, and instances state memory."""
+        self.stream_durations: dict[str, float] = {}
+        """Seconds that the streams of some requests last, by request id."""
         self._built_engines = 0
         self._retired_links: list[LinkProxy] = []
         self._directory = directory
@@ -72,6 +78,7 @@
         """Return an engine, and remember its service before a concurrent fault looks for it."""
         self.engine_services[engine_id] = service
         engine = super().build_engine(engine_id, service, version=version)
+        engine.stream_durations = self.stream_durations
         if service == MODELS:
             engine.batch = PrefillBatch(slots=MODEL_SLOTS, tokens_per_s=PREFILL_TOKENS_PER_S)
         elif self.has_slow_readers:
@@ -137,7 +144,11 @@
         self.store.drop("servers", engine_id)
 
     async def retire_engine(self, engine_id: str) -> None:
-        """End an engine that has left, unless another fault has replaced it meanwhile."""
+        """End an engine that has left, unless another fault has replaced it meanwhile.
+
+        The streams that it still sends are awaited: no instance could keep those from being cut.
+        """
+        await self._wait_until_idle(engine_id)
         engine = self.engines.pop(engine_id, None)
         if engine is None:
             return
@@ -148,6 +159,14 @@
         self._retired_links.append(link)
         await engine.stop()
 
+    async def _wait_until_idle(self, engine_id: str) -> None:
+        until = time.monotonic() + IDLE_TIMEOUT_S
+        while time.monotonic() < until:
+            engine = self.engines.get(engine_id)
+            if engine is None or not engine.running:
+                return
+            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+
     def count_serving(self, version: str) -> int:
         """Return the number of the pool's engines of a software version that serve."""
         return sum(
@@ -209,6 +228,18 @@
             for run in engine.runs
         ]
 
+    def build_departures(self) -> DepartureRecord:
+        """Return what is known of the stops of all instances."""
+        return DepartureRecord(
+            signals={one.caller_address: one.signals for one in self.instances},
+            grace_s=float(self.bounds["grace_s"]),
+            run_ends={
+                run.request_id: run.ended
+                for _, engine in self._list_engines()
+                for run in engine.completed
+            },
+        )
+
     def _list_engines(self) -> list[tuple[str, EngineStandIn]]:
         """Return all engines of the run with their ids."""
         crashed = [(engine.engine_id, engine) for engine in self.crashed_engines]
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -24,7 +24,7 @@
 from guavamast.relay.response_end import BodyFraming
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from guavamast.platform.standins.prefill_batch import PrefillBatch
     from guavamast.relay.messages import Header
@@ -92,6 +92,7 @@
 class CompletedRun:
     """Times of one run, in seconds on the monotonic clock."""
 
+    request_id: str
     began: float
     ended: float
 
@@ -122,6 +123,8 @@
         """Number of events in each stream."""
         self.event_interval_s = EVENT_INTERVAL_S
         """Seconds between two events of a stream."""
+        self.stream_durations: Mapping[str, float] = {}
+        """Seconds that the streams of some requests last, by request id."""
         self.comments_before_event = 0
         """Comments in a stream before each event."""
         self.padding_bytes = 0
@@ -167,7 +170,8 @@
         """Factor on the speed at which it prefills, and sends events: 0.5 takes twice the time."""
         self.kv_cache = KvCache()
         """Memory for the requests that it holds; it ends once they exceed it."""
-        self._running = 0
+        self.running = 0
+        """Requests that it works on."""
         self.born_ms = int(time.time() * 1000)
         """Unix milliseconds of its start."""
         self._crashed = False
@@ -289,14 +293,14 @@
             return await self._send(http, writer, 421, [("X-Instance-Id", self.engine_id)], b"")
         if self.fault is EngineFault.FULL:
             return await self._reject(http, writer)
-        if self.slots is not None and self._running >= self.slots:
+        if self.slots is not None and self.running >= self.slots:
             self._count_rejection()
             return await self._reject(http, writer)
-        self._running += 1
+        self.running += 1
         try:
             return await self._run(http, writer, request, body)
         finally:
-            self._running -= 1
+            self.running -= 1
 
     async def _reject(self, http: h11.Connection, writer: asyncio.StreamWriter) -> bool:
         return await self._send(http, writer, 503, [("X-Not-Executed", "1")], b"")
@@ -407,7 +411,9 @@
         await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
 
     def _record_completed(self, run: Run) -> None:
-        self.completed.append(CompletedRun(began=run.began, ended=time.monotonic()))
+        self.completed.append(
+            CompletedRun(request_id=run.request_id, began=run.began, ended=time.monotonic())
+        )
 
     async def _stream(
         self,
@@ -434,12 +440,18 @@
             unread_s=self.unread_s,
         )
         body.start(200, [*headers, *self._list_limits(), ("Content-Type", "text/event-stream")])
+        interval_s = self._find_interval(run)
         for piece in body.pieces:
             await body.write(piece)
-            await asyncio.sleep(self.event_interval_s / self.speed)
+            await asyncio.sleep(interval_s / self.speed)
             await self._wait_for_silence()
         return await body.end()
 
+    def _find_interval(self, run: Run) -> float:
+        """Return the seconds between two events of a stream."""
+        duration_s = self.stream_durations.get(run.request_id)
+        return self.event_interval_s if duration_s is None else duration_s / self.events
+
     def _list_limits(self) -> list[Header]:
         """Return the limits that the next response states."""
         if self.rate_limit is not None and self.rate_limit_named_at is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,7 @@
     plan_faults,
     plan_partitions,
     plan_releases,
+    plan_rolls,
 )
 from soak.site import SoakSite
 from soak.streams import (
@@ -77,6 +78,10 @@
 LONG_REVOKE_S = 9.0
 """Longer than any freeze, so that keys are accepted however old an instance's state gets."""
 CI_LENGTH_S = 9.0
+ROLLS_SEED = 5
+"""Seed in which rolls overlap, with a grace time of 8 s."""
+ROLLS_LENGTH_S = 16.0
+"""Long enough for rolls and departures before the recovery."""
 PARTITION_SEED = 3
 """Seed in which some instances reach no engine for seconds."""
 PARTITION_LENGTH_S = 14.0
@@ -390,6 +395,7 @@
         faults += [fault for seed in range(40) for fault in plan_answers(seed, length_s=20.0)]
         faults += [fault for seed in range(40) for fault in plan_releases(seed, length_s=20.0)]
         faults += [fault for seed in range(40) for fault in plan_duty_faults(seed, length_s=20.0)]
+        faults += [fault for seed in range(40) for fault in plan_rolls(seed, length_s=20.0)]
         self.assertEqual({fault.kind for fault in faults}, set(FaultKind))
         for fault in faults:
             self.assertLessEqual(fault.start_s + fault.duration_s, 20.0 - RECOVERY_S + 0.3)
@@ -536,6 +542,17 @@
         """Guards against a check that counts nothing, as all instances were disturbed."""
         await self.run_seed(PROMPTS_SEED, length_s=PROMPTS_LENGTH_S, prompts=True, faults=False)
 
+    async def test_rolls_under_kept_connections_lose_no_stream(self) -> None:
+        """Guards against streams that a leaving instance takes and can't end.
+
+        Callers send streams of some seconds on connections that they use until these end, while
+        series of instances get SIGTERM and SIGHUP. A request that is complete after callers'
+        addresses have expired is sent to an engine, and its caller gets a part of the stream.
+        """
+        await self.run_seed(
+            ROLLS_SEED, instances=4, length_s=ROLLS_LENGTH_S, kept=True, unplanned=False
+        )
+
     async def test_stale_state_sends_nothing_while_keys_are_accepted(self) -> None:
         """An instance that was frozen sends nothing to an engine that left meanwhile.
 
