--- a/src/guavamast/_daemon.py
+++ b/src/guavamast/_daemon.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from guavamast.log import get_logger, set_up_logs
+from guavamast.stop_signals import block_late_signals
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -112,3 +113,5 @@
         await serving
     except asyncio.CancelledError:
         raise SystemExit(1) from None
+    finally:
+        block_late_signals()
--- a/src/guavamast/commands.py
+++ b/src/guavamast/commands.py
@@ -62,7 +62,7 @@
         from guavamast.platform import runner
         from guavamast.platform.settings import read_settings
 
-        asyncio.run(runner.run_node(read_settings(settings)))
+        asyncio.run(runner.run_process(read_settings(settings)))
         return EXIT_OK
 
     return Task(act)
--- a/src/guavamast/platform/__main__.py
+++ b/src/guavamast/platform/__main__.py
@@ -19,7 +19,7 @@
     from dataclasses import replace
 
     from guavamast.findings import FindingsError
-    from guavamast.platform.runner import run_node
+    from guavamast.platform.runner import run_process
     from guavamast.platform.settings import SETTINGS_VARIABLE, read_settings
 
     try:
@@ -34,7 +34,7 @@
         for finding in error.findings:
             print(finding, file=sys.stderr)
         return 2
-    asyncio.run(run_node(settings))
+    asyncio.run(run_process(settings))
     return 0
 
 
--- a/src/guavamast/platform/runner.py
+++ b/src/guavamast/platform/runner.py
@@ -15,6 +15,7 @@
 from guavamast.relay.boot_clock import read_boot_time
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.node import STANDARD_OUTPUT, Node
+from guavamast.stop_signals import block_late_signals
 
 if TYPE_CHECKING:
     from guavamast.leases import LeaseTable
@@ -30,6 +31,16 @@
     provider: Provider | None = None
 
 
+async def run_process(settings: NodeSettings) -> None:
+    """Serve until SIGTERM in a process that ends after this.
+
+    Args:
+        settings: The instance's decoded settings.
+    """
+    await run_node(settings)
+    block_late_signals()
+
+
 async def run_node(settings: NodeSettings, *, log_descriptor: int = STANDARD_OUTPUT) -> None:
     """Serve until SIGTERM.
 
