--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -39,6 +39,7 @@
         SendParameters,
     )
     from guavamast.relay.reachability import ReachabilityMonitor
+    from guavamast.relay.silence_timeout import SilenceTimeout
     from guavamast.relay.stream_binding import StreamBinding
 
 FRAMED_BYTES: Final = 4096
@@ -238,7 +239,7 @@
         return self.head
 
     async def read_response(
-        self, timeout: asyncio.Timeout, *, idle_s: float | None
+        self, timeout: SilenceTimeout, *, idle_s: float | None
     ) -> CompleteResponse:
         """Return the response with its whole body; the connection stays open.
 
@@ -294,7 +295,7 @@
     async def _read_body(
         self,
         held: ResponseBody,
-        timeout: asyncio.Timeout | None,
+        timeout: SilenceTimeout | None,
         *,
         idle_s: float | None = None,
     ) -> None:
@@ -309,7 +310,7 @@
             raise AttemptFailed(FailureKind.UNBOUNDED, str(error)) from error
 
     async def _read_extended(
-        self, timeout: asyncio.Timeout | None, *, idle_s: float | None
+        self, timeout: SilenceTimeout | None, *, idle_s: float | None
     ) -> bytes | None:
         """Return the next part of a body, with the timeout extended until it arrives."""
         if timeout is not None and idle_s is not None:
--- a/src/guavamast/relay/attempt_timeouts.py
+++ b/src/guavamast/relay/attempt_timeouts.py
@@ -20,41 +20,44 @@
 engine may pause, and before callers time out."""
 
 
-def compute_attempt_timeout(
+def compute_attempt_timeout(progress: RequestProgress) -> float | None:
+    """Return the seconds of silence after which an attempt may be abandoned for another endpoint.
+
+    None if no other attempt can follow: an endpoint's silence alone is no reason to end a request.
+
+    Args:
+        progress: The request, not yet sent.
+    """
+    route = progress.admitted.route
+    if not route.repeatable or progress.sends + 1 >= route.max_endpoints:
+        return None
+    if route.kind is RouteKind.STREAM:
+        return max(STREAM_IDLE_TIMEOUT_S, route.objective_s)
+    return RESPONSE_TIMEOUT_SHARE * route.objective_s
+
+
+def claim_retry(
     progress: RequestProgress,
     *,
     budget: RetryBudget,
     fleet_state: FleetState,
     limits: RejectionLimits,
     now: float,
-) -> float | None:
-    """Return the seconds of silence after which an attempt is abandoned for another endpoint.
-
-    None if no other attempt can follow: an endpoint's silence alone is no reason to end a request.
-    None, too, if endpoints of the service bear few rejections: an abandoned request may run on at
-    its endpoint, whose slot then counts as free and gets a request that it has to reject.
+) -> bool:
+    """Claim the retry of a request whose endpoint is silent; return whether it may be abandoned.
 
-    A call reserves the retry, which its exchange releases.
+    It may not if the endpoints of its service bear few rejections: an abandoned request may run on
+    at its endpoint, whose slot then counts as free and gets a request that it has to reject.
 
     Args:
         progress: The request.
-        budget: Retry budget, from which another attempt would be paid.
+        budget: Retry budget, from which the retry is spent.
         fleet_state: The instances that share it.
         limits: Services whose endpoints bear few rejections.
         now: The current time.
     """
-    route = progress.admitted.route
-    if not route.repeatable or progress.sends + 1 >= route.max_endpoints:
-        return None
     if limits.applies(progress.service, now=now):
-        return None
+        return False
     instances = fleet_state.count_instances()
-    if route.kind is RouteKind.STREAM:
-        # Streams last too long for each of them to hold a retry.
-        if not budget.has_room(progress.service, instances=instances, now=now):
-            return None
-        return max(STREAM_IDLE_TIMEOUT_S, route.objective_s)
-    if not budget.try_reserve(progress.service, instances=instances, now=now):
-        return None
-    progress.reserved_retry = progress.service
-    return RESPONSE_TIMEOUT_SHARE * route.objective_s
+    progress.retry_claimed = budget.try_spend(progress.service, instances=instances, now=now)
+    return progress.retry_claimed
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from guavamast.relay.attempt import Attempt
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
-from guavamast.relay.attempt_timeouts import compute_attempt_timeout
+from guavamast.relay.attempt_timeouts import claim_retry, compute_attempt_timeout
 from guavamast.relay.caller_delivery import CallerDelivery
 from guavamast.relay.messages import SendParameters
 from guavamast.relay.placed_send import PlacedSend
 from guavamast.relay.quarantine import RunWatch
 from guavamast.relay.request_progress import ReadStream
 from guavamast.relay.response_end_check import ResponseEndCheck
+from guavamast.relay.silence_timeout import SilenceTimeout
 from guavamast.relay.stream_observer import StreamObserver
 from guavamast.relay.stream_relay import relay_events
 from guavamast.relay.stream_sampler import StreamSampler
@@ -74,7 +74,7 @@
         cache: Prompts in the endpoints' KV caches; each send is recorded in it.
         departure: Keeps requests from endpoints that would outlast this instance; checked right
             before each send, and told how long responses take.
-        budget: Retry budget; states whether another attempt could follow.
+        budget: Retry budget, from which an attempt that is abandoned claims the next one.
         codec: Encodes and decodes headers.
         guard: Keeps requests that end endpoints from further ones.
         usage: Counts the requests that begin to run; None if usage isn't reported.
@@ -232,7 +232,6 @@
             rejected = failure.kind is FailureKind.REFUSED
             raise
         finally:
-            self._release_retry(progress)
             attempt.abandon()
             send.end(
                 rejected=rejected,
@@ -246,11 +245,6 @@
         """Return when the caller has a stream that was read to its end; at once without one."""
         await self._delivery.finish_stream(request, progress)
 
-    def _release_retry(self, progress: RequestProgress) -> None:
-        if progress.reserved_retry is not None:
-            self._budget.release(progress.reserved_retry)
-            progress.reserved_retry = None
-
     def _record_statements(self, attempt: Attempt, head: EndpointResponseHead) -> None:
         self._statements.record(
             attempt.record, head, request_id=attempt.request_id, sent_at=attempt.sent_at
@@ -288,13 +282,7 @@
         now = self._read_time()
         self._check_send(request, progress, attempt, send, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
-        timeout_s = compute_attempt_timeout(
-            progress,
-            budget=self._budget,
-            fleet_state=self._fleet_state,
-            limits=self._limits,
-            now=now,
-        )
+        timeout_s = compute_attempt_timeout(progress)
         progress.sends += 1
         progress.possible_runs += 1
         progress.lasted = False
@@ -315,7 +303,9 @@
             )
         )
         try:
-            async with asyncio.timeout(timeout_s) as attempt_timeout:
+            async with SilenceTimeout(
+                silence_s=timeout_s, claim_retry=partial(self._claim_retry, progress)
+            ) as attempt_timeout:
                 head = await attempt.send(parameters)
                 head_at = self._read_time()
                 if not head.event_stream:
@@ -343,6 +333,15 @@
         await self._forward_response(request, writer, progress, attempt, response)
         return attempt.describe_response(began_at=head_at)
 
+    def _claim_retry(self, progress: RequestProgress) -> bool:
+        return claim_retry(
+            progress,
+            budget=self._budget,
+            fleet_state=self._fleet_state,
+            limits=self._limits,
+            now=self._read_time(),
+        )
+
     def _check_send(
         self,
         request: CallerRequest,
@@ -378,7 +377,7 @@
         send: PlacedSend,
         sampler: StreamSampler,
         watch: RunWatch,
-        idle_timeout: asyncio.Timeout,
+        idle_timeout: SilenceTimeout,
     ) -> StreamObserver:
         """Return the observer of the events of one send."""
         return StreamObserver(
--- a/src/guavamast/relay/loop_timeout.py
+++ b/src/guavamast/relay/loop_timeout.py
@@ -10,6 +10,8 @@
     from collections.abc import Coroutine, Iterator
     from typing import Any
 
+    from guavamast.relay.silence_timeout import SilenceTimeout
+
 T = TypeVar("T")
 
 TIMEOUT_STEPS: Final = 7
@@ -42,7 +44,7 @@
 
 
 @contextmanager
-def suspend_timeout(timeout: asyncio.Timeout) -> Iterator[None]:
+def suspend_timeout(timeout: SilenceTimeout) -> Iterator[None]:
     """Suspend a timeout; afterwards it has as much time left as before.
 
     Args:
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -370,6 +370,9 @@
             return False
         if failure.kind is FailureKind.LOST and self._guard.forbids_retry(progress, record):
             return False
+        if progress.retry_claimed:
+            progress.retry_claimed = False
+            return True
         instances = self._fleet_state.count_instances()
         return self._budget.try_spend(progress.service, instances=instances, now=self._read_time())
 
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -58,8 +58,8 @@
     cause: UnservedCause = UnservedCause.FAILED
     """Why its last attempt at an endpoint brought no response."""
     connect_failures: int = 0
-    reserved_retry: str | None = None
-    """Service whose retry budget holds a retry for its present attempt."""
+    retry_claimed: bool = False
+    """Whether the retry that follows its present attempt has been spent already."""
     attributes: tuple[str, ...] | None = None
     """What may be in quarantine: the digest of the request, and the parts of its prompt. None until
     it was needed."""
--- a/src/guavamast/relay/retry_budget.py
+++ b/src/guavamast/relay/retry_budget.py
@@ -33,14 +33,12 @@
         settings: The allowance over all instances.
     """
 
-    __slots__ = ("_retries", "_requests", "_settings", "reserved")
+    __slots__ = ("_retries", "_requests", "_settings")
 
     def __init__(self, *, settings: RetryBudgetSettings) -> None:
         self._settings = settings
         self._requests: dict[str, deque[float]] = {}
         self._retries: dict[str, deque[float]] = {}
-        self.reserved: dict[str, int] = {}
-        """Retries that attempts with a timeout may still need, by service."""
 
     def record_request(self, service: str, *, now: float) -> None:
         """Count a caller's request to a service."""
@@ -58,22 +56,6 @@
         """
         return self._count_left(service, instances=instances, now=now) >= 1
 
-    def try_reserve(self, service: str, *, instances: int, now: float) -> bool:
-        """Reserve a retry for an attempt that is abandoned after a time; False if none is left.
-
-        Each of several attempts that are abandoned at once would otherwise count on the same one.
-        A retry after a failure may still spend it, as that is certain to be needed.
-        """
-        reserved = self.reserved.setdefault(service, 0)
-        if self._count_left(service, instances=instances, now=now) < reserved + 1:
-            return False
-        self.reserved[service] += 1
-        return True
-
-    def release(self, service: str) -> None:
-        """Release a reserved retry once its attempt has ended."""
-        self.reserved[service] -= 1
-
     def try_spend(self, service: str, *, instances: int, now: float) -> bool:
         """Spend one retry; return False if this instance's part is exhausted."""
         if not self.has_room(service, instances=instances, now=now):
--- /dev/null
+++ b/src/guavamast/relay/silence_timeout.py
@@ -0,0 +1,89 @@
+"""Timeout of an endpoint's silence, which ends an attempt only if another one can follow."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final, Self
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+
+STEPS: Final = 7
+"""Parts into which a silence is split; what has arrived takes fewer loop iterations to be read."""
+RECHECK_INTERVAL_S: Final = 0.1
+"""Seconds until an attempt whose endpoint stays silent asks for a retry again."""
+
+
+class SilenceTimeout:
+    """Cancels what it encloses after a silence, once a retry has been claimed.
+
+    An endpoint that has been silent for long may still go on. If the retry were counted on when the
+    attempt began, others could have spent it by now, and the abandoned response would be cut.
+    Claimed at the moment of the timeout, it is certain to follow; without it, the wait goes on.
+
+    The silence is counted in parts, each of which ends in a loop iteration of its own: after this
+    process was blocked, what has arrived meanwhile is read before the silence is over.
+
+    Args:
+        silence_s: Seconds without a sign of the endpoint; None if no attempt can follow.
+        claim_retry: Claims the retry; returns False if there is none at present.
+    """
+
+    __slots__ = ("_claim_retry", "_handle", "_silence_s", "_steps_left", "_timeout", "_when")
+
+    def __init__(self, *, silence_s: float | None, claim_retry: Callable[[], bool]) -> None:
+        self._claim_retry = claim_retry
+        self._silence_s = silence_s
+        self._timeout = asyncio.timeout(None)
+        self._handle: asyncio.TimerHandle | None = None
+        self._when: float | None = None
+        self._steps_left = 0
+
+    async def __aenter__(self) -> Self:
+        await self._timeout.__aenter__()
+        if self._silence_s is not None:
+            self.reschedule(asyncio.get_running_loop().time() + self._silence_s)
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool | None:
+        self._cancel_step()
+        return await self._timeout.__aexit__(error_type, error, traceback)
+
+    def when(self) -> float | None:
+        """Return the loop's time at which the silence is over; None if it is not counted."""
+        return self._when
+
+    def reschedule(self, when: float | None) -> None:
+        """Set the loop's time at which the silence is over; None not to count it."""
+        self._cancel_step()
+        self._when = when
+        self._steps_left = STEPS
+        if when is not None:
+            self._start_step(when)
+
+    def _start_step(self, when: float) -> None:
+        loop = asyncio.get_running_loop()
+        left_s = max(0.0, when - loop.time())
+        self._handle = loop.call_later(left_s / self._steps_left, self._end_step, when)
+
+    def _end_step(self, when: float) -> None:
+        self._steps_left -= 1
+        if self._steps_left:
+            self._start_step(when)
+            return
+        now = asyncio.get_running_loop().time()
+        if self._claim_retry():
+            self._timeout.reschedule(now)
+        else:
+            self.reschedule(now + RECHECK_INTERVAL_S)
+
+    def _cancel_step(self) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
--- a/src/guavamast/relay/stream_observer.py
+++ b/src/guavamast/relay/stream_observer.py
@@ -16,6 +16,7 @@
     from guavamast.relay.quarantine import RunWatch
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
+    from guavamast.relay.silence_timeout import SilenceTimeout
     from guavamast.relay.stream_sampler import StreamSampler
 
 
@@ -61,7 +62,7 @@
         loads: EndpointLoads,
         recorder: RequestRecorder,
         begin: Callable[[], None],
-        idle_timeout: asyncio.Timeout,
+        idle_timeout: SilenceTimeout,
         publish_decrease: Callable[[str], None],
         read_time: Callable[[], float],
     ) -> None:
--- a/src/guavamast/relay/stream_relay.py
+++ b/src/guavamast/relay/stream_relay.py
@@ -8,11 +8,11 @@
 from guavamast.relay.loop_timeout import suspend_timeout
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Awaitable, Callable
 
     from guavamast.relay.attempt import Attempt
     from guavamast.relay.event_framing import StreamEvent
+    from guavamast.relay.silence_timeout import SilenceTimeout
     from guavamast.relay.stream_delivery import StreamDelivery
 
 
@@ -21,7 +21,7 @@
     delivery: StreamDelivery,
     on_event: Callable[[str | None], None],
     confirm_end: Callable[[], Awaitable[None]],
-    timeout: asyncio.Timeout,
+    timeout: SilenceTimeout,
 ) -> None:
     """Read events as they arrive, and return after the whole stream; the caller may be behind.
 
@@ -55,7 +55,7 @@
 
 
 async def _read_events(
-    attempt: Attempt, delivery: StreamDelivery, timeout: asyncio.Timeout
+    attempt: Attempt, delivery: StreamDelivery, timeout: SilenceTimeout
 ) -> list[StreamEvent] | None:
     """Return the next events, read as soon as the caller's backlog has room for them."""
     if not delivery.may_read:
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -9,6 +9,7 @@
 
 from guavamast.platform.standins.engine import EngineFault, EngineStandIn
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
+from guavamast.relay.catalog import RouteKind
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.quarantine import Quarantine, name_part
 from guavamast.relay.rate_limits import PERMIT_VALID_S
@@ -204,7 +205,32 @@
         failed = [one for one in results if isinstance(one, AttemptFailed)]
         self.assertEqual([one.kind for one in failed], [FailureKind.SILENT] * 2)
         self.assertEqual(len(results) - len(failed), len(self.engine.completed))
-        self.assertEqual(self.budget.reserved, {"portal": 0})
+
+    async def test_silence_ends_no_stream_that_cannot_go_on_elsewhere(self) -> None:
+        """Guards against streams that are cut as others have spent the retry counted on.
+
+        Three streams of one engine have begun as it falls silent. Each is given up after a while,
+        and the budget allows one retry: the callers of the other two would get the part that came
+        before the silence, though the engine goes on.
+        """
+        self.budget = RetryBudget(
+            settings=RetryBudgetSettings(ratio=0.0, slack=1.0 / USABLE_SHARE, window_s=10.0)
+        )
+        self.exchanger = self.make_exchanger()
+        route = build_route(kind=RouteKind.STREAM, resumable=True, timeout_s=30.0, objective_s=0.1)
+        self.simulation.replace_routes(route)
+        await self.simulation.reader.catalog.join()
+        self.request_changes = {"target": "/status/stream", "timeout_s": 30.0}
+        self.engine.event_interval_s = 0.4
+        with (
+            mock.patch("guavamast.relay.attempt_timeouts.STREAM_IDLE_TIMEOUT_S", 0.15),
+            mock.patch("guavamast.relay.stream_observer.STREAM_IDLE_TIMEOUT_S", 0.15),
+        ):
+            attempts = (self.run_attempt(writer=RecordingWriter()) for _ in range(3))
+            results = await asyncio.gather(*attempts, return_exceptions=True)
+        failed = [one for one in results if isinstance(one, AttemptFailed)]
+        self.assertEqual([one.kind for one in failed], [FailureKind.SILENT])
+        self.assertEqual(len(self.engine.completed), 2)
 
     async def test_a_response_that_goes_on_arriving_is_not_abandoned(self) -> None:
         """Guards against large responses that are requested twice, or fail, on a busy machine.
