JSON without spaces is encoded in one place

Cause: eleven modules wrote the same call with the same separators (one of them twice), for datagrams, log lines, saved usage and events of streams.

Change: compact_json.encode_json serves them all. Its arguments are those of json.dumps in each place, so the text is the same.

Run: the modules of the wire, heartbeats, decision log, rate and rejection limits, reachability, stream binding, duties, chats and decoding, test_platform_wire, test_platform_rejection_limit and test_pages (163 tests), test_relay_scheduling and test_relay_scheduler_properties (30): all passed.

--- a/src/guavamast/chat_handlers.py
+++ b/src/guavamast/chat_handlers.py
@@ -10,6 +10,7 @@
 from guavamast.caller_input import parse_chat_body
 from guavamast.callers import CallerHandler, encode_rejection
 from guavamast.chats import Chat, ResponseSink
+from guavamast.compact_json import encode_json
 from guavamast.errors import ErrorCode, Refusal, SendLatch
 from guavamast.event_stream import DONE, encode_event, encode_json_event
 
@@ -110,14 +111,13 @@
     def __init__(self, *, handler: ChatHandler, chat: Chat) -> None:
         self.begun = False
         self._handler = handler
-        self._prefix = json.dumps(
+        self._prefix = encode_json(
             {
                 "id": chat.request_id,
                 "object": "chat.completion.chunk",
                 "created": int(time.time()),
                 "model": chat.body.model,
-            },
-            separators=(",", ":"),
+            }
         )[:-1]
 
     def begin(self) -> None:
--- a/src/guavamast/event_stream.py
+++ b/src/guavamast/event_stream.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Any, Final
 
+from guavamast.compact_json import encode_json
+
 DONE: Final = "[DONE]"
 """Data of the event that ends a complete response."""
 MAX_EVENT_BYTES: Final = 1_048_576
@@ -67,4 +68,4 @@
 
 def encode_json_event(body: dict[str, Any], *, name: str = "") -> bytes:
     """Encode one event with a JSON object as its data."""
-    return encode_event(json.dumps(body, separators=(",", ":")), name=name)
+    return encode_event(encode_json(body), name=name)
--- a/src/guavamast/relay/compressed_json.py
+++ b/src/guavamast/relay/compressed_json.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import zlib
 from typing import Any, Final
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_json
 
 COMPRESSION_LEVEL: Final = 1
@@ -16,7 +16,7 @@
 
 def pack(fields: list[Any]) -> bytes:
     """Return fields as compressed JSON."""
-    text = json.dumps(fields, separators=(",", ":"))
+    text = encode_json(fields)
     return zlib.compress(text.encode(), COMPRESSION_LEVEL)
 
 
--- a/src/guavamast/relay/decision_log.py
+++ b/src/guavamast/relay/decision_log.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import json
 import os
 import time
 from typing import TYPE_CHECKING, Final
 
+from guavamast.compact_json import encode_json
+
 if TYPE_CHECKING:
     from guavamast.relay.counters import Counters
 
@@ -77,7 +78,7 @@
         line.update(fields)
         if self._dropped:
             line["dropped"] = self._dropped
-        if self._write_bytes(event, json.dumps(line, separators=(",", ":")).encode() + b"\n"):
+        if self._write_bytes(event, encode_json(line).encode() + b"\n"):
             self._dropped = 0
         else:
             self._drop(event)
--- a/src/guavamast/relay/duties/saved_usage.py
+++ b/src/guavamast/relay/duties/saved_usage.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_json
 
 if TYPE_CHECKING:
@@ -27,13 +27,12 @@
 
     def encode(self) -> str:
         """Return the text of the record."""
-        return json.dumps(
+        return encode_json(
             {
                 "ended": _encode_windows(self.ended),
                 "reporting": _encode_windows(self.reporting),
                 "processes": self.processes,
-            },
-            separators=(",", ":"),
+            }
         )
 
     def count(self, window: int, *, reported: dict[str, int], any_alive: bool) -> dict[str, int]:
--- a/src/guavamast/relay/heartbeat_wire.py
+++ b/src/guavamast/relay/heartbeat_wire.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, Final
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_ip, decode_peer_json, decode_port
 from guavamast.relay.compressed_json import pack, unpack
 from guavamast.relay.endpoint_load import Load
@@ -42,7 +42,7 @@
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Return the datagram of a heartbeat."""
-    return json.dumps(_to_fields(heartbeat), separators=(",", ":")).encode()
+    return encode_json(_to_fields(heartbeat)).encode()
 
 
 def encode_aggregate(aggregate: AggregatedHeartbeat) -> bytes:
@@ -196,7 +196,7 @@
         fields.append(_encode_waiting(update.waiting))
     if update.waiting and update.organisations:
         fields.append(_encode_organisations(update.organisations))
-    return json.dumps(fields, separators=(",", ":")).encode()
+    return encode_json(fields).encode()
 
 
 def decode_message(data: bytes) -> Heartbeat | LoadUpdate | AggregatedHeartbeat:
--- a/src/guavamast/relay/rate_limits/wire.py
+++ b/src/guavamast/relay/rate_limits/wire.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from math import isfinite
 from typing import Final
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_json
 from guavamast.relay.rate_limits.ledger import RateLimit
 
@@ -32,7 +32,7 @@
         for one in report.limits
     ]
     fields = [report.instance, report.failure_domain, limits]
-    return RATE_LIMIT_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
+    return RATE_LIMIT_PREFIX + encode_json(fields).encode()
 
 
 def decode_rate_limits(data: bytes) -> RateLimitReport:
--- a/src/guavamast/relay/reachability/reports.py
+++ b/src/guavamast/relay/reachability/reports.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Final
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_json
 
 REACHABILITY_PREFIX: Final = b"r"
@@ -40,7 +40,7 @@
         report.sequence,
         report.blocked,
     ]
-    return REACHABILITY_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
+    return REACHABILITY_PREFIX + encode_json(fields).encode()
 
 
 def decode_reachability_report(data: bytes) -> ReachabilityReport:
--- a/src/guavamast/relay/rejection_limits.py
+++ b/src/guavamast/relay/rejection_limits.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Final
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_json
 
 REJECTION_LIMIT_PREFIX: Final = b"l"
@@ -30,7 +30,7 @@
 def encode_rejection_limit(limit: RejectionLimit) -> bytes:
     """Return the datagram of a limit."""
     fields = [limit.service, limit.rejections_per_s, limit.failure_domain]
-    return REJECTION_LIMIT_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
+    return REJECTION_LIMIT_PREFIX + encode_json(fields).encode()
 
 
 def decode_rejection_limit(data: bytes) -> RejectionLimit:
--- a/src/guavamast/relay/scheduling_wire.py
+++ b/src/guavamast/relay/scheduling_wire.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, Final, TypeAlias
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_peer_json
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.placement import Obstacle, ObstacleKind, RoomCheck
@@ -36,7 +36,7 @@
     """Encode a message as a datagram."""
     encode = _ENCODERS[type(message)]
     fields = [WIRE_VERSION, *encode(message)]
-    return SCHEDULING_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
+    return SCHEDULING_PREFIX + encode_json(fields).encode()
 
 
 def decode_scheduling(data: bytes) -> SchedulingMessage:
--- a/src/guavamast/relay/stream_binding/wire.py
+++ b/src/guavamast/relay/stream_binding/wire.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Any, Final, TypeAlias
 
+from guavamast.compact_json import encode_json
 from guavamast.decoding import Decoding, decode_json
 from guavamast.relay.requester import Requester, decode_requester
 from guavamast.relay.stream_binding.records import (
@@ -65,7 +65,7 @@
     else:
         stream = [] if message.stream is None else _encode_stream(message.stream, now)
         fields = ["reply", *_encode_question(message), message.instance, *stream]
-    return BINDING_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
+    return BINDING_PREFIX + encode_json(fields).encode()
 
 
 def decode_binding_message(data: bytes, *, now: float) -> BindingMessage:
