Errors of an endpoint's connection are classified in one place

Cause: Attempt.send and Attempt._read_chunk each listed the same three errors with the kinds of failure that they are, so a new error or kind had to be added twice.

Change: both call one function. An UnboundedAnswer, which is a MalformedAnswer too, is still classified first; NotForwarded is caught before, as it was.

Run: test_platform_broken_answers, test_platform_endless_answers, test_platform_large_answers and test_platform_small_parts (23 tests), test_relay_exchange, test_relay_broken_answers, test_relay_forwarding, test_http_connection and test_relay_slow_readers: all passed.

--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -224,12 +224,8 @@
             received = await connection.read_head()
         except NotForwarded as error:
             raise AttemptFailed(FailureKind.OUTDATED, str(error)) from error
-        except ConnectionLost as error:
-            raise AttemptFailed(FailureKind.LOST, str(error)) from error
-        except UnboundedAnswer as error:
-            raise AttemptFailed(FailureKind.UNBOUNDED, str(error)) from error
-        except MalformedAnswer as error:
-            raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+        except (ConnectionLost, MalformedAnswer) as error:
+            raise AttemptFailed(_classify_error(error), str(error)) from error
         self._record_received()
         self._framing = received.framing
         self._length = received.length
@@ -342,12 +338,8 @@
         assert self._acquired is not None
         try:
             chunk = await self._acquired.connection.read_chunk()
-        except ConnectionLost as error:
-            raise AttemptFailed(FailureKind.LOST, str(error)) from error
-        except UnboundedAnswer as error:
-            raise AttemptFailed(FailureKind.UNBOUNDED, str(error)) from error
-        except MalformedAnswer as error:
-            raise AttemptFailed(FailureKind.INVALID, str(error)) from error
+        except (ConnectionLost, MalformedAnswer) as error:
+            raise AttemptFailed(_classify_error(error), str(error)) from error
         self._record_received()
         return chunk
 
@@ -389,3 +381,12 @@
             raise AttemptFailed(
                 FailureKind.INVALID, f"status {head.status} without proof that it did not run"
             )
+
+
+def _classify_error(error: ConnectionLost | MalformedAnswer) -> FailureKind:
+    """Return the kind of failure that an error of the connection to an endpoint is."""
+    if isinstance(error, ConnectionLost):
+        return FailureKind.LOST
+    if isinstance(error, UnboundedAnswer):
+        return FailureKind.UNBOUNDED
+    return FailureKind.INVALID
