A leaving entry's wait for chats begins when it takes no more

What callers saw (real processes, 12 callers on kept connections, each sending its next chat at once, one run before the change): with a wait of 5 s and addresses valid for 4 s, 8 chats of 2.5 s that were sent 2.5 to 4.1 s after the signal were cut at 5 s. With a wait of 1 s and a validity of 3 s, 12 chats of 0.3 s were ended at 3 s, after the wait was over. Cause: drain_wait_s was counted from the signal, while chats are taken until addresses have expired: taken for longer than the entry can finish them. Ruled out: the poll of services.in_flight in leave(). It gates nothing: from state.leaving on each request is refused as it is authenticated, in the step in which it would be counted, so the number only falls.

Change: the wait begins when new requests are refused. A chat that needs more than drain_wait_s is still cut, as promised; it isn't refused before.

--- a/soak/kept_callers.py
+++ b/soak/kept_callers.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavamast.relay.messages import Header
+
 CONNECT_TIMEOUT_S: Final = 1.0
 RESPONSE_TIMEOUT_S: Final = 30.0
 RECONNECT_PAUSE_S: Final = 0.05
@@ -31,6 +33,8 @@
     """Whether its connection had carried another request before."""
     sent_at: float
     ended_at: float = 0.0
+    written: bool = False
+    """Whether it was written; not if its connection had ended before."""
     status: int | None = None
     """Status of the response; None if there was none."""
     response_id: str | None = None
@@ -78,6 +82,19 @@
         self._requests = requests
         self._count = 0
 
+    def build_headers(self, request_id: str) -> list[Header]:
+        """Return the headers of a request, but for the length of its body."""
+        return [
+            ("Host", HOST),
+            ("Authorization", f"Bearer {self._key}"),
+            ("X-Attempt-Id", request_id),
+            ("X-Request-Deadline-Ms", str(self._timeout_ms)),
+        ]
+
+    def build_body(self, request_id: str) -> bytes:
+        """Return the body of a request."""
+        return request_id.encode()
+
     async def run(self, has_ended: Callable[[], bool], *, until: float = math.inf) -> None:
         """Send requests.
 
@@ -115,18 +132,14 @@
 
     async def _send(self, connection: HttpConnection, request: KeptRequest) -> bool:
         """Send a request and read its response; return whether the connection is still open."""
-        body = request.request_id.encode()
-        headers = [
-            ("Host", HOST),
-            ("Authorization", f"Bearer {self._key}"),
-            ("X-Attempt-Id", request.request_id),
-            ("X-Request-Deadline-Ms", str(self._timeout_ms)),
-            ("Content-Length", str(len(body))),
-        ]
+        body = self.build_body(request.request_id)
+        headers = self.build_headers(request.request_id)
+        headers.append(("Content-Length", str(len(body))))
         try:
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 target = self._choose_target(request.request_id)
                 await connection.send("POST", target, headers, body)
+                request.written = True
                 head = await connection.read_head()
                 fields = {name.lower(): value for name, value in head.headers}
                 request.status = head.status
--- a/src/guavamast/entry.py
+++ b/src/guavamast/entry.py
@@ -209,15 +209,16 @@
         """Redirect callers to other instances and wait for requests in flight.
 
         Callers keep an address for its validity, so new requests are still served that long; then
-        they are rejected as not run, with other addresses.
+        they are rejected as not run, with other addresses. The wait for those in flight begins only
+        then: each gets all of it, also those that came last.
         """
         if self._server is not None:
             self._server.disable_keep_alive()
         await self.view_link.announce(peer_pb2.AnnounceRequest(leaving=True))
-        deadline = self.clock() + self._settings.drain_wait_s
         if self.state.list_live_peers():
             await asyncio.sleep(self._settings.address_validity_s)
         self.state.leaving = True
+        deadline = self.clock() + self._settings.drain_wait_s
         while self.services.in_flight and self.clock() < deadline:
             await asyncio.sleep(0.05)
         await self._drain(deadline=deadline)
