A query by HEAD gets its response

What callers saw: a query by HEAD to the listeners of readiness, addresses and metrics had its connection closed without a response. Cause: the listener wrote the body, which the HTTP library refuses for HEAD; the error closed the connection. Found while the end of these listeners was tried.

Change: no body for HEAD. Measured: the test failed before (nothing received), passes now.

--- a/src/guavamast/relay/query_listener.py
+++ b/src/guavamast/relay/query_listener.py
@@ -66,7 +66,9 @@
         reason = httputil.responses.get(status, "Unknown")
         assert request.connection is not None
         request.connection.write_headers(
-            httputil.ResponseStartLine("HTTP/1.1", status, reason), headers, body
+            httputil.ResponseStartLine("HTTP/1.1", status, reason),
+            headers,
+            None if request.method == "HEAD" else body,
         )
         request.connection.finish()
 
