An attempt's checks, software and accounting are modules of their own

Beside its job, one attempt from connection to forwarded response, it decided whether a request may still be sent, bound streams to software, and counted the work at endpoints.

No behaviour changed. tests/_relay_case.py builds the new parts; no test or check was changed.

--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from guavamast.relay.attempt import Attempt
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
@@ -13,7 +13,6 @@
 from guavamast.relay.placed_send import PlacedSend
 from guavamast.relay.quarantine import RunWatch
 from guavamast.relay.request_progress import ReadStream
-from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.silence_timeout import SilenceTimeout
 from guavamast.relay.stream_observer import StreamObserver
 from guavamast.relay.stream_relay import relay_events
@@ -24,11 +23,10 @@
 
     from guavamast.relay.attempt import CompleteResponse
     from guavamast.relay.buffering import MemoryAccount, SlowReaders
-    from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.duties import UsageCounter
     from guavamast.relay.endpoint_connector import EndpointConnector
-    from guavamast.relay.endpoint_load import EndpointLoads, Load, Work
+    from guavamast.relay.endpoint_load import EndpointLoads, Load
     from guavamast.relay.endpoint_statements import EndpointStatements
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
@@ -38,71 +36,56 @@
         HeaderCodec,
         ResponseWriter,
     )
-    from guavamast.relay.placement import (
-        Choice,
-        EndpointSpeeds,
-        EngineProfiles,
-        PromptCache,
-    )
+    from guavamast.relay.placement import EndpointSpeeds, EngineProfiles
     from guavamast.relay.placer import PlacementDecision
     from guavamast.relay.quarantine import CrashGuard
-    from guavamast.relay.rate_limits import RateLimitLedger
     from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.relayed_response import RelayedResponse
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
+    from guavamast.relay.response_end_check import ResponseEndCheck
     from guavamast.relay.retry_budget import RetryBudget
-    from guavamast.relay.scaling import DemandCounter
-    from guavamast.relay.stream_binding import SoftwareVersions, StreamSource, StreamTakeUps
-
-
-class PublishLoad(Protocol):
-    """Reports that this instance's work at an endpoint has changed."""
-
-    def __call__(self, endpoint_id: str, *, increased: bool) -> None:
-        """Report an endpoint and whether its work has grown."""
+    from guavamast.relay.send_check import SendCheck
+    from guavamast.relay.stream_binding import StreamSource
+    from guavamast.relay.stream_software import StreamSoftware
+    from guavamast.relay.work_accounting import WorkAccounting
 
 
 class Exchanger:
     """Runs attempts.
 
     Args:
-        admission: Checks each request as it is sent.
         fleet_state: Services and other instances.
-        loads: Work at endpoints; each send is counted in it.
-        cache: Prompts in the endpoints' KV caches; each send is recorded in it.
-        departure: Keeps requests from endpoints that would outlast this instance; checked right
-            before each send, and told how long responses take.
+        accounting: Counts each send as work at its endpoint.
+        check: Checks each request right before it is sent.
+        end_check: Looks for the sender of a response that may have been broken off.
+        loads: Work at endpoints.
+        software: Binds streams to the software that begins them.
+        departure: Told how long responses take.
         budget: Retry budget, from which an attempt that is abandoned claims the next one.
         codec: Encodes and decodes headers.
         guard: Keeps requests that end endpoints from further ones.
         usage: Counts the requests that begin to run; None if usage isn't reported.
-        demand: Counts the prompt tokens to prefill; None if no engines are ordered.
         connector: Finds connections to endpoints.
-        versions: Software of the endpoints.
-        take_ups: Told what begins each stream that can be resumed.
         recorder: Log lines and metrics of requests.
         profiles: Engine profiles, learned from the streams that are forwarded.
         speeds: Speeds of single engines, learned from the same streams.
         reachability: Signs of life of the endpoints.
         limits: Services whose endpoints bear few rejections.
-        rate_limits: Rate limits that endpoints state; checked right before each send.
         statements: Told what endpoints state about themselves.
-        publish_load: Called when this instance's work at an endpoint has changed.
         memory: Memory that this instance holds for others.
         readers: Callers that are written to.
         read_time: Reads the local clock.
     """
 
     __slots__ = (
-        "_admission",
+        "_accounting",
         "_budget",
-        "_cache",
+        "_check",
         "_codec",
         "_connector",
         "_delivery",
-        "_demand",
         "_departure",
         "_end_check",
         "_fleet_state",
@@ -110,71 +93,59 @@
         "_limits",
         "_loads",
         "_memory",
-        "_recorder",
         "_profiles",
-        "_rate_limits",
         "_reachability",
-        "_speeds",
         "_read_time",
-        "_publish_load",
+        "_recorder",
+        "_software",
+        "_speeds",
         "_statements",
-        "_take_ups",
         "_usage",
-        "_versions",
     )
 
     def __init__(
         self,
         *,
-        admission: CallerAdmission,
         fleet_state: FleetState,
+        accounting: WorkAccounting,
+        check: SendCheck,
+        end_check: ResponseEndCheck,
         loads: EndpointLoads,
-        cache: PromptCache,
+        software: StreamSoftware,
         departure: DepartureGate,
         budget: RetryBudget,
         codec: HeaderCodec,
         guard: CrashGuard,
         usage: UsageCounter | None,
-        demand: DemandCounter | None,
         connector: EndpointConnector,
-        versions: SoftwareVersions,
-        take_ups: StreamTakeUps,
         recorder: RequestRecorder,
         profiles: EngineProfiles,
         speeds: EndpointSpeeds,
         reachability: ReachabilityMonitor,
         limits: RejectionLimits,
-        rate_limits: RateLimitLedger,
         statements: EndpointStatements,
-        publish_load: PublishLoad,
         memory: MemoryAccount,
         readers: SlowReaders,
         read_time: Callable[[], float],
     ) -> None:
-        self._admission = admission
         self._fleet_state = fleet_state
+        self._accounting = accounting
+        self._check = check
         self._loads = loads
-        self._cache = cache
+        self._software = software
         self._departure = departure
         self._budget = budget
         self._codec = codec
         self._guard = guard
         self._usage = usage
-        self._demand = demand
         self._connector = connector
-        self._versions = versions
-        self._take_ups = take_ups
-        self._end_check = ResponseEndCheck(
-            probe=connector, admission=admission, fleet_state=fleet_state, read_time=read_time
-        )
+        self._end_check = end_check
         self._recorder = recorder
         self._profiles = profiles
         self._speeds = speeds
         self._reachability = reachability
         self._limits = limits
-        self._rate_limits = rate_limits
         self._statements = statements
-        self._publish_load = publish_load
         self._memory = memory
         self._delivery = CallerDelivery(
             memory=memory, readers=readers, recorder=recorder, read_time=read_time
@@ -207,7 +178,7 @@
             read_time=self._read_time,
         )
         progress.tried.add(record.endpoint_id)
-        work = self._begin_work(request, progress, placed.choice)
+        work = self._accounting.begin(request, progress, placed.choice)
         send = PlacedSend(placed=placed, work=work)
         failure_weight = 0.0
         rejected = False
@@ -218,7 +189,7 @@
                 permitted=send.is_permitted(now=self._read_time()),
             )
             self._recorder.record_connection(attempt.connection)
-            await self._confirm_software(progress, attempt)
+            await self._software.confirm(progress, attempt)
             response = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
             self._departure.record_response(
@@ -239,7 +210,7 @@
                 longest_pause_s=progress.timing.longest_pause_s,
                 mean_pause_ms=_compute_mean_pause(progress),
             )
-            self._publish_load(record.endpoint_id, increased=False)
+            self._accounting.publish_decrease(record.endpoint_id)
 
     async def deliver(self, request: CallerRequest, progress: RequestProgress) -> None:
         """Return when the caller has a stream that was read to its end; at once without one."""
@@ -250,27 +221,6 @@
             attempt.record, head, request_id=attempt.request_id, sent_at=attempt.sent_at
         )
 
-    def _begin_work(
-        self, request: CallerRequest, progress: RequestProgress, choice: Choice
-    ) -> Work:
-        """Count the request at its endpoint, and its prompt as being in the endpoint's KV cache."""
-        endpoint_id = choice.record.endpoint_id
-        if request.shared_part is not None:
-            now = self._read_time()
-            self._cache.record(endpoint_id, request.shared_part, choice.uncached_tokens, now=now)
-        if self._demand is not None and request.prompt_tokens:
-            self._demand.record_send(choice.record.service, prefill_tokens=choice.uncached_tokens)
-        work = self._loads.begin(
-            endpoint_id,
-            prefill_tokens=choice.uncached_tokens,
-            kv_tokens=request.prompt_tokens + request.output_tokens,
-            # Outside its own length bucket, among long prompts, the stream is late anyway, so long
-            # prompts need not avoid the engine because of it.
-            pause_sensitive=progress.pause_sensitive and choice.own_bucket,
-        )
-        self._publish_load(endpoint_id, increased=True)
-        return work
-
     async def _exchange(
         self,
         request: CallerRequest,
@@ -280,7 +230,7 @@
         send: PlacedSend,
     ) -> RelayedResponse:
         now = self._read_time()
-        self._check_send(request, progress, attempt, send, now=now)
+        self._check.check(request, progress, attempt.record, send, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
         timeout_s = compute_attempt_timeout(progress)
         progress.sends += 1
@@ -342,33 +292,6 @@
             now=self._read_time(),
         )
 
-    def _check_send(
-        self,
-        request: CallerRequest,
-        progress: RequestProgress,
-        attempt: Attempt,
-        send: PlacedSend,
-        *,
-        now: float,
-    ) -> None:
-        """Raise if a request must no longer be sent, right before its bytes go out.
-
-        Raises:
-            AttemptFailed: With ``OUTDATED``.
-        """
-        if send.is_expired(now=now):
-            raise AttemptFailed(
-                FailureKind.OUTDATED, "the scheduler's grant expired before the send"
-            )
-        if self._rate_limits.find(attempt.record) is not None and not send.is_permitted(now=now):
-            self._recorder.record_withheld(request, attempt.record, now=now)
-            raise AttemptFailed(FailureKind.OUTDATED, "no permit under the endpoint's rate limit")
-        if self._guard.is_quarantined(request, progress):
-            raise AttemptFailed(FailureKind.OUTDATED, "quarantined before the send")
-        if self._departure.find_denial(progress, now=now) is not None:
-            raise AttemptFailed(FailureKind.OUTDATED, "the instance leaves")
-        self._admission.check_send(progress.admitted, attempt.record, now=now)
-
     def _build_observer(
         self,
         request: CallerRequest,
@@ -390,7 +313,7 @@
             recorder=self._recorder,
             begin=partial(self._begin_stream, request, progress, attempt.source),
             idle_timeout=idle_timeout,
-            publish_decrease=partial(self._publish_load, increased=False),
+            publish_decrease=self._accounting.publish_decrease,
             read_time=self._read_time,
         )
 
@@ -398,7 +321,7 @@
         self, request: CallerRequest, progress: RequestProgress, source: StreamSource
     ) -> None:
         """Record what begins a stream, before its first event is forwarded."""
-        self._bind(request, progress, source)
+        self._software.bind(request, progress, source)
         self._record_run(progress, now=self._read_time())
 
     def _record_run(self, progress: RequestProgress, *, now: float) -> None:
@@ -407,36 +330,6 @@
         if self._usage is not None and organisation is not None:
             self._usage.record(organisation.name, now=now)
 
-    async def _confirm_software(self, progress: RequestProgress, attempt: Attempt) -> None:
-        """Raise unless an endpoint is known to run what began the request's stream.
-
-        Raises:
-            AttemptFailed: With ``OUTDATED`` if it runs something else, or ``UNCONFIRMED``.
-        """
-        if progress.binding is None:
-            return
-        confirmed = await self._versions.confirm(attempt.source)
-        if confirmed == progress.binding:
-            return
-        if confirmed is not None or self._versions.has_changed(attempt.record):
-            raise AttemptFailed(FailureKind.OUTDATED, "the endpoint runs other software")
-        raise AttemptFailed(FailureKind.UNCONFIRMED, "the endpoint's software isn't known")
-
-    def _bind(
-        self, request: CallerRequest, progress: RequestProgress, source: StreamSource
-    ) -> None:
-        """Bind a stream before its first event goes out, or as soon as what began it is known."""
-        admitted = progress.admitted
-        if not admitted.route.resumable:
-            return
-        if progress.binding is None:
-            progress.source = source
-            progress.binding = self._versions.identify(source, now=self._read_time())
-        if progress.binding is not None:
-            self._take_ups.bind(request, admitted, progress.binding)
-        else:
-            self._take_ups.bind_unconfirmed(request, admitted, source, progress.record_binding)
-
     async def _confirm_end(self, attempt: Attempt) -> None:
         """Raise if a response was broken off although its bytes look whole.
 
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -8,9 +8,13 @@
 from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.placement import EndpointChooser, RequestSizes, UnscheduledMemory
 from guavamast.relay.relayer import Relayer
+from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.scheduled_placer import ScheduledPlacer
+from guavamast.relay.send_check import SendCheck
+from guavamast.relay.stream_software import StreamSoftware
 from guavamast.relay.unserved_ends import UnservedEnds
+from guavamast.relay.work_accounting import WorkAccounting
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,7 +26,6 @@
     from guavamast.relay.duties import Duties
     from guavamast.relay.endpoint_access import EndpointAccess
     from guavamast.relay.endpoint_statements import EndpointStatements
-    from guavamast.relay.exchange import PublishLoad
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.messages import HeaderCodec
     from guavamast.relay.node_settings import NodeSettings
@@ -33,6 +36,7 @@
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.scheduling import Scheduling
     from guavamast.relay.stream_binding import SoftwareVersions, StreamBindings
+    from guavamast.relay.work_accounting import PublishLoad
     from guavamast.relay.work_state import WorkState
 
 
@@ -87,27 +91,43 @@
     """
     budget = RetryBudget(settings=_build_budget_terms(settings))
     exchanger = Exchanger(
-        admission=admission,
         fleet_state=fleet_state,
+        accounting=WorkAccounting(
+            loads=work.loads,
+            cache=work.cache,
+            demand=duties.demand if duties is not None else None,
+            publish=publish_load,
+            read_time=read_time,
+        ),
+        check=SendCheck(
+            admission=admission,
+            departure=departure,
+            guard=guard,
+            rate_limits=rate_limits,
+            recorder=recorder,
+        ),
+        end_check=ResponseEndCheck(
+            probe=access.connector,
+            admission=admission,
+            fleet_state=fleet_state,
+            read_time=read_time,
+        ),
         loads=work.loads,
-        cache=work.cache,
+        software=StreamSoftware(
+            versions=bindings.versions, take_ups=bindings.take_ups, read_time=read_time
+        ),
         departure=departure,
         budget=budget,
         codec=codec,
         guard=guard,
         usage=duties.usage if duties is not None else None,
-        demand=duties.demand if duties is not None else None,
         connector=access.connector,
-        versions=bindings.versions,
-        take_ups=bindings.take_ups,
         recorder=recorder,
         profiles=work.profiles,
         speeds=work.speeds,
         reachability=access.monitor,
         limits=limits,
-        rate_limits=rate_limits,
         statements=statements,
-        publish_load=publish_load,
         memory=memory,
         readers=readers,
         read_time=read_time,
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -44,9 +44,13 @@
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.requester import Requester
+from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
+from guavamast.relay.send_check import SendCheck
 from guavamast.relay.stream_binding import BindingDirectory, StreamTakeUps, TakeUpRecorder
+from guavamast.relay.stream_software import StreamSoftware
 from guavamast.relay.unserved_ends import UnservedEnds
+from guavamast.relay.work_accounting import WorkAccounting
 from tests.relay_fixtures import (
     PROFILE,
     build_connector,
@@ -213,27 +217,45 @@
     def make_exchanger(self) -> Exchanger:
         fleet_state = self.simulation.fleet_state
         return Exchanger(
-            admission=self.simulation.admission,
             fleet_state=fleet_state,
+            accounting=WorkAccounting(
+                loads=self.loads,
+                cache=PromptCache(),
+                demand=None,
+                publish=mock.Mock(),
+                read_time=lambda: self.simulation.now,
+            ),
+            check=SendCheck(
+                admission=self.simulation.admission,
+                departure=self.departure,
+                guard=self.guard,
+                rate_limits=self.rate_limits,
+                recorder=self.recorder,
+            ),
+            end_check=ResponseEndCheck(
+                probe=self.connector,
+                admission=self.simulation.admission,
+                fleet_state=fleet_state,
+                read_time=lambda: self.simulation.now,
+            ),
             loads=self.loads,
-            cache=PromptCache(),
+            software=StreamSoftware(
+                versions=self.simulation.versions,
+                take_ups=self.take_ups,
+                read_time=lambda: self.simulation.now,
+            ),
             departure=self.departure,
             budget=self.budget,
             codec=PlatformHeaders(),
             guard=self.guard,
             usage=None,
-            demand=None,
             connector=self.connector,
-            versions=self.simulation.versions,
-            take_ups=self.take_ups,
             recorder=self.recorder,
             profiles=self.profiles,
             speeds=self.speeds,
             reachability=ReachabilityMonitor(),
             limits=RejectionLimits(),
-            rate_limits=self.rate_limits,
             statements=self.statements,
-            publish_load=mock.Mock(),
             memory=self.memory,
             readers=SlowReaders(account=self.memory),
             read_time=lambda: self.simulation.now,
