--- a/src/guavamast/relay/attempt_timeouts.py
+++ b/src/guavamast/relay/attempt_timeouts.py
@@ -7,10 +7,7 @@
 from guavamast.relay.catalog import RouteKind
 
 if TYPE_CHECKING:
-    from guavamast.relay.fleet_state import FleetState
-    from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.request_progress import RequestProgress
-    from guavamast.relay.retry_budget import RetryBudget
 
 RESPONSE_TIMEOUT_SHARE: Final = 0.6
 """Share of the objective after which a repeatable call without a response is retried at another
@@ -34,30 +31,3 @@
     if route.kind is RouteKind.STREAM:
         return max(STREAM_IDLE_TIMEOUT_S, route.objective_s)
     return RESPONSE_TIMEOUT_SHARE * route.objective_s
-
-
-def claim_retry(
-    progress: RequestProgress,
-    *,
-    budget: RetryBudget,
-    fleet_state: FleetState,
-    limits: RejectionLimits,
-    now: float,
-) -> bool:
-    """Claim the retry of a request whose endpoint is silent; return whether it may be abandoned.
-
-    It may not if the endpoints of its service bear few rejections: an abandoned request may run on
-    at its endpoint, whose slot then counts as free and gets a request that it has to reject.
-
-    Args:
-        progress: The request.
-        budget: Retry budget, from which the retry is spent.
-        fleet_state: The instances that share it.
-        limits: Services whose endpoints bear few rejections.
-        now: The current time.
-    """
-    if limits.applies(progress.service, now=now):
-        return False
-    instances = fleet_state.count_instances()
-    progress.retry_claimed = budget.try_spend(progress.service, instances=instances, now=now)
-    return progress.retry_claimed
--- a/src/guavamast/relay/departure_gate.py
+++ b/src/guavamast/relay/departure_gate.py
@@ -23,25 +23,26 @@
 
 
 class ResponseDurations:
-    """Recent durations of responses by route, from the send to the end."""
+    """Recent durations of responses by route and service, from the send to the end."""
 
     __slots__ = ("_by_route",)
 
     def __init__(self) -> None:
-        self._by_route: dict[str, deque[float]] = {}
+        self._by_route: dict[tuple[str, str], deque[float]] = {}
 
-    def record(self, route: str, duration_s: float) -> None:
+    def record(self, route: str, service: str, duration_s: float) -> None:
         """Record a complete response."""
-        durations = self._by_route.get(route)
+        key = (route, service)
+        durations = self._by_route.get(key)
         if durations is None:
             if len(self._by_route) >= MAX_SAMPLED_ROUTES:
                 del self._by_route[next(iter(self._by_route))]
-            durations = self._by_route[route] = deque(maxlen=RESPONSE_SAMPLES)
+            durations = self._by_route[key] = deque(maxlen=RESPONSE_SAMPLES)
         durations.append(duration_s)
 
-    def forecast(self, route: str) -> float | None:
+    def forecast(self, route: str, service: str) -> float | None:
         """Return the seconds that a response may take; None if there was none."""
-        durations = self._by_route.get(route)
+        durations = self._by_route.get((route, service))
         if not durations:
             return None
         return sorted(durations)[ceil(RESPONSE_QUANTILE * len(durations)) - 1]
@@ -67,14 +68,14 @@
         self._durations = durations
 
     def record_response(self, progress: RequestProgress, *, sent_at: float, now: float) -> None:
-        """Record a complete response.
+        """Record a whole response of an endpoint: no error, and no rest of a stream.
 
         Args:
             progress: State of its request.
             sent_at: Local time at which the request was sent.
             now: The present time.
         """
-        self._durations.record(progress.admitted.route.name, now - sent_at)
+        self._durations.record(progress.admitted.route.name, progress.service, now - sent_at)
 
     def find_denial(self, progress: RequestProgress, *, now: float) -> Denied | None:
         """Return why a request must not be sent any more; None if it may be.
@@ -93,5 +94,5 @@
             return True
         if now >= self._schedule.forecasts_until:
             return False
-        expected_s = self._durations.forecast(progress.admitted.route.name)
+        expected_s = self._durations.forecast(progress.admitted.route.name, progress.service)
         return expected_s is None or now + expected_s <= ends_at
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -7,7 +7,7 @@
 
 from guavamast.relay.attempt import Attempt
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
-from guavamast.relay.attempt_timeouts import claim_retry, compute_attempt_timeout
+from guavamast.relay.attempt_timeouts import compute_attempt_timeout
 from guavamast.relay.caller_delivery import CallerDelivery
 from guavamast.relay.messages import SendParameters
 from guavamast.relay.placed_send import PlacedSend
@@ -40,12 +40,11 @@
     from guavamast.relay.placer import PlacementDecision
     from guavamast.relay.quarantine import CrashGuard
     from guavamast.relay.reachability import ReachabilityMonitor
-    from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.relayed_response import RelayedResponse
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.response_end_check import ResponseEndCheck
-    from guavamast.relay.retry_budget import RetryBudget
+    from guavamast.relay.retry_claims import RetryClaims
     from guavamast.relay.send_check import SendCheck
     from guavamast.relay.stream_binding import StreamSource
     from guavamast.relay.stream_software import StreamSoftware
@@ -63,7 +62,7 @@
         loads: Work at endpoints.
         software: Binds streams to the software that begins them.
         departure: Told how long responses take.
-        budget: Retry budget, from which an attempt that is abandoned claims the next one.
+        claims: Claim the retry before an attempt at a silent endpoint is abandoned.
         codec: Encodes and decodes headers.
         guard: Keeps requests that end endpoints from further ones.
         usage: Counts the requests that begin to run; None if usage isn't reported.
@@ -72,7 +71,6 @@
         profiles: Engine profiles, learned from the streams that are forwarded.
         speeds: Speeds of single engines, learned from the same streams.
         reachability: Signs of life of the endpoints.
-        limits: Services whose endpoints bear few rejections.
         statements: Told what endpoints state about themselves.
         memory: Memory that this instance holds for others.
         readers: Callers that are written to.
@@ -81,8 +79,8 @@
 
     __slots__ = (
         "_accounting",
-        "_budget",
         "_check",
+        "_claims",
         "_codec",
         "_connector",
         "_delivery",
@@ -90,7 +88,6 @@
         "_end_check",
         "_fleet_state",
         "_guard",
-        "_limits",
         "_loads",
         "_memory",
         "_profiles",
@@ -113,7 +110,7 @@
         loads: EndpointLoads,
         software: StreamSoftware,
         departure: DepartureGate,
-        budget: RetryBudget,
+        claims: RetryClaims,
         codec: HeaderCodec,
         guard: CrashGuard,
         usage: UsageCounter | None,
@@ -122,7 +119,6 @@
         profiles: EngineProfiles,
         speeds: EndpointSpeeds,
         reachability: ReachabilityMonitor,
-        limits: RejectionLimits,
         statements: EndpointStatements,
         memory: MemoryAccount,
         readers: SlowReaders,
@@ -134,7 +130,7 @@
         self._loads = loads
         self._software = software
         self._departure = departure
-        self._budget = budget
+        self._claims = claims
         self._codec = codec
         self._guard = guard
         self._usage = usage
@@ -144,7 +140,6 @@
         self._profiles = profiles
         self._speeds = speeds
         self._reachability = reachability
-        self._limits = limits
         self._statements = statements
         self._memory = memory
         self._delivery = CallerDelivery(
@@ -192,9 +187,10 @@
             await self._software.confirm(progress, attempt)
             response = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
-            self._departure.record_response(
-                progress, sent_at=attempt.sent_at, now=self._read_time()
-            )
+            if response.status < 300 and progress.sends == 1 and request.last_event_id is None:
+                self._departure.record_response(
+                    progress, sent_at=attempt.sent_at, now=self._read_time()
+                )
             return response
         except AttemptFailed as failure:
             failure.connection = attempt.connection
@@ -254,7 +250,7 @@
         )
         try:
             async with SilenceTimeout(
-                silence_s=timeout_s, claim_retry=partial(self._claim_retry, progress)
+                silence_s=timeout_s, claim_retry=partial(self._claims.claim, progress)
             ) as attempt_timeout:
                 head = await attempt.send(parameters)
                 head_at = self._read_time()
@@ -283,15 +279,6 @@
         await self._forward_response(request, writer, progress, attempt, response)
         return attempt.describe_response(began_at=head_at)
 
-    def _claim_retry(self, progress: RequestProgress) -> bool:
-        return claim_retry(
-            progress,
-            budget=self._budget,
-            fleet_state=self._fleet_state,
-            limits=self._limits,
-            now=self._read_time(),
-        )
-
     def _build_observer(
         self,
         request: CallerRequest,
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -10,6 +10,7 @@
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
+from guavamast.relay.retry_claims import RetryClaims
 from guavamast.relay.scheduled_placer import ScheduledPlacer
 from guavamast.relay.send_check import SendCheck
 from guavamast.relay.stream_software import StreamSoftware
@@ -117,7 +118,14 @@
             versions=bindings.versions, take_ups=bindings.take_ups, read_time=read_time
         ),
         departure=departure,
-        budget=budget,
+        claims=RetryClaims(
+            budget=budget,
+            fleet_state=fleet_state,
+            limits=limits,
+            departure=departure,
+            versions=bindings.versions,
+            read_time=read_time,
+        ),
         codec=codec,
         guard=guard,
         usage=duties.usage if duties is not None else None,
@@ -126,7 +134,6 @@
         profiles=work.profiles,
         speeds=work.speeds,
         reachability=access.monitor,
-        limits=limits,
         statements=statements,
         memory=memory,
         readers=readers,
--- a/src/guavamast/relay/silence_timeout.py
+++ b/src/guavamast/relay/silence_timeout.py
@@ -11,8 +11,6 @@
 
 STEPS: Final = 7
 """Parts into which a silence is split; what has arrived takes fewer loop iterations to be read."""
-RECHECK_INTERVAL_S: Final = 0.1
-"""Seconds until an attempt whose endpoint stays silent asks for a retry again."""
 
 
 class SilenceTimeout:
@@ -20,7 +18,7 @@
 
     An endpoint that has been silent for long may still go on. If the retry were counted on when the
     attempt began, others could have spent it by now, and the abandoned response would be cut.
-    Claimed at the moment of the timeout, it is certain to follow; without it, the wait goes on.
+    Claimed at the moment of the timeout, it follows; without it, the wait goes on as long again.
 
     The silence is counted in parts, each of which ends in a loop iteration of its own: after this
     process was blocked, what has arrived meanwhile is read before the silence is over.
@@ -77,11 +75,12 @@
         if self._steps_left:
             self._start_step(when)
             return
+        assert self._silence_s is not None
         now = asyncio.get_running_loop().time()
         if self._claim_retry():
             self._timeout.reschedule(now)
         else:
-            self.reschedule(now + RECHECK_INTERVAL_S)
+            self.reschedule(now + self._silence_s)
 
     def _cancel_step(self) -> None:
         if self._handle is not None:
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -46,6 +46,7 @@
 from guavamast.relay.requester import Requester
 from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
+from guavamast.relay.retry_claims import RetryClaims
 from guavamast.relay.send_check import SendCheck
 from guavamast.relay.stream_binding import BindingDirectory, StreamTakeUps, TakeUpRecorder
 from guavamast.relay.stream_software import StreamSoftware
@@ -245,7 +246,14 @@
                 read_time=lambda: self.simulation.now,
             ),
             departure=self.departure,
-            budget=self.budget,
+            claims=RetryClaims(
+                budget=self.budget,
+                fleet_state=fleet_state,
+                limits=RejectionLimits(),
+                departure=self.departure,
+                versions=self.simulation.versions,
+                read_time=lambda: self.simulation.now,
+            ),
             codec=PlatformHeaders(),
             guard=self.guard,
             usage=None,
@@ -254,7 +262,6 @@
             profiles=self.profiles,
             speeds=self.speeds,
             reachability=ReachabilityMonitor(),
-            limits=RejectionLimits(),
             statements=self.statements,
             memory=self.memory,
             readers=SlowReaders(account=self.memory),
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -199,6 +199,7 @@
             settings=RetryBudgetSettings(ratio=0.0, slack=2.0 / USABLE_SHARE, window_s=10.0)
         )
         self.exchanger = self.make_exchanger()
+        self.simulation.change_endpoints(self.record, build_endpoint("y"))
         self.engine.processing_s = 0.4
         attempts = (self.run_attempt() for _ in range(6))
         results = await asyncio.gather(*attempts, return_exceptions=True)
@@ -217,11 +218,63 @@
             settings=RetryBudgetSettings(ratio=0.0, slack=1.0 / USABLE_SHARE, window_s=10.0)
         )
         self.exchanger = self.make_exchanger()
+        failed = await self.run_silent_streams("y")
+        self.assertEqual([one.kind for one in failed], [FailureKind.SILENT])
+        self.assertEqual(len(self.engine.completed), 2)
+
+    async def test_silence_ends_no_stream_that_no_other_endpoint_can_go_on_with(self) -> None:
+        """Guards against streams that are given up for a retry that finds no endpoint.
+
+        There is room for retries, but the only other endpoint runs other software, or there is
+        none. The stream is cut after its first events, though its engine goes on.
+        """
+        for others in ((), ("other",)):
+            self.assertEqual(await self.run_silent_streams(*others), [])
+        self.assertEqual(len(self.engine.completed), 6)
+
+    async def test_silence_ends_no_request_that_a_leaving_instance_would_not_send_again(
+        self,
+    ) -> None:
+        """Guards against a retry that is claimed and then denied, as the instance leaves.
+
+        A call waits for its endpoint at a leaving instance, which sends on only what is certain to
+        end before it does. Its caller would get 502, though the endpoint answers in time.
+        """
+        self.simulation.change_endpoints(self.record, build_endpoint("y"))
+        self.request_changes = {"timeout_s": 30.0}
+        self.simulation.replace_routes(build_route(timeout_s=30.0))
+        await self.simulation.reader.catalog.join()
+        self.engine.processing_s = 0.4
+        self.engine.on_run = lambda _: self.schedule.begin(now=self.simulation.now - 3.0)
+        self.assertEqual((await self.run_attempt()).sends, 1)
+        self.assertEqual(len(self.engine.completed), 1)
+
+    def read_endpoints_later(self) -> None:
+        """Have the table read once more, which confirms what the engine of a stream runs."""
+        self.simulation.now += 0.05
+        self.reading = asyncio.ensure_future(self.simulation.reader.endpoints.join())
+
+    async def run_silent_streams(self, *others: str) -> list[AttemptFailed]:
+        """Run three streams at an engine that pauses for longer than the timeout.
+
+        Args:
+            others: Ids of the other ready endpoints; ``other`` runs other software.
+
+        Returns:
+            The failures of those that were given up.
+        """
+        self.record = build_endpoint("x", port=self.record.port, software_version="v1")
+        more = [
+            build_endpoint(one, software_version="v2" if one == "other" else "v1") for one in others
+        ]
+        self.simulation.change_endpoints(self.record, *more)
+        await self.simulation.reader.endpoints.join()
         route = build_route(kind=RouteKind.STREAM, resumable=True, timeout_s=30.0, objective_s=0.1)
         self.simulation.replace_routes(route)
         await self.simulation.reader.catalog.join()
         self.request_changes = {"target": "/status/stream", "timeout_s": 30.0}
         self.engine.event_interval_s = 0.4
+        self.engine.on_run = lambda _: self.read_endpoints_later()
         with (
             mock.patch("guavamast.relay.attempt_timeouts.STREAM_IDLE_TIMEOUT_S", 0.15),
             mock.patch("guavamast.relay.stream_observer.STREAM_IDLE_TIMEOUT_S", 0.15),
@@ -229,8 +282,9 @@
             attempts = (self.run_attempt(writer=RecordingWriter()) for _ in range(3))
             results = await asyncio.gather(*attempts, return_exceptions=True)
         failed = [one for one in results if isinstance(one, AttemptFailed)]
-        self.assertEqual([one.kind for one in failed], [FailureKind.SILENT])
-        self.assertEqual(len(self.engine.completed), 2)
+        others_failed = [one for one in results if isinstance(one, Exception)]
+        self.assertEqual(others_failed, failed)
+        return failed
 
     async def test_a_response_that_goes_on_arriving_is_not_abandoned(self) -> None:
         """Guards against large responses that are requested twice, or fail, on a busy machine.
