A response begun after the signal closes its connection

What callers saw: a request whose head was read before SIGTERM and whose response began after it got no 'Connection: close', so its caller sent the next request to the leaving instance. Cause: the HTTP library decides at the request's head (_disconnect_on_finish, private); disable_keep_alive changes parameters that it reads there only. Change, by public means: TornadoWriter reads HTTP1Connection.params.no_keep_alive as it writes the head, sets the header, and notes it in the connection's trace. CallerServer.start_request, which the library calls once the response has been handed to the system, ends the connection: the write side is closed, what comes is discarded. Weighed: HTTP1Connection.close() when the last write is done; it resets a caller that has sent on, which may take the response away. A response whose head was written before doesn't close its connection. HTTP/1.0 with keep-alive is left as it is, as the library overwrites the header. The entry (tornado.web) isn't changed.

--- a/src/guavamast/caller_connection.py
+++ b/src/guavamast/caller_connection.py
@@ -62,6 +62,8 @@
     response_begun: bool = False
     """Whether a byte of the current response was written, possibly not yet sent. An interim one
     doesn't count: nothing has run, and another response may follow."""
+    close_announced: bool = False
+    """Whether the current response says that its connection is closed after it."""
     closed_by_caller: bool = False
     ended_at: float | None = None
     """When the server sent its last response and stopped reading requests."""
@@ -84,6 +86,7 @@
         self.completed_at = None
         self.request_id = None
         self.response_begun = False
+        self.close_announced = False
 
 
 class CallerStream(IOStream):
@@ -172,7 +175,7 @@
         resets the connection, and the reset can overtake the response.
 
         Args:
-            response: A whole response.
+            response: A whole response; empty after one that has announced the close.
         """
         sending = self.write(response)
         self.trace.ended_at = self._read_time()
--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -205,9 +205,12 @@
             # The HTTP server still reads what had been received. Nobody could get a response.
             return httputil.HTTPMessageDelegate()
         if stream.trace.ended_at is None:
+            close_announced = stream.trace.close_announced
             stream.trace.begin_request()
             if self._last_responses is not None:
                 stream.end(self._last_responses.not_run)
+            elif close_announced:
+                stream.end(b"")
         request = super().start_request(server_conn, request_conn)
         return _TracedRequest(request=request, trace=stream.trace, read_time=self._read_time)
 
--- a/src/guavamast/relay/tornado_writer.py
+++ b/src/guavamast/relay/tornado_writer.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 from tornado.iostream import StreamClosedError
 
+from guavamast.caller_connection import CallerStream
 from guavamast.relay.messages import ResponseWriter
 from guavamast.socket_options import set_reset_on_close
 
@@ -94,11 +95,24 @@
         """Close the connection without completing the response."""
         self._connection.close()
 
+    def _announce_close(self, fields: httputil.HTTPHeaders) -> None:
+        """Say that the connection is closed after this response.
+
+        The HTTP server decides that when it reads a request. It keeps the connection of one that it
+        read before, and the caller would send its next request to an instance that leaves.
+        """
+        fields["Connection"] = "close"
+        stream = self._connection.stream
+        assert isinstance(stream, CallerStream)
+        stream.trace.close_announced = True
+
     def _write_head(self, status: int, headers: list[Header], body: bytes) -> None:
         self._started = True
         fields = httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
+        if self._connection.params.no_keep_alive and self._knows_chunks:
+            self._announce_close(fields)
         reason = httputil.responses.get(status, "Unknown")
         start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
         self._sent = self._connection.write_headers(start, fields, body or None)
