A rejection of an unread request says that its connection closes

What callers saw: a request over a limit, or too large for the memory left, was rejected before its body was read. The response said nothing of a close, and the HTTP library closed the connection after it, as it must: the caller's next request on it got no response. Cause: the library decides what the head says when it reads the request. Found by the property test of the drain (early rejections).

Change: these responses say that the connection closes, and it does also where the request had no body (a head over the limit; its connection was kept before).

Measured: both tests failed before (no such header; connection kept, no end within 5 s), pass now. test_relay_tornado_writer passes; test_relay_buffering, test_platform_large_answers and the limits' test of test_platform_path were run once on this code.

--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -128,7 +128,10 @@
         self._rejected = True
         self._body.release()
         self._listener.recorder.record_rejection(status, reason=reason)
-        writer = TornadoWriter(connection=self._connection)
+        assert self._start is not None
+        writer = TornadoWriter(
+            connection=self._connection, http_version=self._start.version, closes=True
+        )
         self._task = asyncio.create_task(writer.send(status, headers or [], b""))
 
 
--- a/src/guavamast/relay/tornado_writer.py
+++ b/src/guavamast/relay/tornado_writer.py
@@ -26,12 +26,20 @@
     Args:
         connection: The connection on which the request has arrived.
         http_version: Version in the request, which decides whether its caller knows chunks.
+        closes: Whether the connection is closed after the response in any case.
     """
 
-    __slots__ = ("_connection", "_knows_chunks", "_sent", "_started")
+    __slots__ = ("_closes", "_connection", "_knows_chunks", "_sent", "_started")
 
-    def __init__(self, *, connection: HTTP1Connection, http_version: str = "HTTP/1.1") -> None:
+    def __init__(
+        self,
+        *,
+        connection: HTTP1Connection,
+        http_version: str = "HTTP/1.1",
+        closes: bool = False,
+    ) -> None:
         self._connection = connection
+        self._closes = closes
         self._knows_chunks = http_version != "HTTP/1.0"
         self._started = False
         self._sent: asyncio.Future[None] | None = None
@@ -111,7 +119,8 @@
         fields = httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
-        if self._connection.params.no_keep_alive and self._knows_chunks:
+        closes = self._closes or self._connection.params.no_keep_alive
+        if closes and self._knows_chunks:
             self._announce_close(fields)
         reason = httputil.responses.get(status, "Unknown")
         start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
--- /dev/null
+++ b/tests/test_relay_listener.py
@@ -0,0 +1,77 @@
+"""Tests of the listener for callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+import unittest
+from unittest import mock
+
+from guavamast.platform.request_headers import PlatformHeaders
+from guavamast.relay.buffering import MemoryAccount
+from guavamast.relay.catalog import CallerLimits
+from guavamast.relay.listener import CallerListener
+from guavamast.relay.listener_recorder import ListenerRecorder
+from guavamast.relay.relayer import Relayer
+
+LIMITS = CallerLimits(
+    header_bytes=1_000, body_bytes=1_000, header_timeout_s=5.0, idle_timeout_s=5.0
+)
+READ_TIMEOUT_S = 5.0
+
+
+class EarlyRejectionTest(unittest.IsolatedAsyncioTestCase):
+    """Requests that are rejected by their head, before their bodies are read."""
+
+    async def asyncSetUp(self) -> None:
+        self.relayer = mock.create_autospec(Relayer, instance=True)
+        self.listener = CallerListener(
+            relayer=self.relayer,
+            codec=PlatformHeaders(),
+            recorder=mock.create_autospec(ListenerRecorder, instance=True),
+            memory=MemoryAccount(),
+            rejects_large=False,
+            read_time=time.monotonic,
+        )
+        self.listener.set_limits(LIMITS)
+        with socket.socket() as reserved:
+            reserved.bind(("127.0.0.1", 0))
+            self.port = int(reserved.getsockname()[1])
+        self.listener.listen("127.0.0.1", self.port)
+        self.addAsyncCleanup(self.listener.drain, deadline=0.0)
+
+    async def exchange(self, sent: bytes) -> bytes:
+        """Send bytes, and return what is received until the connection ends."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        writer.write(sent)
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            return await reader.read()
+
+    async def test_rejection_of_a_large_body_says_that_the_connection_closes(self) -> None:
+        """Guards against a connection that closes although its response promised otherwise.
+
+        The rest of the body isn't read, so the connection ends with the response. A caller that
+        isn't told sends its next request, and gets no response to it.
+        """
+        response = await self.exchange(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + b"x" * 100
+        )
+        self.assertTrue(response.startswith(b"HTTP/1.1 413"), response)
+        self.assertIn(b"Connection: close", response)
+
+    async def test_rejection_of_a_large_head_closes_the_connection_that_it_announces(self) -> None:
+        """Guards against the same for a request without a body, whose connection was kept or not.
+
+        The response is written in a later turn of the loop, by which the request has been read.
+        """
+        head = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2_000 + b"\r\n\r\n"
+        response = await self.exchange(head + b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertTrue(response.startswith(b"HTTP/1.1 431"), response)
+        self.assertIn(b"Connection: close", response)
+        self.relayer.relay.assert_not_called()
+
+
+if __name__ == "__main__":
+    unittest.main()
