--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -20,6 +20,9 @@
 
 CHECK_INTERVAL_S: Final = 0.05
 """Seconds between two checks of the clock."""
+UNREGISTER_S: Final = 1.0
+"""Seconds before the end of an instance at which its record is removed at the latest, and for which
+the removal is awaited."""
 
 
 class Departure:
@@ -82,12 +85,16 @@
         self._listener.disable_keep_alive()
         self._announce()
         self._log.write("leaving", now=self._read_time(), in_flight=self._relayer.in_flight)
-        removing = asyncio.create_task(self.unregister(self._name))
+        drained = asyncio.Event()
+        removing = asyncio.create_task(self._unregister_last(drained))
         forwarding = asyncio.create_task(self._forward_listener.drain(deadline=schedule.ends_at))
         await self._wait_until(schedule.accepts_until)
         expiring = asyncio.create_task(self._expire_requests(schedule.requests_end_at))
-        drained = await asyncio.gather(self._listener.drain(deadline=schedule.ends_at), forwarding)
-        for trace in chain(*drained):
+        unfinished = await asyncio.gather(
+            self._listener.drain(deadline=schedule.ends_at), forwarding
+        )
+        drained.set()
+        for trace in chain(*unfinished):
             log_connection(
                 self._log,
                 "given_up",
@@ -96,8 +103,21 @@
                 received_after_signal_s=schedule.compute_offset(trace.completed_at),
             )
         expiring.cancel()
+        left_s = schedule.ends_at - self._read_time()
+        await asyncio.wait((removing,), timeout=min(UNREGISTER_S, max(0.0, left_s)))
         removing.cancel()
 
+    async def _unregister_last(self, drained: asyncio.Event) -> None:
+        """Remove this instance's record after its last response, or shortly before its end.
+
+        New instances meet the others by their records. One that doesn't know of this instance gets
+        no reports of its work, and sends endpoints more than they have room for.
+        """
+        latest = self._schedule.ends_at - UNREGISTER_S
+        while not drained.is_set() and self._read_time() < latest:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        await self.unregister(self._name)
+
     async def _expire_requests(self, at: float) -> None:
         await self._wait_until(at)
         self._log.write("expiring", now=self._read_time(), in_flight=self._relayer.in_flight)
