--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -63,7 +63,7 @@
         read_time: Returns the local time in seconds.
     """
 
-    __slots__ = ("calls", "unreadable")
+    __slots__ = ("_registered_versions", "calls", "unreadable")
 
     def __init__(
         self,
@@ -76,6 +76,8 @@
         """Makes the calls."""
         self.unreadable = UnreadableRows()
         """Rows that are skipped, as they can't be decoded."""
+        self._registered_versions: dict[str, int] = {}
+        """Versions of the rows of instances that were registered here, by name."""
 
     async def read_catalog(self, *, known: Catalog | None) -> CatalogSnapshot:
         """Read the operators' configuration."""
@@ -128,11 +130,22 @@
         }
         transaction = Transaction()
         transaction.write(INSTANCES_TABLE, record.name, fields)
-        await self.calls.commit(transaction)
+        committed = await self.calls.commit(transaction)
+        self._registered_versions[record.name] = committed.version
 
     async def remove_instance(self, name: str) -> None:
-        """Remove an instance's record."""
+        """Remove an instance's record.
+
+        A call that the store delays may be carried out after the next process of the instance has
+        registered. Without the condition, that one would be missing from the list for good.
+
+        Raises:
+            StoreConflict: Another process has registered since this one did.
+        """
         transaction = Transaction()
+        version = self._registered_versions.get(name)
+        if version is not None:
+            transaction.expect(INSTANCES_TABLE, name, version)
         transaction.remove(INSTANCES_TABLE, name)
         await self.calls.commit(transaction)
 
--- a/tests/test_departing_sites.py
+++ b/tests/test_departing_sites.py
@@ -67,6 +67,8 @@
         self.assertEqual(self.site.crashed_engines, [])
         await asyncio.gather(*asking)
         self.assertEqual(await leaving.process.wait(), 0)
+        listed = [name for name, _ in self.site.store.list_versions("instances")]
+        self.assertEqual(listed, ["two"])
 
     async def launch(self, settings: dict[str, Any]) -> asyncio.subprocess.Process:
         """Start a process that knows that engines end if they have to hold more."""
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -7,10 +7,12 @@
 import time
 import unittest
 
+from guavamast.platform.standins.store import StoreStandIn
+from guavamast.platform.store_calls import StoreConflict
 from guavamast.platform.store_client import StoreClient
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.node_settings import SocketAddress
-from guavamast.relay.store import StoreError
+from guavamast.relay.store import InstanceRecord, StoreError
 
 
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
@@ -63,5 +65,50 @@
             await self.client.read_endpoints()
 
 
+class InstanceRecordTest(unittest.IsolatedAsyncioTestCase):
+    """Two processes of an instance, one after the other, register and remove its record."""
+
+    async def asyncSetUp(self) -> None:
+        store = StoreStandIn()
+        port = store.listen()
+        self.addCleanup(store.stop)
+        self.former, self.next, self.other = (
+            StoreClient(
+                address=SocketAddress(ip="127.0.0.1", port=port),
+                clock=StoreClock(),
+                read_time=time.monotonic,
+            )
+            for _ in range(3)
+        )
+        self.record = InstanceRecord(
+            name="one",
+            ip="127.0.0.1",
+            failure_domain="a",
+            region="r",
+            callers_address="127.0.0.1:1",
+            peer_port=2,
+        )
+
+    async def test_late_removal_keeps_the_record_of_the_next_process(self) -> None:
+        """Guards against an instance that is missing from the list for good.
+
+        The store delays the removal by a process that has ended until the next one has registered.
+        Instances that start later don't know of that one.
+        """
+        await self.former.register_instance(self.record)
+        await self.next.register_instance(self.record)
+        with self.assertRaises(StoreConflict):
+            await self.former.remove_instance("one")
+        self.assertEqual(await self.other.read_instances(), [self.record])
+        await self.next.remove_instance("one")
+        self.assertEqual(await self.other.read_instances(), [])
+
+    async def test_record_of_a_process_that_was_killed_can_be_removed(self) -> None:
+        """Guards against records that stay for ever, as only their own process may remove them."""
+        await self.former.register_instance(self.record)
+        await self.other.remove_instance("one")
+        self.assertEqual(await self.other.read_instances(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
