--- a/src/guavamast/relay/silence_timeout.py
+++ b/src/guavamast/relay/silence_timeout.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Final, Self
+from typing import TYPE_CHECKING, Self
+
+from guavamast.relay.loop_timeout import TIMEOUT_STEPS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import TracebackType
 
-STEPS: Final = 7
-"""Parts into which a silence is split; what has arrived takes fewer loop iterations to be read."""
-
 
 class SilenceTimeout:
     """Cancels what it encloses after a silence, once a retry has been claimed.
@@ -61,7 +60,7 @@
         """Set the loop's time at which the silence is over; None not to count it."""
         self._cancel_step()
         self._when = when
-        self._steps_left = STEPS
+        self._steps_left = TIMEOUT_STEPS
         if when is not None:
             self._start_step(when)
 
