The last query's connection isn't closed between two queries

What callers saw: a caller that keeps its connection to the listener of readiness or addresses, and asks again at once, had it closed right after a response that promised otherwise; its next query got none. Cause: the listener is drained with a deadline of now. A response that has just been written still counts as being served until the HTTP server asks for the next request, two turns of the loop later; the drain's first check took it for overdue and closed the connection. Ruled out: the gate in start_request, which isn't reached; the queue of the listening socket (all were kept connections).

Change: 0.1 s for the last responses.

The same race of a few turns remains where a drain's deadline is reached by requests in flight, and in Entry.close() after a second signal.

--- a/src/guavamast/relay/query_listener.py
+++ b/src/guavamast/relay/query_listener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from tornado import httputil
 
@@ -15,6 +15,10 @@
     from guavamast.relay.listener_recorder import ListenerRecorder
     from guavamast.relay.node_settings import SocketAddress
 
+RESPONSE_TIMEOUT_S: Final = 0.1
+"""Seconds for the last responses. Without them, a connection is closed whose response has just been
+written, and its caller's next query gets none."""
+
 
 class QueryHandler(ABC):
     """Handles one kind of query on a small listener."""
@@ -54,7 +58,8 @@
         """Accept no more connections, and close the open ones with a response."""
         unavailable = encode_response(503, [], b"")
         responses = LastResponses(not_run=unavailable, unfinished=unavailable)
-        await self._server.drain(deadline=self._read_time(), responses=responses)
+        deadline = self._read_time() + RESPONSE_TIMEOUT_S
+        await self._server.drain(deadline=deadline, responses=responses)
 
     def _handle(self, request: httputil.HTTPServerRequest) -> None:
         response = self._handler.handle(request.path or "", request.query)
