Queries end before the instance must, not after

Cause: the listeners of queries were drained after the departure. Callers that keep idle connections there hold the process for another 0.5 s, up to and beyond the end of the grace time. Change: they are drained once no connection of a caller is left, or 0.5 s before the instance ends.

--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -15,6 +15,7 @@
     from guavamast.relay.departure_schedule import DepartureSchedule
     from guavamast.relay.forwarding import ForwardListener
     from guavamast.relay.listener import CallerListener
+    from guavamast.relay.query_listener import QueryListener
     from guavamast.relay.relayer import Relayer
     from guavamast.relay.store import Store
 
@@ -75,11 +76,15 @@
         self._log = log
         self._read_time = read_time
 
-    async def run(self) -> None:
+    async def run(self, queries: list[QueryListener]) -> None:
         """Keep serving while callers may still connect, then finish the requests in flight.
 
         Orders of other instances end at once: those know of others that take them, and a request
-        that is forwarded for longer than this instance lasts would be cut.
+        that is forwarded for longer than this instance lasts would be cut. Queries are answered
+        until the last connections close, or until they must end for this instance to end in time.
+
+        Args:
+            queries: The listeners of queries.
         """
         schedule = self._schedule
         self._listener.disable_keep_alive()
@@ -90,11 +95,10 @@
         forwarding = asyncio.create_task(self._forward_listener.drain(deadline=schedule.ends_at))
         await self._wait_until(schedule.accepts_until)
         expiring = asyncio.create_task(self._expire_requests(schedule.requests_end_at))
-        unfinished = await asyncio.gather(
-            self._listener.drain(deadline=schedule.ends_at), forwarding
-        )
-        drained.set()
-        for trace in chain(*unfinished):
+        draining = asyncio.gather(self._listener.drain(deadline=schedule.ends_at), forwarding)
+        draining.add_done_callback(lambda _: drained.set())
+        await self._end_queries(queries, drained)
+        for trace in chain(*await draining):
             log_connection(
                 self._log,
                 "given_up",
@@ -107,6 +111,12 @@
         await asyncio.wait((removing,), timeout=min(UNREGISTER_S, max(0.0, left_s)))
         removing.cancel()
 
+    async def _end_queries(self, queries: list[QueryListener], drained: asyncio.Event) -> None:
+        """Answer queries until the last response, or until this instance has to end."""
+        while not drained.is_set() and self._read_time() < self._schedule.queries_end_at:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        await asyncio.gather(*(listener.stop() for listener in queries))
+
     async def _unregister_last(self, drained: asyncio.Event) -> None:
         """Remove this instance's record after its last response, or shortly before its end.
 
--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+from guavamast.caller_server import LINGER_S
 from guavamast.relay.caller_addresses import VALIDITY_S
 
 ADDRESS_CACHE_FACTOR: Final = 3.0
@@ -62,6 +63,15 @@
         """Local time at which the requests in flight run out of time."""
         return self.ends_at - RESPONSE_MARGIN_S
 
+    @property
+    def queries_end_at(self) -> float:
+        """Local time from which on queries are no longer answered.
+
+        Their callers get as long to close their connections as those of requests, and before the
+        end: many keep idle ones open for good.
+        """
+        return self.ends_at - LINGER_S
+
     @property
     def ends_at(self) -> float:
         """Local time at which the last connections are closed."""
--- a/src/guavamast/relay/node/node.py
+++ b/src/guavamast/relay/node/node.py
@@ -148,10 +148,9 @@
         self._schedule.begin(now=read_boot_time())
         if self._fleet.duties is not None:
             background.append(asyncio.create_task(self._fleet.duties.holder.leave()))
-        await self._service.departure.run()
+        await self._service.departure.run(listeners)
         for task in background:
             task.cancel()
-        await asyncio.gather(*(listener.stop() for listener in listeners))
         self.log.write("stopped", now=read_boot_time(), in_flight=self._service.relayer.in_flight)
 
     def _start_background(self) -> list[asyncio.Task[None]]:
--- a/tests/test_relay_departure.py
+++ b/tests/test_relay_departure.py
@@ -5,18 +5,24 @@
 import asyncio
 import os
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
+from guavamast.caller_server import LINGER_S
 from guavamast.platform.request_headers import PlatformHeaders
 from guavamast.relay.decision_log import DecisionLog
 from guavamast.relay.departure import Departure
 from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.endpoint_connection import NotForwarded, PathLost
 from guavamast.relay.listener import CallerListener
+from guavamast.relay.query_listener import QueryListener
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.store import Store
 from tests.test_relay_forwarding import ForwardingTestCase
 
+if TYPE_CHECKING:
+    from guavamast.caller_connection import ConnectionTrace
+
 GRACE_S = 8.0
 EVENT_INTERVAL_S = 0.1
 
@@ -30,9 +36,13 @@
         self.leaving_port = self.find_port()
         self.schedule = DepartureSchedule(grace_s=GRACE_S)
         listener = mock.create_autospec(CallerListener, instance=True)
-        listener.drain.return_value = []
+        self.drained = asyncio.Event()
+        """Set once the callers' connections have closed."""
+        self.drained.set()
+        listener.drain.side_effect = self.drain_callers
         relayer = mock.create_autospec(Relayer, instance=True)
         relayer.in_flight = 0
+        self.queries = mock.create_autospec(QueryListener, instance=True)
         self.departure = Departure(
             name="two",
             schedule=self.schedule,
@@ -45,10 +55,17 @@
             read_time=self.read_time,
         )
 
+    async def drain_callers(self, *, deadline: float) -> list[ConnectionTrace]:
+        """Wait as the drain of the callers' connections does."""
+        del deadline
+        await self.drained.wait()
+        return []
+
     async def begin_departure(self) -> asyncio.Task[None]:
         """Give the stop signal; return the task of the departure."""
-        self.schedule.begin(now=self.simulation.now)
-        leaving = asyncio.create_task(self.departure.run())
+        self.signalled_at = self.simulation.now
+        self.schedule.begin(now=self.signalled_at)
+        leaving = asyncio.create_task(self.departure.run([self.queries]))
         await asyncio.sleep(0)
         return leaving
 
@@ -112,6 +129,38 @@
         self.assertEqual((await self.read_body(acquired)).count(b"id:"), self.engine.events)
         await self.end_departure(leaving)
 
+    async def test_queries_end_while_the_last_requests_are_served(self) -> None:
+        """Guards against an instance that the platform kills while it waits for queries to close.
+
+        Streams last until the end. Then the listeners of queries would wait for callers that keep
+        idle connections, beyond the grace time.
+        """
+        self.drained.clear()
+        leaving = await self.begin_departure()
+        self.simulation.now = self.schedule.queries_end_at - 0.1
+        await asyncio.sleep(0.2)
+        self.queries.stop.assert_not_called()
+        self.simulation.now = self.schedule.queries_end_at
+        async with asyncio.timeout(5.0):
+            while not self.queries.stop.called:
+                await asyncio.sleep(0.01)
+        self.assertFalse(leaving.done())
+        self.drained.set()
+        await self.end_departure(leaving)
+        self.assertLess(self.schedule.queries_end_at + LINGER_S, GRACE_S + self.signalled_at)
+
+    async def test_queries_are_answered_until_the_callers_connections_have_closed(self) -> None:
+        """Guards against callers without addresses while their instance still serves."""
+        self.drained.clear()
+        leaving = await self.begin_departure()
+        self.simulation.now = self.schedule.accepts_until
+        await asyncio.sleep(0.2)
+        self.queries.stop.assert_not_called()
+        self.drained.set()
+        async with asyncio.timeout(5.0):
+            await leaving
+        self.queries.stop.assert_called_once()
+
 
 if __name__ == "__main__":
     unittest.main()
