Soak tests that fail show the log lines of the requests and the soak's longest stall

The message of a failing run now holds the log lines that name the requests, and the longest stall of the soak's own loop. No check changes.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 from typing import Any
 from unittest import mock
@@ -453,6 +454,17 @@
             await connection.read_head()
 
 
+def list_log_lines(directory: str, violations: list[str]) -> list[str]:
+    """Return the lines of a run's logs that name a request of a violation."""
+    names = [f'"{text.split(maxsplit=1)[0].rstrip(":")}"' for text in violations]
+    return [
+        line
+        for path in sorted(Path(directory).glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if any(name in line for name in names)
+    ]
+
+
 class SoakRunTest(unittest.IsolatedAsyncioTestCase):
     """Real instances under faults violate no guarantee."""
 
@@ -462,7 +474,9 @@
         with tempfile.TemporaryDirectory() as directory:
             run = SoakRun(seed=seed, instances=instances, directory=directory, **options)
             verdict = await run.run()
-        self.assertEqual(verdict.violations, [], verdict.faults)
+            lines = list_log_lines(directory, verdict.violations)
+        stall = f"longest stall of the soak {verdict.longest_stall_s:.2f} s"
+        self.assertEqual(verdict.violations, [], [stall, *verdict.faults, *lines])
         self.assertGreater(verdict.answered, 0)
 
     async def test_a_short_run_violates_no_guarantee(self) -> None:
