--- a/tests/test_departing_sites.py
+++ b/tests/test_departing_sites.py
@@ -6,6 +6,7 @@
 import itertools
 import signal
 import unittest
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, Final
 
 from guavamast.platform.settings import PRESSURE_CONTRACT
@@ -27,6 +28,8 @@
 """Seconds after its start in which an instance has heard of the work of all others."""
 RETRY_S: Final = 0.1
 """Seconds until a caller asks again: at first an instance grants only a part of the memory."""
+SHORT_GRACE_S: Final = 4.0
+"""Seconds from the signal until the platform kills a process."""
 START_TIMEOUT_S: Final = 3.0
 """Seconds in which an engine has begun to run all streams."""
 TIMEOUT_MS: Final = 20_000
@@ -97,5 +100,42 @@
         return reply
 
 
+class QueryingDepartureTest(PlatformTestCase):
+    """An instance leaves while a client that asks for its readiness keeps its connection."""
+
+    async def test_process_ends_before_it_would_be_killed(self) -> None:
+        """Guards against a client of queries that keeps a leaving process until it is killed.
+
+        A stream lasts until the end of the grace time. Only then are the connections of queries
+        ended, each with a wait for its client to close it, and the platform kills the process
+        meanwhile.
+        """
+        self.site.bounds["grace_s"] = SHORT_GRACE_S
+        for engine in self.site.engines.values():
+            engine.event_interval_s = STREAM_S
+        instance = await self.start_instance("one")
+        host, _, port = instance.readiness.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        streaming = asyncio.create_task(self.send_stream(instance))
+        while not any(engine.runs for engine in self.site.engines.values()):
+            await asyncio.sleep(0.02)
+        instance.process.send_signal(signal.SIGTERM)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SHORT_GRACE_S):
+                await instance.process.wait()
+        await instance.stop()
+        await streaming
+        self.assertEqual(instance.process.returncode, 0)
+
+    async def send_stream(self, instance: Instance) -> None:
+        """Send a request for a stream that the end of the instance cuts."""
+        caller = await Caller.open(instance.callers)
+        await caller.send_request(STREAM_PREFIX + "stream", body=b"x", timeout_ms=TIMEOUT_MS)
+        caller.connection.close()
+
+
 if __name__ == "__main__":
     unittest.main()
