--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -85,10 +85,14 @@
         if admitted.catalog is not self._fleet_state.catalog:
             raise AttemptFailed(FailureKind.OUTDATED, "the configuration has changed")
         self.check_endpoint(record, now=now)
-        age_s = self._fleet_state.compute_catalog_age(now=now)
-        if admitted.organisation is not None and age_s > self._bounds.keys_s:
+        if self.has_old_key(admitted, now=now):
             raise AttemptFailed(FailureKind.OUTDATED, "old keys")
 
+    def has_old_key(self, admitted: Admitted, *, now: float) -> bool:
+        """Return whether a request's key may have been revoked, by the age of what is known."""
+        age_s = self._fleet_state.compute_catalog_age(now=now)
+        return admitted.organisation is not None and age_s > self._bounds.keys_s
+
     def check_endpoint(self, record: EndpointRecord, *, now: float) -> None:
         """Raise if nothing must be sent to an endpoint any more, by tables that are fresh enough.
 
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -122,6 +122,7 @@
             budget=budget,
             fleet_state=fleet_state,
             limits=limits,
+            admission=admission,
             departure=departure,
             versions=bindings.versions,
             read_time=read_time,
--- a/src/guavamast/relay/retry_claims.py
+++ b/src/guavamast/relay/retry_claims.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.rejection_limits import RejectionLimits
@@ -26,12 +27,21 @@
         budget: Retry budget, from which the retry is spent.
         fleet_state: The endpoints, and the instances that share the budget.
         limits: Services whose endpoints bear few rejections.
+        admission: Tells whether a key is too old for a further send.
         departure: Keeps requests from endpoints that would outlast this instance.
         versions: Software of the endpoints.
         read_time: Reads the local clock.
     """
 
-    __slots__ = ("_budget", "_departure", "_fleet_state", "_limits", "_read_time", "_versions")
+    __slots__ = (
+        "_admission",
+        "_budget",
+        "_departure",
+        "_fleet_state",
+        "_limits",
+        "_read_time",
+        "_versions",
+    )
 
     def __init__(
         self,
@@ -39,6 +49,7 @@
         budget: RetryBudget,
         fleet_state: FleetState,
         limits: RejectionLimits,
+        admission: CallerAdmission,
         departure: DepartureGate,
         versions: SoftwareVersions,
         read_time: Callable[[], float],
@@ -46,6 +57,7 @@
         self._budget = budget
         self._fleet_state = fleet_state
         self._limits = limits
+        self._admission = admission
         self._departure = departure
         self._versions = versions
         self._read_time = read_time
@@ -59,6 +71,8 @@
         now = self._read_time()
         if self._limits.applies(progress.service, now=now):
             return False
+        if self._admission.has_old_key(progress.admitted, now=now):
+            return False
         if self._departure.find_denial(progress, now=now) is not None:
             return False
         if not self._has_other_endpoint(progress, now=now):
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -250,6 +250,7 @@
                 budget=self.budget,
                 fleet_state=fleet_state,
                 limits=RejectionLimits(),
+                admission=self.simulation.admission,
                 departure=self.departure,
                 versions=self.simulation.versions,
                 read_time=lambda: self.simulation.now,
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -249,6 +249,21 @@
         self.assertEqual((await self.run_attempt()).sends, 1)
         self.assertEqual(len(self.engine.completed), 1)
 
+    async def test_silence_ends_no_request_whose_key_is_too_old_for_another_send(self) -> None:
+        """Guards against a retry that is claimed and then denied, as the store is silent.
+
+        While the endpoint works, the configuration becomes too old for a further send of a request
+        with a key. Its caller would get 502, or a part of a stream, though the endpoint answers.
+        """
+        self.simulation.change_endpoints(self.record, build_endpoint("y"))
+        self.engine.processing_s = 0.4
+        self.engine.on_run = lambda _: self.pass_time(60.0)
+        self.assertEqual((await self.run_attempt()).sends, 1)
+        self.assertEqual(len(self.engine.completed), 1)
+
+    def pass_time(self, seconds: float) -> None:
+        self.simulation.now += seconds
+
     def read_endpoints_later(self) -> None:
         """Have the table read once more, which confirms what the engine of a stream runs."""
         self.simulation.now += 0.05
