--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -88,6 +88,11 @@
         if self.has_old_key(admitted, now=now):
             raise AttemptFailed(FailureKind.OUTDATED, "old keys")
 
+    @property
+    def store_answers(self) -> bool:
+        """Whether the last read of the store succeeded."""
+        return self._reader.answers
+
     def has_old_key(self, admitted: Admitted, *, now: float) -> bool:
         """Return whether a request's key may have been revoked, by the age of what is known."""
         age_s = self._fleet_state.compute_catalog_age(now=now)
--- a/src/guavamast/relay/retry_claims.py
+++ b/src/guavamast/relay/retry_claims.py
@@ -27,7 +27,7 @@
         budget: Retry budget, from which the retry is spent.
         fleet_state: The endpoints, and the instances that share the budget.
         limits: Services whose endpoints bear few rejections.
-        admission: Tells whether a key is too old for a further send.
+        admission: Tells whether the tables permit a further send.
         departure: Keeps requests from endpoints that would outlast this instance.
         versions: Software of the endpoints.
         read_time: Reads the local clock.
@@ -73,6 +73,8 @@
             return False
         if self._admission.has_old_key(progress.admitted, now=now):
             return False
+        if progress.response_begun and not self._admission.store_answers:
+            return False  # What another endpoint runs can't be confirmed.
         if self._departure.find_denial(progress, now=now) is not None:
             return False
         if not self._has_other_endpoint(progress, now=now):
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -78,6 +78,9 @@
 class ExchangeTest(RelayTestCase):
     """A request is sent by the current configuration, however long the send is delayed."""
 
+    silences_store = False
+    """Whether the store falls silent once a stream has begun."""
+
     async def test_a_delayed_request_uses_the_new_route(self) -> None:
         """Guards against a request failing because its data went stale before the send.
 
@@ -249,6 +252,16 @@
         self.assertEqual((await self.run_attempt()).sends, 1)
         self.assertEqual(len(self.engine.completed), 1)
 
+    async def test_silence_ends_no_stream_while_the_store_is_silent(self) -> None:
+        """Guards against a retry that is claimed, and whose endpoint's software isn't confirmed.
+
+        The store falls silent after a stream has begun. Another endpoint of its software is listed,
+        but what it runs by now can't be confirmed, and the stream would be cut.
+        """
+        self.silences_store = True
+        self.assertEqual(await self.run_silent_streams("y"), [])
+        self.assertEqual(len(self.engine.completed), 3)
+
     async def test_silence_ends_no_request_whose_key_is_too_old_for_another_send(self) -> None:
         """Guards against a retry that is claimed and then denied, as the store is silent.
 
@@ -268,6 +281,11 @@
         """Have the table read once more, which confirms what the engine of a stream runs."""
         self.simulation.now += 0.05
         self.reading = asyncio.ensure_future(self.simulation.reader.endpoints.join())
+        if self.silences_store:
+            self.reading.add_done_callback(lambda _: self.silence_store())
+
+    def silence_store(self) -> None:
+        self.simulation.reader.answers = False
 
     async def run_silent_streams(self, *others: str) -> list[AttemptFailed]:
         """Run three streams at an engine that pauses for longer than the timeout.
