--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -18,7 +18,7 @@
 STOP_MARGIN_S: Final = 0.5
 """Seconds before the platform would kill the process at which it ends, at most."""
 MAX_STOP_SHARE: Final = 0.1
-"""Share of the grace time that is left to it then at most: in a short one, responses would be cut
+"""Share of the grace time that this margin takes at most: in a short one, responses would be cut
 that the platform lets end."""
 FORECAST_MARGIN_S: Final = 0.1
 """Seconds before callers' addresses expire from which on no forecast is relied on: a signal and a
