The departure waits for its moments in one place

Two waits for the last response or a moment, whichever comes first, stood as loops beside _wait_until, which does the same without the response. It takes that as an option now; behaviour is the same. Run: test_relay_departure, test_departing_sites, test_departing_queries, test_relay_query_listener and test_departures (16 tests), formatter, linter.

--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -113,8 +113,7 @@
 
     async def _end_queries(self, queries: list[QueryListener], drained: asyncio.Event) -> None:
         """Answer queries until the last response, or until this instance has to end."""
-        while not drained.is_set() and self._read_time() < self._schedule.queries_end_at:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+        await self._wait_until(self._schedule.queries_end_at, unless=drained)
         await asyncio.gather(*(listener.stop() for listener in queries))
 
     async def _unregister_last(self, drained: asyncio.Event) -> None:
@@ -123,9 +122,7 @@
         New instances meet the others by their records. One that doesn't know of this instance gets
         no reports of its work, and sends endpoints more than they have room for.
         """
-        latest = self._schedule.ends_at - UNREGISTER_S
-        while not drained.is_set() and self._read_time() < latest:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+        await self._wait_until(self._schedule.ends_at - UNREGISTER_S, unless=drained)
         await self.unregister(self._name)
 
     async def _expire_requests(self, at: float) -> None:
@@ -133,9 +130,14 @@
         self._log.write("expiring", now=self._read_time(), in_flight=self._relayer.in_flight)
         self._relayer.expire_requests()
 
-    async def _wait_until(self, moment: float) -> None:
-        """Wait until a time of the local clock, which also counts suspended time."""
-        while self._read_time() < moment:
+    async def _wait_until(self, moment: float, *, unless: asyncio.Event | None = None) -> None:
+        """Wait until a time of the local clock, which also counts suspended time.
+
+        Args:
+            moment: The time.
+            unless: Ends the wait earlier once it is set.
+        """
+        while self._read_time() < moment and not (unless is not None and unless.is_set()):
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     async def unregister(self, name: str) -> None:
