A retry's room is asked where it is spent

It is a part of try_spend now. Run: test_relay_exchange, test_relay_decisions, test_relay_broken_answers, test_relay_constants, test_pages and test_silent_endpoints (76 tests), formatter, linter.

--- a/src/guavamast/relay/retry_budget.py
+++ b/src/guavamast/relay/retry_budget.py
@@ -46,19 +46,15 @@
         times.append(now)
         self._drop_expired(times, now)
 
-    def has_room(self, service: str, *, instances: int, now: float) -> bool:
-        """Return whether this instance's part allows one more retry.
+    def try_spend(self, service: str, *, instances: int, now: float) -> bool:
+        """Spend one retry; return False if this instance's part is exhausted.
 
         Args:
             service: The service to which the request would be retried.
             instances: Number of instances that share the allowance.
             now: The current time.
         """
-        return self._count_left(service, instances=instances, now=now) >= 1
-
-    def try_spend(self, service: str, *, instances: int, now: float) -> bool:
-        """Spend one retry; return False if this instance's part is exhausted."""
-        if not self.has_room(service, instances=instances, now=now):
+        if self._count_left(service, instances=instances, now=now) < 1:
             return False
         self._retries[service].append(now)
         return True
