--- a/soak/callers.py
+++ b/soak/callers.py
@@ -118,7 +118,7 @@
             return False
         self._address = self._random.choice(self._addresses)
         try:
-            self._connection = await _open_connection(self._address)
+            self._connection = await open_connection(self._address)
         except ConnectionLost:
             self._addresses.remove(self._address)
             return False
@@ -133,7 +133,7 @@
         for directory in self._random.sample(self._directories, min(3, len(self._directories))):
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    fields = await _fetch_addresses(directory)
+                    fields = await fetch_addresses(directory)
             except (ConnectionLost, MalformedAnswer, TimeoutError, ValueError, KeyError):
                 continue
             self._addresses = list(fields["addresses"])
@@ -201,14 +201,15 @@
     return retry_after_s >= MIN_RETRY_AFTER_S
 
 
-async def _open_connection(address: str) -> HttpConnection:
+async def open_connection(address: str) -> HttpConnection:
+    """Connect to an address."""
     host, _, port = address.rpartition(":")
     return await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
 
 
-async def _fetch_addresses(directory: str) -> dict[str, object]:
+async def fetch_addresses(directory: str) -> dict[str, object]:
     """Return the addresses that an instance resolves for the host, with their validity."""
-    connection = await _open_connection(directory)
+    connection = await open_connection(directory)
     try:
         target = f"/v1/resolve?name={HOST}&region=r&zone=a"
         await connection.send("GET", target, [("Host", HOST)], b"")
--- a/soak/departures.py
+++ b/soak/departures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 from soak.guarantees import (
@@ -24,6 +25,20 @@
 """Seconds within which a connection may close under a request that no engine got."""
 
 
+class Outcome(StrEnum):
+    """What became of a request, as the rule on losses around planned work judges it."""
+
+    SERVED = "served"
+    REJECTED = "rejected"
+    """Its caller was told that it has not run, or it ended at once without a run."""
+    EXPIRED = "expired"
+    """Its own time was up."""
+    EXCUSED = "excused"
+    """Cut, though allowed: it was sent early, and its engine worked on it in the last share of the
+    grace time."""
+    LOST = "lost"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DepartureRecord:
     """What is known of the stops of a run's instances."""
@@ -34,6 +49,24 @@
     """Seconds from SIGTERM until the platform would kill a process."""
     run_ends: dict[str, float] = field(default_factory=dict)
     """Times at which engines had sent whole responses, by request id."""
+    timeouts_s: dict[str, float] = field(default_factory=dict)
+    """Seconds after which the time of a request is up, by request id."""
+
+
+def classify(request: RequestRecord, departures: DepartureRecord, *, has_run: bool) -> Outcome:
+    """Return what became of a request.
+
+    Args:
+        request: The request, with the times of its sender.
+        departures: Stops of the instances, and the times of the engines.
+        has_run: Whether an engine began to run it.
+    """
+    if not _is_lost(request, has_run=has_run):
+        return Outcome.SERVED if request.served else Outcome.REJECTED
+    timeout_s = departures.timeouts_s.get(request.request_id, float("inf"))
+    if request.ended_at - request.sent_at >= timeout_s:
+        return Outcome.EXPIRED
+    return Outcome.EXCUSED if _is_excused(request, departures) else Outcome.LOST
 
 
 def find_departure_violations(record: SoakRecord, departures: DepartureRecord) -> list[str]:
@@ -41,13 +74,12 @@
     disruptions = record.disruptions + list_lethal_outages(record)
     ran = {run.request_id for run in record.runs}
     return [
-        _describe(request, departures)
+        describe(request, departures)
         for request in record.requests
         if request.kept
         and request.ended_at < record.ended_at
         and is_undisturbed(disruptions, request.sent_at, request.ended_at)
-        and _is_lost(request, has_run=request.request_id in ran)
-        and not _is_excused(request, departures)
+        and classify(request, departures, has_run=request.request_id in ran) is Outcome.LOST
     ]
 
 
@@ -70,7 +102,8 @@
     )
 
 
-def _describe(request: RequestRecord, departures: DepartureRecord) -> str:
+def describe(request: RequestRecord, departures: DepartureRecord) -> str:
+    """Return a line on the end of a request, with seconds after its instance's last signal."""
     signals = departures.signals.get(request.address, ())
     offsets = _list_offsets(request, (at for at in signals if at <= request.ended_at))
     result = "no answer" if request.status is None else f"{request.status}, cut"
--- /dev/null
+++ b/soak/roll_run.py
@@ -0,0 +1,359 @@
+"""Run of a fleet whose instances are stopped in overlapping rolls while callers go on."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections import Counter
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING, Any, Final
+
+from guavamast.platform.standins.prefill_batch import PrefillBatch
+from guavamast.platform.standins.site import MODELS, Site, write_settings
+from soak.callers import fetch_addresses
+from soak.departures import DepartureRecord, Outcome, classify, describe
+from soak.instances import handles_signal
+from soak.roll_callers import RollCaller, RollRequest
+from soak.roll_workload import PREFILL_TOKENS_PER_S, ROUTES
+
+if TYPE_CHECKING:
+    from guavamast.platform.standins.engine import EngineStandIn
+    from soak.roll_workload import Work
+
+INSTANCES: Final = 14
+MODEL_ENGINES: Final = 9
+PORTAL_ENGINES: Final = 4
+SLOTS: Final = 64
+CALLERS: Final = 92
+GRACE_S: Final = 8.0
+STOP_MARGIN_S: Final = 0.6
+"""Seconds before the end of the grace time at which a stream has to be over for its instance to
+end in time."""
+LENGTH_S: Final = 20.0
+"""Seconds for which callers send."""
+CALM_S: Final = 4.0
+"""Seconds before the first signal, in which instances learn how long responses take."""
+ROLLS: Final = 4
+SMALLEST_ROLL: Final = 3
+LARGEST_ROLL: Final = 4
+LONGEST_GAP_S: Final = 1.3
+"""Seconds between two signals of a roll, at most."""
+CHANGE_INTERVAL_S: Final = 2.0
+"""Seconds between two configurations, and between two signals to reload."""
+BURST_FACTOR: Final = 2.0
+BURST_S: Final = 5.0
+MAX_SLOWNESS: Final = 4.0
+"""Factor on the steps of busy engines, at most."""
+START_TIMEOUT_S: Final = 40.0
+RESTART_PAUSE_S: Final = 0.3
+KEPT_LOG_LINES: Final = 6
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RollVerdict:
+    """Result of one run."""
+
+    seed: int
+    outcomes: Counter[Outcome]
+    needless: int
+    """Requests that a leaving instance rejected, and that would have ended before it did."""
+    ran_twice: int
+    lost: list[str]
+    """Lines on the lost requests, with what their instances logged of them."""
+    failures: list[str]
+    """Instances that were killed, or exited otherwise than asked for."""
+
+
+@dataclass(slots=True, kw_only=True)
+class RollInstance:
+    """One instance, which runs as a series of processes."""
+
+    settings: dict[str, Any]
+    directory: str
+    source: str
+    signals: list[float] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+        return str(self.settings["node_name"])
+
+    @property
+    def address(self) -> str:
+        """Its address for callers."""
+        return str(self.settings["listen"]["front"])
+
+    @property
+    def log(self) -> Path:
+        """The log of all its processes."""
+        return Path(self.directory) / f"{self.name}.log"
+
+    async def start(self) -> None:
+        """Start a process of the version in the source directory."""
+        environment = os.environ | {
+            "GUAVAMAST_SETTINGS": write_settings(self.settings, self.directory)
+        }
+        if self.source:
+            environment["PYTHONPATH"] = self.source
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "guavamast.platform",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def terminate(self) -> None:
+        """Send SIGTERM, and SIGKILL after the grace time, as the platform does."""
+        process = self.process
+        if process is None or process.returncode is not None:
+            return
+        started = handles_signal(process.pid, signal.SIGTERM)
+        self.signals.append(time.monotonic())
+        process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+        except TimeoutError:
+            self.failures.append(f"{self.name} was killed after the grace time")
+            with suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+        if process.returncode not in (0, -signal.SIGKILL) and started:
+            self.failures.append(f"{self.name} exited with code {process.returncode}")
+
+    def reload(self) -> None:
+        """Send SIGHUP, if the process handles it yet."""
+        process = self.process
+        if process is None or process.returncode is not None:
+            return
+        if handles_signal(process.pid, signal.SIGHUP):
+            process.send_signal(signal.SIGHUP)
+
+    def find_log_lines(self, request_id: str) -> list[str]:
+        """Return the last lines that name a request."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        return [line for line in lines if f'"{request_id}"' in line][-KEPT_LOG_LINES:]
+
+
+class RollRun:
+    """Stops instances in rolls, twice each, while callers send requests of five kinds.
+
+    Rolls overlap, stopped instances start again at their addresses, some are stopped while they
+    start, and configurations and signals to reload come between.
+
+    Args:
+        seed: Seed of the schedule, the load and the callers.
+        directory: Directory for settings and logs.
+        source: Directory with the version of the product that instances run; the present one if
+            empty.
+    """
+
+    def __init__(self, *, seed: int, directory: str, source: str = "") -> None:
+        self._seed = seed
+        self._random = Random(f"{seed}roll")
+        self._directory = directory
+        self._source = source
+        self._slowness = self._random.uniform(1.0, MAX_SLOWNESS)
+        self._durations: dict[str, float] = {}
+        self._timeouts: dict[str, float] = {}
+        self._site = _RollSite(durations=self._durations)
+        self._instances: list[RollInstance] = []
+        self._callers: list[RollCaller] = []
+        self._tries: list[RollRequest] = []
+
+    async def run(self) -> RollVerdict:
+        """Start the fleet, send requests while it rolls, and judge."""
+        await self._site.start(pool=0, portal=PORTAL_ENGINES)
+        await self._site.start_models()
+        try:
+            await self._start_instances()
+            until = time.monotonic() + LENGTH_S
+            async with asyncio.TaskGroup() as tasks:
+                for caller in self._build_callers():
+                    tasks.create_task(caller.run(until))
+                tasks.create_task(self._roll())
+                tasks.create_task(self._burst())
+                tasks.create_task(self._change(until))
+        finally:
+            await asyncio.gather(*(one.terminate() for one in self._instances))
+            await self._site.stop()
+        return self._judge()
+
+    async def _start_instances(self) -> None:
+        for number in range(INSTANCES):
+            settings = self._site.build_settings(f"one-{number}")
+            one = RollInstance(settings=settings, directory=self._directory, source=self._source)
+            self._instances.append(one)
+        await asyncio.gather(*(one.start() for one in self._instances))
+        addresses = {one.address for one in self._instances}
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self._are_listed(addresses):
+                await asyncio.sleep(0.2)
+
+    async def _are_listed(self, addresses: set[str]) -> bool:
+        """Return whether each instance serves, by what the first one tells callers."""
+        try:
+            fields = await fetch_addresses(self._instances[0].settings["listen"]["directory"])
+        except Exception:  # noqa: BLE001  # It has not started yet.
+            return False
+        listed = fields.get("addresses")
+        return isinstance(listed, list) and len(listed) >= min(4, len(addresses))
+
+    def _build_callers(self) -> list[RollCaller]:
+        self._callers = [
+            RollCaller(
+                name=f"c{number}",
+                share=1 / CALLERS,
+                directories=[one.settings["listen"]["directory"] for one in self._instances],
+                on_work=self._record_work,
+                tries=self._tries,
+                random=Random(f"{self._seed}caller{number}"),
+            )
+            for number in range(CALLERS)
+        ]
+        return self._callers
+
+    def _record_work(self, request_id: str, work: Work) -> None:
+        """Tell the engines how long the response to a request takes."""
+        self._durations[request_id] = work.compute_duration(self._slowness)
+        self._timeouts[request_id] = work.kind.timeout_s
+
+    async def _roll(self) -> None:
+        await asyncio.sleep(CALM_S)
+        waiting = self._random.sample(self._instances, len(self._instances))
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(ROLLS):
+                count = self._random.randint(SMALLEST_ROLL, LARGEST_ROLL)
+                chosen, waiting = waiting[:count], waiting[count:] + waiting[:count]
+                gap_s = self._random.uniform(0.0, LONGEST_GAP_S)
+                for one in chosen:
+                    tasks.create_task(self._replace(one))
+                    await asyncio.sleep(gap_s)
+                await asyncio.sleep(self._random.uniform(0.0, GRACE_S / 2))
+
+    async def _replace(self, instance: RollInstance) -> None:
+        """Stop an instance and start it again; in some runs it is stopped once more at once."""
+        await instance.terminate()
+        await asyncio.sleep(RESTART_PAUSE_S)
+        await instance.start()
+        if self._random.random() < 0.3:
+            await asyncio.sleep(self._random.uniform(0.2, 2.0))
+            await instance.terminate()
+            await instance.start()
+
+    async def _burst(self) -> None:
+        """Double the longest kind around the first roll."""
+        await asyncio.sleep(CALM_S - 1.0)
+        for caller in self._callers:
+            caller.set_factor("dossier", BURST_FACTOR)
+        await asyncio.sleep(BURST_S)
+        for caller in self._callers:
+            caller.set_factor("dossier", 1.0)
+
+    async def _change(self, until: float) -> None:
+        """Publish configurations and ask instances to reload."""
+        while time.monotonic() < until:
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+            self._site.publish_configuration()
+            self._random.choice(self._instances).reload()
+
+    def _judge(self) -> RollVerdict:
+        runs = Counter(run.request_id for one in self._site.list_engines() for run in one.runs)
+        departures = DepartureRecord(
+            signals={one.address: one.signals for one in self._instances},
+            grace_s=GRACE_S,
+            run_ends={
+                run.request_id: run.ended
+                for engine in self._site.list_engines()
+                for run in engine.completed
+            },
+            timeouts_s=self._timeouts,
+        )
+        outcomes: Counter[Outcome] = Counter()
+        lost = []
+        needless = 0
+        for one in self._tries:
+            record = one.record
+            outcome = classify(record, departures, has_run=record.request_id in runs)
+            outcomes[outcome] += 1
+            if outcome is Outcome.LOST:
+                lost += [describe(record, departures), *self._find_log_lines(one)]
+            if record.status == 503 and self._was_needless(one, departures):
+                needless += 1
+        return RollVerdict(
+            seed=self._seed,
+            outcomes=outcomes,
+            needless=needless,
+            ran_twice=self._count_wrong_runs(runs),
+            lost=lost,
+            failures=[line for one in self._instances for line in one.failures],
+        )
+
+    def _find_log_lines(self, one: RollRequest) -> list[str]:
+        request_id = one.record.request_id
+        return [
+            f"    {instance.name}: {line}"
+            for instance in self._instances
+            for line in instance.find_log_lines(request_id)
+        ]
+
+    def _was_needless(self, one: RollRequest, departures: DepartureRecord) -> bool:
+        """Return whether a leaving instance rejected a request that could have ended in time."""
+        record = one.record
+        prefill_s = one.work.prompt_tokens / PREFILL_TOKENS_PER_S
+        ends_at = record.sent_at + prefill_s + self._durations[record.request_id]
+        return any(
+            signalled_at <= record.sent_at and ends_at <= signalled_at + GRACE_S - STOP_MARGIN_S
+            for signalled_at in departures.signals[record.address]
+        )
+
+    def _count_wrong_runs(self, runs: Counter[str]) -> int:
+        """Return the requests that ran though rejected, or twice though they must not."""
+        repeatable = ("reply", "status")
+        return sum(
+            (one.record.status == 503 and runs[one.record.request_id] > 0)
+            or (runs[one.record.request_id] > 1 and one.work.kind.name not in repeatable)
+            for one in self._tries
+        )
+
+
+class _RollSite(Site):
+    """Site with many engines of models, whose streams last as long as requests ask for."""
+
+    def __init__(self, *, durations: dict[str, float]) -> None:
+        super().__init__()
+        self._durations = durations
+        self.slots = SLOTS
+        self.idle_timeout_ms = 20_000
+        self.bounds["grace_s"] = GRACE_S
+        self.bounds["revoke_ms"] = 5_000
+        self.bounds["budget_slack"] = 108
+        self.model_routes = ROUTES
+
+    async def start_models(self) -> None:
+        """Start the engines of models."""
+        for number in range(MODEL_ENGINES):
+            await self.add_engine(f"models-{number}", MODELS)
+
+    def build_engine(self, *args: Any, **options: Any) -> EngineStandIn:
+        """Return an engine with the deployment's slots and speed."""
+        engine = super().build_engine(*args, **options)
+        engine.stream_durations = self._durations
+        engine.processing_s = 0.0
+        if engine.engine_id.startswith(MODELS):
+            engine.batch = PrefillBatch(slots=SLOTS, tokens_per_s=PREFILL_TOKENS_PER_S)
+        return engine
+
+    def list_engines(self) -> list[EngineStandIn]:
+        """Return all engines, also those that have ended."""
+        return [*self.engines.values(), *self.crashed_engines]
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -48,6 +48,7 @@
     urgency: int
     objective_ms: int
     timeout_ms: int
+    resumable: bool = False
 
     @property
     def path_prefix(self) -> str:
@@ -56,7 +57,10 @@
 
     def build_fields(self) -> dict[str, Any]:
         """Return the route as it stands in the configuration."""
-        fields = _build_route(self.path_prefix, "streaming", MODELS, 1)
+        attempts = 2 if self.resumable else 1
+        fields = _build_route(
+            self.path_prefix, "streaming", MODELS, attempts, resumable=self.resumable
+        )
         changes = {
             "timeout_ms": self.timeout_ms,
             "target_latency_ms": self.objective_ms,
