--- a/src/guavamast/relay/connection_log.py
+++ b/src/guavamast/relay/connection_log.py
@@ -24,6 +24,7 @@
     log.write(
         event,
         now=now,
+        essential=True,
         caller=trace.address,
         request_id=trace.request_id,
         stage=trace.stage,
--- a/src/guavamast/relay/decision_log.py
+++ b/src/guavamast/relay/decision_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import time
 from typing import TYPE_CHECKING, Final
@@ -9,6 +10,8 @@
 from guavamast.compact_json import encode_json
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.relay.counters import Counters
 
 LINES_PER_S: Final = 80.0
@@ -22,6 +25,12 @@
 nothing has a line of its own at its end."""
 MAX_UNWRITTEN_BYTES: Final = 65_536
 """Bytes that are kept while the reader of the log doesn't read; a pipe holds as many again."""
+RESERVED_BYTES: Final = 131_072
+"""Bytes that are kept beyond these for lines on losses: one for each request of a full instance."""
+FLUSH_INTERVAL_S: Final = 0.02
+"""Seconds between two attempts to write the rest of the log."""
+MAX_FLUSH_S: Final = 1.0
+"""Seconds for which a process that ends awaits the reader of its log at most."""
 
 LogValue = str | int | float | bool | None
 
@@ -59,15 +68,17 @@
         self._unwritten = b""
         os.set_blocking(descriptor, False)
 
-    def write(self, event: str, *, now: float, **fields: LogValue) -> None:
+    def write(self, event: str, *, now: float, essential: bool = False, **fields: LogValue) -> None:
         """Write one line.
 
         Args:
             event: Name of the decision or event, in a few words joined by underscores.
             now: The current time, for the rate limit.
+            essential: Whether the line tells of a loss. The rate limit doesn't apply to it: many
+                requests that are cut at one moment would leave no trace.
             fields: The inputs of the decision and its outcome.
         """
-        if not self._spend_allowance(event, now=now):
+        if not self._spend_allowance(event, now=now) and not essential:
             self._drop(event)
             return
         line: dict[str, LogValue] = {
@@ -78,11 +89,28 @@
         line.update(fields)
         if self._dropped:
             line["dropped"] = self._dropped
-        if self._write_bytes(event, encode_json(line).encode() + b"\n"):
+        data = encode_json(line).encode() + b"\n"
+        if self._write_bytes(event, data, essential=essential):
             self._dropped = 0
         else:
             self._drop(event)
 
+    async def flush(self, *, until: float, read_time: Callable[[], float]) -> None:
+        """Write what is unwritten before the process ends, for as long as its reader may take.
+
+        Without this, the last lines are lost, the newest of them in the middle, whenever the reader
+        is behind: just those on the requests that the end of the process has cut.
+
+        Args:
+            until: Time until which the reader is awaited at most.
+            read_time: The clock of that time.
+        """
+        until = min(until, read_time() + MAX_FLUSH_S)
+        self._flush()
+        while self._unwritten and read_time() < until:
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+            self._flush()
+
     def _spend_allowance(self, event: str, *, now: float) -> bool:
         """Return whether the rate limit permits a line."""
         if self._updated is not None:
@@ -100,11 +128,12 @@
         if self._counters is not None:
             self._counters.add(f'log_lines_dropped_total{{event="{event}"}}')
 
-    def _write_bytes(self, event: str, data: bytes) -> bool:
+    def _write_bytes(self, event: str, data: bytes, *, essential: bool) -> bool:
         """Write a line after what is unwritten, or keep it; return False if it can't be kept."""
         self._flush()
         if self._unwritten:
-            if event in ROUTINE_EVENTS or len(self._unwritten) + len(data) > MAX_UNWRITTEN_BYTES:
+            limit = MAX_UNWRITTEN_BYTES + (RESERVED_BYTES if essential else 0)
+            if event in ROUTINE_EVENTS or len(self._unwritten) + len(data) > limit:
                 return False
             self._unwritten += data
             return True
@@ -118,6 +147,10 @@
             return
         try:
             written = os.write(self._descriptor, self._unwritten)
-        except (BlockingIOError, BrokenPipeError):
+        except BlockingIOError:
+            return
+        except BrokenPipeError:
+            # The reader is gone for good.
+            self._unwritten = b""
             return
         self._unwritten = self._unwritten[written:]
--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -89,7 +89,14 @@
         schedule = self._schedule
         self._listener.disable_keep_alive()
         self._announce()
-        self._log.write("leaving", now=self._read_time(), in_flight=self._relayer.in_flight)
+        now = self._read_time()
+        self._log.write(
+            "leaving",
+            now=now,
+            essential=True,
+            in_flight=self._relayer.in_flight,
+            signal_delay_s=schedule.compute_offset(now),
+        )
         drained = asyncio.Event()
         removing = asyncio.create_task(self._unregister_last(drained))
         forwarding = asyncio.create_task(self._forward_listener.drain(deadline=schedule.ends_at))
@@ -127,7 +134,8 @@
 
     async def _expire_requests(self, at: float) -> None:
         await self._wait_until(at)
-        self._log.write("expiring", now=self._read_time(), in_flight=self._relayer.in_flight)
+        in_flight = self._relayer.in_flight
+        self._log.write("expiring", now=self._read_time(), essential=True, in_flight=in_flight)
         self._relayer.expire_requests()
 
     async def _wait_until(self, moment: float, *, unless: asyncio.Event | None = None) -> None:
--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -25,6 +25,8 @@
 request are received later than they were sent."""
 RESPONSE_MARGIN_S: Final = 0.1
 """Seconds before the end for the responses to requests that ran out of time by it."""
+EXIT_MARGIN_S: Final = 0.1
+"""Seconds before the platform would kill the process at which it does nothing more."""
 
 
 class DepartureSchedule:
@@ -78,6 +80,11 @@
         margin_s = min(STOP_MARGIN_S, MAX_STOP_SHARE * self._grace_s)
         return self._get_signal_time() + self._grace_s - margin_s
 
+    @property
+    def exits_at(self) -> float:
+        """Local time at which the process ends at the latest, whatever is left to do."""
+        return self._get_signal_time() + self._grace_s - EXIT_MARGIN_S
+
     def begin(self, *, now: float) -> None:
         """Record the stop signal."""
         self._signalled_at = now
--- a/src/guavamast/relay/node/node.py
+++ b/src/guavamast/relay/node/node.py
@@ -151,7 +151,9 @@
         await self._service.departure.run(listeners)
         for task in background:
             task.cancel()
-        self.log.write("stopped", now=read_boot_time(), in_flight=self._service.relayer.in_flight)
+        in_flight = self._service.relayer.in_flight
+        self.log.write("stopped", now=read_boot_time(), essential=True, in_flight=in_flight)
+        await self.log.flush(until=self._schedule.exits_at, read_time=read_boot_time)
 
     def _start_background(self) -> list[asyncio.Task[None]]:
         """Start the tasks that run until the instance has left."""
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -32,6 +32,8 @@
 
 MAX_ORGANISATIONS: Final = 32
 """Parts by organisation that a metric has at most; further organisations are counted together."""
+LOST_CAUSES: Final = frozenset({UnservedCause.INSTANCE_LEFT, UnservedCause.BROKEN_OFF})
+"""Causes of requests that callers lose: their lines are always written."""
 
 
 class RequestRecorder:
@@ -419,6 +421,7 @@
         self._log.write(
             "ended",
             now=now,
+            essential=cause in LOST_CAUSES,
             request_id=request.request_id,
             outcome=outcome,
             status=status,
@@ -431,6 +434,7 @@
             prompt_tokens=request.prompt_tokens,
             caller_part=request.caller_part,
             received_after_signal_s=self._schedule.compute_offset(request.received_at),
+            ended_after_signal_s=self._schedule.compute_offset(now),
         )
 
     def _is_after_signal(self, request: CallerRequest) -> bool:
