--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -23,6 +23,8 @@
 FORECAST_MARGIN_S: Final = 0.1
 """Seconds before callers' addresses expire from which on no forecast is relied on: a signal and a
 request are received later than they were sent."""
+LAST_SHARE: Final = 1 / 6
+"""Share of the grace time at its end in which the platform lets work be cut."""
 RESPONSE_MARGIN_S: Final = 0.1
 """Seconds before the end for the responses to requests that ran out of time by it."""
 EXIT_MARGIN_S: Final = 0.1
@@ -32,14 +34,20 @@
 class DepartureSchedule:
     """When a leaving instance stops accepting, ends requests, and ends itself.
 
+    Callers and the platform count from the moment at which the signal was sent. A process that
+    waits for a processor receives it later, and would rely on forecasts when callers no longer may
+    send, and end after it was killed. So what must not be late counts from the earliest moment at
+    which the signal may have been sent, and accepting ends by the moment at which it was received.
+
     Args:
         grace_s: Seconds from the stop signal until the platform kills the process.
     """
 
-    __slots__ = ("_grace_s", "_signalled_at")
+    __slots__ = ("_grace_s", "_received_at", "_signalled_at")
 
     def __init__(self, *, grace_s: float) -> None:
         self._grace_s = grace_s
+        self._received_at = 0.0
         self._signalled_at: float | None = None
 
     @property
@@ -50,9 +58,10 @@
     @property
     def accepts_until(self) -> float:
         """Local time until which requests are accepted."""
-        signalled_at = self._get_signal_time()
-        expired_at = signalled_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
-        return min(expired_at, signalled_at + MAX_ACCEPT_SHARE * (self.ends_at - signalled_at))
+        ends_at = self.ends_at
+        expired_at = self._received_at + ADDRESS_CACHE_FACTOR * VALIDITY_S + LEAVE_MARGIN_S
+        remaining_s = ends_at - self._received_at
+        return min(expired_at, self._received_at + MAX_ACCEPT_SHARE * remaining_s)
 
     @property
     def forecasts_until(self) -> float:
@@ -77,17 +86,28 @@
     @property
     def ends_at(self) -> float:
         """Local time at which the last connections are closed."""
-        margin_s = min(STOP_MARGIN_S, MAX_STOP_SHARE * self._grace_s)
-        return self._get_signal_time() + self._grace_s - margin_s
+        return self._get_signal_time() + self._grace_s - self._stop_margin_s
 
     @property
     def exits_at(self) -> float:
         """Local time at which the process ends at the latest, whatever is left to do."""
         return self._get_signal_time() + self._grace_s - EXIT_MARGIN_S
 
-    def begin(self, *, now: float) -> None:
-        """Record the stop signal."""
-        self._signalled_at = now
+    @property
+    def _stop_margin_s(self) -> float:
+        return min(STOP_MARGIN_S, MAX_STOP_SHARE * self._grace_s)
+
+    def begin(self, *, now: float, delay_s: float = 0.0) -> None:
+        """Record the stop signal.
+
+        Args:
+            now: Time at which it was received.
+            delay_s: Seconds by which this process may have received it late. Counted as far as
+                requests don't end before the last share of the grace time for it.
+        """
+        spare_s = LAST_SHARE * self._grace_s - self._stop_margin_s - RESPONSE_MARGIN_S
+        self._received_at = now
+        self._signalled_at = now - min(delay_s, max(0.0, spare_s))
 
     def compute_offset(self, at: float | None) -> float | None:
         """Return the seconds from the stop signal to a local time; None without one of them."""
--- a/src/guavamast/relay/node/context.py
+++ b/src/guavamast/relay/node/context.py
@@ -87,3 +87,12 @@
             leaving_s=settings.leaving_s,
             revocation_s=settings.revocation_s,
         )
+
+    def begin_departure(self, received_at: float) -> None:
+        """Begin to leave; no request is sent as if this instance stayed from here on.
+
+        Args:
+            received_at: Local time at which the stop signal was received.
+        """
+        delay_s = self.loop_delay.read(now=received_at)
+        self.schedule.begin(now=received_at, delay_s=delay_s)
--- a/src/guavamast/relay/node/node.py
+++ b/src/guavamast/relay/node/node.py
@@ -14,6 +14,7 @@
 from guavamast.relay.node.service import ServiceComponents
 from guavamast.relay.query_listener import QueryHandler, open_query_listeners
 from guavamast.relay.supervisor import Supervisor
+from guavamast.stop_signals import StopSignal
 
 if TYPE_CHECKING:
     from guavamast.leases import LeaseTable
@@ -81,7 +82,7 @@
         self._settings = settings
         self._schedule = context.schedule
         self._bounds = context.bounds
-        self._stop = asyncio.Event()
+        self._stop = StopSignal(on_receive=context.begin_departure, read_time=read_boot_time)
         self._fleet = FleetComponents(
             context=context, read_state=self._read_state, leases=leases, provider=provider
         )
@@ -125,7 +126,7 @@
         """
         settings = self._settings
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        self._stop.install(loop)
         loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
         self._service.listener.listen(settings.callers.ip, settings.callers.port)
         self._service.forward_listener.listen(settings.peers.ip, settings.peers.port)
@@ -145,7 +146,6 @@
         gc.freeze()
         background = self._start_background()
         await self._stop.wait()
-        self._schedule.begin(now=read_boot_time())
         if self._fleet.duties is not None:
             background.append(asyncio.create_task(self._fleet.duties.holder.leave()))
         await self._service.departure.run(listeners)
--- a/src/guavamast/stop_signals.py
+++ b/src/guavamast/stop_signals.py
@@ -1,10 +1,59 @@
-"""Signals that arrive when a process has nothing left to stop."""
+"""Signals that stop a process: when they were received, and those that come too late."""
 
 from __future__ import annotations
 
+import asyncio
 import signal
+from typing import TYPE_CHECKING
 
-__all__ = ["block_late_signals"]
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import FrameType
+
+__all__ = ["StopSignal", "block_late_signals"]
+
+
+class StopSignal:
+    """The first SIGTERM of this process.
+
+    A handler of the event loop runs in a turn of the loop, so on a busy machine it runs later than
+    the signal came, by as long as the loop is held up. What counts its time from there ends after
+    the platform has killed it. This handler runs between two instructions of the interpreter.
+
+    Args:
+        on_receive: Called at once with the time at which the signal was received, between any two
+            instructions of the main thread.
+        read_time: Reads the clock of that time.
+    """
+
+    __slots__ = ("_is_received", "_loop", "_on_receive", "_read_time", "_woken")
+
+    def __init__(
+        self, *, on_receive: Callable[[float], None], read_time: Callable[[], float]
+    ) -> None:
+        self._on_receive = on_receive
+        self._read_time = read_time
+        self._is_received = False
+        self._woken = asyncio.Event()
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    def install(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Handle the signal from now on; called in the main thread, in which the loop runs."""
+        self._loop = loop
+        signal.signal(signal.SIGTERM, self._receive)
+
+    async def wait(self) -> None:
+        """Return once the signal was received."""
+        await self._woken.wait()
+
+    def _receive(self, number: int, frame: FrameType | None) -> None:
+        del number, frame
+        assert self._loop is not None
+        if self._is_received or self._loop.is_closed():
+            return
+        self._is_received = True
+        self._on_receive(self._read_time())
+        self._loop.call_soon_threadsafe(self._woken.set)
 
 
 def block_late_signals() -> None:
