--- a/soak/roll_run.py
+++ b/soak/roll_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -24,6 +25,7 @@
 
 if TYPE_CHECKING:
     from guavamast.platform.standins.engine import EngineStandIn
+    from soak.guarantees import RequestRecord
     from soak.roll_workload import Work
 
 INSTANCES: Final = 14
@@ -53,6 +55,8 @@
 START_TIMEOUT_S: Final = 40.0
 RESTART_PAUSE_S: Final = 0.3
 KEPT_LOG_LINES: Final = 6
+LOG_TICK_S: Final = 0.001
+"""Seconds to which the times in the log are rounded."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,9 +65,14 @@
 
     seed: int
     outcomes: Counter[Outcome]
+    taken_and_cut: int
+    """Requests that a leaving instance took and cut, among the excused ones."""
     needless: int
     """Requests that a leaving instance rejected, and that would have ended before it did."""
-    ran_twice: int
+    wrong_runs: int
+    """Requests that ran though they were rejected, or more often than they may."""
+    longest_signal_delay_s: float
+    """Longest time from a signal until its instance logged that it leaves."""
     lost: list[str]
     """Lines on the lost requests, with what their instances logged of them."""
     failures: list[str]
@@ -78,6 +87,8 @@
     directory: str
     source: str
     signals: list[float] = field(default_factory=list)
+    wall_signals: list[float] = field(default_factory=list)
+    """Times of the same signals on the wall clock, which the log uses."""
     failures: list[str] = field(default_factory=list)
     process: asyncio.subprocess.Process | None = None
 
@@ -120,6 +131,7 @@
             return
         started = handles_signal(process.pid, signal.SIGTERM)
         self.signals.append(time.monotonic())
+        self.wall_signals.append(time.time())
         process.send_signal(signal.SIGTERM)
         try:
             await asyncio.wait_for(process.wait(), GRACE_S)
@@ -139,6 +151,15 @@
         if handles_signal(process.pid, signal.SIGHUP):
             process.send_signal(signal.SIGHUP)
 
+    def list_signal_delays(self) -> list[float]:
+        """Return the seconds from each signal until its process logged that it leaves."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        leaving = [json.loads(one)["time"] for one in lines if '"event":"leaving"' in one]
+        return [
+            min(at - sent_at for sent_at in self.wall_signals if sent_at <= at + LOG_TICK_S)
+            for at in leaving
+        ]
+
     def find_log_lines(self, request_id: str) -> list[str]:
         """Return the last lines that name a request."""
         lines = self.log.read_text(errors="replace").splitlines()
@@ -281,11 +302,13 @@
         )
         outcomes: Counter[Outcome] = Counter()
         lost = []
-        needless = 0
+        taken_and_cut = needless = 0
         for one in self._tries:
             record = one.record
             outcome = classify(record, departures, has_run=record.request_id in runs)
             outcomes[outcome] += 1
+            if outcome is Outcome.EXCUSED and self._was_leaving(record):
+                taken_and_cut += 1
             if outcome is Outcome.LOST:
                 lost += [describe(record, departures), *self._find_log_lines(one)]
             if record.status == 503 and self._was_needless(one, departures):
@@ -293,8 +316,13 @@
         return RollVerdict(
             seed=self._seed,
             outcomes=outcomes,
+            taken_and_cut=taken_and_cut,
             needless=needless,
-            ran_twice=self._count_wrong_runs(runs),
+            wrong_runs=self._count_wrong_runs(runs),
+            longest_signal_delay_s=max(
+                (delay_s for one in self._instances for delay_s in one.list_signal_delays()),
+                default=0.0,
+            ),
             lost=lost,
             failures=[line for one in self._instances for line in one.failures],
         )
@@ -307,6 +335,11 @@
             for line in instance.find_log_lines(request_id)
         ]
 
+    def _was_leaving(self, record: RequestRecord) -> bool:
+        """Return whether the instance of a request was leaving when it was sent."""
+        instance = next(one for one in self._instances if one.address == record.address)
+        return any(at <= record.sent_at < at + GRACE_S for at in instance.signals)
+
     def _was_needless(self, one: RollRequest, departures: DepartureRecord) -> bool:
         """Return whether a leaving instance rejected a request that could have ended in time."""
         record = one.record
--- a/soak/rolls.py
+++ b/soak/rolls.py
@@ -28,7 +28,7 @@
         for process in load:
             process.kill()
             process.wait()
-    kept = not (verdict.lost or verdict.failures or verdict.ran_twice)
+    kept = not (verdict.lost or verdict.failures or verdict.wrong_runs)
     print(f"seed {seed}: {'kept' if kept else 'BROKEN'}, {_describe(verdict)}", flush=True)
     for line in [*verdict.lost, *verdict.failures]:
         print(f"  {line}")
@@ -76,14 +76,20 @@
         outcomes += verdict.outcomes
     with_losses = sum(bool(verdict.outcomes[Outcome.LOST]) for verdict in verdicts)
     counts = ", ".join(f"{outcomes[outcome]} {outcome}" for outcome in Outcome)
+    taken_and_cut = sum(verdict.taken_and_cut for verdict in verdicts)
     needless = sum(verdict.needless for verdict in verdicts)
-    print(f"{len(verdicts)} seeds, {with_losses} with losses: {counts}; {needless} needless")
-    sys.exit(1 if any(one.lost or one.failures or one.ran_twice for one in verdicts) else 0)
+    print(f"{len(verdicts)} seeds, {with_losses} with losses: {counts}")
+    print(f"{taken_and_cut} of the excused taken while leaving, {needless} rejected needlessly")
+    sys.exit(1 if any(one.lost or one.failures or one.wrong_runs for one in verdicts) else 0)
 
 
 def _describe(verdict: RollVerdict) -> str:
     counts = ", ".join(f"{verdict.outcomes[outcome]} {outcome}" for outcome in Outcome)
-    return f"{counts}; {verdict.needless} rejected needlessly, {verdict.ran_twice} wrong runs"
+    return (
+        f"{counts}; {verdict.taken_and_cut} taken and cut, {verdict.needless} rejected needlessly, "
+        f"{verdict.wrong_runs} wrong runs, "
+        f"longest delay of a signal {verdict.longest_signal_delay_s:.3f} s"
+    )
 
 
 if __name__ == "__main__":
--- a/src/guavamast/relay/departure_gate.py
+++ b/src/guavamast/relay/departure_gate.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-from math import ceil
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.caller_gate import Denied
@@ -11,41 +9,10 @@
 if TYPE_CHECKING:
     from guavamast.relay.departure_schedule import DepartureSchedule
     from guavamast.relay.request_progress import RequestProgress
+    from guavamast.relay.response_durations import ResponseDurations
 
 RETRY_AFTER_LEAVING_S: Final = 0.1
 """Seconds until a caller retries, at another instance, after this one has left."""
-RESPONSE_SAMPLES: Final = 64
-"""Samples of durations that are kept for a route, the newest ones."""
-RESPONSE_QUANTILE: Final = 0.9
-"""Share of a route's responses that a forecast covers."""
-MAX_SAMPLED_ROUTES: Final = 512
-"""Samples are kept for so many routes at most; the route that came first goes first."""
-
-
-class ResponseDurations:
-    """Recent durations of responses by route and service, from the send to the end."""
-
-    __slots__ = ("_by_route",)
-
-    def __init__(self) -> None:
-        self._by_route: dict[tuple[str, str], deque[float]] = {}
-
-    def record(self, route: str, service: str, duration_s: float) -> None:
-        """Record a complete response."""
-        key = (route, service)
-        durations = self._by_route.get(key)
-        if durations is None:
-            if len(self._by_route) >= MAX_SAMPLED_ROUTES:
-                del self._by_route[next(iter(self._by_route))]
-            durations = self._by_route[key] = deque(maxlen=RESPONSE_SAMPLES)
-        durations.append(duration_s)
-
-    def forecast(self, route: str, service: str) -> float | None:
-        """Return the seconds that a response may take; None if there was none."""
-        durations = self._by_route.get((route, service))
-        if not durations:
-            return None
-        return sorted(durations)[ceil(RESPONSE_QUANTILE * len(durations)) - 1]
 
 
 class DepartureGate:
@@ -53,7 +20,7 @@
 
     A stream that a leaving instance sends on and then cuts costs its caller the whole stream and
     the endpoint its work, where a rejection as not run costs a moment. While callers may still hold
-    this instance's address, the durations of the route's recent responses decide. Later, only
+    this instance's address, the durations of responses to similar requests decide. Later, only
     requests are sent whose own time ends first: whatever their responses take, none is cut.
 
     Args:
@@ -75,7 +42,12 @@
             sent_at: Local time at which the request was sent.
             now: The present time.
         """
-        self._durations.record(progress.admitted.route.name, progress.service, now - sent_at)
+        self._durations.record(
+            progress.admitted.route.name,
+            progress.service,
+            output_tokens=progress.output_tokens,
+            duration_s=now - sent_at,
+        )
 
     def find_denial(self, progress: RequestProgress, *, now: float) -> Denied | None:
         """Return why a request must not be sent any more; None if it may be.
@@ -94,5 +66,9 @@
             return True
         if now >= self._schedule.forecasts_until:
             return False
-        expected_s = self._durations.forecast(progress.admitted.route.name, progress.service)
+        expected_s = self._durations.forecast(
+            progress.admitted.route.name,
+            progress.service,
+            output_tokens=progress.output_tokens,
+        )
         return expected_s is None or now + expected_s <= ends_at
--- a/src/guavamast/relay/node/service.py
+++ b/src/guavamast/relay/node/service.py
@@ -15,12 +15,13 @@
 from guavamast.relay.caller_gate import CallerGate
 from guavamast.relay.cleanup_loop import CleanupLoop
 from guavamast.relay.departure import Departure
-from guavamast.relay.departure_gate import DepartureGate, ResponseDurations
+from guavamast.relay.departure_gate import DepartureGate
 from guavamast.relay.forwarding import ForwardListener
 from guavamast.relay.listener import CallerListener
 from guavamast.relay.listener_recorder import ListenerRecorder
 from guavamast.relay.relayer_factory import build_relayer
 from guavamast.relay.request_recorder import RequestRecorder
+from guavamast.relay.response_durations import ResponseDurations
 
 if TYPE_CHECKING:
     from guavamast.relay.node.context import NodeContext
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -49,6 +49,8 @@
     """Whether it would be late if its engine prefills long prompts at the same time."""
     timing: StreamTiming
     """Timing of the forwarded events, from any endpoint."""
+    output_tokens: int = 0
+    """Tokens of its response at most, as its caller states; 0 if unknown."""
     tried: set[str] = field(default_factory=set)
     """Ids of the endpoints that were selected for it."""
     sends: int = 0
@@ -173,5 +175,6 @@
         pause_sensitive=pause_sensitive,
         latency_tolerant=is_latency_tolerant(objective_s, shortest_s=shortest_objective_s),
         timing=StreamTiming(received_at=request.received_at),
+        output_tokens=request.output_tokens,
         binding=binding,
     )
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -14,7 +14,7 @@
 from guavamast.relay.caller_gate import Admitted
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
-from guavamast.relay.departure_gate import DepartureGate, ResponseDurations
+from guavamast.relay.departure_gate import DepartureGate
 from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.endpoint_connector import EndpointConnector
 from guavamast.relay.endpoint_load import EndpointLoads
@@ -44,6 +44,7 @@
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.requester import Requester
+from guavamast.relay.response_durations import ResponseDurations
 from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
 from guavamast.relay.retry_claims import RetryClaims
--- a/tests/test_relay_departure_gate.py
+++ b/tests/test_relay_departure_gate.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from guavamast.relay.caller_addresses import VALIDITY_S
-from guavamast.relay.departure_gate import DepartureGate, ResponseDurations
+from guavamast.relay.departure_gate import DepartureGate
 from guavamast.relay.departure_schedule import ADDRESS_CACHE_FACTOR, DepartureSchedule
+from guavamast.relay.response_durations import ResponseDurations
 from tests.test_relay_quarantine_guard import build_progress
 
 ROUTE = "r"
@@ -24,15 +25,17 @@
         self.durations = ResponseDurations()
         self.gate = DepartureGate(schedule=self.schedule, durations=self.durations)
 
-    def is_sent(self, *, now: float, time_left_s: float) -> bool:
+    def is_sent(self, *, now: float, time_left_s: float, output_tokens: int = 0) -> bool:
         """Return whether a request is sent that has some time left by itself."""
         progress = build_progress()
         progress.deadline = now + time_left_s
+        progress.output_tokens = output_tokens
         return self.gate.find_denial(progress, now=now) is None
 
-    def record(self, *durations_s: float) -> None:
+    def record(self, *durations_s: float, output_tokens: int = 0) -> None:
         for duration_s in durations_s:
             progress = build_progress()
+            progress.output_tokens = output_tokens
             self.gate.record_response(progress, sent_at=50.0, now=50.0 + duration_s)
 
     def test_an_instance_that_stays_sends_everything(self) -> None:
@@ -52,6 +55,21 @@
         self.record(0.5, 0.6, 3.0)
         self.assertTrue(self.is_sent(now=102.8, time_left_s=12.0))
 
+    def test_a_long_request_is_not_judged_by_the_short_ones_of_its_route(self) -> None:
+        """Guards against long streams that are sent since the short ones of their route end."""
+        self.schedule.begin(now=SIGNAL_AT)
+        self.record(*[0.3] * 60, output_tokens=30)
+        self.assertFalse(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=600))
+        self.assertTrue(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=40))
+
+    def test_a_short_request_is_not_judged_by_the_long_ones_of_its_route(self) -> None:
+        """Guards against rejecting short streams since the long ones of their route don't end."""
+        self.schedule.begin(now=SIGNAL_AT)
+        self.record(*[6.0] * 100, output_tokens=600)
+        self.record(*[0.3] * 100, output_tokens=30)
+        self.assertTrue(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=30))
+        self.assertFalse(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=500))
+
     def test_without_any_response_yet_requests_are_sent_while_callers_hold_the_address(
         self,
     ) -> None:
