The rig replaces an instance once at a time

Two overlapping rolls could replace one instance twice, and its first new process was left behind after the run, with a store at a port that others may use next.

--- a/soak/roll_run.py
+++ b/soak/roll_run.py
@@ -54,6 +54,8 @@
 """Factor on the steps of busy engines, at most."""
 START_TIMEOUT_S: Final = 40.0
 RESTART_PAUSE_S: Final = 0.3
+STOPPED_AGAIN_SHARE: Final = 0.3
+"""Share of the replaced instances that are stopped again while they start."""
 KEPT_LOG_LINES: Final = 6
 LOG_TICK_S: Final = 0.001
 """Seconds to which the times in the log are rounded."""
@@ -91,6 +93,8 @@
     """Times of the same signals on the wall clock, which the log uses."""
     failures: list[str] = field(default_factory=list)
     process: asyncio.subprocess.Process | None = None
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    """Held while it is replaced, so that no process is left behind by two replacements."""
 
     @property
     def name(self) -> str:
@@ -263,14 +267,17 @@
                 await asyncio.sleep(self._random.uniform(0.0, GRACE_S / 2))
 
     async def _replace(self, instance: RollInstance) -> None:
-        """Stop an instance and start it again; in some runs it is stopped once more at once."""
-        await instance.terminate()
-        await asyncio.sleep(RESTART_PAUSE_S)
-        await instance.start()
-        if self._random.random() < 0.3:
-            await asyncio.sleep(self._random.uniform(0.2, 2.0))
+        """Stop an instance and start it again; some are stopped once more while they start."""
+        again = self._random.random() < STOPPED_AGAIN_SHARE
+        pause_s = self._random.uniform(0.2, 2.0)
+        async with instance.lock:
             await instance.terminate()
-            await instance.start()
+            await asyncio.sleep(RESTART_PAUSE_S)
+            await asyncio.shield(instance.start())
+            if again:
+                await asyncio.sleep(pause_s)
+                await instance.terminate()
+                await asyncio.shield(instance.start())
 
     async def _burst(self) -> None:
         """Double the longest kind around the first roll."""
