--- a/soak/roll_run.py
+++ b/soak/roll_run.py
@@ -28,20 +28,17 @@
     from soak.guarantees import RequestRecord
     from soak.roll_workload import Work
 
-INSTANCES: Final = 14
 MODEL_ENGINES: Final = 9
 PORTAL_ENGINES: Final = 4
 SLOTS: Final = 64
 CALLERS: Final = 92
+"""Callers that send the requests of the workload together."""
 GRACE_S: Final = 8.0
 STOP_MARGIN_S: Final = 0.6
 """Seconds before the end of the grace time at which a stream has to be over for its instance to
 end in time."""
-LENGTH_S: Final = 20.0
-"""Seconds for which callers send."""
 CALM_S: Final = 4.0
 """Seconds before the first signal, in which instances learn how long responses take."""
-ROLLS: Final = 4
 SMALLEST_ROLL: Final = 3
 LARGEST_ROLL: Final = 4
 LONGEST_GAP_S: Final = 1.3
@@ -61,6 +58,22 @@
 """Seconds to which the times in the log are rounded."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RollSize:
+    """Size of a run."""
+
+    instances: int
+    callers: int
+    """Callers, each of which sends as many requests as in a whole fleet."""
+    rolls: int
+    length_s: float
+    """Seconds for which callers send."""
+
+
+WHOLE: Final = RollSize(instances=14, callers=CALLERS, rolls=4, length_s=20.0)
+"""The whole deployment."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RollVerdict:
     """Result of one run."""
@@ -179,12 +192,16 @@
     Args:
         seed: Seed of the schedule, the load and the callers.
         directory: Directory for settings and logs.
+        size: How many instances, callers and rolls there are, and for how long.
         source: Directory with the version of the product that instances run; the present one if
             empty.
     """
 
-    def __init__(self, *, seed: int, directory: str, source: str = "") -> None:
+    def __init__(
+        self, *, seed: int, directory: str, size: RollSize = WHOLE, source: str = ""
+    ) -> None:
         self._seed = seed
+        self._size = size
         self._random = Random(f"{seed}roll")
         self._directory = directory
         self._source = source
@@ -202,7 +219,7 @@
         await self._site.start_models()
         try:
             await self._start_instances()
-            until = time.monotonic() + LENGTH_S
+            until = time.monotonic() + self._size.length_s
             async with asyncio.TaskGroup() as tasks:
                 for caller in self._build_callers():
                     tasks.create_task(caller.run(until))
@@ -215,7 +232,7 @@
         return self._judge()
 
     async def _start_instances(self) -> None:
-        for number in range(INSTANCES):
+        for number in range(self._size.instances):
             settings = self._site.build_settings(f"one-{number}")
             one = RollInstance(settings=settings, directory=self._directory, source=self._source)
             self._instances.append(one)
@@ -244,7 +261,7 @@
                 tries=self._tries,
                 random=Random(f"{self._seed}caller{number}"),
             )
-            for number in range(CALLERS)
+            for number in range(self._size.callers)
         ]
         return self._callers
 
@@ -257,7 +274,7 @@
         await asyncio.sleep(CALM_S)
         waiting = self._random.sample(self._instances, len(self._instances))
         async with asyncio.TaskGroup() as tasks:
-            for _ in range(ROLLS):
+            for _ in range(self._size.rolls):
                 count = self._random.randint(SMALLEST_ROLL, LARGEST_ROLL)
                 chosen, waiting = waiting[:count], waiting[count:] + waiting[:count]
                 gap_s = self._random.uniform(0.0, LONGEST_GAP_S)
--- a/tests/test_rolling_streams.py
+++ b/tests/test_rolling_streams.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from soak.departures import DepartureRecord, Outcome, classify
 from soak.guarantees import RequestKind
 from soak.kept_streams import KeptStreams
 
@@ -29,8 +30,6 @@
 BEFORE_S: Final = 3.0
 """Seconds in which callers send before the first signal."""
 GRACE_S: Final = 8.0
-ADDRESS_VALIDITY_S: Final = 3.0
-"""Seconds after the signal for which callers may hold the address of a leaving instance."""
 
 
 class RollingStreamsTest(PlatformTestCase):
@@ -97,16 +96,13 @@
         return [
             self.describe(one)
             for one in self.requests
-            if one.status == 200 and not one.served and not self.is_excused(one)
+            if one.status == 200 and self.classify(one) is Outcome.LOST
         ]
 
-    def is_excused(self, request: RequestRecord) -> bool:
-        signalled_at = self.signals.get(request.address)
-        return (
-            signalled_at is not None
-            and request.sent_at < signalled_at + ADDRESS_VALIDITY_S
-            and request.ended_at >= signalled_at + GRACE_S * 5 / 6
-        )
+    def classify(self, request: RequestRecord) -> Outcome:
+        signals = {address: [signalled_at] for address, signalled_at in self.signals.items()}
+        departures = DepartureRecord(signals=signals, grace_s=GRACE_S)
+        return classify(request, departures, has_run=request.request_id in self.runs)
 
     def list_unanswered_runs(self) -> list[str]:
         """Return the requests that ran, and whose connection closed without an answer."""
