--- a/src/guavamast/relay/response_durations.py
+++ b/src/guavamast/relay/response_durations.py
@@ -24,7 +24,12 @@
     duration_s: float
 
     def compute_distance(self, output_tokens: int) -> float:
-        """Return how unlike a request is that states this many tokens."""
+        """Return how unlike a request is that states this many tokens; 0 if it states none.
+
+        One that states none may be of any length, so all samples are as similar to it.
+        """
+        if output_tokens == 0:
+            return 0.0
         return abs(log((output_tokens + 1) / (self.output_tokens + 1)))
 
     def scale(self, output_tokens: int) -> float:
--- a/tests/test_relay_departure_gate.py
+++ b/tests/test_relay_departure_gate.py
@@ -70,6 +70,19 @@
         self.assertTrue(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=30))
         self.assertFalse(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=500))
 
+    def test_a_request_that_states_no_tokens_is_not_judged_by_the_shortest_ones(self) -> None:
+        """Guards against taking an unknown length for a short one, and cutting the stream.
+
+        Half of a route's streams state 30 tokens and end at once, half state 600 and last 6 s. One
+        that states none may be of either kind.
+        """
+        self.schedule.begin(now=SIGNAL_AT)
+        for _ in range(100):
+            self.record(6.0, output_tokens=600)
+            self.record(0.3, output_tokens=30)
+        self.assertFalse(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=0))
+        self.assertTrue(self.is_sent(now=102.6, time_left_s=12.0, output_tokens=30))
+
     def test_without_any_response_yet_requests_are_sent_while_callers_hold_the_address(
         self,
     ) -> None:
