--- a/src/guavamast/relay/endpoint_access.py
+++ b/src/guavamast/relay/endpoint_access.py
@@ -21,6 +21,7 @@
     from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.departure_schedule import DepartureSchedule
     from guavamast.relay.endpoint_statements import EndpointStatements
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.heartbeat_exchange import HeartbeatExchange
@@ -127,6 +128,7 @@
         versions: SoftwareVersions,
         codec: HeaderCodec,
         loop_delay: LoopDelay,
+        schedule: DepartureSchedule,
         statements: EndpointStatements,
         rate_limits: RateLimitSharing,
     ) -> ForwardServer:
@@ -137,6 +139,7 @@
             versions: Software of the endpoints.
             codec: Decodes the headers of responses.
             loop_delay: Delay of this process.
+            schedule: Moments of this instance's departure.
             statements: Told what endpoints state about themselves.
             rate_limits: Rate limits that endpoints state.
         """
@@ -148,6 +151,7 @@
             fleet_state=self._fleet_state,
             codec=codec,
             loop_delay=loop_delay,
+            schedule=schedule,
             statements=statements,
             rate_limits=rate_limits,
             log=self._log,
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -28,6 +28,7 @@
     from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
+    from guavamast.relay.departure_schedule import DepartureSchedule
     from guavamast.relay.direct_connector import DirectConnector
     from guavamast.relay.endpoint_connection import AcquiredConnection, ResponseHead
     from guavamast.relay.endpoint_statements import EndpointStatements
@@ -84,6 +85,7 @@
         versions: Software of the endpoints.
         codec: Decodes the headers of responses.
         loop_delay: Delay of this process.
+        schedule: Moments of this instance's departure.
         statements: Told what endpoints state about themselves.
         rate_limits: Rate limits that endpoints state.
         log: Decision log.
@@ -104,6 +106,7 @@
         "_monitor",
         "_rate_limits",
         "_read_time",
+        "_schedule",
         "_statements",
         "_versions",
     )
@@ -118,6 +121,7 @@
         versions: SoftwareVersions,
         codec: HeaderCodec,
         loop_delay: LoopDelay,
+        schedule: DepartureSchedule,
         statements: EndpointStatements,
         rate_limits: RateLimitSharing,
         log: DecisionLog,
@@ -134,6 +138,7 @@
         self._versions = versions
         self._codec = codec
         self._loop_delay = loop_delay
+        self._schedule = schedule
         self._statements = statements
         self._rate_limits = rate_limits
         self._log = log
@@ -147,6 +152,7 @@
         Raises:
             OrderRejected: The request must not be sent, or can't be.
         """
+        self._check_staying()
         now = self._read_time()
         if self._forwarded >= MAX_FORWARDED or self._loop_delay.read(now=now) > MAX_LOOP_DELAY_S:
             raise OrderRejected(RejectionReason.BUSY)
@@ -199,6 +205,15 @@
         """Close the connection of an order whose request never came."""
         permitted.acquired.connection.close()
 
+    def _check_staying(self) -> None:
+        """Raise from the stop signal on.
+
+        The drain that rejects orders begins some turns of the loop later. A stream that is sent
+        until then would be cut at the end of this instance, though its caller's stays.
+        """
+        if self._schedule.is_leaving:
+            raise OrderRejected(RejectionReason.BUSY)
+
     def _check_current(self, order: ForwardOrder) -> EndpointRecord:
         """Return the endpoint of an order if this instance knows nothing newer about it.
 
@@ -256,6 +271,7 @@
         A process that was suspended finds requests in its sockets that were decided on long ago.
         The time since the permission, by this instance's clock, bounds the age of the decision.
         """
+        self._check_staying()
         now = self._read_time()
         if now - permitted.permitted_at > MAX_SEND_DELAY_S:
             raise OrderRejected(RejectionReason.LATE)
--- a/src/guavamast/relay/node/service.py
+++ b/src/guavamast/relay/node/service.py
@@ -136,6 +136,7 @@
                 versions=fleet.bindings.versions,
                 codec=context.codec,
                 loop_delay=context.loop_delay,
+                schedule=context.schedule,
                 statements=fleet.statements,
                 rate_limits=fleet.rate_limits,
             ),
--- a/tests/test_relay_departure.py
+++ b/tests/test_relay_departure.py
@@ -18,12 +18,11 @@
 from guavamast.relay.query_listener import QueryListener
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.store import Store
-from tests.test_relay_forwarding import ForwardingTestCase
+from tests.test_relay_forwarding import GRACE_S, ForwardingTestCase
 
 if TYPE_CHECKING:
     from guavamast.caller_connection import ConnectionTrace
 
-GRACE_S = 8.0
 EVENT_INTERVAL_S = 0.1
 
 
@@ -34,7 +33,6 @@
         await super().asyncSetUp()
         self.engine.event_interval_s = EVENT_INTERVAL_S
         self.leaving_port = self.find_port()
-        self.schedule = DepartureSchedule(grace_s=GRACE_S)
         listener = mock.create_autospec(CallerListener, instance=True)
         self.drained = asyncio.Event()
         """Set once the callers' connections have closed."""
@@ -82,7 +80,7 @@
         stream lasts longer than this instance, and its caller, at the other one, loses the rest.
         """
         leaving = await self.begin_departure()
-        staying_port = await self.start_forwarder()
+        staying_port = await self.start_forwarder(DepartureSchedule(grace_s=GRACE_S))
         for seed in range(4):
             self.client = self.build_client(self.leaving_port, staying_port, seed=seed)
             acquired = await self.connect()
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -16,6 +16,7 @@
 from guavamast.relay.connection_pool import ConnectionPool
 from guavamast.relay.counters import Counters
 from guavamast.relay.decision_log import DecisionLog
+from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.direct_connector import DirectConnector
 from guavamast.relay.endpoint_connection import (
     ConnectionLost,
@@ -55,6 +56,8 @@
 
 ROW_VERSION = 5
 """Row version of the configuration at all instances."""
+GRACE_S = 8.0
+"""Seconds from the stop signal until the platform kills a process."""
 DEADLINE_S = 5.0
 """Seconds for anything here to happen on a busy machine."""
 
@@ -94,14 +97,16 @@
         await self.simulation.admit()
         self.monitor = ReachabilityMonitor()
         self.loop_delay = LoopDelay()
+        self.schedule = DepartureSchedule(grace_s=GRACE_S)
+        """Departure of the instance that forwards."""
         self.counters = Counters()
         self.rate_limits = mock.create_autospec(RateLimitSharing, instance=True)
         self.rate_limits.ledger = RateLimitLedger()
         self.statements = mock.create_autospec(EndpointStatements, instance=True)
-        self.client = self.build_client(await self.start_forwarder())
+        self.client = self.build_client(await self.start_forwarder(self.schedule))
 
-    async def start_forwarder(self) -> int:
-        """Start the instance that forwards; return its port."""
+    async def start_forwarder(self, schedule: DepartureSchedule) -> int:
+        """Start an instance that forwards; return its port."""
         log = DecisionLog(instance="two", descriptor=os.open(os.devnull, os.O_WRONLY))
         direct = DirectConnector(
             pool=ConnectionPool(),
@@ -120,6 +125,7 @@
             versions=self.simulation.versions,
             codec=PlatformHeaders(),
             loop_delay=self.loop_delay,
+            schedule=schedule,
             statements=self.statements,
             rate_limits=self.rate_limits,
             log=log,
@@ -358,6 +364,29 @@
         acquired = await self.connect()
         acquired.connection.close()
 
+    async def test_an_instance_that_leaves_accepts_no_order(self) -> None:
+        """Guards against streams of others that a leaving instance takes on, and cuts at its end.
+
+        The signal has come, and the loop is late: the drain that ends the connections of the others
+        hasn't begun. The instance that has the caller hears of the departure later still.
+        """
+        self.schedule.begin(now=self.simulation.now)
+        with self.assertRaises(PathLost):
+            await self.connect()
+        self.assertEqual(self.engine.connections, 0)
+
+    async def test_an_instance_that_leaves_meanwhile_sends_nothing(self) -> None:
+        """Guards against the same cut if the signal comes between permission and request.
+
+        The request counts as not run, so that its instance sends it by another way.
+        """
+        acquired = await self.connect()
+        self.schedule.begin(now=self.simulation.now)
+        await self.send(acquired)
+        with self.assertRaises(NotForwarded):
+            await acquired.connection.read_head()
+        self.assertEqual(self.engine.runs, [])
+
     async def test_an_instance_that_is_gone_is_passed_over(self) -> None:
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
