--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -140,15 +140,21 @@
         registered. Without the condition, that one would be missing from the list for good.
 
         Raises:
-            StoreConflict: Another process has registered since this one did.
+            StoreConflict: Another process has registered since this one did, or since this call.
         """
+        version = self._registered_versions.get(name) or await self._read_instance_version(name)
+        if version is None:
+            return
         transaction = Transaction()
-        version = self._registered_versions.get(name)
-        if version is not None:
-            transaction.expect(INSTANCES_TABLE, name, version)
+        transaction.expect(INSTANCES_TABLE, name, version)
         transaction.remove(INSTANCES_TABLE, name)
         await self.calls.commit(transaction)
 
+    async def _read_instance_version(self, name: str) -> int | None:
+        """Return the version of an instance's row; None if there is no row."""
+        read = await self.calls.read_rows(INSTANCES_TABLE, start=name, limit=1)
+        return next((row.version for row in read.rows if row.key == name), None)
+
     async def read_quarantine(self) -> list[QuarantineRow]:
         """Read the rows of all attributes in quarantine; rows that can't be decoded are skipped."""
         read = await self.calls.read_rows(QUARANTINE_TABLE)
--- a/tests/test_platform_store_client.py
+++ b/tests/test_platform_store_client.py
@@ -6,9 +6,10 @@
 import json
 import time
 import unittest
+from unittest import mock
 
 from guavamast.platform.standins.store import StoreStandIn
-from guavamast.platform.store_calls import StoreConflict
+from guavamast.platform.store_calls import Committed, StoreCalls, StoreConflict, Transaction
 from guavamast.platform.store_client import StoreClient
 from guavamast.relay.freshness import StoreClock
 from guavamast.relay.node_settings import SocketAddress
@@ -103,6 +104,30 @@
         await self.next.remove_instance("one")
         self.assertEqual(await self.other.read_instances(), [])
 
+    async def test_late_removal_without_a_confirmed_registration_keeps_the_next_record(
+        self,
+    ) -> None:
+        """Guards against the same loss after a process that got no answer to its registration.
+
+        It registers during a disruption of the store, knows no version of its record, and removes
+        the record as it leaves. The next process registers before the store carries this out.
+        """
+        perform = StoreCalls.commit
+
+        async def commit(calls: StoreCalls, transaction: Transaction) -> Committed:
+            if calls is self.former.calls:
+                await self.next.register_instance(self.record)
+            return await perform(calls, transaction)
+
+        await self.other.register_instance(self.record)
+        with mock.patch.object(StoreCalls, "commit", commit), self.assertRaises(StoreConflict):
+            await self.former.remove_instance("one")
+        self.assertEqual(await self.other.read_instances(), [self.record])
+
+    async def test_removal_of_a_record_that_is_gone_does_nothing(self) -> None:
+        await self.former.remove_instance("one")
+        self.assertEqual(await self.other.read_instances(), [])
+
     async def test_record_of_a_process_that_was_killed_can_be_removed(self) -> None:
         """Guards against records that stay for ever, as only their own process may remove them."""
         await self.former.register_instance(self.record)
