--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -85,7 +85,7 @@
         if admitted.catalog is not self._fleet_state.catalog:
             raise AttemptFailed(FailureKind.OUTDATED, "the configuration has changed")
         self.check_endpoint(record, now=now)
-        if self.has_old_key(admitted, now=now):
+        if self._has_old_key(admitted, now=now):
             raise AttemptFailed(FailureKind.OUTDATED, "old keys")
 
     @property
@@ -93,10 +93,17 @@
         """Whether the last read of the store succeeded."""
         return self._reader.answers
 
-    def has_old_key(self, admitted: Admitted, *, now: float) -> bool:
-        """Return whether a request's key may have been revoked, by the age of what is known."""
+    def permits_retry(self, request: CallerRequest, *, service: str, now: float) -> bool:
+        """Return whether a request that was sent to a service may be sent there once more.
+
+        Args:
+            request: The request.
+            service: The service that may have run it.
+            now: The present time.
+        """
         age_s = self._fleet_state.compute_catalog_age(now=now)
-        return admitted.organisation is not None and age_s > self._bounds.keys_s
+        decision = self._gate.decide(request, self._fleet_state.catalog, age_s=age_s)
+        return isinstance(decision, Admitted) and decision.route.leads_to(service)
 
     def check_endpoint(self, record: EndpointRecord, *, now: float) -> None:
         """Raise if nothing must be sent to an endpoint any more, by tables that are fresh enough.
@@ -127,6 +134,11 @@
             reads = [asyncio.ensure_future(read.join()) for read in stale]
             await asyncio.wait(reads, timeout=until - now)
 
+    def _has_old_key(self, admitted: Admitted, *, now: float) -> bool:
+        """Return whether a request's key may have been revoked, by the age of what is known."""
+        age_s = self._fleet_state.compute_catalog_age(now=now)
+        return admitted.organisation is not None and age_s > self._bounds.keys_s
+
     def _list_stale_reads(self, now: float) -> list[SharedRead]:
         """Return the reads of the tables that are too old."""
         stale = []
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -250,7 +250,7 @@
         )
         try:
             async with SilenceTimeout(
-                silence_s=timeout_s, claim_retry=partial(self._claims.claim, progress)
+                silence_s=timeout_s, claim_retry=partial(self._claims.claim, request, progress)
             ) as attempt_timeout:
                 head = await attempt.send(parameters)
                 head_at = self._read_time()
--- a/src/guavamast/relay/retry_claims.py
+++ b/src/guavamast/relay/retry_claims.py
@@ -10,6 +10,7 @@
     from guavamast.relay.caller_admission import CallerAdmission
     from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.fleet_state import FleetState
+    from guavamast.relay.messages import CallerRequest
     from guavamast.relay.rejection_limits import RejectionLimits
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.retry_budget import RetryBudget
@@ -62,17 +63,21 @@
         self._versions = versions
         self._read_time = read_time
 
-    def claim(self, progress: RequestProgress) -> bool:
+    def claim(self, request: CallerRequest, progress: RequestProgress) -> bool:
         """Claim the retry of a request; return whether its attempt may be abandoned.
 
         It may not if the endpoints of its service bear few rejections: an abandoned request may run
         on at its endpoint, whose slot then counts as free and gets a request that it has to reject.
+
+        Args:
+            request: The request.
+            progress: Its progress.
         """
         now = self._read_time()
         if self._limits.applies(progress.service, now=now):
             return False
-        if self._admission.has_old_key(progress.admitted, now=now):
-            return False
+        if not self._admission.permits_retry(request, service=progress.service, now=now):
+            return False  # By now its route or its key may be gone.
         if progress.response_begun and not self._admission.store_answers:
             return False  # What another endpoint runs can't be confirmed.
         if self._departure.find_denial(progress, now=now) is not None:
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import unittest
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from unittest import mock
 
 from guavamast.platform.standins.engine import EngineFault, EngineStandIn
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
-from guavamast.relay.catalog import RouteKind
+from guavamast.relay.catalog import RouteKind, WeightedService
 from guavamast.relay.messages import PromptPart
 from guavamast.relay.quarantine import Quarantine, name_part
 from guavamast.relay.rate_limits import PERMIT_VALID_S
@@ -26,6 +26,9 @@
     build_route,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class RateLimitGateTest(RelayTestCase):
     """Right before its bytes leave, a request to an endpoint with a rate limit needs a permit."""
@@ -274,6 +277,54 @@
         self.assertEqual((await self.run_attempt()).sends, 1)
         self.assertEqual(len(self.engine.completed), 1)
 
+    async def test_silence_ends_no_request_that_may_not_be_sent_again_by_a_newer_configuration(
+        self,
+    ) -> None:
+        """Guards against a retry that is claimed and then denied, as the route or the key is gone.
+
+        A call is sent, its route is moved or removed, or its key is taken away, and its endpoint is
+        silent for a while. It would be given up for a retry that the newer configuration forbids:
+        its caller would get 502, or a part of a stream, though the endpoint answers.
+        """
+        self.engine.processing_s = 0.4
+        for change in (self.simulation.move_route, self.remove_route, self.remove_key):
+            with self.subTest(change=change.__name__):
+                self.simulation.change_endpoints(self.record, build_endpoint("y"))
+                self.simulation.replace_routes(build_route())
+                await self.simulation.reader.catalog.join()
+                self.engine.on_run = lambda _, change=change: self.change_configuration(change)
+                self.assertEqual((await self.run_attempt()).sends, 1)
+        self.assertEqual(len(self.engine.completed), 3)
+
+    async def test_silence_ends_a_request_that_a_newer_configuration_still_allows(self) -> None:
+        """Guards against a change of anything that keeps all requests at silent endpoints."""
+        self.simulation.change_endpoints(self.record, build_endpoint("y"))
+        self.engine.processing_s = 0.4
+        self.engine.on_run = lambda _: self.change_configuration(self.change_weights)
+        with self.assertRaises(AttemptFailed) as caught:
+            await self.run_attempt()
+        self.assertEqual(caught.exception.kind, FailureKind.SILENT)
+
+    def change_configuration(self, change: Callable[[], None]) -> None:
+        """Change the configuration while an endpoint works, and have it read."""
+        change()
+        self.reading = asyncio.ensure_future(self.simulation.reader.catalog.join())
+
+    def remove_route(self) -> None:
+        self.simulation.replace_routes(build_route(path_prefix="/other/"))
+
+    def remove_key(self) -> None:
+        self.simulation.replace_routes(build_route())
+        self.simulation.catalog.organisations = {}
+
+    def change_weights(self) -> None:
+        """Give the route a second service, to which nearly all requests go."""
+        services = (
+            WeightedService(service="portal", weight=1e-9),
+            WeightedService(service="annex", weight=1.0),
+        )
+        self.simulation.replace_routes(build_route(services=services))
+
     def pass_time(self, seconds: float) -> None:
         self.simulation.now += seconds
 
