--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from tornado import httputil
@@ -147,7 +148,9 @@
         """Close each connection after the response to its current or next request."""
         self.conn_params.no_keep_alive = True
 
-    async def drain(self, *, deadline: float, responses: LastResponses) -> list[ConnectionTrace]:
+    async def drain(
+        self, *, deadline: float, responses: LastResponses, closes_at: float | None = None
+    ) -> list[ConnectionTrace]:
         """Close all connections, each after a response to whatever its caller has sent.
 
         Requests that were received completely are served. Each other connection gets a response at
@@ -164,11 +167,14 @@
             deadline: Time on the server's clock until which responses are awaited. This returns at
                 most twice ``LINGER_S`` later.
             responses: The last responses.
+            closes_at: Time by which the last connection is closed, also one whose caller keeps it
+                open; None if nothing ends the process by then.
 
         Returns:
             The traces of the requests without a complete response at the deadline.
         """
         self._last_responses = responses
+        latest = inf if closes_at is None else max(deadline, closes_at)
         self.disable_keep_alive()
         self.stop_accepting()
         for stream in tuple(self._streams):
@@ -179,10 +185,13 @@
             for stream in tuple(self._streams):
                 if self._is_overdue(stream, deadline=deadline, now=now):
                     unfinished.append(stream.trace)
-                self._close_overdue(stream, responses.unfinished, deadline=deadline, now=now)
+                self._close_overdue(
+                    stream, responses.unfinished, deadline=deadline, latest=latest, now=now
+                )
             await asyncio.sleep(CHECK_INTERVAL_S)
         if self._discarding:
-            await asyncio.wait(self._discarding, timeout=LINGER_S)
+            left_s = max(0.0, latest - self._read_time())
+            await asyncio.wait(self._discarding, timeout=min(LINGER_S, left_s))
         return unfinished
 
     def stop_accepting(self) -> None:
@@ -241,14 +250,28 @@
             stream.end(response)
 
     def _close_overdue(
-        self, stream: CallerStream, unfinished: bytes, *, deadline: float, now: float
+        self,
+        stream: CallerStream,
+        unfinished: bytes,
+        *,
+        deadline: float,
+        latest: float,
+        now: float,
     ) -> None:
-        """Close a connection whose time is up."""
+        """Close a connection whose time is up.
+
+        Args:
+            stream: The connection.
+            unfinished: What a request gets whose response hasn't begun.
+            deadline: Time until which responses are awaited.
+            latest: Time until which the end of a connection may take.
+            now: The present time.
+        """
         trace = stream.trace
         if stream.closed():
             return  # Its task forgets it in the next turns of the loop.
         if trace.ended_at is not None:
-            if now >= trace.ended_at + LINGER_S:
+            if now >= min(trace.ended_at + LINGER_S, latest):
                 stream.close()
         elif trace.response_begun:
             # A response that has begun is awaited. At the deadline the missing end tells its
--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -99,10 +99,11 @@
         )
         drained = asyncio.Event()
         removing = asyncio.create_task(self._unregister_last(drained))
-        forwarding = asyncio.create_task(self._forward_listener.drain(deadline=schedule.ends_at))
+        limits = {"deadline": schedule.ends_at, "closes_at": schedule.closes_at}
+        forwarding = asyncio.create_task(self._forward_listener.drain(**limits))
         await self._wait_until(schedule.accepts_until)
         expiring = asyncio.create_task(self._expire_requests(schedule.requests_end_at))
-        draining = asyncio.gather(self._listener.drain(deadline=schedule.ends_at), forwarding)
+        draining = asyncio.gather(self._listener.drain(**limits), forwarding)
         draining.add_done_callback(lambda _: drained.set())
         await self._end_queries(queries, drained)
         for trace in chain(*await draining):
@@ -121,7 +122,8 @@
     async def _end_queries(self, queries: list[QueryListener], drained: asyncio.Event) -> None:
         """Answer queries until the last response, or until this instance has to end."""
         await self._wait_until(self._schedule.queries_end_at, unless=drained)
-        await asyncio.gather(*(listener.stop() for listener in queries))
+        closes_at = self._schedule.closes_at
+        await asyncio.gather(*(listener.stop(closes_at=closes_at) for listener in queries))
 
     async def _unregister_last(self, drained: asyncio.Event) -> None:
         """Remove this instance's record after its last response, or shortly before its end.
--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -29,6 +29,8 @@
 """Seconds before the end for the responses to requests that ran out of time by it."""
 EXIT_MARGIN_S: Final = 0.1
 """Seconds before the platform would kill the process at which it does nothing more."""
+LAST_LINES_S: Final = 0.1
+"""Seconds before that for the last lines of the log, once all connections are closed."""
 
 
 class DepartureSchedule:
@@ -85,9 +87,14 @@
 
     @property
     def ends_at(self) -> float:
-        """Local time at which the last connections are closed."""
+        """Local time until which responses are awaited."""
         return self._get_signal_time() + self._grace_s - self._stop_margin_s
 
+    @property
+    def closes_at(self) -> float:
+        """Local time by which the last connections are closed, whatever their callers do."""
+        return max(self.ends_at, self.exits_at - LAST_LINES_S)
+
     @property
     def exits_at(self) -> float:
         """Local time at which the process ends at the latest, whatever is left to do."""
--- a/src/guavamast/relay/forwarding/listener.py
+++ b/src/guavamast/relay/forwarding/listener.py
@@ -133,11 +133,14 @@
         """Begin to accept connections."""
         self._http.listen(port, ip)
 
-    async def drain(self, *, deadline: float) -> list[ConnectionTrace]:
+    async def drain(
+        self, *, deadline: float, closes_at: float | None = None
+    ) -> list[ConnectionTrace]:
         """Accept no more orders, and finish the requests that are being forwarded.
 
         Args:
             deadline: Local time until which they may take.
+            closes_at: Local time by which the last connection is closed; None without a bound.
 
         Returns:
             The connections whose requests had no complete response by then.
@@ -145,7 +148,7 @@
         busy = encode_response(REJECTED_STATUS, [(REASON_HEADER, str(RejectionReason.BUSY))], b"")
         lost = encode_response(502, [], b"")
         responses = LastResponses(not_run=busy, unfinished=lost)
-        return await self._http.drain(deadline=deadline, responses=responses)
+        return await self._http.drain(deadline=deadline, responses=responses, closes_at=closes_at)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -188,11 +188,14 @@
         """Close each connection after the response to its next request."""
         self._server.disable_keep_alive()
 
-    async def drain(self, *, deadline: float) -> list[ConnectionTrace]:
+    async def drain(
+        self, *, deadline: float, closes_at: float | None = None
+    ) -> list[ConnectionTrace]:
         """Accept no more connections, and close the open ones with a response to each request.
 
         Args:
             deadline: Local time until which the requests being relayed may take.
+            closes_at: Local time by which the last connection is closed; None without a bound.
 
         Returns:
             The connections whose requests had no complete response by then.
@@ -203,7 +206,7 @@
             not_run=encode_response(503, not_run, b""),
             unfinished=encode_response(504, unfinished, b""),
         )
-        return await self._server.drain(deadline=deadline, responses=responses)
+        return await self._server.drain(deadline=deadline, responses=responses, closes_at=closes_at)
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
--- a/src/guavamast/relay/query_listener.py
+++ b/src/guavamast/relay/query_listener.py
@@ -54,12 +54,16 @@
         """Begin to accept connections."""
         self._server.listen(port, ip)
 
-    async def stop(self) -> None:
-        """Accept no more connections, and close the open ones with a response."""
+    async def stop(self, *, closes_at: float | None = None) -> None:
+        """Accept no more connections, and close the open ones with a response.
+
+        Args:
+            closes_at: Local time by which the last connection is closed; None without a bound.
+        """
         unavailable = encode_response(503, [], b"")
         responses = LastResponses(not_run=unavailable, unfinished=unavailable)
         deadline = self._read_time() + RESPONSE_TIMEOUT_S
-        await self._server.drain(deadline=deadline, responses=responses)
+        await self._server.drain(deadline=deadline, responses=responses, closes_at=closes_at)
 
     def _handle(self, request: httputil.HTTPServerRequest) -> None:
         response = self._handler.handle(request.path or "", request.query)
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -108,10 +108,20 @@
 class DrainTest(CallerServerTestCase):
     """A server that ends closes no connection without a response."""
 
-    async def drain(self, *, wait_s: float = 10.0) -> list[ConnectionTrace]:
-        """End the server and return the traces of the requests that it gave up."""
-        deadline = time.monotonic() + wait_s
-        return await self.server.drain(deadline=deadline, responses=RESPONSES)
+    async def drain(
+        self, *, wait_s: float = 10.0, close_s: float | None = None
+    ) -> list[ConnectionTrace]:
+        """End the server and return the traces of the requests that it gave up.
+
+        Args:
+            wait_s: Seconds for which responses are awaited.
+            close_s: Seconds until the last connection is closed; None without a bound.
+        """
+        now = time.monotonic()
+        closes_at = None if close_s is None else now + close_s
+        return await self.server.drain(
+            deadline=now + wait_s, responses=RESPONSES, closes_at=closes_at
+        )
 
     async def test_caller_that_sends_after_the_end_was_told_that_nothing_ran(self) -> None:
         """A request that crosses the end of the server isn't left without a response."""
@@ -170,6 +180,25 @@
                 await self.drain()
                 await sending
 
+    async def test_server_ends_in_time_with_callers_that_do_not_close(self) -> None:
+        """Guards against a process that is killed while its last connections linger.
+
+        One caller has got its last response and keeps the connection open. Another one gets its
+        response before it has sent the whole request, and sends no more. Each would be waited for
+        beyond the time that the process has.
+        """
+        self.server.request_callback = RejectingDelegate()
+        with mock.patch("guavamast.caller_server.LINGER_S", 60.0):
+            lingering, _ = await self.connect(b"")
+            host, _, port = self.address.rpartition(":")
+            rejected, writer = await asyncio.open_connection(host, int(port))
+            self.addCleanup(writer.close)
+            writer.write(POST)
+            self.assertTrue((await rejected.read()).startswith(b"HTTP/1.1 413"))
+            async with asyncio.timeout(4.0):
+                await self.drain(wait_s=0.1, close_s=0.2)
+        self.assertEqual(await lingering.read(), RESPONSES.not_run)
+
     async def test_kept_connection_gets_a_response_to_its_next_request(self) -> None:
         """A caller that uses its idle connection as the server ends isn't left without one."""
         reader, writer = await self.connect(GET)
--- a/tests/test_relay_departure.py
+++ b/tests/test_relay_departure.py
@@ -55,9 +55,9 @@
             read_time=self.read_time,
         )
 
-    async def drain_callers(self, *, deadline: float) -> list[ConnectionTrace]:
+    async def drain_callers(self, *, deadline: float, closes_at: float) -> list[ConnectionTrace]:
         """Wait as the drain of the callers' connections does."""
-        del deadline
+        del deadline, closes_at
         await self.drained.wait()
         return []
 
--- a/tests/test_relay_departure_schedule.py
+++ b/tests/test_relay_departure_schedule.py
@@ -42,6 +42,15 @@
         self.assertLess(schedule.ends_at, killed_at)
         self.assertLess(schedule.exits_at, killed_at)
 
+    @given(grace_s=st.floats(1.0, 60.0), delay_s=st.floats(0.0, 10.0))
+    def test_the_last_lines_are_written_after_the_last_connection_and_before_the_end(
+        self, grace_s: float, delay_s: float
+    ) -> None:
+        """Guards against connections that are waited for until the process is killed."""
+        schedule = begin(grace_s=grace_s, delay_s=delay_s)
+        self.assertGreaterEqual(schedule.closes_at, schedule.ends_at)
+        self.assertLessEqual(schedule.closes_at, schedule.exits_at + TOLERANCE_S)
+
     def test_requests_are_accepted_as_long_as_without_a_delay(self) -> None:
         """Guards against closing to callers that still hold the address, for a delay supposed."""
         late = begin(grace_s=8.0, delay_s=0.4)
