Gauges that are read off from time to time have a module of their own

The recorder of decisions on requests also set the metrics of engines and memory for the clean-up, which nothing else of it concerns.

--- a/src/guavamast/relay/cleanup_loop.py
+++ b/src/guavamast/relay/cleanup_loop.py
@@ -11,7 +11,7 @@
     from guavamast.relay.buffering import MemoryAccount, SlowReaders
     from guavamast.relay.endpoint_access import EndpointAccess
     from guavamast.relay.fleet_state import FleetState
-    from guavamast.relay.request_recorder import RequestRecorder
+    from guavamast.relay.gauges import Gauges
     from guavamast.relay.scheduling import Scheduling
     from guavamast.relay.store_reader import StoreReader
     from guavamast.relay.stream_binding import BindingDirectory
@@ -31,7 +31,7 @@
         reader: Tells whether the store answers.
         memory: Memory that this instance holds for others.
         readers: Callers that are written to; slow ones are cut off while memory is short.
-        recorder: Records the engine profiles and the held memory.
+        gauges: Metrics of the engine profiles and the held memory.
         scheduling: Scheduling state of this instance.
         bindings: Bound streams that this instance remembers.
         unregister: Removes an instance's record from the store.
@@ -42,8 +42,8 @@
         "_access",
         "_bindings",
         "_fleet_state",
+        "_gauges",
         "_memory",
-        "_recorder",
         "_read_time",
         "_reader",
         "_readers",
@@ -61,7 +61,7 @@
         reader: StoreReader,
         memory: MemoryAccount,
         readers: SlowReaders,
-        recorder: RequestRecorder,
+        gauges: Gauges,
         scheduling: Scheduling,
         bindings: BindingDirectory,
         unregister: Callable[[str], Awaitable[None]],
@@ -73,7 +73,7 @@
         self._reader = reader
         self._memory = memory
         self._readers = readers
-        self._recorder = recorder
+        self._gauges = gauges
         self._scheduling = scheduling
         self._bindings = bindings
         self._unregister = unregister
@@ -88,8 +88,8 @@
             await self._unregister_gone(now=now)
             self._drop_gone(now=now)
             self._record_profiles(now=now)
-            self._recorder.record_memory(self._memory.read_held(), paused=self._readers.paused)
-            self._recorder.record_speeds(
+            self._gauges.record_memory(self._memory.read_held(), paused=self._readers.paused)
+            self._gauges.record_speeds(
                 self._work.speeds.list_unusual() | self._scheduling.host.list_speeds()
             )
 
@@ -121,4 +121,4 @@
         for service in catalog.services.values() if catalog is not None else ():
             if service.kv_capacity_tokens is not None:
                 profile = self._work.profiles.find(service.name, now=now)
-                self._recorder.record_profile(service.name, profile)
+                self._gauges.record_profile(service.name, profile)
--- a/src/guavamast/relay/node/service.py
+++ b/src/guavamast/relay/node/service.py
@@ -17,6 +17,7 @@
 from guavamast.relay.departure import Departure
 from guavamast.relay.departure_gate import DepartureGate
 from guavamast.relay.forwarding import ForwardListener
+from guavamast.relay.gauges import Gauges
 from guavamast.relay.listener import CallerListener
 from guavamast.relay.listener_recorder import ListenerRecorder
 from guavamast.relay.relayer_factory import build_relayer
@@ -168,7 +169,7 @@
             reader=fleet.reader,
             memory=self._memory,
             readers=self._readers,
-            recorder=self._recorder,
+            gauges=Gauges(counters=context.counters),
             scheduling=fleet.scheduling,
             bindings=fleet.bindings.directory,
             unregister=self.departure.unregister,
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -11,10 +11,7 @@
 from guavamast.relay.unserved_cause import UnservedCause
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from guavamast.relay.attempt_failure import AttemptFailed
-    from guavamast.relay.buffering import MemoryUse
     from guavamast.relay.caller_gate import Admitted, Denied
     from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
@@ -24,7 +21,7 @@
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import CallerRequest, SendParameters
-    from guavamast.relay.placement import Choice, EngineProfile, Rejection, SpeedEstimate
+    from guavamast.relay.placement import Choice, Rejection
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.response_end import ResponseEnd
     from guavamast.relay.scheduling_client import ScheduledReply
@@ -163,23 +160,6 @@
             expected_s=round(expected_s, 4) if expected_s is not None else None,
         )
 
-    def record_speeds(self, speeds: Mapping[str, SpeedEstimate]) -> None:
-        """Set the gauges of the engines that are not of the usual speed."""
-        self._counters.replace(
-            "engine_speed",
-            {f'endpoint="{endpoint_id}"': one.factor for endpoint_id, one in speeds.items()},
-        )
-
-    def record_profile(self, service: str, profile: EngineProfile) -> None:
-        """Set the gauges of a service's engine profile."""
-        self._counters.set(
-            f'engine_read_tokens_per_ms{{service="{service}"}}', profile.read_tokens_per_ms
-        )
-        self._counters.set(f'engine_first_event_ms{{service="{service}"}}', profile.first_event_ms)
-        self._counters.set(
-            f'engine_reading_pause_ms{{service="{service}"}}', profile.reading_pause_ms
-        )
-
     def record_failure(
         self,
         request: CallerRequest,
@@ -223,17 +203,6 @@
             service_silent_s=round_age(silence_s) if silence_s is not None else None,
         )
 
-    def record_memory(self, held: dict[MemoryUse, int], *, paused: int) -> None:
-        """Set the gauges of the memory that is held for others.
-
-        Args:
-            held: Bytes by use.
-            paused: Streams that aren't read at present, as their callers are slow.
-        """
-        for use, size in held.items():
-            self._counters.set(f'held_bytes{{use="{use}"}}', size)
-        self._counters.set("paused_streams", paused)
-
     def record_reader_cut(
         self,
         request: CallerRequest,
