--- a/src/guavamast/relay/heartbeat_exchange.py
+++ b/src/guavamast/relay/heartbeat_exchange.py
@@ -17,6 +17,7 @@
     from guavamast.relay.heartbeat_aggregation import HeartbeatAggregation
     from guavamast.relay.heartbeat_messages import Heartbeat
     from guavamast.relay.heartbeat_topology import HeartbeatTopology
+    from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.peers import Peers
     from guavamast.relay.store import InstanceRecord
 
@@ -42,6 +43,7 @@
         on_heartbeat: Called with each heartbeat that is newer than the last of its sender.
         on_aggregate: Called with each aggregated heartbeat.
         send: Sends a datagram to an instance.
+        loop_delay: Told when the next heartbeat is due.
         read_time: The local clock.
     """
 
@@ -50,6 +52,7 @@
         "_aggregates",
         "_endpoints_time_forwarded",
         "_build_heartbeat",
+        "_loop_delay",
         "_name",
         "_peers",
         "_read_time",
@@ -70,6 +73,7 @@
         on_heartbeat: Callable[[Heartbeat], None],
         on_aggregate: Callable[[AggregatedHeartbeat], None],
         send: Callable[[bytes, InstanceRecord], None],
+        loop_delay: LoopDelay,
         read_time: Callable[[], float],
     ) -> None:
         self._name = name
@@ -80,6 +84,7 @@
         self._on_heartbeat = on_heartbeat
         self._on_aggregate = on_aggregate
         self._send = send
+        self._loop_delay = loop_delay
         self._read_time = read_time
         self._catalog_time_forwarded = 0.0
         self._endpoints_time_forwarded = 0.0
@@ -256,7 +261,9 @@
     async def _run_heartbeats(self) -> None:
         while True:
             self.send_heartbeat()
-            await asyncio.sleep(compute_heartbeat_interval(self._peers.count_known()))
+            interval_s = compute_heartbeat_interval(self._peers.count_known())
+            with self._loop_delay.expect(self._read_time() + interval_s):
+                await asyncio.sleep(interval_s)
 
     async def _run_aggregate_exchange(self) -> None:
         while True:
--- a/src/guavamast/relay/node/context.py
+++ b/src/guavamast/relay/node/context.py
@@ -94,5 +94,5 @@
         Args:
             received_at: Local time at which the stop signal was received.
         """
-        delay_s = self.loop_delay.read(now=received_at)
+        delay_s = self.loop_delay.read_present(now=received_at)
         self.schedule.begin(now=received_at, delay_s=delay_s)
--- a/src/guavamast/relay/node/fleet.py
+++ b/src/guavamast/relay/node/fleet.py
@@ -176,6 +176,7 @@
             on_heartbeat=self._heartbeats.receive,
             on_aggregate=self._heartbeats.receive_aggregate,
             send=self.heartbeat_socket.send,
+            loop_delay=context.loop_delay,
             read_time=read_boot_time,
         )
 
--- a/src/guavamast/relay/table_watch.py
+++ b/src/guavamast/relay/table_watch.py
@@ -102,7 +102,8 @@
         due = self._read_time() + pause_s
         timer = asyncio.get_running_loop().call_later(pause_s, self._woken.set)
         try:
-            await self._woken.wait()
+            with self._loop_delay.expect(due):
+                await self._woken.wait()
         finally:
             timer.cancel()
         self._woken.clear()
--- a/tests/test_relay_heartbeat_exchange.py
+++ b/tests/test_relay_heartbeat_exchange.py
@@ -28,6 +28,7 @@
     HeartbeatTopology,
 )
 from guavamast.relay.heartbeat_wire import decode_message
+from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.peers import AGGREGATED_SILENCE_S, FULL_MESH_INSTANCES, Peers
 from guavamast.relay.placement.length_buckets import BUCKETS, Demand
 from guavamast.relay.store import EndpointSnapshot, InstanceRecord
@@ -81,6 +82,7 @@
             on_heartbeat=self.apply_heartbeat,
             on_aggregate=self.apply_aggregate,
             send=network.send,
+            loop_delay=LoopDelay(),
             read_time=lambda: network.now,
         )
 
--- a/tests/test_relay_loop_delay.py
+++ b/tests/test_relay_loop_delay.py
@@ -24,6 +24,18 @@
         delay.record(0.2, now=10.0 + 5 * DELAY_WINDOW_S)
         self.assertEqual(delay.read(now=10.0 + 5 * DELAY_WINDOW_S), 0.2)
 
+    def test_what_is_overdue_counts_before_it_has_run(self) -> None:
+        """Guards against taking a process for punctual that hasn't run since its loop was late.
+
+        The first code that runs after the pause asks, and nothing has recorded the delay yet.
+        """
+        delay = LoopDelay()
+        delay.record(0.1, now=10.0)
+        with delay.expect(10.2), delay.expect(10.5):
+            self.assertEqual(delay.read_present(now=10.2), 0.1)
+            self.assertAlmostEqual(delay.read_present(now=10.9), 0.7)
+        self.assertEqual(delay.read_present(now=10.9), 0.1)
+
 
 if __name__ == "__main__":
     unittest.main()
