--- a/src/guavamast/relay/decision_log.py
+++ b/src/guavamast/relay/decision_log.py
@@ -40,7 +40,7 @@
 
     Without this, when the reader of the log stops reading, the pipe fills and the process blocks in
     a write while its callers wait for responses. The descriptor is non-blocking. While it takes no
-    more, routine lines are dropped, and others are kept up to a limit.
+    more, as on a full disk, routine lines are dropped, and others are kept up to a limit.
 
     Args:
         instance: Name of this instance, on each line.
@@ -147,10 +147,11 @@
             return
         try:
             written = os.write(self._descriptor, self._unwritten)
-        except BlockingIOError:
-            return
         except BrokenPipeError:
             # The reader is gone for good.
             self._unwritten = b""
             return
+        except OSError:
+            # The descriptor takes no more at present: a pipe without room, or a full disk.
+            return
         self._unwritten = self._unwritten[written:]
--- a/tests/test_relay_decision_log.py
+++ b/tests/test_relay_decision_log.py
@@ -55,6 +55,19 @@
         self.log.write("stopped", now=1.0)
         self.assertEqual(self.read_events(), ["refused"] * 5 + ["stopped"])
 
+    def test_a_full_disk_does_not_fail_what_is_logged(self) -> None:
+        """Guards against requests, and a whole departure, that end as their log can't be written.
+
+        The log goes to a file and its disk is full. Each line is written in the middle of what it
+        tells of, so an error there ends a request, or at SIGTERM the process with all its streams.
+        """
+        descriptor = os.open("/dev/full", os.O_WRONLY)
+        self.addCleanup(os.close, descriptor)
+        log = DecisionLog(instance="one", descriptor=descriptor, counters=self.counters)
+        for _ in range(int(BURST_LINES)):
+            log.write("refused", now=1.0, reason="x" * 400)
+        self.assertIn('log_lines_dropped_total{event="refused"}', self.counters.render())
+
 
 if __name__ == "__main__":
     unittest.main()
