--- a/soak/departures.py
+++ b/soak/departures.py
@@ -61,6 +61,8 @@
         departures: Stops of the instances, and the times of the engines.
         has_run: Whether an engine began to run it.
     """
+    if request.status == 200 and request.complete and request.body != request.expected_body:
+        return Outcome.LOST
     if not _is_lost(request, has_run=has_run):
         return Outcome.SERVED if request.served else Outcome.REJECTED
     timeout_s = departures.timeouts_s.get(request.request_id, float("inf"))
--- a/tests/test_soak_departures.py
+++ b/tests/test_soak_departures.py
@@ -5,7 +5,13 @@
 import unittest
 from dataclasses import replace
 
-from soak.departures import ADDRESS_VALIDITY_S, DepartureRecord, find_departure_violations
+from soak.departures import (
+    ADDRESS_VALIDITY_S,
+    DepartureRecord,
+    Outcome,
+    classify,
+    find_departure_violations,
+)
 from soak.guarantees import RequestKind, RequestRecord, RunRecord, SoakRecord, Span, find_violations
 from soak.schedule import (
     LONGEST_ROLL_GAP_S,
@@ -73,6 +79,14 @@
         before = replace(CUT, sent_at=SIGNALLED_AT - 1.0)
         self.assertEqual(self.find(build_record(before)), [])
 
+    def test_a_stream_that_ends_as_complete_without_its_last_events_is_lost(self) -> None:
+        """Guards against a cut that its caller can't tell from the end, counted as served."""
+        request = replace(CUT, complete=True)
+        departures = DepartureRecord(signals={"one": [SIGNALLED_AT]}, grace_s=GRACE_S)
+        self.assertIs(classify(request, departures, has_run=True), Outcome.LOST)
+        whole = replace(request, body=request.expected_body)
+        self.assertIs(classify(whole, departures, has_run=True), Outcome.SERVED)
+
     def test_a_stream_sent_after_addresses_expired_may_not_be_cut(self) -> None:
         late = replace(CUT, sent_at=SIGNALLED_AT + ADDRESS_VALIDITY_S)
         self.assert_lost(build_record(late))
