--- a/src/guavamast/relay/connection_log.py
+++ b/src/guavamast/relay/connection_log.py
@@ -24,7 +24,7 @@
     log.write(
         event,
         now=now,
-        essential=True,
+        essential=trace.request_complete,
         caller=trace.address,
         request_id=trace.request_id,
         stage=trace.stage,
