--- a/src/guavamast/relay/node/node.py
+++ b/src/guavamast/relay/node/node.py
@@ -122,13 +122,13 @@
         """Serve until SIGTERM.
 
         Signals are handled before the first listener opens: by its default action, SIGTERM would
-        end the process at once and reset the connections of callers.
+        end the process at once and reset the connections of callers. For the same reason the
+        listener of callers opens last: while the former process ends, some address may be in use.
         """
         settings = self._settings
         loop = asyncio.get_running_loop()
         self._stop.install(loop)
         loop.add_signal_handler(signal.SIGHUP, self._log_ignored_reload)
-        self._service.listener.listen(settings.callers.ip, settings.callers.port)
         self._service.forward_listener.listen(settings.peers.ip, settings.peers.port)
         listeners = open_query_listeners(
             [
@@ -142,6 +142,7 @@
         await self._fleet.heartbeat_socket.open(
             settings.peers.ip, settings.peers.port, messages=self._fleet.build_peer_messages()
         )
+        self._service.listener.listen(settings.callers.ip, settings.callers.port)
         self.log.write("started", now=read_boot_time(), callers=str(settings.callers))
         gc.freeze()
         background = self._start_background()
--- a/tests/_signal_during_start.py
+++ b/tests/_signal_during_start.py
@@ -1,28 +1,22 @@
-"""An instance that gets SIGTERM right after its listeners for callers have opened."""
+"""An instance that gets SIGTERM right after its listener for callers has opened."""
 
 from __future__ import annotations
 
 import os
 import runpy
 import signal
-from typing import TYPE_CHECKING
 
-from guavamast.relay.peer_socket import PeerSocket
+from guavamast.relay.listener import CallerListener
 
-if TYPE_CHECKING:
-    from guavamast.relay.peer_messages import PeerMessages
+_listen = CallerListener.listen
 
-_open = PeerSocket.open
 
-
-async def open_after_signal(
-    peer_socket: PeerSocket, ip: str, port: int, *, messages: PeerMessages
-) -> None:
-    """Open the socket, which the start does after the listeners."""
+def listen_before_signal(listener: CallerListener, ip: str, port: int) -> None:
+    """Open the listener, which the start does last but for the background tasks."""
+    _listen(listener, ip, port)
     os.kill(os.getpid(), signal.SIGTERM)
-    await _open(peer_socket, ip, port, messages=messages)
 
 
 if __name__ == "__main__":
-    PeerSocket.open = open_after_signal  # type: ignore[method-assign]
+    CallerListener.listen = listen_before_signal  # type: ignore[method-assign]
     runpy.run_module("guavamast.platform", run_name="__main__")
