--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -46,10 +46,11 @@
         grace_s: Seconds from the stop signal until the platform kills the process.
     """
 
-    __slots__ = ("_grace_s", "_received_at", "_signalled_at")
+    __slots__ = ("_delay_s", "_grace_s", "_received_at", "_signalled_at")
 
     def __init__(self, *, grace_s: float) -> None:
         self._grace_s = grace_s
+        self._delay_s = 0.0
         self._received_at = 0.0
         self._signalled_at: float | None = None
 
@@ -69,8 +70,8 @@
     @property
     def forecasts_until(self) -> float:
         """Local time until which requests are sent that are only expected to end in time."""
-        expired_at = self._get_signal_time() + ADDRESS_CACHE_FACTOR * VALIDITY_S
-        return expired_at - FORECAST_MARGIN_S
+        earliest_signal_at = self._received_at - self._delay_s
+        return earliest_signal_at + ADDRESS_CACHE_FACTOR * VALIDITY_S - FORECAST_MARGIN_S
 
     @property
     def requests_end_at(self) -> float:
@@ -109,10 +110,11 @@
 
         Args:
             now: Time at which it was received.
-            delay_s: Seconds by which this process may have received it late. Counted as far as
-                requests don't end before the last share of the grace time for it.
+            delay_s: Seconds by which this process may have received it late. For the ends it counts
+                as far as requests don't end before the last share of the grace time for it.
         """
         spare_s = LAST_SHARE * self._grace_s - self._stop_margin_s - self._response_margin_s
+        self._delay_s = delay_s
         self._received_at = now
         self._signalled_at = now - min(delay_s, max(0.0, spare_s))
 
--- a/tests/test_relay_departure_schedule.py
+++ b/tests/test_relay_departure_schedule.py
@@ -35,6 +35,19 @@
         expire_at = RECEIVED_AT - 0.4 + ADDRESS_CACHE_FACTOR * VALIDITY_S
         self.assertLess(schedule.forecasts_until, expire_at)
 
+    @given(grace_s=st.floats(1.0, 60.0), delay_s=st.floats(0.0, 10.0))
+    def test_no_delay_is_too_long_for_forecasts_to_end_in_time(
+        self, grace_s: float, delay_s: float
+    ) -> None:
+        """Guards against a long delay that counts in part only, as for the end of requests.
+
+        Callers may no longer send from 3 s after the signal on, and what passes on a forecast then
+        and is cut is lost. To rely on no forecast costs a rejection, however long the delay was.
+        """
+        schedule = begin(grace_s=grace_s, delay_s=delay_s)
+        expire_at = RECEIVED_AT - delay_s + ADDRESS_CACHE_FACTOR * VALIDITY_S
+        self.assertLess(schedule.forecasts_until, expire_at)
+
     def test_the_process_ends_before_it_is_killed(self) -> None:
         """Guards against a process that is killed before it has said what it cut."""
         schedule = begin(grace_s=8.0, delay_s=STOP_MARGIN_S)
