--- a/src/guavamast/relay/decision_log.py
+++ b/src/guavamast/relay/decision_log.py
@@ -138,20 +138,23 @@
             self._unwritten += data
             return True
         self._unwritten = data
-        self._flush()
-        return True
+        return self._flush()
+
+    def _flush(self) -> bool:
+        """Write what is unwritten, as far as the descriptor takes it.
 
-    def _flush(self) -> None:
-        """Write what is unwritten, as far as the descriptor takes it."""
+        Returns:
+            Whether the rest waits for the reader; False if both are gone.
+        """
         if not self._unwritten:
-            return
+            return True
         try:
             written = os.write(self._descriptor, self._unwritten)
         except BrokenPipeError:
-            # The reader is gone for good.
             self._unwritten = b""
-            return
+            return False
         except OSError:
             # The descriptor takes no more at present: a pipe without room, or a full disk.
-            return
+            return True
         self._unwritten = self._unwritten[written:]
+        return True
--- a/tests/test_relay_decision_log.py
+++ b/tests/test_relay_decision_log.py
@@ -55,6 +55,16 @@
         self.log.write("stopped", now=1.0)
         self.assertEqual(self.read_events(), ["refused"] * 5 + ["stopped"])
 
+    def test_lines_that_a_gone_reader_never_takes_are_counted_as_dropped(self) -> None:
+        """Guards against metrics by which a log that nobody gets is in order."""
+        read_end, write_end = os.pipe()
+        self.addCleanup(os.close, write_end)
+        os.close(read_end)
+        log = DecisionLog(instance="one", descriptor=write_end, counters=self.counters)
+        for _ in range(3):
+            log.write("refused", now=1.0)
+        self.assertIn('log_lines_dropped_total{event="refused"} 3', self.counters.render())
+
     def test_a_full_disk_does_not_fail_what_is_logged(self) -> None:
         """Guards against requests, and a whole departure, that end as their log can't be written.
 
