--- a/src/guavamast/stop_signals.py
+++ b/src/guavamast/stop_signals.py
@@ -49,7 +49,11 @@
     def _receive(self, number: int, frame: FrameType | None) -> None:
         del number, frame
         assert self._loop is not None
-        if self._is_received or self._loop.is_closed():
+        if self._loop.is_closed():
+            # Nothing is left to stop; a loop's own handlers end with it, too.
+            signal.signal(signal.SIGTERM, signal.SIG_DFL)
+            signal.raise_signal(signal.SIGTERM)
+        if self._is_received:
             return
         self._is_received = True
         self._on_receive(self._read_time())
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import subprocess
 import sys
 import time
 import unittest
@@ -24,6 +25,18 @@
 STREAM_S: Final = 4.0
 ADDRESS_VALIDITY_S: Final = 3.0
 """Seconds after the signal for which callers may hold the address of a leaving instance."""
+CLOSED_LOOP: Final = """
+import asyncio, os, signal, time
+from guavamast.stop_signals import StopSignal
+
+async def install():
+    stop = StopSignal(on_receive=print, read_time=time.monotonic)
+    stop.install(asyncio.get_running_loop())
+
+asyncio.run(install())
+os.kill(os.getpid(), signal.SIGTERM)
+"""
+"""Program that gets SIGTERM after its loop has closed."""
 SIGNAL_INTERVAL_S: Final = 0.003
 EXIT_TIMEOUT_S: Final = 20.0
 
@@ -53,6 +66,21 @@
             self.assertEqual(await process.wait(), 0)
 
 
+class ClosedLoopTest(unittest.TestCase):
+    """A process goes on after the loop of its instance has closed."""
+
+    def test_a_signal_ends_a_process_whose_loop_has_closed(self) -> None:
+        """Guards against a process that nothing but SIGKILL ends any more.
+
+        An instance has ended by an error, or within a larger program, and its loop has closed. The
+        handler that it leaves behind has nothing left to stop, and would swallow each SIGTERM.
+        """
+        result = subprocess.run(
+            [sys.executable, "-c", CLOSED_LOOP], timeout=EXIT_TIMEOUT_S, check=False
+        )
+        self.assertEqual(result.returncode, -signal.SIGTERM)
+
+
 class RepeatedSignalsTest(PlatformTestCase):
     """An instance gets SIGHUP and SIGTERM again and again from its first SIGTERM on."""
 
