--- a/soak/roll_run.py
+++ b/soak/roll_run.py
@@ -140,10 +140,12 @@
         try:
             await asyncio.wait_for(process.wait(), GRACE_S)
         except TimeoutError:
-            self.failures.append(f"{self.name} was killed after the grace time")
             with suppress(ProcessLookupError):
                 process.kill()
-            await process.wait()
+            status = await process.wait()
+            self.failures.append(
+                f"{self.name} had not ended after the grace time; exit status {status}"
+            )
         if process.returncode not in (0, -signal.SIGKILL) and started:
             self.failures.append(f"{self.name} exited with code {process.returncode}")
 
