--- a/src/guavamast/relay/response_durations.py
+++ b/src/guavamast/relay/response_durations.py
@@ -14,7 +14,7 @@
 QUANTILE: Final = 0.98
 """Share of similar responses that a forecast covers. A request that is rejected returns at once
 elsewhere, and one that is cut loses all that its engine has done."""
-MAX_SAMPLED_ROUTES: Final = 512
+MAX_SAMPLED_ROUTES: Final = 128
 """Samples are kept for so many routes at most; the route that came first goes first."""
 
 
