--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -9,7 +9,7 @@
 from guavamast.relay.connection_log import log_connection
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.departure_schedule import DepartureSchedule
@@ -37,6 +37,7 @@
         forward_listener: Accepts the requests of other instances.
         relayer: Counts the requests in flight.
         announce: Tells the other instances that this one leaves.
+        hand_over: Sends those that stay what only this one may remember.
         log: Decision log.
         read_time: The local clock.
     """
@@ -44,6 +45,7 @@
     __slots__ = (
         "_announce",
         "_forward_listener",
+        "_hand_over",
         "_listener",
         "_log",
         "_name",
@@ -63,6 +65,7 @@
         forward_listener: ForwardListener,
         relayer: Relayer,
         announce: Callable[[], None],
+        hand_over: Callable[[], Awaitable[None]],
         log: DecisionLog,
         read_time: Callable[[], float],
     ) -> None:
@@ -73,6 +76,7 @@
         self._forward_listener = forward_listener
         self._relayer = relayer
         self._announce = announce
+        self._hand_over = hand_over
         self._log = log
         self._read_time = read_time
 
@@ -101,6 +105,8 @@
         removing = asyncio.create_task(self._unregister_last(drained))
         forwarding = asyncio.create_task(self._forward_listener.drain(deadline=schedule.ends_at))
         await self._wait_until(schedule.accepts_until)
+        # By now, the signals of instances that leave at the same time are known.
+        handing_over = asyncio.ensure_future(self._hand_over())
         expiring = asyncio.create_task(self._expire_requests(schedule.requests_end_at))
         draining = asyncio.gather(self._listener.drain(deadline=schedule.ends_at), forwarding)
         draining.add_done_callback(lambda _: drained.set())
@@ -115,8 +121,10 @@
             )
         expiring.cancel()
         left_s = schedule.ends_at - self._read_time()
-        await asyncio.wait((removing,), timeout=min(UNREGISTER_S, max(0.0, left_s)))
-        removing.cancel()
+        last = (removing, handing_over)
+        await asyncio.wait(last, timeout=min(UNREGISTER_S, max(0.0, left_s)))
+        for task in last:
+            task.cancel()
 
     async def _end_queries(self, queries: list[QueryListener], drained: asyncio.Event) -> None:
         """Answer queries until the last response, or until this instance has to end."""
--- a/src/guavamast/relay/node/service.py
+++ b/src/guavamast/relay/node/service.py
@@ -154,6 +154,7 @@
             forward_listener=self.forward_listener,
             relayer=self.relayer,
             announce=self._fleet.exchange.announce_to_all,
+            hand_over=self._fleet.bindings.directory.hand_over,
             log=context.log,
             read_time=read_boot_time,
         )
--- a/src/guavamast/relay/stream_binding/directory.py
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -29,6 +29,10 @@
 
 QUERY_WAITS_S: Final = (0.1, 0.2, 0.2)
 """Seconds to wait for replies before silent instances are asked again, and at last given up."""
+HAND_OVER_STEP: Final = 50
+"""Requests whose streams are handed over without a pause: a few milliseconds of work."""
+HAND_OVER_PAUSE_S: Final = 0.01
+"""Seconds between two such steps, in which requests go on."""
 OWN_MEMORY: Final = "own"
 """Source of what this instance remembers itself."""
 
@@ -138,8 +142,21 @@
             unconfirmed=unconfirmed,
         )
         held = self._ledger.record(key, stream, now=now)
-        for target in self._replicas.list_holders(key, now=now):
-            self._send_message(BindingCopy(key=key, stream=held), _get_address(target))
+        self._send_copies(key, held, now=now)
+
+    async def hand_over(self) -> None:
+        """Send all that this instance remembers to instances that stay.
+
+        Where all instances are replaced in turn, the one that has bound a stream and those that
+        have copies are all gone after a while, and nobody would remember the stream.
+        """
+        for number, key in enumerate(self._ledger.list_keys(), start=1):
+            now = self._read_time()
+            stream = self._ledger.find(key, now=now)
+            if stream is not None:
+                self._send_copies(key, stream, now=now)
+            if number % HAND_OVER_STEP == 0:
+                await asyncio.sleep(HAND_OVER_PAUSE_S)
 
     async def find(self, key: str) -> Lookup:
         """Return what this instance or others remember of a stream."""
@@ -219,6 +236,10 @@
                 del self._pending[key]
         return query
 
+    def _send_copies(self, key: str, stream: BoundStream, *, now: float) -> None:
+        for target in self._replicas.list_holders(key, now=now):
+            self._send_message(BindingCopy(key=key, stream=stream), _get_address(target))
+
     def _send_message(self, message: BindingMessage, address: tuple[str, int]) -> None:
         self._send(encode_binding_message(message, now=self._read_time()), address)
         self._counters.add("binding_messages_sent_total")
--- a/src/guavamast/relay/stream_binding/ledger.py
+++ b/src/guavamast/relay/stream_binding/ledger.py
@@ -40,6 +40,10 @@
         stream = self._streams.get(key)
         return stream if stream is not None and now < stream.expires_at else None
 
+    def list_keys(self) -> list[str]:
+        """Return the keys of all streams that are remembered."""
+        return list(self._streams)
+
     def drop_expired(self, *, now: float) -> None:
         """Forget the streams that have expired."""
         expired = [key for key, stream in self._streams.items() if now >= stream.expires_at]
--- a/tests/test_relay_departure.py
+++ b/tests/test_relay_departure.py
@@ -49,6 +49,7 @@
             forward_listener=self.listener,
             relayer=relayer,
             announce=mock.Mock(),
+            hand_over=mock.AsyncMock(),
             log=DecisionLog(instance="two", descriptor=os.open(os.devnull, os.O_WRONLY)),
             read_time=self.read_time,
         )
--- a/tests/test_relay_stream_binding.py
+++ b/tests/test_relay_stream_binding.py
@@ -58,6 +58,8 @@
             )
             for number in range(count)
         }
+        self.peers: dict[str, Peers] = {}
+        """The other instances, as each knows them."""
         self.directories = {name: self.start(name) for name in self.records}
 
     def start(self, name: str) -> BindingDirectory:
@@ -74,9 +76,10 @@
                 self.directories[target].receive(data, source)
 
         self.starts[name] += 1
+        self.peers[name] = self.build_peers(name)
         return BindingDirectory(
             requester=Requester(instance=name, incarnation=self.starts[name]),
-            peers=self.build_peers(name),
+            peers=self.peers[name],
             send=send,
             counters=Counters(),
             read_time=lambda: self.now,
@@ -87,6 +90,18 @@
         for data, source in self.held.pop(name):
             self.directories[name].receive(data, source)
 
+    def tell_leaving(self, leaving: str) -> None:
+        """Tell all instances that one leaves."""
+        liveness = LivenessRecord(
+            name=leaving,
+            incarnation=1,
+            sequence=2,
+            state=InstanceState.LEAVING,
+            store_answers=True,
+        )
+        for peers in self.peers.values():
+            peers.receive_liveness_record(liveness, None, now=self.now)
+
     def build_peers(self, name: str, *, dead: frozenset[str] = frozenset()) -> Peers:
         return build_peers(name, self.records, dead=dead, now=self.now)
 
@@ -195,6 +210,21 @@
             found += (await fleet.directories[survivor].find(key)).stream is not None
         self.assertGreaterEqual(found, 45)
 
+    async def test_instances_that_leave_one_after_another_hand_streams_over(self) -> None:
+        """Guards against streams that nobody remembers after a roll of nearly all instances."""
+        fleet = SimulatedFleet(14)
+        keys = [compute_stream_key("o", str(number)) for number in range(40)]
+        for key in keys:
+            fleet.directories["i0"].bind(key, V1, lifetime_s=LIFETIME_S)
+        for name in [f"i{number}" for number in range(13)]:
+            fleet.tell_leaving(name)
+            await fleet.directories[name].hand_over()
+            fleet.cut.add(name)
+        for key in keys:
+            lookup = await fleet.directories["i13"].find(key)
+            assert lookup.stream is not None
+            self.assertEqual((lookup.stream.binding, lookup.stream.instance), (V1, "i0"))
+
     async def test_an_instance_that_is_cut_off_knows_nothing(self) -> None:
         """Guards against a guess of an instance that reaches nobody who remembers."""
         fleet = SimulatedFleet(14)
