--- a/src/guavamast/platform/standins/answer_body.py
+++ b/src/guavamast/platform/standins/answer_body.py
@@ -31,6 +31,8 @@
     RESET = "reset"
     CRASH = "crash"
     """The engine ends: it stops listening, and its connections are closed in order."""
+    EXIT = "exit"
+    """The engine ends: its connections are closed in order, then it stops listening."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -36,6 +36,8 @@
 KEEP_ALIVE_S = 5
 DEFAULT_VERSION = "v1"
 """Software version of an engine that is given none."""
+EXIT_S = 0.02
+"""Seconds in which an engine that exits listens on after it has closed its connections."""
 REJECTION_WINDOW_S = 1.0
 """Seconds over which rejections are counted."""
 
@@ -215,6 +217,13 @@
         if self.on_crash is not None:
             self.on_crash()
 
+    async def _exit(self) -> None:
+        """End: close all connections, and then stop listening."""
+        for writer in list(self._writers):
+            writer.close()
+        await asyncio.sleep(EXIT_S)
+        self._crash()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -375,6 +384,8 @@
             keep_open = await self._send(http, writer, 200, common, answer, ending=self.ending)
         if self.ending.closing is Closing.CRASH:
             self._crash()
+        if self.ending.closing is Closing.EXIT:
+            await self._exit()
         self._record_completed(run)
         if self.fault is EngineFault.EXTRA and keep_open and not is_stream:
             writer.write(
--- a/tests/test_platform_broken_answers.py
+++ b/tests/test_platform_broken_answers.py
@@ -28,6 +28,9 @@
 
 LEAVING_S: Final = 1.5
 """Seconds from an engine's leaving to its last answer, in which all instances learn of it."""
+LEAVING_EVENTS: Final = 3
+LEAVING_INTERVAL_S: Final = 0.6
+"""Seconds between two events of its last stream: the first of them take longer than that."""
 LAST_EVENT_BYTES: Final = len(encode_event("r10", EVENTS_PER_STREAM))
 
 
@@ -74,8 +77,16 @@
             engine.framing = framing
             engine.ending = ending
 
-    def spoil_first_answer(self, framing: BodyFraming, ending: AnswerEnding) -> None:
-        """Let only the engine that runs the next request end its answer so."""
+    def spoil_first_answer(
+        self, framing: BodyFraming, ending: AnswerEnding, *, leaving: bool = False
+    ) -> None:
+        """Let only the engine that runs the next request end its answer so.
+
+        Args:
+            framing: Framing of all answers.
+            ending: Where and how that answer ends.
+            leaving: Whether the engine says that it leaves before it begins the answer.
+        """
         self.set_answers(framing, ending)
 
         def spare_others(run: Run) -> None:
@@ -83,10 +94,17 @@
                 engine.on_run = None
                 if run not in engine.runs:
                     engine.ending = WHOLE
+                elif leaving:
+                    self.leave(engine)
 
         for engine in self.list_engines():
             engine.on_run = spare_others
 
+    def leave(self, engine: EngineStandIn) -> None:
+        """Let an engine say that it leaves, and end its answer when all instances know."""
+        self.site.register_engine(engine.engine_id, "pool", engine.port, state="draining")
+        engine.event_interval_s = LEAVING_INTERVAL_S
+
     def count_runs(self, request_id: str) -> int:
         return sum(
             run.request_id == request_id for engine in self.list_engines() for run in engine.runs
@@ -237,21 +255,85 @@
         reply = await self.ask(self.instances[0], CALL_PREFIX + "x", body=b"pay")
         self.assertEqual((reply.status, self.count_runs(f"r{self.number}")), (502, 1))
 
-    async def test_the_last_answers_of_a_leaving_engine_are_delivered(self) -> None:
-        """Guards against whole answers that are cut because their engine has left."""
-        self.set_answers(BodyFraming.CONNECTION, AnswerEnding(closing=Closing.CRASH))
+    async def check_exits_between_events(self, instance: Instance, closing: Closing) -> None:
+        """Check streams that their leaving engine breaks off by its exit; each ends one engine."""
+        framing = BodyFraming.CONNECTION
+        end = BrokenEnd(pieces=LEAVING_EVENTS, part_bytes=0)
+        self.spoil_first_answer(framing, end.close(closing), leaving=True)
+        reply = await self.ask(instance, STREAM_PREFIX + "stream")
+        self.check_broken_off(reply, end)
+        self.spoil_first_answer(framing, end.close(closing), leaving=True)
+        reply = await self.ask(instance, RESUMABLE_PREFIX + "stream")
+        name = f"r{self.number}"
+        self.assertEqual(
+            (reply.status, reply.complete, reply.body), (200, True, build_stream(name))
+        )
+        self.assertEqual(self.count_runs(name), 2)
+
+    async def test_streams_that_a_leaving_engine_breaks_off_are_not_complete(self) -> None:
+        """Guards against a short stream that looks complete, as its engine was to leave.
+
+        The engine says that it leaves, serves on for longer than it has to, and exits between two
+        events. Its caller sees a cut, or the rest from another engine where that is allowed.
+        """
+        for closing in (Closing.CRASH, Closing.EXIT):
+            with self.subTest(closing=closing):
+                await self.check_exits_between_events(self.instances[0], closing)
+
+    async def test_forwarded_streams_that_a_leaving_engine_breaks_off_are_not_complete(
+        self,
+    ) -> None:
+        """Guards against a forwarder that passes the exit of a leaving engine on as an end."""
+        await self.cut_second_instance()
+        await self.check_exits_between_events(self.instances[1], Closing.EXIT)
+
+    async def check_leaving_engine(self, instance: Instance) -> None:
+        """Check whole answers of an engine that leaves and serves on for a moment."""
 
         def leave(run: Run) -> None:
             (engine,) = [engine for engine in self.list_engines() if run in engine.runs]
-            self.site.register_engine(engine.engine_id, "pool", engine.port, state="draining")
+            self.leave(engine)
+            if run.target == CALL_PREFIX + "x":
+                engine.processing_s = LEAVING_S
+
+        for target in (STREAM_PREFIX + "stream", RESUMABLE_PREFIX + "stream", CALL_PREFIX + "x"):
+            with self.subTest(target=target):
+                self.set_answers(BodyFraming.CONNECTION)
+                for engine in self.list_engines():
+                    engine.on_run = leave
+                reply = await self.ask(instance, target)
+                name = f"r{self.number}"
+                whole = build_stream(name) if "stream" in target else encode_answer(name)
+                self.assertEqual((reply.status, reply.body, reply.complete), (200, whole, True))
+                self.assertEqual(self.count_runs(name), 1)
 
-        for engine in self.list_engines():
-            engine.on_run = leave
-            engine.processing_s = LEAVING_S
+    async def test_the_last_answers_of_a_leaving_engine_are_delivered(self) -> None:
+        """Guards against whole answers that are cut because their engine is leaving."""
+        await self.check_leaving_engine(self.instances[0])
+
+    async def test_forwarded_last_answers_of_a_leaving_engine_are_delivered(self) -> None:
+        """Guards against a forwarder that cuts whole answers as their engine is leaving."""
+        await self.cut_second_instance()
+        await self.check_leaving_engine(self.instances[1])
+
+    async def test_the_events_of_an_engine_that_exits_with_its_last_one_are_delivered(self) -> None:
+        """Guards against events that are lost, or sent twice, as nothing tells that all have come.
+
+        The engine exits in the moment in which its stream ends: this looks like an exit between
+        two events. Another engine is asked for the rest, of which there is none; where that isn't
+        allowed, the caller has all events and sees a cut.
+        """
+        ending = AnswerEnding(closing=Closing.CRASH)
+        self.spoil_first_answer(BodyFraming.CONNECTION, ending, leaving=True)
+        reply = await self.ask(self.instances[0], RESUMABLE_PREFIX + "stream")
+        whole = build_stream(f"r{self.number}")
+        self.assertEqual((reply.status, reply.complete, reply.body), (200, True, whole))
+        self.spoil_first_answer(BodyFraming.CONNECTION, ending, leaving=True)
         reply = await self.ask(self.instances[0], STREAM_PREFIX + "stream")
-        self.assertEqual((reply.status, reply.complete), (200, True))
-        self.assertEqual(reply.body, build_stream(f"r{self.number}"))
-        self.assertEqual(len(self.site.crashed_engines), 1)
+        whole = build_stream(f"r{self.number}")
+        self.assertEqual((reply.status, reply.complete, reply.body), (200, False, whole))
+        self.assertEqual(self.count_runs(f"r{self.number}"), 1)
+        self.assertEqual(len(self.site.crashed_engines), 2)
 
     async def test_broken_answers_that_are_no_streams_are_not_delivered(self) -> None:
         """Guards against a part of a plain answer that is taken for the whole."""
--- a/tests/test_relay_broken_answers.py
+++ b/tests/test_relay_broken_answers.py
@@ -173,6 +173,50 @@
         await self.relay(writer=writer)
         self.assertEqual((writer.completed, writer.aborted), (False, True))
 
+    async def relay_while_leaving(
+        self, ending: AnswerEnding, *, listed: bool = True
+    ) -> RecordingWriter:
+        """Relay a stream whose engine begins to leave; return what its caller received.
+
+        Args:
+            ending: Where and how the stream ends.
+            listed: Whether the store still lists the engine.
+        """
+        await self.restart_engine()
+        self.engine.framing = BodyFraming.CONNECTION
+        self.engine.ending = ending
+
+        def leave(run: Run) -> None:
+            del run
+            self.simulation.now += BOUNDS.endpoints_s + 0.1
+            leaving = build_endpoint("x", port=self.engine.port, row_version=9, ready=False)
+            self.simulation.change_endpoints(*[leaving][:listed])
+
+        self.engine.on_run = leave
+        writer = RecordingWriter()
+        await self.relay(writer=writer)
+        return writer
+
+    async def test_a_leaving_endpoint_that_ends_with_it_broke_it_off(self) -> None:
+        """Guards against a short stream that looks complete, as its engine was to leave.
+
+        The engine says that it leaves, serves on for its time, and exits between two events.
+        """
+        for listed in (True, False):
+            for closing in (Closing.CRASH, Closing.EXIT):
+                with self.subTest(listed=listed, closing=closing):
+                    ending = AnswerEnding(pieces=2, closing=closing)
+                    writer = await self.relay_while_leaving(ending, listed=listed)
+                    self.assertEqual(writer.body, encode_event("r1", 1) + encode_event("r1", 2))
+                    self.assertEqual((writer.completed, writer.aborted), (False, True))
+
+    async def test_a_leaving_endpoint_that_goes_on_has_ended_it(self) -> None:
+        """Guards against whole streams that are cut because their engine is leaving."""
+        for listed in (True, False):
+            with self.subTest(listed=listed):
+                writer = await self.relay_while_leaving(WHOLE, listed=listed)
+                self.assertEqual((writer.body, writer.completed), (WHOLE_STREAM, True))
+
     async def test_its_connection_is_not_used_again(self) -> None:
         """Guards against the rest of a broken stream that answers the next request."""
         for framing, ending in BROKEN_ANSWERS[:3]:
