--- a/src/guavamast/relay/direct_connector.py
+++ b/src/guavamast/relay/direct_connector.py
@@ -15,7 +15,7 @@
     PathLost,
 )
 from guavamast.relay.http_connection import HttpConnection
-from guavamast.relay.response_end_check import RefusalProbe
+from guavamast.relay.response_end_check import ListenProbe, ListenState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,7 +37,7 @@
 endpoint states its idle timeout with its first response only."""
 
 
-class DirectConnector(RefusalProbe):
+class DirectConnector(ListenProbe):
     """Opens and keeps connections to endpoints.
 
     Args:
@@ -137,18 +137,18 @@
             return False
         return True
 
-    async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
-        """Return whether an endpoint's host refuses a connection; one that it accepts is kept.
+    async def check_listening(self, record: EndpointRecord, *, timeout_s: float) -> ListenState:
+        """Return what an endpoint's host does with a connection; one that it accepts is kept.
 
         It isn't compared with other endpoints: they may have ended together.
         """
         try:
             await self._open_unused(record, timeout_s=timeout_s)
         except ConnectionRefused:
-            return True
+            return ListenState.REFUSED
         except ConnectionLost:
-            return False
-        return False
+            return ListenState.SILENT
+        return ListenState.ACCEPTED
 
     async def _open_unused(self, record: EndpointRecord, *, timeout_s: float) -> None:
         """Open a connection and keep it for a request.
--- a/src/guavamast/relay/endpoint_connector.py
+++ b/src/guavamast/relay/endpoint_connector.py
@@ -10,17 +10,18 @@
     NotForwarded,
     PathLost,
 )
-from guavamast.relay.response_end_check import RefusalProbe
+from guavamast.relay.response_end_check import ListenProbe
 
 if TYPE_CHECKING:
     from guavamast.relay.direct_connector import DirectConnector
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.forwarding import ForwardClient
     from guavamast.relay.reachability import ReachabilityMonitor
+    from guavamast.relay.response_end_check import ListenState
     from guavamast.relay.stream_binding import StreamBinding
 
 
-class EndpointConnector(RefusalProbe):
+class EndpointConnector(ListenProbe):
     """Finds a connection to an endpoint for one request.
 
     Args:
@@ -87,9 +88,9 @@
                 raise
         return await self._direct.connect(record)
 
-    async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
-        """Return whether an endpoint's host refuses connections, as its direct connections show."""
-        return await self._direct.refuses_connection(record, timeout_s=timeout_s)
+    async def check_listening(self, record: EndpointRecord, *, timeout_s: float) -> ListenState:
+        """Return what an endpoint's host does with a connection that is opened directly."""
+        return await self._direct.check_listening(record, timeout_s=timeout_s)
 
     async def is_refused(self, record: EndpointRecord, *, row_version: int) -> bool:
         """Return whether an endpoint's host refuses connections, as seen from a sound path.
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -324,7 +324,10 @@
         """
         if attempt.forwarder is not None:
             return
-        if await self._end_check.is_broken_off(attempt.record, ending=attempt.ending):
+        assert attempt.head is not None
+        if await self._end_check.is_broken_off(
+            attempt.record, ending=attempt.ending, event_stream=attempt.head.event_stream
+        ):
             raise AttemptFailed(FailureKind.LOST, "the endpoint ended with its response")
 
     async def _confirm_response(self, attempt: Attempt, response: CompleteResponse) -> None:
--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -177,7 +177,7 @@
             received = await self._send(permitted, request)
             framing = received.framing
             head = await self._forward_response(permitted, received, writer)
-            await self._confirm_end(permitted)
+            await self._confirm_end(permitted, head)
             outcome = f"status {head.status}"
             kept = self._keep(permitted, head)
             await writer.end()
@@ -301,13 +301,15 @@
                 await writer.write(chunk)
         return head
 
-    async def _confirm_end(self, permitted: PermittedOrder) -> None:
+    async def _confirm_end(self, permitted: PermittedOrder, head: EndpointResponseHead) -> None:
         """Raise if a response was broken off although its bytes look whole.
 
         The end of this instance's message would make it look complete to the other one.
         """
         ending = permitted.acquired.connection.ending
-        if await self._end_check.is_broken_off(permitted.record, ending=ending):
+        if await self._end_check.is_broken_off(
+            permitted.record, ending=ending, event_stream=head.event_stream
+        ):
             raise ConnectionLost("the endpoint ended with its response")
 
     def _keep(self, permitted: PermittedOrder, head: EndpointResponseHead) -> bool:
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -68,6 +68,7 @@
     from guavamast.relay.endpoint_connection import AcquiredConnection
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.messages import Header
+    from guavamast.relay.response_end_check import ListenState
     from guavamast.relay.scheduling_client import PlacedRequest
     from guavamast.relay.stream_binding import StreamBinding
 
@@ -151,8 +152,8 @@
             permitted=permitted,
         )
 
-    async def refuses_connection(self, record: EndpointRecord, *, timeout_s: float) -> bool:
-        return await self._connector.refuses_connection(record, timeout_s=timeout_s)
+    async def check_listening(self, record: EndpointRecord, *, timeout_s: float) -> ListenState:
+        return await self._connector.check_listening(record, timeout_s=timeout_s)
 
     async def is_refused(self, record: EndpointRecord, *, row_version: int) -> bool:
         return await self._connector.is_refused(record, row_version=row_version)
