--- a/src/guavamast/relay/response_end_check.py
+++ b/src/guavamast/relay/response_end_check.py
@@ -54,7 +54,7 @@
     An endpoint that crashes between two events ends its connection as it does after a whole
     response, if that has neither a length nor chunks. But then its host refuses connections, while
     an endpoint that has sent a whole response goes on. A process that was suspended finds such an
-    end late, when the endpoint may have been restarted.
+    end late, when the endpoint may have been restarted, or another one may have its address.
 
     An endpoint that is leaving, or isn't listed, exits when its time is over, whatever it sends
     then. It hardly ever exits in the moment in which one response is whole, and breaks off all
@@ -102,10 +102,25 @@
         listed = self._fleet_state.endpoints.find(record.endpoint_id)
         if listed is not None and listed.started_ms != record.started_ms:
             return True
+        if self._has_successor(record):
+            return True
         if listed is not None and listed.ready:
             return await self._check_listening(record) is ListenState.REFUSED
         return await self._has_left(record, event_stream=event_stream)
 
+    def _has_successor(self, record: EndpointRecord) -> bool:
+        """Return whether another endpoint has started at the address of an earlier one.
+
+        It would accept connections in place of the one that has ended.
+        """
+        if record.started_ms is None:
+            return False
+        return any(
+            (other.host, other.port) == (record.host, record.port)
+            and (other.started_ms or 0) > record.started_ms
+            for other in self._fleet_state.endpoints.list_all()
+        )
+
     async def _has_left(self, record: EndpointRecord, *, event_stream: bool) -> bool:
         """Return whether an endpoint that is leaving, or isn't listed, seems to have ended.
 
--- a/tests/test_relay_broken_answers.py
+++ b/tests/test_relay_broken_answers.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from guavamast.platform.standins.engine import Run
+    from guavamast.relay.endpoint_table import EndpointRecord
 
 INSIDE_THIRD_EVENT: Final = AnswerEnding(pieces=2, part_bytes=9)
 BROKEN_ANSWERS: Final = (
@@ -157,21 +158,22 @@
 
     async def test_an_endpoint_that_was_restarted_meanwhile_broke_it_off(self) -> None:
         """Guards against a suspended process that finds the successor of an engine alive."""
-        await self.restart_engine()
-        self.engine.framing = BodyFraming.CONNECTION
-        self.engine.ending = AnswerEnding(pieces=2)
+        for name in ("x", "y"):
+            with self.subTest(successor=name):
+                await self.restart_engine()
+                self.engine.framing = BodyFraming.CONNECTION
+                self.engine.ending = AnswerEnding(pieces=2)
+                successor = build_endpoint(name, port=self.engine.port, row_version=9, started_ms=2)
 
-        def restart(run: Run) -> None:
-            del run
-            self.simulation.now += BOUNDS.endpoints_s + 0.1
-            self.simulation.change_endpoints(
-                build_endpoint("x", port=self.engine.port, row_version=9, started_ms=2)
-            )
+                def restart(run: Run, successor: EndpointRecord = successor) -> None:
+                    del run
+                    self.simulation.now += BOUNDS.endpoints_s + 0.1
+                    self.simulation.change_endpoints(successor)
 
-        self.engine.on_run = restart
-        writer = RecordingWriter()
-        await self.relay(writer=writer)
-        self.assertEqual((writer.completed, writer.aborted), (False, True))
+                self.engine.on_run = restart
+                writer = RecordingWriter()
+                await self.relay(writer=writer)
+                self.assertEqual((writer.completed, writer.aborted), (False, True))
 
     async def relay_while_leaving(
         self, ending: AnswerEnding, *, listed: bool = True
--- a/tests/test_relay_response_end_check.py
+++ b/tests/test_relay_response_end_check.py
@@ -20,7 +20,7 @@
 SILENT: Final = ListenState.SILENT
 READY: Final = (build_endpoint("x"),)
 LEAVING: Final = (build_endpoint("x", ready=False),)
-UNLISTED: Final = (build_endpoint("y"),)
+UNLISTED: Final = (build_endpoint("y", port=10),)
 
 
 class ScriptedProbe(ListenProbe):
@@ -101,6 +101,22 @@
                     broken = await self.check_end(READY, (state,), event_stream=event_stream)
                     self.assertIs(broken, state is REFUSED)
 
+    async def test_an_address_of_another_endpoint_shows_the_end_of_the_first(self) -> None:
+        """Guards against a suspended process that takes another engine for the one that ended.
+
+        The engine ends, another one takes its address, and only then the instance goes on: it reads
+        the end of the stream, and a connection to the address is accepted.
+        """
+        successor = build_endpoint("y", started_ms=2)
+        for listed in ((successor,), (*LEAVING, successor), (*READY, successor)):
+            with self.subTest(listed=listed):
+                self.assertTrue(await self.check_end(listed, ()))
+
+    async def test_an_endpoint_may_have_the_address_of_an_earlier_one(self) -> None:
+        """Guards against whole streams that are cut while the store still lists a predecessor."""
+        predecessor = build_endpoint("y", started_ms=0)
+        self.assertFalse(await self.check_end((*READY, predecessor), (ACCEPTED,)))
+
     async def test_endpoints_are_not_asked_where_it_is_known(self) -> None:
         """Guards against connections to endpoints that can tell nothing."""
         restarted = (build_endpoint("x", started_ms=2),)
