--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -39,6 +39,18 @@
     """For a request whose response doesn't begin in time; it may have run."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _DrainTimes:
+    """Times on the server's clock until which a drain waits."""
+
+    deadline: float
+    """For a response to begin."""
+    begun_until: float
+    """For the rest of a response that has begun."""
+    latest: float
+    """For callers to close ended connections."""
+
+
 def encode_response(status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
     """Return an HTTP response that closes its connection."""
     reason = httputil.responses[status]
@@ -168,13 +180,15 @@
                 most twice ``LINGER_S`` later.
             responses: The last responses.
             closes_at: Time by which the last connection is closed, also one whose caller keeps it
-                open; None if nothing ends the process by then.
+                open; None if nothing ends the process by then. A response that has begun is awaited
+                until then, as the rest of it may only wait for its caller. Without that time, it is
+                awaited until the deadline.
 
         Returns:
             The traces of the requests without a complete response at the deadline.
         """
         self._last_responses = responses
-        latest = inf if closes_at is None else max(deadline, closes_at)
+        times = _compute_times(deadline=deadline, closes_at=closes_at)
         self.disable_keep_alive()
         self.stop_accepting()
         for stream in tuple(self._streams):
@@ -183,14 +197,12 @@
         while self._streams:
             now = self._read_time()
             for stream in tuple(self._streams):
-                if self._is_overdue(stream, deadline=deadline, now=now):
+                if _is_overdue(stream, times, now=now):
                     unfinished.append(stream.trace)
-                self._close_overdue(
-                    stream, responses.unfinished, deadline=deadline, latest=latest, now=now
-                )
+                self._close_overdue(stream, responses.unfinished, times, now=now)
             await asyncio.sleep(CHECK_INTERVAL_S)
         if self._discarding:
-            left_s = max(0.0, latest - self._read_time())
+            left_s = max(0.0, times.latest - self._read_time())
             await asyncio.wait(self._discarding, timeout=min(LINGER_S, left_s))
         return unfinished
 
@@ -235,12 +247,6 @@
             return
         self._report_unanswered(trace)
 
-    def _is_overdue(self, stream: CallerStream, *, deadline: float, now: float) -> bool:
-        trace = stream.trace
-        if stream.closed() or trace.ended_at is not None:
-            return False
-        return trace.stage is RequestStage.SERVING and now >= deadline
-
     def _end_unserved(self, stream: CallerStream, response: bytes) -> None:
         """End a connection whose request, if any, hasn't been received completely."""
         trace = stream.trace
@@ -250,35 +256,21 @@
             stream.end(response)
 
     def _close_overdue(
-        self,
-        stream: CallerStream,
-        unfinished: bytes,
-        *,
-        deadline: float,
-        latest: float,
-        now: float,
+        self, stream: CallerStream, unfinished: bytes, times: _DrainTimes, *, now: float
     ) -> None:
-        """Close a connection whose time is up.
-
-        Args:
-            stream: The connection.
-            unfinished: What a request gets whose response hasn't begun.
-            deadline: Time until which responses are awaited.
-            latest: Time until which the end of a connection may take.
-            now: The present time.
-        """
+        """Close a connection whose time is up."""
         trace = stream.trace
         if stream.closed():
             return  # Its task forgets it in the next turns of the loop.
         if trace.ended_at is not None:
-            if now >= min(trace.ended_at + LINGER_S, latest):
+            if now >= min(trace.ended_at + LINGER_S, times.latest):
                 stream.close()
         elif trace.response_begun:
-            # A response that has begun is awaited. At the deadline the missing end tells its
-            # caller that it is incomplete.
-            if now >= deadline:
+            # A response that has begun is awaited. After that the missing end tells its caller
+            # that it is incomplete.
+            if now >= times.begun_until:
                 stream.close()
-        elif now >= deadline:
+        elif now >= times.deadline:
             stream.end(unfinished)
 
     def _accept_pending(self, sock: socket.socket) -> None:
@@ -309,6 +301,21 @@
         task.add_done_callback(self._discarding.discard)
 
 
+def _compute_times(*, deadline: float, closes_at: float | None) -> _DrainTimes:
+    if closes_at is None:
+        return _DrainTimes(deadline=deadline, begun_until=deadline, latest=inf)
+    latest = max(deadline, closes_at)
+    return _DrainTimes(deadline=deadline, begun_until=latest, latest=latest)
+
+
+def _is_overdue(stream: CallerStream, times: _DrainTimes, *, now: float) -> bool:
+    """Return whether a request is given up that was received completely."""
+    trace = stream.trace
+    if stream.closed() or trace.ended_at is not None or trace.stage is not RequestStage.SERVING:
+        return False
+    return now >= (times.begun_until if trace.response_begun else times.deadline)
+
+
 def _get_stream(server_conn: object) -> CallerStream:
     connection: HTTP1ServerConnection = server_conn  # type: ignore[assignment]
     stream = connection.stream
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -221,6 +221,31 @@
         self.assertEqual(await draining, [])
         self.assertEqual(await reader.read(), RESPONSES.not_run)
 
+    async def test_whole_response_reaches_a_caller_that_is_behind_at_the_deadline(self) -> None:
+        """Guards against a response that was ready in time and is cut on its way to its caller.
+
+        The response is written before the deadline, but its caller reads more slowly. The server
+        would close the connection at the deadline and drop what the caller hasn't got yet, though
+        the process has some time left.
+        """
+        reader, _ = await self.connect(GET)
+        await wait_until(lambda: bool(self.requests))
+        respond(self.requests[0], body=LARGE_BODY)
+        draining = asyncio.create_task(self.drain(wait_s=0.1, close_s=10.0))
+        await asyncio.sleep(0.3)
+        await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(await reader.readexactly(len(LARGE_BODY)), LARGE_BODY)
+        self.assertEqual(await draining, [])
+
+    async def test_response_that_is_not_taken_by_the_end_is_cut_and_listed(self) -> None:
+        """Guards against a caller that reads nothing and holds the process until it is killed."""
+        await self.connect(GET)
+        await wait_until(lambda: bool(self.requests))
+        respond(self.requests[0], body=LARGE_BODY)
+        async with asyncio.timeout(10.0):
+            (given_up,) = await self.drain(wait_s=0.1, close_s=0.3)
+        self.assertEqual(given_up.stage, RequestStage.SERVING)
+
     async def test_request_sent_right_after_a_response_during_the_drain_is_not_served(self) -> None:
         """Guards against a request that is taken while connections are drained.
 
