--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -102,7 +102,7 @@
         limits = {"deadline": schedule.ends_at, "closes_at": schedule.closes_at}
         forwarding = asyncio.create_task(self._forward_listener.drain(**limits))
         await self._wait_until(schedule.accepts_until)
-        expiring = asyncio.create_task(self._expire_requests(schedule.requests_end_at))
+        expiring = asyncio.create_task(self._expire_requests())
         draining = asyncio.gather(self._listener.drain(**limits), forwarding)
         draining.add_done_callback(lambda _: drained.set())
         await self._end_queries(queries, drained)
@@ -134,11 +134,14 @@
         await self._wait_until(self._schedule.ends_at - UNREGISTER_S, unless=drained)
         await self.unregister(self._name)
 
-    async def _expire_requests(self, at: float) -> None:
-        await self._wait_until(at)
+    async def _expire_requests(self) -> None:
+        """End the time of all requests; later, that of streams whose callers are behind."""
+        await self._wait_until(self._schedule.requests_end_at)
         in_flight = self._relayer.in_flight
         self._log.write("expiring", now=self._read_time(), essential=True, in_flight=in_flight)
         self._relayer.expire_requests()
+        await self._wait_until(self._schedule.streams_end_at)
+        self._relayer.expire_requests(also_behind=True)
 
     async def _wait_until(self, moment: float, *, unless: asyncio.Event | None = None) -> None:
         """Wait until a time of the local clock, which also counts suspended time.
--- a/src/guavamast/relay/departure_schedule.py
+++ b/src/guavamast/relay/departure_schedule.py
@@ -76,6 +76,11 @@
         """Local time at which the requests in flight run out of time."""
         return self.ends_at - RESPONSE_MARGIN_S
 
+    @property
+    def streams_end_at(self) -> float:
+        """Local time at which streams run out of time whose callers are behind."""
+        return max(self.requests_end_at, self.closes_at - RESPONSE_MARGIN_S)
+
     @property
     def queries_end_at(self) -> float:
         """Local time from which on queries are no longer answered.
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -125,9 +125,10 @@
         self._reachability = reachability
         self._recorder = recorder
         self._read_time = read_time
-        self._timeouts: set[asyncio.Timeout] = set()
+        self._timeouts: dict[asyncio.Timeout, RequestProgress] = {}
+        """The requests whose time runs."""
         self._expired = False
-        """Whether the time of all requests was ended, as the instance leaves."""
+        """Whether the time of requests was ended, as the instance leaves."""
         self.in_flight = 0
         """Requests being relayed."""
 
@@ -155,12 +156,19 @@
             if progress is not None:
                 _release_memory(progress)
 
-    def expire_requests(self) -> None:
-        """End the time of all requests, so that each caller is told whether it may have run."""
+    def expire_requests(self, *, also_behind: bool = False) -> None:
+        """End the time of the requests, so that each caller is told whether it may have run.
+
+        A stream whose caller hasn't taken all events yet is read no faster than that, and its
+        endpoint may be done with it. It goes on as long as its instance has time to deliver it.
+
+        Args:
+            also_behind: Whether the time of such streams is ended, too.
+        """
         self._expired = True
         now = asyncio.get_running_loop().time()
-        for timeout in self._timeouts:
-            if not timeout.expired():
+        for timeout, progress in self._timeouts.items():
+            if not timeout.expired() and (also_behind or not progress.is_caller_behind):
                 timeout.reschedule(now)
 
     async def _admit(
@@ -190,7 +198,7 @@
         self._record_demand(request, progress, now=now)
         self._budget.record_request(progress.service, now=now)
         timeout = asyncio.timeout(max(0.0, progress.deadline - now))
-        self._timeouts.add(timeout)
+        self._timeouts[timeout] = progress
         try:
             async with timeout:
                 await self._try_endpoints(request, writer, progress)
@@ -204,7 +212,7 @@
                 cause=UnservedCause.INSTANCE_LEFT if self._expired else UnservedCause.TIME_UP,
             )
         finally:
-            self._timeouts.discard(timeout)
+            del self._timeouts[timeout]
 
     def _start_progress(
         self,
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -100,6 +100,11 @@
         """Whether a further endpoint may continue its response: any if it has not begun."""
         return not self.response_begun or self.binding is not None or self.source is not None
 
+    @property
+    def is_caller_behind(self) -> bool:
+        """Whether its caller hasn't taken all events of its stream that were received."""
+        return self.delivery is not None and self.delivery.is_behind
+
     def record_binding(self, binding: StreamBinding) -> None:
         """Record what began the stream, known after its first event only."""
         self.binding = binding
--- a/src/guavamast/relay/stream_delivery.py
+++ b/src/guavamast/relay/stream_delivery.py
@@ -70,6 +70,11 @@
         """Whether the endpoint is read on."""
         return self._readers.may_read(self.reader)
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the caller's connection hasn't taken all events yet."""
+        return self._writing > 0
+
     async def wait_for_room(self) -> None:
         """Return when the endpoint may be read on."""
         await self._readers.wait_for_room(self.reader, read_time=self._read_time)
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -342,7 +342,7 @@
     async def relay(
         self, *, headers: tuple[Header, ...] = (), writer: ResponseWriter | None = None
     ) -> Any:
-        """Relay a request; return the writer that received its response."""
+        """Relay a request, by a new relayer; return the writer that received its response."""
         recorder, placer = mock.Mock(), self.make_placer()
         ends = UnservedEnds(
             codec=PlatformHeaders(),
@@ -350,7 +350,7 @@
             placer=placer,
             read_time=lambda: self.simulation.now,
         )
-        relayer = Relayer(
+        self.relayer = Relayer(
             fleet_state=self.simulation.fleet_state,
             admission=self.simulation.admission,
             loads=self.loads,
@@ -376,5 +376,5 @@
             timeout_s=60.0,
             **self.request_changes,
         )
-        await relayer.relay(request, writer)
+        await self.relayer.relay(request, writer)
         return writer
