--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -184,7 +184,13 @@
             await self._ends.reject(request, writer, take_up.build_rejection())
             return None
         binding = take_up.binding if take_up is not None else None
-        progress = self._start_progress(request, decision, binding, now=self._read_time())
+        if binding is not None:
+            service = binding.service
+        else:
+            service = decision.route.pick_service(request.request_id)
+        progress = self._start_progress(
+            request, decision, service=service, binding=binding, now=self._read_time()
+        )
         rejection = await self._guard.admit(request, progress)
         if rejection is not None:
             await self._ends.reject(request, writer, rejection)
@@ -218,8 +224,9 @@
         self,
         request: CallerRequest,
         admitted: Admitted,
-        binding: StreamBinding | None,
         *,
+        service: str,
+        binding: StreamBinding | None,
         now: float,
     ) -> RequestProgress:
         """Return the initial state of an admitted request.
@@ -227,13 +234,10 @@
         Args:
             request: The request.
             admitted: Its admission.
+            service: The service that it goes to.
             binding: What began its stream; None if it hasn't begun.
             now: The present time.
         """
-        if binding is not None:
-            service = binding.service
-        else:
-            service = admitted.route.pick_service(request.request_id)
         return begin_progress(
             request,
             admitted,
@@ -394,21 +398,25 @@
         """Repeat the admission of a request that was not sent; return whether it continues.
 
         A request that may have run, or whose stream has begun, at one service is not sent to
-        another, nor sent again once it is no longer allowed.
+        another, nor sent again once it is no longer allowed. As long as its route leads to that
+        service, it stays there, whatever its weight is now.
         """
         decision = await self._admission.admit(request, until=progress.deadline)
         if isinstance(decision, Denied):
             await self._ends.refuse(request, writer, progress, decision)
             return False
         binding = progress.binding
-        readmitted = self._start_progress(request, decision, binding, now=self._read_time())
-        has_moved = readmitted.service != progress.service or not decision.route.leads_to(
-            progress.service
-        )
-        if has_moved and (progress.possible_runs or binding is not None):
+        if not progress.possible_runs and binding is None:
+            service = decision.route.pick_service(request.request_id)
+        elif decision.route.leads_to(progress.service):
+            service = progress.service
+        else:
             reason = "the route has moved"
             await self._ends.finish_failed(request, writer, progress, status=502, reason=reason)
             return False
+        readmitted = self._start_progress(
+            request, decision, service=service, binding=binding, now=self._read_time()
+        )
         progress.readmit(readmitted, unsent_id=unsent.endpoint_id)
         return True
 
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -29,6 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavamast.platform.standins.engine import Run
+
 
 class RateLimitGateTest(RelayTestCase):
     """Right before its bytes leave, a request to an endpoint with a rate limit needs a permit."""
@@ -104,6 +106,31 @@
         self.assertEqual(writer.send.call_args.args[0], 200)
         self.assertEqual((len(self.engine.runs), len(annex.runs)), (0, 1))
 
+    async def test_a_request_is_repeated_at_the_service_that_may_have_run_it(self) -> None:
+        """Guards against requests that fail as the weights of their route change between two sends.
+
+        The first endpoint is lost while it works. By the new weights the request would begin at
+        another service; it may not run at both, but the route still leads to the first one.
+        """
+        other = EngineStandIn(engine_id="y")
+        port = await other.listen()
+        self.addAsyncCleanup(other.stop)
+        self.simulation.change_endpoints(self.record, build_endpoint("y", port=port))
+
+        def lose_once(run: Run) -> None:
+            del run
+            if len(self.engine.runs) + len(other.runs) > 1:
+                self.engine.fault = other.fault = EngineFault.NONE
+            else:
+                self.change_configuration(self.change_weights)
+
+        for engine in (self.engine, other):
+            engine.fault, engine.on_run = EngineFault.LOSE, lose_once
+        writer = await self.relay()
+        self.assertEqual(writer.send.call_args.args[0], 200)
+        self.assertIs(self.simulation.fleet_state.catalog, self.simulation.catalog)
+        self.assertEqual((len(self.engine.runs), len(other.runs)), (1, 1))
+
     async def test_a_delayed_request_without_route_is_rejected_as_not_run(self) -> None:
         self.simulation.replace_routes(build_route(timeout_s=30.0))
         other = build_route(path_prefix="/other/")
