--- a/tests/test_relay_departure.py
+++ b/tests/test_relay_departure.py
@@ -40,8 +40,8 @@
         """Set once the callers' connections have closed."""
         self.drained.set()
         listener.drain.side_effect = self.drain_callers
-        relayer = mock.create_autospec(Relayer, instance=True)
-        relayer.in_flight = 0
+        self.relayer = mock.create_autospec(Relayer, instance=True)
+        self.relayer.in_flight = 0
         self.queries = mock.create_autospec(QueryListener, instance=True)
         self.departure = Departure(
             name="two",
@@ -49,7 +49,7 @@
             store=mock.create_autospec(Store, instance=True),
             listener=listener,
             forward_listener=self.listener,
-            relayer=relayer,
+            relayer=self.relayer,
             announce=mock.Mock(),
             log=DecisionLog(instance="two", descriptor=os.open(os.devnull, os.O_WRONLY)),
             read_time=self.read_time,
@@ -159,7 +159,31 @@
         self.drained.set()
         async with asyncio.timeout(5.0):
             await leaving
-        self.queries.stop.assert_called_once()
+        self.queries.stop.assert_called_once_with(closes_at=self.schedule.closes_at)
+
+    async def test_streams_whose_callers_are_behind_end_last(self) -> None:
+        """Guards against streams of slow callers that are cut early, or by the kill.
+
+        All others end at the same moment as before. These end while their connections are still
+        open, so that the log tells that the instance has ended them.
+        """
+        self.drained.clear()
+        leaving = await self.begin_departure()
+        for moment, also_behind in (
+            (self.schedule.requests_end_at, []),
+            (self.schedule.streams_end_at, [{"also_behind": True}]),
+        ):
+            self.simulation.now = moment
+            expected = [{}, *also_behind]
+            async with asyncio.timeout(5.0):
+                while len(self.relayer.expire_requests.call_args_list) < len(expected):
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            calls = [one.kwargs for one in self.relayer.expire_requests.call_args_list]
+            self.assertEqual(calls, expected)
+        self.assertLess(self.schedule.streams_end_at, self.schedule.closes_at)
+        self.drained.set()
+        await self.end_departure(leaving)
 
 
 if __name__ == "__main__":
