--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -125,9 +125,10 @@
         self._reachability = reachability
         self._recorder = recorder
         self._read_time = read_time
-        self._timeouts: set[asyncio.Timeout] = set()
+        self._timeouts: dict[asyncio.Timeout, RequestProgress] = {}
+        """The requests whose time runs."""
         self._expired = False
-        """Whether the time of all requests was ended, as the instance leaves."""
+        """Whether the time of requests was ended, as the instance leaves."""
         self.in_flight = 0
         """Requests being relayed."""
 
@@ -155,12 +156,19 @@
             if progress is not None:
                 _release_memory(progress)
 
-    def expire_requests(self) -> None:
-        """End the time of all requests, so that each caller is told whether it may have run."""
+    def expire_requests(self, *, also_behind: bool = False) -> None:
+        """End the time of the requests, so that each caller is told whether it may have run.
+
+        A stream whose caller hasn't taken all events yet is read no faster than that, and its
+        endpoint may be done with it. It goes on as long as its instance has time to deliver it.
+
+        Args:
+            also_behind: Whether the time of such streams is ended, too.
+        """
         self._expired = True
         now = asyncio.get_running_loop().time()
-        for timeout in self._timeouts:
-            if not timeout.expired():
+        for timeout, progress in self._timeouts.items():
+            if not timeout.expired() and (also_behind or not progress.is_caller_behind):
                 timeout.reschedule(now)
 
     async def _admit(
@@ -176,7 +184,13 @@
             await self._ends.reject(request, writer, take_up.build_rejection())
             return None
         binding = take_up.binding if take_up is not None else None
-        progress = self._start_progress(request, decision, binding, now=self._read_time())
+        if binding is not None:
+            service = binding.service
+        else:
+            service = decision.route.pick_service(request.request_id)
+        progress = self._start_progress(
+            request, decision, service=service, binding=binding, now=self._read_time()
+        )
         rejection = await self._guard.admit(request, progress)
         if rejection is not None:
             await self._ends.reject(request, writer, rejection)
@@ -190,7 +204,7 @@
         self._record_demand(request, progress, now=now)
         self._budget.record_request(progress.service, now=now)
         timeout = asyncio.timeout(max(0.0, progress.deadline - now))
-        self._timeouts.add(timeout)
+        self._timeouts[timeout] = progress
         try:
             async with timeout:
                 await self._try_endpoints(request, writer, progress)
@@ -204,14 +218,15 @@
                 cause=UnservedCause.INSTANCE_LEFT if self._expired else UnservedCause.TIME_UP,
             )
         finally:
-            self._timeouts.discard(timeout)
+            del self._timeouts[timeout]
 
     def _start_progress(
         self,
         request: CallerRequest,
         admitted: Admitted,
-        binding: StreamBinding | None,
         *,
+        service: str,
+        binding: StreamBinding | None,
         now: float,
     ) -> RequestProgress:
         """Return the initial state of an admitted request.
@@ -219,13 +234,10 @@
         Args:
             request: The request.
             admitted: Its admission.
+            service: The service that it goes to.
             binding: What began its stream; None if it hasn't begun.
             now: The present time.
         """
-        if binding is not None:
-            service = binding.service
-        else:
-            service = admitted.route.pick_service(request.request_id)
         return begin_progress(
             request,
             admitted,
@@ -386,21 +398,25 @@
         """Repeat the admission of a request that was not sent; return whether it continues.
 
         A request that may have run, or whose stream has begun, at one service is not sent to
-        another, nor sent again once it is no longer allowed.
+        another, nor sent again once it is no longer allowed. As long as its route leads to that
+        service, it stays there, whatever its weight is now.
         """
         decision = await self._admission.admit(request, until=progress.deadline)
         if isinstance(decision, Denied):
             await self._ends.refuse(request, writer, progress, decision)
             return False
         binding = progress.binding
-        readmitted = self._start_progress(request, decision, binding, now=self._read_time())
-        has_moved = readmitted.service != progress.service or not decision.route.leads_to(
-            progress.service
-        )
-        if has_moved and (progress.possible_runs or binding is not None):
+        if not progress.possible_runs and binding is None:
+            service = decision.route.pick_service(request.request_id)
+        elif decision.route.leads_to(progress.service):
+            service = progress.service
+        else:
             reason = "the route has moved"
             await self._ends.finish_failed(request, writer, progress, status=502, reason=reason)
             return False
+        readmitted = self._start_progress(
+            request, decision, service=service, binding=binding, now=self._read_time()
+        )
         progress.readmit(readmitted, unsent_id=unsent.endpoint_id)
         return True
 
