--- a/src/guavamast/platform/standins/endless_answer.py
+++ b/src/guavamast/platform/standins/endless_answer.py
@@ -46,6 +46,8 @@
 def build_pieces(kind: EndlessAnswer, request_id: str, seal: str) -> tuple[bytes, bytes]:
     """Return what an endless answer begins with, and what is repeated after it."""
     head = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request_id}\r\nX-Engine-Seal: {seal}\r\n".encode()
+    own_id = f"X-Attempt-Id: {request_id}\r\n".encode()
+    rejection = b"HTTP/1.1 503 Full\r\n" + own_id + b"X-Not-Executed: 1\r\n\r\n"
     stream = head + b"Content-Type: text/event-stream\r\n\r\n"
     chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
     return {
@@ -54,10 +56,7 @@
         EndlessAnswer.INTERIM_HEADS: (b"", _fill(b"HTTP/1.1 102 Processing\r\n\r\n")),
         EndlessAnswer.BODY: (head + b"\r\n", _fill(b"a")),
         EndlessAnswer.CHUNKS: (chunked, _fill(b"400\r\n" + b"a" * 1024 + b"\r\n")),
-        EndlessAnswer.REJECTION: (
-            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\r\n",
-            _fill(b"a"),
-        ),
+        EndlessAnswer.REJECTION: (rejection, _fill(b"a")),
         EndlessAnswer.LINES: (stream, _fill(b"data: aaaaaaaa\n")),
         EndlessAnswer.COMMENTS: (stream, _fill(b": aaaaaaaa\n\n")),
         EndlessAnswer.BLANK_LINES: (stream, _fill(b"\n\n")),
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -131,6 +131,8 @@
         """Bytes that each answer that is no stream has in addition."""
         self.padded_target = b""
         """Part of the targets whose answers have them."""
+        self.stray_response = b""
+        """Bytes of a response to another request that it sends as it begins to run a request."""
         self.send_buffer_bytes: int | None = None
         """Send buffer of its connections; None for that of the system."""
         self.event_padding_bytes = 0
@@ -290,20 +292,24 @@
     ) -> bool:
         headers = {name.decode(): value.decode("latin-1") for name, value in request.headers}
         if headers.get("x-expect-instance", self.engine_id) != self.engine_id:
-            return await self._send(http, writer, 421, [("X-Instance-Id", self.engine_id)], b"")
+            instance = ("X-Instance-Id", self.engine_id)
+            return await self._send(http, writer, 421, [*_echo_id(headers), instance], b"")
         if self.fault is EngineFault.FULL:
-            return await self._reject(http, writer)
+            return await self._reject(http, writer, headers)
         if self.slots is not None and self.running >= self.slots:
             self._count_rejection()
-            return await self._reject(http, writer)
+            return await self._reject(http, writer, headers)
         self.running += 1
         try:
             return await self._run(http, writer, request, body)
         finally:
             self.running -= 1
 
-    async def _reject(self, http: h11.Connection, writer: asyncio.StreamWriter) -> bool:
-        return await self._send(http, writer, 503, [("X-Not-Executed", "1")], b"")
+    async def _reject(
+        self, http: h11.Connection, writer: asyncio.StreamWriter, headers: Mapping[str, str]
+    ) -> bool:
+        rejection = [*_echo_id(headers), ("X-Not-Executed", "1")]
+        return await self._send(http, writer, 503, rejection, b"")
 
     def _count_rejection(self) -> None:
         """Count a rejection for want of a slot, and end if there were too many in a second."""
@@ -317,6 +323,7 @@
         self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, body: bytes
     ) -> bool:
         run = self._record_run(request, body)
+        writer.write(self.stray_response)
         tokens = count_tokens(run.headers)
         try:
             if not self.kv_cache.hold(tokens):
@@ -483,6 +490,11 @@
         return await body.end()
 
 
+def _echo_id(headers: Mapping[str, str]) -> list[Header]:
+    """Return the id of a request as its response states it."""
+    return [("X-Attempt-Id", headers["x-attempt-id"])] if "x-attempt-id" in headers else []
+
+
 def encode_answer(request_id: str) -> bytes:
     """Return the body of an answer that is no stream; all engines send the same bytes."""
     return b"answer " + request_id.encode()
--- a/src/guavamast/relay/attempt.py
+++ b/src/guavamast/relay/attempt.py
@@ -365,14 +365,21 @@
         return False
 
     async def _check_head(self, head: EndpointResponseHead) -> None:
-        """Raise unless the head belongs to this request and may be forwarded."""
+        """Raise unless the head belongs to this request and may be forwarded.
+
+        A rejection counts only if it names this request: a faulty endpoint may send that of another
+        one while it runs this one, whose caller would be told that it may safely be sent again.
+        """
+        if not head.request_id or head.request_id != self._request.request_id:
+            named = "another request" if head.request_id else "no request"
+            raise AttemptFailed(
+                FailureKind.INVALID, f"response with status {head.status} names {named}"
+            )
         if head.not_run:
             overrun = await self._skip_rejection()
             misdirected = head.status == 421
             kind = FailureKind.MISDIRECTED if misdirected else FailureKind.REFUSED
             raise AttemptFailed(kind, f"status {head.status}", overrun=overrun)
-        if head.request_id != self._request.request_id:
-            raise AttemptFailed(FailureKind.INVALID, "response belongs to another request")
         if head.status < 300 and not head.signed:
             raise AttemptFailed(FailureKind.INVALID, "response is not signed by the endpoint")
         if head.encoded:
--- a/src/guavamast/relay/messages.py
+++ b/src/guavamast/relay/messages.py
@@ -110,7 +110,7 @@
     signed: bool
     """Whether the response carries the endpoint's signature."""
     not_run: bool
-    """Whether the endpoint states that it did not run the request."""
+    """Whether the endpoint states that it did not run the request that `request_id` names."""
     encoded: bool
     """Whether the body is compressed or otherwise not the endpoint's original bytes."""
     event_stream: bool
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -161,6 +161,28 @@
             else:
                 self.assertEqual(reply.status, 502)
 
+    async def test_a_call_that_runs_is_not_rejected_with_another_one(self) -> None:
+        """Guards against payments that are made twice, as 503 says that they didn't run.
+
+        Where the answer to a call is expected, on a kept connection, its engine sends the rejection
+        of an earlier request. The call runs; 502 doesn't say whether it has.
+        """
+        instance = await self.start_instance()
+        caller = await Caller.open(instance.callers)
+        for number in range(8):
+            await caller.send_request(LOOKUP_PREFIX + "x", request_id=f"lookup{number}")
+        for status in (421, 429, 503):
+            for engine in self.site.engines.values():
+                engine.runs.clear()
+                engine.stray_response = (
+                    f"HTTP/1.1 {status} Rejected\r\nX-Attempt-Id: lookup0\r\n"
+                    "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                ).encode()
+            reply = await caller.send_request(
+                CALL_PREFIX + "x", request_id=f"r{status}", body=b"pay"
+            )
+            self.assertEqual((reply.status, self.count_runs()), (502, 1))
+
     async def test_a_rejected_call_is_not_run_and_has_retry_after(self) -> None:
         instance = await self.start_instance()
         self.set_fault(EngineFault.FULL)
