A limit counts only from a response that names the request

Cause: `EndpointStatements` took what any rejection states for the endpoint's present limits, also one that names another request or none. Such a rejection may have come late, with a limit of long ago, and is dated by the send of the request that it arrives at.

Ruled out: that true rejections are missed, as engines echo the id in all their responses.

Change: the id decides, for rejections as for answers.

--- a/src/guavamast/relay/endpoint_statements.py
+++ b/src/guavamast/relay/endpoint_statements.py
@@ -104,4 +104,4 @@
     """Return whether a response is the endpoint's to the request, and not another endpoint's."""
     if head.status == HTTPStatus.MISDIRECTED_REQUEST:
         return False
-    return head.request_id == request_id or head.not_run
+    return bool(request_id) and head.request_id == request_id
