No request is sent on a kept connection on which something waits unread

Cause: a kept connection that receives anything is dropped, but only once the loop has read it. A late response that arrived while the loop was busy was read as the response to the next request, which was sent first: the call runs and its caller gets 502 (before the id decided, 503). The tests failed before: the connection with a waiting response, and one that was closed, were handed out.

Ruled out: that the next turn of the loop comes before the send; nothing is awaited between them. What arrives in the moment after the check, or after the send, is judged by its id as before.

Change: the pool asks the system whether something waits, without blocking, and closes such a connection; links to other instances too.

--- a/src/guavamast/relay/connection_pool.py
+++ b/src/guavamast/relay/connection_pool.py
@@ -39,13 +39,15 @@
         self._idle: dict[str, deque[_IdleConnection]] = {}
 
     def acquire(self, endpoint_id: str, *, now: float) -> HttpConnection | None:
-        """Return an idle connection that its server still holds open, most recently used first."""
+        """Return an idle, quiet connection that its server holds open, most recently used first."""
         idle = self._idle.get(endpoint_id)
         while idle:
             entry = idle.pop()
-            if entry.connection.reusable and now < entry.usable_until:
-                return entry.connection
-            entry.connection.close()
+            connection = entry.connection
+            usable = connection.reusable and now < entry.usable_until
+            if usable and not connection.has_unread_input():
+                return connection
+            connection.close()
         return None
 
     def release(
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
@@ -111,6 +112,18 @@
         """Whether another request may be sent."""
         return self._failure is None and not self._outstanding
 
+    def has_unread_input(self) -> bool:
+        """Return whether bytes or the server's end have arrived that the loop hasn't read yet.
+
+        A request that is sent now would take them for its response.
+        """
+        received = None if self._transport is None else self._transport.get_extra_info("socket")
+        if received is None:
+            return False
+        poll = select.poll()
+        poll.register(received, select.POLLIN)
+        return bool(poll.poll(0))
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
