Crossed responses of stand-in engines are every other time rejections

Change: an engine whose responses are crossed runs the request and answers every other one with the rejection of another. The test of crossed responses sends six calls to two engines and asks for 502 and one run each time: stricter than the one call before.

--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -59,7 +59,7 @@
     """Sends a second response, to another request, after each response that is no stream, on a
     connection that stays open."""
     CROSSED = "crossed"
-    """Answers with the id of another request."""
+    """Runs the request and answers with the id of another one; every other time it rejects that."""
     HANG = "hang"
     """Runs the request and never answers."""
     UNSEALED = "unsealed"
@@ -367,6 +367,8 @@
         common = [("X-Attempt-Id", response_id), ("Keep-Alive", f"timeout={KEEP_ALIVE_S}")]
         if self.fault is not EngineFault.UNSEALED:
             common.append(("X-Engine-Seal", f"seal-{self.engine_id}"))
+        if self.fault is EngineFault.CROSSED and len(self.runs) % 2 == 0:
+            return await self._send(http, writer, 503, [*common, ("X-Not-Executed", "1")], b"")
         if self.fault is EngineFault.ERROR:
             return await self._send(http, writer, 500, common, b"failed")
         is_stream = b"stream" in request.target
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -140,8 +140,11 @@
         instance = await self.start_instance()
         self.set_fault(EngineFault.CROSSED)
         caller = await Caller.open(instance.callers)
-        self.assertEqual((await caller.send_request(CALL_PREFIX + "x", body=b"pay")).status, 502)
-        self.assertEqual(self.count_runs(), 1)
+        for number in range(1, 7):
+            reply = await caller.send_request(
+                CALL_PREFIX + "x", request_id=f"r{number}", body=b"pay"
+            )
+            self.assertEqual((reply.status, self.count_runs()), (502, number))
 
     async def test_a_second_answer_never_reaches_the_next_caller(self) -> None:
         """Each caller gets its own response although engines send a second one after each.
