--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -372,10 +372,7 @@
             await write_endless_answer(writer, self.endless, request_id, seal)
         if self.fault is EngineFault.LOSE:
             return False
-        response_id = "other" if self.fault is EngineFault.CROSSED else request_id
-        common = [("X-Attempt-Id", response_id), ("Keep-Alive", f"timeout={KEEP_ALIVE_S}")]
-        if self.fault is not EngineFault.UNSEALED:
-            common.append(("X-Engine-Seal", f"seal-{self.engine_id}"))
+        common = self._build_headers(request_id)
         if self.fault is EngineFault.CROSSED and len(self.runs) % 2 == 0:
             return await self._send(http, writer, 503, [*common, ("X-Not-Executed", "1")], b"")
         if self.fault is EngineFault.ERROR:
@@ -403,6 +400,14 @@
             )
         return keep_open
 
+    def _build_headers(self, request_id: str) -> list[Header]:
+        """Return the headers of all answers, as far as the fault lets it send them."""
+        response_id = "other" if self.fault is EngineFault.CROSSED else request_id
+        headers = [("X-Attempt-Id", response_id), ("Keep-Alive", f"timeout={KEEP_ALIVE_S}")]
+        if self.fault is not EngineFault.UNSEALED:
+            headers.append(("X-Engine-Seal", f"seal-{self.engine_id}"))
+        return headers
+
     async def _end_under(
         self,
         http: h11.Connection,
