--- a/soak/rolls.py
+++ b/soak/rolls.py
@@ -1,4 +1,4 @@
-"""Command line of the rolls: ``python -m soak.rolls --seeds 1-50 --parallel 2``."""
+"""Command line of the rolls: ``python -m soak.rolls --seeds 1-50``."""
 
 from __future__ import annotations
 
