--- a/soak/roll_run.py
+++ b/soak/roll_run.py
@@ -3,24 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
-import signal
-import sys
 import time
 from collections import Counter
-from contextlib import suppress
-from dataclasses import dataclass, field
-from pathlib import Path
+from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING, Any, Final
 
 from guavamast.platform.standins.prefill_batch import PrefillBatch
-from guavamast.platform.standins.site import MODELS, Site, write_settings
+from guavamast.platform.standins.site import MODELS, Site
 from soak.callers import fetch_addresses
 from soak.departures import DepartureRecord, Outcome, classify, describe
-from soak.instances import handles_signal
 from soak.roll_callers import RollCaller, RollRequest
+from soak.roll_instance import GRACE_S, RollInstance
 from soak.roll_workload import PREFILL_TOKENS_PER_S, ROUTES
 
 if TYPE_CHECKING:
@@ -33,7 +27,6 @@
 SLOTS: Final = 64
 CALLERS: Final = 92
 """Callers that send the requests of the workload together."""
-GRACE_S: Final = 8.0
 STOP_MARGIN_S: Final = 0.6
 """Seconds before the end of the grace time at which a stream has to be over for its instance to
 end in time."""
@@ -53,9 +46,6 @@
 RESTART_PAUSE_S: Final = 0.3
 STOPPED_AGAIN_SHARE: Final = 0.3
 """Share of the replaced instances that are stopped again while they start."""
-KEPT_LOG_LINES: Final = 6
-LOG_TICK_S: Final = 0.001
-"""Seconds to which the times in the log are rounded."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -94,97 +84,6 @@
     """Instances that were killed, or exited otherwise than asked for."""
 
 
-@dataclass(slots=True, kw_only=True)
-class RollInstance:
-    """One instance, which runs as a series of processes."""
-
-    settings: dict[str, Any]
-    directory: str
-    source: str
-    signals: list[float] = field(default_factory=list)
-    wall_signals: list[float] = field(default_factory=list)
-    """Times of the same signals on the wall clock, which the log uses."""
-    failures: list[str] = field(default_factory=list)
-    process: asyncio.subprocess.Process | None = None
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
-    """Held while it is replaced, so that no process is left behind by two replacements."""
-
-    @property
-    def name(self) -> str:
-        """Its name."""
-        return str(self.settings["node_name"])
-
-    @property
-    def address(self) -> str:
-        """Its address for callers."""
-        return str(self.settings["listen"]["front"])
-
-    @property
-    def log(self) -> Path:
-        """The log of all its processes."""
-        return Path(self.directory) / f"{self.name}.log"
-
-    async def start(self) -> None:
-        """Start a process of the version in the source directory."""
-        environment = os.environ | {
-            "GUAVAMAST_SETTINGS": write_settings(self.settings, self.directory)
-        }
-        if self.source:
-            environment["PYTHONPATH"] = self.source
-        with open(self.log, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "guavamast.platform",
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    async def terminate(self) -> None:
-        """Send SIGTERM, and SIGKILL after the grace time, as the platform does."""
-        process = self.process
-        if process is None or process.returncode is not None:
-            return
-        started = handles_signal(process.pid, signal.SIGTERM)
-        self.signals.append(time.monotonic())
-        self.wall_signals.append(time.time())
-        process.send_signal(signal.SIGTERM)
-        try:
-            await asyncio.wait_for(process.wait(), GRACE_S)
-        except TimeoutError:
-            with suppress(ProcessLookupError):
-                process.kill()
-            status = await process.wait()
-            self.failures.append(
-                f"{self.name} had not ended after the grace time; exit status {status}"
-            )
-        if process.returncode not in (0, -signal.SIGKILL) and started:
-            self.failures.append(f"{self.name} exited with code {process.returncode}")
-
-    def reload(self) -> None:
-        """Send SIGHUP, if the process handles it yet."""
-        process = self.process
-        if process is None or process.returncode is not None:
-            return
-        if handles_signal(process.pid, signal.SIGHUP):
-            process.send_signal(signal.SIGHUP)
-
-    def list_signal_delays(self) -> list[float]:
-        """Return the seconds from each signal until its process logged that it leaves."""
-        lines = self.log.read_text(errors="replace").splitlines()
-        leaving = [json.loads(one)["time"] for one in lines if '"event":"leaving"' in one]
-        return [
-            min(at - sent_at for sent_at in self.wall_signals if sent_at <= at + LOG_TICK_S)
-            for at in leaving
-        ]
-
-    def find_log_lines(self, request_id: str) -> list[str]:
-        """Return the last lines that name a request."""
-        lines = self.log.read_text(errors="replace").splitlines()
-        return [line for line in lines if f'"{request_id}"' in line][-KEPT_LOG_LINES:]
-
-
 class RollRun:
     """Stops instances in rolls, twice each, while callers send requests of five kinds.
 
