--- a/soak/instances.py
+++ b/soak/instances.py
@@ -7,13 +7,14 @@
 import signal
 import sys
 import time
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 from guavamast.platform.standins.site import write_settings
 from soak.guarantees import Span
 from soak.partitions import PARTITION_ENV_VARIABLE
+from soak.process_signals import handles_signal, send_signal
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,17 +29,6 @@
 """Event that a process logs once it listens and handles signals."""
 
 
-def handles_signal(pid: int, number: signal.Signals) -> bool:
-    """Return whether a process ignores or catches a signal, so that the signal does not end it."""
-    bit = 1 << (number - 1)
-    try:
-        with open(f"/proc/{pid}/status", encoding="ascii") as status:
-            masks = [line.split()[1] for line in status if line.startswith(("SigIgn", "SigCgt"))]
-    except FileNotFoundError:
-        return False
-    return any(int(mask, 16) & bit for mask in masks)
-
-
 class Instance:
     """One instance, which runs as a series of processes.
 
@@ -157,8 +147,8 @@
             self.disruptions.append(Span(started_at=started_at, ended_at=time.monotonic()))
 
     def _signal(self, number: signal.Signals) -> None:
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
+        if self._process is not None:
+            send_signal(self._process, number)
 
     async def _end_process(self, number: signal.Signals) -> None:
         process = self._process
@@ -170,15 +160,14 @@
             return
         if number is signal.SIGTERM:
             self.signals.append(time.monotonic())
-        process.send_signal(number)
+        send_signal(process, number)
         try:
             await asyncio.wait_for(process.wait(), self._stop_timeout_s)
         except TimeoutError:
             self.unexpected_exits.append(
                 f"{self.name} did not exit within {self._stop_timeout_s} s"
             )
-            with suppress(ProcessLookupError):
-                process.kill()
+            send_signal(process, signal.SIGKILL)
             await process.wait()
         if process.returncode not in self._list_expected_exit_codes(number):
             self.unexpected_exits.append(f"{self.name} exited with code {process.returncode}")
--- a/soak/roll_instance.py
+++ b/soak/roll_instance.py
@@ -8,13 +8,12 @@
 import signal
 import sys
 import time
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
 
 from guavamast.platform.standins.site import write_settings
-from soak.instances import handles_signal
+from soak.process_signals import handles_signal, send_signal
 
 GRACE_S: Final = 8.0
 """Seconds from SIGTERM until a process is killed."""
@@ -78,12 +77,11 @@
         started = handles_signal(process.pid, signal.SIGTERM)
         self.signals.append(time.monotonic())
         self.wall_signals.append(time.time())
-        process.send_signal(signal.SIGTERM)
+        send_signal(process, signal.SIGTERM)
         try:
             await asyncio.wait_for(process.wait(), GRACE_S)
         except TimeoutError:
-            with suppress(ProcessLookupError):
-                process.kill()
+            send_signal(process, signal.SIGKILL)
             status = await process.wait()
             self.failures.append(
                 f"{self.name} had not ended after the grace time; exit status {status}"
@@ -97,7 +95,7 @@
         if process is None or process.returncode is not None:
             return
         if handles_signal(process.pid, signal.SIGHUP):
-            process.send_signal(signal.SIGHUP)
+            send_signal(process, signal.SIGHUP)
 
     def list_signal_delays(self) -> list[float]:
         """Return the seconds from each signal until its process logged that it leaves."""
--- a/tests/test_departing_clock.py
+++ b/tests/test_departing_clock.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import Any, Final
 
+from soak.process_signals import send_signal
+
 from guavamast.platform.standins.site import STREAM_PREFIX, write_settings
 from guavamast.relay.peers import HEARTBEAT_INTERVAL_S
 from tests._kept_callers import KeptCallers
@@ -58,8 +60,7 @@
         await asyncio.sleep(BLOCKED_BEFORE_S)
         process.send_signal(signal.SIGTERM)
         await asyncio.sleep(GRACE_S)
-        if process.returncode is None:
-            process.kill()
+        send_signal(process, signal.SIGKILL)
         await sending
         self.assertEqual(await process.wait(), 0)
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,7 +8,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from soak.instances import handles_signal
+from soak.process_signals import handles_signal, send_signal
 
 from guavamast.platform.standins.engine import EVENTS_PER_STREAM, EngineFault, encode_event
 from guavamast.platform.standins.site import (
@@ -397,7 +397,7 @@
             self.addAsyncCleanup(instance.stop)
             await self.wait_signal_ignored(process.pid)
             while process.returncode is None and await instance.read_readiness() != 200:
-                process.send_signal(signal.SIGHUP)
+                send_signal(process, signal.SIGHUP)
                 await asyncio.sleep(0.02)
             if process.returncode is None:
                 return
--- a/tests/test_restarting_instances.py
+++ b/tests/test_restarting_instances.py
@@ -5,10 +5,9 @@
 import asyncio
 import signal
 import unittest
-from contextlib import suppress
 from typing import TYPE_CHECKING, Final
 
-from soak.instances import handles_signal
+from soak.process_signals import handles_signal, send_signal
 
 from guavamast.platform.standins.site import CALL_PREFIX, HOST, KEY, STREAM_PREFIX
 from tests._departure_callers import DepartureCallers
@@ -130,8 +129,7 @@
         while not handles_signal(process.pid, since):
             await asyncio.sleep(0.002)
         while process.returncode is None:
-            with suppress(ProcessLookupError):
-                process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             await asyncio.sleep(SIGNAL_INTERVAL_S)
         await sending
         self.assertEqual(callers.list_unanswered(), [], describe(callers.list_unanswered()))
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import subprocess
 import sys
 import time
 import unittest
-from contextlib import suppress
 from typing import TYPE_CHECKING, Final
 
+from soak.process_signals import send_signal
+
 from guavamast.platform.standins.site import STREAM_PREFIX
 from tests._kept_callers import KeptCallers
 from tests._late_signals import DAEMON
@@ -119,20 +119,11 @@
         self.assertEqual([one for one in late if one.is_cut], [])
 
     async def signal_until_gone(self, instance: Instance) -> None:
-        """Send signals until the process of an instance has ended.
-
-        They go to a descriptor of the process: ``send_signal`` also asks for its exit status, and
-        where that comes before the loop's own question, the loop reports 255 in its place.
-        """
-        descriptor = os.pidfd_open(instance.process.pid)
-        try:
-            while instance.process.returncode is None:
-                for number in (signal.SIGHUP, signal.SIGTERM):
-                    with suppress(ProcessLookupError):
-                        signal.pidfd_send_signal(descriptor, number)
-                await asyncio.sleep(SIGNAL_INTERVAL_S)
-        finally:
-            os.close(descriptor)
+        """Send signals until the process of an instance has ended."""
+        while instance.process.returncode is None:
+            for number in (signal.SIGHUP, signal.SIGTERM):
+                send_signal(instance.process, number)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
 
 
 if __name__ == "__main__":
