--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -5,11 +5,14 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from guavamast.platform.standins.lethal_requests import LETHAL_DELAY_S
 from guavamast.platform.standins.site import CRASH_RESTART_S
 
+if TYPE_CHECKING:
+    from soak.partition_record import PartitionRecord
+
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 """Statuses that state that a request has not run and never will."""
 DENIAL_STATUSES: Final = (401, 403, 404)
@@ -122,14 +125,6 @@
     ended_at: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PartitionRecord:
-    """Instances that were partitioned from engines, and otherwise undisturbed."""
-
-    span: Span
-    addresses: frozenset[str]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SoakRecord:
     """Everything that was recorded in a soak run."""
@@ -357,7 +352,7 @@
         and not request.anywhere
     ]
     there = [request.served for request in sent if request.address in partition.addresses]
-    others = [request.served for request in sent if request.address not in partition.addresses]
+    others = [request.served for request in sent if request.address in partition.others]
     failed = len(there) - sum(there)
     if not there or not others or failed <= PARTITIONED_SLACK + PARTITIONED_SLACK_SHARE * len(sent):
         return []
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,16 +14,14 @@
 from soak.fault_injector import RELEASE_VERSIONS, FaultInjector
 from soak.guarantees import (
     REVOKE_BOUND_S,
-    SPREAD_BOUND_S,
-    PartitionRecord,
     RequestRecord,
     SoakRecord,
     Span,
     find_violations,
-    is_undisturbed,
 )
 from soak.kept_streams import GRACES_S, KeptStreams
 from soak.lethal import LethalCaller
+from soak.partition_record import record_partition
 from soak.prompts import PromptCrowd
 from soak.rate_limits import RateLimitNamer
 from soak.schedule import (
@@ -254,19 +252,7 @@
             recovered_at=ended_at - RECOVERY_S + RECOVERY_GRACE_S,
             ended_at=ended_at,
             partitions=[
-                PartitionRecord(
-                    span=span,
-                    addresses=frozenset(
-                        instance.caller_address
-                        for instance in instances
-                        if is_undisturbed(
-                            instance.disruptions,
-                            span.started_at,
-                            span.ended_at,
-                            after_s=SPREAD_BOUND_S,
-                        )
-                    ),
-                )
+                record_partition(span, partitioned=instances, instances=self._site.instances)
                 for span, instances in self._injector.partitions
             ],
             memory_peaks=self._memory.peaks,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,6 @@
     HELD_UP_SLACK,
     LOOKUP_BOUND_S,
     REVOKE_BOUND_S,
-    PartitionRecord,
     RequestKind,
     RequestRecord,
     RunRecord,
@@ -24,6 +23,7 @@
     Span,
     find_violations,
 )
+from soak.partition_record import PartitionRecord, record_partition
 from soak.proxy import LinkFault, LinkProxy
 from soak.rate_limits import LimitedSpan, RateLimitNamer
 from soak.run import SoakRun
@@ -256,7 +256,9 @@
 
     def test_partitioned_instances_that_serve_less_than_the_others(self) -> None:
         partition = PartitionRecord(
-            span=Span(started_at=1.0, ended_at=20.0), addresses=frozenset({"cut"})
+            span=Span(started_at=1.0, ended_at=20.0),
+            addresses=frozenset({"cut"}),
+            others=frozenset({"other"}),
         )
         others = [replace(CALL, request_id=f"o{n}", address="other") for n in range(20)]
         runs = [replace(RUN, request_id=one.request_id) for one in others]
@@ -273,6 +275,29 @@
         self.assert_violation(record, "partitioned instances served 0 of 11")
         few = replace(build_record([*others, *refused[:10]], runs), partitions=[partition])
         self.assertEqual(find_violations(few), [])
+        none_else = replace(partition, others=frozenset())
+        nobody_reaches = replace(record, partitions=[none_else])
+        self.assertEqual(find_violations(nobody_reaches), [])
+
+    def test_instances_beside_a_partition_are_those_that_nothing_disturbed(self) -> None:
+        """Guards against a partition of all that is judged by one of them which is also frozen."""
+        span = Span(started_at=1.0, ended_at=5.0)
+        cut, cut_and_frozen, killed, calm = (
+            mock.Mock(caller_address=name, disruptions=disruptions)
+            for name, disruptions in (
+                ("cut", []),
+                ("cut and frozen", [span]),
+                ("killed", [span]),
+                ("calm", []),
+            )
+        )
+        record = record_partition(
+            span,
+            partitioned=[cut, cut_and_frozen],
+            instances=[cut, cut_and_frozen, killed, calm],
+        )
+        self.assertEqual(record.addresses, {"cut"})
+        self.assertEqual(record.others, {"calm"})
 
     def test_no_recovery(self) -> None:
         record = build_record([CALL], [RUN])
