Tests run in several processes at the same time

Change: make test runs each test class in a process of its own, LANES (4) at the same time, and the soak's long tests one by one before all others. The verdict is made from all reports: a test that no process has run, or whose process has ended without a report, has failed.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+# Processes that run tests at the same time.
+LANES ?= 4
 
 .PHONY: demo test format bench prove slopes proto soak
 
@@ -17,7 +19,7 @@
 test: $(STAMP)
 	$(BIN)/black --check --quiet src tests bench tools soak
 	$(BIN)/ruff check --quiet src tests bench tools soak
-	$(BIN)/python -m tools.run_tests
+	$(BIN)/python -m tools.run_tests --lanes $(LANES) --slowest 20
 
 format: $(STAMP)
 	$(BIN)/black --quiet src tests bench tools soak
--- a/tests/test_run_tests.py
+++ b/tests/test_run_tests.py
@@ -7,7 +7,7 @@
 import unittest
 
 from tools.known_red import parse_entries
-from tools.run_tests import TimedResult, find_run_failures
+from tools.run_tests import TimedResult, find_run_failures, list_slowest
 
 
 class TimedResultTest(unittest.TestCase):
@@ -18,7 +18,7 @@
         sleeper = unittest.FunctionTestCase(lambda: time.sleep(0.01))
         result = runner.run(unittest.TestSuite([sleeper]))
         assert isinstance(result, TimedResult)
-        (line,) = result.list_slowest(3)
+        (line,) = list_slowest(result.durations_s, 3)
         self.assertIn(f" s  {sleeper.id()}", line)
         self.assertGreaterEqual(result.durations_s[sleeper.id()], 0.01)
 
--- /dev/null
+++ b/tests/test_test_lanes.py
@@ -0,0 +1,59 @@
+"""Tests of test runs in several processes."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from unittest import mock
+
+from tools.test_lanes import ClassReport, group_ids, run_lanes
+
+CLASS = "tests.test_run_tests.FindRunFailuresTest"
+TEST = f"{CLASS}.test_more_than_three_fail_the_run"
+
+
+class GroupIdsTest(unittest.TestCase):
+    """Each test is in one group."""
+
+    def test_tests_are_grouped_by_class_and_those_of_long_classes_come_first(self) -> None:
+        ids = ["tests.a.A.one", "tests.a.A.two", "tests.test_soak.SoakRunTest.long"]
+        self.assertEqual(
+            list(group_ids(ids).items()),
+            [(ids[2], [ids[2]]), ("tests.a.A", ids[:2])],
+        )
+
+
+class RunLanesTest(unittest.TestCase):
+    """A failure in a process of its own is a failure of the run."""
+
+    def test_a_group_that_passes_reports_its_tests(self) -> None:
+        (report,) = run_lanes({TEST: [TEST]}, lanes=1)
+        self.assertEqual(report.failed, frozenset())
+        self.assertEqual(list(report.durations_s), [TEST])
+
+    def test_a_test_that_does_not_exist_fails(self) -> None:
+        """Guards against a run that counts tests which no process has run as passed."""
+        (report,) = run_lanes({f"{CLASS}.test_gone": [f"{CLASS}.test_gone"]}, lanes=1)
+        self.assertNotEqual(report.failed, frozenset())
+
+    def test_a_process_without_a_report_fails_all_of_its_tests(self) -> None:
+        """Guards against a run that passes although one of its processes was ended."""
+        with mock.patch.object(sys, "executable", "/bin/false"):
+            (report,) = run_lanes({CLASS: ["a", "b"]}, lanes=1)
+        self.assertEqual(report.failed, {"a", "b"})
+        self.assertIn("exit status 1", report.output)
+
+    def test_a_torn_report_is_none(self) -> None:
+        with self.assertRaises(ValueError):
+            ClassReport.from_json('{"failed": [', ids=["a"], output="")
+
+    def test_a_test_that_has_not_run_fails(self) -> None:
+        """Guards against a process that runs fewer tests than were found."""
+        report = ClassReport.from_json(
+            '{"failed": [], "durations_s": {"a": 1.0}}', ids=["a", "b"], output=""
+        )
+        self.assertEqual(report.failed, {"b"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,9 +19,12 @@
     find_list_faults,
     parse_entries,
 )
+from tools.test_lanes import LOAD_ERROR_PREFIX, ClassReport, group_ids, run_lanes
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE: Final = ROOT / "KNOWN-RED.txt"
+ALL_TESTS: Final = "test_*.py"
+"""Pattern of all test modules."""
 
 
 class TimedResult(unittest.TextTestResult):
@@ -43,10 +46,11 @@
         super().stopTest(test)
         self.durations_s[test.id()] = time.monotonic() - self._started_at
 
-    def list_slowest(self, count: int) -> list[str]:
-        """Return a line for each of the tests that took longest."""
-        slowest = sorted(self.durations_s.items(), key=lambda one: one[1], reverse=True)
-        return [f"{duration_s:6.1f} s  {test_id}" for test_id, duration_s in slowest[:count]]
+
+def list_slowest(durations_s: dict[str, float], count: int) -> list[str]:
+    """Return a line for each of the tests that took longest."""
+    slowest = sorted(durations_s.items(), key=lambda one: one[1], reverse=True)
+    return [f"{duration_s:6.1f} s  {test_id}" for test_id, duration_s in slowest[:count]]
 
 
 def read_known_red() -> list[KnownFailure]:
@@ -83,23 +87,62 @@
     return reasons
 
 
-def main() -> int:
-    """Run the tests and print the verdict; the closing line is ``N passed, N failed``."""
+def run_suite(suite: unittest.TestSuite) -> ClassReport:
+    """Run tests in this process; what they print goes to standard error."""
+    runner = unittest.TextTestRunner(verbosity=1, stream=sys.stderr, resultclass=TimedResult)
+    result = runner.run(suite)
+    assert isinstance(result, TimedResult)
+    return ClassReport(
+        failed=frozenset(find_failed_ids(result)), durations_s=result.durations_s, output=""
+    )
+
+
+def run_in_lanes(ids: list[str], *, lanes: int) -> list[ClassReport]:
+    """Run tests in several processes, and print what those with a failure have printed."""
+    reports = []
+    groups = group_ids(ids)
+    for name, report in zip(groups, run_lanes(groups, lanes=lanes), strict=True):
+        took_s = sum(report.durations_s.values())
+        verdict = f"{len(report.failed)} failed" if report.failed else "ok"
+        print(f"{name}: {len(groups[name])} tests, {took_s:.1f} s, {verdict}", flush=True)
+        if report.failed:
+            print(report.output, flush=True)
+        reports.append(report)
+    return reports
+
+
+def parse_arguments() -> argparse.Namespace:
+    """Return the arguments of the command line."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--property-only", action="store_true", help="only *_properties modules")
-    parser.add_argument("--pattern", default="test_*.py")
+    parser.add_argument("--pattern", default=ALL_TESTS)
     parser.add_argument("--slowest", type=int, default=0, help="print so many tests by duration")
-    args = parser.parse_args()
+    parser.add_argument("--lanes", type=int, default=1, help="so many processes at the same time")
+    parser.add_argument("--only", help="run one module, class or test in this process")
+    parser.add_argument("--report", help="write the report of --only to this file")
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run the tests and print the verdict; the closing line is ``N passed, N failed``."""
+    args = parse_arguments()
+    if args.only:
+        report = run_suite(unittest.defaultTestLoader.loadTestsFromName(args.only))
+        Path(args.report).write_text(report.to_json())
+        return 1 if report.failed else 0
     pattern = "test_*_properties.py" if args.property_only else args.pattern
     suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), pattern, str(ROOT))
     ids = collect_ids(suite)
-    runner = unittest.TextTestRunner(verbosity=1, stream=sys.stderr, resultclass=TimedResult)
-    result = runner.run(suite)
-    assert isinstance(result, TimedResult)
-    for line in result.list_slowest(args.slowest):
+    can_load_all = not any(one.startswith(LOAD_ERROR_PREFIX) for one in ids)
+    if args.lanes > 1 and can_load_all:
+        reports = run_in_lanes(ids, lanes=args.lanes)
+    else:
+        reports = [run_suite(suite)]
+    durations_s = {test_id: s for one in reports for test_id, s in one.durations_s.items()}
+    for line in list_slowest(durations_s, args.slowest):
         print(line)
-    failed = find_failed_ids(result)
-    known = [] if pattern != "test_*.py" else read_known_red()
+    failed = {test_id for one in reports for test_id in one.failed}
+    known = [] if pattern != ALL_TESTS else read_known_red()
     for entry in known:
         print(f"known red: {entry.line}")
     reasons = find_run_failures(ids, failed, known)
--- /dev/null
+++ b/tools/test_lanes.py
@@ -0,0 +1,91 @@
+"""Runs test classes in several processes at the same time and collects their results."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+LOAD_ERROR_PREFIX: Final = "unittest.loader."
+"""Begin of the ids that unittest gives to modules that can't be imported."""
+LONG_CLASSES: Final = ("tests.test_soak.SoakRunTest",)
+"""Classes that take minutes; each of their tests is run by itself, before all others."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClassReport:
+    """Result of the tests that one process has run."""
+
+    failed: frozenset[str]
+    """Ids of the failed tests."""
+    durations_s: dict[str, float]
+    """Seconds that each test took, by id."""
+    output: str
+    """What the process has printed."""
+
+    def to_json(self) -> str:
+        """Return the report without its output."""
+        return json.dumps({"failed": sorted(self.failed), "durations_s": self.durations_s})
+
+    @classmethod
+    def from_json(cls, text: str, *, ids: list[str], output: str) -> ClassReport:
+        """Return the report that a process has written.
+
+        Args:
+            text: The report.
+            ids: Tests that the process was asked to run; those that it hasn't run have failed.
+            output: What the process has printed.
+
+        Raises:
+            ValueError: If the text is no report, as the process has not come to its end.
+        """
+        fields: dict[str, Any] = json.loads(text)
+        durations_s = fields["durations_s"]
+        failed = {*fields["failed"], *(one for one in ids if one not in durations_s)}
+        return cls(failed=frozenset(failed), durations_s=durations_s, output=output)
+
+
+def group_ids(ids: Iterable[str]) -> dict[str, list[str]]:
+    """Return the test ids by the name that a process is asked to run, longest first."""
+    groups: dict[str, list[str]] = {}
+    for test_id in ids:
+        class_name = test_id.rpartition(".")[0]
+        name = test_id if class_name in LONG_CLASSES else class_name
+        groups.setdefault(name, []).append(test_id)
+    return dict(sorted(groups.items(), key=lambda group: group[0] not in group[1]))
+
+
+def run_lanes(groups: dict[str, list[str]], *, lanes: int) -> Iterator[ClassReport]:
+    """Run groups of tests, each in a process of its own, and yield the reports in their order.
+
+    Args:
+        groups: Test ids by the name of their group.
+        lanes: Number of processes at the same time.
+    """
+    with ThreadPoolExecutor(lanes) as pool:
+        yield from pool.map(lambda group: _run_group(*group), groups.items())
+
+
+def _run_group(name: str, ids: list[str]) -> ClassReport:
+    with tempfile.TemporaryDirectory() as directory:
+        report = Path(directory) / "report.json"
+        command = [sys.executable, "-m", "tools.run_tests", "--only", name, "--report", str(report)]
+        process = subprocess.run(
+            command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, check=False
+        )
+        try:
+            return ClassReport.from_json(report.read_text(), output=process.stdout, ids=ids)
+        except (FileNotFoundError, ValueError):
+            # It was ended from outside, or has ended the interpreter: none of its tests counts.
+            ending = f"{name}: no report, exit status {process.returncode}\n"
+            return ClassReport(
+                failed=frozenset(ids), durations_s={}, output=process.stdout + ending
+            )
