A test module with tests of other names runs in one process

Cause: the first whole run in lanes counted KeeperMachine as failed: a state machine's id names the library's module, and no process can load it by that. The run told so; nothing had passed unseen.

Change: test ids are found by module. A module whose ids don't all begin with its name is one group.

--- a/tests/test_test_lanes.py
+++ b/tests/test_test_lanes.py
@@ -16,11 +16,15 @@
     """Each test is in one group."""
 
     def test_tests_are_grouped_by_class_and_those_of_long_classes_come_first(self) -> None:
-        ids = ["tests.a.A.one", "tests.a.A.two", "tests.test_soak.SoakRunTest.long"]
-        self.assertEqual(
-            list(group_ids(ids).items()),
-            [(ids[2], [ids[2]]), ("tests.a.A", ids[:2])],
-        )
+        short = ["tests.a.A.one", "tests.a.A.two"]
+        long = "tests.test_soak.SoakRunTest.long"
+        groups = group_ids({"tests.a": short, "tests.test_soak": [long]})
+        self.assertEqual(list(groups.items()), [(long, [long]), ("tests.a.A", short)])
+
+    def test_a_module_with_tests_of_other_names_is_one_group(self) -> None:
+        """Guards against state machines that no process can load by their ids."""
+        ids = ["tests.a.A.one", "hypothesis.stateful.Machine.TestCase.runTest"]
+        self.assertEqual(group_ids({"tests.a": ids}), {"tests.a": ids})
 
 
 class RunLanesTest(unittest.TestCase):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,7 +19,7 @@
     find_list_faults,
     parse_entries,
 )
-from tools.test_lanes import LOAD_ERROR_PREFIX, ClassReport, group_ids, run_lanes
+from tools.test_lanes import ClassReport, group_ids, run_lanes
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE: Final = ROOT / "KNOWN-RED.txt"
@@ -58,6 +58,12 @@
     return parse_entries(KNOWN_RED_FILE.read_text()) if KNOWN_RED_FILE.exists() else []
 
 
+def load_modules(pattern: str) -> dict[str, unittest.TestSuite]:
+    """Return the tests of each module whose file matches a pattern, by the module's name."""
+    names = [f"tests.{path.stem}" for path in sorted((ROOT / "tests").glob(pattern))]
+    return {name: unittest.defaultTestLoader.loadTestsFromName(name) for name in names}
+
+
 def collect_ids(suite: unittest.TestSuite) -> list[str]:
     """Return the ids of all tests of a suite, in order."""
     ids: list[str] = []
@@ -97,10 +103,10 @@
     )
 
 
-def run_in_lanes(ids: list[str], *, lanes: int) -> list[ClassReport]:
+def run_in_lanes(ids_by_module: dict[str, list[str]], *, lanes: int) -> list[ClassReport]:
     """Run tests in several processes, and print what those with a failure have printed."""
     reports = []
-    groups = group_ids(ids)
+    groups = group_ids(ids_by_module)
     for name, report in zip(groups, run_lanes(groups, lanes=lanes), strict=True):
         took_s = sum(report.durations_s.values())
         verdict = f"{len(report.failed)} failed" if report.failed else "ok"
@@ -131,13 +137,13 @@
         Path(args.report).write_text(report.to_json())
         return 1 if report.failed else 0
     pattern = "test_*_properties.py" if args.property_only else args.pattern
-    suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), pattern, str(ROOT))
-    ids = collect_ids(suite)
-    can_load_all = not any(one.startswith(LOAD_ERROR_PREFIX) for one in ids)
-    if args.lanes > 1 and can_load_all:
-        reports = run_in_lanes(ids, lanes=args.lanes)
+    modules = load_modules(pattern)
+    ids_by_module = {name: collect_ids(suite) for name, suite in modules.items()}
+    ids = [test_id for module_ids in ids_by_module.values() for test_id in module_ids]
+    if args.lanes > 1:
+        reports = run_in_lanes(ids_by_module, lanes=args.lanes)
     else:
-        reports = [run_suite(suite)]
+        reports = [run_suite(unittest.TestSuite(modules.values()))]
     durations_s = {test_id: s for one in reports for test_id, s in one.durations_s.items()}
     for line in list_slowest(durations_s, args.slowest):
         print(line)
--- a/tools/test_lanes.py
+++ b/tools/test_lanes.py
@@ -12,10 +12,8 @@
 from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
-LOAD_ERROR_PREFIX: Final = "unittest.loader."
-"""Begin of the ids that unittest gives to modules that can't be imported."""
 LONG_CLASSES: Final = ("tests.test_soak.SoakRunTest",)
 """Classes that take minutes; each of their tests is run by itself, before all others."""
 
@@ -53,13 +51,22 @@
         return cls(failed=frozenset(failed), durations_s=durations_s, output=output)
 
 
-def group_ids(ids: Iterable[str]) -> dict[str, list[str]]:
-    """Return the test ids by the name that a process is asked to run, longest first."""
+def group_ids(modules: dict[str, list[str]]) -> dict[str, list[str]]:
+    """Return test ids by the name under which a process loads them, long classes first.
+
+    A module with tests that aren't named after it, such as state machines or a module that can't be
+    imported, is one group: no other name loads them.
+
+    Args:
+        modules: Test ids by the name of their module.
+    """
     groups: dict[str, list[str]] = {}
-    for test_id in ids:
-        class_name = test_id.rpartition(".")[0]
-        name = test_id if class_name in LONG_CLASSES else class_name
-        groups.setdefault(name, []).append(test_id)
+    for module, ids in modules.items():
+        loads_by_id = all(test_id.startswith(f"{module}.") for test_id in ids)
+        for test_id in ids:
+            class_name = test_id.rpartition(".")[0]
+            own_name = test_id if class_name in LONG_CLASSES else class_name
+            groups.setdefault(own_name if loads_by_id else module, []).append(test_id)
     return dict(sorted(groups.items(), key=lambda group: group[0] not in group[1]))
 
 
