--- a/src/guavamast/relay/node/service.py
+++ b/src/guavamast/relay/node/service.py
@@ -21,6 +21,7 @@
 from guavamast.relay.listener import CallerListener
 from guavamast.relay.listener_recorder import ListenerRecorder
 from guavamast.relay.relayer_factory import build_relayer
+from guavamast.relay.request_metrics import RequestMetrics
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.response_durations import ResponseDurations
 
@@ -64,7 +65,7 @@
         )
         self._recorder = RequestRecorder(
             log=context.log,
-            counters=context.counters,
+            metrics=RequestMetrics(counters=context.counters),
             fleet_state=context.fleet_state,
             loop_delay=context.loop_delay,
             schedule=context.schedule,
--- a/src/guavamast/relay/request_recorder.py
+++ b/src/guavamast/relay/request_recorder.py
@@ -1,34 +1,30 @@
-"""Log lines and metrics of the decisions on requests."""
+"""Log lines of the decisions on requests, beside their metrics."""
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.endpoint_connection import ConnectionKind
 from guavamast.relay.freshness import round_age
-from guavamast.relay.placement import ObstacleKind
 from guavamast.relay.unserved_cause import UnservedCause
 
 if TYPE_CHECKING:
     from guavamast.relay.attempt_failure import AttemptFailed
     from guavamast.relay.caller_gate import Admitted, Denied
-    from guavamast.relay.counters import Counters
     from guavamast.relay.decision_log import DecisionLog
     from guavamast.relay.departure_schedule import DepartureSchedule
+    from guavamast.relay.endpoint_connection import ConnectionKind
     from guavamast.relay.endpoint_load import Load
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
     from guavamast.relay.loop_delay import LoopDelay
     from guavamast.relay.messages import CallerRequest, SendParameters
     from guavamast.relay.placement import Choice, Rejection
+    from guavamast.relay.request_metrics import RequestMetrics
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.response_end import ResponseEnd
     from guavamast.relay.scheduling_client import ScheduledReply
     from guavamast.relay.stream_binding import StreamBinding
 
-MAX_ORGANISATIONS: Final = 32
-"""Parts by organisation that a metric has at most; further organisations are counted together."""
 LOST_CAUSES: Final = frozenset({UnservedCause.INSTANCE_LEFT, UnservedCause.BROKEN_OFF})
 """Causes of requests that callers lose: their lines are always written."""
 
@@ -38,38 +34,32 @@
 
     Args:
         log: Receives the log lines.
-        counters: Receives the metrics.
+        metrics: Counts the decisions.
         fleet_state: Versions and ages of the data behind decisions.
         loop_delay: Delay of this process's event loop.
         schedule: Moments of this instance's departure.
     """
 
-    __slots__ = ("_counters", "_fleet_state", "_log", "_loop_delay", "_schedule", "_share_names")
+    __slots__ = ("_fleet_state", "_log", "_loop_delay", "_metrics", "_schedule")
 
     def __init__(
         self,
         *,
         log: DecisionLog,
-        counters: Counters,
+        metrics: RequestMetrics,
         fleet_state: FleetState,
         loop_delay: LoopDelay,
         schedule: DepartureSchedule,
     ) -> None:
         self._log = log
-        self._counters = counters
+        self._metrics = metrics
         self._fleet_state = fleet_state
         self._loop_delay = loop_delay
         self._schedule = schedule
-        self._share_names: set[str] = set()
-        """Organisations that have a metric of their own."""
 
     def record_connection(self, kind: ConnectionKind) -> None:
-        """Count a connection by whether it is new, and those that lead through other instances."""
-        if kind is ConnectionKind.FORWARDED:
-            self._counters.add("forwarded_sends_total")
-            return
-        is_new = str(kind is ConnectionKind.NEW).lower()
-        self._counters.add(f'endpoint_connections_total{{new="{is_new}"}}')
+        """Count a connection to an endpoint."""
+        self._metrics.count_connection(kind)
 
     def record_send(
         self,
@@ -88,13 +78,13 @@
     ) -> None:
         """Record that a request is sent to an endpoint."""
         ages = self._fleet_state.round_ages(now=now)
-        self._counters.add(f'sends_total{{repeat="{str(sends > 1).lower()}"}}')
-        if sends == 1:
-            self._counters.add(f'first_sends_total{{precedence="{admitted.precedence}"}}')
-            labels = f'service="{record.service}",precedence="{admitted.precedence}"'
-            self._counters.add(f"begun_tokens_total{{{labels}}}", request.prompt_tokens)
-        self._counters.observe("send_config_age_seconds", ages.config_s)
-        self._counters.observe("send_endpoints_age_seconds", ages.endpoints_s)
+        self._metrics.count_send(
+            admitted.precedence,
+            service=record.service,
+            prompt_tokens=request.prompt_tokens,
+            sends=sends,
+            ages=ages,
+        )
         self._log.write(
             "sent",
             now=now,
@@ -137,7 +127,7 @@
         self, request: CallerRequest, record: EndpointRecord, *, now: float
     ) -> None:
         """Record a request that is held back right before its send, as it lacks a permit."""
-        self._counters.add("rate_limited_sends_withheld_total")
+        self._metrics.count_withheld()
         self._log.write(
             "rate_limit_withheld",
             now=now,
@@ -149,9 +139,7 @@
         """Record the time to the first event, together with the forecast."""
         took_s = now - request.received_at
         expected_s = choice.forecast.first_event_ms / 1000.0 if choice.forecast else None
-        self._counters.observe("first_event_seconds", took_s)
-        if expected_s is not None:
-            self._counters.observe("forecast_error_seconds", abs(took_s - expected_s))
+        self._metrics.observe_first_event(took_s, expected_s=expected_s)
         self._log.write(
             "first_event",
             now=now,
@@ -180,8 +168,7 @@
             silence_s: Seconds since this instance last heard any endpoint of the service.
             now: The current time.
         """
-        self._counters.add(f'attempt_failures_total{{kind="{failure.kind}"}}')
-        self._count_response_end(failure.end)
+        self._metrics.count_failure(failure)
         self._log.write(
             "attempt_failed",
             now=now,
@@ -221,7 +208,7 @@
             unsent_s: Seconds for which the oldest of them had waited.
             now: The current time.
         """
-        self._counters.add("cut_readers_total")
+        self._metrics.count_cut_reader()
         self._log.write(
             "reader_cut",
             now=now,
@@ -235,7 +222,7 @@
     def record_rejection(self, request: CallerRequest, denied: Denied, *, now: float) -> None:
         """Record a request that is rejected without an attempt."""
         ages = self._fleet_state.round_ages(now=now)
-        self._counters.add(f'refusals_total{{status="{denied.status}"}}')
+        self._metrics.count_rejection(denied.status)
         self._log.write(
             "refused",
             now=now,
@@ -265,16 +252,9 @@
     ) -> None:
         """Record a request that is rejected for lack of capacity."""
         admitted = progress.admitted
-        self._counters.add('refusals_total{status="503"}')
-        self._counters.add(f'sent_back_total{{precedence="{admitted.precedence}"}}')
-        self._count_unserved(progress, UnservedCause.NO_ROOM)
+        self._metrics.count_capacity_rejection(admitted, obstacle=rejection.obstacle)
         expected = choice.forecast
         obstacle = rejection.obstacle
-        if obstacle is not None:
-            labels = f'precedence="{admitted.precedence}",by="{obstacle.kind}"'
-            self._counters.add(f"held_back_total{{{labels}}}")
-            if obstacle.kind is ObstacleKind.SHARE:
-                self._count_share_rejection(admitted.organisation_name)
         self._log.write(
             "refused",
             now=now,
@@ -305,13 +285,6 @@
             usable_engines=obstacle.engines if obstacle else None,
         )
 
-    def _count_share_rejection(self, organisation: str) -> None:
-        """Count a request that was rejected for its organisation's share."""
-        if organisation not in self._share_names and len(self._share_names) < MAX_ORGANISATIONS:
-            self._share_names.add(organisation)
-        known = organisation if organisation in self._share_names else "others"
-        self._counters.add(f"share_rejections_total{{organisation={json.dumps(known)}}}")
-
     def record_response(
         self,
         request: CallerRequest,
@@ -326,12 +299,7 @@
         timing = progress.timing
         took_s = now - request.received_at
         late = timing.classify_lateness(progress.admitted.route, took_s=took_s)
-        if late is not None:
-            self._counters.add(f'late_answers_total{{cause="{late}"}}')
-        self._count_end("answered", took_s)
-        self._count_response_end(end)
-        if timing.first_event_s is not None:
-            self._counters.observe("longest_pause_seconds", timing.longest_pause_s)
+        self._metrics.count_response(end, timing=timing, late=late, took_s=took_s)
         self._log.write(
             "ended",
             now=now,
@@ -381,12 +349,12 @@
             reason: Details of the cause.
         """
         took_s = now - request.received_at
-        self._count_end(outcome, took_s)
+        received_after_signal_s = self._schedule.compute_offset(request.received_at)
+        self._metrics.count_end(outcome, took_s=took_s)
         if progress is not None:
-            self._count_unserved(progress, cause)
+            self._metrics.count_unserved(progress.admitted.precedence, cause)
         if cause is UnservedCause.INSTANCE_LEFT:
-            received = "after" if self._is_after_signal(request) else "before"
-            self._counters.add(f'ended_by_leaving_total{{received="{received}"}}')
+            self._metrics.count_ended_by_leaving(received_after_signal_s=received_after_signal_s)
         self._log.write(
             "ended",
             now=now,
@@ -402,28 +370,6 @@
             precedence=progress.admitted.precedence if progress is not None else None,
             prompt_tokens=request.prompt_tokens,
             caller_part=request.caller_part,
-            received_after_signal_s=self._schedule.compute_offset(request.received_at),
+            received_after_signal_s=received_after_signal_s,
             ended_after_signal_s=self._schedule.compute_offset(now),
         )
-
-    def _is_after_signal(self, request: CallerRequest) -> bool:
-        """Return whether a request was received after this instance was told to leave."""
-        offset_s = self._schedule.compute_offset(request.received_at)
-        return offset_s is not None and offset_s >= 0.0
-
-    def _count_unserved(self, progress: RequestProgress, cause: UnservedCause) -> None:
-        """Count an attempt of a caller that was not answered."""
-        labels = f'precedence="{progress.admitted.precedence}",cause="{cause}"'
-        self._counters.add(f"unserved_total{{{labels}}}")
-
-    def _count_response_end(self, end: ResponseEnd) -> None:
-        """Count a response by its framing and its ending, if there was one."""
-        if end.framing is None:
-            return
-        inside_event = str(end.inside_event).lower()
-        labels = f'framing="{end.framing}",ending="{end.ending}",inside_event="{inside_event}"'
-        self._counters.add(f"response_ends_total{{{labels}}}")
-
-    def _count_end(self, outcome: str, took_s: float) -> None:
-        self._counters.add(f'requests_total{{outcome="{outcome}"}}')
-        self._counters.observe("request_seconds", took_s)
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -41,6 +41,7 @@
 from guavamast.relay.reachability import ReachabilityMonitor
 from guavamast.relay.rejection_limits import RejectionLimits
 from guavamast.relay.relayer import Relayer
+from guavamast.relay.request_metrics import RequestMetrics
 from guavamast.relay.request_progress import RequestProgress, begin_progress
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.requester import Requester
@@ -194,7 +195,7 @@
         log = DecisionLog(instance="one", descriptor=os.open(os.devnull, os.O_WRONLY))
         self.recorder = RequestRecorder(
             log=log,
-            counters=counters,
+            metrics=RequestMetrics(counters=counters),
             fleet_state=self.simulation.fleet_state,
             loop_delay=LoopDelay(),
             schedule=self.schedule,
--- a/tests/test_relay_request_recorder.py
+++ b/tests/test_relay_request_recorder.py
@@ -13,6 +13,7 @@
 from guavamast.relay.departure_schedule import DepartureSchedule
 from guavamast.relay.loop_delay import LoopDelay
 from guavamast.relay.placement import Choice, Obstacle, ObstacleKind, Rejection
+from guavamast.relay.request_metrics import RequestMetrics
 from guavamast.relay.request_recorder import RequestRecorder
 from guavamast.relay.response_end import BodyEnding, BodyFraming, ResponseEnd
 from guavamast.relay.unserved_cause import UnservedCause
@@ -31,7 +32,7 @@
         self.schedule = DepartureSchedule(grace_s=8.0)
         self.recorder = RequestRecorder(
             log=DecisionLog(instance="one", descriptor=write_end),
-            counters=self.counters,
+            metrics=RequestMetrics(counters=self.counters),
             fleet_state=mock.Mock(),
             loop_delay=LoopDelay(),
             schedule=self.schedule,
