--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -190,12 +190,13 @@
         self._last_responses = responses
         times = _compute_times(deadline=deadline, closes_at=closes_at)
         self.disable_keep_alive()
-        self.stop_accepting()
+        self.stop_accepting(retry=True)
         for stream in tuple(self._streams):
             self._end_unserved(stream, responses.not_run)
         unfinished: list[ConnectionTrace] = []
-        while self._streams:
+        while self._streams or self._listening:
             now = self._read_time()
+            self.stop_accepting(retry=now < deadline)
             for stream in tuple(self._streams):
                 if _is_overdue(stream, times, now=now):
                     unfinished.append(stream.trace)
@@ -206,16 +207,23 @@
             await asyncio.wait(self._discarding, timeout=min(LINGER_S, left_s))
         return unfinished
 
-    def stop_accepting(self) -> None:
+    def stop_accepting(self, *, retry: bool = False) -> None:
         """Accept the connections in the queue of each listening socket, then close the sockets.
 
         Without this, the system resets the connections that arrived while the loop was busy.
+
+        Args:
+            retry: Whether a socket stays open if no descriptor is free for the rest of its queue.
+                A later call accepts that.
         """
+        unfinished = []
         for sock, remove_handler in self._listening:
             remove_handler()
-            self._accept_pending(sock)
-            sock.close()
-        self._listening.clear()
+            if not self._accept_pending(sock) and retry:
+                unfinished.append((sock, remove_handler))
+            else:
+                sock.close()
+        self._listening = unfinished
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -273,14 +281,17 @@
         elif now >= times.deadline:
             stream.end(unfinished)
 
-    def _accept_pending(self, sock: socket.socket) -> None:
+    def _accept_pending(self, sock: socket.socket) -> bool:
+        """Accept the connections in a queue; return whether it is empty."""
         while True:
             try:
                 connection, address = sock.accept()
             except BlockingIOError:
-                return
+                return True
             except ConnectionAbortedError:
                 continue  # The caller has disconnected: nobody waits for a response.
+            except OSError:
+                return False  # The system has no descriptor or memory for it at present.
             connection.setblocking(False)
             self._accept(connection, address)
 
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import time
 import unittest
@@ -333,6 +334,36 @@
         with self.assertRaises(ConnectionRefusedError):
             socket.create_connection((host, int(port)))
 
+    async def test_end_without_a_free_descriptor_cuts_no_request(self) -> None:
+        """Guards against an end that fails, as connections wait that the system can't accept yet.
+
+        The process has as many connections as it may have. The end of one server would fail with
+        an error, and the process would end with the requests of all its servers.
+        """
+        reader, _ = await self.connect(GET)
+        await wait_until(lambda: bool(self.requests))
+        host, _, port = self.address.rpartition(":")
+        full = OSError(errno.EMFILE, "Too many open files")
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(GET)
+            with mock.patch.object(socket.socket, "accept", side_effect=full):
+                draining = asyncio.create_task(self.drain())
+                await asyncio.sleep(0.1)
+                respond(self.requests[0])
+                await reader.readuntil(b"\r\n\r\n")
+            self.assertEqual(await draining, [])
+            self.assertEqual(caller.recv(65_536), RESPONSES.not_run)
+
+    async def test_end_without_a_free_descriptor_ends_at_its_deadline(self) -> None:
+        """Guards against a process that waits for a descriptor until it is killed."""
+        full = OSError(errno.EMFILE, "Too many open files")
+        with mock.patch.object(socket.socket, "accept", side_effect=full):
+            async with asyncio.timeout(4.0):
+                await self.drain(wait_s=0.1)
+        host, _, port = self.address.rpartition(":")
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((host, int(port)))
+
 
 class ClosedConnectionTest(CallerServerTestCase):
     """A server that has closed a connection with the next request already in its buffer."""
