--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -22,8 +22,8 @@
 CHECK_INTERVAL_S: Final = 0.05
 """Seconds between two checks of the clock."""
 UNREGISTER_S: Final = 1.0
-"""Seconds before the end of an instance at which its record is removed at the latest, and for which
-the removal is awaited."""
+"""Seconds before the end of an instance at which its record is removed at the latest, and what it
+remembers is handed over for the last time, and for which both are awaited."""
 
 
 class Departure:
@@ -107,7 +107,7 @@
         forwarding = asyncio.create_task(self._forward_listener.drain(**limits))
         await self._wait_until(schedule.accepts_until)
         # By now, the signals of instances that leave at the same time are known.
-        handing_over = asyncio.ensure_future(self._hand_over())
+        handing_over = asyncio.create_task(self._hand_over_memory(drained))
         expiring = asyncio.create_task(self._expire_requests())
         draining = asyncio.gather(self._listener.drain(**limits), forwarding)
         draining.add_done_callback(lambda _: drained.set())
@@ -142,6 +142,15 @@
         await self._wait_until(self._schedule.ends_at - UNREGISTER_S, unless=drained)
         await self.unregister(self._name)
 
+    async def _hand_over_memory(self, drained: asyncio.Event) -> None:
+        """Hand over what only this instance may remember; again before its end.
+
+        If all instances leave at once, those that stay start while these serve their last streams.
+        """
+        await self._hand_over()
+        await self._wait_until(self._schedule.ends_at - UNREGISTER_S, unless=drained)
+        await self._hand_over()
+
     async def _expire_requests(self) -> None:
         """End the time of all requests; later, that of streams whose callers are behind."""
         await self._wait_until(self._schedule.requests_end_at)
--- a/src/guavamast/relay/stream_binding/directory.py
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -91,6 +91,7 @@
 
     __slots__ = (
         "_counters",
+        "_handed_to",
         "_ledger",
         "_pending",
         "_read_time",
@@ -116,6 +117,8 @@
         self._read_time = read_time
         self._pending: dict[str, list[_PendingQuery]] = {}
         """Queries that await replies, by the key of the stream."""
+        self._handed_to: set[str] | None = None
+        """Names of the instances that stayed when all was handed over; None if it wasn't."""
 
     def bind(
         self,
@@ -149,7 +152,15 @@
 
         Where all instances are replaced in turn, the one that has bound a stream and those that
         have copies are all gone after a while, and nobody would remember the stream.
+
+        A repeated call does so again if there are such instances, and none of those that the call
+        before has found is left: they would hand over what they got.
         """
+        now = self._read_time()
+        staying = {record.name for record in self._replicas.list_staying(now=now)}
+        if self._handed_to is not None and (not staying or staying & self._handed_to):
+            return
+        self._handed_to = staying
         for number, key in enumerate(self._ledger.list_keys(), start=1):
             now = self._read_time()
             stream = self._ledger.find(key, now=now)
--- a/src/guavamast/relay/stream_binding/replicas.py
+++ b/src/guavamast/relay/stream_binding/replicas.py
@@ -42,12 +42,16 @@
 
     def list_holders(self, key: str, *, now: float) -> list[InstanceRecord]:
         """Return the other instances that are to remember a stream."""
-        staying = [
+        staying = self.list_staying(now=now)
+        return _rank(key, staying or self._peers.list_targets(), count=COPIES)
+
+    def list_staying(self, *, now: float) -> list[InstanceRecord]:
+        """Return the other instances that are live and don't leave."""
+        return [
             peer.record
             for peer in self._peers.list_live(now=now)
             if peer.state is not InstanceState.LEAVING
         ]
-        return _rank(key, staying or self._peers.list_targets(), count=COPIES)
 
     def list_queried(self, key: str, *, now: float) -> list[InstanceRecord]:
         """Return the other instances that may remember a stream.
--- a/tests/test_relay_stream_binding.py
+++ b/tests/test_relay_stream_binding.py
@@ -225,6 +225,38 @@
             assert lookup.stream is not None
             self.assertEqual((lookup.stream.binding, lookup.stream.instance), (V1, "i0"))
 
+    async def test_streams_are_handed_over_again_only_if_nobody_stayed(self) -> None:
+        """Guards against streams that nobody remembers, as all knew of none that stays.
+
+        All instances but one leave at the same time. In the second round nothing is sent if one
+        stayed in the first, and all of it if that one has been lost, too, and another one is there.
+        """
+        fleet = SimulatedFleet(5)
+        fleet.directories["i0"].bind("0f" * 12, V1, lifetime_s=LIFETIME_S)
+        fleet.cut = {"i3", "i4"}
+        for name in ("i0", "i1", "i2", "i4"):
+            fleet.tell_leaving(name)
+        await fleet.directories["i0"].hand_over()
+        sent = fleet.sent["i0"]
+        await fleet.directories["i0"].hand_over()
+        self.assertEqual(fleet.sent["i0"], sent)
+        fleet.tell_leaving("i3")
+        fleet.records["i5"] = build_instance("i5", domain=DOMAINS[0], port=6)
+        fleet.directories["i5"] = fleet.start("i5")
+        liveness = LivenessRecord(
+            name="i5",
+            incarnation=1,
+            sequence=1,
+            state=InstanceState.SERVING,
+            store_answers=True,
+        )
+        fleet.peers["i0"].receive_liveness_record(liveness, fleet.records["i5"], now=fleet.now)
+        await fleet.directories["i0"].hand_over()
+        fleet.cut = set(fleet.records) - {"i5"}
+        lookup = await fleet.directories["i5"].find("0f" * 12)
+        assert lookup.stream is not None
+        self.assertEqual(lookup.stream.binding, V1)
+
     async def test_an_instance_that_is_cut_off_knows_nothing(self) -> None:
         """Guards against a guess of an instance that reaches nobody who remembers."""
         fleet = SimulatedFleet(14)
