--- a/src/guavamast/relay/departure_gate.py
+++ b/src/guavamast/relay/departure_gate.py
@@ -64,7 +64,7 @@
         ends_at = self._schedule.requests_end_at
         if progress.deadline <= ends_at:
             return True
-        if now >= self._schedule.forecasts_until:
+        if now >= min(self._schedule.forecasts_until, ends_at):
             return False
         expected_s = self._durations.forecast(
             progress.admitted.route.name,
--- a/tests/test_relay_departure_gate.py
+++ b/tests/test_relay_departure_gate.py
@@ -89,6 +89,18 @@
         self.schedule.begin(now=SIGNAL_AT)
         self.assertTrue(self.is_sent(now=102.8, time_left_s=12.0))
 
+    def test_nothing_is_sent_once_the_time_of_all_requests_is_ended(self) -> None:
+        """Guards against a request that runs at an engine and is cut in the same moment.
+
+        Callers hold the address of an instance with 2 s of grace time beyond its end. One that has
+        waited for its admission until then would be sent, and its caller told that it may have run.
+        """
+        self.schedule = DepartureSchedule(grace_s=2.0)
+        self.gate = DepartureGate(schedule=self.schedule, durations=self.durations)
+        self.schedule.begin(now=SIGNAL_AT)
+        self.assertTrue(self.is_sent(now=101.0, time_left_s=12.0))
+        self.assertFalse(self.is_sent(now=self.schedule.requests_end_at, time_left_s=12.0))
+
     def test_a_request_whose_own_time_ends_first_is_always_sent(self) -> None:
         """Guards against rejecting calls that can't outlast the instance, whatever they take."""
         self.schedule.begin(now=SIGNAL_AT)
