--- a/soak/roll_instance.py
+++ b/soak/roll_instance.py
@@ -7,12 +7,12 @@
 import os
 import signal
 import sys
-import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
 
 from guavamast.platform.standins.site import write_settings
+from soak.process_ends import stop_process
 from soak.process_signals import handles_signal, send_signal
 
 GRACE_S: Final = 8.0
@@ -29,6 +29,8 @@
     settings: dict[str, Any]
     directory: str
     source: str
+    grace_s: float = GRACE_S
+    """Seconds from SIGTERM until a process is killed."""
     signals: list[float] = field(default_factory=list)
     wall_signals: list[float] = field(default_factory=list)
     """Times of the same signals on the wall clock, which the log uses."""
@@ -74,20 +76,21 @@
         process = self.process
         if process is None or process.returncode is not None:
             return
-        started = handles_signal(process.pid, signal.SIGTERM)
-        self.signals.append(time.monotonic())
-        self.wall_signals.append(time.time())
-        send_signal(process, signal.SIGTERM)
-        try:
-            await asyncio.wait_for(process.wait(), GRACE_S)
-        except TimeoutError:
-            send_signal(process, signal.SIGKILL)
-            status = await process.wait()
+        end = await stop_process(process.pid, grace_s=self.grace_s)
+        status = await process.wait()
+        if end is None:
+            self.failures.append(f"{self.name} ended before SIGTERM with code {status}")
+            return
+        self.signals.append(end.signalled_at)
+        self.wall_signals.append(end.wall_signalled_at)
+        if end.killed:
+            stopped = self._describe_stop(end.wall_signalled_at)
             self.failures.append(
-                f"{self.name} had not ended after the grace time; exit status {status}"
+                f"{self.name} had not ended after the grace time; exit status {status}; "
+                f"seen ended {end.took_s:.2f} s after SIGTERM, {stopped}"
             )
-        if process.returncode not in (0, -signal.SIGKILL) and started:
-            self.failures.append(f"{self.name} exited with code {process.returncode}")
+        if status not in (0, -signal.SIGKILL) and end.handled:
+            self.failures.append(f"{self.name} exited with code {status}")
 
     def reload(self) -> None:
         """Send SIGHUP, if the process handles it yet."""
@@ -106,6 +109,15 @@
             for at in leaving
         ]
 
+    def _describe_stop(self, signalled_at: float) -> str:
+        """Tell when the process had nothing more to do, which is apart from when it ended."""
+        for line in self.log.read_text(errors="replace").splitlines():
+            if '"event":"stopped"' in line:
+                offset_s = json.loads(line)["time"] - signalled_at
+                if offset_s > -LOG_TICK_S:
+                    return f"`stopped` logged {offset_s:.2f} s after it"
+        return "`stopped` not logged"
+
     def find_log_lines(self, request_id: str) -> list[str]:
         """Return the last lines that name a request."""
         lines = self.log.read_text(errors="replace").splitlines()
