--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -93,8 +93,10 @@
         """Whether the last read of the store succeeded."""
         return self._reader.answers
 
-    def permits_retry(self, request: CallerRequest, *, service: str, now: float) -> bool:
-        """Return whether a request that was sent to a service may be sent there once more.
+    def admit_retry(self, request: CallerRequest, *, service: str, now: float) -> Admitted | None:
+        """Return the admission of a request that was sent to a service, to send it once more there.
+
+        None if the newest configuration, or its age, forbids it.
 
         Args:
             request: The request.
@@ -103,7 +105,9 @@
         """
         age_s = self._fleet_state.compute_catalog_age(now=now)
         decision = self._gate.decide(request, self._fleet_state.catalog, age_s=age_s)
-        return isinstance(decision, Admitted) and decision.route.leads_to(service)
+        if isinstance(decision, Denied) or not decision.route.leads_to(service):
+            return None
+        return decision
 
     def check_endpoint(self, record: EndpointRecord, *, now: float) -> None:
         """Raise if nothing must be sent to an endpoint any more, by tables that are fresh enough.
--- a/src/guavamast/relay/exchange.py
+++ b/src/guavamast/relay/exchange.py
@@ -5,12 +5,10 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from guavamast.relay.attempt import Attempt
 from guavamast.relay.attempt_failure import AttemptFailed, FailureKind
 from guavamast.relay.attempt_timeouts import compute_attempt_timeout
 from guavamast.relay.caller_delivery import CallerDelivery
 from guavamast.relay.messages import SendParameters
-from guavamast.relay.placed_send import PlacedSend
 from guavamast.relay.quarantine import RunWatch
 from guavamast.relay.request_progress import ReadStream
 from guavamast.relay.silence_timeout import SilenceTimeout
@@ -21,31 +19,24 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavamast.relay.attempt import CompleteResponse
+    from guavamast.relay.attempt import Attempt, CompleteResponse
     from guavamast.relay.buffering import MemoryAccount, SlowReaders
     from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.duties import UsageCounter
-    from guavamast.relay.endpoint_connector import EndpointConnector
     from guavamast.relay.endpoint_load import EndpointLoads, Load
-    from guavamast.relay.endpoint_statements import EndpointStatements
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.fleet_state import FleetState
-    from guavamast.relay.messages import (
-        CallerRequest,
-        EndpointResponseHead,
-        HeaderCodec,
-        ResponseWriter,
-    )
+    from guavamast.relay.messages import CallerRequest, ResponseWriter
+    from guavamast.relay.placed_send import PlacedSend
     from guavamast.relay.placement import EndpointSpeeds, EngineProfiles
     from guavamast.relay.placer import PlacementDecision
+    from guavamast.relay.prepared_send import SendPreparer
     from guavamast.relay.quarantine import CrashGuard
-    from guavamast.relay.reachability import ReachabilityMonitor
     from guavamast.relay.relayed_response import RelayedResponse
     from guavamast.relay.request_progress import RequestProgress
     from guavamast.relay.request_recorder import RequestRecorder
     from guavamast.relay.response_end_check import ResponseEndCheck
     from guavamast.relay.retry_claims import RetryClaims
-    from guavamast.relay.send_check import SendCheck
     from guavamast.relay.stream_binding import StreamSource
     from guavamast.relay.stream_software import StreamSoftware
     from guavamast.relay.work_accounting import WorkAccounting
@@ -56,22 +47,18 @@
 
     Args:
         fleet_state: Services and other instances.
-        accounting: Counts each send as work at its endpoint.
-        check: Checks each request right before it is sent.
+        preparer: Prepares sends up to their first byte.
+        accounting: Told when the work at an endpoint becomes less.
         end_check: Looks for the sender of a response that may have been broken off.
         loads: Work at endpoints.
         software: Binds streams to the software that begins them.
         departure: Told how long responses take.
         claims: Claim the retry before an attempt at a silent endpoint is abandoned.
-        codec: Encodes and decodes headers.
         guard: Keeps requests that end endpoints from further ones.
         usage: Counts the requests that begin to run; None if usage isn't reported.
-        connector: Finds connections to endpoints.
         recorder: Log lines and metrics of requests.
         profiles: Engine profiles, learned from the streams that are forwarded.
         speeds: Speeds of single engines, learned from the same streams.
-        reachability: Signs of life of the endpoints.
-        statements: Told what endpoints state about themselves.
         memory: Memory that this instance holds for others.
         readers: Callers that are written to.
         read_time: Reads the local clock.
@@ -79,24 +66,19 @@
 
     __slots__ = (
         "_accounting",
-        "_check",
         "_claims",
-        "_codec",
-        "_connector",
         "_delivery",
         "_departure",
         "_end_check",
         "_fleet_state",
         "_guard",
         "_loads",
-        "_memory",
+        "_preparer",
         "_profiles",
-        "_reachability",
         "_read_time",
         "_recorder",
         "_software",
         "_speeds",
-        "_statements",
         "_usage",
     )
 
@@ -104,44 +86,35 @@
         self,
         *,
         fleet_state: FleetState,
+        preparer: SendPreparer,
         accounting: WorkAccounting,
-        check: SendCheck,
         end_check: ResponseEndCheck,
         loads: EndpointLoads,
         software: StreamSoftware,
         departure: DepartureGate,
         claims: RetryClaims,
-        codec: HeaderCodec,
         guard: CrashGuard,
         usage: UsageCounter | None,
-        connector: EndpointConnector,
         recorder: RequestRecorder,
         profiles: EngineProfiles,
         speeds: EndpointSpeeds,
-        reachability: ReachabilityMonitor,
-        statements: EndpointStatements,
         memory: MemoryAccount,
         readers: SlowReaders,
         read_time: Callable[[], float],
     ) -> None:
         self._fleet_state = fleet_state
         self._accounting = accounting
-        self._check = check
+        self._preparer = preparer
         self._loads = loads
         self._software = software
         self._departure = departure
         self._claims = claims
-        self._codec = codec
         self._guard = guard
         self._usage = usage
-        self._connector = connector
         self._end_check = end_check
         self._recorder = recorder
         self._profiles = profiles
         self._speeds = speeds
-        self._reachability = reachability
-        self._statements = statements
-        self._memory = memory
         self._delivery = CallerDelivery(
             memory=memory, readers=readers, recorder=recorder, read_time=read_time
         )
@@ -160,37 +133,20 @@
             AttemptFailed: The endpoint gave no response, or none that is final; or the request was
                 not sent to it.
         """
-        assert placed.choice is not None
-        record = placed.choice.record
-        attempt = Attempt(
-            request=request,
-            record=record,
-            codec=self._codec,
-            connector=self._connector,
-            reachability=self._reachability,
-            memory=self._memory,
-            on_head=self._record_statements,
-            read_time=self._read_time,
-        )
-        progress.tried.add(record.endpoint_id)
-        work = self._accounting.begin(request, progress, placed.choice)
-        send = PlacedSend(placed=placed, work=work)
+        prepared = progress.take_retry() or self._preparer.begin(request, progress, placed)
+        attempt, send = prepared.attempt, prepared.send
         failure_weight = 0.0
         rejected = False
         try:
-            await attempt.connect(
-                row_version=progress.admitted.catalog.row_version,
-                binding=progress.binding,
-                permitted=send.is_permitted(now=self._read_time()),
-            )
-            self._recorder.record_connection(attempt.connection)
-            await self._software.confirm(progress, attempt)
+            if not prepared.checked:
+                await self._preparer.complete(request, progress, prepared)
             response = await self._exchange(request, writer, progress, attempt, send)
             attempt.finish()
             if response.status < 300 and progress.sends == 1 and request.last_event_id is None:
                 self._departure.record_response(
                     progress, sent_at=attempt.sent_at, now=self._read_time()
                 )
+            progress.discard_retry()
             return response
         except AttemptFailed as failure:
             failure.connection = attempt.connection
@@ -199,24 +155,17 @@
             rejected = failure.kind is FailureKind.REFUSED
             raise
         finally:
-            attempt.abandon()
-            send.end(
+            prepared.end(
                 rejected=rejected,
                 failure_weight=failure_weight,
                 longest_pause_s=progress.timing.longest_pause_s,
                 mean_pause_ms=_compute_mean_pause(progress),
             )
-            self._accounting.publish_decrease(record.endpoint_id)
 
     async def deliver(self, request: CallerRequest, progress: RequestProgress) -> None:
         """Return when the caller has a stream that was read to its end; at once without one."""
         await self._delivery.finish_stream(request, progress)
 
-    def _record_statements(self, attempt: Attempt, head: EndpointResponseHead) -> None:
-        self._statements.record(
-            attempt.record, head, request_id=attempt.request_id, sent_at=attempt.sent_at
-        )
-
     async def _exchange(
         self,
         request: CallerRequest,
@@ -226,7 +175,6 @@
         send: PlacedSend,
     ) -> RelayedResponse:
         now = self._read_time()
-        self._check.check(request, progress, attempt.record, send, now=now)
         parameters = self._build_send_terms(progress, attempt.record, now=now)
         timeout_s = compute_attempt_timeout(progress)
         progress.sends += 1
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -154,7 +154,7 @@
         finally:
             self.in_flight -= 1
             if progress is not None:
-                _release_memory(progress)
+                _release(progress)
 
     def expire_requests(self, *, also_behind: bool = False) -> None:
         """End the time of the requests, so that each caller is told whether it may have run.
@@ -271,8 +271,12 @@
     async def _try_endpoints(
         self, request: CallerRequest, writer: ResponseWriter, progress: RequestProgress
     ) -> None:
+        placed: PlacementDecision | None
         while True:
-            placed = await self._place(request, writer, progress)
+            if progress.retry is not None:
+                placed = progress.retry.send.placed
+            else:
+                placed = await self._place(request, writer, progress)
             if placed is None or await self._attempt(request, writer, progress, placed):
                 return
 
@@ -382,8 +386,7 @@
             return False
         if failure.kind is FailureKind.LOST and self._guard.forbids_retry(progress, record):
             return False
-        if progress.retry_claimed:
-            progress.retry_claimed = False
+        if progress.retry is not None:
             return True
         instances = self._fleet_state.count_instances()
         return self._budget.try_spend(progress.service, instances=instances, now=self._read_time())
@@ -421,8 +424,9 @@
         return True
 
 
-def _release_memory(progress: RequestProgress) -> None:
+def _release(progress: RequestProgress) -> None:
     """Release what is still held for a request that is over."""
+    progress.discard_retry()
     if progress.error_response is not None:
         progress.error_response.held.release()
     if progress.delivery is not None:
--- a/src/guavamast/relay/relayer_factory.py
+++ b/src/guavamast/relay/relayer_factory.py
@@ -7,6 +7,7 @@
 from guavamast.relay.exchange import Exchanger
 from guavamast.relay.local_placer import LocalPlacer
 from guavamast.relay.placement import EndpointChooser, RequestSizes, UnscheduledMemory
+from guavamast.relay.prepared_send import SendPreparer
 from guavamast.relay.relayer import Relayer
 from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
@@ -91,15 +92,30 @@
         read_time: Reads the local clock.
     """
     budget = RetryBudget(settings=_build_budget_terms(settings))
-    exchanger = Exchanger(
+    accounting = WorkAccounting(
+        loads=work.loads,
+        cache=work.cache,
+        demand=duties.demand if duties is not None else None,
+        publish=publish_load,
+        read_time=read_time,
+    )
+    software = StreamSoftware(
+        versions=bindings.versions, take_ups=bindings.take_ups, read_time=read_time
+    )
+    placer = _build_placer(
+        settings=settings,
         fleet_state=fleet_state,
-        accounting=WorkAccounting(
-            loads=work.loads,
-            cache=work.cache,
-            demand=duties.demand if duties is not None else None,
-            publish=publish_load,
-            read_time=read_time,
-        ),
+        work=work,
+        scheduling=scheduling,
+        versions=bindings.versions,
+        limits=limits,
+        rate_limits=rate_limits,
+        random=random,
+        read_time=read_time,
+        publish_waiting=publish_waiting,
+    )
+    preparer = SendPreparer(
+        accounting=accounting,
         check=SendCheck(
             admission=admission,
             departure=departure,
@@ -107,6 +123,19 @@
             rate_limits=rate_limits,
             recorder=recorder,
         ),
+        codec=codec,
+        connector=access.connector,
+        memory=memory,
+        reachability=access.monitor,
+        recorder=recorder,
+        software=software,
+        statements=statements,
+        read_time=read_time,
+    )
+    exchanger = Exchanger(
+        fleet_state=fleet_state,
+        preparer=preparer,
+        accounting=accounting,
         end_check=ResponseEndCheck(
             probe=access.connector,
             admission=admission,
@@ -114,9 +143,7 @@
             read_time=read_time,
         ),
         loads=work.loads,
-        software=StreamSoftware(
-            versions=bindings.versions, take_ups=bindings.take_ups, read_time=read_time
-        ),
+        software=software,
         departure=departure,
         claims=RetryClaims(
             budget=budget,
@@ -124,34 +151,22 @@
             limits=limits,
             admission=admission,
             departure=departure,
+            guard=guard,
             versions=bindings.versions,
+            placer=placer,
+            preparer=preparer,
+            loads=work.loads,
             read_time=read_time,
         ),
-        codec=codec,
         guard=guard,
         usage=duties.usage if duties is not None else None,
-        connector=access.connector,
         recorder=recorder,
         profiles=work.profiles,
         speeds=work.speeds,
-        reachability=access.monitor,
-        statements=statements,
         memory=memory,
         readers=readers,
         read_time=read_time,
     )
-    placer = _build_placer(
-        settings=settings,
-        fleet_state=fleet_state,
-        work=work,
-        scheduling=scheduling,
-        versions=bindings.versions,
-        limits=limits,
-        rate_limits=rate_limits,
-        random=random,
-        read_time=read_time,
-        publish_waiting=publish_waiting,
-    )
     ends = UnservedEnds(codec=codec, recorder=recorder, placer=placer, read_time=read_time)
     return Relayer(
         fleet_state=fleet_state,
--- a/src/guavamast/relay/request_progress.py
+++ b/src/guavamast/relay/request_progress.py
@@ -15,6 +15,7 @@
     from guavamast.relay.endpoint_table import EndpointRecord
     from guavamast.relay.messages import CallerRequest
     from guavamast.relay.placement import EngineProfile
+    from guavamast.relay.prepared_send import PreparedSend
     from guavamast.relay.response_end import ResponseEnd
     from guavamast.relay.stream_binding import StreamBinding, StreamSource
     from guavamast.relay.stream_delivery import StreamDelivery
@@ -60,8 +61,8 @@
     cause: UnservedCause = UnservedCause.FAILED
     """Why its last attempt at an endpoint brought no response."""
     connect_failures: int = 0
-    retry_claimed: bool = False
-    """Whether the retry that follows its present attempt has been spent already."""
+    retry: PreparedSend | None = None
+    """The retry that follows its present attempt: spent already, and ready to be sent."""
     attributes: tuple[str, ...] | None = None
     """What may be in quarantine: the digest of the request, and the parts of its prompt. None until
     it was needed."""
@@ -109,6 +110,17 @@
         """Record what began the stream, known after its first event only."""
         self.binding = binding
 
+    def take_retry(self) -> PreparedSend | None:
+        """Return the retry that is ready to be sent, to send it now; None if there is none."""
+        retry, self.retry = self.retry, None
+        return retry
+
+    def discard_retry(self) -> None:
+        """Drop the retry that is ready to be sent, if there is one."""
+        retry = self.take_retry()
+        if retry is not None:
+            retry.end()
+
     def readmit(self, readmitted: RequestProgress, *, unsent_id: str) -> None:
         """Apply a repeated admission, and keep the record of earlier attempts.
 
--- a/src/guavamast/relay/retry_budget.py
+++ b/src/guavamast/relay/retry_budget.py
@@ -59,6 +59,17 @@
         self._retries[service].append(now)
         return True
 
+    def give_back(self, service: str, *, spent_at: float) -> None:
+        """Count a retry no longer that was spent and not sent.
+
+        Args:
+            service: The service for which it was spent.
+            spent_at: Local time at which it was spent.
+        """
+        retries = self._retries[service]
+        if spent_at in retries:  # After a whole window it isn't counted any more.
+            retries.remove(spent_at)
+
     def _count_left(self, service: str, *, instances: int, now: float) -> float:
         requests = self._requests.setdefault(service, deque())
         retries = self._retries.setdefault(service, deque())
--- a/src/guavamast/relay/silence_timeout.py
+++ b/src/guavamast/relay/silence_timeout.py
@@ -8,7 +8,7 @@
 from guavamast.relay.loop_timeout import TIMEOUT_STEPS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
     from types import TracebackType
 
 
@@ -17,20 +17,33 @@
 
     An endpoint that has been silent for long may still go on. If the retry were counted on when the
     attempt began, others could have spent it by now, and the abandoned response would be cut.
-    Claimed at the moment of the timeout, it follows; without it, the wait goes on as long again.
+    It is claimed after the silence, while what is enclosed goes on; a sign of the endpoint ends the
+    claim. Once it is claimed, the retry follows; without it, the wait goes on as long again.
 
     The silence is counted in parts, each of which ends in a loop iteration of its own: after this
     process was blocked, what has arrived meanwhile is read before the silence is over.
 
     Args:
         silence_s: Seconds without a sign of the endpoint; None if no attempt can follow.
-        claim_retry: Claims the retry; returns False if there is none at present.
+        claim_retry: Claims the retry; returns False if there is none at present. Cancelled if the
+            endpoint isn't silent any more.
     """
 
-    __slots__ = ("_claim_retry", "_handle", "_silence_s", "_steps_left", "_timeout", "_when")
-
-    def __init__(self, *, silence_s: float | None, claim_retry: Callable[[], bool]) -> None:
+    __slots__ = (
+        "_claim",
+        "_claim_retry",
+        "_handle",
+        "_silence_s",
+        "_steps_left",
+        "_timeout",
+        "_when",
+    )
+
+    def __init__(
+        self, *, silence_s: float | None, claim_retry: Callable[[], Awaitable[bool]]
+    ) -> None:
         self._claim_retry = claim_retry
+        self._claim: asyncio.Task[None] | None = None
         self._silence_s = silence_s
         self._timeout = asyncio.timeout(None)
         self._handle: asyncio.TimerHandle | None = None
@@ -49,7 +62,10 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> bool | None:
-        self._cancel_step()
+        claim = self._claim
+        self._stop()
+        if claim is not None:
+            await asyncio.wait((claim,))  # What follows finds the endpoint that it had chosen free.
         return await self._timeout.__aexit__(error_type, error, traceback)
 
     def when(self) -> float | None:
@@ -58,7 +74,7 @@
 
     def reschedule(self, when: float | None) -> None:
         """Set the loop's time at which the silence is over; None not to count it."""
-        self._cancel_step()
+        self._stop()
         self._when = when
         self._steps_left = TIMEOUT_STEPS
         if when is not None:
@@ -74,14 +90,28 @@
         if self._steps_left:
             self._start_step(when)
             return
-        assert self._silence_s is not None
-        now = asyncio.get_running_loop().time()
-        if self._claim_retry():
-            self._timeout.reschedule(now)
-        else:
-            self.reschedule(now + self._silence_s)
+        self._claim = asyncio.get_running_loop().create_task(self._give_up())
 
-    def _cancel_step(self) -> None:
+    async def _give_up(self) -> None:
+        """Cancel what is enclosed if its retry can be claimed, or count the silence anew."""
+        assert self._silence_s is not None
+        claimed = False
+        try:
+            claimed = await self._claim_retry()
+        finally:
+            if self._claim is asyncio.current_task():
+                self._claim = None
+                now = asyncio.get_running_loop().time()
+                if claimed:
+                    self._timeout.reschedule(now)
+                else:
+                    self.reschedule(now + self._silence_s)
+
+    def _stop(self) -> None:
+        """Count the silence no longer, and end a claim that is under way."""
         if self._handle is not None:
             self._handle.cancel()
             self._handle = None
+        claim, self._claim = self._claim, None
+        if claim is not None:
+            claim.cancel()
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -30,6 +30,7 @@
 from guavamast.relay.placement.length_buckets import PromptDemand
 from guavamast.relay.placement.prompt_cache import PromptCache
 from guavamast.relay.placer import PlacementDecision
+from guavamast.relay.prepared_send import SendPreparer
 from guavamast.relay.quarantine import (
     AnsweredParts,
     CrashGuard,
@@ -219,15 +220,20 @@
 
     def make_exchanger(self) -> Exchanger:
         fleet_state = self.simulation.fleet_state
-        return Exchanger(
-            fleet_state=fleet_state,
-            accounting=WorkAccounting(
-                loads=self.loads,
-                cache=PromptCache(),
-                demand=None,
-                publish=mock.Mock(),
-                read_time=lambda: self.simulation.now,
-            ),
+        accounting = WorkAccounting(
+            loads=self.loads,
+            cache=PromptCache(),
+            demand=None,
+            publish=mock.Mock(),
+            read_time=lambda: self.simulation.now,
+        )
+        software = StreamSoftware(
+            versions=self.simulation.versions,
+            take_ups=self.take_ups,
+            read_time=lambda: self.simulation.now,
+        )
+        preparer = SendPreparer(
+            accounting=accounting,
             check=SendCheck(
                 admission=self.simulation.admission,
                 departure=self.departure,
@@ -235,6 +241,19 @@
                 rate_limits=self.rate_limits,
                 recorder=self.recorder,
             ),
+            codec=PlatformHeaders(),
+            connector=self.connector,
+            memory=self.memory,
+            reachability=ReachabilityMonitor(),
+            recorder=self.recorder,
+            software=software,
+            statements=self.statements,
+            read_time=lambda: self.simulation.now,
+        )
+        return Exchanger(
+            fleet_state=fleet_state,
+            preparer=preparer,
+            accounting=accounting,
             end_check=ResponseEndCheck(
                 probe=self.connector,
                 admission=self.simulation.admission,
@@ -242,11 +261,7 @@
                 read_time=lambda: self.simulation.now,
             ),
             loads=self.loads,
-            software=StreamSoftware(
-                versions=self.simulation.versions,
-                take_ups=self.take_ups,
-                read_time=lambda: self.simulation.now,
-            ),
+            software=software,
             departure=self.departure,
             claims=RetryClaims(
                 budget=self.budget,
@@ -254,18 +269,18 @@
                 limits=RejectionLimits(),
                 admission=self.simulation.admission,
                 departure=self.departure,
+                guard=self.guard,
                 versions=self.simulation.versions,
+                placer=self.make_placer(),
+                preparer=preparer,
+                loads=self.loads,
                 read_time=lambda: self.simulation.now,
             ),
-            codec=PlatformHeaders(),
             guard=self.guard,
             usage=None,
-            connector=self.connector,
             recorder=self.recorder,
             profiles=self.profiles,
             speeds=self.speeds,
-            reachability=ReachabilityMonitor(),
-            statements=self.statements,
             memory=self.memory,
             readers=SlowReaders(account=self.memory),
             read_time=lambda: self.simulation.now,
@@ -290,6 +305,7 @@
             profile=PROFILE,
             most_urgent=True,
         )
+        self.addCleanup(progress.discard_retry)
         choice = Choice(record=self.record, forecast=None, uncached_tokens=0)
         if writer is None:
             writer = make_writer()
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -53,7 +53,7 @@
     UPDATE_WAIT_S,
     ReadSchedule,
 )
-from guavamast.relay.retry_budget import RetryBudget, RetryBudgetSettings
+from guavamast.relay.retry_budget import USABLE_SHARE, RetryBudget, RetryBudgetSettings
 from guavamast.relay.store import InstanceRecord
 from guavamast.rendezvous import rank
 from tests.relay_fixtures import BOUNDS, build_catalog, build_endpoint, build_request, build_route
@@ -222,6 +222,18 @@
             requested = sum(end - 10.0 < at <= end for at in requests)
             self.assertLessEqual(retries, 0.2 * requested + 20.0 / instances)
 
+    def test_a_retry_that_is_given_back_can_be_spent_again(self) -> None:
+        """Guards against retries that are used up by claims after which nothing was sent."""
+        budget = RetryBudget(
+            settings=RetryBudgetSettings(ratio=0.0, slack=1.0 / USABLE_SHARE, window_s=10.0)
+        )
+        self.assertTrue(budget.try_spend("s", instances=1, now=0.0))
+        self.assertFalse(budget.try_spend("s", instances=1, now=1.0))
+        budget.give_back("s", spent_at=0.0)
+        budget.give_back("s", spent_at=0.0)
+        self.assertTrue(budget.try_spend("s", instances=1, now=2.0))
+        self.assertFalse(budget.try_spend("s", instances=1, now=3.0))
+
 
 class ReadScheduleTest(unittest.TestCase):
     """One instance reads the store; others take over within a second when it stops."""
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -18,6 +18,7 @@
 from guavamast.relay.response_end_check import ResponseEndCheck
 from guavamast.relay.retry_budget import USABLE_SHARE, RetryBudget, RetryBudgetSettings
 from guavamast.relay.scheduling_client import PlacedRequest, SchedulingClient
+from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot
 from guavamast.relay.stream_timing import StreamTiming
 from tests._relay_case import RecordingWriter, RelayTestCase
 from tests.relay_fixtures import (
@@ -232,7 +233,7 @@
             settings=RetryBudgetSettings(ratio=0.0, slack=2.0 / USABLE_SHARE, window_s=10.0)
         )
         self.exchanger = self.make_exchanger()
-        self.simulation.change_endpoints(self.record, build_endpoint("y"))
+        await self.add_endpoint()
         self.engine.processing_s = 0.4
         attempts = (self.run_attempt() for _ in range(6))
         results = await asyncio.gather(*attempts, return_exceptions=True)
@@ -273,7 +274,7 @@
         A call waits for its endpoint at a leaving instance, which sends on only what is certain to
         end before it does. Its caller would get 502, though the endpoint answers in time.
         """
-        self.simulation.change_endpoints(self.record, build_endpoint("y"))
+        await self.add_endpoint()
         self.request_changes = {"timeout_s": 30.0}
         self.simulation.replace_routes(build_route(timeout_s=30.0))
         await self.simulation.reader.catalog.join()
@@ -298,7 +299,7 @@
         While the endpoint works, the configuration becomes too old for a further send of a request
         with a key. Its caller would get 502, or a part of a stream, though the endpoint answers.
         """
-        self.simulation.change_endpoints(self.record, build_endpoint("y"))
+        await self.add_endpoint()
         self.engine.processing_s = 0.4
         self.engine.on_run = lambda _: self.pass_time(60.0)
         self.assertEqual((await self.run_attempt()).sends, 1)
@@ -314,9 +315,9 @@
         its caller would get 502, or a part of a stream, though the endpoint answers.
         """
         self.engine.processing_s = 0.4
+        await self.add_endpoint()
         for change in (self.simulation.move_route, self.remove_route, self.remove_key):
             with self.subTest(change=change.__name__):
-                self.simulation.change_endpoints(self.record, build_endpoint("y"))
                 self.simulation.replace_routes(build_route())
                 await self.simulation.reader.catalog.join()
                 self.engine.on_run = lambda _, change=change: self.change_configuration(change)
@@ -325,13 +326,168 @@
 
     async def test_silence_ends_a_request_that_a_newer_configuration_still_allows(self) -> None:
         """Guards against a change of anything that keeps all requests at silent endpoints."""
-        self.simulation.change_endpoints(self.record, build_endpoint("y"))
+        await self.add_endpoint()
         self.engine.processing_s = 0.4
         self.engine.on_run = lambda _: self.change_configuration(self.change_weights)
         with self.assertRaises(AttemptFailed) as caught:
             await self.run_attempt()
         self.assertEqual(caught.exception.kind, FailureKind.SILENT)
 
+    async def test_a_change_between_the_claim_of_a_retry_and_its_send_ends_no_stream(self) -> None:
+        """Guards against streams cut by a change that comes while their retry is under way.
+
+        A stream has begun, and its engine pauses. As another one is connected to for the retry, the
+        route is moved or removed, the key is taken away, the other engine leaves, the store falls
+        silent, or the content is held. The engine that has begun the stream goes on with it.
+        """
+        changes = (
+            self.simulation.move_route,
+            self.remove_route,
+            self.remove_key,
+            self.remove_untried,
+            self.stop_store,
+            self.hold_part,
+        )
+        for change in changes:
+            with self.subTest(change=change.__name__):
+                self.simulation.unavailable = False
+                engines = await self.start_pausing_engines(change)
+                writer = await self.relay_pausing_stream()
+                self.assertEqual((writer.status, writer.completed), (200, True))
+                self.assertEqual(writer.body.count(b"id:"), self.engine.events)
+                self.assertEqual(sum(len(one.runs) for one in engines), 1)
+
+    async def test_a_change_between_the_claim_of_a_retry_and_its_send_ends_no_call(self) -> None:
+        """Guards against a call that gets 502 as its retry is denied, though its endpoint answers.
+
+        While another endpoint is connected to for the retry, the route is removed, or the instance
+        begins to leave, and is too late to send on what may outlast it.
+        """
+        for change in (self.remove_route, self.leave_late):
+            with self.subTest(change=change.__name__):
+                engines = await self.start_pausing_engines(change)
+                for engine in engines:
+                    engine.processing_s = 0.4
+                self.simulation.replace_routes(build_route(timeout_s=30.0))
+                await self.simulation.reader.catalog.join()
+                self.request_changes = {}
+                writer = await self.relay(writer=RecordingWriter())
+                self.assertEqual((writer.status, writer.completed), (200, True))
+                self.assertEqual(sum(len(one.runs) for one in engines), 1)
+
+    async def test_a_silent_stream_goes_on_at_an_endpoint_that_can_take_it(self) -> None:
+        """Guards against streams that stay at a silent endpoint though another one is ready."""
+        engines = await self.start_pausing_engines(lambda: None)
+        writer = await self.relay_pausing_stream(all_pause=False)
+        self.assertEqual((writer.status, writer.completed), (200, True))
+        self.assertEqual(writer.body.count(b"id:"), self.engine.events)
+        self.assertEqual(sorted(len(one.runs) for one in engines), [1, 1])
+        self.assertEqual(sum(len(one.completed) for one in engines), 1)
+
+    async def add_endpoint(self) -> None:
+        """List a second endpoint of the service, which takes connections."""
+        other = await self.start_engine("y")
+        self.simulation.change_endpoints(self.record, build_endpoint("y", port=other.port))
+        await self.simulation.reader.endpoints.join()
+
+    async def start_engine(self, name: str) -> EngineStandIn:
+        """Return a further engine that listens."""
+        engine = EngineStandIn(engine_id=name)
+        await engine.listen()
+        self.addAsyncCleanup(engine.stop)
+        return engine
+
+    async def start_pausing_engines(self, change: Callable[[], None]) -> list[EngineStandIn]:
+        """Return two engines of a service, of which the first to run a request pauses.
+
+        Args:
+            change: Called as the next connection is acquired after that.
+        """
+        engines = [await self.start_engine(name) for name in ("x", "y")]
+        records = [
+            build_endpoint(one.engine_id, port=one.port, row_version=one.port) for one in engines
+        ]
+        self.engine = engines[0]
+        self.simulation.now += 1.0
+        self.simulation.change_endpoints(*records)
+        await self.simulation.reader.endpoints.join()
+        self.all_pause = True
+        self.exchanger = self.make_exchanger()
+
+        def begin(run: Run) -> None:
+            if sum(len(one.runs) for one in engines) > 1:
+                return
+            self.read_endpoints_later()
+            self.connector.on_connect.append(lambda: self.apply_change(change))
+            for engine in engines:
+                if self.all_pause or run in engine.runs:
+                    engine.event_interval_s = 0.4
+
+        for engine in engines:
+            engine.event_interval_s = 0.0
+            engine.events = 3
+            engine.on_run = begin
+        return engines
+
+    async def relay_pausing_stream(self, *, all_pause: bool = True) -> RecordingWriter:
+        """Relay a stream, with short patience for its engine; return its response."""
+        self.all_pause = all_pause
+        route = build_route(kind=RouteKind.STREAM, resumable=True, timeout_s=30.0, objective_s=0.1)
+        self.simulation.replace_routes(route)
+        await self.simulation.reader.catalog.join()
+        ids = (str(self.engine.port), "own")
+        parts = tuple(PromptPart(part_id=one, tokens=9) for one in ids)
+        self.request_changes = {"target": "/status/stream", "prompt_parts": parts}
+        writer = RecordingWriter()
+        with (
+            mock.patch("guavamast.relay.attempt_timeouts.STREAM_IDLE_TIMEOUT_S", 0.15),
+            mock.patch("guavamast.relay.stream_observer.STREAM_IDLE_TIMEOUT_S", 0.15),
+        ):
+            await self.relay(writer=writer)
+        return writer
+
+    def apply_change(self, change: Callable[[], None]) -> None:
+        """Make a change, and apply what the store then has at once, if it answers."""
+        change()
+        if self.simulation.unavailable:
+            return
+        now = self.simulation.now
+        fleet_state = self.simulation.fleet_state
+        fleet_state.apply_catalog(CatalogSnapshot(catalog=self.simulation.catalog, store_time=now))
+        records = self.simulation.records
+        fleet_state.apply_endpoints(
+            EndpointSnapshot(records=records, digest=str(len(records)), store_time=now)
+        )
+
+    def remove_untried(self) -> None:
+        """Remove the endpoint that has run nothing."""
+        busy = {record.endpoint_id for record in self.simulation.records} - {"y"}
+        if not self.engine.runs:
+            busy = {"y"}
+        self.simulation.change_endpoints(
+            *(one for one in self.simulation.records if one.endpoint_id in busy)
+        )
+
+    def stop_store(self) -> None:
+        self.simulation.unavailable = True
+
+    def hold_part(self) -> None:
+        """Have a part of the prompt kept from endpoints."""
+        quarantine = Quarantine(
+            attribute=name_part(str(self.engine.port)),
+            organisation=None,
+            ends=4,
+            since=self.simulation.now,
+            requested_at=self.simulation.now,
+            trials_left=2,
+            next_trial_at=self.simulation.now + 60.0,
+        )
+        self.ledger.restore(quarantine)
+
+    def leave_late(self) -> None:
+        """Begin to leave, some seconds ago."""
+        self.schedule.begin(now=self.simulation.now - 3.5)
+
     def change_configuration(self, change: Callable[[], None]) -> None:
         """Change the configuration while an endpoint works, and have it read."""
         change()
@@ -376,7 +532,12 @@
         """
         self.record = build_endpoint("x", port=self.record.port, software_version="v1")
         more = [
-            build_endpoint(one, software_version="v2" if one == "other" else "v1") for one in others
+            build_endpoint(
+                one,
+                port=(await self.start_engine(one)).port,
+                software_version="v2" if one == "other" else "v1",
+            )
+            for one in others
         ]
         self.simulation.change_endpoints(self.record, *more)
         await self.simulation.reader.endpoints.join()
--- a/tests/test_relay_silence_timeout.py
+++ b/tests/test_relay_silence_timeout.py
@@ -20,9 +20,17 @@
         asyncio.get_running_loop().set_debug(False)
         self.claims: list[bool] = []
         """Answers to the next claims of a retry."""
-
-    def claim(self) -> bool:
-        return self.claims.pop(0)
+        self.claim_s = 0.0
+        """Seconds that a claim takes."""
+        self.ended = 0
+        """Claims that are over."""
+
+    async def claim(self) -> bool:
+        try:
+            await asyncio.sleep(self.claim_s)
+            return self.claims.pop(0)
+        finally:
+            self.ended += 1
 
     async def wait(self, wait_s: float, *, silence_s: float | None = SILENCE_S) -> None:
         async with SilenceTimeout(silence_s=silence_s, claim_retry=self.claim):
@@ -50,6 +58,26 @@
             with suspend_timeout(timeout):
                 await asyncio.sleep(2.0 * SILENCE_S)
 
+    async def test_a_claim_ends_with_the_silence(self) -> None:
+        """Guards against an attempt that is abandoned although its endpoint goes on meanwhile."""
+        self.claims = [True]
+        self.claim_s = SILENCE_S
+        began_at = asyncio.get_running_loop().time()
+        async with SilenceTimeout(silence_s=SILENCE_S, claim_retry=self.claim) as timeout:
+            await asyncio.sleep(1.5 * SILENCE_S)
+            timeout.reschedule(began_at + 10.0 * SILENCE_S)
+            await asyncio.sleep(SILENCE_S)
+        self.assertEqual((self.claims, self.ended), ([True], 1))
+
+    async def test_a_claim_is_over_before_what_follows_the_attempt(self) -> None:
+        """Guards against a lost stream whose one other endpoint is still taken for the retry."""
+        self.claim_s = SILENCE_S
+        with self.assertRaises(ConnectionError):
+            async with SilenceTimeout(silence_s=SILENCE_S, claim_retry=self.claim):
+                await asyncio.sleep(1.5 * SILENCE_S)
+                raise ConnectionError
+        self.assertEqual(self.ended, 1)
+
     async def test_what_has_arrived_is_read_before_the_silence_is_over(self) -> None:
         """Guards against a sound endpoint that is given up after this process was blocked.
 
