Saved ends have settled for as long as the fleet knew them

Cause: ends that an instance reads from the store at its start were taken for reported at that moment, so all of them had to settle for 1.5 s once more, though the fleet had heard answers for that long before it saved them.

Ruled out: evidence acquitted by unframed answers.

Change: saved ends have the time of their report in place of that of the loss, and an instance that reads them counts the age that they had when they were saved. The time in which the fleet was down doesn't count.

--- a/src/guavamast/relay/quarantine/evidence.py
+++ b/src/guavamast/relay/quarantine/evidence.py
@@ -73,7 +73,12 @@
         return attribute in self._suspects
 
     def add(self, end: EndpointEnd, *, now: float) -> bool:
-        """Add the end of an endpoint; return whether any of it is new here."""
+        """Add the end of an endpoint; return whether any of it is new here.
+
+        Args:
+            end: The end.
+            now: The local time of its report.
+        """
         ended_at = min(end.ended_at, self._ended_at.get(end.incarnation, end.ended_at))
         changed = False
         for lost in end.lost:
@@ -181,7 +186,8 @@
     def list_lasting_ends(self, *, now: float) -> list[EndpointEnd]:
         """Return the ends of the most suspected attributes, for instances that start.
 
-        Left out is what ran at one endpoint that has just ended: most of it is cleared at once.
+        Left out is what ran at one endpoint that has just ended: most of it is cleared at once. The
+        time of an end is that of its report here, since which answers could speak against it.
         """
         lasting = [
             suspect
@@ -189,13 +195,16 @@
             if len(suspect.ends) > 1 or suspect.count_settled(now=now)
         ]
         lost: dict[EndpointIncarnation, set[LostAttribute]] = {}
+        reported_at: dict[EndpointIncarnation, float] = {}
         for suspect in nlargest(MAX_SAVED, lasting, key=_rank_suspicion):
-            for incarnation in suspect.ends:
+            for incarnation, learned_at in suspect.ends.items():
                 lost.setdefault(incarnation, set()).add(suspect.describe())
+                latest_at = reported_at.get(incarnation, learned_at)
+                reported_at[incarnation] = max(latest_at, learned_at)
         return [
             EndpointEnd(
                 incarnation=incarnation,
-                ended_at=self._ended_at[incarnation],
+                ended_at=reported_at[incarnation],
                 lost=frozenset(attributes),
             )
             for incarnation, attributes in lost.items()
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -264,6 +264,17 @@
         self._quarantines[attribute] = merged
         return merged.trials_left < known.trials_left
 
+    def restore_ends(self, ends: Iterable[EndpointEnd]) -> None:
+        """Merge ends that the fleet had saved, each as of its own time.
+
+        Failure: all instances are killed after the ends that a decision needs. Taken for reported
+        now, these would have to settle once more, and the instances that start would send what ends
+        endpoints meanwhile. The fleet had the time before it saved them to hear of answers; the
+        time since doesn't count, as the ages of saved ends are those of the write.
+        """
+        for end in ends:
+            self._evidence.add(end, now=end.ended_at)
+
     def apply_report(self, report: QuarantineReport, *, now: float) -> ReportNews:
         """Merge another instance's report; return what of it is new here."""
         urgent = False
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -224,7 +224,7 @@
             # Another software version may save it in another form.
             self._log.write("quarantine_unread", now=now, reason=str(error))
             return
-        self._ledger.apply_report(report, now=now)
+        self._ledger.restore_ends(report.ends)
         self._saved = frozenset(report.ends)
 
     def _release(self, row: QuarantineRow, *, now: float) -> None:
--- a/tests/attribution_simulation.py
+++ b/tests/attribution_simulation.py
@@ -298,4 +298,4 @@
             for quarantine in held:
                 ledger.restore(replace(quarantine, since=now, requested_at=now))
             if self._saved is not None:
-                ledger.apply_report(decode_quarantine_report(self._saved, now=now), now=now)
+                ledger.restore_ends(decode_quarantine_report(self._saved, now=now).ends)
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -8,7 +8,13 @@
 from typing import TYPE_CHECKING
 
 from guavamast.relay.decision_log import DecisionLog
-from guavamast.relay.quarantine import QuarantineLedger, QuarantineRows, Verdict
+from guavamast.relay.quarantine import (
+    PROMPT_PART,
+    QuarantineLedger,
+    QuarantineRows,
+    Verdict,
+    name_part,
+)
 from guavamast.relay.quarantine.ledger import MAX_TRIALS, TRIAL_AFTER_S
 from guavamast.relay.quarantine.rows import ROW_READ_INTERVAL_S
 from guavamast.relay.store import QuarantineRow, StoreError
@@ -19,6 +25,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+PART = name_part("p")
+REPORT_DELAY_S = 0.4
+"""Seconds from an end until an instance has found it."""
+
 
 class RowStore(AdmissionSimulation):
     """A store that keeps rows of quarantines."""
@@ -158,6 +168,21 @@
         restarted.record_end(build_end(3, "y", at=9.0), now=9.0)
         self.assertEqual([one.attribute for one in restarted.decide(now=10.0).held], ["y"])
 
+    async def test_saved_ends_have_settled_as_long_as_the_fleet_knew_them(self) -> None:
+        """Guards against a fleet that is killed before a decision and lets all settle once more."""
+        ledger, rows = await self.start_instance()
+        for number in range(4):
+            at = 1.0 + number
+            ledger.record_end(build_end(number, PART, at=at - REPORT_DELAY_S), now=at)
+        self.store.now = 5.0
+        await rows.save_evidence()
+        self.store.now = 9.0
+        restarted, _ = await self.start_instance()
+        left_s = PROMPT_PART.settle_s - 1.0
+        self.assertEqual(restarted.decide(now=9.0 + left_s - 0.1).held, [])
+        held = restarted.decide(now=9.0 + left_s + 0.1).held
+        self.assertEqual([one.attribute for one in held], [PART])
+
     async def test_evidence_is_written_when_it_changes(self) -> None:
         ledger, rows = await self.start_instance()
         ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
