A part is held as soon as enough ends have settled

Cause: evidence is judged in rounds of half a second alone, though the moment at which it suffices is known. Many instances have rounds at other moments and tell each other; of three, of which some have just started, one may be the first for the whole half second.

Change: between two rounds, an instance decides when the ends of an attribute next suffice, and tells the others at once.

--- a/src/guavamast/relay/quarantine/evidence.py
+++ b/src/guavamast/relay/quarantine/evidence.py
@@ -183,6 +183,20 @@
             and suspect.count_settled(now=now) >= suspect.kind.min_ends
         ]
 
+    def find_settling_time(self, *, held: Collection[str], now: float) -> float | None:
+        """Return the first later time at which enough ends under an attribute have settled.
+
+        Args:
+            held: Attributes in quarantine, which are left out.
+            now: The current time.
+        """
+        times = (
+            suspect.settles_at
+            for name, suspect in self._suspects.items()
+            if name not in held and len(suspect.ends) >= suspect.kind.min_ends
+        )
+        return min((at for at in times if at > now), default=None)
+
     def list_lasting_ends(self, *, now: float) -> list[EndpointEnd]:
         """Return the ends of the most suspected attributes, for instances that start.
 
--- a/src/guavamast/relay/quarantine/ledger.py
+++ b/src/guavamast/relay/quarantine/ledger.py
@@ -235,6 +235,10 @@
             self._hold(culprit, now=now)
         return Decision(held=culprits, spared=spared)
 
+    def find_settling_time(self, *, now: float) -> float | None:
+        """Return when the evidence against an attribute next suffices for a decision, if ever."""
+        return self._evidence.find_settling_time(held=self._quarantines.keys(), now=now)
+
     def use_trial(self, attribute: str, *, trials_left: int, now: float) -> None:
         """Record that a trial was granted to this or another instance.
 
--- a/src/guavamast/relay/quarantine/suspects.py
+++ b/src/guavamast/relay/quarantine/suspects.py
@@ -36,6 +36,11 @@
         """Local time of the newest evidence."""
         return max(self.ends.values(), default=float("-inf"))
 
+    @property
+    def settles_at(self) -> float:
+        """Local time from which on as many ends count as a decision needs, if there are so many."""
+        return sorted(self.ends.values())[self.kind.min_ends - 1] + self.kind.settle_s
+
     def describe(self) -> LostAttribute:
         """Return the attribute as it is reported."""
         return LostAttribute(attribute=self.attribute, organisation=self.organisation)
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -102,20 +102,41 @@
                 self._woken.clear()
                 await self._woken.wait()
             await self._do_round()
-            await asyncio.sleep(ROUND_INTERVAL_S)
+            await self._wait_for_round()
 
     def publish(self) -> None:
         """Send what is new to the other instances at once."""
         self._publish(complete=False)
 
-    async def _do_round(self) -> None:
-        now = self._read_time()
-        self._guard.confirm_replaced()
-        self._losses.drop_expired(now=now)
+    async def _wait_for_round(self) -> None:
+        """Wait for the next round, and decide meanwhile as soon as evidence has settled.
+
+        Failure: an attribute is sent for up to half a second after enough ends have settled.
+        """
+        until = self._read_time() + ROUND_INTERVAL_S
+        while True:
+            now = self._read_time()
+            due_at = self._ledger.find_settling_time(now=now)
+            if due_at is None or due_at >= until:
+                break
+            await asyncio.sleep(due_at - now)
+            if self._decide(now=self._read_time()):
+                self.publish()
+        await asyncio.sleep(until - now)
+
+    def _decide(self, *, now: float) -> bool:
+        """Decide what is due; return whether anything is held that wasn't before."""
         decision = self._ledger.decide(now=now, is_common=self._answered_parts.is_common)
         for culprit in decision.held:
             self._record_held(culprit, now=now)
         self._record_spared(decision.spared, now=now)
+        return bool(decision.held)
+
+    async def _do_round(self) -> None:
+        now = self._read_time()
+        self._guard.confirm_replaced()
+        self._losses.drop_expired(now=now)
+        self._decide(now=now)
         for attribute in self._ledger.drop_expired(now=now):
             self._log.write("quarantine_ended", now=now, attribute=attribute, reason="idle")
         rank = self._rank_sender()
