A save without an answer holds up the next ones for half a second

Cause: the save waits as long as any call in the background, 2.3 s with the attempt on a kept connection, in the loop that also decides.

Change: half a second. What isn't known to be saved is written again with what has come since. An older write that is performed after a newer one leaves older evidence, as a write without an answer could before.

Measured: the new test, with a store that writes and never answers, fails before (the first save doesn't return) and passes now.

--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -29,6 +29,8 @@
 MIN_SAVE_INTERVAL_S: Final = 0.4
 """Seconds between two writes of the evidence at least: less than a round, as the instances may be
 killed before the next one."""
+MAX_SAVE_WAIT_S: Final = 0.5
+"""Seconds for which a write of the evidence waits for its answer; later evidence waits with it."""
 SETTLED_AFTER_S: Final = 2.0
 """Seconds after a change of the evidence from which on the same attributes are to be saved."""
 MAX_FIRST_READ_WAIT_S: Final = 1.0
@@ -179,7 +181,8 @@
     async def save_evidence(self) -> None:
         """Save the evidence if it has changed, for instances that start.
 
-        One instance of the fleet does this.
+        One instance of the fleet does this. A store that is away or loses its answers would hold
+        up what is known a moment later, and all rounds, for seconds: a further write is made then.
         """
         now = self._read_time()
         if self._ledger.evidence_revision != self._revision:
@@ -195,9 +198,11 @@
             return
         self._saved_at = now
         try:
-            await self._store.write_evidence(_encode_evidence(ends, now=now))
-        except StoreError as error:
-            self._log.write("quarantine_unread", now=self._read_time(), reason=error.reason)
+            async with asyncio.timeout(MAX_SAVE_WAIT_S):
+                await self._store.write_evidence(_encode_evidence(ends, now=now))
+        except (StoreError, TimeoutError) as error:
+            reason = error.reason if isinstance(error, StoreError) else "timeout"
+            self._log.write("quarantine_unread", now=self._read_time(), reason=reason)
             return
         self._saved = evidence
 
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import unittest
 from dataclasses import replace
@@ -29,6 +30,7 @@
 PART = name_part("p")
 REPORT_DELAY_S = 0.4
 """Seconds from an end until an instance has found it."""
+TEST_TIMEOUT_S = 10.0
 
 
 class RowStore(AdmissionSimulation):
@@ -39,6 +41,8 @@
         self.rows: dict[str, QuarantineRow] = {}
         self.evidence: bytes | None = None
         self.calls = 0
+        self.loses_answers = False
+        """Whether evidence is written and the write is never answered."""
         self.on_read: Callable[[], object] = lambda: None
         """Called before each read of the rows."""
 
@@ -54,6 +58,8 @@
     async def write_evidence(self, report: bytes | None) -> None:
         self.count_call()
         self.evidence = report
+        if self.loses_answers:
+            await asyncio.get_running_loop().create_future()
 
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         self.count_call()
@@ -196,6 +202,20 @@
         restarted, _ = await self.start_instance()
         self.assertEqual(restarted.count_ends(PART), 3)
 
+    async def test_a_write_without_an_answer_holds_up_no_later_evidence(self) -> None:
+        """Guards against a store that loses answers and keeps later ends from being saved."""
+        ledger, rows = await self.start_instance()
+        for number in range(2):
+            ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
+        self.store.loses_answers = True
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await rows.save_evidence()
+            ledger.record_end(build_end(2, PART, at=self.store.now), now=self.store.now)
+            self.store.now += 2 * ROUND_INTERVAL_S
+            await rows.save_evidence()
+        restarted, _ = await self.start_instance()
+        self.assertEqual(restarted.count_ends(PART), 3)
+
     async def test_evidence_is_written_when_it_changes(self) -> None:
         ledger, rows = await self.start_instance()
         ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
