Saved evidence is removed only by an instance that has read it

The store had three of the part's ends; then came four removals, before any instance had read them.

Cause: an instance whose first read fails doesn't know what is saved, has no evidence, and takes this for evidence that was cleared.

Change: nothing is saved or removed before the first read.

Measured: the new test fails before (no end of three is left) and passes now.

--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -184,6 +184,9 @@
         One instance of the fleet does this. A store that is away or loses its answers would hold
         up what is known a moment later, and all rounds, for seconds: a further write is made then.
         """
+        if not self.loaded:
+            # Failure: evidence that the store didn't give at the start is removed unread.
+            return
         now = self._read_time()
         if self._ledger.evidence_revision != self._revision:
             self._revision = self._ledger.evidence_revision
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -258,6 +258,20 @@
         await rows.save_evidence()
         self.assertIsNone(self.store.evidence)
 
+    async def test_evidence_that_was_not_read_is_not_removed(self) -> None:
+        """Guards against an instance that starts without the store and removes what is saved."""
+        ledger, rows = await self.start_instance()
+        for number in range(3):
+            ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
+        await rows.save_evidence()
+        self.store.unavailable = True
+        ledger, rows = await self.start_instance()
+        self.store.unavailable = False
+        await rows.save_evidence()
+        self.store.now += ROW_READ_INTERVAL_S
+        await rows.load()
+        self.assertEqual(ledger.count_ends(PART), 3)
+
     async def test_evidence_in_another_form_is_ignored(self) -> None:
         self.store.evidence = b"?"
         ledger, rows = await self.start_instance()
