--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -30,6 +30,8 @@
 PART = name_part("p")
 REPORT_DELAY_S = 0.4
 """Seconds from an end until an instance has found it."""
+MAX_UNREAD_S = 1.5
+"""Seconds in which an instance reads the rows of a store that is back: half of the window."""
 TEST_TIMEOUT_S = 10.0
 
 
@@ -281,6 +283,18 @@
     async def test_requests_wait_for_the_first_read(self) -> None:
         await self.rows.wait_first_read()
 
+    async def test_an_instance_that_starts_without_the_store_reads_soon_after_its_return(
+        self,
+    ) -> None:
+        """Guards against instances in touch that don't know for seconds what is held."""
+        await self.rows.synchronize()
+        self.store.unavailable = True
+        ledger, rows = await self.start_instance()
+        self.store.unavailable = False
+        self.store.now += MAX_UNREAD_S
+        await rows.load()
+        self.assertIs(ledger.assess("x", now=self.store.now), Verdict.QUARANTINED)
+
     async def test_an_instance_that_starts_without_the_store_reads_later(self) -> None:
         """Guards against instances that were killed in an outage and never learn what is held."""
         await self.rows.synchronize()
