Two instances save evidence, as one may be killed before all others

Cause: the first instance by rank saves alone. The others take it for alive until its heartbeats have expired, so nobody saves for that long.

Change: the first two by rank save, as two repeat all quarantines. Their evidence is the same a moment later, and each writes after its last change. An instance that restarts alone may for a moment write less than the other has. In large fleets it is two, too, not all aggregators.

--- a/src/guavamast/relay/quarantine/containment.py
+++ b/src/guavamast/relay/quarantine/containment.py
@@ -96,6 +96,7 @@
             counters=counters,
             send=exchange.spread,
             rank_sender=self._rank_sender,
+            rank_saver=self._rank_saver,
             read_time=read_time,
         )
 
@@ -130,6 +131,10 @@
     def _publish(self) -> None:
         self._upkeep.publish()
 
+    def _rank_saver(self) -> int:
+        """Return this instance's rank among those that save evidence."""
+        return self._fleet_state.peers.rank_as_reader(now=self._read_time())
+
     def _rank_sender(self) -> int:
         """Return this instance's rank among those that repeat all quarantines.
 
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -105,9 +105,12 @@
             self._ledger.find(attribute) is None for attribute in self._written
         )
 
-    def forget(self) -> None:
+    def forget_rows(self) -> None:
         """Leave the rows to the instance that synchronizes them."""
         self._written.clear()
+
+    def forget_evidence(self) -> None:
+        """Leave the evidence to the instances that save it."""
         self._saved = None
         self._compared_at = float("-inf")
 
@@ -184,7 +187,8 @@
     async def save_evidence(self) -> None:
         """Save the evidence if it has changed, for instances that start.
 
-        One instance of the fleet does this. A store that is away or loses its answers would hold
+        Two instances of the fleet do this, with the same evidence a moment later: what both have
+        merged. A store that is away or loses its answers would hold
         up what is known a moment later, and all rounds, for seconds: a further write is made then.
         """
         if not self.loaded:
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -25,6 +25,9 @@
 """Intervals of a round from one complete report to the next; new facts are repeated in each."""
 SENDERS_RANK: Final = 2
 """Rank below which an instance repeats all quarantines: one more than needed, as one may end."""
+SAVERS_RANK: Final = 2
+"""Rank below which an instance saves evidence: one more than needed, as the first may be killed a
+moment before all others, which take it for alive until its heartbeats have expired."""
 
 
 class QuarantineUpkeep:
@@ -42,6 +45,7 @@
         counters: Metrics.
         send: Sends a datagram to the other instances.
         rank_sender: Returns this instance's rank among those that repeat all quarantines.
+        rank_saver: Returns its rank among those that save evidence.
         read_time: The local clock.
     """
 
@@ -52,6 +56,7 @@
         "_ledger",
         "_log",
         "_losses",
+        "_rank_saver",
         "_rank_sender",
         "_read_time",
         "_round",
@@ -73,6 +78,7 @@
         counters: Counters,
         send: Callable[[bytes], None],
         rank_sender: Callable[[], int],
+        rank_saver: Callable[[], int],
         read_time: Callable[[], float],
     ) -> None:
         self._ledger = ledger
@@ -84,6 +90,7 @@
         self._counters = counters
         self._send = send
         self._rank_sender = rank_sender
+        self._rank_saver = rank_saver
         self._read_time = read_time
         self._woken = asyncio.Event()
         self._round = 0
@@ -145,9 +152,12 @@
         self._publish(complete=due and rank < SENDERS_RANK)
         if rank == 0:
             await self._rows.synchronize()
+        else:
+            self._rows.forget_rows()
+        if self._rank_saver() < SAVERS_RANK:
             await self._rows.save_evidence()
         else:
-            self._rows.forget()
+            self._rows.forget_evidence()
         self._counters.set("quarantined_attributes", len(self._ledger.list_quarantines()))
         self._counters.set("suspected_attributes", self._ledger.suspect_count)
 
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -248,7 +248,7 @@
         self.store.now += 1.0
         await rows.save_evidence()
         ledger, rows = await self.start_instance()
-        rows.forget()
+        rows.forget_evidence()
         ledger.clear("y", now=self.store.now)
         self.store.now += 1.0
         await rows.save_evidence()
