--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -26,8 +26,14 @@
 ROW_READ_INTERVAL_S: Final = 5.0
 """Seconds between two reads of the rows while any attribute is in quarantine: an operator's release
 takes effect within that time."""
-MIN_SAVE_INTERVAL_S: Final = 1.0
-"""Seconds between two writes of the evidence at least."""
+LOAD_INTERVAL_S: Final = 1.0
+"""Seconds between two attempts of an instance that starts to read the rows: once the store is back,
+it has to know what is held well within the time in which instances must know of a decision."""
+MIN_SAVE_INTERVAL_S: Final = 0.4
+"""Seconds between two writes of the evidence at least: less than a round, as the instances may be
+killed before the next one."""
+MAX_SAVE_WAIT_S: Final = 0.5
+"""Seconds for which a write of the evidence waits for its answer; later evidence waits with it."""
 SETTLED_AFTER_S: Final = 2.0
 """Seconds after a change of the evidence from which on the same attributes are to be saved."""
 MAX_FIRST_READ_WAIT_S: Final = 1.0
@@ -99,9 +105,12 @@
             self._ledger.find(attribute) is None for attribute in self._written
         )
 
-    def forget(self) -> None:
+    def forget_rows(self) -> None:
         """Leave the rows to the instance that synchronizes them."""
         self._written.clear()
+
+    def forget_evidence(self) -> None:
+        """Leave the evidence to the instances that save it."""
         self._saved = None
         self._compared_at = float("-inf")
 
@@ -124,7 +133,7 @@
         now = self._read_time()
         if self.loaded or now < self._load_due_at:
             return
-        self._load_due_at = now + ROW_READ_INTERVAL_S
+        self._load_due_at = now + LOAD_INTERVAL_S
         try:
             await self._read()
             self._apply_evidence(await self._store.read_evidence())
@@ -178,8 +187,13 @@
     async def save_evidence(self) -> None:
         """Save the evidence if it has changed, for instances that start.
 
-        One instance of the fleet does this.
+        Two instances of the fleet do this, with the same evidence a moment later: what both have
+        merged. A store that is away or loses its answers would hold
+        up what is known a moment later, and all rounds, for seconds: a further write is made then.
         """
+        if not self.loaded:
+            # Failure: evidence that the store didn't give at the start is removed unread.
+            return
         now = self._read_time()
         if self._ledger.evidence_revision != self._revision:
             self._revision = self._ledger.evidence_revision
@@ -194,9 +208,11 @@
             return
         self._saved_at = now
         try:
-            await self._store.write_evidence(_encode_evidence(ends, now=now))
-        except StoreError as error:
-            self._log.write("quarantine_unread", now=self._read_time(), reason=error.reason)
+            async with asyncio.timeout(MAX_SAVE_WAIT_S):
+                await self._store.write_evidence(_encode_evidence(ends, now=now))
+        except (StoreError, TimeoutError) as error:
+            reason = error.reason if isinstance(error, StoreError) else "timeout"
+            self._log.write("quarantine_unread", now=self._read_time(), reason=reason)
             return
         self._saved = evidence
 
@@ -224,7 +240,7 @@
             # Another software version may save it in another form.
             self._log.write("quarantine_unread", now=now, reason=str(error))
             return
-        self._ledger.apply_report(report, now=now)
+        self._ledger.restore_ends(report.ends)
         self._saved = frozenset(report.ends)
 
     def _release(self, row: QuarantineRow, *, now: float) -> None:
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -25,6 +25,9 @@
 """Intervals of a round from one complete report to the next; new facts are repeated in each."""
 SENDERS_RANK: Final = 2
 """Rank below which an instance repeats all quarantines: one more than needed, as one may end."""
+SAVERS_RANK: Final = 2
+"""Rank below which an instance saves evidence: one more than needed, as the first may be killed a
+moment before all others, which take it for alive until its heartbeats have expired."""
 
 
 class QuarantineUpkeep:
@@ -42,6 +45,7 @@
         counters: Metrics.
         send: Sends a datagram to the other instances.
         rank_sender: Returns this instance's rank among those that repeat all quarantines.
+        rank_saver: Returns its rank among those that save evidence.
         read_time: The local clock.
     """
 
@@ -52,6 +56,7 @@
         "_ledger",
         "_log",
         "_losses",
+        "_rank_saver",
         "_rank_sender",
         "_read_time",
         "_round",
@@ -73,6 +78,7 @@
         counters: Counters,
         send: Callable[[bytes], None],
         rank_sender: Callable[[], int],
+        rank_saver: Callable[[], int],
         read_time: Callable[[], float],
     ) -> None:
         self._ledger = ledger
@@ -84,6 +90,7 @@
         self._counters = counters
         self._send = send
         self._rank_sender = rank_sender
+        self._rank_saver = rank_saver
         self._read_time = read_time
         self._woken = asyncio.Event()
         self._round = 0
@@ -102,20 +109,41 @@
                 self._woken.clear()
                 await self._woken.wait()
             await self._do_round()
-            await asyncio.sleep(ROUND_INTERVAL_S)
+            await self._wait_for_round()
 
     def publish(self) -> None:
         """Send what is new to the other instances at once."""
         self._publish(complete=False)
 
-    async def _do_round(self) -> None:
-        now = self._read_time()
-        self._guard.confirm_replaced()
-        self._losses.drop_expired(now=now)
+    async def _wait_for_round(self) -> None:
+        """Wait for the next round, and decide meanwhile as soon as evidence has settled.
+
+        Failure: an attribute is sent for up to half a second after enough ends have settled.
+        """
+        until = self._read_time() + ROUND_INTERVAL_S
+        while True:
+            now = self._read_time()
+            due_at = self._ledger.find_settling_time(now=now)
+            if due_at is None or due_at >= until:
+                break
+            await asyncio.sleep(due_at - now)
+            if self._decide(now=self._read_time()):
+                self.publish()
+        await asyncio.sleep(until - now)
+
+    def _decide(self, *, now: float) -> bool:
+        """Decide what is due; return whether anything is held that wasn't before."""
         decision = self._ledger.decide(now=now, is_common=self._answered_parts.is_common)
         for culprit in decision.held:
             self._record_held(culprit, now=now)
         self._record_spared(decision.spared, now=now)
+        return bool(decision.held)
+
+    async def _do_round(self) -> None:
+        now = self._read_time()
+        self._guard.confirm_replaced()
+        self._losses.drop_expired(now=now)
+        self._decide(now=now)
         for attribute in self._ledger.drop_expired(now=now):
             self._log.write("quarantine_ended", now=now, attribute=attribute, reason="idle")
         rank = self._rank_sender()
@@ -124,9 +152,12 @@
         self._publish(complete=due and rank < SENDERS_RANK)
         if rank == 0:
             await self._rows.synchronize()
+        else:
+            self._rows.forget_rows()
+        if self._rank_saver() < SAVERS_RANK:
             await self._rows.save_evidence()
         else:
-            self._rows.forget()
+            self._rows.forget_evidence()
         self._counters.set("quarantined_attributes", len(self._ledger.list_quarantines()))
         self._counters.set("suspected_attributes", self._ledger.suspect_count)
 
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import unittest
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from guavamast.relay.decision_log import DecisionLog
-from guavamast.relay.quarantine import QuarantineLedger, QuarantineRows, Verdict
+from guavamast.relay.quarantine import (
+    PROMPT_PART,
+    QuarantineLedger,
+    QuarantineRows,
+    Verdict,
+    name_part,
+)
 from guavamast.relay.quarantine.ledger import MAX_TRIALS, TRIAL_AFTER_S
 from guavamast.relay.quarantine.rows import ROW_READ_INTERVAL_S
+from guavamast.relay.quarantine.upkeep import ROUND_INTERVAL_S
 from guavamast.relay.store import QuarantineRow, StoreError
 from tests.test_relay_caller_admission import AdmissionSimulation
 from tests.test_relay_quarantine_evidence import build_end
@@ -19,6 +27,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+PART = name_part("p")
+REPORT_DELAY_S = 0.4
+"""Seconds from an end until an instance has found it."""
+MAX_UNREAD_S = 1.5
+"""Seconds in which an instance reads the rows of a store that is back: half of the window."""
+TEST_TIMEOUT_S = 10.0
+
 
 class RowStore(AdmissionSimulation):
     """A store that keeps rows of quarantines."""
@@ -28,6 +43,8 @@
         self.rows: dict[str, QuarantineRow] = {}
         self.evidence: bytes | None = None
         self.calls = 0
+        self.loses_answers = False
+        """Whether evidence is written and the write is never answered."""
         self.on_read: Callable[[], object] = lambda: None
         """Called before each read of the rows."""
 
@@ -43,6 +60,8 @@
     async def write_evidence(self, report: bytes | None) -> None:
         self.count_call()
         self.evidence = report
+        if self.loses_answers:
+            await asyncio.get_running_loop().create_future()
 
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         self.count_call()
@@ -158,6 +177,47 @@
         restarted.record_end(build_end(3, "y", at=9.0), now=9.0)
         self.assertEqual([one.attribute for one in restarted.decide(now=10.0).held], ["y"])
 
+    async def test_saved_ends_have_settled_as_long_as_the_fleet_knew_them(self) -> None:
+        """Guards against a fleet that is killed before a decision and lets all settle once more."""
+        ledger, rows = await self.start_instance()
+        for number in range(4):
+            at = 1.0 + number
+            ledger.record_end(build_end(number, PART, at=at - REPORT_DELAY_S), now=at)
+        self.store.now = 5.0
+        await rows.save_evidence()
+        self.store.now = 9.0
+        restarted, _ = await self.start_instance()
+        left_s = PROMPT_PART.settle_s - 1.0
+        self.assertEqual(restarted.decide(now=9.0 + left_s - 0.1).held, [])
+        held = restarted.decide(now=9.0 + left_s + 0.1).held
+        self.assertEqual([one.attribute for one in held], [PART])
+
+    async def test_evidence_is_saved_in_each_round_that_changes_it(self) -> None:
+        """Guards against instances that are killed a second after an end and forget it."""
+        ledger, rows = await self.start_instance()
+        for number in range(2):
+            ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
+        await rows.save_evidence()
+        ledger.record_end(build_end(2, PART, at=self.store.now), now=self.store.now)
+        self.store.now += ROUND_INTERVAL_S
+        await rows.save_evidence()
+        restarted, _ = await self.start_instance()
+        self.assertEqual(restarted.count_ends(PART), 3)
+
+    async def test_a_write_without_an_answer_holds_up_no_later_evidence(self) -> None:
+        """Guards against a store that loses answers and keeps later ends from being saved."""
+        ledger, rows = await self.start_instance()
+        for number in range(2):
+            ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
+        self.store.loses_answers = True
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await rows.save_evidence()
+            ledger.record_end(build_end(2, PART, at=self.store.now), now=self.store.now)
+            self.store.now += 2 * ROUND_INTERVAL_S
+            await rows.save_evidence()
+        restarted, _ = await self.start_instance()
+        self.assertEqual(restarted.count_ends(PART), 3)
+
     async def test_evidence_is_written_when_it_changes(self) -> None:
         ledger, rows = await self.start_instance()
         ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
@@ -188,7 +248,7 @@
         self.store.now += 1.0
         await rows.save_evidence()
         ledger, rows = await self.start_instance()
-        rows.forget()
+        rows.forget_evidence()
         ledger.clear("y", now=self.store.now)
         self.store.now += 1.0
         await rows.save_evidence()
@@ -200,6 +260,20 @@
         await rows.save_evidence()
         self.assertIsNone(self.store.evidence)
 
+    async def test_evidence_that_was_not_read_is_not_removed(self) -> None:
+        """Guards against an instance that starts without the store and removes what is saved."""
+        ledger, rows = await self.start_instance()
+        for number in range(3):
+            ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
+        await rows.save_evidence()
+        self.store.unavailable = True
+        ledger, rows = await self.start_instance()
+        self.store.unavailable = False
+        await rows.save_evidence()
+        self.store.now += ROW_READ_INTERVAL_S
+        await rows.load()
+        self.assertEqual(ledger.count_ends(PART), 3)
+
     async def test_evidence_in_another_form_is_ignored(self) -> None:
         self.store.evidence = b"?"
         ledger, rows = await self.start_instance()
@@ -209,6 +283,18 @@
     async def test_requests_wait_for_the_first_read(self) -> None:
         await self.rows.wait_first_read()
 
+    async def test_an_instance_that_starts_without_the_store_reads_soon_after_its_return(
+        self,
+    ) -> None:
+        """Guards against instances in touch that don't know for seconds what is held."""
+        await self.rows.synchronize()
+        self.store.unavailable = True
+        ledger, rows = await self.start_instance()
+        self.store.unavailable = False
+        self.store.now += MAX_UNREAD_S
+        await rows.load()
+        self.assertIs(ledger.assess("x", now=self.store.now), Verdict.QUARANTINED)
+
     async def test_an_instance_that_starts_without_the_store_reads_later(self) -> None:
         """Guards against instances that were killed in an outage and never learn what is held."""
         await self.rows.synchronize()
