--- a/src/guavamast/caller_connection.py
+++ b/src/guavamast/caller_connection.py
@@ -13,6 +13,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from guavamast.loop_turns import ReaderTurn
+from guavamast.socket_options import has_unsent_bytes, may_linger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -97,7 +98,7 @@
         address: ``ip:port`` of the caller.
         read_time: Reads the server's clock.
         on_early_close: Takes over the socket if the stream is closed after a response and before
-            the whole request was received.
+            the whole request was received, or before its caller has received the whole response.
     """
 
     def __init__(
@@ -158,11 +159,16 @@
         self.trace.sent_bytes += count
         return count
 
+    @property
+    def is_delivering(self) -> bool:
+        """Whether the system holds bytes that the caller hasn't received."""
+        return not self.closed() and has_unsent_bytes(self.socket)
+
     def close_fd(self) -> None:
-        """Close the socket, or hand it over while its caller may still be sending."""
+        """Close the socket, or hand it over while its caller may still be sending or receiving."""
         trace = self.trace
-        receiving = trace.stage is RequestStage.RECEIVING and not trace.closed_by_caller
-        if receiving and trace.response_begun and trace.ended_at is None:
+        responded = trace.response_begun and trace.ended_at is None and not trace.closed_by_caller
+        if responded and (trace.stage is RequestStage.RECEIVING or may_linger(self.socket)):
             self._hand_over(self.socket)
             self.socket = None  # type: ignore[assignment]
             return
@@ -202,10 +208,10 @@
 
 
 async def discard_rest(connection: socket.socket) -> None:
-    """Close a socket once its caller has sent the rest of its request.
+    """Close a socket once its caller has closed its side.
 
     A socket that is closed earlier is reset by the next bytes that arrive, and a caller that is
-    still sending gets the reset instead of its response.
+    still sending, also further requests, gets the reset instead of its response or of its rest.
     """
     loop = asyncio.get_running_loop()
     # Nothing is owed to a caller that disconnects, or that sends on for too long.
--- a/src/guavamast/caller_server.py
+++ b/src/guavamast/caller_server.py
@@ -271,7 +271,8 @@
         if stream.closed():
             return  # Its task forgets it in the next turns of the loop.
         if trace.ended_at is not None:
-            if now >= min(trace.ended_at + LINGER_S, times.latest):
+            lingers = now < min(trace.ended_at + LINGER_S, times.latest)
+            if not lingers and not (stream.is_delivering and now < times.begun_until):
                 stream.close()
         elif trace.response_begun:
             # A response that has begun is awaited. After that the missing end tells its caller
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from contextlib import suppress
+from math import inf
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -22,7 +23,7 @@
 
 from guavamast._daemon import bind_socket, get_bound_address
 from guavamast.caller_connection import RequestStage
-from guavamast.caller_server import CallerServer, LastResponses, encode_response
+from guavamast.caller_server import LINGER_S, CallerServer, LastResponses, encode_response
 from tests._waits import wait_until
 
 if TYPE_CHECKING:
@@ -36,6 +37,9 @@
     not_run=encode_response(503, [], b"not run"), unfinished=encode_response(504, [], b"unknown")
 )
 BODY_BYTES = 4_000_000
+BUFFERED_BODY = b"x" * 1_000_000
+"""More than a caller with a small buffer receives before it reads, and less than the system takes
+for it."""
 LARGE_BODY = b"x" * 8_000_000
 """More than the operating system buffers for a connection."""
 
@@ -365,6 +369,65 @@
             socket.create_connection((host, int(port)))
 
 
+class PipeliningCallerTest(CallerServerTestCase):
+    """A caller reads slowly, and sends its next request before it has the whole response."""
+
+    async def receive(self, *, before_next_s: float, draining: bool) -> int:
+        """Send two requests, the second after the response to the first was written.
+
+        Args:
+            before_next_s: Seconds from that on until the second one.
+            draining: Whether the server drains, or only keeps no connection.
+
+        Returns:
+            The bytes that the caller has received in all.
+        """
+        loop = asyncio.get_running_loop()
+        host, _, port = self.address.rpartition(":")
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.setblocking(False)
+            await loop.sock_connect(caller, (host, int(port)))
+            if not draining:
+                self.server.disable_keep_alive()
+            await loop.sock_sendall(caller, GET)
+            await wait_until(lambda: bool(self.requests))
+            ending = asyncio.create_task(self.end(draining=draining))
+            await asyncio.sleep(0)
+            respond(self.requests[0], body=BUFFERED_BODY)
+            next_at = time.monotonic() + before_next_s
+            received = 0
+            with suppress(ConnectionError):
+                while data := await loop.sock_recv(caller, 4000):
+                    received += len(data)
+                    await asyncio.sleep(0.005)
+                    if time.monotonic() >= next_at:
+                        next_at = inf
+                        await loop.sock_sendall(caller, GET)
+        self.assertEqual(next_at, inf)
+        await ending
+        return received
+
+    async def end(self, *, draining: bool) -> None:
+        if draining:
+            deadline = time.monotonic() + 10.0
+            await self.server.drain(deadline=deadline, responses=RESPONSES, closes_at=deadline)
+
+    async def test_a_response_is_whole_though_its_caller_sends_on_after_the_close(self) -> None:
+        """Guards against a response whose rest is dropped by a reset.
+
+        The response says that the connection closes, and the system has taken it. The next bytes
+        of its caller would reset the connection, and drop what the caller hasn't received yet.
+        """
+        received = await self.receive(before_next_s=0.1, draining=False)
+        self.assertGreater(received, len(BUFFERED_BODY))
+
+    async def test_a_response_is_whole_though_its_caller_sends_on_late_in_a_drain(self) -> None:
+        """Guards against the same once an ended connection has lingered."""
+        received = await self.receive(before_next_s=LINGER_S + 0.2, draining=True)
+        self.assertGreater(received, len(BUFFERED_BODY))
+
+
 class ClosedConnectionTest(CallerServerTestCase):
     """A server that has closed a connection with the next request already in its buffer."""
 
