--- a/soak/roll_run.py
+++ b/soak/roll_run.py
@@ -13,11 +13,14 @@
 from guavamast.platform.standins.site import MODELS, Site
 from soak.callers import fetch_addresses
 from soak.departures import DepartureRecord, Outcome, classify, describe
+from soak.guarantees import NOT_RUN_STATUSES
 from soak.roll_callers import RollCaller, RollRequest
 from soak.roll_instance import GRACE_S, RollInstance
 from soak.roll_workload import PREFILL_TOKENS_PER_S, ROUTES
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from guavamast.platform.standins.engine import EngineStandIn
     from soak.guarantees import RequestRecord
     from soak.roll_workload import Work
@@ -42,6 +45,8 @@
 BURST_S: Final = 5.0
 MAX_SLOWNESS: Final = 4.0
 """Factor on the steps of busy engines, at most."""
+REPEATABLE_KINDS: Final = ("reply", "status")
+"""Kinds of requests that may run more than once."""
 START_TIMEOUT_S: Final = 40.0
 RESTART_PAUSE_S: Final = 0.3
 STOPPED_AGAIN_SHARE: Final = 0.3
@@ -236,14 +241,14 @@
                 taken_and_cut += 1
             if outcome is Outcome.LOST:
                 lost += [describe(record, departures), *self._find_log_lines(one)]
-            if record.status == 503 and self._was_needless(one, departures):
+            if record.status in NOT_RUN_STATUSES and self._was_needless(one, departures):
                 needless += 1
         return RollVerdict(
             seed=self._seed,
             outcomes=outcomes,
             taken_and_cut=taken_and_cut,
             needless=needless,
-            wrong_runs=self._count_wrong_runs(runs),
+            wrong_runs=count_wrong_runs(self._tries, runs),
             longest_signal_delay_s=max(
                 (delay_s for one in self._instances for delay_s in one.list_signal_delays()),
                 default=0.0,
@@ -275,14 +280,19 @@
             for signalled_at in departures.signals[record.address]
         )
 
-    def _count_wrong_runs(self, runs: Counter[str]) -> int:
-        """Return the requests that ran though rejected, or twice though they must not."""
-        repeatable = ("reply", "status")
-        return sum(
-            (one.record.status == 503 and runs[one.record.request_id] > 0)
-            or (runs[one.record.request_id] > 1 and one.work.kind.name not in repeatable)
-            for one in self._tries
-        )
+
+def count_wrong_runs(tries: Iterable[RollRequest], runs: Counter[str]) -> int:
+    """Return the requests that ran though rejected, or twice though they must not.
+
+    Args:
+        tries: The requests.
+        runs: Runs by request id.
+    """
+    return sum(
+        (one.record.status in NOT_RUN_STATUSES and runs[one.record.request_id] > 0)
+        or (runs[one.record.request_id] > 1 and one.work.kind.name not in REPEATABLE_KINDS)
+        for one in tries
+    )
 
 
 class _RollSite(Site):
--- a/tests/test_soak_rolls.py
+++ b/tests/test_soak_rolls.py
@@ -4,12 +4,14 @@
 
 import tempfile
 import unittest
+from collections import Counter
 from dataclasses import replace
 from random import Random
 from typing import Final
 
 from soak.departures import DepartureRecord, Outcome, classify
-from soak.roll_run import RollRun, RollSize
+from soak.roll_callers import RollRequest
+from soak.roll_run import RollRun, RollSize, count_wrong_runs
 from soak.roll_workload import KINDS, draw_work
 
 from tests.test_soak_departures import CUT, GRACE_S, LAST_SIXTH_AT, SIGNALLED_AT
@@ -58,6 +60,16 @@
         rejected = replace(CUT, status=503, body=b"", complete=True)
         self.assertIs(classify(rejected, self.departures, has_run=False), Outcome.REJECTED)
 
+    def test_a_request_that_ran_is_wrong_with_each_status_that_says_it_did_not(self) -> None:
+        """Guards against requests that ran although 408, 421, 429 or 503 said they never would."""
+        work = draw_work(KINDS[0], Random(SEED))
+        for status in (408, 421, 429, 503):
+            with self.subTest(status=status):
+                rejected = replace(CUT, status=status, body=b"", complete=True)
+                one = RollRequest(work=work, record=rejected, retry_after_s=0.0)
+                self.assertEqual(count_wrong_runs([one], Counter({CUT.request_id: 1})), 1)
+                self.assertEqual(count_wrong_runs([one], Counter()), 0)
+
 
 class SmallRollTest(unittest.IsolatedAsyncioTestCase):
     """Five instances are replaced in two overlapping rolls while 24 callers go on."""
