--- a/soak/departures.py
+++ b/soak/departures.py
@@ -86,11 +86,12 @@
 
 
 def _is_lost(request: RequestRecord, *, has_run: bool) -> bool:
-    if request.status is None:
+    rejected = request.status in NOT_RUN_STATUSES
+    if request.status is None or (rejected and not request.complete):
         return has_run or request.ended_at - request.sent_at > LOSS_SLACK_S
     if request.status == 200:
         return not request.served
-    return request.status >= 500 and request.status not in NOT_RUN_STATUSES
+    return request.status >= 500 and not rejected
 
 
 def _is_excused(request: RequestRecord, departures: DepartureRecord) -> bool:
--- a/tests/test_soak_rolls.py
+++ b/tests/test_soak_rolls.py
@@ -70,6 +70,19 @@
                 self.assertEqual(count_wrong_runs([one], Counter({CUT.request_id: 1})), 1)
                 self.assertEqual(count_wrong_runs([one], Counter()), 0)
 
+    def test_a_cut_answer_does_not_say_that_nothing_ran(self) -> None:
+        """Guards against connections that end inside an answer, counted as rejections.
+
+        A caller without the whole answer is left as one without any.
+        """
+        for status in (408, 421, 429, 503):
+            with self.subTest(status=status):
+                cut = replace(CUT, status=status, address="two")
+                self.assertIs(classify(cut, self.departures, has_run=False), Outcome.LOST)
+                at_once = replace(cut, ended_at=cut.sent_at + 0.1)
+                self.assertIs(classify(at_once, self.departures, has_run=True), Outcome.LOST)
+                self.assertIs(classify(at_once, self.departures, has_run=False), Outcome.REJECTED)
+
 
 class SmallRollTest(unittest.IsolatedAsyncioTestCase):
     """Five instances are replaced in two overlapping rolls while 24 callers go on."""
