--- a/soak/departures.py
+++ b/soak/departures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
@@ -17,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from guavamast.platform.standins.engine import EngineStandIn
+
 ADDRESS_VALIDITY_S: Final = 3.0
 """Seconds after the signal for which callers may hold the address of a leaving instance."""
 LAST_SHARE: Final = 1 / 6
@@ -48,11 +51,28 @@
     grace_s: float
     """Seconds from SIGTERM until the platform would kill a process."""
     run_ends: dict[str, float] = field(default_factory=dict)
-    """Times at which engines had sent whole responses, by request id."""
+    """Times at which the work of engines ended, by request id; see `find_run_ends`."""
     timeouts_s: dict[str, float] = field(default_factory=dict)
     """Seconds after which the time of a request is up, by request id."""
 
 
+def find_run_ends(engines: Iterable[EngineStandIn]) -> dict[str, float]:
+    """Return when the last run of each request ended, whole or not, as its engine saw it.
+
+    Requests are left out of which an engine may still run one.
+
+    Args:
+        engines: All engines of the run, also those that have ended.
+    """
+    begun: Counter[str] = Counter()
+    ends: dict[str, list[float]] = {}
+    for engine in engines:
+        begun.update(run.request_id for run in engine.runs)
+        for run in (*engine.completed, *engine.aborted):
+            ends.setdefault(run.request_id, []).append(run.ended)
+    return {name: max(times) for name, times in ends.items() if len(times) >= begun[name]}
+
+
 def classify(request: RequestRecord, departures: DepartureRecord, *, has_run: bool) -> Outcome:
     """Return what became of a request.
 
--- a/soak/roll_run.py
+++ b/soak/roll_run.py
@@ -12,7 +12,7 @@
 from guavamast.platform.standins.prefill_batch import PrefillBatch
 from guavamast.platform.standins.site import MODELS, Site
 from soak.callers import fetch_addresses
-from soak.departures import DepartureRecord, Outcome, classify, describe
+from soak.departures import DepartureRecord, Outcome, classify, describe, find_run_ends
 from soak.guarantees import NOT_RUN_STATUSES
 from soak.roll_callers import RollCaller, RollRequest
 from soak.roll_instance import GRACE_S, RollInstance
@@ -223,11 +223,7 @@
         departures = DepartureRecord(
             signals={one.address: one.signals for one in self._instances},
             grace_s=GRACE_S,
-            run_ends={
-                run.request_id: run.ended
-                for engine in self._site.list_engines()
-                for run in engine.completed
-            },
+            run_ends=find_run_ends(self._site.list_engines()),
             timeouts_s=self._timeouts,
         )
         outcomes: Counter[Outcome] = Counter()
--- a/soak/site.py
+++ b/soak/site.py
@@ -11,7 +11,7 @@
 from guavamast.platform.standins.engine import DEFAULT_VERSION, EngineFault
 from guavamast.platform.standins.prefill_batch import PrefillBatch
 from guavamast.platform.standins.site import KEY, MODELS, Site
-from soak.departures import DepartureRecord
+from soak.departures import DepartureRecord, find_run_ends
 from soak.guarantees import RunRecord, Span
 from soak.instances import Instance
 from soak.lethal import LETHAL_BODY, LETHAL_TARGET
@@ -233,11 +233,7 @@
         return DepartureRecord(
             signals={one.caller_address: one.signals for one in self.instances},
             grace_s=float(self.bounds["grace_s"]),
-            run_ends={
-                run.request_id: run.ended
-                for _, engine in self._list_engines()
-                for run in engine.completed
-            },
+            run_ends=find_run_ends(engine for _, engine in self._list_engines()),
         )
 
     def _list_engines(self) -> list[tuple[str, EngineStandIn]]:
--- a/src/guavamast/platform/standins/engine.py
+++ b/src/guavamast/platform/standins/engine.py
@@ -91,8 +91,8 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class CompletedRun:
-    """Times of one run, in seconds on the monotonic clock."""
+class RunTimes:
+    """Times of one run that is over, in seconds on the monotonic clock."""
 
     request_id: str
     began: float
@@ -160,8 +160,11 @@
         """All requests that reached it, in order."""
         self.rejections: list[float] = []
         """Monotonic times of the requests that it rejected since it had no free slot."""
-        self.completed: list[CompletedRun] = []
+        self.completed: list[RunTimes] = []
         """Runs whose responses were complete."""
+        self.aborted: list[RunTimes] = []
+        """Runs that ended before, most of them as their connection closed. An engine sees that when
+        it sends the next part."""
         self.batch: PrefillBatch | None = None
         """Slots, prefill and order of the requests; None if each begins at once."""
         self.silent_until = 0.0
@@ -264,9 +267,10 @@
         assert request is not None
         self._record_arrival(request)
         if self.fault is EngineFault.HANG:
-            self._record_run(request, body)
+            run = self._record_run(request, body)
             await reader.read()
             self.abandoned += 1
+            self.aborted.append(_end_run(run))
             return False
         return await self._respond(http, writer, request, body)
 
@@ -341,6 +345,8 @@
             return await self._run_in_batch(http, writer, request, run)
         finally:
             self.kv_cache.release(tokens)
+            if not self._has_just_completed(run):
+                self.aborted.append(_end_run(run))
 
     async def _run_in_batch(
         self, http: h11.Connection, writer: asyncio.StreamWriter, request: h11.Request, run: Run
@@ -392,7 +398,7 @@
             self._crash()
         if self.ending.closing is Closing.EXIT:
             await self._exit()
-        self._record_completed(run)
+        self.completed.append(_end_run(run))
         if self.fault is EngineFault.EXTRA and keep_open and not is_stream:
             writer.write(
                 b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Engine-Seal: s\r\n"
@@ -435,10 +441,10 @@
     async def _wait_for_silence(self) -> None:
         await asyncio.sleep(max(0.0, self.silent_until - time.monotonic()))
 
-    def _record_completed(self, run: Run) -> None:
-        self.completed.append(
-            CompletedRun(request_id=run.request_id, began=run.began, ended=time.monotonic())
-        )
+    def _has_just_completed(self, run: Run) -> bool:
+        """Return whether a run that ends in this turn of the loop was complete."""
+        last = self.completed[-1] if self.completed else None
+        return last is not None and (last.request_id, last.began) == (run.request_id, run.began)
 
     async def _stream(
         self,
@@ -508,6 +514,11 @@
         return await body.end()
 
 
+def _end_run(run: Run) -> RunTimes:
+    """Return the times of a run that ends now."""
+    return RunTimes(request_id=run.request_id, began=run.began, ended=time.monotonic())
+
+
 def _echo_id(headers: Mapping[str, str]) -> list[Header]:
     """Return the id of a request as its response states it."""
     return [("X-Attempt-Id", headers["x-attempt-id"])] if "x-attempt-id" in headers else []
--- a/tests/test_platform_standin_engine.py
+++ b/tests/test_platform_standin_engine.py
@@ -119,6 +119,26 @@
         self.assertEqual((answers, ended), ([b"", b""], [True]))
         self.assertEqual(self.engine.kv_cache.most_held, 120)
 
+    async def test_the_end_of_each_run_is_recorded_once(self) -> None:
+        """Guards against runs whose ends only their callers tell, who may be late."""
+        self.engine.event_interval_s = 0.02
+        await self.ask("/stream")
+        self.assertEqual((len(self.engine.completed), self.engine.aborted), (1, []))
+        self.engine.event_interval_s = 0.1
+
+        async def leave() -> None:
+            if len(self.engine.runs) > 1:
+                raise ConnectionError
+
+        left_at = time.monotonic()
+        await self.ask("/stream", pace=leave)
+        while not self.engine.aborted:
+            await asyncio.sleep(0.02)
+        (aborted,) = self.engine.aborted
+        self.assertEqual(len(self.engine.completed), 1)
+        self.assertGreater(aborted.ended, left_at)
+        self.assertLess(aborted.ended, time.monotonic() + 0.02)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak_departures.py
+++ b/tests/test_soak_departures.py
@@ -11,6 +11,7 @@
     Outcome,
     classify,
     find_departure_violations,
+    find_run_ends,
 )
 from soak.guarantees import RequestKind, RequestRecord, RunRecord, SoakRecord, Span, find_violations
 from soak.schedule import (
@@ -20,6 +21,8 @@
     plan_rolls,
 )
 
+from guavamast.platform.standins.engine import EngineStandIn, Run, RunTimes
+
 SIGNALLED_AT = 100.0
 GRACE_S = 8.0
 LAST_SIXTH_AT = SIGNALLED_AT + GRACE_S * 5 / 6
@@ -64,6 +67,16 @@
     )
 
 
+def build_run(began: float) -> Run:
+    """Return a run of the request, as its engine records it."""
+    return Run(request_id="k1", tenant="bakery", target="/", body=b"", headers={}, began=began)
+
+
+def build_end(began: float, ended: float) -> RunTimes:
+    """Return the times of such a run."""
+    return RunTimes(request_id="k1", began=began, ended=ended)
+
+
 class DepartureCheckTest(unittest.TestCase):
     """A request on a kept connection may be lost at the end of the grace time only."""
 
@@ -98,6 +111,26 @@
         self.assert_lost(build_record(CUT), run_ends={"k1": LAST_SIXTH_AT - 0.1})
         self.assertEqual(self.find(build_record(CUT), run_ends={"k1": LAST_SIXTH_AT + 0.1}), [])
 
+    def test_a_run_ends_when_its_engine_saw_the_end(self) -> None:
+        """Guards against streams given up early, and excused as their callers' ends came later.
+
+        An instance closes its connection to the engine before the last sixth, and tells its caller
+        in the last sixth. The engine wasn't at work any more.
+        """
+        engine = EngineStandIn(engine_id="x")
+        late_s = LAST_SIXTH_AT + 0.1
+        engine.runs = [build_run(RUN.started_at)]
+        self.assertEqual(find_run_ends([engine]), {})
+        engine.aborted = [build_end(RUN.started_at, LAST_SIXTH_AT - 0.1)]
+        self.assert_lost(build_record(CUT), run_ends=find_run_ends([engine]))
+        other = EngineStandIn(engine_id="y")
+        other.runs = [build_run(RUN.started_at + 0.5)]
+        self.assertEqual(find_run_ends([engine, other]), {})
+        other.completed = [build_end(RUN.started_at + 0.5, late_s)]
+        self.assertEqual(find_run_ends([engine, other]), {"k1": late_s})
+        self.assertEqual(find_run_ends([other, engine]), {"k1": late_s})
+        self.assertEqual(self.find(build_record(CUT), run_ends={"k1": late_s}), [])
+
     def test_a_stream_of_an_instance_that_does_not_leave_may_not_be_cut(self) -> None:
         self.assert_lost(build_record(replace(CUT, address="two")))
 
