--- a/soak/departures.py
+++ b/soak/departures.py
@@ -88,6 +88,8 @@
     timeout_s = departures.timeouts_s.get(request.request_id, float("inf"))
     if request.ended_at - request.sent_at >= timeout_s:
         return Outcome.EXPIRED
+    if not has_run and not request.complete:
+        return Outcome.LOST
     return Outcome.EXCUSED if _is_excused(request, departures) else Outcome.LOST
 
 
--- a/tests/test_soak_departures.py
+++ b/tests/test_soak_departures.py
@@ -131,6 +131,12 @@
         self.assertEqual(find_run_ends([other, engine]), {"k1": late_s})
         self.assertEqual(self.find(build_record(CUT), run_ends={"k1": late_s}), [])
 
+    def test_a_request_that_no_engine_worked_on_is_not_excused(self) -> None:
+        """Guards against requests that wait until the end of their instance, and count as cut."""
+        closed = replace(CUT, status=None)
+        self.assert_lost(build_record(closed, ran=False))
+        self.assertEqual(self.find(build_record(closed)), [])
+
     def test_a_stream_of_an_instance_that_does_not_leave_may_not_be_cut(self) -> None:
         self.assert_lost(build_record(replace(CUT, address="two")))
 
