--- a/src/guavamast/relay/retry_claims.py
+++ b/src/guavamast/relay/retry_claims.py
@@ -159,7 +159,12 @@
         placed = await self._placer.place(request, progress)
         if placed.choice is None or placed.rejection is not None:
             return None
-        return await self._complete(request, progress, placed)
+        prepared = await self._complete(request, progress, placed)
+        if prepared is None or not self._limits.applies(progress.service, now=self._read_time()):
+            return prepared
+        prepared.end()  # An endpoint has stated a limit meanwhile.
+        progress.tried.discard(prepared.attempt.record.endpoint_id)
+        return None
 
     async def _complete(
         self, request: CallerRequest, progress: RequestProgress, placed: PlacementDecision
--- a/tests/_relay_case.py
+++ b/tests/_relay_case.py
@@ -184,6 +184,7 @@
         self.profiles = EngineProfiles()
         self.rejections = AdmissionHistory()
         self.rate_limits = RateLimitLedger()
+        self.limits = RejectionLimits()
         self.statements = mock.create_autospec(EndpointStatements, instance=True)
         self.budget = RetryBudget(
             settings=RetryBudgetSettings(ratio=0.2, slack=20.0, window_s=10.0)
@@ -266,7 +267,7 @@
             claims=RetryClaims(
                 budget=self.budget,
                 fleet_state=fleet_state,
-                limits=RejectionLimits(),
+                limits=self.limits,
                 admission=self.simulation.admission,
                 departure=self.departure,
                 guard=self.guard,
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -375,6 +375,17 @@
                 self.assertEqual((writer.status, writer.completed), (200, True))
                 self.assertEqual(sum(len(one.runs) for one in engines), 1)
 
+    async def test_a_limit_that_is_told_before_a_retry_is_sent_keeps_the_attempt(self) -> None:
+        """Guards against attempts abandoned at endpoints that state how few rejections they bear.
+
+        Another endpoint of the service states it while the retry is connected. The abandoned
+        request would run on, and what gets its slot would be rejected.
+        """
+        engines = await self.start_pausing_engines(self.state_rejection_limit)
+        writer = await self.relay_pausing_stream()
+        self.assertEqual((writer.status, writer.completed), (200, True))
+        self.assertEqual(sum(len(one.runs) for one in engines), 1)
+
     async def test_a_silent_stream_goes_on_at_an_endpoint_that_can_take_it(self) -> None:
         """Guards against streams that stay at a silent endpoint though another one is ready."""
         engines = await self.start_pausing_engines(lambda: None)
@@ -484,6 +495,9 @@
         )
         self.ledger.restore(quarantine)
 
+    def state_rejection_limit(self) -> None:
+        self.limits.record("portal", now=self.simulation.now)
+
     def leave_late(self) -> None:
         """Begin to leave, some seconds ago."""
         self.schedule.begin(now=self.simulation.now - 3.5)
