--- a/src/guavamast/relay/caller_admission.py
+++ b/src/guavamast/relay/caller_admission.py
@@ -93,20 +93,25 @@
         """Whether the last read of the store succeeded."""
         return self._reader.answers
 
-    def admit_retry(self, request: CallerRequest, *, service: str, now: float) -> Admitted | None:
-        """Return the admission of a request that was sent to a service, to send it once more there.
+    def admit_retry(
+        self, request: CallerRequest, *, service: str, sends: int, now: float
+    ) -> Admitted | None:
+        """Return the admission of a request that a service may have run, to send it there again.
 
         None if the newest configuration, or its age, forbids it.
 
         Args:
             request: The request.
-            service: The service that may have run it.
+            service: The service.
+            sends: Number of endpoints to which the request was sent.
             now: The present time.
         """
         age_s = self._fleet_state.compute_catalog_age(now=now)
         decision = self._gate.decide(request, self._fleet_state.catalog, age_s=age_s)
         if isinstance(decision, Denied) or not decision.route.leads_to(service):
             return None
+        if not decision.route.allows_repetition(sends=sends, possible_runs=sends):
+            return None
         return decision
 
     def check_endpoint(self, record: EndpointRecord, *, now: float) -> None:
--- a/src/guavamast/relay/catalog.py
+++ b/src/guavamast/relay/catalog.py
@@ -66,6 +66,15 @@
         """Whether a request that may have run may be retried from its start."""
         return self.kind is RouteKind.IDEMPOTENT or self.resumable
 
+    def allows_repetition(self, *, sends: int, possible_runs: int) -> bool:
+        """Return whether a request may be sent to a further endpoint.
+
+        Args:
+            sends: Number of endpoints to which it was sent.
+            possible_runs: Number of these that may have run it.
+        """
+        return sends < self.max_endpoints and (possible_runs == 0 or self.repeatable)
+
     def leads_to(self, service: str) -> bool:
         """Return whether requests of the route may go to a service."""
         return any(entry.service == service for entry in self.services)
--- a/src/guavamast/relay/relayer.py
+++ b/src/guavamast/relay/relayer.py
@@ -402,12 +402,19 @@
 
         A request that may have run, or whose stream has begun, at one service is not sent to
         another, nor sent again once it is no longer allowed. As long as its route leads to that
-        service, it stays there, whatever its weight is now.
+        service, it stays there, whatever its weight is now. Whether it may run again, and at how
+        many endpoints, is up to the newest configuration, too.
         """
         decision = await self._admission.admit(request, until=progress.deadline)
         if isinstance(decision, Denied):
             await self._ends.refuse(request, writer, progress, decision)
             return False
+        if not decision.route.allows_repetition(
+            sends=progress.sends, possible_runs=progress.possible_runs
+        ):
+            reason = "the route allows no other attempt"
+            await self._ends.finish_failed(request, writer, progress, status=502, reason=reason)
+            return False
         binding = progress.binding
         if not progress.possible_runs and binding is None:
             service = decision.route.pick_service(request.request_id)
--- a/src/guavamast/relay/retry_claims.py
+++ b/src/guavamast/relay/retry_claims.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from guavamast.relay.caller_admission import CallerAdmission
+    from guavamast.relay.caller_gate import Admitted
     from guavamast.relay.departure_gate import DepartureGate
     from guavamast.relay.endpoint_load import EndpointLoads
     from guavamast.relay.fleet_state import FleetState
@@ -118,7 +119,7 @@
         """
         if self._limits.applies(progress.service, now=now):
             return False
-        if self._admission.admit_retry(request, service=progress.service, now=now) is None:
+        if self._admit(request, progress) is None:
             return False  # By now its route or its key may be gone.
         if progress.response_begun and not self._admission.store_answers:
             return False  # What another endpoint runs can't be confirmed.
@@ -128,6 +129,12 @@
             return False
         return self._has_other_endpoint(progress, now=now)
 
+    def _admit(self, request: CallerRequest, progress: RequestProgress) -> Admitted | None:
+        """Return the admission of a retry by the newest configuration; None if it forbids it."""
+        return self._admission.admit_retry(
+            request, service=progress.service, sends=progress.sends, now=self._read_time()
+        )
+
     def _has_other_endpoint(self, progress: RequestProgress, *, now: float) -> bool:
         """Return whether an endpoint that wasn't tried could go on with the response."""
         binding = progress.binding
@@ -151,8 +158,7 @@
             progress.binding = await self._versions.confirm(progress.source)
             if progress.binding is None:
                 return None
-        now = self._read_time()
-        admitted = self._admission.admit_retry(request, service=progress.service, now=now)
+        admitted = self._admit(request, progress)
         if admitted is None:
             return None
         progress.admitted = admitted
--- a/tests/test_relay_exchange.py
+++ b/tests/test_relay_exchange.py
@@ -31,6 +31,7 @@
     from collections.abc import Callable
 
     from guavamast.platform.standins.engine import Run
+    from guavamast.relay.catalog import Route
 
 
 class RateLimitGateTest(RelayTestCase):
@@ -132,6 +133,32 @@
         self.assertIs(self.simulation.fleet_state.catalog, self.simulation.catalog)
         self.assertEqual((len(self.engine.runs), len(other.runs)), (1, 1))
 
+    async def test_a_request_is_not_repeated_that_a_newer_configuration_lets_run_once(self) -> None:
+        """Guards against a second run as a route is changed to one whose requests run once at most.
+
+        The first endpoint loses a call, or is silent, while the configuration changes: its requests
+        may not be repeated any more, or only at fewer endpoints.
+        """
+        changes: list[dict[str, Any]] = [{"kind": RouteKind.NON_IDEMPOTENT}, {"max_endpoints": 1}]
+        for change in changes:
+            for fault, status in ((EngineFault.LOSE, 502), (EngineFault.NONE, 200)):
+                with self.subTest(change=change, fault=fault):
+                    self.simulation.replace_routes(build_route(timeout_s=30.0))
+                    await self.simulation.reader.catalog.join()
+                    changed = build_route(timeout_s=30.0, **change)
+                    engines = await self.start_pausing_engines(lambda: None)
+
+                    def replace_route(_: Run, changed: Route = changed) -> None:
+                        self.simulation.replace_routes(changed)
+                        self.apply_change(lambda: None)
+
+                    for engine in engines:
+                        engine.on_run, engine.fault = replace_route, fault
+                        engine.processing_s = 0.4 if fault is EngineFault.NONE else 0.0
+                    writer = await self.relay()
+                    self.assertEqual(writer.send.call_args.args[0], status)
+                    self.assertEqual(sum(len(one.runs) for one in engines), 1)
+
     async def test_a_delayed_request_without_route_is_rejected_as_not_run(self) -> None:
         self.simulation.replace_routes(build_route(timeout_s=30.0))
         other = build_route(path_prefix="/other/")
