--- a/src/guavamast/relay/forwarding/server.py
+++ b/src/guavamast/relay/forwarding/server.py
@@ -149,6 +149,9 @@
     async def accept(self, order: ForwardOrder) -> PermittedOrder:
         """Connect to the endpoint of an order, and permit its request to be sent.
 
+        The other instance may end another attempt for the permission. So what denies it is asked
+        once more after the connect, as it will be when the request is sent.
+
         Raises:
             OrderRejected: The request must not be sent, or can't be.
         """
@@ -161,6 +164,12 @@
         if acquired is None:
             acquired = await self._connect(record)
         await self._confirm_software(order, record, acquired)
+        try:
+            self._check_staying()
+            self._check_current(order)
+        except OrderRejected:
+            acquired.connection.close()
+            raise
         return PermittedOrder(
             order=order, record=record, acquired=acquired, permitted_at=self._read_time()
         )
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -45,14 +45,16 @@
 from guavamast.relay.peers import Peer
 from guavamast.relay.rate_limits import RateLimitLedger, RateLimitSharing
 from guavamast.relay.reachability import PeerReachability, ReachabilityMonitor, ReachabilityReport
+from guavamast.relay.store import CatalogSnapshot, EndpointSnapshot
 from guavamast.relay.stream_binding import StreamBinding
-from tests.relay_fixtures import BOUNDS, build_endpoint, build_instance
+from tests.relay_fixtures import BOUNDS, build_catalog, build_endpoint, build_instance
 from tests.test_relay_caller_admission import AdmissionSimulation
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from guavamast.relay.endpoint_connection import AcquiredConnection
+    from guavamast.relay.endpoint_table import EndpointRecord
 
 ROW_VERSION = 5
 """Row version of the configuration at all instances."""
@@ -375,6 +377,52 @@
             await self.connect()
         self.assertEqual(self.engine.connections, 0)
 
+    async def test_what_changes_while_it_connects_denies_the_permission(self) -> None:
+        """Guards against permissions for requests that are rejected as they are sent.
+
+        While the instance connects, it begins to leave, gets a newer configuration, or hears that
+        the endpoint leaves. The other instance relies on the permission, and ends what else it had.
+        """
+        for change, error in (
+            (self.leave, PathLost),
+            (self.apply_newer_catalog, NotForwarded),
+            (self.remove_endpoint, EndpointUnreachable),
+        ):
+            with self.subTest(change=change.__name__):
+                await self.asyncSetUp()
+                connect = DirectConnector.connect
+
+                async def connect_slowly(
+                    direct: DirectConnector,
+                    record: EndpointRecord,
+                    connect: Callable[..., Awaitable[AcquiredConnection]] = connect,
+                    change: Callable[[], None] = change,
+                ) -> AcquiredConnection:
+                    acquired = await connect(direct, record)
+                    change()
+                    return acquired
+
+                with (
+                    mock.patch.object(DirectConnector, "connect", connect_slowly),
+                    self.assertRaises(error),
+                ):
+                    await self.connect()
+                self.assertEqual(self.engine.runs, [])
+
+    def leave(self) -> None:
+        self.schedule.begin(now=self.simulation.now)
+
+    def apply_newer_catalog(self) -> None:
+        catalog = build_catalog(row_version=ROW_VERSION + 1)
+        snapshot = CatalogSnapshot(catalog=catalog, store_time=self.simulation.now)
+        self.simulation.fleet_state.apply_catalog(snapshot)
+
+    def remove_endpoint(self) -> None:
+        snapshot = EndpointSnapshot(
+            records=[self.other], digest="without it", store_time=self.simulation.now
+        )
+        self.simulation.fleet_state.apply_endpoints(snapshot)
+
     async def test_an_instance_that_leaves_meanwhile_sends_nothing(self) -> None:
         """Guards against the same cut if the signal comes between permission and request.
 
