Each of the two instances that save evidence has a row of its own

Cause: both wrote the same row, and the repeat of an older write replaces a newer one.

Change: a row by rank, and an instance that starts merges all rows. The first by rank removes both once nothing is suspected, as the second may have gone. An instance whose rank changes writes anew.

Measured: the new test fails with one row for both (one end of two is left) and passes now.

--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -43,7 +43,9 @@
 INSTANCES_TABLE: Final = "instances"
 QUARANTINE_TABLE: Final = "quarantine"
 EVIDENCE_TABLE: Final = "quarantine_evidence"
-EVIDENCE_KEY: Final = "latest"
+EVIDENCE_KEYS: Final = ("latest", "second")
+"""Keys of the evidence by the rank of the instance that saves it. In one row, the repeat of a write
+whose answer was lost would replace what the other instance has saved since."""
 """Key of the only row of its table."""
 AUDIT_TABLE: Final = "quarantine_audit"
 _OPERATOR_TABLE: Final = "op"
@@ -160,19 +162,19 @@
         read = await self.calls.read_rows(QUARANTINE_TABLE)
         return self._decode_rows(QUARANTINE_TABLE, read.rows, _decode_quarantine)
 
-    async def read_evidence(self) -> bytes | None:
-        """Read the evidence below a decision; None if there is none that can be decoded."""
+    async def read_evidence(self) -> list[bytes]:
+        """Read the evidence below a decision; rows that can't be decoded are skipped."""
         read = await self.calls.read_rows(EVIDENCE_TABLE)
-        reports = self._decode_rows(EVIDENCE_TABLE, read.rows, _decode_report)
-        return reports[0] if reports else None
+        return self._decode_rows(EVIDENCE_TABLE, read.rows, _decode_report)
 
-    async def write_evidence(self, report: bytes | None) -> None:
-        """Save evidence below a decision, or remove it."""
+    async def write_evidence(self, report: bytes | None, *, rank: int) -> None:
+        """Save evidence below a decision, or remove it; the first instance by rank removes all."""
         transaction = Transaction()
-        if report is None:
-            transaction.remove(EVIDENCE_TABLE, EVIDENCE_KEY)
+        if report is not None:
+            transaction.write(EVIDENCE_TABLE, EVIDENCE_KEYS[rank], encode_evidence(report))
         else:
-            transaction.write(EVIDENCE_TABLE, EVIDENCE_KEY, encode_evidence(report))
+            for key in EVIDENCE_KEYS if rank == 0 else EVIDENCE_KEYS[rank : rank + 1]:
+                transaction.remove(EVIDENCE_TABLE, key)
         await self.calls.commit(transaction)
 
     async def write_quarantine(self, row: QuarantineRow) -> bool:
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -66,6 +66,7 @@
         "_revision",
         "_saved",
         "_saved_at",
+        "_saver_rank",
         "_store",
         "_written",
         "loaded",
@@ -89,6 +90,8 @@
         self._saved: frozenset[EndpointEnd] | None = None
         """Evidence that is known to be saved; None if it isn't known what is."""
         self._saved_at = float("-inf")
+        self._saver_rank = 0
+        """Rank among the instances that save evidence, when this one last did."""
         self._compared_at = float("-inf")
         self._revised_at = float("-inf")
         self._revision = 0
@@ -184,7 +187,7 @@
         self._use_trial(attribute, trials_left=claimed.trials_left)
         return True
 
-    async def save_evidence(self) -> None:
+    async def save_evidence(self, *, rank: int) -> None:
         """Save the evidence if it has changed, for instances that start.
 
         Two instances of the fleet do this, with the same evidence a moment later: what both have
@@ -194,6 +197,9 @@
         if not self.loaded:
             # Failure: evidence that the store didn't give at the start is removed unread.
             return
+        if rank != self._saver_rank:
+            self._saver_rank = rank
+            self.forget_evidence()
         now = self._read_time()
         if self._ledger.evidence_revision != self._revision:
             self._revision = self._ledger.evidence_revision
@@ -209,7 +215,7 @@
         self._saved_at = now
         try:
             async with asyncio.timeout(MAX_SAVE_WAIT_S):
-                await self._store.write_evidence(_encode_evidence(ends, now=now))
+                await self._store.write_evidence(_encode_evidence(ends, now=now), rank=rank)
         except (StoreError, TimeoutError) as error:
             reason = error.reason if isinstance(error, StoreError) else "timeout"
             self._log.write("quarantine_unread", now=self._read_time(), reason=reason)
@@ -228,20 +234,20 @@
                 self._restore(row, now=now)
         return rows
 
-    def _apply_evidence(self, data: bytes | None) -> None:
+    def _apply_evidence(self, saved: list[bytes]) -> None:
         """Merge saved evidence. Its ends seem later by the time since it was saved."""
-        if data is None:
-            self._saved = frozenset()
-            return
         now = self._read_time()
-        try:
-            report = decode_quarantine_report(data, now=now)
-        except MalformedData as error:
-            # Another software version may save it in another form.
-            self._log.write("quarantine_unread", now=now, reason=str(error))
-            return
-        self._ledger.restore_ends(report.ends)
-        self._saved = frozenset(report.ends)
+        ends: list[EndpointEnd] = []
+        for data in saved:
+            try:
+                ends += decode_quarantine_report(data, now=now).ends
+            except MalformedData as error:
+                # Another software version may save it in another form.
+                self._log.write("quarantine_unread", now=now, reason=str(error))
+                self._saved = None
+                return
+        self._ledger.restore_ends(ends)
+        self._saved = frozenset(ends)
 
     def _release(self, row: QuarantineRow, *, now: float) -> None:
         if self._ledger.clear(row.attribute, now=now):
--- a/src/guavamast/relay/quarantine/upkeep.py
+++ b/src/guavamast/relay/quarantine/upkeep.py
@@ -154,8 +154,9 @@
             await self._rows.synchronize()
         else:
             self._rows.forget_rows()
-        if self._rank_saver() < SAVERS_RANK:
-            await self._rows.save_evidence()
+        saver_rank = self._rank_saver()
+        if saver_rank < SAVERS_RANK:
+            await self._rows.save_evidence(rank=saver_rank)
         else:
             self._rows.forget_evidence()
         self._counters.set("quarantined_attributes", len(self._ledger.list_quarantines()))
--- a/src/guavamast/relay/store.py
+++ b/src/guavamast/relay/store.py
@@ -119,12 +119,17 @@
         """Write a row; return False if it no longer has the version that the row states."""
 
     @abstractmethod
-    async def read_evidence(self) -> bytes | None:
-        """Read the evidence below a decision as it was saved last; None if there is none."""
+    async def read_evidence(self) -> list[bytes]:
+        """Read the evidence below a decision as each instance that saves it did so last."""
 
     @abstractmethod
-    async def write_evidence(self, report: bytes | None) -> None:
-        """Save evidence below a decision, replacing the last one; remove it if None."""
+    async def write_evidence(self, report: bytes | None, *, rank: int) -> None:
+        """Save evidence below a decision, replacing the last one of this rank; remove it if None.
+
+        Args:
+            report: The evidence.
+            rank: Rank of this instance among those that save it; the first one removes all.
+        """
 
     @abstractmethod
     async def remove_quarantine(self, attribute: str) -> None:
--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -85,11 +85,11 @@
     async def read_quarantine(self) -> list[QuarantineRow]:
         return []
 
-    async def read_evidence(self) -> bytes | None:
-        return None
+    async def read_evidence(self) -> list[bytes]:
+        return []
 
-    async def write_evidence(self, report: bytes | None) -> None:
-        del report
+    async def write_evidence(self, report: bytes | None, *, rank: int) -> None:
+        del report, rank
 
     async def write_quarantine(self, row: QuarantineRow) -> bool:
         del row
--- a/tests/test_relay_quarantine_rows.py
+++ b/tests/test_relay_quarantine_rows.py
@@ -41,7 +41,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.rows: dict[str, QuarantineRow] = {}
-        self.evidence: bytes | None = None
+        self.evidence: dict[int, bytes] = {}
         self.calls = 0
         self.loses_answers = False
         """Whether evidence is written and the write is never answered."""
@@ -53,13 +53,18 @@
         self.count_call()
         return list(self.rows.values())
 
-    async def read_evidence(self) -> bytes | None:
+    async def read_evidence(self) -> list[bytes]:
         self.count_call()
-        return self.evidence
+        return list(self.evidence.values())
 
-    async def write_evidence(self, report: bytes | None) -> None:
+    async def write_evidence(self, report: bytes | None, *, rank: int) -> None:
         self.count_call()
-        self.evidence = report
+        if report is not None:
+            self.evidence[rank] = report
+        elif rank == 0:
+            self.evidence.clear()
+        else:
+            self.evidence.pop(rank, None)
         if self.loses_answers:
             await asyncio.get_running_loop().create_future()
 
@@ -170,7 +175,7 @@
         ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
         ledger.record_end(build_end(2, "y", at=4.0), now=4.0)
         self.store.now = 4.1
-        await rows.save_evidence()
+        await rows.save_evidence(rank=0)
         self.store.now = 8.0
         restarted, _ = await self.start_instance()
         self.assertEqual(restarted.count_ends("y"), 2)
@@ -184,7 +189,7 @@
             at = 1.0 + number
             ledger.record_end(build_end(number, PART, at=at - REPORT_DELAY_S), now=at)
         self.store.now = 5.0
-        await rows.save_evidence()
+        await rows.save_evidence(rank=0)
         self.store.now = 9.0
         restarted, _ = await self.start_instance()
         left_s = PROMPT_PART.settle_s - 1.0
@@ -197,10 +202,10 @@
         ledger, rows = await self.start_instance()
         for number in range(2):
             ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
-        await rows.save_evidence()
+        await rows.save_evidence(rank=0)
         ledger.record_end(build_end(2, PART, at=self.store.now), now=self.store.now)
         self.store.now += ROUND_INTERVAL_S
-        await rows.save_evidence()
+        await rows.save_evidence(rank=0)
         restarted, _ = await self.start_instance()
         self.assertEqual(restarted.count_ends(PART), 3)
 
@@ -211,10 +216,10 @@
             ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
         self.store.loses_answers = True
         async with asyncio.timeout(TEST_TIMEOUT_S):
-            await rows.save_evidence()
+            await rows.save_evidence(rank=0)
             ledger.record_end(build_end(2, PART, at=self.store.now), now=self.store.now)
             self.store.now += 2 * ROUND_INTERVAL_S
-            await rows.save_evidence()
+            await rows.save_evidence(rank=0)
         restarted, _ = await self.start_instance()
         self.assertEqual(restarted.count_ends(PART), 3)
 
@@ -224,7 +229,7 @@
         calls = self.store.calls
         for _ in range(6):
             self.store.now += 1.0
-            await rows.save_evidence()
+            await rows.save_evidence(rank=0)
         self.assertEqual(self.store.calls, calls + 1)
 
     async def test_evidence_that_was_cleared_is_removed(self) -> None:
@@ -232,13 +237,13 @@
         ledger, rows = await self.start_instance()
         ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
         self.store.now += 1.0
-        await rows.save_evidence()
-        self.assertIsNotNone(self.store.evidence)
+        await rows.save_evidence(rank=0)
+        self.assertTrue(self.store.evidence)
         self.assertTrue(rows.has_leftovers)
         ledger.clear("y", now=self.store.now)
         self.store.now += 1.0
-        await rows.save_evidence()
-        self.assertIsNone(self.store.evidence)
+        await rows.save_evidence(rank=0)
+        self.assertEqual(self.store.evidence, {})
         self.assertFalse(rows.has_leftovers)
 
     async def test_evidence_that_another_instance_saved_is_removed(self) -> None:
@@ -246,36 +251,60 @@
         ledger, rows = await self.start_instance()
         ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
         self.store.now += 1.0
-        await rows.save_evidence()
+        await rows.save_evidence(rank=0)
         ledger, rows = await self.start_instance()
         rows.forget_evidence()
         ledger.clear("y", now=self.store.now)
         self.store.now += 1.0
-        await rows.save_evidence()
-        self.assertIsNone(self.store.evidence)
+        await rows.save_evidence(rank=0)
+        self.assertEqual(self.store.evidence, {})
+
+    async def test_one_instance_replaces_nothing_that_another_saved(self) -> None:
+        """Guards against the repeat of an older write that removes an end saved meanwhile."""
+        instances = [await self.start_instance() for _ in range(2)]
+        for ledger, _ in instances:
+            ledger.record_end(build_end(1, PART, at=1.0), now=1.0)
+        first, _ = instances[0]
+        first.record_end(build_end(2, PART, at=2.0), now=2.0)
+        for rank, (_, rows) in enumerate(instances):
+            await rows.save_evidence(rank=rank)
+        restarted, _ = await self.start_instance()
+        self.assertEqual(restarted.count_ends(PART), 2)
+
+    async def test_the_second_row_is_removed_where_one_instance_is_left(self) -> None:
+        """Guards against old evidence of an instance that no longer exists."""
+        ledger, rows = await self.start_instance()
+        ledger.record_end(build_end(1, "y", at=1.0), now=1.0)
+        for rank in (1, 0):
+            self.store.now += 1.0
+            await rows.save_evidence(rank=rank)
+        ledger.clear("y", now=self.store.now)
+        self.store.now += 1.0
+        await rows.save_evidence(rank=0)
+        self.assertEqual(self.store.evidence, {})
 
     async def test_what_was_just_lost_once_is_not_saved(self) -> None:
         ledger, rows = await self.start_instance()
         ledger.record_end(build_end(1, "y", at=self.store.now), now=self.store.now)
-        await rows.save_evidence()
-        self.assertIsNone(self.store.evidence)
+        await rows.save_evidence(rank=0)
+        self.assertEqual(self.store.evidence, {})
 
     async def test_evidence_that_was_not_read_is_not_removed(self) -> None:
         """Guards against an instance that starts without the store and removes what is saved."""
         ledger, rows = await self.start_instance()
         for number in range(3):
             ledger.record_end(build_end(number, PART, at=self.store.now), now=self.store.now)
-        await rows.save_evidence()
+        await rows.save_evidence(rank=0)
         self.store.unavailable = True
         ledger, rows = await self.start_instance()
         self.store.unavailable = False
-        await rows.save_evidence()
+        await rows.save_evidence(rank=0)
         self.store.now += ROW_READ_INTERVAL_S
         await rows.load()
         self.assertEqual(ledger.count_ends(PART), 3)
 
     async def test_evidence_in_another_form_is_ignored(self) -> None:
-        self.store.evidence = b"?"
+        self.store.evidence = {0: b"?"}
         ledger, rows = await self.start_instance()
         self.assertTrue(rows.loaded)
         self.assertFalse(ledger.active)
