--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -15,6 +15,10 @@
 
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
 """Statuses that state that a request has not run and never will."""
+LEARNING_STATUS: Final = 503
+"""Status with which requests are rejected until a new scheduler knows all work."""
+LEARNING_BOUND_S: Final = 1.5
+"""Time after the start of an instance by which its schedulers know all work."""
 DENIAL_STATUSES: Final = (401, 403, 404)
 REVOKE_BOUND_S: Final = 2.0
 """Time after which a revoked key must be rejected, unless a run has another bound."""
@@ -146,6 +150,8 @@
     """Time from which all requests must be served again."""
     ended_at: float
     """Time at which callers stopped sending and the site was shut down."""
+    late_starts: list[Span] = field(default_factory=list)
+    """For each killed instance that started during the recovery, a span in which it did."""
     partitions: list[PartitionRecord] = field(default_factory=list)
     memory_peaks: dict[str, int] = field(default_factory=dict)
     """Bytes that each instance used at most, by its name."""
@@ -372,7 +378,19 @@
         and request.organisation not in record.revoked
         and not request.anywhere
     ]
-    succeeded = sum(request.served for request in last_requests)
-    if succeeded < RECOVERED_SHARE * len(last_requests) or not last_requests:
-        return [f"only {succeeded} of the last {len(last_requests)} requests were answered"]
+    # A scheduler that has just started may reject as not run what others may have granted.
+    counted = [
+        request
+        for request in last_requests
+        if request.status != LEARNING_STATUS
+        or is_undisturbed(
+            record.late_starts, request.sent_at, request.sent_at, after_s=LEARNING_BOUND_S
+        )
+    ]
+    learnt_at = max((one.ended_at + LEARNING_BOUND_S for one in record.late_starts), default=0.0)
+    learnt = [request for request in counted if request.sent_at >= learnt_at]
+    for requests in (counted, learnt):
+        succeeded = sum(request.served for request in requests)
+        if succeeded < RECOVERED_SHARE * len(requests) or not requests:
+            return [f"only {succeeded} of the last {len(requests)} requests were answered"]
     return []
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -52,6 +52,8 @@
         no sound way to the store."""
         self.signals: list[float] = []
         """Monotonic times at which its processes got SIGTERM."""
+        self.was_killed = False
+        """Whether its present process replaces one that was killed."""
         self._stop_timeout_s = STOP_GRACES * float(settings["bounds"]["grace_s"])
         self._settings_path = write_settings(settings, directory)
         self._process: asyncio.subprocess.Process | None = None
@@ -98,6 +100,7 @@
                 await self._end_process(signal.SIGKILL)
                 await asyncio.sleep(for_s)
                 await self.start(skew_s=skew_s)
+                self.was_killed = True
 
     async def freeze(self, *, for_s: float) -> None:
         """Suspend the process with SIGSTOP and resume it after a delay."""
@@ -115,6 +118,7 @@
             with self.record_disruption():
                 await self._end_process(signal.SIGTERM)
                 await self.start()
+                self.was_killed = False
 
     def reload(self) -> None:
         """Make the process reload its settings with SIGHUP, if it handles the signal yet.
@@ -131,6 +135,10 @@
             self._signal(signal.SIGCONT)
             await self._end_process(signal.SIGTERM)
 
+    def has_started(self) -> bool:
+        """Return whether its present process listens and handles signals."""
+        return STARTED_EVENT in self.log.read_bytes()[self._log_start :]
+
     def find_logged_errors(self) -> list[str]:
         """Return the faults and tracebacks that the processes have logged."""
         lines = self.log.read_text(errors="replace").splitlines()
@@ -179,5 +187,4 @@
         """
         if number is signal.SIGKILL:
             return (-signal.SIGKILL,)
-        started = STARTED_EVENT in self.log.read_bytes()[self._log_start :]
-        return (0,) if started else (0, -signal.SIGTERM)
+        return (0,) if self.has_started() else (0, -signal.SIGTERM)
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,7 @@
 from soak.partition_record import record_partition
 from soak.prompts import PromptCrowd
 from soak.rate_limits import RateLimitNamer
+from soak.recovery import RecoveryWatch
 from soak.schedule import (
     RECOVERY_S,
     Fault,
@@ -153,6 +154,7 @@
             self._site.provider = ProviderStandIn(
                 fenced=seed % 2 == 0, random=Random(f"{seed}provider")
             )
+        self._recovery = RecoveryWatch(instances=self._site.instances)
         self._streams: list[StreamRecord] = []
         self._requests: list[RequestRecord] = []
         self._disruptions: list[Span] = []
@@ -176,22 +178,32 @@
         try:
             await self._wait_until_serving()
             started_at = time.monotonic()
+            self._recovery.ended_at = started_at + self._length_s
             async with asyncio.TaskGroup() as tasks:
                 self._start_callers(tasks, started_at)
-                for fault in self._plan():
-                    tasks.create_task(self._inject(fault, started_at))
+                injections = [
+                    (fault, tasks.create_task(self._inject(fault, started_at)))
+                    for fault in self._plan()
+                ]
+                kills = [injection for fault, injection in injections if fault.kind.kills]
+                tasks.create_task(self._recovery.run(kills))
         finally:
             await site.stop()
         return self._build_verdict(started_at + self._length_s)
 
+    async def _run_to_end(self, caller: Caller | StreamCaller) -> None:
+        """Run a caller until the end of the run, which late starts of instances put off."""
+        while time.monotonic() < self._recovery.ended_at:
+            await caller.run(self._recovery.ended_at)
+
     def _start_callers(self, tasks: asyncio.TaskGroup, started_at: float) -> None:
         """Start the callers; those of single parts leave the recovery to the others."""
         until = started_at + self._length_s
         recovery_at = until - RECOVERY_S
         for caller in self._build_callers():
-            tasks.create_task(caller.run(until))
+            tasks.create_task(self._run_to_end(caller))
         for stream_caller in self._build_stream_callers():
-            tasks.create_task(stream_caller.run(until))
+            tasks.create_task(self._run_to_end(stream_caller))
         if self._crowd is not None:
             tasks.create_task(self._crowd.run(recovery_at))
         if self._prompts is not None:
@@ -230,7 +242,9 @@
             )
         return [fault for fault in faults if self._injects_unplanned or fault.kind.planned]
 
-    def _build_verdict(self, ended_at: float) -> Verdict:
+    def _build_verdict(self, planned_end: float) -> Verdict:
+        recovery_at = planned_end - RECOVERY_S
+        ended_at = self._recovery.ended_at
         if self._crowd is not None:
             self._requests += self._crowd.requests
         if self._prompts is not None:
@@ -249,8 +263,9 @@
                 for request_id, instance in self._lethal_caller.senders.items()
             },
             revoke_s=self._revoke_s,
-            recovered_at=ended_at - RECOVERY_S + RECOVERY_GRACE_S,
+            recovered_at=recovery_at + RECOVERY_GRACE_S,
             ended_at=ended_at,
+            late_starts=self._recovery.starts,
             partitions=[
                 record_partition(span, partitioned=instances, instances=self._site.instances)
                 for span, instances in self._injector.partitions
@@ -272,7 +287,8 @@
                 *find_stream_violations(self._streams, self._list_disruptions()),
                 *self._site.find_instance_failures(),
                 *(self._crowd.find_violations(self._disruptions) if self._crowd else ()),
-                *self._find_prompt_violations(ended_at - RECOVERY_S),
+                *self._find_prompt_violations(recovery_at),
+                *self._recovery.violations,
                 *self._find_limit_violations(),
                 *(self._site.provider.find_violations() if self._site.provider else ()),
             ],
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -104,6 +104,16 @@
         """Whether it disrupts only instances, and no source of their state."""
         return self is FaultKind.KILL_ALL or self.value.startswith("instance_")
 
+    @property
+    def kills(self) -> bool:
+        """Whether it may kill instances, which are started again."""
+        return self in (
+            FaultKind.INSTANCE_KILL,
+            FaultKind.INSTANCE_SKEW,
+            FaultKind.INSTANCE_HOLDER,
+            FaultKind.KILL_ALL,
+        )
+
     @property
     def planned(self) -> bool:
         """Whether no request may fail meanwhile, as during planned work."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import tempfile
+import time
 import unittest
 from dataclasses import replace
 from pathlib import Path
@@ -26,6 +27,7 @@
 from soak.partition_record import PartitionRecord, record_partition
 from soak.proxy import LinkFault, LinkProxy
 from soak.rate_limits import LimitedSpan, RateLimitNamer
+from soak.recovery import CHECK_INTERVAL_S, RecoveryWatch
 from soak.run import SoakRun
 from soak.schedule import (
     RECOVERY_S,
@@ -305,6 +307,47 @@
         broken = find_violations(replace(record, requests=[*record.requests, *late]))
         self.assertIn("only 1 of the last 4 requests were answered", broken)
 
+    def find_recovery(self, *, sent_at: float, status: int) -> list[str]:
+        """Return what is found if 41 of 228 fail, where instances started at 18.3 and 20 s."""
+        starts = [Span(started_at=at - 0.05, ended_at=at) for at in (18.3, 20.0)]
+        record = replace(build_record([], []), late_starts=starts)
+        served = [replace(CALL, request_id=f"s{n}", sent_at=22.0) for n in range(187)]
+        failed = [
+            replace(CALL, request_id=f"f{n}", sent_at=sent_at, status=status, complete=False)
+            for n in range(41)
+        ]
+        requests = [
+            replace(one, response_id=one.request_id, ended_at=22.1) for one in (*served, *failed)
+        ]
+        return [
+            line
+            for line in find_violations(replace(record, requests=requests))
+            if line.startswith("only")
+        ]
+
+    def test_rejections_while_a_new_scheduler_learns_are_no_lost_recovery(self) -> None:
+        """Guards against a verdict on a scheduler's first second, in which it may reject."""
+        for sent_at in (19.7, 20.1):
+            self.assertEqual(self.find_recovery(sent_at=sent_at, status=503), [], sent_at)
+
+    def test_as_many_rejections_after_a_scheduler_has_learnt(self) -> None:
+        """Guards against a loss that is excused as it comes after a start."""
+        broken = ["only 187 of the last 228 requests were answered"]
+        for sent_at in (19.9, 21.6):
+            self.assertEqual(self.find_recovery(sent_at=sent_at, status=503), broken, sent_at)
+
+    def test_as_many_other_failures_while_a_scheduler_learns(self) -> None:
+        """Guards against failures that are excused, though a scheduler only rejects."""
+        broken = ["only 187 of the last 228 requests were answered"]
+        for status in (200, 429, 502, 504):
+            self.assertEqual(self.find_recovery(sent_at=19.7, status=status), broken, status)
+
+    def test_nothing_is_asked_after_a_scheduler_has_learnt(self) -> None:
+        """Guards against a recovery of which nothing was seen."""
+        late = Span(started_at=18.9, ended_at=19.0)
+        broken = find_violations(replace(build_record([], []), late_starts=[late]))
+        self.assertIn("only 0 of the last 0 requests were answered", broken)
+
 
 def build_stream(*attempts: str, serving: int = 2) -> StreamRecord:
     """Return a stream by the versions of each attempt's events: ``112`` for v1, v1, v2."""
@@ -328,6 +371,56 @@
     return stream
 
 
+class RecoveryWatchTest(unittest.IsolatedAsyncioTestCase):
+    """The end of a run is put off until all instances that were killed have started."""
+
+    async def watch(self, instance: mock.Mock) -> tuple[RecoveryWatch, float]:
+        """Return a watch after its run, and how far it has put the end off."""
+        watch = RecoveryWatch(instances=[instance])
+        planned = time.monotonic() + RECOVERY_S
+        watch.ended_at = planned
+        await watch.run([])
+        return watch, watch.ended_at - planned
+
+    async def test_the_recovery_begins_with_the_last_start(self) -> None:
+        """Guards against a verdict on instances whose processes haven't started yet."""
+        instance = mock.Mock(was_killed=True)
+        instance.has_started.side_effect = [False, False, False, True]
+        watch, late_s = await self.watch(instance)
+        self.assertGreaterEqual(late_s, 3 * CHECK_INTERVAL_S)
+        self.assertEqual(watch.violations, [])
+        (start,) = watch.starts
+        self.assertEqual(watch.ended_at, start.ended_at + RECOVERY_S)
+
+    async def test_stops_and_instances_that_run_put_nothing_off(self) -> None:
+        """Guards against a recovery that planned work puts off."""
+        for killed, started in ((False, False), (True, True)):
+            instance = mock.Mock(was_killed=killed)
+            instance.has_started.return_value = started
+            _, late_s = await self.watch(instance)
+            self.assertEqual(late_s, 0.0)
+
+    async def test_an_instance_that_does_not_start(self) -> None:
+        """Guards against a run that waits for a start that never comes, or finds it in order."""
+        instance = mock.Mock(was_killed=True)
+        instance.name = "one-0"
+        instance.has_started.return_value = False
+        with mock.patch("soak.recovery.LONGEST_START_S", 0.1):
+            watch, late_s = await self.watch(instance)
+        self.assertLess(late_s, 1.0)
+        self.assertEqual(watch.violations, ["one-0 has not started after a kill"])
+
+    async def test_a_kill_that_is_still_to_come(self) -> None:
+        """Guards against a recovery that begins before a fault that waits for another one."""
+        instance = mock.Mock(was_killed=False)
+        kill = asyncio.create_task(asyncio.sleep(4 * CHECK_INTERVAL_S))
+        watch = RecoveryWatch(instances=[instance])
+        watch.ended_at = planned = time.monotonic() + RECOVERY_S
+        await watch.run([kill])
+        self.assertTrue(kill.done())
+        self.assertGreaterEqual(watch.ended_at - planned, 2 * CHECK_INTERVAL_S)
+
+
 class StreamCheckTest(unittest.TestCase):
     """Each violated guarantee of streams is found, over all their attempts."""
 
