--- a/soak/callers.py
+++ b/soak/callers.py
@@ -57,6 +57,41 @@
         return next((value for key, value in self.head.headers if key.lower() == name), None)
 
 
+class AddressBook:
+    """Addresses that callers have resolved, for as long as they use them.
+
+    Args:
+        directories: Addresses of the listeners that resolve caller addresses.
+        random: Chooses listeners, and how long addresses are used.
+    """
+
+    def __init__(self, *, directories: list[str], random: Random) -> None:
+        self._directories = directories
+        self._random = random
+        self._expire_at = 0.0
+        self._validity_factor = EXPIRED_ADDRESSES_FACTOR if random.random() < 0.3 else 1.0
+        self.addresses: list[str] = []
+
+    async def resolve(self) -> None:
+        """Resolve addresses at up to three instances once the last ones have expired."""
+        if time.monotonic() < self._expire_at and self.addresses:
+            return
+        for directory in self._random.sample(self._directories, min(3, len(self._directories))):
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    fields = await fetch_addresses(directory)
+            except (ConnectionLost, MalformedAnswer, TimeoutError, ValueError, KeyError):
+                continue
+            self.addresses = list(fields["addresses"])
+            self._expire_at = time.monotonic() + self._validity_factor * float(fields["ttl_s"])
+            return
+
+    def drop(self, address: str) -> None:
+        """Use an address no longer that a connect has failed at."""
+        if address in self.addresses:
+            self.addresses.remove(address)
+
+
 class Caller:
     """Caller that sends one request after another.
 
@@ -87,12 +122,9 @@
         self._name = name
         self._organisation = organisation
         self._key = key
-        self._directories = directories
         self._random = random
         self._requests = requests
-        self._addresses: list[str] = []
-        self._addresses_expire_at = 0.0
-        self._validity_factor = EXPIRED_ADDRESSES_FACTOR if random.random() < 0.3 else 1.0
+        self._book = AddressBook(directories=directories, random=random)
         self._connection: HttpConnection | None = None
         self._address = ""
         self._request_count = 0
@@ -108,40 +140,24 @@
 
     async def _connect(self) -> bool:
         """Reuse or open a connection to a resolved address; return False if that fails."""
-        await self._resolve()
+        await self._book.resolve()
         connection = self._connection
-        listed = self._holds_connection or self._address in self._addresses
+        listed = self._holds_connection or self._address in self._book.addresses
         if connection is not None and connection.reusable and listed:
             return True
         self._close_connection()
-        if not self._addresses:
+        if not self._book.addresses:
             return False
-        self._address = self._random.choice(self._addresses)
+        self._address = self._random.choice(self._book.addresses)
         try:
             self._connection = await open_connection(self._address)
         except ConnectionLost:
-            self._addresses.remove(self._address)
+            self._book.drop(self._address)
             return False
         if self._holds_connection:
             await asyncio.sleep(self._late_random.uniform(0.0, LONGEST_UNUSED_S))
         return self._connection.reusable
 
-    async def _resolve(self) -> None:
-        """Resolve addresses at up to three instances once the last ones have expired."""
-        if time.monotonic() < self._addresses_expire_at and self._addresses:
-            return
-        for directory in self._random.sample(self._directories, min(3, len(self._directories))):
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    fields = await fetch_addresses(directory)
-            except (ConnectionLost, MalformedAnswer, TimeoutError, ValueError, KeyError):
-                continue
-            self._addresses = list(fields["addresses"])
-            self._addresses_expire_at = time.monotonic() + self._validity_factor * float(
-                fields["ttl_s"]
-            )
-            return
-
     async def _send_request(self, request_id: str) -> None:
         kind = self._random.choice(list(RequestKind))
         response = _Response()
--- a/soak/prompt_requests.py
+++ b/soak/prompt_requests.py
@@ -48,6 +48,8 @@
 class PromptAnswer:
     """The part of an answer that was received."""
 
+    address: str = ""
+    """Address that its request was sent to last."""
     status: int | None = None
     headers: dict[str, str] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
@@ -60,13 +62,12 @@
         return float(value) if value else None
 
     def build_record(
-        self, request: PromptRequest, *, address: str, sent_at: float, left: bool = False
+        self, request: PromptRequest, *, sent_at: float, left: bool = False
     ) -> RequestRecord:
         """Return the record of a request whose answer has ended.
 
         Args:
             request: The request.
-            address: Address that it was sent to.
             sent_at: Monotonic time at which it was sent.
             left: Whether its caller left.
         """
@@ -85,7 +86,7 @@
             expected_body=b"".join(encode_event(request.request_id, one) for one in numbers),
             complete=self.complete,
             left=left,
-            address=address,
+            address=self.address,
             anywhere=True,
         )
 
@@ -100,7 +101,9 @@
 
     Raises:
         ConnectionLost, MalformedAnswer: The connection failed or the answer is not complete.
+        ConnectionRefused: Nothing accepts connections at the address.
     """
+    answer.address = address
     host, _, port = address.rpartition(":")
     connection = await HttpConnection.open(host, int(port), timeout_s=CONNECT_TIMEOUT_S)
     target = request.path_prefix + request.request_id
--- a/soak/prompts.py
+++ b/soak/prompts.py
@@ -148,7 +148,7 @@
         address = self._random.choice(self._site.instances).caller_address
         sent_at = time.monotonic()
         answer = await _ask(address, request)
-        record = answer.build_record(request, address=address, sent_at=sent_at)
+        record = answer.build_record(request, sent_at=sent_at)
         quarantined = (answer.retry_after_s or 0.0) >= MIN_RETRY_AFTER_S
         self.requests.append(replace(record, quarantined=quarantined))
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -142,7 +142,9 @@
         self._stalls = StallWatch()
         self._memory = MemoryWatch(instances=self._site.instances)
         self._crowd = (
-            UrgencyCrowd(site=self._site, random=Random(f"{seed}urgency")) if urgency else None
+            UrgencyCrowd(site=self._site, random=Random(f"{seed}urgency"), resolves=not unplanned)
+            if urgency
+            else None
         )
         self._prompts = (
             PromptCrowd(site=self._site, random=Random(f"{seed}prompts")) if prompts else None
--- a/soak/urgency.py
+++ b/soak/urgency.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.platform.standins.site import MODELS, ModelRoute
+from guavamast.relay.endpoint_connection import ConnectionRefused
 from guavamast.relay.http_connection import ConnectionLost, MalformedAnswer
 from guavamast.urgency_order import BegunWork, OrderWindow, RequestOutcome, find_worst_windows
+from soak.callers import AddressBook
 from soak.guarantees import RequestRecord, Span, is_undisturbed
 from soak.prompt_requests import PromptAnswer, PromptRequest, send_prompt
 
@@ -21,6 +23,8 @@
 MODEL_ENGINES: Final = 4
 MAX_RETRY_SHARE: Final = 1 / 3
 """Share of its remaining time for which a caller waits before its retry at most."""
+RECONNECT_PAUSE_S: Final = 0.05
+"""Pause before a caller resolves again, as no address accepted its connect."""
 CALM_S: Final = 1.0
 """Seconds after its first attempt in which a counted request must be undisturbed."""
 MAX_USED_SHARE: Final = 0.5
@@ -62,11 +66,15 @@
     Args:
         site: Site of the run.
         random: Chooses arrivals and instances.
+        resolves: Whether its callers take addresses from the directory, and go on to another one
+            where a connect is refused. Otherwise they ask any instance, also one that has stopped.
     """
 
-    def __init__(self, *, site: SoakSite, random: Random) -> None:
+    def __init__(self, *, site: SoakSite, random: Random, resolves: bool = False) -> None:
         self._site = site
         self._random = random
+        self._resolves = resolves
+        self._book: AddressBook | None = None
         self._count = 0
         self.requests: list[RequestRecord] = []
         """All attempts."""
@@ -82,6 +90,9 @@
 
     async def run(self, until: float) -> None:
         """Send requests until a time of the monotonic clock, and wait for their ends."""
+        if self._resolves:
+            directories = [one.directory_address for one in self._site.instances]
+            self._book = AddressBook(directories=directories, random=self._random)
         async with asyncio.TaskGroup() as tasks:
             for kind in KINDS:
                 tasks.create_task(self._send_kind(kind, until, tasks))
@@ -164,7 +175,6 @@
     ) -> tuple[bool, float | None]:
         """Return whether an attempt was served, and the seconds until the next one."""
         sent_at = time.monotonic()
-        address = self._random.choice([one.caller_address for one in self._site.instances])
         answer = PromptAnswer()
         left = False
         timeout_s = deadline - sent_at
@@ -177,13 +187,32 @@
         )
         try:
             async with asyncio.timeout(max(0.1, timeout_s)):
-                await send_prompt(address, request, answer)
+                await self._send(request, answer)
         except (ConnectionLost, MalformedAnswer):
             pass
         except TimeoutError:
             left = True
-        self.requests.append(
-            answer.build_record(request, address=address, sent_at=sent_at, left=left)
-        )
+        self.requests.append(answer.build_record(request, sent_at=sent_at, left=left))
         served = answer.status == 200 and answer.complete
         return served, answer.retry_after_s
+
+    async def _send(self, request: PromptRequest, answer: PromptAnswer) -> None:
+        """Send a request, and receive what becomes of it.
+
+        Raises:
+            ConnectionLost, MalformedAnswer: The connection failed or the answer is not complete.
+        """
+        if self._book is None:
+            address = self._random.choice([one.caller_address for one in self._site.instances])
+            await send_prompt(address, request, answer)
+            return
+        while True:
+            await self._book.resolve()
+            for address in self._random.sample(self._book.addresses, len(self._book.addresses)):
+                try:
+                    await send_prompt(address, request, answer)
+                except ConnectionRefused:
+                    self._book.drop(address)
+                else:
+                    return
+            await asyncio.sleep(RECONNECT_PAUSE_S)
