--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -309,6 +309,26 @@
     )
 
 
+def find_common_spans(spans_by_instance: list[list[Span]]) -> list[Span]:
+    """Return the spans in which every instance was disrupted, so that none could serve.
+
+    Args:
+        spans_by_instance: Disruptions of each instance.
+    """
+    common, *others = spans_by_instance
+    for spans in others:
+        common = [
+            Span(
+                started_at=max(one.started_at, other.started_at),
+                ended_at=min(one.ended_at, other.ended_at),
+            )
+            for one in common
+            for other in spans
+            if max(one.started_at, other.started_at) < min(one.ended_at, other.ended_at)
+        ]
+    return common
+
+
 def _check_containment(record: SoakRecord) -> list[str]:
     """Check that a request that ended engines is kept from them once all instances must know.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
     RequestRecord,
     SoakRecord,
     Span,
+    find_common_spans,
     find_violations,
 )
 from soak.kept_streams import GRACES_S, KeptStreams
@@ -288,7 +289,7 @@
                 *find_departure_violations(record, self._site.build_departures()),
                 *find_stream_violations(self._streams, self._list_disruptions()),
                 *self._site.find_instance_failures(),
-                *(self._crowd.find_violations(self._disruptions) if self._crowd else ()),
+                *self._find_order_violations(),
                 *self._find_prompt_violations(recovery_at),
                 *self._recovery.violations,
                 *self._find_limit_violations(),
@@ -306,10 +307,20 @@
             return []
         return self._limits.find_violations(self._requests, self._list_disruptions())
 
+    def _find_order_violations(self) -> list[str]:
+        if self._crowd is None:
+            return []
+        return self._crowd.find_violations(self._list_order_disruptions())
+
+    def _list_order_disruptions(self) -> list[Span]:
+        """Return the disruptions, and when rolls that overlap left no instance to ask."""
+        own = [instance.disruptions for instance in self._site.instances]
+        return self._disruptions + find_common_spans(own)
+
     def _find_worst_order(self) -> OrderWindow | None:
         if self._crowd is None:
             return None
-        windows = self._crowd.list_windows(self._disruptions)
+        windows = self._crowd.list_windows(self._list_order_disruptions())
         return windows[0] if windows else None
 
     def _list_disruptions(self) -> dict[str, list[Span]]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,7 @@
     RunRecord,
     SoakRecord,
     Span,
+    find_common_spans,
     find_violations,
 )
 from soak.partition_record import PartitionRecord, record_partition
@@ -371,6 +372,20 @@
     return stream
 
 
+class CommonSpansTest(unittest.TestCase):
+    """The times in which no instance could serve."""
+
+    def test_spans_in_which_every_instance_was_disrupted(self) -> None:
+        """Guards against an order that is excused while one instance of several served."""
+        one = [Span(started_at=1.0, ended_at=5.0), Span(started_at=8.0, ended_at=9.0)]
+        two = [Span(started_at=2.0, ended_at=8.5)]
+        common = [Span(started_at=2.0, ended_at=5.0), Span(started_at=8.0, ended_at=8.5)]
+        self.assertEqual(find_common_spans([one, two]), common)
+        self.assertEqual(find_common_spans([one, two, []]), [])
+        brief = [Span(started_at=5.0, ended_at=8.0)]
+        self.assertEqual(find_common_spans([one, two, brief]), [])
+
+
 class RecoveryWatchTest(unittest.IsolatedAsyncioTestCase):
     """The end of a run is put off until all instances that were killed have started."""
 
