--- a/soak/instances.py
+++ b/soak/instances.py
@@ -53,7 +53,7 @@
         self.signals: list[float] = []
         """Monotonic times at which its processes got SIGTERM."""
         self.was_killed = False
-        """Whether its present process replaces one that was killed."""
+        """Whether it was killed, and had not started again before its present process."""
         self._stop_timeout_s = STOP_GRACES * float(settings["bounds"]["grace_s"])
         self._settings_path = write_settings(settings, directory)
         self._process: asyncio.subprocess.Process | None = None
@@ -116,9 +116,10 @@
         """Terminate the process with SIGTERM and start another one once it has exited."""
         async with self._lock:
             with self.record_disruption():
+                was_killed = self.was_killed and not self.has_started()
                 await self._end_process(signal.SIGTERM)
                 await self.start()
-                self.was_killed = False
+                self.was_killed = was_killed
 
     def reload(self) -> None:
         """Make the process reload its settings with SIGHUP, if it handles the signal yet.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
     find_common_spans,
     find_violations,
 )
+from soak.instances import STARTED_EVENT, Instance
 from soak.partition_record import PartitionRecord, record_partition
 from soak.proxy import LinkFault, LinkProxy
 from soak.rate_limits import LimitedSpan, RateLimitNamer
@@ -372,6 +373,33 @@
     return stream
 
 
+class InstanceStartTest(unittest.IsolatedAsyncioTestCase):
+    """An instance that was killed is known as such until it has started."""
+
+    async def test_a_stop_before_the_start_after_a_kill(self) -> None:
+        """Guards against a recovery that begins without an instance that a kill has ended."""
+        settings = {
+            "node_name": "one",
+            "listen": {"front": "127.0.0.1:1", "directory": "127.0.0.1:2"},
+            "bounds": {"grace_s": 4.0},
+        }
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            mock.patch.object(Instance, "start"),
+            mock.patch.object(Instance, "_end_process"),
+        ):
+            instance = Instance(settings=settings, directory=directory, store_link=mock.Mock())
+            instance.log.touch()
+            await instance.terminate()
+            self.assertFalse(instance.was_killed)
+            await instance.kill(for_s=0.0)
+            await instance.terminate()
+            self.assertTrue(instance.was_killed)
+            instance.log.write_bytes(STARTED_EVENT)
+            await instance.terminate()
+            self.assertFalse(instance.was_killed)
+
+
 class CommonSpansTest(unittest.TestCase):
     """The times in which no instance could serve."""
 
