--- a/src/guavamast/relay/departure.py
+++ b/src/guavamast/relay/departure.py
@@ -22,8 +22,8 @@
 CHECK_INTERVAL_S: Final = 0.05
 """Seconds between two checks of the clock."""
 UNREGISTER_S: Final = 1.0
-"""Seconds before the end of an instance at which its record is removed at the latest, and what it
-remembers is handed over for the last time, and for which both are awaited."""
+"""Seconds before the end of an instance at which it is unregistered at the latest, and its memory
+of streams is handed over for the last time."""
 
 
 class Departure:
