--- a/src/guavamast/platform/runner.py
+++ b/src/guavamast/platform/runner.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from guavamast.platform.query_handlers import (
@@ -18,6 +20,8 @@
 from guavamast.stop_signals import block_late_signals
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.leases import LeaseTable
     from guavamast.relay.node_settings import NodeSettings
     from guavamast.relay.provider import Provider
@@ -37,16 +41,23 @@
     Args:
         settings: The instance's decoded settings.
     """
-    await run_node(settings)
+    await run_node(settings, end_process=partial(os._exit, 0))
     block_late_signals()
 
 
-async def run_node(settings: NodeSettings, *, log_descriptor: int = STANDARD_OUTPUT) -> None:
+async def run_node(
+    settings: NodeSettings,
+    *,
+    log_descriptor: int = STANDARD_OUTPUT,
+    end_process: Callable[[], None] | None = None,
+) -> None:
     """Serve until SIGTERM.
 
     Args:
         settings: The instance's decoded settings.
         log_descriptor: File descriptor to which log lines are written.
+        end_process: Ends the process at once; called if anything is left to do when the platform
+            would kill it next. None if the process goes on after the instance.
     """
     clock = StoreClock()
     store = StoreClient(address=settings.store, clock=clock, read_time=read_boot_time)
@@ -59,6 +70,7 @@
         leases=clients.leases,
         provider=clients.provider,
         log_descriptor=log_descriptor,
+        end_process=end_process,
     )
     store.unreadable.report = node.record_unreadable_row
     await node.run(
--- a/src/guavamast/relay/node/node.py
+++ b/src/guavamast/relay/node/node.py
@@ -14,9 +14,11 @@
 from guavamast.relay.node.service import ServiceComponents
 from guavamast.relay.query_listener import QueryHandler, open_query_listeners
 from guavamast.relay.supervisor import Supervisor
-from guavamast.stop_signals import StopSignal
+from guavamast.stop_signals import StopSignal, set_alarm
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavamast.leases import LeaseTable
     from guavamast.relay.freshness import StoreClock
     from guavamast.relay.messages import HeaderCodec
@@ -40,11 +42,16 @@
         leases: Stores the lease of the duties; None if there are no duties.
         provider: Receives the calls of the duties; None if there are no duties.
         log_descriptor: File descriptor of the log.
+        end_process: Ends the process at once; called if anything is left to do when the platform
+            would kill it next. None if the process goes on after the instance.
     """
 
     __slots__ = (
+        "_begin_departure",
         "_bounds",
+        "_end_process",
         "_fleet",
+        "_has_stopped",
         "_schedule",
         "_service",
         "_settings",
@@ -66,6 +73,7 @@
         leases: LeaseTable | None = None,
         provider: Provider | None = None,
         log_descriptor: int = STANDARD_OUTPUT,
+        end_process: Callable[[], None] | None = None,
     ) -> None:
         context = NodeContext(
             settings=settings,
@@ -82,7 +90,10 @@
         self._settings = settings
         self._schedule = context.schedule
         self._bounds = context.bounds
-        self._stop = StopSignal(on_receive=context.begin_departure, read_time=read_boot_time)
+        self._begin_departure = context.begin_departure
+        self._end_process = end_process
+        self._has_stopped = False
+        self._stop = StopSignal(on_receive=self._leave, read_time=read_boot_time)
         self._fleet = FleetComponents(
             context=context, read_state=self._read_state, leases=leases, provider=provider
         )
@@ -152,10 +163,32 @@
         await self._service.departure.run(listeners)
         for task in background:
             task.cancel()
-        in_flight = self._service.relayer.in_flight
-        self.log.write("stopped", now=read_boot_time(), essential=True, in_flight=in_flight)
+        self._log_stop()
         await self.log.flush(until=self._schedule.exits_at, read_time=read_boot_time)
 
+    def _leave(self, received_at: float) -> None:
+        """Begin to leave; called between two instructions once the stop signal is received."""
+        self._begin_departure(received_at)
+        if self._end_process is not None:
+            set_alarm(self._schedule.exits_at - received_at, self._end_overdue)
+
+    def _end_overdue(self) -> None:
+        """End the process though something is left to do, as the platform would kill it next.
+
+        Without this, a process whose event loop gets few turns beside busy processes is killed in
+        the middle of its last ones, counts as crashed, and its log doesn't tell that it left.
+        """
+        assert self._end_process is not None
+        if not self._has_stopped:
+            self._log_stop(overdue=True)
+        self._end_process()
+
+    def _log_stop(self, **fields: bool) -> None:
+        in_flight = self._service.relayer.in_flight
+        now = read_boot_time()
+        self.log.write("stopped", now=now, essential=True, in_flight=in_flight, **fields)
+        self._has_stopped = True
+
     def _start_background(self) -> list[asyncio.Task[None]]:
         """Start the tasks that run until the instance has left."""
         supervisor = Supervisor(log=self.log, counters=self.counters, read_time=read_boot_time)
--- a/src/guavamast/stop_signals.py
+++ b/src/guavamast/stop_signals.py
@@ -1,16 +1,19 @@
-"""Signals that stop a process: when they were received, and those that come too late."""
+"""Signals that stop a process: when they were received, those that come too late, and the last."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import FrameType
 
-__all__ = ["StopSignal", "block_late_signals"]
+__all__ = ["StopSignal", "block_late_signals", "set_alarm"]
+
+SHORTEST_ALARM_S: Final = 0.001
+"""Seconds of an alarm whose time has come; none at all would turn it off."""
 
 
 class StopSignal:
@@ -67,3 +70,17 @@
     kill the process while the interpreter ends, and its exit status would tell of a crash.
     """
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
+
+
+def set_alarm(after_s: float, on_alarm: Callable[[], None]) -> None:
+    """Call a function later, between two instructions; called in the main thread.
+
+    A call of the event loop waits for its turn, and each turn for a processor. So what has to be
+    done in several turns takes long beside busy processes, and this waits for a processor once.
+
+    Args:
+        after_s: Seconds until the call.
+        on_alarm: Called in the main thread, between any two of its instructions.
+    """
+    signal.signal(signal.SIGALRM, lambda _number, _frame: on_alarm())
+    signal.setitimer(signal.ITIMER_REAL, max(SHORTEST_ALARM_S, after_s))
