--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -46,7 +46,6 @@
 EVIDENCE_KEYS: Final = ("latest", "second")
 """Keys of the evidence by the rank of the instance that saves it. In one row, the repeat of a write
 whose answer was lost would replace what the other instance has saved since."""
-"""Key of the only row of its table."""
 AUDIT_TABLE: Final = "quarantine_audit"
 _OPERATOR_TABLE: Final = "op"
 _CONFIGURATION_KEY: Final = "config"
--- a/src/guavamast/relay/quarantine/rows.py
+++ b/src/guavamast/relay/quarantine/rows.py
@@ -27,8 +27,8 @@
 """Seconds between two reads of the rows while any attribute is in quarantine: an operator's release
 takes effect within that time."""
 LOAD_INTERVAL_S: Final = 1.0
-"""Seconds between two attempts of an instance that starts to read the rows: once the store is back,
-it has to know what is held well within the time in which instances must know of a decision."""
+"""Seconds between two attempts of an instance that starts to read the rows: well below the time in
+which instances must know of a decision."""
 MIN_SAVE_INTERVAL_S: Final = 0.4
 """Seconds between two writes of the evidence at least: less than a round, as the instances may be
 killed before the next one."""
