--- a/soak/roll_callers.py
+++ b/soak/roll_callers.py
@@ -185,6 +185,8 @@
                 connection = connections.pop()
                 if connection.reusable:
                     return address, connection, True
+        if not self._address:
+            return self._address, None, False  # No instance has told any address yet.
         try:
             return self._address, await open_connection(self._address), False
         except ConnectionLost:
--- a/tests/test_soak_rolls.py
+++ b/tests/test_soak_rolls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+import time
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -10,7 +11,7 @@
 from typing import Final
 
 from soak.departures import DepartureRecord, Outcome, classify
-from soak.roll_callers import RollRequest
+from soak.roll_callers import RollCaller, RollRequest
 from soak.roll_run import RollRun, RollSize, count_wrong_runs
 from soak.roll_workload import KINDS, draw_work
 
@@ -41,6 +42,24 @@
         self.assertLess(stating, DRAWS * 2 // 3)
 
 
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    """A caller takes its addresses from any instance's list."""
+
+    async def test_a_caller_that_no_instance_has_answered_yet_sends_nothing(self) -> None:
+        """Guards against a run that ends with an error, as a caller connects to no address."""
+        tries: list[RollRequest] = []
+        caller = RollCaller(
+            name="c",
+            share=1.0,
+            directories=[],
+            on_work=lambda _id, _work: None,
+            tries=tries,
+            random=Random(SEED),
+        )
+        await caller.run(time.monotonic() + 0.3)
+        self.assertEqual(tries, [])
+
+
 class OutcomeTest(unittest.TestCase):
     """The rule tells lost requests from those that may be cut, and counts both."""
 
