--- a/review/support-2/http_server.py
+++ b/review/support-2/http_server.py
@@ -8,7 +8,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    pass
 
 
 @dataclass(slots=True)
