Review case 10: after all instances are killed at once, no stream can be taken up

Three instances are killed at once and started again 1.5 s later; clients take their streams up once, when the instances have run for over 3 s: all get 503, while new streams begin and the engines go on.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for file in review/support-2/*.py review/6/case.py review/7/case.py review/8/case.py review/9/case.py; do
+for file in review/support-2/*.py review/6/case.py review/7/case.py review/8/case.py review/9/case.py review/10/case.py; do
     python3 - "$file" <<'PY'
 import pathlib
 import sys
