--- a/review/support-2/memory.py
+++ b/review/support-2/memory.py
@@ -43,15 +43,20 @@
 class KeptClient:
     """Sends small requests one after the other on one connection."""
 
-    def __init__(self, address: str, name: str, key: str, record: Record) -> None:
+    def __init__(
+        self, address: str, name: str, key: str, record: Record, *, delay_s: float
+    ) -> None:
         self.address = address
         self.name = name
         self.key = key
         self.record = record
+        self.delay_s = delay_s
+        """Seconds until its first request, so that the clients are out of step."""
         self.cut: list[tuple[float, str]] = []
         """Time and id of each request on a kept connection that ended without an answer."""
 
     async def run(self) -> None:
+        await asyncio.sleep(self.delay_s)
         host, _, port = self.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         number = 0
