--- a/src/guavamast/leases/__init__.py
+++ b/src/guavamast/leases/__init__.py
@@ -3,6 +3,7 @@
 from guavamast.leases.holder import LeaseHolder
 from guavamast.leases.lease import (
     HeldLease,
+    LeasedRecords,
     LeaseParameters,
     LeaseRecord,
     LeaseRow,
@@ -14,6 +15,7 @@
 __all__ = [
     "LEASE_TABLE",
     "HeldLease",
+    "LeasedRecords",
     "LeaseHolder",
     "LeaseParameters",
     "LeaseRead",
--- a/src/guavamast/leases/holder.py
+++ b/src/guavamast/leases/holder.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from guavamast.leases.lease import HeldLease, TableTime
+from guavamast.leases.lease import HeldLease, LeasedRecords, TableTime
 from guavamast.leases.watch import LeaseWatch
 from guavamast.platform_client import PlatformAnswerLost, PlatformError, TransactionConflict
 
@@ -98,15 +98,16 @@
         )
 
     async def renew(
-        self, resource: str, *, records: Sequence[LeaseRecord] = (), advance: bool
+        self, held: HeldLease, *, records: Sequence[LeaseRecord] = (), advance: bool
     ) -> HeldLease | None:
         """Extend a lease that this instance acquired last, and write records with it.
 
         It need not be valid any more: as long as its row is unchanged, no other instance has
-        acquired it.
+        acquired it. A lease that this instance has forgotten or acquired anew isn't renewed: what
+        its user knows is of a former tenure.
 
         Args:
-            resource: Name of the leased resource.
+            held: The lease, as it was acquired or renewed last.
             records: Records to write in the same transaction.
             advance: Whether what is sent from now on gets a greater fencing number.
 
@@ -116,19 +117,24 @@
         Raises:
             PlatformError: The platform is down; nothing was written.
         """
-        held = self._held.get(resource)
-        if held is None:
+        if self._held.get(held.resource) is not held:
             return None
         fencing = held.row.fencing + advance
-        return await self._write(resource, held.row, held.clock, records=records, fencing=fencing)
+        return await self._write(
+            held.resource, held.row, held.clock, records=records, fencing=fencing
+        )
+
+    async def read_records(self, held: HeldLease) -> LeasedRecords:
+        """Return the records of a resource, read after its lease was acquired.
 
-    async def read_records(self, resource: str) -> list[LeaseRecord]:
-        """Return the records of a resource; only after an acquisition they can't change unseen.
+        Another holder's write changes the lease's row, too. So a renewal that succeeds shows that
+        they were current.
 
         Raises:
             PlatformError: The platform is down.
         """
-        return await self._table.read_records(resource)
+        records = await self._table.read_records(held.resource)
+        return LeasedRecords(lease=held, records=tuple(records))
 
     async def release(self, resource: str) -> None:
         """Release the lease, so that the next holder need not wait until it expires.
--- a/src/guavamast/leases/lease.py
+++ b/src/guavamast/leases/lease.py
@@ -90,3 +90,11 @@
         effect in what is reported and repairs it.
         """
         return now < self.expires_at - parameters.margin_s
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeasedRecords:
+    """The records of a resource, with the lease under which they were read."""
+
+    lease: HeldLease
+    records: tuple[LeaseRecord, ...]
--- a/src/guavamast/relay/duties/components.py
+++ b/src/guavamast/relay/duties/components.py
@@ -14,6 +14,7 @@
 from guavamast.relay.duties.member import DutyMember
 from guavamast.relay.duties.report_wire import decode_duty_message, encode_duty_message
 from guavamast.relay.duties.reports import DutyNotice
+from guavamast.relay.duties.tenure_factory import TenureFactory
 from guavamast.relay.duties.usage_counter import UsageCounter
 from guavamast.relay.duties.usage_duty import UsageDuty
 from guavamast.relay.duties.usage_ledger import UsageLedger
@@ -106,15 +107,23 @@
             read_time=read_time,
             read_wall=time.time,
         )
+        lease = self._build_lease(settings, record, table)
         self.holder = DutyHolder(
             record=record,
-            lease=self._build_lease(settings, record, table),
+            lease=lease,
             fenced=settings.fenced,
             candidacy=self._candidacy,
             collection=self._collection,
-            usage=self._build_usage(settings),
-            scaling=self._build_scaling(settings, profiles),
-            provider=provider,
+            tenures=TenureFactory(
+                lease=lease,
+                fenced=settings.fenced,
+                build_usage=self._choose_usage(settings),
+                build_scaling=self._choose_scaling(settings, profiles),
+                provider=provider,
+                log=log,
+                counters=counters,
+                read_time=read_time,
+            ),
             fleet_state=fleet_state,
             broadcast=self._broadcast,
             locate=clock.locate,
@@ -155,22 +164,24 @@
             parameters=build_lease_parameters(settings),
         )
 
-    def _build_usage(self, settings: DutySettings) -> UsageDuty | None:
+    def _choose_usage(self, settings: DutySettings) -> Callable[[], UsageDuty] | None:
+        """Return what builds the decisions on usage; None if usage is not reported."""
         if not settings.reports_usage:
             return None
-        return UsageDuty(
+        return lambda: UsageDuty(
             ledger=UsageLedger(),
             collection=self._collection,
             window_s=settings.window_s,
             due_s=settings.usage_due_s,
         )
 
-    def _build_scaling(
+    def _choose_scaling(
         self, settings: DutySettings, profiles: EngineProfiles
-    ) -> EngineScaling | None:
+    ) -> Callable[[], EngineScaling] | None:
+        """Return what builds the decisions on orders; None if engines are not ordered."""
         if not settings.orders_engines:
             return None
-        return EngineScaling(
+        return lambda: EngineScaling(
             fleet_state=self._fleet_state,
             collection=self._collection,
             orders=OrderBook(),
--- a/src/guavamast/relay/duties/usage_duty.py
+++ b/src/guavamast/relay/duties/usage_duty.py
@@ -67,6 +67,10 @@
         self._collection.restore(self.ledger.saved)
         self._save_from = now + FRESH_S
 
+    def count_reporting(self, *, now: float) -> int:
+        """Return the number of instances that have reported recently."""
+        return self._collection.count_fresh(now=now)
+
     def is_save_due(self, *, now: float) -> bool:
         """Return whether the counts of windows that are not fixed are to be written now."""
         return self._may_save(now=now) and now - self._saved_at >= SAVE_INTERVAL_S
--- a/tests/duty_simulation.py
+++ b/tests/duty_simulation.py
@@ -16,6 +16,7 @@
 from guavamast.relay.duties.member import REPORT_INTERVAL_S, DutyMember
 from guavamast.relay.duties.report_wire import decode_duty_message, encode_duty_message
 from guavamast.relay.duties.reports import DutyNotice
+from guavamast.relay.duties.tenure_factory import TenureFactory
 from guavamast.relay.duties.usage_counter import UsageCounter
 from guavamast.relay.duties.usage_duty import UsageDuty
 from guavamast.relay.duties.usage_ledger import UsageLedger
@@ -40,6 +41,7 @@
 from tests.relay_fixtures import build_instance
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from random import Random
 
     from guavamast.relay.store import InstanceRecord
@@ -104,7 +106,7 @@
         self._random = random
         self._due_at = 0.0
 
-    def load(self, records: list[LeaseRecord]) -> None:
+    def load(self, records: Iterable[LeaseRecord]) -> None:
         self.orders.load(records)
 
     def place_orders(self, *, now: float) -> list[EngineOrder]:
@@ -196,36 +198,41 @@
             read_time=self.read_time,
             read_wall=lambda: EPOCH_S + self.world.now + self.wall_error_s,
         )
+        log: Any = self.log
+        counters = Counters()
+        lease = LeaseHolder(
+            table=SimulatedStore(self.world, self._rows, self),
+            read_time=self.read_time,
+            holder=self.name,
+            generate_nonce=lambda: f"{self.name}-{start}-{next(nonces)}",
+            parameters=LeaseParameters(
+                duration_s=LEASE_S,
+                margin_s=CALL_MARGIN_S,
+                order_time_s=LATE_ARRIVAL_S + THAW_S,
+                tenure_s=LEASE_S + LATE_ARRIVAL_S,
+            ),
+        )
         self.holder = DutyHolder(
             record=self.record,
-            lease=LeaseHolder(
-                table=SimulatedStore(self.world, self._rows, self),
-                read_time=self.read_time,
-                holder=self.name,
-                generate_nonce=lambda: f"{self.name}-{start}-{next(nonces)}",
-                parameters=LeaseParameters(
-                    duration_s=LEASE_S,
-                    margin_s=CALL_MARGIN_S,
-                    order_time_s=LATE_ARRIVAL_S + THAW_S,
-                    tenure_s=LEASE_S + LATE_ARRIVAL_S,
-                ),
-            ),
+            lease=lease,
             fenced=self.world.fenced,
             candidacy=self.candidacy,
             collection=self.collection,
-            usage=UsageDuty(
-                ledger=UsageLedger(),
-                collection=self.collection,
-                window_s=WINDOW_S,
-                due_s=DUE_S,
+            tenures=TenureFactory(
+                lease=lease,
+                fenced=self.world.fenced,
+                build_usage=self._build_usage,
+                build_scaling=self._build_scaling,
+                provider=SimulatedProvider(self.world, self._seen, self),
+                log=log,
+                counters=counters,
+                read_time=self.read_time,
             ),
-            scaling=RandomScaling(self.world.random),  # type: ignore[arg-type]
-            provider=SimulatedProvider(self.world, self._seen, self),
             fleet_state=fleet_state,
             broadcast=self._broadcast,
             locate=self.locate,
-            log=self.log,  # type: ignore[arg-type]
-            counters=Counters(),
+            log=log,
+            counters=counters,
             read_time=self.read_time,
         )
         self._tasks = [
@@ -233,6 +240,14 @@
             self.world.start_task(self._run_holder()),
         ]
 
+    def _build_usage(self) -> UsageDuty:
+        return UsageDuty(
+            ledger=UsageLedger(), collection=self.collection, window_s=WINDOW_S, due_s=DUE_S
+        )
+
+    def _build_scaling(self) -> Any:
+        return RandomScaling(self.world.random)
+
     def kill(self) -> None:
         """End the process at once."""
         self.alive = False
--- a/tests/duty_world.py
+++ b/tests/duty_world.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 from guavamast.leases import LeaseRead, LeaseRecord, LeaseRow, LeaseTable, LeaseWrite
@@ -52,6 +53,46 @@
     """Whether it was sent around the end of a pause of its machine."""
 
 
+class StoreCall(StrEnum):
+    """A kind of call to the store."""
+
+    READ = "read"
+    READ_RECORDS = "read_records"
+    WRITE = "write"
+
+
+class CallFault(StrEnum):
+    """What becomes of one call to the store."""
+
+    REFUSED = "refused"
+    """It isn't performed, and its caller is told so."""
+    ANSWER_LOST = "answer_lost"
+    """It is performed, and its answer is lost."""
+    FREEZE = "freeze"
+    """It is performed, and its caller is frozen before the answer comes, for some seconds."""
+
+
+@dataclass(slots=True, kw_only=True)
+class FaultPoint:
+    """One call of one instance to the store, and what becomes of it."""
+
+    instance: str
+    call: StoreCall
+    number: int
+    """Which of its calls of this kind, counted from 1."""
+    fault: CallFault
+    freeze_s: float = 5.0
+    """Longer than a lease."""
+    counted: int = 0
+
+    def meets(self, instance: str, call: StoreCall) -> bool:
+        """Count a call, and return whether it is this one."""
+        if (instance, call) != (self.instance, self.call):
+            return False
+        self.counted += 1
+        return self.counted == self.number
+
+
 @dataclass(slots=True, kw_only=True)
 class World:
     """What can go wrong, and what has happened."""
@@ -72,6 +113,8 @@
     provider_delay_s: float = 0.01
     freezes_at_write_s: float | None = None
     """Seconds for which the next instance freezes whose write was just performed."""
+    fault_point: FaultPoint | None = None
+    """The one call to the store that fails."""
     arrived: list[Call] = field(default_factory=list)
     accepted: list[Call] = field(default_factory=list)
     truth: dict[int, dict[str, int]] = field(default_factory=lambda: defaultdict(dict))
@@ -101,23 +144,23 @@
 
     async def read(self, resource: str) -> LeaseRead:
         del resource
-        await self._reach()
+        fault = await self._reach(StoreCall.READ)
         read = LeaseRead(row=self.rows.row, table_time=STORE_EPOCH_S + self.world.now)
-        await self._return()
+        await self._return(fault)
         return read
 
     async def read_records(self, resource: str) -> list[LeaseRecord]:
         del resource
-        await self._reach()
+        fault = await self._reach(StoreCall.READ_RECORDS)
         records = [LeaseRecord(key=key, text=text) for key, text in self.rows.records.items()]
-        await self._return()
+        await self._return(fault)
         return records
 
     async def write(
         self, resource: str, row: LeaseRow, records: Sequence[LeaseRecord] = ()
     ) -> LeaseWrite:
         del resource
-        await self._reach()
+        fault = await self._reach(StoreCall.WRITE)
         self.rows.writes += 1
         chance = self.world.random.random()
         if chance < self.world.store_late:
@@ -125,7 +168,10 @@
             await asyncio.sleep(2.0)
             raise PlatformAnswerLost("no answer")
         written = self.rows.write(row, records)
-        if chance < self.world.store_late + self.world.store_loses:
+        if (
+            fault is CallFault.ANSWER_LOST
+            or chance < self.world.store_late + self.world.store_loses
+        ):
             await asyncio.sleep(2.0)
             raise PlatformAnswerLost("no answer")
         if written is None:
@@ -135,22 +181,35 @@
             self.instance.freeze()
             asyncio.get_running_loop().call_later(self.world.freezes_at_write_s, self.instance.thaw)
             self.world.freezes_at_write_s = None
-        await self._return()
+        await self._return(fault)
         return LeaseWrite(row_version=written, table_time=table_time)
 
     async def _write_later(self, row: LeaseRow, records: Sequence[LeaseRecord]) -> None:
         await asyncio.sleep(self.world.random.uniform(1.0, 6.0))
         self.rows.write(row, records)
 
-    async def _reach(self) -> None:
+    async def _reach(self, call: StoreCall) -> CallFault | None:
+        """Let a call reach the store, and return what becomes of it there or on its way back."""
         await self.instance.thawed()
         await asyncio.sleep(self.world.random.uniform(0.001, 0.01))
-        if self.world.store_down or self.instance.cut_from_store:
+        point = self.world.fault_point
+        fault = point.fault if point is not None and point.meets(self.instance.name, call) else None
+        if self.world.store_down or self.instance.cut_from_store or fault is CallFault.REFUSED:
             await asyncio.sleep(0.5)
             raise PlatformUnavailable("down")
+        return fault
 
-    async def _return(self) -> None:
+    async def _return(self, fault: CallFault | None) -> None:
+        """Let the answer to a call return."""
         await asyncio.sleep(self.world.random.uniform(0.001, 0.01))
+        if fault is CallFault.ANSWER_LOST:
+            await asyncio.sleep(0.5)
+            raise PlatformUnavailable("no answer")
+        if fault is CallFault.FREEZE:
+            assert self.world.fault_point is not None
+            self.instance.freeze()
+            freeze_s = self.world.fault_point.freeze_s
+            asyncio.get_running_loop().call_later(freeze_s, self.instance.thaw)
         await self.instance.thawed()
 
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from guavamast.leases import (
+    HeldLease,
     LeaseHolder,
     LeaseParameters,
     LeaseRead,
@@ -90,6 +91,12 @@
             parameters=PARAMETERS,
         )
 
+    async def acquire(self, holder: LeaseHolder, *, fenced: bool = True) -> HeldLease:
+        """Return a lease that is free."""
+        held = await holder.acquire(RESOURCE, fenced=fenced)
+        assert held is not None
+        return held
+
     async def test_another_instance_waits_for_the_end_and_not_longer(self) -> None:
         """Guards against two holders at a time, and against a hand-over that takes a second lease.
 
@@ -134,33 +141,41 @@
 
     async def test_a_renewal_writes_records_in_one_write(self) -> None:
         """Guards against records of a holder that is none any more."""
-        await self.one.acquire(RESOURCE, fenced=True)
+        former = await self.acquire(self.one)
         self.table.now = 9.0
-        await self.two.acquire(RESOURCE, fenced=True)
+        held = await self.acquire(self.two)
         record = LeaseRecord(key="k", text="late")
-        self.assertIsNone(await self.one.renew(RESOURCE, records=[record], advance=True))
+        self.assertIsNone(await self.one.renew(former, records=[record], advance=True))
         self.assertEqual(self.table.records, {})
-        self.assertIsNotNone(await self.two.renew(RESOURCE, records=[record], advance=True))
+        self.assertIsNotNone(await self.two.renew(held, records=[record], advance=True))
         self.assertEqual(self.table.records, {"k": "late"})
 
     async def test_a_renewal_without_an_answer_is_held_only_if_it_is_in_the_row(self) -> None:
         """Guards against a number that is used though the write of it failed."""
-        held = await self.one.acquire(RESOURCE, fenced=True)
-        assert held is not None
+        held = await self.acquire(self.one)
         self.table.loses_answers = True
-        renewed = await self.one.renew(RESOURCE, advance=True)
+        renewed = await self.one.renew(held, advance=True)
         assert renewed is not None
         self.assertEqual(renewed.fencing, held.fencing + 1)
         self.table.loses_answers = False
         self.table.keeps_writes = True
-        self.assertIsNone(await self.one.renew(RESOURCE, advance=True))
+        self.assertIsNone(await self.one.renew(renewed, advance=True))
         self.assertIsNone(self.one.find(RESOURCE))
 
+    async def test_a_lease_that_was_acquired_anew_is_not_renewed_by_its_former_user(self) -> None:
+        """Guards against records of a former tenure that are written under the next one."""
+        former = await self.acquire(self.one)
+        self.one.forget(RESOURCE)
+        self.table.now = 9.0
+        held = await self.acquire(self.one)
+        self.assertIsNone(await self.one.renew(former, advance=True))
+        self.assertIsNotNone(await self.one.renew(held, advance=True))
+
     async def test_a_write_that_is_performed_late_gives_no_number_to_two(self) -> None:
         """Guards against a late write that lets a former holder act with the next one's number."""
-        await self.one.acquire(RESOURCE, fenced=True)
+        held = await self.acquire(self.one)
         self.table.keeps_writes = True
-        self.assertIsNone(await self.one.renew(RESOURCE, advance=True))
+        self.assertIsNone(await self.one.renew(held, advance=True))
         self.table.keeps_writes = False
         self.table.now = 9.0
         taken = await self.two.acquire(RESOURCE, fenced=True)
@@ -172,9 +187,8 @@
 
     async def test_without_checks_one_holder_keeps_its_number(self) -> None:
         """Guards against a repeat that arrives with a lower number than the call it repeats."""
-        held = await self.one.acquire(RESOURCE, fenced=False)
-        renewed = await self.one.renew(RESOURCE, advance=False)
-        assert held is not None
+        held = await self.acquire(self.one, fenced=False)
+        renewed = await self.one.renew(held, advance=False)
         assert renewed is not None
         self.assertEqual(renewed.fencing, held.fencing)
 
