--- a/src/guavamast/platform/store_client.py
+++ b/src/guavamast/platform/store_client.py
@@ -12,6 +12,12 @@
     decode_name,
     decode_port,
 )
+from guavamast.platform.binding_wire import (
+    decode_binding_row,
+    encode_binding_key,
+    encode_binding_row,
+    name_shard,
+)
 from guavamast.platform.catalog_wire import decode_catalog
 from guavamast.platform.endpoint_wire import decode_endpoint
 from guavamast.platform.quarantine_wire import (
@@ -23,6 +29,7 @@
 from guavamast.platform.store_calls import StoreCalls, StoreConflict, StoredRow, Transaction
 from guavamast.relay.endpoint_table import compute_digest
 from guavamast.relay.store import (
+    BindingRow,
     CatalogSnapshot,
     EndpointSnapshot,
     InstanceRecord,
@@ -33,7 +40,7 @@
 from guavamast.relay.unreadable_rows import UnreadableRow, UnreadableRows
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from guavamast.relay.catalog import Catalog
     from guavamast.relay.endpoint_table import EndpointRecord
@@ -47,6 +54,7 @@
 """Keys of the evidence by the rank of the instance that saves it. In one row, the repeat of a write
 whose answer was lost would replace what the other instance has saved since."""
 AUDIT_TABLE: Final = "quarantine_audit"
+BINDINGS_TABLE: Final = "stream_bindings"
 _OPERATOR_TABLE: Final = "op"
 _CONFIGURATION_KEY: Final = "config"
 _ENDPOINT_TABLE: Final = "servers"
@@ -201,6 +209,25 @@
         transaction.remove(QUARANTINE_TABLE, attribute)
         await self.calls.commit(transaction)
 
+    async def read_bindings(self, *, shard: int | None) -> list[BindingRow]:
+        """Read saved streams; rows that can't be decoded are skipped."""
+        start, end = ("", None) if shard is None else name_shard(shard)
+        read = await self.calls.read_rows(BINDINGS_TABLE, start=start, end=end)
+        return self._decode_rows(BINDINGS_TABLE, read.rows, _decode_binding)
+
+    async def write_bindings(self, rows: Sequence[BindingRow]) -> int:
+        """Write or remove rows in one transaction."""
+        transaction = Transaction()
+        for row in rows:
+            key = encode_binding_key(row)
+            transaction.expect(BINDINGS_TABLE, key, row.version)
+            if row.streams is None:
+                transaction.remove(BINDINGS_TABLE, key)
+            else:
+                transaction.write(BINDINGS_TABLE, key, encode_binding_row(row.streams))
+        committed = await self.calls.commit(transaction)
+        return committed.version
+
     async def _commit_quarantine(self, row: QuarantineRow, transaction: Transaction) -> bool:
         """Add a quarantine's row to a transaction; perform it if the row has the stated version."""
         transaction.expect(QUARANTINE_TABLE, row.attribute, row.version)
@@ -246,6 +273,10 @@
     return decode_evidence(row.decode())
 
 
+def _decode_binding(row: StoredRow) -> BindingRow:
+    return decode_binding_row(row.key, row.decode(), version=row.version)
+
+
 def _decode_instance(row: StoredRow) -> InstanceRecord:
     with Decoding("instance"):
         fields = row.decode()
--- a/src/guavamast/relay/node/fleet.py
+++ b/src/guavamast/relay/node/fleet.py
@@ -248,6 +248,10 @@
         context = self._context
         return StreamBindings(
             requester=Requester(instance=context.settings.name, incarnation=context.incarnation),
+            record=context.record,
+            store=context.store,
+            clock=context.clock,
+            may_save=lambda: self.reader.answers and not context.schedule.is_leaving,
             fleet_state=context.fleet_state,
             read_endpoints=self.reader.endpoints.join,
             send=self.heartbeat_socket.send_to,
--- a/src/guavamast/relay/node/node.py
+++ b/src/guavamast/relay/node/node.py
@@ -200,6 +200,7 @@
             "quarantine": self._fleet.containment.run,
             "endpoint_access": self._fleet.access.run,
             "rate_limits": self._fleet.rate_limits.run,
+            "saved_streams": self._fleet.bindings.saver.run,
         }
         if self._fleet.duties is not None:
             runs["duties"] = self._fleet.duties.run
--- a/src/guavamast/relay/store.py
+++ b/src/guavamast/relay/store.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from guavamast.relay.catalog import Catalog
     from guavamast.relay.endpoint_table import EndpointRecord
 
@@ -79,6 +81,19 @@
     """The operator who has released it."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BindingRow:
+    """Bound streams of one shard, as one instance has saved them."""
+
+    shard: int
+    instance: str
+    """Name of the instance that has saved them; nobody else writes the row while it lives."""
+    version: int
+    """Version of the row; 0 for one that is not written yet."""
+    streams: bytes | None
+    """The encoded streams; None to remove the row."""
+
+
 class Store(ABC):
     """The platform's store; each call raises `StoreError` if it gets no usable response."""
 
@@ -134,3 +149,19 @@
     @abstractmethod
     async def remove_quarantine(self, attribute: str) -> None:
         """Remove the row of an attribute that is no longer in quarantine."""
+
+    @abstractmethod
+    async def read_bindings(self, *, shard: int | None) -> list[BindingRow]:
+        """Read the saved streams of a shard, as all instances have saved them.
+
+        Args:
+            shard: The shard; None for all of them.
+        """
+
+    @abstractmethod
+    async def write_bindings(self, rows: Sequence[BindingRow]) -> int:
+        """Write or remove rows in one transaction if all have the version that they state.
+
+        Returns:
+            The version of the rows that were written.
+        """
--- a/src/guavamast/relay/stream_binding/directory.py
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
-from guavamast.relay.stream_binding.ledger import BindingLedger
 from guavamast.relay.stream_binding.records import BoundStream
 from guavamast.relay.stream_binding.replicas import ReplicaChoice
+from guavamast.relay.stream_binding.shards import find_shard
 from guavamast.relay.stream_binding.wire import (
     BindingCopy,
     BindingQuery,
     BindingReply,
+    SaveRequest,
     decode_binding_message,
     encode_binding_message,
 )
@@ -24,7 +25,11 @@
     from guavamast.relay.peers import Peers
     from guavamast.relay.requester import Requester
     from guavamast.relay.store import InstanceRecord
+    from guavamast.relay.stream_binding.ledger import BindingLedger
     from guavamast.relay.stream_binding.records import StreamBinding, UnconfirmedSource
+    from guavamast.relay.stream_binding.saved_streams import SavedStreams
+    from guavamast.relay.stream_binding.saver import BindingSaver
+    from guavamast.relay.stream_binding.saver_choice import SaverChoice
     from guavamast.relay.stream_binding.wire import BindingMessage
 
 QUERY_WAITS_S: Final = (0.1, 0.2, 0.2)
@@ -35,6 +40,8 @@
 """Seconds between two such steps, in which requests go on."""
 OWN_MEMORY: Final = "own"
 """Source of what this instance remembers itself."""
+SAVED: Final = "store"
+"""Source of what no instance remembers and was saved in the store."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,11 +51,13 @@
     stream: BoundStream | None
     """None if nobody who replied remembers it."""
     source: str = ""
-    """The instance that remembers it: its name, or ``OWN_MEMORY``."""
+    """The instance that remembers it: its name, or ``OWN_MEMORY``; ``SAVED`` if it was saved."""
     asked: int = 0
     """Instances that were asked."""
     silent: int = 0
     """Those of them that didn't reply in time."""
+    store_answered: bool | None = None
+    """Whether the saved streams could be read; None if there was no need to."""
 
 
 class _PendingQuery:
@@ -74,15 +83,20 @@
 
 
 class BindingDirectory:
-    """Remembers what bound streams, with copies at a few other instances.
+    """Remembers what bound streams, with copies at a few other instances and in the store.
 
     A caller takes its stream up at any instance, often because the one that began it was killed. So
     each binding is sent to instances that its key selects, before the first event goes out, and an
-    instance that doesn't remember a stream asks. Copies are soft state: a lost one only makes a
-    stream unknown, and an unknown stream doesn't go on.
+    instance that doesn't remember a stream asks. All may be killed at once, so two of them save it
+    in the store a moment later, where it is looked up last. Copies are soft state: a lost one only
+    makes a stream unknown, and an unknown stream doesn't go on.
 
     Args:
         requester: This process.
+        ledger: What this instance remembers.
+        saver: Saves streams in the store.
+        savers: Chooses the instances that save a stream.
+        saved: Reads what is saved.
         peers: The other instances.
         send: Sends a datagram to an address.
         counters: Metrics.
@@ -97,6 +111,9 @@
         "_read_time",
         "_replicas",
         "_requester",
+        "_saved",
+        "_saver",
+        "_savers",
         "_send",
     )
 
@@ -104,13 +121,20 @@
         self,
         *,
         requester: Requester,
+        ledger: BindingLedger,
+        saver: BindingSaver,
+        savers: SaverChoice,
+        saved: SavedStreams,
         peers: Peers,
         send: Callable[[bytes, tuple[str, int]], None],
         counters: Counters,
         read_time: Callable[[], float],
     ) -> None:
         self._requester = requester
-        self._ledger = BindingLedger()
+        self._ledger = ledger
+        self._saver = saver
+        self._savers = savers
+        self._saved = saved
         self._replicas = ReplicaChoice(peers=peers)
         self._send = send
         self._counters = counters
@@ -170,23 +194,23 @@
                 await asyncio.sleep(HAND_OVER_PAUSE_S)
 
     async def find(self, key: str) -> Lookup:
-        """Return what this instance or others remember of a stream."""
+        """Return what this instance or others remember of a stream, or what is saved of it."""
         now = self._read_time()
         known = self._ledger.find(key, now=now)
         if known is not None:
             return Lookup(stream=known, source=OWN_MEMORY)
         targets = {one.name: one for one in self._replicas.list_queried(key, now=now)}
-        if not targets:
-            return Lookup(stream=None)
         query = await self._ask(key, targets)
-        if query.found is not None:
-            self._ledger.record(key, query.found, now=self._read_time())
-        return Lookup(
+        lookup = Lookup(
             stream=query.found,
             source=query.source,
             asked=len(targets),
             silent=len(query.silent),
         )
+        if query.found is None:
+            return await self._find_saved(key, lookup)
+        self._ledger.record(key, query.found, now=self._read_time())
+        return lookup
 
     def receive(self, data: bytes, source: tuple[str, int]) -> None:
         """Receive a datagram from another instance.
@@ -202,6 +226,9 @@
         message = decode_binding_message(data, now=now)
         if isinstance(message, BindingCopy):
             self._apply_copy(message, source, now=now)
+        elif isinstance(message, SaveRequest):
+            held = self._ledger.record(message.key, message.stream, now=now)
+            self._saver.record(message.key, held)
         elif isinstance(message, BindingQuery):
             self._reply(message, source, now=now)
         elif message.requester == self._requester:
@@ -213,6 +240,7 @@
     def clean_up(self, *, now: float) -> None:
         """Forget streams that have expired."""
         self._ledger.drop_expired(now=now)
+        self._saver.clean_up(now=now)
         self._counters.set("streams_bound", len(self._ledger))
 
     def _apply_copy(self, copy: BindingCopy, source: tuple[str, int], *, now: float) -> None:
@@ -220,6 +248,7 @@
         held = self._ledger.record(copy.key, copy.stream, now=now)
         if held.binding is None and copy.stream.binding is not None:
             self._send_message(BindingCopy(key=copy.key, stream=held), source)
+            self._save(copy.key, held, now=now)
 
     def _reply(self, query: BindingQuery, source: tuple[str, int], *, now: float) -> None:
         reply = BindingReply(
@@ -230,8 +259,17 @@
         )
         self._send_message(reply, source)
 
+    async def _find_saved(self, key: str, asked: Lookup) -> Lookup:
+        """Return what is saved of a stream that no instance remembers."""
+        answered = await self._saved.refresh(key)
+        stream = self._ledger.find(key, now=self._read_time())
+        source = SAVED if stream is not None else ""
+        return replace(asked, stream=stream, source=source, store_answered=answered)
+
     async def _ask(self, key: str, targets: dict[str, InstanceRecord]) -> _PendingQuery:
         query = _PendingQuery(silent=set(targets))
+        if not targets:
+            return query
         pending = self._pending.setdefault(key, [])
         pending.append(query)
         message = BindingQuery(requester=self._requester, key=key)
@@ -250,6 +288,17 @@
     def _send_copies(self, key: str, stream: BoundStream, *, now: float) -> None:
         for target in self._replicas.list_holders(key, now=now):
             self._send_message(BindingCopy(key=key, stream=stream), _get_address(target))
+        self._save(key, stream, now=now)
+
+    def _save(self, key: str, stream: BoundStream, *, now: float) -> None:
+        """Have a stream saved, once what began it is confirmed."""
+        if stream.unconfirmed is not None:
+            return
+        for target in self._savers.list_savers(find_shard(key), now=now):
+            if target.name == self._requester.instance:
+                self._saver.record(key, stream)
+            else:
+                self._send_message(SaveRequest(key=key, stream=stream), _get_address(target))
 
     def _send_message(self, message: BindingMessage, address: tuple[str, int]) -> None:
         self._send(encode_binding_message(message, now=self._read_time()), address)
--- a/src/guavamast/relay/stream_binding/recorder.py
+++ b/src/guavamast/relay/stream_binding/recorder.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from guavamast.relay.stream_binding.directory import OWN_MEMORY
+from guavamast.relay.stream_binding.directory import OWN_MEMORY, SAVED
 
 if TYPE_CHECKING:
     from guavamast.relay.counters import Counters
@@ -40,7 +40,10 @@
         stream = lookup.stream
         binding = take_up.binding
         own = str(lookup.source == OWN_MEMORY).lower()
-        self._counters.add(f'take_ups_total{{outcome="{take_up.outcome}",own_memory="{own}"}}')
+        saved = str(lookup.source == SAVED).lower()
+        self._counters.add(
+            f'take_ups_total{{outcome="{take_up.outcome}",own_memory="{own}",saved="{saved}"}}'
+        )
         self._log.write(
             "taken_up",
             now=now,
@@ -55,5 +58,6 @@
             source=lookup.source,
             asked=lookup.asked,
             silent=lookup.silent,
+            store_answered=lookup.store_answered,
             took_s=round(took_s, 4),
         )
--- a/src/guavamast/relay/stream_binding/replicas.py
+++ b/src/guavamast/relay/stream_binding/replicas.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from guavamast.relay.heartbeat_messages import InstanceState
-from guavamast.rendezvous import compute_weight_cached
+from guavamast.relay.stream_binding.ring import POSITION_BYTES, RING_SIZE, find_position
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,9 +23,6 @@
 NEIGHBOURS_PER_COPY: Final = 4
 """Instances that follow a key on the ring from which each copy's is taken: enough to meet several
 failure domains among them."""
-POSITION_BYTES: Final = 8
-"""Bytes of a position on the ring, the first of a stream key."""
-RING_KEY: Final = "stream bindings"
 
 
 class ReplicaChoice:
@@ -73,7 +70,7 @@
     near = nsmallest(
         NEIGHBOURS_PER_COPY * count,
         records,
-        key=lambda record: (_find_position(record) - position) % 256**POSITION_BYTES,
+        key=lambda record: (find_position(record) - position) % RING_SIZE,
     )
     domains: set[str] = set()
     firsts: list[InstanceRecord] = []
@@ -82,7 +79,3 @@
         (others if record.failure_domain in domains else firsts).append(record)
         domains.add(record.failure_domain)
     return (firsts + others)[:count]
-
-
-def _find_position(record: InstanceRecord) -> int:
-    return compute_weight_cached(RING_KEY, record.name)
--- a/src/guavamast/relay/stream_binding/wire.py
+++ b/src/guavamast/relay/stream_binding/wire.py
@@ -12,6 +12,7 @@
 from guavamast.decoding import Decoding, decode_json
 from guavamast.relay.requester import Requester, decode_requester
 from guavamast.relay.stream_binding.records import (
+    KEY_BYTES,
     BoundStream,
     StreamBinding,
     UnconfirmedSource,
@@ -29,6 +30,14 @@
     stream: BoundStream
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SaveRequest:
+    """A bound stream, for an instance that is to remember it and to save it in the store."""
+
+    key: str
+    stream: BoundStream
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BindingQuery:
     """The question whether an instance remembers a stream."""
@@ -52,7 +61,7 @@
     """None if it doesn't remember the stream."""
 
 
-BindingMessage: TypeAlias = BindingCopy | BindingQuery | BindingReply
+BindingMessage: TypeAlias = BindingCopy | SaveRequest | BindingQuery | BindingReply
 
 
 def encode_binding_message(message: BindingMessage, *, now: float) -> bytes:
@@ -60,6 +69,8 @@
     fields: list[Any]
     if isinstance(message, BindingCopy):
         fields = ["c", message.key, *_encode_stream(message.stream, now)]
+    elif isinstance(message, SaveRequest):
+        fields = ["save", message.key, *_encode_stream(message.stream, now)]
     elif isinstance(message, BindingQuery):
         fields = ["ask", *_encode_question(message)]
     else:
@@ -81,25 +92,37 @@
 
 def _decode_copy(fields: list[Any], now: float) -> BindingCopy:
     key, *stream = fields
-    return BindingCopy(key=str(key), stream=_decode_stream(stream, now))
+    return BindingCopy(key=_decode_key(key), stream=_decode_stream(stream, now))
+
+
+def _decode_save_request(fields: list[Any], now: float) -> SaveRequest:
+    key, *stream = fields
+    return SaveRequest(key=_decode_key(key), stream=_decode_stream(stream, now))
 
 
 def _decode_query(fields: list[Any], now: float) -> BindingQuery:
     del now
     name, incarnation, key = fields
-    return BindingQuery(requester=decode_requester(name, incarnation), key=str(key))
+    return BindingQuery(requester=decode_requester(name, incarnation), key=_decode_key(key))
 
 
 def _decode_reply(fields: list[Any], now: float) -> BindingReply:
     name, incarnation, key, instance, *stream = fields
     return BindingReply(
         requester=decode_requester(name, incarnation),
-        key=str(key),
+        key=_decode_key(key),
         instance=str(instance),
         stream=_decode_stream(stream, now) if stream else None,
     )
 
 
+def _decode_key(key: str) -> str:
+    digest = bytes.fromhex(key)
+    if len(digest) != KEY_BYTES or digest.hex() != key:
+        raise ValueError("not the key of a stream")
+    return key
+
+
 def _encode_question(message: BindingQuery | BindingReply) -> list[Any]:
     return [message.requester.instance, message.requester.incarnation, message.key]
 
@@ -148,6 +171,7 @@
 
 _DECODERS: Final[dict[str, Any]] = {
     "c": _decode_copy,
+    "save": _decode_save_request,
     "ask": _decode_query,
     "reply": _decode_reply,
 }
--- a/tests/test_relay_caller_admission.py
+++ b/tests/test_relay_caller_admission.py
@@ -35,7 +35,7 @@
 
     from guavamast.relay.catalog import Catalog, Route
     from guavamast.relay.endpoint_table import EndpointRecord
-    from guavamast.relay.store import InstanceRecord, QuarantineRow
+    from guavamast.relay.store import BindingRow, InstanceRecord, QuarantineRow
 
 START_S = 100.0
 
@@ -98,6 +98,14 @@
     async def remove_quarantine(self, attribute: str) -> None:
         del attribute
 
+    async def read_bindings(self, *, shard: int | None) -> list[BindingRow]:
+        del shard
+        return []
+
+    async def write_bindings(self, rows: Sequence[BindingRow]) -> int:
+        del rows
+        return 0
+
     async def read_catalog(self, *, known: Catalog | None) -> CatalogSnapshot:
         catalog = self.catalog
         if known is not None and known.row_version == catalog.row_version:
