--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -91,6 +91,8 @@
         """Send buffer of the connections of engines; None for that of the system."""
         self.memory_mb: int | None = None
         """Memory of an instance in its settings; None if they don't state it."""
+        self.max_body_bytes = 8192
+        """Bytes of a caller's request body at most."""
         self.idle_timeout_ms = 5000
         """Timeout of callers' idle connections in the configuration."""
         self.keys = [KEY]
@@ -272,7 +274,7 @@
             services.append({"name": MODELS, "max_connections": 200, "engine": engine})
         limits = {
             "max_header_bytes": 4096,
-            "max_body_bytes": 8192,
+            "max_body_bytes": self.max_body_bytes,
             "header_timeout_ms": 2000,
             "idle_timeout_ms": self.idle_timeout_ms,
         }
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -24,6 +24,7 @@
 )
 from guavamast.relay.loop_timeout import wait_in_steps
 from guavamast.relay.response_end import BodyEnding, BodyFraming
+from guavamast.relay.unreceived_bytes import count_unreceived
 
 if TYPE_CHECKING:
     from guavamast.relay.messages import Header
@@ -146,6 +147,8 @@
             self._fail(ConnectionLost("connection closed while idle"))
             return False
         self._eof_received = True
+        if self._transport is not None and count_unreceived(self._transport):
+            self._ending = BodyEnding.EARLY
         self._http.receive_data(b"")
         self._wake()
         return False
@@ -236,8 +239,10 @@
             return bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             raise MalformedAnswer("expected a response body")
-        closed = self._framing is BodyFraming.CONNECTION and self._eof_received
-        self._ending = BodyEnding.CLOSED if closed else BodyEnding.FRAMED
+        if self._framing is BodyFraming.CONNECTION and self._eof_received:
+            self._check_closed_end()
+        else:
+            self._ending = BodyEnding.FRAMED
         self._finish_exchange()
         return None
 
@@ -263,6 +268,21 @@
         if self._write_waiter is not None:
             await self._write_waiter
 
+    def _check_closed_end(self) -> None:
+        """Raise unless the end of the connection can be the end of a whole response.
+
+        A server in trouble answers a long upload at once, sends a part and closes the connection.
+        The end of its data arrives before the reset that the rest of the upload causes, so the part
+        looks complete. A server that sends a whole response has received the whole request before.
+
+        Raises:
+            ConnectionLost: The request was not received, or a reset followed.
+        """
+        if self._ending in (BodyEnding.EARLY, BodyEnding.RESET):
+            self.close()
+            raise ConnectionLost("connection closed before the request was received")
+        self._ending = BodyEnding.CLOSED
+
     def _finish_exchange(self) -> None:
         self._outstanding = False
         extra, _ = self._http.trailing_data
@@ -284,7 +304,8 @@
                 if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
                     raise UnboundedAnswer(str(error)) from error
                 if self._eof_received:
-                    self._ending = BodyEnding.CLOSED
+                    if self._ending is BodyEnding.OPEN:
+                        self._ending = BodyEnding.CLOSED
                     raise ConnectionLost(
                         "connection closed before the response was complete"
                     ) from error
--- a/src/guavamast/relay/response_end.py
+++ b/src/guavamast/relay/response_end.py
@@ -24,6 +24,8 @@
     """With the last byte of the stated length, or the last chunk."""
     CLOSED = "closed"
     """The server closed the connection in order."""
+    EARLY = "early"
+    """The server closed it in order before it had received the whole request."""
     RESET = "reset"
 
 
--- a/tests/_platform_callers.py
+++ b/tests/_platform_callers.py
@@ -233,6 +233,10 @@
             for name, engine in self.site.engines.items()
             if not services or name.partition("-")[0] in services
         )
+        self.cut_ports(kind, numbers, ports)
+
+    def cut_ports(self, kind: PartitionKind, numbers: list[int], ports: frozenset[int]) -> None:
+        """Partition some instances from ports."""
         for number in numbers:
             path = self.find_partition_file(f"one-{number}")
             write_partition(path, Partition(kind=kind, ports=ports))
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -19,6 +19,8 @@
 
     async def asyncSetUp(self) -> None:
         self.transport = mock.create_autospec(asyncio.Transport, instance=True)
+        self.transport.get_write_buffer_size.return_value = 0
+        self.transport.get_extra_info.return_value = None
         self.connection = HttpConnection()
         self.connection.connection_made(self.transport)
         await self.connection.send("GET", "/", [("Host", "h")], b"")
@@ -63,6 +65,28 @@
         with self.assertRaises(ConnectionLost):
             await self.read_body()
 
+    async def test_an_answer_that_ends_before_its_request_was_received_is_incomplete(self) -> None:
+        """Guards against a part that looks complete, as its end came before the reset."""
+        for reset in (False, True):
+            with self.subTest(reset=reset):
+                await self.asyncSetUp()
+                self.connection.data_received(RESPONSE_WITHOUT_LENGTH)
+                self.transport.get_write_buffer_size.return_value = 10
+                self.connection.eof_received()
+                self.connection.connection_lost(BrokenPipeError() if reset else None)
+                with self.assertRaises(ConnectionLost):
+                    await self.read_body()
+                ending = BodyEnding.RESET if reset else BodyEnding.EARLY
+                self.assertEqual(self.connection.ending, ending)
+
+    async def test_a_reset_after_the_end_of_the_data_ends_no_response(self) -> None:
+        """Guards against the rest of an upload whose reset comes after a part was read."""
+        self.connection.data_received(RESPONSE_WITHOUT_LENGTH)
+        self.connection.eof_received()
+        self.connection.connection_lost(ConnectionResetError())
+        with self.assertRaises(ConnectionLost):
+            await self.read_body()
+
     async def test_a_truncated_response_is_incomplete(self) -> None:
         self.connection.data_received(RESPONSE[:-1])
         self.connection.eof_received()
