--- a/src/guavamast/at_most_once_fetch.py
+++ b/src/guavamast/at_most_once_fetch.py
@@ -16,6 +16,8 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.tcpclient import TCPClient
 
+from guavamast.http_status import is_final_status
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -113,18 +115,21 @@
         self._client.tcp_client = self._connector
 
     async def run(self) -> HTTPResponse:
-        """Send the request and return the response, whatever its status.
+        """Send the request and return the response, whatever its final status.
 
         Raises:
             NotSent: No byte was sent.
             AnswerLost: Bytes may have been sent, and no whole response arrived in time.
         """
         try:
-            return await self._client.fetch(self._request, raise_error=False)
+            response = await self._client.fetch(self._request, raise_error=False)
         except Exception as error:
             raise _classify(error, self._connector) from None
         finally:
             self.abort()
+        if not is_final_status(response.code):
+            raise AnswerLost(f"status {response.code} is none of a final response")
+        return response
 
     def abort(self) -> None:
         """Close the connection in any state."""
--- a/src/guavamast/engine_client.py
+++ b/src/guavamast/engine_client.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from tornado.httpclient import HTTPRequest
+from tornado.httputil import parse_response_start_line
 
 from guavamast.at_most_once_fetch import AnswerLost, AtMostOnceFetch, NotSent, fetch_once
 from guavamast.event_stream import Event, EventDecoder, EventTooLong
@@ -47,6 +48,34 @@
     timeout_s: float = 600.0
 
 
+class _StreamedBody:
+    """The body of a response with status 200; of another one, nothing is read as events."""
+
+    __slots__ = ("_accepted", "_chunks")
+
+    def __init__(self) -> None:
+        self._accepted = False
+        self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    async def read(self) -> bytes | None:
+        """Return the next bytes as they arrive; None after the last ones."""
+        return await self._chunks.get()
+
+    def receive_header(self, line: str) -> None:
+        """Receive the start line or a header of the response."""
+        if line.startswith("HTTP/"):
+            self._accepted = parse_response_start_line(line.strip()).code == HTTPStatus.OK
+
+    def receive_chunk(self, chunk: bytes) -> None:
+        """Receive bytes of the body."""
+        if self._accepted:
+            self._chunks.put_nowait(chunk)
+
+    def end(self) -> None:
+        """End the body, as the response has ended or failed."""
+        self._chunks.put_nowait(None)
+
+
 class EngineClient:
     """Sends chats and cancels them."""
 
@@ -67,14 +96,14 @@
             EndpointBroken: The engine failed.
             SendForbidden: ``before_send`` forbade the send.
         """
-        chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
-        request = _build_request(call, chunks.put_nowait)
+        body = _StreamedBody()
+        request = _build_request(call, body)
         fetch = AtMostOnceFetch(request=request, before_write=before_send)
         task = asyncio.ensure_future(fetch.run())
-        task.add_done_callback(lambda _: chunks.put_nowait(None))
+        task.add_done_callback(lambda _: body.end())
         decoder = EventDecoder()
         try:
-            while (chunk := await chunks.get()) is not None:
+            while (chunk := await body.read()) is not None:
                 if events := _decode(decoder, chunk):
                     yield events
             await _raise_failure(task)
@@ -105,13 +134,14 @@
         )
 
 
-def _build_request(call: EngineCall, on_chunk: Callable[[bytes], None]) -> HTTPRequest:
+def _build_request(call: EngineCall, body: _StreamedBody) -> HTTPRequest:
     return HTTPRequest(
         f"{call.url}/v1/chat/completions",
         method="POST",
         headers={"Content-Type": "application/json", "X-Request-Id": call.request_id},
         body=_encode_call(call),
-        streaming_callback=on_chunk,
+        header_callback=body.receive_header,
+        streaming_callback=body.receive_chunk,
         connect_timeout=CONNECT_TIMEOUT_S,
         request_timeout=call.timeout_s,
     )
--- a/src/guavamast/relay/forwarding/protocol.py
+++ b/src/guavamast/relay/forwarding/protocol.py
@@ -16,6 +16,7 @@
 import h11
 
 from guavamast.decoding import Decoding
+from guavamast.http_status import is_final_status
 from guavamast.relay.endpoint_connection import ResponseHead
 from guavamast.relay.http_connection import encode_headers
 from guavamast.relay.response_end import BodyFraming
@@ -196,10 +197,13 @@
         statuses = [value for name, value in head.headers if name.lower() == STATUS_HEADER.lower()]
         if len(statuses) != 1 or not statuses[0].isdigit():
             raise ValueError("no status of the endpoint")
+        status = int(statuses[0])
+        if not is_final_status(status):
+            raise ValueError("no final status of the endpoint")
         framings = [value for name, value in head.headers if name.lower() == FRAMING_HEADER.lower()]
         headers = [header for header in head.headers if header[0].lower() not in _RESPONSE_HEADERS]
         framing = _decode_framing(framings)
-        return ResponseHead(status=int(statuses[0]), headers=headers, framing=framing)
+        return ResponseHead(status=status, headers=headers, framing=framing)
 
 
 def _decode_framing(values: list[str]) -> BodyFraming:
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from guavamast.http_status import is_final_status
 from guavamast.loop_turns import ReaderTurn
 from guavamast.relay.endpoint_connection import (
     ConnectionLost,
@@ -328,6 +329,9 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers.raw_items()
         ]
+        if not is_final_status(event.status_code):
+            self.close()
+            raise MalformedAnswer(f"status {event.status_code} is none of a final response")
         self._framing = _find_framing(event.status_code, headers)
         return ResponseHead(status=event.status_code, headers=headers, framing=self._framing)
 
--- a/tests/test_at_most_once_fetch.py
+++ b/tests/test_at_most_once_fetch.py
@@ -8,6 +8,12 @@
 from tornado.httpclient import HTTPRequest
 
 from guavamast.at_most_once_fetch import AnswerLost, NotSent, fetch_once
+from guavamast.engine_client import EndpointBroken, EngineCall, EngineClient
+from guavamast.fleet_objects import Endpoint, EndpointKind
+from guavamast.order_http import HttpOrderSender
+from guavamast.orders import Order, OrderOutcome
+from guavamast.platform_client import PlatformAnswerLost, Write
+from guavamast.platform_http import HttpPlatformClient
 
 
 class RawServer:
@@ -85,6 +91,63 @@
             with self.subTest(response=response), self.assertRaises(AnswerLost):
                 await self.fetch(server.url)
 
+    async def test_a_status_of_no_final_response_is_no_answer(self) -> None:
+        """Guards against a call that is recorded as answered by a server in trouble."""
+        for status in ("000", "099", "600", "999"):
+            response = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+            server = await self.start(response)
+            with self.subTest(status=status), self.assertRaises(AnswerLost):
+                await self.fetch(server.url)
+            self.assertEqual(len(server.received), 1)
+
+    async def test_an_order_with_such_an_answer_may_have_been_taken(self) -> None:
+        """Guards against an order that counts as taken, or as rejected, by a status of neither."""
+        for status in ("000", "099", "600"):
+            response = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+            server = await self.start(response)
+            endpoint = Endpoint(
+                name="e",
+                kind=EndpointKind.ENGINE,
+                url=f"http://127.0.0.1:{server.port}",
+                failure_domain="d",
+                slots=1,
+            )
+            order = Order(endpoint="e", fencing=1, model="m", version="1")
+            with self.subTest(status=status):
+                outcome = await HttpOrderSender().send(endpoint, order)
+                self.assertEqual(outcome, OrderOutcome.UNKNOWN)
+
+    async def test_a_write_with_such_an_answer_may_have_been_performed(self) -> None:
+        """Guards against a write that is repeated though it was performed."""
+        for status in ("000", "099", "600"):
+            response = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+            server = await self.start(response)
+            url = f"http://127.0.0.1:{server.port}"
+            client = HttpPlatformClient(tables_url=url, objects_url=url)
+            with self.subTest(status=status), self.assertRaises(PlatformAnswerLost):
+                await client.transact([], [Write(table="t", key="k", value={})])
+
+    async def test_no_events_are_read_from_a_chat_with_another_status(self) -> None:
+        """Guards against a failed chat whose body looks like one that was answered."""
+        for status in ("000", "500", "600", "202"):
+            body = "data: {}\n\n"
+            server = await self.start(
+                f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+            )
+            call = EngineCall(
+                url=f"http://127.0.0.1:{server.port}",
+                request_id="r",
+                model="m",
+                messages=[],
+                max_tokens=1,
+                priority=0,
+            )
+            events = []
+            with self.subTest(status=status), self.assertRaises(EndpointBroken):
+                async for some in EngineClient().stream(call, before_send=lambda: None):
+                    events += some
+            self.assertEqual(events, [])
+
     async def test_refused_connection_proves_not_sent(self) -> None:
         server = await self.start(b"")
         server.server.close()
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -87,6 +87,17 @@
         with self.assertRaises(ConnectionLost):
             await self.read_body()
 
+    async def test_a_status_of_no_final_response_is_malformed(self) -> None:
+        """Guards against a status that callers take for an answer, or can't read."""
+        for status in (b"600", b"999", b"099", b"000", b"99", b"0200", b"+20"):
+            with self.subTest(status=status):
+                await self.asyncSetUp()
+                head = b"HTTP/1.1 " + status + b" X\r\nContent-Length: 2\r\n\r\nok"
+                self.connection.data_received(head)
+                with self.assertRaises(MalformedAnswer):
+                    await self.read_body()
+                self.assertFalse(self.connection.reusable)
+
     async def test_a_truncated_response_is_incomplete(self) -> None:
         self.connection.data_received(RESPONSE[:-1])
         self.connection.eof_received()
--- a/tests/test_platform_early_answers.py
+++ b/tests/test_platform_early_answers.py
@@ -1,4 +1,4 @@
-"""End-to-end tests of answers that end before their request was received."""
+"""End-to-end tests of answers that end before their request was received, and of other statuses."""
 
 from __future__ import annotations
 
@@ -26,6 +26,8 @@
 PLAIN: Final = (CALL_PREFIX, LOOKUP_PREFIX)
 STREAMS: Final = (STREAM_PREFIX, RESUMABLE_PREFIX)
 DELAYS_S: Final = (0.0, 0.03)
+OTHER_STATUSES: Final = ("000", "099", "99", "0200", "+20", "600", "999")
+"""Statuses that aren't those of a final response (RFC 9110, section 15)."""
 LONG_PART: Final = b"y" * 300_000
 """A part of an answer that is read in many turns of the event loop."""
 ENGINES: Final = 2
@@ -132,3 +134,16 @@
 
     def cut_second_instance(self) -> None:
         self.cut_ports(PartitionKind.REFUSE, [1], frozenset(one.port for one in self.engines))
+
+
+class OtherStatusTest(EarlyAnswerTestCase):
+    """A status that is none of a final response is no answer."""
+
+    async def test_other_statuses_are_not_delivered(self) -> None:
+        """Guards against an engine in trouble whose status is passed on."""
+        for status in OTHER_STATUSES:
+            for target in (*PLAIN, *STREAMS):
+                with self.subTest(status=status, target=target):
+                    reply = await self.ask(self.instances[0], target, status=status)
+                    assert reply is not None
+                    self.assertEqual(reply.status, 502)
