--- a/src/guavamast/platform/endpoint_wire.py
+++ b/src/guavamast/platform/endpoint_wire.py
@@ -11,7 +11,9 @@
 def decode_endpoint(key: str, fields: Any, *, row_version: int) -> EndpointRecord | None:
     """Return the record of a row; None if its state is unknown.
 
-    Rows may come from other writers, with missing fields or other types.
+    Rows may come from other writers, also under an endpoint's id. One with a field that is missing
+    or of another type names no endpoint: with defaults in their place, requests would be sent to
+    another service's.
 
     Args:
         key: The endpoint's id.
@@ -26,33 +28,47 @@
 
 
 def _decode(key: str, fields: dict[str, Any], *, row_version: int) -> EndpointRecord | None:
-    service = fields["service"]
-    if not isinstance(service, str):
-        raise ValueError("the service is no text")
-    host, _, port = fields["address"].rpartition(":")
-    state = fields["state"]
-    if state not in ("ready", "draining"):
-        return None
-    slots = fields.get("slots")
-    zone = fields.get("zone")
-    born = fields.get("born")
-    version = fields.get("version")
+    service = _read_text(fields, "service")
+    host, _, port = _read_text(fields, "address").rpartition(":")
+    zone = _read_text(fields, "zone")
+    version = _read_text(fields, "version")
+    state = _read_text(fields, "state")
+    slots = _read_count(fields, "slots")
+    _read_count(fields, "seq")
+    _read_duration(fields["cold_left_ms"])
     leaves_ms = fields.get("leaves_ms")
-    return EndpointRecord(
+    record = EndpointRecord(
         endpoint_id=decode_name(key),
         row_version=row_version,
         service=service,
         host=decode_ip(host),
         port=decode_port(port),
-        failure_domain=zone if isinstance(zone, str) else "",
-        slots=slots if isinstance(slots, int) and slots > 0 else 1,
+        failure_domain=zone,
+        slots=max(1, slots),
         ready=state == "ready",
-        started_ms=born if isinstance(born, int) else None,
-        software_version=version if isinstance(version, str) and version else None,
+        started_ms=None if fields.get("born") is None else _read_count(fields, "born"),
+        software_version=version,
         reclaimable=fields.get("spot") is True,
-        leaves_s=leaves_ms / 1000.0 if _is_number(leaves_ms) else None,
+        leaves_s=None if leaves_ms is None else _read_duration(leaves_ms) / 1000.0,
     )
+    return record if state in ("ready", "draining") else None
 
 
-def _is_number(value: object) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
+def _read_text(fields: dict[str, Any], name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is no text")
+    return value
+
+
+def _read_count(fields: dict[str, Any], name: str) -> int:
+    value = fields[name]
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"{name} is no count")
+    return value
+
+
+def _read_duration(value: object) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool) or value < 0:
+        raise ValueError("a duration is no number")
+    return float(value)
--- a/src/guavamast/platform/standins/site.py
+++ b/src/guavamast/platform/standins/site.py
@@ -229,7 +229,10 @@
             "state": state,
             "seq": 1,
             "born": self.engines[engine_id].born_ms if engine_id in self.engines else None,
-            "version": self.engines[engine_id].version if engine_id in self.engines else None,
+            "cold_left_ms": 0,
+            "version": (
+                self.engines[engine_id].version if engine_id in self.engines else DEFAULT_VERSION
+            ),
         }
         self.store.put("servers", engine_id, fields)
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -46,6 +46,7 @@
     "slots": 64,
     "state": "ready",
     "seq": 4,
+    "cold_left_ms": 0,
     "version": "v1.2",
 }
 JSON = st.recursive(
@@ -98,13 +99,25 @@
             self.assertEqual((record.ready, record.port), (ready, 8080))
         self.assertIsNone(decode_endpoint("i", ENDPOINT | {"state": "odd"}, row_version=3))
 
-    def test_a_software_version_is_a_text_or_unknown(self) -> None:
-        """Guards against a row of another writer whose version is taken for that of an engine."""
-        versions = [("v1.2", "v1.2"), (None, None), ("", None), (3, None), (["v1"], None)]
-        for stated, decoded in versions:
-            record = decode_endpoint("i", ENDPOINT | {"version": stated}, row_version=3)
-            assert record is not None
-            self.assertEqual(record.software_version, decoded)
+    def test_a_row_without_one_of_its_fields_names_no_endpoint(self) -> None:
+        """Guards against a row of another writer by which another service's engine is used."""
+        for name in ENDPOINT:
+            fields = {key: value for key, value in ENDPOINT.items() if key != name}
+            with self.subTest(name), self.assertRaises(MalformedData):
+                decode_endpoint("i", fields, row_version=3)
+
+    def test_a_row_with_a_field_of_another_type_names_no_endpoint(self) -> None:
+        """Guards against the same where a text stands for a number, or a number for a text."""
+        for name, value in ENDPOINT.items():
+            others = (
+                ("8", None, True, [value], {}, -1) if isinstance(value, int) else (7, None, "", [])
+            )
+            for other in others:
+                with self.subTest(name, other=other), self.assertRaises(MalformedData):
+                    decode_endpoint("i", ENDPOINT | {name: other}, row_version=3)
+        for name, other in (("born", "1"), ("born", 1.5), ("leaves_ms", "1"), ("leaves_ms", -1)):
+            with self.subTest(name, other=other), self.assertRaises(MalformedData):
+                decode_endpoint("i", ENDPOINT | {name: other}, row_version=3)
 
     @given(fields=JSON)
     def test_rows_of_unknown_shape_are_malformed(self, fields: object) -> None:
