--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -41,6 +41,8 @@
 
 READ_AHEAD_BYTES: Final = 65_536
 """Bytes received and not yet consumed beyond which the connection pauses reading."""
+WRITE_BYTES: Final = 65_536
+"""Bytes of a request that are written at once."""
 MAX_HEAD_BYTES: Final = 65_536
 """Bytes of the lines before a body, or after one in chunks."""
 MAX_INTERIM_RESPONSES: Final = 8
@@ -65,6 +67,7 @@
         "_transport",
         "_turn",
         "_unread_bytes",
+        "_unsent",
         "_waiter",
         "_write_waiter",
         "established_at",
@@ -82,6 +85,8 @@
         self._framing = BodyFraming.LENGTH
         self._reading_paused = False
         self._unread_bytes = 0
+        self._unsent = False
+        """Whether a part of the request was not written yet."""
         self._turn = ReaderTurn()
         self.established_at = float("inf")
         """Local time by which it was established, as its owner recorded it."""
@@ -148,7 +153,7 @@
             self._fail(ConnectionLost("connection closed while idle"))
             return False
         self._eof_received = True
-        if self._transport is not None and count_unreceived(self._transport):
+        if self._unsent or (self._transport is not None and count_unreceived(self._transport)):
             self._ending = BodyEnding.EARLY
         self._http.receive_data(b"")
         self._wake()
@@ -265,9 +270,29 @@
             raise ConnectionLost("connection closed before the send")
         self._outstanding = True
         self._ending = BodyEnding.OPEN
-        self._transport.write(b"".join(self._http.send(event) or b"" for event in events))
-        if self._write_waiter is not None:
-            await self._write_waiter
+        self._unsent = True
+        data = [self._http.send(event) or b"" for event in events]
+        if sum(map(len, data)) <= WRITE_BYTES:
+            data = [b"".join(data)]
+        for part in data:
+            if not await self._write_part(part):
+                return
+        self._unsent = False
+
+    async def _write_part(self, part: bytes) -> bool:
+        """Write a part of a request; return False if the connection ends before.
+
+        It is written in pieces as the connection takes them: a transport copies what it can't send
+        at once, and with all bodies twice in memory the process would exceed its own.
+        """
+        view = memoryview(part)
+        for start in range(0, len(view), WRITE_BYTES):
+            if self._transport is None or self._eof_received:
+                return False
+            self._transport.write(view[start : start + WRITE_BYTES])
+            if self._write_waiter is not None:
+                await self._write_waiter
+        return True
 
     def _check_closed_end(self) -> None:
         """Raise unless the end of the connection can be the end of a whole response.
@@ -288,7 +313,7 @@
         self._outstanding = False
         extra, _ = self._http.trailing_data
         done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if extra or not done or self._transport is None:
+        if extra or not done or self._unsent or self._transport is None:
             self.close()
             return
         self._resume_reading()  # So that an idle connection shows its end.
--- a/src/guavamast/relay/listener.py
+++ b/src/guavamast/relay/listener.py
@@ -72,7 +72,7 @@
             self._reject(400, reason="the target has characters that need escaping")
         elif stated > limits.body_bytes:
             self._reject(413)
-        elif not self._body.has_room(stated):
+        elif not self._body.reserve(stated):
             self._reject_for_memory()
         return None
 
@@ -84,7 +84,7 @@
         size = self._body.size + len(chunk)
         if limits is not None and size > limits.body_bytes:
             self._reject(413)
-        elif not self._is_length_stated() and not self._body.has_room(size):
+        elif not self._body.reserve(size):
             self._reject_for_memory()
         else:
             self._body.append(chunk)
@@ -111,10 +111,6 @@
         else:
             self._body.release()
 
-    def _is_length_stated(self) -> bool:
-        """Return whether there was room for the whole body when its head came."""
-        return self._headers is not None and "Content-Length" in self._headers
-
     def _reject_for_memory(self) -> None:
         """Reject a request that hasn't run, as its body doesn't fit into the memory now."""
         assert self._start is not None and self._headers is not None
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 import unittest
 from unittest import mock
 
@@ -11,6 +12,7 @@
 from guavamast.relay.response_end import BodyEnding, BodyFraming
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+LARGE_BYTES = 16 * 1024 * 1024
 RESPONSE_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nok"
 
 
@@ -154,5 +156,44 @@
                 self.assertEqual(self.connection.ending, ending)
 
 
+class LargeRequestTest(unittest.IsolatedAsyncioTestCase):
+    """A large request is written as its server takes it."""
+
+    async def asyncSetUp(self) -> None:
+        self.reads = asyncio.Event()
+        self.received = 0
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.connection = await HttpConnection.open("127.0.0.1", port, timeout_s=5.0)
+        self.addCleanup(self.connection.close)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Read a request once the test says so, and answer it."""
+        await self.reads.wait()
+        await reader.readuntil(b"\r\n\r\n")
+        self.received = len(await reader.readexactly(LARGE_BYTES))
+        writer.write(RESPONSE)
+        await writer.drain()
+
+    async def test_a_body_is_not_copied_while_it_waits(self) -> None:
+        """Guards against uploads that take twice the memory that is counted for them."""
+        body = b"x" * LARGE_BYTES
+        headers = [("Host", "h"), ("Content-Length", str(LARGE_BYTES))]
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        sending = asyncio.ensure_future(self.connection.send("POST", "/", headers, body))
+        await asyncio.sleep(0.2)
+        self.assertFalse(sending.done())
+        self.assertLess(tracemalloc.get_traced_memory()[0], LARGE_BYTES // 4)
+        self.reads.set()
+        await sending
+        self.assertEqual((await self.connection.read_head()).status, 200)
+        while await self.connection.read_chunk() is not None:
+            pass
+        self.assertEqual(self.received, LARGE_BYTES)
+        self.assertTrue(self.connection.reusable)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_relay_buffering.py
+++ b/tests/test_relay_buffering.py
@@ -176,7 +176,18 @@
         ):
             with self.subTest(rejects=rejects, size=size):
                 body = RequestBody(account=account, rejects=rejects)
-                self.assertEqual(body.has_room(size), accepted)
+                self.assertEqual(body.reserve(size), accepted)
+                body.release()
+
+    def test_bodies_count_from_their_heads_on(self) -> None:
+        """Guards against bodies that all find room as none of their bytes has come."""
+        account = MemoryAccount(limit_bytes=10 * MIB)
+        bodies = [RequestBody(account=account, rejects=True) for _ in range(4)]
+        self.assertEqual([body.reserve(4 * MIB) for body in bodies], [True, True, False, False])
+        bodies[0].append(b"a" * MIB)
+        self.assertEqual(account.held_bytes, 8 * MIB)
+        bodies[0].release()
+        self.assertTrue(bodies[2].reserve(4 * MIB))
 
 
 if __name__ == "__main__":
--- a/tests/test_relay_listener.py
+++ b/tests/test_relay_listener.py
@@ -6,6 +6,7 @@
 import socket
 import time
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from guavamast.platform.request_headers import PlatformHeaders
@@ -19,22 +20,27 @@
     header_bytes=1_000, body_bytes=1_000, header_timeout_s=5.0, idle_timeout_s=5.0
 )
 READ_TIMEOUT_S = 5.0
+MIB = 1024 * 1024
 
 
-class EarlyRejectionTest(unittest.IsolatedAsyncioTestCase):
-    """Requests that are rejected by their head, before their bodies are read."""
+class ListenerTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with a listener on a port."""
+
+    body_bytes = 1_000
+    """Bytes of a request body at most."""
 
     async def asyncSetUp(self) -> None:
         self.relayer = mock.create_autospec(Relayer, instance=True)
+        self.memory = MemoryAccount(limit_bytes=10 * MIB)
         self.listener = CallerListener(
             relayer=self.relayer,
             codec=PlatformHeaders(),
             recorder=mock.create_autospec(ListenerRecorder, instance=True),
-            memory=MemoryAccount(),
-            rejects_large=False,
+            memory=self.memory,
+            rejects_large=True,
             read_time=time.monotonic,
         )
-        self.listener.set_limits(LIMITS)
+        self.listener.set_limits(replace(LIMITS, body_bytes=self.body_bytes))
         with socket.socket() as reserved:
             reserved.bind(("127.0.0.1", 0))
             self.port = int(reserved.getsockname()[1])
@@ -49,6 +55,10 @@
         async with asyncio.timeout(READ_TIMEOUT_S):
             return await reader.read()
 
+
+class EarlyRejectionTest(ListenerTestCase):
+    """Requests that are rejected by their head, before their bodies are read."""
+
     async def test_rejection_of_a_large_body_says_that_the_connection_closes(self) -> None:
         """Guards against a connection that closes although its response promised otherwise.
 
@@ -73,5 +83,35 @@
         self.relayer.relay.assert_not_called()
 
 
+class LargeBodyTest(ListenerTestCase):
+    """Large bodies stay within the memory that the instance may hold."""
+
+    body_bytes = 4 * MIB
+
+    async def test_bodies_that_come_at_once_are_received_only_as_far_as_there_is_room(self) -> None:
+        """Guards against a process that is ended by its memory, as all heads find room at once."""
+        head = f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {4 * MIB}\r\n\r\n".encode()
+        callers = [asyncio.ensure_future(self.exchange(head)) for _ in range(6)]
+        await asyncio.wait(callers, timeout=0.5)
+        rejected = [caller.result() for caller in callers if caller.done()]
+        self.assertEqual(len(rejected), 4)
+        for response in rejected:
+            self.assertTrue(response.startswith(b"HTTP/1.1 503"), response)
+        for caller in callers:
+            caller.cancel()
+        self.relayer.relay.assert_not_called()
+
+    async def test_room_is_given_back_by_callers_that_leave(self) -> None:
+        """Guards against uploads that are rejected for ever after some have been broken off."""
+        head = f"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: {4 * MIB}\r\n\r\n".encode()
+        for _ in range(3):
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(head)
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.memory.held_bytes, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
