--- a/src/guavamast/relay/tornado_writer.py
+++ b/src/guavamast/relay/tornado_writer.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+import contextlib
+from typing import TYPE_CHECKING, Final
 
 from tornado import httputil
 from tornado.iostream import StreamClosedError
@@ -20,6 +21,10 @@
     from guavamast.relay.messages import Header
 
 
+JOINED_BYTES: Final = 65_536
+"""Bytes of a body that is sent together with its head, in one write."""
+
+
 class TornadoWriter(ResponseWriter):
     """Writes a response to a ``tornado`` connection.
 
@@ -51,10 +56,30 @@
         return self._started
 
     async def send(self, status: int, headers: list[Header], body: bytes) -> None:
-        """Send a complete response with its length."""
-        self._write_head(status, [*headers, ("Content-Length", str(len(body)))], body)
+        """Send a complete response with its length.
+
+        The HTTP server joins what is sent with the head, so a slow caller's body would be held
+        twice and counted once. A large one is written by itself, without a copy.
+        """
+        fields = [*headers, ("Content-Length", str(len(body)))]
+        if len(body) <= JOINED_BYTES:
+            self._write_head(status, fields, body)
+        else:
+            self._write_head(status, fields, b"")
+            await self._write_body(body)
         self._connection.finish()
 
+    async def _write_body(self, body: bytes) -> None:
+        """Write a body once the connection has taken the head.
+
+        The HTTP server tells of one write at a time: the end of the head's would be taken for that
+        of the body's.
+        """
+        assert self._sent is not None
+        with contextlib.suppress(StreamClosedError):
+            await self._sent
+        self._sent = self._connection.write(body)
+
     def start(self, status: int, headers: list[Header]) -> None:
         """Send status and headers of a response whose length is not known yet.
 
--- a/tests/test_relay_listener.py
+++ b/tests/test_relay_listener.py
@@ -5,8 +5,10 @@
 import asyncio
 import socket
 import time
+import tracemalloc
 import unittest
 from dataclasses import replace
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from guavamast.platform.request_headers import PlatformHeaders
@@ -16,6 +18,10 @@
 from guavamast.relay.listener_recorder import ListenerRecorder
 from guavamast.relay.relayer import Relayer
 
+if TYPE_CHECKING:
+    from guavamast.relay.messages import CallerRequest
+    from guavamast.relay.tornado_writer import TornadoWriter
+
 LIMITS = CallerLimits(
     header_bytes=1_000, body_bytes=1_000, header_timeout_s=5.0, idle_timeout_s=5.0
 )
@@ -84,7 +90,7 @@
 
 
 class LargeBodyTest(ListenerTestCase):
-    """Large bodies stay within the memory that the instance may hold."""
+    """Large bodies stay within the memory that the instance may hold, and are held once."""
 
     body_bytes = 4 * MIB
 
@@ -112,6 +118,31 @@
             await asyncio.sleep(0.05)
         self.assertEqual(self.memory.held_bytes, 0)
 
+    async def test_a_response_is_held_once_until_its_caller_has_it(self) -> None:
+        """Guards against slow callers whose responses take twice the memory that is counted."""
+        body = b"y" * (4 * MIB)
+        sent = asyncio.Event()
+
+        async def relay(request: CallerRequest, writer: TornadoWriter) -> None:
+            del request
+            await writer.send(200, [], body)
+            writer.call_when_sent(sent.set)
+
+        self.relayer.relay.side_effect = relay
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1024)
+        self.addCleanup(writer.close)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.3)
+        self.assertLess(tracemalloc.get_traced_memory()[0], MIB)
+        self.assertFalse(sent.is_set())
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(f"Content-Length: {len(body)}".encode(), head)
+        self.assertEqual(await reader.readexactly(len(body)), body)
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            await sent.wait()
+
 
 if __name__ == "__main__":
     unittest.main()
