Queries of stream bindings and HTTP message parts in modules of their own

No behaviour changes: test_relay_stream_binding, test_relay_saved_streams, test_http_connection pass as they are.

--- a/src/guavamast/relay/forwarding/protocol.py
+++ b/src/guavamast/relay/forwarding/protocol.py
@@ -18,7 +18,7 @@
 from guavamast.decoding import Decoding
 from guavamast.http_status import is_final_status
 from guavamast.relay.endpoint_connection import ResponseHead
-from guavamast.relay.http_connection import encode_headers
+from guavamast.relay.http_messages import encode_headers
 from guavamast.relay.response_end import BodyFraming
 
 if TYPE_CHECKING:
--- a/src/guavamast/relay/http_connection.py
+++ b/src/guavamast/relay/http_connection.py
@@ -23,6 +23,7 @@
     ResponseHead,
     UnboundedAnswer,
 )
+from guavamast.relay.http_messages import build_body_events, encode_headers, find_framing
 from guavamast.relay.loop_timeout import wait_in_steps
 from guavamast.relay.response_end import BodyEnding, BodyFraming
 from guavamast.relay.unreceived_bytes import count_unreceived
@@ -186,7 +187,7 @@
             ConnectionLost: The connection ended; bytes may have been sent.
         """
         head = h11.Request(method=method, target=target, headers=encode_headers(headers))
-        await self._write(head, *_build_body_events(body))
+        await self._write(head, *build_body_events(body))
 
     async def send_head(self, method: str, target: str, headers: list[Header]) -> None:
         """Send the head of a request that expects ``100 Continue`` before its body.
@@ -216,7 +217,7 @@
         Raises:
             ConnectionLost: The connection ended; bytes may have been sent.
         """
-        await self._write(*_build_body_events(body))
+        await self._write(*build_body_events(body))
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the response to the request that was sent.
@@ -357,7 +358,7 @@
         if not is_final_status(event.status_code):
             self.close()
             raise MalformedAnswer(f"status {event.status_code} is none of a final response")
-        self._framing = _find_framing(event.status_code, headers)
+        self._framing = find_framing(event.status_code, headers)
         return ResponseHead(status=event.status_code, headers=headers, framing=self._framing)
 
     async def _wait_for_data(self) -> None:
@@ -382,34 +383,3 @@
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
-
-
-def encode_headers(headers: list[Header]) -> list[tuple[bytes, bytes]]:
-    """Return headers as they go over the wire: those of a caller with the bytes that it sent.
-
-    Text that was received was decoded as Latin-1, which has a character for each byte. Only a name
-    from the configuration can hold others.
-    """
-    return [(name.encode("latin-1"), _encode_value(value)) for name, value in headers]
-
-
-def _encode_value(value: str) -> bytes:
-    try:
-        return value.encode("latin-1")
-    except UnicodeEncodeError:
-        return value.encode()
-
-
-def _build_body_events(body: bytes) -> list[h11.Event]:
-    data = [h11.Data(data=body)] if body else []
-    return [*data, h11.EndOfMessage()]
-
-
-def _find_framing(status: int, headers: list[Header]) -> BodyFraming:
-    """Return what marks the end of the body of a response to a request other than HEAD."""
-    names = {name.lower() for name, _ in headers}
-    if "transfer-encoding" in names:
-        return BodyFraming.CHUNKED
-    if "content-length" in names or status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
-        return BodyFraming.LENGTH
-    return BodyFraming.CONNECTION
--- a/src/guavamast/relay/stream_binding/directory.py
+++ b/src/guavamast/relay/stream_binding/directory.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
+from guavamast.relay.stream_binding.queries import BindingQueries
 from guavamast.relay.stream_binding.records import BoundStream
 from guavamast.relay.stream_binding.replicas import ReplicaChoice
 from guavamast.relay.stream_binding.shards import find_shard
@@ -32,8 +33,6 @@
     from guavamast.relay.stream_binding.saver_choice import SaverChoice
     from guavamast.relay.stream_binding.wire import BindingMessage
 
-QUERY_WAITS_S: Final = (0.1, 0.2, 0.2)
-"""Seconds to wait for replies before silent instances are asked again, and at last given up."""
 HAND_OVER_STEP: Final = 50
 """Requests whose streams are handed over without a pause: a few milliseconds of work."""
 HAND_OVER_PAUSE_S: Final = 0.01
@@ -60,28 +59,6 @@
     """Whether the saved streams could be read; None if there was no need to."""
 
 
-class _PendingQuery:
-    """A query to several instances."""
-
-    __slots__ = ("done", "found", "silent", "source")
-
-    def __init__(self, *, silent: set[str]) -> None:
-        self.silent = silent
-        """Names of the instances that have not replied."""
-        self.found: BoundStream | None = None
-        self.source = ""
-        self.done = asyncio.Event()
-
-    def apply(self, reply: BindingReply) -> None:
-        """Apply a reply; the first that knows the stream decides."""
-        self.silent.discard(reply.instance)
-        if reply.stream is not None and self.found is None:
-            self.found = reply.stream
-            self.source = reply.instance
-        if self.found is not None or not self.silent:
-            self.done.set()
-
-
 class BindingDirectory:
     """Remembers what bound streams, with copies at a few other instances and in the store.
 
@@ -107,7 +84,7 @@
         "_counters",
         "_handed_to",
         "_ledger",
-        "_pending",
+        "_queries",
         "_read_time",
         "_replicas",
         "_requester",
@@ -139,8 +116,7 @@
         self._send = send
         self._counters = counters
         self._read_time = read_time
-        self._pending: dict[str, list[_PendingQuery]] = {}
-        """Queries that await replies, by the key of the stream."""
+        self._queries = BindingQueries(requester=requester, send=self._send_to)
         self._handed_to: set[str] | None = None
         """Names of the instances that stayed when all was handed over; None if it wasn't."""
 
@@ -199,8 +175,8 @@
         known = self._ledger.find(key, now=now)
         if known is not None:
             return Lookup(stream=known, source=OWN_MEMORY)
-        targets = {one.name: one for one in self._replicas.list_queried(key, now=now)}
-        query = await self._ask(key, targets)
+        targets = self._replicas.list_queried(key, now=now)
+        query = await self._queries.ask(key, targets)
         lookup = Lookup(
             stream=query.found,
             source=query.source,
@@ -231,10 +207,7 @@
             self._saver.record(message.key, held)
         elif isinstance(message, BindingQuery):
             self._reply(message, source, now=now)
-        elif message.requester == self._requester:
-            for query in self._pending.get(message.key, ()):
-                query.apply(message)
-        else:
+        elif not self._queries.receive(message):
             self._counters.add("late_binding_replies_total")
 
     def clean_up(self, *, now: float) -> None:
@@ -266,28 +239,9 @@
         source = SAVED if stream is not None else ""
         return replace(asked, stream=stream, source=source, store_answered=answered)
 
-    async def _ask(self, key: str, targets: dict[str, InstanceRecord]) -> _PendingQuery:
-        query = _PendingQuery(silent=set(targets))
-        if not targets:
-            return query
-        pending = self._pending.setdefault(key, [])
-        pending.append(query)
-        message = BindingQuery(requester=self._requester, key=key)
-        try:
-            for wait_s in QUERY_WAITS_S:
-                for name in sorted(query.silent):
-                    self._send_message(message, _get_address(targets[name]))
-                if await _wait(query.done, timeout_s=wait_s):
-                    break
-        finally:
-            pending.remove(query)
-            if not pending:
-                del self._pending[key]
-        return query
-
     def _send_copies(self, key: str, stream: BoundStream, *, now: float) -> None:
         for target in self._replicas.list_holders(key, now=now):
-            self._send_message(BindingCopy(key=key, stream=stream), _get_address(target))
+            self._send_to(BindingCopy(key=key, stream=stream), target)
         self._save(key, stream, now=now)
 
     def _save(self, key: str, stream: BoundStream, *, now: float) -> None:
@@ -298,22 +252,11 @@
             if target.name == self._requester.instance:
                 self._saver.record(key, stream)
             else:
-                self._send_message(SaveRequest(key=key, stream=stream), _get_address(target))
+                self._send_to(SaveRequest(key=key, stream=stream), target)
+
+    def _send_to(self, message: BindingMessage, instance: InstanceRecord) -> None:
+        self._send_message(message, (instance.ip, instance.peer_port))
 
     def _send_message(self, message: BindingMessage, address: tuple[str, int]) -> None:
         self._send(encode_binding_message(message, now=self._read_time()), address)
         self._counters.add("binding_messages_sent_total")
-
-
-async def _wait(event: asyncio.Event, *, timeout_s: float) -> bool:
-    """Return whether an event is set within a timeout."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    except TimeoutError:
-        return False
-    return True
-
-
-def _get_address(record: InstanceRecord) -> tuple[str, int]:
-    return record.ip, record.peer_port
