Early ends: an engine of the tests that receives less, and a transport that tells its length

And the transport that the partition tests put between had no get_write_buffer_size, so each end of a connection failed there (NotImplementedError) and counted as a reset, of whole answers too.

Change: the transport tells what it holds. The engine's receive buffer is small, it reads once, and the tests check that it had not received the whole request. A test without that transport, on real sockets.

--- a/soak/partitions.py
+++ b/soak/partitions.py
@@ -107,6 +107,9 @@
         else:
             self._transport.write(data)
 
+    def get_write_buffer_size(self) -> int:
+        return len(self._held) + self._transport.get_write_buffer_size()
+
     def pause_reading(self) -> None:
         self._wants_to_read = False
         if not self.silenced:
--- a/tests/early_engine.py
+++ b/tests/early_engine.py
@@ -13,6 +13,9 @@
 from guavamast.socket_options import set_reset_on_close
 
 READ_BYTES: Final = 16_384
+RECEIVE_BUFFER_BYTES: Final = 32_768
+MAX_READ_BYTES: Final = 1_048_576
+"""Bytes of one read: more than can wait unread, so nothing is left in the moment after it."""
 LINGER_S: Final = 0.3
 """Seconds from the end of the engine's data until it closes the connection."""
 SEAL: Final = "seal-early"
@@ -57,6 +60,8 @@
         self.delay_s = delay_s
         self.runs: list[str] = []
         """Ids of the requests."""
+        self.received_whole: set[str] = set()
+        """Ids of the requests of which it had read everything by its end, by mistake."""
         engine = self
 
         class Handler(socketserver.BaseRequestHandler):
@@ -65,6 +70,8 @@
 
         self._server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Handler)
         self._server.daemon_threads = True
+        # Accepted connections inherit it: no more than this waits unread.
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.port: int = self._server.server_address[1]
 
     def start(self) -> None:
@@ -95,23 +102,24 @@
             "Connection: close\r\n\r\n"
         )
         connection.sendall(head.encode() + self.body)
-        self._end(connection)
+        received = len(data) - data.index(b"\r\n\r\n") - 4 + self._end(connection)
+        if received >= _read_length(data):
+            self.received_whole.add(request_id)
 
-    def _end(self, connection: socket.socket) -> None:
+    def _end(self, connection: socket.socket) -> int:
+        """End the connection; return the bytes that were read before."""
+        received = 0
         if self.end is EarlyEnd.RESET:
             set_reset_on_close(connection, enabled=True)
         elif self.end is EarlyEnd.SHUTDOWN:
             connection.shutdown(socket.SHUT_WR)
             time.sleep(LINGER_S)
         else:
-            read_all(connection)
+            received = len(connection.recv(MAX_READ_BYTES))
         connection.close()
+        return received
 
 
-def read_all(connection: socket.socket) -> None:
-    """Read what has arrived."""
-    try:
-        while connection.recv(READ_BYTES, socket.MSG_DONTWAIT):
-            pass
-    except BlockingIOError:
-        return
+def _read_length(head: bytes) -> int:
+    length = re.search(rb"(?im)^content-length: (\d+)", head)
+    return int(length[1]) if length is not None else 0
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import contextlib
+import itertools
 import tracemalloc
 import unittest
 from unittest import mock
 
 from guavamast.relay.http_connection import ConnectionLost, HttpConnection, MalformedAnswer
 from guavamast.relay.response_end import BodyEnding, BodyFraming
+from tests.early_engine import EarlyEnd, EarlyEngine
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 LARGE_BYTES = 16 * 1024 * 1024
+EARLY_BYTES = 900_000
+EARLY_REQUEST = b"x" * EARLY_BYTES
 RESPONSE_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nok"
 
 
@@ -156,6 +160,30 @@
                 self.assertEqual(self.connection.ending, ending)
 
 
+class EarlyEndTest(unittest.IsolatedAsyncioTestCase):
+    """Answers without a length of a server that ends the connection while it is written to."""
+
+    async def test_a_part_is_no_whole_answer(self) -> None:
+        """Guards against a part that looks complete, as its end came before the reset."""
+        for end, body in itertools.product(EarlyEnd, (b"a part", b"y" * 300_000)):
+            with self.subTest(end=end, length=len(body)):
+                engine = EarlyEngine(end=end, body=body)
+                engine.start()
+                self.addCleanup(engine.stop)
+                connection = await HttpConnection.open("127.0.0.1", engine.port, timeout_s=5.0)
+                length = ("Content-Length", str(EARLY_BYTES))
+                with self.assertRaises(ConnectionLost):
+                    async with asyncio.timeout(5.0):
+                        await connection.send("POST", "/", [("Host", "h"), length], EARLY_REQUEST)
+                        await connection.read_head()
+                        while await connection.read_chunk() is not None:
+                            pass
+                self.assertFalse(connection.reusable)
+                self.assertEqual(engine.received_whole, set())
+                self.assertIn(connection.ending, (BodyEnding.EARLY, BodyEnding.RESET))
+                connection.close()
+
+
 class LargeRequestTest(unittest.IsolatedAsyncioTestCase):
     """A large request is written as its server takes it."""
 
--- a/tests/test_platform_early_answers.py
+++ b/tests/test_platform_early_answers.py
@@ -95,6 +95,7 @@
 
     def count_runs(self) -> int:
         name = f"r{self.number}"
+        self.assertFalse(any(name in engine.received_whole for engine in self.engines))
         return sum(run == name for engine in self.engines for run in engine.runs)
 
 
@@ -110,8 +111,9 @@
                         if reply is not None:
                             self.assertFalse(reply.status == 200 and reply.complete)
                             self.assertIn(reply.status, (200, 502, 504))
+                        runs = self.count_runs()
                         if target in (CALL_PREFIX, STREAM_PREFIX):
-                            self.assertEqual(self.count_runs(), 1)
+                            self.assertEqual(runs, 1)
 
     async def test_a_part_is_not_delivered_as_a_whole_answer(self) -> None:
         """Guards against a part that looks complete, as its end came before the reset."""
@@ -124,6 +126,7 @@
                 with self.subTest(end=end, target=target):
                     reply = await self.ask(self.instances[0], target, end=end, body=LONG_PART)
                     assert reply is not None
+                    self.assertGreater(self.count_runs(), 0)
                     self.assertEqual(reply.status, 502)
 
     async def test_a_forwarded_part_is_not_delivered_as_a_whole_answer(self) -> None:
